--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# The two commands of a fresh machine are `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(wildcard packages/*)
+STAMP := $(VENV)/installed
+
+.PHONY: install demo test lint format bench-path bench-policy bench-capacity
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(addprefix --editable ,$(PACKAGES))
+	touch $@
+
+demo: install
+	$(BIN)/python -m lagoonrun_standins.demo
+
+test: install
+	$(BIN)/python -m pytest -n 4 --dist loadfile
+
+lint: install
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+
+format: install
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+bench-path: install
+	$(BIN)/python -m lagoonrun_standins.bench_path
+
+bench-policy: install
+	$(BIN)/python -m lagoonrun_standins.bench_policy
+
+bench-capacity: install
+	$(BIN)/python -m lagoonrun_standins.bench_capacity
--- /dev/null
+++ b/packages/cli/src/lagoonrun_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command line."""
--- /dev/null
+++ b/packages/config/src/lagoonrun_config/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations, their checks, snapshots and the settings of a process."""
--- /dev/null
+++ b/packages/config/src/lagoonrun_config/settings.py
@@ -0,0 +1,54 @@
+"""Settings of one `lagoonrund` process, from its TOML file."""
+
+import dataclasses
+
+from lagoonrun_core import types
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Address:
+    """An IP number and a port; port 0 lets the system choose."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """What a process is told at start.
+
+    Parameters
+    ----------
+    caller
+        Address for callers.
+    admin
+        Address for operators: health, metrics, status, explanations.
+    peer
+        Address for other entry VMs: TCP for permits, UDP for membership;
+        both use the same port number.
+    platform
+        Addresses of the platform's gateway, tried in order.
+    seeds
+        Peer addresses to join through.
+    inner_key
+        Secret that authenticates messages between entry VMs.
+    admin_token_digest
+        SHA-256 (hexadecimal) of the token that admin calls must bear;
+        empty for none.
+    """
+
+    entry_vm: types.EntryVmId
+    domain: types.FailureDomain
+    caller: Address
+    admin: Address
+    peer: Address
+    platform: tuple[Address, ...]
+    seeds: tuple[Address, ...] = ()
+    inner_key: bytes
+    admin_token_digest: str = ""
+    drain_timeout_seconds: float = 600.0
+    explain_capacity: int = 10_000
--- /dev/null
+++ b/packages/core/src/lagoonrun_core/errors.py
@@ -0,0 +1,47 @@
+"""Errors that carry the step and the peer at which they arose."""
+
+import enum
+
+
+class Step(enum.Enum):
+    """Part of the work during which an error arose."""
+
+    SETTINGS = "settings"
+    DECLARATION = "declaration"
+    CALLER_READ = "caller-read"
+    CALLER_WRITE = "caller-write"
+    AUTHENTICATE = "authenticate"
+    RESOLVE_SERVICE = "resolve-service"
+    PERMIT = "permit"
+    CLAIM = "claim"
+    UPSTREAM_CONNECT = "upstream-connect"
+    UPSTREAM_WRITE = "upstream-write"
+    UPSTREAM_READ = "upstream-read"
+    PLATFORM_CALL = "platform-call"
+    PEER_CONNECT = "peer-connect"
+    PEER_FRAME = "peer-frame"
+    CONFIGURATION = "configuration"
+    MEMBERSHIP = "membership"
+    ORDER = "order"
+    EXPLAIN = "explain"
+
+
+class LagoonrunError(Exception):
+    """Base of all errors that lagoonrun raises on purpose.
+
+    Parameters
+    ----------
+    step
+        Part of the work that failed.
+    peer
+        Name or address of the other side; empty where there is none.
+    detail
+        Names the offending value and what would be valid.
+    """
+
+    def __init__(self, *, step: Step, peer: str = "", detail: str) -> None:
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+        where = f"{step.value} with {peer}" if peer else step.value
+        super().__init__(f"{where}: {detail}")
--- /dev/null
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -0,0 +1,56 @@
+"""Numbered log events; docs/log-events.md is the catalogue of the same.
+
+Numbers are never given twice. Hundreds group by concern: 1xx process,
+2xx request and routing decisions, 3xx shards and permits, 4xx upstreams,
+5xx configuration, 6xx membership, 7xx platform, 8xx orders, 9xx admin.
+"""
+
+import enum
+
+
+class LogEvent(enum.Enum):
+    """One kind of log line: its number and its name."""
+
+    PROCESS_STARTED = (100, "process-started")
+    PROCESS_READY = (101, "process-ready")
+    PROCESS_STOPPING = (102, "process-stopping")
+    PROCESS_STOPPED = (103, "process-stopped")
+    TASK_FAILED = (104, "task-failed")
+
+    REQUEST_ENDED = (200, "request-ended")
+    REQUEST_REJECTED = (201, "request-rejected")
+    REQUEST_ROUTED = (202, "request-routed")
+    REQUEST_REFUSED = (203, "request-refused")
+    REQUEST_RETRIED = (204, "request-retried")
+    REQUEST_RESUMED = (205, "request-resumed")
+    REQUEST_CUT = (206, "request-cut")
+    CLAIM_DECIDED = (207, "claim-decided")
+    FALLBACK_ROUTED = (208, "fallback-routed")
+
+    SHARD_OWNED = (300, "shard-owned")
+    SHARD_RELEASED = (301, "shard-released")
+    PERMIT_HANDOVER = (302, "permit-handover")
+    PERMIT_RETURNED = (303, "permit-returned")
+
+    UPSTREAM_EJECTED = (400, "upstream-ejected")
+    UPSTREAM_RESTORED = (401, "upstream-restored")
+    UPSTREAM_LEAVING = (402, "upstream-leaving")
+    UPSTREAM_MISMATCH = (403, "upstream-mismatch")
+
+    CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
+    CONFIGURATION_REJECTED = (501, "configuration-rejected")
+
+    MEMBER_STATE_CHANGED = (600, "member-state-changed")
+    PEER_FRAME_REJECTED = (601, "peer-frame-rejected")
+
+    PLATFORM_UNREACHABLE = (700, "platform-unreachable")
+    PLATFORM_REACHABLE = (701, "platform-reachable")
+
+    ORDERER_ELECTED = (800, "orderer-elected")
+    ORDERER_LOST = (801, "orderer-lost")
+    ORDER_DECIDED = (802, "order-decided")
+    ORDER_ENDED = (803, "order-ended")
+
+    def __init__(self, number: int, label: str) -> None:
+        self.number = number
+        self.label = label
--- /dev/null
+++ b/packages/core/src/lagoonrun_core/logs.py
@@ -0,0 +1,53 @@
+"""Structured log lines: one JSON object per numbered event."""
+
+import logging
+import sys
+
+from pythonjsonlogger import json as json_logger
+
+from lagoonrun_core import events
+
+_ROOT_NAME = "lagoonrun"
+
+
+def configure(*, entry_vm: str, level: int = logging.INFO) -> None:
+    """Send all lagoonrun log lines to standard error as JSON.
+
+    Parameters
+    ----------
+    entry_vm
+        Name of this process, repeated on each line.
+    level
+        Lowest level that is written.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        json_logger.JsonFormatter(
+            "%(asctime)s %(levelname)s %(message)s",
+            static_fields={"entry_vm": entry_vm},
+        )
+    )
+    logger = logging.getLogger(_ROOT_NAME)
+    logger.handlers = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
+
+
+def emit(
+    event: events.LogEvent, *, level: int = logging.INFO, **fields: object
+) -> None:
+    """Write one numbered event.
+
+    Parameters
+    ----------
+    event
+        Kind of the line.
+    level
+        Level of the line.
+    **fields
+        Values of the line; never prompts, answers or keys.
+    """
+    logger = logging.getLogger(_ROOT_NAME)
+    if logger.isEnabledFor(level):
+        extra = {"event": event.number, **fields}
+        logger.log(level, event.label, extra=extra)
--- /dev/null
+++ b/packages/core/src/lagoonrun_core/outcomes.py
@@ -0,0 +1,68 @@
+"""What becomes of a request, as a caller and a log line are told."""
+
+import dataclasses
+import enum
+
+from lagoonrun_core import types
+
+
+class Outcome(enum.Enum):
+    """End of a request; the value goes into the `Lagoonrun-Outcome` header.
+
+    `NOT_RUN` is a promise: no byte of the request left for an upstream, or
+    the upstream said by protocol that it did not run it.
+    """
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+    PARTIAL = "partial"
+
+
+class Reason(enum.Enum):
+    """Why a request was refused, cut or ended other than complete."""
+
+    NONE = "none"
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+    SHED_FOR_HIGHER_TIER = "shed-for-higher-tier"
+    NO_UPSTREAM = "no-upstream"
+    NO_DISPATCHER = "no-dispatcher"
+    NOT_MINE = "not-mine"
+    RETRY_BUDGET = "retry-budget"
+    STOPPING = "stopping"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    CLAIM_TAKEN = "claim-taken"
+    CALLER_LEFT = "caller-left"
+    CUT_FOR_HIGHER_TIER = "cut-for-higher-tier"
+    UPSTREAM_REFUSED = "upstream-refused"
+    UPSTREAM_CONNECT = "upstream-connect"
+    UPSTREAM_CLOSED = "upstream-closed"
+    UPSTREAM_TIMEOUT = "upstream-timeout"
+    UPSTREAM_MISMATCH = "upstream-mismatch"
+    UPSTREAM_PROTOCOL = "upstream-protocol"
+    UNCONFIGURED = "unconfigured"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ending:
+    """How one request ended.
+
+    Parameters
+    ----------
+    outcome
+        Tag told to the caller.
+    reason
+        Cause, `Reason.NONE` for a complete answer.
+    retry_after_seconds
+        When the caller should come back; 0 where that says nothing.
+    detail
+        One sentence for people; never holds prompt text or keys.
+    """
+
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    retry_after_seconds: float = 0.0
+    detail: str = ""
+    upstream: types.UpstreamId | None = None
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The router process of an entry VM."""
--- /dev/null
+++ b/packages/http/src/lagoonrun_http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 edges towards callers and upstreams."""
--- /dev/null
+++ b/packages/membership/src/lagoonrun_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of entry VMs and states of upstreams."""
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: order of service, admission and choice of upstream."""
--- /dev/null
+++ b/packages/protocol/src/lagoonrun_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between lagoonrun's own processes."""
