--- /dev/null
+++ b/packages/protocol/src/lagoonrun_protocol/codec.py
@@ -0,0 +1,151 @@
+"""Carry messages to packed Cap'n Proto bytes and back.
+
+The schema is loaded at run time from this package, so the build needs no
+generator. Conversions are worked out once per message type, at import.
+"""
+
+import dataclasses
+import enum
+import pathlib
+import types
+import typing
+from collections.abc import Callable
+from typing import Any
+
+import capnp
+
+from lagoonrun_core import errors
+from lagoonrun_protocol import messages
+
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("schema.capnp")))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _FieldCodec:
+    name: str
+    wire_name: str
+    to_wire: Callable[[Any], Any] | None
+    from_wire: Callable[[Any], Any] | None
+
+
+def _camel_case(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(part.title() for part in rest)
+
+
+def _variant_name(message_type: type) -> str:
+    name = message_type.__name__
+    return name[0].lower() + name[1:]
+
+
+def _field_codec(name: str, field_type: Any) -> _FieldCodec:
+    to_wire: Callable[[Any], Any] | None = None
+    from_wire: Callable[[Any], Any] | None = None
+    if typing.get_origin(field_type) is tuple:
+        item = typing.get_args(field_type)[0]
+        if dataclasses.is_dataclass(item):
+            to_wire = _list_to_wire
+            from_wire = _struct_list_reader(typing.cast(type, item))
+        else:
+            to_wire = list
+            from_wire = tuple
+    elif isinstance(field_type, type) and issubclass(field_type, enum.Enum):
+        to_wire = _enum_to_wire
+        from_wire = field_type
+    elif field_type is bytes:
+        from_wire = bytes
+    return _FieldCodec(
+        name=name,
+        wire_name=_camel_case(name),
+        to_wire=to_wire,
+        from_wire=from_wire,
+    )
+
+
+def _enum_to_wire(value: enum.Enum) -> str:
+    return value.value
+
+
+def _list_to_wire(items: tuple[Any, ...]) -> list[dict[str, Any]]:
+    return [_to_wire(item) for item in items]
+
+
+def _struct_list_reader(item_type: type) -> Callable[[Any], Any]:
+    def read(items: Any) -> tuple[Any, ...]:
+        return tuple(_from_wire(item_type, item) for item in items)
+
+    return read
+
+
+def _codecs_of(message_type: type) -> tuple[_FieldCodec, ...]:
+    hints = typing.get_type_hints(message_type)
+    return tuple(
+        _field_codec(field.name, hints[field.name])
+        for field in dataclasses.fields(message_type)
+    )
+
+
+_CODECS_BY_TYPE: dict[type, tuple[_FieldCodec, ...]] = {
+    value: _codecs_of(value)
+    for value in vars(messages).values()
+    if isinstance(value, type) and dataclasses.is_dataclass(value)
+}
+
+_TYPES_BY_VARIANT: types.MappingProxyType[str, type] = types.MappingProxyType(
+    {_variant_name(t): t for t in typing.get_args(messages.Message)}
+)
+
+
+def _to_wire(message: Any) -> dict[str, Any]:
+    fields = {}
+    for codec in _CODECS_BY_TYPE[type(message)]:
+        value = getattr(message, codec.name)
+        fields[codec.wire_name] = (
+            codec.to_wire(value) if codec.to_wire else value
+        )
+    return fields
+
+
+def _from_wire(message_type: type, reader: Any) -> Any:
+    fields = {}
+    for codec in _CODECS_BY_TYPE[message_type]:
+        value = getattr(reader, codec.wire_name)
+        fields[codec.name] = (
+            codec.from_wire(value) if codec.from_wire else value
+        )
+    return message_type(**fields)
+
+
+def encode(message: messages.Message) -> bytes:
+    """Return the packed bytes of `message`."""
+    variant = _variant_name(type(message))
+    envelope = _SCHEMA.Envelope.new_message(**{variant: _to_wire(message)})
+    return envelope.to_bytes_packed()
+
+
+def decode(body: bytes, *, peer: str = "") -> messages.Message:
+    """Return the message in `body`.
+
+    Parameters
+    ----------
+    body
+        Packed bytes as `encode` gives them.
+    peer
+        Sender, for errors.
+
+    Raises
+    ------
+    lagoonrun_core.errors.LagoonrunError
+        If the bytes are no message of a known kind.
+    """
+    try:
+        envelope = _SCHEMA.Envelope.from_bytes_packed(body)
+        variant = str(envelope.which())
+        message_type = _TYPES_BY_VARIANT[variant]
+        return _from_wire(message_type, getattr(envelope, variant))
+    except (capnp.KjException, KeyError, ValueError, UnicodeError) as error:
+        raise errors.LagoonrunError(
+            step=errors.Step.PEER_FRAME,
+            peer=peer,
+            detail=f"{len(body)} bytes are no valid message: {error}",
+        ) from error
--- /dev/null
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -0,0 +1,174 @@
+# Messages between entry VMs; see messages.py for their meaning.
+# Fields are only ever added at the end, so that mixed versions understand
+# each other during a rolling replacement.
+@0xd3b1f6a2c4e58790;
+
+struct Hello {
+  entryVm @0 :Text;
+  incarnation @1 :UInt64;
+  domain @2 :Text;
+}
+
+struct PermitRequest {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+  shard @2 :Text;
+  profile @3 :Text;
+  organisation @4 :Text;
+  remainingSeconds @5 :Float64;
+  remainingTargetSeconds @6 :Float64;
+  prefixHash @7 :UInt64;
+  promptBytes @8 :UInt64;
+  excluded @9 :List(Text);
+  revision @10 :UInt64;
+}
+
+struct PermitReturn {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+  shard @2 :Text;
+}
+
+struct PermitEnd {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+  shard @2 :Text;
+  upstream @3 :Text;
+  outcome @4 :Text;
+  reason @5 :Text;
+  firstTokenSeconds @6 :Float64;
+  totalSeconds @7 :Float64;
+  tokens @8 :UInt64;
+}
+
+struct RunningWork {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+  upstream @2 :Text;
+  profile @3 :Text;
+  organisation @4 :Text;
+  runningSeconds @5 :Float64;
+  firstTokenSeconds @6 :Float64;
+  tokens @7 :UInt64;
+}
+
+struct WaitingWork {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+}
+
+struct WorkDigest {
+  shard @0 :Text;
+  running @1 :List(RunningWork);
+  waiting @2 :List(WaitingWork);
+}
+
+struct PermitAcknowledged {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+}
+
+struct PermitGranted {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+  upstream @2 :Text;
+}
+
+struct PermitRefused {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+  reason @2 :Text;
+  retryAfterSeconds @3 :Float64;
+}
+
+struct PermitNotMine {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+  owner @2 :Text;
+}
+
+struct CutWork {
+  requestId @0 :Text;
+  attemptId @1 :UInt64;
+  reason @2 :Text;
+}
+
+struct ShardSummary {
+  shard @0 :Text;
+  dispatcher @1 :Text;
+  free @2 :UInt64;
+  lowestWaitingTier @3 :UInt64;
+  lowestRunningTier @4 :UInt64;
+  waitSeconds @5 :Float64;
+}
+
+struct SnapshotRequest {
+  revision @0 :UInt64;
+}
+
+struct SnapshotReply {
+  revision @0 :UInt64;
+  digest @1 :Text;
+  body @2 :Data;
+}
+
+struct MemberUpdate {
+  entryVm @0 :Text;
+  domain @1 :Text;
+  incarnation @2 :UInt64;
+  state @3 :Text;
+  peerHost @4 :Text;
+  peerPort @5 :UInt64;
+  adminPort @6 :UInt64;
+  revision @7 :UInt64;
+  digest @8 :Text;
+}
+
+struct UpstreamUpdate {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+  leaving @2 :Bool;
+}
+
+struct Ping {
+  sequence @0 :UInt64;
+  source @1 :Text;
+  members @2 :List(MemberUpdate);
+  upstreams @3 :List(UpstreamUpdate);
+  shards @4 :List(ShardSummary);
+}
+
+struct Acknowledge {
+  sequence @0 :UInt64;
+  source @1 :Text;
+  members @2 :List(MemberUpdate);
+  upstreams @3 :List(UpstreamUpdate);
+  shards @4 :List(ShardSummary);
+}
+
+struct PingRequest {
+  sequence @0 :UInt64;
+  source @1 :Text;
+  target @2 :Text;
+}
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    permitRequest @1 :PermitRequest;
+    permitReturn @2 :PermitReturn;
+    permitEnd @3 :PermitEnd;
+    workDigest @4 :WorkDigest;
+    permitAcknowledged @5 :PermitAcknowledged;
+    permitGranted @6 :PermitGranted;
+    permitRefused @7 :PermitRefused;
+    permitNotMine @8 :PermitNotMine;
+    cutWork @9 :CutWork;
+    shardSummary @10 :ShardSummary;
+    snapshotRequest @11 :SnapshotRequest;
+    snapshotReply @12 :SnapshotReply;
+    ping @13 :Ping;
+    acknowledge @14 :Acknowledge;
+    pingRequest @15 :PingRequest;
+  }
+}
