--- /dev/null
+++ b/packages/config/src/lagoonrun_config/faults.py
@@ -0,0 +1,328 @@
+"""Faults of declarations and settings, and the typed reader that finds them.
+
+A reader never stops at the first fault: it notes it, returns a stand-in
+value of the right type and goes on, so that an operator sees them all.
+"""
+
+import dataclasses
+import enum
+import ipaddress
+import re
+from collections.abc import Mapping
+from typing import TypeVar
+
+_NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_HEXADECIMAL_PATTERN = re.compile(r"(?:[0-9a-f]{2})*")
+_HIGHEST_PORT = 65535
+_LONGEST_SHOWN_VALUE = 80
+
+NAME_RULE = (
+    "1 to 63 letters, digits, '.', '_' or '-', the first a letter or digit"
+)
+
+_E = TypeVar("_E", bound=enum.Enum)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One thing that is wrong, and what would be right.
+
+    Parameters
+    ----------
+    key
+        Dotted path of the entry, like `profiles.lookup.tier`.
+    value
+        The offending value as text; secrets are not shown.
+    valid
+        What would be valid there.
+    source
+        Name of the file; empty where the fault is of no single file.
+    """
+
+    key: str
+    value: str
+    valid: str
+    source: str = ""
+
+    def __str__(self) -> str:
+        """Return the fault as one line."""
+        where = f"{self.source}: " if self.source else ""
+        return f"{where}{self.key} = {self.value}; valid: {self.valid}"
+
+
+def is_name(text: str) -> bool:
+    """Return whether `text` follows `NAME_RULE`."""
+    return _NAME_PATTERN.fullmatch(text) is not None
+
+
+def is_ip_number(text: str) -> bool:
+    """Return whether `text` is an IPv4 or IPv6 number."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def show(value: object) -> str:
+    """Return `value` as short text for a fault."""
+    text = repr(value)
+    if len(text) > _LONGEST_SHOWN_VALUE:
+        return text[:_LONGEST_SHOWN_VALUE] + "..."
+    return text
+
+
+class TableReader:
+    """Reads one TOML table with checked types, noting every fault.
+
+    Parameters
+    ----------
+    table
+        The parsed table.
+    path
+        Dotted path of the table; empty for the root.
+    source
+        File name for the faults.
+    faults
+        Where faults are appended.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: Mapping[str, object],
+        path: str,
+        source: str,
+        faults: list[Fault],
+    ) -> None:
+        self._table = table
+        self._path = path
+        self._source = source
+        self._faults = faults
+        self._known: set[str] = set()
+
+    def has(self, key: str) -> bool:
+        """Return whether the table holds `key`."""
+        return key in self._table
+
+    def note(self, key: str, value: object, valid: str) -> None:
+        """Add a fault at `key` of this table."""
+        self.note_hidden(key, show(value), valid)
+
+    def note_hidden(self, key: str, shown: str, valid: str) -> None:
+        """Add a fault whose value is given as text, as for secrets."""
+        path = f"{self._path}.{key}" if self._path else key
+        self._faults.append(
+            Fault(key=path, value=shown, valid=valid, source=self._source)
+        )
+
+    def text(self, key: str, *, default: str | None = None) -> str:
+        """Return a string; without a default it is required."""
+        value = self._take(key, default, "a string")
+        if value is None:
+            return ""
+        if not isinstance(value, str):
+            self.note(key, value, "a string")
+            return default or ""
+        return value
+
+    def name(self, key: str, *, default: str | None = None) -> str:
+        """Return a name that follows `NAME_RULE`."""
+        value = self.text(key, default=default)
+        if self.has(key) and not is_name(value):
+            self._note_once(key, value, NAME_RULE)
+        return value
+
+    def names(self, key: str) -> tuple[str, ...]:
+        """Return an optional list of names."""
+        found = self.texts(key)
+        for value in found:
+            if not is_name(value):
+                self.note(key, value, NAME_RULE)
+        return found
+
+    def texts(self, key: str, *, required: bool = False) -> tuple[str, ...]:
+        """Return a list of strings; empty when it is absent and optional."""
+        value = self._take(key, None if required else [], "a list of strings")
+        if value is None:
+            return ()
+        if not isinstance(value, list) or not all(
+            isinstance(one, str) for one in value
+        ):
+            self.note(key, value, "a list of strings")
+            return ()
+        return tuple(value)
+
+    def number(
+        self,
+        key: str,
+        *,
+        default: float | None = None,
+        minimum: float,
+        maximum: float,
+        above_minimum: bool = False,
+    ) -> float:
+        """Return a number between `minimum` and `maximum`.
+
+        Parameters
+        ----------
+        above_minimum
+            Whether the minimum itself is not allowed.
+        """
+        lower = f"above {minimum:g}" if above_minimum else f"from {minimum:g}"
+        valid = f"a number {lower} to {maximum:g}"
+        value = self._take(key, default, valid)
+        if value is None:
+            return maximum
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            self.note(key, value, valid)
+            return maximum if default is None else default
+        # NaN fails both comparisons, so it is refused with the rest.
+        high_enough = value > minimum if above_minimum else value >= minimum
+        if not (high_enough and value <= maximum):
+            self.note(key, value, valid)
+            return maximum if default is None else default
+        return float(value)
+
+    def integer(
+        self,
+        key: str,
+        *,
+        default: int | None = None,
+        minimum: int,
+        maximum: int,
+    ) -> int:
+        """Return a whole number between `minimum` and `maximum`."""
+        valid = f"a whole number from {minimum} to {maximum}"
+        value = self._take(key, default, valid)
+        if value is None:
+            return maximum
+        if isinstance(value, bool) or not isinstance(value, int):
+            self.note(key, value, valid)
+            return maximum if default is None else default
+        if not minimum <= value <= maximum:
+            self.note(key, value, valid)
+            return maximum if default is None else default
+        return value
+
+    def boolean(self, key: str, *, default: bool) -> bool:
+        """Return true or false."""
+        value = self._take(key, default, "true or false")
+        if not isinstance(value, bool):
+            self.note(key, value, "true or false")
+            return default
+        return value
+
+    def choice(self, key: str, kind: type[_E], *, default: _E | None) -> _E:
+        """Return the member of `kind` whose value is written."""
+        members = list(kind)
+        valid = " or ".join(repr(member.value) for member in members)
+        fallback = default or members[0]
+        value = self._take(key, fallback.value if default else None, valid)
+        if value is None:
+            return fallback
+        for member in members:
+            if member.value == value:
+                return member
+        self.note(key, value, valid)
+        return fallback
+
+    def ip_number(self, key: str, *, default: str | None = None) -> str:
+        """Return an IPv4 or IPv6 number."""
+        value = self.text(key, default=default)
+        if self.has(key) and not is_ip_number(value):
+            self._note_once(key, value, "an IP number, like 10.0.0.1")
+        return value
+
+    def address(self, key: str, *, lowest_port: int) -> tuple[str, int]:
+        """Return the IP number and port of an `IP:PORT` string."""
+        text = self.text(key)
+        if not self.has(key) or not isinstance(self._table[key], str):
+            return ("", 0)
+        return self.split_address(key, text, lowest_port=lowest_port)
+
+    def split_address(
+        self, key: str, text: str, *, lowest_port: int
+    ) -> tuple[str, int]:
+        """Split `text` into its IP number and port, noting a fault."""
+        host, _, port = text.rpartition(":")
+        if host.startswith("[") and host.endswith("]"):
+            host = host[1:-1]
+        if is_ip_number(host) and port.isdecimal():
+            number = int(port)
+            if lowest_port <= number <= _HIGHEST_PORT:
+                return (host, number)
+        self.note(
+            key,
+            text,
+            f"IP:PORT with an IP number and a port from {lowest_port} to "
+            f"{_HIGHEST_PORT}, like '10.0.0.1:8080'",
+        )
+        return ("", 0)
+
+    def secret(self, key: str, *, minimum_bytes: int) -> bytes:
+        """Return the bytes of a lower-case hexadecimal secret.
+
+        The fault of a secret never shows it, only its length.
+        """
+        text = self.text(key)
+        valid = (
+            f"at least {minimum_bytes} bytes in lower-case hexadecimal "
+            f"({2 * minimum_bytes} digits)"
+        )
+        if not self.has(key) or not isinstance(self._table[key], str):
+            return b""
+        if not _HEXADECIMAL_PATTERN.fullmatch(text):
+            self.note_hidden(key, f"(hidden, {len(text)} characters)", valid)
+            return b""
+        if len(text) < 2 * minimum_bytes:
+            self.note_hidden(key, f"(hidden, {len(text)} characters)", valid)
+        return bytes.fromhex(text)
+
+    def digest(self, key: str, text: str) -> None:
+        """Note a fault unless `text` is a hexadecimal SHA-256."""
+        if len(text) == 64 and _HEXADECIMAL_PATTERN.fullmatch(text):
+            return
+        # What stands here may be the key itself by mistake: not shown.
+        self.note_hidden(
+            key,
+            f"(hidden, {len(text)} characters)",
+            "the SHA-256 of the key, 64 lower-case hexadecimal digits",
+        )
+
+    def table(self, key: str) -> Mapping[str, object]:
+        """Return an optional subtable; empty when it is absent."""
+        value = self._take(key, {}, "a table")
+        if not isinstance(value, Mapping):
+            self.note(key, value, "a table")
+            return {}
+        return value
+
+    def tables(self, key: str) -> tuple[Mapping[str, object], ...]:
+        """Return an optional array of tables."""
+        value = self._take(key, [], "an array of tables")
+        if not isinstance(value, list) or not all(
+            isinstance(one, Mapping) for one in value
+        ):
+            self.note(key, value, "an array of tables")
+            return ()
+        return tuple(value)
+
+    def finish(self) -> None:
+        """Note a fault for each key that nobody asked for."""
+        for key, value in self._table.items():
+            if key not in self._known:
+                known = ", ".join(sorted(self._known))
+                self.note(key, value, f"only the keys {known}")
+
+    def _take(self, key: str, default: object, valid: str) -> object:
+        self._known.add(key)
+        if key in self._table:
+            return self._table[key]
+        if default is None:
+            self.note_hidden(key, "(missing)", valid)
+        return default
+
+    def _note_once(self, key: str, value: object, valid: str) -> None:
+        if isinstance(self._table[key], str):
+            self.note(key, value, valid)
--- a/packages/config/src/lagoonrun_config/settings.py
+++ b/packages/config/src/lagoonrun_config/settings.py
@@ -13,8 +13,9 @@
     port: int
 
     def __str__(self) -> str:
-        """Return `host:port`."""
-        return f"{self.host}:{self.port}"
+        """Return `host:port`, an IPv6 number in brackets."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/packages/config/src/lagoonrun_config/settings_file.py
@@ -0,0 +1,115 @@
+"""Reads the settings of a process from TOML and lists every fault at once."""
+
+import pathlib
+import tomllib
+from collections.abc import Sequence
+
+from lagoonrun_config import faults, settings
+from lagoonrun_core import errors, types
+
+_MINIMUM_INNER_KEY_BYTES = 16
+_LONGEST_DRAIN_SECONDS = 86_400.0
+_LARGEST_EXPLAIN_CAPACITY = 1_000_000
+
+
+class SettingsError(errors.LagoonrunError):
+    """The settings file cannot be used.
+
+    Parameters
+    ----------
+    path
+        The file that was read.
+    found
+        Every fault, in the order of the file's keys.
+    """
+
+    def __init__(self, *, path: str, found: Sequence[faults.Fault]) -> None:
+        self.faults = tuple(found)
+        super().__init__(
+            step=errors.Step.SETTINGS,
+            peer=path,
+            detail="\n".join(str(fault) for fault in self.faults),
+        )
+
+
+def load_settings(path: str | pathlib.Path) -> settings.Settings:
+    """Return the checked settings of the file at `path`.
+
+    Raises
+    ------
+    SettingsError
+        With every fault of the file.
+    """
+    name = str(path)
+    table = _read_table(pathlib.Path(path), name)
+    found: list[faults.Fault] = []
+    reader = faults.TableReader(table=table, path="", source=name, faults=found)
+    result = _read_settings(reader)
+    reader.finish()
+    if found:
+        raise SettingsError(path=name, found=found)
+    return result
+
+
+def _read_table(path: pathlib.Path, name: str) -> dict[str, object]:
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        detail, valid = str(error), "a file that can be read"
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        detail, valid = str(error), "TOML in UTF-8"
+    fault = faults.Fault(key="(file)", value=detail, valid=valid, source=name)
+    raise SettingsError(path=name, found=[fault])
+
+
+def _read_settings(reader: faults.TableReader) -> settings.Settings:
+    return settings.Settings(
+        entry_vm=types.EntryVmId(reader.name("entry_vm")),
+        domain=types.FailureDomain(reader.name("domain")),
+        caller=_read_address(reader, "caller"),
+        admin=_read_address(reader, "admin"),
+        peer=_read_address(reader, "peer"),
+        platform=_read_addresses(reader, "platform", required=True),
+        seeds=_read_addresses(reader, "seeds", required=False),
+        inner_key=reader.secret(
+            "inner_key", minimum_bytes=_MINIMUM_INNER_KEY_BYTES
+        ),
+        admin_token_digest=_read_token_digest(reader),
+        drain_timeout_seconds=reader.number(
+            "drain_timeout_seconds",
+            default=600.0,
+            minimum=0.0,
+            maximum=_LONGEST_DRAIN_SECONDS,
+        ),
+        explain_capacity=reader.integer(
+            "explain_capacity",
+            default=10_000,
+            minimum=1,
+            maximum=_LARGEST_EXPLAIN_CAPACITY,
+        ),
+    )
+
+
+def _read_address(reader: faults.TableReader, key: str) -> settings.Address:
+    host, port = reader.address(key, lowest_port=0)
+    return settings.Address(host=host, port=port)
+
+
+def _read_addresses(
+    reader: faults.TableReader, key: str, *, required: bool
+) -> tuple[settings.Address, ...]:
+    written = reader.texts(key, required=required)
+    if required and reader.has(key) and not written:
+        reader.note(key, [], "at least one 'IP:PORT'")
+    addresses = []
+    for text in written:
+        host, port = reader.split_address(key, text, lowest_port=1)
+        addresses.append(settings.Address(host=host, port=port))
+    return tuple(addresses)
+
+
+def _read_token_digest(reader: faults.TableReader) -> str:
+    text = reader.text("admin_token_digest", default="")
+    if text:
+        reader.digest("admin_token_digest", text)
+    return text
--- /dev/null
+++ b/packages/platform/src/lagoonrun_platform/memory_store.py
@@ -0,0 +1,325 @@
+"""In-memory store and VM list for tests, with faults on demand."""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import AsyncIterator, Sequence
+
+from lagoonrun_core import clock as clock_module
+from lagoonrun_platform import store, vm_list
+
+
+class MemoryStore:
+    """Fake of `KeyValueStore` that follows the same rules as the real one.
+
+    Faults are plain attributes that tests set and unset.
+
+    Parameters
+    ----------
+    clock
+        Drives the leases; they end when a call sees them expired.
+
+    Attributes
+    ----------
+    reachable
+        False: every call ends in `Unreachable` and watches break.
+    lost_replies
+        So many of the next writes are applied and answered `Unknown`.
+    lost_requests
+        So many of the next writes are answered `Unknown` and not applied.
+    stale_revision
+        When set, reads and new watches show the store as of this revision.
+    gate
+        When set, each call waits for this event before it takes effect.
+    reply_gate
+        When set, each write waits for this event after it took effect.
+    calls_by_kind
+        Counts calls; a watch counts as one.
+    """
+
+    def __init__(self, *, clock: clock_module.Clock | None = None) -> None:
+        self._clock = clock or clock_module.SystemClock()
+        self.reachable = True
+        self.lost_replies = 0
+        self.lost_requests = 0
+        self.stale_revision: store.StoreRevision | None = None
+        self.gate: asyncio.Event | None = None
+        self.reply_gate: asyncio.Event | None = None
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
+        self._revision = store.StoreRevision(1)
+        self._items: dict[str, store.KeyValue] = {}
+        self._history: list[_Past] = [_Past(revision=self._revision, items={})]
+        self._events: list[store.Event] = []
+        self._leases: dict[store.LeaseId, _Lease] = {}
+        self._next_lease = 1
+        self._watchers: set[_Watcher] = set()
+
+    @property
+    def revision(self) -> store.StoreRevision:
+        """Return the revision of the last write."""
+        return self._revision
+
+    def break_watches(self) -> None:
+        """End every watch as if its connection had been lost."""
+        for watcher in list(self._watchers):
+            watcher.put(store.Unreachable(detail="watch broken"))
+
+    def stop(self) -> None:
+        """Begin an outage: calls fail and watches break."""
+        self.reachable = False
+        self.break_watches()
+
+    def resume(self) -> None:
+        """End an outage."""
+        self.reachable = True
+
+    async def get(self, key: str) -> store.Item | store.Unreachable:
+        """Read one key; see `KeyValueStore`."""
+        if fault := await self._enter("get"):
+            return fault
+        past = self._visible()
+        return store.Item(found=past.items.get(key), revision=past.revision)
+
+    async def list_prefix(
+        self, prefix: str
+    ) -> store.Listing | store.Unreachable:
+        """Read a prefix; see `KeyValueStore`."""
+        if fault := await self._enter("list"):
+            return fault
+        past = self._visible()
+        items = tuple(
+            past.items[key]
+            for key in sorted(past.items)
+            if key.startswith(prefix)
+        )
+        return store.Listing(items=items, revision=past.revision)
+
+    async def transact(
+        self,
+        *,
+        comparisons: Sequence[store.Comparison],
+        puts: Sequence[store.Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> store.TransactionResult:
+        """Compare and write; see `KeyValueStore`."""
+        if fault := await self._enter("transact"):
+            return fault
+        if self._lose_request():
+            return store.Unknown(detail="request lost")
+        result = self._apply(comparisons, puts, deletes)
+        return await self._reply(result)
+
+    async def grant_lease(self, *, ttl_seconds: float) -> store.LeaseResult:
+        """Grant a lease; see `KeyValueStore`."""
+        if fault := await self._enter("lease"):
+            return fault
+        if self._lose_request():
+            return store.Unknown(detail="request lost")
+        lease = store.LeaseId(self._next_lease)
+        self._next_lease += 1
+        self._leases[lease] = _Lease(
+            ttl_seconds=ttl_seconds,
+            expires=self._clock.monotonic() + ttl_seconds,
+        )
+        return await self._reply(
+            store.LeaseGranted(lease=lease, ttl_seconds=ttl_seconds)
+        )
+
+    async def keep_lease(self, lease: store.LeaseId) -> store.LeaseResult:
+        """Renew a lease; see `KeyValueStore`."""
+        if fault := await self._enter("lease"):
+            return fault
+        if self._lose_request():
+            return store.Unknown(detail="request lost")
+        held = self._leases.get(lease)
+        if held is None:
+            return store.LeaseLost(lease=lease)
+        held.expires = self._clock.monotonic() + held.ttl_seconds
+        return await self._reply(
+            store.LeaseGranted(lease=lease, ttl_seconds=held.ttl_seconds)
+        )
+
+    async def revoke_lease(self, lease: store.LeaseId) -> store.RevokeResult:
+        """Revoke a lease; see `KeyValueStore`."""
+        if fault := await self._enter("lease"):
+            return fault
+        if self._lose_request():
+            return store.Unknown(detail="request lost")
+        if lease not in self._leases:
+            return store.LeaseLost(lease=lease)
+        self._end_lease(lease)
+        return await self._reply(store.LeaseRevoked(lease=lease))
+
+    async def watch(
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        from_revision: store.StoreRevision = store.ABSENT,
+    ) -> AsyncIterator[store.WatchMessage]:
+        """Yield changes; see `KeyValueStore`."""
+        if fault := await self._enter("watch"):
+            yield fault
+            return
+        watcher = _Watcher(key=key, prefix=prefix)
+        self._watchers.add(watcher)
+        try:
+            past = () if from_revision == store.ABSENT else self._events
+            missed = tuple(
+                event
+                for event in past
+                if event.modified >= from_revision and watcher.wants(event)
+            )
+            yield store.WatchBatch(events=missed, revision=self._revision)
+            while True:
+                message = await watcher.messages.get()
+                yield message
+                if isinstance(message, store.Unreachable):
+                    return
+        finally:
+            self._watchers.discard(watcher)
+
+    async def _enter(self, kind: str) -> store.Unreachable | None:
+        self.calls_by_kind[kind] += 1
+        if self.gate is not None:
+            await self.gate.wait()
+        if not self.reachable:
+            return store.Unreachable(detail="outage")
+        self._expire_leases()
+        return None
+
+    def _visible(self) -> "_Past":
+        if self.stale_revision is None:
+            return self._history[-1]
+        for past in reversed(self._history):
+            if past.revision <= self.stale_revision:
+                return past
+        return self._history[0]
+
+    def _lose_request(self) -> bool:
+        if self.lost_requests <= 0:
+            return False
+        self.lost_requests -= 1
+        return True
+
+    async def _reply(self, result):
+        if self.reply_gate is not None:
+            await self.reply_gate.wait()
+        if self.lost_replies > 0 or not self.reachable:
+            self.lost_replies = max(0, self.lost_replies - 1)
+            return store.Unknown(detail="reply lost")
+        return result
+
+    def _apply(
+        self,
+        comparisons: Sequence[store.Comparison],
+        puts: Sequence[store.Put],
+        deletes: Sequence[str],
+    ) -> store.Committed | store.Rejected:
+        if not all(self._holds(one) for one in comparisons):
+            found = [self._items.get(one.key) for one in comparisons]
+            items = tuple(item for item in found if item is not None)
+            return store.Rejected(items=items, revision=self._revision)
+        if not puts and not deletes:
+            return store.Committed(revision=self._revision)
+        lost = [p for p in puts if p.lease and p.lease not in self._leases]
+        if lost:
+            return store.Rejected(items=(), revision=self._revision)
+        self._write(puts, deletes)
+        return store.Committed(revision=self._revision)
+
+    def _holds(self, comparison: store.Comparison) -> bool:
+        item = self._items.get(comparison.key)
+        modified = store.ABSENT if item is None else item.modified
+        return modified == comparison.modified
+
+    def _write(self, puts: Sequence[store.Put], deletes: Sequence[str]) -> None:
+        self._revision = store.StoreRevision(self._revision + 1)
+        events = []
+        for put in puts:
+            old = self._items.get(put.key)
+            self._items[put.key] = store.KeyValue(
+                key=put.key,
+                value=put.value,
+                modified=self._revision,
+                created=old.created if old else self._revision,
+                lease=put.lease,
+            )
+            events.append((put.key, put.value))
+        for key in deletes:
+            if self._items.pop(key, None) is not None:
+                events.append((key, None))
+        self._publish(events)
+
+    def _publish(self, changes: list[tuple[str, bytes | None]]) -> None:
+        self._history.append(
+            _Past(revision=self._revision, items=dict(self._items))
+        )
+        events = [
+            store.Event(key=key, value=value, modified=self._revision)
+            for key, value in changes
+        ]
+        self._events.extend(events)
+        for watcher in self._watchers:
+            wanted = tuple(one for one in events if watcher.wants(one))
+            if wanted:
+                watcher.put(
+                    store.WatchBatch(events=wanted, revision=self._revision)
+                )
+
+    def _expire_leases(self) -> None:
+        now = self._clock.monotonic()
+        for lease, held in list(self._leases.items()):
+            if held.expires <= now:
+                self._end_lease(lease)
+
+    def _end_lease(self, lease: store.LeaseId) -> None:
+        del self._leases[lease]
+        keys = [k for k, item in self._items.items() if item.lease == lease]
+        if keys:
+            self._write((), keys)
+
+
+class MemoryVmList:
+    """Fake of `VmList`; tests set `vms_by_id` and `reachable`."""
+
+    def __init__(self) -> None:
+        self.vms_by_id: dict[str, vm_list.Vm] = {}
+        self.reachable = True
+
+    async def list_vms(self) -> vm_list.VmListing | store.Unreachable:
+        """Return the list; see `VmList`."""
+        if not self.reachable:
+            return store.Unreachable(detail="outage")
+        return vm_list.VmListing(vms_by_id=dict(self.vms_by_id))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Past:
+    """The store's keys as they were at one revision."""
+
+    revision: store.StoreRevision
+    items: dict[str, store.KeyValue]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Lease:
+    ttl_seconds: float
+    expires: float
+
+
+class _Watcher:
+    """One watch: what it wants and the messages that wait for it."""
+
+    def __init__(self, *, key: str, prefix: bool) -> None:
+        self._key = key
+        self._prefix = prefix
+        self.messages: asyncio.Queue[store.WatchMessage] = asyncio.Queue()
+
+    def wants(self, event: store.Event) -> bool:
+        if self._prefix:
+            return event.key.startswith(self._key)
+        return event.key == self._key
+
+    def put(self, message: store.WatchMessage) -> None:
+        self.messages.put_nowait(message)
