Add the stand-in of the platform's key-value service and VM list

Tests of the configuration, claims and leases need the platform without a third-party server.

A progress line of a watch is sent only while none of its events wait, because it promises that all up to its revision were sent.

--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/gateway_watches.py
@@ -0,0 +1,147 @@
+"""The watches of the etcd v3 gateway: one streamed answer each."""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Sequence
+from typing import Any
+
+from lagoonrun_standins import gateway_json
+from lagoonrun_standins import http_server as http_lib
+from lagoonrun_standins import key_value_state as state_lib
+
+_FILTERS = ("NOPUT", "NODELETE")
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class _Watch:
+    """A waiting watch and the lines that it has yet to send."""
+
+    keys: state_lib.KeyRange
+    previous: bool
+    progress: bool
+    filters: tuple[str, ...]
+    lines: asyncio.Queue[dict[str, Any]]
+
+    def wants(self, change: state_lib.Change) -> bool:
+        """Return whether the watch is to be told of a change."""
+        kind = "NODELETE" if change.is_deletion else "NOPUT"
+        in_range = self.keys.holds(change.present.key)
+        return in_range and kind not in self.filters
+
+
+class GatewayWatches:
+    """Streams changes to watches, each as newline-delimited JSON.
+
+    Parameters
+    ----------
+    state
+        What is watched; calls `tell` after each of its revisions.
+    progress_seconds
+        Period of the lines without events that a watch may ask for.
+    """
+
+    def __init__(
+        self, *, state: state_lib.KeyValueState, progress_seconds: float
+    ) -> None:
+        self._state = state
+        self._flowing = asyncio.Event()
+        self._flowing.set()
+        self._progress_seconds = progress_seconds
+        self._watches: set[_Watch] = set()
+
+    def __len__(self) -> int:
+        """Return the number of waiting watches."""
+        return len(self._watches)
+
+    def hold(self, held: bool) -> None:
+        """Hold every line back, or let what has gathered go."""
+        if held:
+            self._flowing.clear()
+        else:
+            self._flowing.set()
+
+    def tell(self, changes: Sequence[state_lib.Change]) -> None:
+        """Queue the changes of one revision for the watches they concern."""
+        for watch in self._watches:
+            self._queue(watch, changes)
+
+    async def serve(self, body: Any, exchange: http_lib.Exchange) -> None:
+        """Stream to one watch until its client goes.
+
+        Raises
+        ------
+        gateway_json.MalformedError
+            If `body` is not of the published shape.
+        """
+        create = gateway_json.Fields(body).object("create_request")
+        if create is None:
+            raise gateway_json.MalformedError("watch without create_request")
+        watch = _Watch(
+            keys=create.key_range(),
+            previous=create.flag("prev_kv"),
+            progress=create.flag("progress_notify"),
+            filters=create.enumerations("filters", _FILTERS),
+            lines=asyncio.Queue(),
+        )
+        start_revision = create.integer("start_revision")
+        exchange.start(200, [("Content-Type", "application/json")])
+        _send(exchange, self._line(created=True))
+        if start_revision:
+            try:
+                self._queue(watch, self._state.changes_from(start_revision))
+            except state_lib.CompactedError:
+                _send(exchange, self._compacted_line())
+                exchange.finish()
+                return
+        self._watches.add(watch)
+        try:
+            await self._stream(watch, exchange)
+        finally:
+            self._watches.discard(watch)
+
+    async def _stream(self, watch: _Watch, exchange: http_lib.Exchange) -> None:
+        timeout = self._progress_seconds if watch.progress else None
+        gone = asyncio.create_task(exchange.gone.wait())
+        try:
+            while not gone.done():
+                taking = asyncio.create_task(watch.lines.get())
+                await asyncio.wait(
+                    {taking, gone},
+                    timeout=timeout,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                await exchange.unless_gone(self._flowing.wait())
+                if taking.done():
+                    _send(exchange, taking.result())
+                    await exchange.flush()
+                    continue
+                taking.cancel()
+                # A progress line promises that every event up to its
+                # revision was sent, so none may be waiting.
+                if watch.lines.empty() and not gone.done():
+                    _send(exchange, self._line())
+        finally:
+            gone.cancel()
+
+    def _queue(
+        self, watch: _Watch, changes: Sequence[state_lib.Change]
+    ) -> None:
+        events = [
+            gateway_json.event(change, previous=watch.previous)
+            for change in changes
+            if watch.wants(change)
+        ]
+        if events:
+            watch.lines.put_nowait(self._line(events=events))
+
+    def _line(self, **fields: Any) -> dict[str, Any]:
+        return {"header": gateway_json.header(self._state.revision)} | fields
+
+    def _compacted_line(self) -> dict[str, Any]:
+        oldest = str(self._state.compact_revision + 1)
+        return self._line(canceled=True, compact_revision=oldest)
+
+
+def _send(exchange: http_lib.Exchange, line: dict[str, Any]) -> None:
+    exchange.send(json.dumps({"result": line}).encode() + b"\n")
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/vm_list.py
@@ -0,0 +1,77 @@
+"""The platform's list of live and leaving VMs, which lags."""
+
+import dataclasses
+import enum
+from typing import Any
+
+from lagoonrun_core import clock as clock_lib
+
+
+class VmState(enum.Enum):
+    """State of one VM as the platform lists it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Entry:
+    set_at: float
+    state: VmState
+    fields: dict[str, Any]
+
+
+class VmList:
+    """Every state that each VM was ever set to, with the instant.
+
+    Parameters
+    ----------
+    clock
+        Dates the changes.
+    """
+
+    def __init__(self, *, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._entries_by_id: dict[str, list[_Entry]] = {}
+
+    def set(self, vm: str, body: Any) -> None:
+        """Set the state of a VM and what else is listed of it.
+
+        Parameters
+        ----------
+        vm
+            Id of the VM.
+        body
+            JSON object; `state` is `live`, `leaving` or `gone`, and all
+            else (`address`, `domain`, ...) is listed as it is.
+
+        Raises
+        ------
+        ValueError
+            If the id is empty or the state is not valid.
+        """
+        if not vm or not isinstance(body, dict):
+            raise ValueError(f"VM {vm!r}: {body!r} is not a JSON object")
+        fields = {k: v for k, v in body.items() if k not in ("id", "state")}
+        entry = _Entry(
+            set_at=self._clock.monotonic(),
+            state=VmState(body.get("state", VmState.LIVE.value)),
+            fields=fields,
+        )
+        self._entries_by_id.setdefault(vm, []).append(entry)
+
+    def seen(self, *, delay_seconds: float) -> dict[str, Any]:
+        """Return the list as it was `delay_seconds` ago, as JSON.
+
+        VMs that were gone by then are left out.
+        """
+        limit = self._clock.monotonic() - delay_seconds
+        listed = []
+        for vm, entries in sorted(self._entries_by_id.items()):
+            known = [e for e in entries if e.set_at <= limit]
+            if known and known[-1].state is not VmState.GONE:
+                last = known[-1]
+                state = {"id": vm, "state": last.state.value}
+                listed.append(state | last.fields)
+        return {"vms": listed}
