Connect entry VMs: authenticated frames, hub with bounded links, ranking

The hub keeps one outgoing connection per peer and only reads incoming ones, so each task owns its socket. A connect handshake proves the shared key both ways over a nonce of each side; every frame carries a keyed BLAKE2b over its implicit number, so replayed, reordered or altered frames close the connection with event 601.

Ruled out: asyncio StreamReader.readexactly per frame (two awaits a frame; the reader cuts whole chunks instead); sending queued messages after a reconnect (a late permit request is worse than a lost one, the owner is told by on_link_lost); one connection for both directions (two tasks would write one socket, and simultaneous opens need a tie-break).

An authentic frame that does not decode is logged and skipped, not a cause to close: it comes from a newer version during a rolling replacement.

Rendezvous hashing with xxh3, seeded by the hash of the entry VM's id.

--- /dev/null
+++ b/packages/membership/src/lagoonrun_membership/ranking.py
@@ -0,0 +1,50 @@
+"""Who does what among live entry VMs, by rendezvous hashing.
+
+Every entry VM computes the same ranking from the same candidates, without a
+message. When a candidate comes or goes, only the shards for which it ranks
+first move.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from lagoonrun_core import types
+
+WATCHERS_PER_DOMAIN = 2
+"""Entry VMs of a domain that watch the configuration's head."""
+
+_WATCHER_PREFIX = "watch/"
+
+
+def rank_entry_vms(
+    shard: types.ShardId, candidates: Iterable[types.EntryVmId]
+) -> tuple[types.EntryVmId, ...]:
+    """Return `candidates`, best first, for the dispatcher of `shard`."""
+    return _ranked(shard, candidates)
+
+
+def choose_watchers(
+    domain: types.FailureDomain, candidates: Iterable[types.EntryVmId]
+) -> tuple[types.EntryVmId, ...]:
+    """Return the entry VMs of `domain` that watch the configuration.
+
+    Two where there are as many candidates, so that the loss of one delays
+    nothing.
+    """
+    ranked = _ranked(_WATCHER_PREFIX + domain, candidates)
+    return ranked[:WATCHERS_PER_DOMAIN]
+
+
+def _ranked(
+    key: str, candidates: Iterable[types.EntryVmId]
+) -> tuple[types.EntryVmId, ...]:
+    key_bytes = key.encode()
+
+    def weight(entry_vm: types.EntryVmId) -> tuple[int, str]:
+        # Hashing the id first keeps keys that share a long prefix, as the
+        # shards of one pool do, from giving related orders.
+        seed = xxhash.xxh3_64_intdigest(entry_vm.encode())
+        return (xxhash.xxh3_64_intdigest(key_bytes, seed=seed), entry_vm)
+
+    return tuple(sorted(candidates, key=weight, reverse=True))
--- /dev/null
+++ b/packages/protocol/tests/test_hub.py
@@ -0,0 +1,214 @@
+"""Hubs exchange messages, and refuse what is not from a peer."""
+
+import asyncio
+import os
+import random
+
+import pytest
+
+from lagoonrun_core import errors, events, logs
+from lagoonrun_protocol import frames, messages, outgoing
+
+_WAIT_SECONDS = 10.0
+_REQUEST = messages.SnapshotRequest(revision=3)
+
+
+@pytest.fixture
+def rejections(monkeypatch):
+    """Queue of the fields of each log line 601."""
+    queue = asyncio.Queue()
+
+    def emit(event, *, level=0, **fields):
+        if event is events.LogEvent.PEER_FRAME_REJECTED:
+            queue.put_nowait(fields)
+
+    monkeypatch.setattr(logs, "emit", emit)
+    return queue
+
+
+async def _next_rejection(queue):
+    return await asyncio.wait_for(queue.get(), _WAIT_SECONDS)
+
+
+async def test_messages_arrive_in_order_both_ways(start_hub):
+    first, first_handler = await start_hub("vm-1")
+    second, second_handler = await start_hub("vm-2")
+    sent = [messages.SnapshotRequest(revision=n) for n in range(500)]
+    assert all(first.send("vm-2", message) for message in sent)
+    received = [await second_handler.next_message() for _ in sent]
+    assert received == [("vm-1", message) for message in sent]
+    assert second.send("vm-1", _REQUEST)
+    assert await first_handler.next_message() == ("vm-2", _REQUEST)
+
+
+async def test_send_says_no_to_self_and_to_strangers(start_hub):
+    first, _ = await start_hub("vm-1")
+    assert not first.send("vm-1", _REQUEST)
+    assert not first.send("vm-unknown", _REQUEST)
+
+
+async def test_full_queue_is_said_at_once(start_hub):
+    """The queue to a peer is bounded and `send` never waits.
+
+    A burst of permit requests goes to a dispatcher before its connection is
+    up. Without a bound the memory would grow; the sender is told no instead.
+    """
+    first, _ = await start_hub("vm-1")
+    await start_hub("vm-2")
+    for _ in range(outgoing.MAXIMUM_QUEUED_MESSAGES):
+        assert first.send("vm-2", _REQUEST)
+    assert not first.send("vm-2", _REQUEST)
+
+
+async def test_message_longer_than_a_frame_is_an_error(start_hub):
+    first, _ = await start_hub("vm-1")
+    await start_hub("vm-2")
+    body = os.urandom(frames.MAXIMUM_FRAME_BYTES + 1)
+    with pytest.raises(errors.LagoonrunError, match="valid: at most"):
+        first.send(
+            "vm-2", messages.SnapshotReply(revision=1, digest="", body=body)
+        )
+
+
+async def test_closed_peer_is_told_as_lost_link(start_hub):
+    """A dispatcher's VM is killed while permits are out.
+
+    The ingress must hear of it to register its work elsewhere; both the
+    reading and the writing side of the connection tell it.
+    """
+    first, first_handler = await start_hub("vm-1")
+    second, second_handler = await start_hub("vm-2")
+    first.send("vm-2", _REQUEST)
+    await second_handler.next_message()
+    await second.close()
+    assert await first_handler.next_loss() == "vm-2"
+
+
+async def test_unreachable_peer_backs_off_and_comes_back(start_hub, clock):
+    """A peer is down, then its replacement listens at another port.
+
+    While the back-off runs, `send` says no, so that the caller turns to the
+    next-ranked entry VM. A new address is tried at once.
+    """
+    first, first_handler = await start_hub("vm-1")
+    second, _ = await start_hub("vm-2")
+    await second.close()
+    assert first.send("vm-2", _REQUEST)
+    assert await first_handler.next_loss() == "vm-2"
+    assert not first.send("vm-2", _REQUEST)
+    clock.advance(2.0)
+    assert first.send("vm-2", _REQUEST)
+    assert await first_handler.next_loss() == "vm-2"
+    _, replacement_handler = await start_hub("vm-2")
+    assert first.send("vm-2", _REQUEST)
+    assert await replacement_handler.next_message() == ("vm-1", _REQUEST)
+
+
+async def test_wrong_key_is_refused_on_both_sides(start_hub, rejections):
+    """A process with another key must neither give nor get messages.
+
+    An operator rolls out a key to some VMs only. Each side says so by event
+    601 with the peer, and nothing is delivered.
+    """
+    first, first_handler = await start_hub("vm-1", key=b"another key")
+    _, second_handler = await start_hub("vm-2")
+    assert first.send("vm-2", _REQUEST)
+    rejection = await _next_rejection(rejections)
+    assert "another key" in rejection["detail"]
+    assert rejection["peer"]
+    assert await first_handler.next_loss() == "vm-2"
+    assert second_handler.received.empty()
+
+
+async def test_address_of_another_entry_vm_is_refused(
+    start_hub, address_book, rejections
+):
+    """A replaced VM's address was given to a VM of another name.
+
+    A permit request for the first must not be answered by the second.
+    """
+    first, first_handler = await start_hub("vm-1")
+    _, second_handler = await start_hub("vm-2")
+    book = address_book.addresses_by_id
+    book["vm-3"] = book["vm-2"]
+    assert first.send("vm-3", _REQUEST)
+    assert await first_handler.next_loss() == "vm-3"
+    assert "vm-2" in (await _next_rejection(rejections))["detail"]
+    assert second_handler.received.empty()
+
+
+@pytest.mark.parametrize("seed", range(5))
+async def test_garbage_is_refused_and_others_are_served(
+    start_hub, rejections, seed
+):
+    """A port scanner writes arbitrary bytes to the hub.
+
+    The connection is closed with event 601, and peers go on being served.
+    """
+    _, handler = await start_hub("vm-1")
+    second, _ = await start_hub("vm-2")
+    address = second._address_book.address_of("vm-1")
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(random.Random(seed).randbytes(4096))
+    await _next_rejection(rejections)
+    await asyncio.wait_for(_until_closed(reader), _WAIT_SECONDS)
+    writer.close()
+    assert second.send("vm-1", _REQUEST)
+    assert await handler.next_message() == ("vm-2", _REQUEST)
+
+
+async def _until_closed(reader):
+    try:
+        while await reader.read(4096):
+            pass
+    except ConnectionError:
+        pass
+
+
+async def test_newer_connection_replaces_a_half_open_one(start_hub):
+    """A peer's VM vanishes without a reset and comes back.
+
+    Its old socket stays open at our side; the newer one of the same name
+    takes its place, so that sockets don't pile up.
+    """
+    _, handler = await start_hub("vm-1")
+    old, old_handler = await start_hub("vm-2")
+    old.send("vm-1", _REQUEST)
+    await handler.next_message()
+    new, _ = await start_hub("vm-2")
+    new.send("vm-1", _REQUEST)
+    assert await handler.next_message() == ("vm-2", _REQUEST)
+    assert await old_handler.next_loss() == "vm-1"
+
+
+async def test_fault_of_the_handler_keeps_the_connection(start_hub):
+    first, _ = await start_hub("vm-1")
+    _, second_handler = await start_hub("vm-2")
+    accept = second_handler.on_message
+    calls = []
+
+    def fail_once(sender, message):
+        calls.append(message)
+        if len(calls) == 1:
+            raise RuntimeError("fault of the owner")
+        accept(sender, message)
+
+    second_handler.on_message = fail_once
+    first.send("vm-2", _REQUEST)
+    first.send("vm-2", messages.SnapshotRequest(revision=4))
+    _, message = await second_handler.next_message()
+    assert message.revision == 4
+
+
+async def test_dropped_peer_is_told_as_lost(start_hub):
+    """A dispatcher's process is frozen: its sockets stay open.
+
+    When the membership holds it for dead, the owner drops the link and the
+    handler hears of the loss at once.
+    """
+    first, first_handler = await start_hub("vm-1")
+    _, second_handler = await start_hub("vm-2")
+    first.send("vm-2", _REQUEST)
+    await second_handler.next_message()
+    first.drop("vm-2")
+    assert await first_handler.next_loss() == "vm-2"
