Claim idempotency keys by compare-and-swap, many in one transaction

A request of a non-idempotent class with an Idempotency-Key may run once, however many entry VMs its caller tries. An ingress claims the key right before the first byte; the claim's record names its attempt.

A write without an answer is sent again as it is: the answer then says whether the first applied. A plain read was ruled out, since it can show "absent" before a late write applies. Abandoned claims are replaced by a record that says "released", which also stops a write that arrives later. Takeover of an old claim by its age was ruled out: its claimant may be frozen before its write, and no upstream has a guard against it.

Writes wait for the transaction on its way and share the next; a rejected one gives each conflict to its owner and goes again with the others.

--- /dev/null
+++ b/packages/claims/src/lagoonrun_claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys: at most once across entry VMs."""
--- /dev/null
+++ b/packages/claims/src/lagoonrun_claims/retention.py
@@ -0,0 +1,88 @@
+"""Leases that delete claims after their retention time.
+
+Claims share a lease: an entry VM asks for one per period and attaches all
+claims written in that period to it. The lease is never kept alive, so its
+claims go away `retention` to `retention + 2 * period` after their last write,
+without a sweep and without a call; a dead entry VM's claims do as well.
+"""
+
+import asyncio
+import dataclasses
+
+from lagoonrun_core import clock as clock_module
+from lagoonrun_platform import store as store_module
+
+DEFAULT_RETENTION_SECONDS = 24 * 3600.0
+DEFAULT_PERIOD_SECONDS = 600.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RetentionLease:
+    """A lease and the monotonic reading before it was asked for."""
+
+    lease: store_module.LeaseId
+    asked: float
+
+
+class Retention:
+    """Provides the lease for claims that are written now.
+
+    Parameters
+    ----------
+    retention_seconds
+        Least time for which a claim outlives its last write.
+    period_seconds
+        How long one lease takes new claims; a lease that cannot be replaced
+        takes them for as long again.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: store_module.KeyValueStore,
+        clock: clock_module.Clock,
+        retention_seconds: float = DEFAULT_RETENTION_SECONDS,
+        period_seconds: float = DEFAULT_PERIOD_SECONDS,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._retention_seconds = retention_seconds
+        self._period_seconds = period_seconds
+        self._current: RetentionLease | None = None
+        self._lock = asyncio.Lock()
+
+    async def lease(self) -> RetentionLease | None:
+        """Return a lease that keeps claims for the retention time, or None.
+
+        A lost reply leaves an empty lease in the store that ends by itself.
+        """
+        async with self._lock:
+            if not self._younger_than(self._period_seconds):
+                await self._renew()
+            if self._younger_than(2 * self._period_seconds):
+                return self._current
+            return None
+
+    def forget(self, lease: RetentionLease) -> None:
+        """Stop using a lease that the store did not accept."""
+        if self._current == lease:
+            self._current = None
+
+    def _younger_than(self, seconds: float) -> bool:
+        if self._current is None:
+            return False
+        return self._clock.monotonic() - self._current.asked < seconds
+
+    async def _renew(self) -> None:
+        asked = self._clock.monotonic()
+        wanted = self._retention_seconds + 2 * self._period_seconds
+        result = await self._store.grant_lease(ttl_seconds=wanted)
+        if isinstance(result, store_module.Unknown):
+            result = await self._store.grant_lease(ttl_seconds=wanted)
+        if not isinstance(result, store_module.LeaseGranted):
+            return
+        # A shorter lease would forget a claim while a caller may still
+        # retry, and the retry would run a second time: it is not used.
+        if result.ttl_seconds < wanted:
+            return
+        self._current = RetentionLease(lease=result.lease, asked=asked)
--- /dev/null
+++ b/packages/claims/src/lagoonrun_claims/settler.py
@@ -0,0 +1,187 @@
+"""Backlog of claim records that still have to reach the store.
+
+Ends, releases and abandoned claims are not on a caller's path. Those that
+the store did not take at once are tried again with backoff until it does.
+What is lost with the process leaves the record at `CLAIMED`, which promises
+nothing and so stays true.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import enum
+import random
+from collections.abc import Awaitable, Callable
+
+from lagoonrun_claims import claim as claim_module
+from lagoonrun_claims import group_commit as group_commit_module
+from lagoonrun_core import errors
+from lagoonrun_platform import store as store_module
+
+DEFAULT_CAPACITY = 10_000
+_FIRST_PAUSE_SECONDS = 0.2
+_LONGEST_PAUSE_SECONDS = 5.0
+
+
+class Settlement(enum.Enum):
+    """Whether a record's last state is in the store."""
+
+    RECORDED = "recorded"
+    PENDING = "pending"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settling:
+    """Last state of one attempt's record, on its way to the store.
+
+    Parameters
+    ----------
+    record
+        What is to be written.
+    expected
+        The key's write that this one replaces.
+    """
+
+    record: claim_module.ClaimRecord
+    expected: store_module.StoreRevision
+
+
+class Settler:
+    """Writes last states; keeps those that could not be written.
+
+    Parameters
+    ----------
+    capacity
+        Most states that wait; further ones are dropped.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: group_commit_module.GroupCommit,
+        random: random.Random,
+        capacity: int = DEFAULT_CAPACITY,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._group = group
+        self._random = random
+        self._capacity = capacity
+        self._sleep = sleep
+        self._pending: collections.deque[Settling] = collections.deque()
+        self._trying: list[Settling] = []
+        self._filled = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self.dropped = 0
+
+    @property
+    def pending(self) -> int:
+        """Return how many states wait or are being tried again."""
+        return len(self._pending) + len(self._trying)
+
+    async def start(self) -> None:
+        """Start the task that tries again."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop the task; what still waits is lost."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._task = None
+
+    def add(self, settling: Settling) -> None:
+        """Leave one state to the task."""
+        if self.pending >= self._capacity:
+            self.dropped += 1
+            return
+        self._pending.append(settling)
+        self._filled.set()
+
+    async def settle(self, settling: Settling) -> Settlement:
+        """Write one state now; leave it to the task when that fails."""
+        try:
+            left = await self._write(settling)
+        except asyncio.CancelledError:
+            self.add(settling)
+            raise
+        if left is None:
+            return Settlement.RECORDED
+        self.add(left)
+        return Settlement.PENDING
+
+    async def flush(self) -> None:
+        """Wait until nothing is pending."""
+        while self._pending:
+            await self._try_all()
+            if self._pending:
+                await self._sleep(_FIRST_PAUSE_SECONDS)
+
+    async def _run(self) -> None:
+        pause = _FIRST_PAUSE_SECONDS
+        while True:
+            await self._filled.wait()
+            before = len(self._pending)
+            await self._try_all()
+            if not self._pending:
+                self._filled.clear()
+                pause = _FIRST_PAUSE_SECONDS
+                continue
+            progressed = len(self._pending) < before
+            pause = _FIRST_PAUSE_SECONDS if progressed else pause * 2
+            pause = min(pause, _LONGEST_PAUSE_SECONDS)
+            await self._sleep(pause * self._random.uniform(0.5, 1.0))
+
+    async def _try_all(self) -> None:
+        self._trying = list(self._pending)
+        self._pending.clear()
+        left = self._trying
+        try:
+            results = await asyncio.gather(*map(self._write, self._trying))
+            left = [one for one in results if one is not None]
+        finally:
+            self._trying = []
+            self._pending.extendleft(reversed(left))
+
+    async def _write(self, settling: Settling) -> Settling | None:
+        """Return None when done, else what is left to do."""
+        key = claim_module.store_key(
+            settling.record.organisation, settling.record.key_digest
+        )
+        value = claim_module.encode(settling.record)
+        expected = settling.expected
+        while True:
+            ticket = self._group.submit(
+                group_commit_module.Write(
+                    key=key, expected=expected, value=value
+                )
+            )
+            result = await asyncio.shield(ticket.result)
+            if isinstance(result, group_commit_module.Written):
+                return None
+            if not isinstance(result, group_commit_module.Conflict):
+                return dataclasses.replace(settling, expected=expected)
+            found = result.found
+            if found is None or not _awaits(settling.record, found):
+                return None
+            expected = found.modified
+
+
+def _awaits(
+    record: claim_module.ClaimRecord, found: store_module.KeyValue
+) -> bool:
+    """Return whether the key is still this attempt's open claim.
+
+    Anything else is either this very state, applied although its reply was
+    lost, or another attempt's record, which must stay as it is.
+    """
+    try:
+        there = claim_module.decode(found.value)
+    except errors.LagoonrunError:
+        return False
+    return (
+        there.attempt == record.attempt
+        and there.state is claim_module.ClaimState.CLAIMED
+    )
