--- /dev/null
+++ b/packages/http/src/lagoonrun_http/periodic.py
@@ -0,0 +1,45 @@
+"""A call repeated on the event loop, by which deadlines are checked."""
+
+import asyncio
+from collections.abc import Callable
+
+
+class PeriodicCall:
+    """Calls a function at an interval between `start` and `close`.
+
+    One sweep over all connections replaces a timer per read and write, which
+    would cost more than the relaying itself.
+
+    Parameters
+    ----------
+    interval_seconds
+        Time between two calls.
+    function
+        What to call; must not block.
+    """
+
+    def __init__(
+        self, *, interval_seconds: float, function: Callable[[], None]
+    ) -> None:
+        self._interval_seconds = interval_seconds
+        self._function = function
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to call; starting twice is harmless."""
+        if self._timer is None:
+            self._schedule()
+
+    def close(self) -> None:
+        """Stop calling."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _schedule(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._interval_seconds, self._run)
+
+    def _run(self) -> None:
+        self._schedule()
+        self._function()
--- /dev/null
+++ b/packages/http/src/lagoonrun_http/server.py
@@ -0,0 +1,167 @@
+"""The HTTP/1.1 server towards callers."""
+
+import asyncio
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_http import exchange, limits, periodic, server_connection
+
+Exchange = exchange.Exchange
+ExchangeHandler = exchange.ExchangeHandler
+ServerLimits = limits.ServerLimits
+
+_LINGERING_REFUSALS = 64
+
+
+class HttpServer:
+    """Accepts connections and hands each request to a handler.
+
+    Parameters
+    ----------
+    host
+        Address to listen on.
+    port
+        Port to listen on; 0 lets the system choose.
+    limits
+        Bounds on callers.
+    handler
+        Answers the requests.
+    clock
+        Source of time for the bounds.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        limits: limits.ServerLimits,
+        handler: exchange.ExchangeHandler,
+        clock: clocks.Clock,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._limits = limits
+        self._handler = handler
+        self._clock = clock
+        self._connections: set[server_connection.ServerConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._quiet = asyncio.Event()
+        self._quiet.set()
+        self._listener: asyncio.Server | None = None
+        self._sweep = periodic.PeriodicCall(
+            interval_seconds=limits.sweep_seconds, function=self._check
+        )
+        self.stopping = False
+
+    @property
+    def port(self) -> int:
+        """Port that the server listens on."""
+        return self._port
+
+    @property
+    def open_exchanges(self) -> int:
+        """Requests that are being answered."""
+        return len(self._tasks)
+
+    @property
+    def open_connections(self) -> int:
+        """Connections of callers."""
+        return len(self._connections)
+
+    async def start(self) -> None:
+        """Listen; raises `OSError` when the address is taken."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._accept, self._host, self._port, backlog=1024
+        )
+        self._port = self._listener.sockets[0].getsockname()[1]
+        self._sweep.start()
+
+    def stop_accepting(self) -> None:
+        """Take no new connection; running exchanges go on."""
+        self.stopping = True
+        if self._listener is not None:
+            self._listener.close()
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    async def drain(self, timeout_seconds: float) -> int:
+        """Wait until no exchange runs; return how many were left.
+
+        Also waits for the connections of finished exchanges, which end after
+        `stop_accepting`: a process that exits earlier cuts the part of an
+        answer that a slow caller has not taken yet.
+        """
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self._quiet.wait()
+        except TimeoutError:
+            pass
+        return len(self._tasks)
+
+    async def close(self) -> None:
+        """Stop at once: reset connections and cancel running exchanges."""
+        self.stop_accepting()
+        self._sweep.close()
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for connection in tuple(self._connections):
+            connection.abort()
+
+    # What connections tell.
+
+    def exchange_began(self, task: "asyncio.Task[None]") -> None:
+        """Take note of a running exchange."""
+        self._tasks.add(task)
+
+    def exchange_ended(self, task: "asyncio.Task[None]") -> None:
+        """Take note that an exchange is over."""
+        self._tasks.discard(task)
+        self._note_quiet()
+
+    def connection_closed(
+        self, connection: server_connection.ServerConnection
+    ) -> None:
+        """Forget a connection."""
+        self._connections.discard(connection)
+        self._note_quiet()
+
+    def connection_opened(
+        self, connection: server_connection.ServerConnection
+    ) -> bool:
+        """Count a connection; return whether it is within the limit."""
+        self._connections.add(connection)
+        self._quiet.clear()
+        over = len(self._connections) - self._limits.connections
+        if over > _LINGERING_REFUSALS:
+            connection.abort()
+        elif over > 0:
+            connection.refuse(_too_many(self._limits.connections))
+        return over <= 0
+
+    def _note_quiet(self) -> None:
+        if not self._tasks and not self._connections:
+            self._quiet.set()
+
+    def _accept(self) -> server_connection.ServerConnection:
+        return server_connection.ServerConnection(
+            server_limits=self._limits,
+            handler=self._handler,
+            clock=self._clock,
+            owner=self,
+        )
+
+    def _check(self) -> None:
+        for connection in tuple(self._connections):
+            connection.check_deadlines()
+
+
+def _too_many(connections: int) -> exchange.Rejection:
+    return exchange.Rejection(
+        status=503,
+        field="connection",
+        message=f"{connections} connections are open",
+        valid=f"at most {connections} at a time; come back later",
+    )
--- /dev/null
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -0,0 +1,224 @@
+"""The HTTP/1.1 client towards upstreams, with its pool of connections."""
+
+import asyncio
+import dataclasses
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import types
+from lagoonrun_http import (
+    limits,
+    periodic,
+    upstream_connection,
+    upstream_messages,
+    upstream_response,
+)
+
+ClientLimits = limits.ClientLimits
+EndOfBody = upstream_messages.EndOfBody
+FailureStage = upstream_messages.FailureStage
+UpstreamFailure = upstream_messages.UpstreamFailure
+UpstreamRequest = upstream_messages.UpstreamRequest
+UpstreamResponse = upstream_response.UpstreamResponse
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Endpoint:
+    address: str
+    port: int
+
+
+class UpstreamClient:
+    """Sends requests to upstreams over pooled connections.
+
+    Parameters
+    ----------
+    limits
+        Bounds on upstreams.
+    clock
+        Source of time for the bounds.
+    """
+
+    def __init__(
+        self, *, limits: limits.ClientLimits, clock: clocks.Clock
+    ) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._idle_by_endpoint: dict[
+            _Endpoint, list[upstream_connection.UpstreamConnection]
+        ] = {}
+        self._open_by_endpoint: dict[_Endpoint, int] = {}
+        self._connections: set[upstream_connection.UpstreamConnection] = set()
+        self._closed = False
+        self._sweep = periodic.PeriodicCall(
+            interval_seconds=limits.sweep_seconds, function=self._check
+        )
+
+    @property
+    def open_connections(self) -> int:
+        """Connections to all upstreams, idle ones included."""
+        return len(self._connections)
+
+    async def send(
+        self,
+        request: upstream_messages.UpstreamRequest,
+        *,
+        address: str,
+        port: int,
+        fresh: bool = False,
+    ) -> upstream_response.UpstreamResponse | upstream_messages.UpstreamFailure:
+        """Send a request and return the head of its response.
+
+        Parameters
+        ----------
+        request
+            What to send.
+        address, port
+            The upstream.
+        fresh
+            Use no pooled connection: an upstream may close one while the
+            request is under way, and then no one knows whether it ran.
+        """
+        endpoint = _Endpoint(address=address, port=port)
+        self._sweep.start()
+        connection = None
+        if not fresh:
+            connection = self._take_idle(endpoint, request.request_id)
+        if connection is None:
+            connection = await self._connect(endpoint)
+        if isinstance(connection, upstream_messages.UpstreamFailure):
+            return connection
+        return await connection.exchange(request)
+
+    def forget(self, host: str, port: int) -> None:
+        """Close the idle connections to an upstream that leaves."""
+        endpoint = _Endpoint(address=host, port=port)
+        for connection in self._idle_by_endpoint.pop(endpoint, []):
+            connection.abort()
+
+    async def close(self) -> None:
+        """Close all connections; running responses fail."""
+        self._closed = True
+        self._sweep.close()
+        for connection in tuple(self._connections):
+            connection.abort()
+
+    # What connections tell.
+
+    def connection_free(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
+        """Take back a connection whose response is whole."""
+        endpoint = _endpoint(connection)
+        idle = self._idle_by_endpoint.setdefault(endpoint, [])
+        if self._closed or len(idle) >= self._limits.idle_per_upstream:
+            connection.abort()
+        else:
+            idle.append(connection)
+
+    def connection_closed(
+        self, connection: upstream_connection.UpstreamConnection
+    ) -> None:
+        """Forget a connection."""
+        if connection not in self._connections:
+            return
+        self._connections.discard(connection)
+        endpoint = _endpoint(connection)
+        self._release(endpoint)
+        idle = self._idle_by_endpoint.get(endpoint, [])
+        if connection in idle:
+            idle.remove(connection)
+
+    def _take_idle(
+        self, endpoint: _Endpoint, request_id: types.RequestId
+    ) -> upstream_connection.UpstreamConnection | None:
+        """Take the connection used last, as the likeliest to be alive.
+
+        Not one that served the same request before: a duplicate of that
+        answer would carry the id that the next one is checked by.
+        """
+        idle = self._idle_by_endpoint.get(endpoint, [])
+        for connection in reversed(idle):
+            usable = not connection.closed
+            if usable and connection.last_request_id != request_id:
+                idle.remove(connection)
+                return connection
+        return None
+
+    async def _connect(
+        self, endpoint: _Endpoint
+    ) -> (
+        upstream_connection.UpstreamConnection
+        | upstream_messages.UpstreamFailure
+    ):
+        count = self._open_by_endpoint.get(endpoint, 0)
+        if self._closed:
+            return _not_connected(endpoint, "the client is closed")
+        if count >= self._limits.connections_per_upstream:
+            return _not_connected(
+                endpoint, f"{count} connections are open; valid: fewer"
+            )
+        self._open_by_endpoint[endpoint] = count + 1
+        try:
+            async with asyncio.timeout(self._limits.connect_seconds):
+                return await self._open(endpoint)
+        except OSError as error:
+            # TimeoutError is an OSError as well.
+            self._release(endpoint)
+            reason = str(error) or "no connection in time"
+            return _not_connected(endpoint, reason)
+        except asyncio.CancelledError:
+            self._release(endpoint)
+            raise
+
+    async def _open(
+        self, endpoint: _Endpoint
+    ) -> upstream_connection.UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: upstream_connection.UpstreamConnection(
+                client_limits=self._limits,
+                clock=self._clock,
+                pool=self,
+                address=endpoint.address,
+                port=endpoint.port,
+            ),
+            endpoint.address,
+            endpoint.port,
+        )
+        if connection.closed:
+            raise ConnectionResetError("the upstream spoke or closed at once")
+        self._connections.add(connection)
+        return connection
+
+    def _release(self, endpoint: _Endpoint) -> None:
+        count = self._open_by_endpoint[endpoint] - 1
+        if count:
+            self._open_by_endpoint[endpoint] = count
+        else:
+            del self._open_by_endpoint[endpoint]
+            self._idle_by_endpoint.pop(endpoint, None)
+
+    def _check(self) -> None:
+        now = self._clock.monotonic()
+        for connection in tuple(self._connections):
+            if connection.busy:
+                connection.check_deadlines(now)
+            elif now - connection.idle_since >= self._limits.idle_seconds:
+                connection.abort()
+
+
+def _endpoint(
+    connection: upstream_connection.UpstreamConnection,
+) -> _Endpoint:
+    return _Endpoint(address=connection.address, port=connection.port)
+
+
+def _not_connected(
+    endpoint: _Endpoint, detail: str
+) -> upstream_messages.UpstreamFailure:
+    return upstream_messages.UpstreamFailure(
+        stage=upstream_messages.FailureStage.CONNECT,
+        bytes_left=False,
+        detail=detail,
+        peer=f"{endpoint.address}:{endpoint.port}",
+    )
--- /dev/null
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -0,0 +1,342 @@
+"""One connection to an upstream: h11 state and the running response."""
+
+import asyncio
+from typing import Protocol
+
+import h11
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import types
+from lagoonrun_http import (
+    hop_by_hop,
+    limits,
+    messages,
+    upstream_messages,
+    upstream_response,
+)
+
+_Stage = upstream_messages.FailureStage
+_SET_HERE = ("content-length", "expect", upstream_messages.REQUEST_ID_HEADER)
+_JOINED_BODY_BYTES = 64 * 1024
+
+
+class ConnectionPool(Protocol):
+    """What a connection tells the pool it belongs to."""
+
+    def connection_free(self, connection: "UpstreamConnection") -> None:
+        """Take back a connection whose response is whole."""
+
+    def connection_closed(self, connection: "UpstreamConnection") -> None:
+        """Forget a connection."""
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """Sends one request at a time and reads the response to it.
+
+    Parameters
+    ----------
+    client_limits
+        Bounds on the upstream.
+    clock
+        Source of time for the bounds.
+    pool
+        Pool that the connection belongs to.
+    address, port
+        The upstream.
+    """
+
+    def __init__(
+        self,
+        *,
+        client_limits: limits.ClientLimits,
+        clock: clocks.Clock,
+        pool: ConnectionPool,
+        address: str,
+        port: int,
+    ) -> None:
+        self.address = address
+        self.port = port
+        self.idle_since = 0.0
+        self.last_request_id: types.RequestId | None = None
+        self.closed = False
+        self._peer = f"{address}:{port}"
+        self._limits = client_limits
+        self._clock = clock
+        self._pool = pool
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=client_limits.header_bytes
+        )
+        self._head: (
+            asyncio.Future[
+                upstream_response.UpstreamResponse
+                | upstream_messages.UpstreamFailure
+            ]
+            | None
+        ) = None
+        self._response: upstream_response.UpstreamResponse | None = None
+        self._bytes_left = False
+        self._answered_early = False
+        self._reading_paused = False
+        self._last_progress = 0.0
+        self._unsent_bytes = 0
+
+    @property
+    def busy(self) -> bool:
+        """Whether a response is awaited or being read."""
+        return self._head is not None or self._response is not None
+
+    async def exchange(
+        self, request: upstream_messages.UpstreamRequest
+    ) -> upstream_response.UpstreamResponse | upstream_messages.UpstreamFailure:
+        """Write the request and wait for the head of its response."""
+        self.last_request_id = request.request_id
+        self._head = asyncio.get_running_loop().create_future()
+        head = self._head
+        self._last_progress = self._clock.monotonic()
+        try:
+            self._write(request)
+            return await head
+        except h11.LocalProtocolError as error:
+            self._fail(_Stage.PROTOCOL, f"the request cannot be sent: {error}")
+            return head.result()
+        except asyncio.CancelledError:
+            # Whoever waited is gone: without the close the upstream would go
+            # on with work that no one reads.
+            self.abort()
+            raise
+
+    def abort(self) -> None:
+        """Reset the connection, which cancels the upstream's work."""
+        self.closed = True
+        self._transport.abort()
+
+    def resume_reading(self) -> None:
+        """Read on: the consumer has taken what was held for it."""
+        if self._reading_paused and not self.closed:
+            self._reading_paused = False
+            self._last_progress = self._clock.monotonic()
+            self._transport.resume_reading()
+
+    def check_deadlines(self, now: float) -> None:
+        """Fail the response when the upstream makes no progress."""
+        unsent = self._transport.get_write_buffer_size()
+        if unsent != self._unsent_bytes:
+            self._unsent_bytes = unsent
+            self._last_progress = now
+        if self._reading_paused:
+            return
+        waited = now - self._last_progress
+        if unsent:
+            allowed, what = self._limits.write_stall_seconds, "request taken"
+        elif self._head is not None:
+            allowed, what = self._limits.head_seconds, "response head"
+        else:
+            allowed, what = self._limits.body_idle_seconds, "body bytes"
+        if waited >= allowed:
+            self._fail(_Stage.TIMEOUT, f"no {what} within {allowed:g} s")
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport: asyncio.Transport = transport  # type: ignore[assignment]
+
+    def data_received(self, data: bytes) -> None:
+        """Feed bytes to h11 and act on what they complete."""
+        if not self.busy:
+            # A late or duplicated answer: were the connection used again, it
+            # would be read as the answer to the next request.
+            self.abort()
+            return
+        self._last_progress = self._clock.monotonic()
+        if self._transport.get_write_buffer_size():
+            self._answered_early = True
+        self._h11.receive_data(data)
+        self._read_events()
+
+    def eof_received(self) -> bool:
+        """Take the upstream's end of output."""
+        if self.busy:
+            self._h11.receive_data(b"")
+            self._read_events()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail what is awaited and leave the pool."""
+        self.closed = True
+        self._pool.connection_closed(self)
+        if self.busy:
+            cause = f"reset ({error})" if error else "closed"
+            self._fail(self._read_stage(), f"the upstream {cause} early")
+
+    # Writing.
+
+    def _write(self, request: upstream_messages.UpstreamRequest) -> None:
+        body = request.body
+        head = self._h11.send(_h11_request(request, self._peer))
+        framed = self._h11.send(h11.Data(data=body)) if body else b""
+        framed += self._h11.send(h11.EndOfMessage())
+        # From here on the upstream may run the request: set before the write
+        # so that no failure of the write itself can say otherwise.
+        self._bytes_left = True
+        if len(framed) <= _JOINED_BODY_BYTES:
+            self._transport.write(head + framed)
+        else:
+            self._transport.write(head)
+            self._transport.write(framed)
+
+    # Reading.
+
+    def _read_events(self) -> None:
+        try:
+            while self.busy and not self.closed:
+                event = self._h11.next_event()
+                kind = type(event)
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    break
+                if kind is h11.Data:
+                    self._response.take(bytes(event.data))
+                elif kind is h11.Response:
+                    self._take_head(event)
+                elif kind is h11.EndOfMessage:
+                    self._end_response()
+                elif kind is h11.ConnectionClosed:
+                    break
+        except h11.RemoteProtocolError as error:
+            stage = _Stage.PROTOCOL
+            if self._h11.their_state is h11.ERROR and self._at_eof():
+                stage = self._read_stage()
+            self._fail(stage, f"not a whole HTTP response: {error}")
+        self._bound_held()
+
+    def _at_eof(self) -> bool:
+        return self._h11.trailing_data[1]
+
+    def _take_head(self, response: h11.Response) -> None:
+        head = _response_head(response)
+        echoed = head.headers.get(upstream_messages.REQUEST_ID_HEADER)
+        if echoed != self.last_request_id:
+            # A crossed, late or duplicated answer belongs to another request;
+            # it shows only in the id, so nothing of it may be delivered.
+            self._fail(
+                _Stage.MISMATCH,
+                f"answer to {echoed!r}, not to {self.last_request_id!r}",
+            )
+            return
+        fault = _framing_fault(head)
+        if fault:
+            self._fail(_Stage.PROTOCOL, fault)
+            return
+        self._response = upstream_response.UpstreamResponse(
+            head=messages.ResponseHead(
+                status=head.status, headers=hop_by_hop.strip(head.headers)
+            ),
+            connection=self,
+        )
+        waiting = self._head
+        self._head = None
+        if not waiting.done():
+            waiting.set_result(self._response)
+
+    def _end_response(self) -> None:
+        response = self._response
+        self._response = None
+        response.end()
+        if self._is_reusable():
+            self._h11.start_next_cycle()
+            self._bytes_left = False
+            self.resume_reading()
+            self.idle_since = self._clock.monotonic()
+            self._pool.connection_free(self)
+        else:
+            self.abort()
+
+    def _is_reusable(self) -> bool:
+        """Whether another request may follow on this connection.
+
+        Not after an answer that came before its request was sent whole, nor
+        with bytes after the end of the answer: both are answers to something
+        else, and the next request would be given one of them.
+        """
+        return (
+            self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+            and self._h11.trailing_data == (b"", False)
+            and not self._answered_early
+            and not self.closed
+        )
+
+    def _bound_held(self) -> None:
+        if (
+            self._response is not None
+            and self._response.held_bytes > self._limits.read_buffer_bytes
+            and not self._reading_paused
+        ):
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    # Failing.
+
+    def _read_stage(self) -> upstream_messages.FailureStage:
+        if self._head is None:
+            return _Stage.READ_BODY
+        if self._transport.get_write_buffer_size():
+            return _Stage.WRITE
+        return _Stage.READ_HEAD
+
+    def _fail(self, stage: upstream_messages.FailureStage, detail: str) -> None:
+        failure = upstream_messages.UpstreamFailure(
+            stage=stage,
+            bytes_left=self._bytes_left,
+            detail=detail,
+            peer=self._peer,
+        )
+        waiting, response = self._head, self._response
+        self._head = None
+        self._response = None
+        if waiting is not None and not waiting.done():
+            waiting.set_result(failure)
+        if response is not None:
+            response.fail(failure)
+        self.abort()
+
+
+def _h11_request(
+    request: upstream_messages.UpstreamRequest, peer: str
+) -> h11.Request:
+    headers = hop_by_hop.strip(request.head.headers).without(_SET_HERE)
+    pairs = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers
+    ]
+    if headers.get("host") is None:
+        pairs.insert(0, (b"Host", peer.encode("ascii")))
+    if request.body or request.head.method in ("POST", "PUT", "PATCH"):
+        length = str(len(request.body)).encode("ascii")
+        pairs.append((b"Content-Length", length))
+    name = upstream_messages.REQUEST_ID_HEADER.encode("ascii")
+    pairs.append((name, request.request_id.encode("ascii")))
+    return h11.Request(
+        method=request.head.method.encode("ascii"),
+        target=request.head.target.encode("ascii"),
+        headers=pairs,
+    )
+
+
+def _response_head(response: h11.Response) -> messages.ResponseHead:
+    return messages.ResponseHead(
+        status=response.status_code,
+        headers=messages.Headers(
+            pairs=(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in response.headers
+            )
+        ),
+    )
+
+
+def _framing_fault(head: messages.ResponseHead) -> str:
+    headers = head.headers
+    if "transfer-encoding" in headers and "content-length" in headers:
+        return "both Transfer-Encoding and Content-Length; valid: one of them"
+    return ""
--- a/packages/platform/src/lagoonrun_platform/memory_store.py
+++ b/packages/platform/src/lagoonrun_platform/memory_store.py
@@ -4,10 +4,13 @@
 import collections
 import dataclasses
 from collections.abc import AsyncIterator, Sequence
+from typing import TypeVar
 
 from lagoonrun_core import clock as clock_module
 from lagoonrun_platform import store, vm_list
 
+_R = TypeVar("_R")
+
 
 class MemoryStore:
     """Fake of `KeyValueStore` that follows the same rules as the real one.
@@ -81,14 +84,16 @@
         return store.Item(found=past.items.get(key), revision=past.revision)
 
     async def list_prefix(
-        self, prefix: str
+        self, prefix: str, *, keys_only: bool = False
     ) -> store.Listing | store.Unreachable:
         """Read a prefix; see `KeyValueStore`."""
         if fault := await self._enter("list"):
             return fault
         past = self._visible()
         items = tuple(
-            past.items[key]
+            dataclasses.replace(past.items[key], value=b"")
+            if keys_only
+            else past.items[key]
             for key in sorted(past.items)
             if key.startswith(prefix)
         )
@@ -202,7 +207,7 @@
         self.lost_requests -= 1
         return True
 
-    async def _reply(self, result):
+    async def _reply(self, result: _R) -> _R | store.Unknown:
         if self.reply_gate is not None:
             await self.reply_gate.wait()
         if self.lost_replies > 0 or not self.reachable:
--- a/packages/platform/src/lagoonrun_platform/store.py
+++ b/packages/platform/src/lagoonrun_platform/store.py
@@ -195,8 +195,10 @@
     async def get(self, key: str) -> Item | Unreachable:
         """Read one key. A lagging store may answer with an old value."""
 
-    async def list_prefix(self, prefix: str) -> Listing | Unreachable:
-        """Read all keys that begin with `prefix`."""
+    async def list_prefix(
+        self, prefix: str, *, keys_only: bool = False
+    ) -> Listing | Unreachable:
+        """Read all keys that begin with `prefix`; values on request only."""
 
     async def transact(
         self,
@@ -205,7 +207,11 @@
         puts: Sequence[Put] = (),
         deletes: Sequence[str] = (),
     ) -> TransactionResult:
-        """Apply all writes if all comparisons hold, else none."""
+        """Apply all writes if all comparisons hold, else none.
+
+        The comparison and the items of `Rejected` are never old values, so a
+        transaction without writes is also the read to settle doubts with.
+        """
 
     async def grant_lease(self, *, ttl_seconds: float) -> LeaseResult:
         """Ask for a lease; the store may grant another duration."""
--- a/packages/standins/src/lagoonrun_standins/controls.py
+++ b/packages/standins/src/lagoonrun_standins/controls.py
@@ -3,7 +3,9 @@
 import dataclasses
 import enum
 from collections.abc import Mapping
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
+
+from lagoonrun_standins import http_server as http_lib
 
 Control = TypeVar("Control")
 
@@ -57,3 +59,61 @@
 
 def _plain(value: Any) -> Any:
     return value.value if isinstance(value, enum.Enum) else value
+
+
+def counted_off(control: Control, name: str) -> tuple[Control, bool]:
+    """Lower the count in field `name` by one, where it is above zero.
+
+    Returns
+    -------
+    tuple
+        The control as it is now, and whether the count was above zero.
+    """
+    left = getattr(control, name)
+    if left <= 0:
+        return control, False
+    return dataclasses.replace(control, **{name: left - 1}), True
+
+
+class Controllable(Protocol):
+    """A stand-in whose faults are set at `/control`."""
+
+    @property
+    def faults(self) -> Any:
+        """Return what goes wrong at present."""
+
+    def control(
+        self, body: Any, *, exchange: http_lib.Exchange | None = None
+    ) -> None:
+        """Apply the JSON object of a control call."""
+
+    def counters(self) -> dict[str, Any]:
+        """Return the totals."""
+
+
+def is_control(request: http_lib.Request) -> bool:
+    """Return whether a request is for `answer`."""
+    return request.path.startswith("/control")
+
+
+def answer(
+    request: http_lib.Request,
+    exchange: http_lib.Exchange,
+    *,
+    target: Controllable,
+) -> None:
+    """Answer a control call.
+
+    `POST /control` changes the faults, `GET /control` shows them and
+    `GET /control/counters` the totals.
+    """
+    if request.path == "/control/counters":
+        exchange.respond_json(200, target.counters())
+        return
+    if request.method == "POST":
+        try:
+            target.control(request.json(), exchange=exchange)
+        except ValueError as error:
+            exchange.respond_json(400, {"error": str(error)})
+            return
+    exchange.respond_json(200, as_json(target.faults))
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/engine.py
@@ -0,0 +1,417 @@
+"""Stand-in of a model engine: batches, streams, cancels, resumes and fails.
+
+Chat completions at `/v1/chat/completions`, load at `/metrics`, state at
+`/state`, orders at `/orders`, faults and counters at `/control`.
+"""
+
+import asyncio
+import dataclasses
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from absl import flags
+
+from lagoonrun_core import clock as clock_lib
+from lagoonrun_standins import (
+    answers,
+    command_line,
+    controls,
+    engine_batch,
+    engine_faults,
+    engine_metrics,
+    engine_orders,
+    engine_reply,
+    prefix_cache,
+    run_counts,
+)
+from lagoonrun_standins import http_server as http_lib
+
+_CHAT_PATH = "/v1/chat/completions"
+_BYTES_PER_TOKEN = 4
+_DEFAULT_PRIORITY = 3
+_LATEST_SECONDS = 0.1
+_NOT_RUN = ("X-Not-Run", "true")
+_HELP = "As the parameter of the same name."
+
+
+class Engine:
+    """A model engine with continuous batching.
+
+    Parameters
+    ----------
+    host
+        IP number to listen on.
+    port
+        Port to listen on; 0 lets the system choose.
+    cost
+        How long a step takes.
+    prefix_bytes
+        Length of the beginning of the messages that the cache knows.
+    prefix_capacity
+        Most prefixes in the cache.
+    resumes
+        Whether `X-Resume-Offset` is obeyed; refused otherwise.
+    models
+        Loaded at the start; none of them means that any model is served.
+    role
+        Role at the start.
+    checks_fencing
+        Whether orders with an old fencing number are refused.
+    load_seconds
+        Time that a load order takes.
+    seed
+        Of the drawn lengths of answers; the same for all engines of a pool.
+    clock
+        Dates the load samples and paces the steps.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        cost: engine_batch.CostModel | None = None,
+        prefix_bytes: int = 2048,
+        prefix_capacity: int = 256,
+        resumes: bool = False,
+        models: Iterable[str] = (),
+        role: str = "serve",
+        checks_fencing: bool = True,
+        load_seconds: float = 0.0,
+        metrics_lag_seconds: float = 0.0,
+        seed: int = 0,
+        clock: clock_lib.Clock | None = None,
+    ) -> None:
+        self.host = host
+        self._clock = clock or clock_lib.SystemClock()
+        self.runs = run_counts.RunCounts(clock=self._clock)
+        self._reply_faults = engine_faults.ReplyFaults(
+            faults=engine_faults.Faults(metrics_lag_seconds=metrics_lag_seconds)
+        )
+        self.batch = engine_batch.Batch(cost=cost or engine_batch.CostModel())
+        self.cache = prefix_cache.PrefixCache(
+            prefix_bytes=prefix_bytes, capacity=prefix_capacity
+        )
+        self.orders = engine_orders.EngineOrders(
+            models=models,
+            role=role,
+            checks_fencing=checks_fencing,
+            load_seconds=load_seconds,
+        )
+        self._resumes = resumes
+        self._seed = seed
+        self._report = engine_metrics.LoadReport(
+            clock=self._clock, lag_seconds=metrics_lag_seconds
+        )
+        self._server = http_lib.HttpServer(
+            handler=self._handle, host=host, port=port
+        )
+        self._has_work = asyncio.Event()
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._stepping: asyncio.Task[None] | None = None
+
+    @property
+    def faults(self) -> engine_faults.Faults:
+        """Return what goes wrong at present."""
+        return self._reply_faults.faults
+
+    @property
+    def port(self) -> int:
+        """Return the port listened on."""
+        return self._server.port
+
+    async def start(self) -> None:
+        """Listen and start to step."""
+        await self._server.start()
+        self._stepping = asyncio.create_task(self._step_forever())
+
+    async def close(self) -> None:
+        """Stop stepping and drop every connection."""
+        if self._stepping:
+            self._stepping.cancel()
+            await asyncio.gather(self._stepping, return_exceptions=True)
+        await self._server.close()
+
+    def crash(self, *, exchange: http_lib.Exchange | None = None) -> None:
+        """Lose all requests and caches and close all connections."""
+        self._server.drop_all(sparing=exchange)
+        self.batch.crash()
+        self.cache.clear()
+
+    def control(
+        self, body: Any, *, exchange: http_lib.Exchange | None = None
+    ) -> None:
+        """Apply the JSON object of a control call.
+
+        Parameters
+        ----------
+        body
+            Fields of `Faults` to change; `crash` true besides.
+        exchange
+            Spared where connections are dropped.
+
+        Raises
+        ------
+        ValueError
+            If a field does not exist or its value is not valid.
+        """
+        if not isinstance(body, dict):
+            raise ValueError(f"{body!r} is not a JSON object")
+        fields = dict(body)
+        crashes = fields.pop("crash", False)
+        faults = controls.changed(self.faults, fields)
+        self._reply_faults.faults = faults
+        self._report.lag_seconds = faults.metrics_lag_seconds
+        self.runs.set_leaving(faults.leaving)
+        if faults.frozen:
+            self._thawed.clear()
+        else:
+            self._thawed.set()
+        if crashes:
+            self.crash(exchange=exchange)
+        self._record_load()
+
+    def counters(self) -> dict[str, Any]:
+        """Return the totals since the start."""
+        batch = self.batch
+        return self.runs.totals() | {
+            "requests_cancelled": batch.requests_cancelled,
+            "tokens_produced": batch.tokens_produced,
+            "tokens_wasted": batch.tokens_wasted,
+            "tokens_crashed": batch.tokens_crashed,
+            "tokens_prefilled": batch.tokens_prefilled,
+            "prefix_hits": self.cache.hits,
+            "prefix_misses": self.cache.misses,
+            "peak_batch": batch.peak_batch,
+            "peak_waiting": batch.peak_waiting,
+            "orders_applied": len(self.orders.applied),
+            "orders_refused": len(self.orders.refused),
+        }
+
+    async def _step_forever(self) -> None:
+        due = self._clock.monotonic()
+        while True:
+            if self.batch.is_idle:
+                self._has_work.clear()
+                self._record_load()
+                await self._has_work.wait()
+                due = self._clock.monotonic()
+            await self._thawed.wait()
+            duration = self.batch.begin_step() * self.faults.slow_factor
+            self._record_load()
+            now = self._clock.monotonic()
+            due = max(due + duration, now - _LATEST_SECONDS)
+            await asyncio.sleep(max(0.0, due - now))
+            await self._thawed.wait()
+            self.batch.end_step()
+
+    def _record_load(self) -> None:
+        capacity = self.batch.cost.kv_capacity_tokens
+        load = engine_metrics.Load(
+            running=len(self.batch.running),
+            waiting=self.batch.waiting_count,
+            kv_usage_ratio=round(self.batch.kv_tokens / capacity, 3),
+            leaving=self.faults.leaving,
+        )
+        self._report.record(load)
+
+    async def _handle(
+        self, request: http_lib.Request, exchange: http_lib.Exchange
+    ) -> None:
+        if request.path == "/control/runs":
+            exchange.respond_json(200, self.runs.by_id())
+            return
+        if controls.is_control(request):
+            controls.answer(request, exchange, target=self)
+            return
+        await exchange.unless_gone(self._thawed.wait())
+        try:
+            await self._answer(request, exchange)
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            _refuse(request, exchange, 400, repr(error))
+
+    async def _answer(
+        self, request: http_lib.Request, exchange: http_lib.Exchange
+    ) -> None:
+        route = (request.method, request.path)
+        if route == ("POST", _CHAT_PATH):
+            await self._complete(request, exchange)
+        elif route == ("POST", "/orders"):
+            await self._obey(request, exchange)
+        elif route == ("GET", "/metrics"):
+            plain = ("Content-Type", "text/plain; version=0.0.4")
+            exchange.respond(200, self._report.text(), [plain])
+        elif route == ("GET", "/state"):
+            exchange.respond_json(200, self._state())
+        else:
+            _refuse(request, exchange, 404, f"no route {route}")
+
+    def _state(self) -> dict[str, Any]:
+        return {
+            "models": sorted(self.orders.version_by_model),
+            "version_by_model": self.orders.version_by_model,
+            "role": self.orders.role,
+            "fencing": self.orders.fencing_seen,
+            "checks_fencing": self.orders.checks_fencing,
+            "leaving": self.faults.leaving,
+            "running": len(self.batch.running),
+            "waiting": self.batch.waiting_count,
+        }
+
+    async def _obey(
+        self, request: http_lib.Request, exchange: http_lib.Exchange
+    ) -> None:
+        order = engine_orders.Order.from_json(request.json())
+        try:
+            await self.orders.obey(order)
+        except engine_orders.OldFencingNumberError as error:
+            seen = self.orders.fencing_seen
+            exchange.respond_json(409, {"error": str(error), "fencing": seen})
+            return
+        exchange.respond_json(200, self._state())
+
+    async def _complete(
+        self, request: http_lib.Request, exchange: http_lib.Exchange
+    ) -> None:
+        body = request.json()
+        prompt = answers.prompt_bytes(body["messages"])
+        identity = self._identity(request, body, prompt)
+        refusal = self._refusal(identity)
+        if refusal:
+            _refuse(request, exchange, 503, refusal)
+            return
+        self.runs.add(request.headers)
+        fault = self._reply_faults.take()
+        if fault.late_seconds:
+            await exchange.unless_gone(asyncio.sleep(fault.late_seconds))
+        identity = await self._reply_faults.crossed(identity, exchange)
+        reply = engine_reply.Reply(
+            exchange=exchange,
+            identity=identity,
+            streams=bool(body.get("stream")),
+            includes_usage=bool(
+                (body.get("stream_options") or {}).get("include_usage")
+            ),
+            fault=fault,
+        )
+        self._queue(request, identity, prompt, reply)
+        await reply.done.wait()
+
+    def _identity(
+        self, request: http_lib.Request, body: dict[str, Any], prompt: bytes
+    ) -> engine_reply.Identity:
+        request_id = request.headers.get("x-request-id", "")
+        digest = answers.digest(request_id, body["messages"])
+        return engine_reply.Identity(
+            request_id=request_id,
+            model=str(body.get("model", "")),
+            digest=digest,
+            first=int(request.headers.get("x-resume-offset", "0")),
+            end=answers.length(body, f"{self._seed}:{digest}"),
+            prompt_tokens=len(prompt) // _BYTES_PER_TOKEN,
+        )
+
+    def _refusal(self, identity: engine_reply.Identity) -> str:
+        if not self.orders.serves(identity.model):
+            loaded = sorted(self.orders.version_by_model)
+            return f"model {identity.model!r} is not loaded; valid: {loaded}"
+        if identity.first and not self._resumes:
+            return "this engine does not resume"
+        if not 0 <= identity.first < identity.end:
+            return f"offset {identity.first}; valid: below {identity.end}"
+        if self.faults.leaving and self.faults.refuses_when_leaving:
+            return "leaving"
+        return ""
+
+    def _queue(
+        self,
+        request: http_lib.Request,
+        identity: engine_reply.Identity,
+        prompt: bytes,
+        reply: engine_reply.Reply,
+    ) -> None:
+        cached = self.cache.cached_bytes(prompt) // _BYTES_PER_TOKEN
+        context = identity.prompt_tokens + identity.first
+        priority = request.headers.get("x-request-priority")
+        self.batch.add(
+            engine_batch.Run(
+                priority=_DEFAULT_PRIORITY if not priority else int(priority),
+                prefill_left=max(0, context - cached),
+                context_tokens=context,
+                next_index=identity.first,
+                end_index=identity.end,
+                sink=reply,
+            )
+        )
+        self._has_work.set()
+
+
+def _refuse(
+    request: http_lib.Request,
+    exchange: http_lib.Exchange,
+    status: int,
+    error: str,
+) -> None:
+    """Say that the request was not run, and why."""
+    echo = ("X-Request-Id", request.headers.get("x-request-id", ""))
+    exchange.respond_json(status, {"error": error}, [echo, _NOT_RUN])
+
+
+def _flags() -> flags.FlagValues:
+    values = command_line.address_flags()
+    cost = engine_batch.CostModel()
+    floats = {
+        "step_seconds": cost.step_seconds,
+        "slowdown": cost.slowdown,
+        "prefill_seconds_per_token": cost.prefill_seconds_per_token,
+        "metrics_lag_seconds": 0.0,
+        "load_seconds": 0.0,
+    }
+    integers = {
+        "slots": cost.slots,
+        "maximum_batch": cost.maximum_batch,
+        "prefill_tokens_per_step": cost.prefill_tokens_per_step,
+        "kv_capacity_tokens": cost.kv_capacity_tokens,
+        "prefix_bytes": 2048,
+        "prefix_capacity": 256,
+        "seed": 0,
+    }
+    for name, default in floats.items():
+        flags.DEFINE_float(name, default, _HELP, flag_values=values)
+    for name, default in integers.items():
+        flags.DEFINE_integer(name, default, _HELP, flag_values=values)
+    flags.DEFINE_list("models", [], _HELP, flag_values=values)
+    flags.DEFINE_string("role", "serve", _HELP, flag_values=values)
+    flags.DEFINE_bool("resumes", False, _HELP, flag_values=values)
+    flags.DEFINE_bool("checks_fencing", True, _HELP, flag_values=values)
+    return values
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Run the stand-in until SIGTERM."""
+    values = _flags()
+    values(arguments)
+    given = values.flag_values_dict()
+    cost_names = [f.name for f in dataclasses.fields(engine_batch.CostModel)]
+    cost = engine_batch.CostModel(**{n: given[n] for n in cost_names})
+    engine_names = (
+        "host",
+        "port",
+        "prefix_bytes",
+        "prefix_capacity",
+        "resumes",
+        "models",
+        "role",
+        "checks_fencing",
+        "load_seconds",
+        "metrics_lag_seconds",
+        "seed",
+    )
+    options = {name: given[name] for name in engine_names}
+    command_line.run(lambda: Engine(cost=cost, **options))
+
+
+if __name__ == "__main__":
+    main(sys.argv)
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/engine_metrics.py
@@ -0,0 +1,69 @@
+"""An engine's load as Prometheus text, as it was some time ago."""
+
+import collections
+import dataclasses
+
+import prometheus_client
+
+from lagoonrun_core import clock as clock_lib
+
+_KEPT_SAMPLES = 4096
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Load:
+    """What an engine reports of itself."""
+
+    running: int = 0
+    waiting: int = 0
+    kv_usage_ratio: float = 0.0
+    leaving: bool = False
+
+
+class LoadReport:
+    """Samples of the load, served with a lag.
+
+    Parameters
+    ----------
+    clock
+        Dates the samples.
+    lag_seconds
+        Age of what is served.
+    """
+
+    def __init__(
+        self, *, clock: clock_lib.Clock, lag_seconds: float = 0.0
+    ) -> None:
+        self.lag_seconds = lag_seconds
+        self._clock = clock
+        self._samples: collections.deque[tuple[float, Load]] = (
+            collections.deque(maxlen=_KEPT_SAMPLES)
+        )
+
+    def record(self, load: Load) -> None:
+        """Keep a sample, where it differs from the last one."""
+        if not self._samples or self._samples[-1][1] != load:
+            self._samples.append((self._clock.monotonic(), load))
+
+    def seen(self) -> Load:
+        """Return the newest sample that is at least as old as the lag."""
+        limit = self._clock.monotonic() - self.lag_seconds
+        for recorded_at, load in reversed(self._samples):
+            if recorded_at <= limit:
+                return load
+        return Load()
+
+    def text(self) -> bytes:
+        """Return the load in the Prometheus text format."""
+        load = self.seen()
+        registry = prometheus_client.CollectorRegistry()
+        values = {
+            "engine_requests_running": load.running,
+            "engine_requests_waiting": load.waiting,
+            "engine_kv_cache_usage_ratio": load.kv_usage_ratio,
+            "engine_leaving": int(load.leaving),
+        }
+        for name, value in values.items():
+            gauge = prometheus_client.Gauge(name, name, registry=registry)
+            gauge.set(value)
+        return prometheus_client.generate_latest(registry)
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/engine_reply.py
@@ -0,0 +1,209 @@
+"""Turns the tokens of one request into its HTTP answer."""
+
+import asyncio
+import dataclasses
+import json
+from typing import Any
+
+from lagoonrun_standins import answers
+from lagoonrun_standins import http_server as http_lib
+
+_OBJECT = "chat.completion"
+_SSE_HEADERS = [
+    ("Content-Type", "text/event-stream"),
+    ("Cache-Control", "no-cache"),
+]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Identity:
+    """Whose answer it is; two of them are exchanged when answers cross.
+
+    Parameters
+    ----------
+    first
+        Index of the first token sent, above 0 for a resumed answer.
+    end
+        Number of tokens of the whole answer.
+    """
+
+    request_id: str
+    model: str
+    digest: str
+    first: int
+    end: int
+    prompt_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """What is wrong with one answer.
+
+    Parameters
+    ----------
+    omits_echo
+        The `X-Request-Id` header is left out.
+    truncates
+        The connection closes when half of the tokens were sent.
+    omits_done
+        The stream ends well-formed, but half way and without its last event.
+    duplicates
+        The whole answer is written a second time, unasked.
+    late_seconds
+        Time by which the first byte is held back.
+    """
+
+    omits_echo: bool = False
+    truncates: bool = False
+    omits_done: bool = False
+    duplicates: bool = False
+    late_seconds: float = 0.0
+
+
+class Reply:
+    """The sink of one request's tokens.
+
+    Parameters
+    ----------
+    exchange
+        Where the answer is written.
+    identity
+        Whose answer is written.
+    streams
+        Whether tokens are sent one by one as server-sent events.
+    includes_usage
+        Whether a stream ends with a chunk of token counts.
+    fault
+        What goes wrong.
+    """
+
+    def __init__(
+        self,
+        *,
+        exchange: http_lib.Exchange,
+        identity: Identity,
+        streams: bool,
+        includes_usage: bool = False,
+        fault: Fault,
+    ) -> None:
+        self.done = asyncio.Event()
+        self._exchange = exchange
+        self._identity = identity
+        self._streams = streams
+        self._includes_usage = includes_usage
+        self._fault = fault
+        self._half = (identity.first + identity.end) // 2
+        self._is_cut = False
+        base = self._chunk(delta={"content": "@"}, finish_reason=None)
+        self._before, _, self._after = base.decode().rpartition("@")
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the client has closed the connection."""
+        return self._exchange.gone.is_set()
+
+    def emit(self, index: int) -> None:
+        """Send one token of a stream."""
+        if self._is_cut:
+            return
+        if self._faulty_half() and index >= self._half:
+            self._cut()
+        elif self._streams:
+            if not self._exchange.started:
+                self._exchange.start(200, [*self._echo(), *_SSE_HEADERS])
+            token = answers.token(self._identity.digest, index)
+            chunk = f"{self._before}{token}{self._after}"
+            self._exchange.send(chunk.encode())
+
+    def finish(self) -> None:
+        """Send the end of a stream, or the whole answer."""
+        if not self._is_cut:
+            if self._streams:
+                self._finish_stream()
+            else:
+                self._respond()
+            if self._fault.duplicates:
+                self._duplicate()
+        self.done.set()
+
+    def abandon(self) -> None:
+        """Give up the answer."""
+        self.done.set()
+
+    def _faulty_half(self) -> bool:
+        return self._fault.truncates or self._fault.omits_done
+
+    def _cut(self) -> None:
+        self._is_cut = True
+        if self._fault.truncates or not self._streams:
+            self._exchange.drop()
+            return
+        if not self._exchange.started:
+            self._exchange.start(200, [*self._echo(), *_SSE_HEADERS])
+        self._exchange.finish()
+
+    def _finish_stream(self) -> None:
+        self._exchange.send(self._chunk(delta={}, finish_reason="stop"))
+        if self._includes_usage:
+            self._exchange.send(self._chunk(usage=self._usage()))
+        self._exchange.send(b"data: [DONE]\n\n")
+        self._exchange.finish()
+
+    def _respond(self) -> None:
+        self._exchange.respond_json(200, self._whole(), self._echo())
+
+    def _whole(self) -> dict[str, Any]:
+        identity = self._identity
+        content = answers.text(identity.digest, identity.first, identity.end)
+        message = {"role": "assistant", "content": content}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        return self._envelope(_OBJECT) | {
+            "choices": [choice],
+            "usage": self._usage(),
+        }
+
+    def _duplicate(self) -> None:
+        body = json.dumps(self._whole())
+        lines = [
+            "HTTP/1.1 200 ",
+            f"X-Request-Id: {self._identity.request_id}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+        ]
+        head = "\r\n".join(lines)
+        self._exchange.write_unasked(f"{head}\r\n\r\n{body}".encode())
+
+    def _echo(self) -> list[http_lib.Header]:
+        if self._fault.omits_echo:
+            return []
+        return [("X-Request-Id", self._identity.request_id)]
+
+    def _envelope(self, kind: str) -> dict[str, Any]:
+        return {
+            "id": answers.completion_id(self._identity.request_id),
+            "object": kind,
+            "created": 0,
+            "model": self._identity.model,
+        }
+
+    def _usage(self) -> dict[str, int]:
+        identity = self._identity
+        return {
+            "prompt_tokens": identity.prompt_tokens,
+            "completion_tokens": identity.end,
+            "total_tokens": identity.prompt_tokens + identity.end,
+        }
+
+    def _chunk(
+        self,
+        *,
+        delta: dict[str, Any] | None = None,
+        finish_reason: str | None = None,
+        usage: dict[str, int] | None = None,
+    ) -> bytes:
+        value = self._envelope(f"{_OBJECT}.chunk")
+        choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
+        value["choices"] = [] if delta is None else [choice]
+        if usage:
+            value["usage"] = usage
+        return f"data: {json.dumps(value)}\n\n".encode()
--- a/packages/standins/src/lagoonrun_standins/http_server.py
+++ b/packages/standins/src/lagoonrun_standins/http_server.py
@@ -4,7 +4,7 @@
 import dataclasses
 import json
 import logging
-from collections.abc import Coroutine, Iterable, Mapping
+from collections.abc import Awaitable, Iterable, Mapping
 from typing import Any, Protocol
 
 import h11
@@ -109,13 +109,18 @@
         body = json.dumps(value).encode()
         self.respond(status, body, [*headers, content_type])
 
+    def write_unasked(self, data: bytes) -> None:
+        """Write bytes past the protocol, to play a faulty server."""
+        if not self._transport.is_closing():
+            self._transport.write(data)
+
     async def flush(self) -> None:
         """Wait until the transport's buffer has room."""
         await self._writable.wait()
 
-    async def unless_gone(self, waiting: Coroutine[Any, Any, Any]) -> bool:
+    async def unless_gone(self, waiting: Awaitable[Any]) -> bool:
         """Await `waiting` until the client goes; return whether it ended."""
-        task = asyncio.create_task(waiting)
+        task = asyncio.ensure_future(waiting)
         gone = asyncio.create_task(self.gone.wait())
         try:
             await asyncio.wait(
--- a/packages/standins/src/lagoonrun_standins/platform_store.py
+++ b/packages/standins/src/lagoonrun_standins/platform_store.py
@@ -182,8 +182,8 @@
     async def _handle(
         self, request: http_lib.Request, exchange: http_lib.Exchange
     ) -> None:
-        if request.path.startswith("/control"):
-            self._handle_control(request, exchange)
+        if controls.is_control(request):
+            controls.answer(request, exchange, target=self)
             return
         if self.faults.outage is not Outage.NONE:
             self.calls_in_outage += 1
@@ -195,20 +195,6 @@
         except (ValueError, state_lib.StateError) as error:
             _refuse(exchange, error)
 
-    def _handle_control(
-        self, request: http_lib.Request, exchange: http_lib.Exchange
-    ) -> None:
-        if request.path == "/control/counters":
-            exchange.respond_json(200, self.counters())
-            return
-        if request.method == "POST":
-            try:
-                self.control(request.json(), exchange=exchange)
-            except ValueError as error:
-                exchange.respond_json(400, {"error": str(error)})
-                return
-        exchange.respond_json(200, controls.as_json(self.faults))
-
     async def _fail(self, exchange: http_lib.Exchange) -> None:
         if self.faults.outage is Outage.HANG:
             await exchange.unless_gone(self._outage_ended.wait())
@@ -245,9 +231,7 @@
         *,
         changed: bool,
     ) -> None:
-        if changed and self.faults.lose_replies:
-            left = self.faults.lose_replies - 1
-            self.faults = dataclasses.replace(self.faults, lose_replies=left)
+        if changed and self._takes_lost_reply():
             exchange.drop()
             return
         if self.faults.delay_seconds:
@@ -257,6 +241,10 @@
         else:
             await self._fail(exchange)
 
+    def _takes_lost_reply(self) -> bool:
+        self.faults, taken = controls.counted_off(self.faults, "lose_replies")
+        return taken
+
 
 def _refuse(exchange: http_lib.Exchange, error: Exception) -> None:
     code, status = _GRPC_INVALID_ARGUMENT, 400
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/prefix_cache.py
@@ -0,0 +1,45 @@
+"""A bounded cache of prompt prefixes, least recently used out first."""
+
+import collections
+
+import xxhash
+
+
+class PrefixCache:
+    """Remembers which prefixes were prefilled of late.
+
+    Parameters
+    ----------
+    prefix_bytes
+        Length of the prompt's beginning that is one entry.
+    capacity
+        Most entries; 0 switches the cache off.
+    """
+
+    def __init__(self, *, prefix_bytes: int, capacity: int) -> None:
+        self.hits = 0
+        self.misses = 0
+        self._prefix_bytes = prefix_bytes
+        self._capacity = capacity
+        self._seen: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def cached_bytes(self, prompt: bytes) -> int:
+        """Return how much of `prompt` need not be prefilled, and keep it."""
+        prefix = prompt[: self._prefix_bytes]
+        key = xxhash.xxh64_intdigest(prefix)
+        hit = key in self._seen
+        self._seen[key] = None
+        self._seen.move_to_end(key)
+        while len(self._seen) > self._capacity:
+            self._seen.popitem(last=False)
+        if hit:
+            self.hits += 1
+            return len(prefix)
+        self.misses += 1
+        return 0
+
+    def clear(self) -> None:
+        """Forget every prefix, as a restart does."""
+        self._seen.clear()
--- a/packages/standins/tests/test_platform_store.py
+++ b/packages/standins/tests/test_platform_store.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from lagoonrun_core import clock as clock_lib
 from lagoonrun_standins import http_client, platform_store
 
 
@@ -14,11 +13,6 @@
     return base64.b64encode(text.encode()).decode()
 
 
-@pytest.fixture
-def clock():
-    return clock_lib.ManualClock()
-
-
 @pytest.fixture
 async def store(clock):
     store = platform_store.PlatformStore(clock=clock, progress_seconds=0.01)
