Add the stand-in of a plain service

Calls that may not be repeated need an upstream that counts its runs by request id and Idempotency-Key, and can fail before and after it ran one. An upstream says that it did not run a request by 503 with X-Not-Run: true. A run that has begun goes on when its client goes; 'completed' counts its end.

Ruled out: telling a run from a refusal by status alone, since a proxy's or overloaded server's 503 promises nothing.

--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/plain_service.py
@@ -0,0 +1,294 @@
+"""Stand-in of a plain service: any method and path, and runs are counted.
+
+The service says that it did not run a request by answering 503 with the
+header `X-Not-Run: true`. Faults and counters are at `/control`.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+from absl import flags
+
+from lagoonrun_core import clock as clock_lib
+from lagoonrun_standins import command_line, controls, run_counts
+from lagoonrun_standins import http_server as http_lib
+
+NOT_RUN_HEADER: http_lib.Header = ("X-Not-Run", "true")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Faults:
+    """What goes wrong at present; the fields of `POST /control`.
+
+    Parameters
+    ----------
+    service_seconds
+        Time from a request's end to its answer.
+    close_at_first_byte
+        Number of coming requests whose connection closes when their first
+        byte arrives; they are not run.
+    close_before_answer
+        Number of coming requests that are run, but whose connection closes
+        in place of the answer.
+    refuse
+        Number of coming requests that are refused and not run.
+    omit_echoes
+        Number of coming answers without `X-Request-Id`.
+    leaving
+        Told at `/state` and `/metrics`.
+    refuses_when_leaving
+        New requests are refused, and not run, while leaving.
+    frozen
+        Nothing is answered, but connections stay.
+    """
+
+    service_seconds: float = 0.0
+    close_at_first_byte: int = 0
+    close_before_answer: int = 0
+    refuse: int = 0
+    omit_echoes: int = 0
+    leaving: bool = False
+    refuses_when_leaving: bool = False
+    frozen: bool = False
+
+
+class PlainService:
+    """Answers each request with what it saw of it.
+
+    A request that has begun to run is run to its end, also when its client
+    goes.
+
+    Parameters
+    ----------
+    host
+        IP number to listen on.
+    port
+        Port to listen on; 0 lets the system choose.
+    service_seconds
+        Time from a request's end to its answer, at first.
+    slots
+        Most requests that are run at once; the others wait. 0 for no limit.
+    clock
+        Dates the runs while leaving.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        service_seconds: float = 0.0,
+        slots: int = 0,
+        clock: clock_lib.Clock | None = None,
+    ) -> None:
+        self.host = host
+        self.faults = Faults(service_seconds=service_seconds)
+        self.runs = run_counts.RunCounts(clock=clock or clock_lib.SystemClock())
+        self.completed = 0
+        self.running = 0
+        self.waiting = 0
+        self.refused = 0
+        self.cut = 0
+        self._server = http_lib.HttpServer(
+            handler=self._handle, host=host, port=port
+        )
+        self._slots = asyncio.Semaphore(slots) if slots else None
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+
+    @property
+    def port(self) -> int:
+        """Return the port listened on."""
+        return self._server.port
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stop listening and drop every connection."""
+        await self._server.close()
+
+    def control(
+        self, body: Any, *, exchange: http_lib.Exchange | None = None
+    ) -> None:
+        """Apply the JSON object of a control call.
+
+        Parameters
+        ----------
+        body
+            Fields of `Faults` to change; `crash` true besides, which closes
+            all connections.
+        exchange
+            Spared where connections are dropped.
+
+        Raises
+        ------
+        ValueError
+            If a field does not exist or its value is not valid.
+        """
+        if not isinstance(body, dict):
+            raise ValueError(f"{body!r} is not a JSON object")
+        fields = dict(body)
+        crashes = fields.pop("crash", False)
+        self.faults = controls.changed(self.faults, fields)
+        self.runs.set_leaving(self.faults.leaving)
+        if "close_at_first_byte" in fields:
+            count = self.faults.close_at_first_byte
+            self._server.drop_next_at_first_byte(count)
+        if self.faults.frozen:
+            self._thawed.clear()
+        else:
+            self._thawed.set()
+        if crashes:
+            self._server.drop_all(sparing=exchange)
+
+    def counters(self) -> dict[str, Any]:
+        """Return the totals since the start."""
+        return self.runs.totals() | {
+            "completed": self.completed,
+            "refused": self.refused,
+            "cut_before_answer": self.cut,
+            "running": self.running,
+            "waiting": self.waiting,
+        }
+
+    async def _handle(
+        self, request: http_lib.Request, exchange: http_lib.Exchange
+    ) -> None:
+        if request.path == "/control/runs":
+            exchange.respond_json(200, self.runs.by_id())
+            return
+        if controls.is_control(request):
+            controls.answer(request, exchange, target=self)
+            return
+        await exchange.unless_gone(self._thawed.wait())
+        if (request.method, request.path) == ("GET", "/state"):
+            exchange.respond_json(200, self._state())
+        elif (request.method, request.path) == ("GET", "/metrics"):
+            plain = ("Content-Type", "text/plain; version=0.0.4")
+            exchange.respond(200, self._metrics(), [plain])
+        elif self._refuses():
+            self._refuse(request, exchange)
+        else:
+            await self._run_in_slot(request, exchange)
+
+    def _state(self) -> dict[str, Any]:
+        return {
+            "leaving": self.faults.leaving,
+            "running": self.running,
+            "waiting": self.waiting,
+        }
+
+    def _metrics(self) -> bytes:
+        values = {
+            "service_requests_running": self.running,
+            "service_requests_waiting": self.waiting,
+            "service_leaving": int(self.faults.leaving),
+        }
+        lines = [f"{name} {value}\n" for name, value in values.items()]
+        return "".join(lines).encode()
+
+    def _refuses(self) -> bool:
+        if self.faults.leaving and self.faults.refuses_when_leaving:
+            return True
+        return self._takes("refuse")
+
+    def _refuse(
+        self, request: http_lib.Request, exchange: http_lib.Exchange
+    ) -> None:
+        self.refused += 1
+        headers = [*self._echo(request), NOT_RUN_HEADER]
+        exchange.respond_json(503, {"error": "not run"}, headers)
+
+    async def _run_in_slot(
+        self, request: http_lib.Request, exchange: http_lib.Exchange
+    ) -> None:
+        if self._slots is None:
+            await self._run(request, exchange)
+            return
+        self.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            await self._run(request, exchange)
+        finally:
+            self._slots.release()
+
+    async def _run(
+        self, request: http_lib.Request, exchange: http_lib.Exchange
+    ) -> None:
+        self.runs.add(request.headers)
+        self.running += 1
+        try:
+            await asyncio.sleep(self.faults.service_seconds)
+        finally:
+            self.running -= 1
+        self.completed += 1
+        if self._takes("close_before_answer"):
+            self.cut += 1
+            exchange.drop()
+            return
+        exchange.respond_json(200, seen(request), self._echo(request))
+
+    def _echo(self, request: http_lib.Request) -> list[http_lib.Header]:
+        request_id = request.headers.get("x-request-id", "")
+        if self._takes("omit_echoes"):
+            return []
+        return [("X-Request-Id", request_id)]
+
+    def _takes(self, name: str) -> bool:
+        self.faults, taken = controls.counted_off(self.faults, name)
+        return taken
+
+
+def seen(request: http_lib.Request) -> dict[str, str]:
+    """Return what an answer says of its request."""
+    return {
+        "method": request.method,
+        "path": request.path,
+        "query": request.query,
+        "request_id": request.headers.get("x-request-id", ""),
+        "body_digest": body_digest(request.body),
+    }
+
+
+def body_digest(body: bytes) -> str:
+    """Return the digest of a request's body in the answer to it."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Run the stand-in until SIGTERM."""
+    values = command_line.address_flags()
+    flags.DEFINE_float(
+        "service_seconds",
+        0.0,
+        "Time from a request's end to its answer.",
+        flag_values=values,
+    )
+    flags.DEFINE_integer(
+        "slots",
+        0,
+        "Most requests that are run at once; 0 for no limit.",
+        flag_values=values,
+    )
+    values(arguments)
+    command_line.run(
+        lambda: PlainService(
+            host=values.host,
+            port=values.port,
+            service_seconds=values.service_seconds,
+            slots=values.slots,
+        )
+    )
+
+
+if __name__ == "__main__":
+    main(sys.argv)
--- /dev/null
+++ b/packages/standins/tests/test_plain_service.py
@@ -0,0 +1,106 @@
+"""The plain service stand-in, as a router meets it."""
+
+import asyncio
+
+import pytest
+
+from lagoonrun_standins import http_client, plain_service
+
+
+@pytest.fixture
+async def service(clock):
+    service = plain_service.PlainService(clock=clock)
+    await service.start()
+    yield service
+    await service.close()
+
+
+@pytest.fixture
+def call(service):
+    async def call(method="POST", path="/lookups/7?page=2", body=b"scan"):
+        headers = [("X-Request-Id", "r1"), ("Idempotency-Key", "k1")]
+        return await http_client.fetch(
+            service.host,
+            service.port,
+            method,
+            path,
+            body=body,
+            headers=headers,
+        )
+
+    return call
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "DELETE", "PATCH"])
+async def test_answer_echoes_its_request(call, method):
+    answer = await call(method)
+
+    assert answer.head.headers["x-request-id"] == "r1"
+    assert answer.json() == {
+        "method": method,
+        "path": "/lookups/7",
+        "query": "page=2",
+        "request_id": "r1",
+        "body_digest": plain_service.body_digest(b"scan"),
+    }
+
+
+@pytest.mark.parametrize(
+    ("fault", "runs"),
+    [("close_at_first_byte", 0), ("close_before_answer", 1)],
+)
+async def test_connection_closes_before_the_answer(service, call, fault, runs):
+    """A caller sees the same closed connection in both cases.
+
+    In the first the request was never run, in the second it was: only the
+    service's own count tells them apart.
+    """
+    service.control({fault: 1})
+
+    with pytest.raises(ConnectionError):
+        await call()
+
+    assert service.counters()["runs"] == runs
+    assert (await call()).status == 200
+    assert service.counters()["runs"] == runs + 1
+
+
+@pytest.mark.parametrize(
+    "fault", [{"refuse": 1}, {"leaving": True, "refuses_when_leaving": True}]
+)
+async def test_refusal_says_not_run_and_is_not(service, call, fault):
+    service.control(fault)
+
+    answer = await call()
+
+    assert answer.status == 503
+    assert answer.head.headers["x-not-run"] == "true"
+    assert service.counters()["runs"] == 0
+
+
+async def test_repeated_keys_and_runs_while_leaving_count(service, call, clock):
+    await call()
+    service.control({"leaving": True})
+    clock.advance(2)
+    await call()
+
+    counters = service.counters()
+    assert counters["repeated_idempotency_keys"] == 1
+    assert counters["runs_while_leaving"] == 1
+    assert counters["last_run_while_leaving_seconds"] == 2
+
+
+async def test_request_runs_to_its_end_when_its_client_goes(service, call):
+    service.control({"service_seconds": 0.05})
+    waiting = asyncio.create_task(call())
+    await until(service, lambda counters: counters["running"] == 1)
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+
+    await until(service, lambda counters: counters["completed"] == 1)
+
+
+async def until(service, holds):
+    async with asyncio.timeout(5):
+        while not holds(service.counters()):
+            await http_client.fetch(service.host, service.port, "GET", "/state")
