Reach the platform by the etcd v3 gateway, within a budget of calls

Built: an adapter of KeyValueStore and VmList over the published HTTP/JSON format. It tells a write that was certainly not sent from one whose reply was lost; only the first is tried at another address.

Ways weighed: trying a write again on each lost reply was ruled out, since its own first write would make its comparison fail and be told as rejected. A server error to a write counts as a lost reply: a store that reports a timeout may still apply it. A watch has no idle timeout, because the period of progress lines is the store's to choose; TCP keepalive ends it when the gateway's VM vanishes, and the follower's slow poll covers one that hangs.

--- /dev/null
+++ b/packages/platform/src/lagoonrun_platform/etcd_gateway.py
@@ -0,0 +1,362 @@
+"""Adapter of the store and the VM list over the etcd v3 HTTP/JSON gateway."""
+
+import asyncio
+import collections
+import contextlib
+import random
+from collections.abc import AsyncIterator, Sequence
+
+from lagoonrun_core import clock as clock_module
+from lagoonrun_platform import _http, call_budget, gateway_format, store
+from lagoonrun_platform import vm_list as vm_list_module
+
+_CONNECT_TIMEOUT_SECONDS = 1.0
+_CALL_TIMEOUT_SECONDS = 3.0
+_CALLS_PER_SECOND = 100.0
+_BURST = 200.0
+_SERVER_ERROR = 500
+_BAD_REQUEST = 400
+_UNANSWERED = (
+    _http.NotSentError,
+    _http.ReplyLostError,
+    gateway_format.FormatError,
+)
+
+
+class EtcdGateway:
+    """`KeyValueStore` and `VmList` of the platform, over HTTP.
+
+    Addresses are tried in turn, from the one that answered last. A write is
+    tried at another address only while no byte of it was sent.
+
+    Parameters
+    ----------
+    addresses
+        The gateway's addresses, with `host` and `port`.
+    clock
+        Drives the call budget.
+    chance
+        Source of jitter.
+    call_timeout_seconds
+        Longest wait for a reply.
+    calls_per_second, burst
+        The process's budget of calls; a watch counts as one call.
+
+    Attributes
+    ----------
+    calls_by_kind
+        Calls tried, by the name of the call; each address counts.
+    failures_by_kind
+        Calls that were not answered, those denied by the budget included.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[_http.NetworkAddress],
+        clock: clock_module.Clock,
+        chance: random.Random,
+        call_timeout_seconds: float = _CALL_TIMEOUT_SECONDS,
+        calls_per_second: float = _CALLS_PER_SECOND,
+        burst: float = _BURST,
+    ) -> None:
+        self._call_timeout_seconds = call_timeout_seconds
+        self._pools = collections.deque(
+            _http.ConnectionPool(
+                address=address,
+                connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS,
+                clock=clock,
+            )
+            for address in addresses
+        )
+        self._budget = call_budget.CallBudget(
+            calls_per_second=calls_per_second,
+            burst=burst,
+            longest_wait_seconds=call_timeout_seconds,
+            clock=clock,
+            chance=chance,
+        )
+        self._watches: set[_http.GatewayConnection] = set()
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
+        self.failures_by_kind: collections.Counter[str] = collections.Counter()
+
+    async def start(self) -> None:
+        """Do nothing: connections are opened when they are needed."""
+
+    async def close(self) -> None:
+        """Close every connection; waiting watches end."""
+        for pool in self._pools:
+            pool.close()
+        for connection in list(self._watches):
+            connection.close()
+
+    async def get(self, key: str) -> store.Item | store.Unreachable:
+        """Read one key; see `KeyValueStore`."""
+        fields = await self._read(
+            "range", "/v3/kv/range", gateway_format.get_request(key)
+        )
+        if isinstance(fields, store.Unreachable):
+            return fields
+        items = gateway_format.key_values(fields)
+        return store.Item(
+            found=items[0] if items else None,
+            revision=gateway_format.header_revision(fields),
+        )
+
+    async def list_prefix(
+        self, prefix: str, *, keys_only: bool = False
+    ) -> store.Listing | store.Unreachable:
+        """Read a prefix; see `KeyValueStore`."""
+        request = gateway_format.list_request(prefix, keys_only=keys_only)
+        fields = await self._read("range", "/v3/kv/range", request)
+        if isinstance(fields, store.Unreachable):
+            return fields
+        return store.Listing(
+            items=gateway_format.key_values(fields),
+            revision=gateway_format.header_revision(fields),
+        )
+
+    async def transact(
+        self,
+        *,
+        comparisons: Sequence[store.Comparison],
+        puts: Sequence[store.Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> store.TransactionResult:
+        """Compare and write; see `KeyValueStore`."""
+        request = gateway_format.transaction_request(
+            comparisons=comparisons, puts=puts, deletes=deletes
+        )
+        fields = await self._write("txn", "/v3/kv/txn", request)
+        if isinstance(fields, store.Unknown | store.Unreachable):
+            return fields
+        if _is_not_found(fields):
+            # A put names a lease that has lapsed; nothing was written.
+            return store.Rejected(items=(), revision=store.ABSENT)
+        return gateway_format.transaction_result(fields)
+
+    async def grant_lease(self, *, ttl_seconds: float) -> store.LeaseResult:
+        """Grant a lease; see `KeyValueStore`."""
+        request = gateway_format.grant_request(ttl_seconds)
+        fields = await self._write("lease-grant", "/v3/lease/grant", request)
+        if isinstance(fields, store.Unknown | store.Unreachable):
+            return fields
+        return gateway_format.lease_granted(fields)
+
+    async def keep_lease(self, lease: store.LeaseId) -> store.LeaseResult:
+        """Renew a lease; see `KeyValueStore`."""
+        request = gateway_format.lease_request(lease)
+        fields = await self._write(
+            "lease-keepalive", "/v3/lease/keepalive", request
+        )
+        if isinstance(fields, store.Unknown | store.Unreachable):
+            return fields
+        if _is_not_found(fields):
+            return store.LeaseLost(lease=lease)
+        return gateway_format.lease_granted(fields, lease)
+
+    async def revoke_lease(self, lease: store.LeaseId) -> store.RevokeResult:
+        """Revoke a lease; see `KeyValueStore`."""
+        request = gateway_format.lease_request(lease)
+        fields = await self._write("lease-revoke", "/v3/lease/revoke", request)
+        if isinstance(fields, store.Unknown | store.Unreachable):
+            return fields
+        if _is_not_found(fields):
+            return store.LeaseLost(lease=lease)
+        return store.LeaseRevoked(lease=lease)
+
+    async def list_vms(
+        self,
+    ) -> vm_list_module.VmListing | store.Unreachable:
+        """Return the platform's list of VMs; see `VmList`."""
+        fields = await self._read("vms", "/vms", None)
+        if isinstance(fields, store.Unreachable):
+            return fields
+        return gateway_format.vm_listing(fields)
+
+    async def watch(
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        from_revision: store.StoreRevision = store.ABSENT,
+    ) -> AsyncIterator[store.WatchMessage]:
+        """Yield changes; see `KeyValueStore`."""
+        request = gateway_format.watch_request(
+            key, prefix=prefix, from_revision=from_revision
+        )
+        call = _http.Call(
+            method="POST",
+            path="/v3/watch",
+            body=gateway_format.encode(request),
+        )
+        connection = await self._open_watch(call)
+        if isinstance(connection, store.Unreachable):
+            yield connection
+            return
+        self._watches.add(connection)
+        try:
+            async for message in self._messages(connection):
+                yield message
+                if not isinstance(message, store.WatchBatch):
+                    return
+        finally:
+            self._watches.discard(connection)
+            connection.close()
+
+    async def _open_watch(
+        self, call: _http.Call
+    ) -> _http.GatewayConnection | store.Unreachable:
+        denied = await self._admit("watch")
+        if denied is not None:
+            return denied
+        detail = "no address"
+        for pool in list(self._pools):
+            self.calls_by_kind["watch"] += 1
+            try:
+                connection = await pool.connect()
+            except _http.NotSentError as error:
+                detail = self._next_pool(pool, error)
+                continue
+            try:
+                async with asyncio.timeout(self._call_timeout_seconds):
+                    status = await connection.open_stream(call)
+            except (TimeoutError, _http.ReplyLostError) as error:
+                connection.close()
+                detail = self._next_pool(pool, error)
+                continue
+            except BaseException:
+                connection.close()
+                raise
+            if status < _BAD_REQUEST:
+                self._budget.succeeded()
+                return connection
+            connection.close()
+            detail = self._next_pool(pool, f"status {status}")
+        return self._fail("watch", detail)
+
+    async def _messages(
+        self, connection: _http.GatewayConnection
+    ) -> AsyncIterator[store.WatchMessage]:
+        waiting = b""
+        try:
+            async with contextlib.aclosing(connection.parts()) as parts:
+                async for part in parts:
+                    waiting += part
+                    *lines, waiting = waiting.split(b"\n")
+                    for line in filter(None, lines):
+                        fields = gateway_format.decode(line)
+                        yield gateway_format.watch_message(fields)
+        except _http.ReplyLostError as error:
+            yield store.Unreachable(detail=f"watch lost: {error}")
+            return
+        yield store.Unreachable(detail="watch ended by the store")
+
+    async def _read(
+        self, kind: str, path: str, request: gateway_format.Json | None
+    ) -> dict | store.Unreachable:
+        """Send a call that changes nothing, to each address if need be."""
+        denied = await self._admit(kind)
+        if denied is not None:
+            return denied
+        call = _call(path, request)
+        detail = "no address"
+        for pool in list(self._pools):
+            self.calls_by_kind[kind] += 1
+            try:
+                reply = await pool.call(
+                    call, timeout_seconds=self._call_timeout_seconds
+                )
+                return self._answered(reply)
+            except _UNANSWERED as error:
+                detail = self._next_pool(pool, error)
+        return self._fail(kind, detail)
+
+    async def _write(
+        self, kind: str, path: str, request: gateway_format.Json
+    ) -> dict | store.Unknown | store.Unreachable:
+        """Send a call that may change something, once."""
+        denied = await self._admit(kind)
+        if denied is not None:
+            return denied
+        call = _call(path, request)
+        detail = "no address"
+        for pool in list(self._pools):
+            self.calls_by_kind[kind] += 1
+            try:
+                reply = await pool.call(
+                    call, timeout_seconds=self._call_timeout_seconds
+                )
+                return self._answered(reply)
+            except _http.NotSentError as error:
+                detail = self._next_pool(pool, error)
+            except _UNANSWERED as error:
+                # It may have been applied: another try could apply it twice
+                # or report a comparison with its own write as failed.
+                return self._lose(kind, self._next_pool(pool, error))
+        return self._fail(kind, detail)
+
+    async def _admit(self, kind: str) -> store.Unreachable | None:
+        admitted = self._budget.admit(
+            timeout_seconds=self._call_timeout_seconds
+        )
+        if isinstance(admitted, call_budget.Denied):
+            self.failures_by_kind[kind] += 1
+            return store.Unreachable(detail=admitted.detail)
+        if admitted.wait_seconds > 0:
+            await asyncio.sleep(admitted.wait_seconds)
+        return None
+
+    def _answered(self, reply: _http.Reply) -> dict | store.Unreachable:
+        """Return the fields of an answer.
+
+        Raises
+        ------
+        _http.ReplyLostError
+            When the gateway itself could not be answered.
+        """
+        if reply.status >= _SERVER_ERROR:
+            # "Request timed out" comes as a server error, and such a
+            # request may still be applied.
+            raise _http.ReplyLostError(f"status {reply.status}")
+        fields = gateway_format.decode(reply.body)
+        self._budget.succeeded()
+        if reply.status >= _BAD_REQUEST and not _is_not_found(fields):
+            # A refused call, such as one without permission or over the
+            # rate, was certainly not applied.
+            message = fields.get("message") or fields.get("error")
+            return store.Unreachable(
+                detail=f"status {reply.status}: {message!r:.200}"
+            )
+        return fields
+
+    def _next_pool(
+        self, failed: _http.ConnectionPool, error: Exception | str
+    ) -> str:
+        """Put the failed address last; return what is to be reported."""
+        if len(self._pools) > 1 and self._pools[0] is failed:
+            self._pools.rotate(-1)
+        address = failed.address
+        return f"{address.host}:{address.port}: {error or 'timeout'}"
+
+    def _fail(self, kind: str, detail: str) -> store.Unreachable:
+        self._budget.failed()
+        self.failures_by_kind[kind] += 1
+        return store.Unreachable(detail=detail)
+
+    def _lose(self, kind: str, detail: str) -> store.Unknown:
+        self._budget.failed()
+        self.failures_by_kind[kind] += 1
+        return store.Unknown(detail=detail)
+
+
+def _call(path: str, request: gateway_format.Json | None) -> _http.Call:
+    if request is None:
+        return _http.Call(method="GET", path=path)
+    return _http.Call(
+        method="POST", path=path, body=gateway_format.encode(request)
+    )
+
+
+def _is_not_found(fields: dict) -> bool:
+    return fields.get("code") == gateway_format.NOT_FOUND_CODE
--- /dev/null
+++ b/packages/platform/src/lagoonrun_platform/gateway_format.py
@@ -0,0 +1,244 @@
+"""The published JSON format of the etcd v3 gateway, both ways; no I/O.
+
+Keys and values are base64, 64-bit integers are strings, and fields at their
+default are absent from answers.
+"""
+
+import base64
+import json
+import math
+from collections.abc import Mapping, Sequence
+
+from lagoonrun_core import errors, types
+from lagoonrun_platform import store, vm_list
+
+Json = Mapping[str, object]
+
+NOT_FOUND_CODE = 5
+"""gRPC status of a call that names a lease the store does not know."""
+
+
+class FormatError(errors.LagoonrunError):
+    """An answer that is not of the published format."""
+
+    def __init__(self, *, detail: str) -> None:
+        super().__init__(step=errors.Step.PLATFORM_CALL, detail=detail)
+
+
+def encode(fields: Json) -> bytes:
+    """Return the JSON of a request."""
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode(body: bytes) -> dict:
+    """Return the JSON object of an answer."""
+    try:
+        fields = json.loads(body)
+    except ValueError as error:
+        raise FormatError(detail=f"not JSON: {error}") from error
+    if not isinstance(fields, dict):
+        raise FormatError(detail=f"{fields!r:.80}; valid: a JSON object")
+    return fields
+
+
+def get_request(key: str) -> Json:
+    """Return a range request of one key."""
+    return {"key": _encoded(key)}
+
+
+def list_request(prefix: str, *, keys_only: bool) -> Json:
+    """Return a range request of a prefix."""
+    return {
+        "key": _encoded(prefix),
+        "range_end": _range_end(prefix),
+        "keys_only": keys_only,
+    }
+
+
+def transaction_request(
+    *,
+    comparisons: Sequence[store.Comparison],
+    puts: Sequence[store.Put],
+    deletes: Sequence[str],
+) -> Json:
+    """Return a transaction that answers a failure with the compared keys."""
+    writes = [{"request_put": _put(put)} for put in puts]
+    removals = [
+        {"request_delete_range": {"key": _encoded(key)}} for key in deletes
+    ]
+    return {
+        "compare": [_comparison(one) for one in comparisons],
+        "success": writes + removals,
+        "failure": [
+            {"request_range": {"key": _encoded(one.key)}} for one in comparisons
+        ],
+    }
+
+
+def grant_request(ttl_seconds: float) -> Json:
+    """Return a lease request; the format takes whole seconds."""
+    return {"TTL": str(max(1, math.ceil(ttl_seconds))), "ID": "0"}
+
+
+def lease_request(lease: store.LeaseId) -> Json:
+    """Return a request that names a lease."""
+    return {"ID": str(lease)}
+
+
+def watch_request(
+    key: str, *, prefix: bool, from_revision: store.StoreRevision
+) -> Json:
+    """Return the request that creates a watch."""
+    create: dict[str, object] = {
+        "key": _encoded(key),
+        "start_revision": str(from_revision),
+        "progress_notify": True,
+    }
+    if prefix:
+        create["range_end"] = _range_end(key)
+    return {"create_request": create}
+
+
+def header_revision(fields: Json) -> store.StoreRevision:
+    """Return the store's revision from an answer's header."""
+    header = fields.get("header") or {}
+    return store.StoreRevision(_integer(header, "revision"))
+
+
+def key_values(fields: Json) -> tuple[store.KeyValue, ...]:
+    """Return the keys of a range answer."""
+    return tuple(_key_value(one) for one in fields.get("kvs") or ())
+
+
+def transaction_result(fields: Json) -> store.Committed | store.Rejected:
+    """Return the outcome of a transaction."""
+    revision = header_revision(fields)
+    if fields.get("succeeded"):
+        return store.Committed(revision=revision)
+    items: list[store.KeyValue] = []
+    for response in fields.get("responses") or ():
+        items.extend(key_values(response.get("response_range") or {}))
+    return store.Rejected(items=tuple(items), revision=revision)
+
+
+def lease_granted(
+    fields: Json, lease: store.LeaseId | None = None
+) -> store.LeaseGranted | store.LeaseLost:
+    """Return the outcome of a grant or a renewal."""
+    result = fields.get("result") or fields
+    found = store.LeaseId(_integer(result, "ID")) if lease is None else lease
+    ttl_seconds = _integer(result, "TTL")
+    if ttl_seconds <= 0:
+        return store.LeaseLost(lease=found)
+    return store.LeaseGranted(lease=found, ttl_seconds=float(ttl_seconds))
+
+
+def watch_message(
+    fields: Json,
+) -> store.WatchBatch | store.WatchCompacted | store.Unreachable:
+    """Return one line of a watch."""
+    result = fields.get("result")
+    if not isinstance(result, dict):
+        return store.Unreachable(detail=f"watch failed: {fields!r:.200}")
+    if result.get("canceled"):
+        oldest = _integer(result, "compact_revision")
+        if oldest:
+            return store.WatchCompacted(oldest=store.StoreRevision(oldest))
+        return store.Unreachable(detail="watch cancelled by the store")
+    return store.WatchBatch(
+        events=tuple(_event(one) for one in result.get("events") or ()),
+        revision=header_revision(result),
+    )
+
+
+def vm_listing(fields: Json) -> vm_list.VmListing:
+    """Return the list of VMs; VMs of unknown states are left out."""
+    states = {state.value: state for state in vm_list.VmState}
+    vms_by_id = {}
+    for one in fields.get("vms") or ():
+        state = states.get(one.get("state", ""))
+        if state is None or not one.get("id"):
+            continue
+        vms_by_id[one["id"]] = vm_list.Vm(
+            id=one["id"],
+            role=_role(one),
+            state=state,
+            domain=types.FailureDomain(one.get("domain", "")),
+            address=one.get("address", ""),
+            port=_integer(one, "port"),
+        )
+    return vm_list.VmListing(vms_by_id=vms_by_id)
+
+
+def _role(fields: Json) -> vm_list.VmRole:
+    if fields.get("role") == vm_list.VmRole.ENTRY.value:
+        return vm_list.VmRole.ENTRY
+    return vm_list.VmRole.UPSTREAM
+
+
+def _put(put: store.Put) -> Json:
+    fields: dict[str, object] = {
+        "key": _encoded(put.key),
+        "value": base64.b64encode(put.value).decode(),
+    }
+    if put.lease is not None:
+        fields["lease"] = str(put.lease)
+    return fields
+
+
+def _comparison(comparison: store.Comparison) -> Json:
+    return {
+        "key": _encoded(comparison.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(comparison.modified),
+    }
+
+
+def _event(fields: Json) -> store.Event:
+    item = _key_value(fields.get("kv") or {})
+    deleted = fields.get("type") == "DELETE"
+    return store.Event(
+        key=item.key,
+        value=None if deleted else item.value,
+        modified=item.modified,
+    )
+
+
+def _key_value(fields: Json) -> store.KeyValue:
+    lease = _integer(fields, "lease")
+    return store.KeyValue(
+        key=_decoded(fields, "key").decode(),
+        value=_decoded(fields, "value"),
+        modified=store.StoreRevision(_integer(fields, "mod_revision")),
+        created=store.StoreRevision(_integer(fields, "create_revision")),
+        lease=store.LeaseId(lease) if lease else None,
+    )
+
+
+def _encoded(key: str) -> str:
+    return base64.b64encode(key.encode()).decode()
+
+
+def _decoded(fields: Json, name: str) -> bytes:
+    try:
+        return base64.b64decode(fields.get(name) or "", validate=True)
+    except (TypeError, ValueError) as error:
+        raise FormatError(detail=f"{name}: {error}; valid: base64") from error
+
+
+def _integer(fields: Json, name: str) -> int:
+    value = fields.get(name) or 0
+    try:
+        return int(value)
+    except (TypeError, ValueError) as error:
+        raise FormatError(
+            detail=f"{name}: {value!r:.80}; valid: a whole number"
+        ) from error
+
+
+def _range_end(prefix: str) -> str:
+    """Return the first key after all that begin with `prefix`."""
+    octets = prefix.encode()
+    end = octets[:-1] + bytes([octets[-1] + 1]) if octets else b"\x00"
+    return base64.b64encode(end).decode()
