--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/admission.py
@@ -0,0 +1,184 @@
+"""Refusals: on arrival, at the limit, and to make way for a higher tier."""
+
+from collections.abc import Callable
+
+from lagoonrun_core import outcomes
+from lagoonrun_policy import (
+    class_state,
+    decision,
+    fair_queue,
+    messages,
+    records,
+    shard,
+    slots,
+)
+
+_WAIT_CONFIDENCE = 0.7
+"""Part of a reckoned wait that an arrival is refused for.
+
+Answers may end sooner than usual; a refusal for a wait that then does not
+come would have turned away what could have been served.
+"""
+
+
+class Admission:
+    """Decides what may wait and what is refused at once.
+
+    Parameters
+    ----------
+    shared
+        The shard it admits to.
+    book
+        Its slots and permits.
+    emit
+        Takes each refusal.
+    """
+
+    def __init__(
+        self,
+        *,
+        shared: shard.Shard,
+        book: slots.SlotBook,
+        emit: Callable[[messages.Action], None],
+    ) -> None:
+        self._shard = shared
+        self._slots = book
+        self._emit = emit
+
+    def admits(
+        self,
+        waiting: fair_queue.Waiting,
+        state: class_state.ClassState,
+        now: float,
+    ) -> bool:
+        """Return whether an arrival may wait; refuse it or others if not."""
+        expected_wait = self._expected_wait(state, waiting, now)
+        margin = self._shard.margins_of(state, now).best
+        remaining = waiting.deadline - now
+        if expected_wait + margin > remaining:
+            expected_wait = self._make_way_in_time(
+                state, waiting, expected_wait, now
+            )
+        sheddable = self._shard.sheddable_below(state)
+        reason = decision.refusal_reason(
+            phase=decision.Phase.ARRIVAL,
+            remaining_seconds=remaining,
+            expected_service_seconds=margin,
+            expected_wait_seconds=expected_wait,
+            queue_length=len(state.queue),
+            queue_capacity=state.capacity,
+            lower_tier_waiting=sheddable,
+        )
+        stuck = (
+            bool(waiting.request.excluded) or not self._shard.pool.any_usable()
+        )
+        if reason is not outcomes.Reason.NONE or stuck:
+            verdict, record = records.decide(
+                shared=self._shard,
+                waiting=waiting,
+                state=state,
+                phase=decision.Phase.ARRIVAL,
+                now=now,
+                expected_wait_seconds=expected_wait,
+            )
+            if verdict.kind is decision.VerdictKind.REFUSE:
+                self._emit(records.refusal(waiting, verdict, record))
+                return False
+        if len(state.queue) >= state.capacity:
+            self._shed_below(state, now)
+        return True
+
+    def _make_way_in_time(
+        self,
+        state: class_state.ClassState,
+        waiting: fair_queue.Waiting,
+        expected_wait: float,
+        now: float,
+    ) -> float:
+        """Refuse the caller's own late request that cannot be served either.
+
+        A fresh request goes before those of its organisation that have
+        missed their target; refusing the fresh one in their favour would
+        lose its target as well.
+        """
+        overtaken = state.queue.first_late(
+            waiting.request.organisation,
+            late_before=self._shard.late_before(state, now),
+        )
+        if overtaken is None or overtaken.deadline >= waiting.deadline:
+            return expected_wait
+        if waiting.target_deadline < self._shard.late_before(state, now):
+            return expected_wait
+        verdict, record = records.decide(
+            shared=self._shard,
+            waiting=overtaken,
+            state=state,
+            phase=decision.Phase.OVERTAKEN,
+            now=now,
+            expected_wait_seconds=expected_wait,
+        )
+        if verdict.kind is not decision.VerdictKind.REFUSE:
+            return expected_wait
+        self._slots.withdraw(overtaken.request.key)
+        self._emit(records.refusal(overtaken, verdict, record))
+        return 0.0
+
+    def _expected_wait(
+        self,
+        state: class_state.ClassState,
+        waiting: fair_queue.Waiting,
+        now: float,
+    ) -> float:
+        if (
+            not self._shard.switches.wait_refusal
+            or not self._shard.switches.deadline_refusal
+        ):
+            return 0.0
+        if len(state.queue) == 0 or self._shard.pool.free(now):
+            return 0.0
+        ahead = state.queue.ahead_of(waiting.request.organisation)
+        return _WAIT_CONFIDENCE * self._shard.drain_seconds(state, ahead, now)
+
+    def _shed_below(self, state: class_state.ClassState, now: float) -> None:
+        for lowest in sorted(
+            self._shard.classes, key=lambda c: c.policy.tier, reverse=True
+        ):
+            if lowest.policy.tier <= state.policy.tier:
+                return
+            if lowest.sheddable == 0:
+                continue
+            shed = lowest.queue.last_to_serve()
+            if shed is None:
+                continue
+            verdict, record = records.decide(
+                shared=self._shard,
+                waiting=shed,
+                state=lowest,
+                phase=decision.Phase.SHED,
+                now=now,
+            )
+            self._slots.withdraw(shed.request.key)
+            self._emit(records.refusal(shed, verdict, record))
+            return
+
+    def refuse_expired(self, now: float) -> None:
+        """Refuse what waits and can no longer meet its limit."""
+        usable = self._shard.pool.any_usable()
+        for state in self._shard.classes:
+            margin = self._shard.margins_of(state, now).best
+            while True:
+                earliest = state.queue.earliest()
+                if earliest is None:
+                    break
+                remaining = earliest.deadline - now
+                if usable and remaining > 0 and margin <= remaining:
+                    break
+                verdict, record = records.decide(
+                    shared=self._shard,
+                    waiting=earliest,
+                    state=state,
+                    phase=decision.Phase.EXPIRY,
+                    now=now,
+                )
+                self._slots.withdraw(earliest.request.key)
+                self._emit(records.refusal(earliest, verdict, record))
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/decision.py
@@ -0,0 +1,331 @@
+"""The decision on one request: a pure function of recorded inputs.
+
+`decide` is what the scheduler uses; `check` feeds the inputs of a record to
+it again and says whether the result is the same.
+"""
+
+import dataclasses
+import enum
+import json
+import math
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_policy import jitter, messages
+
+REPORT_DECAY_SECONDS = 1.0
+"""Age at which a load report counts for 1/e."""
+
+AFFINITY_WEIGHT = 0.3
+"""Part of a runner's score that a wholly cached prefix takes off."""
+
+MINIMUM_RETRY_SECONDS = 0.25
+NO_UPSTREAM_RETRY_SECONDS = 2.0
+_RETRY_JITTER = 0.5
+
+
+class Phase(enum.Enum):
+    """What made the scheduler look at the request."""
+
+    ARRIVAL = "arrival"
+    TURN = "turn"
+    EXPIRY = "expiry"
+    OVERTAKEN = "overtaken"
+    SHED = "shed"
+    CONFIGURATION = "configuration"
+    ENDED = "ended"
+
+
+class Exclusion(enum.Enum):
+    """Rule that keeps a request from a runner."""
+
+    NONE = ""
+    LEAVING = "leaving"
+    GONE = "gone"
+    UNCONFIGURED = "unconfigured"
+    EJECTED = "ejected"
+    PROBING = "probing"
+    KEPT_FOR_HIGHER_TIER = "kept-for-higher-tier"
+    FAILED_BEFORE = "failed-before"
+    FULL = "full"
+    TOO_SLOW = "too-slow"
+
+
+class VerdictKind(enum.Enum):
+    """Result of a decision."""
+
+    GRANT = "grant"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+_COMPUTED = frozenset({Exclusion.FULL.value, Exclusion.TOO_SLOW.value})
+_LASTING = frozenset(
+    {
+        Exclusion.LEAVING.value,
+        Exclusion.GONE.value,
+        Exclusion.UNCONFIGURED.value,
+        Exclusion.FAILED_BEFORE.value,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """Result of `decide`."""
+
+    kind: VerdictKind
+    upstream: types.UpstreamId | None = None
+    reason: outcomes.Reason = outcomes.Reason.NONE
+    retry_after_seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DecisionInputs:
+    """Everything that `decide` looks at; see `messages.DecisionRecord`."""
+
+    key: messages.PermitKey
+    phase: Phase
+    remaining_seconds: float
+    expected_service_seconds: float
+    expected_wait_seconds: float
+    drain_seconds: float
+    queue_length: int
+    queue_capacity: int
+    lower_tier_waiting: int
+    candidates: tuple[messages.Candidate, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Agreement:
+    """Whether the recorded result follows from the recorded inputs.
+
+    Parameters
+    ----------
+    differences
+        One sentence for each value that does not follow.
+    """
+
+    agrees: bool
+    recorded: Verdict
+    recomputed: Verdict
+    differences: tuple[str, ...] = ()
+
+
+def weigh(
+    *,
+    upstream: types.UpstreamId,
+    in_flight: int,
+    room: float,
+    reported_load: int,
+    report_age_seconds: float,
+    foreign_load: float,
+    affinity: float,
+    straggler_factor: float,
+    expected_service_seconds: float,
+    remaining_seconds: float,
+    exclusion: str,
+) -> messages.Candidate:
+    """Score one runner for a request.
+
+    Parameters
+    ----------
+    foreign_load
+        Work that only the report shows, as of the report.
+    exclusion
+        Rule that already excludes the runner; empty for none.
+    """
+    if not exclusion:
+        if in_flight >= int(room):
+            exclusion = Exclusion.FULL.value
+        elif expected_service_seconds > remaining_seconds:
+            exclusion = Exclusion.TOO_SLOW.value
+    score = 0.0
+    if not exclusion:
+        load = in_flight + 1.0
+        if foreign_load > 0:
+            load += foreign_load * math.exp(
+                -report_age_seconds / REPORT_DECAY_SECONDS
+            )
+        score = load / room * straggler_factor
+        score *= 1.0 - AFFINITY_WEIGHT * affinity
+    return messages.Candidate(
+        upstream=upstream,
+        in_flight=in_flight,
+        room=room,
+        reported_load=reported_load,
+        report_age_seconds=report_age_seconds,
+        foreign_load=foreign_load,
+        affinity=affinity,
+        straggler_factor=straggler_factor,
+        expected_service_seconds=expected_service_seconds,
+        eligible=not exclusion,
+        exclusion=exclusion,
+        score=score,
+    )
+
+
+def refusal_reason(
+    *,
+    phase: Phase,
+    remaining_seconds: float,
+    expected_service_seconds: float,
+    expected_wait_seconds: float,
+    queue_length: int,
+    queue_capacity: int,
+    lower_tier_waiting: int,
+) -> outcomes.Reason:
+    """Return why the request is refused, or `Reason.NONE`."""
+    if phase is Phase.CONFIGURATION:
+        return outcomes.Reason.UNCONFIGURED
+    if phase is Phase.SHED:
+        return outcomes.Reason.SHED_FOR_HIGHER_TIER
+    if phase is Phase.ENDED:
+        return outcomes.Reason.NOT_MINE
+    needed = expected_service_seconds
+    if phase in (Phase.ARRIVAL, Phase.OVERTAKEN):
+        needed += expected_wait_seconds
+    if remaining_seconds <= 0 or needed > remaining_seconds:
+        return outcomes.Reason.DEADLINE
+    full = queue_length >= queue_capacity and lower_tier_waiting == 0
+    if phase is Phase.ARRIVAL and full:
+        return outcomes.Reason.QUEUE_FULL
+    return outcomes.Reason.NONE
+
+
+def decide(inputs: DecisionInputs) -> Verdict:
+    """Grant a runner, let the request wait, or refuse it."""
+    reason = refusal_reason(
+        phase=inputs.phase,
+        remaining_seconds=inputs.remaining_seconds,
+        expected_service_seconds=inputs.expected_service_seconds,
+        expected_wait_seconds=inputs.expected_wait_seconds,
+        queue_length=inputs.queue_length,
+        queue_capacity=inputs.queue_capacity,
+        lower_tier_waiting=inputs.lower_tier_waiting,
+    )
+    if reason is outcomes.Reason.NONE and _none_lasts(inputs.candidates):
+        reason = outcomes.Reason.NO_UPSTREAM
+    if reason is not outcomes.Reason.NONE:
+        return Verdict(
+            kind=VerdictKind.REFUSE,
+            reason=reason,
+            retry_after_seconds=_retry_after(inputs, reason),
+        )
+    best: messages.Candidate | None = None
+    for candidate in inputs.candidates:
+        if candidate.eligible and (
+            best is None or candidate.score < best.score
+        ):
+            best = candidate
+    if best is None:
+        return Verdict(kind=VerdictKind.WAIT)
+    return Verdict(kind=VerdictKind.GRANT, upstream=best.upstream)
+
+
+def check(record: messages.DecisionRecord) -> Agreement:
+    """Decide again from a record's inputs and compare."""
+    candidates = tuple(
+        _weigh_again(c, record.remaining_seconds) for c in record.candidates
+    )
+    recomputed = decide(
+        DecisionInputs(
+            key=record.key,
+            phase=Phase(record.phase),
+            remaining_seconds=record.remaining_seconds,
+            expected_service_seconds=record.expected_service_seconds,
+            expected_wait_seconds=record.expected_wait_seconds,
+            drain_seconds=record.drain_seconds,
+            queue_length=record.queue_length,
+            queue_capacity=record.queue_capacity,
+            lower_tier_waiting=record.lower_tier_waiting,
+            candidates=candidates,
+        )
+    )
+    recorded = Verdict(
+        kind=VerdictKind(record.verdict),
+        upstream=record.upstream,
+        reason=record.reason,
+        retry_after_seconds=record.retry_after_seconds,
+    )
+    differences = [
+        f"candidate {new.upstream}: recorded {old}, recomputed {new}"
+        for old, new in zip(record.candidates, candidates, strict=True)
+        if old != new
+    ]
+    if recorded != recomputed:
+        differences.append(f"recorded {recorded}, recomputed {recomputed}")
+    return Agreement(
+        agrees=not differences,
+        recorded=recorded,
+        recomputed=recomputed,
+        differences=tuple(differences),
+    )
+
+
+def record_to_json(record: messages.DecisionRecord) -> str:
+    """Return the record as one JSON object, losslessly."""
+    return json.dumps(
+        dataclasses.asdict(record), default=_enum_value, sort_keys=True
+    )
+
+
+def record_from_json(text: str) -> messages.DecisionRecord:
+    """Return the record that `record_to_json` wrote.
+
+    Raises
+    ------
+    ValueError
+        If the text is not a record; names what is wrong.
+    """
+    try:
+        fields = json.loads(text)
+        fields["key"] = messages.PermitKey(**fields["key"])
+        fields["reason"] = outcomes.Reason(fields["reason"])
+        fields["candidates"] = tuple(
+            messages.Candidate(**c) for c in fields["candidates"]
+        )
+        return messages.DecisionRecord(**fields)
+    except (TypeError, KeyError, ValueError) as error:
+        raise ValueError(
+            f"not a decision record: {error}; valid: what record_to_json writes"
+        ) from error
+
+
+def _none_lasts(candidates: tuple[messages.Candidate, ...]) -> bool:
+    return all(c.exclusion in _LASTING for c in candidates)
+
+
+def _retry_after(inputs: DecisionInputs, reason: outcomes.Reason) -> float:
+    base = inputs.drain_seconds
+    if reason is outcomes.Reason.NO_UPSTREAM:
+        base = max(base, NO_UPSTREAM_RETRY_SECONDS)
+    base = max(base, MINIMUM_RETRY_SECONDS)
+    # Callers refused at one instant would all come back at one instant.
+    key = inputs.key
+    spread = jitter.fraction(f"{key.request_id}/{key.attempt_id}")
+    return base * (1.0 + _RETRY_JITTER * spread)
+
+
+def _weigh_again(
+    candidate: messages.Candidate, remaining_seconds: float
+) -> messages.Candidate:
+    given = candidate.exclusion
+    return weigh(
+        upstream=candidate.upstream,
+        in_flight=candidate.in_flight,
+        room=candidate.room,
+        reported_load=candidate.reported_load,
+        report_age_seconds=candidate.report_age_seconds,
+        foreign_load=candidate.foreign_load,
+        affinity=candidate.affinity,
+        straggler_factor=candidate.straggler_factor,
+        expected_service_seconds=candidate.expected_service_seconds,
+        remaining_seconds=remaining_seconds,
+        exclusion="" if given in _COMPUTED else given,
+    )
+
+
+def _enum_value(value: object) -> object:
+    if isinstance(value, enum.Enum):
+        return value.value
+    raise TypeError(f"cannot write {value!r}; valid: data and enums")
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/estimates.py
@@ -0,0 +1,242 @@
+"""Service times as they are observed, per class and runner.
+
+Nobody knows how long an answer will be. What decides whether a request still
+fits its limit is an online high quantile of the durations seen lately.
+"""
+
+import ddsketch
+
+from lagoonrun_core import types
+
+MINIMUM_SAMPLES = 20
+"""Fewer observations than this say nothing about a high quantile."""
+
+HIGH_QUANTILE = 0.9
+TYPICAL_QUANTILE = 0.5
+
+_RELATIVE_ACCURACY = 0.02
+_BINS = 512
+_RUNNER_WINDOW_SECONDS = 30.0
+_POOL_WINDOW_SECONDS = 120.0
+_RECOMPUTE_FRACTION = 16
+
+
+class DecayingQuantiles:
+    """High and typical quantile of the last one to two windows.
+
+    Two sketches take every value; at the end of a window the older one is
+    dropped. So a runner that recovers is believed again after two windows.
+
+    Parameters
+    ----------
+    window_seconds
+        Length of a window.
+    """
+
+    def __init__(self, *, window_seconds: float) -> None:
+        self._window = window_seconds
+        self._rotate_at: float | None = None
+        self._older = _new_sketch()
+        self._newer = _new_sketch()
+        self._computed_count = 0.0
+        self._high: float | None = None
+        self._typical: float | None = None
+        self._mean: float | None = None
+
+    def add(self, value: float, *, now: float) -> None:
+        """Take in one observation in seconds."""
+        self._rotate(now)
+        self._older.add(value)
+        self._newer.add(value)
+
+    def samples(self, *, now: float) -> int:
+        """Return how many observations the quantiles rest on."""
+        self._rotate(now)
+        return int(self._older.count)
+
+    def high(self, *, now: float) -> float | None:
+        """Return the high quantile, or None with too few observations."""
+        self._refresh(now)
+        return self._high
+
+    def typical(self, *, now: float) -> float | None:
+        """Return the median, or None with too few observations."""
+        self._refresh(now)
+        return self._typical
+
+    def mean(self, *, now: float) -> float | None:
+        """Return the mean, or None with too few observations."""
+        self._refresh(now)
+        return self._mean
+
+    def _rotate(self, now: float) -> None:
+        if self._rotate_at is None:
+            self._rotate_at = now + self._window
+        if now < self._rotate_at:
+            return
+        missed_a_window = now >= self._rotate_at + self._window
+        self._older = _new_sketch() if missed_a_window else self._newer
+        self._newer = _new_sketch()
+        self._rotate_at = now + self._window
+        self._computed_count = -1.0
+
+    def _refresh(self, now: float) -> None:
+        self._rotate(now)
+        count = self._older.count
+        if count < MINIMUM_SAMPLES:
+            self._high = self._typical = self._mean = None
+            self._computed_count = 0.0
+            return
+        fresh = count - self._computed_count
+        if self._high is not None and 0 <= fresh < count / _RECOMPUTE_FRACTION:
+            return
+        self._computed_count = count
+        self._high = self._older.get_quantile_value(HIGH_QUANTILE)
+        self._typical = self._older.get_quantile_value(TYPICAL_QUANTILE)
+        self._mean = self._older.avg
+
+
+class ServiceTimes:
+    """Durations per class over the shard, and per class and runner."""
+
+    def __init__(self) -> None:
+        self._by_profile: dict[types.ProfileName, DecayingQuantiles] = {}
+        self._first_token_by_profile: dict[
+            types.ProfileName, DecayingQuantiles
+        ] = {}
+        self._by_runner: dict[
+            types.UpstreamId, dict[types.ProfileName, DecayingQuantiles]
+        ] = {}
+
+    def record(
+        self,
+        *,
+        profile: types.ProfileName,
+        upstream: types.UpstreamId,
+        first_token_seconds: float,
+        total_seconds: float,
+        now: float,
+    ) -> None:
+        """Take in the duration of a whole answer."""
+        _entry(self._by_profile, profile, _POOL_WINDOW_SECONDS).add(
+            total_seconds, now=now
+        )
+        by_profile = self._by_runner.setdefault(upstream, {})
+        _entry(by_profile, profile, _RUNNER_WINDOW_SECONDS).add(
+            total_seconds, now=now
+        )
+        if first_token_seconds > 0:
+            _entry(
+                self._first_token_by_profile, profile, _POOL_WINDOW_SECONDS
+            ).add(first_token_seconds, now=now)
+
+    def record_at_least(
+        self,
+        *,
+        profile: types.ProfileName,
+        upstream: types.UpstreamId,
+        total_seconds: float,
+        now: float,
+    ) -> None:
+        """Take in work that was stopped before its end.
+
+        Counting only what ended in time would make the quantile too short,
+        and more would be admitted that cannot end. A stopped answer counts
+        where it already lasted longer than the quantile.
+        """
+        high = self.high(profile=profile, upstream=upstream, now=now)
+        if high is not None and total_seconds > high:
+            self.record(
+                profile=profile,
+                upstream=upstream,
+                first_token_seconds=0.0,
+                total_seconds=total_seconds,
+                now=now,
+            )
+
+    def high(
+        self,
+        *,
+        profile: types.ProfileName,
+        upstream: types.UpstreamId,
+        now: float,
+        pace: float = 1.0,
+    ) -> float | None:
+        """Return the high quantile at a runner, or None while unknown.
+
+        Without enough observations of its own, the runner is taken to be as
+        the shard on the whole, slowed by `pace`.
+        """
+        own = self._by_runner.get(upstream, {}).get(profile)
+        if own is not None:
+            value = own.high(now=now)
+            if value is not None:
+                return value
+        shared = self._by_profile.get(profile)
+        value = shared.high(now=now) if shared is not None else None
+        return value * pace if value is not None else None
+
+    def shared_high(
+        self, *, profile: types.ProfileName, now: float
+    ) -> float | None:
+        """Return the shard's high quantile, or None while unknown."""
+        entry = self._by_profile.get(profile)
+        return entry.high(now=now) if entry is not None else None
+
+    def typical(self, *, profile: types.ProfileName, now: float) -> float:
+        """Return the shard's median; 0 while unknown."""
+        return _value_or_zero(self._by_profile.get(profile), now, "typical")
+
+    def typical_first_token(
+        self, *, profile: types.ProfileName, now: float
+    ) -> float:
+        """Return the shard's median time to first token; 0 while unknown."""
+        entry = self._first_token_by_profile.get(profile)
+        return _value_or_zero(entry, now, "typical")
+
+    def mean(self, *, profile: types.ProfileName, now: float) -> float:
+        """Return the shard's mean; 0 while unknown."""
+        return _value_or_zero(self._by_profile.get(profile), now, "mean")
+
+    def samples(self, *, profile: types.ProfileName, now: float) -> int:
+        """Return how many observations the shard's quantiles rest on."""
+        entry = self._by_profile.get(profile)
+        return entry.samples(now=now) if entry is not None else 0
+
+    def forget_runner(self, upstream: types.UpstreamId) -> None:
+        """Drop what is known of a runner that has left the configuration."""
+        self._by_runner.pop(upstream, None)
+
+    def forget_profile(self, profile: types.ProfileName) -> None:
+        """Drop what is known of a class that has left the configuration."""
+        self._by_profile.pop(profile, None)
+        self._first_token_by_profile.pop(profile, None)
+        for by_profile in self._by_runner.values():
+            by_profile.pop(profile, None)
+
+
+def _new_sketch() -> ddsketch.LogCollapsingLowestDenseDDSketch:
+    return ddsketch.LogCollapsingLowestDenseDDSketch(_RELATIVE_ACCURACY, _BINS)
+
+
+def _entry(
+    by_profile: dict[types.ProfileName, DecayingQuantiles],
+    profile: types.ProfileName,
+    window_seconds: float,
+) -> DecayingQuantiles:
+    entry = by_profile.get(profile)
+    if entry is None:
+        entry = DecayingQuantiles(window_seconds=window_seconds)
+        by_profile[profile] = entry
+    return entry
+
+
+def _value_or_zero(
+    entry: DecayingQuantiles | None, now: float, which: str
+) -> float:
+    if entry is None:
+        return 0.0
+    value = (
+        entry.typical(now=now) if which == "typical" else entry.mean(now=now)
+    )
+    return value if value is not None else 0.0
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/fair_queue.py
@@ -0,0 +1,285 @@
+"""One class's waiting requests, shared fairly between organisations.
+
+Each organisation has a virtual time: the tokens charged to it, divided by its
+weight. The organisation that is furthest behind is served next. Nobody knows
+an answer's length beforehand, so a grant is charged with an estimate that the
+scheduler corrects as tokens are produced.
+"""
+
+import dataclasses
+import heapq
+from collections.abc import Iterator, Mapping
+
+from lagoonrun_core import types
+from lagoonrun_policy import messages
+
+_EVERYONE = types.OrganisationId("")
+_COMPACT_ABOVE = 256
+
+
+@dataclasses.dataclass(eq=False, kw_only=True, slots=True)
+class Waiting:
+    """A request that waits for a runner.
+
+    Parameters
+    ----------
+    deadline
+        Instant of the profile's limit.
+    target_deadline
+        Instant of the profile's target.
+    sequence
+        Order of arrival in the shard.
+    """
+
+    request: messages.PermitRequested
+    arrived_at: float
+    deadline: float
+    target_deadline: float
+    sequence: int
+    queued: bool = False
+
+
+@dataclasses.dataclass(eq=False, kw_only=True, slots=True)
+class _Account:
+    """What one organisation has waiting and has been charged."""
+
+    weight: float
+    virtual_time: float
+    in_time: list[tuple[float, int, Waiting]]
+    late: list[tuple[float, int, Waiting]]
+    by_sequence: dict[int, Waiting]
+
+
+class FairQueue:
+    """Waiting requests of one class.
+
+    Parameters
+    ----------
+    weights_by_organisation
+        Shares; an organisation that is not named has weight 1.
+    fair
+        Without it all organisations share one account.
+    lanes
+        With it, a request that can still meet its target goes before those
+        of the same organisation that cannot.
+    """
+
+    def __init__(
+        self,
+        *,
+        weights_by_organisation: Mapping[types.OrganisationId, float],
+        fair: bool = True,
+        lanes: bool = True,
+    ) -> None:
+        self._weights = weights_by_organisation
+        self._fair = fair
+        self._lanes = lanes
+        self._accounts: dict[types.OrganisationId, _Account] = {}
+        self._order: list[tuple[float, int, types.OrganisationId]] = []
+        self._order_sequence = 0
+        self._virtual_now = 0.0
+        self._deadlines: list[tuple[float, int, Waiting]] = []
+        self._length = 0
+        self._active_weight = 0.0
+        self._latest_deadline = float("-inf")
+
+    def __len__(self) -> int:
+        return self._length
+
+    @property
+    def latest_deadline(self) -> float:
+        """No waiting request has a later deadline than this instant."""
+        return self._latest_deadline
+
+    def set_weights(
+        self, weights_by_organisation: Mapping[types.OrganisationId, float]
+    ) -> None:
+        """Take over the shares of a new configuration."""
+        self._weights = weights_by_organisation
+        self._active_weight = 0.0
+        for organisation, account in self._accounts.items():
+            account.weight = self._weight(organisation)
+            if account.by_sequence:
+                self._active_weight += account.weight
+
+    def push(self, waiting: Waiting) -> None:
+        """Add a request; it joins the lane of those in time for the target."""
+        organisation = self._account_name(waiting)
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = _Account(
+                weight=self._weight(organisation),
+                virtual_time=self._virtual_now,
+                in_time=[],
+                late=[],
+                by_sequence={},
+            )
+            self._accounts[organisation] = account
+        if not account.by_sequence:
+            self._activate(organisation, account)
+        waiting.queued = True
+        account.by_sequence[waiting.sequence] = waiting
+        self._push_lane(account, waiting)
+        heapq.heappush(
+            self._deadlines, (waiting.deadline, waiting.sequence, waiting)
+        )
+        self._length += 1
+        self._latest_deadline = max(self._latest_deadline, waiting.deadline)
+        self._compact_deadlines()
+
+    def pop(self, *, late_before: float) -> Waiting | None:
+        """Take the next request in order of service.
+
+        Parameters
+        ----------
+        late_before
+            A request whose target lies before this instant can no longer meet
+            it and yields to those of its organisation that can.
+        """
+        while self._order:
+            virtual_time, _, organisation = self._order[0]
+            account = self._accounts[organisation]
+            stale = virtual_time != account.virtual_time
+            if stale or not account.by_sequence:
+                heapq.heappop(self._order)
+                continue
+            waiting = self._next_of(account, late_before)
+            self._virtual_now = max(self._virtual_now, virtual_time)
+            self.remove(waiting)
+            return waiting
+        return None
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take out a request wherever it stands; nothing if it is not in."""
+        if not waiting.queued:
+            return
+        waiting.queued = False
+        account = self._accounts[self._account_name(waiting)]
+        del account.by_sequence[waiting.sequence]
+        self._length -= 1
+        if not account.by_sequence:
+            account.in_time.clear()
+            account.late.clear()
+            self._active_weight -= account.weight
+        if self._length == 0:
+            self._deadlines.clear()
+            self._order.clear()
+            self._active_weight = 0.0
+            self._latest_deadline = float("-inf")
+
+    def charge(self, organisation: types.OrganisationId, tokens: float) -> None:
+        """Charge an organisation, or give back if `tokens` is negative."""
+        if not self._fair:
+            return
+        account = self._accounts.get(organisation)
+        if account is None or tokens == 0:
+            return
+        account.virtual_time += tokens / account.weight
+        if account.by_sequence:
+            self._push_order(organisation, account)
+
+    def ahead_of(self, organisation: types.OrganisationId) -> int:
+        """Return an upper bound of the requests served before a new one."""
+        if not self._fair:
+            return self._length
+        account = self._accounts.get(organisation)
+        own = len(account.by_sequence) if account is not None else 0
+        weight = self._weight(organisation)
+        rounds = (own + 1) * max(1.0, self._active_weight / weight)
+        return min(self._length, int(rounds))
+
+    def earliest(self) -> Waiting | None:
+        """Return the request whose deadline comes first."""
+        while self._deadlines and not self._deadlines[0][2].queued:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][2] if self._deadlines else None
+
+    def first_late(
+        self, organisation: types.OrganisationId, *, late_before: float
+    ) -> Waiting | None:
+        """Return an organisation's late request with the least time left."""
+        account = self._accounts.get(organisation if self._fair else _EVERYONE)
+        if account is None or not account.by_sequence or not self._lanes:
+            return None
+        self._sort_lanes(account, late_before)
+        return account.late[0][2] if account.late else None
+
+    def last_to_serve(self) -> Waiting | None:
+        """Return the newest request of the most backlogged organisation."""
+        accounts = [a for a in self._accounts.values() if a.by_sequence]
+        if not accounts:
+            return None
+        account = max(accounts, key=lambda a: len(a.by_sequence) / a.weight)
+        return account.by_sequence[max(account.by_sequence)]
+
+    def __iter__(self) -> Iterator[Waiting]:
+        for account in self._accounts.values():
+            yield from account.by_sequence.values()
+
+    def _account_name(self, waiting: Waiting) -> types.OrganisationId:
+        return waiting.request.organisation if self._fair else _EVERYONE
+
+    def _weight(self, organisation: types.OrganisationId) -> float:
+        return self._weights.get(organisation, 1.0)
+
+    def _activate(
+        self, organisation: types.OrganisationId, account: _Account
+    ) -> None:
+        # Time spent idle earns no credit: an organisation that comes back
+        # starts level with those being served and cannot lock them out.
+        account.virtual_time = max(account.virtual_time, self._virtual_now)
+        self._active_weight += account.weight
+        self._push_order(organisation, account)
+
+    def _push_order(
+        self, organisation: types.OrganisationId, account: _Account
+    ) -> None:
+        self._order_sequence += 1
+        heapq.heappush(
+            self._order,
+            (account.virtual_time, self._order_sequence, organisation),
+        )
+        if len(self._order) > _COMPACT_ABOVE + 4 * len(self._accounts):
+            self._rebuild_order()
+
+    def _rebuild_order(self) -> None:
+        self._order = [
+            (account.virtual_time, position, organisation)
+            for position, (organisation, account) in enumerate(
+                self._accounts.items()
+            )
+            if account.by_sequence
+        ]
+        heapq.heapify(self._order)
+
+    def _push_lane(self, account: _Account, waiting: Waiting) -> None:
+        key = waiting.target_deadline if self._lanes else waiting.sequence
+        heapq.heappush(account.in_time, (key, waiting.sequence, waiting))
+        if len(account.in_time) > _COMPACT_ABOVE + 2 * len(account.by_sequence):
+            account.in_time = [i for i in account.in_time if i[2].queued]
+            heapq.heapify(account.in_time)
+
+    def _next_of(self, account: _Account, late_before: float) -> Waiting:
+        self._sort_lanes(account, late_before)
+        lane = account.in_time if account.in_time else account.late
+        return lane[0][2]
+
+    def _sort_lanes(self, account: _Account, late_before: float) -> None:
+        in_time = account.in_time
+        while in_time:
+            waiting = in_time[0][2]
+            if not waiting.queued:
+                heapq.heappop(in_time)
+            elif self._lanes and waiting.target_deadline < late_before:
+                heapq.heappop(in_time)
+                item = (waiting.deadline, waiting.sequence, waiting)
+                heapq.heappush(account.late, item)
+            else:
+                break
+        while account.late and not account.late[0][2].queued:
+            heapq.heappop(account.late)
+
+    def _compact_deadlines(self) -> None:
+        if len(self._deadlines) > _COMPACT_ABOVE + 2 * self._length:
+            self._deadlines = [i for i in self._deadlines if i[2].queued]
+            heapq.heapify(self._deadlines)
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/granting.py
@@ -0,0 +1,205 @@
+"""Grants: by tier, with floors, to the runner that scores best."""
+
+from collections.abc import Callable
+
+from lagoonrun_core import types
+from lagoonrun_policy import (
+    class_state,
+    decision,
+    fair_queue,
+    floors,
+    ledger,
+    messages,
+    records,
+    runners,
+    shard,
+    slots,
+)
+
+_SCAN_LIMIT = 8
+"""Requests of a class that are tried against the free runners in turn."""
+
+_URGENT_FRACTION = 0.5
+"""Part of its time left at which a lower class's oldest is urgent."""
+
+
+class Granting:
+    """Gives free slots to waiting requests.
+
+    Parameters
+    ----------
+    shared
+        The shard it grants for.
+    book
+        Its slots and permits.
+    emit
+        Takes each grant, and refusals that come up on the way.
+    """
+
+    def __init__(
+        self,
+        *,
+        shared: shard.Shard,
+        book: slots.SlotBook,
+        emit: Callable[[messages.Action], None],
+    ) -> None:
+        self._shard = shared
+        self._slots = book
+        self._emit = emit
+        self._sequence = 0
+
+    def grant_waiting(self, now: float) -> None:
+        """Grant until no waiting request fits a free runner."""
+        while any(len(c.queue) > 0 for c in self._shard.classes):
+            free = self._shard.pool.free(now)
+            if not free or not self._grant_one(free, now):
+                return
+
+    def _grant_one(self, free: list[runners.RunnerState], now: float) -> bool:
+        in_order = sorted(
+            (c for c in self._shard.classes if len(c.queue) > 0),
+            key=lambda c: c.order,
+        )
+        if len(in_order) > 1:
+            floor = self._floor_due(in_order[1:], now)
+            if floor is not None and self._grant_from(
+                floor, free, now, set(), floor=True
+            ):
+                return True
+        kept: set[types.UpstreamId] = set()
+        return any(
+            self._grant_from(state, free, now, kept, floor=False)
+            for state in in_order
+        )
+
+    def _floor_due(
+        self, passed_over: list[class_state.ClassState], now: float
+    ) -> class_state.ClassState | None:
+        if not self._shard.switches.floors:
+            return None
+        room = self._shard.pool.total_room()
+        due = floors.due(passed_over, room)
+        if due is not None:
+            return due
+        for state in passed_over:
+            if self._is_urgent(state, now) and self._is_harmless(state, now):
+                return state
+        return None
+
+    def _is_urgent(self, state: class_state.ClassState, now: float) -> bool:
+        earliest = state.queue.earliest()
+        if earliest is None or state.floor_running > 0:
+            return False
+        margin = self._shard.margins_of(state, now).best
+        slack = earliest.deadline - margin - now
+        return slack < _URGENT_FRACTION * (state.policy.limit_seconds - margin)
+
+    def _is_harmless(self, state: class_state.ClassState, now: float) -> bool:
+        return floors.is_harmless(
+            state,
+            self._shard.classes,
+            total_room=self._shard.pool.total_room(),
+            services=self._shard.services,
+            margin_by_class={
+                c: self._shard.margins_of(c, now).best
+                for c in self._shard.classes
+            },
+            now=now,
+        )
+
+    def _grant_from(
+        self,
+        state: class_state.ClassState,
+        free: list[runners.RunnerState],
+        now: float,
+        kept: set[types.UpstreamId],
+        *,
+        floor: bool,
+    ) -> bool:
+        """Grant the class's next request that fits a free runner.
+
+        Runners that fit a request which the scan did not reach are added to
+        `kept`: a lower class does not get what a higher one could use.
+        """
+        margins = self._shard.margins_of(state, now).by_id
+        longest = state.queue.latest_deadline - now
+        usable = [
+            r.id
+            for r in free
+            if r.id not in kept and margins.get(r.id, 0.0) <= longest
+        ]
+        if not usable:
+            return False
+        skipped: list[fair_queue.Waiting] = []
+        granted = False
+        late_before = self._shard.late_before(state, now)
+        while len(skipped) < _SCAN_LIMIT:
+            waiting = state.queue.pop(late_before=late_before)
+            if waiting is None:
+                break
+            verdict, record = records.decide(
+                shared=self._shard,
+                waiting=waiting,
+                state=state,
+                phase=decision.Phase.TURN,
+                now=now,
+                kept=kept,
+                floor=floor,
+            )
+            if verdict.kind is decision.VerdictKind.WAIT:
+                skipped.append(waiting)
+                continue
+            self._slots.permits.remove_queued(waiting.request.key)
+            if verdict.kind is decision.VerdictKind.REFUSE:
+                self._emit(records.refusal(waiting, verdict, record))
+                continue
+            self._grant(waiting, state, verdict, record, now)
+            granted = True
+            break
+        for waiting in skipped:
+            state.queue.push(waiting)
+        if not granted and len(skipped) == _SCAN_LIMIT and not floor:
+            kept.update(usable)
+        return granted
+
+    def _grant(
+        self,
+        waiting: fair_queue.Waiting,
+        state: class_state.ClassState,
+        verdict: decision.Verdict,
+        record: messages.DecisionRecord,
+        now: float,
+    ) -> None:
+        request = waiting.request
+        grant = messages.Grant(
+            key=request.key,
+            ingress=request.ingress,
+            upstream=verdict.upstream,
+            record=record,
+        )
+        self._emit(grant)
+        running = ledger.Running(
+            key=request.key,
+            ingress=request.ingress,
+            state=state,
+            organisation=request.organisation,
+            upstream=verdict.upstream,
+            granted_at=now,
+            floor=record.floor_grant,
+            grant=grant,
+        )
+        self._slots.occupy(running)
+        self._slots.charge(running, state.expected_tokens)
+        self._shard.pool.affinity.served(
+            organisation=request.organisation,
+            prefix=request.prefix_hash,
+            upstream=verdict.upstream,
+            now=now,
+        )
+        self._sequence += 1
+        state.last_granted = self._sequence
+        if record.floor_grant:
+            state.floor_credit = max(0.0, state.floor_credit - 1.0)
+            return
+        if self._shard.switches.floors:
+            floors.earn(state, self._shard.classes, self._shard.floor_scale)
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/health.py
@@ -0,0 +1,102 @@
+"""Whether a runner is failing, and how its pace compares."""
+
+from lagoonrun_core import outcomes
+
+FAILURES_TO_EJECT = 3
+_FIRST_EJECTION_SECONDS = 1.0
+_LONGEST_EJECTION_SECONDS = 30.0
+_PACE_SMOOTHING = 0.2
+_PACE_HALF_LIFE_SECONDS = 10.0
+_PACE_MINIMUM_SAMPLES = 5
+
+_FAULTS = frozenset(
+    {
+        outcomes.Reason.UPSTREAM_CONNECT,
+        outcomes.Reason.UPSTREAM_CLOSED,
+        outcomes.Reason.UPSTREAM_TIMEOUT,
+        outcomes.Reason.UPSTREAM_MISMATCH,
+        outcomes.Reason.UPSTREAM_PROTOCOL,
+    }
+)
+
+
+def is_fault(reason: outcomes.Reason) -> bool:
+    """Return whether the reason speaks against the runner itself."""
+    return reason in _FAULTS
+
+
+class RunnerHealth:
+    """Failures in a row, ejection and pace of one runner."""
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until: float | None = None
+        self._pace: float | None = None
+        self._pace_samples = 0
+        self._pace_at = 0.0
+
+    @property
+    def failures(self) -> int:
+        """Failures since the last success."""
+        return self._failures
+
+    @property
+    def ejected(self) -> bool:
+        """Whether the runner is out, or back only to be probed."""
+        return self._ejected_until is not None
+
+    @property
+    def ejected_until(self) -> float | None:
+        """Instant from which it may be probed; None while it is in."""
+        return self._ejected_until
+
+    def is_probing(self, now: float) -> bool:
+        """Return whether its ejection is over but no probe has succeeded."""
+        return self._ejected_until is not None and now >= self._ejected_until
+
+    def succeeded(self) -> None:
+        """Take in an answer: the runner is believed again."""
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until = None
+
+    def failed(self) -> None:
+        """Take in a fault of the runner."""
+        self._failures += 1
+
+    def eject(self, now: float) -> None:
+        """Take the runner out, for twice as long each time in a row."""
+        seconds = min(
+            _LONGEST_EJECTION_SECONDS,
+            _FIRST_EJECTION_SECONDS * 2.0 ** min(self._ejections, 16),
+        )
+        self._ejections += 1
+        self._ejected_until = now + seconds
+
+    def observe_pace(self, seconds_per_token: float, now: float) -> None:
+        """Take in the time between two tokens, in seconds."""
+        if self._pace is None:
+            self._pace = seconds_per_token
+        self._pace += _PACE_SMOOTHING * (seconds_per_token - self._pace)
+        self._pace_samples += 1
+        self._pace_at = now
+
+    @property
+    def pace(self) -> float | None:
+        """Smoothed seconds per token; None with too few observations."""
+        enough = self._pace_samples >= _PACE_MINIMUM_SAMPLES
+        return self._pace if enough else None
+
+    def straggler_factor(self, median_pace: float | None, now: float) -> float:
+        """Return how many times slower than the pool's median, at least 1.
+
+        The factor fades as the last observation ages, so that a runner that
+        has recovered is tried again.
+        """
+        pace = self.pace
+        if pace is None or not median_pace or pace <= median_pace:
+            return 1.0
+        age = now - self._pace_at
+        excess = pace / median_pace - 1.0
+        return 1.0 + excess * 0.5 ** (age / _PACE_HALF_LIFE_SECONDS)
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/ledger.py
@@ -0,0 +1,158 @@
+"""Which requests wait and which run, by permit and by ingress."""
+
+import collections
+import dataclasses
+
+from lagoonrun_core import types
+from lagoonrun_policy import class_state, fair_queue, messages
+
+_ENDED_KEYS = 4096
+_GONE_GRACE_SECONDS = 3.0
+_SILENCE_SECONDS = 60.0
+
+
+@dataclasses.dataclass(eq=False, kw_only=True, slots=True)
+class Running:
+    """Granted work that holds a slot.
+
+    Parameters
+    ----------
+    charged
+        Tokens charged to the organisation so far.
+    floor
+        Whether the class's floor paid for the grant.
+    missed_digests
+        Digests of its ingress in a row that did not name it.
+    grant
+        What the ingress was told; None where a digest brought the work.
+    """
+
+    key: messages.PermitKey
+    ingress: types.EntryVmId
+    state: class_state.ClassState | None
+    organisation: types.OrganisationId
+    upstream: types.UpstreamId
+    granted_at: float
+    charged: float = 0.0
+    tokens: int = 0
+    progressed_at: float = 0.0
+    floor: bool = False
+    cut: bool = False
+    missed_digests: int = 0
+    grant: messages.Grant | None = None
+
+
+@dataclasses.dataclass(eq=False, kw_only=True, slots=True)
+class Queued:
+    """A waiting request and the class whose queue it is in."""
+
+    waiting: fair_queue.Waiting
+    state: class_state.ClassState
+    missed_digests: int = 0
+
+
+class Ledger:
+    """Permits of one shard.
+
+    Keys that have ended are kept for a while: a message that comes late must
+    not bring an ended permit back, for its slot would then never be freed.
+    """
+
+    def __init__(self) -> None:
+        self.queued_by_key: dict[messages.PermitKey, Queued] = {}
+        self.running_by_key: dict[messages.PermitKey, Running] = {}
+        self._keys_by_ingress: dict[
+            types.EntryVmId, set[messages.PermitKey]
+        ] = {}
+        self._heard_at: dict[types.EntryVmId, float] = {}
+        self._gone_at: dict[types.EntryVmId, float] = {}
+        self._ended: collections.OrderedDict[messages.PermitKey, None] = (
+            collections.OrderedDict()
+        )
+
+    def add_queued(self, key: messages.PermitKey, queued: Queued) -> None:
+        """Note a waiting request."""
+        self.queued_by_key[key] = queued
+        self._keys_of(queued.waiting.request.ingress).add(key)
+
+    def remove_queued(self, key: messages.PermitKey) -> Queued | None:
+        """Forget a waiting request; None if there is none."""
+        queued = self.queued_by_key.pop(key, None)
+        if queued is not None:
+            self._drop_key(queued.waiting.request.ingress, key)
+        return queued
+
+    def add_running(self, running: Running) -> None:
+        """Note granted work."""
+        self.running_by_key[running.key] = running
+        self._keys_of(running.ingress).add(running.key)
+
+    def remove_running(self, key: messages.PermitKey) -> Running | None:
+        """Forget granted work; None if there is none."""
+        running = self.running_by_key.pop(key, None)
+        if running is not None:
+            self._drop_key(running.ingress, key)
+        return running
+
+    def note_ended(self, key: messages.PermitKey) -> None:
+        """Remember that nothing of this permit is to come."""
+        self._ended[key] = None
+        if len(self._ended) > _ENDED_KEYS:
+            self._ended.popitem(last=False)
+
+    def has_ended(self, key: messages.PermitKey) -> bool:
+        """Return whether the permit is known to be over."""
+        return key in self._ended
+
+    def hear(self, ingress: types.EntryVmId, now: float) -> None:
+        """Note a sign of life of an ingress."""
+        self._heard_at[ingress] = now
+
+    def note_gone(self, ingress: types.EntryVmId, now: float) -> None:
+        """Note that an ingress was declared dead."""
+        self._heard_at.pop(ingress, None)
+        self._gone_at[ingress] = now
+
+    def may_register(self, ingress: types.EntryVmId, now: float) -> bool:
+        """Return whether an ingress's digest may bring in running work.
+
+        A digest that was under way when its sender died would take slots
+        that nobody ever frees. A sender that is alive sends another.
+        """
+        gone_at = self._gone_at.get(ingress)
+        if gone_at is None:
+            return True
+        if now - gone_at < _GONE_GRACE_SECONDS:
+            return False
+        del self._gone_at[ingress]
+        return True
+
+    def silent(self, now: float) -> list[types.EntryVmId]:
+        """Return the ingresses that hold permits but have not been heard.
+
+        A request may be granted just after its ingress was declared dead;
+        no other message would ever free that slot.
+        """
+        return [
+            ingress
+            for ingress in self._keys_by_ingress
+            if now - self._heard_at.setdefault(ingress, now) > _SILENCE_SECONDS
+        ]
+
+    def keys_of(self, ingress: types.EntryVmId) -> list[messages.PermitKey]:
+        """Return all permits of an ingress, in a stable order."""
+        keys = self._keys_by_ingress.get(ingress, set())
+        return sorted(keys, key=lambda k: (k.request_id, k.attempt_id))
+
+    def _keys_of(self, ingress: types.EntryVmId) -> set[messages.PermitKey]:
+        return self._keys_by_ingress.setdefault(ingress, set())
+
+    def _drop_key(
+        self, ingress: types.EntryVmId, key: messages.PermitKey
+    ) -> None:
+        keys = self._keys_by_ingress.get(ingress)
+        if keys is None:
+            return
+        keys.discard(key)
+        if not keys:
+            del self._keys_by_ingress[ingress]
--- a/packages/policy/src/lagoonrun_policy/messages.py
+++ b/packages/policy/src/lagoonrun_policy/messages.py
@@ -245,6 +245,11 @@
         False where a rule excludes it; `exclusion` names the rule.
     score
         Lower is better.
+    foreign_load
+        Work that only the report shows, as of the report.
+    expected_service_seconds
+        High quantile of the class's service time at the runner; 0 while
+        unknown.
     """
 
     upstream: types.UpstreamId
@@ -257,6 +262,8 @@
     eligible: bool
     exclusion: str
     score: float
+    foreign_load: float = 0.0
+    expected_service_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -266,6 +273,21 @@
     The fields up to `candidates` are the inputs of the pure function
     `lagoonrun_policy.decision.decide`, which gives `verdict`, `upstream` and
     `reason` again when it is fed with them.
+
+    Parameters
+    ----------
+    floor_grant
+        Whether the class's set-aside share pays for the grant.
+    phase
+        What made the scheduler look at the request; see `decision.Phase`.
+    expected_wait_seconds
+        Time until the work ahead of an arrival has been granted.
+    drain_seconds
+        Time until the work of this and the higher tiers that waits now has
+        been granted; the base of `retry_after_seconds`.
+    reserved_floor_share
+        Share of grants set aside for lower classes that wait; the two times
+        above are reckoned on the rest.
     """
 
     key: PermitKey
@@ -289,6 +311,10 @@
     upstream: types.UpstreamId | None
     reason: outcomes.Reason
     retry_after_seconds: float
+    phase: str = "turn"
+    expected_wait_seconds: float = 0.0
+    drain_seconds: float = 0.0
+    reserved_floor_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -1,107 +1,267 @@
 """The scheduler of one shard: who may use which runner, and when."""
 
-import collections
 from collections.abc import Sequence
 
 from lagoonrun_core import outcomes, types
-from lagoonrun_policy import messages
+from lagoonrun_policy import (
+    admission,
+    class_state,
+    decision,
+    fair_queue,
+    features,
+    granting,
+    ledger,
+    messages,
+    records,
+    shard,
+    slots,
+)
+
+_SILENCE_CHECK_SECONDS = 5.0
 
 
 class ShardScheduler:
-    """Grant runners by strict tier, first come first served.
+    """Grant runners by strict tier, with floors and fair shares.
 
     Parameters
     ----------
     policy
         Classes, runners and weights of the shard.
+    switches
+        Which parts of the order of service are in use.
     """
 
-    def __init__(self, *, policy: messages.ShardPolicy) -> None:
-        self._policy = policy
-        self._waiting: collections.deque[messages.PermitRequested] = (
-            collections.deque()
+    def __init__(
+        self,
+        *,
+        policy: messages.ShardPolicy,
+        switches: features.Features | None = None,
+    ) -> None:
+        self._shard = shard.Shard(
+            policy=policy, switches=switches or features.Features()
+        )
+        self._slots = slots.SlotBook(shared=self._shard)
+        self._admission = admission.Admission(
+            shared=self._shard, book=self._slots, emit=self._emit
+        )
+        self._granting = granting.Granting(
+            shared=self._shard, book=self._slots, emit=self._emit
         )
-        self._running_by_key: dict[messages.PermitKey, types.UpstreamId] = {}
+        self._actions: list[messages.Action] = []
+        self._sequence = 0
+        self._silence_check_at = 0.0
 
     def handle(
         self, event: messages.Event, *, now: float
     ) -> Sequence[messages.Action]:
         """Take in one event at `now` and return what follows from it."""
+        self._actions = []
         match event:
             case messages.PermitRequested():
-                self._waiting.append(event)
-            case messages.PermitReturned() | messages.PermitEnded():
-                self._running_by_key.pop(event.key, None)
-                self._waiting = collections.deque(
-                    w for w in self._waiting if w.key != event.key
-                )
+                self._on_requested(event, now)
+            case messages.PermitEnded():
+                self._on_ended(event, now)
+            case messages.WorkProgressed():
+                self._on_progressed(event, now)
+                return self._actions
+            case messages.LoadReported():
+                self._on_load(event, now)
+                return self._actions
+            case messages.PermitReturned():
+                self._on_returned(event)
+            case messages.InFlightDigest():
+                self._on_digest(event, now)
+            case messages.UpstreamChanged():
+                self._on_upstream(event)
+            case messages.IngressGone():
+                self._drop_ingress(event.ingress, now)
             case messages.PolicyChanged():
-                self._policy = event.policy
-            case _:
+                self._on_policy(event, now)
+            case messages.Ticked():
                 pass
-        return self._grant_all()
+        self._drop_silent(now)
+        self._admission.refuse_expired(now)
+        self._granting.grant_waiting(now)
+        return self._actions
 
     def next_wake(self, *, now: float) -> float | None:
         """Return when a `Ticked` is due at the latest, or None."""
-        return None
+        instants = []
+        for state in self._shard.classes:
+            earliest = state.queue.earliest()
+            if earliest is not None:
+                margin = self._shard.margins_of(state, now).best
+                instants.append(earliest.deadline - margin)
+        if not instants:
+            return None
+        instants.append(max(now, self._silence_check_at))
+        probe = self._shard.pool.next_probe()
+        if probe is not None and probe > now:
+            instants.append(probe)
+        return min(instants)
+
+    def _on_requested(
+        self, event: messages.PermitRequested, now: float
+    ) -> None:
+        self._slots.permits.hear(event.ingress, now)
+        if self._resend(event):
+            return
+        waiting = self._waiting_of(event, now)
+        state = self._shard.by_profile.get(event.profile)
+        if state is None:
+            state = self._shard.unknown_class(event.profile)
+            self._refuse_flat(waiting, state, decision.Phase.CONFIGURATION, now)
+            return
+        if self._slots.permits.has_ended(event.key):
+            self._refuse_flat(waiting, state, decision.Phase.ENDED, now)
+            return
+        if not self._admission.admits(waiting, state, now):
+            return
+        self._slots.permits.add_queued(
+            event.key, ledger.Queued(waiting=waiting, state=state)
+        )
+        state.queue.push(waiting)
 
-    def _grant_all(self) -> list[messages.Action]:
-        actions: list[messages.Action] = []
-        by_tier = sorted(
-            self._waiting,
-            key=lambda w: self._policy.classes_by_name[w.profile].tier,
+    def _on_ended(self, event: messages.PermitEnded, now: float) -> None:
+        running = self._slots.permits.running_by_key.get(event.key)
+        self._slots.permits.note_ended(event.key)
+        if running is None:
+            self._slots.withdraw(event.key)
+            return
+        self._slots.permits.hear(running.ingress, now)
+        runner = self._shard.pool.get(running.upstream)
+        in_flight = runner.in_flight if runner is not None else 0
+        self._slots.learn(event, running, in_flight, now)
+        tokens = (
+            0
+            if event.outcome is outcomes.Outcome.NOT_RUN
+            else max(event.tokens, 1)
         )
-        for request in by_tier:
-            upstream = self._free_runner()
-            if upstream is None:
-                break
-            self._waiting.remove(request)
-            self._running_by_key[request.key] = upstream
-            actions.append(
-                messages.Grant(
-                    key=request.key,
-                    ingress=request.ingress,
-                    upstream=upstream,
-                    record=self._record(request, upstream),
+        self._slots.release(running, tokens=tokens)
+
+    def _on_returned(self, event: messages.PermitReturned) -> None:
+        self._slots.permits.note_ended(event.key)
+        self._slots.withdraw(event.key)
+        running = self._slots.permits.running_by_key.get(event.key)
+        if running is not None:
+            self._slots.release(running, tokens=0)
+
+    def _on_progressed(
+        self, event: messages.WorkProgressed, now: float
+    ) -> None:
+        running = self._slots.permits.running_by_key.get(event.key)
+        if running is None or event.tokens <= running.tokens:
+            return
+        self._slots.permits.hear(running.ingress, now)
+        runner = self._shard.pool.get(running.upstream)
+        if running.tokens > 0 and runner is not None:
+            elapsed = now - running.progressed_at
+            produced = event.tokens - running.tokens
+            runner.health.observe_pace(elapsed / produced, now)
+        running.tokens = event.tokens
+        running.progressed_at = now
+        self._slots.charge(running, max(running.charged, float(event.tokens)))
+
+    def _on_load(self, event: messages.LoadReported, now: float) -> None:
+        runner = self._shard.pool.get(event.upstream)
+        if runner is not None:
+            runner.take_report(event, now)
+
+    def _on_digest(self, event: messages.InFlightDigest, now: float) -> None:
+        self._slots.permits.hear(event.ingress, now)
+        registers = self._slots.permits.may_register(event.ingress, now)
+        named = {w.key for w in event.running}
+        for work in event.running:
+            if work.key in self._slots.permits.running_by_key:
+                self._slots.permits.running_by_key[work.key].missed_digests = 0
+            elif registers and not self._slots.permits.has_ended(work.key):
+                self._slots.adopt_running(work, event.ingress, now)
+        named.update(event.waiting)
+        for key in self._slots.permits.keys_of(event.ingress):
+            if key not in named:
+                self._slots.miss(key, now)
+
+    def _on_upstream(self, event: messages.UpstreamChanged) -> None:
+        runner = self._shard.pool.get(event.upstream)
+        if runner is None:
+            return
+        if (
+            runner.state is messages.UpstreamState.GONE
+            and event.state is messages.UpstreamState.LIVE
+        ):
+            runner.restart()
+        runner.state = event.state
+        self._shard.forget_margins()
+
+    def _drop_ingress(self, ingress: types.EntryVmId, now: float) -> None:
+        """End all that an ingress has.
+
+        If it is alive after all, its digests register what runs anew.
+        """
+        self._slots.permits.note_gone(ingress, now)
+        for key in self._slots.permits.keys_of(ingress):
+            self._slots.withdraw(key)
+            running = self._slots.permits.running_by_key.get(key)
+            if running is not None:
+                self._slots.release(running, tokens=max(running.tokens, 1))
+
+    def _on_policy(self, event: messages.PolicyChanged, now: float) -> None:
+        for state in self._shard.configure(event.policy):
+            for waiting in list(state.queue):
+                self._slots.withdraw(waiting.request.key)
+                self._refuse_flat(
+                    waiting, state, decision.Phase.CONFIGURATION, now
                 )
-            )
-        return actions
-
-    def _free_runner(self) -> types.UpstreamId | None:
-        counts = collections.Counter(self._running_by_key.values())
-        free = [
-            r
-            for r in self._policy.runners_by_id.values()
-            if r.state is messages.UpstreamState.LIVE and counts[r.id] < r.slots
-        ]
-        if not free:
-            return None
-        return min(free, key=lambda r: (counts[r.id], r.id)).id
-
-    def _record(
-        self, request: messages.PermitRequested, upstream: types.UpstreamId
-    ) -> messages.DecisionRecord:
-        profile = self._policy.classes_by_name[request.profile]
-        return messages.DecisionRecord(
-            key=request.key,
-            shard=self._policy.shard,
-            revision=self._policy.revision,
-            profile=request.profile,
-            tier=profile.tier,
-            organisation=request.organisation,
-            waited_seconds=0.0,
-            remaining_seconds=request.remaining_seconds,
-            expected_service_seconds=0.0,
-            expected_samples=0,
-            queue_length=len(self._waiting),
-            queue_capacity=profile.queue_capacity,
-            ahead_in_queue=0,
-            higher_tier_waiting=0,
-            lower_tier_waiting=0,
-            floor_grant=False,
-            candidates=(),
-            verdict="grant",
-            upstream=upstream,
-            reason=outcomes.Reason.NONE,
-            retry_after_seconds=0.0,
+
+    def _drop_silent(self, now: float) -> None:
+        if now < self._silence_check_at:
+            return
+        self._silence_check_at = now + _SILENCE_CHECK_SECONDS
+        for ingress in self._slots.permits.silent(now):
+            self._drop_ingress(ingress, now)
+
+    def _resend(self, event: messages.PermitRequested) -> bool:
+        """Answer a request that came again; return whether it is known.
+
+        An ingress that asks twice has lost the answer: it gets the same
+        grant again, which takes no second slot.
+        """
+        if event.key in self._slots.permits.queued_by_key:
+            return True
+        running = self._slots.permits.running_by_key.get(event.key)
+        if running is None:
+            return False
+        if running.grant is not None:
+            self._actions.append(running.grant)
+        return True
+
+    def _waiting_of(
+        self, event: messages.PermitRequested, now: float
+    ) -> fair_queue.Waiting:
+        self._sequence += 1
+        return fair_queue.Waiting(
+            request=event,
+            arrived_at=now,
+            deadline=now + event.remaining_seconds,
+            target_deadline=now + event.remaining_target_seconds,
+            sequence=self._sequence,
         )
+
+    def _refuse_flat(
+        self,
+        waiting: fair_queue.Waiting,
+        state: class_state.ClassState,
+        phase: decision.Phase,
+        now: float,
+    ) -> None:
+        verdict, record = records.decide(
+            shared=self._shard,
+            waiting=waiting,
+            state=state,
+            phase=phase,
+            now=now,
+        )
+        self._actions.append(records.refusal(waiting, verdict, record))
+
+    def _emit(self, action: messages.Action) -> None:
+        self._actions.append(action)
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/shard.py
@@ -0,0 +1,184 @@
+"""What the parts of one shard's scheduler share: classes, runners, times."""
+
+import dataclasses
+
+from lagoonrun_core import types
+from lagoonrun_policy import (
+    class_state,
+    estimates,
+    features,
+    floors,
+    messages,
+    runners,
+)
+
+_MARGIN_REFRESH_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Margins:
+    """Time that a class's request needs until its end.
+
+    Parameters
+    ----------
+    by_id
+        High quantile per usable runner; 0 while unknown.
+    best
+        The least of them.
+    samples
+        Observations of the class in the shard.
+    """
+
+    by_id: dict[types.UpstreamId, float]
+    best: float
+    samples: int
+    computed_at: float
+
+
+class Shard:
+    """Classes, runners and service times of one shard.
+
+    Parameters
+    ----------
+    policy
+        Classes, runners and weights of the shard.
+    switches
+        Which parts of the order of service are in use.
+    """
+
+    def __init__(
+        self, *, policy: messages.ShardPolicy, switches: features.Features
+    ) -> None:
+        self.switches = switches
+        self.policy = policy
+        self.services = estimates.ServiceTimes()
+        self.by_profile: dict[types.ProfileName, class_state.ClassState] = {}
+        self.classes: list[class_state.ClassState] = []
+        self.floor_scale = 1.0
+        self.pool = runners.RunnerPool(
+            runners_by_id=policy.runners_by_id,
+            switches=switches,
+            services=self.services,
+        )
+        self._margins: dict[types.ProfileName, Margins] = {}
+        self._adopt_classes()
+
+    def configure(
+        self, policy: messages.ShardPolicy
+    ) -> list[class_state.ClassState]:
+        """Take over a configuration; return the classes that vanished."""
+        self.policy = policy
+        vanished = [
+            state
+            for name, state in self.by_profile.items()
+            if name not in policy.classes_by_name
+        ]
+        for state in vanished:
+            del self.by_profile[state.policy.name]
+            self.services.forget_profile(state.policy.name)
+        self._adopt_classes()
+        self.pool.configure(policy.runners_by_id)
+        self.forget_margins()
+        return vanished
+
+    def unknown_class(
+        self, profile: types.ProfileName
+    ) -> class_state.ClassState:
+        """Return a stand-in for a class that is not configured here."""
+        return class_state.ClassState(
+            policy=messages.ClassPolicy(
+                name=profile,
+                tier=types.LOWEST_TIER,
+                target_seconds=0.0,
+                limit_seconds=0.0,
+            ),
+            weights_by_organisation={},
+            switches=self.switches,
+        )
+
+    def forget_margins(self) -> None:
+        """Work out margins anew, since the usable runners have changed."""
+        self._margins.clear()
+
+    def margins_of(self, state: class_state.ClassState, now: float) -> Margins:
+        """Return the time that a request of the class needs, as of lately."""
+        name = state.policy.name
+        known = self._margins.get(name)
+        if known and 0 <= now - known.computed_at < _MARGIN_REFRESH_SECONDS:
+            return known
+        by_id = self.pool.margins(profile=state.policy, now=now)
+        margins = Margins(
+            by_id=by_id,
+            best=min(by_id.values(), default=0.0),
+            samples=self.services.samples(profile=name, now=now),
+            computed_at=now,
+        )
+        self._margins[name] = margins
+        return margins
+
+    def late_before(self, state: class_state.ClassState, now: float) -> float:
+        """Return the instant before which a target can no longer be met."""
+        profile = state.policy.name
+        if state.policy.target_on_first_token:
+            return now + self.services.typical_first_token(
+                profile=profile, now=now
+            )
+        return now + self.services.typical(profile=profile, now=now)
+
+    def drain_seconds(
+        self, state: class_state.ClassState, own_ahead: int, now: float
+    ) -> float:
+        """Return the time until the work ahead has been granted.
+
+        Only work of this and the higher tiers counts: a lower tier is never
+        the cause of a refusal, but for its floor, which is set aside.
+        """
+        room = self.pool.total_room()
+        if room == 0:
+            return 0.0
+        ahead = own_ahead * self._mean(state, now)
+        running_above = 0
+        for other in self.classes:
+            if other.policy.tier < state.policy.tier:
+                running_above += other.running
+                ahead += len(other.queue) * self._mean(other, now)
+        share = 1.0 - floors.reserved_share(state, self.classes)
+        return ahead / (max(1, room - running_above) * share)
+
+    def sheddable_below(self, state: class_state.ClassState) -> int:
+        """Return how many requests of lower tiers may be shed."""
+        return sum(
+            c.sheddable
+            for c in self.classes
+            if c.policy.tier > state.policy.tier
+        )
+
+    def waiting_above(self, state: class_state.ClassState) -> int:
+        """Return how many requests of higher tiers wait."""
+        return sum(
+            len(c.queue)
+            for c in self.classes
+            if c.policy.tier < state.policy.tier
+        )
+
+    def _adopt_classes(self) -> None:
+        weights = self.policy.weights_by_organisation
+        for name, declared in self.policy.classes_by_name.items():
+            state = self.by_profile.get(name)
+            if state is None:
+                self.by_profile[name] = class_state.ClassState(
+                    policy=declared,
+                    weights_by_organisation=weights,
+                    switches=self.switches,
+                )
+            else:
+                state.policy = declared
+                state.queue.set_weights(weights)
+        self.classes = sorted(
+            self.by_profile.values(),
+            key=lambda c: (c.policy.tier, c.policy.name),
+        )
+        self.floor_scale = floors.scale(self.classes)
+
+    def _mean(self, state: class_state.ClassState, now: float) -> float:
+        return self.services.mean(profile=state.policy.name, now=now)
