Echo the request id on every upstream answer; report plain services' load

The router closes a connection whose answer does not echo the request id, so a load report or state without the echo would be lost; a test shows each path. Plain services now report load under the same metric names as engines and with the same lag. A resumption whose tokens were all delivered gets the end of the stream alone: the offset counts events, and the last one tells the reason of the end.

--- a/packages/standins/src/lagoonrun_standins/engine.py
+++ b/packages/standins/src/lagoonrun_standins/engine.py
@@ -19,9 +19,9 @@
     controls,
     engine_batch,
     engine_faults,
-    engine_metrics,
     engine_orders,
     engine_reply,
+    load_report,
     prefix_cache,
     run_counts,
 )
@@ -101,7 +101,7 @@
         )
         self._resumes = resumes
         self._seed = seed
-        self._report = engine_metrics.LoadReport(
+        self._report = load_report.LoadReport(
             clock=self._clock, lag_seconds=metrics_lag_seconds
         )
         self._server = http_lib.HttpServer(
@@ -209,7 +209,7 @@
 
     def _record_load(self) -> None:
         capacity = self.batch.cost.kv_capacity_tokens
-        load = engine_metrics.Load(
+        load = load_report.Load(
             running=len(self.batch.running),
             waiting=self.batch.waiting_count,
             kv_usage_ratio=round(self.batch.kv_tokens / capacity, 3),
@@ -242,9 +242,10 @@
             await self._obey(request, exchange)
         elif route == ("GET", "/metrics"):
             plain = ("Content-Type", "text/plain; version=0.0.4")
-            exchange.respond(200, self._report.text(), [plain])
+            text = self._report.text()
+            exchange.respond(200, text, [plain, _echo(request)])
         elif route == ("GET", "/state"):
-            exchange.respond_json(200, self._state())
+            exchange.respond_json(200, self._state(), [_echo(request)])
         else:
             _refuse(request, exchange, 404, f"no route {route}")
 
@@ -268,9 +269,10 @@
             await self.orders.obey(order)
         except engine_orders.OldFencingNumberError as error:
             seen = self.orders.fencing_seen
-            exchange.respond_json(409, {"error": str(error), "fencing": seen})
+            body = {"error": str(error), "fencing": seen}
+            exchange.respond_json(409, body, [_echo(request)])
             return
-        exchange.respond_json(200, self._state())
+        exchange.respond_json(200, self._state(), [_echo(request)])
 
     async def _complete(
         self, request: http_lib.Request, exchange: http_lib.Exchange
@@ -296,6 +298,10 @@
             ),
             fault=fault,
         )
+        if identity.first >= identity.end:
+            # Every token was delivered; only the end of the stream was lost.
+            reply.finish()
+            return
         self._queue(request, identity, prompt, reply)
         await reply.done.wait()
 
@@ -319,8 +325,8 @@
             return f"model {identity.model!r} is not loaded; valid: {loaded}"
         if identity.first and not self._resumes:
             return "this engine does not resume"
-        if not 0 <= identity.first < identity.end:
-            return f"offset {identity.first}; valid: below {identity.end}"
+        if not 0 <= identity.first <= identity.end + 1:
+            return f"offset {identity.first}; valid: 0 to {identity.end + 1}"
         if self.faults.leaving and self.faults.refuses_when_leaving:
             return "leaving"
         return ""
@@ -348,6 +354,10 @@
         self._has_work.set()
 
 
+def _echo(request: http_lib.Request) -> http_lib.Header:
+    return ("X-Request-Id", request.headers.get("x-request-id", ""))
+
+
 def _refuse(
     request: http_lib.Request,
     exchange: http_lib.Exchange,
@@ -355,8 +365,8 @@
     error: str,
 ) -> None:
     """Say that the request was not run, and why."""
-    echo = ("X-Request-Id", request.headers.get("x-request-id", ""))
-    exchange.respond_json(status, {"error": error}, [echo, _NOT_RUN])
+    headers = [_echo(request), _NOT_RUN]
+    exchange.respond_json(status, {"error": error}, headers)
 
 
 def _flags() -> flags.FlagValues:
--- a/packages/standins/src/lagoonrun_standins/engine_reply.py
+++ b/packages/standins/src/lagoonrun_standins/engine_reply.py
@@ -22,7 +22,8 @@
     Parameters
     ----------
     first
-        Index of the first token sent, above 0 for a resumed answer.
+        Index of the first event sent, above 0 for a resumed answer; the
+        event after the last token tells the reason of the end.
     end
         Number of tokens of the whole answer.
     """
@@ -109,8 +110,7 @@
         if self._faulty_half() and index >= self._half:
             self._cut()
         elif self._streams:
-            if not self._exchange.started:
-                self._exchange.start(200, [*self._echo(), *_SSE_HEADERS])
+            self._start_stream()
             token = answers.token(self._identity.digest, index)
             chunk = f"{self._before}{token}{self._after}"
             self._exchange.send(chunk.encode())
@@ -138,12 +138,17 @@
         if self._fault.truncates or not self._streams:
             self._exchange.drop()
             return
+        self._start_stream()
+        self._exchange.finish()
+
+    def _start_stream(self) -> None:
         if not self._exchange.started:
             self._exchange.start(200, [*self._echo(), *_SSE_HEADERS])
-        self._exchange.finish()
 
     def _finish_stream(self) -> None:
-        self._exchange.send(self._chunk(delta={}, finish_reason="stop"))
+        self._start_stream()
+        if self._identity.first <= self._identity.end:
+            self._exchange.send(self._chunk(delta={}, finish_reason="stop"))
         if self._includes_usage:
             self._exchange.send(self._chunk(usage=self._usage()))
         self._exchange.send(b"data: [DONE]\n\n")
--- a/packages/standins/src/lagoonrun_standins/engine_metrics.py
+++ b/packages/standins/src/lagoonrun_standins/load_report.py
@@ -1,4 +1,4 @@
-"""An engine's load as Prometheus text, as it was some time ago."""
+"""An upstream's load as Prometheus text, as it was some time ago."""
 
 import collections
 import dataclasses
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Load:
-    """What an engine reports of itself."""
+    """What an upstream reports of itself."""
 
     running: int = 0
     waiting: int = 0
--- a/packages/standins/src/lagoonrun_standins/plain_service.py
+++ b/packages/standins/src/lagoonrun_standins/plain_service.py
@@ -14,7 +14,7 @@
 from absl import flags
 
 from lagoonrun_core import clock as clock_lib
-from lagoonrun_standins import command_line, controls, run_counts
+from lagoonrun_standins import command_line, controls, load_report, run_counts
 from lagoonrun_standins import http_server as http_lib
 
 NOT_RUN_HEADER: http_lib.Header = ("X-Not-Run", "true")
@@ -44,6 +44,8 @@
         New requests are refused, and not run, while leaving.
     frozen
         Nothing is answered, but connections stay.
+    metrics_lag_seconds
+        Age of what `/metrics` serves.
     """
 
     service_seconds: float = 0.0
@@ -54,6 +56,7 @@
     leaving: bool = False
     refuses_when_leaving: bool = False
     frozen: bool = False
+    metrics_lag_seconds: float = 0.0
 
 
 class PlainService:
@@ -87,7 +90,9 @@
     ) -> None:
         self.host = host
         self.faults = Faults(service_seconds=service_seconds)
-        self.runs = run_counts.RunCounts(clock=clock or clock_lib.SystemClock())
+        clock = clock or clock_lib.SystemClock()
+        self.runs = run_counts.RunCounts(clock=clock)
+        self._report = load_report.LoadReport(clock=clock)
         self.completed = 0
         self.running = 0
         self.waiting = 0
@@ -137,6 +142,8 @@
         crashes = fields.pop("crash", False)
         self.faults = controls.changed(self.faults, fields)
         self.runs.set_leaving(self.faults.leaving)
+        self._report.lag_seconds = self.faults.metrics_lag_seconds
+        self._record_load()
         if "close_at_first_byte" in fields:
             count = self.faults.close_at_first_byte
             self._server.drop_next_at_first_byte(count)
@@ -168,10 +175,11 @@
             return
         await exchange.unless_gone(self._thawed.wait())
         if (request.method, request.path) == ("GET", "/state"):
-            exchange.respond_json(200, self._state())
+            exchange.respond_json(200, self._state(), self._echo(request))
         elif (request.method, request.path) == ("GET", "/metrics"):
             plain = ("Content-Type", "text/plain; version=0.0.4")
-            exchange.respond(200, self._metrics(), [plain])
+            headers = [plain, *self._echo(request)]
+            exchange.respond(200, self._report.text(), headers)
         elif self._refuses():
             self._refuse(request, exchange)
         else:
@@ -184,14 +192,13 @@
             "waiting": self.waiting,
         }
 
-    def _metrics(self) -> bytes:
-        values = {
-            "service_requests_running": self.running,
-            "service_requests_waiting": self.waiting,
-            "service_leaving": int(self.faults.leaving),
-        }
-        lines = [f"{name} {value}\n" for name, value in values.items()]
-        return "".join(lines).encode()
+    def _record_load(self) -> None:
+        load = load_report.Load(
+            running=self.running,
+            waiting=self.waiting,
+            leaving=self.faults.leaving,
+        )
+        self._report.record(load)
 
     def _refuses(self) -> bool:
         if self.faults.leaving and self.faults.refuses_when_leaving:
@@ -212,10 +219,12 @@
             await self._run(request, exchange)
             return
         self.waiting += 1
+        self._record_load()
         try:
             await self._slots.acquire()
         finally:
             self.waiting -= 1
+            self._record_load()
         try:
             await self._run(request, exchange)
         finally:
@@ -226,10 +235,12 @@
     ) -> None:
         self.runs.add(request.headers)
         self.running += 1
+        self._record_load()
         try:
             await asyncio.sleep(self.faults.service_seconds)
         finally:
             self.running -= 1
+            self._record_load()
         self.completed += 1
         if self._takes("close_before_answer"):
             self.cut += 1
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -72,6 +72,29 @@
     assert streamed_text(rest) == answers.text(digest, 4, 6)
 
 
+@pytest.mark.parametrize(("offset", "events"), [(6, 2), (7, 1)])
+async def test_stream_resumes_when_only_its_end_was_lost(post, offset, events):
+    body = chat(stream=True, max_tokens=6)
+
+    rest = await post(body, **{"X-Resume-Offset": str(offset)})
+
+    assert rest.body.count(b"data: ") == events
+    assert rest.body.endswith(b"data: [DONE]\n\n")
+
+
+@pytest.mark.parametrize("path", ["/metrics", "/state", "/nowhere"])
+async def test_every_answer_echoes_the_request_id(runner, path):
+    answer = await http_client.fetch(
+        runner.host,
+        runner.port,
+        "GET",
+        path,
+        headers=[("X-Request-Id", "load-report")],
+    )
+
+    assert answer.head.headers["x-request-id"] == "load-report"
+
+
 async def test_drawn_length_is_the_same_on_every_engine(post):
     body = chat()
     first = (await post(body)).json()["usage"]["completion_tokens"]
--- a/packages/standins/tests/test_plain_service.py
+++ b/packages/standins/tests/test_plain_service.py
@@ -78,6 +78,19 @@
     assert service.counters()["runs"] == 0
 
 
+async def test_load_report_lags(service, clock):
+    service.control({"leaving": True, "metrics_lag_seconds": 2})
+    reports = []
+    for _ in range(2):
+        report = await http_client.fetch(
+            service.host, service.port, "GET", "/metrics"
+        )
+        reports.append(b"engine_leaving 1.0" in report.body)
+        clock.advance(2)
+
+    assert reports == [False, True]
+
+
 async def test_repeated_keys_and_runs_while_leaving_count(service, call, clock):
     await call()
     service.control({"leaving": True})
