--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/answer_check.py
@@ -0,0 +1,151 @@
+"""Checks that an answer is whole and belongs to its own request."""
+
+import dataclasses
+import enum
+import json
+import re
+
+from lagoonrun_standins import answers, http_client, plain_service, traffic
+
+_CONTENT = re.compile(rb'"content":\s*"([^"]*)"')
+_ID = re.compile(rb'"id":\s*"([^"]*)"')
+_ERROR_EVENT = b"event: error"
+_DONE_EVENT = b"data: [DONE]"
+_ID_HEADERS = ("lagoonrun-request-id", "x-request-id")
+
+
+class ResultKind(enum.Enum):
+    """How a request ended, as its caller saw it."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+    PARTIAL = "partial"
+    MISMATCHED = "mismatched"
+    CUT = "cut"
+    CALLER_LEFT = "caller-left"
+    UNREACHED = "unreached"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """What a check found.
+
+    Parameters
+    ----------
+    reason
+        The router's reason, or what is wrong with the answer.
+    tokens
+        Number of tokens that arrived.
+    """
+
+    kind: ResultKind
+    reason: str = ""
+    tokens: int = 0
+
+
+def check(
+    arrival: traffic.Arrival, head: http_client.Head, body: bytes
+) -> Verdict:
+    """Return whether a well-formed HTTP answer is the arrival's own."""
+    if head.status != 200:
+        reason = head.headers.get("lagoonrun-reason", f"status {head.status}")
+        return Verdict(kind=_told_kind(head), reason=reason)
+    if arrival.traffic_class.is_plain:
+        return _check_plain(arrival, head, body)
+    if arrival.traffic_class.streams:
+        return _check_stream(arrival, head, body)
+    return _check_whole(arrival, head, body)
+
+
+def request_id_of(head: http_client.Head) -> str:
+    """Return the request id that an answer names; empty for none."""
+    for name in _ID_HEADERS:
+        if name in head.headers:
+            return head.headers[name]
+    return ""
+
+
+def _told_kind(head: http_client.Head) -> ResultKind:
+    if head.headers.get("x-not-run") == "true":
+        return ResultKind.NOT_RUN
+    outcome = head.headers.get("lagoonrun-outcome", "")
+    told = (ResultKind.NOT_RUN, ResultKind.UNKNOWN, ResultKind.PARTIAL)
+    by_value = {kind.value: kind for kind in told}
+    return by_value.get(outcome, ResultKind.FAILED)
+
+
+def _check_plain(
+    arrival: traffic.Arrival, head: http_client.Head, body: bytes
+) -> Verdict:
+    try:
+        seen = json.loads(body)
+    except ValueError:
+        return _mismatch("the body is not JSON")
+    expected = {
+        "path": arrival.path,
+        "request_id": request_id_of(head),
+        "body_digest": plain_service.body_digest(arrival.body),
+    }
+    wrong = [name for name in expected if seen.get(name) != expected[name]]
+    if wrong:
+        return _mismatch(f"{wrong} are of another request")
+    return Verdict(kind=ResultKind.COMPLETE)
+
+
+def _check_stream(
+    arrival: traffic.Arrival, head: http_client.Head, body: bytes
+) -> Verdict:
+    verdict = _check_text(arrival, head, body)
+    if verdict.kind is ResultKind.MISMATCHED:
+        return verdict
+    if _ERROR_EVENT in body:
+        reason = re.search(rb'"reason":\s*"([^"]*)"', body)
+        return dataclasses.replace(
+            verdict,
+            kind=ResultKind.PARTIAL,
+            reason=reason.group(1).decode() if reason else "error event",
+        )
+    if _DONE_EVENT not in body:
+        return dataclasses.replace(
+            verdict, kind=ResultKind.CUT, reason="no [DONE] and no error event"
+        )
+    return _check_length(arrival, verdict)
+
+
+def _check_whole(
+    arrival: traffic.Arrival, head: http_client.Head, body: bytes
+) -> Verdict:
+    verdict = _check_text(arrival, head, body)
+    if verdict.kind is ResultKind.MISMATCHED:
+        return verdict
+    return _check_length(arrival, verdict)
+
+
+def _check_text(
+    arrival: traffic.Arrival, head: http_client.Head, body: bytes
+) -> Verdict:
+    request_id = request_id_of(head)
+    named = {found.decode() for found in _ID.findall(body)}
+    if not named <= {answers.completion_id(request_id)}:
+        return _mismatch(f"answer of {sorted(named)} for {request_id}")
+    text = b"".join(_CONTENT.findall(body)).decode()
+    digest = answers.digest(request_id, arrival.messages)
+    try:
+        tokens = answers.whole_tokens(text, digest)
+    except ValueError as error:
+        return _mismatch(str(error))
+    return Verdict(kind=ResultKind.COMPLETE, tokens=tokens)
+
+
+def _check_length(arrival: traffic.Arrival, verdict: Verdict) -> Verdict:
+    if verdict.tokens != arrival.answer_tokens:
+        return _mismatch(
+            f"{verdict.tokens} tokens; valid: {arrival.answer_tokens}"
+        )
+    return verdict
+
+
+def _mismatch(reason: str) -> Verdict:
+    return Verdict(kind=ResultKind.MISMATCHED, reason=reason)
--- a/packages/standins/src/lagoonrun_standins/plain_service.py
+++ b/packages/standins/src/lagoonrun_standins/plain_service.py
@@ -36,6 +36,8 @@
         in place of the answer.
     refuse
         Number of coming requests that are refused and not run.
+    retry_after_seconds
+        `Retry-After` of refusals; 0 for none.
     omit_echoes
         Number of coming answers without `X-Request-Id`.
     leaving
@@ -52,6 +54,7 @@
     close_at_first_byte: int = 0
     close_before_answer: int = 0
     refuse: int = 0
+    retry_after_seconds: float = 0.0
     omit_echoes: int = 0
     leaving: bool = False
     refuses_when_leaving: bool = False
@@ -210,6 +213,9 @@
     ) -> None:
         self.refused += 1
         headers = [*self._echo(request), NOT_RUN_HEADER]
+        if self.faults.retry_after_seconds:
+            seconds = str(self.faults.retry_after_seconds)
+            headers.append(("Retry-After", seconds))
         exchange.respond_json(503, {"error": "not run"}, headers)
 
     async def _run_in_slot(
