Add the fleet: child processes for the demo, benches and failure tests

Failure tests have to kill, freeze, resume and stop real processes, and must leave none behind. A process is a Python module that prints READY with its addresses; signals go to its own process id alone. close() ends all, frozen ones too, atexit ends what close() did not, and a stand-in stops when its standard input ends, as it does when the parent is killed. Daemons have no such flag: one whose parent is killed by SIGKILL stays.

Ruled out: a death signal set between fork and exec, which would need code that is not safe to run there.

--- a/packages/standins/src/lagoonrun_standins/engine.py
+++ b/packages/standins/src/lagoonrun_standins/engine.py
@@ -420,7 +420,7 @@
         "seed",
     )
     options = {name: given[name] for name in engine_names}
-    command_line.run(lambda: Engine(cost=cost, **options))
+    command_line.run(lambda: Engine(cost=cost, **options), values)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/fleet.py
@@ -0,0 +1,189 @@
+"""Starts and ends the processes of a demo, bench or failure test."""
+
+import asyncio
+import atexit
+import os
+import pathlib
+import signal
+import socket
+import tempfile
+from collections.abc import Mapping, Sequence
+
+from lagoonrun_config import settings
+from lagoonrun_standins import command_line, managed_process
+
+_DAEMON_MODULE = "lagoonrun_daemon.main"
+_STAND_IN_PACKAGE = "lagoonrun_standins"
+_LOOPBACK = "127.0.0.1"
+_PORT_TRIES = 50
+
+FlagValue = str | int | float | bool
+
+
+class Fleet:
+    """Named child processes, all of which end with `close`.
+
+    Parameters
+    ----------
+    directory
+        Where settings and logs go; a temporary one if None, which is kept
+        after `close` for its logs.
+    ready_timeout_seconds
+        Longest wait for a process's READY line.
+    stop_timeout_seconds
+        Longest wait in `close` for planned stops; what still runs is killed.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: pathlib.Path | None = None,
+        ready_timeout_seconds: float = 20.0,
+        stop_timeout_seconds: float = 5.0,
+    ) -> None:
+        self.directory = directory
+        self.processes_by_name: dict[str, managed_process.ManagedProcess] = {}
+        self._ready_timeout_seconds = ready_timeout_seconds
+        self._stop_timeout_seconds = stop_timeout_seconds
+
+    async def start(self) -> None:
+        """Make the directory; no process is started yet."""
+        if self.directory is None:
+            prefix = "lagoonrun-fleet-"
+            self.directory = pathlib.Path(tempfile.mkdtemp(prefix=prefix))
+        # A test run that ends without `close` must leave no process behind.
+        atexit.register(self._kill_rest)
+
+    async def close(self) -> None:
+        """End every process: by SIGTERM, and by SIGKILL where it is late."""
+        running = [p for p in self.processes_by_name.values() if p.is_running]
+        for process in running:
+            process.request_stop()
+            process.resume()
+        await asyncio.gather(*(self._end(process) for process in running))
+        atexit.unregister(self._kill_rest)
+
+    async def start_module(
+        self, name: str, module: str, arguments: Sequence[str] = ()
+    ) -> managed_process.ManagedProcess:
+        """Start `python -m MODULE` and wait until it is ready.
+
+        A name whose process has ended may be used again, as a new VM that
+        takes the place of a lost one.
+
+        Raises
+        ------
+        managed_process.ProcessError
+            If the name is in use, or the process is not ready in time.
+        """
+        assert self.directory is not None
+        former = self.processes_by_name.get(name)
+        if former and former.is_running:
+            raise managed_process.ProcessError(f"{name} runs already")
+        process = managed_process.ManagedProcess(
+            name=name,
+            module=module,
+            arguments=arguments,
+            log_path=self.directory / f"{name}.log",
+        )
+        self.processes_by_name[name] = process
+        await process.start(timeout_seconds=self._ready_timeout_seconds)
+        return process
+
+    async def start_engine(
+        self, name: str, **flags: FlagValue
+    ) -> managed_process.ManagedProcess:
+        """Start a model engine; `flags` are those of its command line."""
+        return await self._start_stand_in(name, "engine", flags)
+
+    async def start_plain_service(
+        self, name: str, **flags: FlagValue
+    ) -> managed_process.ManagedProcess:
+        """Start a plain service; `flags` are those of its command line."""
+        return await self._start_stand_in(name, "plain_service", flags)
+
+    async def start_platform_store(
+        self, name: str = "platform", **flags: FlagValue
+    ) -> managed_process.ManagedProcess:
+        """Start the platform; `flags` are those of its command line."""
+        return await self._start_stand_in(name, "platform_store", flags)
+
+    async def start_daemon(
+        self, configured: settings.Settings
+    ) -> managed_process.ManagedProcess:
+        """Start `lagoonrund`, named as its entry VM.
+
+        Its addresses are named `caller`, `admin` and `peer`.
+        """
+        assert self.directory is not None
+        path = self.directory / f"{configured.entry_vm}.toml"
+        path.write_text(settings_toml(configured), encoding="utf-8")
+        return await self.start_module(
+            configured.entry_vm, _DAEMON_MODULE, [f"--settings={path}"]
+        )
+
+    async def _start_stand_in(
+        self, name: str, module: str, flags: Mapping[str, FlagValue]
+    ) -> managed_process.ManagedProcess:
+        arguments = [f"--{command_line.STOP_WITH_INPUT}"]
+        arguments += [f"--{flag}={value}" for flag, value in flags.items()]
+        return await self.start_module(
+            name, f"{_STAND_IN_PACKAGE}.{module}", arguments
+        )
+
+    async def _end(self, process: managed_process.ManagedProcess) -> None:
+        try:
+            await process.wait(timeout_seconds=self._stop_timeout_seconds)
+        except managed_process.ProcessError:
+            await process.kill()
+
+    def _kill_rest(self) -> None:
+        for process in self.processes_by_name.values():
+            if process.is_running:
+                os.kill(process.pid, signal.SIGKILL)
+
+
+def settings_toml(configured: settings.Settings) -> str:
+    """Return the settings as the TOML that `lagoonrund` reads."""
+    platform = ", ".join(f'"{address}"' for address in configured.platform)
+    seeds = ", ".join(f'"{address}"' for address in configured.seeds)
+    lines = [
+        f'entry_vm = "{configured.entry_vm}"',
+        f'domain = "{configured.domain}"',
+        f'caller = "{configured.caller}"',
+        f'admin = "{configured.admin}"',
+        f'peer = "{configured.peer}"',
+        f"platform = [{platform}]",
+        f"seeds = [{seeds}]",
+        f'inner_key = "{configured.inner_key.hex()}"',
+        f"drain_timeout_seconds = {configured.drain_timeout_seconds}",
+        f"explain_capacity = {configured.explain_capacity}",
+    ]
+    if configured.admin_token_digest:
+        digest = configured.admin_token_digest
+        lines.append(f'admin_token_digest = "{digest}"')
+    return "\n".join(lines) + "\n"
+
+
+def free_peer_address() -> settings.Address:
+    """Return a loopback address whose port is free for both TCP and UDP.
+
+    Entry VMs name each other's peer addresses in their settings, so these
+    have to be known before the processes start.
+
+    Raises
+    ------
+    OSError
+        If no such port is found.
+    """
+    for _ in range(_PORT_TRIES):
+        with socket.socket(type=socket.SOCK_STREAM) as stream:
+            stream.bind((_LOOPBACK, 0))
+            port = stream.getsockname()[1]
+            with socket.socket(type=socket.SOCK_DGRAM) as datagram:
+                try:
+                    datagram.bind((_LOOPBACK, port))
+                except OSError:
+                    continue
+                return settings.Address(host=_LOOPBACK, port=port)
+    raise OSError(f"no port free for TCP and UDP in {_PORT_TRIES} tries")
--- a/packages/standins/src/lagoonrun_standins/plain_service.py
+++ b/packages/standins/src/lagoonrun_standins/plain_service.py
@@ -303,7 +303,8 @@
             port=values.port,
             service_seconds=values.service_seconds,
             slots=values.slots,
-        )
+        ),
+        values,
     )
 
 
--- a/packages/standins/src/lagoonrun_standins/platform_store.py
+++ b/packages/standins/src/lagoonrun_standins/platform_store.py
@@ -272,7 +272,8 @@
             host=values.host,
             port=values.port,
             progress_seconds=values.progress_seconds,
-        )
+        ),
+        values,
     )
 
 
