Know the other entry VMs: SWIM-like membership over authenticated datagrams

Pure tables (members, upstreams, shard summaries) and a pure protocol over them, driven by a thin task that owns the UDP socket. One probe a period in the own domain, one to another domain at a rate that falls with the fleet's size; news rides on probes and answers, digests of eight parts of the table find what it missed. News that must not wait (a leaving upstream or member, a new revision) is sent at once to a few members, with a budget.

A process whose predecessor's clock was ahead raises its stamp above it.

Summaries of shards go from the dispatcher to one member of each of a bounded number of other domains, which passes them on in its own domain; the dispatcher's own domain asks it directly and needs none.

--- /dev/null
+++ b/packages/membership/src/lagoonrun_membership/digests.py
@@ -0,0 +1,34 @@
+"""Digests by which two processes see which part of their tables differs.
+
+A table is split into a fixed number of parts by the hash of the entries'
+names. A part's digest is the exclusive or of its entries' hashes, so that one
+changed entry costs two operations.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+MEMBER_PARTS = 8
+"""Parts of the member table; at 510 members a part fills five datagrams."""
+
+
+def part_of(name: str) -> int:
+    """Return the part that the entry called `name` belongs to."""
+    return xxhash.xxh32_intdigest(name.encode()) % MEMBER_PARTS
+
+
+def entry_hash(*values: object) -> int:
+    """Return a 32-bit hash of an entry's values."""
+    return xxhash.xxh32_intdigest("/".join(map(str, values)).encode())
+
+
+def differing_parts(
+    ours: Iterable[int], theirs: Iterable[int]
+) -> tuple[int, ...]:
+    """Return the numbers of the parts whose digests are not equal.
+
+    A side that tells no digests differs in none.
+    """
+    pairs = zip(ours, theirs, strict=False)
+    return tuple(n for n, (own, other) in enumerate(pairs) if own != other)
--- /dev/null
+++ b/packages/membership/src/lagoonrun_membership/members.py
@@ -0,0 +1,496 @@
+"""What this process believes of each entry VM. Pure: no I/O, no clock.
+
+One incarnation of a member only ever moves from alive to leaving or suspect
+and to dead. Only the member itself starts a higher incarnation, by which it
+refutes a suspicion. Hence news may arrive late, twice or in any order and
+everyone ends with the same belief, and old news brings no dead member back.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+
+from lagoonrun_core import types
+from lagoonrun_membership import damping, digests, sizes
+from lagoonrun_membership import timing as timings
+from lagoonrun_protocol import messages
+
+MemberView = messages.MemberUpdate
+"""A member as the owner sees it: its record with the state believed now."""
+
+_MEMBER_STATES_OF_SELF = (
+    messages.MemberState.ALIVE,
+    messages.MemberState.LEAVING,
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Record:
+    """Belief of one member; `update.state` is not used here."""
+
+    update: messages.MemberUpdate
+    leaving: bool = False
+    suspect_until: float | None = None
+    dead_since: float | None = None
+    digest: int = 0
+
+
+class MemberTable:
+    """Beliefs of all members, this process included.
+
+    Parameters
+    ----------
+    own
+        The record of this process.
+    timing
+        Suspicion, holds and forgetting.
+    """
+
+    def __init__(
+        self, *, own: messages.MemberUpdate, timing: timings.Timing
+    ) -> None:
+        self._own_id = own.entry_vm
+        self._timing = timing
+        self._damping = damping.FlapDamping(timing=timing)
+        self._records_by_id: dict[types.EntryVmId, _Record] = {}
+        self._ids_by_part: list[list[types.EntryVmId]] = [
+            [] for _ in range(digests.MEMBER_PARTS)
+        ]
+        self._cursors = [0] * digests.MEMBER_PARTS
+        self._digests = [0] * digests.MEMBER_PARTS
+        self._ids_by_domain: dict[
+            types.FailureDomain, dict[types.EntryVmId, None]
+        ] = {}
+        self._suspects: set[types.EntryVmId] = set()
+        self._dead: set[types.EntryVmId] = set()
+        self._news: dict[types.EntryVmId, None] = {}
+        self._changed: dict[types.EntryVmId, None] = {}
+        self._forgotten: list[types.EntryVmId] = []
+        self._condemned: list[types.EntryVmId] = []
+        self.refutations = 0
+        self._add(_Record(update=own))
+
+    # Reading.
+
+    def __len__(self) -> int:
+        """Return the number of members that are not dead, self included."""
+        return len(self._records_by_id) - len(self._dead)
+
+    @property
+    def own(self) -> messages.MemberUpdate:
+        """The record of this process, as it is told to others."""
+        return self.wire(self._own_id)
+
+    @property
+    def digests(self) -> tuple[int, ...]:
+        """Digest of each part of the table."""
+        return tuple(self._digests)
+
+    @property
+    def dead(self) -> tuple[types.EntryVmId, ...]:
+        """Members held for dead, in the order of their names."""
+        return tuple(sorted(self._dead))
+
+    @property
+    def domains(self) -> tuple[types.FailureDomain, ...]:
+        """Domains that have members, in the order of their names."""
+        return tuple(sorted(d for d, ids in self._ids_by_domain.items() if ids))
+
+    def view(self, entry_vm: types.EntryVmId) -> MemberView | None:
+        """Return the member as the owner sees it; leaving hides suspicion."""
+        record = self._records_by_id.get(entry_vm)
+        if record is None:
+            return None
+        return _with_state(record, _view_state(record))
+
+    def views_by_id(self) -> dict[types.EntryVmId, MemberView]:
+        """Return all members by id."""
+        return {
+            entry_vm: _with_state(record, _view_state(record))
+            for entry_vm, record in self._records_by_id.items()
+        }
+
+    def wire(self, entry_vm: types.EntryVmId) -> messages.MemberUpdate:
+        """Return what others are told; suspicion hides leaving.
+
+        A suspected member must hear of it in order to refute it; when it
+        does, it says again that it is leaving.
+        """
+        record = self._records_by_id[entry_vm]
+        return _with_state(record, _wire_state(record))
+
+    def knows(self, entry_vm: types.EntryVmId) -> bool:
+        """Return whether there is a record of the member."""
+        return entry_vm in self._records_by_id
+
+    def is_dead(self, entry_vm: types.EntryVmId) -> bool:
+        """Return whether the member is held for dead."""
+        return entry_vm in self._dead
+
+    def others_in(
+        self, domain: types.FailureDomain
+    ) -> tuple[types.EntryVmId, ...]:
+        """Return all members of `domain` that are not dead, without self."""
+        return tuple(
+            entry_vm
+            for entry_vm in self._ids_by_domain.get(domain, ())
+            if entry_vm != self._own_id and entry_vm not in self._dead
+        )
+
+    def live_in(
+        self, domain: types.FailureDomain
+    ) -> tuple[types.EntryVmId, ...]:
+        """Return the members of `domain` that may be given shards.
+
+        Suspects count: a shard moves only when its dispatcher is held for
+        dead. Leaving and held members don't.
+        """
+        return tuple(
+            sorted(
+                entry_vm
+                for entry_vm in self._ids_by_domain.get(domain, ())
+                if entry_vm not in self._dead
+                and not self._records_by_id[entry_vm].leaving
+                and not self._damping.is_held(entry_vm)
+            )
+        )
+
+    def page(
+        self, parts: tuple[int, ...], *, size: int
+    ) -> list[messages.MemberUpdate]:
+        """Return records of `parts` for `size` bytes, others at each call."""
+        page: list[messages.MemberUpdate] = []
+        for position, part in enumerate(parts):
+            share = size // (len(parts) - position)
+            for update in self._page_of_part(part, size=share):
+                size -= sizes.of_member(update)
+                page.append(update)
+        return page
+
+    def _page_of_part(
+        self, part: int, *, size: int
+    ) -> Iterator[messages.MemberUpdate]:
+        ids = self._ids_by_part[part]
+        for _ in ids:
+            position = (self._cursors[part] + 1) % len(ids)
+            update = self.wire(ids[position])
+            size -= sizes.of_member(update)
+            if size < 0:
+                return
+            self._cursors[part] = position
+            yield update
+
+    # Taking what has come of the events.
+
+    def take_news(self) -> tuple[types.EntryVmId, ...]:
+        """Return members of whom others should be told, once."""
+        news = tuple(self._news)
+        self._news.clear()
+        return news
+
+    def take_changed(self) -> tuple[MemberView, ...]:
+        """Return members whose view has changed, once."""
+        views = [self.view(entry_vm) for entry_vm in self._changed]
+        self._changed.clear()
+        return tuple(view for view in views if view is not None)
+
+    def take_forgotten(self) -> tuple[types.EntryVmId, ...]:
+        """Return members that were forgotten, once."""
+        forgotten = tuple(self._forgotten)
+        self._forgotten.clear()
+        return forgotten
+
+    def take_condemned(self) -> tuple[types.EntryVmId, ...]:
+        """Return members we held alive and others hold for dead, once."""
+        condemned = tuple(self._condemned)
+        self._condemned.clear()
+        return condemned
+
+    # Events.
+
+    def apply(
+        self, update: messages.MemberUpdate, *, direct: bool, now: float
+    ) -> None:
+        """Take in what somebody says of a member.
+
+        Parameters
+        ----------
+        update
+            The belief.
+        direct
+            Whether the member itself says so.
+        now
+            Clock reading in seconds.
+        """
+        if update.entry_vm == self._own_id:
+            self._refute(update)
+            return
+        record = self._records_by_id.get(update.entry_vm)
+        if record is None:
+            self._meet(update, now)
+        elif update.incarnation > record.update.incarnation:
+            self._renew(record, update, direct=direct, now=now)
+        elif update.incarnation == record.update.incarnation:
+            self._merge(record, update, direct=direct, now=now)
+
+    def suspect(self, entry_vm: types.EntryVmId, *, now: float) -> None:
+        """Suspect a member that did not answer a probe."""
+        record = self._records_by_id.get(entry_vm)
+        if record is None or record.dead_since is not None:
+            return
+        if record.suspect_until is None:
+            self._start_suspicion(record, now + self._suspicion(record))
+
+    def expire(self, now: float) -> None:
+        """Let time pass: suspects die, the dead are forgotten, holds end."""
+        for entry_vm in tuple(self._suspects):
+            record = self._records_by_id[entry_vm]
+            until = record.suspect_until
+            if until is not None and now >= until:
+                self._die(record, now)
+        for entry_vm in tuple(self._dead):
+            since = self._records_by_id[entry_vm].dead_since
+            if since is not None and (
+                now - since >= self._timing.forget_seconds
+            ):
+                self._forget(entry_vm)
+        for entry_vm in self._damping.expire(now):
+            self._changed[entry_vm] = None
+
+    def postpone(self, seconds: float) -> None:
+        """Give every suspect more time.
+
+        A process that was frozen wakes with all its deadlines passed, before
+        it could read a single refutation; without this it would hold its
+        suspects for dead at once.
+        """
+        for entry_vm in self._suspects:
+            record = self._records_by_id[entry_vm]
+            if record.suspect_until is not None:
+                record.suspect_until += seconds
+
+    def announce_configuration(
+        self, revision: types.Revision, digest: str
+    ) -> None:
+        """Tell others which revision this process has in force."""
+        record = self._records_by_id[self._own_id]
+        record.update = dataclasses.replace(
+            record.update, revision=revision, digest=digest
+        )
+        self._changed[self._own_id] = None
+
+    def announce_leaving(self) -> None:
+        """Tell others that this process takes no more shards."""
+        record = self._records_by_id[self._own_id]
+        if not record.leaving:
+            self._start_incarnation(record, record.update.incarnation + 1)
+            record.leaving = True
+            self._rehash(record)
+
+    # The rules.
+
+    def _refute(self, update: messages.MemberUpdate) -> None:
+        """Answer news of ourselves that we did not give out.
+
+        Suspicion and death at our incarnation are refuted by a higher one. So
+        is a higher incarnation than ours: it is from an earlier process of
+        our name whose clock was ahead, and its news would go before ours.
+        """
+        record = self._records_by_id[self._own_id]
+        ours = record.update.incarnation
+        if update.incarnation < ours:
+            return
+        if update.incarnation == ours and (
+            update.state in _MEMBER_STATES_OF_SELF
+        ):
+            return
+        self.refutations += 1
+        self._start_incarnation(record, update.incarnation + 1)
+
+    def _start_incarnation(self, record: _Record, incarnation: int) -> None:
+        record.update = dataclasses.replace(
+            record.update, incarnation=types.Incarnation(incarnation)
+        )
+        self._told(record)
+
+    def _meet(self, update: messages.MemberUpdate, now: float) -> None:
+        # The dead are not learned from others: everyone would remind everyone
+        # else of them for ever.
+        if update.state is messages.MemberState.DEAD:
+            return
+        record = _Record(
+            update=update,
+            leaving=update.state is messages.MemberState.LEAVING,
+        )
+        self._add(record)
+        self._told(record)
+        if update.state is messages.MemberState.SUSPECT:
+            self._start_suspicion(record, now + self._suspicion(record))
+
+    def _renew(
+        self,
+        record: _Record,
+        update: messages.MemberUpdate,
+        *,
+        direct: bool,
+        now: float,
+    ) -> None:
+        """Take in a higher incarnation."""
+        was_dead = record.dead_since is not None
+        if was_dead and update.state is messages.MemberState.DEAD:
+            self._move(record, update)
+            self._told(record)
+            return
+        self._move(record, update)
+        if was_dead:
+            record.dead_since = None
+            self._dead.discard(update.entry_vm)
+            self._damping.came_back(update.entry_vm, now)
+        self._end_suspicion(record)
+        # Suspicion and death don't say whether the member is leaving.
+        if update.state in _MEMBER_STATES_OF_SELF:
+            record.leaving = update.state is messages.MemberState.LEAVING
+        self._told(record)
+        self._accuse(record, update, direct=direct, now=now)
+
+    def _merge(
+        self,
+        record: _Record,
+        update: messages.MemberUpdate,
+        *,
+        direct: bool,
+        now: float,
+    ) -> None:
+        """Take in more news of the same incarnation."""
+        if update.revision > record.update.revision:
+            record.update = dataclasses.replace(
+                record.update, revision=update.revision, digest=update.digest
+            )
+            self._changed[update.entry_vm] = None
+        if record.dead_since is not None:
+            return
+        if update.state is messages.MemberState.LEAVING and not record.leaving:
+            record.leaving = True
+            self._told(record)
+        self._accuse(record, update, direct=direct, now=now)
+
+    def _accuse(
+        self,
+        record: _Record,
+        update: messages.MemberUpdate,
+        *,
+        direct: bool,
+        now: float,
+    ) -> None:
+        """Take in suspicion or death at the record's incarnation."""
+        if update.state is messages.MemberState.SUSPECT:
+            if record.suspect_until is None:
+                self._start_suspicion(record, now + self._suspicion(record))
+        elif update.state is messages.MemberState.DEAD:
+            # After a cut heals, each side tells the other's live members
+            # dead. Taken at once, every shard would move and move back; the
+            # member gets a short time to refute instead. Who says so itself,
+            # or was leaving anyway, is believed at once.
+            if direct or record.leaving:
+                self._die(record, now)
+            else:
+                if record.suspect_until is None:
+                    self._condemned.append(update.entry_vm)
+                until = now + self._timing.verdict_seconds
+                self._start_suspicion(record, until)
+
+    def _start_suspicion(self, record: _Record, until: float) -> None:
+        if record.suspect_until is None:
+            record.suspect_until = until
+            self._suspects.add(record.update.entry_vm)
+            self._told(record)
+        else:
+            record.suspect_until = min(record.suspect_until, until)
+
+    def _end_suspicion(self, record: _Record) -> None:
+        record.suspect_until = None
+        self._suspects.discard(record.update.entry_vm)
+
+    def _die(self, record: _Record, now: float) -> None:
+        self._end_suspicion(record)
+        record.dead_since = now
+        self._dead.add(record.update.entry_vm)
+        self._told(record)
+
+    def _suspicion(self, record: _Record) -> float:
+        own = self._records_by_id[self._own_id].update
+        members = len(self)
+        if record.update.domain == own.domain:
+            members = len(self._ids_by_domain[own.domain])
+        return self._timing.suspicion_for(members)
+
+    # Upkeep.
+
+    def _told(self, record: _Record) -> None:
+        """Note a change for the owner, the other members and the digest."""
+        self._news[record.update.entry_vm] = None
+        self._changed[record.update.entry_vm] = None
+        self._rehash(record)
+
+    def _rehash(self, record: _Record) -> None:
+        """Bring the digest up to date.
+
+        The dead have none, since each process forgets them at its own time;
+        nor does suspicion, which passes.
+        """
+        update = record.update
+        part = digests.part_of(update.entry_vm)
+        self._digests[part] ^= record.digest
+        record.digest = 0
+        if record.dead_since is None:
+            record.digest = digests.entry_hash(
+                update.entry_vm, update.incarnation, record.leaving
+            )
+        self._digests[part] ^= record.digest
+
+    def _add(self, record: _Record) -> None:
+        entry_vm = record.update.entry_vm
+        self._records_by_id[entry_vm] = record
+        self._ids_by_part[digests.part_of(entry_vm)].append(entry_vm)
+        ids = self._ids_by_domain.setdefault(record.update.domain, {})
+        ids[entry_vm] = None
+        self._rehash(record)
+
+    def _move(self, record: _Record, update: messages.MemberUpdate) -> None:
+        """Replace the record's data; the member may be in another domain."""
+        del self._ids_by_domain[record.update.domain][update.entry_vm]
+        record.update = update
+        ids = self._ids_by_domain.setdefault(update.domain, {})
+        ids[update.entry_vm] = None
+
+    def _forget(self, entry_vm: types.EntryVmId) -> None:
+        record = self._records_by_id.pop(entry_vm)
+        self._dead.discard(entry_vm)
+        self._ids_by_part[digests.part_of(entry_vm)].remove(entry_vm)
+        del self._ids_by_domain[record.update.domain][entry_vm]
+        self._damping.forget(entry_vm)
+        self._news.pop(entry_vm, None)
+        self._forgotten.append(entry_vm)
+
+
+def _wire_state(record: _Record) -> messages.MemberState:
+    if record.dead_since is not None:
+        return messages.MemberState.DEAD
+    if record.suspect_until is not None:
+        return messages.MemberState.SUSPECT
+    if record.leaving:
+        return messages.MemberState.LEAVING
+    return messages.MemberState.ALIVE
+
+
+def _view_state(record: _Record) -> messages.MemberState:
+    if record.leaving and record.dead_since is None:
+        return messages.MemberState.LEAVING
+    return _wire_state(record)
+
+
+def _with_state(
+    record: _Record, state: messages.MemberState
+) -> messages.MemberUpdate:
+    if record.update.state is state:
+        return record.update
+    return dataclasses.replace(record.update, state=state)
--- /dev/null
+++ b/packages/membership/src/lagoonrun_membership/membership.py
@@ -0,0 +1,333 @@
+"""The membership of this process: its UDP socket and its timer."""
+
+import asyncio
+import dataclasses
+import logging
+import random as random_module
+from collections.abc import Callable, Iterable, Mapping
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import errors, events, logs, types
+from lagoonrun_membership import gossip, listener, members
+from lagoonrun_membership import timing as timings
+from lagoonrun_protocol import codec, datagrams, hub, messages
+
+MemberView = members.MemberView
+MembershipListener = listener.MembershipListener
+Timing = timings.Timing
+
+_REJECTION_LOG_SECONDS = 1.0
+
+
+class Membership:
+    """Know the other entry VMs and tell them of this one.
+
+    It is the hub's address book. What is announced before `start` is lost.
+
+    Parameters
+    ----------
+    self_view
+        The record of this process; `peer_host` and `peer_port` are where the
+        hub listens. A `peer_port` of 0 becomes the port of the UDP socket.
+    host, port
+        Address of the UDP socket. Peers send datagrams to the number of the
+        hub's port, so that both must be equal; port 0 lets the system choose.
+    seeds
+        Addresses to join through.
+    key
+        Shared secret that authenticates datagrams.
+    clock
+        Source of time.
+    random
+        Chooses targets.
+    listener
+        Receives changes.
+    timing
+        Times and limits.
+    """
+
+    def __init__(
+        self,
+        *,
+        self_view: MemberView,
+        host: str,
+        port: int,
+        seeds: Iterable[hub.PeerAddress],
+        key: bytes,
+        clock: clocks.Clock,
+        random: random_module.Random,
+        listener: MembershipListener,
+        timing: timings.Timing | None = None,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._seeds = tuple(seeds)
+        self._clock = clock
+        self._random = random
+        self._listener = listener
+        self._timing = timing or timings.Timing()
+        self._sealer = datagrams.DatagramSealer(
+            key=key,
+            sender=self_view.entry_vm,
+            incarnation=self_view.incarnation,
+        )
+        self._opener = datagrams.DatagramOpener(key=key)
+        self._gossip = self._new_gossip(self_view)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.Task[None] | None = None
+        self._live_by_domain: dict[
+            types.FailureDomain, tuple[types.EntryVmId, ...]
+        ] = {}
+        self._states_by_id: dict[types.EntryVmId, messages.MemberState] = {}
+        self._rejections = 0
+        self._rejections_logged_at = float("-inf")
+
+    # Life.
+
+    async def start(self, *, port: int | None = None) -> None:
+        """Open the socket and join.
+
+        Parameters
+        ----------
+        port
+            Takes the place of the constructor's, once the hub knows its own.
+        """
+        if port is not None:
+            self._port = port
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _DatagramReceiver(receive=self._receive),
+            local_addr=(self._host, self._port),
+        )
+        self._port = self._transport.get_extra_info("sockname")[1]
+        own = self._gossip.members.own
+        if port is not None or own.peer_port == 0:
+            own = dataclasses.replace(own, peer_port=self._port)
+        self._gossip = self._new_gossip(own)
+        self._timer = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Take leave of the others and close the socket."""
+        if self._timer is not None:
+            self._timer.cancel()
+            await asyncio.gather(self._timer, return_exceptions=True)
+            self._send(self._gossip.farewell())
+        if self._transport is not None:
+            self._transport.close()
+
+    # What the owner asks.
+
+    @property
+    def port(self) -> int:
+        """Port of the UDP socket."""
+        return self._port
+
+    @property
+    def members_by_id(self) -> Mapping[types.EntryVmId, MemberView]:
+        """All members, this process and the dead included."""
+        return self._gossip.members.views_by_id()
+
+    @property
+    def summaries_by_shard(
+        self,
+    ) -> Mapping[types.ShardId, messages.ShardSummary]:
+        """Fresh summaries of other domains' shards and of the own ones."""
+        return self._gossip.shards.by_shard(self._clock.monotonic())
+
+    def live_in(
+        self, domain: types.FailureDomain
+    ) -> tuple[types.EntryVmId, ...]:
+        """Return the members of `domain` that may be given shards, by name.
+
+        Without the leaving, the dead, and those that came back from the dead
+        a moment ago.
+        """
+        live = self._live_by_domain.get(domain)
+        if live is None:
+            live = self._gossip.members.live_in(domain)
+            self._live_by_domain[domain] = live
+        return live
+
+    def address_of(self, entry_vm: types.EntryVmId) -> hub.PeerAddress | None:
+        """Return where a member's hub listens; None if it is dead."""
+        view = self._gossip.members.view(entry_vm)
+        if view is None or view.state is messages.MemberState.DEAD:
+            return None
+        return hub.PeerAddress(host=view.peer_host, port=view.peer_port)
+
+    def upstream_is_leaving(self, upstream: types.UpstreamId) -> bool:
+        """Return whether an upstream gets no new work."""
+        return self._gossip.upstreams.is_leaving(upstream)
+
+    # What the owner announces.
+
+    def add_seeds(self, addresses: Iterable[hub.PeerAddress]) -> None:
+        """Join through further addresses, as the platform's list shows."""
+        self._gossip.add_seeds(addresses)
+
+    def announce_configuration(
+        self, revision: types.Revision, digest: str
+    ) -> None:
+        """Tell others which revision is in force here."""
+        now = self._clock.monotonic()
+        self._act(
+            self._gossip.announce_configuration(revision, digest, now=now)
+        )
+
+    def announce_leaving(self) -> None:
+        """Tell others that this process takes no more shards."""
+        now = self._clock.monotonic()
+        self._act(self._gossip.announce_leaving(now=now))
+
+    def announce_shards(
+        self, summaries: Iterable[messages.ShardSummary]
+    ) -> None:
+        """Replace the summaries of the shards dispatched here.
+
+        Other domains hear of them with the next period.
+        """
+        now = self._clock.monotonic()
+        self._gossip.shards.announce(summaries, now=now)
+
+    def report_upstream(
+        self,
+        upstream: types.UpstreamId,
+        incarnation: types.Incarnation,
+        leaving: bool,
+    ) -> None:
+        """Take in what the platform's list or the upstream itself says.
+
+        Leaving wins until a higher incarnation is reported, so that sources
+        may be reported again and again in any order.
+        """
+        update = messages.UpstreamUpdate(
+            upstream=upstream, incarnation=incarnation, leaving=leaving
+        )
+        now = self._clock.monotonic()
+        self._act(self._gossip.announce_upstream(update, now=now))
+
+    # Events.
+
+    def _new_gossip(self, own: MemberView) -> gossip.GossipProtocol:
+        return gossip.GossipProtocol(
+            own=own,
+            seeds=self._seeds,
+            timing=self._timing,
+            random_source=self._random,
+            now=self._clock.monotonic(),
+        )
+
+    async def _run(self) -> None:
+        while True:
+            now = self._clock.monotonic()
+            wait = self._gossip.next_wakeup() - now
+            if wait > 0:
+                await asyncio.sleep(wait)
+                continue
+            self._act(self._gossip.tick(now=now))
+            # A clock that stands still must not keep the loop from reading.
+            await asyncio.sleep(0)
+
+    def _receive(self, data: bytes, address: hub.PeerAddress) -> None:
+        peer = f"{address.host}:{address.port}"
+        try:
+            datagram = self._opener.open(data, peer=peer)
+            message = codec.decode(datagram.body, peer=datagram.sender)
+        except errors.LagoonrunError as error:
+            self._reject(error)
+            return
+        outgoing = self._gossip.receive(
+            message,
+            sender=datagram.sender,
+            address=address,
+            now=self._clock.monotonic(),
+        )
+        self._act(outgoing)
+
+    def _reject(self, error: errors.LagoonrunError) -> None:
+        """Log a refused datagram; a flood of them makes one line a second."""
+        self._rejections += 1
+        now = self._clock.monotonic()
+        if now - self._rejections_logged_at < _REJECTION_LOG_SECONDS:
+            return
+        self._rejections_logged_at = now
+        logs.emit(
+            events.LogEvent.PEER_FRAME_REJECTED,
+            level=logging.WARNING,
+            peer=error.peer,
+            detail=error.detail,
+            rejected_datagrams=self._rejections,
+        )
+
+    def _act(self, outgoing: list[gossip.Outgoing]) -> None:
+        self._send(outgoing)
+        self._publish()
+
+    def _send(self, outgoing: list[gossip.Outgoing]) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._sealer.raise_incarnation(self._gossip.members.own.incarnation)
+        for item in outgoing:
+            data = self._sealer.seal(codec.encode(item.message))
+            address = (item.address.host, item.address.port)
+            self._transport.sendto(data, address)
+
+    def _publish(self) -> None:
+        for view in self._gossip.members.take_changed():
+            self._live_by_domain.clear()
+            self._log_state(view)
+            self._tell(self._listener.on_member_changed, view)
+        for update in self._gossip.upstreams.take_changed():
+            self._tell(
+                self._listener.on_upstream_changed,
+                update.upstream,
+                update.leaving,
+            )
+        for news in self._gossip.take_configurations():
+            self._tell(
+                self._listener.on_configuration_announced,
+                news.source,
+                news.revision,
+                news.digest,
+            )
+        for entry_vm in self._gossip.take_forgotten():
+            self._opener.forget(entry_vm)
+            self._states_by_id.pop(entry_vm, None)
+        for summary in self._gossip.take_summaries():
+            self._tell(self._listener.on_shard_summary, summary)
+
+    def _log_state(self, view: MemberView) -> None:
+        if self._states_by_id.get(view.entry_vm) is view.state:
+            return
+        self._states_by_id[view.entry_vm] = view.state
+        logs.emit(
+            events.LogEvent.MEMBER_STATE_CHANGED,
+            peer=view.entry_vm,
+            domain=view.domain,
+            state=view.state.value,
+            incarnation=view.incarnation,
+        )
+
+    def _tell(self, call: Callable[..., None], *arguments: object) -> None:
+        """Tell the listener; its fault must not end the membership."""
+        try:
+            call(*arguments)
+        except Exception as error:
+            logs.emit(
+                events.LogEvent.TASK_FAILED,
+                level=logging.ERROR,
+                step=errors.Step.MEMBERSHIP.value,
+                detail=repr(error),
+            )
+
+
+class _DatagramReceiver(asyncio.DatagramProtocol):
+    """Hand datagrams on; a refused port of a dead peer is no error here."""
+
+    def __init__(
+        self, *, receive: Callable[[bytes, hub.PeerAddress], None]
+    ) -> None:
+        self._receive = receive
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._receive(data, hub.PeerAddress(host=addr[0], port=addr[1]))
--- /dev/null
+++ b/packages/membership/src/lagoonrun_membership/upstreams.py
@@ -0,0 +1,135 @@
+"""Which upstreams are leaving. Pure: no I/O, no clock.
+
+The platform's list, an upstream's own report and the word of peers are all
+taken in alike. Within one incarnation *leaving* from any source wins and is
+never taken back: the list lags, so that its "live" may be older. Only a newer
+incarnation, that is a new process of the upstream, is not leaving.
+"""
+
+import collections
+import dataclasses
+
+from lagoonrun_core import types
+from lagoonrun_membership import digests, sizes
+from lagoonrun_protocol import messages
+
+_MAXIMUM_UPSTREAMS = 8192
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Record:
+    incarnation: types.Incarnation
+    leaving: bool
+
+
+class UpstreamTable:
+    """The newest incarnation of each upstream and whether it is leaving."""
+
+    def __init__(self) -> None:
+        self._records_by_id: collections.OrderedDict[
+            types.UpstreamId, _Record
+        ] = collections.OrderedDict()
+        self._leaving: dict[types.UpstreamId, None] = {}
+        self._cursor = 0
+        self._digest = 0
+        self._news: dict[types.UpstreamId, None] = {}
+        self._changed: dict[types.UpstreamId, None] = {}
+
+    @property
+    def digest(self) -> int:
+        """Digest of the upstreams that are leaving."""
+        return self._digest
+
+    def is_leaving(self, upstream: types.UpstreamId) -> bool:
+        """Return whether the upstream gets no new work."""
+        return upstream in self._leaving
+
+    def wire(self, upstream: types.UpstreamId) -> messages.UpstreamUpdate:
+        """Return what others are told of an upstream."""
+        record = self._records_by_id[upstream]
+        return messages.UpstreamUpdate(
+            upstream=upstream,
+            incarnation=record.incarnation,
+            leaving=record.leaving,
+        )
+
+    def page(self, *, size: int) -> list[messages.UpstreamUpdate]:
+        """Return leaving upstreams for `size` bytes, others at each call."""
+        leaving = tuple(self._leaving)
+        page = []
+        for _ in leaving:
+            position = (self._cursor + 1) % len(leaving)
+            update = self.wire(leaving[position])
+            size -= sizes.of_upstream(update)
+            if size < 0:
+                break
+            self._cursor = position
+            page.append(update)
+        return page
+
+    def apply(self, update: messages.UpstreamUpdate) -> None:
+        """Take in what any source says of an upstream."""
+        record = self._records_by_id.get(update.upstream)
+        if record is None:
+            record = self._meet(update)
+        if update.incarnation < record.incarnation:
+            # The sender missed that the upstream came back; tell it again.
+            if update.leaving and not record.leaving:
+                self._news[update.upstream] = None
+            return
+        is_newer = update.incarnation > record.incarnation
+        was_leaving = record.leaving
+        if not is_newer and (was_leaving or not update.leaving):
+            return
+        self._toggle_digest(update.upstream, record)
+        record.incarnation = update.incarnation
+        record.leaving = update.leaving
+        self._toggle_digest(update.upstream, record)
+        if record.leaving != was_leaving:
+            self._note_change(update.upstream, record)
+
+    def take_news(self) -> tuple[types.UpstreamId, ...]:
+        """Return upstreams of which others should be told, once."""
+        news = tuple(self._news)
+        self._news.clear()
+        return news
+
+    def take_changed(self) -> tuple[messages.UpstreamUpdate, ...]:
+        """Return upstreams that began or ceased to be leaving, once."""
+        changed = tuple(self.wire(upstream) for upstream in self._changed)
+        self._changed.clear()
+        return changed
+
+    def _meet(self, update: messages.UpstreamUpdate) -> _Record:
+        record = _Record(incarnation=update.incarnation, leaving=False)
+        self._records_by_id[update.upstream] = record
+        # Names of replaced upstreams pile up over months; the oldest ones
+        # that are not leaving go first, since they say nothing.
+        if len(self._records_by_id) > _MAXIMUM_UPSTREAMS:
+            self._forget_oldest()
+        return record
+
+    def _forget_oldest(self) -> None:
+        oldest = next(
+            (u for u, r in self._records_by_id.items() if not r.leaving),
+            next(iter(self._records_by_id)),
+        )
+        record = self._records_by_id.pop(oldest)
+        self._toggle_digest(oldest, record)
+        self._leaving.pop(oldest, None)
+        self._news.pop(oldest, None)
+        self._changed.pop(oldest, None)
+
+    def _note_change(self, upstream: types.UpstreamId, record: _Record) -> None:
+        if record.leaving:
+            self._leaving[upstream] = None
+        else:
+            del self._leaving[upstream]
+        self._news[upstream] = None
+        self._changed[upstream] = None
+
+    def _toggle_digest(
+        self, upstream: types.UpstreamId, record: _Record
+    ) -> None:
+        if record.leaving:
+            self._digest ^= digests.entry_hash(upstream, record.incarnation)
--- /dev/null
+++ b/packages/membership/tests/conftest.py
@@ -0,0 +1,236 @@
+"""Shared fixtures: many members over an in-memory network, time by hand."""
+
+import heapq
+import itertools
+import random
+
+import pytest
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_membership import gossip
+from lagoonrun_membership import timing as timings
+from lagoonrun_protocol import codec, datagrams, hub, messages
+
+_LATENCY_SECONDS = 0.002
+_STEP_SECONDS = 0.1
+_PORT = 9000
+
+
+def make_update(entry_vm, *, domain="north", incarnation=1, **fields):
+    """Return a member's record with an address made of its name."""
+    values = {
+        "state": messages.MemberState.ALIVE,
+        "peer_host": entry_vm,
+        "peer_port": _PORT,
+        "admin_port": 9100,
+        "revision": 0,
+        "digest": "",
+    }
+    values.update(fields)
+    return messages.MemberUpdate(
+        entry_vm=entry_vm, domain=domain, incarnation=incarnation, **values
+    )
+
+
+class Network:
+    """Datagrams between members: delayed, lost and cut as a test says.
+
+    Every datagram passes through the codec and must fit its size.
+    """
+
+    def __init__(self, *, seed=1, timing=None, protocol=gossip.GossipProtocol):
+        self.clock = clocks.ManualClock()
+        self.timing = timing or timings.Timing()
+        self.random = random.Random(seed)
+        self.protocol = protocol
+        self.nodes_by_id = {}
+        self.changes_by_id = {}
+        self.loss = 0.0
+        self.cuts = set()
+        self.frozen = set()
+        self.datagrams = 0
+        self._order = itertools.count()
+        self._in_flight = []
+        self._frozen_datagrams = {}
+
+    def start(self, entry_vm, *, domain="north", incarnation=1, seeds=()):
+        """Start a member that joins through `seeds`."""
+        self.nodes_by_id[entry_vm] = self.protocol(
+            own=make_update(entry_vm, domain=domain, incarnation=incarnation),
+            seeds=[hub.PeerAddress(host=s, port=_PORT) for s in seeds],
+            timing=self.timing,
+            random_source=random.Random(self.random.random()),
+            now=self.clock.monotonic() + self.random.random(),
+        )
+        self.changes_by_id.setdefault(entry_vm, [])
+
+    def start_fleet(self, *, domains, per_domain):
+        """Start members vm-DOMAIN-N that know the first two as seeds."""
+        names = [
+            (f"vm-{domain}-{n}", domain)
+            for n in range(per_domain)
+            for domain in domains
+        ]
+        seeds = [name for name, _ in names[:2]]
+        for name, domain in names:
+            self.start(name, domain=domain, seeds=seeds)
+        return [name for name, _ in names]
+
+    def kill(self, entry_vm):
+        """End a member without a word."""
+        del self.nodes_by_id[entry_vm]
+
+    def freeze(self, entry_vm):
+        """Stop a process; what is sent to it waits in its socket."""
+        self.frozen.add(entry_vm)
+        self._frozen_datagrams[entry_vm] = []
+
+    def resume(self, entry_vm, *, timer_first=True):
+        """Let a process go on, with its timer or its socket first."""
+        self.frozen.discard(entry_vm)
+        if timer_first:
+            self.act(entry_vm, self.nodes_by_id[entry_vm].tick(now=self.now))
+        for sender, message in self._frozen_datagrams.pop(entry_vm):
+            self._deliver(sender, entry_vm, message)
+
+    def cut(self, senders, receivers, *, both_ways=True):
+        """Lose what `senders` send to `receivers`."""
+        self.cuts |= set(itertools.product(senders, receivers))
+        if both_ways:
+            self.cuts |= set(itertools.product(receivers, senders))
+
+    def heal(self):
+        """End all cuts."""
+        self.cuts.clear()
+
+    @property
+    def now(self):
+        """The clock's reading."""
+        return self.clock.monotonic()
+
+    def act(self, sender, outgoing):
+        """Send what a member's protocol returned."""
+        for item in outgoing:
+            body = codec.encode(item.message)
+            size = datagrams.OVERHEAD_BYTES + len(sender) + len(body)
+            assert size <= datagrams.MAXIMUM_DATAGRAM_BYTES
+            self.datagrams += 1
+            receiver = item.address.host
+            if (sender, receiver) in self.cuts:
+                continue
+            if self.random.random() < self.loss:
+                continue
+            heapq.heappush(
+                self._in_flight,
+                (
+                    self.now + _LATENCY_SECONDS,
+                    next(self._order),
+                    sender,
+                    receiver,
+                    codec.decode(body),
+                ),
+            )
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self._step(end)
+
+    def run_until(self, condition, *, within):
+        """Let time pass until `condition()`; return the seconds it took."""
+        start = self.now
+        while not condition():
+            took = self.now - start
+            assert took < within, f"not within {within} s: {self.describe()}"
+            self._step(self.now + _STEP_SECONDS)
+        return self.now - start
+
+    def states(self, viewer):
+        """Return the states that a member believes, by id."""
+        views = self.nodes_by_id[viewer].members.views_by_id()
+        return {entry_vm: view.state for entry_vm, view in views.items()}
+
+    def everyone_sees(self, state, entry_vms, *, viewers=None):
+        """Return whether all viewers believe `state` of all `entry_vms`."""
+        return all(
+            self.states(viewer).get(entry_vm) is state
+            for viewer in (viewers or self.nodes_by_id)
+            for entry_vm in entry_vms
+        )
+
+    def all_alive(self, viewers=None):
+        """Return whether all members see all running ones alive."""
+        viewers = viewers or tuple(self.nodes_by_id)
+        return self.everyone_sees(
+            messages.MemberState.ALIVE, viewers, viewers=viewers
+        )
+
+    def describe(self):
+        """Return what each member believes, for failures."""
+        return {
+            viewer: {
+                entry_vm: state.value
+                for entry_vm, state in self.states(viewer).items()
+            }
+            for viewer in self.nodes_by_id
+        }
+
+    def _step(self, end):
+        next_at = min(
+            [
+                node.next_wakeup()
+                for name, node in self.nodes_by_id.items()
+                if name not in self.frozen
+            ]
+            + [self._in_flight[0][0] if self._in_flight else end, end]
+        )
+        self.clock.advance(max(0.0, next_at - self.now))
+        while self._in_flight and self._in_flight[0][0] <= self.now:
+            _, _, sender, receiver, message = heapq.heappop(self._in_flight)
+            self._deliver(sender, receiver, message)
+        for name, node in tuple(self.nodes_by_id.items()):
+            if name not in self.frozen and node.next_wakeup() <= self.now:
+                self.act(name, node.tick(now=self.now))
+                self._note_changes(name, node)
+
+    def _deliver(self, sender, receiver, message):
+        if receiver in self.frozen:
+            self._frozen_datagrams[receiver].append((sender, message))
+            return
+        node = self.nodes_by_id.get(receiver)
+        if node is not None:
+            address = hub.PeerAddress(host=sender, port=_PORT)
+            self.act(
+                receiver,
+                node.receive(
+                    message, sender=sender, address=address, now=self.now
+                ),
+            )
+            self._note_changes(receiver, node)
+
+    def _note_changes(self, name, node):
+        self.changes_by_id[name] += [
+            (self.now, view) for view in node.members.take_changed()
+        ]
+
+
+@pytest.fixture
+def make_network():
+    """Return the constructor of networks."""
+    return Network
+
+
+@pytest.fixture
+def network():
+    """Return a network of eight members in three domains, all joined."""
+    network = Network()
+    network.start_fleet(domains=("north", "south", "west"), per_domain=3)
+    network.run_until(network.all_alive, within=15.0)
+    return network
+
+
+@pytest.fixture
+def update():
+    """Return the maker of members' records."""
+    return make_update
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -168,6 +168,8 @@
         Lowest tier that runs; 0 where none runs.
     wait_seconds
         Expected wait of a new request of the lowest tier.
+    age_seconds
+        Time since the dispatcher made it, as far as the sender knows.
     """
 
     shard: types.ShardId
@@ -176,6 +178,7 @@
     lowest_waiting_tier: types.Tier
     lowest_running_tier: types.Tier
     wait_seconds: float
+    age_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -223,13 +226,25 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ping:
-    """Probe of a member, with news."""
+    """Probe of a member, with news.
+
+    Parameters
+    ----------
+    sequence
+        Numbers the probes of `source`; 0 asks for no answer.
+    members
+        The sender's own record first, then its news.
+    digests
+        Digests of the parts of the sender's tables; see
+        `lagoonrun_membership.digests`. Empty where it tells none.
+    """
 
     sequence: int
     source: types.EntryVmId
     members: tuple[MemberUpdate, ...] = ()
     upstreams: tuple[UpstreamUpdate, ...] = ()
     shards: tuple[ShardSummary, ...] = ()
+    digests: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -241,6 +256,7 @@
     members: tuple[MemberUpdate, ...] = ()
     upstreams: tuple[UpstreamUpdate, ...] = ()
     shards: tuple[ShardSummary, ...] = ()
+    digests: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -100,6 +100,7 @@
   lowestWaitingTier @3 :UInt64;
   lowestRunningTier @4 :UInt64;
   waitSeconds @5 :Float64;
+  ageSeconds @6 :Float64;
 }
 
 struct SnapshotRequest {
@@ -136,6 +137,7 @@
   members @2 :List(MemberUpdate);
   upstreams @3 :List(UpstreamUpdate);
   shards @4 :List(ShardSummary);
+  digests @5 :List(UInt32);
 }
 
 struct Acknowledge {
@@ -144,6 +146,7 @@
   members @2 :List(MemberUpdate);
   upstreams @3 :List(UpstreamUpdate);
   shards @4 :List(ShardSummary);
+  digests @5 :List(UInt32);
 }
 
 struct PingRequest {
