Shorten the path of an uncontended permit

An arrival that finds nothing waiting is decided without passing through the queue; backlog sums are single loops over classes in order of tier; quantiles are merged at most four times a second instead of each value going into two sketches.

--- a/packages/policy/src/lagoonrun_policy/admission.py
+++ b/packages/policy/src/lagoonrun_policy/admission.py
@@ -65,7 +65,7 @@
             remaining_seconds=remaining,
             expected_service_seconds=margin,
             expected_wait_seconds=expected_wait,
-            queue_length=len(state.queue),
+            queue_length=state.queue.length,
             queue_capacity=state.capacity,
             lower_tier_waiting=sheddable,
         )
@@ -84,7 +84,7 @@
             if verdict.kind is decision.VerdictKind.REFUSE:
                 self._emit(records.refusal(waiting, verdict, record))
                 return False
-        if len(state.queue) >= state.capacity:
+        if state.queue.length >= state.capacity:
             self._shed_below(state, now)
         return True
 
@@ -134,7 +134,7 @@
             or not self._shard.switches.deadline_refusal
         ):
             return 0.0
-        if len(state.queue) == 0 or self._shard.pool.free(now):
+        if state.queue.length == 0 or self._shard.pool.free(now):
             return 0.0
         ahead = state.queue.ahead_of(waiting.request.organisation)
         return _WAIT_CONFIDENCE * self._shard.drain_seconds(state, ahead, now)
@@ -165,6 +165,8 @@
         """Refuse what waits and can no longer meet its limit."""
         usable = self._shard.pool.any_usable()
         for state in self._shard.classes:
+            if state.queue.length == 0:
+                continue
             margin = self._shard.margins_of(state, now).best
             while True:
                 earliest = state.queue.earliest()
--- a/packages/policy/src/lagoonrun_policy/class_state.py
+++ b/packages/policy/src/lagoonrun_policy/class_state.py
@@ -57,7 +57,7 @@
         again would leave the class without service in an endless burst.
         """
         protected = 1 if self.policy.floor_share > 0 else 0
-        return max(0, len(self.queue) - protected)
+        return max(0, self.queue.length - protected)
 
     def observe_tokens(self, tokens: int) -> None:
         """Learn how many tokens an answer of this class is charged for."""
--- a/packages/policy/src/lagoonrun_policy/estimates.py
+++ b/packages/policy/src/lagoonrun_policy/estimates.py
@@ -4,6 +4,8 @@
 fits its limit is an online high quantile of the durations seen lately.
 """
 
+import math
+
 import ddsketch
 
 from lagoonrun_core import types
@@ -18,14 +20,14 @@
 _BINS = 512
 _RUNNER_WINDOW_SECONDS = 30.0
 _POOL_WINDOW_SECONDS = 120.0
-_RECOMPUTE_FRACTION = 16
+_REFRESH_SECONDS = 0.25
 
 
 class DecayingQuantiles:
     """High and typical quantile of the last one to two windows.
 
-    Two sketches take every value; at the end of a window the older one is
-    dropped. So a runner that recovers is believed again after two windows.
+    At the end of a window the values of the one before are dropped. So a
+    runner that recovers is believed again after two windows.
 
     Parameters
     ----------
@@ -38,7 +40,7 @@
         self._rotate_at: float | None = None
         self._older = _new_sketch()
         self._newer = _new_sketch()
-        self._computed_count = 0.0
+        self._refresh_at = -math.inf
         self._high: float | None = None
         self._typical: float | None = None
         self._mean: float | None = None
@@ -46,13 +48,12 @@
     def add(self, value: float, *, now: float) -> None:
         """Take in one observation in seconds."""
         self._rotate(now)
-        self._older.add(value)
         self._newer.add(value)
 
     def samples(self, *, now: float) -> int:
         """Return how many observations the quantiles rest on."""
         self._rotate(now)
-        return int(self._older.count)
+        return int(self._older.count + self._newer.count)
 
     def high(self, *, now: float) -> float | None:
         """Return the high quantile, or None with too few observations."""
@@ -78,22 +79,22 @@
         self._older = _new_sketch() if missed_a_window else self._newer
         self._newer = _new_sketch()
         self._rotate_at = now + self._window
-        self._computed_count = -1.0
+        self._refresh_at = -math.inf
 
     def _refresh(self, now: float) -> None:
+        if now < self._refresh_at:
+            return
         self._rotate(now)
-        count = self._older.count
-        if count < MINIMUM_SAMPLES:
+        if self._older.count + self._newer.count < MINIMUM_SAMPLES:
             self._high = self._typical = self._mean = None
-            self._computed_count = 0.0
-            return
-        fresh = count - self._computed_count
-        if self._high is not None and 0 <= fresh < count / _RECOMPUTE_FRACTION:
             return
-        self._computed_count = count
-        self._high = self._older.get_quantile_value(HIGH_QUANTILE)
-        self._typical = self._older.get_quantile_value(TYPICAL_QUANTILE)
-        self._mean = self._older.avg
+        self._refresh_at = now + _REFRESH_SECONDS
+        both = _new_sketch()
+        both.merge(self._older)
+        both.merge(self._newer)
+        self._high = both.get_quantile_value(HIGH_QUANTILE)
+        self._typical = both.get_quantile_value(TYPICAL_QUANTILE)
+        self._mean = both.avg
 
 
 class ServiceTimes:
--- a/packages/policy/src/lagoonrun_policy/fair_queue.py
+++ b/packages/policy/src/lagoonrun_policy/fair_queue.py
@@ -62,6 +62,11 @@
     lanes
         With it, a request that can still meet its target goes before those
         of the same organisation that cannot.
+
+    Attributes
+    ----------
+    length
+        How many requests wait.
     """
 
     def __init__(
@@ -79,13 +84,10 @@
         self._order_sequence = 0
         self._virtual_now = 0.0
         self._deadlines: list[tuple[float, int, Waiting]] = []
-        self._length = 0
+        self.length = 0
         self._active_weight = 0.0
         self._latest_deadline = float("-inf")
 
-    def __len__(self) -> int:
-        return self._length
-
     @property
     def latest_deadline(self) -> float:
         """No waiting request has a later deadline than this instant."""
@@ -105,16 +107,7 @@
     def push(self, waiting: Waiting) -> None:
         """Add a request; it joins the lane of those in time for the target."""
         organisation = self._account_name(waiting)
-        account = self._accounts.get(organisation)
-        if account is None:
-            account = _Account(
-                weight=self._weight(organisation),
-                virtual_time=self._virtual_now,
-                in_time=[],
-                late=[],
-                by_sequence={},
-            )
-            self._accounts[organisation] = account
+        account = self._account(organisation)
         if not account.by_sequence:
             self._activate(organisation, account)
         waiting.queued = True
@@ -123,7 +116,7 @@
         heapq.heappush(
             self._deadlines, (waiting.deadline, waiting.sequence, waiting)
         )
-        self._length += 1
+        self.length += 1
         self._latest_deadline = max(self._latest_deadline, waiting.deadline)
         self._compact_deadlines()
 
@@ -156,12 +149,12 @@
         waiting.queued = False
         account = self._accounts[self._account_name(waiting)]
         del account.by_sequence[waiting.sequence]
-        self._length -= 1
+        self.length -= 1
         if not account.by_sequence:
             account.in_time.clear()
             account.late.clear()
             self._active_weight -= account.weight
-        if self._length == 0:
+        if self.length == 0:
             self._deadlines.clear()
             self._order.clear()
             self._active_weight = 0.0
@@ -169,11 +162,9 @@
 
     def charge(self, organisation: types.OrganisationId, tokens: float) -> None:
         """Charge an organisation, or give back if `tokens` is negative."""
-        if not self._fair:
-            return
-        account = self._accounts.get(organisation)
-        if account is None or tokens == 0:
+        if not self._fair or tokens == 0:
             return
+        account = self._account(organisation)
         account.virtual_time += tokens / account.weight
         if account.by_sequence:
             self._push_order(organisation, account)
@@ -181,12 +172,12 @@
     def ahead_of(self, organisation: types.OrganisationId) -> int:
         """Return an upper bound of the requests served before a new one."""
         if not self._fair:
-            return self._length
+            return self.length
         account = self._accounts.get(organisation)
         own = len(account.by_sequence) if account is not None else 0
         weight = self._weight(organisation)
         rounds = (own + 1) * max(1.0, self._active_weight / weight)
-        return min(self._length, int(rounds))
+        return min(self.length, int(rounds))
 
     def earliest(self) -> Waiting | None:
         """Return the request whose deadline comes first."""
@@ -219,6 +210,19 @@
     def _account_name(self, waiting: Waiting) -> types.OrganisationId:
         return waiting.request.organisation if self._fair else _EVERYONE
 
+    def _account(self, organisation: types.OrganisationId) -> _Account:
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = _Account(
+                weight=self._weight(organisation),
+                virtual_time=self._virtual_now,
+                in_time=[],
+                late=[],
+                by_sequence={},
+            )
+            self._accounts[organisation] = account
+        return account
+
     def _weight(self, organisation: types.OrganisationId) -> float:
         return self._weights.get(organisation, 1.0)
 
@@ -280,6 +284,6 @@
             heapq.heappop(account.late)
 
     def _compact_deadlines(self) -> None:
-        if len(self._deadlines) > _COMPACT_ABOVE + 2 * self._length:
+        if len(self._deadlines) > _COMPACT_ABOVE + 2 * self.length:
             self._deadlines = [i for i in self._deadlines if i[2].queued]
             heapq.heapify(self._deadlines)
--- a/packages/policy/src/lagoonrun_policy/floors.py
+++ b/packages/policy/src/lagoonrun_policy/floors.py
@@ -31,13 +31,20 @@
 def reserved_share(
     state: class_state.ClassState, classes: Sequence[class_state.ClassState]
 ) -> float:
-    """Return the share set aside for classes below `state` that wait."""
+    """Return the share set aside for classes below `state` that wait.
+
+    Parameters
+    ----------
+    classes
+        All classes of the shard, in order of tier.
+    """
     tier = state.policy.tier
-    below = sum(
-        c.policy.floor_share
-        for c in classes
-        if c.policy.tier > tier and len(c.queue) > 0
-    )
+    below = 0.0
+    for other in reversed(classes):
+        if other.policy.tier <= tier:
+            break
+        if other.queue.length:
+            below += other.policy.floor_share
     return min(below, MAXIMUM_TOTAL_SHARE)
 
 
@@ -48,7 +55,7 @@
 ) -> None:
     """Credit every waiting class that a grant has passed over."""
     for state in classes:
-        passed_over = state is not granted and len(state.queue) > 0
+        passed_over = state is not granted and state.queue.length > 0
         if passed_over and state.policy.tier >= granted.policy.tier:
             earned = state.floor_credit + state.policy.floor_share * factor
             state.floor_credit = min(_MOST_CREDIT, earned)
@@ -60,7 +67,7 @@
     """Return the class whose credit pays for the next grant, if any."""
     for state in classes:
         if (
-            len(state.queue) > 0
+            state.queue.length > 0
             and state.floor_credit >= _MOST_CREDIT - _ROUNDING
             and state.floor_running < _slots(state, total_room)
         ):
@@ -86,17 +93,17 @@
     higher = [
         c
         for c in classes
-        if c.policy.tier < state.policy.tier and len(c.queue) > 0
+        if c.policy.tier < state.policy.tier and c.queue.length > 0
     ]
     longest = 0.0
     for c in classes:
-        if c.running == 0 and len(c.queue) == 0:
+        if c.running == 0 and c.queue.length == 0:
             continue
         high = services.shared_high(profile=c.policy.name, now=now)
         if high is None:
             return False
         longest = max(longest, high)
-    waiting = sum(len(c.queue) for c in higher)
+    waiting = sum(c.queue.length for c in higher)
     rounds = 1 + math.ceil(waiting / max(1, total_room - 1))
     needed = longest * rounds
     return all(_slack(c, margin_by_class[c], now) > needed for c in higher)
--- a/packages/policy/src/lagoonrun_policy/granting.py
+++ b/packages/policy/src/lagoonrun_policy/granting.py
@@ -48,16 +48,42 @@
         self._emit = emit
         self._sequence = 0
 
+    def settle_at_once(
+        self,
+        waiting: fair_queue.Waiting,
+        state: class_state.ClassState,
+        now: float,
+    ) -> bool:
+        """Grant or refuse an arrival that finds nothing waiting.
+
+        Returns
+        -------
+        bool
+            False if it has to wait.
+        """
+        verdict, record = records.decide(
+            shared=self._shard,
+            waiting=waiting,
+            state=state,
+            phase=decision.Phase.ARRIVAL,
+            now=now,
+        )
+        if verdict.kind is decision.VerdictKind.GRANT:
+            self._grant(waiting, state, verdict, record, now)
+        elif verdict.kind is decision.VerdictKind.REFUSE:
+            self._emit(records.refusal(waiting, verdict, record))
+        return verdict.kind is not decision.VerdictKind.WAIT
+
     def grant_waiting(self, now: float) -> None:
         """Grant until no waiting request fits a free runner."""
-        while any(len(c.queue) > 0 for c in self._shard.classes):
+        while self._shard.any_waiting():
             free = self._shard.pool.free(now)
             if not free or not self._grant_one(free, now):
                 return
 
     def _grant_one(self, free: list[runners.RunnerState], now: float) -> bool:
         in_order = sorted(
-            (c for c in self._shard.classes if len(c.queue) > 0),
+            (c for c in self._shard.classes if c.queue.length > 0),
             key=lambda c: c.order,
         )
         if len(in_order) > 1:
--- a/packages/policy/src/lagoonrun_policy/records.py
+++ b/packages/policy/src/lagoonrun_policy/records.py
@@ -35,7 +35,7 @@
     """
     margins = shared.margins_of(state, now)
     remaining = waiting.deadline - now
-    queue_length = len(state.queue)
+    queue_length = state.queue.length
     inputs = decision.DecisionInputs(
         key=waiting.request.key,
         phase=phase,
--- a/packages/policy/src/lagoonrun_policy/runners.py
+++ b/packages/policy/src/lagoonrun_policy/runners.py
@@ -92,6 +92,8 @@
         self._features = switches
         self._services = services
         self._by_id: dict[types.UpstreamId, RunnerState] = {}
+        self._usable: list[RunnerState] = []
+        self._total_room: int | None = None
         self._median_pace: float | None = None
         self._median_at = -math.inf
         self.affinity = affinity.PrefixAffinity()
@@ -124,6 +126,7 @@
             if known.id not in runners_by_id:
                 known.configured = False
                 self.forget_if_idle(known)
+        self._refresh_usable()
 
     def adopt(self, upstream: types.UpstreamId) -> RunnerState:
         """Return a runner, known or not, to count work at it."""
@@ -141,6 +144,19 @@
             self._by_id.pop(runner.id, None)
             self._services.forget_runner(runner.id)
 
+    def set_state(
+        self, upstream: types.UpstreamId, state: messages.UpstreamState
+    ) -> None:
+        """Take in that a runner is live, leaving or gone."""
+        runner = self._by_id.get(upstream)
+        if runner is None:
+            return
+        was_gone = runner.state is messages.UpstreamState.GONE
+        if was_gone and state is messages.UpstreamState.LIVE:
+            runner.restart()
+        runner.state = state
+        self._refresh_usable()
+
     def limit(self, runner: RunnerState) -> float:
         """Return how many requests the runner may have at once."""
         if self._features.adaptive_room:
@@ -149,15 +165,16 @@
 
     def total_room(self) -> int:
         """Return how many requests all usable runners may have at once."""
-        return sum(int(self.limit(r)) for r in self if self._usable(r))
+        if self._total_room is None:
+            self._total_room = sum(int(self.limit(r)) for r in self._usable)
+        return self._total_room
 
     def free(self, now: float) -> list[RunnerState]:
         """Return the runners that can take one more request."""
         return [
             runner
-            for runner in self
-            if self._usable(runner)
-            and runner.in_flight < int(self.limit(runner))
+            for runner in self._usable
+            if runner.in_flight < int(self.limit(runner))
             and (
                 not runner.health.ejected
                 or (runner.health.is_probing(now) and runner.in_flight == 0)
@@ -166,7 +183,7 @@
 
     def any_usable(self) -> bool:
         """Return whether any runner may be given work, now or later."""
-        return any(self._usable(r) for r in self)
+        return bool(self._usable)
 
     def expected_service(
         self,
@@ -197,8 +214,7 @@
         """
         by_id = {
             r.id: self.expected_service(runner=r, profile=profile, now=now)
-            for r in self
-            if self._usable(r)
+            for r in self._usable
         }
         best = min(by_id.values(), default=0.0)
         cap = _MARGIN_CAP * profile.limit_seconds
@@ -269,14 +285,18 @@
         """Return when the first ejected runner may be probed."""
         instants = [
             r.health.ejected_until
-            for r in self
+            for r in self._usable
             if r.health.ejected_until is not None
         ]
         return min(instants, default=None)
 
-    def _usable(self, runner: RunnerState) -> bool:
-        live = runner.state is messages.UpstreamState.LIVE
-        return live and runner.configured
+    def _refresh_usable(self) -> None:
+        self._total_room = None
+        self._usable = [
+            runner
+            for runner in self
+            if runner.configured and runner.state is messages.UpstreamState.LIVE
+        ]
 
     def _weigh(
         self,
@@ -354,6 +374,7 @@
             in_flight=in_flight,
             now=now,
         )
+        self._total_room = None
 
     def _eject_if_failing(self, runner: RunnerState, now: float) -> None:
         if not self._features.ejection:
@@ -366,7 +387,6 @@
             return
         # Ejecting one after another in a fault that all share would send
         # the whole load to the last one and fell it as well.
-        usable = [r for r in self if self._usable(r)]
-        ejected = sum(1 for r in usable if r.health.ejected)
-        if (ejected + 1) * MAXIMUM_EJECTED_FRACTION <= len(usable):
+        ejected = sum(1 for r in self._usable if r.health.ejected)
+        if (ejected + 1) * MAXIMUM_EJECTED_FRACTION <= len(self._usable):
             runner.health.eject(now)
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -115,7 +115,10 @@
         if self._slots.permits.has_ended(event.key):
             self._refuse_flat(waiting, state, decision.Phase.ENDED, now)
             return
-        if not self._admission.admits(waiting, state, now):
+        if not self._shard.any_waiting():
+            if self._granting.settle_at_once(waiting, state, now):
+                return
+        elif not self._admission.admits(waiting, state, now):
             return
         self._slots.permits.add_queued(
             event.key, ledger.Queued(waiting=waiting, state=state)
@@ -182,15 +185,7 @@
                 self._slots.miss(key, now)
 
     def _on_upstream(self, event: messages.UpstreamChanged) -> None:
-        runner = self._shard.pool.get(event.upstream)
-        if runner is None:
-            return
-        if (
-            runner.state is messages.UpstreamState.GONE
-            and event.state is messages.UpstreamState.LIVE
-        ):
-            runner.restart()
-        runner.state = event.state
+        self._shard.pool.set_state(event.upstream, event.state)
         self._shard.forget_margins()
 
     def _drop_ingress(self, ingress: types.EntryVmId, now: float) -> None:
--- a/packages/policy/src/lagoonrun_policy/shard.py
+++ b/packages/policy/src/lagoonrun_policy/shard.py
@@ -125,6 +125,10 @@
             )
         return now + self.services.typical(profile=profile, now=now)
 
+    def any_waiting(self) -> bool:
+        """Return whether any request waits."""
+        return any(c.queue.length for c in self.classes)
+
     def drain_seconds(
         self, state: class_state.ClassState, own_ahead: int, now: float
     ) -> float:
@@ -136,30 +140,37 @@
         room = self.pool.total_room()
         if room == 0:
             return 0.0
-        ahead = own_ahead * self._mean(state, now)
+        ahead = own_ahead * self._mean(state, now) if own_ahead else 0.0
         running_above = 0
         for other in self.classes:
-            if other.policy.tier < state.policy.tier:
-                running_above += other.running
-                ahead += len(other.queue) * self._mean(other, now)
+            if other.policy.tier >= state.policy.tier:
+                break
+            running_above += other.running
+            if other.queue.length > 0:
+                ahead += other.queue.length * self._mean(other, now)
+        if ahead == 0.0:
+            return 0.0
         share = 1.0 - floors.reserved_share(state, self.classes)
         return ahead / (max(1, room - running_above) * share)
 
     def sheddable_below(self, state: class_state.ClassState) -> int:
         """Return how many requests of lower tiers may be shed."""
-        return sum(
-            c.sheddable
-            for c in self.classes
-            if c.policy.tier > state.policy.tier
-        )
+        count = 0
+        for other in reversed(self.classes):
+            if other.policy.tier <= state.policy.tier:
+                break
+            if other.queue.length:
+                count += other.sheddable
+        return count
 
     def waiting_above(self, state: class_state.ClassState) -> int:
         """Return how many requests of higher tiers wait."""
-        return sum(
-            len(c.queue)
-            for c in self.classes
-            if c.policy.tier < state.policy.tier
-        )
+        count = 0
+        for other in self.classes:
+            if other.policy.tier >= state.policy.tier:
+                break
+            count += other.queue.length
+        return count
 
     def _adopt_classes(self) -> None:
         weights = self.policy.weights_by_organisation
--- a/packages/policy/src/lagoonrun_policy/slots.py
+++ b/packages/policy/src/lagoonrun_policy/slots.py
@@ -120,7 +120,11 @@
             self._shard.services.record(
                 profile=profile,
                 upstream=running.upstream,
-                first_token_seconds=event.first_token_seconds,
+                first_token_seconds=(
+                    event.first_token_seconds
+                    if running.state.policy.target_on_first_token
+                    else 0.0
+                ),
                 total_seconds=event.total_seconds,
                 now=now,
             )
