--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -33,7 +33,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PermitRequest:
-    """Ask the dispatcher of a shard for a runner."""
+    """Ask the dispatcher of a shard for a runner.
+
+    Parameters
+    ----------
+    handover
+        The entry VMs ranked before the callee did not answer, so the callee
+        is to dispatch even if it believes that one of them lives.
+    """
 
     request_id: types.RequestId
     attempt_id: types.AttemptId
@@ -46,6 +53,7 @@
     prompt_bytes: int = 0
     excluded: tuple[types.UpstreamId, ...] = ()
     revision: types.Revision = types.Revision(0)
+    handover: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -106,6 +114,14 @@
 # Permits: dispatcher to ingress.
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DigestAcknowledged:
+    """The dispatcher lives; it does not know of the requests in `unknown`."""
+
+    shard: types.ShardId
+    unknown: tuple[WaitingWork, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PermitAcknowledged:
     """The dispatcher has the request in its queue."""
@@ -285,4 +301,5 @@
     | Ping
     | Acknowledge
     | PingRequest
+    | DigestAcknowledged
 )
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -21,6 +21,7 @@
   promptBytes @8 :UInt64;
   excluded @9 :List(Text);
   revision @10 :UInt64;
+  handover @11 :Bool;
 }
 
 struct PermitReturn {
@@ -155,6 +156,11 @@
   target @2 :Text;
 }
 
+struct DigestAcknowledged {
+  shard @0 :Text;
+  unknown @1 :List(WaitingWork);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -173,5 +179,6 @@
     ping @13 :Ping;
     acknowledge @14 :Acknowledge;
     pingRequest @15 :PingRequest;
+    digestAcknowledged @16 :DigestAcknowledged;
   }
 }
