--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/admin.py
@@ -0,0 +1,113 @@
+"""The operators' address: health, metrics, status and explanations."""
+
+import hashlib
+import hmac
+import json
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+from lagoonrun_core import types
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import server as http_server
+
+JsonObject = Mapping[str, Any]
+_BEARER = "bearer "
+_OPEN_PATHS = frozenset(("/healthz", "/readyz"))
+
+
+class AdminSource(Protocol):
+    """What the admin address shows of a daemon."""
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+
+    def status(self) -> JsonObject:
+        """Return the state of this entry VM as JSON values."""
+
+    def explain(self, request_id: types.RequestId) -> JsonObject | None:
+        """Return what is known of a request, None where it is nothing."""
+
+
+class AdminHandler:
+    """Answer admin requests.
+
+    Parameters
+    ----------
+    source
+        The daemon.
+    token_digest
+        SHA-256 (hexadecimal) of the bearer token; empty for none. Health
+        and readiness are open, since the platform's balancer asks them.
+    """
+
+    def __init__(self, *, source: AdminSource, token_digest: str) -> None:
+        self._source = source
+        self._token_digest = token_digest
+
+    async def handle(self, exchange: http_server.Exchange) -> None:
+        """Answer one admin request."""
+        await exchange.read_body()
+        path = exchange.head.target.partition("?")[0]
+        if path not in _OPEN_PATHS and not self._is_allowed(exchange):
+            await _respond_json(exchange, 401, {"error": "bearer token"})
+            return
+        match path.strip("/").split("/"):
+            case ["healthz"]:
+                await _respond_json(exchange, 200, {"healthy": True})
+            case ["readyz"]:
+                ready = self._source.is_ready()
+                status = 200 if ready else 503
+                await _respond_json(exchange, status, {"ready": ready})
+            case ["metrics"]:
+                await self._respond_metrics(exchange)
+            case ["status"]:
+                await _respond_json(exchange, 200, self._source.status())
+            case ["explain", request_id]:
+                await self._respond_explanation(exchange, request_id)
+            case _:
+                await _respond_json(exchange, 404, {"error": "no such path"})
+
+    def _is_allowed(self, exchange: http_server.Exchange) -> bool:
+        if not self._token_digest:
+            return True
+        authorization = exchange.head.headers.get("Authorization", "")
+        if not authorization.lower().startswith(_BEARER):
+            return False
+        token = authorization[len(_BEARER) :].strip()
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        return hmac.compare_digest(digest, self._token_digest)
+
+    async def _respond_metrics(self, exchange: http_server.Exchange) -> None:
+        await exchange.respond(
+            status=200,
+            headers=http_messages.Headers(
+                pairs=[("Content-Type", "text/plain; version=0.0.4")]
+            ),
+            body=self._source.render_metrics(),
+        )
+
+    async def _respond_explanation(
+        self, exchange: http_server.Exchange, request_id: str
+    ) -> None:
+        found = self._source.explain(types.RequestId(request_id))
+        if found is None:
+            await _respond_json(
+                exchange, 404, {"error": f"{request_id!r} is not known here"}
+            )
+            return
+        await _respond_json(exchange, 200, found)
+
+
+async def _respond_json(
+    exchange: http_server.Exchange, status: int, value: JsonObject
+) -> None:
+    await exchange.respond(
+        status=status,
+        headers=http_messages.Headers(
+            pairs=[("Content-Type", "application/json")]
+        ),
+        body=json.dumps(value).encode(),
+    )
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/answers.py
@@ -0,0 +1,87 @@
+"""Answers that lagoonrun itself gives to callers."""
+
+import math
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_daemon import resolution
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import server as http_server
+
+OUTCOME_HEADER = "Lagoonrun-Outcome"
+REQUEST_ID_HEADER = "Lagoonrun-Request-Id"
+_REASON_HEADER = "Lagoonrun-Reason"
+
+_STATUS_BY_REASON = {
+    outcomes.Reason.QUEUE_FULL: 429,
+    outcomes.Reason.DEADLINE: 504,
+    outcomes.Reason.CLAIM_TAKEN: 409,
+    outcomes.Reason.UPSTREAM_CLOSED: 502,
+    outcomes.Reason.UPSTREAM_MISMATCH: 502,
+    outcomes.Reason.UPSTREAM_PROTOCOL: 502,
+    outcomes.Reason.UPSTREAM_TIMEOUT: 504,
+}
+_DEFAULT_STATUS = 503
+
+
+def ending_headers(
+    request_id: types.RequestId, ending: outcomes.Ending
+) -> http_messages.Headers:
+    """Return the headers that tell a caller how its request ended."""
+    headers = http_messages.Headers(
+        pairs=[
+            (REQUEST_ID_HEADER, request_id),
+            (OUTCOME_HEADER, ending.outcome.value),
+        ]
+    )
+    if ending.reason is not outcomes.Reason.NONE:
+        headers = headers.with_added(_REASON_HEADER, ending.reason.value)
+    if ending.retry_after_seconds > 0:
+        # Whole seconds, rounded up: coming back early is refused again.
+        seconds = str(math.ceil(ending.retry_after_seconds))
+        headers = headers.with_added("Retry-After", seconds)
+    return headers
+
+
+async def refuse(
+    exchange: http_server.Exchange,
+    *,
+    request_id: types.RequestId,
+    ending: outcomes.Ending,
+) -> None:
+    """Answer a request that was accepted but got no upstream's answer."""
+    status = _STATUS_BY_REASON.get(ending.reason, _DEFAULT_STATUS)
+    body = http_server.error_body(
+        step="permit",
+        field="",
+        message=ending.detail or ending.reason.value,
+        valid="",
+    )
+    headers = ending_headers(request_id, ending).with_added(
+        "Content-Type", "application/json"
+    )
+    await exchange.respond(status=status, headers=headers, body=body)
+
+
+async def reject(
+    exchange: http_server.Exchange,
+    *,
+    request_id: types.RequestId,
+    rejection: resolution.Rejection,
+) -> None:
+    """Answer a request that cannot be served as it stands."""
+    body = http_server.error_body(
+        step=rejection.step.value,
+        field=rejection.field,
+        message=rejection.message,
+        valid=rejection.valid,
+    )
+    headers = http_messages.Headers(
+        pairs=[
+            (REQUEST_ID_HEADER, request_id),
+            (OUTCOME_HEADER, outcomes.Outcome.NOT_RUN.value),
+            ("Content-Type", "application/json"),
+        ]
+    )
+    if rejection.status == 401:
+        headers = headers.with_added("WWW-Authenticate", "Bearer")
+    await exchange.respond(status=rejection.status, headers=headers, body=body)
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/attempt.py
@@ -0,0 +1,80 @@
+"""One try of a request at one upstream, as a tagged result.
+
+An attempt never raises for what an upstream does; it says what is known of
+the request: whether a byte of it left, and whether the caller has got any
+of the answer.
+"""
+
+import dataclasses
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import upstream as http_upstream
+
+NOT_RUN_HEADER = "X-Not-Run"
+"""Set to `true` by an upstream that says it did not run the request."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Whole:
+    """The upstream's whole answer, read but not yet delivered."""
+
+    head: http_messages.ResponseHead
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Streaming:
+    """The upstream has begun to answer; its chunks are to be relayed."""
+
+    response: http_upstream.UpstreamResponse
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Lost:
+    """The attempt gave no answer that may be delivered.
+
+    Parameters
+    ----------
+    ran
+        `NOT_RUN` where no byte left or the upstream said so, else `UNKNOWN`
+        or `FAILED`.
+    """
+
+    ran: outcomes.Outcome
+    reason: outcomes.Reason
+    detail: str
+    upstream: types.UpstreamId
+
+
+_REASONS_BY_STAGE = {
+    http_upstream.FailureStage.CONNECT: outcomes.Reason.UPSTREAM_CONNECT,
+    http_upstream.FailureStage.WRITE: outcomes.Reason.UPSTREAM_CLOSED,
+    http_upstream.FailureStage.READ_HEAD: outcomes.Reason.UPSTREAM_CLOSED,
+    http_upstream.FailureStage.READ_BODY: outcomes.Reason.UPSTREAM_CLOSED,
+    http_upstream.FailureStage.MISMATCH: outcomes.Reason.UPSTREAM_MISMATCH,
+    http_upstream.FailureStage.PROTOCOL: outcomes.Reason.UPSTREAM_PROTOCOL,
+    http_upstream.FailureStage.TIMEOUT: outcomes.Reason.UPSTREAM_TIMEOUT,
+}
+
+
+def lost_by(
+    failure: http_upstream.UpstreamFailure, *, upstream: types.UpstreamId
+) -> Lost:
+    """Return what a failed exchange says of the request."""
+    ran = (
+        outcomes.Outcome.UNKNOWN
+        if failure.bytes_left
+        else outcomes.Outcome.NOT_RUN
+    )
+    return Lost(
+        ran=ran,
+        reason=_REASONS_BY_STAGE[failure.stage],
+        detail=failure.detail,
+        upstream=upstream,
+    )
+
+
+def says_not_run(head: http_messages.ResponseHead) -> bool:
+    """Return whether the upstream says by protocol that it ran nothing."""
+    return head.headers.get(NOT_RUN_HEADER, "").lower() == "true"
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/call.py
@@ -0,0 +1,44 @@
+"""One request of a caller as the ingress works on it."""
+
+import dataclasses
+
+from lagoonrun_config import model
+from lagoonrun_core import types
+from lagoonrun_daemon import resolution
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import server as http_server
+
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Call:
+    """A resolved request and its limits.
+
+    Parameters
+    ----------
+    arrived_at, target_at, limit_at
+        Readings of the monotonic clock.
+    idempotency_key
+        The caller's own, None where it gave none.
+    """
+
+    request_id: types.RequestId
+    exchange: http_server.Exchange
+    body: bytes
+    resolved: resolution.Resolved
+    configuration: model.Configuration
+    arrived_at: float
+    target_at: float
+    limit_at: float
+    idempotency_key: str | None
+
+    @property
+    def head(self) -> http_messages.RequestHead:
+        """The caller's request line and headers."""
+        return self.exchange.head
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the call may be sent more than once."""
+        return self.resolved.profile.idempotent
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -0,0 +1,354 @@
+"""Assemble one `lagoonrund`: start all tasks, and stop them gracefully."""
+
+import asyncio
+import random
+import secrets
+
+from lagoonrun_config import follower as followers
+from lagoonrun_config import model, settings
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import events, logs, types
+from lagoonrun_daemon import (
+    admin,
+    dispatcher,
+    execution,
+    explanations,
+    fleet,
+    ingress,
+    loads,
+    message_router,
+    metrics,
+    peer_snapshots,
+    permits,
+    status,
+    transport,
+)
+from lagoonrun_http import limits as http_limits
+from lagoonrun_http import server as http_server
+from lagoonrun_http import upstream as http_upstream
+from lagoonrun_membership import membership, ranking
+from lagoonrun_platform import etcd_gateway
+from lagoonrun_policy import messages as policy_messages
+from lagoonrun_policy import retries
+from lagoonrun_protocol import hub, messages
+
+_HUB_FLUSH_SECONDS = 1.0
+
+
+class Daemon:
+    """All of one entry VM.
+
+    Parameters
+    ----------
+    configured
+        Checked settings.
+    clock
+        Source of time.
+    chance
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        configured: settings.Settings,
+        clock: clocks.Clock | None = None,
+        chance: random.Random | None = None,
+    ) -> None:
+        self._settings = configured
+        self._clock = clock or clocks.SystemClock()
+        self._random = chance or random.Random(secrets.randbits(64))
+        self._ready = False
+        self._stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._build_network()
+        self._build_decisions()
+        self._build_edges()
+
+    def _build_network(self) -> None:
+        configured = self._settings
+        # Milliseconds since the epoch: higher at each start of the same
+        # entry VM, without anything kept on disk.
+        self._incarnation = types.Incarnation(int(self._clock.wall() * 1000))
+        self.store = etcd_gateway.EtcdGatewayStore(
+            addresses=configured.platform,
+            clock=self._clock,
+            random_source=self._random,
+        )
+        self.members = membership.Membership(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            incarnation=self._incarnation,
+            host=configured.peer.host,
+            port=configured.peer.port,
+            seeds=configured.seeds,
+            key=configured.inner_key,
+            clock=self._clock,
+            random_source=self._random,
+            listener=self,
+        )
+        self.hub = hub.PeerHub(
+            entry_vm=configured.entry_vm,
+            incarnation=self._incarnation,
+            domain=configured.domain,
+            host=configured.peer.host,
+            port=configured.peer.port,
+            key=configured.inner_key,
+            address_book=self.members,
+            handler=self,
+            clock=self._clock,
+            random_source=self._random,
+        )
+        self._transport = transport.LoopbackTransport(
+            entry_vm=configured.entry_vm, remote=self.hub
+        )
+
+    def _build_decisions(self) -> None:
+        configured = self._settings
+        self.explanations = explanations.ExplanationRing(
+            capacity=configured.explain_capacity
+        )
+        self.fleet = fleet.FleetView(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            members=self.members,
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            entry_vm=configured.entry_vm,
+            view=self.fleet,
+            transport=self._transport,
+            explanations=self.explanations,
+            clock=self._clock,
+        )
+        self.permits = permits.PermitClient(
+            ranking=self.fleet,
+            transport=self._transport,
+            clock=self._clock,
+        )
+        self.snapshots = peer_snapshots.PeerSnapshots(
+            transport=self._transport, announcer=self.members
+        )
+        self.follower = followers.ConfigurationFollower(
+            store=self.store,
+            peers=self.snapshots,
+            watchers=self,
+            chance=self._random,
+        )
+        self.snapshots.serve_from(self.follower)
+        self._router = message_router.MessageRouter(
+            dispatcher=self.dispatcher,
+            permits=self.permits,
+            snapshots=self.snapshots,
+            on_link_lost=self.permits.on_member_gone,
+        )
+        self._transport.attach(self._router)
+
+    def _build_edges(self) -> None:
+        configured = self._settings
+        self.metrics = metrics.DaemonMetrics()
+        self.client = http_upstream.UpstreamClient(
+            limits=http_limits.ClientLimits(), clock=self._clock
+        )
+        self.ingress = ingress.Ingress(
+            services=execution.Services(
+                entry_vm=configured.entry_vm,
+                permits=self.permits,
+                client=self.client,
+                fleet=self.fleet,
+                explanations=self.explanations,
+                budget=retries.RetryBudgets(),
+                clock=self._clock,
+                random=self._random,
+            ),
+            metrics=self.metrics,
+        )
+        self.caller_server = http_server.HttpServer(
+            host=configured.caller.host,
+            port=configured.caller.port,
+            limits=http_limits.ServerLimits(),
+            handler=self.ingress,
+            clock=self._clock,
+        )
+        self.admin_server = http_server.HttpServer(
+            host=configured.admin.host,
+            port=configured.admin.port,
+            limits=http_limits.ServerLimits(),
+            handler=admin.AdminHandler(
+                source=status.DaemonStatus(daemon=self),
+                token_digest=configured.admin_token_digest,
+            ),
+            clock=self._clock,
+        )
+        self._load_reader = loads.LoadReader(
+            client=self.client,
+            upstreams=self._dispatched_upstreams,
+            on_report=self._on_load_report,
+            on_leaving=self._on_own_report,
+        )
+
+    @property
+    def settings(self) -> settings.Settings:
+        """Checked settings of this entry VM."""
+        return self._settings
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop is under way."""
+        return self._stopping
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self._ready and not self._stopping
+
+    async def start(self) -> None:
+        """Start all tasks; ready once a configuration is in force."""
+        logs.emit(
+            events.LogEvent.PROCESS_STARTED,
+            domain=self._settings.domain,
+            incarnation=self._incarnation,
+        )
+        await self.hub.start()
+        await self.members.start()
+        await self.permits.start()
+        await self.follower.start()
+        await self._load_reader.start()
+        await self.admin_server.start()
+        await self.caller_server.start()
+        self._tasks = [asyncio.create_task(self._follow_configuration())]
+
+    async def stop(self) -> int:
+        """Stop as planned: cut nothing, refuse nothing another could take.
+
+        Returns
+        -------
+        int
+            Requests that still ran when the drain timeout passed.
+        """
+        self._stopping = True
+        logs.emit(
+            events.LogEvent.PROCESS_STOPPING,
+            open_exchanges=self.caller_server.open_exchanges,
+        )
+        self.members.announce_leaving()
+        self.fleet.on_members_changed()
+        self.dispatcher.stop_owning()
+        await asyncio.sleep(self._settings.readiness_grace_seconds)
+        self.caller_server.stop_accepting()
+        left = await self.caller_server.drain(
+            self._settings.drain_timeout_seconds
+        )
+        await self.close()
+        logs.emit(events.LogEvent.PROCESS_STOPPED, cut_requests=left)
+        return left
+
+    async def close(self) -> None:
+        """End all tasks at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.caller_server.close()
+        await self._load_reader.close()
+        await self.permits.close()
+        self.dispatcher.close()
+        await self.follower.close()
+        await self.hub.flush(timeout_seconds=_HUB_FLUSH_SECONDS)
+        await self.members.close()
+        await self.hub.close()
+        await self.client.close()
+        await self.admin_server.close()
+        await self.store.close()
+
+    async def _follow_configuration(self) -> None:
+        queue = self.follower.subscribe()
+        while True:
+            self._put_in_force(await queue.get())
+
+    def _put_in_force(self, configuration: model.Configuration) -> None:
+        self.fleet.set_configuration(configuration)
+        self.dispatcher.set_configuration(configuration)
+        self.ingress.set_configuration(configuration)
+        self.metrics.revision.set(configuration.revision)
+        if not self._ready:
+            self._ready = True
+            logs.emit(
+                events.LogEvent.PROCESS_READY, revision=configuration.revision
+            )
+
+    # What the hub and the membership tell.
+
+    def on_message(
+        self, sender: types.EntryVmId, message: messages.Message
+    ) -> None:
+        """Take in a message of another entry VM."""
+        self._router.on_message(sender, message)
+
+    def on_link_lost(self, peer: types.EntryVmId) -> None:
+        """Take in the loss of a connection with an entry VM."""
+        self._router.on_link_lost(peer)
+
+    def on_member_changed(self, view: membership.MemberView) -> None:
+        """Take in a changed state of an entry VM."""
+        self.fleet.on_members_changed()
+        if view.state is messages.MemberState.DEAD:
+            self.permits.on_member_gone(view.entry_vm)
+            self.dispatcher.on_ingress_gone(view.entry_vm)
+        self.dispatcher.on_ranking_changed()
+        self.permits.on_ranking_changed()
+
+    def on_upstream_changed(
+        self, upstream: types.UpstreamId, leaving: bool
+    ) -> None:
+        """Take in that an upstream is leaving, or has come back."""
+        if leaving:
+            logs.emit(events.LogEvent.UPSTREAM_LEAVING, upstream=upstream)
+        self.dispatcher.on_upstreams_changed()
+        self._forget_connections(upstream)
+
+    def on_configuration_announced(
+        self,
+        peer: types.EntryVmId,
+        revision: types.Revision,
+        digest: str,
+    ) -> None:
+        """Take in which revision a peer has in force."""
+        self.snapshots.on_announced(peer, revision, digest)
+
+    def on_shard_summary(self, summary: messages.ShardSummary) -> None:
+        """Take in the state of a shard of another domain."""
+
+    def is_watcher(self) -> bool:
+        """Return whether this entry VM watches the head for its domain."""
+        live = self.members.live_in(self._settings.domain)
+        chosen = ranking.choose_watchers(self._settings.domain, live)
+        return self._settings.entry_vm in chosen
+
+    # What the load reader asks and tells.
+
+    def _dispatched_upstreams(self) -> list[model.Upstream]:
+        return [
+            upstream
+            for shard_id in self.dispatcher.owned_shards
+            if (shard := self.fleet.shards_by_id.get(shard_id))
+            for upstream in shard.upstreams
+        ]
+
+    def _on_load_report(self, report: policy_messages.LoadReported) -> None:
+        for shard_id in self.dispatcher.owned_shards:
+            shard = self.fleet.shards_by_id.get(shard_id)
+            if shard and any(u.id == report.upstream for u in shard.upstreams):
+                self.dispatcher.on_load_report(shard_id, report)
+
+    def _on_own_report(self, upstream: types.UpstreamId, leaving: bool) -> None:
+        if leaving != self.members.upstream_is_leaving(upstream):
+            self.members.report_upstream(
+                upstream, types.Incarnation(0), leaving
+            )
+
+    def _forget_connections(self, upstream: types.UpstreamId) -> None:
+        configuration = self.fleet.configuration
+        if configuration is None:
+            return
+        declared = configuration.upstreams_by_id.get(upstream)
+        if declared is not None:
+            self.client.forget(declared.address, declared.port)
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/ingress.py
@@ -0,0 +1,167 @@
+"""Take callers' requests in and see each to its final answer."""
+
+import asyncio
+import secrets
+
+from lagoonrun_config import model
+from lagoonrun_core import events, logs, outcomes, types
+from lagoonrun_daemon import (
+    answers,
+    execution,
+    metrics,
+    resolution,
+)
+from lagoonrun_daemon import call as calls
+from lagoonrun_http import server as http_server
+
+_REQUEST_ID_BYTES = 12
+
+
+class Ingress:
+    """Handle the exchanges of the caller address.
+
+    Parameters
+    ----------
+    services
+        Shared parts of the daemon.
+    metrics
+        Counters that the ingress keeps.
+    """
+
+    def __init__(
+        self,
+        *,
+        services: execution.Services,
+        metrics: metrics.DaemonMetrics,
+    ) -> None:
+        self._services = services
+        self._metrics = metrics
+        self._resolver: resolution.Resolver | None = None
+
+    def set_configuration(self, configuration: model.Configuration) -> None:
+        """Resolve the following requests by a new revision."""
+        self._resolver = resolution.Resolver(configuration=configuration)
+
+    async def handle(self, exchange: http_server.Exchange) -> None:
+        """Answer one request; never raises for what a caller does."""
+        request_id = types.RequestId(secrets.token_hex(_REQUEST_ID_BYTES))
+        arrived_at = self._services.clock.monotonic()
+        resolver = self._resolver
+        if resolver is None:
+            await answers.refuse(
+                exchange,
+                request_id=request_id,
+                ending=outcomes.Ending(
+                    outcome=outcomes.Outcome.NOT_RUN,
+                    reason=outcomes.Reason.UNCONFIGURED,
+                    retry_after_seconds=1.0,
+                    detail="no configuration is in force yet",
+                ),
+            )
+            return
+        call = await self._admit(exchange, request_id, arrived_at, resolver)
+        if call is not None:
+            await self._execute(call)
+
+    async def _admit(
+        self,
+        exchange: http_server.Exchange,
+        request_id: types.RequestId,
+        arrived_at: float,
+        resolver: resolution.Resolver,
+    ) -> calls.Call | None:
+        """Return the resolved call, or None after having rejected it."""
+        headers = exchange.head.headers
+        organisation = resolver.authenticate(headers.get("Authorization"))
+        if isinstance(organisation, resolution.Rejection):
+            await self._reject(exchange, request_id, organisation)
+            return None
+        body = await exchange.read_body()
+        resolved = resolver.resolve(
+            organisation=organisation,
+            target=exchange.head.target,
+            body=body,
+        )
+        if isinstance(resolved, resolution.Rejection):
+            await self._reject(exchange, request_id, resolved)
+            return None
+        return calls.Call(
+            request_id=request_id,
+            exchange=exchange,
+            body=body,
+            resolved=resolved,
+            configuration=resolver.configuration,
+            arrived_at=arrived_at,
+            target_at=arrived_at + resolved.profile.target_seconds,
+            limit_at=arrived_at + resolved.profile.limit_seconds,
+            idempotency_key=headers.get(calls.IDEMPOTENCY_KEY_HEADER),
+        )
+
+    async def _reject(
+        self,
+        exchange: http_server.Exchange,
+        request_id: types.RequestId,
+        rejection: resolution.Rejection,
+    ) -> None:
+        logs.emit(
+            events.LogEvent.REQUEST_REJECTED,
+            request_id=request_id,
+            status=rejection.status,
+            step=rejection.step.value,
+            field=rejection.field,
+        )
+        self._metrics.rejected.labels(str(rejection.status)).inc()
+        await answers.reject(
+            exchange, request_id=request_id, rejection=rejection
+        )
+
+    async def _execute(self, call: calls.Call) -> None:
+        run = execution.CallExecution(call=call, services=self._services)
+        work = asyncio.create_task(run.run())
+        left = asyncio.create_task(call.exchange.caller_left.wait())
+        try:
+            await asyncio.wait(
+                {work, left}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done() and not run.must_finish:
+                work.cancel()
+            ending = await self._ending_of(work)
+        except asyncio.CancelledError:
+            work.cancel()
+            raise
+        finally:
+            left.cancel()
+            self._services.permits.forget_request(call.request_id)
+        self._record(call, ending)
+
+    async def _ending_of(
+        self, work: asyncio.Task[outcomes.Ending]
+    ) -> outcomes.Ending:
+        try:
+            return await work
+        except (asyncio.CancelledError, ConnectionError):
+            return outcomes.Ending(
+                outcome=outcomes.Outcome.UNKNOWN,
+                reason=outcomes.Reason.CALLER_LEFT,
+            )
+
+    def _record(self, call: calls.Call, ending: outcomes.Ending) -> None:
+        seconds = self._services.clock.monotonic() - call.arrived_at
+        self._services.explanations.end(call.request_id, ending)
+        self._metrics.count_ending(
+            profile=call.resolved.profile,
+            ending=ending,
+            seconds=seconds,
+        )
+        logs.emit(
+            events.LogEvent.REQUEST_ENDED,
+            request_id=call.request_id,
+            organisation=call.resolved.organisation,
+            service=call.resolved.service.name,
+            profile=call.resolved.profile.name,
+            outcome=ending.outcome.value,
+            reason=ending.reason.value,
+            upstream=ending.upstream,
+            seconds=round(seconds, 4),
+            revision=call.configuration.revision,
+        )
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/loads.py
@@ -0,0 +1,118 @@
+"""Read the load reports of the upstreams whose shards are dispatched here."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Sequence
+
+from prometheus_client import parser
+
+from lagoonrun_config import model
+from lagoonrun_core import types
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import upstream as http_upstream
+from lagoonrun_policy import messages as policy_messages
+
+REPORT_PERIOD_SECONDS = 0.5
+_REPORT_TIMEOUT_SECONDS = 2.0
+_LARGEST_REPORT_BYTES = 256 * 1024
+_METRICS_REQUEST_ID = types.RequestId("load-report")
+
+_RUNNING = "engine_requests_running"
+_WAITING = "engine_requests_waiting"
+_CACHE_USAGE = "engine_kv_cache_usage_ratio"
+_LEAVING = "engine_leaving"
+
+
+class LoadReader:
+    """Task that asks upstreams for their load in turn.
+
+    Parameters
+    ----------
+    client
+        Connections to upstreams.
+    upstreams
+        Returns those whose shards this entry VM dispatches now.
+    on_report
+        Takes in each report.
+    on_leaving
+        Told of an upstream whose report says that it is leaving, or that it
+        has come back.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: http_upstream.UpstreamClient,
+        upstreams: Callable[[], Sequence[model.Upstream]],
+        on_report: Callable[[policy_messages.LoadReported], None],
+        on_leaving: Callable[[types.UpstreamId, bool], None],
+    ) -> None:
+        self._client = client
+        self._upstreams = upstreams
+        self._on_report = on_report
+        self._on_leaving = on_leaving
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to read reports."""
+        self._task = asyncio.create_task(self._read_forever())
+
+    async def close(self) -> None:
+        """Stop reading."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _read_forever(self) -> None:
+        while True:
+            reads = [self._read(upstream) for upstream in self._upstreams()]
+            await asyncio.gather(*reads)
+            await asyncio.sleep(REPORT_PERIOD_SECONDS)
+
+    async def _read(self, upstream: model.Upstream) -> None:
+        # A frozen upstream must not keep the others' reports back.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_REPORT_TIMEOUT_SECONDS):
+                text = await self._fetch(upstream)
+                if text is not None:
+                    self._take(upstream.id, text)
+
+    async def _fetch(self, upstream: model.Upstream) -> str | None:
+        request = http_upstream.UpstreamRequest(
+            head=http_messages.RequestHead(
+                method="GET", target="/metrics", headers=http_messages.Headers()
+            ),
+            body=b"",
+            request_id=_METRICS_REQUEST_ID,
+        )
+        response = await self._client.send(
+            request, address=upstream.address, port=upstream.port
+        )
+        if isinstance(response, http_upstream.UpstreamFailure):
+            return None
+        body = await response.read_all(_LARGEST_REPORT_BYTES)
+        if response.head.status != 200 or not isinstance(body, bytes):
+            return None
+        return body.decode(errors="replace")
+
+    def _take(self, upstream: types.UpstreamId, text: str) -> None:
+        values: dict[str, float] = {}
+        try:
+            for family in parser.text_string_to_metric_families(text):
+                for sample in family.samples:
+                    values[sample.name] = sample.value
+        except ValueError:
+            return
+        if _LEAVING in values:
+            self._on_leaving(upstream, bool(values[_LEAVING]))
+        if _RUNNING not in values:
+            return
+        self._on_report(
+            policy_messages.LoadReported(
+                upstream=upstream,
+                running=int(values[_RUNNING]),
+                waiting=int(values.get(_WAITING, 0)),
+                cache_usage=values.get(_CACHE_USAGE, 0.0),
+                age_seconds=0.0,
+            )
+        )
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/relay.py
@@ -0,0 +1,138 @@
+"""Relay a streamed answer from upstreams to one caller.
+
+Only whole events are passed on: what follows the last event boundary is held
+back until its end arrives. So an error event never lands inside another
+event, and a resumed stream goes on exactly after the last delivered one.
+"""
+
+import json
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import outcomes, types
+from lagoonrun_daemon import answers, attempt, permits
+from lagoonrun_daemon import call as calls
+from lagoonrun_http import hop_by_hop, sse
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import upstream as http_upstream
+
+RESUME_HEADER = "X-Resume-Offset"
+"""Tells a resuming engine how many events were delivered already."""
+
+_LARGEST_EVENT_BYTES = 1024 * 1024
+
+
+class StreamRelay:
+    """Deliver one stream, over several upstreams if it has to be resumed.
+
+    Parameters
+    ----------
+    call
+        The streamed call.
+    clock
+        Source of time.
+    """
+
+    def __init__(self, *, call: calls.Call, clock: clocks.Clock) -> None:
+        self._call = call
+        self._clock = clock
+        self.delivered_events = 0
+
+    async def run(
+        self,
+        response: http_upstream.UpstreamResponse,
+        permit: permits.Permit,
+    ) -> outcomes.Ending | attempt.Lost:
+        """Relay one upstream's answer to its end or loss."""
+        sent_at = permit.granted_at
+        await self._start(response.head)
+        scanner = sse.EventScanner()
+        held = b""
+        passed = 0
+        before = self.delivered_events
+        while True:
+            chunk = await response.next_chunk()
+            if not isinstance(chunk, bytes):
+                break
+            scanner.feed(chunk)
+            held += chunk
+            whole = scanner.boundary - passed
+            if whole <= 0:
+                if len(held) > _LARGEST_EVENT_BYTES:
+                    return self._oversized(permit)
+                continue
+            if permit.first_token_seconds == 0.0:
+                permit.first_token_seconds = self._clock.monotonic() - sent_at
+            await self._call.exchange.send(held[:whole])
+            held = held[whole:]
+            passed = scanner.boundary
+            permit.tokens = scanner.events
+            self.delivered_events = before + scanner.events
+        if isinstance(chunk, http_upstream.UpstreamFailure):
+            return self._lost(permit, chunk.detail)
+        if not scanner.done:
+            return self._lost(permit, "the stream ended without [DONE]")
+        return await self._finish_complete(permit.upstream)
+
+    async def end_partial(
+        self, reason: outcomes.Reason, upstream: types.UpstreamId | None
+    ) -> outcomes.Ending:
+        """End a begun stream in an explicit error event."""
+        ending = outcomes.Ending(
+            outcome=outcomes.Outcome.PARTIAL,
+            reason=reason,
+            upstream=upstream,
+        )
+        await self._call.exchange.send(self._error_event(ending))
+        await self._call.exchange.finish()
+        return ending
+
+    async def _start(self, head: http_messages.ResponseHead) -> None:
+        if self._call.exchange.started:
+            return
+        headers = hop_by_hop.strip(head.headers).without(
+            ("Content-Length", "X-Request-Id")
+        )
+        headers = headers.with_added(
+            answers.REQUEST_ID_HEADER, self._call.request_id
+        )
+        await self._call.exchange.start(
+            http_messages.ResponseHead(status=head.status, headers=headers)
+        )
+
+    async def _finish_complete(
+        self, upstream: types.UpstreamId
+    ) -> outcomes.Ending:
+        await self._call.exchange.finish()
+        return outcomes.Ending(
+            outcome=outcomes.Outcome.COMPLETE, upstream=upstream
+        )
+
+    def _lost(self, permit: permits.Permit, detail: str) -> attempt.Lost:
+        return attempt.Lost(
+            ran=outcomes.Outcome.PARTIAL,
+            reason=outcomes.Reason.UPSTREAM_CLOSED,
+            detail=detail,
+            upstream=permit.upstream,
+        )
+
+    def _oversized(self, permit: permits.Permit) -> attempt.Lost:
+        return attempt.Lost(
+            ran=outcomes.Outcome.PARTIAL,
+            reason=outcomes.Reason.UPSTREAM_PROTOCOL,
+            detail=f"an event is larger than {_LARGEST_EVENT_BYTES} bytes",
+            upstream=permit.upstream,
+        )
+
+    def _error_event(self, ending: outcomes.Ending) -> bytes:
+        body = json.dumps(
+            {
+                "error": {
+                    "message": "the answer is incomplete",
+                    "type": "lagoonrun",
+                    "outcome": ending.outcome.value,
+                    "reason": ending.reason.value,
+                    "request_id": self._call.request_id,
+                }
+            }
+        )
+        return f"event: error\ndata: {body}\n\n".encode()
--- a/packages/daemon/src/lagoonrun_daemon/resolution.py
+++ b/packages/daemon/src/lagoonrun_daemon/resolution.py
@@ -108,6 +108,15 @@
     ) -> Resolved | Rejection:
         """Return what a request to `target` with `body` means."""
         path = target.partition("?")[0]
+        if _has_dot_segment(path):
+            # An upstream might resolve `..` to a path of another service.
+            return Rejection(
+                status=400,
+                step=errors.Step.RESOLVE_SERVICE,
+                field="path",
+                message="the path has a dot segment",
+                valid="a path without '.' and '..' segments",
+            )
         if path == CHAT_PATH:
             return self._resolve_chat(organisation, body)
         for service in self._plain_services:
@@ -172,12 +181,17 @@
 
 def _holds_digest(organisation: model.Organisation, digest: str) -> bool:
     matches = [
-        hmac.compare_digest(digest, known)
-        for known in organisation.key_digests
+        hmac.compare_digest(digest, known) for known in organisation.key_digests
     ]
     return any(matches)
 
 
+def _has_dot_segment(path: str) -> bool:
+    plain = path.lower().replace("%2e", ".").replace("%2f", "/")
+    segments = plain.replace("\\", "/").split("/")
+    return "." in segments or ".." in segments
+
+
 def _is_below(path: str, prefix: str) -> bool:
     return path == prefix or path.startswith(prefix.rstrip("/") + "/")
 
--- a/packages/daemon/src/lagoonrun_daemon/shards.py
+++ b/packages/daemon/src/lagoonrun_daemon/shards.py
@@ -30,9 +30,7 @@
         tuple[types.PoolName, types.FailureDomain], list[model.Upstream]
     ] = {}
     for upstream in configuration.upstreams_by_id.values():
-        groups.setdefault((upstream.pool, upstream.domain), []).append(
-            upstream
-        )
+        groups.setdefault((upstream.pool, upstream.domain), []).append(upstream)
     shards = []
     for (pool, domain), members in groups.items():
         shards += _split(pool=pool, domain=domain, members=members)
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/status.py
@@ -0,0 +1,89 @@
+"""What the admin address shows of a daemon, as JSON values."""
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING, Any
+
+from lagoonrun_core import types
+from lagoonrun_daemon import admin, explanations
+
+if TYPE_CHECKING:
+    from lagoonrun_daemon import daemon as daemons
+
+
+class DaemonStatus:
+    """Render the state of one daemon.
+
+    Parameters
+    ----------
+    daemon
+        The daemon to show.
+    """
+
+    def __init__(self, *, daemon: "daemons.Daemon") -> None:
+        self._daemon = daemon
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        return self._daemon.ready
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return self._daemon.metrics.render()
+
+    def status(self) -> admin.JsonObject:
+        """Return the state of this entry VM as JSON values."""
+        daemon = self._daemon
+        configuration = daemon.fleet.configuration
+        return {
+            "entry_vm": daemon.settings.entry_vm,
+            "domain": daemon.settings.domain,
+            "ready": daemon.ready,
+            "stopping": daemon.stopping,
+            "revision": configuration.revision if configuration else 0,
+            "digest": configuration.digest if configuration else "",
+            "platform_reachable": daemon.follower.platform_reachable,
+            "open_requests": daemon.caller_server.open_exchanges,
+            "members": [
+                to_json(member)
+                for member in daemon.members.members_by_id.values()
+            ],
+            "shards": [
+                self._shard(shard) for shard in daemon.fleet.shards_by_id
+            ],
+            "leaving_upstreams": sorted(daemon.fleet.leaving_upstreams()),
+        }
+
+    def explain(self, request_id: types.RequestId) -> admin.JsonObject | None:
+        """Return what is known of a request, None where it is nothing."""
+        found = self._daemon.explanations.find(request_id)
+        if found is None:
+            return None
+        return {"entry_vm": self._daemon.settings.entry_vm, **_to_json(found)}
+
+    def _shard(self, shard: types.ShardId) -> dict[str, Any]:
+        return {
+            "shard": shard,
+            "dispatcher": self._daemon.fleet.owner_of(shard),
+            "dispatched_here": shard in self._daemon.dispatcher.owned_shards,
+        }
+
+
+def _to_json(explanation: explanations.Explanation) -> dict[str, Any]:
+    return to_json(explanation)
+
+
+def to_json(value: Any) -> Any:
+    """Return a dataclass, enum or collection as plain JSON values."""
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return {
+            field.name: to_json(getattr(value, field.name))
+            for field in dataclasses.fields(value)
+        }
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, list | tuple | set | frozenset):
+        return [to_json(item) for item in value]
+    if isinstance(value, dict):
+        return {str(key): to_json(item) for key, item in value.items()}
+    return value
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -137,6 +137,7 @@
     request_id: types.RequestId
     attempt_id: types.AttemptId
     upstream: types.UpstreamId
+    shard: types.ShardId
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -73,6 +73,7 @@
   requestId @0 :Text;
   attemptId @1 :UInt64;
   upstream @2 :Text;
+  shard @3 :Text;
 }
 
 struct PermitRefused {
