--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -10,9 +10,9 @@
 import random
 from typing import Protocol
 
+from lagoonrun_config import model
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, outcomes, types
-from lagoonrun_config import model
 from lagoonrun_daemon import (
     answers,
     attempt,
