--- a/packages/config/src/lagoonrun_config/settings.py
+++ b/packages/config/src/lagoonrun_config/settings.py
@@ -40,6 +40,11 @@
     admin_token_digest
         SHA-256 (hexadecimal) of the token that admin calls must bear;
         empty for none.
+    drain_timeout_seconds
+        Longest time that a planned stop waits for running requests.
+    readiness_grace_seconds
+        How long a planned stop goes on taking requests after it has told
+        the balancer, which notices with a lag.
     """
 
     entry_vm: types.EntryVmId
@@ -52,4 +57,5 @@
     inner_key: bytes
     admin_token_digest: str = ""
     drain_timeout_seconds: float = 600.0
+    readiness_grace_seconds: float = 2.0
     explain_capacity: int = 10_000
--- a/packages/config/src/lagoonrun_config/settings_file.py
+++ b/packages/config/src/lagoonrun_config/settings_file.py
@@ -81,6 +81,12 @@
             minimum=0.0,
             maximum=_LONGEST_DRAIN_SECONDS,
         ),
+        readiness_grace_seconds=reader.number(
+            "readiness_grace_seconds",
+            default=2.0,
+            minimum=0.0,
+            maximum=_LONGEST_DRAIN_SECONDS,
+        ),
         explain_capacity=reader.integer(
             "explain_capacity",
             default=10_000,
--- a/packages/daemon/src/lagoonrun_daemon/call.py
+++ b/packages/daemon/src/lagoonrun_daemon/call.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from lagoonrun_claims import claim
 from lagoonrun_config import model
 from lagoonrun_core import types
 from lagoonrun_daemon import resolution
@@ -42,3 +43,8 @@
     def idempotent(self) -> bool:
         """Whether the call may be sent more than once."""
         return self.resolved.profile.idempotent
+
+
+def is_valid_key(key: str) -> bool:
+    """Return whether a caller's idempotency key can be claimed."""
+    return 0 < len(key.encode()) <= claim.MAXIMUM_KEY_BYTES
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 
+from lagoonrun_claims import claims
 from lagoonrun_config import follower as followers
 from lagoonrun_config import model, settings
 from lagoonrun_core import clock as clocks
@@ -18,8 +19,10 @@
     loads,
     message_router,
     metrics,
+    once,
     peer_snapshots,
     permits,
+    retry_budgets,
     status,
     transport,
 )
@@ -29,10 +32,10 @@
 from lagoonrun_membership import membership, ranking
 from lagoonrun_platform import etcd_gateway
 from lagoonrun_policy import messages as policy_messages
-from lagoonrun_policy import retries
 from lagoonrun_protocol import hub, messages
 
 _HUB_FLUSH_SECONDS = 1.0
+_SETTLEMENT_TIMEOUT_SECONDS = 2.0
 
 
 class Daemon:
@@ -70,10 +73,10 @@
         # Milliseconds since the epoch: higher at each start of the same
         # entry VM, without anything kept on disk.
         self._incarnation = types.Incarnation(int(self._clock.wall() * 1000))
-        self.store = etcd_gateway.EtcdGatewayStore(
+        self.store = etcd_gateway.EtcdGateway(
             addresses=configured.platform,
             clock=self._clock,
-            random_source=self._random,
+            chance=self._random,
         )
         self.members = membership.Membership(
             entry_vm=configured.entry_vm,
@@ -149,6 +152,14 @@
         self.client = http_upstream.UpstreamClient(
             limits=http_limits.ClientLimits(), clock=self._clock
         )
+        self.claims = claims.Claims(
+            store=self.store,
+            entry_vm=configured.entry_vm,
+            clock=self._clock,
+            # Attempt ids must differ between processes.
+            random=random.SystemRandom(),
+        )
+        self._settlements = once.SettlementTasks()
         self.ingress = ingress.Ingress(
             services=execution.Services(
                 entry_vm=configured.entry_vm,
@@ -156,7 +167,9 @@
                 client=self.client,
                 fleet=self.fleet,
                 explanations=self.explanations,
-                budget=retries.RetryBudgets(),
+                budgets=retry_budgets.RetryBudgets(),
+                claims=self.claims,
+                settlements=self._settlements,
                 clock=self._clock,
                 random=self._random,
             ),
@@ -212,6 +225,7 @@
         await self.members.start()
         await self.permits.start()
         await self.follower.start()
+        await self.claims.start()
         await self._load_reader.start()
         await self.admin_server.start()
         await self.caller_server.start()
@@ -250,6 +264,10 @@
         await self.caller_server.close()
         await self._load_reader.close()
         await self.permits.close()
+        await self._settlements.close(
+            timeout_seconds=_SETTLEMENT_TIMEOUT_SECONDS
+        )
+        await self.claims.close()
         self.dispatcher.close()
         await self.follower.close()
         await self.hub.flush(timeout_seconds=_HUB_FLUSH_SECONDS)
@@ -307,12 +325,12 @@
 
     def on_configuration_announced(
         self,
-        peer: types.EntryVmId,
+        source: types.EntryVmId,
         revision: types.Revision,
         digest: str,
     ) -> None:
         """Take in which revision a peer has in force."""
-        self.snapshots.on_announced(peer, revision, digest)
+        self.snapshots.on_announced(source, revision, digest)
 
     def on_shard_summary(self, summary: messages.ShardSummary) -> None:
         """Take in the state of a shard of another domain."""
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -8,8 +8,8 @@
 import asyncio
 import dataclasses
 import random
-from typing import Protocol
 
+from lagoonrun_claims import claims
 from lagoonrun_config import model
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, outcomes, types
@@ -18,8 +18,10 @@
     attempt,
     explanations,
     fleet,
+    once,
     permits,
     relay,
+    retry_budgets,
 )
 from lagoonrun_daemon import call as calls
 from lagoonrun_http import hop_by_hop
@@ -44,16 +46,6 @@
 )
 
 
-class RetryBudget(Protocol):
-    """Bounds how many retries a class adds to its own load."""
-
-    def on_first_attempt(self, profile: types.ProfileName) -> None:
-        """Count a first attempt, which earns a share of a retry."""
-
-    def take(self, profile: types.ProfileName, *, ratio: float) -> bool:
-        """Spend one retry; return False where the budget is empty."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Services:
     """What every execution needs of the daemon."""
@@ -63,7 +55,9 @@
     client: http_upstream.UpstreamClient
     fleet: fleet.FleetView
     explanations: explanations.ExplanationRing
-    budget: RetryBudget
+    budgets: retry_budgets.RetryBudgets
+    claims: claims.Claims
+    settlements: once.SettlementTasks
     clock: clocks.Clock
     random: random.Random
 
@@ -86,6 +80,12 @@
         self._retries = 0
         self._sent = False
         self._relay = relay.StreamRelay(call=call, clock=services.clock)
+        self._once = once.OnceGuard(
+            call=call,
+            claims=services.claims,
+            tasks=services.settlements,
+            clock=services.clock,
+        )
 
     @property
     def must_finish(self) -> bool:
@@ -100,18 +100,31 @@
     async def run(self) -> outcomes.Ending:
         """Return how the call ended, after the caller has been answered."""
         self._services.budget.on_first_attempt(self._call.resolved.profile.name)
-        while True:
-            ending = await self._try_once()
-            if ending is not None:
-                return ending
+        outcome = outcomes.Outcome.UNKNOWN
+        try:
+            while True:
+                ending = await self._try_once()
+                if ending is not None:
+                    outcome = ending.outcome
+                    return ending
+        except asyncio.CancelledError:
+            if not self._sent:
+                outcome = outcomes.Outcome.NOT_RUN
+            raise
+        finally:
+            self._once.settle(outcome)
 
     async def _try_once(self) -> outcomes.Ending | None:
         permit = await self._obtain_permit()
         if isinstance(permit, permits.PermitRefusal):
             return await self._refuse(permit)
         self._note("permit-granted", permit.upstream)
+        refusal = await self._claim(permit)
+        if refusal is not None:
+            await self._answer_ending(refusal)
+            return refusal
         upstream = self._usable_upstream(permit)
-        if upstream is None:
+        if upstream is None or not self._once.may_send():
             self._services.permits.give_back(permit)
             return None
         result = await self._send(permit, upstream)
@@ -140,6 +153,18 @@
             reason=outcomes.Reason.NO_UPSTREAM, retry_after_seconds=1.0
         )
 
+    async def _claim(self, permit: permits.Permit) -> outcomes.Ending | None:
+        """Claim the call's key; return the refusal if that did not work."""
+        try:
+            refusal = await self._once.secure()
+        except BaseException:
+            self._services.permits.give_back(permit)
+            raise
+        if refusal is not None:
+            self._note("claim-refused", refusal.reason.value)
+            self._services.permits.give_back(permit)
+        return refusal
+
     def _candidate_shards(self) -> list[types.ShardId]:
         pool = self._call.resolved.service.pool
         shards = self._services.fleet.shards_of_pool(pool)
@@ -340,9 +365,7 @@
         if not self._may_retry():
             return False
         profile = self._call.resolved.profile
-        if not self._services.budget.take(
-            profile.name, ratio=profile.retry_ratio
-        ):
+        if not self._services.budgets.take(profile.name):
             return False
         self._retries += 1
         return True
--- a/packages/daemon/src/lagoonrun_daemon/ingress.py
+++ b/packages/daemon/src/lagoonrun_daemon/ingress.py
@@ -3,8 +3,9 @@
 import asyncio
 import secrets
 
+from lagoonrun_claims import claim
 from lagoonrun_config import model
-from lagoonrun_core import events, logs, outcomes, types
+from lagoonrun_core import errors, events, logs, outcomes, types
 from lagoonrun_daemon import (
     answers,
     execution,
@@ -15,6 +16,13 @@
 from lagoonrun_http import server as http_server
 
 _REQUEST_ID_BYTES = 12
+_BAD_KEY = resolution.Rejection(
+    status=400,
+    step=errors.Step.CALLER_READ,
+    field=calls.IDEMPOTENCY_KEY_HEADER,
+    message="the idempotency key is empty or too long",
+    valid=f"1 to {claim.MAXIMUM_KEY_BYTES} bytes",
+)
 
 
 class Ingress:
@@ -76,6 +84,10 @@
         if isinstance(organisation, resolution.Rejection):
             await self._reject(exchange, request_id, organisation)
             return None
+        key = headers.get(calls.IDEMPOTENCY_KEY_HEADER)
+        if key is not None and not calls.is_valid_key(key):
+            await self._reject(exchange, request_id, _BAD_KEY)
+            return None
         body = await exchange.read_body()
         resolved = resolver.resolve(
             organisation=organisation,
@@ -94,7 +106,7 @@
             arrived_at=arrived_at,
             target_at=arrived_at + resolved.profile.target_seconds,
             limit_at=arrived_at + resolved.profile.limit_seconds,
-            idempotency_key=headers.get(calls.IDEMPOTENCY_KEY_HEADER),
+            idempotency_key=key,
         )
 
     async def _reject(
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/once.py
@@ -0,0 +1,145 @@
+"""Make sure that a call with an idempotency key is sent at most once."""
+
+import asyncio
+import hashlib
+
+from lagoonrun_claims import claim as claim_module
+from lagoonrun_claims import claims
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import outcomes
+from lagoonrun_daemon import call as calls
+
+_LONGEST_CLAIM_SECONDS = 5.0
+
+
+class SettlementTasks:
+    """Writes of last claim states that nobody waits for.
+
+    A caller's answer does not wait for the platform. A retry that comes
+    before the write is told truthfully that the end is not known yet.
+    """
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[object]] = set()
+
+    def add(self, task: asyncio.Task[object]) -> None:
+        """Keep `task` until it ends."""
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self, *, timeout_seconds: float) -> None:
+        """Wait for what is under way, at most so long."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_seconds)
+
+
+class OnceGuard:
+    """The claim of one call, if it needs one.
+
+    Parameters
+    ----------
+    call
+        The call to guard.
+    claims
+        Claims of this entry VM.
+    tasks
+        Keeps the writes of last states.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: calls.Call,
+        claims: claims.Claims,
+        tasks: SettlementTasks,
+        clock: clocks.Clock,
+    ) -> None:
+        self._call = call
+        self._claims = claims
+        self._tasks = tasks
+        self._clock = clock
+        self._attempt: claims.Attempt | None = None
+
+    @property
+    def needed(self) -> bool:
+        """Whether the call may be sent only with a claim.
+
+        Without a key the platform is not asked, so that such calls go on
+        being served when it can't be reached.
+        """
+        return (
+            not self._call.idempotent and self._call.idempotency_key is not None
+        )
+
+    async def secure(self) -> outcomes.Ending | None:
+        """Claim the key; return why the call must not be sent, else None."""
+        if not self.needed or self._attempt is not None:
+            return None
+        remaining = self._call.limit_at - self._clock.monotonic()
+        result = await self._claims.claim(
+            organisation=self._call.resolved.organisation,
+            key=self._call.idempotency_key,
+            request_id=self._call.request_id,
+            body_digest=_digest_request(self._call),
+            deadline_seconds=min(remaining, _LONGEST_CLAIM_SECONDS),
+        )
+        if isinstance(result, claims.Won):
+            self._attempt = result.attempt
+            return None
+        return _explain_refusal(result)
+
+    def may_send(self) -> bool:
+        """Return whether the call may be sent now; asked just before."""
+        if not self.needed:
+            return True
+        return self._attempt is not None and self._claims.may_send(
+            self._attempt
+        )
+
+    def settle(self, outcome: outcomes.Outcome) -> None:
+        """Record the call's end, or make the key usable if it was not run."""
+        if self._attempt is None:
+            return
+        attempt, self._attempt = self._attempt, None
+        if outcome is outcomes.Outcome.NOT_RUN:
+            work = self._claims.release(attempt)
+        else:
+            work = self._claims.record_end(attempt, outcome)
+        self._tasks.add(asyncio.create_task(work))
+
+
+def _digest_request(call: calls.Call) -> claim_module.BodyDigest:
+    digest = hashlib.sha256()
+    digest.update(f"{call.head.method} {call.head.target}\n".encode())
+    digest.update(call.body)
+    return claim_module.BodyDigest(digest.hexdigest())
+
+
+def _explain_refusal(
+    result: claims.Taken | claims.BodyDiffers | claims.Unavailable,
+) -> outcomes.Ending:
+    match result:
+        case claims.Unavailable():
+            return outcomes.Ending(
+                outcome=outcomes.Outcome.NOT_RUN,
+                reason=outcomes.Reason.CLAIM_UNAVAILABLE,
+                retry_after_seconds=result.retry_after_seconds,
+                detail="the idempotency key could not be claimed",
+            )
+        case claims.BodyDiffers():
+            return outcomes.Ending(
+                outcome=outcomes.Outcome.NOT_RUN,
+                reason=outcomes.Reason.CLAIM_TAKEN,
+                detail="the idempotency key was used for another request: "
+                f"{result.request_id}",
+            )
+        case claims.Taken():
+            ended = result.outcome.value if result.outcome else "not known"
+            return outcomes.Ending(
+                outcome=outcomes.Outcome.NOT_RUN,
+                reason=outcomes.Reason.CLAIM_TAKEN,
+                detail=f"request {result.request_id} has the key since "
+                f"{result.age_seconds:.1f} s; its outcome: {ended}",
+            )
