--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -79,15 +79,16 @@
             chance=self._random,
         )
         self.members = membership.Membership(
-            entry_vm=configured.entry_vm,
-            domain=configured.domain,
-            incarnation=self._incarnation,
+            self_view=self._own_view(),
             host=configured.peer.host,
             port=configured.peer.port,
-            seeds=configured.seeds,
+            seeds=[
+                hub.PeerAddress(host=seed.host, port=seed.port)
+                for seed in configured.seeds
+            ],
             key=configured.inner_key,
             clock=self._clock,
-            random_source=self._random,
+            random=self._random,
             listener=self,
         )
         self.hub = hub.PeerHub(
@@ -106,6 +107,20 @@
             entry_vm=configured.entry_vm, remote=self.hub
         )
 
+    def _own_view(self) -> membership.MemberView:
+        configured = self._settings
+        return membership.MemberView(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            incarnation=self._incarnation,
+            state=messages.MemberState.ALIVE,
+            peer_host=configured.peer.host,
+            peer_port=configured.peer.port,
+            admin_port=configured.admin.port,
+            revision=types.Revision(0),
+            digest="",
+        )
+
     def _build_decisions(self) -> None:
         configured = self._settings
         self.explanations = explanations.ExplanationRing(
@@ -222,7 +237,7 @@
             incarnation=self._incarnation,
         )
         await self.hub.start()
-        await self.members.start()
+        await self.members.start(port=self.hub.port)
         await self.permits.start()
         await self.follower.start()
         await self.claims.start()
@@ -357,11 +372,14 @@
             if shard and any(u.id == report.upstream for u in shard.upstreams):
                 self.dispatcher.on_load_report(shard_id, report)
 
-    def _on_own_report(self, upstream: types.UpstreamId, leaving: bool) -> None:
+    def _on_own_report(
+        self,
+        upstream: types.UpstreamId,
+        incarnation: types.Incarnation,
+        leaving: bool,
+    ) -> None:
         if leaving != self.members.upstream_is_leaving(upstream):
-            self.members.report_upstream(
-                upstream, types.Incarnation(0), leaving
-            )
+            self.members.report_upstream(upstream, incarnation, leaving)
 
     def _forget_connections(self, upstream: types.UpstreamId) -> None:
         configuration = self.fleet.configuration
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -124,7 +124,11 @@
             await self._answer_ending(refusal)
             return refusal
         upstream = self._usable_upstream(permit)
-        if upstream is None or not self._once.may_send():
+        if upstream is None:
+            self._services.permits.give_back(permit)
+            return None
+        if not self._once.may_send():
+            self._once.settle(outcomes.Outcome.NOT_RUN)
             self._services.permits.give_back(permit)
             return None
         result = await self._send(permit, upstream)
--- a/packages/daemon/src/lagoonrun_daemon/loads.py
+++ b/packages/daemon/src/lagoonrun_daemon/loads.py
@@ -21,6 +21,7 @@
 _WAITING = "engine_requests_waiting"
 _CACHE_USAGE = "engine_kv_cache_usage_ratio"
 _LEAVING = "engine_leaving"
+_STARTED_AT = "process_start_time_seconds"
 
 
 class LoadReader:
@@ -45,7 +46,7 @@
         client: http_upstream.UpstreamClient,
         upstreams: Callable[[], Sequence[model.Upstream]],
         on_report: Callable[[policy_messages.LoadReported], None],
-        on_leaving: Callable[[types.UpstreamId, bool], None],
+        on_leaving: Callable[[types.UpstreamId, types.Incarnation, bool], None],
     ) -> None:
         self._client = client
         self._upstreams = upstreams
@@ -104,7 +105,14 @@
         except ValueError:
             return
         if _LEAVING in values:
-            self._on_leaving(upstream, bool(values[_LEAVING]))
+            # A restarted upstream has a higher start time, which is what
+            # lets it come back after it was leaving.
+            milliseconds = int(values.get(_STARTED_AT, 0.0) * 1000)
+            self._on_leaving(
+                upstream,
+                types.Incarnation(milliseconds),
+                bool(values[_LEAVING]),
+            )
         if _RUNNING not in values:
             return
         self._on_report(
