Serve a request from one end to the other as separate processes

Cause: everything else is measured on this path, so it comes first. Found on the way: a handler's crash hung the caller, because the log line of the crash could not be written (exc_info given as a field); emit now takes it as an argument.

--- a/packages/core/src/lagoonrun_core/logs.py
+++ b/packages/core/src/lagoonrun_core/logs.py
@@ -34,7 +34,11 @@
 
 
 def emit(
-    event: events.LogEvent, *, level: int = logging.INFO, **fields: object
+    event: events.LogEvent,
+    *,
+    level: int = logging.INFO,
+    exc_info: BaseException | None = None,
+    **fields: object,
 ) -> None:
     """Write one numbered event.
 
@@ -44,10 +48,12 @@
         Kind of the line.
     level
         Level of the line.
+    exc_info
+        Error whose traceback goes into the line.
     **fields
         Values of the line; never prompts, answers or keys.
     """
     logger = logging.getLogger(_ROOT_NAME)
     if logger.isEnabledFor(level):
         extra = {"event": event.number, **fields}
-        logger.log(level, event.label, extra=extra)
+        logger.log(level, event.label, exc_info=exc_info, extra=extra)
--- a/packages/daemon/src/lagoonrun_daemon/answers.py
+++ b/packages/daemon/src/lagoonrun_daemon/answers.py
@@ -2,7 +2,7 @@
 
 import math
 
-from lagoonrun_core import outcomes, types
+from lagoonrun_core import errors, outcomes, types
 from lagoonrun_daemon import resolution
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import server as http_server
@@ -22,6 +22,18 @@
 }
 _DEFAULT_STATUS = 503
 
+_STEP_BY_REASON = {
+    outcomes.Reason.CLAIM_TAKEN: errors.Step.CLAIM,
+    outcomes.Reason.CLAIM_UNAVAILABLE: errors.Step.CLAIM,
+    outcomes.Reason.UNCONFIGURED: errors.Step.CONFIGURATION,
+    outcomes.Reason.UPSTREAM_CONNECT: errors.Step.UPSTREAM_CONNECT,
+    outcomes.Reason.UPSTREAM_CLOSED: errors.Step.UPSTREAM_READ,
+    outcomes.Reason.UPSTREAM_TIMEOUT: errors.Step.UPSTREAM_READ,
+    outcomes.Reason.UPSTREAM_MISMATCH: errors.Step.UPSTREAM_READ,
+    outcomes.Reason.UPSTREAM_PROTOCOL: errors.Step.UPSTREAM_READ,
+    outcomes.Reason.UPSTREAM_REFUSED: errors.Step.UPSTREAM_READ,
+}
+
 
 def ending_headers(
     request_id: types.RequestId, ending: outcomes.Ending
@@ -51,7 +63,7 @@
     """Answer a request that was accepted but got no upstream's answer."""
     status = _STATUS_BY_REASON.get(ending.reason, _DEFAULT_STATUS)
     body = http_server.error_body(
-        step="permit",
+        step=_STEP_BY_REASON.get(ending.reason, errors.Step.PERMIT),
         field="",
         message=ending.detail or ending.reason.value,
         valid="",
@@ -70,7 +82,7 @@
 ) -> None:
     """Answer a request that cannot be served as it stands."""
     body = http_server.error_body(
-        step=rejection.step.value,
+        step=rejection.step,
         field=rejection.field,
         message=rejection.message,
         valid=rejection.valid,
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -99,7 +99,10 @@
 
     async def run(self) -> outcomes.Ending:
         """Return how the call ended, after the caller has been answered."""
-        self._services.budget.on_first_attempt(self._call.resolved.profile.name)
+        profile = self._call.resolved.profile
+        self._services.budgets.on_first_attempt(
+            profile.name, ratio=profile.retry_ratio
+        )
         outcome = outcomes.Outcome.UNKNOWN
         try:
             while True:
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/deployment.py
@@ -0,0 +1,246 @@
+"""Start a whole small deployment from declarations, on loopback."""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+import secrets
+from collections.abc import Mapping, Sequence
+
+from lagoonrun_config import (
+    change_outcomes,
+    configuration_store,
+    model,
+    settings,
+)
+from lagoonrun_config import draft as draft_module
+from lagoonrun_core import clock, types
+from lagoonrun_platform import etcd_gateway
+from lagoonrun_standins import fleet as fleets
+from lagoonrun_standins import http_client, managed_process
+
+_LOOPBACK = "127.0.0.1"
+_ANY_PORT = settings.Address(host=_LOOPBACK, port=0)
+_POLL_SECONDS = 0.05
+_INNER_KEY_BYTES = 32
+
+EngineFlags = Mapping[str, fleets.FlagValue]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryVm:
+    """An entry VM that is to be started."""
+
+    id: types.EntryVmId
+    domain: types.FailureDomain
+
+
+class Deployment:
+    """A platform, upstreams and entry VMs as processes.
+
+    Parameters
+    ----------
+    fleet
+        Starts and ends the processes.
+    declared
+        Declarations; each upstream gets a stand-in, and its address is
+        replaced by the stand-in's.
+    entry_vms
+        Entry VMs to start.
+    engine_flags
+        Flags of every model engine.
+    engine_flags_by_id
+        Further flags of single engines.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: fleets.Fleet,
+        declared: draft_module.Draft,
+        entry_vms: Sequence[EntryVm],
+        engine_flags: EngineFlags | None = None,
+        engine_flags_by_id: Mapping[types.UpstreamId, EngineFlags]
+        | None = None,
+    ) -> None:
+        self.fleet = fleet
+        self.declared = declared
+        self._entry_vms = tuple(entry_vms)
+        self._engine_flags = dict(engine_flags or {})
+        self._engine_flags_by_id = dict(engine_flags_by_id or {})
+        self._inner_key = secrets.token_bytes(_INNER_KEY_BYTES)
+        self._peers_by_id: dict[types.EntryVmId, settings.Address] = {}
+        self.platform: managed_process.ManagedProcess | None = None
+
+    async def start(self) -> None:
+        """Start everything and wait until each entry VM is ready."""
+        self.platform = await self.fleet.start_platform_store()
+        self.declared = await self._start_upstreams()
+        await self.apply(self.declared)
+        for entry_vm in self._entry_vms:
+            self._peers_by_id[entry_vm.id] = fleets.free_peer_address()
+        await asyncio.gather(
+            *(self.start_entry_vm(entry_vm) for entry_vm in self._entry_vms)
+        )
+        for entry_vm in self._entry_vms:
+            await self.wait_ready(entry_vm.id)
+        await self.wait_members(len(self._entry_vms))
+
+    async def apply(self, draft: draft_module.Draft) -> types.Revision:
+        """Bring `draft` into force as the next revision."""
+        gateway = etcd_gateway.EtcdGateway(
+            addresses=[self.platform.address()],
+            clock=clock.SystemClock(),
+            chance=random.Random(0),
+        )
+        store = configuration_store.ConfigurationStore(
+            store=gateway, chance=random.Random(0)
+        )
+        try:
+            outcome = await store.apply(
+                draft,
+                base=types.Revision(0),
+                change_id=types.ChangeId(secrets.token_hex(8)),
+                operator="deployment",
+            )
+        finally:
+            await gateway.close()
+        if not isinstance(outcome, change_outcomes.Accepted):
+            raise RuntimeError(f"the declarations were not accepted: {outcome}")
+        return outcome.revision
+
+    async def start_entry_vm(
+        self, entry_vm: EntryVm
+    ) -> managed_process.ManagedProcess:
+        """Start one entry VM, also in place of a lost one."""
+        configured = settings.Settings(
+            entry_vm=entry_vm.id,
+            domain=entry_vm.domain,
+            caller=_ANY_PORT,
+            admin=_ANY_PORT,
+            peer=self._peers_by_id[entry_vm.id],
+            platform=(self.platform.address(),),
+            seeds=tuple(
+                address
+                for vm, address in self._peers_by_id.items()
+                if vm != entry_vm.id
+            ),
+            inner_key=self._inner_key,
+            readiness_grace_seconds=0.2,
+        )
+        return await self.fleet.start_daemon(configured)
+
+    def process(self, name: str) -> managed_process.ManagedProcess:
+        """Return the process of an entry VM or upstream."""
+        return self.fleet.processes_by_name[name]
+
+    async def wait_ready(self, entry_vm: types.EntryVmId) -> None:
+        """Wait until an entry VM has a configuration in force."""
+        while True:
+            answer = await self.ask_admin(entry_vm, "/readyz")
+            if answer.status == 200:
+                return
+            await asyncio.sleep(_POLL_SECONDS)
+
+    async def wait_members(self, count: int) -> None:
+        """Wait until every entry VM knows `count` live ones, itself too."""
+        for entry_vm in self._entry_vms:
+            while True:
+                if await self._count_live(entry_vm.id) >= count:
+                    break
+                await asyncio.sleep(_POLL_SECONDS)
+
+    async def ask_admin(
+        self, entry_vm: types.EntryVmId, path: str
+    ) -> http_client.Answer:
+        """Make one admin request of an entry VM."""
+        address = self.process(entry_vm).address("admin")
+        return await http_client.fetch(address.host, address.port, "GET", path)
+
+    async def ask(
+        self,
+        entry_vm: types.EntryVmId,
+        path: str,
+        *,
+        organisation: types.OrganisationId,
+        body: bytes = b"",
+        headers: Sequence[tuple[str, str]] = (),
+        method: str = "POST",
+        timeout_seconds: float = http_client.DEFAULT_TIMEOUT_SECONDS,
+    ) -> http_client.Answer:
+        """Make one caller's request of an entry VM."""
+        address = self.process(entry_vm).address("caller")
+        key = organisation_key(organisation)
+        return await http_client.fetch(
+            address.host,
+            address.port,
+            method,
+            path,
+            body=body,
+            headers=[("Authorization", f"Bearer {key}"), *headers],
+            timeout_seconds=timeout_seconds,
+        )
+
+    async def _count_live(self, entry_vm: types.EntryVmId) -> int:
+        status = (await self.ask_admin(entry_vm, "/status")).json()
+        states = [member["state"] for member in status["members"]]
+        return states.count("alive")
+
+    async def _start_upstreams(self) -> draft_module.Draft:
+        plain_pools = {
+            service.pool
+            for service in self.declared.services_by_name.values()
+            if service.kind is model.ServiceKind.PLAIN
+        }
+        started = await asyncio.gather(
+            *(
+                self._start_upstream(
+                    upstream, plain=upstream.pool in plain_pools
+                )
+                for upstream in self.declared.upstreams_by_id.values()
+            )
+        )
+        organisations = {
+            organisation.id: dataclasses.replace(
+                organisation, key_digests=(_key_digest(organisation.id),)
+            )
+            for organisation in self.declared.organisations_by_id.values()
+        }
+        return dataclasses.replace(
+            self.declared,
+            upstreams_by_id={upstream.id: upstream for upstream in started},
+            organisations_by_id=organisations,
+        )
+
+    async def _start_upstream(
+        self, upstream: model.Upstream, *, plain: bool
+    ) -> model.Upstream:
+        if plain:
+            process = await self.fleet.start_plain_service(upstream.id)
+        else:
+            process = await self.fleet.start_engine(
+                upstream.id, **self._flags_of(upstream)
+            )
+        return dataclasses.replace(
+            upstream, address=process.host, port=process.port
+        )
+
+    def _flags_of(
+        self, upstream: model.Upstream
+    ) -> dict[str, fleets.FlagValue]:
+        declared: dict[str, fleets.FlagValue] = {
+            "slots": upstream.slots,
+            "resumes": upstream.resumes,
+            "checks_fencing": upstream.checks_fencing,
+        }
+        own = self._engine_flags_by_id.get(upstream.id, {})
+        return {**declared, **self._engine_flags, **own}
+
+
+def organisation_key(organisation: types.OrganisationId) -> str:
+    """Return the bearer key of an organisation in such a deployment."""
+    return f"key-of-{organisation}"
+
+
+def _key_digest(organisation: types.OrganisationId) -> str:
+    return hashlib.sha256(organisation_key(organisation).encode()).hexdigest()
