--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/naive.py
@@ -0,0 +1,223 @@
+"""Each entry VM alone: two random runners, the less loaded one by its report.
+
+This is what the shard's dispatcher is measured against, and, with a limit of
+its own, what an ingress falls back to while no dispatcher answers.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_policy import decision, messages
+
+_CHOICES = 2
+_FALLBACK_FRACTION = 0.5
+
+
+class NaiveScheduler:
+    """Grant every request at once to the better of two random runners.
+
+    Parameters
+    ----------
+    policy
+        Classes and runners of the shard.
+    rng
+        Source of the two choices.
+    """
+
+    def __init__(
+        self, *, policy: messages.ShardPolicy, rng: random.Random
+    ) -> None:
+        self._policy = policy
+        self._view = _View(policy=policy, rng=rng)
+
+    def handle(
+        self, event: messages.Event, *, now: float
+    ) -> Sequence[messages.Action]:
+        """Take in one event at `now` and return what follows from it."""
+        if isinstance(event, messages.PolicyChanged):
+            self._policy = event.policy
+        if not isinstance(event, messages.PermitRequested):
+            self._view.take(event)
+            return []
+        profile = self._policy.classes_by_name.get(event.profile)
+        if profile is None:
+            return [self._refusal(event, outcomes.Reason.UNCONFIGURED)]
+        upstream = self._view.better_of_two(event.excluded)
+        if upstream is None:
+            return [self._refusal(event, outcomes.Reason.NO_UPSTREAM)]
+        self._view.sent(event.key, upstream)
+        grant = messages.Grant(
+            key=event.key,
+            ingress=event.ingress,
+            upstream=upstream,
+            record=self._record(event, upstream, outcomes.Reason.NONE),
+        )
+        return [grant]
+
+    def next_wake(self, *, now: float) -> float | None:
+        """Return None: nothing ever waits here."""
+        return None
+
+    def _refusal(
+        self, event: messages.PermitRequested, reason: outcomes.Reason
+    ) -> messages.Refuse:
+        record = self._record(event, None, reason)
+        return messages.Refuse(
+            key=event.key,
+            ingress=event.ingress,
+            reason=reason,
+            retry_after_seconds=record.retry_after_seconds,
+            record=record,
+        )
+
+    def _record(
+        self,
+        event: messages.PermitRequested,
+        upstream: types.UpstreamId | None,
+        reason: outcomes.Reason,
+    ) -> messages.DecisionRecord:
+        profile = self._policy.classes_by_name.get(event.profile)
+        granted = upstream is not None
+        kind = (
+            decision.VerdictKind.GRANT
+            if granted
+            else decision.VerdictKind.REFUSE
+        )
+        return messages.DecisionRecord(
+            key=event.key,
+            shard=self._policy.shard,
+            revision=self._policy.revision,
+            profile=event.profile,
+            tier=profile.tier if profile else types.LOWEST_TIER,
+            organisation=event.organisation,
+            waited_seconds=0.0,
+            remaining_seconds=event.remaining_seconds,
+            expected_service_seconds=0.0,
+            expected_samples=0,
+            queue_length=0,
+            queue_capacity=0,
+            ahead_in_queue=0,
+            higher_tier_waiting=0,
+            lower_tier_waiting=0,
+            floor_grant=False,
+            candidates=(),
+            verdict=kind.value,
+            upstream=upstream,
+            reason=reason,
+            retry_after_seconds=(
+                0.0 if granted else decision.NO_UPSTREAM_RETRY_SECONDS
+            ),
+        )
+
+
+class FallbackChooser:
+    """Choose a runner without a dispatcher, within a conservative limit.
+
+    While cut off, an entry VM does not see what the others send. It uses at
+    most its even part of half of the declared slots, at least one request
+    per runner, so that all VMs together do not overfill a runner.
+
+    Parameters
+    ----------
+    policy
+        Classes and runners of the shard.
+    entry_vms
+        How many entry VMs may be sending to the same runners; at least 1.
+    rng
+        Source of the two choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        policy: messages.ShardPolicy,
+        entry_vms: int,
+        rng: random.Random,
+    ) -> None:
+        if entry_vms < 1:
+            raise ValueError(f"entry_vms is {entry_vms}; valid: at least 1")
+        self._entry_vms = entry_vms
+        self._view = _View(policy=policy, rng=rng)
+
+    def take(self, event: messages.Event) -> None:
+        """Take in a load report, a state, an end or a new policy."""
+        self._view.take(event)
+
+    def choose(
+        self, request: messages.PermitRequested
+    ) -> types.UpstreamId | None:
+        """Return a runner and count the request there, or None for no room."""
+        upstream = self._view.better_of_two(
+            request.excluded, room=self._room_at
+        )
+        if upstream is not None:
+            self._view.sent(request.key, upstream)
+        return upstream
+
+    def _room_at(self, runner: messages.Runner) -> int:
+        return max(1, int(runner.slots * _FALLBACK_FRACTION / self._entry_vms))
+
+
+class _View:
+    """What one entry VM knows by itself."""
+
+    def __init__(
+        self, *, policy: messages.ShardPolicy, rng: random.Random
+    ) -> None:
+        self._rng = rng
+        self._runners_by_id = dict(policy.runners_by_id)
+        self._state_by_id = {
+            r.id: r.state for r in policy.runners_by_id.values()
+        }
+        self._reported_by_id: dict[types.UpstreamId, int] = {}
+        self._own_by_id: dict[types.UpstreamId, int] = {}
+        self._upstream_by_key: dict[messages.PermitKey, types.UpstreamId] = {}
+
+    def take(self, event: messages.Event) -> None:
+        match event:
+            case messages.LoadReported():
+                load = event.running + event.waiting
+                self._reported_by_id[event.upstream] = load
+            case messages.UpstreamChanged():
+                self._state_by_id[event.upstream] = event.state
+            case messages.PermitEnded() | messages.PermitReturned():
+                upstream = self._upstream_by_key.pop(event.key, None)
+                if upstream is not None:
+                    self._own_by_id[upstream] -= 1
+            case messages.PolicyChanged():
+                self._runners_by_id = dict(event.policy.runners_by_id)
+            case _:
+                pass
+
+    def sent(self, key: messages.PermitKey, upstream: types.UpstreamId) -> None:
+        self._upstream_by_key[key] = upstream
+        self._own_by_id[upstream] = self._own_by_id.get(upstream, 0) + 1
+
+    def better_of_two(
+        self,
+        excluded: Sequence[types.UpstreamId],
+        room: Callable[[messages.Runner], int] | None = None,
+    ) -> types.UpstreamId | None:
+        usable = [
+            runner
+            for runner in self._runners_by_id.values()
+            if self._is_live(runner)
+            and runner.id not in excluded
+            and (room is None or self._own(runner.id) < room(runner))
+        ]
+        if not usable:
+            return None
+        choices = self._rng.sample(usable, min(_CHOICES, len(usable)))
+        return min(choices, key=lambda r: self._load(r.id)).id
+
+    def _is_live(self, runner: messages.Runner) -> bool:
+        state = self._state_by_id.get(runner.id, runner.state)
+        return state is messages.UpstreamState.LIVE
+
+    def _own(self, upstream: types.UpstreamId) -> int:
+        return self._own_by_id.get(upstream, 0)
+
+    def _load(self, upstream: types.UpstreamId) -> int:
+        reported = self._reported_by_id.get(upstream, 0)
+        return max(reported, self._own(upstream))
--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/retries.py
@@ -0,0 +1,130 @@
+"""Retries: only what is idempotent, within a budget, spread out in time.
+
+Retries by callers and by the router multiply. Each first attempt earns the
+class a fraction of a retry; once they are spent, a failure is told to the
+caller instead of adding to the load that caused it.
+"""
+
+import dataclasses
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_policy import jitter, messages
+
+_BASE_BACKOFF_SECONDS = 0.05
+_LONGEST_BACKOFF_SECONDS = 2.0
+_MOST_SAVED = 10.0
+
+RETRIED_REASONS = frozenset(
+    {
+        outcomes.Reason.UPSTREAM_CONNECT,
+        outcomes.Reason.UPSTREAM_CLOSED,
+        outcomes.Reason.UPSTREAM_MISMATCH,
+        outcomes.Reason.UPSTREAM_PROTOCOL,
+        outcomes.Reason.UPSTREAM_REFUSED,
+    }
+)
+"""Reasons for which another runner may do better.
+
+A refusal for room is none of them: asking again adds to the load, and the
+caller has been told when to come back.
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RetryGranted:
+    """Try again after the pause."""
+
+    pause_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RetryDenied:
+    """Do not try again; `reason` tells why."""
+
+    reason: outcomes.Reason
+
+
+class RetryBudget:
+    """Retries that the classes have earned.
+
+    Parameters
+    ----------
+    classes_by_name
+        Classes of the configuration.
+    """
+
+    def __init__(
+        self,
+        *,
+        classes_by_name: dict[types.ProfileName, messages.ClassPolicy],
+    ) -> None:
+        self._classes_by_name = classes_by_name
+        self._saved_by_name: dict[types.ProfileName, float] = {}
+
+    def configure(
+        self, classes_by_name: dict[types.ProfileName, messages.ClassPolicy]
+    ) -> None:
+        """Take over the classes of a new configuration."""
+        self._classes_by_name = classes_by_name
+        self._saved_by_name = {
+            name: saved
+            for name, saved in self._saved_by_name.items()
+            if name in classes_by_name
+        }
+
+    def note_first_attempt(self, profile: types.ProfileName) -> None:
+        """Earn the class its fraction of a retry."""
+        policy = self._classes_by_name.get(profile)
+        if policy is None:
+            return
+        saved = self._saved_by_name.get(profile, 1.0) + policy.retry_ratio
+        self._saved_by_name[profile] = min(_MOST_SAVED, saved)
+
+    def decide(
+        self,
+        *,
+        profile: types.ProfileName,
+        request_id: types.RequestId,
+        attempts: int,
+        maximum_attempts: int,
+        reason: outcomes.Reason,
+        sent: bool,
+    ) -> RetryGranted | RetryDenied:
+        """Spend a retry if the request may have one.
+
+        Parameters
+        ----------
+        attempts
+            Attempts made so far, at least 1.
+        sent
+            Whether a byte of the request has left for an upstream. A request
+            that is not idempotent is never tried again after that.
+        """
+        policy = self._classes_by_name.get(profile)
+        if policy is None or reason not in RETRIED_REASONS:
+            return RetryDenied(reason=reason)
+        if sent and not policy.idempotent:
+            return RetryDenied(reason=reason)
+        if attempts >= maximum_attempts:
+            return RetryDenied(reason=reason)
+        saved = self._saved_by_name.get(profile, 1.0)
+        if policy.retry_ratio <= 0 or saved < 1.0:
+            return RetryDenied(reason=outcomes.Reason.RETRY_BUDGET)
+        self._saved_by_name[profile] = saved - 1.0
+        return RetryGranted(
+            pause_seconds=backoff_seconds(
+                request_id=request_id, attempts=attempts
+            )
+        )
+
+
+def backoff_seconds(*, request_id: types.RequestId, attempts: int) -> float:
+    """Return the pause before the next attempt.
+
+    Exponential with full jitter, drawn from the request's id so that the
+    requests of one failure do not come back together.
+    """
+    longest = min(
+        _LONGEST_BACKOFF_SECONDS, _BASE_BACKOFF_SECONDS * 2.0**attempts
+    )
+    return longest * jitter.fraction(f"{request_id}/retry/{attempts}")
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -14,7 +14,9 @@
     messages,
     records,
     shard,
+    shards,
     slots,
+    summaries,
 )
 
 _SILENCE_CHECK_SECONDS = 5.0
@@ -100,6 +102,10 @@
             instants.append(probe)
         return min(instants)
 
+    def summary(self, *, now: float) -> shards.ShardView:
+        """Return what other failure domains need to know of the shard."""
+        return summaries.summarise(self._shard, now=now)
+
     def _on_requested(
         self, event: messages.PermitRequested, now: float
     ) -> None:
