Load from several processes; split the engine; fuzz the key-value state

The engine's chat completions and the agreement between upstream and router (echo, refusal) have modules of their own. The key-value state is fuzzed against one that copies everything at each revision; leaving out the move of a key from its former lease makes it fail.

--- a/packages/standins/src/lagoonrun_standins/controls.py
+++ b/packages/standins/src/lagoonrun_standins/controls.py
@@ -10,7 +10,7 @@
 Control = TypeVar("Control")
 
 
-def changed(control: Control, body: Any) -> Control:
+def changed(control: Control, body: Mapping[str, Any]) -> Control:
     """Return `control` with the fields that `body` names replaced.
 
     Parameters
@@ -19,21 +19,39 @@
         Frozen dataclass whose fields are numbers, strings, booleans or
         enumerations by value.
     body
-        Decoded JSON object.
+        New values by the names of fields.
 
     Raises
     ------
     ValueError
         If a field does not exist or has another type.
     """
-    if not isinstance(body, Mapping):
-        raise ValueError(f"{body!r} is not a JSON object")
     values = {
         name: _converted(control, name, value) for name, value in body.items()
     }
     return dataclasses.replace(control, **values)
 
 
+def without(body: Any, action: str) -> tuple[dict[str, Any], bool]:
+    """Split an action, such as a crash, off the fields to change.
+
+    Returns
+    -------
+    tuple
+        The other fields, and whether the action is asked for.
+
+    Raises
+    ------
+    ValueError
+        If `body` is not a JSON object.
+    """
+    if not isinstance(body, Mapping):
+        raise ValueError(f"{body!r} is not a JSON object")
+    fields = dict(body)
+    asked = fields.pop(action, False)
+    return fields, asked is True
+
+
 def as_json(control: Any) -> dict[str, Any]:
     """Return the fields of `control` as a JSON object."""
     return {
--- a/packages/standins/src/lagoonrun_standins/engine.py
+++ b/packages/standins/src/lagoonrun_standins/engine.py
@@ -14,24 +14,21 @@
 
 from lagoonrun_core import clock as clock_lib
 from lagoonrun_standins import (
-    answers,
     command_line,
     controls,
     engine_batch,
+    engine_chat,
     engine_faults,
     engine_orders,
-    engine_reply,
     load_report,
     prefix_cache,
     run_counts,
+    upstream_protocol,
 )
 from lagoonrun_standins import http_server as http_lib
 
 _CHAT_PATH = "/v1/chat/completions"
-_BYTES_PER_TOKEN = 4
-_DEFAULT_PRIORITY = 3
 _LATEST_SECONDS = 0.1
-_NOT_RUN = ("X-Not-Run", "true")
 _HELP = "As the parameter of the same name."
 
 
@@ -99,8 +96,6 @@
             checks_fencing=checks_fencing,
             load_seconds=load_seconds,
         )
-        self._resumes = resumes
-        self._seed = seed
         self._report = load_report.LoadReport(
             clock=self._clock, lag_seconds=metrics_lag_seconds
         )
@@ -108,6 +103,16 @@
             handler=self._handle, host=host, port=port
         )
         self._has_work = asyncio.Event()
+        self._chat = engine_chat.ChatCompletions(
+            batch=self.batch,
+            cache=self.cache,
+            orders=self.orders,
+            faults=self._reply_faults,
+            runs=self.runs,
+            resumes=resumes,
+            seed=seed,
+            on_queued=self._has_work.set,
+        )
         self._thawed = asyncio.Event()
         self._thawed.set()
         self._stepping: asyncio.Task[None] | None = None
@@ -157,10 +162,7 @@
         ValueError
             If a field does not exist or its value is not valid.
         """
-        if not isinstance(body, dict):
-            raise ValueError(f"{body!r} is not a JSON object")
-        fields = dict(body)
-        crashes = fields.pop("crash", False)
+        fields, crashes = controls.without(body, "crash")
         faults = controls.changed(self.faults, fields)
         self._reply_faults.faults = faults
         self._report.lag_seconds = faults.metrics_lag_seconds
@@ -230,24 +232,30 @@
         try:
             await self._answer(request, exchange)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
-            _refuse(request, exchange, 400, repr(error))
+            upstream_protocol.refuse(request, exchange, 400, repr(error))
 
     async def _answer(
         self, request: http_lib.Request, exchange: http_lib.Exchange
     ) -> None:
         route = (request.method, request.path)
         if route == ("POST", _CHAT_PATH):
-            await self._complete(request, exchange)
+            await self._chat.answer(request, exchange)
         elif route == ("POST", "/orders"):
             await self._obey(request, exchange)
         elif route == ("GET", "/metrics"):
             plain = ("Content-Type", "text/plain; version=0.0.4")
             text = self._report.text()
-            exchange.respond(200, text, [plain, _echo(request)])
+            exchange.respond(
+                200, text, [plain, upstream_protocol.echo(request)]
+            )
         elif route == ("GET", "/state"):
-            exchange.respond_json(200, self._state(), [_echo(request)])
+            exchange.respond_json(
+                200, self._state(), [upstream_protocol.echo(request)]
+            )
         else:
-            _refuse(request, exchange, 404, f"no route {route}")
+            upstream_protocol.refuse(
+                request, exchange, 404, f"no route {route}"
+            )
 
     def _state(self) -> dict[str, Any]:
         return {
@@ -270,104 +278,12 @@
         except engine_orders.OldFencingNumberError as error:
             seen = self.orders.fencing_seen
             body = {"error": str(error), "fencing": seen}
-            exchange.respond_json(409, body, [_echo(request)])
+            exchange.respond_json(409, body, [upstream_protocol.echo(request)])
             return
-        exchange.respond_json(200, self._state(), [_echo(request)])
-
-    async def _complete(
-        self, request: http_lib.Request, exchange: http_lib.Exchange
-    ) -> None:
-        body = request.json()
-        prompt = answers.prompt_bytes(body["messages"])
-        identity = self._identity(request, body, prompt)
-        refusal = self._refusal(identity)
-        if refusal:
-            _refuse(request, exchange, 503, refusal)
-            return
-        self.runs.add(request.headers)
-        fault = self._reply_faults.take()
-        if fault.late_seconds:
-            await exchange.unless_gone(asyncio.sleep(fault.late_seconds))
-        identity = await self._reply_faults.crossed(identity, exchange)
-        reply = engine_reply.Reply(
-            exchange=exchange,
-            identity=identity,
-            streams=bool(body.get("stream")),
-            includes_usage=bool(
-                (body.get("stream_options") or {}).get("include_usage")
-            ),
-            fault=fault,
-        )
-        if identity.first >= identity.end:
-            # Every token was delivered; only the end of the stream was lost.
-            reply.finish()
-            return
-        self._queue(request, identity, prompt, reply)
-        await reply.done.wait()
-
-    def _identity(
-        self, request: http_lib.Request, body: dict[str, Any], prompt: bytes
-    ) -> engine_reply.Identity:
-        request_id = request.headers.get("x-request-id", "")
-        digest = answers.digest(request_id, body["messages"])
-        return engine_reply.Identity(
-            request_id=request_id,
-            model=str(body.get("model", "")),
-            digest=digest,
-            first=int(request.headers.get("x-resume-offset", "0")),
-            end=answers.length(body, f"{self._seed}:{digest}"),
-            prompt_tokens=len(prompt) // _BYTES_PER_TOKEN,
+        exchange.respond_json(
+            200, self._state(), [upstream_protocol.echo(request)]
         )
 
-    def _refusal(self, identity: engine_reply.Identity) -> str:
-        if not self.orders.serves(identity.model):
-            loaded = sorted(self.orders.version_by_model)
-            return f"model {identity.model!r} is not loaded; valid: {loaded}"
-        if identity.first and not self._resumes:
-            return "this engine does not resume"
-        if not 0 <= identity.first <= identity.end + 1:
-            return f"offset {identity.first}; valid: 0 to {identity.end + 1}"
-        if self.faults.leaving and self.faults.refuses_when_leaving:
-            return "leaving"
-        return ""
-
-    def _queue(
-        self,
-        request: http_lib.Request,
-        identity: engine_reply.Identity,
-        prompt: bytes,
-        reply: engine_reply.Reply,
-    ) -> None:
-        cached = self.cache.cached_bytes(prompt) // _BYTES_PER_TOKEN
-        context = identity.prompt_tokens + identity.first
-        priority = request.headers.get("x-request-priority")
-        self.batch.add(
-            engine_batch.Run(
-                priority=_DEFAULT_PRIORITY if not priority else int(priority),
-                prefill_left=max(0, context - cached),
-                context_tokens=context,
-                next_index=identity.first,
-                end_index=identity.end,
-                sink=reply,
-            )
-        )
-        self._has_work.set()
-
-
-def _echo(request: http_lib.Request) -> http_lib.Header:
-    return ("X-Request-Id", request.headers.get("x-request-id", ""))
-
-
-def _refuse(
-    request: http_lib.Request,
-    exchange: http_lib.Exchange,
-    status: int,
-    error: str,
-) -> None:
-    """Say that the request was not run, and why."""
-    headers = [_echo(request), _NOT_RUN]
-    exchange.respond_json(status, {"error": error}, headers)
-
 
 def _flags() -> flags.FlagValues:
     values = command_line.address_flags()
--- a/packages/standins/src/lagoonrun_standins/load.py
+++ b/packages/standins/src/lagoonrun_standins/load.py
@@ -67,10 +67,21 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(
-        self, arrivals: Sequence[traffic.Arrival]
+        self,
+        arrivals: Sequence[traffic.Arrival],
+        *,
+        start_at: float | None = None,
     ) -> list[load_summary.Result]:
-        """Send all arrivals at their times; return once all have ended."""
-        start = self._clock.monotonic()
+        """Send all arrivals at their times; return once all have ended.
+
+        Parameters
+        ----------
+        arrivals
+            By time.
+        start_at
+            Reading of the clock from which they count; now if None.
+        """
+        start = self._clock.monotonic() if start_at is None else start_at
         for arrival in arrivals:
             due = start + arrival.at_seconds
             wait = due - self._clock.monotonic()
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/load_workers.py
@@ -0,0 +1,107 @@
+"""Load from several processes, where one is too slow to keep its times.
+
+A worker is `python -m lagoonrun_standins.load_workers`: it reads a pickled
+job from standard input and writes the pickled results to standard output.
+"""
+
+import asyncio
+import dataclasses
+import pickle
+import sys
+from collections.abc import Sequence
+
+from lagoonrun_config import settings
+from lagoonrun_core import clock as clock_lib
+from lagoonrun_standins import load, load_summary, traffic
+
+_START_DELAY_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Job:
+    """What one worker does.
+
+    Parameters
+    ----------
+    start_at
+        Reading of the monotonic clock, which all processes of a machine
+        share, from which the arrivals count.
+    """
+
+    addresses: tuple[settings.Address, ...]
+    retry_mode: load.RetryMode
+    arrivals: tuple[traffic.Arrival, ...]
+    start_at: float
+
+
+class WorkerError(RuntimeError):
+    """A worker ended without results."""
+
+
+async def run(
+    arrivals: Sequence[traffic.Arrival],
+    *,
+    addresses: Sequence[settings.Address],
+    worker_count: int,
+    retry_mode: load.RetryMode = load.RetryMode.NEVER,
+) -> list[load_summary.Result]:
+    """Send the arrivals from several processes, each taking every n-th.
+
+    Raises
+    ------
+    WorkerError
+        If a worker ends without results; all workers have ended then.
+    """
+    start_at = clock_lib.SystemClock().monotonic() + _START_DELAY_SECONDS
+    jobs = [
+        _Job(
+            addresses=tuple(addresses),
+            retry_mode=retry_mode,
+            arrivals=tuple(arrivals[number::worker_count]),
+            start_at=start_at,
+        )
+        for number in range(worker_count)
+    ]
+    async with asyncio.TaskGroup() as group:
+        tasks = [group.create_task(_run_worker(job)) for job in jobs]
+    return [result for task in tasks for result in task.result()]
+
+
+async def _run_worker(job: _Job) -> list[load_summary.Result]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "lagoonrun_standins.load_workers",
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        output, _ = await process.communicate(pickle.dumps(job))
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+    if process.returncode:
+        raise WorkerError(f"a load worker ended with {process.returncode}")
+    return pickle.loads(output)
+
+
+async def _work(job: _Job) -> list[load_summary.Result]:
+    generator = load.LoadGenerator(
+        addresses=job.addresses, retry_mode=job.retry_mode
+    )
+    try:
+        return await generator.run(job.arrivals, start_at=job.start_at)
+    finally:
+        await generator.close()
+
+
+def main() -> None:
+    """Do the job on standard input."""
+    job = pickle.load(sys.stdin.buffer)
+    results = asyncio.run(_work(job))
+    pickle.dump(results, sys.stdout.buffer)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/standins/src/lagoonrun_standins/plain_service.py
+++ b/packages/standins/src/lagoonrun_standins/plain_service.py
@@ -14,11 +14,15 @@
 from absl import flags
 
 from lagoonrun_core import clock as clock_lib
-from lagoonrun_standins import command_line, controls, load_report, run_counts
+from lagoonrun_standins import (
+    command_line,
+    controls,
+    load_report,
+    run_counts,
+    upstream_protocol,
+)
 from lagoonrun_standins import http_server as http_lib
 
-NOT_RUN_HEADER: http_lib.Header = ("X-Not-Run", "true")
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Faults:
@@ -139,10 +143,7 @@
         ValueError
             If a field does not exist or its value is not valid.
         """
-        if not isinstance(body, dict):
-            raise ValueError(f"{body!r} is not a JSON object")
-        fields = dict(body)
-        crashes = fields.pop("crash", False)
+        fields, crashes = controls.without(body, "crash")
         self.faults = controls.changed(self.faults, fields)
         self.runs.set_leaving(self.faults.leaving)
         self._report.lag_seconds = self.faults.metrics_lag_seconds
@@ -212,11 +213,13 @@
         self, request: http_lib.Request, exchange: http_lib.Exchange
     ) -> None:
         self.refused += 1
-        headers = [*self._echo(request), NOT_RUN_HEADER]
-        if self.faults.retry_after_seconds:
-            seconds = str(self.faults.retry_after_seconds)
-            headers.append(("Retry-After", seconds))
-        exchange.respond_json(503, {"error": "not run"}, headers)
+        upstream_protocol.refuse(
+            request,
+            exchange,
+            503,
+            "not run",
+            retry_after_seconds=self.faults.retry_after_seconds,
+        )
 
     async def _run_in_slot(
         self, request: http_lib.Request, exchange: http_lib.Exchange
@@ -255,10 +258,9 @@
         exchange.respond_json(200, seen(request), self._echo(request))
 
     def _echo(self, request: http_lib.Request) -> list[http_lib.Header]:
-        request_id = request.headers.get("x-request-id", "")
         if self._takes("omit_echoes"):
             return []
-        return [("X-Request-Id", request_id)]
+        return [upstream_protocol.echo(request)]
 
     def _takes(self, name: str) -> bool:
         self.faults, taken = controls.counted_off(self.faults, name)
@@ -271,7 +273,7 @@
         "method": request.method,
         "path": request.path,
         "query": request.query,
-        "request_id": request.headers.get("x-request-id", ""),
+        "request_id": upstream_protocol.request_id(request),
         "body_digest": body_digest(request.body),
     }
 
--- a/packages/standins/src/lagoonrun_standins/platform_store.py
+++ b/packages/standins/src/lagoonrun_standins/platform_store.py
@@ -143,10 +143,7 @@
         ValueError
             If a field does not exist or its value is not valid.
         """
-        if not isinstance(body, dict):
-            raise ValueError(f"{body!r} is not a JSON object")
-        fields = dict(body)
-        resets_counters = fields.pop("reset_counters", False)
+        fields, resets_counters = controls.without(body, "reset_counters")
         before = self.faults.outage
         self.faults = controls.changed(self.faults, fields)
         self._calls.read_lag_revisions = self.faults.read_lag_revisions
--- /dev/null
+++ b/packages/standins/tests/test_key_value_state.py
@@ -0,0 +1,108 @@
+"""The revisioned state against a naive one that copies all at each revision."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from lagoonrun_core import clock as clock_lib
+from lagoonrun_standins import key_value_state as state_lib
+
+KEYS = st.sampled_from([b"a", b"b", b"c"])
+ALL_KEYS = state_lib.KeyRange(key=b"a", end=b"\0")
+
+
+class StateMachine(stateful.RuleBasedStateMachine):
+    """Puts, deletes, leases and compactions in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = clock_lib.ManualClock()
+        self.told = []
+        self.state = state_lib.KeyValueState(clock=self.clock)
+        self.state.on_change = self.told.extend
+        self.values_by_revision = {1: {}}
+        self.lease_of_key = {}
+        self.lapses_by_lease = {}
+
+    @stateful.rule(key=KEYS, value=st.binary(max_size=2), leased=st.booleans())
+    def put(self, key, value, leased):
+        """Put a key, on a live lease or on none."""
+        lease = min(self.lapses_by_lease, default=0) if leased else 0
+        self.state.put(key, value, lease=lease)
+        assert self.state.commit()
+        self.lease_of_key[key] = lease
+        self.remember(self.latest() | {key: value})
+
+    @stateful.rule(key=KEYS)
+    def delete(self, key):
+        """Delete a key; nothing changes where it is absent."""
+        was_there = key in self.latest()
+        self.state.delete(state_lib.KeyRange(key=key))
+        assert self.state.commit() is was_there
+        if was_there:
+            self.remember({k: v for k, v in self.latest().items() if k != key})
+
+    @stateful.rule(ttl_seconds=st.integers(1, 3))
+    def grant(self, ttl_seconds):
+        """Grant a lease."""
+        lease = self.state.grant(ttl_seconds)
+        lapses_at = self.clock.monotonic() + ttl_seconds
+        self.lapses_by_lease[lease.id] = lapses_at
+
+    @stateful.rule(seconds=st.integers(1, 2))
+    def advance(self, seconds):
+        """Let time pass; lapsed leases take their keys with them."""
+        self.clock.advance(seconds)
+        self.state.expire()
+        now = self.clock.monotonic()
+        lapsed = [i for i, at in self.lapses_by_lease.items() if at <= now]
+        for lease in lapsed:
+            del self.lapses_by_lease[lease]
+            latest = self.latest()
+            kept = {
+                k: v for k, v in latest.items() if self.lease_of_key[k] != lease
+            }
+            if kept != latest:
+                self.remember(kept)
+
+    @stateful.rule(behind=st.integers(0, 3))
+    def compact(self, behind):
+        """Forget old revisions."""
+        revision = self.state.revision - behind
+        if revision > self.state.compact_revision:
+            self.state.compact(revision)
+
+    @stateful.invariant()
+    def every_kept_revision_reads_as_it_was(self):
+        """Compare all revisions that were not compacted."""
+        assert self.state.revision == max(self.values_by_revision)
+        oldest = max(1, self.state.compact_revision)
+        for revision in range(oldest, self.state.revision + 1):
+            found = self.state.get(ALL_KEYS, revision=revision)
+            values = {item.key: item.value for item in found}
+            assert values == self.values_by_revision[revision]
+
+    @stateful.invariant()
+    def watchers_were_told_of_every_change_once(self):
+        """Replay what was told, in order."""
+        values = {}
+        for change in self.told:
+            if change.is_deletion:
+                del values[change.present.key]
+            else:
+                values[change.present.key] = change.present.value
+        assert values == self.latest()
+
+    def latest(self):
+        """Return the values now."""
+        return self.values_by_revision[max(self.values_by_revision)]
+
+    def remember(self, values):
+        """Keep the values of the next revision."""
+        self.values_by_revision[max(self.values_by_revision) + 1] = values
+
+
+TestStateMachine = StateMachine.TestCase
+TestStateMachine.settings = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=40, stateful_step_count=25
+)
