--- a/packages/http/src/lagoonrun_http/messages.py
+++ b/packages/http/src/lagoonrun_http/messages.py
@@ -26,6 +26,13 @@
                 return value
         return default
 
+    def get_all(self, name: str) -> tuple[str, ...]:
+        """Return all values of `name` in wire order."""
+        wanted = name.lower()
+        return tuple(
+            value for known, value in self._pairs if known.lower() == wanted
+        )
+
     def with_added(self, name: str, value: str) -> "Headers":
         """Return a copy that ends with one more header."""
         return Headers(pairs=(*self._pairs, (name, value)))
--- a/packages/http/src/lagoonrun_http/server.py
+++ b/packages/http/src/lagoonrun_http/server.py
@@ -68,6 +68,11 @@
         """Connections of callers."""
         return len(self._connections)
 
+    @property
+    def reading_heads(self) -> int:
+        """Connections on which part of a request's head has arrived."""
+        return sum(made.reading_head for made in self._connections)
+
     async def start(self) -> None:
         """Listen; raises `OSError` when the address is taken."""
         loop = asyncio.get_running_loop()
--- a/packages/http/src/lagoonrun_http/server_connection.py
+++ b/packages/http/src/lagoonrun_http/server_connection.py
@@ -4,6 +4,7 @@
 import enum
 import http
 import logging
+import traceback
 from typing import Protocol
 
 import h11
@@ -11,12 +12,14 @@
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import errors as core_errors
 from lagoonrun_core import events, logs, outcomes
-from lagoonrun_http import errors, exchange, limits, messages
+from lagoonrun_http import errors, exchange, limits, messages, resetting
 
 _REASONS_BY_STATUS = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
 _LINGER_BYTES = 1 << 20
+_REQUEST_LINE_EXTRA_BYTES = len("  HTTP/1.1\r\n\r\n")
+_HEADER_EXTRA_BYTES = len(": \r\n")
 
 
 class ConnectionOwner(Protocol):
@@ -83,10 +86,16 @@
         self._peer = ""
         self._drained: asyncio.Future[None] | None = None
         self._reading_paused = False
+        self._input_ended = False
         self._lingered_bytes = 0
         self._unsent_bytes = 0
         self._unsent_since = 0.0
 
+    @property
+    def reading_head(self) -> bool:
+        """Whether part of a request's head has arrived."""
+        return self._phase is _Phase.HEAD
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -113,6 +122,7 @@
 
     def eof_received(self) -> bool:
         """Take the caller's end of input; the answer can still be written."""
+        self._input_ended = True
         if self._phase is _Phase.EXCHANGE:
             running = self._exchange
             self._h11.receive_data(b"")
@@ -191,7 +201,7 @@
 
     def abort(self) -> None:
         """Reset the connection."""
-        self._transport.abort()
+        resetting.reset(self._transport)
 
     # Called by the server.
 
@@ -208,7 +218,7 @@
         """Act on the bounds in time that the caller has run over."""
         now = self._clock.monotonic()
         if self._is_write_stalled(now):
-            self._transport.abort()
+            resetting.reset(self._transport)
         elif self._deadline is not None and now >= self._deadline:
             self._deadline = None
             self._act_on_deadline()
@@ -297,15 +307,17 @@
         except (errors.RequestRejectedError, errors.CallerLeftError):
             pass
         except asyncio.CancelledError:
-            self._transport.abort()
+            resetting.reset(self._transport)
             raise
         except Exception as error:
             logs.emit(
                 events.LogEvent.TASK_FAILED,
                 level=logging.ERROR,
-                exc_info=error,
                 task="exchange",
                 peer=self._peer,
+                error=type(error).__name__,
+                # Without the message, which may quote a caller's text.
+                trace="".join(traceback.format_tb(error.__traceback__)),
             )
         self._end_exchange(running)
 
@@ -317,7 +329,7 @@
             elif running.finished:
                 self._start_next_cycle()
             else:
-                self._transport.abort()
+                resetting.reset(self._transport)
         if self._exchange is running:
             self._exchange = None
 
@@ -391,6 +403,9 @@
         then shows as a broken pipe. Input is discarded for a short while
         after our end of output instead.
         """
+        if self._input_ended:
+            self._close()
+            return
         self._phase = _Phase.LINGER
         self._set_deadline(self._limits.linger_seconds)
         self._resume_reading()
@@ -400,7 +415,7 @@
     def _discard(self, data: bytes) -> None:
         self._lingered_bytes += len(data)
         if self._lingered_bytes > _LINGER_BYTES:
-            self._transport.abort()
+            resetting.reset(self._transport)
 
     def _close(self) -> None:
         self._phase = _Phase.CLOSED
@@ -453,9 +468,10 @@
     request: h11.Request, server_limits: limits.ServerLimits
 ) -> exchange.Rejection | None:
     size = len(request.method) + len(request.target)
+    size += _REQUEST_LINE_EXTRA_BYTES
     names = set()
     for name, value in request.headers:
-        size += len(name) + len(value)
+        size += len(name) + len(value) + _HEADER_EXTRA_BYTES
         names.add(name)
     if size > server_limits.header_bytes:
         return _head_too_large(server_limits)
--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -93,7 +93,7 @@
         """Close the idle connections to an upstream that leaves."""
         endpoint = _Endpoint(address=host, port=port)
         for connection in self._idle_by_endpoint.pop(endpoint, []):
-            connection.abort()
+            connection.close_idle()
 
     async def close(self) -> None:
         """Close all connections; running responses fail."""
@@ -111,7 +111,7 @@
         endpoint = _endpoint(connection)
         idle = self._idle_by_endpoint.setdefault(endpoint, [])
         if self._closed or len(idle) >= self._limits.idle_per_upstream:
-            connection.abort()
+            connection.close_idle()
         else:
             idle.append(connection)
 
@@ -204,7 +204,7 @@
             if connection.busy:
                 connection.check_deadlines(now)
             elif now - connection.idle_since >= self._limits.idle_seconds:
-                connection.abort()
+                connection.close_idle()
 
 
 def _endpoint(
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -11,6 +11,7 @@
     hop_by_hop,
     limits,
     messages,
+    resetting,
     upstream_messages,
     upstream_response,
 )
@@ -96,7 +97,7 @@
         try:
             self._write(request)
             return await head
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             self._fail(_Stage.PROTOCOL, f"the request cannot be sent: {error}")
             return head.result()
         except asyncio.CancelledError:
@@ -108,7 +109,12 @@
     def abort(self) -> None:
         """Reset the connection, which cancels the upstream's work."""
         self.closed = True
-        self._transport.abort()
+        resetting.reset(self._transport)
+
+    def close_idle(self) -> None:
+        """Close in order, with no request under way."""
+        self.closed = True
+        self._transport.close()
 
     def resume_reading(self) -> None:
         """Read on: the consumer has taken what was held for it."""
@@ -148,7 +154,9 @@
             # would be read as the answer to the next request.
             self.abort()
             return
-        self._last_progress = self._clock.monotonic()
+        if self._response is not None:
+            # Not for a head: one that trickles would never time out.
+            self._last_progress = self._clock.monotonic()
         if self._transport.get_write_buffer_size():
             self._answered_early = True
         self._h11.receive_data(data)
@@ -214,8 +222,8 @@
 
     def _take_head(self, response: h11.Response) -> None:
         head = _response_head(response)
-        echoed = head.headers.get(upstream_messages.REQUEST_ID_HEADER)
-        if echoed != self.last_request_id:
+        echoed = head.headers.get_all(upstream_messages.REQUEST_ID_HEADER)
+        if not echoed or set(echoed) != {self.last_request_id}:
             # A crossed, late or duplicated answer belongs to another request;
             # it shows only in the id, so nothing of it may be delivered.
             self._fail(
@@ -232,7 +240,9 @@
                 status=head.status, headers=hop_by_hop.strip(head.headers)
             ),
             connection=self,
+            close_delimited=_is_close_delimited(response, head.headers),
         )
+        self._last_progress = self._clock.monotonic()
         waiting = self._head
         self._head = None
         if not waiting.done():
@@ -335,6 +345,14 @@
     )
 
 
+def _is_close_delimited(
+    response: h11.Response, headers: messages.Headers
+) -> bool:
+    bodiless = response.status_code in (204, 304)
+    framed = "content-length" in headers or "transfer-encoding" in headers
+    return not (bodiless or framed)
+
+
 def _framing_fault(head: messages.ResponseHead) -> str:
     headers = head.headers
     if "transfer-encoding" in headers and "content-length" in headers:
--- a/packages/http/src/lagoonrun_http/upstream_response.py
+++ b/packages/http/src/lagoonrun_http/upstream_response.py
@@ -25,6 +25,9 @@
         Status and headers without those of the connection.
     connection
         Connection that the response arrives on.
+    close_delimited
+        Whether only the end of the connection ends the body. A body that was
+        cut then looks whole; the reader must tell by its contents.
     """
 
     __slots__ = (
@@ -33,6 +36,7 @@
         "_failure",
         "_parts",
         "_waiter",
+        "close_delimited",
         "head",
         "held_bytes",
     )
@@ -42,8 +46,10 @@
         *,
         head: messages.ResponseHead,
         connection: ResponseConnection,
+        close_delimited: bool = False,
     ) -> None:
         self.head = head
+        self.close_delimited = close_delimited
         self.held_bytes = 0
         self._connection = connection
         self._parts: list[bytes] = []
