Make the demo pass, and test the whole path in one process

Cause: refusals were answered 500, since answers.py looked for error_body in the wrong module. Conclusion: the thin whole path serves and refuses as said.

--- a/packages/daemon/src/lagoonrun_daemon/answers.py
+++ b/packages/daemon/src/lagoonrun_daemon/answers.py
@@ -4,6 +4,7 @@
 
 from lagoonrun_core import errors, outcomes, types
 from lagoonrun_daemon import resolution
+from lagoonrun_http import errors as http_errors
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import server as http_server
 
@@ -62,7 +63,7 @@
 ) -> None:
     """Answer a request that was accepted but got no upstream's answer."""
     status = _STATUS_BY_REASON.get(ending.reason, _DEFAULT_STATUS)
-    body = http_server.error_body(
+    body = http_errors.error_body(
         step=_STEP_BY_REASON.get(ending.reason, errors.Step.PERMIT),
         field="",
         message=ending.detail or ending.reason.value,
@@ -81,7 +82,7 @@
     rejection: resolution.Rejection,
 ) -> None:
     """Answer a request that cannot be served as it stands."""
-    body = http_server.error_body(
+    body = http_errors.error_body(
         step=rejection.step,
         field=rejection.field,
         message=rejection.message,
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -61,7 +61,7 @@
         self._settings = configured
         self._clock = clock or clocks.SystemClock()
         self._random = chance or random.Random(secrets.randbits(64))
-        self._ready = False
+        self._configured_event = asyncio.Event()
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self._build_network()
@@ -227,7 +227,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self._ready and not self._stopping
+        return self._configured_event.is_set() and not self._stopping
 
     async def start(self) -> None:
         """Start all tasks; ready once a configuration is in force."""
@@ -246,6 +246,10 @@
         await self.caller_server.start()
         self._tasks = [asyncio.create_task(self._follow_configuration())]
 
+    async def wait_ready(self) -> None:
+        """Wait until a configuration is in force."""
+        await self._configured_event.wait()
+
     async def stop(self) -> int:
         """Stop as planned: cut nothing, refuse nothing another could take.
 
@@ -302,8 +306,8 @@
         self.dispatcher.set_configuration(configuration)
         self.ingress.set_configuration(configuration)
         self.metrics.revision.set(configuration.revision)
-        if not self._ready:
-            self._ready = True
+        if not self._configured_event.is_set():
+            self._configured_event.set()
             logs.emit(
                 events.LogEvent.PROCESS_READY, revision=configuration.revision
             )
--- /dev/null
+++ b/packages/daemon/tests/test_daemon.py
@@ -0,0 +1,103 @@
+"""The whole path of one entry VM, from the caller to the upstream."""
+
+import json
+
+import pytest
+
+
+def chat(**fields) -> bytes:
+    body = {
+        "model": "catalogue-1",
+        "messages": [{"role": "user", "content": "Which volumes?"}],
+        "max_tokens": 5,
+    }
+    return json.dumps(body | fields).encode()
+
+
+def outcome_of(answer) -> str | None:
+    return answer.head.headers.get("lagoonrun-outcome")
+
+
+async def test_streamed_chat_is_relayed_whole(small_deployment):
+    answer = await small_deployment.ask(
+        "/v1/chat/completions", body=chat(stream=True)
+    )
+    assert answer.status == 200
+    assert answer.body.endswith(b"data: [DONE]\n\n")
+
+
+async def test_whole_chat_says_that_it_is_complete(small_deployment):
+    answer = await small_deployment.ask("/v1/chat/completions", body=chat())
+    assert (answer.status, outcome_of(answer)) == (200, "complete")
+    assert answer.json()["usage"]["completion_tokens"] == 5
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE"])
+async def test_plain_service_gets_any_method(small_deployment, method):
+    answer = await small_deployment.ask("/lookups/page/7?x=1", method=method)
+    assert (answer.status, outcome_of(answer)) == (200, "complete")
+    assert answer.json()["method"] == method
+    assert answer.json()["path"] == "/lookups/page/7"
+    assert answer.json()["query"] == "x=1"
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "status", "field"),
+    [
+        ("/elsewhere", b"", 404, "path"),
+        ("/lookups/%2e%2e/admin", b"", 400, "path"),
+        ("/private/page", b"", 404, "model"),
+        ("/v1/chat/completions", b"{", 400, "body"),
+        ("/v1/chat/completions", b"[]", 400, "body"),
+        ("/v1/chat/completions", chat(model="other"), 404, "model"),
+        ("/v1/chat/completions", chat(model=3), 400, "model"),
+        ("/v1/chat/completions", chat(stream="yes"), 400, "stream"),
+        ("/v1/chat/completions", chat(messages="hi"), 400, "messages"),
+    ],
+)
+async def test_bad_request_is_told_its_field(
+    small_deployment, path, body, status, field
+):
+    answer = await small_deployment.ask(path, body=body)
+    assert (answer.status, outcome_of(answer)) == (status, "not-run")
+    assert answer.json()["error"]["field"] == field
+
+
+async def test_unknown_key_is_refused_before_its_body(small_deployment):
+    answer = await small_deployment.ask("/lookups", organisation="nobody")
+    assert (answer.status, outcome_of(answer)) == (401, "not-run")
+    assert answer.head.headers["www-authenticate"] == "Bearer"
+
+
+async def test_idempotency_key_runs_once(small_deployment):
+    headers = (("Idempotency-Key", "spill-3"),)
+    first = await small_deployment.ask("/warnings/spill", headers=headers)
+    second = await small_deployment.ask("/warnings/spill", headers=headers)
+    assert (first.status, second.status) == (200, 409)
+    assert outcome_of(second) == "not-run"
+
+
+@pytest.mark.parametrize("key", ["", "k" * 256])
+async def test_unusable_idempotency_key_is_refused(small_deployment, key):
+    answer = await small_deployment.ask(
+        "/warnings/spill", headers=(("Idempotency-Key", key),)
+    )
+    assert answer.status == 400
+
+
+async def test_decision_is_explained_without_the_prompt(small_deployment):
+    answer = await small_deployment.ask("/v1/chat/completions", body=chat())
+    request_id = answer.head.headers["lagoonrun-request-id"]
+    explained = await small_deployment.ask_admin(f"/explain/{request_id}")
+    assert explained.json()["decisions"][0]["upstream"] == "writer-1"
+    assert b"Which volumes?" not in explained.body
+
+
+async def test_admin_answers(small_deployment):
+    assert (await small_deployment.ask_admin("/healthz")).status == 200
+    assert (await small_deployment.ask_admin("/readyz")).status == 200
+    metrics = await small_deployment.ask_admin("/metrics")
+    assert b"lagoonrun_configuration_revision 1.0" in metrics.body
+    assert (await small_deployment.ask_admin("/nothing")).status == 404
+    status = await small_deployment.ask_admin("/status")
+    assert status.json()["revision"] == 1
--- a/packages/standins/src/lagoonrun_standins/deployment.py
+++ b/packages/standins/src/lagoonrun_standins/deployment.py
@@ -88,26 +88,8 @@
 
     async def apply(self, draft: draft_module.Draft) -> types.Revision:
         """Bring `draft` into force as the next revision."""
-        gateway = etcd_gateway.EtcdGateway(
-            addresses=[self.platform.address()],
-            clock=clock.SystemClock(),
-            chance=random.Random(0),
-        )
-        store = configuration_store.ConfigurationStore(
-            store=gateway, chance=random.Random(0)
-        )
-        try:
-            outcome = await store.apply(
-                draft,
-                base=types.Revision(0),
-                change_id=types.ChangeId(secrets.token_hex(8)),
-                operator="deployment",
-            )
-        finally:
-            await gateway.close()
-        if not isinstance(outcome, change_outcomes.Accepted):
-            raise RuntimeError(f"the declarations were not accepted: {outcome}")
-        return outcome.revision
+        assert self.platform is not None
+        return await apply_declarations(draft, platform=self.platform.address())
 
     async def start_entry_vm(
         self, entry_vm: EntryVm
@@ -244,3 +226,35 @@
 
 def _key_digest(organisation: types.OrganisationId) -> str:
     return hashlib.sha256(organisation_key(organisation).encode()).hexdigest()
+
+
+async def apply_declarations(
+    draft: draft_module.Draft, *, platform: settings.Address
+) -> types.Revision:
+    """Bring `draft` into force in an empty store, and return its revision.
+
+    Raises
+    ------
+    RuntimeError
+        If the platform does not accept it.
+    """
+    gateway = etcd_gateway.EtcdGateway(
+        addresses=[platform],
+        clock=clock.SystemClock(),
+        chance=random.Random(0),
+    )
+    store = configuration_store.ConfigurationStore(
+        store=gateway, chance=random.Random(0)
+    )
+    try:
+        outcome = await store.apply(
+            draft,
+            base=types.Revision(0),
+            change_id=types.ChangeId(secrets.token_hex(8)),
+            operator="deployment",
+        )
+    finally:
+        await gateway.close()
+    if not isinstance(outcome, change_outcomes.Accepted):
+        raise RuntimeError(f"the declarations were not accepted: {outcome}")
+    return outcome.revision
