Write every setting that a fleet's daemon is given

A setting added since, readiness_grace_seconds, was not written to the settings file, so daemons of a demo ran with its default of two seconds. The file is now made from all fields of the settings, and its test fails when a field is left at its default, so that a new one is noticed.

--- a/packages/standins/src/lagoonrun_standins/fleet.py
+++ b/packages/standins/src/lagoonrun_standins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import atexit
+import dataclasses
 import os
 import pathlib
 import signal
@@ -145,24 +146,23 @@
 
 def settings_toml(configured: settings.Settings) -> str:
     """Return the settings as the TOML that `lagoonrund` reads."""
-    platform = ", ".join(f'"{address}"' for address in configured.platform)
-    seeds = ", ".join(f'"{address}"' for address in configured.seeds)
-    lines = [
-        f'entry_vm = "{configured.entry_vm}"',
-        f'domain = "{configured.domain}"',
-        f'caller = "{configured.caller}"',
-        f'admin = "{configured.admin}"',
-        f'peer = "{configured.peer}"',
-        f"platform = [{platform}]",
-        f"seeds = [{seeds}]",
-        f'inner_key = "{configured.inner_key.hex()}"',
-        f"drain_timeout_seconds = {configured.drain_timeout_seconds}",
-        f"explain_capacity = {configured.explain_capacity}",
-    ]
-    if configured.admin_token_digest:
-        digest = configured.admin_token_digest
-        lines.append(f'admin_token_digest = "{digest}"')
-    return "\n".join(lines) + "\n"
+    lines = []
+    for field in dataclasses.fields(configured):
+        value = getattr(configured, field.name)
+        # An empty text or list says the same as a key that is left out.
+        if value not in ("", ()):
+            lines.append(f"{field.name} = {_toml_value(value)}\n")
+    return "".join(lines)
+
+
+def _toml_value(value: object) -> str:
+    if isinstance(value, tuple):
+        return f"[{', '.join(_toml_value(item) for item in value)}]"
+    if isinstance(value, bytes):
+        return f'"{value.hex()}"'
+    if isinstance(value, str | settings.Address):
+        return f'"{value}"'
+    return str(value)
 
 
 def free_peer_address() -> settings.Address:
--- a/packages/standins/tests/test_fleet.py
+++ b/packages/standins/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Child processes: started, frozen, resumed, stopped and never left."""
 
 import asyncio
+import dataclasses
 import pathlib
 
 import pytest
@@ -120,9 +121,17 @@
         inner_key=b"0123456789abcdef",
         admin_token_digest="ab" * 32,
         drain_timeout_seconds=3.0,
+        explain_capacity=7,
+        readiness_grace_seconds=0.25,
     )
+    defaults = [
+        field.name
+        for field in dataclasses.fields(configured)
+        if getattr(configured, field.name) == field.default
+    ]
     path = tmp_path / "vm-1.toml"
 
     path.write_text(fleet_lib.settings_toml(configured))
 
+    assert defaults == [], "give each setting another value than its default"
     assert settings_file.load_settings(path) == configured
