Compare the scheduler with plain sorts over lists

The same events go to the scheduler and to an oracle that sorts all that waits at every step. Found by it: ties between organisations were broken by the order in which they happened to be stored; now by name, and for shedding by the newest request.

--- a/packages/policy/src/lagoonrun_policy/fair_queue.py
+++ b/packages/policy/src/lagoonrun_policy/fair_queue.py
@@ -80,8 +80,7 @@
         self._fair = fair
         self._lanes = lanes
         self._accounts: dict[types.OrganisationId, _Account] = {}
-        self._order: list[tuple[float, int, types.OrganisationId]] = []
-        self._order_sequence = 0
+        self._order: list[tuple[float, types.OrganisationId]] = []
         self._virtual_now = 0.0
         self._deadlines: list[tuple[float, int, Waiting]] = []
         self.length = 0
@@ -130,7 +129,7 @@
             it and yields to those of its organisation that can.
         """
         while self._order:
-            virtual_time, _, organisation = self._order[0]
+            virtual_time, organisation = self._order[0]
             account = self._accounts[organisation]
             stale = virtual_time != account.virtual_time
             if stale or not account.by_sequence:
@@ -200,7 +199,10 @@
         accounts = [a for a in self._accounts.values() if a.by_sequence]
         if not accounts:
             return None
-        account = max(accounts, key=lambda a: len(a.by_sequence) / a.weight)
+        account = max(
+            accounts,
+            key=lambda a: (len(a.by_sequence) / a.weight, max(a.by_sequence)),
+        )
         return account.by_sequence[max(account.by_sequence)]
 
     def __iter__(self) -> Iterator[Waiting]:
@@ -238,20 +240,14 @@
     def _push_order(
         self, organisation: types.OrganisationId, account: _Account
     ) -> None:
-        self._order_sequence += 1
-        heapq.heappush(
-            self._order,
-            (account.virtual_time, self._order_sequence, organisation),
-        )
+        heapq.heappush(self._order, (account.virtual_time, organisation))
         if len(self._order) > _COMPACT_ABOVE + 4 * len(self._accounts):
             self._rebuild_order()
 
     def _rebuild_order(self) -> None:
         self._order = [
-            (account.virtual_time, position, organisation)
-            for position, (organisation, account) in enumerate(
-                self._accounts.items()
-            )
+            (account.virtual_time, organisation)
+            for organisation, account in self._accounts.items()
             if account.by_sequence
         ]
         heapq.heapify(self._order)
--- /dev/null
+++ b/packages/policy/tests/oracle.py
@@ -0,0 +1,199 @@
+"""A scheduler made of plain sorts over lists, to compare with.
+
+It knows the order of service and nothing of speed: every step sorts all that
+waits. Service times are taken to be unknown, so nothing is refused early.
+"""
+
+import dataclasses
+
+from lagoonrun_core import outcomes
+from lagoonrun_policy import messages
+
+
+@dataclasses.dataclass
+class Item:
+    """A waiting request."""
+
+    request: messages.PermitRequested
+    deadline: float
+    target: float
+    sequence: int
+
+
+class OracleScheduler:
+    """Order of service by sorting lists."""
+
+    def __init__(self, *, policy: messages.ShardPolicy) -> None:
+        self.policy = policy
+        self.waiting: list[Item] = []
+        self.running: dict = {}
+        self.virtual: dict = {}
+        self.system: dict = {}
+        self.credit: dict = dict.fromkeys(policy.classes_by_name, 0.0)
+        self.last: dict = dict.fromkeys(policy.classes_by_name, 0)
+        self.sequence = 0
+        self.grants = 0
+
+    def handle(self, event, *, now):
+        """Return (verdict, key, upstream or reason) for what follows."""
+        out = []
+        if isinstance(event, messages.PermitRequested):
+            self._arrive(event, now, out)
+        elif isinstance(event, messages.PermitEnded):
+            self._end(event)
+        self._expire(now, out)
+        self._grant(now, out)
+        return out
+
+    def _class(self, item):
+        return self.policy.classes_by_name[item.request.profile]
+
+    def _of(self, name):
+        return [i for i in self.waiting if i.request.profile == name]
+
+    def _arrive(self, event, now, out):
+        self.sequence += 1
+        item = Item(
+            event,
+            now + event.remaining_seconds,
+            now + event.remaining_target_seconds,
+            self.sequence,
+        )
+        if event.remaining_seconds <= 0:
+            out.append(("refuse", event.key, outcomes.Reason.DEADLINE))
+            return
+        mine = self.policy.classes_by_name[event.profile]
+        if len(self._of(mine.name)) >= mine.queue_capacity:
+            lower = [
+                c
+                for c in self.policy.classes_by_name.values()
+                if c.tier > mine.tier and len(self._of(c.name)) > 1
+            ]
+            if not lower:
+                out.append(("refuse", event.key, outcomes.Reason.QUEUE_FULL))
+                return
+            lowest = max(lower, key=lambda c: (c.tier, c.name))
+            queue = self._of(lowest.name)
+            shed = max(
+                queue,
+                key=lambda i: (self._backlog(queue, i), i.sequence),
+            )
+            self.waiting.remove(shed)
+            reason = outcomes.Reason.SHED_FOR_HIGHER_TIER
+            out.append(("refuse", shed.request.key, reason))
+        account = (mine.name, event.organisation)
+        if not any(
+            i.request.organisation == event.organisation
+            for i in self._of(mine.name)
+        ):
+            self.virtual[account] = max(
+                self.virtual.get(account, self.system.get(mine.name, 0.0)),
+                self.system.get(mine.name, 0.0),
+            )
+        self.waiting.append(item)
+
+    def _backlog(self, queue, item):
+        organisation = item.request.organisation
+        count = sum(i.request.organisation == organisation for i in queue)
+        return count / self._weight(organisation)
+
+    def _weight(self, organisation):
+        return self.policy.weights_by_organisation.get(organisation, 1.0)
+
+    def _charge(self, account, tokens):
+        start = self.virtual.get(account, self.system.get(account[0], 0.0))
+        self.virtual[account] = start + tokens / self._weight(account[1])
+
+    def _end(self, event):
+        ended = self.running.pop(event.key, None)
+        if ended is None:
+            self.waiting = [
+                i for i in self.waiting if i.request.key != event.key
+            ]
+            return
+        _, account, _ = ended
+        self._charge(account, max(event.tokens, 1) - 1)
+
+    def _expire(self, now, out):
+        for item in sorted(
+            self.waiting,
+            key=lambda i: (self._class(i).tier, i.deadline, i.sequence),
+        ):
+            if item.deadline <= now:
+                self.waiting.remove(item)
+                reason = outcomes.Reason.DEADLINE
+                out.append(("refuse", item.request.key, reason))
+
+    def _grant(self, now, out):
+        while self.waiting:
+            counts = dict.fromkeys(self.policy.runners_by_id, 0)
+            for upstream, *_ in self.running.values():
+                counts[upstream] += 1
+            free = [
+                r
+                for r in self.policy.runners_by_id.values()
+                if counts[r.id] < r.slots
+            ]
+            if not free:
+                return
+            runner = min(free, key=lambda r: (counts[r.id] + 1) / r.slots)
+            item, floor = self._next(now)
+            self.waiting.remove(item)
+            name = item.request.profile
+            account = (name, item.request.organisation)
+            self.system[name] = max(
+                self.system.get(name, 0.0), self.virtual[account]
+            )
+            self._charge(account, 1)
+            self.running[item.request.key] = (
+                runner.id,
+                account,
+                floor,
+            )
+            self._earn(name, floor)
+            out.append(("grant", item.request.key, runner.id))
+
+    def _earn(self, name, floor):
+        self.grants += 1
+        self.last[name] = self.grants
+        if floor:
+            self.credit[name] = max(0.0, self.credit[name] - 1.0)
+            return
+        tier = self.policy.classes_by_name[name].tier
+        for other in self.policy.classes_by_name.values():
+            if (
+                other.name != name
+                and other.tier >= tier
+                and self._of(other.name)
+            ):
+                earned = self.credit[other.name] + other.floor_share
+                self.credit[other.name] = min(1.0, earned)
+
+    def _next(self, now):
+        in_order = sorted(
+            {i.request.profile for i in self.waiting},
+            key=lambda n: (self.policy.classes_by_name[n].tier, self.last[n]),
+        )
+        for name in in_order[1:]:
+            on_credit = sum(
+                account[0] == name and floor
+                for _, account, floor in self.running.values()
+            )
+            if self.credit[name] >= 1.0 - 1e-9 and on_credit < 1:
+                return self._first_of(name, now), True
+        return self._first_of(in_order[0], now), False
+
+    def _first_of(self, name, now):
+        queue = self._of(name)
+        organisation = min(
+            (i.request.organisation for i in queue),
+            key=lambda o: (self.virtual[(name, o)], o),
+        )
+        return min(
+            (i for i in queue if i.request.organisation == organisation),
+            key=lambda i: (
+                i.target < now,
+                i.deadline if i.target < now else i.target,
+                i.sequence,
+            ),
+        )
