Check the promises on random walks and in a hypothesis state machine

A small world plays the ingresses, keeps its own books of what runs, loses and delays messages, kills entry VMs, hands over, changes configurations and runners' states, and checks every action. Seven schedulers with a part left out (digests, dead ingresses, returns, runner states, waking, permits, tiers) are each caught by it.

Found by it: a runner that was leaving, vanished from one revision and came back with the next was taken for a new one and got work. What is known not to be live is now remembered, configured or not.

--- a/packages/policy/src/lagoonrun_policy/runners.py
+++ b/packages/policy/src/lagoonrun_policy/runners.py
@@ -19,6 +19,7 @@
 """At most one of this many runners is ejected at a time."""
 
 _MARGIN_CAP = 0.75
+_STATES_KEPT = 1024
 _PROBE_PATIENCE_SECONDS = 10.0
 _MEDIAN_REFRESH_SECONDS = 0.25
 
@@ -92,6 +93,7 @@
         self._features = switches
         self._services = services
         self._by_id: dict[types.UpstreamId, RunnerState] = {}
+        self._not_live: dict[types.UpstreamId, messages.UpstreamState] = {}
         self._usable: list[RunnerState] = []
         self._total_room: int | None = None
         self._median_pace: float | None = None
@@ -113,7 +115,9 @@
         for declared in runners_by_id.values():
             known = self._by_id.get(declared.id)
             if known is None:
-                self._by_id[declared.id] = RunnerState(declared=declared)
+                known = RunnerState(declared=declared)
+                known.state = self._not_live.get(declared.id, declared.state)
+                self._by_id[declared.id] = known
                 continue
             known.declared = declared
             known.configured = True
@@ -148,6 +152,7 @@
         self, upstream: types.UpstreamId, state: messages.UpstreamState
     ) -> None:
         """Take in that a runner is live, leaving or gone."""
+        self._remember_state(upstream, state)
         runner = self._by_id.get(upstream)
         if runner is None:
             return
@@ -290,6 +295,20 @@
         ]
         return min(instants, default=None)
 
+    def _remember_state(
+        self, upstream: types.UpstreamId, state: messages.UpstreamState
+    ) -> None:
+        """Keep that a runner is not live, configured or not.
+
+        A runner that leaves may vanish from the configuration and come back
+        with a later revision; it would get work again as if it were new.
+        """
+        self._not_live.pop(upstream, None)
+        if state is not messages.UpstreamState.LIVE:
+            self._not_live[upstream] = state
+        if len(self._not_live) > _STATES_KEPT:
+            del self._not_live[next(iter(self._not_live))]
+
     def _refresh_usable(self) -> None:
         self._total_room = None
         self._usable = [
--- a/packages/policy/tests/test_differential.py
+++ b/packages/policy/tests/test_differential.py
@@ -6,6 +6,7 @@
 import hypothesis
 import pytest
 from hypothesis import strategies
+
 from lagoonrun_core import outcomes, types
 from lagoonrun_policy import features, messages, scheduler
 
--- /dev/null
+++ b/packages/policy/tests/test_promises.py
@@ -0,0 +1,259 @@
+"""The promises, against any order of grant, end, loss and late message."""
+
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import stateful, strategies
+
+from lagoonrun_core import types
+from lagoonrun_policy import features, messages, scheduler
+
+from . import world
+from .conftest import class_policy, shard_policy
+
+_CLASSES = [
+    class_policy("lookup", 1, limit_seconds=5.0, queue_capacity=4),
+    class_policy("answer", 2, limit_seconds=30.0, queue_capacity=4),
+    class_policy(
+        "digest", 3, limit_seconds=30.0, queue_capacity=4, idempotent=False
+    ),
+]
+_POLICY = shard_policy(_CLASSES, runners=3, slots=world.SLOTS)
+# Rooms that adapt and runners that are ejected have their own tests; here
+# the books count declared slots.
+_SWITCHES = features.Features(adaptive_room=False, ejection=False)
+
+
+def _make(policy):
+    return scheduler.ShardScheduler(policy=policy, switches=_SWITCHES)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_promises_hold_on_a_random_walk(seed):
+    subject = world.World(subject=_make(_POLICY), policy=_POLICY)
+    world.walk(subject, seed=seed, steps=400, successor=_make)
+
+
+class _Broken:
+    """A scheduler with one part left out."""
+
+    def __init__(self, policy):
+        self.inner = _make(policy)
+
+    def next_wake(self, *, now):
+        return self.inner.next_wake(now=now)
+
+    def handle(self, event, *, now):
+        return self.inner.handle(event, now=now)
+
+
+class _WithoutDigests(_Broken):
+    def handle(self, event, *, now):
+        if isinstance(event, messages.InFlightDigest):
+            event = messages.Ticked()
+        return super().handle(event, now=now)
+
+
+class _WithoutIngressGone(_Broken):
+    def handle(self, event, *, now):
+        if isinstance(event, messages.IngressGone):
+            event = messages.Ticked()
+        return super().handle(event, now=now)
+
+
+class _WithoutReturns(_Broken):
+    def handle(self, event, *, now):
+        if isinstance(event, messages.PermitReturned):
+            event = messages.Ticked()
+        return super().handle(event, now=now)
+
+
+class _WithoutUpstreamStates(_Broken):
+    def handle(self, event, *, now):
+        if isinstance(event, messages.UpstreamChanged):
+            event = messages.Ticked()
+        return super().handle(event, now=now)
+
+
+class _WithoutWaking(_Broken):
+    def next_wake(self, *, now):
+        return None
+
+    def handle(self, event, *, now):
+        if isinstance(event, messages.Ticked):
+            return []
+        return super().handle(event, now=now)
+
+
+class _ForgetsPermits(_Broken):
+    """A repeated request is taken for another one."""
+
+    def handle(self, event, *, now):
+        if isinstance(event, messages.PermitRequested):
+            permits = self.inner._slots.permits
+            permits.running_by_key.pop(event.key, None)
+        return super().handle(event, now=now)
+
+
+class _TierBlind(_Broken):
+    """All classes wait in one tier, first come first served."""
+
+    def __init__(self, policy):
+        super().__init__(_one_tier(policy))
+
+    def handle(self, event, *, now):
+        if isinstance(event, messages.PolicyChanged):
+            event = messages.PolicyChanged(policy=_one_tier(event.policy))
+        return super().handle(event, now=now)
+
+
+def _one_tier(policy):
+    classes = {
+        n: dataclasses.replace(c, tier=types.Tier(1))
+        for n, c in policy.classes_by_name.items()
+    }
+    return dataclasses.replace(policy, classes_by_name=classes)
+
+
+@pytest.mark.parametrize(
+    ("broken", "promise"),
+    [
+        (_WithoutDigests, "no slot is"),
+        (_WithoutIngressGone, "no"),
+        (_WithoutReturns, "no"),
+        (_WithoutUpstreamStates, "a leaving runner gets nothing"),
+        (_WithoutWaking, "refusals are immediate"),
+        (_ForgetsPermits, "no"),
+        (_TierBlind, "no lower tier is granted|no request is refused for room"),
+    ],
+)
+def test_walk_notices_a_missing_part(broken, promise):
+    with pytest.raises(world.PromiseBrokenError, match=promise):
+        for seed in range(12):
+            subject = world.World(subject=broken(_POLICY), policy=_POLICY)
+            world.walk(subject, seed=seed, steps=400, successor=broken)
+
+
+class PromiseMachine(stateful.RuleBasedStateMachine):
+    """The same steps in orders that hypothesis looks for."""
+
+    @stateful.initialize()
+    def start(self):
+        """Begin with an empty shard."""
+        self.world = world.World(subject=_make(_POLICY), policy=_POLICY)
+
+    def _pick(self, keys, index):
+        keys = list(keys)
+        return keys[index % len(keys)] if keys else None
+
+    @stateful.rule(
+        profile=strategies.sampled_from([c.name for c in _CLASSES]),
+        organisation=strategies.sampled_from(["large", "small"]),
+        ingress=strategies.sampled_from(["vm0", "vm1"]),
+        remaining=strategies.sampled_from([0.0, 1.05, 5.0, 30.0]),
+        excluded=strategies.sets(strategies.sampled_from(["r0", "r1", "r2"])),
+        count=strategies.integers(1, 6),
+    )
+    def request(
+        self, profile, organisation, ingress, remaining, excluded, count
+    ):
+        """Ask for permits."""
+        for _ in range(count):
+            self.world.request(
+                profile, organisation, ingress, remaining, sorted(excluded)
+            )
+
+    @stateful.rule(
+        index=strategies.integers(0, 50),
+        lost=strategies.booleans(),
+        failed=strategies.booleans(),
+    )
+    def end(self, index, lost, failed):
+        """End running work."""
+        key = self._pick(self.world.running, index)
+        if key is not None:
+            self.world.end(key, lost=lost, failed=failed)
+
+    @stateful.rule(index=strategies.integers(0, 50))
+    def end_late(self, index):
+        """Report an end again."""
+        request = self._pick(self.world.over, index)
+        if request is not None:
+            self.world.end_late(request)
+
+    @stateful.rule(
+        index=strategies.integers(0, 50), again=strategies.booleans()
+    )
+    def ask_again_or_give_back(self, index, again):
+        """Repeat a request or withdraw it."""
+        key = self._pick(self.world.waiting | self.world.running, index)
+        if key is not None:
+            step = self.world.ask_again if again else self.world.give_back
+            step(key)
+
+    @stateful.rule(ingress=strategies.sampled_from(["vm0", "vm1"]))
+    def digest(self, ingress):
+        """Send a digest."""
+        self.world.digest(ingress)
+
+    @stateful.rule()
+    def ingress_gone(self):
+        """Kill an entry VM."""
+        self.world.ingress_gone("vm1")
+
+    @stateful.rule()
+    def hand_over(self):
+        """Replace the dispatcher."""
+        self.world.hand_over(_make(self.world.policy))
+
+    @stateful.rule(
+        upstream=strategies.sampled_from(list(_POLICY.runners_by_id)),
+        state=strategies.sampled_from(list(messages.UpstreamState)),
+    )
+    def change_upstream(self, upstream, state):
+        """Change a runner's state."""
+        self.world.upstream(upstream, state)
+
+    @stateful.rule(
+        classes=strategies.sets(
+            strategies.sampled_from(list(_POLICY.classes_by_name)), min_size=1
+        ),
+        runners=strategies.sets(
+            strategies.sampled_from(list(_POLICY.runners_by_id)), min_size=1
+        ),
+    )
+    def configure(self, classes, runners):
+        """Put another revision in force."""
+        self.world.configure(
+            dataclasses.replace(
+                _POLICY,
+                classes_by_name={
+                    n: c
+                    for n, c in _POLICY.classes_by_name.items()
+                    if n in classes
+                },
+                runners_by_id={
+                    i: r
+                    for i, r in _POLICY.runners_by_id.items()
+                    if i in runners
+                },
+            )
+        )
+
+    @stateful.rule(seconds=strategies.sampled_from([0.0, 0.1, 1.0, 6.0]))
+    def pass_time(self, seconds):
+        """Let time pass."""
+        self.world.pass_time(seconds)
+
+    def teardown(self):
+        """Count every slot in the end."""
+        if hasattr(self, "world"):
+            self.world.configure(_POLICY)
+            self.world.settle()
+
+
+PromiseMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=40
+)
+test_promises_hold_in_orders_that_are_searched_for = PromiseMachine.TestCase
--- /dev/null
+++ b/packages/policy/tests/world.py
@@ -0,0 +1,406 @@
+"""A small world around a scheduler that knows what really runs.
+
+It plays the ingresses: it answers for what they have in flight, loses and
+delays messages, and after each event checks the promises against its own
+books. It knows nothing of how the scheduler works.
+"""
+
+import collections
+import dataclasses
+import random
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_policy import decision, messages
+
+SERVICE_SECONDS = 1.0
+SLOTS = 2
+_GRACE_SECONDS = 3.0
+
+
+class PromiseBrokenError(AssertionError):
+    """Names the promise that was broken."""
+
+    def __init__(self, promise: str, detail: object) -> None:
+        super().__init__(f"{promise}: {detail}")
+        self.promise = promise
+
+
+def expect(promise: str, holds: bool, detail: object = "") -> None:
+    """Fail with the promise's name if it does not hold."""
+    if not holds:
+        raise PromiseBrokenError(promise, detail)
+
+
+@dataclasses.dataclass
+class Request:
+    """A request as its ingress knows it."""
+
+    event: messages.PermitRequested
+    deadline: float
+    upstream: types.UpstreamId | None = None
+    started_at: float = 0.0
+    answered: bool = False
+
+    @property
+    def key(self) -> messages.PermitKey:
+        """Return the permit's key."""
+        return self.event.key
+
+
+class World:
+    """Ingresses, runners and books around one scheduler."""
+
+    def __init__(self, *, subject, policy: messages.ShardPolicy) -> None:
+        self.subject = subject
+        self.policy = policy
+        self.now = 1000.0
+        self.waiting: dict[messages.PermitKey, Request] = {}
+        self.running: dict[messages.PermitKey, Request] = {}
+        self.over: list[Request] = []
+        # Ended at the ingress, but the scheduler was not told.
+        self.unreported: dict[messages.PermitKey, Request] = {}
+        # Requests that the present scheduler has been told of.
+        self.known: set[messages.PermitKey] = set()
+        self.not_live: set[types.UpstreamId] = set()
+        self.numbers = 0
+        self.max_slots = dict.fromkeys(policy.runners_by_id, SLOTS)
+
+    # Steps.
+
+    def request(
+        self, profile, organisation, ingress, remaining=30.0, excluded=()
+    ) -> None:
+        """Ask for a permit."""
+        self.numbers += 1
+        key = messages.PermitKey(
+            request_id=types.RequestId(f"q{self.numbers}"),
+            attempt_id=types.AttemptId(1),
+        )
+        event = messages.PermitRequested(
+            key=key,
+            ingress=types.EntryVmId(ingress),
+            profile=types.ProfileName(profile),
+            organisation=types.OrganisationId(organisation),
+            remaining_seconds=remaining,
+            remaining_target_seconds=remaining / 4,
+            excluded=tuple(types.UpstreamId(e) for e in excluded),
+        )
+        self.waiting[key] = Request(event=event, deadline=self.now + remaining)
+        self.feed(event)
+
+    def ask_again(self, key) -> None:
+        """Repeat a request whose answer was lost on the way."""
+        request = self.waiting.get(key) or self.running[key]
+        self.feed(request.event)
+
+    def end(self, key, *, lost=False, failed=False) -> None:
+        """End running work; its report may be lost."""
+        request = self.running.pop(key)
+        if lost:
+            self.unreported[key] = request
+            return
+        self.over.append(request)
+        self.feed(self._ended(request, failed))
+
+    def end_late(self, request: Request) -> None:
+        """Report an end (again) long after it."""
+        self.unreported.pop(request.key, None)
+        self.feed(self._ended(request, False))
+
+    def give_back(self, key) -> None:
+        """Withdraw a waiting request or return a grant."""
+        request = self.waiting.pop(key, None) or self.running.pop(key)
+        request.answered = True
+        self.over.append(request)
+        self.feed(messages.PermitReturned(key=key))
+
+    def digest(self, ingress) -> None:
+        """Send what the ingress really has."""
+        running = [
+            messages.InFlight(
+                key=r.key,
+                upstream=r.upstream,
+                profile=r.event.profile,
+                organisation=r.event.organisation,
+                running_seconds=self.now - r.started_at,
+                tokens=1,
+            )
+            for r in self.running.values()
+            if r.event.ingress == ingress
+        ]
+        waiting = [
+            r.key for r in self.waiting.values() if r.event.ingress == ingress
+        ]
+        self.feed(
+            messages.InFlightDigest(
+                ingress=types.EntryVmId(ingress),
+                running=tuple(running),
+                waiting=tuple(waiting),
+            )
+        )
+
+    def hand_over(self, subject) -> None:
+        """Replace the scheduler; the ingresses register what they have."""
+        self.subject = subject
+        self.known.clear()
+        for upstream in self.not_live:
+            self.feed(
+                messages.UpstreamChanged(
+                    upstream=upstream, state=messages.UpstreamState.LEAVING
+                )
+            )
+        for ingress in ("vm0", "vm1", "vm2"):
+            self.digest(ingress)
+        for request in list(self.waiting.values()):
+            remaining = request.deadline - self.now
+            event = dataclasses.replace(
+                request.event, remaining_seconds=remaining
+            )
+            self.feed(event)
+
+    def ingress_gone(self, ingress) -> None:
+        """Kill an entry VM with all it has."""
+        for book in (self.waiting, self.running, self.unreported):
+            for request in list(book.values()):
+                if request.event.ingress == ingress:
+                    del book[request.key]
+                    self.over.append(request)
+        self.feed(messages.IngressGone(ingress=types.EntryVmId(ingress)))
+
+    def upstream(self, upstream, state) -> None:
+        """Change a runner's state."""
+        if state is messages.UpstreamState.LIVE:
+            self.not_live.discard(upstream)
+        else:
+            self.not_live.add(upstream)
+        event = messages.UpstreamChanged(upstream=upstream, state=state)
+        self.feed(event)
+
+    def configure(self, policy: messages.ShardPolicy) -> None:
+        """Put another revision in force."""
+        self.policy = policy
+        self.feed(messages.PolicyChanged(policy=policy))
+
+    def pass_time(self, seconds) -> None:
+        """Advance, waking the scheduler whenever it asks for it."""
+        until = self.now + seconds
+        for _ in range(1000):
+            wake = self.subject.next_wake(now=self.now)
+            if wake is None or wake > until:
+                break
+            self.now = max(self.now + 1e-6, wake)
+            self.feed(messages.Ticked())
+        self.now = max(self.now, until)
+        self.feed(messages.Ticked())
+
+    def settle(self) -> None:
+        """End all, repair what was lost, and count every slot again."""
+        for key in list(self.running):
+            self.end(key)
+        self.pass_time(_GRACE_SECONDS)
+        for _ in range(2):
+            for ingress in ("vm0", "vm1", "vm2"):
+                self.digest(ingress)
+        while self.running:
+            for key in list(self.running):
+                self.end(key)
+        self.unreported.clear()
+        self.pass_time(100.0)
+        expect("everything is answered", not self.waiting, self.waiting)
+        usable = [
+            u for u in self.policy.runners_by_id if u not in self.not_live
+        ]
+        top = min(self.policy.classes_by_name.values(), key=lambda c: c.tier)
+        for _ in range(SLOTS * len(usable)):
+            self.request(top.name, "house", "vm0")
+        expect(
+            "no slot is leaked",
+            len(self.running) == SLOTS * len(usable),
+            f"{len(self.running)} of {SLOTS * len(usable)} slots are left",
+        )
+
+    # Checks.
+
+    def feed(self, event) -> None:
+        """Feed one event and check what follows from it."""
+        if isinstance(event, messages.PermitRequested):
+            self.known.add(event.key)
+        for action in self.subject.handle(event, now=self.now):
+            match action:
+                case messages.Grant():
+                    self._check_grant(action)
+                case messages.Refuse():
+                    self._check_refusal(action)
+        self._check_books()
+
+    def _ended(self, request, failed) -> messages.PermitEnded:
+        reason = outcomes.Reason.NONE
+        outcome = outcomes.Outcome.COMPLETE
+        if failed:
+            reason = outcomes.Reason.UPSTREAM_CLOSED
+            outcome = outcomes.Outcome.PARTIAL
+        return messages.PermitEnded(
+            key=request.key,
+            upstream=request.upstream or types.UpstreamId("r0"),
+            outcome=outcome,
+            reason=reason,
+            first_token_seconds=0.0,
+            total_seconds=SERVICE_SECONDS,
+            tokens=10,
+        )
+
+    def _tier(self, request: Request) -> int:
+        declared = self.policy.classes_by_name.get(request.event.profile)
+        return declared.tier if declared else 99
+
+    def _check_grant(self, grant: messages.Grant) -> None:
+        expect("records explain", decision.check(grant.record).agrees, grant)
+        if grant.key in self.running:
+            same = self.running[grant.key].upstream == grant.upstream
+            expect("no request is granted two slots", same, grant)
+            return
+        expect("only what waits is granted", grant.key in self.waiting, grant)
+        expect(
+            "a leaving runner gets nothing",
+            grant.upstream not in self.not_live
+            and grant.upstream in self.policy.runners_by_id,
+            grant,
+        )
+        request = self.waiting.pop(grant.key)
+        excluded = grant.upstream in request.event.excluded
+        expect("no runner that failed before", not excluded, grant)
+        if not grant.record.floor_grant:
+            self._check_nobody_above(request, grant)
+        request.upstream = grant.upstream
+        request.started_at = self.now
+        request.answered = True
+        self.running[grant.key] = request
+
+    def _check_nobody_above(self, request, grant) -> None:
+        for other in self.waiting.values():
+            expect(
+                "no lower tier is granted what a higher one could use",
+                self._tier(other) >= self._tier(request)
+                or other.key not in self.known
+                or grant.upstream in other.event.excluded
+                or other.deadline - self.now <= 1.1 * SERVICE_SECONDS,
+                f"{grant.key} before {other.key}",
+            )
+
+    def _check_refusal(self, refusal: messages.Refuse) -> None:
+        agreement = decision.check(refusal.record)
+        expect("records explain", agreement.agrees, agreement)
+        expect(
+            "what was granted is not refused",
+            refusal.key not in self.running,
+            refusal,
+        )
+        expect(
+            "a refusal says when to come back",
+            refusal.retry_after_seconds > 0,
+            refusal,
+        )
+        request = self.waiting.pop(refusal.key, None)
+        if request is None:
+            return
+        request.answered = True
+        self.over.append(request)
+        if refusal.reason in (
+            outcomes.Reason.QUEUE_FULL,
+            outcomes.Reason.SHED_FOR_HIGHER_TIER,
+        ):
+            self._check_room(request, refusal)
+
+    def _check_room(self, request, refusal) -> None:
+        below = collections.Counter(
+            r.event.profile
+            for r in self.waiting.values()
+            if self._tier(r) > self._tier(request)
+        )
+        # The one that the floor serves next is set aside.
+        expect(
+            "no request is refused for room while a lower tier waits",
+            all(count <= 1 for count in below.values()),
+            f"{refusal.reason} of {refusal.key} with {below}",
+        )
+
+    def _check_books(self) -> None:
+        for request in self.waiting.values():
+            expect(
+                "refusals are immediate",
+                request.deadline > self.now,
+                f"{request.key} waits past its limit",
+            )
+        counts = collections.Counter(r.upstream for r in self.running.values())
+        for upstream, count in counts.items():
+            expect(
+                "no slot is granted twice",
+                count <= self.max_slots.get(upstream, SLOTS),
+                f"{upstream} has {count}",
+            )
+
+
+def walk(world: World, *, seed: int, steps: int, successor) -> None:
+    """Do random steps; `successor` makes the scheduler after a handover."""
+    rng = random.Random(seed)
+    profiles = list(world.policy.classes_by_name)
+    full = world.policy
+    upstreams = list(full.runners_by_id)
+    for _ in range(steps):
+        step = rng.random()
+        running = list(world.running)
+        if step < 0.5:
+            world.request(
+                rng.choice(profiles),
+                rng.choice(["large", "large", "small"]),
+                rng.choice(["vm0", "vm1", "vm2"]),
+                rng.choice([0.0, 1.05, 5.0, 30.0]),
+                rng.sample(upstreams, rng.choice([0, 0, 0, 1, 3])),
+            )
+        elif step < 0.72 and running:
+            world.pass_time(rng.choice([0.0, 0.01, 0.3]))
+            key = rng.choice(running)
+            if key in world.running:
+                world.end(
+                    key, lost=rng.random() < 0.1, failed=rng.random() < 0.1
+                )
+        elif step < 0.78:
+            world.digest(rng.choice(["vm0", "vm1", "vm2"]))
+        elif step < 0.81 and world.over:
+            world.end_late(rng.choice(world.over))
+        elif step < 0.84 and world.waiting | world.running:
+            world.ask_again(rng.choice(list(world.waiting | world.running)))
+        elif step < 0.88 and world.waiting | world.running:
+            world.give_back(rng.choice(list(world.waiting | world.running)))
+        elif step < 0.90:
+            world.ingress_gone(rng.choice(["vm1", "vm2"]))
+        elif step < 0.92:
+            world.upstream(rng.choice(upstreams), rng.choice(_STATES))
+        elif step < 0.94:
+            world.configure(_subset(full, rng))
+        elif step < 0.95:
+            world.hand_over(successor(world.policy))
+        else:
+            world.pass_time(rng.choice([0.1, 1.0, 6.0]))
+    world.configure(full)
+    world.settle()
+
+
+_STATES = [
+    messages.UpstreamState.LIVE,
+    messages.UpstreamState.LIVE,
+    messages.UpstreamState.LEAVING,
+    messages.UpstreamState.GONE,
+]
+
+
+def _subset(full: messages.ShardPolicy, rng) -> messages.ShardPolicy:
+    classes = list(full.classes_by_name)
+    runners = list(full.runners_by_id)
+    kept_classes = rng.sample(classes, rng.randint(1, len(classes)))
+    kept_runners = rng.sample(runners, rng.randint(1, len(runners)))
+    return dataclasses.replace(
+        full,
+        classes_by_name={n: full.classes_by_name[n] for n in kept_classes},
+        runners_by_id={i: full.runners_by_id[i] for i in kept_runners},
+    )
