--- a/packages/config/tests/test_configuration_store.py
+++ b/packages/config/tests/test_configuration_store.py
@@ -307,6 +307,48 @@
         )
 
 
+async def test_change_that_the_head_forgot_is_unknown(
+    configurations, memory, small_draft
+):
+    """A reply is lost and many changes follow before it is looked for.
+
+    The head no longer names so old a change. "Clash" or "refused" would
+    say that it was not applied, though it was.
+    """
+    forgetful = _ForgetfulStore(memory)
+
+    async def fill_the_tail():
+        for number in range(1, head.TAIL_LENGTH + 1):
+            content = _with_target(small_draft, "lookup", 0.1 + number / 999)
+            await configurations.apply(
+                content, base=number, change_id=f"n{number}", operator="mere"
+            )
+
+    forgetful.race = fill_the_tail
+    slow = configuration_store.ConfigurationStore(
+        store=forgetful, chance=random.Random(3), first_delay_seconds=0.0
+    )
+    result = await slow.apply(
+        small_draft, base=0, change_id="c1", operator="leila"
+    )
+    assert isinstance(result, change_outcomes.Unknown)
+
+
+class _ForgetfulStore(_RacingStore):
+    """Loses the reply of the head's write, and tells of it much later."""
+
+    async def transact(self, *, comparisons, puts=(), deletes=()):
+        result = await self._memory.transact(
+            comparisons=comparisons, puts=puts, deletes=deletes
+        )
+        is_head = bool(puts) and puts[0].key == head.HEAD_KEY
+        if is_head and self.race is not None:
+            race, self.race = self.race, None
+            await asyncio.wait_for(race(), 5)
+            return store.Unknown(detail="reply lost")
+        return result
+
+
 async def test_head_that_is_not_ours_names_its_key(configurations, memory):
     await memory.transact(
         comparisons=[], puts=[store.Put(key=head.HEAD_KEY, value=b"{}")]
