Read into one shared buffer; bound all held bodies; split the rejections out

Uncoalesced events cost about 70 us each, of which recv took a large part: asyncio.Protocol allocates 256 KiB for each read.

The smaller read also bounds how many one-byte chunks are parsed at a time, and bodies are kept in one bytearray, since a list of one-byte pieces costs forty times its size. Each body was bounded, but not all together: 4,096 callers could hold 32 GB; over held_body_bytes a request is now answered 503, not run.

--- a/packages/http/src/lagoonrun_http/exchange.py
+++ b/packages/http/src/lagoonrun_http/exchange.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from lagoonrun_core import errors as core_errors
-from lagoonrun_http import errors, hop_by_hop, messages
+from lagoonrun_http import errors, hop_by_hop, messages, rejections
 
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -27,7 +27,7 @@
     def write_end(self) -> None:
         """Write the end of the body."""
 
-    def write_rejection(self, rejection: "Rejection") -> None:
+    def write_rejection(self, rejection: rejections.Rejection) -> None:
         """Answer a faulty request and end the connection after it."""
 
     async def drained(self) -> None:
@@ -37,28 +37,6 @@
         """Reset the connection."""
 
 
-class Rejection:
-    """Why the server answers a request itself.
-
-    Parameters
-    ----------
-    status
-        Status to answer with.
-    field, message, valid
-        What the JSON body says; see `errors.error_body`.
-    """
-
-    __slots__ = ("field", "message", "status", "valid")
-
-    def __init__(
-        self, *, status: int, field: str, message: str, valid: str
-    ) -> None:
-        self.status = status
-        self.field = field
-        self.message = message
-        self.valid = valid
-
-
 class Exchange:
     """A request, its body, and the way to answer it.
 
@@ -89,10 +67,9 @@
         self._channel = channel
         self._lost = False
         self._bodiless = False
-        self._body_parts: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._body_ended = False
-        self._rejection: Rejection | None = None
+        self._rejection: rejections.Rejection | None = None
         self._body_changed = asyncio.Event()
 
     async def read_body(self) -> bytes:
@@ -114,9 +91,7 @@
             self._reject(self._rejection)
         if not self._body_ended:
             raise self._left()
-        body = b"".join(self._body_parts)
-        self._body_parts = [body]
-        return body
+        return bytes(self._body)
 
     async def respond(
         self, *, status: int, headers: messages.Headers, body: bytes
@@ -167,20 +142,19 @@
 
     def take_body(self, data: bytes) -> int:
         """Keep a piece of the body and return the bytes so far."""
-        self._body_parts.append(data)
-        self._body_bytes += len(data)
-        return self._body_bytes
+        self._body += data
+        return len(self._body)
 
     def end_body(self) -> None:
         """Record that the body is whole."""
         self._body_ended = True
         self._body_changed.set()
 
-    def reject_body(self, rejection: Rejection) -> None:
+    def reject_body(self, rejection: rejections.Rejection) -> None:
         """Record that the body cannot be had; the reader is told."""
         if self._rejection is None:
             self._rejection = rejection
-            self._body_parts.clear()
+            self._body.clear()
             self._body_changed.set()
 
     def lose_caller(self) -> None:
@@ -192,7 +166,7 @@
     def _is_without_body(self, status: int) -> bool:
         return self.head.method == "HEAD" or status in _BODILESS_STATUSES
 
-    def _reject(self, rejection: Rejection) -> None:
+    def _reject(self, rejection: rejections.Rejection) -> None:
         if not self.started and not self._lost:
             self.started = True
             self.finished = True
--- a/packages/http/src/lagoonrun_http/limits.py
+++ b/packages/http/src/lagoonrun_http/limits.py
@@ -13,6 +13,8 @@
         Largest request line and headers together.
     body_bytes
         Largest request body.
+    held_body_bytes
+        Request bodies of all running exchanges together.
     idle_seconds
         How long a connection may stay without a request.
     header_read_seconds
@@ -35,6 +37,7 @@
 
     header_bytes: int = 32 * 1024
     body_bytes: int = 8 * 1024 * 1024
+    held_body_bytes: int = 256 * 1024 * 1024
     idle_seconds: float = 60.0
     header_read_seconds: float = 10.0
     body_read_seconds: float = 60.0
--- /dev/null
+++ b/packages/http/src/lagoonrun_http/read_buffer.py
@@ -0,0 +1,26 @@
+"""The buffer that all connections of one event loop read into."""
+
+_SIZE_BYTES = 64 * 1024
+
+
+class ReadBuffer:
+    """One buffer for all connections of a server or client.
+
+    The event loop fills it and hands it on within one callback, so that no
+    two connections use it at a time. A buffer per read, as `asyncio.Protocol`
+    makes, costs an allocation of 256 KiB each time, and lets one read bring
+    more small chunks than should be parsed without a pause.
+    """
+
+    __slots__ = ("_view",)
+
+    def __init__(self) -> None:
+        self._view = memoryview(bytearray(_SIZE_BYTES))
+
+    def whole(self) -> memoryview:
+        """Return the room for the next read."""
+        return self._view
+
+    def filled(self, size: int) -> memoryview:
+        """Return what the last read brought; valid until the next one."""
+        return self._view[:size]
--- a/packages/http/src/lagoonrun_http/server.py
+++ b/packages/http/src/lagoonrun_http/server.py
@@ -3,7 +3,14 @@
 import asyncio
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_http import exchange, limits, periodic, server_connection
+from lagoonrun_http import (
+    exchange,
+    limits,
+    periodic,
+    read_buffer,
+    rejections,
+    server_connection,
+)
 
 Exchange = exchange.Exchange
 ExchangeHandler = exchange.ExchangeHandler
@@ -51,6 +58,8 @@
         self._sweep = periodic.PeriodicCall(
             interval_seconds=limits.sweep_seconds, function=self._check
         )
+        self._buffer = read_buffer.ReadBuffer()
+        self._held_body_bytes = 0
         self.stopping = False
 
     @property
@@ -133,6 +142,15 @@
         self._connections.discard(connection)
         self._note_quiet()
 
+    def hold_bytes(self, size: int) -> bool:
+        """Count bytes of bodies; return whether all are within the limit."""
+        self._held_body_bytes += size
+        return self._held_body_bytes <= self._limits.held_body_bytes
+
+    def release_bytes(self, size: int) -> None:
+        """Count bytes of bodies that are no longer held."""
+        self._held_body_bytes -= size
+
     def connection_opened(
         self, connection: server_connection.ServerConnection
     ) -> bool:
@@ -143,7 +161,7 @@
         if over > _LINGERING_REFUSALS:
             connection.abort()
         elif over > 0:
-            connection.refuse(_too_many(self._limits.connections))
+            connection.refuse(rejections.too_many_connections(self._limits))
         return over <= 0
 
     def _note_quiet(self) -> None:
@@ -156,17 +174,9 @@
             handler=self._handler,
             clock=self._clock,
             owner=self,
+            buffer=self._buffer,
         )
 
     def _check(self) -> None:
         for connection in tuple(self._connections):
             connection.check_deadlines()
-
-
-def _too_many(connections: int) -> exchange.Rejection:
-    return exchange.Rejection(
-        status=503,
-        field="connection",
-        message=f"{connections} connections are open",
-        valid=f"at most {connections} at a time; come back later",
-    )
--- a/packages/http/src/lagoonrun_http/server_connection.py
+++ b/packages/http/src/lagoonrun_http/server_connection.py
@@ -10,16 +10,22 @@
 import h11
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import errors as core_errors
 from lagoonrun_core import events, logs, outcomes
-from lagoonrun_http import errors, exchange, limits, messages, resetting
+from lagoonrun_http import (
+    errors,
+    exchange,
+    limits,
+    messages,
+    read_buffer,
+    rejections,
+    request_checks,
+    resetting,
+)
 
 _REASONS_BY_STATUS = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
 _LINGER_BYTES = 1 << 20
-_REQUEST_LINE_EXTRA_BYTES = len("  HTTP/1.1\r\n\r\n")
-_HEADER_EXTRA_BYTES = len(": \r\n")
 
 
 class ConnectionOwner(Protocol):
@@ -35,6 +41,12 @@
     def exchange_ended(self, task: "asyncio.Task[None]") -> None:
         """Take note that an exchange is over."""
 
+    def hold_bytes(self, size: int) -> bool:
+        """Count bytes of bodies; return whether all are within the limit."""
+
+    def release_bytes(self, size: int) -> None:
+        """Count bytes of bodies that are no longer held."""
+
     def connection_opened(self, connection: "ServerConnection") -> bool:
         """Count a connection; refuse it when it is one too many."""
 
@@ -50,7 +62,7 @@
     CLOSED = "closed"
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """Reads requests from one caller and writes the answers in order.
 
     Parameters
@@ -63,6 +75,8 @@
         Source of time for the bounds.
     owner
         Server that accepted the connection.
+    buffer
+        Buffer to read into.
     """
 
     def __init__(
@@ -72,11 +86,13 @@
         handler: exchange.ExchangeHandler,
         clock: clocks.Clock,
         owner: ConnectionOwner,
+        buffer: read_buffer.ReadBuffer,
     ) -> None:
         self._limits = server_limits
         self._handler = handler
         self._clock = clock
         self._owner = owner
+        self._read_buffer = buffer
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server_limits.header_bytes
         )
@@ -87,6 +103,8 @@
         self._drained: asyncio.Future[None] | None = None
         self._reading_paused = False
         self._input_ended = False
+        self._closing = False
+        self._held_bytes = 0
         self._lingered_bytes = 0
         self._unsent_bytes = 0
         self._unsent_since = 0.0
@@ -109,15 +127,19 @@
         self._set_deadline(self._limits.idle_seconds)
         self._owner.connection_opened(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the room for the next read."""
+        return self._read_buffer.whole()
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Feed bytes to h11 and act on what they complete."""
         if self._phase is _Phase.LINGER:
-            self._discard(data)
+            self._discard(nbytes)
             return
         if self._phase is _Phase.IDLE:
             self._phase = _Phase.HEAD
             self._set_deadline(self._limits.header_read_seconds)
-        self._h11.receive_data(data)
+        self._h11.receive_data(self._read_buffer.filled(nbytes))
         self._read_events()
 
     def eof_received(self) -> bool:
@@ -189,7 +211,7 @@
         """Write the end of the body."""
         self._transport.write(self._h11.send(h11.EndOfMessage()))
 
-    def write_rejection(self, rejection: exchange.Rejection) -> None:
+    def write_rejection(self, rejection: rejections.Rejection) -> None:
         """Answer a faulty request and end the connection after it."""
         self._write_error(rejection, outcome=outcomes.Outcome.NOT_RUN)
         self._linger()
@@ -205,7 +227,7 @@
 
     # Called by the server.
 
-    def refuse(self, rejection: exchange.Rejection) -> None:
+    def refuse(self, rejection: rejections.Rejection) -> None:
         """Answer a connection that is not wanted, before any request."""
         self.write_rejection(rejection)
 
@@ -238,7 +260,7 @@
                 if type(event) is h11.ConnectionClosed:
                     return
         except h11.RemoteProtocolError as error:
-            self._refuse_input(_malformed(error, self._limits))
+            self._refuse_input(rejections.malformed(error, self._limits))
 
     def _take_event(self, event: h11.Event) -> None:
         if type(event) is h11.Request:
@@ -252,7 +274,7 @@
             self._close()
 
     def _begin_exchange(self, request: h11.Request) -> None:
-        fault = _head_fault(request, self._limits)
+        fault = request_checks.head_fault(request, self._limits)
         if fault is not None:
             self._refuse_input(fault)
             return
@@ -261,23 +283,31 @@
         if self._h11.they_are_waiting_for_100_continue:
             self._deadline = None
         running = exchange.Exchange(
-            head=_request_head(request), peer=self._peer, channel=self
+            head=request_checks.request_head(request),
+            peer=self._peer,
+            channel=self,
         )
         self._exchange = running
         declared = running.head.headers.get("content-length")
         if declared is not None and int(declared) > self._limits.body_bytes:
-            running.reject_body(_too_large(self._limits, declared))
+            running.reject_body(
+                rejections.body_too_large(self._limits, int(declared))
+            )
         task = asyncio.get_running_loop().create_task(self._run(running))
         self._owner.exchange_began(task)
         task.add_done_callback(self._owner.exchange_ended)
 
     def _take_body(self, data: bytes) -> None:
         total = self._exchange.take_body(data)
-        if total > self._limits.body_bytes:
-            self._exchange.reject_body(_too_large(self._limits, str(total)))
-            self._pause_reading()
-
-    def _refuse_input(self, rejection: exchange.Rejection) -> None:
+        self._held_bytes += len(data)
+        if not self._owner.hold_bytes(len(data)):
+            # Each body alone is within its limit; thousands of them together
+            # would take all memory of a small VM.
+            self._refuse_input(rejections.bodies_too_large(self._limits))
+        elif total > self._limits.body_bytes:
+            self._refuse_input(rejections.body_too_large(self._limits, total))
+
+    def _refuse_input(self, rejection: rejections.Rejection) -> None:
         if self._phase is _Phase.EXCHANGE:
             self._exchange.reject_body(rejection)
             self._pause_reading()
@@ -307,6 +337,7 @@
         except (errors.RequestRejectedError, errors.CallerLeftError):
             pass
         except asyncio.CancelledError:
+            self._release_body()
             resetting.reset(self._transport)
             raise
         except Exception as error:
@@ -319,12 +350,19 @@
                 # Without the message, which may quote a caller's text.
                 trace="".join(traceback.format_tb(error.__traceback__)),
             )
+        self._release_body()
         self._end_exchange(running)
 
+    def _release_body(self) -> None:
+        self._owner.release_bytes(self._held_bytes)
+        self._held_bytes = 0
+
     def _end_exchange(self, running: exchange.Exchange) -> None:
         if self._phase is _Phase.EXCHANGE:
             if not running.started:
-                self._write_error(_NO_ANSWER, outcome=outcomes.Outcome.UNKNOWN)
+                self._write_error(
+                    rejections.NO_ANSWER, outcome=outcomes.Outcome.UNKNOWN
+                )
                 self._linger()
             elif running.finished:
                 self._start_next_cycle()
@@ -361,7 +399,7 @@
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in head.headers
         ]
-        if self._owner.stopping or not self._exchange.body_ended:
+        if self._must_close():
             headers.append((b"Connection", b"close"))
         return h11.Response(
             status_code=head.status,
@@ -369,31 +407,22 @@
             reason=_REASONS_BY_STATUS.get(head.status, b""),
         )
 
+    def _must_close(self) -> bool:
+        if self._closing or self._owner.stopping:
+            return True
+        return not self._exchange.body_ended
+
     # Ending.
 
     def _write_error(
-        self, rejection: exchange.Rejection, *, outcome: outcomes.Outcome
+        self, rejection: rejections.Rejection, *, outcome: outcomes.Outcome
     ) -> None:
-        body = errors.error_body(
-            step=core_errors.Step.CALLER_READ,
-            field=rejection.field,
-            message=rejection.message,
-            valid=rejection.valid,
+        answer = rejections.answer(rejection, outcome=outcome)
+        self._closing = True
+        is_head = self._exchange is not None and (
+            self._exchange.head.method == "HEAD"
         )
-        response = h11.Response(
-            status_code=rejection.status,
-            headers=[
-                (b"Content-Type", b"application/json"),
-                (b"Content-Length", str(len(body)).encode()),
-                (b"Lagoonrun-Outcome", outcome.value.encode()),
-                (b"Connection", b"close"),
-            ],
-            reason=_REASONS_BY_STATUS.get(rejection.status, b""),
-        )
-        self._transport.write(self._h11.send(response))
-        if self._exchange is None or self._exchange.head.method != "HEAD":
-            self._transport.write(self._h11.send(h11.Data(data=body)))
-        self._transport.write(self._h11.send(h11.EndOfMessage()))
+        self.write_whole(answer.head, b"" if is_head else answer.body)
 
     def _linger(self) -> None:
         """End the connection without losing what was just written.
@@ -412,8 +441,8 @@
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
-    def _discard(self, data: bytes) -> None:
-        self._lingered_bytes += len(data)
+    def _discard(self, size: int) -> None:
+        self._lingered_bytes += size
         if self._lingered_bytes > _LINGER_BYTES:
             resetting.reset(self._transport)
 
@@ -429,9 +458,13 @@
 
     def _act_on_deadline(self) -> None:
         if self._phase is _Phase.HEAD:
-            self._refuse_input(_slow("head", self._limits.header_read_seconds))
+            self._refuse_input(
+                rejections.slow("head", self._limits.header_read_seconds)
+            )
         elif self._phase is _Phase.EXCHANGE:
-            self._refuse_input(_slow("body", self._limits.body_read_seconds))
+            self._refuse_input(
+                rejections.slow("body", self._limits.body_read_seconds)
+            )
         else:
             self._close()
 
@@ -441,108 +474,3 @@
             self._unsent_bytes = unsent
             self._unsent_since = now
         return now - self._unsent_since >= self._limits.write_stall_seconds
-
-
-_NO_ANSWER = exchange.Rejection(
-    status=500,
-    field="",
-    message="the request could not be answered because of an internal fault",
-    valid="nothing that the caller sends can mend it",
-)
-
-
-def _request_head(request: h11.Request) -> messages.RequestHead:
-    return messages.RequestHead(
-        method=request.method.decode("ascii"),
-        target=request.target.decode("ascii"),
-        headers=messages.Headers(
-            pairs=(
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in request.headers
-            )
-        ),
-    )
-
-
-def _head_fault(
-    request: h11.Request, server_limits: limits.ServerLimits
-) -> exchange.Rejection | None:
-    size = len(request.method) + len(request.target)
-    size += _REQUEST_LINE_EXTRA_BYTES
-    names = set()
-    for name, value in request.headers:
-        size += len(name) + len(value) + _HEADER_EXTRA_BYTES
-        names.add(name)
-    if size > server_limits.header_bytes:
-        return _head_too_large(server_limits)
-    if request.method == b"CONNECT":
-        return exchange.Rejection(
-            status=405,
-            field="method",
-            message="CONNECT is not served",
-            valid="any other method",
-        )
-    if b"transfer-encoding" in names:
-        return _framing_fault(request, names)
-    return None
-
-
-def _framing_fault(
-    request: h11.Request, names: set[bytes]
-) -> exchange.Rejection | None:
-    """Refuse framing that two readers of the request may read differently.
-
-    With both lengths given, or chunks from an HTTP/1.0 caller, a balancer in
-    front may end the request elsewhere than we do; the rest then counts as
-    another caller's request (request smuggling).
-    """
-    if b"content-length" in names or request.http_version < b"1.1":
-        return exchange.Rejection(
-            status=400,
-            field="Transfer-Encoding",
-            message="Transfer-Encoding beside Content-Length or in HTTP/1.0",
-            valid="either Content-Length, or chunked in HTTP/1.1",
-        )
-    return None
-
-
-def _malformed(
-    error: h11.RemoteProtocolError, server_limits: limits.ServerLimits
-) -> exchange.Rejection:
-    if error.error_status_hint == 431:
-        return _head_too_large(server_limits)
-    return exchange.Rejection(
-        status=error.error_status_hint,
-        field="request",
-        message=f"malformed HTTP: {error}",
-        valid="an HTTP/1.1 request",
-    )
-
-
-def _head_too_large(server_limits: limits.ServerLimits) -> exchange.Rejection:
-    return exchange.Rejection(
-        status=431,
-        field="headers",
-        message="the request line and headers are too large",
-        valid=f"at most {server_limits.header_bytes} bytes",
-    )
-
-
-def _too_large(
-    server_limits: limits.ServerLimits, size: str
-) -> exchange.Rejection:
-    return exchange.Rejection(
-        status=413,
-        field="body",
-        message=f"the body has {size} bytes or more",
-        valid=f"at most {server_limits.body_bytes} bytes",
-    )
-
-
-def _slow(part: str, seconds: float) -> exchange.Rejection:
-    return exchange.Rejection(
-        status=408,
-        field=part,
-        message=f"the request's {part} did not arrive in time",
-        valid=f"the whole {part} within {seconds:g} s",
-    )
--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -8,6 +8,7 @@
 from lagoonrun_http import (
     limits,
     periodic,
+    read_buffer,
     upstream_connection,
     upstream_messages,
     upstream_response,
@@ -49,6 +50,7 @@
         self._open_by_endpoint: dict[_Endpoint, int] = {}
         self._connections: set[upstream_connection.UpstreamConnection] = set()
         self._closed = False
+        self._buffer = read_buffer.ReadBuffer()
         self._sweep = periodic.PeriodicCall(
             interval_seconds=limits.sweep_seconds, function=self._check
         )
@@ -179,6 +181,7 @@
                 client_limits=self._limits,
                 clock=self._clock,
                 pool=self,
+                buffer=self._buffer,
                 address=endpoint.address,
                 port=endpoint.port,
             ),
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -11,6 +11,7 @@
     hop_by_hop,
     limits,
     messages,
+    read_buffer,
     resetting,
     upstream_messages,
     upstream_response,
@@ -31,7 +32,7 @@
         """Forget a connection."""
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """Sends one request at a time and reads the response to it.
 
     Parameters
@@ -42,6 +43,8 @@
         Source of time for the bounds.
     pool
         Pool that the connection belongs to.
+    buffer
+        Buffer to read into.
     address, port
         The upstream.
     """
@@ -52,6 +55,7 @@
         client_limits: limits.ClientLimits,
         clock: clocks.Clock,
         pool: ConnectionPool,
+        buffer: read_buffer.ReadBuffer,
         address: str,
         port: int,
     ) -> None:
@@ -64,6 +68,7 @@
         self._limits = client_limits
         self._clock = clock
         self._pool = pool
+        self._read_buffer = buffer
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=client_limits.header_bytes
         )
@@ -147,7 +152,11 @@
         """Keep the transport."""
         self._transport: asyncio.Transport = transport  # type: ignore[assignment]
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the room for the next read."""
+        return self._read_buffer.whole()
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Feed bytes to h11 and act on what they complete."""
         if not self.busy:
             # A late or duplicated answer: were the connection used again, it
@@ -159,7 +168,7 @@
             self._last_progress = self._clock.monotonic()
         if self._transport.get_write_buffer_size():
             self._answered_early = True
-        self._h11.receive_data(data)
+        self._h11.receive_data(self._read_buffer.filled(nbytes))
         self._read_events()
 
     def eof_received(self) -> bool:
--- a/packages/http/tests/test_server.py
+++ b/packages/http/tests/test_server.py
@@ -316,6 +316,38 @@
     await until(lambda: server.open_connections == 0)
 
 
+async def test_bodies_together_are_bounded(make_server, connect):
+    """Many large bodies at a time must not exhaust a small VM.
+
+    One caller's body takes nearly all the room; another's, which alone would
+    be accepted, is refused as not run until the first is answered.
+    """
+    answer_now = asyncio.Event()
+    held = asyncio.Event()
+
+    async def handle(running):
+        await running.read_body()
+        held.set()
+        await answer_now.wait()
+        await echo(running)
+
+    server = await make_server(handle, held_body_bytes=10)
+    first, second = await connect(server), await connect(server)
+    first.write(_HEAD + b"Content-Length: 9\r\n\r\nabcdefghi")
+    await asyncio.wait_for(held.wait(), 5)
+    request = _HEAD + b"Content-Length: 2\r\n\r\nab"
+    second.write(request)
+    answer = await second.read_to_end()
+    assert b"Retry-After: 1\r\n" in answer
+    status, error = parse_error(answer)
+    assert (status, error["field"]) == (503, "body")
+    answer_now.set()
+    await first.read_until(b"abcdefghi")
+    third = await connect(server)
+    third.write(request)
+    assert (await third.read_until(b"ab")).startswith(b"HTTP/1.1 200 ")
+
+
 async def test_connections_over_the_limit_are_answered_503(
     make_server, connect
 ):
