Ask other failure domains' shards, retry by the policy's budget, notice stalls

Cause: the thin path asked shards in a fixed order, retried by a budget of its own beside the policy's, used grants that were read after a freeze, and cut streams at a limit that is on the first token. What: shards are ranked by gossiped summaries (two of the own domain chosen by prefix, then others); the policy's RetryBudget replaces the daemon's twin; the platform's VM list is read by two entry VMs a domain; a stall detector makes an ingress give back grants read right after a freeze; the last entry VM that stops goes on dispatching for itself; the outcome of several attempts is the worst that is known of any of them. Ways weighed: a conservative local limit for cut-off entry VMs (an even part of half the slots) against each dispatching by itself and counting what the engines' own load reports show of others' work. The second needs no other mode and is what runs; the first is not wired.

--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -22,9 +22,12 @@
     once,
     peer_snapshots,
     permits,
-    retry_budgets,
+    shards,
+    stalls,
     status,
+    summaries,
     transport,
+    vm_watch,
 )
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import server as http_server
@@ -32,6 +35,7 @@
 from lagoonrun_membership import membership, ranking
 from lagoonrun_platform import etcd_gateway
 from lagoonrun_policy import messages as policy_messages
+from lagoonrun_policy import retries
 from lagoonrun_protocol import hub, messages
 
 _HUB_FLUSH_SECONDS = 1.0
@@ -138,10 +142,12 @@
             explanations=self.explanations,
             clock=self._clock,
         )
+        self._stalls = stalls.StallDetector(clock=self._clock)
         self.permits = permits.PermitClient(
             ranking=self.fleet,
             transport=self._transport,
             clock=self._clock,
+            stalls=self._stalls,
         )
         self.snapshots = peer_snapshots.PeerSnapshots(
             transport=self._transport, announcer=self.members
@@ -175,6 +181,7 @@
             random=random.SystemRandom(),
         )
         self._settlements = once.SettlementTasks()
+        self._budget = retries.RetryBudget(classes_by_name={})
         self.ingress = ingress.Ingress(
             services=execution.Services(
                 entry_vm=configured.entry_vm,
@@ -182,11 +189,10 @@
                 client=self.client,
                 fleet=self.fleet,
                 explanations=self.explanations,
-                budgets=retry_budgets.RetryBudgets(),
+                budget=self._budget,
                 claims=self.claims,
                 settlements=self._settlements,
                 clock=self._clock,
-                random=self._random,
             ),
             metrics=self.metrics,
         )
@@ -214,6 +220,18 @@
             on_leaving=self._on_own_report,
         )
 
+        self._summaries = summaries.SummaryAnnouncer(
+            dispatcher=self.dispatcher,
+            members=self.members,
+            entry_vm=configured.entry_vm,
+        )
+        self._vm_watch = vm_watch.VmWatch(
+            vms=self.store,
+            members=self.members,
+            watchers=self,
+            chance=self._random,
+        )
+
     @property
     def settings(self) -> settings.Settings:
         """Checked settings of this entry VM."""
@@ -238,10 +256,13 @@
         )
         await self.hub.start()
         await self.members.start(port=self.hub.port)
+        await self._stalls.start()
         await self.permits.start()
         await self.follower.start()
         await self.claims.start()
         await self._load_reader.start()
+        await self._summaries.start()
+        await self._vm_watch.start()
         await self.admin_server.start()
         await self.caller_server.start()
         self._tasks = [asyncio.create_task(self._follow_configuration())]
@@ -281,8 +302,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.caller_server.close()
+        await self._vm_watch.close()
+        await self._summaries.close()
         await self._load_reader.close()
         await self.permits.close()
+        await self._stalls.close()
         await self._settlements.close(
             timeout_seconds=_SETTLEMENT_TIMEOUT_SECONDS
         )
@@ -305,6 +329,7 @@
         self.fleet.set_configuration(configuration)
         self.dispatcher.set_configuration(configuration)
         self.ingress.set_configuration(configuration)
+        self._budget.configure(shards.class_policies(configuration))
         self.metrics.revision.set(configuration.revision)
         if not self._configured_event.is_set():
             self._configured_event.set()
--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -17,6 +17,7 @@
 from lagoonrun_daemon import explanations, shards, transport
 from lagoonrun_policy import messages as policy_messages
 from lagoonrun_policy import scheduler
+from lagoonrun_policy import shards as policy_shards
 from lagoonrun_protocol import messages
 
 _LONGEST_SLEEP_SECONDS = 1.0
@@ -35,7 +36,7 @@
 @dataclasses.dataclass(kw_only=True)
 class _OwnedShard:
     shard: shards.Shard
-    scheduler: policy_messages.Scheduler
+    scheduler: scheduler.ShardScheduler
     timer: asyncio.TimerHandle | None = None
     # Ingresses with a request in this shard's queue, to be told of a release.
     waiting_by_key: dict[policy_messages.PermitKey, types.EntryVmId]
@@ -84,11 +85,19 @@
 
     def scheduler_of(
         self, shard: types.ShardId
-    ) -> policy_messages.Scheduler | None:
+    ) -> scheduler.ShardScheduler | None:
         """Return the scheduler of an owned shard, for status pages."""
         owned = self._owned_by_id.get(shard)
         return owned.scheduler if owned else None
 
+    def summaries(self) -> Sequence[policy_shards.ShardView]:
+        """Return what other domains need to know of the owned shards."""
+        now = self._clock.monotonic()
+        return [
+            owned.scheduler.summary(now=now)
+            for owned in self._owned_by_id.values()
+        ]
+
     def set_configuration(self, configuration: model.Configuration) -> None:
         """Take over a new revision for all shards."""
         self._configuration = configuration
@@ -127,10 +136,13 @@
             self._handle(shard, report)
 
     def stop_owning(self) -> None:
-        """Hand all shards over and take no more permit requests."""
+        """Hand all shards over to other entry VMs, if there are any.
+
+        As the last one that lives, this entry VM dispatches to its end, so
+        that a planned stop refuses nothing that it could still serve.
+        """
         self._stopping = True
-        for shard_id in list(self._owned_by_id):
-            self._release(shard_id)
+        self.on_ranking_changed()
 
     def close(self) -> None:
         """Cancel all timers."""
@@ -161,7 +173,8 @@
         owner = self._view.owner_of(message.shard)
         known = message.shard in self._shards_by_id
         others_turn = owner != self._entry_vm and not message.handover
-        if self._stopping or not known or others_turn:
+        handed_over = self._stopping and owner != self._entry_vm
+        if handed_over or not known or others_turn:
             self._send_not_mine(sender, message, owner)
             return
         owned = self._own(message.shard)
@@ -244,7 +257,7 @@
     def _on_digest(
         self, sender: types.EntryVmId, message: messages.WorkDigest
     ) -> None:
-        if self._stopping or message.shard not in self._shards_by_id:
+        if message.shard not in self._shards_by_id:
             return
         if message.shard not in self._owned_by_id:
             if self._view.owner_of(message.shard) != self._entry_vm:
@@ -257,6 +270,9 @@
             if owned.waiting_by_key.get(_key_of(work)) != sender
         )
         self._handle(message.shard, _digest_event(sender, message))
+        for work in message.running:
+            if work.tokens:
+                self._handle(message.shard, _progress_event(work))
         self._transport.send(
             sender,
             messages.DigestAcknowledged(shard=message.shard, unknown=unknown),
@@ -405,6 +421,16 @@
     )
 
 
+def _progress_event(
+    work: messages.RunningWork,
+) -> policy_messages.WorkProgressed:
+    return policy_messages.WorkProgressed(
+        key=_key_of(work),
+        tokens=work.tokens,
+        first_token_seconds=work.first_token_seconds,
+    )
+
+
 def _log_decision(record: policy_messages.DecisionRecord) -> None:
     granted = record.upstream is not None
     logs.emit(
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import dataclasses
-import random
+from collections.abc import Sequence
 
 from lagoonrun_claims import claims
 from lagoonrun_config import model
@@ -21,20 +21,21 @@
     once,
     permits,
     relay,
-    retry_budgets,
 )
 from lagoonrun_daemon import call as calls
+from lagoonrun_http import errors as http_errors
 from lagoonrun_http import hop_by_hop
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
+from lagoonrun_policy import retries
+from lagoonrun_policy import shards as policy_shards
 
 MAXIMUM_PERMIT_AGE_SECONDS = 1.0
 """An older permit is given back: its upstream may be leaving by now."""
 
 _MAXIMUM_SHARDS_ASKED = 4
 _LARGEST_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
-_FIRST_BACKOFF_SECONDS = 0.02
-_LONGEST_BACKOFF_SECONDS = 1.0
+_LOSS_RETRY_AFTER_SECONDS = 1.0
 _ROOM_REASONS = frozenset(
     {
         outcomes.Reason.QUEUE_FULL,
@@ -55,11 +56,10 @@
     client: http_upstream.UpstreamClient
     fleet: fleet.FleetView
     explanations: explanations.ExplanationRing
-    budgets: retry_budgets.RetryBudgets
+    budget: retries.RetryBudget
     claims: claims.Claims
     settlements: once.SettlementTasks
     clock: clocks.Clock
-    random: random.Random
 
 
 class CallExecution:
@@ -77,7 +77,9 @@
         self._call = call
         self._services = services
         self._excluded: tuple[types.UpstreamId, ...] = ()
-        self._retries = 0
+        self._attempts = 0
+        # What is known of all attempts together.
+        self._ran = outcomes.Outcome.NOT_RUN
         self._sent = False
         self._relay = relay.StreamRelay(call=call, clock=services.clock)
         self._once = once.OnceGuard(
@@ -99,9 +101,8 @@
 
     async def run(self) -> outcomes.Ending:
         """Return how the call ended, after the caller has been answered."""
-        profile = self._call.resolved.profile
-        self._services.budgets.on_first_attempt(
-            profile.name, ratio=profile.retry_ratio
+        self._services.budget.note_first_attempt(
+            self._call.resolved.profile.name
         )
         outcome = outcomes.Outcome.UNKNOWN
         try:
@@ -172,10 +173,18 @@
             self._services.permits.give_back(permit)
         return refusal
 
-    def _candidate_shards(self) -> list[types.ShardId]:
-        pool = self._call.resolved.service.pool
-        shards = self._services.fleet.shards_of_pool(pool)
-        return [shard.id for shard in shards[:_MAXIMUM_SHARDS_ASKED]]
+    def _candidate_shards(self) -> Sequence[types.ShardId]:
+        resolved = self._call.resolved
+        remaining = self._call.limit_at - self._services.clock.monotonic()
+        ranked = policy_shards.rank_shards(
+            self._services.fleet.shard_views(
+                resolved.service.pool,
+                spread_by=resolved.prefix_hash or self._call.request_id,
+            ),
+            tier=resolved.profile.tier,
+            remaining_seconds=remaining,
+        )
+        return ranked[:_MAXIMUM_SHARDS_ASKED]
 
     def _wanted(self, shard: types.ShardId) -> permits.PermitWanted:
         call = self._call
@@ -216,7 +225,7 @@
             async with self._limit_scope() as scope:
                 loop = asyncio.get_running_loop()
                 permit.on_cut = lambda: scope.reschedule(loop.time())
-                result = await self._exchange(permit, upstream)
+                result = await self._exchange(permit, upstream, scope)
             outcome, reason = _outcome_of(result)
             return result
         except TimeoutError:
@@ -246,6 +255,7 @@
         self,
         permit: permits.Permit,
         upstream: model.Upstream,
+        scope: asyncio.Timeout,
     ) -> outcomes.Ending | attempt.Lost:
         self._sent = True
         self._note("sent", upstream.id)
@@ -258,7 +268,7 @@
         if isinstance(response, http_upstream.UpstreamFailure):
             return attempt.lost_by(response, upstream=upstream.id)
         try:
-            return await self._deliver(permit, response)
+            return await self._deliver(permit, response, scope)
         finally:
             await response.cancel()
 
@@ -266,6 +276,7 @@
         self,
         permit: permits.Permit,
         response: http_upstream.UpstreamResponse,
+        scope: asyncio.Timeout,
     ) -> outcomes.Ending | attempt.Lost:
         head = response.head
         if attempt.says_not_run(head):
@@ -276,7 +287,7 @@
                 upstream=permit.upstream,
             )
         if self._call.resolved.streamed and head.status == 200:
-            return await self._relay.run(response, permit)
+            return await self._relay.run(response, permit, scope)
         return await self._deliver_whole(permit, response)
 
     async def _deliver_whole(
@@ -288,7 +299,7 @@
         if isinstance(body, http_upstream.UpstreamFailure):
             return attempt.lost_by(body, upstream=permit.upstream)
         failed = response.head.status >= 500
-        if failed and self._call.idempotent and self._may_retry():
+        if failed and self._call.idempotent and self._has_attempt_left():
             return attempt.Lost(
                 ran=outcomes.Outcome.FAILED,
                 reason=outcomes.Reason.UPSTREAM_REFUSED,
@@ -306,9 +317,15 @@
             self._call.request_id, ending
         ):
             headers = headers.with_added(name, value)
-        await self._call.exchange.respond(
-            status=response.head.status, headers=headers, body=body
-        )
+        try:
+            await self._call.exchange.respond(
+                status=response.head.status, headers=headers, body=body
+            )
+        except http_errors.CallerLeftError:
+            # The work is done all the same; a claim records its true end.
+            return dataclasses.replace(
+                ending, reason=outcomes.Reason.CALLER_LEFT
+            )
         return ending
 
     async def _on_timeout(
@@ -329,13 +346,12 @@
     async def _after_loss(self, lost: attempt.Lost) -> outcomes.Ending | None:
         """Try again where that is harmless, else tell the caller."""
         self._note("lost", f"{lost.upstream}: {lost.detail}")
-        harmless = self._call.idempotent or lost.ran is outcomes.Outcome.NOT_RUN
+        if lost.ran is not outcomes.Outcome.NOT_RUN:
+            self._ran = lost.ran
         if self._call.exchange.started:
             self._exclude_upstreams_without_resume()
-        in_time = self._services.clock.monotonic() < self._call.limit_at
-        if harmless and in_time and self._spend_retry():
+        if await self._may_try_again(lost):
             self._excluded = (*self._excluded, lost.upstream)
-            await self._back_off()
             logs.emit(
                 events.LogEvent.REQUEST_RETRIED,
                 request_id=self._call.request_id,
@@ -344,15 +360,36 @@
             )
             return None
         ending = outcomes.Ending(
-            outcome=lost.ran,
+            outcome=self._ran,
             reason=lost.reason,
-            retry_after_seconds=1.0,
+            retry_after_seconds=_LOSS_RETRY_AFTER_SECONDS,
             detail=lost.detail,
             upstream=lost.upstream,
         )
         await self._answer_ending(ending)
         return ending
 
+    async def _may_try_again(self, lost: attempt.Lost) -> bool:
+        """Spend a retry and wait for its backoff, if there may be one."""
+        self._attempts += 1
+        profile = self._call.resolved.profile
+        decided = self._services.budget.decide(
+            profile=profile.name,
+            request_id=self._call.request_id,
+            attempts=self._attempts,
+            maximum_attempts=profile.maximum_attempts,
+            reason=lost.reason,
+            sent=lost.ran is not outcomes.Outcome.NOT_RUN,
+        )
+        if isinstance(decided, retries.RetryDenied):
+            self._note("retry-denied", decided.reason.value)
+            return False
+        remaining = self._call.limit_at - self._services.clock.monotonic()
+        if decided.pause_seconds >= remaining:
+            return False
+        await asyncio.sleep(decided.pause_seconds)
+        return True
+
     def _exclude_upstreams_without_resume(self) -> None:
         """Leave only engines that can go on after the delivered events."""
         upstreams = self._call.configuration.upstreams_by_id.values()
@@ -364,30 +401,13 @@
             and upstream.id not in self._excluded
         )
 
-    def _may_retry(self) -> bool:
-        profile = self._call.resolved.profile
-        return self._retries + 1 < profile.maximum_attempts
-
-    def _spend_retry(self) -> bool:
-        if not self._may_retry():
-            return False
+    def _has_attempt_left(self) -> bool:
         profile = self._call.resolved.profile
-        if not self._services.budgets.take(profile.name):
-            return False
-        self._retries += 1
-        return True
-
-    async def _back_off(self) -> None:
-        ceiling = _FIRST_BACKOFF_SECONDS * 2**self._retries
-        ceiling = min(ceiling, _LONGEST_BACKOFF_SECONDS)
-        # Full jitter, so that requests that failed together come apart.
-        await asyncio.sleep(self._services.random.uniform(0.0, ceiling))
+        return self._attempts + 1 < profile.maximum_attempts
 
     async def _refuse(self, refusal: permits.PermitRefusal) -> outcomes.Ending:
         ending = outcomes.Ending(
-            outcome=outcomes.Outcome.NOT_RUN
-            if not self._sent
-            else outcomes.Outcome.FAILED,
+            outcome=self._ran,
             reason=refusal.reason,
             retry_after_seconds=refusal.retry_after_seconds,
         )
--- a/packages/daemon/src/lagoonrun_daemon/fleet.py
+++ b/packages/daemon/src/lagoonrun_daemon/fleet.py
@@ -1,11 +1,17 @@
 """The daemon's view of the fleet: who dispatches what, who is leaving."""
 
+import math
 from collections.abc import Sequence
 
+import xxhash
+
 from lagoonrun_config import model
 from lagoonrun_core import types
 from lagoonrun_daemon import shards
 from lagoonrun_membership import membership, ranking
+from lagoonrun_policy import shards as policy_shards
+
+_OWN_SHARDS_ASKED = 2
 
 
 class FleetView:
@@ -65,7 +71,7 @@
         """Return the live entry VMs that may dispatch `shard`, best first.
 
         Only entry VMs of the shard's own failure domain dispatch it, unless
-        none of them lives; then any live one does.
+        none of them lives; then any live one does. Never empty.
         """
         ranked = self._ranked_by_shard.get(shard)
         if ranked is None:
@@ -92,11 +98,43 @@
         """Return whether `upstream` gets no new work."""
         return self._members.upstream_is_leaving(upstream)
 
-    def shards_of_pool(self, pool: types.PoolName) -> Sequence[shards.Shard]:
-        """Return the pool's shards, those of the own domain first."""
-        return sorted(
-            self._shards_by_pool.get(pool, ()),
-            key=lambda shard: (shard.domain != self._domain, shard.id),
+    def shard_views(
+        self, pool: types.PoolName, *, spread_by: int | str
+    ) -> Sequence[policy_shards.ShardView]:
+        """Return what is known of the shards of `pool`.
+
+        Parameters
+        ----------
+        spread_by
+            Two shards of the own domain are chosen by it where there are
+            more: requests with one prefix meet the same two, and no shard
+            is asked by all at once because its summary looked best.
+        """
+        shards_here = []
+        elsewhere = []
+        for shard in self._shards_by_pool.get(pool, ()):
+            here = shard.domain == self._domain
+            (shards_here if here else elsewhere).append(shard.id)
+        chosen = _spread(shards_here, spread_by)
+        return [self._view_of(shard, own=True) for shard in chosen] + [
+            self._view_of(shard, own=False) for shard in elsewhere
+        ]
+
+    def _view_of(
+        self, shard: types.ShardId, *, own: bool
+    ) -> policy_shards.ShardView:
+        summary = self._members.summaries_by_shard.get(shard)
+        if summary is None:
+            return policy_shards.ShardView(
+                shard=shard, own=own, age_seconds=math.inf
+            )
+        return policy_shards.ShardView(
+            shard=shard,
+            own=own,
+            free=summary.free,
+            lowest_waiting_tier=summary.lowest_waiting_tier,
+            lowest_running_tier=summary.lowest_running_tier,
+            wait_seconds=summary.wait_seconds,
         )
 
     def _rank(self, shard: types.ShardId) -> tuple[types.EntryVmId, ...]:
@@ -108,8 +146,25 @@
                 for other in self._domains()
                 for vm in self._members.live_in(other)
             )
+        if not live:
+            # This entry VM runs, whatever the others believe of it: while
+            # it stops as the last one, or has just come back, it goes on
+            # dispatching for itself.
+            live = (self._entry_vm,)
         return ranking.rank_entry_vms(shard, live)
 
     def _domains(self) -> Sequence[types.FailureDomain]:
         members = self._members.members_by_id.values()
         return sorted({member.domain for member in members})
+
+
+def _spread(
+    shards_here: Sequence[types.ShardId], spread_by: int | str
+) -> Sequence[types.ShardId]:
+    if len(shards_here) <= _OWN_SHARDS_ASKED:
+        return shards_here
+    seed = xxhash.xxh3_64_intdigest(str(spread_by).encode())
+    return sorted(
+        shards_here,
+        key=lambda shard: xxhash.xxh3_64_intdigest(shard.encode(), seed=seed),
+    )[:_OWN_SHARDS_ASKED]
--- a/packages/daemon/src/lagoonrun_daemon/ingress.py
+++ b/packages/daemon/src/lagoonrun_daemon/ingress.py
@@ -13,6 +13,7 @@
     resolution,
 )
 from lagoonrun_daemon import call as calls
+from lagoonrun_http import errors as http_errors
 from lagoonrun_http import server as http_server
 
 _REQUEST_ID_BYTES = 12
@@ -151,7 +152,7 @@
     ) -> outcomes.Ending:
         try:
             return await work
-        except (asyncio.CancelledError, ConnectionError):
+        except (asyncio.CancelledError, http_errors.CallerLeftError):
             return outcomes.Ending(
                 outcome=outcomes.Outcome.UNKNOWN,
                 reason=outcomes.Reason.CALLER_LEFT,
--- a/packages/daemon/src/lagoonrun_daemon/permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/permits.py
@@ -12,7 +12,7 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, outcomes, types
-from lagoonrun_daemon import transport
+from lagoonrun_daemon import stalls, transport
 from lagoonrun_protocol import messages
 
 ACKNOWLEDGE_TIMEOUT_SECONDS = 0.15
@@ -153,6 +153,8 @@
         Carries messages to dispatchers, this entry VM's own included.
     clock
         Source of time.
+    stalls
+        Tells of times in which this process did not run.
     """
 
     def __init__(
@@ -161,8 +163,10 @@
         ranking: Ranking,
         transport: transport.Transport,
         clock: clocks.Clock,
+        stalls: stalls.StallDetector,
     ) -> None:
         self._ranking = ranking
+        self._stalls = stalls
         self._transport = transport
         self._clock = clock
         self._asks_by_key: dict[_Key, _Ask] = {}
@@ -241,8 +245,12 @@
         """Return whether the permit is young enough to be used.
 
         Guards against a process that was frozen between grant and use, or
-        waited long for a claim: by then the upstream may be leaving.
+        waited long for a claim: by then the upstream may be leaving. A grant
+        that arrived while the process was frozen looks new when it is read,
+        so that none is used that was read right after a stall.
         """
+        if self._stalls.stalled_within(maximum_age_seconds):
+            return False
         age = self._clock.monotonic() - permit.granted_at
         return age <= maximum_age_seconds
 
--- a/packages/daemon/src/lagoonrun_daemon/relay.py
+++ b/packages/daemon/src/lagoonrun_daemon/relay.py
@@ -5,8 +5,10 @@
 event, and a resumed stream goes on exactly after the last delivered one.
 """
 
+import asyncio
 import json
 
+from lagoonrun_config import model
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import outcomes, types
 from lagoonrun_daemon import answers, attempt, permits
@@ -41,8 +43,16 @@
         self,
         response: http_upstream.UpstreamResponse,
         permit: permits.Permit,
+        scope: asyncio.Timeout,
     ) -> outcomes.Ending | attempt.Lost:
-        """Relay one upstream's answer to its end or loss."""
+        """Relay one upstream's answer to its end or loss.
+
+        Parameters
+        ----------
+        scope
+            Ends the work at the profile's limit; lifted by the first token
+            where the limit is on that.
+        """
         sent_at = permit.granted_at
         await self._start(response.head)
         scanner = sse.EventScanner()
@@ -62,6 +72,7 @@
                 continue
             if permit.first_token_seconds == 0.0:
                 permit.first_token_seconds = self._clock.monotonic() - sent_at
+                self._lift_limit(scope)
             await self._call.exchange.send(held[:whole])
             held = held[whole:]
             passed = scanner.boundary
@@ -86,6 +97,11 @@
         await self._call.exchange.finish()
         return ending
 
+    def _lift_limit(self, scope: asyncio.Timeout) -> None:
+        kind = self._call.resolved.profile.target_kind
+        if kind is model.TargetKind.FIRST_TOKEN and not scope.expired():
+            scope.reschedule(None)
+
     async def _start(self, head: http_messages.ResponseHead) -> None:
         if self._call.exchange.started:
             return
--- a/packages/daemon/src/lagoonrun_daemon/shards.py
+++ b/packages/daemon/src/lagoonrun_daemon/shards.py
@@ -97,6 +97,16 @@
     )
 
 
+def class_policies(
+    configuration: model.Configuration,
+) -> dict[types.ProfileName, policy_messages.ClassPolicy]:
+    """Return every class of `configuration` as decisions see it."""
+    return {
+        profile.name: _class_policy(profile)
+        for profile in configuration.profiles_by_name.values()
+    }
+
+
 def _uses_pool(
     configuration: model.Configuration,
     profile: types.ProfileName,
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/stalls.py
@@ -0,0 +1,57 @@
+"""Notice times in which this process did not run."""
+
+import asyncio
+
+from lagoonrun_core import clock as clocks
+
+_TICK_SECONDS = 0.25
+_STALL_SECONDS = 1.0
+
+
+class StallDetector:
+    """Task whose late ticks show that the process was frozen.
+
+    A frozen process (a paused VM, a stopped process) reads on waking what
+    arrived meanwhile as if it were new. It finds the last tick long ago; the
+    event loop reads sockets before it runs due timers, so that the first
+    messages read on waking are judged before the next tick hides the stall.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    """
+
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._ticked_at = clock.monotonic()
+        self._stall_ended_at = float("-inf")
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to tick."""
+        self._ticked_at = self._clock.monotonic()
+        self._task = asyncio.create_task(self._tick_forever())
+
+    async def close(self) -> None:
+        """Stop ticking."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def stalled_within(self, seconds: float) -> bool:
+        """Return whether a stall ended less than `seconds` ago, or just now."""
+        now = self._clock.monotonic()
+        self.note(now)
+        return now - self._stall_ended_at < seconds
+
+    def note(self, now: float) -> None:
+        """Take in that the process runs at `now`."""
+        if now - self._ticked_at > _STALL_SECONDS:
+            self._stall_ended_at = now
+        self._ticked_at = max(self._ticked_at, now)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            self.note(self._clock.monotonic())
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/vm_watch.py
@@ -0,0 +1,112 @@
+"""Read the platform's lagging list of VMs on behalf of the failure domain."""
+
+import asyncio
+import random
+from typing import Protocol
+
+from lagoonrun_config import following
+from lagoonrun_core import types
+from lagoonrun_platform import store as store_module
+from lagoonrun_platform import vm_list
+from lagoonrun_protocol import hub
+
+_PERIOD_SECONDS = 1.0
+_LONGEST_PERIOD_SECONDS = 30.0
+_JITTER = 0.2
+_UNSTARTED = types.Incarnation(0)
+
+
+class VmListener(Protocol):
+    """Takes in what the list says."""
+
+    def report_upstream(
+        self,
+        upstream: types.UpstreamId,
+        incarnation: types.Incarnation,
+        leaving: bool,
+    ) -> None:
+        """Take in that an upstream is leaving."""
+
+    def add_seeds(self, addresses: list[hub.PeerAddress]) -> None:
+        """Join through further entry VMs."""
+
+
+class VmWatch:
+    """Task that reads the list; only the domain's two watchers do.
+
+    What the list says of a leaving upstream is passed on to all by the
+    membership. That it lists an upstream as live says nothing: the list
+    lags, and an upstream's own word that it leaves is newer.
+
+    Parameters
+    ----------
+    vms
+        The platform's list.
+    members
+        Takes in what the list says.
+    watchers
+        Says whether this entry VM reads the list.
+    chance
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        vms: vm_list.VmList,
+        members: VmListener,
+        watchers: following.WatcherChoice,
+        chance: random.Random,
+    ) -> None:
+        self._vms = vms
+        self._members = members
+        self._watchers = watchers
+        self._random = chance
+        self._failures = 0
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to read."""
+        self._task = asyncio.create_task(self._read_forever())
+
+    async def close(self) -> None:
+        """Stop reading."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _read_forever(self) -> None:
+        while True:
+            if self._watchers.is_watcher():
+                await self._read()
+            await asyncio.sleep(self._pause_seconds())
+
+    def _pause_seconds(self) -> float:
+        """Return the pause; it grows while the platform does not answer.
+
+        The jitter keeps the watchers of all domains from coming back at one
+        time when an outage ends.
+        """
+        pause = _PERIOD_SECONDS * 2.0 ** min(self._failures, 5)
+        pause = min(pause, _LONGEST_PERIOD_SECONDS)
+        return pause * self._random.uniform(1.0 - _JITTER, 1.0 + _JITTER)
+
+    async def _read(self) -> None:
+        listing = await self._vms.list_vms()
+        if isinstance(listing, store_module.Unreachable):
+            self._failures += 1
+            return
+        self._failures = 0
+        self._members.add_seeds(
+            [
+                hub.PeerAddress(host=vm.address, port=vm.port)
+                for vm in listing.vms_by_id.values()
+                if vm.role is vm_list.VmRole.ENTRY
+            ]
+        )
+        for vm in listing.vms_by_id.values():
+            leaving = vm.state is vm_list.VmState.LEAVING
+            if vm.role is vm_list.VmRole.UPSTREAM and leaving:
+                self._members.report_upstream(
+                    types.UpstreamId(vm.id), _UNSTARTED, True
+                )
