--- a/packages/claims/src/lagoonrun_claims/claims.py
+++ b/packages/claims/src/lagoonrun_claims/claims.py
@@ -106,7 +106,7 @@
         Least time for which a key stays claimed.
     writes_per_second, burst
         Budget of this process for the store.
-    shards, maximum_batch
+    shards, maximum_batch, write_timeout_seconds, linger_seconds
         See `GroupCommit`.
     flush_seconds
         Longest wait of `close` for states that are not in the store yet.
@@ -122,9 +122,10 @@
         retention_seconds: float = retention_module.DEFAULT_RETENTION_SECONDS,
         writes_per_second: float = 40.0,
         burst: int = 40,
-        shards: int = 4,
-        maximum_batch: int = 100,
+        shards: int = group_commit_module.DEFAULT_SHARDS,
+        maximum_batch: int = group_commit_module.DEFAULT_MAXIMUM_BATCH,
         write_timeout_seconds: float = 5.0,
+        linger_seconds: float = 0.1,
         flush_seconds: float = 2.0,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
@@ -148,6 +149,7 @@
             shards=shards,
             maximum_batch=maximum_batch,
             write_timeout_seconds=write_timeout_seconds,
+            linger_seconds=linger_seconds,
             sleep=sleep,
         )
         self._settler = settler_module.Settler(
--- a/packages/claims/src/lagoonrun_claims/group_commit.py
+++ b/packages/claims/src/lagoonrun_claims/group_commit.py
@@ -20,6 +20,8 @@
 MAXIMUM_REJECTIONS = 8
 """Rejected transactions after which a write is given back unwritten."""
 
+DEFAULT_SHARDS = 1
+DEFAULT_MAXIMUM_BATCH = 100
 _BACKING_OFF = "backing off from the store"
 
 
@@ -106,6 +108,8 @@
         Most writes in one transaction.
     write_timeout_seconds
         Wait for one answer of the store; after it the write is unsettled.
+    linger_seconds
+        How long a write that is not urgent waits for others to join.
     """
 
     def __init__(
@@ -114,9 +118,10 @@
         store: store_module.KeyValueStore,
         retention: retention_module.Retention,
         pacing: pacing_module.Pacing,
-        shards: int = 4,
-        maximum_batch: int = 100,
+        shards: int = DEFAULT_SHARDS,
+        maximum_batch: int = DEFAULT_MAXIMUM_BATCH,
         write_timeout_seconds: float = 5.0,
+        linger_seconds: float = 0.1,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._store = store
@@ -125,7 +130,7 @@
         self._maximum_batch = maximum_batch
         self._write_timeout_seconds = write_timeout_seconds
         self._sleep = sleep
-        self._shards = [_Shard() for _ in range(shards)]
+        self._shards = [_Shard(linger_seconds) for _ in range(shards)]
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -145,8 +150,15 @@
             shard.queue.clear()
         self._tasks.clear()
 
-    def submit(self, write: Write) -> Ticket:
-        """Queue one write; it is refused at once while backing off."""
+    def submit(self, write: Write, *, urgent: bool = True) -> Ticket:
+        """Queue one write; it is refused at once while backing off.
+
+        Parameters
+        ----------
+        urgent
+            Whether it calls for a transaction of its own. Otherwise it
+            joins the next one, or makes one after `linger_seconds`.
+        """
         ticket = Ticket(write)
         if not self._tasks:
             ticket.resolve(NotWritten(detail="not started"))
@@ -154,7 +166,7 @@
             ticket.resolve(NotWritten(detail=_BACKING_OFF))
         else:
             shard = zlib.crc32(write.key.encode()) % len(self._shards)
-            self._shards[shard].add(ticket)
+            self._shards[shard].add(ticket, urgent=urgent)
         return ticket
 
     async def _run(self, shard: "_Shard") -> None:
@@ -225,6 +237,10 @@
                 )
         except TimeoutError:
             return store_module.Unknown(detail="no answer in time")
+        except Exception as error:
+            # A fault of the adapter must not end the shard's task: all later
+            # claims of the shard would wait for their deadlines in vain.
+            return store_module.Unknown(detail=f"store failed: {error!r}")
 
     def _distribute(
         self,
@@ -254,18 +270,20 @@
         lease: retention_module.RetentionLease,
         rejected: store_module.Rejected,
     ) -> None:
+        if not rejected.items:
+            # Either the store has lost the lease, or the keys are gone. Both
+            # look alike; with a new lease the second answer tells.
+            self._retention.forget(lease)
         found_by_key = {item.key: item for item in rejected.items}
         others = []
         for ticket in batch:
             found = found_by_key.get(ticket.write.key)
             modified = found.modified if found else store_module.ABSENT
-            if modified != ticket.write.expected:
+            sure = bool(rejected.items) or ticket.rejections > 0
+            if sure and modified != ticket.write.expected:
                 ticket.resolve(Conflict(found=found))
             else:
                 others.append(ticket)
-        if len(others) == len(batch):
-            # All comparisons held: what the store refused is the lease.
-            self._retention.forget(lease)
         self._requeue(shard, others)
 
     def _requeue(self, shard: "_Shard", batch: list[Ticket]) -> None:
@@ -281,18 +299,29 @@
 class _Shard:
     """Writes of one part of the key space that wait for a transaction."""
 
-    def __init__(self) -> None:
+    def __init__(self, linger_seconds: float) -> None:
         self.queue: collections.deque[Ticket] = collections.deque()
         self.filled = asyncio.Event()
+        self._linger_seconds = linger_seconds
+        self._timer: asyncio.TimerHandle | None = None
 
-    def add(self, ticket: Ticket) -> None:
+    def add(self, ticket: Ticket, *, urgent: bool) -> None:
         self.queue.append(ticket)
-        self.filled.set()
+        if urgent:
+            self.filled.set()
+        elif self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(self._linger_seconds, self._expire)
 
     def add_first(self, ticket: Ticket) -> None:
         self.queue.appendleft(ticket)
         self.filled.set()
 
+    def _expire(self) -> None:
+        self._timer = None
+        if self.queue:
+            self.filled.set()
+
     def take(self, limit: int) -> list[Ticket]:
         """Remove up to `limit` writes of different keys, oldest first."""
         taken: dict[str, Ticket] = {}
--- a/packages/claims/src/lagoonrun_claims/settler.py
+++ b/packages/claims/src/lagoonrun_claims/settler.py
@@ -152,11 +152,14 @@
         )
         value = claim_module.encode(settling.record)
         expected = settling.expected
+        # A release lets a caller in that waits; an end only informs.
+        urgent = settling.record.state is claim_module.ClaimState.RELEASED
         while True:
             ticket = self._group.submit(
                 group_commit_module.Write(
                     key=key, expected=expected, value=value
-                )
+                ),
+                urgent=urgent,
             )
             result = await asyncio.shield(ticket.result)
             if isinstance(result, group_commit_module.Written):
--- a/packages/claims/tests/conftest.py
+++ b/packages/claims/tests/conftest.py
@@ -40,6 +40,7 @@
             clock=clock,
             random=random.Random(number),
             flush_seconds=0.2,
+            linger_seconds=0.0,
             sleep=yield_once,
             **options,
         )
--- a/packages/claims/tests/test_claims.py
+++ b/packages/claims/tests/test_claims.py
@@ -192,6 +192,24 @@
     assert isinstance(await arrive(second), claims_module.Won)
 
 
+async def test_a_lost_lease_does_not_lose_a_release(
+    make_claims, arrive, store, clock
+):
+    """A key stays claimed for a day although its request never left.
+
+    The lease of later claims was revoked, and the store's refusal was taken
+    for a record that is gone, so the release was thought needless.
+    """
+    claims = await make_claims()
+    won = await arrive(claims)
+    clock.advance(601.0)
+    await arrive(claims, key="later")
+    await store.revoke_lease(store_module.LeaseId(2))
+    assert store.calls_by_kind["lease"] == 3
+    await claims.release(won.attempt)
+    assert isinstance(await arrive(claims), claims_module.Won)
+
+
 async def test_an_outage_is_not_hammered(make_claims, arrive, store, clock):
     """The store comes back and is called by everything that waited.
 
