Steer the configuration from the command line

Operators could change the configuration only from Python.

Base of a change: weighed were the newest revision as a silent default, which lets an old file undo what others changed since, and a base that the files name themselves. Taken is the latter: `get` writes a line `# lagoonrun-base: N`, `apply` refuses without a base, and moves the line only where the files hold the whole of the new revision, since after a merge the next apply would else undo the other operator's change.

Tests run the commands in process against the platform's stand-in: lost reply, outage after the write (unknown, then settled), outage before it, clash and merge of two operators, and each exit code.

--- /dev/null
+++ b/packages/cli/src/lagoonrun_cli/admin_client.py
@@ -0,0 +1,131 @@
+"""Asks the admin addresses of entry VMs, by h11."""
+
+import asyncio
+import dataclasses
+import json
+from typing import Any
+
+import h11
+
+from lagoonrun_config import settings
+from lagoonrun_core import errors
+
+_READ_BYTES = 65536
+_LARGEST_ANSWER_BYTES = 16 * 1024 * 1024
+_DEFAULT_TIMEOUT_SECONDS = 3.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AdminAnswer:
+    """A whole answer with its decoded JSON body."""
+
+    status: int
+    value: Any
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AdminFailure:
+    """No usable answer came.
+
+    Parameters
+    ----------
+    step, peer
+        Where it failed, and at which address.
+    """
+
+    step: errors.Step
+    peer: str
+    detail: str
+
+    def __str__(self) -> str:
+        """Return the failure as one line."""
+        return f"{self.step.value} with {self.peer}: {self.detail}"
+
+
+class AdminClient:
+    """Makes admin requests, each on a connection of its own.
+
+    Parameters
+    ----------
+    token
+        Bearer token; empty for none. It is sent and never shown.
+    timeout_seconds
+        Longest time of one request.
+    """
+
+    def __init__(
+        self,
+        *,
+        token: str,
+        timeout_seconds: float = _DEFAULT_TIMEOUT_SECONDS,
+    ) -> None:
+        self._token = token
+        self._timeout_seconds = timeout_seconds
+
+    async def get(
+        self, address: settings.Address, path: str
+    ) -> AdminAnswer | AdminFailure:
+        """Return the answer to `GET path`."""
+        try:
+            async with asyncio.timeout(self._timeout_seconds):
+                return await self._get(address, path)
+        except TimeoutError:
+            detail = f"no answer within {self._timeout_seconds:g} s"
+        except (OSError, h11.ProtocolError, ValueError) as error:
+            detail = str(error) or type(error).__name__
+        return AdminFailure(
+            step=errors.Step.PEER_CONNECT, peer=str(address), detail=detail
+        )
+
+    async def _get(
+        self, address: settings.Address, path: str
+    ) -> AdminAnswer | AdminFailure:
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        try:
+            connection = h11.Connection(h11.CLIENT)
+            for event in self._request(address, path):
+                writer.write(connection.send(event) or b"")
+            await writer.drain()
+            status, body = await _read_answer(connection, reader)
+        finally:
+            writer.transport.abort()
+        if status == 401:
+            return AdminFailure(
+                step=errors.Step.AUTHENTICATE,
+                peer=str(address),
+                detail="the admin token is missing or wrong; valid: the "
+                "token whose digest the entry VM's settings hold",
+            )
+        return AdminAnswer(status=status, value=json.loads(body))
+
+    def _request(
+        self, address: settings.Address, path: str
+    ) -> tuple[h11.Event, ...]:
+        headers = [("Host", str(address)), ("Connection", "close")]
+        if self._token:
+            headers.append(("Authorization", f"Bearer {self._token}"))
+        request = h11.Request(method="GET", target=path, headers=headers)
+        return (request, h11.EndOfMessage())
+
+
+async def _read_answer(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> tuple[int, bytes]:
+    status = 0
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(_READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > _LARGEST_ANSWER_BYTES:
+                raise ValueError(f"more than {_LARGEST_ANSWER_BYTES} bytes")
+        elif isinstance(event, h11.EndOfMessage):
+            return status, bytes(body)
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ConnectionError("closed before the end of the answer")
--- /dev/null
+++ b/packages/cli/src/lagoonrun_cli/change_commands.py
@@ -0,0 +1,328 @@
+"""`validate`, `diff`, `apply`, `settle` and `rollback`."""
+
+from absl import flags
+
+from lagoonrun_cli import (
+    changes,
+    command,
+    declaration_files,
+    differences,
+    errors,
+    exit_codes,
+    outcome_reports,
+    reports,
+)
+from lagoonrun_cli import context as contexts
+from lagoonrun_config import change_outcomes, declarations, model, rebase
+from lagoonrun_config import draft as draft_module
+from lagoonrun_core import types
+
+_CHANGE_CODES = (
+    exit_codes.ExitCode.REFUSED,
+    exit_codes.ExitCode.CLASH,
+    exit_codes.ExitCode.UNKNOWN,
+    exit_codes.ExitCode.UNAVAILABLE,
+    exit_codes.ExitCode.PENDING,
+)
+
+
+async def _validate(
+    context: contexts.Context, invocation: command.Invocation
+) -> reports.Report:
+    """Check files without asking anyone."""
+    del context
+    declared = declaration_files.load(invocation.arguments)
+    if isinstance(declared, declarations.Faulty):
+        return outcome_reports.report_faults(declared.faults)
+    counts = {
+        "profiles": len(declared.draft.profiles_by_name),
+        "organisations": len(declared.draft.organisations_by_id),
+        "services": len(declared.draft.services_by_name),
+        "upstreams": len(declared.draft.upstreams_by_id),
+        "placements": len(declared.draft.placements),
+    }
+    said = ", ".join(f"{count} {name}" for name, count in counts.items())
+    return reports.Report(
+        code=exit_codes.ExitCode.DONE,
+        fields=counts,
+        sections=(reports.Text(text=f"valid: {said}"),),
+    )
+
+
+async def _diff(
+    context: contexts.Context, invocation: command.Invocation
+) -> reports.Report:
+    """Show what `apply` of the same files would change."""
+    declared = declaration_files.load(invocation.arguments)
+    if isinstance(declared, declarations.Faulty):
+        return outcome_reports.report_faults(declared.faults)
+    async with context.open_store() as store:
+        current = await store.get()
+        if not isinstance(current, model.Configuration):
+            return outcome_reports.report_failure(current)
+        base = changes.choose_base(
+            flag=invocation.flag("base"),
+            written=declared.base,
+            current=current.revision,
+        )
+        start = await store.get(base)
+    if not isinstance(start, model.Configuration):
+        return outcome_reports.report_failure(start)
+    head = draft_module.draft_of(current)
+    merged = rebase.rebase(
+        base=draft_module.draft_of(start), head=head, mine=declared.draft
+    )
+    if isinstance(merged, rebase.Conflict):
+        return outcome_reports.report_clash(
+            change_outcomes.Clash(
+                names=merged.names, revision=current.revision, changes=()
+            )
+        )
+    return _report_differences(
+        differences.compare(head, merged), current.revision
+    )
+
+
+def _report_differences(
+    found: tuple[differences.Difference, ...], revision: types.Revision
+) -> reports.Report:
+    code = exit_codes.ExitCode.DIFFERENT if found else exit_codes.ExitCode.DONE
+    title = f"against revision {revision}, which is in force"
+    section: reports.Section = differences.table(found, title=title)
+    if not found:
+        section = reports.Text(text=f"no difference {title}")
+    return reports.Report(
+        code=code,
+        fields={
+            "revision": revision,
+            "differences": [
+                {
+                    "entry": one.entry,
+                    "change": one.change,
+                    "field": one.field,
+                    "before": one.before,
+                    "after": one.after,
+                }
+                for one in found
+            ],
+        },
+        sections=(section,),
+        next_command="lagoonrun apply FILES" if found else "",
+    )
+
+
+async def _apply(
+    context: contexts.Context, invocation: command.Invocation
+) -> reports.Report:
+    declared = declaration_files.load(invocation.arguments)
+    if isinstance(declared, declarations.Faulty):
+        return outcome_reports.report_faults(declared.faults)
+    async with context.open_store() as store:
+        base = await changes.find_base(
+            store, flag=invocation.flag("base"), written=declared.base
+        )
+        if not isinstance(base, int):
+            return outcome_reports.report_failure(base)
+        outcome = await changes.apply(
+            context,
+            store,
+            declared.draft,
+            base=base,
+            change_id=invocation.flag("change_id"),
+        )
+        if not isinstance(outcome, change_outcomes.Accepted):
+            return outcome_reports.report_failure(outcome)
+        notes = await _move_base(
+            store, invocation.arguments, declared, outcome.revision
+        )
+    return await changes.report_accepted(
+        context,
+        outcome,
+        wait_seconds=float(invocation.flag("wait_seconds")),
+        notes=notes,
+    )
+
+
+async def _move_base(
+    store: changes.ConfigurationStore,
+    paths: tuple[str, ...],
+    declared: declaration_files.Declared,
+    revision: types.Revision,
+) -> tuple[str, ...]:
+    """Let the files start from the new revision, where they hold all of it.
+
+    After a merge with another operator's change they do not: with the new
+    base the next `apply` would undo that change without a word.
+    """
+    if declared.base is None:
+        return ()
+    accepted = await store.get(revision)
+    same = (
+        isinstance(accepted, model.Configuration)
+        and draft_module.draft_of(accepted) == declared.draft
+    )
+    if not same:
+        return (
+            "the files do not hold all of the new revision; before the next "
+            f"edit: lagoonrun get {revision} > FILE",
+        )
+    moved = declaration_files.move_base(paths, revision)
+    return (f"base line set to {revision} in {', '.join(moved)}",)
+
+
+async def _settle(
+    context: contexts.Context, invocation: command.Invocation
+) -> reports.Report:
+    (change_id,) = invocation.arguments
+    base = invocation.flag("base")
+    if base is None:
+        raise errors.usage_error(
+            "--base is missing; valid: the base that `apply` named with the "
+            "unknown change"
+        )
+    context.console.progress(f"settling {change_id}")
+    async with context.open_store() as store:
+        outcome = await store.settle(
+            types.ChangeId(change_id),
+            base=changes.parse_revision(str(base)),
+        )
+    if not isinstance(outcome, change_outcomes.Accepted):
+        return outcome_reports.report_failure(outcome)
+    return await changes.report_accepted(
+        context, outcome, wait_seconds=float(invocation.flag("wait_seconds"))
+    )
+
+
+async def _rollback(
+    context: contexts.Context, invocation: command.Invocation
+) -> reports.Report:
+    (written,) = invocation.arguments
+    revision = changes.parse_revision(written)
+    context.console.progress(f"rolling back to revision {revision}")
+    async with context.open_store() as store:
+        outcome = await store.rollback(
+            revision,
+            change_id=contexts.new_change_id(),
+            operator=context.settings.operator,
+        )
+    if not isinstance(outcome, change_outcomes.Accepted):
+        return outcome_reports.report_failure(outcome)
+    return await changes.report_accepted(
+        context,
+        outcome,
+        wait_seconds=float(invocation.flag("wait_seconds")),
+        notes=(f"the content of revision {revision}, as a new revision",),
+    )
+
+
+def _define_base(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        "base",
+        None,
+        "Revision that the files started from, or `in-force` where they hold "
+        "all that is in force; by default the files' `# lagoonrun-base` line.",
+        flag_values=values,
+    )
+
+
+def _define_apply(values: flags.FlagValues) -> None:
+    _define_base(values)
+    changes.define_wait(values)
+    flags.DEFINE_string(
+        "change_id",
+        None,
+        "Id of this change; the same id is accepted once. By default random.",
+        flag_values=values,
+    )
+
+
+def _define_settle(values: flags.FlagValues) -> None:
+    changes.define_wait(values)
+    flags.DEFINE_string(
+        "base",
+        None,
+        "Base of the change, as `apply` named it.",
+        flag_values=values,
+    )
+
+
+VALIDATE = command.Command(
+    name="validate",
+    usage="FILE...",
+    summary="Check declarations without asking the system.",
+    description="Reads all files as one set of declarations and shows every "
+    "fault with the offending value and what would be valid.",
+    run=_validate,
+    minimum_arguments=1,
+    maximum_arguments=None,
+    codes=(exit_codes.ExitCode.REFUSED,),
+)
+
+DIFF = command.Command(
+    name="diff",
+    usage="FILE...",
+    summary="Show what `apply` of the files would change.",
+    description="Compares with the revision in force, after merging what "
+    "others changed since the files' base. Changes nothing.",
+    run=_diff,
+    minimum_arguments=1,
+    maximum_arguments=None,
+    define_flags=_define_base,
+    codes=(
+        exit_codes.ExitCode.REFUSED,
+        exit_codes.ExitCode.CLASH,
+        exit_codes.ExitCode.UNAVAILABLE,
+        exit_codes.ExitCode.NOT_FOUND,
+        exit_codes.ExitCode.DIFFERENT,
+    ),
+)
+
+APPLY = command.Command(
+    name="apply",
+    usage="FILE...",
+    summary="Bring declarations into force as a new revision.",
+    description="""
+    Commits one change by one compare-and-swap. The files must hold all
+    declarations. They start from a base: what others changed since in other
+    entries is kept; the same entry changed on both sides is a clash.
+
+    After it is accepted, waits until each entry VM has it in force. A lost
+    reply is settled by reading back; where that is not possible the outcome
+    is unknown, and the command that settles it is shown.
+    """,
+    run=_apply,
+    minimum_arguments=1,
+    maximum_arguments=None,
+    define_flags=_define_apply,
+    codes=_CHANGE_CODES,
+)
+
+SETTLE = command.Command(
+    name="settle",
+    usage="CHANGE_ID --base=REVISION",
+    summary="Find out what became of a change of unknown outcome.",
+    description="Says whether the change is in force. Where it is not, "
+    "cancels it, so that its late write is never accepted.",
+    run=_settle,
+    minimum_arguments=1,
+    maximum_arguments=1,
+    define_flags=_define_settle,
+    codes=(
+        exit_codes.ExitCode.UNKNOWN,
+        exit_codes.ExitCode.UNAVAILABLE,
+        exit_codes.ExitCode.PENDING,
+        exit_codes.ExitCode.CANCELLED,
+    ),
+)
+
+ROLLBACK = command.Command(
+    name="rollback",
+    usage="REVISION",
+    summary="Bring the content of an older revision into force again.",
+    description="Makes a new revision; the history keeps all between.",
+    run=_rollback,
+    minimum_arguments=1,
+    maximum_arguments=1,
+    define_flags=changes.define_wait,
+    codes=(*_CHANGE_CODES, exit_codes.ExitCode.NOT_FOUND),
+)
--- /dev/null
+++ b/packages/cli/src/lagoonrun_cli/errors.py
@@ -0,0 +1,41 @@
+"""The error that ends a command with an exit code instead of a traceback."""
+
+from lagoonrun_cli import exit_codes
+from lagoonrun_core import errors
+
+
+class CommandError(errors.LagoonrunError):
+    """A command cannot go on.
+
+    Parameters
+    ----------
+    code
+        Exit code of the command.
+    step, peer, detail
+        See `LagoonrunError`.
+    next_command
+        What to run next; empty where nothing helps.
+    """
+
+    def __init__(
+        self,
+        *,
+        code: exit_codes.ExitCode,
+        step: errors.Step,
+        peer: str = "",
+        detail: str,
+        next_command: str = "",
+    ) -> None:
+        self.code = code
+        self.next_command = next_command
+        super().__init__(step=step, peer=peer, detail=detail)
+
+
+def usage_error(detail: str, *, next_command: str = "") -> CommandError:
+    """Return the error of a wrong command line or settings file."""
+    return CommandError(
+        code=exit_codes.ExitCode.USAGE,
+        step=errors.Step.SETTINGS,
+        detail=detail,
+        next_command=next_command,
+    )
