--- a/packages/http/src/lagoonrun_http/errors.py
+++ b/packages/http/src/lagoonrun_http/errors.py
@@ -5,7 +5,7 @@
 from lagoonrun_core import errors
 
 
-class CallerLeftError(errors.LagoonrunError):
+class CallerLeftError(errors.LagoonrunError, ConnectionError):
     """The caller's connection is gone; nothing more can reach it."""
 
 
--- a/packages/http/tests/test_server.py
+++ b/packages/http/tests/test_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lagoonrun_core import errors as core_errors
 from lagoonrun_http import errors, exchange, messages
 
 _HEAD = b"POST /a HTTP/1.1\r\nHost: x\r\n"
@@ -259,6 +260,14 @@
     assert await asyncio.wait_for(outcome, 5) is expected
 
 
+def test_a_caller_that_left_is_a_connection_error():
+    error = errors.CallerLeftError(
+        step=core_errors.Step.CALLER_WRITE, peer="a:1", detail="gone"
+    )
+    assert isinstance(error, ConnectionError)
+    assert str(error) == "caller-write with a:1: gone"
+
+
 async def test_a_half_closed_caller_is_told_of_and_still_answered(
     make_server, connect
 ):
