--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -19,6 +19,7 @@
     explanations,
     fleet,
     once,
+    permit_types,
     permits,
     relay,
 )
@@ -120,7 +121,7 @@
 
     async def _try_once(self) -> outcomes.Ending | None:
         permit = await self._obtain_permit()
-        if isinstance(permit, permits.PermitRefusal):
+        if isinstance(permit, permit_types.PermitRefusal):
             return await self._refuse(permit)
         self._note("permit-granted", permit.upstream)
         refusal = await self._claim(permit)
@@ -142,26 +143,28 @@
 
     async def _obtain_permit(
         self,
-    ) -> permits.Permit | permits.PermitRefusal:
+    ) -> permit_types.Permit | permit_types.PermitRefusal:
         """Ask the own domain's shard first, then others that are reachable.
 
         Before a request is refused for room, other shards are asked, so that
         no high tier is refused here while lower ones are admitted there.
         """
-        first_refusal: permits.PermitRefusal | None = None
+        first_refusal: permit_types.PermitRefusal | None = None
         for shard in self._candidate_shards():
             answer = await self._services.permits.obtain(self._wanted(shard))
-            if isinstance(answer, permits.Permit):
+            if isinstance(answer, permit_types.Permit):
                 return answer
             if first_refusal is None:
                 first_refusal = answer
             if answer.reason not in _ROOM_REASONS:
                 break
-        return first_refusal or permits.PermitRefusal(
+        return first_refusal or permit_types.PermitRefusal(
             reason=outcomes.Reason.NO_UPSTREAM, retry_after_seconds=1.0
         )
 
-    async def _claim(self, permit: permits.Permit) -> outcomes.Ending | None:
+    async def _claim(
+        self, permit: permit_types.Permit
+    ) -> outcomes.Ending | None:
         """Claim the call's key; return the refusal if that did not work."""
         try:
             refusal = await self._once.secure()
@@ -186,9 +189,9 @@
         )
         return ranked[:_MAXIMUM_SHARDS_ASKED]
 
-    def _wanted(self, shard: types.ShardId) -> permits.PermitWanted:
+    def _wanted(self, shard: types.ShardId) -> permit_types.PermitWanted:
         call = self._call
-        return permits.PermitWanted(
+        return permit_types.PermitWanted(
             request_id=call.request_id,
             shard=shard,
             profile=call.resolved.profile.name,
@@ -201,7 +204,9 @@
             revision=call.configuration.revision,
         )
 
-    def _usable_upstream(self, permit: permits.Permit) -> model.Upstream | None:
+    def _usable_upstream(
+        self, permit: permit_types.Permit
+    ) -> model.Upstream | None:
         """Check the permit again at its point of use.
 
         Between grant and use the process may have been frozen or the
@@ -216,7 +221,7 @@
         return configuration.upstreams_by_id.get(permit.upstream)
 
     async def _send(
-        self, permit: permits.Permit, upstream: model.Upstream
+        self, permit: permit_types.Permit, upstream: model.Upstream
     ) -> outcomes.Ending | attempt.Lost:
         started = self._services.clock.monotonic()
         outcome = outcomes.Outcome.UNKNOWN
@@ -253,7 +258,7 @@
 
     async def _exchange(
         self,
-        permit: permits.Permit,
+        permit: permit_types.Permit,
         upstream: model.Upstream,
         scope: asyncio.Timeout,
     ) -> outcomes.Ending | attempt.Lost:
@@ -274,7 +279,7 @@
 
     async def _deliver(
         self,
-        permit: permits.Permit,
+        permit: permit_types.Permit,
         response: http_upstream.UpstreamResponse,
         scope: asyncio.Timeout,
     ) -> outcomes.Ending | attempt.Lost:
@@ -292,7 +297,7 @@
 
     async def _deliver_whole(
         self,
-        permit: permits.Permit,
+        permit: permit_types.Permit,
         response: http_upstream.UpstreamResponse,
     ) -> outcomes.Ending | attempt.Lost:
         body = await response.read_all(_LARGEST_WHOLE_ANSWER_BYTES)
@@ -329,7 +334,7 @@
         return ending
 
     async def _on_timeout(
-        self, permit: permits.Permit, upstream: model.Upstream
+        self, permit: permit_types.Permit, upstream: model.Upstream
     ) -> outcomes.Ending | attempt.Lost:
         reason = permit.cut_reason
         if reason is outcomes.Reason.NONE:
@@ -405,7 +410,9 @@
         profile = self._call.resolved.profile
         return self._attempts + 1 < profile.maximum_attempts
 
-    async def _refuse(self, refusal: permits.PermitRefusal) -> outcomes.Ending:
+    async def _refuse(
+        self, refusal: permit_types.PermitRefusal
+    ) -> outcomes.Ending:
         ending = outcomes.Ending(
             outcome=self._ran,
             reason=refusal.reason,
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/permit_types.py
@@ -0,0 +1,140 @@
+"""What an ingress asks dispatchers for, and what it gets."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_protocol import messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PermitTiming:
+    """Times of the exchange between ingress and dispatcher.
+
+    Parameters
+    ----------
+    acknowledge_timeout_seconds
+        Silence after which the next-ranked dispatcher is asked.
+    digest_period_seconds
+        Time between two digests of running and waiting work.
+    silence_memory_seconds
+        How long a silent dispatcher is passed over by later requests.
+    unanswered_digests
+        Periods without a sign of life after which a dispatcher is silent.
+    ask_again_seconds
+        Pause between asks of a request that has met many dispatchers.
+    """
+
+    acknowledge_timeout_seconds: float = 0.15
+    digest_period_seconds: float = 0.5
+    silence_memory_seconds: float = 2.0
+    unanswered_digests: int = 3
+    ask_again_seconds: float = 0.05
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PermitWanted:
+    """What an ingress asks a shard for.
+
+    Parameters
+    ----------
+    limit_at, target_at
+        Readings of the monotonic clock.
+    """
+
+    request_id: types.RequestId
+    shard: types.ShardId
+    profile: types.ProfileName
+    organisation: types.OrganisationId
+    limit_at: float
+    target_at: float
+    prefix_hash: types.PrefixHash
+    prompt_bytes: int
+    excluded: tuple[types.UpstreamId, ...] = ()
+    revision: types.Revision = types.Revision(0)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AttemptKey:
+    """Names one ask of one request; later asks have higher attempts."""
+
+    request_id: types.RequestId
+    attempt_id: types.AttemptId
+
+
+@dataclasses.dataclass(kw_only=True)
+class Permit:
+    """Leave to send one request to one upstream.
+
+    Parameters
+    ----------
+    granted_at
+        Reading of the monotonic clock; an old permit must not be used.
+    on_cut
+        Called when the dispatcher wants the work stopped.
+    first_token_seconds, tokens
+        Progress, kept by the ingress while the work runs.
+    """
+
+    key: AttemptKey
+    shard: types.ShardId
+    upstream: types.UpstreamId
+    dispatcher: types.EntryVmId
+    profile: types.ProfileName
+    organisation: types.OrganisationId
+    granted_at: float
+    on_cut: Callable[[], None] | None = None
+    cut_reason: outcomes.Reason = outcomes.Reason.NONE
+    first_token_seconds: float = 0.0
+    tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PermitRefusal:
+    """No permit; nothing was sent to any upstream."""
+
+    reason: outcomes.Reason
+    retry_after_seconds: float
+    dispatcher: types.EntryVmId | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Silent:
+    """The dispatcher did not answer in time, or is dead."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Forgotten:
+    """The dispatcher lives but does not know of the request."""
+
+
+Answer = (
+    messages.PermitGranted
+    | messages.PermitRefused
+    | messages.PermitNotMine
+    | Silent
+    | Forgotten
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Ask:
+    """A request that waits for a dispatcher's answer."""
+
+    wanted: PermitWanted
+    key: AttemptKey
+    dispatcher: types.EntryVmId
+    answer: asyncio.Future[Answer]
+    timer: asyncio.TimerHandle | None = None
+
+    def acknowledge(self) -> None:
+        """Take in that the dispatcher has the request in its queue."""
+        if self.timer:
+            self.timer.cancel()
+
+    def settle(self, answer: Answer) -> None:
+        """Take in an answer; only the first one counts."""
+        self.acknowledge()
+        if not self.answer.done():
+            self.answer.set_result(answer)
--- a/packages/daemon/src/lagoonrun_daemon/relay.py
+++ b/packages/daemon/src/lagoonrun_daemon/relay.py
@@ -11,7 +11,7 @@
 from lagoonrun_config import model
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import outcomes, types
-from lagoonrun_daemon import answers, attempt, permits
+from lagoonrun_daemon import answers, attempt, permit_types
 from lagoonrun_daemon import call as calls
 from lagoonrun_http import hop_by_hop, sse
 from lagoonrun_http import messages as http_messages
@@ -42,7 +42,7 @@
     async def run(
         self,
         response: http_upstream.UpstreamResponse,
-        permit: permits.Permit,
+        permit: permit_types.Permit,
         scope: asyncio.Timeout,
     ) -> outcomes.Ending | attempt.Lost:
         """Relay one upstream's answer to its end or loss.
@@ -123,7 +123,7 @@
             outcome=outcomes.Outcome.COMPLETE, upstream=upstream
         )
 
-    def _lost(self, permit: permits.Permit, detail: str) -> attempt.Lost:
+    def _lost(self, permit: permit_types.Permit, detail: str) -> attempt.Lost:
         return attempt.Lost(
             ran=outcomes.Outcome.PARTIAL,
             reason=outcomes.Reason.UPSTREAM_CLOSED,
@@ -131,7 +131,7 @@
             upstream=permit.upstream,
         )
 
-    def _oversized(self, permit: permits.Permit) -> attempt.Lost:
+    def _oversized(self, permit: permit_types.Permit) -> attempt.Lost:
         return attempt.Lost(
             ran=outcomes.Outcome.PARTIAL,
             reason=outcomes.Reason.UPSTREAM_PROTOCOL,
--- /dev/null
+++ b/packages/daemon/tests/test_permits.py
@@ -0,0 +1,308 @@
+"""Permits under silence, late grants, handovers and lost callers."""
+
+import asyncio
+
+import pytest
+
+from lagoonrun_core import clock, outcomes
+from lagoonrun_daemon import permit_types, permits, stalls
+from lagoonrun_protocol import messages
+
+SHARD = "writers@north/0"
+_BOUND_SECONDS = 10.0
+
+
+class FakeTransport:
+    """Keeps what was sent; a test answers by hand."""
+
+    def __init__(self):
+        self.sent = asyncio.Queue()
+        self.unreachable = set()
+
+    def send(self, to, message):
+        """Keep a message, or say that it certainly will not go."""
+        if to in self.unreachable:
+            return False
+        self.sent.put_nowait((to, message))
+        return True
+
+    async def next(self, kind):
+        """Return the next message of `kind` and whom it went to."""
+        async with asyncio.timeout(_BOUND_SECONDS):
+            while True:
+                to, message = await self.sent.get()
+                if isinstance(message, kind):
+                    return to, message
+
+    def drain(self, kind):
+        """Return all messages of `kind`, and drop the others."""
+        found = []
+        while not self.sent.empty():
+            to, message = self.sent.get_nowait()
+            if isinstance(message, kind):
+                found.append((to, message))
+        return found
+
+
+class FixedRanking:
+    """The same order for every shard."""
+
+    def __init__(self, *entry_vms):
+        self.order = entry_vms
+
+    def ranked_for(self, shard):
+        """Return the fixed order."""
+        del shard
+        return self.order
+
+
+@pytest.fixture
+def manual_clock():
+    return clock.ManualClock()
+
+
+@pytest.fixture
+def sent():
+    return FakeTransport()
+
+
+@pytest.fixture
+def client(manual_clock, sent):
+    return permits.PermitClient(
+        ranking=FixedRanking("vm-1", "vm-2", "vm-3"),
+        transport=sent,
+        clock=manual_clock,
+        stalls=stalls.StallDetector(clock=manual_clock),
+        timing=permit_types.PermitTiming(acknowledge_timeout_seconds=0.01),
+    )
+
+
+def wanted(clock_, *, request_id="r-1", shard=SHARD, seconds=60.0):
+    return permit_types.PermitWanted(
+        request_id=request_id,
+        shard=shard,
+        profile="answer",
+        organisation="house",
+        limit_at=clock_.monotonic() + seconds,
+        target_at=clock_.monotonic() + seconds,
+        prefix_hash=0,
+        prompt_bytes=10,
+    )
+
+
+def keyed(request):
+    return {
+        "request_id": request.request_id,
+        "attempt_id": request.attempt_id,
+    }
+
+
+def granted(request, upstream="writer-1"):
+    return messages.PermitGranted(
+        **keyed(request), upstream=upstream, shard=request.shard
+    )
+
+
+async def ask(client, manual_clock, sent, **fields):
+    """Start a request; return its task, the first ask and its dispatcher."""
+    task = asyncio.create_task(client.obtain(wanted(manual_clock, **fields)))
+    to, request = await sent.next(messages.PermitRequest)
+    return task, to, request
+
+
+async def test_first_ranked_is_asked_and_its_grant_taken(
+    client, manual_clock, sent
+):
+    task, to, request = await ask(client, manual_clock, sent)
+    client.on_message(to, granted(request))
+    permit = await task
+    assert (to, request.handover) == ("vm-1", False)
+    assert (permit.upstream, permit.dispatcher) == ("writer-1", "vm-1")
+    assert (client.waiting, client.running) == (0, 1)
+
+
+async def test_silent_dispatcher_is_passed_over_and_its_late_grant_returned(
+    client, manual_clock, sent
+):
+    """A dispatcher is frozen while a reader's lookup asks it for a runner.
+
+    The reader sees nothing but a short delay. The lookup goes to the
+    next-ranked dispatcher; the first wakes and grants a slot that nobody
+    uses, which would be lost if it were not given back.
+    """
+    task, first, lost = await ask(client, manual_clock, sent)
+    second, request = await sent.next(messages.PermitRequest)
+    client.on_message(second, granted(request, "writer-2"))
+    permit = await task
+    assert (first, second, request.handover) == ("vm-1", "vm-2", True)
+    assert permit.upstream == "writer-2"
+    sent.drain(messages.PermitReturn)
+    client.on_message(first, granted(lost))
+    assert sent.drain(messages.PermitReturn) == [
+        ("vm-1", messages.PermitReturn(**keyed(lost), shard=SHARD))
+    ]
+
+
+async def test_later_requests_do_not_wait_for_a_silent_dispatcher(
+    client, manual_clock, sent
+):
+    task, _, _ = await ask(client, manual_clock, sent)
+    second, request = await sent.next(messages.PermitRequest)
+    client.on_message(second, granted(request))
+    await task
+    task, to, request = await ask(client, manual_clock, sent, request_id="r-2")
+    client.on_message(to, granted(request))
+    await task
+    assert (to, request.handover) == ("vm-2", True)
+
+
+async def test_two_that_name_each_other_are_told_to_dispatch(
+    client, manual_clock, sent
+):
+    """Two entry VMs see different memberships and each names the other.
+
+    Without an end to that, the request would go back and forth until its
+    limit. Whoever is asked a second time is told that it has to dispatch.
+    """
+    task, to, request = await ask(client, manual_clock, sent)
+    asked = []
+    for _ in range(6):
+        asked.append((to, request.handover))
+        if request.handover and to in [vm for vm, _ in asked[:-1]]:
+            break
+        other = "vm-2" if to == "vm-1" else "vm-1"
+        client.on_message(
+            to, messages.PermitNotMine(**keyed(request), owner=other)
+        )
+        to, request = await sent.next(messages.PermitRequest)
+    client.on_message(to, granted(request))
+    assert isinstance(await task, permit_types.Permit)
+    assert asked[-1] == ("vm-1", True)
+
+
+async def test_forgotten_request_is_asked_again(client, manual_clock, sent):
+    """A dispatcher restarts and no longer knows of a request that waits.
+
+    The digest names the request, the dispatcher answers that it does not
+    know it, and it is asked again instead of waiting until its limit.
+    """
+    task, to, request = await ask(client, manual_clock, sent)
+    client.on_message(to, messages.PermitAcknowledged(**keyed(request)))
+    client.on_message(
+        to,
+        messages.DigestAcknowledged(
+            shard=SHARD, unknown=(messages.WaitingWork(**keyed(request)),)
+        ),
+    )
+    _, again = await sent.next(messages.PermitRequest)
+    client.on_message(to, granted(again))
+    assert again.attempt_id == request.attempt_id + 1
+    assert isinstance(await task, permit_types.Permit)
+
+
+async def test_frozen_dispatcher_that_had_acknowledged_is_found_by_digests(
+    client, manual_clock, sent
+):
+    """A dispatcher takes a request into its queue and is then frozen.
+
+    The acknowledgement has stopped the request's own timer; only digests
+    that nobody answers show that it waits for nothing.
+    """
+    task, to, request = await ask(client, manual_clock, sent)
+    client.on_message(to, messages.PermitAcknowledged(**keyed(request)))
+    for _ in range(permit_types.PermitTiming().unanswered_digests + 1):
+        client.send_periodic_digests()
+    second, again = await sent.next(messages.PermitRequest)
+    client.on_message(second, granted(again))
+    await task
+    assert (second, again.handover) == ("vm-2", True)
+
+
+async def test_dispatcher_of_many_shards_is_not_taken_for_silent(
+    client, manual_clock, sent
+):
+    """One entry VM dispatches more shards than unanswered digests count.
+
+    Digests for all of them leave in one period. Counted each by itself, the
+    fourth would make the dispatcher look silent before it could answer.
+    """
+    tasks = []
+    for index in range(5):
+        task, to, request = await ask(
+            client,
+            manual_clock,
+            sent,
+            request_id=f"r-{index}",
+            shard=f"writers@north/{index}",
+        )
+        client.on_message(to, messages.PermitAcknowledged(**keyed(request)))
+        tasks.append(task)
+    client.send_periodic_digests()
+    assert len(sent.drain(messages.WorkDigest)) == 5
+    assert client.waiting == 5
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def test_caller_that_leaves_withdraws_its_request(
+    client, manual_clock, sent
+):
+    task, to, request = await ask(client, manual_clock, sent)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert sent.drain(messages.PermitReturn) == [
+        (to, messages.PermitReturn(**keyed(request), shard=SHARD))
+    ]
+    assert client.waiting == 0
+
+
+async def test_refusal_is_passed_on_with_its_time(client, manual_clock, sent):
+    task, to, request = await ask(client, manual_clock, sent)
+    client.on_message(
+        to,
+        messages.PermitRefused(
+            **keyed(request),
+            reason=outcomes.Reason.QUEUE_FULL,
+            retry_after_seconds=7.0,
+        ),
+    )
+    refusal = await task
+    assert refusal.reason is outcomes.Reason.QUEUE_FULL
+    assert refusal.retry_after_seconds == 7.0
+
+
+async def test_none_that_can_be_reached_is_refused_at_once(
+    client, manual_clock, sent
+):
+    sent.unreachable = {"vm-1", "vm-2", "vm-3"}
+    refusal = await client.obtain(wanted(manual_clock))
+    assert refusal.reason is outcomes.Reason.NO_DISPATCHER
+
+
+async def test_grant_read_right_after_a_freeze_is_not_fresh(
+    client, manual_clock, sent
+):
+    """An entry VM is frozen for a minute with a grant in its socket.
+
+    On waking it reads the grant as if it were new, while the upstream has
+    begun to leave meanwhile; sent there, the request would be cut.
+    """
+    task, to, request = await ask(client, manual_clock, sent)
+    manual_clock.advance(30.0)
+    client.on_message(to, granted(request))
+    permit = await task
+    assert not client.is_fresh(permit, maximum_age_seconds=1.0)
+    manual_clock.advance(0.9)
+    assert not client.is_fresh(permit, maximum_age_seconds=1.0)
+
+
+@pytest.mark.parametrize(("age", "fresh"), [(0.5, True), (1.5, False)])
+async def test_permit_grows_old(client, manual_clock, sent, age, fresh):
+    task, to, request = await ask(client, manual_clock, sent)
+    client.on_message(to, granted(request))
+    permit = await task
+    for _ in range(3):
+        manual_clock.advance(age / 3)
+        client.is_fresh(permit, maximum_age_seconds=1.0)
+    assert client.is_fresh(permit, maximum_age_seconds=1.0) is fresh
