--- a/packages/config/src/lagoonrun_config/follower.py
+++ b/packages/config/src/lagoonrun_config/follower.py
@@ -25,6 +25,7 @@
 _FETCH_TIMEOUT_SECONDS = 5.0
 _MOST_FETCHES = 3
 _MOST_REJECTED = 64
+_LARGE_SNAPSHOT_BYTES = 16_384
 _SNAPSHOT_ATTEMPTS = 4
 _SNAPSHOT_RETRY_SECONDS = 0.5
 
@@ -200,7 +201,7 @@
             async with asyncio.timeout(_FETCH_TIMEOUT_SECONDS):
                 content = await self._fetch(wanted)
             if content is not None:
-                self._take(wanted, content)
+                await self._take(wanted, content)
         except TimeoutError:
             # The source announces itself again if it still lives.
             return
@@ -228,16 +229,24 @@
             await self._sleep(_SNAPSHOT_RETRY_SECONDS)
         return None
 
-    def _take(self, wanted: _Wanted, content: bytes) -> None:
-        """Put a revision into force unless a newer one came meanwhile."""
-        if not self._is_newer(wanted):
-            return
+    async def _take(self, wanted: _Wanted, content: bytes) -> None:
+        """Decode a snapshot and put it into force."""
         encoded = snapshot.Snapshot(digest=wanted.digest, content=content)
         try:
-            draft = snapshot.decode_snapshot(encoded, peer=wanted.source)
+            draft = await _decode(encoded, peer=wanted.source)
         except snapshot.SnapshotError as error:
             self._reject(wanted, error.detail)
             return
+        # A newer one may have come while this one was fetched and decoded.
+        if self._is_newer(wanted):
+            self._put_into_force(wanted, draft, encoded)
+
+    def _put_into_force(
+        self,
+        wanted: _Wanted,
+        draft: draft_module.Draft,
+        encoded: snapshot.Snapshot,
+    ) -> None:
         previous = self._in_force
         self._in_force = InForce(
             configuration=draft_module.configuration_of(
@@ -277,3 +286,13 @@
             source=wanted.source,
             reason=reason,
         )
+
+
+async def _decode(
+    encoded: snapshot.Snapshot, *, peer: str
+) -> draft_module.Draft:
+    if len(encoded.content) <= _LARGE_SNAPSHOT_BYTES:
+        return snapshot.decode_snapshot(encoded, peer=peer)
+    # A large fleet's takes tens of milliseconds, during which the loop would
+    # relay nothing to any caller.
+    return await asyncio.to_thread(snapshot.decode_snapshot, encoded, peer=peer)
