Tell a write stall by the bytes taken; mark no answer to HEAD as unframed

The buffer's size alone can stay the same while a caller reads, when the handler adds as much as is taken. A HEAD answer without a length ended in close_delimited though it has no body.

--- a/packages/http/src/lagoonrun_http/server_connection.py
+++ b/packages/http/src/lagoonrun_http/server_connection.py
@@ -106,8 +106,9 @@
         self._closing = False
         self._held_bytes = 0
         self._lingered_bytes = 0
-        self._unsent_bytes = 0
-        self._unsent_since = 0.0
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self._taken_at = 0.0
 
     @property
     def reading_head(self) -> bool:
@@ -183,7 +184,7 @@
         """Send `100 Continue` when the caller waits for it."""
         if self._h11.they_are_waiting_for_100_continue:
             self._set_deadline(self._limits.body_read_seconds)
-            self._transport.write(
+            self._write(
                 self._h11.send(
                     h11.InformationalResponse(
                         status_code=100, headers=[], reason=b"Continue"
@@ -193,7 +194,7 @@
 
     def write_head(self, head: messages.ResponseHead) -> None:
         """Write status line and headers, with the framing that fits."""
-        self._transport.write(self._h11.send(self._response(head)))
+        self._write(self._h11.send(self._response(head)))
 
     def write_whole(self, head: messages.ResponseHead, body: bytes) -> None:
         """Write a whole answer in one piece."""
@@ -201,15 +202,15 @@
         if body:
             framed.append(self._h11.send(h11.Data(data=body)))
         framed.append(self._h11.send(h11.EndOfMessage()))
-        self._transport.write(b"".join(framed))
+        self._write(b"".join(framed))
 
     def write_data(self, data: bytes) -> None:
         """Write a piece of the body."""
-        self._transport.write(self._h11.send(h11.Data(data=data)))
+        self._write(self._h11.send(h11.Data(data=data)))
 
     def write_end(self) -> None:
         """Write the end of the body."""
-        self._transport.write(self._h11.send(h11.EndOfMessage()))
+        self._write(self._h11.send(h11.EndOfMessage()))
 
     def write_rejection(self, rejection: rejections.Rejection) -> None:
         """Answer a faulty request and end the connection after it."""
@@ -394,6 +395,10 @@
 
     # Writing.
 
+    def _write(self, data: bytes) -> None:
+        self._written_bytes += len(data)
+        self._transport.write(data)
+
     def _response(self, head: messages.ResponseHead) -> h11.Response:
         headers = [
             (name.encode("latin-1"), value.encode("latin-1"))
@@ -470,7 +475,8 @@
 
     def _is_write_stalled(self, now: float) -> bool:
         unsent = self._transport.get_write_buffer_size()
-        if unsent != self._unsent_bytes or unsent == 0:
-            self._unsent_bytes = unsent
-            self._unsent_since = now
-        return now - self._unsent_since >= self._limits.write_stall_seconds
+        taken = self._written_bytes - unsent
+        if unsent == 0 or taken != self._taken_bytes:
+            self._taken_bytes = taken
+            self._taken_at = now
+        return now - self._taken_at >= self._limits.write_stall_seconds
--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -81,6 +81,8 @@
             request is under way, and then no one knows whether it ran.
         """
         endpoint = _Endpoint(address=address, port=port)
+        if self._closed:
+            return _not_connected(endpoint, "the client is closed")
         self._sweep.start()
         connection = None
         if not fresh:
@@ -153,8 +155,6 @@
         | upstream_messages.UpstreamFailure
     ):
         count = self._open_by_endpoint.get(endpoint, 0)
-        if self._closed:
-            return _not_connected(endpoint, "the client is closed")
         if count >= self._limits.connections_per_upstream:
             return _not_connected(
                 endpoint, f"{count} connections are open; valid: fewer"
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -80,6 +80,7 @@
             | None
         ) = None
         self._response: upstream_response.UpstreamResponse | None = None
+        self._method = ""
         self._bytes_left = False
         self._answered_early = False
         self._reading_paused = False
@@ -96,6 +97,7 @@
     ) -> upstream_response.UpstreamResponse | upstream_messages.UpstreamFailure:
         """Write the request and wait for the head of its response."""
         self.last_request_id = request.request_id
+        self._method = request.head.method
         self._head = asyncio.get_running_loop().create_future()
         head = self._head
         self._last_progress = self._clock.monotonic()
@@ -249,7 +251,7 @@
                 status=head.status, headers=hop_by_hop.strip(head.headers)
             ),
             connection=self,
-            close_delimited=_is_close_delimited(response, head.headers),
+            close_delimited=self._is_close_delimited(head),
         )
         self._last_progress = self._clock.monotonic()
         waiting = self._head
@@ -257,6 +259,12 @@
         if not waiting.done():
             waiting.set_result(self._response)
 
+    def _is_close_delimited(self, head: messages.ResponseHead) -> bool:
+        if self._method == "HEAD" or head.status in (204, 304):
+            return False
+        framings = ("content-length", "transfer-encoding")
+        return not any(name in head.headers for name in framings)
+
     def _end_response(self) -> None:
         response = self._response
         self._response = None
@@ -354,14 +362,6 @@
     )
 
 
-def _is_close_delimited(
-    response: h11.Response, headers: messages.Headers
-) -> bool:
-    bodiless = response.status_code in (204, 304)
-    framed = "content-length" in headers or "transfer-encoding" in headers
-    return not (bodiless or framed)
-
-
 def _framing_fault(head: messages.ResponseHead) -> str:
     headers = head.headers
     if "transfer-encoding" in headers and "content-length" in headers:
