Bench the request path on real processes

make bench-path starts a platform, four sources of events and two entry VMs for each number of open streams and prints added latency over a direct call, the age of events, token events and requests per second and core, and memory per open stream. The sources and callers are raw asyncio protocols, since the engine stand-in and an h11 caller would be the bottleneck.

--- a/packages/standins/src/lagoonrun_standins/deployment.py
+++ b/packages/standins/src/lagoonrun_standins/deployment.py
@@ -5,7 +5,7 @@
 import hashlib
 import random
 import secrets
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 from lagoonrun_config import (
     change_outcomes,
@@ -25,6 +25,9 @@
 _INNER_KEY_BYTES = 32
 
 EngineFlags = Mapping[str, fleets.FlagValue]
+EngineStart = Callable[
+    [model.Upstream], Awaitable[managed_process.ManagedProcess]
+]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,6 +54,8 @@
         Flags of every model engine.
     engine_flags_by_id
         Further flags of single engines.
+    start_engine
+        Starts something else in place of a model engine.
     """
 
     def __init__(
@@ -62,12 +67,14 @@
         engine_flags: EngineFlags | None = None,
         engine_flags_by_id: Mapping[types.UpstreamId, EngineFlags]
         | None = None,
+        start_engine: EngineStart | None = None,
     ) -> None:
         self.fleet = fleet
         self.declared = declared
         self._entry_vms = tuple(entry_vms)
         self._engine_flags = dict(engine_flags or {})
         self._engine_flags_by_id = dict(engine_flags_by_id or {})
+        self._start_engine = start_engine or self._start_model_engine
         self._inner_key = secrets.token_bytes(_INNER_KEY_BYTES)
         self._peers_by_id: dict[types.EntryVmId, settings.Address] = {}
         self.platform: managed_process.ManagedProcess | None = None
@@ -200,13 +207,18 @@
         if plain:
             process = await self.fleet.start_plain_service(upstream.id)
         else:
-            process = await self.fleet.start_engine(
-                upstream.id, **self._flags_of(upstream)
-            )
+            process = await self._start_engine(upstream)
         return dataclasses.replace(
             upstream, address=process.host, port=process.port
         )
 
+    async def _start_model_engine(
+        self, upstream: model.Upstream
+    ) -> managed_process.ManagedProcess:
+        return await self.fleet.start_engine(
+            upstream.id, **self._flags_of(upstream)
+        )
+
     def _flags_of(
         self, upstream: model.Upstream
     ) -> dict[str, fleets.FlagValue]:
--- a/packages/standins/src/lagoonrun_standins/fleet.py
+++ b/packages/standins/src/lagoonrun_standins/fleet.py
@@ -97,6 +97,12 @@
         """Start a model engine; `flags` are those of its command line."""
         return await self._start_stand_in(name, "engine", flags)
 
+    async def start_path_source(
+        self, name: str, **flags: FlagValue
+    ) -> managed_process.ManagedProcess:
+        """Start an engine for `bench_path`; `flags` are those of its own."""
+        return await self._start_stand_in(name, "path_source", flags)
+
     async def start_plain_service(
         self, name: str, **flags: FlagValue
     ) -> managed_process.ManagedProcess:
--- /dev/null
+++ b/packages/standins/tests/test_path_source.py
@@ -0,0 +1,75 @@
+"""Tests of what `bench_path` measures with."""
+
+import asyncio
+import os
+
+import pytest
+
+from lagoonrun_config import settings
+from lagoonrun_standins import (
+    http_client,
+    path_caller,
+    path_source,
+    process_usage,
+)
+
+_FLOOD_EVENTS = 25
+_TIMEOUT_SECONDS = 5.0
+
+
+@pytest.fixture
+async def source():
+    """Serve a source whose steady streams go on at once."""
+    started = path_source.PathSource(
+        host="127.0.0.1",
+        port=0,
+        interval_seconds=0.0,
+        flood_events=_FLOOD_EVENTS,
+    )
+    await started.start()
+    yield started
+    await started.close()
+
+
+@pytest.fixture
+async def caller(source):
+    """Connect a caller with the source."""
+    address = settings.Address(host=source.host, port=source.port)
+    connected = await path_caller.connect(address, key="k", keep_delays=True)
+    yield connected
+    connected.close()
+
+
+async def test_probe_may_be_repeated_on_one_connection(caller):
+    """Latencies are taken on a connection that is kept."""
+    async with asyncio.timeout(_TIMEOUT_SECONDS):
+        for _ in range(3):
+            timing = await caller.request("probe")
+            assert 0 < timing.first_event_seconds <= timing.total_seconds
+    assert caller.events == 3
+
+
+async def test_flood_waits_until_it_is_asked_for(source, caller):
+    """Every event of a flood is counted, and none before it began."""
+    async with asyncio.timeout(_TIMEOUT_SECONDS):
+        caller.begin("flood")
+        await caller.opened
+        assert not caller.ended.done()
+        await http_client.fetch(
+            source.host, source.port, "GET", path_source.FLOOD_PATH
+        )
+        await caller.ended
+    assert caller.events == _FLOOD_EVENTS + 1
+    # One clock serves both ends, so that no event is younger than nothing.
+    assert caller.delays_seconds
+    assert all(delay >= 0 for delay in caller.delays_seconds)
+
+
+def test_usage_of_this_process_grows():
+    """Processor time is summed over the process's life; memory is held."""
+    before = process_usage.of_process(os.getpid())
+    while process_usage.of_process(os.getpid()) == before:
+        bytearray(100_000)
+    after = process_usage.of_process(os.getpid())
+    assert after.processor_seconds >= before.processor_seconds
+    assert after.resident_bytes > 0
