--- a/packages/daemon/src/lagoonrun_daemon/metrics.py
+++ b/packages/daemon/src/lagoonrun_daemon/metrics.py
@@ -76,7 +76,11 @@
             profile.name, ending.outcome.value, ending.reason.value
         ).inc()
         self.seconds.labels(profile.name).observe(seconds)
-        complete = ending.outcome is outcomes.Outcome.COMPLETE
+        # A repeated arrival is told of another's end, and is no answer.
+        complete = (
+            ending.outcome is outcomes.Outcome.COMPLETE
+            and ending.reason is not outcomes.Reason.CLAIM_TAKEN
+        )
         if complete and seconds <= profile.target_seconds:
             self.within_target.labels(profile.name).inc()
 
--- a/packages/daemon/src/lagoonrun_daemon/once.py
+++ b/packages/daemon/src/lagoonrun_daemon/once.py
@@ -136,10 +136,13 @@
                 f"{result.request_id}",
             )
         case claims.Taken():
-            ended = result.outcome.value if result.outcome else "not known"
+            # The key names one request, sent twice. "Not run" would be true
+            # of this arrival only, and a caller that believed it would send
+            # its request under a new key, a second time.
+            outcome = result.outcome or outcomes.Outcome.UNKNOWN
             return outcomes.Ending(
-                outcome=outcomes.Outcome.NOT_RUN,
+                outcome=outcome,
                 reason=outcomes.Reason.CLAIM_TAKEN,
                 detail=f"request {result.request_id} has the key since "
-                f"{result.age_seconds:.1f} s; its outcome: {ended}",
+                f"{result.age_seconds:.1f} s; its outcome: {outcome.value}",
             )
--- a/packages/daemon/src/lagoonrun_daemon/status.py
+++ b/packages/daemon/src/lagoonrun_daemon/status.py
@@ -62,10 +62,13 @@
         return {"entry_vm": self._daemon.settings.entry_vm, **_to_json(found)}
 
     def _shard(self, shard: types.ShardId) -> dict[str, Any]:
+        scheduler = self._daemon.dispatcher.scheduler_of(shard)
         return {
             "shard": shard,
             "dispatcher": self._daemon.fleet.owner_of(shard),
-            "dispatched_here": shard in self._daemon.dispatcher.owned_shards,
+            "dispatched_here": scheduler is not None,
+            "running": scheduler.running_count if scheduler else 0,
+            "waiting": scheduler.waiting_count if scheduler else 0,
         }
 
 
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -102,6 +102,16 @@
             instants.append(probe)
         return min(instants)
 
+    @property
+    def running_count(self) -> int:
+        """Number of grants that hold a slot."""
+        return len(self._slots.permits.running_by_key)
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait."""
+        return len(self._slots.permits.queued_by_key)
+
     def summary(self, *, now: float) -> shards.ShardView:
         """Return what other failure domains need to know of the shard."""
         return summaries.summarise(self._shard, now=now)
