--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*)
 STAMP := $(VENV)/installed
 
-.PHONY: install demo test lint format bench-path bench-policy bench-capacity
+.PHONY: bench-configuration install demo test lint format bench-path bench-policy bench-capacity
 
 install: $(STAMP)
 
@@ -37,3 +37,6 @@
 
 bench-capacity: install
 	$(BIN)/python -m lagoonrun_standins.bench_capacity
+
+bench-configuration: install
+	$(BIN)/python -m lagoonrun_standins.bench_configuration
