Show the system, explain and check decisions, and drain upstreams

status, explain, drain and profile set join the command line. /status now shows queues by class, runners with in-flight, room, reports and ejection, upstream states, platform calls and requests per class; metrics count attainment on the profile's own kind of target, permit wait, in flight, lost attempts, retries, resumes, and time and tokens spent at upstreams by outcome, which is what wasted work is reckoned from.

Drain: weighed were an order to the admin addresses, which works while the platform is down but is lost with the entry VMs that heard it, and an entry of the configuration, which is durable, in the history, and in force everywhere as fast as any change. Taken is the entry: an upstream has a field draining. While the platform is down a drain is refused as unavailable; the upstream's own report of leaving is the way then.

Fault found: a scheduler that had seen an upstream leave never used it again, since a policy does not turn a leaving runner live. An upstream that came back with a new incarnation stayed without work until the shard moved to another dispatcher.

Attainment was counted on the total time for profiles whose target is on the first token; it is counted on the profile's kind now.

--- a/packages/cli/src/lagoonrun_cli/registry.py
+++ b/packages/cli/src/lagoonrun_cli/registry.py
@@ -1,6 +1,14 @@
 """All subcommands, in the order in which the help lists them."""
 
-from lagoonrun_cli import change_commands, key_command, revision_commands
+from lagoonrun_cli import (
+    change_commands,
+    drain_command,
+    explain_command,
+    key_command,
+    profile_command,
+    revision_commands,
+    status_command,
+)
 
 COMMANDS = (
     change_commands.VALIDATE,
@@ -10,6 +18,10 @@
     revision_commands.GET,
     revision_commands.HISTORY,
     change_commands.ROLLBACK,
+    profile_command.PROFILE,
+    drain_command.DRAIN,
+    status_command.STATUS,
+    explain_command.EXPLAIN,
     key_command.KEYS,
 )
 
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -1,6 +1,7 @@
 """Shared fixtures: the platform's stand-in, and commands run in process."""
 
 import dataclasses
+import hashlib
 import io
 import json
 import pathlib
@@ -11,9 +12,19 @@
 
 from lagoonrun_cli import context as contexts
 from lagoonrun_cli import main
-from lagoonrun_standins import platform_store
-
-KEY_DIGEST = "ab" * 32
+from lagoonrun_config import settings
+from lagoonrun_core import types
+from lagoonrun_daemon import daemon as daemons
+from lagoonrun_standins import (
+    fleet,
+    http_client,
+    plain_service,
+    platform_store,
+)
+
+KEY = "key-of-house"
+KEY_DIGEST = hashlib.sha256(KEY.encode()).hexdigest()
+ADMIN_TOKEN = "token-of-operators"
 
 DECLARATIONS = f"""
 [profiles.lookup]
@@ -70,6 +81,7 @@
     def __init__(self, *, platform_port: int) -> None:
         self.platform_port = platform_port
         self.entry_vm_ports: list[int] = []
+        self.admin_token = ADMIN_TOKEN
 
     async def run(self, *arguments: str) -> Ran:
         """Run one command line in this process."""
@@ -82,19 +94,18 @@
             [*arguments, *addresses, "--operator=amel"],
             out=out,
             err=err,
-            make_context=_fast_context,
+            make_context=self._make_context,
         )
         return Ran(code=int(code), out=out.getvalue(), err=err.getvalue())
 
-
-def _fast_context(settings, console) -> contexts.Context:
-    return contexts.Context(
-        settings=settings,
-        console=console,
-        chance=random.Random(7),
-        first_delay_seconds=0.001,
-        call_timeout_seconds=0.2,
-    )
+    def _make_context(self, loaded, console) -> contexts.Context:
+        return contexts.Context(
+            settings=dataclasses.replace(loaded, admin_token=self.admin_token),
+            console=console,
+            chance=random.Random(7),
+            first_delay_seconds=0.001,
+            call_timeout_seconds=0.2,
+        )
 
 
 @pytest.fixture
@@ -115,3 +126,61 @@
     path = tmp_path / "all.toml"
     path.write_text(DECLARATIONS)
     return path
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunningSystem:
+    """Two plain services behind one entry VM, with its platform."""
+
+    operator: Operator
+    daemon: daemons.Daemon
+    portals: dict[str, plain_service.PlainService]
+
+    @staticmethod
+    def make_settings(*, platform_port: int) -> settings.Settings:
+        """Return the settings of the one entry VM."""
+        any_port = settings.Address(host="127.0.0.1", port=0)
+        return settings.Settings(
+            entry_vm=types.EntryVmId("entry-1"),
+            domain=types.FailureDomain("north"),
+            caller=any_port,
+            admin=any_port,
+            peer=fleet.free_peer_address(),
+            platform=(settings.Address(host="127.0.0.1", port=platform_port),),
+            inner_key=b"k" * 32,
+            admin_token_digest=hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest(),
+            readiness_grace_seconds=0.0,
+        )
+
+    async def look_up(self, *, key: str = KEY) -> http_client.Answer:
+        """Make one caller's request."""
+        return await http_client.fetch(
+            "127.0.0.1",
+            self.daemon.caller_server.port,
+            "GET",
+            "/lookups/page/7",
+            headers=[("Authorization", f"Bearer {key}")],
+        )
+
+
+@pytest.fixture
+async def system(platform, operator, declared):
+    portals = {
+        name: plain_service.PlainService() for name in ("portal-1", "portal-2")
+    }
+    text = declared.read_text()
+    for port, portal in zip((9000, 9001), portals.values(), strict=True):
+        await portal.start()
+        text = text.replace(f"port = {port}", f"port = {portal.port}")
+    declared.write_text(text)
+    assert (await operator.run("apply", str(declared))).code == 0
+    daemon = daemons.Daemon(
+        configured=RunningSystem.make_settings(platform_port=platform.port)
+    )
+    await daemon.start()
+    await daemon.wait_ready()
+    operator.entry_vm_ports.append(daemon.admin_server.port)
+    yield RunningSystem(operator=operator, daemon=daemon, portals=portals)
+    await daemon.close()
+    for portal in portals.values():
+        await portal.close()
--- a/packages/config/src/lagoonrun_config/declarations.py
+++ b/packages/config/src/lagoonrun_config/declarations.py
@@ -328,6 +328,7 @@
         checks_fencing=reader.boolean(
             "checks_fencing", default=defaults.checks_fencing
         ),
+        draining=reader.boolean("draining", default=False),
     )
 
 
--- a/packages/config/src/lagoonrun_config/model.py
+++ b/packages/config/src/lagoonrun_config/model.py
@@ -111,6 +111,9 @@
         Whether a cut stream can be resumed from a delivered offset.
     checks_fencing
         Whether it refuses an order that carries an old fencing number.
+    draining
+        Whether an operator lets it leave: it gets no new work, and what it
+        runs goes on to its end.
     """
 
     id: types.UpstreamId
@@ -122,6 +125,7 @@
     resumes: bool = False
     cancels: bool = True
     checks_fencing: bool = False
+    draining: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -67,10 +67,12 @@
         self._random = chance or random.Random(secrets.randbits(64))
         self._configured_event = asyncio.Event()
         self._stopping = False
+        self._in_force_at: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._build_network()
         self._build_decisions()
         self._build_edges()
+        self._watch_gauges()
 
     def _build_network(self) -> None:
         configured = self._settings
@@ -193,6 +195,7 @@
                 claims=self.claims,
                 settlements=self._settlements,
                 clock=self._clock,
+                metrics=self.metrics,
             ),
             metrics=self.metrics,
         )
@@ -232,11 +235,47 @@
             chance=self._random,
         )
 
+    def _watch_gauges(self) -> None:
+        observe = self.metrics.observe_with
+        observe(self.metrics.ready, lambda: float(self.ready))
+        observe(
+            self.metrics.platform_reachable,
+            lambda: float(self.follower.platform_reachable),
+        )
+        observe(self.metrics.configuration_age, lambda: self.in_force_seconds)
+        observe(
+            self.metrics.live_members,
+            lambda: sum(
+                member.state is messages.MemberState.ALIVE
+                for member in self.members.members_by_id.values()
+            ),
+        )
+        observe(
+            self.metrics.leaving_upstreams,
+            lambda: len(self.fleet.leaving_upstreams()),
+        )
+        observe(
+            self.metrics.owned_shards,
+            lambda: len(self.dispatcher.owned_shards),
+        )
+
     @property
     def settings(self) -> settings.Settings:
         """Checked settings of this entry VM."""
         return self._settings
 
+    @property
+    def clock(self) -> clocks.Clock:
+        """Source of time."""
+        return self._clock
+
+    @property
+    def in_force_seconds(self) -> float:
+        """Time since the revision came into force here; 0 before."""
+        if self._in_force_at is None:
+            return 0.0
+        return self._clock.monotonic() - self._in_force_at
+
     @property
     def stopping(self) -> bool:
         """Whether a planned stop is under way."""
@@ -330,6 +369,7 @@
         self.dispatcher.set_configuration(configuration)
         self.ingress.set_configuration(configuration)
         self._budget.configure(shards.class_policies(configuration))
+        self._in_force_at = self._clock.monotonic()
         self.metrics.revision.set(configuration.revision)
         if not self._configured_event.is_set():
             self._configured_event.set()
--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -40,6 +40,7 @@
     timer: asyncio.TimerHandle | None = None
     # Ingresses with a request in this shard's queue, to be told of a release.
     waiting_by_key: dict[policy_messages.PermitKey, types.EntryVmId]
+    leaving: frozenset[types.UpstreamId]
 
 
 class Dispatcher:
@@ -287,6 +288,7 @@
                     policy=self._policy(shard_id)
                 ),
                 waiting_by_key={},
+                leaving=self._view.leaving_upstreams(),
             )
             self._owned_by_id[shard_id] = owned
             logs.emit(events.LogEvent.SHARD_OWNED, shard=shard_id)
@@ -325,6 +327,20 @@
     def _refresh_policy(self, shard_id: types.ShardId) -> None:
         event = policy_messages.PolicyChanged(policy=self._policy(shard_id))
         self._handle(shard_id, event)
+        owned = self._owned_by_id[shard_id]
+        leaving = self._view.leaving_upstreams()
+        returned = owned.leaving - leaving
+        owned.leaving = leaving
+        # A policy never turns a leaving runner live again, since its default
+        # says nothing of liveness: without this event an upstream that came
+        # back, or whose drain was ended, would stay without work for ever.
+        for upstream in sorted(returned):
+            self._handle(
+                shard_id,
+                policy_messages.UpstreamChanged(
+                    upstream=upstream, state=policy_messages.UpstreamState.LIVE
+                ),
+            )
 
     def _handle(
         self, shard_id: types.ShardId, event: policy_messages.Event
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -18,6 +18,7 @@
     attempt,
     explanations,
     fleet,
+    metrics,
     once,
     permit_types,
     permits,
@@ -61,6 +62,7 @@
     claims: claims.Claims
     settlements: once.SettlementTasks
     clock: clocks.Clock
+    metrics: metrics.DaemonMetrics
 
 
 class CallExecution:
@@ -90,6 +92,11 @@
             clock=services.clock,
         )
 
+    @property
+    def first_token_at(self) -> float | None:
+        """Instant of the first streamed part; None where none came."""
+        return self._relay.first_token_at
+
     @property
     def must_finish(self) -> bool:
         """Whether the call goes on even if its caller leaves.
@@ -120,7 +127,12 @@
             self._once.settle(outcome)
 
     async def _try_once(self) -> outcomes.Ending | None:
+        asked_at = self._services.clock.monotonic()
         permit = await self._obtain_permit()
+        waited = self._services.clock.monotonic() - asked_at
+        self._services.metrics.permit_wait_seconds.labels(
+            self._call.resolved.profile.name
+        ).observe(waited)
         if isinstance(permit, permit_types.PermitRefusal):
             return await self._refuse(permit)
         self._note("permit-granted", permit.upstream)
@@ -238,11 +250,19 @@
             outcome, reason = _outcome_of(result)
             return result
         finally:
+            seconds = self._services.clock.monotonic() - started
             self._services.permits.finish(
                 permit,
                 outcome=outcome,
                 reason=reason,
-                total_seconds=self._services.clock.monotonic() - started,
+                total_seconds=seconds,
+            )
+            self._services.metrics.count_attempt(
+                profile=permit.profile,
+                outcome=outcome,
+                reason=reason,
+                seconds=seconds,
+                tokens=permit.tokens,
             )
 
     def _limit_scope(self) -> asyncio.Timeout:
@@ -357,6 +377,7 @@
             self._exclude_upstreams_without_resume()
         if await self._may_try_again(lost):
             self._excluded = (*self._excluded, lost.upstream)
+            self._count_another_try()
             logs.emit(
                 events.LogEvent.REQUEST_RETRIED,
                 request_id=self._call.request_id,
@@ -450,6 +471,12 @@
             head=head, body=call.body, request_id=call.request_id
         )
 
+    def _count_another_try(self) -> None:
+        counted = self._services.metrics.retries
+        if self._call.exchange.started:
+            counted = self._services.metrics.resumes
+        counted.labels(self._call.resolved.profile.name).inc()
+
     def _note(self, what: str, detail: str = "") -> None:
         now = self._services.clock.monotonic()
         self._services.explanations.add_happening(
--- a/packages/daemon/src/lagoonrun_daemon/fleet.py
+++ b/packages/daemon/src/lagoonrun_daemon/fleet.py
@@ -91,12 +91,21 @@
         return frozenset(
             upstream
             for upstream in self._configuration.upstreams_by_id
-            if self._members.upstream_is_leaving(upstream)
+            if self.is_leaving(upstream)
         )
 
     def is_leaving(self, upstream: types.UpstreamId) -> bool:
-        """Return whether `upstream` gets no new work."""
-        return self._members.upstream_is_leaving(upstream)
+        """Return whether `upstream` gets no new work.
+
+        It is leaving by the word of the upstream or of the platform, or an
+        operator drains it by the configuration.
+        """
+        if self._members.upstream_is_leaving(upstream):
+            return True
+        if self._configuration is None:
+            return False
+        declared = self._configuration.upstreams_by_id.get(upstream)
+        return declared is not None and declared.draining
 
     def shard_views(
         self, pool: types.PoolName, *, spread_by: int | str
--- a/packages/daemon/src/lagoonrun_daemon/ingress.py
+++ b/packages/daemon/src/lagoonrun_daemon/ingress.py
@@ -130,6 +130,8 @@
 
     async def _execute(self, call: calls.Call) -> None:
         run = execution.CallExecution(call=call, services=self._services)
+        profile = call.resolved.profile.name
+        self._metrics.begin(profile)
         work = asyncio.create_task(run.run())
         left = asyncio.create_task(call.exchange.caller_left.wait())
         try:
@@ -144,8 +146,9 @@
             raise
         finally:
             left.cancel()
+            self._metrics.finish(profile)
             self._services.permits.forget_request(call.request_id)
-        self._record(call, ending)
+        self._record(call, ending, run.first_token_at)
 
     async def _ending_of(
         self, work: asyncio.Task[outcomes.Ending]
@@ -158,13 +161,23 @@
                 reason=outcomes.Reason.CALLER_LEFT,
             )
 
-    def _record(self, call: calls.Call, ending: outcomes.Ending) -> None:
+    def _record(
+        self,
+        call: calls.Call,
+        ending: outcomes.Ending,
+        first_token_at: float | None,
+    ) -> None:
         seconds = self._services.clock.monotonic() - call.arrived_at
         self._services.explanations.end(call.request_id, ending)
         self._metrics.count_ending(
             profile=call.resolved.profile,
             ending=ending,
-            seconds=seconds,
+            latencies=metrics.Latencies(
+                first_token_seconds=first_token_at - call.arrived_at
+                if first_token_at is not None
+                else 0.0,
+                total_seconds=seconds,
+            ),
         )
         logs.emit(
             events.LogEvent.REQUEST_ENDED,
--- a/packages/daemon/src/lagoonrun_daemon/metrics.py
+++ b/packages/daemon/src/lagoonrun_daemon/metrics.py
@@ -1,9 +1,12 @@
-"""Prometheus metrics of one daemon."""
+"""Prometheus metrics of one daemon; docs/runbook.md says what they mean."""
+
+import dataclasses
+from collections.abc import Callable
 
 import prometheus_client
 
 from lagoonrun_config import model
-from lagoonrun_core import outcomes
+from lagoonrun_core import outcomes, types
 
 _LATENCY_BUCKETS_SECONDS = (
     0.01,
@@ -22,68 +25,268 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Latencies:
+    """Times of one request, in seconds from its arrival.
+
+    Parameters
+    ----------
+    first_token_seconds
+        Until the first part of a streamed answer went to the caller; 0 where
+        none did.
+    total_seconds
+        Until the end.
+    """
+
+    first_token_seconds: float = 0.0
+    total_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ProfileTotals:
+    """Requests of one profile since the start of the process."""
+
+    profile: types.ProfileName
+    ended: int
+    within_target: int
+    not_run: int
+    in_flight: int
+
+
 class DaemonMetrics:
     """Counters and histograms; one registry a daemon, so tests stay apart."""
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
-        self.endings = prometheus_client.Counter(
+        self._count_requests()
+        self._count_attempts()
+        self._gauge_process()
+        self._totals_by_profile: dict[types.ProfileName, ProfileTotals] = {}
+
+    def _count_requests(self) -> None:
+        self.endings = self._counter(
             "lagoonrun_requests_ended",
             "Requests that ended, by profile, outcome and reason.",
             ("profile", "outcome", "reason"),
-            registry=self.registry,
         )
-        self.within_target = prometheus_client.Counter(
+        self.within_target = self._counter(
             "lagoonrun_requests_within_target",
-            "Complete requests that met their profile's target.",
+            "Complete requests that met their profile's target, on the first "
+            "token or in total as the profile says.",
             ("profile",),
-            registry=self.registry,
         )
-        self.rejected = prometheus_client.Counter(
+        self.rejected = self._counter(
             "lagoonrun_requests_rejected",
             "Requests that could not be served as they stood, by status.",
             ("status",),
-            registry=self.registry,
         )
-        self.seconds = prometheus_client.Histogram(
+        self.in_flight = self._gauge(
+            "lagoonrun_requests_in_flight",
+            "Requests between arrival and end, by profile.",
+            ("profile",),
+        )
+        self.seconds = self._histogram(
             "lagoonrun_request_seconds",
             "Time from arrival to the end of the answer.",
             ("profile",),
-            buckets=_LATENCY_BUCKETS_SECONDS,
-            registry=self.registry,
         )
-        self.revision = prometheus_client.Gauge(
+        self.first_token_seconds = self._histogram(
+            "lagoonrun_first_token_seconds",
+            "Time from arrival to the first part of a streamed answer.",
+            ("profile",),
+        )
+
+    def _count_attempts(self) -> None:
+        self.permit_wait_seconds = self._histogram(
+            "lagoonrun_permit_wait_seconds",
+            "Time that a request waited for a permit or its refusal.",
+            ("profile",),
+        )
+        self.lost_attempts = self._counter(
+            "lagoonrun_attempts_lost",
+            "Attempts at an upstream that brought no whole answer, by reason; "
+            "cuts are among them.",
+            ("profile", "reason"),
+        )
+        self.retries = self._counter(
+            "lagoonrun_retries",
+            "Attempts after a lost one, before the caller got anything.",
+            ("profile",),
+        )
+        self.resumes = self._counter(
+            "lagoonrun_resumes",
+            "Attempts that go on after the events already delivered.",
+            ("profile",),
+        )
+        self.upstream_seconds = self._counter(
+            "lagoonrun_upstream_seconds",
+            "Time that attempts spent at upstreams, by their outcome; all but "
+            "complete is wasted work, save what a resume went on from.",
+            ("profile", "outcome"),
+        )
+        self.upstream_tokens = self._counter(
+            "lagoonrun_upstream_tokens",
+            "Streamed events that upstreams produced, by outcome of the "
+            "attempt.",
+            ("profile", "outcome"),
+        )
+
+    def _gauge_process(self) -> None:
+        self.revision = self._gauge(
             "lagoonrun_configuration_revision",
             "Revision of the configuration in force.",
-            registry=self.registry,
+        )
+        self.configuration_age = self._gauge(
+            "lagoonrun_configuration_age_seconds",
+            "Time since the revision came into force here.",
+        )
+        self.platform_reachable = self._gauge(
+            "lagoonrun_platform_reachable",
+            "1 while the platform answered the last call, else 0.",
+        )
+        self.ready = self._gauge(
+            "lagoonrun_ready", "1 while callers should be sent here, else 0."
+        )
+        self.live_members = self._gauge(
+            "lagoonrun_members_live",
+            "Entry VMs that are believed alive, this one included.",
+        )
+        self.leaving_upstreams = self._gauge(
+            "lagoonrun_upstreams_leaving",
+            "Upstreams that get no new work.",
+        )
+        self.owned_shards = self._gauge(
+            "lagoonrun_shards_dispatched", "Shards that are dispatched here."
         )
 
+    def observe_with(
+        self, gauge: prometheus_client.Gauge, read: Callable[[], float]
+    ) -> None:
+        """Read a gauge's value whenever the metrics are asked for."""
+        gauge.set_function(read)
+
     def count_ending(
         self,
         *,
         profile: model.Profile,
         ending: outcomes.Ending,
-        seconds: float,
+        latencies: Latencies,
     ) -> None:
-        """Count one ended request.
-
-        Parameters
-        ----------
-        seconds
-            Time from arrival to the end.
-        """
+        """Count one ended request."""
+        met = _met_target(profile, ending, latencies)
         self.endings.labels(
             profile.name, ending.outcome.value, ending.reason.value
         ).inc()
-        self.seconds.labels(profile.name).observe(seconds)
-        # A repeated arrival is told of another's end, and is no answer.
-        complete = (
-            ending.outcome is outcomes.Outcome.COMPLETE
-            and ending.reason is not outcomes.Reason.CLAIM_TAKEN
-        )
-        if complete and seconds <= profile.target_seconds:
+        self.seconds.labels(profile.name).observe(latencies.total_seconds)
+        if latencies.first_token_seconds > 0:
+            self.first_token_seconds.labels(profile.name).observe(
+                latencies.first_token_seconds
+            )
+        if met:
             self.within_target.labels(profile.name).inc()
+        self._add_to_totals(profile.name, ending, met=met)
+
+    def count_attempt(
+        self,
+        *,
+        profile: types.ProfileName,
+        outcome: outcomes.Outcome,
+        reason: outcomes.Reason,
+        seconds: float,
+        tokens: int,
+    ) -> None:
+        """Count one attempt at an upstream."""
+        self.upstream_seconds.labels(profile, outcome.value).inc(seconds)
+        self.upstream_tokens.labels(profile, outcome.value).inc(tokens)
+        if outcome is not outcomes.Outcome.COMPLETE:
+            self.lost_attempts.labels(profile, reason.value).inc()
+
+    def begin(self, profile: types.ProfileName) -> None:
+        """Count a request as in flight."""
+        self.in_flight.labels(profile).inc()
+        totals = self._totals_of(profile)
+        self._totals_by_profile[profile] = dataclasses.replace(
+            totals, in_flight=totals.in_flight + 1
+        )
+
+    def finish(self, profile: types.ProfileName) -> None:
+        """Count a request as no longer in flight."""
+        self.in_flight.labels(profile).dec()
+        totals = self._totals_of(profile)
+        self._totals_by_profile[profile] = dataclasses.replace(
+            totals, in_flight=totals.in_flight - 1
+        )
+
+    def totals(self) -> tuple[ProfileTotals, ...]:
+        """Return the totals of each profile, by name."""
+        names = sorted(self._totals_by_profile)
+        return tuple(self._totals_by_profile[name] for name in names)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
+
+    def _add_to_totals(
+        self,
+        profile: types.ProfileName,
+        ending: outcomes.Ending,
+        *,
+        met: bool,
+    ) -> None:
+        totals = self._totals_of(profile)
+        not_run = ending.outcome is outcomes.Outcome.NOT_RUN
+        self._totals_by_profile[profile] = dataclasses.replace(
+            totals,
+            ended=totals.ended + 1,
+            within_target=totals.within_target + int(met),
+            not_run=totals.not_run + int(not_run),
+        )
+
+    def _totals_of(self, profile: types.ProfileName) -> ProfileTotals:
+        return self._totals_by_profile.get(profile) or ProfileTotals(
+            profile=profile, ended=0, within_target=0, not_run=0, in_flight=0
+        )
+
+    def _counter(
+        self, name: str, text: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            name, text, labels, registry=self.registry
+        )
+
+    def _gauge(
+        self, name: str, text: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            name, text, labels, registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, labels: tuple[str, ...]
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            name,
+            text,
+            labels,
+            buckets=_LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+
+
+def _met_target(
+    profile: model.Profile, ending: outcomes.Ending, latencies: Latencies
+) -> bool:
+    """Return whether the answer came in time, by the profile's target kind.
+
+    An answer that was not streamed has its first token at its end.
+    """
+    if ending.outcome is not outcomes.Outcome.COMPLETE:
+        return False
+    if ending.reason is outcomes.Reason.CLAIM_TAKEN:
+        # A repeated arrival is told of another's end, and is no answer.
+        return False
+    counted = latencies.total_seconds
+    on_first = profile.target_kind is model.TargetKind.FIRST_TOKEN
+    if on_first and latencies.first_token_seconds > 0:
+        counted = latencies.first_token_seconds
+    return counted <= profile.target_seconds
--- a/packages/daemon/src/lagoonrun_daemon/relay.py
+++ b/packages/daemon/src/lagoonrun_daemon/relay.py
@@ -38,6 +38,7 @@
         self._call = call
         self._clock = clock
         self.delivered_events = 0
+        self.first_token_at: float | None = None
 
     async def run(
         self,
@@ -71,7 +72,10 @@
                     return self._oversized(permit)
                 continue
             if permit.first_token_seconds == 0.0:
-                permit.first_token_seconds = self._clock.monotonic() - sent_at
+                now = self._clock.monotonic()
+                permit.first_token_seconds = now - sent_at
+                if self.first_token_at is None:
+                    self.first_token_at = now
                 self._lift_limit(scope)
             await self._call.exchange.send(held[:whole])
             held = held[whole:]
--- a/packages/daemon/src/lagoonrun_daemon/status.py
+++ b/packages/daemon/src/lagoonrun_daemon/status.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import enum
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, Any
 
+from lagoonrun_config import model
 from lagoonrun_core import types
-from lagoonrun_daemon import admin, explanations
+from lagoonrun_daemon import admin, explanations, shards
 
 if TYPE_CHECKING:
     from lagoonrun_daemon import daemon as daemons
@@ -42,15 +44,21 @@
             "stopping": daemon.stopping,
             "revision": configuration.revision if configuration else 0,
             "digest": configuration.digest if configuration else "",
+            "in_force_seconds": daemon.in_force_seconds,
             "platform_reachable": daemon.follower.platform_reachable,
+            "platform_calls": dict(daemon.store.calls_by_kind),
+            "platform_failures": dict(daemon.store.failures_by_kind),
             "open_requests": daemon.caller_server.open_exchanges,
+            "requests": to_json(daemon.metrics.totals()),
             "members": [
                 to_json(member)
                 for member in daemon.members.members_by_id.values()
             ],
             "shards": [
-                self._shard(shard) for shard in daemon.fleet.shards_by_id
+                self._shard(shard)
+                for shard in daemon.fleet.shards_by_id.values()
             ],
+            "upstreams": self._upstreams(configuration),
             "leaving_upstreams": sorted(daemon.fleet.leaving_upstreams()),
         }
 
@@ -61,15 +69,42 @@
             return None
         return {"entry_vm": self._daemon.settings.entry_vm, **_to_json(found)}
 
-    def _shard(self, shard: types.ShardId) -> dict[str, Any]:
-        scheduler = self._daemon.dispatcher.scheduler_of(shard)
-        return {
-            "shard": shard,
-            "dispatcher": self._daemon.fleet.owner_of(shard),
-            "dispatched_here": scheduler is not None,
-            "running": scheduler.running_count if scheduler else 0,
-            "waiting": scheduler.waiting_count if scheduler else 0,
+    def _shard(self, shard: shards.Shard) -> dict[str, Any]:
+        """Return a shard; its queues and runners where it is dispatched."""
+        fields: dict[str, Any] = {
+            "shard": shard.id,
+            "pool": shard.pool,
+            "domain": shard.domain,
+            "dispatcher": self._daemon.fleet.owner_of(shard.id),
+            "dispatched_here": False,
+            "running": 0,
+            "waiting": 0,
         }
+        scheduler = self._daemon.dispatcher.scheduler_of(shard.id)
+        if scheduler is not None:
+            now = self._daemon.clock.monotonic()
+            fields["dispatched_here"] = True
+            fields["running"] = scheduler.running_count
+            fields["waiting"] = scheduler.waiting_count
+            fields.update(to_json(scheduler.status(now=now)))
+        return fields
+
+    def _upstreams(
+        self, configuration: model.Configuration | None
+    ) -> Sequence[dict[str, Any]]:
+        if configuration is None:
+            return []
+        return [
+            {
+                "upstream": upstream.id,
+                "pool": upstream.pool,
+                "domain": upstream.domain,
+                "slots": upstream.slots,
+                "draining": upstream.draining,
+                "leaving": self._daemon.fleet.is_leaving(upstream.id),
+            }
+            for upstream in configuration.upstreams_by_id.values()
+        ]
 
 
 def _to_json(explanation: explanations.Explanation) -> dict[str, Any]:
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -14,6 +14,7 @@
     messages,
     records,
     shard,
+    shard_status,
     shards,
     slots,
     summaries,
@@ -116,6 +117,10 @@
         """Return what other failure domains need to know of the shard."""
         return summaries.summarise(self._shard, now=now)
 
+    def status(self, *, now: float) -> shard_status.ShardStatus:
+        """Return what operators are shown of the shard."""
+        return shard_status.describe(self._shard, now=now)
+
     def _on_requested(
         self, event: messages.PermitRequested, now: float
     ) -> None:
