--- a/packages/cli/src/lagoonrun_cli/status_tables.py
+++ b/packages/cli/src/lagoonrun_cli/status_tables.py
@@ -33,7 +33,6 @@
     """Return each shard with its dispatcher, as its dispatcher says it."""
     rows = []
     for shard in _shards(found):
-        classes = shard.get("classes", ())
         runners = shard.get("runners", ())
         dispatched = bool(shard["dispatched_here"])
         rows.append(
@@ -41,8 +40,8 @@
                 shard["shard"],
                 shard["dispatcher"] or "(none)",
                 str(len(runners)) if dispatched else _NOT_KNOWN,
-                _sum(classes, "waiting") if dispatched else _NOT_KNOWN,
-                _sum(classes, "running") if dispatched else _NOT_KNOWN,
+                str(shard["waiting"]) if dispatched else _NOT_KNOWN,
+                str(shard["running"]) if dispatched else _NOT_KNOWN,
             )
         )
     return reports.Table(
@@ -232,10 +231,6 @@
     return "live" if runner is None else str(runner["state"])
 
 
-def _sum(rows: Sequence[dict[str, Any]], key: str) -> str:
-    return str(sum(row[key] for row in rows))
-
-
 def _share(part: int, whole: int) -> str:
     return f"{part / whole:.3f}" if whole else _NOT_KNOWN
 
