Grant only runners that have the request's model loaded

Cause: a pool's runners were taken to serve the same models. With placements they do not: a request could be granted to a runner without its model, which then refused it, and its retry could meet another such runner. What: engines report their loaded models with their load; a permit request names the model where the pool's placement does; runners without it are excluded (model-not-loaded), and a model that nobody has is refused at once instead of waiting to its limit. A report that a model was loaded grants what waits for it. Ways weighed: a shard a model (splits the room of a runner that holds two models between two dispatchers that do not see each other) against one exclusion more in the decision; the latter keeps one count in flight a runner. Not done: with several models in one class the scan of a queue is limited to 8 requests, so that a long queue for one model can hide requests for another.

--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -211,6 +211,7 @@
                 prefix_hash=message.prefix_hash,
                 prompt_bytes=message.prompt_bytes,
                 excluded=message.excluded,
+                model=message.model,
             ),
         )
 
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -214,6 +214,7 @@
             prompt_bytes=len(call.body),
             excluded=self._excluded,
             revision=call.configuration.revision,
+            model=call.resolved.model,
         )
 
     def _usable_upstream(
--- a/packages/daemon/src/lagoonrun_daemon/loads.py
+++ b/packages/daemon/src/lagoonrun_daemon/loads.py
@@ -21,6 +21,8 @@
 _WAITING = "engine_requests_waiting"
 _CACHE_USAGE = "engine_kv_cache_usage_ratio"
 _LEAVING = "engine_leaving"
+_MODELS = "engine_models_loaded"
+_MODEL = "engine_model_loaded"
 _STARTED_AT = "process_start_time_seconds"
 
 
@@ -98,10 +100,13 @@
 
     def _take(self, upstream: types.UpstreamId, text: str) -> None:
         values: dict[str, float] = {}
+        models: list[str] = []
         try:
             for family in parser.text_string_to_metric_families(text):
                 for sample in family.samples:
                     values[sample.name] = sample.value
+                    if sample.name == _MODEL and sample.value:
+                        models.append(sample.labels.get("model", ""))
         except ValueError:
             return
         if _LEAVING in values:
@@ -122,5 +127,6 @@
                 waiting=int(values.get(_WAITING, 0)),
                 cache_usage=values.get(_CACHE_USAGE, 0.0),
                 age_seconds=0.0,
+                models=tuple(models) if _MODELS in values else None,
             )
         )
--- a/packages/daemon/src/lagoonrun_daemon/permit_types.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_types.py
@@ -53,6 +53,7 @@
     prompt_bytes: int
     excluded: tuple[types.UpstreamId, ...] = ()
     revision: types.Revision = types.Revision(0)
+    model: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/daemon/src/lagoonrun_daemon/permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/permits.py
@@ -347,6 +347,7 @@
             prompt_bytes=wanted.prompt_bytes,
             excluded=wanted.excluded,
             revision=wanted.revision,
+            model=wanted.model,
             handover=self._search.is_handover(
                 wanted.shard, ask.dispatcher, search
             ),
--- a/packages/daemon/src/lagoonrun_daemon/resolution.py
+++ b/packages/daemon/src/lagoonrun_daemon/resolution.py
@@ -41,13 +41,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Resolved:
-    """What a request means under one configuration."""
+    """What a request means under one configuration.
+
+    Parameters
+    ----------
+    model
+        Model that the upstream must have loaded; empty where the placement
+        of the service's pool does not name it.
+    """
 
     organisation: types.OrganisationId
     service: model.Service
     profile: model.Profile
     streamed: bool
     prefix_hash: types.PrefixHash
+    model: str = ""
 
 
 class Resolver:
@@ -71,6 +79,10 @@
             for service in configuration.services_by_name.values()
             for name in service.models
         }
+        self._placed_models = frozenset(
+            (placement.pool, placement.model)
+            for placement in configuration.placements
+        )
         plain = [
             service
             for service in configuration.services_by_name.values()
@@ -155,6 +167,7 @@
             service,
             streamed=streamed,
             prefix_hash=_hash_prefix(organisation.id, body),
+            model=name,
         )
 
     def _admit(
@@ -164,18 +177,21 @@
         *,
         streamed: bool,
         prefix_hash: types.PrefixHash = types.PrefixHash(0),
+        model: str = "",
     ) -> Resolved | Rejection:
         allowed = service.organisations
         if allowed and organisation.id not in allowed:
             # The same answer as for a service that does not exist: one
             # organisation does not learn of another's services.
             return _unknown_service(service.name)
+        placed = (service.pool, model) in self._placed_models
         return Resolved(
             organisation=organisation.id,
             service=service,
             profile=self.configuration.profiles_by_name[service.profile],
             streamed=streamed,
             prefix_hash=prefix_hash,
+            model=model if placed else "",
         )
 
 
--- a/packages/policy/src/lagoonrun_policy/admission.py
+++ b/packages/policy/src/lagoonrun_policy/admission.py
@@ -69,8 +69,12 @@
             queue_capacity=state.capacity,
             lower_tier_waiting=sheddable,
         )
+        # Only such requests can have runners that are all ruled out.
+        request = waiting.request
         stuck = (
-            bool(waiting.request.excluded) or not self._shard.pool.any_usable()
+            bool(request.excluded)
+            or bool(request.model)
+            or not self._shard.pool.any_usable()
         )
         if reason is not outcomes.Reason.NONE or stuck:
             verdict, record = records.decide(
--- a/packages/policy/src/lagoonrun_policy/decision.py
+++ b/packages/policy/src/lagoonrun_policy/decision.py
@@ -46,6 +46,7 @@
     PROBING = "probing"
     KEPT_FOR_HIGHER_TIER = "kept-for-higher-tier"
     FAILED_BEFORE = "failed-before"
+    MODEL_NOT_LOADED = "model-not-loaded"
     FULL = "full"
     TOO_SLOW = "too-slow"
 
@@ -65,6 +66,7 @@
         Exclusion.GONE.value,
         Exclusion.UNCONFIGURED.value,
         Exclusion.FAILED_BEFORE.value,
+        Exclusion.MODEL_NOT_LOADED.value,
     }
 )
 
--- a/packages/policy/src/lagoonrun_policy/messages.py
+++ b/packages/policy/src/lagoonrun_policy/messages.py
@@ -82,6 +82,9 @@
         Size of the request's body, the only estimate of its prefill work.
     excluded
         Runners that have failed this request already.
+    model
+        Model that the runner must have loaded; empty where the pool's
+        runners all serve the same.
     """
 
     key: PermitKey
@@ -93,6 +96,7 @@
     prefix_hash: types.PrefixHash = types.PrefixHash(0)
     prompt_bytes: int = 0
     excluded: tuple[types.UpstreamId, ...] = ()
+    model: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -171,6 +175,8 @@
     ----------
     age_seconds
         How old the report is known to be at least.
+    models
+        Loaded models; None where the report does not say.
     """
 
     upstream: types.UpstreamId
@@ -178,6 +184,7 @@
     waiting: int
     cache_usage: float
     age_seconds: float
+    models: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/policy/src/lagoonrun_policy/runners.py
+++ b/packages/policy/src/lagoonrun_policy/runners.py
@@ -39,6 +39,15 @@
         self.reported_at = 0.0
         self.foreign_load = 0.0
         self.peak_in_flight = 0
+        self.models: frozenset[str] | None = None
+
+    def has_loaded(self, model: str) -> bool:
+        """Return whether the runner serves `model`, as far as is known.
+
+        One that has not reported yet is tried: it says by protocol that it
+        did not run what it cannot serve.
+        """
+        return not model or self.models is None or model in self.models
 
     def take_report(self, report: messages.LoadReported, now: float) -> None:
         """Keep a load report.
@@ -49,6 +58,8 @@
         """
         reported = report.running + report.waiting
         self.report = report
+        if report.models is not None:
+            self.models = frozenset(report.models)
         self.reported_at = now - report.age_seconds
         self.foreign_load = float(max(0, reported - self.peak_in_flight))
         self.peak_in_flight = self.in_flight
@@ -58,6 +69,7 @@
         self.room = room.AdaptiveRoom(slots=self.declared.slots)
         self.health = health.RunnerHealth()
         self.report = None
+        self.models = None
         self.foreign_load = 0.0
 
     def occupy(self) -> None:
@@ -358,6 +370,8 @@
             return decision.Exclusion.GONE
         if runner.id in request.excluded:
             return decision.Exclusion.FAILED_BEFORE
+        if not runner.has_loaded(request.model):
+            return decision.Exclusion.MODEL_NOT_LOADED
         if runner.id in kept:
             return decision.Exclusion.KEPT_FOR_HIGHER_TIER
         if not runner.health.ejected:
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -68,8 +68,8 @@
                 self._on_progressed(event, now)
                 return self._actions
             case messages.LoadReported():
-                self._on_load(event, now)
-                return self._actions
+                if not self._on_load(event, now):
+                    return self._actions
             case messages.PermitReturned():
                 self._on_returned(event)
             case messages.InFlightDigest():
@@ -186,10 +186,14 @@
         running.progressed_at = now
         self._slots.charge(running, max(running.charged, float(event.tokens)))
 
-    def _on_load(self, event: messages.LoadReported, now: float) -> None:
+    def _on_load(self, event: messages.LoadReported, now: float) -> bool:
+        """Keep a report; return whether it lets others of those wait go."""
         runner = self._shard.pool.get(event.upstream)
-        if runner is not None:
-            runner.take_report(event, now)
+        if runner is None:
+            return False
+        before = runner.models
+        runner.take_report(event, now)
+        return runner.models != before
 
     def _on_digest(self, event: messages.InFlightDigest, now: float) -> None:
         self._slots.permits.hear(event.ingress, now)
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -54,6 +54,7 @@
     excluded: tuple[types.UpstreamId, ...] = ()
     revision: types.Revision = types.Revision(0)
     handover: bool = False
+    model: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -22,6 +22,7 @@
   excluded @9 :List(Text);
   revision @10 :UInt64;
   handover @11 :Bool;
+  model @12 :Text;
 }
 
 struct PermitReturn {
--- a/packages/standins/src/lagoonrun_standins/engine.py
+++ b/packages/standins/src/lagoonrun_standins/engine.py
@@ -216,6 +216,7 @@
             waiting=self.batch.waiting_count,
             kv_usage_ratio=round(self.batch.kv_tokens / capacity, 3),
             leaving=self.faults.leaving,
+            models=self.orders.loaded_models(),
         )
         self._report.record(load)
 
@@ -280,6 +281,7 @@
             body = {"error": str(error), "fencing": seen}
             exchange.respond_json(409, body, [upstream_protocol.echo(request)])
             return
+        self._record_load()
         exchange.respond_json(
             200, self._state(), [upstream_protocol.echo(request)]
         )
--- a/packages/standins/src/lagoonrun_standins/engine_orders.py
+++ b/packages/standins/src/lagoonrun_standins/engine_orders.py
@@ -87,6 +87,12 @@
         self._serves_any = not self.version_by_model
         self._load_seconds = load_seconds
 
+    def loaded_models(self) -> tuple[str, ...] | None:
+        """Return the loaded models; None where any model is served."""
+        if self._serves_any:
+            return None
+        return tuple(sorted(self.version_by_model))
+
     def serves(self, model: str) -> bool:
         """Return whether requests for `model` are taken."""
         return self._serves_any or model in self.version_by_model
--- a/packages/standins/src/lagoonrun_standins/load_report.py
+++ b/packages/standins/src/lagoonrun_standins/load_report.py
@@ -12,12 +12,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Load:
-    """What an upstream reports of itself."""
+    """What an upstream reports of itself.
+
+    Parameters
+    ----------
+    models
+        Loaded models; None for an upstream that serves any.
+    """
 
     running: int = 0
     waiting: int = 0
     kv_usage_ratio: float = 0.0
     leaving: bool = False
+    models: tuple[str, ...] | None = None
 
 
 class LoadReport:
@@ -66,4 +73,20 @@
         for name, value in values.items():
             gauge = prometheus_client.Gauge(name, name, registry=registry)
             gauge.set(value)
+        if load.models is not None:
+            _report_models(registry, load.models)
         return prometheus_client.generate_latest(registry)
+
+
+def _report_models(
+    registry: prometheus_client.CollectorRegistry, models: tuple[str, ...]
+) -> None:
+    count = prometheus_client.Gauge(
+        "engine_models_loaded", "Number of models.", registry=registry
+    )
+    count.set(len(models))
+    loaded = prometheus_client.Gauge(
+        "engine_model_loaded", "1 if loaded.", ["model"], registry=registry
+    )
+    for model in models:
+        loaded.labels(model).set(1)
