--- a/packages/http/src/lagoonrun_http/server.py
+++ b/packages/http/src/lagoonrun_http/server.py
@@ -4,6 +4,7 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_http import (
+    connection_owner,
     exchange,
     limits,
     periodic,
@@ -50,7 +51,7 @@
         self._limits = limits
         self._handler = handler
         self._clock = clock
-        self._connections: set[server_connection.ServerConnection] = set()
+        self._connections: set[connection_owner.OwnedConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._quiet = asyncio.Event()
         self._quiet.set()
@@ -136,7 +137,7 @@
         self._note_quiet()
 
     def connection_closed(
-        self, connection: server_connection.ServerConnection
+        self, connection: connection_owner.OwnedConnection
     ) -> None:
         """Forget a connection."""
         self._connections.discard(connection)
@@ -152,7 +153,7 @@
         self._held_body_bytes -= size
 
     def connection_opened(
-        self, connection: server_connection.ServerConnection
+        self, connection: connection_owner.OwnedConnection
     ) -> bool:
         """Count a connection; return whether it is within the limit."""
         self._connections.add(connection)
--- a/packages/http/src/lagoonrun_http/server_connection.py
+++ b/packages/http/src/lagoonrun_http/server_connection.py
@@ -2,16 +2,16 @@
 
 import asyncio
 import enum
-import http
 import logging
 import traceback
-from typing import Protocol
 
 import h11
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, outcomes
 from lagoonrun_http import (
+    answer_writer,
+    connection_owner,
     errors,
     exchange,
     limits,
@@ -22,38 +22,9 @@
     resetting,
 )
 
-_REASONS_BY_STATUS = {
-    status.value: status.phrase.encode() for status in http.HTTPStatus
-}
 _LINGER_BYTES = 1 << 20
 
 
-class ConnectionOwner(Protocol):
-    """What a connection tells the server that accepted it."""
-
-    @property
-    def stopping(self) -> bool:
-        """Whether answers must end their connections."""
-
-    def exchange_began(self, task: "asyncio.Task[None]") -> None:
-        """Take note of a running exchange."""
-
-    def exchange_ended(self, task: "asyncio.Task[None]") -> None:
-        """Take note that an exchange is over."""
-
-    def hold_bytes(self, size: int) -> bool:
-        """Count bytes of bodies; return whether all are within the limit."""
-
-    def release_bytes(self, size: int) -> None:
-        """Count bytes of bodies that are no longer held."""
-
-    def connection_opened(self, connection: "ServerConnection") -> bool:
-        """Count a connection; refuse it when it is one too many."""
-
-    def connection_closed(self, connection: "ServerConnection") -> None:
-        """Forget a connection."""
-
-
 class _Phase(enum.Enum):
     IDLE = "idle"
     HEAD = "head"
@@ -85,7 +56,7 @@
         server_limits: limits.ServerLimits,
         handler: exchange.ExchangeHandler,
         clock: clocks.Clock,
-        owner: ConnectionOwner,
+        owner: connection_owner.ConnectionOwner,
         buffer: read_buffer.ReadBuffer,
     ) -> None:
         self._limits = server_limits
@@ -100,15 +71,11 @@
         self._deadline: float | None = None
         self._exchange: exchange.Exchange | None = None
         self._peer = ""
-        self._drained: asyncio.Future[None] | None = None
         self._reading_paused = False
         self._input_ended = False
         self._closing = False
         self._held_bytes = 0
         self._lingered_bytes = 0
-        self._written_bytes = 0
-        self._taken_bytes = 0
-        self._taken_at = 0.0
 
     @property
     def reading_head(self) -> bool:
@@ -125,6 +92,11 @@
         self._transport.set_write_buffer_limits(
             high=self._limits.write_buffer_bytes
         )
+        self._writer = answer_writer.AnswerWriter(
+            connection=self._h11,
+            transport=self._transport,
+            stall_seconds=self._limits.write_stall_seconds,
+        )
         self._set_deadline(self._limits.idle_seconds)
         self._owner.connection_opened(self)
 
@@ -165,18 +137,16 @@
         self._deadline = None
         if self._exchange is not None:
             self._exchange.lose_caller()
-        self.resume_writing()
+        self._writer.resume()
         self._owner.connection_closed(self)
 
     def pause_writing(self) -> None:
         """Make writers wait: the caller reads more slowly than we write."""
-        self._drained = asyncio.get_running_loop().create_future()
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Let writers go on."""
-        if self._drained is not None and not self._drained.done():
-            self._drained.set_result(None)
-        self._drained = None
+        self._writer.resume()
 
     # The channel of the exchange.
 
@@ -184,33 +154,23 @@
         """Send `100 Continue` when the caller waits for it."""
         if self._h11.they_are_waiting_for_100_continue:
             self._set_deadline(self._limits.body_read_seconds)
-            self._write(
-                self._h11.send(
-                    h11.InformationalResponse(
-                        status_code=100, headers=[], reason=b"Continue"
-                    )
-                )
-            )
+            self._writer.write_continue()
 
     def write_head(self, head: messages.ResponseHead) -> None:
         """Write status line and headers, with the framing that fits."""
-        self._write(self._h11.send(self._response(head)))
+        self._writer.write_head(head, closing=self._must_close())
 
     def write_whole(self, head: messages.ResponseHead, body: bytes) -> None:
         """Write a whole answer in one piece."""
-        framed = [self._h11.send(self._response(head))]
-        if body:
-            framed.append(self._h11.send(h11.Data(data=body)))
-        framed.append(self._h11.send(h11.EndOfMessage()))
-        self._write(b"".join(framed))
+        self._writer.write_whole(head, body, closing=self._must_close())
 
     def write_data(self, data: bytes) -> None:
         """Write a piece of the body."""
-        self._write(self._h11.send(h11.Data(data=data)))
+        self._writer.write_data(data)
 
     def write_end(self) -> None:
         """Write the end of the body."""
-        self._write(self._h11.send(h11.EndOfMessage()))
+        self._writer.write_end()
 
     def write_rejection(self, rejection: rejections.Rejection) -> None:
         """Answer a faulty request and end the connection after it."""
@@ -219,8 +179,7 @@
 
     async def drained(self) -> None:
         """Wait until the caller has taken enough of what was written."""
-        if self._drained is not None:
-            await self._drained
+        await self._writer.drained()
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -240,7 +199,7 @@
     def check_deadlines(self) -> None:
         """Act on the bounds in time that the caller has run over."""
         now = self._clock.monotonic()
-        if self._is_write_stalled(now):
+        if self._writer.is_stalled(now):
             resetting.reset(self._transport)
         elif self._deadline is not None and now >= self._deadline:
             self._deadline = None
@@ -393,32 +352,13 @@
         elif at_end:
             self._close()
 
-    # Writing.
-
-    def _write(self, data: bytes) -> None:
-        self._written_bytes += len(data)
-        self._transport.write(data)
-
-    def _response(self, head: messages.ResponseHead) -> h11.Response:
-        headers = [
-            (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in head.headers
-        ]
-        if self._must_close():
-            headers.append((b"Connection", b"close"))
-        return h11.Response(
-            status_code=head.status,
-            headers=headers,
-            reason=_REASONS_BY_STATUS.get(head.status, b""),
-        )
+    # Ending.
 
     def _must_close(self) -> bool:
         if self._closing or self._owner.stopping:
             return True
         return not self._exchange.body_ended
 
-    # Ending.
-
     def _write_error(
         self, rejection: rejections.Rejection, *, outcome: outcomes.Outcome
     ) -> None:
@@ -472,11 +412,3 @@
             )
         else:
             self._close()
-
-    def _is_write_stalled(self, now: float) -> bool:
-        unsent = self._transport.get_write_buffer_size()
-        taken = self._written_bytes - unsent
-        if unsent == 0 or taken != self._taken_bytes:
-            self._taken_bytes = taken
-            self._taken_at = now
-        return now - self._taken_at >= self._limits.write_stall_seconds
