Let the settings of an experiment choose the order of service

To measure what each step of the policy buys, the settings table [experiment] switches parts of the order of service by their names in Features, and policy = "naive" lets each entry VM alone choose the better of two runners of the whole pool by the load reports that it reads itself. The naive permits stand in the place of the permit client, behind a Protocol, so that the dispatcher's own code holds no second path. Ruled out: a naive scheduler within the dispatcher, which would have needed a ranking and shards of its own.

--- a/packages/config/src/lagoonrun_config/faults.py
+++ b/packages/config/src/lagoonrun_config/faults.py
@@ -308,6 +308,15 @@
             return ()
         return tuple(value)
 
+    def subtable(self, key: str) -> "TableReader":
+        """Return a reader of an optional subtable."""
+        return TableReader(
+            table=self.table(key),
+            path=f"{self._path}.{key}" if self._path else key,
+            source=self._source,
+            faults=self._faults,
+        )
+
     def finish(self) -> None:
         """Note a fault for each key that nobody asked for."""
         for key, value in self._table.items():
--- a/packages/config/src/lagoonrun_config/settings.py
+++ b/packages/config/src/lagoonrun_config/settings.py
@@ -1,6 +1,7 @@
 """Settings of one `lagoonrund` process, from its TOML file."""
 
 import dataclasses
+import enum
 
 from lagoonrun_core import types
 
@@ -18,6 +19,32 @@
         return f"{host}:{self.port}"
 
 
+class ExperimentPolicy(enum.Enum):
+    """Who decides which runner serves a request."""
+
+    DISPATCHER = "dispatcher"
+    NAIVE = "naive"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Experiment:
+    """Deviations from the order of service, for measurements only.
+
+    Parameters
+    ----------
+    policy
+        `NAIVE` lets each entry VM alone choose the better of two runners by
+        their load reports, and refuses nothing for room or time.
+    switched_off, switched_on
+        Parts of the order of service, by their names in
+        `lagoonrun_policy.features.Features`.
+    """
+
+    policy: ExperimentPolicy = ExperimentPolicy.DISPATCHER
+    switched_off: tuple[str, ...] = ()
+    switched_on: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Settings:
     """What a process is told at start.
@@ -45,6 +72,8 @@
     readiness_grace_seconds
         How long a planned stop goes on taking requests after it has told
         the balancer, which notices with a lag.
+    experiment
+        Deviations for measurements; none in service.
     """
 
     entry_vm: types.EntryVmId
@@ -59,3 +88,4 @@
     drain_timeout_seconds: float = 600.0
     readiness_grace_seconds: float = 2.0
     explain_capacity: int = 10_000
+    experiment: Experiment = Experiment()
--- a/packages/config/src/lagoonrun_config/settings_file.py
+++ b/packages/config/src/lagoonrun_config/settings_file.py
@@ -93,9 +93,25 @@
             minimum=1,
             maximum=_LARGEST_EXPLAIN_CAPACITY,
         ),
+        experiment=_read_experiment(reader),
     )
 
 
+def _read_experiment(parent: faults.TableReader) -> settings.Experiment:
+    reader = parent.subtable("experiment")
+    experiment = settings.Experiment(
+        policy=reader.choice(
+            "policy",
+            settings.ExperimentPolicy,
+            default=settings.ExperimentPolicy.DISPATCHER,
+        ),
+        switched_off=reader.texts("switched_off"),
+        switched_on=reader.texts("switched_on"),
+    )
+    reader.finish()
+    return experiment
+
+
 def _read_address(reader: faults.TableReader, key: str) -> settings.Address:
     host, port = reader.address(key, lowest_port=0)
     return settings.Address(host=host, port=port)
--- a/packages/config/tests/test_settings_file.py
+++ b/packages/config/tests/test_settings_file.py
@@ -73,6 +73,32 @@
     assert all(fault.valid for fault in caught.value.faults)
 
 
+def test_reads_an_experiment(load):
+    result = load(
+        GOOD
+        + """
+        [experiment]
+        policy = "naive"
+        switched_off = ["affinity"]
+        """
+    )
+    assert result.experiment == settings.Experiment(
+        policy=settings.ExperimentPolicy.NAIVE, switched_off=("affinity",)
+    )
+
+
+def test_without_an_experiment_the_dispatcher_decides(load):
+    result = load(GOOD)
+    assert result.experiment == settings.Experiment()
+
+
+def test_lists_faults_of_an_experiment(load):
+    with pytest.raises(settings_file.SettingsError) as caught:
+        load(GOOD + '[experiment]\npolicy = "none"\noff = []\n')
+    keys = [fault.key for fault in caught.value.faults]
+    assert keys == ["experiment.policy", "experiment.off"]
+
+
 def test_faults_never_show_secrets(load):
     with pytest.raises(settings_file.SettingsError) as caught:
         load(GOOD.replace(SECRET, SECRET[:30]) + 'admin_token_digest = "pw"')
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Sequence
 
 from lagoonrun_claims import claims
 from lagoonrun_config import follower as followers
@@ -13,12 +14,14 @@
     admin,
     dispatcher,
     execution,
+    experiment,
     explanations,
     fleet,
     ingress,
     loads,
     message_router,
     metrics,
+    naive_permits,
     once,
     peer_snapshots,
     permits,
@@ -143,6 +146,7 @@
             transport=self._transport,
             explanations=self.explanations,
             clock=self._clock,
+            switches=experiment.switches_of(configured.experiment),
         )
         self._stalls = stalls.StallDetector(clock=self._clock)
         self.permits = permits.PermitClient(
@@ -151,6 +155,14 @@
             clock=self._clock,
             stalls=self._stalls,
         )
+        self._naive_permits: naive_permits.NaivePermits | None = None
+        if configured.experiment.policy is settings.ExperimentPolicy.NAIVE:
+            self._naive_permits = naive_permits.NaivePermits(
+                entry_vm=configured.entry_vm,
+                view=self.fleet,
+                clock=self._clock,
+                chance=self._random,
+            )
         self.snapshots = peer_snapshots.PeerSnapshots(
             transport=self._transport, announcer=self.members
         )
@@ -187,7 +199,7 @@
         self.ingress = ingress.Ingress(
             services=execution.Services(
                 entry_vm=configured.entry_vm,
-                permits=self.permits,
+                permits=self._naive_permits or self.permits,
                 client=self.client,
                 fleet=self.fleet,
                 explanations=self.explanations,
@@ -427,7 +439,9 @@
 
     # What the load reader asks and tells.
 
-    def _dispatched_upstreams(self) -> list[model.Upstream]:
+    def _dispatched_upstreams(self) -> Sequence[model.Upstream]:
+        if self._naive_permits is not None:
+            return self._naive_permits.upstreams()
         return [
             upstream
             for shard_id in self.dispatcher.owned_shards
@@ -436,6 +450,9 @@
         ]
 
     def _on_load_report(self, report: policy_messages.LoadReported) -> None:
+        if self._naive_permits is not None:
+            self._naive_permits.on_load_report(report)
+            return
         for shard_id in self.dispatcher.owned_shards:
             shard = self.fleet.shards_by_id.get(shard_id)
             if shard and any(u.id == report.upstream for u in shard.upstreams):
--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -15,8 +15,8 @@
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, outcomes, types
 from lagoonrun_daemon import explanations, shards, transport
+from lagoonrun_policy import features, scheduler
 from lagoonrun_policy import messages as policy_messages
-from lagoonrun_policy import scheduler
 from lagoonrun_policy import shards as policy_shards
 from lagoonrun_protocol import messages
 
@@ -58,6 +58,9 @@
         Keeps a record of each decision.
     clock
         Source of time.
+    switches
+        Which parts of the order of service are in use; all that are meant
+        for service if None.
     """
 
     def __init__(
@@ -68,7 +71,9 @@
         transport: transport.Transport,
         explanations: explanations.ExplanationRing,
         clock: clocks.Clock,
+        switches: features.Features | None = None,
     ) -> None:
+        self._switches = switches or features.Features()
         self._entry_vm = entry_vm
         self._view = view
         self._transport = transport
@@ -286,7 +291,7 @@
             owned = _OwnedShard(
                 shard=self._shards_by_id[shard_id],
                 scheduler=scheduler.ShardScheduler(
-                    policy=self._policy(shard_id)
+                    policy=self._policy(shard_id), switches=self._switches
                 ),
                 waiting_by_key={},
                 leaving=self._view.leaving_upstreams(),
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -21,7 +21,6 @@
     metrics,
     once,
     permit_types,
-    permits,
     relay,
 )
 from lagoonrun_daemon import call as calls
@@ -54,7 +53,7 @@
     """What every execution needs of the daemon."""
 
     entry_vm: types.EntryVmId
-    permits: permits.PermitClient
+    permits: permit_types.PermitSource
     client: http_upstream.UpstreamClient
     fleet: fleet.FleetView
     explanations: explanations.ExplanationRing
--- a/packages/daemon/src/lagoonrun_daemon/main.py
+++ b/packages/daemon/src/lagoonrun_daemon/main.py
@@ -9,6 +9,7 @@
 from lagoonrun_config import settings_file
 from lagoonrun_core import logs
 from lagoonrun_daemon import daemon as daemons
+from lagoonrun_daemon import experiment
 
 _SETTINGS = flags.DEFINE_string(
     "settings", None, "Path of the TOML file with the settings.", required=True
@@ -48,6 +49,11 @@
     except settings_file.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
+    try:
+        experiment.switches_of(configured.experiment)
+    except experiment.UnknownSwitchError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
     logs.configure(entry_vm=configured.entry_vm)
     return asyncio.run(_serve(daemons.Daemon(configured=configured)))
 
--- a/packages/daemon/src/lagoonrun_daemon/permit_types.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_types.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from typing import Protocol
 
 from lagoonrun_core import outcomes, types
 from lagoonrun_protocol import messages
@@ -100,6 +101,32 @@
     dispatcher: types.EntryVmId | None = None
 
 
+class PermitSource(Protocol):
+    """Where an ingress gets permits from, and reports their use to."""
+
+    async def obtain(self, wanted: PermitWanted) -> Permit | PermitRefusal:
+        """Return a permit, or why there is none."""
+
+    def give_back(self, permit: Permit) -> None:
+        """Return a permit that was not used."""
+
+    def finish(
+        self,
+        permit: Permit,
+        *,
+        outcome: outcomes.Outcome,
+        reason: outcomes.Reason,
+        total_seconds: float,
+    ) -> None:
+        """Report the end of granted work."""
+
+    def forget_request(self, request_id: types.RequestId) -> None:
+        """Drop what is kept of a request that is over."""
+
+    def is_fresh(self, permit: Permit, *, maximum_age_seconds: float) -> bool:
+        """Return whether the permit is young enough to be used."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Silent:
     """The dispatcher did not answer in time, or is dead."""
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -129,7 +129,11 @@
         return await http_client.fetch(_LOOPBACK, port, "GET", path)
 
 
-def make_settings(*, platform_port: int) -> settings.Settings:
+def make_settings(
+    *,
+    platform_port: int,
+    experiment: settings.Experiment | None = None,
+) -> settings.Settings:
     any_port = settings.Address(host=_LOOPBACK, port=0)
     return settings.Settings(
         entry_vm=types.EntryVmId("entry-1"),
@@ -140,6 +144,7 @@
         platform=(settings.Address(host=_LOOPBACK, port=platform_port),),
         inner_key=INNER_KEY,
         readiness_grace_seconds=0.0,
+        experiment=experiment or settings.Experiment(),
     )
 
 
@@ -158,7 +163,13 @@
 
 
 @pytest.fixture
-async def small_deployment():
+def experiment_settings():
+    """Return what an entry VM does in service; tests may override it."""
+    return settings.Experiment()
+
+
+@pytest.fixture
+async def small_deployment(experiment_settings):
     platform = platform_store.PlatformStore()
     writer = engine.Engine(resumes=True)
     portal = plain_service.PlainService()
@@ -169,7 +180,9 @@
         platform=settings.Address(host=_LOOPBACK, port=platform.port),
     )
     daemon = daemons.Daemon(
-        configured=make_settings(platform_port=platform.port)
+        configured=make_settings(
+            platform_port=platform.port, experiment=experiment_settings
+        )
     )
     await daemon.start()
     await daemon.wait_ready()
--- a/packages/standins/src/lagoonrun_standins/fleet.py
+++ b/packages/standins/src/lagoonrun_standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import atexit
 import dataclasses
+import enum
 import os
 import pathlib
 import signal
@@ -17,6 +18,7 @@
 _STAND_IN_PACKAGE = "lagoonrun_standins"
 _LOOPBACK = "127.0.0.1"
 _PORT_TRIES = 50
+_EXPERIMENT = "experiment"
 
 FlagValue = str | int | float | bool
 
@@ -156,8 +158,11 @@
     for field in dataclasses.fields(configured):
         value = getattr(configured, field.name)
         # An empty text or list says the same as a key that is left out.
-        if value not in ("", ()):
+        if value not in ("", ()) and field.name != _EXPERIMENT:
             lines.append(f"{field.name} = {_toml_value(value)}\n")
+    lines.append(f"\n[{_EXPERIMENT}]\n")
+    for name, value in vars(configured.experiment).items():
+        lines.append(f"{name} = {_toml_value(value)}\n")
     return "".join(lines)
 
 
@@ -166,6 +171,8 @@
         return f"[{', '.join(_toml_value(item) for item in value)}]"
     if isinstance(value, bytes):
         return f'"{value.hex()}"'
+    if isinstance(value, enum.Enum):
+        return f'"{value.value}"'
     if isinstance(value, str | settings.Address):
         return f'"{value}"'
     return str(value)
--- a/packages/standins/tests/test_fleet.py
+++ b/packages/standins/tests/test_fleet.py
@@ -122,6 +122,11 @@
         admin_token_digest="ab" * 32,
         drain_timeout_seconds=3.0,
         explain_capacity=7,
+        experiment=settings.Experiment(
+            policy=settings.ExperimentPolicy.NAIVE,
+            switched_off=("affinity",),
+            switched_on=("cutting",),
+        ),
         readiness_grace_seconds=0.25,
     )
     defaults = [
