Order upstreams to their declared placement, one orderer per domain

Each entry VM runs an orderer; the one that holds the domain's lease reads states, plans and sends. The fencing number is the store revision at which its tenure began: a counter in a record would start again when the record is deleted. An order to an upstream that checks numbers is guarded there. To one that does not, an order goes only while the lease outlasts its timeout, and a new holder waits out its predecessor's, unless that one said on a planned stop that nothing is under way.

A placement may name the version that is to be loaded.

--- a/packages/config/src/lagoonrun_config/declarations.py
+++ b/packages/config/src/lagoonrun_config/declarations.py
@@ -342,4 +342,5 @@
         weight_bytes=reader.integer(
             "weight_bytes", default=0, minimum=0, maximum=_MOST_BYTES
         ),
+        version=reader.text("version", default=""),
     )
--- a/packages/config/src/lagoonrun_config/model.py
+++ b/packages/config/src/lagoonrun_config/model.py
@@ -132,10 +132,15 @@
 class Placement:
     """How many upstreams of a pool in a domain hold a model in a role.
 
+    Placements of one pool, domain and role share upstreams: a base model and
+    its adapters are placements of their own.
+
     Parameters
     ----------
     weight_bytes
         Size of the model's weights, for the weight store's rate limit.
+    version
+        Version of the model that is to be loaded; empty for any.
     """
 
     pool: types.PoolName
@@ -144,6 +149,7 @@
     role: str = "serve"
     count: int
     weight_bytes: int = 0
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/packages/orders/src/lagoonrun_orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to upstreams: who may send them, and which are due."""
--- /dev/null
+++ b/packages/orders/src/lagoonrun_orders/orderer.py
@@ -0,0 +1,340 @@
+"""The orderer of a failure domain: reads states, plans, sends orders.
+
+Every entry VM runs one; only that with the tenure does anything. An order to
+an upstream that checks fencing numbers is guarded there. To one that does
+not, an order goes only while the lease outlasts the order's timeout by a
+margin, and a new tenure first waits out what its predecessor may have sent.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Collection,
+    Mapping,
+    Sequence,
+)
+
+from lagoonrun_config import model
+from lagoonrun_core import clock as clock_module
+from lagoonrun_core import events, logs, types
+from lagoonrun_orders import leadership as leadership_module
+from lagoonrun_orders import plan as plan_module
+from lagoonrun_orders import tenure as tenure_module
+from lagoonrun_orders import upstream_orders, weight_budget
+
+DEFAULT_ORDER_TIMEOUT_SECONDS = 10.0
+_ROUND_SECONDS = 1.0
+_FORGET_SECONDS = 60.0
+_MARGIN_SECONDS = 2.0
+
+
+class Orderer:
+    """Sends the orders that bring upstreams to their declared placement.
+
+    Parameters
+    ----------
+    leadership
+        Started and closed by the orderer.
+    placements, upstreams
+        Return what is in force now.
+    is_leaving
+        Whether any source says that an upstream is leaving.
+    order_timeout_seconds
+        As given to the leadership.
+    forget_seconds
+        How long an upstream that does not answer keeps its place in the
+        plan; a short silence moves no models.
+    """
+
+    def __init__(
+        self,
+        *,
+        domain: types.FailureDomain,
+        leadership: leadership_module.Leadership,
+        upstream_orders: upstream_orders.UpstreamOrders,
+        placements: Callable[[], Sequence[model.Placement]],
+        upstreams: Callable[[], Mapping[types.UpstreamId, model.Upstream]],
+        is_leaving: Callable[[types.UpstreamId], bool],
+        budget: weight_budget.WeightBudget,
+        clock: clock_module.Clock,
+        order_timeout_seconds: float = DEFAULT_ORDER_TIMEOUT_SECONDS,
+        margin_seconds: float = _MARGIN_SECONDS,
+        round_seconds: float = _ROUND_SECONDS,
+        forget_seconds: float = _FORGET_SECONDS,
+        reloading_share: float = plan_module.DEFAULT_RELOADING_SHARE,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._domain = domain
+        self._leadership = leadership
+        self._upstream_orders = upstream_orders
+        self._placements = placements
+        self._upstreams = upstreams
+        self._is_leaving = is_leaving
+        self._budget = budget
+        self._clock = clock
+        self._order_timeout_seconds = order_timeout_seconds
+        self._margin_seconds = margin_seconds
+        self._round_seconds = round_seconds
+        self._forget_seconds = forget_seconds
+        self._reloading_share = reloading_share
+        self._sleep = sleep
+        self._task: asyncio.Task[None] | None = None
+        self._seen_by_id: dict[types.UpstreamId, _Seen] = {}
+        self._sending_by_id: dict[types.UpstreamId, asyncio.Task[None]] = {}
+        self._unsettled_until_by_id: dict[types.UpstreamId, float] = {}
+        self._told_by_id: dict[types.UpstreamId, plan_module.Decision] = {}
+
+    async def start(self) -> None:
+        """Seek the tenure and begin the rounds."""
+        await self._leadership.start()
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Finish the orders under way and give the tenure up."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+            self._task = None
+        if self._sending_by_id:
+            await asyncio.wait(self._sending_by_id.values())
+        now = self._clock.monotonic()
+        unsettled = self._unsettled_until_by_id.values()
+        await self._leadership.close(
+            clean=all(until <= now for until in unsettled)
+        )
+
+    async def _run(self) -> None:
+        while True:
+            tenure = self._leadership.tenure
+            if tenure is not None:
+                try:
+                    await self._round(tenure)
+                except Exception as error:
+                    # A fault in one round must not end the orderer of the
+                    # domain while its process goes on holding the lease.
+                    logs.emit(
+                        events.LogEvent.TASK_FAILED,
+                        task="orderer",
+                        error=repr(error),
+                    )
+            await self._sleep(self._round_seconds)
+
+    async def _round(self, tenure: tenure_module.Tenure) -> None:
+        placements = [
+            one for one in self._placements() if one.domain == self._domain
+        ]
+        upstreams = self._managed_upstreams({one.pool for one in placements})
+        reading = self._begin_reading(tenure)
+        states = await asyncio.gather(
+            *(self._upstream_orders.state(one) for one in upstreams)
+        )
+        views = []
+        unheard_pools = set()
+        for upstream, state in zip(upstreams, states, strict=True):
+            view = self._view(upstream, state, reading)
+            if view is not None:
+                views.append(view)
+            elif not self._is_forgotten(upstream):
+                unheard_pools.add(upstream.pool)
+        available = self._budget.available_bytes()
+        planned = plan_module.plan(
+            domain=self._domain,
+            placements=[
+                one for one in placements if one.pool not in unheard_pools
+            ],
+            views=views,
+            affords=lambda size, spent: self._budget.affords(
+                size, available=available - spent
+            ),
+            reloading_share=self._reloading_share,
+        )
+        upstream_by_id = {one.id: one for one in upstreams}
+        for decision in planned.decisions:
+            upstream = upstream_by_id[decision.order.upstream]
+            self._follow(tenure, upstream, decision)
+        self._forget_settled(planned)
+
+    def _managed_upstreams(
+        self, pools: Collection[types.PoolName]
+    ) -> list[model.Upstream]:
+        return [
+            upstream
+            for upstream in self._upstreams().values()
+            if upstream.domain == self._domain and upstream.pool in pools
+        ]
+
+    def _begin_reading(self, tenure: tenure_module.Tenure) -> "_Reading":
+        """Note what may make a state that is asked for now an old one."""
+        now = self._clock.monotonic()
+        unsettled = self._unsettled_until_by_id
+        return _Reading(
+            changing=frozenset(self._sending_by_id)
+            | {one for one, until in unsettled.items() if until > now},
+            predecessor_over=now >= tenure.first_order_at,
+        )
+
+    def _view(
+        self,
+        upstream: model.Upstream,
+        state: upstream_orders.StateResult,
+        reading: "_Reading",
+    ) -> plan_module.View | None:
+        """Return what is known of an upstream, None when nothing is."""
+        now = self._clock.monotonic()
+        current = isinstance(state, upstream_orders.UpstreamState)
+        if current:
+            self._seen_by_id[upstream.id] = _Seen(state=state, at=now)
+        seen = self._seen_by_id.setdefault(
+            upstream.id, _Seen(state=None, at=now)
+        )
+        if seen.state is None or self._is_forgotten(upstream):
+            return None
+        # The predecessor's last orders may still change an upstream that
+        # does not check, so its state is not the last word until then.
+        settled = upstream.checks_fencing or reading.predecessor_over
+        leaving = seen.state.leaving or self._is_leaving(upstream.id)
+        return plan_module.View(
+            upstream=upstream,
+            state=dataclasses.replace(seen.state, leaving=leaving),
+            current=current and settled,
+            changing=upstream.id in reading.changing,
+        )
+
+    def _is_forgotten(self, upstream: model.Upstream) -> bool:
+        """Return whether an upstream has been silent for too long."""
+        seen = self._seen_by_id[upstream.id]
+        return self._clock.monotonic() - seen.at > self._forget_seconds
+
+    def _follow(
+        self,
+        tenure: tenure_module.Tenure,
+        upstream: model.Upstream,
+        decision: plan_module.Decision,
+    ) -> None:
+        if decision.verdict is not plan_module.Verdict.SEND:
+            self._tell(tenure, decision)
+            return
+        if not self._may_send(tenure, upstream):
+            return
+        self._tell(tenure, decision)
+        self._budget.spend(decision.weight_bytes)
+        self._sending_by_id[upstream.id] = asyncio.create_task(
+            self._send(tenure, upstream, decision)
+        )
+
+    def _may_send(
+        self, tenure: tenure_module.Tenure, upstream: model.Upstream
+    ) -> bool:
+        """Return whether an order's first byte may be written now.
+
+        An upstream that does not check takes an order whenever it comes. So
+        it must have taken effect before the store lets the lease lapse, and
+        the predecessor's must have as well: its lease was over when this
+        tenure began, and its orders' timeout is waited out on top of that.
+        """
+        left = self._leadership.remaining_seconds(tenure)
+        if upstream.checks_fencing:
+            return left > 0
+        needed = self._order_timeout_seconds + self._margin_seconds
+        return (
+            left >= needed and self._clock.monotonic() >= tenure.first_order_at
+        )
+
+    async def _send(
+        self,
+        tenure: tenure_module.Tenure,
+        upstream: model.Upstream,
+        decision: plan_module.Decision,
+    ) -> None:
+        try:
+            result = await self._upstream_orders.send(
+                upstream,
+                decision.order,
+                fencing=tenure.fencing,
+                timeout_seconds=self._order_timeout_seconds,
+                may_send=lambda: self._may_send(tenure, upstream),
+            )
+        except Exception as error:
+            result = upstream_orders.OrderUnknown(detail=repr(error))
+        finally:
+            del self._sending_by_id[upstream.id]
+        if isinstance(
+            result,
+            upstream_orders.OrderUnknown | upstream_orders.RefusedOldFencing,
+        ):
+            # It may take effect until its timeout has passed; only a state
+            # that is read after that says what became of it. One refused is
+            # not sent again each round either.
+            self._unsettled_until_by_id[upstream.id] = (
+                self._clock.monotonic() + self._order_timeout_seconds
+            )
+        if isinstance(result, upstream_orders.NotSent):
+            self._budget.spend(-decision.weight_bytes)
+        self._told_by_id.pop(upstream.id, None)
+        logs.emit(
+            events.LogEvent.ORDER_ENDED,
+            fencing=tenure.fencing,
+            result=type(result).__name__,
+            detail=getattr(result, "detail", ""),
+            **_fields(decision.order),
+        )
+
+    def _tell(
+        self, tenure: tenure_module.Tenure, decision: plan_module.Decision
+    ) -> None:
+        """Write one line per decision, not one per round that repeats it."""
+        upstream = decision.order.upstream
+        if self._told_by_id.get(upstream) == decision:
+            return
+        self._told_by_id[upstream] = decision
+        logs.emit(
+            events.LogEvent.ORDER_DECIDED,
+            domain=self._domain,
+            fencing=tenure.fencing,
+            verdict=decision.verdict.value,
+            weight_bytes=decision.weight_bytes,
+            **_fields(decision.order),
+        )
+
+    def _forget_settled(self, planned: plan_module.Plan) -> None:
+        due = {one.order.upstream for one in planned.decisions}
+        for upstream in list(self._told_by_id):
+            if upstream not in due and upstream not in self._sending_by_id:
+                del self._told_by_id[upstream]
+        now = self._clock.monotonic()
+        for upstream, until in list(self._unsettled_until_by_id.items()):
+            if until <= now:
+                del self._unsettled_until_by_id[upstream]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Seen:
+    """An upstream's last state and the monotonic reading of its arrival.
+
+    Without a state, the reading is that of the first unanswered question.
+    """
+
+    state: upstream_orders.UpstreamState | None
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Reading:
+    """What was under way when a round asked for states."""
+
+    changing: frozenset[types.UpstreamId]
+    predecessor_over: bool
+
+
+def _fields(order: upstream_orders.Order) -> dict[str, str]:
+    return {
+        "upstream": order.upstream,
+        "kind": order.kind.value,
+        "model": order.model,
+        "version": order.version,
+        "role": order.role,
+    }
--- /dev/null
+++ b/packages/orders/tests/test_leadership.py
@@ -0,0 +1,182 @@
+"""The tenure of a failure domain under failures of the store."""
+
+import asyncio
+import random
+
+import pytest
+import pytest_asyncio
+
+from lagoonrun_core import types
+from lagoonrun_orders import leadership as leadership_module
+from lagoonrun_orders import tenure as tenure_module
+from lagoonrun_platform import store as store_module
+
+DOMAIN = types.FailureDomain("d")
+TTL_SECONDS = 30.0
+ORDER_SECONDS = 10.0
+MARGIN_SECONDS = 2.0
+
+
+class _Timers:
+    """Sleeps that end when the manual clock is moved past them."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._waiting = []
+
+    async def sleep(self, seconds):
+        due = self._clock.monotonic() + seconds
+        woken = asyncio.get_running_loop().create_future()
+        self._waiting.append((due, woken))
+        await woken
+
+    async def advance(self, seconds, *, step=0.5):
+        for _ in range(int(seconds / step)):
+            self._clock.advance(step)
+            now = self._clock.monotonic()
+            due = [one for one in self._waiting if one[0] <= now]
+            self._waiting = [one for one in self._waiting if one[0] > now]
+            for _, woken in due:
+                if not woken.done():
+                    woken.set_result(None)
+            await _settle()
+
+
+async def _settle():
+    for _ in range(30):
+        await asyncio.sleep(0)
+
+
+@pytest.fixture
+def timers(clock):
+    return _Timers(clock)
+
+
+@pytest_asyncio.fixture
+async def candidate(store, clock, timers):
+    """Return a function that starts one more candidate."""
+    made = []
+
+    async def start():
+        number = len(made) + 1
+        one = leadership_module.Leadership(
+            store=store,
+            domain=DOMAIN,
+            entry_vm=types.EntryVmId(f"vm-{number}"),
+            clock=clock,
+            random=random.Random(number),
+            order_timeout_seconds=ORDER_SECONDS,
+            ttl_seconds=TTL_SECONDS,
+            margin_seconds=MARGIN_SECONDS,
+            sleep=timers.sleep,
+        )
+        made.append(one)
+        await one.start()
+        await _settle()
+        return one
+
+    yield start
+    store.resume()
+    for one in made:
+        await one.close(clean=True)
+
+
+async def test_one_holds_and_keeps_it(candidate, timers):
+    first, second = await candidate(), await candidate()
+    tenure = first.tenure
+    await timers.advance(300.0)
+    assert first.tenure == tenure
+    assert second.tenure is None
+
+
+async def test_a_clean_end_is_taken_over_at_once(candidate, timers, clock):
+    """A rolling replacement leaves a domain without orders for half a minute.
+
+    The planned stop gives the key up, and its successor has nothing to wait
+    out, since the stopped one said that none of its orders is under way.
+    """
+    first, second = await candidate(), await candidate()
+    old = first.tenure
+    await first.close(clean=True)
+    await timers.advance(1.0)
+    assert second.tenure.fencing > old.fencing
+    assert second.tenure.first_order_at <= clock.monotonic()
+
+
+@pytest.mark.parametrize("crash", [True, False])
+async def test_other_ends_are_waited_out(
+    candidate, timers, store, clock, crash
+):
+    first, second = await candidate(), await candidate()
+    if crash:
+        first._task.cancel()
+        await timers.advance(TTL_SECONDS - 1.0)
+        assert second.tenure is None
+        await timers.advance(1.0)
+        await store.get("any")  # lets the fake see that the lease is over
+    else:
+        await first.close(clean=False)
+    await _settle()
+    await timers.advance(0.5)
+    wait = second.tenure.first_order_at - clock.monotonic()
+    assert wait == ORDER_SECONDS + MARGIN_SECONDS
+
+
+async def test_a_frozen_holder_knows_on_waking(candidate, timers, clock):
+    """Two entry VMs give orders, since one of them slept through its lease."""
+    first = await candidate()
+    tenure = first.tenure
+    clock.advance(TTL_SECONDS - MARGIN_SECONDS)
+    assert first.remaining_seconds(tenure) == 0.0
+    assert first.tenure is None
+
+
+async def test_an_outage_ends_the_tenure_before_the_lease(
+    candidate, timers, store, clock
+):
+    first = await candidate()
+    begun = clock.monotonic()
+    store.stop()
+    calls = sum(store.calls_by_kind.values())
+    while first.tenure is not None:
+        await timers.advance(0.5)
+    assert clock.monotonic() - begun <= TTL_SECONDS - MARGIN_SECONDS
+    await timers.advance(300.0)
+    assert sum(store.calls_by_kind.values()) - calls < 80
+    store.resume()
+    await timers.advance(20.0)
+    assert first.tenure is not None
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3, 4])
+async def test_a_lost_reply_does_not_leave_the_domain_without_orders(
+    candidate, timers, store, lost
+):
+    """The key is held, and its holder does not know that it is the one."""
+    store.lost_replies = lost
+    first = await candidate()
+    await timers.advance(15.0)
+    assert first.tenure is not None
+    found = (await store.get(tenure_module.holder_key(DOMAIN))).found
+    assert first.tenure.fencing == found.created
+
+
+async def test_a_deleted_key_ends_the_tenure(candidate, timers, store):
+    """An operator deletes the key by hand while its holder's lease lives."""
+    first, second = await candidate(), await candidate()
+    old = first.tenure
+    await store.transact(
+        comparisons=(), deletes=[tenure_module.holder_key(DOMAIN)]
+    )
+    await timers.advance(TTL_SECONDS)
+    held = [one.tenure for one in (first, second) if one.tenure is not None]
+    assert len(held) == 1
+    assert held[0].fencing > old.fencing
+
+
+async def test_a_lost_lease_ends_the_tenure(candidate, timers, store):
+    first = await candidate()
+    old = first.tenure
+    await store.revoke_lease(store_module.LeaseId(1))
+    await timers.advance(TTL_SECONDS / 2)
+    assert first.tenure.fencing > old.fencing
