Let callers explain their own requests; hide others' services whole

GET /lagoonrun/explain/ID on the caller address answers with the caller's own requests only, without queues, candidates and upstreams, which speak of others. Another's request gets the same answer as one that never was. The entry VM that is asked answers from its own ring; it does not ask others.

Fault found by reading: a path of a service that is declared for another organisation was refused with that service's name in the answer, and with another field than a path that nobody has. Both now get one answer, word for word. The check of "/private/page" expected the field of the leaking answer; it is replaced by one that compares both answers whole.

Resumes, cuts, ejections and returns of runners, and answers of another request are logged with the numbers that the catalogue kept for them.

/lagoonrun is reserved as a path prefix, as /v1 is.

--- a/packages/config/src/lagoonrun_config/checks.py
+++ b/packages/config/src/lagoonrun_config/checks.py
@@ -14,7 +14,7 @@
 MAXIMUM_FLOOR_SHARE = 0.5
 """Most of a pool's grants that the floors of its classes may take."""
 
-_RESERVED_PATH = "/v1"
+_RESERVED_PATHS = ("/v1", "/lagoonrun")
 
 
 def check_draft(draft: draft_module.Draft) -> tuple[faults.Fault, ...]:
@@ -127,15 +127,17 @@
             valid="absent where kind = 'plain'",
         )
     prefix = service.path_prefix
-    reserved = prefix == _RESERVED_PATH or prefix.startswith(
-        f"{_RESERVED_PATH}/"
+    reserved = any(
+        prefix == path or prefix.startswith(f"{path}/")
+        for path in _RESERVED_PATHS
     )
     well_formed = prefix.startswith("/") and len(prefix) > 1
     if reserved or not well_formed or prefix.endswith("/"):
         yield faults.Fault(
             key=f"{path}.path_prefix",
             value=faults.show(prefix),
-            valid=f"a path like '/portal', not under {_RESERVED_PATH!r} "
+            valid=f"a path like '/portal', not under "
+            f"{' or '.join(map(repr, _RESERVED_PATHS))} "
             "and without a final slash",
         )
 
--- a/packages/config/src/lagoonrun_config/model.py
+++ b/packages/config/src/lagoonrun_config/model.py
@@ -33,16 +33,23 @@
     ----------
     tier
         1 (highest) to 6 (lowest).
+    target_kind
+        Whether target and limit are on the first token or the whole answer.
     target_seconds
         Latency that attainment counts.
     limit_seconds
         Age after which the answer is worthless; at least the target.
+    idempotent
+        Whether a request may run more than once; if not, it is sent at most
+        once and never tried again after its first byte.
     floor_share
         Share of grants set aside for this class while it waits, 0 to 0.5.
     queue_capacity
         Most requests of this class that wait in one shard.
     retry_ratio
         Retries allowed per first attempt, 0 to 1; idempotent only.
+    maximum_attempts
+        Most attempts of one request, the first included.
     """
 
     name: types.ProfileName
@@ -80,6 +87,12 @@
 
     Parameters
     ----------
+    kind
+        `model` for chat completions, `plain` for pass-through by path.
+    pool
+        Pool whose upstreams answer it.
+    profile
+        Profile of its requests.
     models
         Values of the chat request's `model` field that mean this service.
     path_prefix
@@ -103,12 +116,20 @@
 
     Parameters
     ----------
+    id
+        Name, unique among all pools.
+    domain
+        Failure domain that it stands in.
     address
         IP number.
+    port
+        Port; the pool may give one for all its upstreams.
     slots
         Declared most requests at once; the starting point of its room.
     resumes
         Whether a cut stream can be resumed from a delivered offset.
+    cancels
+        Whether closing the connection stops the work.
     checks_fencing
         Whether it refuses an order that carries an old fencing number.
     draining
@@ -137,6 +158,14 @@
 
     Parameters
     ----------
+    pool, domain
+        Where.
+    model
+        Model, adapter or version to hold.
+    role
+        Role that the upstreams take, like `serve`.
+    count
+        How many upstreams; at most those of the pool in the domain.
     weight_bytes
         Size of the model's weights, for the weight store's rate limit.
     version
--- a/packages/config/src/lagoonrun_config/settings.py
+++ b/packages/config/src/lagoonrun_config/settings.py
@@ -51,6 +51,10 @@
 
     Parameters
     ----------
+    entry_vm
+        Name of this entry VM, unique among all.
+    domain
+        Failure domain that it stands in.
     caller
         Address for callers.
     admin
@@ -72,6 +76,8 @@
     readiness_grace_seconds
         How long a planned stop goes on taking requests after it has told
         the balancer, which notices with a lag.
+    explain_capacity
+        Most requests whose explanation is kept; the oldest goes first.
     experiment
         Deviations for measurements; none in service.
     """
--- a/packages/config/tests/test_declarations.py
+++ b/packages/config/tests/test_declarations.py
@@ -64,6 +64,11 @@
         ('"plain"', '"simple"', "services.page-lookups.kind"),
         ('"/portal/lookups"', '"portal"', "services.page-lookups.path_prefix"),
         ('"/portal/lookups"', '"/v1/x"', "services.page-lookups.path_prefix"),
+        (
+            '"/portal/lookups"',
+            '"/lagoonrun"',
+            "services.page-lookups.path_prefix",
+        ),
         ('["summariser"]', "[]", "services.volume-summaries.models"),
         (
             'organisations = ["house-a"]',
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -266,6 +266,7 @@
             self.metrics.leaving_upstreams,
             lambda: len(self.fleet.leaving_upstreams()),
         )
+        observe(self.metrics.ejected_upstreams, self.dispatcher.ejected_count)
         observe(
             self.metrics.owned_shards,
             lambda: len(self.dispatcher.owned_shards),
--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -41,6 +41,7 @@
     # Ingresses with a request in this shard's queue, to be told of a release.
     waiting_by_key: dict[policy_messages.PermitKey, types.EntryVmId]
     leaving: frozenset[types.UpstreamId]
+    ejected: frozenset[types.UpstreamId] = frozenset()
 
 
 class Dispatcher:
@@ -96,6 +97,13 @@
         owned = self._owned_by_id.get(shard)
         return owned.scheduler if owned else None
 
+    def ejected_count(self) -> int:
+        """Return how many runners of the owned shards are ejected."""
+        return sum(
+            len(owned.scheduler.ejected_runners())
+            for owned in self._owned_by_id.values()
+        )
+
     def summaries(self) -> Sequence[policy_shards.ShardView]:
         """Return what other domains need to know of the owned shards."""
         now = self._clock.monotonic()
@@ -260,6 +268,25 @@
                 tokens=message.tokens,
             ),
         )
+        self._log_ejections(self._owned_by_id[message.shard])
+
+    def _log_ejections(self, owned: _OwnedShard) -> None:
+        """Tell which runners failed out of service, or came back."""
+        ejected = owned.scheduler.ejected_runners()
+        for upstream in sorted(ejected - owned.ejected):
+            logs.emit(
+                events.LogEvent.UPSTREAM_EJECTED,
+                level=logging.WARNING,
+                upstream=upstream,
+                shard=owned.shard.id,
+            )
+        for upstream in sorted(owned.ejected - ejected):
+            logs.emit(
+                events.LogEvent.UPSTREAM_RESTORED,
+                upstream=upstream,
+                shard=owned.shard.id,
+            )
+        owned.ejected = ejected
 
     def _on_digest(
         self, sender: types.EntryVmId, message: messages.WorkDigest
@@ -383,6 +410,13 @@
                     retry_after_seconds=action.retry_after_seconds,
                 )
             case policy_messages.Cut():
+                logs.emit(
+                    events.LogEvent.REQUEST_CUT,
+                    request_id=key.request_id,
+                    attempt_id=key.attempt_id,
+                    shard=owned.shard.id,
+                    reason=action.reason.value,
+                )
                 answer = messages.CutWork(
                     request_id=key.request_id,
                     attempt_id=key.attempt_id,
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import logging
 from collections.abc import Sequence
 
 from lagoonrun_claims import claims
@@ -371,19 +372,21 @@
     async def _after_loss(self, lost: attempt.Lost) -> outcomes.Ending | None:
         """Try again where that is harmless, else tell the caller."""
         self._note("lost", f"{lost.upstream}: {lost.detail}")
+        if lost.reason is outcomes.Reason.UPSTREAM_MISMATCH:
+            logs.emit(
+                events.LogEvent.UPSTREAM_MISMATCH,
+                level=logging.ERROR,
+                request_id=self._call.request_id,
+                upstream=lost.upstream,
+                detail=lost.detail,
+            )
         if lost.ran is not outcomes.Outcome.NOT_RUN:
             self._ran = lost.ran
         if self._call.exchange.started:
             self._exclude_upstreams_without_resume()
         if await self._may_try_again(lost):
             self._excluded = (*self._excluded, lost.upstream)
-            self._count_another_try()
-            logs.emit(
-                events.LogEvent.REQUEST_RETRIED,
-                request_id=self._call.request_id,
-                upstream=lost.upstream,
-                reason=lost.reason.value,
-            )
+            self._count_another_try(lost)
             return None
         ending = outcomes.Ending(
             outcome=self._ran,
@@ -471,11 +474,20 @@
             head=head, body=call.body, request_id=call.request_id
         )
 
-    def _count_another_try(self) -> None:
+    def _count_another_try(self, lost: attempt.Lost) -> None:
         counted = self._services.metrics.retries
+        event = events.LogEvent.REQUEST_RETRIED
         if self._call.exchange.started:
             counted = self._services.metrics.resumes
+            event = events.LogEvent.REQUEST_RESUMED
         counted.labels(self._call.resolved.profile.name).inc()
+        logs.emit(
+            event,
+            request_id=self._call.request_id,
+            upstream=lost.upstream,
+            reason=lost.reason.value,
+            delivered_events=self._relay.delivered_events,
+        )
 
     def _note(self, what: str, detail: str = "") -> None:
         now = self._services.clock.monotonic()
--- a/packages/daemon/src/lagoonrun_daemon/ingress.py
+++ b/packages/daemon/src/lagoonrun_daemon/ingress.py
@@ -10,6 +10,7 @@
     answers,
     execution,
     metrics,
+    own_explanations,
     resolution,
 )
 from lagoonrun_daemon import call as calls
@@ -46,6 +47,9 @@
         self._services = services
         self._metrics = metrics
         self._resolver: resolution.Resolver | None = None
+        self._explanations = own_explanations.OwnExplanations(
+            ring=services.explanations
+        )
 
     def set_configuration(self, configuration: model.Configuration) -> None:
         """Resolve the following requests by a new revision."""
@@ -85,6 +89,9 @@
         if isinstance(organisation, resolution.Rejection):
             await self._reject(exchange, request_id, organisation)
             return None
+        if self._explanations.is_asked(exchange.head.target):
+            await self._explanations.answer(exchange, organisation.id)
+            return None
         key = headers.get(calls.IDEMPOTENCY_KEY_HEADER)
         if key is not None and not calls.is_valid_key(key):
             await self._reject(exchange, request_id, _BAD_KEY)
--- a/packages/daemon/src/lagoonrun_daemon/metrics.py
+++ b/packages/daemon/src/lagoonrun_daemon/metrics.py
@@ -155,6 +155,11 @@
             "lagoonrun_upstreams_leaving",
             "Upstreams that get no new work.",
         )
+        self.ejected_upstreams = self._gauge(
+            "lagoonrun_upstreams_ejected",
+            "Upstreams of the shards dispatched here that failed out of "
+            "service.",
+        )
         self.owned_shards = self._gauge(
             "lagoonrun_shards_dispatched", "Shards that are dispatched here."
         )
--- a/packages/daemon/src/lagoonrun_daemon/resolution.py
+++ b/packages/daemon/src/lagoonrun_daemon/resolution.py
@@ -133,12 +133,14 @@
             return self._resolve_chat(organisation, body)
         for service in self._plain_services:
             if _is_below(path, service.path_prefix):
+                if not _may_use(organisation, service):
+                    break
                 return self._admit(organisation, service, streamed=False)
         return Rejection(
             status=404,
             step=errors.Step.RESOLVE_SERVICE,
             field="path",
-            message=f"no service is reached under {path!r}",
+            message=f"no service of yours is reached under {path!r}",
             valid=f"{CHAT_PATH} or the path of a plain service",
         )
 
@@ -160,7 +162,7 @@
         if not isinstance(streamed, bool):
             return _bad_body("stream", "no boolean", "true or false")
         service = self._services_by_model.get(name)
-        if service is None:
+        if service is None or not _may_use(organisation, service):
             return _unknown_service(name)
         return self._admit(
             organisation,
@@ -178,12 +180,7 @@
         streamed: bool,
         prefix_hash: types.PrefixHash = types.PrefixHash(0),
         model: str = "",
-    ) -> Resolved | Rejection:
-        allowed = service.organisations
-        if allowed and organisation.id not in allowed:
-            # The same answer as for a service that does not exist: one
-            # organisation does not learn of another's services.
-            return _unknown_service(service.name)
+    ) -> Resolved:
         placed = (service.pool, model) in self._placed_models
         return Resolved(
             organisation=organisation.id,
@@ -202,6 +199,16 @@
     return any(matches)
 
 
+def _may_use(organisation: model.Organisation, service: model.Service) -> bool:
+    """Return whether the service is declared for the organisation.
+
+    If not, the answer is that of a service that does not exist, word for
+    word: one organisation does not learn of another's services or their
+    names.
+    """
+    return not service.organisations or organisation.id in service.organisations
+
+
 def _has_dot_segment(path: str) -> bool:
     plain = path.lower().replace("%2e", ".").replace("%2f", "/")
     segments = plain.replace("\\", "/").split("/")
--- a/packages/daemon/tests/test_daemon.py
+++ b/packages/daemon/tests/test_daemon.py
@@ -46,7 +46,7 @@
     [
         ("/elsewhere", b"", 404, "path"),
         ("/lookups/%2e%2e/admin", b"", 400, "path"),
-        ("/private/page", b"", 404, "model"),
+        ("/private/page", b"", 404, "path"),
         ("/v1/chat/completions", b"{", 400, "body"),
         ("/v1/chat/completions", b"[]", 400, "body"),
         ("/v1/chat/completions", chat(model="other"), 404, "model"),
@@ -103,3 +103,42 @@
     assert (await small_deployment.ask_admin("/nothing")).status == 404
     status = await small_deployment.ask_admin("/status")
     assert status.json()["revision"] == 1
+
+
+async def test_services_of_others_look_like_none(small_deployment):
+    """One house guesses the path of another's services.
+
+    A different answer than for what does not exist, or the service's name in
+    it, would tell the house what its rival runs.
+    """
+    private = await small_deployment.ask("/private/page")
+    absent = await small_deployment.ask("/absent/page")
+    assert private.body.replace(b"private", b"absent") == absent.body
+    answer = await small_deployment.ask("/private/page", organisation="rival")
+    assert answer.status == 200
+
+
+async def test_caller_explains_only_its_own_requests(small_deployment):
+    """A rival asks why another house's request was routed.
+
+    It must get the answer of an id that never was; the house itself gets
+    the decision without queues, candidates and upstreams.
+    """
+    answer = await small_deployment.ask("/lookups/page/7", method="GET")
+    request_id = answer.head.headers["lagoonrun-request-id"]
+    path = f"/lagoonrun/explain/{request_id}"
+    own = await small_deployment.ask(path, method="GET")
+    assert own.status == 200
+    assert own.json()["ending"]["outcome"] == "complete"
+    assert own.json()["decisions"][0]["verdict"] == "grant"
+    assert b"portal-1" not in own.body
+    rival = await small_deployment.ask(path, method="GET", organisation="rival")
+    absent = await small_deployment.ask(
+        "/lagoonrun/explain/absent", method="GET", organisation="rival"
+    )
+    assert (rival.status, absent.status) == (404, 404)
+    assert rival.body.replace(request_id.encode(), b"absent") == absent.body
+    stranger = await small_deployment.ask(
+        path, method="GET", organisation="nobody"
+    )
+    assert stranger.status == 401
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -117,6 +117,10 @@
         """Return what other failure domains need to know of the shard."""
         return summaries.summarise(self._shard, now=now)
 
+    def ejected_runners(self) -> frozenset[types.UpstreamId]:
+        """Return the runners that failed out of service."""
+        return frozenset(r.id for r in self._shard.pool if r.health.ejected)
+
     def status(self, *, now: float) -> shard_status.ShardStatus:
         """Return what operators are shown of the shard."""
         return shard_status.describe(self._shard, now=now)
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/value_rules.py
@@ -0,0 +1,95 @@
+"""Asks the readers of TOML files what is valid for each key.
+
+Each key is given values that no key takes; the faults that the reader notes
+then say what would be valid. So the reference pages cannot say anything else
+than what the code accepts.
+"""
+
+import pathlib
+import tempfile
+from collections.abc import Callable, Mapping, Sequence
+
+import tomlkit
+
+from lagoonrun_config import declarations, faults, settings_file
+
+Probe = Callable[[Mapping[str, object]], Sequence[faults.Fault]]
+
+_WRONG_TYPE = {"not": "a value"}
+_WRONG_TEXT = "!"
+_ANY_TEXT = "a string"
+_ANY_TEXTS = "a list of strings"
+
+
+def rules_by_key(keys: Sequence[str], probe: Probe) -> dict[str, str]:
+    """Return what is valid for each key, by the faults of `probe`."""
+    found = _ask(keys, probe, dict.fromkeys(keys, _WRONG_TYPE))
+    # Texts have further rules, which only a text can break.
+    texts: dict[str, object] = {
+        key: _WRONG_TEXT for key, rule in found.items() if rule == _ANY_TEXT
+    }
+    lists: dict[str, object] = {
+        key: [_WRONG_TEXT] for key, rule in found.items() if rule == _ANY_TEXTS
+    }
+    rest = {key: _WRONG_TYPE for key in keys if key not in {*texts, *lists}}
+    further = _ask((*texts, *lists), probe, rest | texts | lists)
+    for key in further.keys() & lists.keys():
+        further[key] = f"a list, each {further[key]}"
+    return {**found, **further}
+
+
+def probe_settings(table: Mapping[str, object]) -> Sequence[faults.Fault]:
+    """Return the faults of a settings file that holds `table`."""
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "settings.toml"
+        path.write_text(tomlkit.dumps(table), encoding="utf-8")
+        try:
+            settings_file.load_settings(path)
+        except settings_file.SettingsError as error:
+            return error.faults
+    return ()
+
+
+def probe_named(section: str) -> Probe:
+    """Return the probe of an entry like `[profiles.NAME]`."""
+    return lambda table: _probe({section: {"x": dict(table)}})
+
+
+def probe_service(table: Mapping[str, object]) -> Sequence[faults.Fault]:
+    """Return the faults of a service that holds `table`.
+
+    Some keys are valid for a plain service only and have further rules there.
+    """
+    given, plain = dict(table), {**table, "kind": "plain"}
+    return [
+        *_probe({"services": {"x": given}}),
+        *_probe({"services": {"x": plain}}),
+    ]
+
+
+def probe_upstream(table: Mapping[str, object]) -> Sequence[faults.Fault]:
+    """Return the faults of one upstream that holds `table`."""
+    return _probe({"pools": {"x": {"upstreams": [dict(table)]}}})
+
+
+def probe_placement(table: Mapping[str, object]) -> Sequence[faults.Fault]:
+    """Return the faults of one placement that holds `table`."""
+    return _probe({"placements": [dict(table)]})
+
+
+def _probe(document: dict[str, object]) -> Sequence[faults.Fault]:
+    text = tomlkit.dumps(document)
+    file = declarations.DeclarationFile(name="probe", text=text)
+    result = declarations.parse_declarations([file])
+    return result.faults if isinstance(result, declarations.Faulty) else ()
+
+
+def _ask(
+    keys: Sequence[str], probe: Probe, table: Mapping[str, object]
+) -> dict[str, str]:
+    found: dict[str, str] = {}
+    for fault in probe(table):
+        key = fault.key.rsplit(".", 1)[-1]
+        if key in keys and not fault.valid.startswith("absent"):
+            found.setdefault(key, fault.valid)
+    return found
