Send leaving upstreams no work after a quiet time; let restarted ones back

Four faults, found by tests on real processes, with their causes: - An upstream that came back got no work until its shard was handed over: the dispatcher passed a new policy on, which says nothing of liveness.

Stand-ins tell process_start_time_seconds, which is how a restarted upstream is known.

--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -244,6 +244,7 @@
             vms=self.store,
             members=self.members,
             watchers=self,
+            clock=self._clock,
             chance=self._random,
         )
 
@@ -417,7 +418,7 @@
         """Take in that an upstream is leaving, or has come back."""
         if leaving:
             logs.emit(events.LogEvent.UPSTREAM_LEAVING, upstream=upstream)
-        self.dispatcher.on_upstreams_changed()
+        self.dispatcher.on_upstream_changed(upstream, leaving=leaving)
         self._forget_connections(upstream)
 
     def on_configuration_announced(
@@ -441,12 +442,20 @@
     # What the load reader asks and tells.
 
     def _dispatched_upstreams(self) -> Sequence[model.Upstream]:
+        """Return the upstreams whose reports are read here.
+
+        Also those of shards that nobody has asked for yet: the first request
+        after a quiet time must not be granted an upstream that has said
+        meanwhile that it is leaving.
+        """
         if self._naive_permits is not None:
             return self._naive_permits.upstreams()
+        owned = self.dispatcher.owned_shards
         return [
             upstream
-            for shard_id in self.dispatcher.owned_shards
-            if (shard := self.fleet.shards_by_id.get(shard_id))
+            for shard in self.fleet.shards_by_id.values()
+            if shard.id in owned
+            or self.fleet.owner_of(shard.id) == self._settings.entry_vm
             for upstream in shard.upstreams
         ]
 
--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -125,10 +125,23 @@
                 self._owned_by_id[shard_id].shard = self._shards_by_id[shard_id]
                 self._refresh_policy(shard_id)
 
-    def on_upstreams_changed(self) -> None:
-        """Pass changed upstream states on to the schedulers."""
-        for shard_id in list(self._owned_by_id):
-            self._refresh_policy(shard_id)
+    def on_upstream_changed(
+        self, upstream: types.UpstreamId, *, leaving: bool
+    ) -> None:
+        """Pass an upstream's state on to the scheduler of its shard.
+
+        A new policy would not do: it says nothing of liveness, so that an
+        upstream that has come back would get no work until a handover.
+        """
+        state = (
+            policy_messages.UpstreamState.LEAVING
+            if leaving
+            else policy_messages.UpstreamState.LIVE
+        )
+        event = policy_messages.UpstreamChanged(upstream=upstream, state=state)
+        for shard_id, owned in list(self._owned_by_id.items()):
+            if any(known.id == upstream for known in owned.shard.upstreams):
+                self._handle(shard_id, event)
 
     def on_ranking_changed(self) -> None:
         """Release shards that another entry VM is ranked first for."""
--- a/packages/daemon/src/lagoonrun_daemon/loads.py
+++ b/packages/daemon/src/lagoonrun_daemon/loads.py
@@ -55,6 +55,7 @@
         self._on_report = on_report
         self._on_leaving = on_leaving
         self._task: asyncio.Task[None] | None = None
+        self._reads_by_id: dict[types.UpstreamId, asyncio.Task[None]] = {}
 
     async def start(self) -> None:
         """Begin to read reports."""
@@ -62,18 +63,34 @@
 
     async def close(self) -> None:
         """Stop reading."""
+        tasks = list(self._reads_by_id.values())
         if self._task:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            tasks.append(self._task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _read_forever(self) -> None:
         while True:
-            reads = [self._read(upstream) for upstream in self._upstreams()]
-            await asyncio.gather(*reads)
+            for upstream in self._upstreams():
+                self._begin_read(upstream)
             await asyncio.sleep(REPORT_PERIOD_SECONDS)
 
+    def _begin_read(self, upstream: model.Upstream) -> None:
+        """Read a report, unless the last reading still waits.
+
+        No reading waits for another's: a frozen upstream would hold back
+        the word of the others that they are leaving, by its whole timeout.
+        """
+        if upstream.id in self._reads_by_id:
+            return
+        task = asyncio.create_task(self._read(upstream))
+        self._reads_by_id[upstream.id] = task
+        task.add_done_callback(
+            lambda _: self._reads_by_id.pop(upstream.id, None)
+        )
+
     async def _read(self, upstream: model.Upstream) -> None:
-        # A frozen upstream must not keep the others' reports back.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_REPORT_TIMEOUT_SECONDS):
                 text = await self._fetch(upstream)
--- a/packages/daemon/src/lagoonrun_daemon/vm_watch.py
+++ b/packages/daemon/src/lagoonrun_daemon/vm_watch.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 from typing import Protocol
 
 from lagoonrun_config import following
+from lagoonrun_core import clock as clocks
 from lagoonrun_core import types
 from lagoonrun_platform import store as store_module
 from lagoonrun_platform import vm_list
@@ -13,7 +15,6 @@
 _PERIOD_SECONDS = 1.0
 _LONGEST_PERIOD_SECONDS = 30.0
 _JITTER = 0.2
-_UNSTARTED = types.Incarnation(0)
 
 
 class VmListener(Protocol):
@@ -46,6 +47,8 @@
         Takes in what the list says.
     watchers
         Says whether this entry VM reads the list.
+    clock
+        Dates what the list says.
     chance
         Source of jitter.
     """
@@ -56,12 +59,17 @@
         vms: vm_list.VmList,
         members: VmListener,
         watchers: following.WatcherChoice,
+        clock: clocks.Clock,
         chance: random.Random,
     ) -> None:
         self._vms = vms
         self._members = members
         self._watchers = watchers
+        self._clock = clock
         self._random = chance
+        self._leaving_since_by_id: dict[
+            types.UpstreamId, types.Incarnation
+        ] = {}
         self._failures = 0
         self._task: asyncio.Task[None] | None = None
 
@@ -104,9 +112,27 @@
                 if vm.role is vm_list.VmRole.ENTRY
             ]
         )
-        for vm in listing.vms_by_id.values():
-            leaving = vm.state is vm_list.VmState.LEAVING
-            if vm.role is vm_list.VmRole.UPSTREAM and leaving:
-                self._members.report_upstream(
-                    types.UpstreamId(vm.id), _UNSTARTED, True
-                )
+        self._report_leaving(
+            [
+                types.UpstreamId(vm.id)
+                for vm in listing.vms_by_id.values()
+                if vm.role is vm_list.VmRole.UPSTREAM
+                and vm.state is vm_list.VmState.LEAVING
+            ]
+        )
+
+    def _report_leaving(self, leaving: Sequence[types.UpstreamId]) -> None:
+        """Report upstreams under the time when they were first listed.
+
+        An upstream's own incarnation is the time when its process started.
+        So the list's word holds against the report of the process that is
+        to leave, which may not know of it, and ends with a process that
+        started later, although the list lags and still shows the old one.
+        """
+        now = types.Incarnation(int(self._clock.wall() * 1000))
+        self._leaving_since_by_id = {
+            upstream: self._leaving_since_by_id.get(upstream, now)
+            for upstream in leaving
+        }
+        for upstream, since in self._leaving_since_by_id.items():
+            self._members.report_upstream(upstream, since, True)
--- a/packages/standins/src/lagoonrun_standins/load_report.py
+++ b/packages/standins/src/lagoonrun_standins/load_report.py
@@ -43,6 +43,7 @@
     ) -> None:
         self.lag_seconds = lag_seconds
         self._clock = clock
+        self._started_wall = clock.wall()
         self._samples: collections.deque[tuple[float, Load]] = (
             collections.deque(maxlen=_KEPT_SAMPLES)
         )
@@ -69,6 +70,7 @@
             "engine_requests_waiting": load.waiting,
             "engine_kv_cache_usage_ratio": load.kv_usage_ratio,
             "engine_leaving": int(load.leaving),
+            "process_start_time_seconds": self._started_wall,
         }
         for name, value in values.items():
             gauge = prometheus_client.Gauge(name, name, registry=registry)
