--- a/packages/standins/src/lagoonrun_standins/deployment.py
+++ b/packages/standins/src/lagoonrun_standins/deployment.py
@@ -56,6 +56,8 @@
         Further flags of single engines.
     start_engine
         Starts something else in place of a model engine.
+    experiment
+        Deviations of the entry VMs from the order of service.
     """
 
     def __init__(
@@ -68,7 +70,9 @@
         engine_flags_by_id: Mapping[types.UpstreamId, EngineFlags]
         | None = None,
         start_engine: EngineStart | None = None,
+        experiment: settings.Experiment | None = None,
     ) -> None:
+        self._experiment = experiment or settings.Experiment()
         self.fleet = fleet
         self.declared = declared
         self._entry_vms = tuple(entry_vms)
@@ -116,6 +120,7 @@
             ),
             inner_key=self._inner_key,
             readiness_grace_seconds=0.2,
+            experiment=self._experiment,
         )
         return await self.fleet.start_daemon(configured)
 
--- a/packages/standins/src/lagoonrun_standins/engine.py
+++ b/packages/standins/src/lagoonrun_standins/engine.py
@@ -243,6 +243,8 @@
             await self._chat.answer(request, exchange)
         elif route == ("POST", "/orders"):
             await self._obey(request, exchange)
+        elif route == ("GET", "/metrics") and self.faults.omits_metrics:
+            upstream_protocol.refuse(request, exchange, 503, "no report")
         elif route == ("GET", "/metrics"):
             plain = ("Content-Type", "text/plain; version=0.0.4")
             text = self._report.text()
--- a/packages/standins/src/lagoonrun_standins/engine_faults.py
+++ b/packages/standins/src/lagoonrun_standins/engine_faults.py
@@ -23,6 +23,8 @@
         New requests are refused with 503 and `X-Not-Run` while leaving.
     metrics_lag_seconds
         Age of what `/metrics` serves.
+    omits_metrics
+        `/metrics` answers 503.
     cross_answers
         Number of coming pairs of requests that get each other's answer.
     duplicate_answers
@@ -42,6 +44,7 @@
     leaving: bool = False
     refuses_when_leaving: bool = False
     metrics_lag_seconds: float = 0.0
+    omits_metrics: bool = False
     cross_answers: int = 0
     duplicate_answers: int = 0
     late_answers: int = 0
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/policy_figures.py
@@ -0,0 +1,149 @@
+"""Figures of one policy's run, and their ratios to another's."""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+from lagoonrun_standins import load_summary
+
+_SMALL = 1e-9
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Figures:
+    """What one run gave.
+
+    Parameters
+    ----------
+    produced_tokens
+        Tokens that all engines produced.
+    cut_tokens
+        Tokens of requests that were cancelled, or lost in a crash.
+    engine_runs
+        Requests that were run by all engines, resumed ones counted again.
+    repeated_keys
+        Idempotency keys that engines ran more than once; must be 0.
+    """
+
+    policy: str
+    summary: load_summary.Summary
+    produced_tokens: int
+    cut_tokens: int
+    engine_runs: int
+    repeated_keys: int
+    entry_vm_processor_seconds: float
+
+    @property
+    def wasted_share(self) -> float:
+        """Share of produced tokens that reached nobody within the limit."""
+        wasted = self.produced_tokens - self.summary.delivered_tokens
+        return max(0, wasted) / max(1, self.produced_tokens)
+
+    @property
+    def cut_share(self) -> float:
+        """Share of produced tokens that were cut or lost in a crash."""
+        return self.cut_tokens / max(1, self.produced_tokens)
+
+    def brief(self) -> str:
+        """Return the main figures on one line."""
+        attained = ", ".join(
+            f"{name} {found.attainment:.3f}"
+            for name, found in self.summary.classes_by_name.items()
+        )
+        return (
+            f"{self.policy}: {attained}; goodput {self.summary.goodput:.0f},"
+            f" wasted {self.wasted_share:.3f}, cut {self.cut_share:.3f},"
+            f" mismatched {self.summary.mismatched},"
+            f" lag p99 {self.summary.send_lag.p99:.3f}"
+        )
+
+    def to_json(self) -> dict[str, object]:
+        """Return all figures as JSON values."""
+        return {
+            "policy": self.policy,
+            "goodput_tokens_per_second": round(self.summary.goodput, 1),
+            "wasted_share": round(self.wasted_share, 4),
+            "cut_share": round(self.cut_share, 4),
+            "produced_tokens": self.produced_tokens,
+            "delivered_tokens": self.summary.delivered_tokens,
+            "engine_runs": self.engine_runs,
+            "mismatched": self.summary.mismatched,
+            "repeated_keys": self.repeated_keys,
+            "entry_vm_processor_seconds": round(
+                self.entry_vm_processor_seconds, 2
+            ),
+            "load_generator_lag": _quantiles(self.summary.send_lag),
+            "classes": {
+                name: _class_to_json(found)
+                for name, found in self.summary.classes_by_name.items()
+            },
+        }
+
+
+def figures_of(
+    summary: load_summary.Summary,
+    *,
+    policy: str,
+    counters: Sequence[Mapping[str, int]],
+    runs_by_key: Mapping[str, int],
+    entry_vm_processor_seconds: float,
+) -> Figures:
+    """Return the figures of a run from its summary and engines' counters."""
+    total = {
+        name: sum(engine[name] for engine in counters)
+        for name in ("tokens_produced", "tokens_wasted", "tokens_crashed")
+    }
+    return Figures(
+        policy=policy,
+        summary=summary,
+        produced_tokens=total["tokens_produced"],
+        cut_tokens=total["tokens_wasted"] + total["tokens_crashed"],
+        engine_runs=sum(engine["runs"] for engine in counters),
+        repeated_keys=sum(count > 1 for count in runs_by_key.values()),
+        entry_vm_processor_seconds=entry_vm_processor_seconds,
+    )
+
+
+def ratios(base: Figures, other: Figures) -> dict[str, object]:
+    """Return the figures of `other` in relation to those of `base`.
+
+    Misses are shares of a class's requests that did not meet the target;
+    their ratio is how many times fewer `other` has, at least one request
+    being counted so that it stays finite.
+    """
+    misses = {}
+    for name, found in base.summary.classes_by_name.items():
+        compared = other.summary.classes_by_name[name]
+        least = 1.0 / max(1, compared.offered)
+        left = max(1.0 - compared.attainment, least)
+        misses[name] = round((1.0 - found.attainment) / left, 2)
+    return {
+        "policy": other.policy,
+        "against": base.policy,
+        "fewer_misses_times": misses,
+        "goodput": round(
+            other.summary.goodput / max(base.summary.goodput, _SMALL), 3
+        ),
+        "wasted_share": [
+            round(base.wasted_share, 4),
+            round(other.wasted_share, 4),
+        ],
+    }
+
+
+def _class_to_json(found: load_summary.ClassSummary) -> dict[str, object]:
+    return {
+        "offered": found.offered,
+        "complete": found.complete,
+        "attainment": round(found.attainment, 4),
+        "first_token": _quantiles(found.first_token),
+        "total": _quantiles(found.total),
+        "kinds": dict(found.count_by_kind),
+        "refusals": dict(found.refusals_by_reason),
+    }
+
+
+def _quantiles(found: load_summary.Quantiles) -> dict[str, float]:
+    return {
+        name: round(value, 4)
+        for name, value in dataclasses.asdict(found).items()
+    }
