--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 	$(BIN)/ruff format packages
 	$(BIN)/ruff check --fix packages
 
+docs: install
+	$(BIN)/python -m lagoonrun_standins.reference_pages
+
 bench-path: install
 	$(BIN)/python -m lagoonrun_standins.bench_path
 
--- a/packages/standins/src/lagoonrun_standins/reference_pages.py
+++ b/packages/standins/src/lagoonrun_standins/reference_pages.py
@@ -1,5 +1,7 @@
 """`make docs`: writes the pages under docs/reference from the code.
 
+The catalogue of log events gets its column of fields besides.
+
 The pages follow the checked types, the readers of the TOML files, the
 registry of subcommands and the registry of metrics; a test compares what is
 committed with what this module writes.
@@ -15,7 +17,7 @@
 from lagoonrun_cli import command, command_line, exit_codes, registry
 from lagoonrun_config import model, settings
 from lagoonrun_daemon import metrics
-from lagoonrun_standins import value_rules
+from lagoonrun_standins import log_fields, value_rules
 
 _DIRECTORY = pathlib.Path("docs/reference")
 _NOTE = "<!-- Written by `make docs` from the code; edit the code instead. -->"
@@ -92,7 +94,7 @@
         heading="Keys",
         words="",
         kind=settings.Settings,
-        without=(),
+        without=("experiment",),
         probe=value_rules.probe_settings,
     )
     lines = [
@@ -108,6 +110,9 @@
         "",
         *_key_table(section),
         "",
+        "A table `[experiment]` changes the order of service for",
+        "measurements; it has no place in service.",
+        "",
         "`examples/` holds a whole file for each of the two deployments.",
         "The operators' own settings are on the page of the",
         "[command line](command-line.md).",
@@ -279,6 +284,10 @@
     for name, text in pages_by_name().items():
         (_DIRECTORY / name).write_text(text, encoding="utf-8")
         sys.stdout.write(f"{_DIRECTORY / name}\n")
+    root = pathlib.Path()
+    text = log_fields.updated_catalogue(root)
+    (root / log_fields.CATALOGUE).write_text(text, encoding="utf-8")
+    sys.stdout.write(f"{log_fields.CATALOGUE}\n")
 
 
 if __name__ == "__main__":
