Tell a non-idempotent call's caller at its limit, and let the call run on

Cause: such a call is never stopped by its limit, so its caller waited for as long as the upstream hung, against the rule that a request given up on gets its final answer at once. What: at the limit the caller is told unknown (504); the work runs on, reports its end to the dispatcher and records it in the claim; a planned stop waits for it. Ways weighed: holding the caller until the upstream answers (refused by the standing request); cancelling at the limit (the effect may have happened, and the claim would never say).

--- a/packages/daemon/src/lagoonrun_daemon/answers.py
+++ b/packages/daemon/src/lagoonrun_daemon/answers.py
@@ -5,6 +5,7 @@
 from lagoonrun_core import errors, outcomes, types
 from lagoonrun_daemon import resolution
 from lagoonrun_http import errors as http_errors
+from lagoonrun_http import hop_by_hop
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import server as http_server
 
@@ -75,6 +76,21 @@
     await exchange.respond(status=status, headers=headers, body=body)
 
 
+async def pass_on(
+    exchange: http_server.Exchange,
+    *,
+    request_id: types.RequestId,
+    ending: outcomes.Ending,
+    head: http_messages.ResponseHead,
+    body: bytes,
+) -> None:
+    """Answer with an upstream's whole answer, tagged with its outcome."""
+    headers = hop_by_hop.strip(head.headers)
+    for name, value in ending_headers(request_id, ending):
+        headers = headers.with_added(name, value)
+    await exchange.respond(status=head.status, headers=headers, body=body)
+
+
 async def reject(
     exchange: http_server.Exchange,
     *,
--- a/packages/daemon/src/lagoonrun_daemon/attempt.py
+++ b/packages/daemon/src/lagoonrun_daemon/attempt.py
@@ -11,6 +11,8 @@
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
 
+_FIRST_SERVER_ERROR = 500
+
 NOT_RUN_HEADER = "X-Not-Run"
 """Set to `true` by an upstream that says it did not run the request."""
 
@@ -75,6 +77,35 @@
     )
 
 
+def not_run_by(
+    head: http_messages.ResponseHead, *, upstream: types.UpstreamId
+) -> Lost:
+    """Return the loss of a request that the upstream did not run."""
+    return Lost(
+        ran=outcomes.Outcome.NOT_RUN,
+        reason=outcomes.Reason.UPSTREAM_REFUSED,
+        detail=f"the upstream answered {head.status}: not run",
+        upstream=upstream,
+    )
+
+
+def failed_by(
+    head: http_messages.ResponseHead, *, upstream: types.UpstreamId
+) -> Lost:
+    """Return the loss of a request that the upstream failed to answer."""
+    return Lost(
+        ran=outcomes.Outcome.FAILED,
+        reason=outcomes.Reason.UPSTREAM_REFUSED,
+        detail=f"the upstream answered {head.status}",
+        upstream=upstream,
+    )
+
+
+def says_failed(head: http_messages.ResponseHead) -> bool:
+    """Return whether the upstream says that it failed."""
+    return head.status >= _FIRST_SERVER_ERROR
+
+
 def says_not_run(head: http_messages.ResponseHead) -> bool:
     """Return whether the upstream says by protocol that it ran nothing."""
     return head.headers.get(NOT_RUN_HEADER, "").lower() == "true"
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -12,8 +12,8 @@
 from lagoonrun_core import events, logs, types
 from lagoonrun_daemon import (
     admin,
+    background,
     dispatcher,
-    execution,
     experiment,
     explanations,
     fleet,
@@ -22,7 +22,6 @@
     message_router,
     metrics,
     naive_permits,
-    once,
     peer_snapshots,
     permits,
     shards,
@@ -32,6 +31,7 @@
     transport,
     vm_watch,
 )
+from lagoonrun_daemon import services as daemon_services
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import server as http_server
 from lagoonrun_http import upstream as http_upstream
@@ -42,6 +42,10 @@
 from lagoonrun_protocol import hub, messages
 
 _HUB_FLUSH_SECONDS = 1.0
+
+_LONGEST_CALL_SECONDS = 3600.0
+"""Bound on calls that no profile's limit stops: non-idempotent ones."""
+
 _SETTLEMENT_TIMEOUT_SECONDS = 2.0
 
 
@@ -185,7 +189,8 @@
         configured = self._settings
         self.metrics = metrics.DaemonMetrics()
         self.client = http_upstream.UpstreamClient(
-            limits=http_limits.ClientLimits(), clock=self._clock
+            limits=http_limits.ClientLimits(head_seconds=_LONGEST_CALL_SECONDS),
+            clock=self._clock,
         )
         self.claims = claims.Claims(
             store=self.store,
@@ -194,10 +199,11 @@
             # Attempt ids must differ between processes.
             random=random.SystemRandom(),
         )
-        self._settlements = once.SettlementTasks()
+        self._unfinished = background.BackgroundTasks()
+        self._settlements = background.BackgroundTasks()
         self._budget = retries.RetryBudget(classes_by_name={})
         self.ingress = ingress.Ingress(
-            services=execution.Services(
+            services=daemon_services.Services(
                 entry_vm=configured.entry_vm,
                 permits=self._naive_permits or self.permits,
                 client=self.client,
@@ -206,6 +212,7 @@
                 budget=self._budget,
                 claims=self.claims,
                 settlements=self._settlements,
+                unfinished=self._unfinished,
                 clock=self._clock,
                 metrics=self.metrics,
             ),
@@ -345,6 +352,9 @@
         left = await self.caller_server.drain(
             self._settings.drain_timeout_seconds
         )
+        left += await self._unfinished.close(
+            timeout_seconds=self._settings.drain_timeout_seconds
+        )
         await self.close()
         logs.emit(events.LogEvent.PROCESS_STOPPED, cut_requests=left)
         return left
--- a/packages/daemon/src/lagoonrun_daemon/ingress.py
+++ b/packages/daemon/src/lagoonrun_daemon/ingress.py
@@ -14,6 +14,7 @@
     resolution,
 )
 from lagoonrun_daemon import call as calls
+from lagoonrun_daemon import services as daemon_services
 from lagoonrun_http import errors as http_errors
 from lagoonrun_http import server as http_server
 
@@ -41,7 +42,7 @@
     def __init__(
         self,
         *,
-        services: execution.Services,
+        services: daemon_services.Services,
         metrics: metrics.DaemonMetrics,
     ) -> None:
         self._services = services
--- a/packages/daemon/src/lagoonrun_daemon/once.py
+++ b/packages/daemon/src/lagoonrun_daemon/once.py
@@ -7,35 +7,18 @@
 from lagoonrun_claims import claims
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import outcomes
+from lagoonrun_daemon import background
 from lagoonrun_daemon import call as calls
 
 _LONGEST_CLAIM_SECONDS = 5.0
 
 
-class SettlementTasks:
-    """Writes of last claim states that nobody waits for.
-
-    A caller's answer does not wait for the platform. A retry that comes
-    before the write is told truthfully that the end is not known yet.
-    """
-
-    def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[object]] = set()
-
-    def add(self, task: asyncio.Task[object]) -> None:
-        """Keep `task` until it ends."""
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def close(self, *, timeout_seconds: float) -> None:
-        """Wait for what is under way, at most so long."""
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=timeout_seconds)
-
-
 class OnceGuard:
     """The claim of one call, if it needs one.
 
+    A caller's answer does not wait for the platform to record its end. A
+    retry that comes before is told truthfully that the end is not known yet.
+
     Parameters
     ----------
     call
@@ -53,7 +36,7 @@
         *,
         call: calls.Call,
         claims: claims.Claims,
-        tasks: SettlementTasks,
+        tasks: background.BackgroundTasks,
         clock: clocks.Clock,
     ) -> None:
         self._call = call
@@ -98,6 +81,20 @@
             self._attempt
         )
 
+    def take_over(self) -> "OnceGuard":
+        """Return a guard that holds the claim from now on; this one has none.
+
+        For a call that runs on after its caller got its final answer.
+        """
+        successor = OnceGuard(
+            call=self._call,
+            claims=self._claims,
+            tasks=self._tasks,
+            clock=self._clock,
+        )
+        successor._attempt, self._attempt = self._attempt, None
+        return successor
+
     def settle(self, outcome: outcomes.Outcome) -> None:
         """Record the call's end, or make the key usable if it was not run."""
         if self._attempt is None:
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/services.py
@@ -0,0 +1,41 @@
+"""What the work on every call needs of the daemon."""
+
+import dataclasses
+
+from lagoonrun_claims import claims
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import types
+from lagoonrun_daemon import (
+    background,
+    explanations,
+    fleet,
+    metrics,
+    permit_types,
+)
+from lagoonrun_http import upstream as http_upstream
+from lagoonrun_policy import retries
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Services:
+    """Shared parts of the daemon.
+
+    Parameters
+    ----------
+    settlements
+        Writes of last claim states.
+    unfinished
+        Calls that run on after their caller has got its final answer.
+    """
+
+    entry_vm: types.EntryVmId
+    permits: permit_types.PermitSource
+    client: http_upstream.UpstreamClient
+    fleet: fleet.FleetView
+    explanations: explanations.ExplanationRing
+    budget: retries.RetryBudget
+    claims: claims.Claims
+    settlements: background.BackgroundTasks
+    unfinished: background.BackgroundTasks
+    clock: clocks.Clock
+    metrics: metrics.DaemonMetrics
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -39,6 +39,12 @@
 limit_seconds = 20.0
 idempotent = false
 
+[profiles.brief]
+tier = 1
+target_seconds = 0.2
+limit_seconds = 0.3
+idempotent = false
+
 [organisations.house]
 key_digests = ["{house}"]
 
@@ -63,6 +69,12 @@
 profile = "warning"
 path_prefix = "/warnings"
 
+[services.brief]
+kind = "plain"
+pool = "portal"
+profile = "brief"
+path_prefix = "/brief"
+
 [services.private]
 kind = "plain"
 pool = "portal"
