Free the slots of an ingress that was replaced or whose messages were lost

An entry VM that is killed with permits and replaced under its name at once is never seen dead, and the new process knows nothing of the old one's permits. For a new process that does speak, and for a permit whose end was lost on the way, an ingress sends empty digests for a while after the last one that named work.

--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -181,7 +181,7 @@
             dispatcher=self.dispatcher,
             permits=self.permits,
             snapshots=self.snapshots,
-            on_link_lost=self.permits.on_member_gone,
+            on_link_lost=self._on_link_lost,
         )
         self._transport.attach(self._router)
 
@@ -413,6 +413,10 @@
         """Take in the loss of a connection with an entry VM."""
         self._router.on_link_lost(peer)
 
+    def _on_link_lost(self, peer: types.EntryVmId) -> None:
+        self.permits.on_member_gone(peer)
+        self.dispatcher.on_link_lost(peer)
+
     def on_member_changed(self, view: membership.MemberView) -> None:
         """Take in a changed state of an entry VM."""
         self.fleet.on_members_changed()
--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -14,7 +14,12 @@
 from lagoonrun_config import model
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, outcomes, types
-from lagoonrun_daemon import explanations, shards, transport
+from lagoonrun_daemon import (
+    explanations,
+    lost_ingresses,
+    shards,
+    transport,
+)
 from lagoonrun_policy import features, scheduler
 from lagoonrun_policy import messages as policy_messages
 from lagoonrun_policy import shards as policy_shards
@@ -84,6 +89,9 @@
         self._shards_by_id: dict[types.ShardId, shards.Shard] = {}
         self._owned_by_id: dict[types.ShardId, _OwnedShard] = {}
         self._stopping = False
+        self._lost_ingresses = lost_ingresses.LostIngresses(
+            on_silent=self.on_ingress_gone
+        )
 
     @property
     def owned_shards(self) -> Sequence[types.ShardId]:
@@ -155,6 +163,10 @@
         for shard_id in list(self._owned_by_id):
             self._handle(shard_id, event)
 
+    def on_link_lost(self, ingress: types.EntryVmId) -> None:
+        """Take in the loss of a connection with an entry VM."""
+        self._lost_ingresses.note_lost(ingress)
+
     def on_load_report(
         self, shard: types.ShardId, report: policy_messages.LoadReported
     ) -> None:
@@ -173,6 +185,7 @@
 
     def close(self) -> None:
         """Cancel all timers."""
+        self._lost_ingresses.close()
         for owned in self._owned_by_id.values():
             if owned.timer:
                 owned.timer.cancel()
@@ -182,6 +195,7 @@
         self, sender: types.EntryVmId, message: messages.Message
     ) -> None:
         """Take in one permit message of an ingress."""
+        self._lost_ingresses.note_heard(sender)
         match message:
             case messages.PermitRequest():
                 self._on_request(sender, message)
@@ -307,7 +321,8 @@
         if message.shard not in self._shards_by_id:
             return
         if message.shard not in self._owned_by_id:
-            if self._view.owner_of(message.shard) != self._entry_vm:
+            is_empty = not message.running and not message.waiting
+            if is_empty or self._view.owner_of(message.shard) != self._entry_vm:
                 return
             self._own(message.shard)
         owned = self._owned_by_id[message.shard]
--- a/packages/daemon/src/lagoonrun_daemon/permit_types.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_types.py
@@ -23,6 +23,8 @@
         How long a silent dispatcher is passed over by later requests.
     unanswered_digests
         Periods without a sign of life after which a dispatcher is silent.
+    empty_digests
+        Digests without work that follow the last one that named some.
     ask_again_seconds
         Pause between asks of a request that has met many dispatchers.
     """
@@ -31,6 +33,7 @@
     digest_period_seconds: float = 0.5
     silence_memory_seconds: float = 2.0
     unanswered_digests: int = 3
+    empty_digests: int = 20
     ask_again_seconds: float = 0.05
 
 
--- a/packages/daemon/src/lagoonrun_daemon/permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/permits.py
@@ -60,6 +60,9 @@
         self._unanswered = work_digests.UnansweredDigests(
             limit=self._timing.unanswered_digests
         )
+        self._ended_work = work_digests.EndedWork(
+            digests=self._timing.empty_digests
+        )
         self._asks_by_key: dict[permit_types.AttemptKey, permit_types.Ask] = {}
         self._running_by_key: dict[
             permit_types.AttemptKey, permit_types.Permit
@@ -291,6 +294,7 @@
             granted_at=self._clock.monotonic(),
         )
         self._running_by_key[permit.key] = permit
+        self._ended_work.note_grant(permit.dispatcher, permit.shard)
         return permit
 
     def _give_up_on(self, ask: permit_types.Ask) -> None:
@@ -394,7 +398,8 @@
         due = self._due_digests()
         dispatchers = [addressed.dispatcher for addressed in due]
         silent = self._unanswered.begin_period(dispatchers)
-        for addressed in due:
+        # Empty digests are no heartbeat: nobody waits for their answer.
+        for addressed in [*due, *self._ended_work.begin_period(due)]:
             if addressed.dispatcher not in silent:
                 self._transport.send(addressed.dispatcher, addressed.digest)
         for dispatcher in silent:
--- a/packages/daemon/src/lagoonrun_daemon/work_digests.py
+++ b/packages/daemon/src/lagoonrun_daemon/work_digests.py
@@ -75,6 +75,56 @@
     ]
 
 
+class EndedWork:
+    """Dispatchers that may hold permits of an ingress that has none left.
+
+    An ingress without work at a dispatcher would send it no digest, and a
+    permit whose end was lost on the way would hold its slot for ever. So
+    empty digests follow the last one that named work.
+
+    Parameters
+    ----------
+    digests
+        Number of empty digests; they outlast a connection that is lost and
+        made again.
+    """
+
+    def __init__(self, *, digests: int) -> None:
+        self._digests = digests
+        self._left_by_address: dict[_Address, int] = {}
+
+    def note_grant(
+        self, dispatcher: types.EntryVmId, shard: types.ShardId
+    ) -> None:
+        """Take in a grant; its work may end before a digest names it."""
+        address = _Address(dispatcher=dispatcher, shard=shard)
+        self._left_by_address[address] = self._digests
+
+    def begin_period(
+        self, due: Iterable[AddressedDigest]
+    ) -> Sequence[AddressedDigest]:
+        """Return the empty digests that are sent besides those of `due`."""
+        named = {
+            _Address(dispatcher=one.dispatcher, shard=one.digest.shard)
+            for one in due
+        }
+        ended = {
+            address: left - 1
+            for address, left in self._left_by_address.items()
+            if left > 0 and address not in named
+        }
+        self._left_by_address = dict.fromkeys(named, self._digests) | ended
+        return [
+            AddressedDigest(
+                dispatcher=address.dispatcher,
+                digest=messages.WorkDigest(
+                    shard=address.shard, running=(), waiting=()
+                ),
+            )
+            for address in ended
+        ]
+
+
 class UnansweredDigests:
     """Counts the periods in which a dispatcher gave no sign of life.
 
