Take no dispatcher for silent because this process was busy

The burst keeps the event loop busy for longer than the 150 ms of an acknowledgement; the timers are then due before the acknowledgements are read, the own dispatcher's included, and all dispatchers look silent. Ruled out: lost frames (the hub's queue holds 4,096), a dispatcher's own overload (its loop answered as soon as it ran). What: the own dispatcher has no such timer, since both stall together; a timer that fires late is set once more, so that sockets are read first.

--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -154,6 +154,7 @@
         )
         self._stalls = stalls.StallDetector(clock=self._clock)
         self.permits = permits.PermitClient(
+            entry_vm=configured.entry_vm,
             ranking=self.fleet,
             transport=self._transport,
             clock=self._clock,
--- a/packages/daemon/src/lagoonrun_daemon/permit_types.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_types.py
@@ -17,6 +17,9 @@
     ----------
     acknowledge_timeout_seconds
         Silence after which the next-ranked dispatcher is asked.
+    own_lateness_seconds
+        Lateness of a timer from which this process itself was too busy to
+        read an acknowledgement.
     digest_period_seconds
         Time between two digests of running and waiting work.
     silence_memory_seconds
@@ -30,6 +33,7 @@
     """
 
     acknowledge_timeout_seconds: float = 0.15
+    own_lateness_seconds: float = 0.02
     digest_period_seconds: float = 0.5
     silence_memory_seconds: float = 2.0
     unanswered_digests: int = 3
--- a/packages/daemon/src/lagoonrun_daemon/permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/permits.py
@@ -27,6 +27,8 @@
 
     Parameters
     ----------
+    entry_vm
+        This entry VM.
     ranking
         Who dispatches which shard.
     transport
@@ -42,12 +44,14 @@
     def __init__(
         self,
         *,
+        entry_vm: types.EntryVmId,
         ranking: dispatcher_search.Ranking,
         transport: transport.Transport,
         clock: clocks.Clock,
         stalls: stalls.StallDetector,
         timing: permit_types.PermitTiming | None = None,
     ) -> None:
+        self._entry_vm = entry_vm
         self._transport = transport
         self._clock = clock
         self._stalls = stalls
@@ -324,16 +328,36 @@
         )
         self._asks_by_key[ask.key] = ask
         request = self._request_of(ask, search)
-        if self._transport.send(dispatcher, request):
-            ask.timer = loop.call_later(
-                self._timing.acknowledge_timeout_seconds,
-                ask.settle,
-                permit_types.Silent(),
-            )
-        else:
+        if not self._transport.send(dispatcher, request):
             ask.settle(permit_types.Silent())
+        elif dispatcher != self._entry_vm:
+            self._await_acknowledgement(ask)
         return ask
 
+    def _await_acknowledgement(self, ask: permit_types.Ask) -> None:
+        """Take a remote dispatcher for silent if it does not answer in time.
+
+        This process's own dispatcher is never silent to it: both stall
+        together, and a timer that is due then would only say so.
+        """
+        loop = asyncio.get_running_loop()
+        due = loop.time() + self._timing.acknowledge_timeout_seconds
+        ask.timer = loop.call_at(due, self._on_unacknowledged, ask, due)
+
+    def _on_unacknowledged(self, ask: permit_types.Ask, due: float) -> None:
+        """Settle an ask as silent, unless this process itself was late.
+
+        A burst of callers can keep the event loop busy for longer than the
+        timeout: the timer is then due while the acknowledgement waits unread
+        in the socket. Such a timer is set again, so that sockets are read
+        before the dispatcher is given up.
+        """
+        lateness = asyncio.get_running_loop().time() - due
+        if lateness > self._timing.own_lateness_seconds:
+            self._await_acknowledgement(ask)
+            return
+        ask.settle(permit_types.Silent())
+
     def _request_of(
         self, ask: permit_types.Ask, search: dispatcher_search.Search
     ) -> messages.PermitRequest:
--- a/packages/daemon/tests/test_permits.py
+++ b/packages/daemon/tests/test_permits.py
@@ -66,17 +66,24 @@
     return FakeTransport()
 
 
-@pytest.fixture
-def client(manual_clock, sent):
+def make_client(manual_clock, sent, *, acknowledge_timeout_seconds=0.01):
     return permits.PermitClient(
+        entry_vm="vm-3",
         ranking=FixedRanking("vm-1", "vm-2", "vm-3"),
         transport=sent,
         clock=manual_clock,
         stalls=stalls.StallDetector(clock=manual_clock),
-        timing=permit_types.PermitTiming(acknowledge_timeout_seconds=0.01),
+        timing=permit_types.PermitTiming(
+            acknowledge_timeout_seconds=acknowledge_timeout_seconds
+        ),
     )
 
 
+@pytest.fixture
+def client(manual_clock, sent):
+    return make_client(manual_clock, sent)
+
+
 def wanted(clock_, *, request_id="r-1", shard=SHARD, seconds=60.0):
     return permit_types.PermitWanted(
         request_id=request_id,
@@ -143,6 +150,45 @@
     ]
 
 
+async def test_own_dispatcher_is_never_taken_for_silent(
+    client, manual_clock, sent
+):
+    """A thousand callers come at once and keep the event loop busy.
+
+    Every dispatcher looks silent, because the loop gets to acknowledgements
+    only after the timers; callers were refused though all entry VMs lived.
+    The own dispatcher comes last and is waited for.
+    """
+    task, _, _ = await ask(client, manual_clock, sent)
+    await sent.next(messages.PermitRequest)
+    own, request = await sent.next(messages.PermitRequest)
+    assert own == "vm-3"
+    await asyncio.wait({task}, timeout=0.05)
+    assert not task.done()
+    client.on_message(own, granted(request))
+    assert isinstance(await task, permit_types.Permit)
+
+
+async def test_late_timer_reads_sockets_first(manual_clock, sent):
+    """The event loop is busy for longer than a dispatcher may be silent.
+
+    The timer is due while the acknowledgement waits unread in the socket.
+    """
+    client = make_client(manual_clock, sent, acknowledge_timeout_seconds=0.1)
+    task, to, request = await ask(client, manual_clock, sent)
+    loop = asyncio.get_running_loop()
+    end = loop.time() + 0.3
+    while loop.time() < end:
+        pass
+    acknowledged = messages.PermitAcknowledged(**keyed(request))
+    # One turn of the loop after the timer, as a socket's data would come.
+    loop.call_soon(loop.call_soon, client.on_message, to, acknowledged)
+    await asyncio.wait({task}, timeout=0.05)
+    assert not sent.drain(messages.PermitRequest)
+    client.on_message(to, granted(request))
+    await task
+
+
 async def test_later_requests_do_not_wait_for_a_silent_dispatcher(
     client, manual_clock, sent
 ):
