Rely on no answer of the platform that is not of its format

Cause: an answer "{}", as a proxy or a broken gateway may give, was read as "the key is absent" or as a rejected transaction without items, and a number that is none raised out of a background task, which ended it.

Now each call's parser runs within the call: what it can't read is a lost reply, so a write is Unknown and a read is tried at the next address. Ten kinds of answers are under test.

--- a/packages/platform/src/lagoonrun_platform/etcd_gateway.py
+++ b/packages/platform/src/lagoonrun_platform/etcd_gateway.py
@@ -4,7 +4,8 @@
 import collections
 import contextlib
 import random
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import TypeVar
 
 from lagoonrun_core import clock as clock_module
 from lagoonrun_platform import _http, call_budget, gateway_format, store
@@ -22,12 +23,15 @@
     gateway_format.FormatError,
 )
 
+_T = TypeVar("_T")
+
 
 class EtcdGateway:
     """`KeyValueStore` and `VmList` of the platform, over HTTP.
 
-    Addresses are tried in turn, from the one that answered last. A write is
-    tried at another address only while no byte of it was sent.
+    Addresses are tried in turn, at first from a random one, so that not all
+    processes depend on the same, then from the one that answered last. A
+    write is tried at another address only while no byte of it was sent.
 
     Parameters
     ----------
@@ -69,6 +73,7 @@
             )
             for address in addresses
         )
+        self._pools.rotate(chance.randrange(max(1, len(self._pools))))
         self._budget = call_budget.CallBudget(
             calls_per_second=calls_per_second,
             burst=burst,
@@ -92,15 +97,10 @@
 
     async def get(self, key: str) -> store.Item | store.Unreachable:
         """Read one key; see `KeyValueStore`."""
-        fields = await self._read(
-            "range", "/v3/kv/range", gateway_format.get_request(key)
-        )
-        if isinstance(fields, store.Unreachable):
-            return fields
-        items = gateway_format.key_values(fields)
-        return store.Item(
-            found=items[0] if items else None,
-            revision=gateway_format.header_revision(fields),
+        return await self._read(
+            "range",
+            _call("/v3/kv/range", gateway_format.get_request(key)),
+            parse=gateway_format.item,
         )
 
     async def list_prefix(
@@ -108,12 +108,10 @@
     ) -> store.Listing | store.Unreachable:
         """Read a prefix; see `KeyValueStore`."""
         request = gateway_format.list_request(prefix, keys_only=keys_only)
-        fields = await self._read("range", "/v3/kv/range", request)
-        if isinstance(fields, store.Unreachable):
-            return fields
-        return store.Listing(
-            items=gateway_format.key_values(fields),
-            revision=gateway_format.header_revision(fields),
+        return await self._read(
+            "range",
+            _call("/v3/kv/range", request),
+            parse=gateway_format.listing,
         )
 
     async def transact(
@@ -127,52 +125,46 @@
         request = gateway_format.transaction_request(
             comparisons=comparisons, puts=puts, deletes=deletes
         )
-        fields = await self._write("txn", "/v3/kv/txn", request)
-        if isinstance(fields, store.Unknown | store.Unreachable):
-            return fields
-        if _is_not_found(fields):
-            # A put names a lease that has lapsed; nothing was written.
-            return store.Rejected(items=(), revision=store.ABSENT)
-        return gateway_format.transaction_result(fields)
+        return await self._write(
+            "txn",
+            _call("/v3/kv/txn", request),
+            parse=gateway_format.transaction_result,
+        )
 
     async def grant_lease(self, *, ttl_seconds: float) -> store.LeaseResult:
         """Grant a lease; see `KeyValueStore`."""
         request = gateway_format.grant_request(ttl_seconds)
-        fields = await self._write("lease-grant", "/v3/lease/grant", request)
-        if isinstance(fields, store.Unknown | store.Unreachable):
-            return fields
-        return gateway_format.lease_granted(fields)
+        return await self._write(
+            "lease-grant",
+            _call("/v3/lease/grant", request),
+            parse=gateway_format.lease_granted,
+        )
 
     async def keep_lease(self, lease: store.LeaseId) -> store.LeaseResult:
         """Renew a lease; see `KeyValueStore`."""
         request = gateway_format.lease_request(lease)
-        fields = await self._write(
-            "lease-keepalive", "/v3/lease/keepalive", request
+        return await self._write(
+            "lease-keepalive",
+            _call("/v3/lease/keepalive", request),
+            parse=lambda fields: gateway_format.lease_kept(fields, lease),
         )
-        if isinstance(fields, store.Unknown | store.Unreachable):
-            return fields
-        if _is_not_found(fields):
-            return store.LeaseLost(lease=lease)
-        return gateway_format.lease_granted(fields, lease)
 
     async def revoke_lease(self, lease: store.LeaseId) -> store.RevokeResult:
         """Revoke a lease; see `KeyValueStore`."""
         request = gateway_format.lease_request(lease)
-        fields = await self._write("lease-revoke", "/v3/lease/revoke", request)
-        if isinstance(fields, store.Unknown | store.Unreachable):
-            return fields
-        if _is_not_found(fields):
-            return store.LeaseLost(lease=lease)
-        return store.LeaseRevoked(lease=lease)
+        return await self._write(
+            "lease-revoke",
+            _call("/v3/lease/revoke", request),
+            parse=lambda fields: gateway_format.lease_revoked(fields, lease),
+        )
 
     async def list_vms(
         self,
     ) -> vm_list_module.VmListing | store.Unreachable:
         """Return the platform's list of VMs; see `VmList`."""
-        fields = await self._read("vms", "/vms", None)
-        if isinstance(fields, store.Unreachable):
-            return fields
-        return gateway_format.vm_listing(fields)
+        return await self._read(
+            "vms", _call("/vms", None), parse=gateway_format.vm_listing
+        )
 
     async def watch(
         self,
@@ -247,19 +239,18 @@
                     for line in filter(None, lines):
                         fields = gateway_format.decode(line)
                         yield gateway_format.watch_message(fields)
-        except _http.ReplyLostError as error:
+        except (_http.ReplyLostError, gateway_format.FormatError) as error:
             yield store.Unreachable(detail=f"watch lost: {error}")
             return
         yield store.Unreachable(detail="watch ended by the store")
 
     async def _read(
-        self, kind: str, path: str, request: gateway_format.Json | None
-    ) -> dict | store.Unreachable:
+        self, kind: str, call: _http.Call, *, parse: Callable[[dict], _T]
+    ) -> _T | store.Unreachable:
         """Send a call that changes nothing, to each address if need be."""
         denied = await self._admit(kind)
         if denied is not None:
             return denied
-        call = _call(path, request)
         detail = "no address"
         for pool in list(self._pools):
             self.calls_by_kind[kind] += 1
@@ -267,19 +258,18 @@
                 reply = await pool.call(
                     call, timeout_seconds=self._call_timeout_seconds
                 )
-                return self._answered(reply)
+                return self._answered(reply, parse)
             except _UNANSWERED as error:
                 detail = self._next_pool(pool, error)
         return self._fail(kind, detail)
 
     async def _write(
-        self, kind: str, path: str, request: gateway_format.Json
-    ) -> dict | store.Unknown | store.Unreachable:
+        self, kind: str, call: _http.Call, *, parse: Callable[[dict], _T]
+    ) -> _T | store.Unknown | store.Unreachable:
         """Send a call that may change something, once."""
         denied = await self._admit(kind)
         if denied is not None:
             return denied
-        call = _call(path, request)
         detail = "no address"
         for pool in list(self._pools):
             self.calls_by_kind[kind] += 1
@@ -287,7 +277,7 @@
                 reply = await pool.call(
                     call, timeout_seconds=self._call_timeout_seconds
                 )
-                return self._answered(reply)
+                return self._answered(reply, parse)
             except _http.NotSentError as error:
                 detail = self._next_pool(pool, error)
             except _UNANSWERED as error:
@@ -307,13 +297,15 @@
             await asyncio.sleep(admitted.wait_seconds)
         return None
 
-    def _answered(self, reply: _http.Reply) -> dict | store.Unreachable:
-        """Return the fields of an answer.
+    def _answered(
+        self, reply: _http.Reply, parse: Callable[[dict], _T]
+    ) -> _T | store.Unreachable:
+        """Return the outcome that an answer tells.
 
         Raises
         ------
-        _http.ReplyLostError
-            When the gateway itself could not be answered.
+        _http.ReplyLostError, gateway_format.FormatError
+            When it tells nothing that can be relied on.
         """
         if reply.status >= _SERVER_ERROR:
             # "Request timed out" comes as a server error, and such a
@@ -321,14 +313,16 @@
             raise _http.ReplyLostError(f"status {reply.status}")
         fields = gateway_format.decode(reply.body)
         self._budget.succeeded()
-        if reply.status >= _BAD_REQUEST and not _is_not_found(fields):
+        if reply.status >= _BAD_REQUEST and not gateway_format.is_not_found(
+            fields
+        ):
             # A refused call, such as one without permission or over the
             # rate, was certainly not applied.
             message = fields.get("message") or fields.get("error")
             return store.Unreachable(
                 detail=f"status {reply.status}: {message!r:.200}"
             )
-        return fields
+        return parse(fields)
 
     def _next_pool(
         self, failed: _http.ConnectionPool, error: Exception | str
@@ -356,7 +350,3 @@
     return _http.Call(
         method="POST", path=path, body=gateway_format.encode(request)
     )
-
-
-def _is_not_found(fields: dict) -> bool:
-    return fields.get("code") == gateway_format.NOT_FOUND_CODE
--- a/packages/platform/src/lagoonrun_platform/gateway_format.py
+++ b/packages/platform/src/lagoonrun_platform/gateway_format.py
@@ -14,7 +14,7 @@
 
 Json = Mapping[str, object]
 
-NOT_FOUND_CODE = 5
+_NOT_FOUND_CODE = 5
 """gRPC status of a call that names a lease the store does not know."""
 
 
@@ -101,36 +101,83 @@
 
 def header_revision(fields: Json) -> store.StoreRevision:
     """Return the store's revision from an answer's header."""
-    header = fields.get("header") or {}
+    header = fields.get("header")
+    if not isinstance(header, dict) or not header.get("revision"):
+        # Taken for an answer, "{}" would read as a key that is absent.
+        raise FormatError(detail=f"header: {header!r:.80}; valid: a revision")
     return store.StoreRevision(_integer(header, "revision"))
 
 
 def key_values(fields: Json) -> tuple[store.KeyValue, ...]:
     """Return the keys of a range answer."""
-    return tuple(_key_value(one) for one in fields.get("kvs") or ())
+    return tuple(_key_value(one) for one in _objects(fields, "kvs"))
+
+
+def item(fields: Json) -> store.Item:
+    """Return the outcome of reading one key."""
+    items = key_values(fields)
+    return store.Item(
+        found=items[0] if items else None, revision=header_revision(fields)
+    )
+
+
+def listing(fields: Json) -> store.Listing:
+    """Return the outcome of listing a prefix."""
+    return store.Listing(
+        items=key_values(fields), revision=header_revision(fields)
+    )
+
+
+def is_not_found(fields: Json) -> bool:
+    """Return whether a lease of the call is not known to the store."""
+    return fields.get("code") == _NOT_FOUND_CODE
 
 
 def transaction_result(fields: Json) -> store.Committed | store.Rejected:
     """Return the outcome of a transaction."""
+    if is_not_found(fields):
+        # A put names a lease that has lapsed; nothing was written.
+        return store.Rejected(items=(), revision=store.ABSENT)
     revision = header_revision(fields)
     if fields.get("succeeded"):
         return store.Committed(revision=revision)
     items: list[store.KeyValue] = []
-    for response in fields.get("responses") or ():
+    for response in _objects(fields, "responses"):
         items.extend(key_values(response.get("response_range") or {}))
     return store.Rejected(items=tuple(items), revision=revision)
 
 
-def lease_granted(
-    fields: Json, lease: store.LeaseId | None = None
+def lease_granted(fields: Json) -> store.LeaseGranted:
+    """Return the outcome of a grant."""
+    ttl_seconds = _integer(fields, "TTL")
+    if ttl_seconds <= 0:
+        raise FormatError(detail=f"TTL: {ttl_seconds}; valid: above 0")
+    return store.LeaseGranted(
+        lease=store.LeaseId(_integer(fields, "ID")),
+        ttl_seconds=float(ttl_seconds),
+    )
+
+
+def lease_kept(
+    fields: Json, lease: store.LeaseId
 ) -> store.LeaseGranted | store.LeaseLost:
-    """Return the outcome of a grant or a renewal."""
-    result = fields.get("result") or fields
-    found = store.LeaseId(_integer(result, "ID")) if lease is None else lease
-    ttl_seconds = _integer(result, "TTL")
+    """Return the outcome of a renewal; a lost lease has no time left."""
+    result = fields.get("result")
+    if not isinstance(result, dict) and not is_not_found(fields):
+        raise FormatError(detail=f"result: {result!r:.80}; valid: an object")
+    ttl_seconds = _integer(result or {}, "TTL")
     if ttl_seconds <= 0:
-        return store.LeaseLost(lease=found)
-    return store.LeaseGranted(lease=found, ttl_seconds=float(ttl_seconds))
+        return store.LeaseLost(lease=lease)
+    return store.LeaseGranted(lease=lease, ttl_seconds=float(ttl_seconds))
+
+
+def lease_revoked(
+    fields: Json, lease: store.LeaseId
+) -> store.LeaseRevoked | store.LeaseLost:
+    """Return the outcome of a revocation."""
+    if is_not_found(fields):
+        return store.LeaseLost(lease=lease)
+    return store.LeaseRevoked(lease=lease)
 
 
 def watch_message(
@@ -146,7 +193,7 @@
             return store.WatchCompacted(oldest=store.StoreRevision(oldest))
         return store.Unreachable(detail="watch cancelled by the store")
     return store.WatchBatch(
-        events=tuple(_event(one) for one in result.get("events") or ()),
+        events=tuple(_event(one) for one in _objects(result, "events")),
         revision=header_revision(result),
     )
 
@@ -155,7 +202,7 @@
     """Return the list of VMs; VMs of unknown states are left out."""
     states = {state.value: state for state in vm_list.VmState}
     vms_by_id = {}
-    for one in fields.get("vms") or ():
+    for one in _objects(fields, "vms"):
         state = states.get(one.get("state", ""))
         if state is None or not one.get("id"):
             continue
@@ -227,6 +274,13 @@
         raise FormatError(detail=f"{name}: {error}; valid: base64") from error
 
 
+def _objects(fields: Json, name: str) -> list[dict]:
+    found = fields.get(name) or []
+    if isinstance(found, list) and all(isinstance(one, dict) for one in found):
+        return found
+    raise FormatError(detail=f"{name}: {found!r:.80}; valid: objects")
+
+
 def _integer(fields: Json, name: str) -> int:
     value = fields.get(name) or 0
     try:
--- a/packages/platform/tests/test_etcd_gateway.py
+++ b/packages/platform/tests/test_etcd_gateway.py
@@ -1,6 +1,9 @@
 """The gateway adapter under faults that only a network has."""
 
 import asyncio
+import types
+
+import pytest
 
 from lagoonrun_platform import store, vm_list
 from lagoonrun_standins import platform_store
@@ -124,3 +127,64 @@
     watch = gateway.watch("a", from_revision=store.StoreRevision(2))
     messages = [message async for message in watch]
     assert isinstance(messages[-1], store.WatchCompacted)
+
+
+@pytest.fixture
+async def answer_with(make_gateway):
+    """Return a gateway whose every call is answered with the same bytes."""
+    servers = []
+
+    async def make(reply):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(reply)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        servers.append(server)
+        host, port = server.sockets[0].getsockname()
+        address = types.SimpleNamespace(host=host, port=port)
+        return make_gateway(address)
+
+    yield make
+    for server in servers:
+        server.close()
+
+
+def _http_reply(status, body):
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@pytest.mark.parametrize(
+    ("reply", "write"),
+    [
+        (b"", store.Unknown),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{", store.Unknown),
+        (b"not HTTP at all\r\n\r\n", store.Unknown),
+        (_http_reply(200, b"<html>"), store.Unknown),
+        (_http_reply(200, b"{}"), store.Unknown),
+        (_http_reply(200, b'{"header": {"revision": "x"}}'), store.Unknown),
+        (_http_reply(503, b'{"code": 14}'), store.Unknown),
+        (_http_reply(504, b"{}"), store.Unknown),
+        (_http_reply(400, b'{"code": 3}'), store.Unreachable),
+        (_http_reply(429, b'{"code": 8}'), store.Unreachable),
+    ],
+)
+async def test_answer_that_tells_nothing_is_not_relied_on(
+    answer_with, reply, write
+):
+    """The gateway or something before it answers with an error or noise.
+
+    A write of which nothing is known is `Unknown`; taken for "rejected" or
+    "absent" it could run a request twice. Only a plain refusal says that
+    nothing was applied.
+    """
+    gateway = await answer_with(reply)
+    assert isinstance(await gateway.get("a"), store.Unreachable)
+    gateway = await answer_with(reply)
+    result = await gateway.transact(comparisons=_ABSENT, puts=_PUT)
+    assert isinstance(result, write)
+    gateway = await answer_with(reply)
+    watch = [message async for message in gateway.watch("a")]
+    assert isinstance(watch[-1], store.Unreachable)
