Bring a change into force within seconds also when a watch is silent

Cause: a watch whose connection stays open and brings nothing is not noticed, and the poll that makes up for it came once a minute (30 to 90 s with jitter). Now watchers, two in a domain, poll every 5 s (2.5 to 7.5 with jitter), which is 0.4 reads a second per domain; all others stay at a minute.

The budget of calls becomes a setting, since its sum over a large fleet must stay below what the platform takes.

--- a/packages/config/src/lagoonrun_config/follower.py
+++ b/packages/config/src/lagoonrun_config/follower.py
@@ -18,7 +18,7 @@
     snapshot,
 )
 from lagoonrun_config import head as head_module
-from lagoonrun_core import events, logs, types
+from lagoonrun_core import errors, events, logs, types
 from lagoonrun_platform import store as store_module
 
 _PLATFORM = "platform"
@@ -205,6 +205,8 @@
         except TimeoutError:
             # The source announces itself again if it still lives.
             return
+        except errors.LagoonrunError as error:
+            self._reject(wanted, error.detail)
         finally:
             del self._fetches_by_source[wanted.source]
             self._start_fetches()
--- a/packages/config/src/lagoonrun_config/head_source.py
+++ b/packages/config/src/lagoonrun_config/head_source.py
@@ -12,8 +12,9 @@
 
 _WATCHER_CHECK_SECONDS = 1.0
 _POLL_SECONDS = 60.0
+_WATCHER_POLL_SECONDS = 5.0
 _FIRST_RETRY_SECONDS = 0.2
-_LONGEST_RETRY_SECONDS = 30.0
+_LONGEST_RETRY_SECONDS = 10.0
 
 HeadSeen = Callable[[head_module.Head], None]
 
@@ -21,8 +22,9 @@
 class HeadSource:
     """Task that reports each head it sees, old ones included.
 
-    Every entry VM polls slowly, watchers too, since a watch can die without
-    a sign: the connection stays open and brings nothing.
+    Every entry VM polls slowly. Watchers, which are few, poll every few
+    seconds, since a watch can die without a sign: the connection stays open
+    and brings nothing, and a change would be in force only a minute later.
 
     Parameters
     ----------
@@ -83,14 +85,18 @@
         while True:
             await self._read()
             if self._seen:
-                period = _POLL_SECONDS * self._chance.uniform(0.5, 1.5)
-                await self._sleep(period)
+                await self._sleep(self._poll_period())
                 continue
             # Nothing to serve by: ask again soon, but backing off with
             # jitter, or all that wait call at once when it is back.
             failures += 1
             await self._sleep(self._retry_delay(failures))
 
+    def _poll_period(self) -> float:
+        watches = self._watchers.is_watcher()
+        period = _WATCHER_POLL_SECONDS if watches else _POLL_SECONDS
+        return period * self._chance.uniform(0.5, 1.5)
+
     async def _supervise_watch(self) -> None:
         while True:
             wanted = self._watchers.is_watcher()
--- a/packages/config/src/lagoonrun_config/settings.py
+++ b/packages/config/src/lagoonrun_config/settings.py
@@ -63,7 +63,7 @@
         Address for other entry VMs: TCP for permits, UDP for membership;
         both use the same port number.
     platform
-        Addresses of the platform's gateway, tried in order.
+        Addresses of the platform's gateway, tried in turn.
     seeds
         Peer addresses to join through.
     inner_key
@@ -80,6 +80,9 @@
         Most requests whose explanation is kept; the oldest goes first.
     experiment
         Deviations for measurements; none in service.
+    platform_calls_per_second
+        This process's budget of calls to the platform. Its sum over all
+        entry VMs must stay below what the platform takes.
     """
 
     entry_vm: types.EntryVmId
@@ -95,3 +98,4 @@
     readiness_grace_seconds: float = 2.0
     explain_capacity: int = 10_000
     experiment: Experiment = Experiment()
+    platform_calls_per_second: float = 100.0
--- a/packages/config/src/lagoonrun_config/settings_file.py
+++ b/packages/config/src/lagoonrun_config/settings_file.py
@@ -10,6 +10,7 @@
 _MINIMUM_INNER_KEY_BYTES = 16
 _LONGEST_DRAIN_SECONDS = 86_400.0
 _LARGEST_EXPLAIN_CAPACITY = 1_000_000
+_MOST_PLATFORM_CALLS = 10_000.0
 
 
 class SettingsError(errors.LagoonrunError):
@@ -94,6 +95,12 @@
             maximum=_LARGEST_EXPLAIN_CAPACITY,
         ),
         experiment=_read_experiment(reader),
+        platform_calls_per_second=reader.number(
+            "platform_calls_per_second",
+            default=100.0,
+            minimum=0.1,
+            maximum=_MOST_PLATFORM_CALLS,
+        ),
     )
 
 
--- a/packages/config/tests/test_settings_file.py
+++ b/packages/config/tests/test_settings_file.py
@@ -51,6 +51,7 @@
     admin_token_digest = "letmein"
     drain_timeout_seconds = nan
     explain_capacity = true
+    platform_calls_per_second = 0
     port = 1
     """
     with pytest.raises(settings_file.SettingsError) as caught:
@@ -68,6 +69,7 @@
         "admin_token_digest",
         "drain_timeout_seconds",
         "explain_capacity",
+        "platform_calls_per_second",
         "port",
     ]
     assert all(fault.valid for fault in caught.value.faults)
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -90,6 +90,8 @@
             addresses=configured.platform,
             clock=self._clock,
             chance=self._random,
+            calls_per_second=configured.platform_calls_per_second,
+            burst=2 * configured.platform_calls_per_second,
         )
         self.members = membership.Membership(
             self_view=self._own_view(),
--- a/packages/standins/tests/test_fleet.py
+++ b/packages/standins/tests/test_fleet.py
@@ -128,6 +128,7 @@
             switched_on=("cutting",),
         ),
         readiness_grace_seconds=0.25,
+        platform_calls_per_second=5.0,
     )
     defaults = [
         field.name
