Explain refusals, retries and resumes step by step; count platform calls

An explanation named grants and losses only. It now says which shard's dispatcher granted or refused, which grants were given back unused, and what each retry or resume left out. Calls to the platform are metrics, by kind.

--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -137,29 +137,35 @@
     portals: dict[str, plain_service.PlainService]
 
     @staticmethod
-    def make_settings(*, platform_port: int) -> settings.Settings:
+    def make_settings(
+        *, platform_port: int, entry_vm: str = "entry-1", **others
+    ) -> settings.Settings:
         """Return the settings of the one entry VM."""
         any_port = settings.Address(host="127.0.0.1", port=0)
+        values = {"admin": any_port, **others}
         return settings.Settings(
-            entry_vm=types.EntryVmId("entry-1"),
+            entry_vm=types.EntryVmId(entry_vm),
             domain=types.FailureDomain("north"),
             caller=any_port,
-            admin=any_port,
             peer=fleet.free_peer_address(),
             platform=(settings.Address(host="127.0.0.1", port=platform_port),),
             inner_key=b"k" * 32,
             admin_token_digest=hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest(),
             readiness_grace_seconds=0.0,
+            **values,
         )
 
-    async def look_up(self, *, key: str = KEY) -> http_client.Answer:
-        """Make one caller's request."""
+    async def look_up(
+        self, *, through: daemons.Daemon | None = None
+    ) -> http_client.Answer:
+        """Make one caller's request, by default of the first entry VM."""
+        ingress = through or self.daemon
         return await http_client.fetch(
             "127.0.0.1",
-            self.daemon.caller_server.port,
+            ingress.caller_server.port,
             "GET",
             "/lookups/page/7",
-            headers=[("Authorization", f"Bearer {key}")],
+            headers=[("Authorization", f"Bearer {KEY}")],
         )
 
 
--- a/packages/cli/tests/test_system_commands.py
+++ b/packages/cli/tests/test_system_commands.py
@@ -1,5 +1,6 @@
 """Commands that ask or steer a running entry VM."""
 
+import asyncio
 import json
 
 import pytest
@@ -8,6 +9,7 @@
 from lagoonrun_daemon import daemon as daemons
 from lagoonrun_daemon import explanations
 from lagoonrun_policy import decision
+from lagoonrun_standins import fleet
 
 ExitCode = exit_codes.ExitCode
 
@@ -137,7 +139,73 @@
     assert check["agrees"]
     ran = await system.operator.run("explain", request_id)
     assert "of house: complete, by portal-" in ran.out
-    assert "permit-granted" in ran.out
+    assert " by entry-1 for portal@north/0\tentry-1\n" in ran.out
+
+
+async def test_explanation_of_a_refusal_names_reason_and_candidates(system):
+    for portal in ("portal-1", "portal-2"):
+        await system.operator.run("drain", portal)
+    answer = await system.look_up()
+    request_id = answer.head.headers["lagoonrun-request-id"]
+    ran = await system.operator.run("explain", request_id, "--check")
+    assert ran.code == ExitCode.DONE
+    assert "of house: not-run, no-upstream, come back in" in ran.out
+    assert "no-upstream by entry-1 for portal@north/0" in ran.out
+    assert ran.out.count("\tleaving\t") == 2
+    assert "follows from its recorded inputs" in ran.out
+
+
+async def test_platform_calls_are_counted(system):
+    metrics = system.daemon.metrics.render().decode()
+    assert 'lagoonrun_platform_calls_total{kind="range"}' in metrics
+    assert "lagoonrun_platform_reachable 1.0" in metrics
+
+
+async def test_request_is_explained_by_both_entry_vms(system, platform):
+    """One entry VM takes a request and another dispatches its shard.
+
+    Each knows a part: the command finds the second one by gossip, although
+    the operator named only the first, and shows both parts as one.
+    """
+    other = daemons.Daemon(
+        configured=system.make_settings(
+            entry_vm="entry-2",
+            platform_port=platform.port,
+            admin=fleet.free_peer_address(),
+            seeds=(system.daemon.settings.peer,),
+        )
+    )
+    await other.start()
+    await other.wait_ready()
+    try:
+        await joined(system.daemon, other)
+        shard = next(iter(other.fleet.shards_by_id))
+        ingress = (
+            other if other.fleet.owner_of(shard) == "entry-1" else system.daemon
+        )
+        answer = await system.look_up(through=ingress)
+        request_id = answer.head.headers["lagoonrun-request-id"]
+        ran = await system.operator.run("explain", request_id, "--json")
+        found = ran.json()["explanations"]
+        assert {one["entry_vm"] for one in found} == {"entry-1", "entry-2"}
+        assert sum(len(one["decisions"]) for one in found) == 1
+        ran = await system.operator.run("drain", "portal-1", "--json")
+        assert ran.json()["in_force"]["revision_by_entry_vm"] == {
+            "entry-1": 2,
+            "entry-2": 2,
+        }
+    finally:
+        await other.close()
+
+
+async def joined(*entry_vms):
+    """Wait until each entry VM knows each other one."""
+    async with asyncio.timeout(10):
+        while True:
+            known = [len(one.members.live_in("north")) for one in entry_vms]
+            if min(known) == len(entry_vms):
+                return
+            await asyncio.sleep(0)
 
 
 async def test_check_names_a_decision_that_does_not_follow(system):
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -260,6 +260,12 @@
 
     def _watch_gauges(self) -> None:
         observe = self.metrics.observe_with
+        self.metrics.platform_calls.set_function(
+            lambda: self.store.calls_by_kind
+        )
+        self.metrics.platform_failures.set_function(
+            lambda: self.store.failures_by_kind
+        )
         observe(self.metrics.ready, lambda: float(self.ready))
         observe(
             self.metrics.platform_reachable,
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -14,7 +14,6 @@
     answers,
     attempt,
     delivery,
-    explanations,
     once,
     permit_seeking,
     permit_types,
@@ -92,12 +91,16 @@
         permit = await self._obtain_permit()
         if isinstance(permit, permit_types.PermitRefusal):
             return await self._refuse(permit)
-        self._note("permit-granted", permit.upstream)
+        self._note(
+            "permit-granted",
+            f"{permit.upstream} by {permit.dispatcher} for {permit.shard}",
+        )
         refusal = await self._claim(permit)
         if refusal is not None:
             return await self._answer_ending(refusal)
         upstream = self._seeker.usable_upstream(permit)
         if upstream is None:
+            self._note("permit-unused", f"{permit.upstream}: old or leaving")
             self._services.permits.give_back(permit)
             return None
         if not self._once.may_send():
@@ -256,6 +259,11 @@
         if self._call.exchange.started:
             counted = self._services.metrics.resumes
             event = events.LogEvent.REQUEST_RESUMED
+        self._note(
+            event.label,
+            f"without {lost.upstream}, after "
+            f"{self._delivery.relay.delivered_events} delivered events",
+        )
         counted.labels(self._call.resolved.profile.name).inc()
         logs.emit(
             event,
@@ -266,13 +274,4 @@
         )
 
     def _note(self, what: str, detail: str = "") -> None:
-        now = self._services.clock.monotonic()
-        self._services.explanations.add_happening(
-            self._call.request_id,
-            self._call.resolved.organisation,
-            explanations.Happening(
-                at_seconds=now - self._call.arrived_at,
-                what=what,
-                detail=detail,
-            ),
-        )
+        self._services.note(self._call, what, detail)
--- a/packages/daemon/src/lagoonrun_daemon/metrics.py
+++ b/packages/daemon/src/lagoonrun_daemon/metrics.py
@@ -7,6 +7,7 @@
 
 from lagoonrun_config import model
 from lagoonrun_core import outcomes, types
+from lagoonrun_daemon import call_counts
 
 _LATENCY_BUCKETS_SECONDS = (
     0.01,
@@ -144,6 +145,15 @@
             "lagoonrun_platform_reachable",
             "1 while the platform answered the last call, else 0.",
         )
+        self.platform_calls = self._call_counts(
+            "lagoonrun_platform_calls",
+            "Calls to the platform, by kind; a watch is one call.",
+        )
+        self.platform_failures = self._call_counts(
+            "lagoonrun_platform_call_failures",
+            "Calls to the platform that were not answered, or held back by "
+            "the budget of calls.",
+        )
         self.ready = self._gauge(
             "lagoonrun_ready", "1 while callers should be sent here, else 0."
         )
@@ -266,6 +276,11 @@
             name, text, labels, registry=self.registry
         )
 
+    def _call_counts(self, name: str, text: str) -> call_counts.CallCounts:
+        counts = call_counts.CallCounts(name=name, text=text)
+        self.registry.register(counts)
+        return counts
+
     def _histogram(
         self, name: str, text: str, labels: tuple[str, ...]
     ) -> prometheus_client.Histogram:
--- a/packages/daemon/src/lagoonrun_daemon/permit_seeking.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_seeking.py
@@ -71,6 +71,12 @@
             answer = await self._services.permits.obtain(self._wanted(shard))
             if isinstance(answer, permit_types.Permit):
                 return answer
+            self._services.note(
+                self._call,
+                "permit-refused",
+                f"{answer.reason.value} by {answer.dispatcher or 'nobody'} "
+                f"for {shard}",
+            )
             if first_refusal is None:
                 first_refusal = answer
             if answer.reason not in _ROOM_REASONS:
--- a/packages/daemon/src/lagoonrun_daemon/services.py
+++ b/packages/daemon/src/lagoonrun_daemon/services.py
@@ -12,6 +12,7 @@
     metrics,
     permit_types,
 )
+from lagoonrun_daemon import call as calls
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_policy import retries
 
@@ -39,3 +40,15 @@
     unfinished: background.BackgroundTasks
     clock: clocks.Clock
     metrics: metrics.DaemonMetrics
+
+    def note(self, call: calls.Call, what: str, detail: str = "") -> None:
+        """Add a step of a call to its explanation; see `Happening`."""
+        self.explanations.add_happening(
+            call.request_id,
+            call.resolved.organisation,
+            explanations.Happening(
+                at_seconds=self.clock.monotonic() - call.arrived_at,
+                what=what,
+                detail=detail,
+            ),
+        )
--- a/packages/standins/src/lagoonrun_standins/reference_pages.py
+++ b/packages/standins/src/lagoonrun_standins/reference_pages.py
@@ -13,6 +13,7 @@
 import re
 import sys
 from collections.abc import Mapping, Sequence
+from typing import Any
 
 from lagoonrun_cli import command, command_line, exit_codes, registry
 from lagoonrun_config import model, settings
@@ -213,13 +214,19 @@
                 MetricFamily(
                     name=f"{family.name}{suffix}",
                     kind=family.type,
-                    labels=tuple(value._labelnames),
+                    labels=_labels_of(value),
                     text=family.documentation,
                 )
             )
     return sorted(found, key=lambda family: family.name)
 
 
+def _labels_of(value: Any) -> tuple[str, ...]:
+    own = getattr(value, "label_names", None)
+    # The library shows the labels of its own metrics nowhere else.
+    return tuple(own if own is not None else value._labelnames)
+
+
 def _command_lines(one: command.Command) -> list[str]:
     return [
         "",
