Send orders over HTTP, guarded right before the first byte

What allows an order (or a request) may end while its connection is made. The client towards upstreams now takes a question that it asks on the open connection, without an await before the write; a no leaves nothing sent. A check before the call alone was ruled out: connecting can take longer than a permit or a lease lasts.

--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import types
@@ -67,6 +68,7 @@
         address: str,
         port: int,
         fresh: bool = False,
+        may_write: Callable[[], bool] | None = None,
     ) -> upstream_response.UpstreamResponse | upstream_messages.UpstreamFailure:
         """Send a request and return the head of its response.
 
@@ -79,6 +81,10 @@
         fresh
             Use no pooled connection: an upstream may close one while the
             request is under way, and then no one knows whether it ran.
+        may_write
+            Asked on an open connection right before the first byte, without
+            an await in between: what allowed the request may have ended
+            while the connection was made. When it says no, nothing is sent.
         """
         endpoint = _Endpoint(address=address, port=port)
         if self._closed:
@@ -91,6 +97,9 @@
             connection = await self._connect(endpoint)
         if isinstance(connection, upstream_messages.UpstreamFailure):
             return connection
+        if may_write is not None and not may_write():
+            connection.close_idle()
+            return _not_connected(endpoint, "no longer allowed to be sent")
         return await connection.exchange(request)
 
     def forget(self, host: str, port: int) -> None:
--- a/packages/http/tests/test_upstream.py
+++ b/packages/http/tests/test_upstream.py
@@ -498,3 +498,30 @@
     response = await send(make_client(), make_request(), fake)
     outcome = await response.read_all(1)
     assert outcome.stage is _Stage.PROTOCOL
+
+
+async def test_a_request_that_is_no_longer_allowed_is_not_written(
+    make_client, make_upstream, make_request
+):
+    """An engine obeys an order of an entry VM that has been replaced.
+
+    The connection took long to open, and what allowed the request (a lease,
+    a permit) ended meanwhile; it is asked again before the first byte.
+    """
+    received = asyncio.get_running_loop().create_future()
+
+    async def script(reader, writer):
+        received.set_result(await reader.read())
+
+    fake = await make_upstream(script)
+    client = make_client()
+    async with asyncio.timeout(5):
+        failure = await client.send(
+            make_request(),
+            address="127.0.0.1",
+            port=fake.port,
+            may_write=lambda: fake.connections > 1,
+        )
+        assert await received == b""
+    assert failure.stage is _Stage.CONNECT
+    assert not failure.bytes_left
