--- a/packages/config/src/lagoonrun_config/settings.py
+++ b/packages/config/src/lagoonrun_config/settings.py
@@ -78,6 +78,8 @@
         the balancer, which notices with a lag.
     explain_capacity
         Most requests whose explanation is kept; the oldest goes first.
+    weight_bytes_per_second
+        Rate of the weight store for this failure domain's orders.
     experiment
         Deviations for measurements; none in service.
     platform_calls_per_second
@@ -97,5 +99,6 @@
     drain_timeout_seconds: float = 600.0
     readiness_grace_seconds: float = 2.0
     explain_capacity: int = 10_000
+    weight_bytes_per_second: float = 1e9
     experiment: Experiment = Experiment()
     platform_calls_per_second: float = 100.0
--- a/packages/config/src/lagoonrun_config/settings_file.py
+++ b/packages/config/src/lagoonrun_config/settings_file.py
@@ -9,6 +9,7 @@
 
 _MINIMUM_INNER_KEY_BYTES = 16
 _LONGEST_DRAIN_SECONDS = 86_400.0
+_MOST_WEIGHT_BYTES = 1e15
 _LARGEST_EXPLAIN_CAPACITY = 1_000_000
 _MOST_PLATFORM_CALLS = 10_000.0
 
@@ -94,6 +95,12 @@
             minimum=1,
             maximum=_LARGEST_EXPLAIN_CAPACITY,
         ),
+        weight_bytes_per_second=reader.number(
+            "weight_bytes_per_second",
+            default=1e9,
+            minimum=1.0,
+            maximum=_MOST_WEIGHT_BYTES,
+        ),
         experiment=_read_experiment(reader),
         platform_calls_per_second=reader.number(
             "platform_calls_per_second",
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -24,6 +24,7 @@
     naive_permits,
     peer_snapshots,
     permits,
+    placement,
     shards,
     stalls,
     status,
@@ -204,6 +205,15 @@
         )
         self._unfinished = background.BackgroundTasks()
         self._settlements = background.BackgroundTasks()
+        self._orderer = placement.make_orderer(
+            configured=configured,
+            store=self.store,
+            client=self.client,
+            view=self.fleet,
+            clock=self._clock,
+            # Nonces must differ between processes.
+            chance=random.SystemRandom(),
+        )
         self._budget = retries.RetryBudget(classes_by_name={})
         self.ingress = ingress.Ingress(
             services=daemon_services.Services(
@@ -332,6 +342,7 @@
         await self._load_reader.start()
         await self._summaries.start()
         await self._vm_watch.start()
+        await self._orderer.start()
         await self.admin_server.start()
         await self.caller_server.start()
         self._tasks = [asyncio.create_task(self._follow_configuration())]
@@ -356,6 +367,8 @@
         self.members.announce_leaving()
         self.fleet.on_members_changed()
         self.dispatcher.stop_owning()
+        # Before the drain, which may be long: another orders meanwhile.
+        await self._orderer.close()
         await asyncio.sleep(self._settings.readiness_grace_seconds)
         self.caller_server.stop_accepting()
         left = await self.caller_server.drain(
@@ -374,6 +387,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.caller_server.close()
+        await self._orderer.close()
         await self._vm_watch.close()
         await self._summaries.close()
         await self._load_reader.close()
--- /dev/null
+++ b/packages/daemon/src/lagoonrun_daemon/placement.py
@@ -0,0 +1,66 @@
+"""Assemble the orderer of this entry VM's failure domain."""
+
+import random
+
+from lagoonrun_config import settings
+from lagoonrun_core import clock as clocks
+from lagoonrun_daemon import fleet
+from lagoonrun_http import upstream as http_upstream
+from lagoonrun_orders import (
+    http_orders,
+    leadership,
+    orderer,
+    weight_budget,
+)
+from lagoonrun_platform import store as store_module
+
+_WEIGHT_BURST_SECONDS = 60.0
+"""Time of the weight store's rate that a round may spend at once."""
+
+
+def make_orderer(
+    *,
+    configured: settings.Settings,
+    store: store_module.KeyValueStore,
+    client: http_upstream.UpstreamClient,
+    view: fleet.FleetView,
+    clock: clocks.Clock,
+    chance: random.Random,
+) -> orderer.Orderer:
+    """Return an orderer that follows the configuration in force.
+
+    Parameters
+    ----------
+    view
+        Says what is in force and which upstreams are leaving.
+    chance
+        Source of jitter and nonces; must differ between processes.
+    """
+    rate = configured.weight_bytes_per_second
+    return orderer.Orderer(
+        domain=configured.domain,
+        leadership=leadership.Leadership(
+            store=store,
+            domain=configured.domain,
+            entry_vm=configured.entry_vm,
+            clock=clock,
+            random=chance,
+            order_timeout_seconds=orderer.DEFAULT_ORDER_TIMEOUT_SECONDS,
+        ),
+        upstream_orders=http_orders.HttpUpstreamOrders(
+            client=client, entry_vm=configured.entry_vm
+        ),
+        placements=lambda: (
+            view.configuration.placements if view.configuration else ()
+        ),
+        upstreams=lambda: (
+            view.configuration.upstreams_by_id if view.configuration else {}
+        ),
+        is_leaving=view.is_leaving,
+        budget=weight_budget.WeightBudget(
+            clock=clock,
+            bytes_per_second=rate,
+            burst_bytes=rate * _WEIGHT_BURST_SECONDS,
+        ),
+        clock=clock,
+    )
--- /dev/null
+++ b/packages/daemon/tests/test_placement.py
@@ -0,0 +1,58 @@
+"""Declared placements, carried out by a running entry VM."""
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from lagoonrun_config import configuration_store, model
+from lagoonrun_config import draft as draft_module
+from lagoonrun_core import types
+
+WRITER = types.UpstreamId("writer-1")
+
+
+@pytest.fixture
+def place(small_deployment):
+    """Return a function that declares one more model on the engine."""
+
+    async def apply(**upstream_options):
+        configuration = small_deployment.daemon.fleet.configuration
+        draft = draft_module.draft_of(configuration)
+        upstreams = dict(draft.upstreams_by_id)
+        upstreams[WRITER] = dataclasses.replace(
+            upstreams[WRITER], **upstream_options
+        )
+        placement = model.Placement(
+            pool=types.PoolName("writers"),
+            domain=types.FailureDomain("north"),
+            model="catalogue-1",
+            version="7",
+            count=1,
+        )
+        store = configuration_store.ConfigurationStore(
+            store=small_deployment.daemon.store, chance=random.Random(0)
+        )
+        await store.apply(
+            dataclasses.replace(
+                draft, upstreams_by_id=upstreams, placements=(placement,)
+            ),
+            base=configuration.revision,
+            change_id=types.ChangeId("placement"),
+            operator="test",
+        )
+
+    return apply
+
+
+async def test_a_declared_model_is_loaded(small_deployment, place):
+    await place(checks_fencing=True)
+    orders = small_deployment.writer.orders
+    async with asyncio.timeout(20):
+        while True:
+            if orders.applied:
+                break
+            await asyncio.sleep(0.01)
+    assert orders.version_by_model == {"catalogue-1": "7"}
+    assert orders.fencing_seen > 0
--- a/packages/orders/src/lagoonrun_orders/orderer.py
+++ b/packages/orders/src/lagoonrun_orders/orderer.py
@@ -37,7 +37,7 @@
     Parameters
     ----------
     leadership
-        Started and closed by the orderer.
+        Started and closed by the orderer; sought once there are placements.
     placements, upstreams
         Return what is in force now.
     is_leaving
@@ -88,8 +88,7 @@
         self._told_by_id: dict[types.UpstreamId, plan_module.Decision] = {}
 
     async def start(self) -> None:
-        """Seek the tenure and begin the rounds."""
-        await self._leadership.start()
+        """Begin the rounds; the tenure is sought once it is of use."""
         self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
@@ -108,6 +107,9 @@
         )
 
     async def _run(self) -> None:
+        while not self._has_work():
+            await self._sleep(self._round_seconds)
+        await self._leadership.start()
         while True:
             tenure = self._leadership.tenure
             if tenure is not None:
@@ -123,6 +125,13 @@
                     )
             await self._sleep(self._round_seconds)
 
+    def _has_work(self) -> bool:
+        """Return whether the domain has placements.
+
+        Without any, no entry VM of it holds a lease or watches for one.
+        """
+        return any(one.domain == self._domain for one in self._placements())
+
     async def _round(self, tenure: tenure_module.Tenure) -> None:
         placements = [
             one for one in self._placements() if one.domain == self._domain
