Check permit and claim again on the open connection

Both were checked before the connection to the upstream was made. An upstream that began to leave meanwhile, or a permit that aged past its second, was still used. The client now asks right before the first byte; the new test was red without that.

--- a/packages/daemon/src/lagoonrun_daemon/delivery.py
+++ b/packages/daemon/src/lagoonrun_daemon/delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from lagoonrun_config import model
 from lagoonrun_core import outcomes, types
@@ -63,6 +64,7 @@
         self._call = call
         self._services = services
         self.sent = False
+        self._may_write: Callable[[], bool] | None = None
         self.relay = relay.StreamRelay(call=call, clock=services.clock)
 
     async def send(
@@ -71,6 +73,7 @@
         upstream: model.Upstream,
         *,
         keeps_failures: bool,
+        may_write: Callable[[], bool],
     ) -> Delivered | StillRunning:
         """Send the call, and deliver the answer unless it was lost.
 
@@ -79,7 +82,10 @@
         keeps_failures
             Deliver an answer that says the upstream failed, since there is
             no attempt left that could do better.
+        may_write
+            Asked on the open connection right before the first byte.
         """
+        self._may_write = may_write
         work = self._attempt(permit, upstream, keeps_failures=keeps_failures)
         if self._call.idempotent:
             return await work
@@ -172,6 +178,7 @@
             address=upstream.address,
             port=upstream.port,
             fresh=not self._call.idempotent,
+            may_write=self._may_write,
         )
         if isinstance(response, http_upstream.UpstreamFailure):
             return attempt.lost_by(response, upstream=upstream.id)
--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -109,7 +109,15 @@
             return None
         self._note("sent", upstream.id)
         result = await self._delivery.send(
-            permit, upstream, keeps_failures=not self._may_repeat()
+            permit,
+            upstream,
+            keeps_failures=not self._may_repeat(),
+            # Connecting may take longer than a permit lasts, and the process
+            # may be frozen meanwhile: what was checked above is old by then.
+            may_write=lambda: (
+                self._seeker.usable_upstream(permit) is not None
+                and self._once.may_send()
+            ),
         )
         match result:
             case outcomes.Ending():
--- a/packages/daemon/tests/test_daemon.py
+++ b/packages/daemon/tests/test_daemon.py
@@ -142,3 +142,29 @@
         path, method="GET", organisation="nobody"
     )
     assert stranger.status == 401
+
+
+async def test_an_upstream_that_leaves_while_connecting_gets_nothing(
+    small_deployment, monkeypatch
+):
+    """A server that is about to stop is sent one more spill warning.
+
+    It began to leave after its permit was checked, while the connection to
+    it was being made.
+    """
+    daemon = small_deployment.daemon
+    open_connection = daemon.client._open
+
+    async def open_slowly(endpoint):
+        connection = await open_connection(endpoint)
+        monkeypatch.setattr(
+            daemon.members, "upstream_is_leaving", lambda _: True
+        )
+        return connection
+
+    monkeypatch.setattr(daemon.client, "_open", open_slowly)
+    answer = await small_deployment.ask(
+        "/warnings/spill", headers=(("Idempotency-Key", "spill-4"),)
+    )
+    assert outcome_of(answer) == "not-run"
+    assert not small_deployment.portal.runs.by_idempotency_key["spill-4"]
