--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -444,6 +444,9 @@
         """Take in a changed state of an entry VM."""
         self.fleet.on_members_changed()
         if view.state is messages.MemberState.DEAD:
+            # A frozen process keeps its connections; what waits in them must
+            # not reach it when it wakes.
+            self.hub.drop(view.entry_vm)
             self.permits.on_member_gone(view.entry_vm)
             self.dispatcher.on_ingress_gone(view.entry_vm)
         self.dispatcher.on_ranking_changed()
--- a/packages/membership/src/lagoonrun_membership/composer.py
+++ b/packages/membership/src/lagoonrun_membership/composer.py
@@ -17,8 +17,8 @@
 _BODY_BYTES = datagrams.MAXIMUM_DATAGRAM_BYTES - datagrams.OVERHEAD_BYTES - 64
 """Room for the body beside the stamp, the tag and a sender's name."""
 
-_FIXED_BYTES = 96
-"""Envelope, sequence, source's name and digests, at most."""
+_FIXED_BYTES = 176
+"""Envelope, sequence, digests and two names, at most."""
 
 _SHARD_BYTES = 320
 _UPSTREAM_BYTES = 320
@@ -50,6 +50,8 @@
     tells_accusations
         Whether suspicion and death are told; off while this process hears
         nobody, since then it is more likely at fault than all others.
+    page_after
+        Member after which the next answer's page should begin.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         self._shards = shards
         self._timing = timing
         self.tells_accusations = True
+        self.page_after = ""
         self._member_news = updates.UpdateQueue[messages.MemberUpdate](
             size_of=sizes.of_member
         )
@@ -137,6 +140,7 @@
             upstreams=tuple(upstream_news),
             shards=tuple(summaries),
             digests=self.digests(),
+            page_after=self.page_after,
         )
 
     def acknowledge(
@@ -145,26 +149,34 @@
         *,
         sequence: int,
         differing: tuple[int, ...],
+        page_after: str,
         now: float,
     ) -> messages.Acknowledge:
-        """Return an answer with news and with what `target` seems to lack."""
+        """Return an answer with news and with what `target` seems to lack.
+
+        In calm it is nearly empty: the own record and the digests are left
+        out where the target has them already.
+        """
         own, room = self._opening(target)
+        if not self._lacks_own(target, differing):
+            own = own[1:]
         summaries, room = self._take_shards(target, room, now)
         upstream_news, room = self._take_upstreams(room)
         if digests.MEMBER_PARTS in differing:
-            page = self._upstreams.page(size=min(room, _UPSTREAM_BYTES))
-            room -= sum(map(sizes.of_upstream, page))
-            upstream_news = [*upstream_news, *page]
+            leaving = self._upstreams.page(size=min(room, _UPSTREAM_BYTES))
+            room -= sum(map(sizes.of_upstream, leaving))
+            upstream_news = [*upstream_news, *leaving]
         member_news = self._take_members(room)
         room -= sum(map(sizes.of_member, member_news))
-        member_page = self._page(differing, room)
+        page = self._page(target, differing, after=page_after, room=room)
         return messages.Acknowledge(
             sequence=sequence,
             source=self._members.own.entry_vm,
-            members=(*own, *member_news, *member_page),
+            members=(*own, *member_news, *page),
             upstreams=tuple(upstream_news),
             shards=tuple(summaries),
-            digests=self.digests(),
+            digests=self.digests() if differing else (),
+            page_after=page[-1].entry_vm if page else "",
         )
 
     def summaries(self, *, now: float) -> messages.Ping:
@@ -202,6 +214,16 @@
         room = _BODY_BYTES - _FIXED_BYTES
         return records, room - sum(map(sizes.of_member, records))
 
+    def _lacks_own(
+        self, target: types.EntryVmId, differing: tuple[int, ...]
+    ) -> bool:
+        """Return whether `target` may not have our record as it is."""
+        own = self._members.own
+        view = self._members.view(target)
+        if view is None or view.revision < own.revision:
+            return True
+        return digests.part_of(own.entry_vm) in differing
+
     def _take_members(self, room: int) -> list[messages.MemberUpdate]:
         transmissions = self._timing.transmissions_for(len(self._members))
         return self._member_news.take(size=room, transmissions=transmissions)
@@ -233,9 +255,22 @@
         return news, room - sum(map(sizes.of_shard, news))
 
     def _page(
-        self, differing: tuple[int, ...], room: int
+        self,
+        target: types.EntryVmId,
+        differing: tuple[int, ...],
+        *,
+        after: str,
+        room: int,
     ) -> list[messages.MemberUpdate]:
+        """Return records that `target` may lack, its own domain's first.
+
+        A process that has just joined can rank its domain's shards only once
+        it knows its domain.
+        """
         parts = tuple(n for n in differing if n < digests.MEMBER_PARTS)
+        view = self._members.view(target) or self._members.own
         if not is_far_apart(differing):
             room = min(room, _SMALL_PAGE_BYTES)
-        return self._members.page(parts, size=room)
+        return self._members.page(
+            parts, domain=view.domain, after=after, size=room
+        )
--- a/packages/membership/src/lagoonrun_membership/gossip.py
+++ b/packages/membership/src/lagoonrun_membership/gossip.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Iterable
 
@@ -22,10 +23,11 @@
 from lagoonrun_membership import timing as timings
 from lagoonrun_protocol import hub, messages
 
-_QUICK_SYNCS = 64
+_MAXIMUM_SYNCS = 64
 _ISOLATED_PERIODS = 2
 _FROZEN_PERIODS = 2
 _SEED_PROBES = 2
+_MAXIMUM_ADDED_SEEDS = 1024
 _CONDEMNED_PROBES = 4
 
 
@@ -78,7 +80,8 @@
         self._own_address = hub.PeerAddress(
             host=own.peer_host, port=own.peer_port
         )
-        self._seeds = list(seeds)
+        self._seeds = dict.fromkeys(seeds)
+        self._added_seeds: dict[hub.PeerAddress, None] = {}
         self._timing = timing
         self._random = random_source
         self._composer = composer.DatagramComposer(
@@ -97,7 +100,9 @@
         self._forgotten: list[types.EntryVmId] = []
         self._urgent = False
         self._urgent_tokens = timing.urgent_burst
-        self._quick_syncs = _QUICK_SYNCS
+        self._syncs_left = _MAXIMUM_SYNCS
+        self._next_sync_at = math.inf
+        self._is_joining = True
         self._period = 0
         self._next_period_at = now
         self._last_heard_at = now
@@ -107,7 +112,11 @@
 
     def next_wakeup(self) -> float:
         """Return the clock reading at which `tick` is due."""
-        return min(self._next_period_at, self._pending.next_deadline())
+        return min(
+            self._next_period_at,
+            self._next_sync_at,
+            self._pending.next_deadline(),
+        )
 
     def take_configurations(self) -> tuple[ConfigurationNews, ...]:
         """Return news of higher revisions, once."""
@@ -128,10 +137,16 @@
         return forgotten
 
     def add_seeds(self, addresses: Iterable[hub.PeerAddress]) -> None:
-        """Join through further addresses, as the platform's list shows."""
+        """Join through further addresses, as the platform's list shows.
+
+        The oldest addresses added give way to new ones, since those of
+        replaced VMs would pile up.
+        """
         for address in addresses:
-            if address not in self._seeds:
-                self._seeds.append(address)
+            self._added_seeds.pop(address, None)
+            self._added_seeds[address] = None
+        while len(self._added_seeds) > _MAXIMUM_ADDED_SEEDS:
+            del self._added_seeds[next(iter(self._added_seeds))]
 
     # What the owner announces. Each returns datagrams to be sent.
 
@@ -182,6 +197,8 @@
         if now >= self._next_period_at:
             self._next_period_at = now + self._timing.period_seconds
             self._start_period(now)
+        if now >= self._next_sync_at:
+            self._sync(now)
         return self._finish(now)
 
     def receive(
@@ -220,7 +237,7 @@
         self._pending.clear()
         self.members.postpone(late)
         self._last_heard_at = now
-        self._quick_syncs = _QUICK_SYNCS
+        self._is_joining = True
 
     def _judge_probes(self, now: float) -> None:
         for probe in self._pending.take_unanswered_directly(now):
@@ -248,6 +265,7 @@
         self._urgent_tokens = min(
             self._timing.urgent_burst, self._urgent_tokens + 1
         )
+        self._syncs_left = min(_MAXIMUM_SYNCS, self._syncs_left + 1)
         self._probe(self._schedule.next_in_own_domain(), now)
         bridge = self._timing.bridge_periods_for(len(self.members))
         if self._period % bridge == 0:
@@ -273,6 +291,25 @@
             target, self._composer.ping(target, sequence=sequence, now=now)
         )
 
+    def _sync(self, now: float) -> None:
+        """Ask a random member for more of its table.
+
+        The number in a row is bounded and the members vary, so that a fleet
+        that starts at once does not overrun its seeds.
+        """
+        self._next_sync_at = math.inf
+        targets = self._schedule.own_domain_sample(
+            1
+        ) + self._schedule.other_domains_sample(1)
+        if not targets or self._syncs_left == 0:
+            return
+        self._syncs_left -= 1
+        target = self._random.choice(targets)
+        sequence = self._pending.next_sequence()
+        self._send(
+            target, self._composer.ping(target, sequence=sequence, now=now)
+        )
+
     def _rejoin(self, now: float) -> None:
         """Probe a dead member and a seed now and then.
 
@@ -304,7 +341,8 @@
                 known.add(
                     hub.PeerAddress(host=view.peer_host, port=view.peer_port)
                 )
-        return [address for address in self._seeds if address not in known]
+        seeds = self._seeds | self._added_seeds
+        return [address for address in seeds if address not in known]
 
     def _send_summaries(self, now: float) -> None:
         """Send own shards to one member of each domain that hears of them."""
@@ -338,6 +376,7 @@
                 sender,
                 sequence=message.sequence,
                 differing=self._differing(message),
+                page_after=message.page_after,
                 now=now,
             )
             self._outgoing.append(Outgoing(address=address, message=answer))
@@ -377,17 +416,20 @@
         hear of it to refute it. A process that has just joined or woken asks
         on until its table is whole, instead of learning a part a period.
         """
+        if message.page_after:
+            self._composer.page_after = message.page_after
         differing = self._differing(message)
-        is_accused = self._composer.is_accused(sender)
-        is_behind = composer.is_far_apart(differing) and self._quick_syncs > 0
-        if not is_accused and not is_behind:
-            return
-        sequence = 0
-        if is_behind:
-            self._quick_syncs -= 1
-            sequence = self._pending.next_sequence()
-        ping = self._composer.ping(sender, sequence=sequence, now=now)
-        self._outgoing.append(Outgoing(address=address, message=ping))
+        if not differing:
+            self._is_joining = False
+        # A joined process is not in a hurry over news that is on its way to
+        # it anyway, or one join would make the whole fleet ask each other.
+        if composer.is_far_apart(differing) or (differing and self._is_joining):
+            self._next_sync_at = min(
+                self._next_sync_at, now + self._timing.sync_seconds
+            )
+        if self._composer.is_accused(sender):
+            ping = self._composer.ping(sender, sequence=0, now=now)
+            self._outgoing.append(Outgoing(address=address, message=ping))
 
     def _take_ping_request(
         self,
--- a/packages/membership/src/lagoonrun_membership/members.py
+++ b/packages/membership/src/lagoonrun_membership/members.py
@@ -6,7 +6,7 @@
 everyone ends with the same belief, and old news brings no dead member back.
 """
 
-import collections
+import bisect
 import dataclasses
 
 from lagoonrun_core import types
@@ -15,7 +15,10 @@
 from lagoonrun_protocol import messages
 
 MemberView = messages.MemberUpdate
-"""A member as the owner sees it: its record with the state believed now."""
+"""A member as the owner sees it: its record with the state believed now.
+
+The digest is empty where the member's revision is known from others only.
+"""
 
 _MEMBER_STATES_OF_SELF = (
     messages.MemberState.ALIVE,
@@ -55,8 +58,6 @@
         self._ids_by_part: list[list[types.EntryVmId]] = [
             [] for _ in range(digests.MEMBER_PARTS)
         ]
-        self._cursors = [0] * digests.MEMBER_PARTS
-        self._next_part = 0
         self._digests = [0] * digests.MEMBER_PARTS
         self._ids_by_domain: dict[
             types.FailureDomain, dict[types.EntryVmId, None]
@@ -117,7 +118,12 @@
         does, it says again that it is leaving.
         """
         record = self._records_by_id[entry_vm]
-        return _with_state(record, _wire_state(record))
+        update = _with_state(record, _wire_state(record))
+        # A snapshot's digest is for those who fetch it from the member, and
+        # it says that itself. Passed on, it would double a record's size.
+        if entry_vm != self._own_id and update.digest:
+            update = dataclasses.replace(update, digest="")
+        return update
 
     def knows(self, entry_vm: types.EntryVmId) -> bool:
         """Return whether there is a record of the member."""
@@ -156,31 +162,45 @@
         )
 
     def page(
-        self, parts: tuple[int, ...], *, size: int
+        self,
+        parts: tuple[int, ...],
+        *,
+        domain: types.FailureDomain,
+        after: str,
+        size: int,
     ) -> list[messages.MemberUpdate]:
-        """Return records of `parts` for `size` bytes, others at each call."""
-        page: list[messages.MemberUpdate] = []
-        # Starting where the last page ended keeps a small page from showing
-        # the same few parts for ever.
-        first = self._next_part
-        queue = collections.deque(
-            sorted(parts, key=lambda n: (n - first) % digests.MEMBER_PARTS)
-        )
-        left_by_part = {part: len(self._ids_by_part[part]) for part in parts}
-        while queue:
-            part = queue.popleft()
-            if left_by_part[part] == 0:
-                continue
-            position = (self._cursors[part] + 1) % len(self._ids_by_part[part])
-            update = self.wire(self._ids_by_part[part][position])
+        """Return records of `parts` for `size` bytes.
+
+        The order is the same at all members, so that a process can ask one
+        after the other and go on where the last page ended.
+
+        Parameters
+        ----------
+        parts
+            Parts of the table.
+        domain
+            Whose members come first.
+        after
+            Member after which to begin; empty for the beginning.
+        size
+            Room, in bytes.
+        """
+
+        def order(entry_vm: str) -> tuple[bool, str]:
+            record = self._records_by_id.get(types.EntryVmId(entry_vm))
+            is_other = record is None or record.update.domain != domain
+            return (is_other, entry_vm)
+
+        ids = [id_ for part in parts for id_ in self._ids_by_part[part]]
+        ids.sort(key=order)
+        start = bisect.bisect(ids, order(after), key=order) if after else 0
+        page = []
+        for entry_vm in ids[start:] + ids[:start]:
+            update = self.wire(entry_vm)
             size -= sizes.of_member(update)
             if size < 0:
-                self._next_part = part
                 break
-            self._cursors[part] = position
-            left_by_part[part] -= 1
             page.append(update)
-            queue.append(part)
         return page
 
     # Taking what has come of the events.
--- a/packages/membership/src/lagoonrun_membership/membership.py
+++ b/packages/membership/src/lagoonrun_membership/membership.py
@@ -4,11 +4,11 @@
 import dataclasses
 import logging
 import random as random_module
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import errors, events, logs, types
-from lagoonrun_membership import gossip, listener, members
+from lagoonrun_membership import gossip, listener, members, shards
 from lagoonrun_membership import timing as timings
 from lagoonrun_protocol import codec, datagrams, hub, messages
 
@@ -73,11 +73,17 @@
         )
         self._opener = datagrams.DatagramOpener(key=key)
         self._gossip = self._new_gossip(self_view)
+        self._summaries_by_shard = _SummariesByShard(
+            shard_table=lambda: self._gossip.shards, clock=clock
+        )
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.Task[None] | None = None
+        self._earlier = asyncio.Event()
+        self._sleeps_until = float("-inf")
         self._live_by_domain: dict[
             types.FailureDomain, tuple[types.EntryVmId, ...]
         ] = {}
+        self._members_by_id: dict[types.EntryVmId, MemberView] | None = None
         self._states_by_id: dict[types.EntryVmId, messages.MemberState] = {}
         self._rejections = 0
         self._rejections_logged_at = float("-inf")
@@ -104,6 +110,8 @@
         if port is not None or own.peer_port == 0:
             own = dataclasses.replace(own, peer_port=self._port)
         self._gossip = self._new_gossip(own)
+        self._members_by_id = None
+        self._live_by_domain.clear()
         self._timer = asyncio.create_task(self._run())
 
     async def close(self) -> None:
@@ -125,14 +133,19 @@
     @property
     def members_by_id(self) -> Mapping[types.EntryVmId, MemberView]:
         """All members, this process and the dead included."""
-        return self._gossip.members.views_by_id()
+        if self._members_by_id is None:
+            self._members_by_id = self._gossip.members.views_by_id()
+        return self._members_by_id
 
     @property
     def summaries_by_shard(
         self,
     ) -> Mapping[types.ShardId, messages.ShardSummary]:
-        """Fresh summaries of other domains' shards and of the own ones."""
-        return self._gossip.shards.by_shard(self._clock.monotonic())
+        """Fresh summaries of other domains' shards and of the own ones.
+
+        Each is made up with its present age when it is looked up.
+        """
+        return self._summaries_by_shard
 
     def live_in(
         self, domain: types.FailureDomain
@@ -220,14 +233,24 @@
     async def _run(self) -> None:
         while True:
             now = self._clock.monotonic()
-            wait = self._gossip.next_wakeup() - now
+            self._sleeps_until = self._gossip.next_wakeup()
+            wait = self._sleeps_until - now
             if wait > 0:
-                await asyncio.sleep(wait)
+                await self._sleep(wait)
                 continue
             self._act(self._gossip.tick(now=now))
             # A clock that stands still must not keep the loop from reading.
             await asyncio.sleep(0)
 
+    async def _sleep(self, seconds: float) -> None:
+        """Sleep until a datagram makes the next deadline earlier."""
+        self._earlier.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._earlier.wait()
+        except TimeoutError:
+            pass
+
     def _receive(self, data: bytes, address: hub.PeerAddress) -> None:
         peer = f"{address.host}:{address.port}"
         try:
@@ -262,6 +285,8 @@
     def _act(self, outgoing: list[gossip.Outgoing]) -> None:
         self._send(outgoing)
         self._publish()
+        if self._gossip.next_wakeup() < self._sleeps_until:
+            self._earlier.set()
 
     def _send(self, outgoing: list[gossip.Outgoing]) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -275,6 +300,7 @@
     def _publish(self) -> None:
         for view in self._gossip.members.take_changed():
             self._live_by_domain.clear()
+            self._members_by_id = None
             self._log_state(view)
             self._tell(self._listener.on_member_changed, view)
         for update in self._gossip.upstreams.take_changed():
@@ -321,6 +347,34 @@
             )
 
 
+class _SummariesByShard(Mapping[types.ShardId, messages.ShardSummary]):
+    """Read the shard table as a mapping, one summary at a time."""
+
+    def __init__(
+        self,
+        *,
+        shard_table: Callable[[], shards.ShardTable],
+        clock: clocks.Clock,
+    ) -> None:
+        self._shard_table = shard_table
+        self._clock = clock
+
+    def __getitem__(self, shard: types.ShardId) -> messages.ShardSummary:
+        summary = self._shard_table().get(shard, self._clock.monotonic())
+        if summary is None:
+            raise KeyError(shard)
+        return summary
+
+    def __iter__(self) -> Iterator[types.ShardId]:
+        return iter(self._fresh())
+
+    def __len__(self) -> int:
+        return len(self._fresh())
+
+    def _fresh(self) -> dict[types.ShardId, messages.ShardSummary]:
+        return self._shard_table().by_shard(self._clock.monotonic())
+
+
 class _DatagramReceiver(asyncio.DatagramProtocol):
     """Hand datagrams on; a refused port of a dead peer is no error here."""
 
--- a/packages/membership/src/lagoonrun_membership/shards.py
+++ b/packages/membership/src/lagoonrun_membership/shards.py
@@ -128,6 +128,17 @@
             return None
         return _aged(dated, now)
 
+    def get(
+        self, shard: types.ShardId, now: float
+    ) -> messages.ShardSummary | None:
+        """Return a fresh summary of any shard with its age, or None."""
+        for dated in self._own:
+            if dated.summary.shard == shard and self._is_fresh(
+                dated.made_at, now
+            ):
+                return _aged(dated, now)
+        return self.aged(shard, now)
+
     def by_shard(
         self, now: float
     ) -> dict[types.ShardId, messages.ShardSummary]:
--- a/packages/membership/src/lagoonrun_membership/sizes.py
+++ b/packages/membership/src/lagoonrun_membership/sizes.py
@@ -1,14 +1,14 @@
 """Upper bounds of the bytes that records take in a packed datagram.
 
-Packing drops zero bytes, so that the true size varies; the bounds are checked
-by a test against the codec.
+Packing drops the zero bytes of each word of eight and adds a tag byte, so that
+small numbers are short. The bounds are checked by a test against the codec.
 """
 
 from lagoonrun_protocol import messages
 
-_STRUCT_BYTES = 12
-_NUMBER_BYTES = 9
-_TEXT_BYTES = 8
+_POINTER_BYTES = 5
+_FRACTION_BYTES = 9
+_FLAG_BYTES = 2
 
 
 def of_member(update: messages.MemberUpdate) -> int:
@@ -20,19 +20,43 @@
         update.peer_host,
         update.digest,
     )
-    return _STRUCT_BYTES + 4 * _NUMBER_BYTES + _of_texts(texts)
+    numbers = (
+        update.incarnation,
+        update.peer_port,
+        update.admin_port,
+        update.revision,
+    )
+    return _of_texts(texts) + _of_numbers(numbers)
 
 
 def of_upstream(update: messages.UpstreamUpdate) -> int:
     """Return the most bytes of an upstream's record."""
-    return _STRUCT_BYTES + 2 * _NUMBER_BYTES + _of_texts((update.upstream,))
+    numbers = (update.incarnation,)
+    return _of_texts((update.upstream,)) + _of_numbers(numbers) + _FLAG_BYTES
 
 
 def of_shard(summary: messages.ShardSummary) -> int:
     """Return the most bytes of a shard's summary."""
-    texts = (summary.shard, summary.dispatcher)
-    return _STRUCT_BYTES + 5 * _NUMBER_BYTES + _of_texts(texts)
+    numbers = (
+        summary.free,
+        summary.lowest_waiting_tier,
+        summary.lowest_running_tier,
+    )
+    return (
+        _of_texts((summary.shard, summary.dispatcher))
+        + _of_numbers(numbers)
+        + 2 * _FRACTION_BYTES
+    )
 
 
 def _of_texts(texts: tuple[str, ...]) -> int:
-    return sum(_TEXT_BYTES + len(text.encode()) * 9 // 8 + 2 for text in texts)
+    return sum(map(_of_text, texts))
+
+
+def _of_text(text: str) -> int:
+    length = len(text.encode())
+    return _POINTER_BYTES + length + length // 8 + 4
+
+
+def _of_numbers(numbers: tuple[int, ...]) -> int:
+    return sum((number.bit_length() + 7) // 8 + 1 for number in numbers)
--- a/packages/membership/src/lagoonrun_membership/timing.py
+++ b/packages/membership/src/lagoonrun_membership/timing.py
@@ -34,6 +34,8 @@
         Members that urgent news is sent to at once.
     urgent_burst
         Urgent sendings saved up at most; one more is earned each period.
+    sync_seconds
+        Between two probes of a process whose table differs much.
     summary_maximum_age_seconds
         Age at which a shard's summary is no longer used.
     summary_domains
@@ -53,6 +55,7 @@
     fan_out_own_domain: int = 4
     fan_out_other_domains: int = 2
     urgent_burst: int = 4
+    sync_seconds: float = 0.2
     summary_maximum_age_seconds: float = 10.0
     summary_domains: int = 4
 
--- a/packages/membership/src/lagoonrun_membership/updates.py
+++ b/packages/membership/src/lagoonrun_membership/updates.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
+MAXIMUM_ENTRIES = 64
+"""Most pieces of news in a queue."""
+
 _Item = TypeVar("_Item")
 
 
@@ -18,7 +21,9 @@
     """News by key; the newest and least sent goes first.
 
     Newer news of a key takes the place of the older, so that the queue holds
-    at most one entry for each member, upstream or shard.
+    at most one entry for each member, upstream or shard. When it is full, what
+    was sent most often gives way: a fleet that starts at once would otherwise
+    repeat its joins for minutes, which the digests make up for sooner.
 
     Parameters
     ----------
@@ -38,7 +43,11 @@
     def add(self, key: Hashable, item: _Item) -> None:
         """Send `item` from now on in place of older news of `key`."""
         self._order += 1
-        self._entries_by_key[key] = _Entry(item=item, sent=0, order=self._order)
+        entry = _Entry(item=item, sent=0, order=self._order)
+        self._entries_by_key[key] = entry
+        if len(self._entries_by_key) > MAXIMUM_ENTRIES:
+            last = max(self._entries_by_key, key=self._urgency)
+            del self._entries_by_key[last]
 
     def discard(self, key: Hashable) -> None:
         """Send nothing of `key` any more."""
--- a/packages/membership/tests/test_gossip.py
+++ b/packages/membership/tests/test_gossip.py
@@ -18,6 +18,22 @@
     network.run_until(network.all_alive, within=20.0)
 
 
+def test_joiner_knows_its_own_domain_first(make_network):
+    """A VM joins a fleet whose table fills many datagrams.
+
+    It can dispatch and rank shards once it knows its domain; the rest of the
+    fleet may take longer.
+    """
+    network = make_network()
+    domains = [f"domain-{n}" for n in range(8)]
+    names = network.start_fleet(domains=domains, per_domain=6)
+    network.introduce_all()
+    network.start("vm-domain-3-new", domain="domain-3", seeds=names[:2])
+    joiner = network.nodes_by_id["vm-domain-3-new"].members
+    network.run_until(lambda: len(joiner.live_in("domain-3")) == 7, within=2.0)
+    network.run_until(lambda: len(joiner) == 49, within=10.0)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_nobody_is_held_for_dead_in_calm(make_network, seed):
     network = make_network(seed=seed)
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -255,6 +255,8 @@
     digests
         Digests of the parts of the sender's tables; see
         `lagoonrun_membership.digests`. Empty where it tells none.
+    page_after
+        Member after which an answer's page of the member table begins.
     """
 
     sequence: int
@@ -263,11 +265,19 @@
     upstreams: tuple[UpstreamUpdate, ...] = ()
     shards: tuple[ShardSummary, ...] = ()
     digests: tuple[int, ...] = ()
+    page_after: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Acknowledge:
-    """Answer to a `Ping` or, through a third member, a `PingRequest`."""
+    """Answer to a `Ping` or, through a third member, a `PingRequest`.
+
+    Parameters
+    ----------
+    page_after
+        Last member of the page of the member table in it; empty where there
+        is none.
+    """
 
     sequence: int
     source: types.EntryVmId
@@ -275,6 +285,7 @@
     upstreams: tuple[UpstreamUpdate, ...] = ()
     shards: tuple[ShardSummary, ...] = ()
     digests: tuple[int, ...] = ()
+    page_after: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -141,6 +141,7 @@
   upstreams @3 :List(UpstreamUpdate);
   shards @4 :List(ShardSummary);
   digests @5 :List(UInt32);
+  pageAfter @6 :Text;
 }
 
 struct Acknowledge {
@@ -150,6 +151,7 @@
   upstreams @3 :List(UpstreamUpdate);
   shards @4 :List(ShardSummary);
   digests @5 :List(UInt32);
+  pageAfter @6 :Text;
 }
 
 struct PingRequest {
