--- a/packages/daemon/src/lagoonrun_daemon/execution.py
+++ b/packages/daemon/src/lagoonrun_daemon/execution.py
@@ -222,6 +222,7 @@
             maximum_attempts=profile.maximum_attempts,
             reason=lost.reason,
             sent=lost.ran is not outcomes.Outcome.NOT_RUN,
+            resumes=self._call.exchange.started,
         )
         if isinstance(decided, retries.RetryDenied):
             self._note("retry-denied", decided.reason.value)
--- a/packages/daemon/tests/failures/conftest.py
+++ b/packages/daemon/tests/failures/conftest.py
@@ -10,7 +10,7 @@
 
 from lagoonrun_config import declarations
 from lagoonrun_core import types
-from lagoonrun_standins import deployment, fleet, http_client
+from lagoonrun_standins import deployment, fleet, http_client, traffic
 
 HOUSE = types.OrganisationId("house")
 RIVAL = types.OrganisationId("rival")
@@ -33,8 +33,8 @@
 _PROFILE = """
 [profiles.{name}]
 tier = {tier}
-target_seconds = 5.0
-limit_seconds = 20.0
+target_seconds = 0.5
+limit_seconds = {limit}
 idempotent = {idempotent}
 """
 _SERVICE = """
@@ -60,6 +60,12 @@
 slots = 8
 resumes = {resumes}
 """
+_PROFILES = (
+    ("lookup", 1, 20.0, "true"),
+    ("answer", 2, 20.0, "true"),
+    ("warning", 1, 20.0, "false"),
+    ("hurry", 3, 1.0, "true"),
+)
 _UPSTREAMS = (
     ("portal", "portal-1", "north", False),
     ("portal", "portal-2", "south", False),
@@ -73,10 +79,12 @@
 def declared_text() -> str:
     """Return the declarations of the deployment as TOML."""
     parts = [
-        _PROFILE.format(name="lookup", tier=1, idempotent="true"),
-        _PROFILE.format(name="answer", tier=2, idempotent="true"),
-        _PROFILE.format(name="warning", tier=1, idempotent="false"),
+        _PROFILE.format(name=name, tier=tier, limit=limit, idempotent=repeats)
+        for name, tier, limit, repeats in _PROFILES
+    ]
+    parts += [
         _SERVICE.format(name="lookups", profile="lookup"),
+        _SERVICE.format(name="hurried", profile="hurry"),
         _SERVICE.format(name="warnings", profile="warning"),
         _CHAT,
     ]
@@ -119,6 +127,35 @@
     ).encode()
 
 
+def callers() -> list[traffic.Caller]:
+    """Return the two organisations as callers."""
+    return [
+        traffic.Caller(organisation=name, key=deployment.organisation_key(name))
+        for name in (HOUSE, RIVAL)
+    ]
+
+
+def chat_class(
+    name: str, *, rate: float, streams: bool, tokens: float = 20.0
+) -> traffic.TrafficClass:
+    """Return chat completions as a class of a load."""
+    return traffic.TrafficClass(
+        name=name,
+        target="catalogue-1",
+        rate=rate,
+        target_seconds=5.0,
+        limit_seconds=20.0,
+        median_tokens=tokens,
+        prompt_bytes=256,
+        streams=streams,
+    )
+
+
+def entry_addresses(trial: "Trial"):
+    """Return the callers' addresses of all entry VMs."""
+    return [trial.process(vm.id).address("caller") for vm in ENTRY_VMS]
+
+
 def told(answer: http_client.Answer) -> tuple[int, str | None]:
     """Return the status and the outcome that a caller is told."""
     return answer.status, answer.head.headers.get("lagoonrun-outcome")
--- a/packages/policy/src/lagoonrun_policy/retries.py
+++ b/packages/policy/src/lagoonrun_policy/retries.py
@@ -89,6 +89,7 @@
         maximum_attempts: int,
         reason: outcomes.Reason,
         sent: bool,
+        resumes: bool = False,
     ) -> RetryGranted | RetryDenied:
         """Spend a retry if the request may have one.
 
@@ -99,6 +100,11 @@
         sent
             Whether a byte of the request has left for an upstream. A request
             that is not idempotent is never tried again after that.
+        resumes
+            Whether a stream goes on after its delivered tokens. That repeats
+            no work, and there are no more of them than streams were lost, so
+            that it spends nothing: a crash takes more streams at once than
+            any budget has saved, and each denied one wastes what it has.
         """
         policy = self._classes_by_name.get(profile)
         if policy is None or reason not in RETRIED_REASONS:
@@ -108,9 +114,10 @@
         if attempts >= maximum_attempts:
             return RetryDenied(reason=reason)
         saved = self._saved_by_name.get(profile, 1.0)
-        if policy.retry_ratio <= 0 or saved < 1.0:
+        cost = 0.0 if resumes else 1.0
+        if policy.retry_ratio <= 0 or saved < cost:
             return RetryDenied(reason=outcomes.Reason.RETRY_BUDGET)
-        self._saved_by_name[profile] = saved - 1.0
+        self._saved_by_name[profile] = saved - cost
         return RetryGranted(
             pause_seconds=backoff_seconds(
                 request_id=request_id, attempts=attempts
--- a/packages/policy/tests/test_retries.py
+++ b/packages/policy/tests/test_retries.py
@@ -42,6 +42,17 @@
     assert denied.reason is outcomes.Reason.RETRY_BUDGET
 
 
+def test_resumed_streams_spend_no_budget(ask):
+    """An engine crashes with more streams than the budget has saved.
+
+    All but the first were cut although another engine could go on.
+    """
+    answers = [ask(first=False, resumes=True) for _ in range(20)]
+    assert all(isinstance(a, retries.RetryGranted) for a in answers)
+    assert isinstance(ask(first=False), retries.RetryGranted)
+    assert isinstance(ask(resumes=True, attempts=3), retries.RetryDenied)
+
+
 @pytest.mark.parametrize(
     "changes",
     [
