Dispatch a shard at one place again soon after a freeze

In the logs both it and the next-ranked entry VM granted all 8 slots of portal-1 for five seconds (up to 16 in flight, 7 of 10 lookups refused in some half-seconds after the burst was over), 22 of 41 transcriptions sent in the half-second before its end were cut at their limit, and the woken entry VM took and gave back grants in a loop (hundreds for 30 lookups a half-second).

Causes and mends: the next dispatcher knew nothing of what ran until a periodic digest (digests now go out as soon as a dispatcher is passed over); ingresses passed the woken one over for two more seconds (any message of it ends that, and what waits elsewhere goes back to it); every permit read within a second of a stall counted as old (now only those asked for before it). Ruled out: a settling time before a new dispatcher grants, which would delay the highest tier for every handover.

--- a/packages/daemon/src/lagoonrun_daemon/dispatcher_search.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher_search.py
@@ -95,14 +95,30 @@
         """Return who is asked first for `shard` at present."""
         return self.choose(shard, Search())
 
-    def note_silence(self, dispatcher: types.EntryVmId) -> None:
-        """Take in that a dispatcher did not answer."""
+    def note_silence(self, dispatcher: types.EntryVmId) -> bool:
+        """Take in that a dispatcher did not answer.
+
+        Returns
+        -------
+        bool
+            Whether it was not passed over before.
+        """
+        known = self._was_silent(dispatcher)
         until = self._clock.monotonic() + self._memory_seconds
         self._silent_until_by_vm[dispatcher] = until
+        return not known
 
-    def note_sign_of_life(self, dispatcher: types.EntryVmId) -> None:
-        """Take in a message of a dispatcher."""
+    def note_sign_of_life(self, dispatcher: types.EntryVmId) -> bool:
+        """Take in a message of a dispatcher.
+
+        Returns
+        -------
+        bool
+            Whether it was passed over before.
+        """
+        passed_over = self._was_silent(dispatcher)
         self._silent_until_by_vm.pop(dispatcher, None)
+        return passed_over
 
     def _was_silent(self, entry_vm: types.EntryVmId) -> bool:
         until = self._silent_until_by_vm.get(entry_vm, 0.0)
--- a/packages/daemon/src/lagoonrun_daemon/naive_permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/naive_permits.py
@@ -178,6 +178,7 @@
         key: permit_types.AttemptKey,
         upstream: types.UpstreamId,
     ) -> permit_types.Permit:
+        now = self._clock.monotonic()
         return permit_types.Permit(
             key=key,
             shard=wanted.shard,
@@ -185,7 +186,8 @@
             dispatcher=self._entry_vm,
             profile=wanted.profile,
             organisation=wanted.organisation,
-            granted_at=self._clock.monotonic(),
+            asked_at=now,
+            granted_at=now,
         )
 
     def _pool_of(self, permit: permit_types.Permit) -> types.PoolName | None:
--- a/packages/daemon/src/lagoonrun_daemon/permit_types.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_types.py
@@ -78,8 +78,8 @@
 
     Parameters
     ----------
-    granted_at
-        Reading of the monotonic clock; an old permit must not be used.
+    asked_at, granted_at
+        Readings of the monotonic clock; an old permit must not be used.
     on_cut
         Called when the dispatcher wants the work stopped.
     first_token_seconds, tokens
@@ -92,6 +92,7 @@
     dispatcher: types.EntryVmId
     profile: types.ProfileName
     organisation: types.OrganisationId
+    asked_at: float
     granted_at: float
     on_cut: Callable[[], None] | None = None
     cut_reason: outcomes.Reason = outcomes.Reason.NONE
@@ -144,22 +145,37 @@
     """The dispatcher lives but does not know of the request."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CameBack:
+    """A dispatcher ranked before the one that was asked is heard again."""
+
+    dispatcher: types.EntryVmId
+
+
 Answer = (
     messages.PermitGranted
     | messages.PermitRefused
     | messages.PermitNotMine
     | Silent
     | Forgotten
+    | CameBack
 )
 
 
 @dataclasses.dataclass(kw_only=True)
 class Ask:
-    """A request that waits for a dispatcher's answer."""
+    """A request that waits for a dispatcher's answer.
+
+    Parameters
+    ----------
+    asked_at
+        Reading of the monotonic clock.
+    """
 
     wanted: PermitWanted
     key: AttemptKey
     dispatcher: types.EntryVmId
+    asked_at: float
     answer: asyncio.Future[Answer]
     timer: asyncio.TimerHandle | None = None
 
--- a/packages/daemon/src/lagoonrun_daemon/permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/permits.py
@@ -154,9 +154,10 @@
         Guards against a process that was frozen between grant and use, or
         waited long for a claim: by then the upstream may be leaving. A grant
         that arrived while the process was frozen looks new when it is read,
-        so that none is used that was read right after a stall.
+        so that none is used that was asked for before a stall. One that was
+        asked for after it is as good as any other.
         """
-        if self._stalls.stalled_within(maximum_age_seconds):
+        if self._stalls.stalled_since(permit.asked_at):
             return False
         age = self._clock.monotonic() - permit.granted_at
         return age <= maximum_age_seconds
@@ -177,6 +178,8 @@
     ) -> None:
         """Take in one answer of a dispatcher."""
         self._unanswered.note_sign_of_life(sender)
+        if self._search.note_sign_of_life(sender):
+            self._return_to(sender)
         match message:
             case messages.PermitAcknowledged():
                 ask = self._asks_by_key.get(_key_of(message))
@@ -195,6 +198,20 @@
             case _:
                 pass
 
+    def _return_to(self, dispatcher: types.EntryVmId) -> None:
+        """Go back to a dispatcher that was silent and is heard again.
+
+        Two that dispatch one shard each grant all of its slots, and the
+        runners are overfilled for as long. So it learns at once of what
+        others have granted meanwhile, and gets what waits there.
+        """
+        self.on_ranking_changed()
+        for ask in list(self._asks_by_key.values()):
+            owner = self._search.owner_of(ask.wanted.shard)
+            if owner == dispatcher != ask.dispatcher:
+                self._send_return(ask.dispatcher, ask.key, ask.wanted.shard)
+                ask.settle(permit_types.CameBack(dispatcher=dispatcher))
+
     def _on_granted(
         self, sender: types.EntryVmId, message: messages.PermitGranted
     ) -> None:
@@ -281,6 +298,8 @@
             case permit_types.Silent():
                 search.silent.add(ask.dispatcher)
                 self._give_up_on(ask)
+            case permit_types.CameBack():
+                search.silent.discard(answer.dispatcher)
             case permit_types.Forgotten():
                 pass
         return None
@@ -295,6 +314,7 @@
             dispatcher=ask.dispatcher,
             profile=ask.wanted.profile,
             organisation=ask.wanted.organisation,
+            asked_at=ask.asked_at,
             granted_at=self._clock.monotonic(),
         )
         self._running_by_key[permit.key] = permit
@@ -303,7 +323,9 @@
 
     def _give_up_on(self, ask: permit_types.Ask) -> None:
         """Pass a silent dispatcher over, and withdraw the request there."""
-        self._search.note_silence(ask.dispatcher)
+        if self._search.note_silence(ask.dispatcher):
+            # The next dispatcher would else grant slots that are in use.
+            self.on_ranking_changed()
         self._send_return(ask.dispatcher, ask.key, ask.wanted.shard)
         logs.emit(
             events.LogEvent.PERMIT_HANDOVER,
@@ -320,10 +342,13 @@
         search: dispatcher_search.Search,
     ) -> permit_types.Ask:
         loop = asyncio.get_running_loop()
+        now = self._clock.monotonic()
+        self._stalls.note(now)
         ask = permit_types.Ask(
             wanted=wanted,
             key=self._next_key(wanted.request_id),
             dispatcher=dispatcher,
+            asked_at=now,
             answer=loop.create_future(),
         )
         self._asks_by_key[ask.key] = ask
@@ -429,6 +454,8 @@
         for dispatcher in silent:
             self._search.note_silence(dispatcher)
             self.on_member_gone(dispatcher)
+        if silent:
+            self.on_ranking_changed()
 
     def _due_digests(self) -> list[work_digests.AddressedDigest]:
         return list(
--- a/packages/daemon/src/lagoonrun_daemon/stalls.py
+++ b/packages/daemon/src/lagoonrun_daemon/stalls.py
@@ -39,11 +39,10 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def stalled_within(self, seconds: float) -> bool:
-        """Return whether a stall ended less than `seconds` ago, or just now."""
-        now = self._clock.monotonic()
-        self.note(now)
-        return now - self._stall_ended_at < seconds
+    def stalled_since(self, at: float) -> bool:
+        """Return whether a stall has ended since `at`, or ends just now."""
+        self.note(self._clock.monotonic())
+        return self._stall_ended_at > at
 
     def note(self, now: float) -> None:
         """Take in that the process runs at `now`."""
--- a/packages/daemon/tests/test_permits.py
+++ b/packages/daemon/tests/test_permits.py
@@ -343,6 +343,60 @@
     assert not client.is_fresh(permit, maximum_age_seconds=1.0)
 
 
+async def test_grant_asked_for_after_a_freeze_is_fresh(
+    client, manual_clock, sent
+):
+    """An entry VM wakes from a freeze and takes a reader's lookup.
+
+    Held for stale for a second, every grant went back and was asked for
+    again at once: hundreds of grants came and went for a few lookups.
+    """
+    manual_clock.advance(30.0)
+    task, to, request = await ask(client, manual_clock, sent)
+    client.on_message(to, granted(request))
+    assert client.is_fresh(await task, maximum_age_seconds=1.0)
+
+
+async def test_next_dispatcher_learns_at_once_of_running_work(
+    client, manual_clock, sent
+):
+    """A dispatcher freezes while its runners are full.
+
+    The next one knew of nothing that ran and granted every slot a second
+    time, so that all answers slowed down and many came too late.
+    """
+    task, first, request = await ask(client, manual_clock, sent)
+    client.on_message(first, granted(request))
+    running = await task
+    task, _, _ = await ask(client, manual_clock, sent, request_id="r-2")
+    to, digest = await sent.next(messages.WorkDigest)
+    second, request = await sent.next(messages.PermitRequest)
+    client.on_message(second, granted(request))
+    await task
+    assert to == second == "vm-2"
+    assert [w.request_id for w in digest.running] == [running.key.request_id]
+
+
+async def test_request_goes_back_to_a_dispatcher_that_is_heard_again(
+    client, manual_clock, sent
+):
+    """A dispatcher wakes while requests wait at the next-ranked one.
+
+    Both went on granting all slots of the same runners for seconds.
+    """
+    task, first, lost = await ask(client, manual_clock, sent)
+    second, moved = await sent.next(messages.PermitRequest)
+    client.on_message(second, messages.PermitAcknowledged(**keyed(moved)))
+    client.on_message(first, messages.PermitAcknowledged(**keyed(lost)))
+    to, again = await sent.next(messages.PermitRequest)
+    client.on_message(to, granted(again))
+    assert (await task).dispatcher == first
+    client.on_message(second, granted(moved))
+    assert sent.drain(messages.PermitReturn) == [
+        (second, messages.PermitReturn(**keyed(moved), shard=SHARD))
+    ]
+
+
 @pytest.mark.parametrize(("age", "fresh"), [(0.5, True), (1.5, False)])
 async def test_permit_grows_old(client, manual_clock, sent, age, fresh):
     task, to, request = await ask(client, manual_clock, sent)
