--- a/packages/policy/src/lagoonrun_policy/room.py
+++ b/packages/policy/src/lagoonrun_policy/room.py
@@ -5,6 +5,8 @@
 little load, and grows by one per room's worth of answers otherwise.
 """
 
+from lagoonrun_core import types
+
 MINIMUM_ROOM = 1.0
 
 _FIRST_TOKEN_TOLERANCE = 3.0
@@ -28,9 +30,7 @@
     def __init__(self, *, slots: int) -> None:
         self._slots = slots
         self._room = float(slots)
-        self._first_token = _Latency(
-            tolerance=_FIRST_TOKEN_TOLERANCE, slack=_FIRST_TOKEN_SLACK_SECONDS
-        )
+        self._first_token_by_profile: dict[types.ProfileName, _Latency] = {}
         self._per_token = _Latency(
             tolerance=_TOKEN_TOLERANCE, slack=_TOKEN_SLACK_SECONDS
         )
@@ -50,6 +50,7 @@
     def observe(
         self,
         *,
+        profile: types.ProfileName,
         first_token_seconds: float,
         seconds_per_token: float,
         in_flight: int,
@@ -59,6 +60,9 @@
 
         Parameters
         ----------
+        profile
+            Class of the request; prompts of one class are alike in length,
+            those of two are not.
         first_token_seconds, seconds_per_token
             0 where the answer does not show them.
         in_flight
@@ -66,7 +70,14 @@
         """
         slow = False
         if first_token_seconds > 0:
-            slow = self._first_token.is_slow(first_token_seconds, now)
+            first_token = self._first_token_by_profile.get(profile)
+            if first_token is None:
+                first_token = _Latency(
+                    tolerance=_FIRST_TOKEN_TOLERANCE,
+                    slack=_FIRST_TOKEN_SLACK_SECONDS,
+                )
+                self._first_token_by_profile[profile] = first_token
+            slow = first_token.is_slow(first_token_seconds, now)
         if seconds_per_token > 0:
             slow = self._per_token.is_slow(seconds_per_token, now) or slow
         if self._hold > 0:
--- a/packages/policy/src/lagoonrun_policy/runners.py
+++ b/packages/policy/src/lagoonrun_policy/runners.py
@@ -284,6 +284,7 @@
         *,
         ended: messages.PermitEnded,
         upstream: types.UpstreamId,
+        profile: types.ProfileName,
         in_flight: int,
         now: float,
     ) -> None:
@@ -293,7 +294,7 @@
             return
         if ended.outcome is outcomes.Outcome.COMPLETE:
             runner.health.succeeded()
-            self._observe_latencies(runner, ended, in_flight, now)
+            self._observe_latencies(runner, ended, profile, in_flight, now)
         elif health.is_fault(ended.reason):
             runner.health.failed()
             self._eject_if_failing(runner, now)
@@ -391,6 +392,7 @@
         self,
         runner: RunnerState,
         ended: messages.PermitEnded,
+        profile: types.ProfileName,
         in_flight: int,
         now: float,
     ) -> None:
@@ -402,6 +404,7 @@
         if pace > 0:
             runner.health.observe_pace(pace, now)
         runner.room.observe(
+            profile=profile,
             first_token_seconds=ended.first_token_seconds,
             seconds_per_token=per_token,
             in_flight=in_flight,
--- a/packages/policy/src/lagoonrun_policy/shard.py
+++ b/packages/policy/src/lagoonrun_policy/shard.py
@@ -141,17 +141,15 @@
         if room == 0:
             return 0.0
         ahead = own_ahead * self._mean(state, now) if own_ahead else 0.0
-        running_above = 0
         for other in self.classes:
             if other.policy.tier >= state.policy.tier:
                 break
-            running_above += other.running
             if other.queue.length > 0:
                 ahead += other.queue.length * self._mean(other, now)
         if ahead == 0.0:
             return 0.0
         share = 1.0 - floors.reserved_share(state, self.classes)
-        return ahead / (max(1, room - running_above) * share)
+        return ahead / (room * share)
 
     def sheddable_below(self, state: class_state.ClassState) -> int:
         """Return how many requests of lower tiers may be shed."""
--- a/packages/policy/src/lagoonrun_policy/slots.py
+++ b/packages/policy/src/lagoonrun_policy/slots.py
@@ -106,15 +106,16 @@
         now: float,
     ) -> None:
         """Learn service times and the runner's health from an end."""
+        if running.state is None:
+            return
+        profile = running.state.policy.name
         self._shard.pool.observe_end(
             ended=event,
             upstream=running.upstream,
+            profile=profile,
             in_flight=in_flight,
             now=now,
         )
-        if running.state is None:
-            return
-        profile = running.state.policy.name
         if event.outcome is outcomes.Outcome.COMPLETE:
             running.state.observe_tokens(event.tokens)
             self._shard.services.record(
--- /dev/null
+++ b/packages/standins/src/lagoonrun_standins/trial_engine.py
@@ -0,0 +1,176 @@
+"""A runner for trials: continuous batching as shared, slowing service.
+
+All requests of a batch advance by the same number of tokens; a fuller batch
+advances slower, and beyond the engine's knee much slower. Prompts cost tokens
+of work before the first one comes out, fewer if the prefix is cached.
+"""
+
+import collections
+import dataclasses
+import heapq
+
+from lagoonrun_core import types
+from lagoonrun_policy import messages
+
+_SLOWING_PER_REQUEST = 0.05
+_SLOWING_BEYOND_KNEE = 0.25
+
+
+@dataclasses.dataclass(eq=False, kw_only=True, slots=True)
+class Job:
+    """One request as the trial knows it.
+
+    Parameters
+    ----------
+    prompt_work
+        Work before the first token without a cached prefix, in tokens.
+    tokens
+        Length of the answer, which nobody is told.
+    """
+
+    event: messages.PermitRequested
+    tier: types.Tier
+    arrived_at: float
+    deadline: float
+    prompt_work: float
+    tokens: int
+    upstream: types.UpstreamId | None = None
+    sent_at: float = 0.0
+    start_work: float = 0.0
+    first_work: float = 0.0
+    end_work: float = 0.0
+    first_token_at: float = 0.0
+    over: bool = False
+
+
+class TrialEngine:
+    """One engine: a batch, a queue by priority and a prefix cache.
+
+    Parameters
+    ----------
+    step_seconds
+        Time of one token with an almost empty batch.
+    speed
+        1 for a healthy runner, less for a straggler.
+    batch
+        Most requests in the batch; the rest queue.
+    knee
+        Batch from which on memory gets short and all slow down.
+    cached_prefixes
+        How many prefixes fit its cache.
+    """
+
+    def __init__(
+        self,
+        *,
+        id: types.UpstreamId,
+        step_seconds: float,
+        speed: float,
+        batch: int,
+        knee: int,
+        cached_prefixes: int,
+    ) -> None:
+        self.id = id
+        self.batch = batch
+        self.speed = speed
+        self.running: dict[messages.PermitKey, Job] = {}
+        self.queue: list[tuple[types.Tier, float, int, Job]] = []
+        self.tokens = 0.0
+        self.hits = 0
+        self.misses = 0
+        self._step = step_seconds
+        self._knee = knee
+        self._work = 0.0
+        self._at = 0.0
+        self._milestones: list[tuple[float, int, Job]] = []
+        self._sequence = 0
+        self._cached = cached_prefixes
+        self._cache: collections.OrderedDict[types.PrefixHash, None] = (
+            collections.OrderedDict()
+        )
+
+    def submit(self, job: Job, now: float) -> None:
+        """Take a request into the batch or the queue."""
+        self.advance(now)
+        self._sequence += 1
+        item = (job.tier, job.sent_at, self._sequence, job)
+        heapq.heappush(self.queue, item)
+        self._fill()
+
+    def cancel(self, job: Job, now: float) -> int:
+        """Drop a request; return the tokens it has produced."""
+        self.advance(now)
+        produced = self.produced(job)
+        job.over = True
+        self.running.pop(job.event.key, None)
+        self._fill()
+        return produced
+
+    def produced(self, job: Job) -> int:
+        """Return the tokens of a running request so far."""
+        if job.event.key not in self.running:
+            return 0
+        return max(0, int(self._work - job.first_work) + 1)
+
+    def next_milestone(self) -> float | None:
+        """Return when the next first token or end is due."""
+        while self._milestones and self._milestones[0][2].over:
+            heapq.heappop(self._milestones)
+        if not self._milestones:
+            return None
+        ahead = self._milestones[0][0] - self._work
+        return self._at + max(0.0, ahead) * self._seconds_per_token()
+
+    def pop_milestone(self, now: float) -> tuple[Job, bool]:
+        """Take the due milestone; return the job and whether it ended."""
+        self.advance(now)
+        work, _, job = heapq.heappop(self._milestones)
+        self._work = max(self._work, work)
+        if job.first_token_at == 0.0:
+            job.first_token_at = now
+            self._push(job.end_work, job)
+            return job, False
+        job.over = True
+        del self.running[job.event.key]
+        self.tokens += job.tokens
+        self._fill()
+        return job, True
+
+    def advance(self, now: float) -> None:
+        """Let the batch run until `now`."""
+        if self.running:
+            self._work += (now - self._at) / self._seconds_per_token()
+        self._at = now
+
+    def _seconds_per_token(self) -> float:
+        size = len(self.running)
+        slowing = 1.0 + _SLOWING_PER_REQUEST * size
+        slowing += _SLOWING_BEYOND_KNEE * max(0, size - self._knee)
+        return self._step * slowing / self.speed
+
+    def _fill(self) -> None:
+        while self.queue and len(self.running) < self.batch:
+            job = heapq.heappop(self.queue)[3]
+            if job.over:
+                continue
+            prompt = job.prompt_work * (0.2 if self._hit(job) else 1.0)
+            job.start_work = self._work
+            job.first_work = self._work + prompt
+            job.end_work = job.first_work + job.tokens
+            self.running[job.event.key] = job
+            self._push(job.first_work, job)
+
+    def _hit(self, job: Job) -> bool:
+        prefix = job.event.prefix_hash
+        hit = prefix in self._cache
+        self._cache[prefix] = None
+        self._cache.move_to_end(prefix)
+        if len(self._cache) > self._cached:
+            self._cache.popitem(last=False)
+        self.hits += hit
+        self.misses += not hit
+        return hit
+
+    def _push(self, work: float, job: Job) -> None:
+        self._sequence += 1
+        heapq.heappush(self._milestones, (work, self._sequence, job))
