--- a/packages/config/src/lagoonrun_config/settings.py
+++ b/packages/config/src/lagoonrun_config/settings.py
@@ -78,8 +78,17 @@
         the balancer, which notices with a lag.
     explain_capacity
         Most requests whose explanation is kept; the oldest goes first.
+    claim_retention_seconds
+        Least time for which an idempotency key stays claimed. It must be
+        well above the longest limit of a class that is not idempotent.
     weight_bytes_per_second
         Rate of the weight store for this failure domain's orders.
+    order_timeout_seconds
+        Longest time that one order to an upstream may take.
+    order_lease_seconds
+        Lease of the entry VM that sends a failure domain's orders; when it
+        is lost, another takes over after that time. At least twice the
+        order's timeout.
     experiment
         Deviations for measurements; none in service.
     platform_calls_per_second
@@ -99,6 +108,9 @@
     drain_timeout_seconds: float = 600.0
     readiness_grace_seconds: float = 2.0
     explain_capacity: int = 10_000
+    claim_retention_seconds: float = 86_400.0
     weight_bytes_per_second: float = 1e9
+    order_timeout_seconds: float = 10.0
+    order_lease_seconds: float = 30.0
     experiment: Experiment = Experiment()
     platform_calls_per_second: float = 100.0
--- a/packages/config/src/lagoonrun_config/settings_file.py
+++ b/packages/config/src/lagoonrun_config/settings_file.py
@@ -9,6 +9,7 @@
 
 _MINIMUM_INNER_KEY_BYTES = 16
 _LONGEST_DRAIN_SECONDS = 86_400.0
+_LONGEST_RETENTION_SECONDS = 30 * 86_400.0
 _MOST_WEIGHT_BYTES = 1e15
 _LARGEST_EXPLAIN_CAPACITY = 1_000_000
 _MOST_PLATFORM_CALLS = 10_000.0
@@ -65,6 +66,9 @@
 
 
 def _read_settings(reader: faults.TableReader) -> settings.Settings:
+    order_timeout_seconds = reader.number(
+        "order_timeout_seconds", default=10.0, minimum=0.1, maximum=3600.0
+    )
     return settings.Settings(
         entry_vm=types.EntryVmId(reader.name("entry_vm")),
         domain=types.FailureDomain(reader.name("domain")),
@@ -95,12 +99,27 @@
             minimum=1,
             maximum=_LARGEST_EXPLAIN_CAPACITY,
         ),
+        claim_retention_seconds=reader.number(
+            "claim_retention_seconds",
+            default=86_400.0,
+            minimum=3600.0,
+            maximum=_LONGEST_RETENTION_SECONDS,
+        ),
         weight_bytes_per_second=reader.number(
             "weight_bytes_per_second",
             default=1e9,
             minimum=1.0,
             maximum=_MOST_WEIGHT_BYTES,
         ),
+        order_timeout_seconds=order_timeout_seconds,
+        order_lease_seconds=reader.number(
+            "order_lease_seconds",
+            default=max(30.0, 2 * order_timeout_seconds),
+            # Less than that, and no lease ever outlasts an order's timeout
+            # by enough to order an upstream that checks no numbers.
+            minimum=2 * order_timeout_seconds,
+            maximum=_LONGEST_DRAIN_SECONDS,
+        ),
         experiment=_read_experiment(reader),
         platform_calls_per_second=reader.number(
             "platform_calls_per_second",
--- a/packages/config/tests/test_settings_file.py
+++ b/packages/config/tests/test_settings_file.py
@@ -119,3 +119,11 @@
     path = tmp_path / "absent.toml"
     with pytest.raises(settings_file.SettingsError, match=r"absent\.toml"):
         settings_file.load_settings(path)
+
+
+def test_a_lease_that_no_order_fits_into_is_refused(load):
+    text = GOOD + "order_timeout_seconds = 20\n"
+    assert load(text).order_lease_seconds == 40.0
+    with pytest.raises(settings_file.SettingsError) as caught:
+        load(text + "order_lease_seconds = 30\n")
+    assert [one.key for one in caught.value.faults] == ["order_lease_seconds"]
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -42,6 +42,9 @@
 from lagoonrun_policy import retries
 from lagoonrun_protocol import hub, messages
 
+_CLAIMS_SHARE = 0.4
+"""Part of the budget of calls to the platform that claims may use."""
+
 _HUB_FLUSH_SECONDS = 1.0
 
 _LONGEST_CALL_SECONDS = 3600.0
--- a/packages/daemon/src/lagoonrun_daemon/placement.py
+++ b/packages/daemon/src/lagoonrun_daemon/placement.py
@@ -17,6 +17,9 @@
 _WEIGHT_BURST_SECONDS = 60.0
 """Time of the weight store's rate that a round may spend at once."""
 
+_MARGIN_SHARE = 1 / 15
+"""Part of the lease that is kept as a margin on each side."""
+
 
 def make_orderer(
     *,
@@ -37,6 +40,7 @@
         Source of jitter and nonces; must differ between processes.
     """
     rate = configured.weight_bytes_per_second
+    margin_seconds = configured.order_lease_seconds * _MARGIN_SHARE
     return orderer.Orderer(
         domain=configured.domain,
         leadership=leadership.Leadership(
@@ -45,7 +49,9 @@
             entry_vm=configured.entry_vm,
             clock=clock,
             random=chance,
-            order_timeout_seconds=orderer.DEFAULT_ORDER_TIMEOUT_SECONDS,
+            order_timeout_seconds=configured.order_timeout_seconds,
+            ttl_seconds=configured.order_lease_seconds,
+            margin_seconds=margin_seconds,
         ),
         upstream_orders=http_orders.HttpUpstreamOrders(
             client=client, entry_vm=configured.entry_vm
@@ -63,4 +69,6 @@
             burst_bytes=rate * _WEIGHT_BURST_SECONDS,
         ),
         clock=clock,
+        order_timeout_seconds=configured.order_timeout_seconds,
+        margin_seconds=margin_seconds,
     )
--- a/packages/standins/src/lagoonrun_standins/deployment.py
+++ b/packages/standins/src/lagoonrun_standins/deployment.py
@@ -20,6 +20,7 @@
 from lagoonrun_standins import http_client, managed_process
 
 _LOOPBACK = "127.0.0.1"
+_NO_REVISION = types.Revision(0)
 _ANY_PORT = settings.Address(host=_LOOPBACK, port=0)
 _POLL_SECONDS = 0.05
 _INNER_KEY_BYTES = 32
@@ -58,6 +59,8 @@
         Starts something else in place of a model engine.
     experiment
         Deviations of the entry VMs from the order of service.
+    adjust_settings
+        Changes the settings of each entry VM.
     """
 
     def __init__(
@@ -71,7 +74,10 @@
         | None = None,
         start_engine: EngineStart | None = None,
         experiment: settings.Experiment | None = None,
+        adjust_settings: Callable[[settings.Settings], settings.Settings]
+        | None = None,
     ) -> None:
+        self._adjust_settings = adjust_settings or (lambda one: one)
         self._experiment = experiment or settings.Experiment()
         self.fleet = fleet
         self.declared = declared
@@ -122,7 +128,7 @@
             readiness_grace_seconds=0.2,
             experiment=self._experiment,
         )
-        return await self.fleet.start_daemon(configured)
+        return await self.fleet.start_daemon(self._adjust_settings(configured))
 
     def process(self, name: str) -> managed_process.ManagedProcess:
         """Return the process of an entry VM or upstream."""
@@ -246,9 +252,12 @@
 
 
 async def apply_declarations(
-    draft: draft_module.Draft, *, platform: settings.Address
+    draft: draft_module.Draft,
+    *,
+    platform: settings.Address,
+    base: types.Revision = _NO_REVISION,
 ) -> types.Revision:
-    """Bring `draft` into force in an empty store, and return its revision.
+    """Bring `draft` into force after `base`, and return its revision.
 
     Raises
     ------
@@ -266,7 +275,7 @@
     try:
         outcome = await store.apply(
             draft,
-            base=types.Revision(0),
+            base=base,
             change_id=types.ChangeId(secrets.token_hex(8)),
             operator="deployment",
         )
--- a/packages/standins/src/lagoonrun_standins/engine.py
+++ b/packages/standins/src/lagoonrun_standins/engine.py
@@ -190,6 +190,7 @@
             "peak_waiting": batch.peak_waiting,
             "orders_applied": len(self.orders.applied),
             "orders_refused": len(self.orders.refused),
+            "fencing_applied": [one.fencing for one in self.orders.applied],
         }
 
     async def _step_forever(self) -> None:
--- a/packages/standins/tests/test_fleet.py
+++ b/packages/standins/tests/test_fleet.py
@@ -122,7 +122,10 @@
         admin_token_digest="ab" * 32,
         drain_timeout_seconds=3.0,
         explain_capacity=7,
+        claim_retention_seconds=7200.0,
         weight_bytes_per_second=5.0,
+        order_timeout_seconds=2.0,
+        order_lease_seconds=7.0,
         experiment=settings.Experiment(
             policy=settings.ExperimentPolicy.NAIVE,
             switched_off=("affinity",),
