Declare the region in which a failure domain stands

`[domains.NAME]` with an optional `region` is an entry of its own: checked, compared, rebased, encoded and written back like the others. Weighed for a domain without one: a region of its own (today's fleets, which declare nothing, would find all their other domains far) against one common region without a name (they go on as before; a forgotten declaration costs order of preference only). Taken: the common one.

A declared domain in which no upstream stands is refused: it is most likely misspelt.

--- a/packages/cli/src/lagoonrun_cli/change_commands.py
+++ b/packages/cli/src/lagoonrun_cli/change_commands.py
@@ -40,6 +40,7 @@
         "services": len(declared.draft.services_by_name),
         "upstreams": len(declared.draft.upstreams_by_id),
         "placements": len(declared.draft.placements),
+        "domains": len(declared.draft.domains_by_name),
     }
     said = ", ".join(f"{count} {name}" for name, count in counts.items())
     return reports.Report(
--- a/packages/config/src/lagoonrun_config/checks.py
+++ b/packages/config/src/lagoonrun_config/checks.py
@@ -28,6 +28,7 @@
     found.extend(_check_floor_shares(draft))
     found.extend(_check_upstreams(draft.upstreams_by_id.values()))
     found.extend(_check_placements(draft))
+    found.extend(_check_domains(draft))
     return tuple(found)
 
 
@@ -227,6 +228,19 @@
             )
 
 
+def _check_domains(draft: draft_module.Draft) -> Iterator[faults.Fault]:
+    """Refuse misspelt domains: the one meant would lose its region unseen."""
+    used = {upstream.domain for upstream in draft.upstreams_by_id.values()}
+    for name in draft.domains_by_name:
+        if name not in used:
+            listed = ", ".join(sorted(used)[:10])
+            yield faults.Fault(
+                key=f"domains.{name}",
+                value=faults.show(name),
+                valid=f"a domain in which an upstream stands: {listed}",
+            )
+
+
 def _dangling(key: str, value: str, declared: Iterable[str]) -> faults.Fault:
     names = sorted(declared)
     shown = ", ".join(names[:10]) + (", ..." if len(names) > 10 else "")
--- a/packages/config/src/lagoonrun_config/declarations.py
+++ b/packages/config/src/lagoonrun_config/declarations.py
@@ -2,7 +2,7 @@
 
 Several files make one draft. Tables are `[profiles.NAME]`,
 `[organisations.ID]`, `[services.NAME]`, `[pools.NAME]` with
-`[[pools.NAME.upstreams]]`, and `[[placements]]`.
+`[[pools.NAME.upstreams]]`, `[[placements]]` and `[domains.NAME]`.
 """
 
 import dataclasses
@@ -114,6 +114,8 @@
             )
         for name, one in self._named(root, "services", file.name):
             self._add(draft_module.EntryKind.SERVICE, _service(name, one))
+        for name, one in self._named(root, "domains", file.name):
+            self._add(draft_module.EntryKind.DOMAIN, _domain(name, one))
         for name, one in self._named(root, "pools", file.name):
             self._read_pool(types.PoolName(name), one, file.name)
         for index, raw in enumerate(root.tables("placements")):
@@ -332,6 +334,13 @@
     )
 
 
+def _domain(name: str, reader: faults.TableReader) -> model.Domain:
+    return model.Domain(
+        name=types.FailureDomain(name),
+        region=types.Region(reader.name("region", default=model.NO_REGION)),
+    )
+
+
 def _placement(reader: faults.TableReader) -> model.Placement:
     return model.Placement(
         pool=types.PoolName(reader.name("pool")),
--- a/packages/config/src/lagoonrun_config/draft.py
+++ b/packages/config/src/lagoonrun_config/draft.py
@@ -16,6 +16,7 @@
     SERVICE = "service"
     UPSTREAM = "upstream"
     PLACEMENT = "placement"
+    DOMAIN = "domain"
 
 
 Entry = (
@@ -24,6 +25,7 @@
     | model.Service
     | model.Upstream
     | model.Placement
+    | model.Domain
 )
 
 
@@ -48,6 +50,9 @@
     services_by_name: Mapping[types.ServiceName, model.Service]
     upstreams_by_id: Mapping[types.UpstreamId, model.Upstream]
     placements: tuple[model.Placement, ...] = ()
+    domains_by_name: Mapping[types.FailureDomain, model.Domain] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     def entries_by_name(self) -> dict[EntryName, Entry]:
         """Return every entry under its name."""
@@ -59,6 +64,7 @@
             EntryKind.ORGANISATION: self.organisations_by_id,
             EntryKind.SERVICE: self.services_by_name,
             EntryKind.UPSTREAM: self.upstreams_by_id,
+            EntryKind.DOMAIN: self.domains_by_name,
         }
         for kind, entries in by_kind.items():
             for name, entry in entries.items():
@@ -107,6 +113,7 @@
         services_by_name=of_kind(EntryKind.SERVICE),
         upstreams_by_id=of_kind(EntryKind.UPSTREAM),
         placements=tuple(placements[name] for name in sorted(placements)),
+        domains_by_name=of_kind(EntryKind.DOMAIN),
     )
 
 
@@ -122,6 +129,7 @@
         services_by_name=draft.services_by_name,
         upstreams_by_id=draft.upstreams_by_id,
         placements=draft.placements,
+        domains_by_name=draft.domains_by_name,
     )
 
 
@@ -133,4 +141,5 @@
         services_by_name=configuration.services_by_name,
         upstreams_by_id=configuration.upstreams_by_id,
         placements=configuration.placements,
+        domains_by_name=configuration.domains_by_name,
     )
--- a/packages/config/src/lagoonrun_config/model.py
+++ b/packages/config/src/lagoonrun_config/model.py
@@ -10,6 +10,9 @@
 
 from lagoonrun_core import types
 
+NO_REGION = types.Region("")
+"""Region of all domains that declare none."""
+
 
 class TargetKind(enum.Enum):
     """What a profile's latency target is counted on."""
@@ -181,6 +184,22 @@
     version: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Domain:
+    """A failure domain, as far as operators say something of it.
+
+    Parameters
+    ----------
+    region
+        Region that it stands in; domains of one region are near each other.
+        Empty for the region without a name, which is that of every domain
+        that is not declared.
+    """
+
+    name: types.FailureDomain
+    region: types.Region = NO_REGION
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Configuration:
     """One accepted revision of everything that operators declare."""
@@ -192,3 +211,15 @@
     services_by_name: Mapping[types.ServiceName, Service]
     upstreams_by_id: Mapping[types.UpstreamId, Upstream]
     placements: tuple[Placement, ...] = ()
+    domains_by_name: Mapping[types.FailureDomain, Domain] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def region_of(self, domain: types.FailureDomain) -> types.Region:
+        """Return the region of `domain`; `NO_REGION` where none is declared.
+
+        Domains without a declaration share one region instead of being one
+        each: a fleet that declares nothing is then one region, as before.
+        """
+        declared = self.domains_by_name.get(domain)
+        return declared.region if declared is not None else NO_REGION
--- a/packages/config/src/lagoonrun_config/rendering.py
+++ b/packages/config/src/lagoonrun_config/rendering.py
@@ -21,6 +21,7 @@
     _add_named(document, "profiles", draft.profiles_by_name, "name")
     _add_named(document, "organisations", draft.organisations_by_id, "id")
     _add_named(document, "services", draft.services_by_name, "name")
+    _add_named(document, "domains", draft.domains_by_name, "name")
     pools = _pools(draft)
     if pools:
         document["pools"] = pools
--- a/packages/config/src/lagoonrun_config/snapshot.py
+++ b/packages/config/src/lagoonrun_config/snapshot.py
@@ -32,8 +32,12 @@
     "services": model.Service,
     "upstreams": model.Upstream,
     "placements": model.Placement,
+    "domains": model.Domain,
 }
 
+_ADDED_SECTIONS = frozenset({"domains"})
+"""Sections that builds of the same format did not always have."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Snapshot:
@@ -136,8 +140,13 @@
             draft.placements,
             key=lambda one: draft_module.placement_name(one).name,
         ),
+        "domains": _sorted_values(draft.domains_by_name),
     }
     for section, entries in sections.items():
+        # Left out when empty: content without the section keeps the digest
+        # that older builds gave it, and they can go on reading it.
+        if section in _ADDED_SECTIONS and not entries:
+            continue
         tables[section] = _columns(_CLASS_BY_SECTION[section], entries)
     text = json.dumps(tables, sort_keys=True, separators=(",", ":"))
     return text.encode("ascii")
@@ -169,7 +178,7 @@
     if tables["format"] != _FORMAT:
         raise ValueError(f"format {tables['format']!r}")
     read = {
-        section: _entries(kind, tables[section])
+        section: _entries(kind, _section(tables, section))
         for section, kind in _CLASS_BY_SECTION.items()
     }
     return draft_module.Draft(
@@ -178,9 +187,16 @@
         services_by_name={one.name: one for one in read["services"]},
         upstreams_by_id={one.id: one for one in read["upstreams"]},
         placements=tuple(read["placements"]),
+        domains_by_name={one.name: one for one in read["domains"]},
     )
 
 
+def _section(tables: dict, section: str) -> dict[str, list]:
+    if section in _ADDED_SECTIONS:
+        return tables.get(section, {})
+    return tables[section]
+
+
 def _entries(kind: type, columns: dict[str, list]) -> list:
     names = list(columns)
     rows = zip(*(columns[name] for name in names), strict=True)
--- a/packages/config/tests/test_declarations.py
+++ b/packages/config/tests/test_declarations.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lagoonrun_config import declarations, draft, model
+from lagoonrun_config import declarations, draft, model, rebase, rendering
 
 
 def _keys(result) -> set[str]:
@@ -158,3 +158,52 @@
     models = ["titles"]
     """
     assert _keys(parse(text, extra)) == {"pools.writers"}
+
+
+REGIONS = """
+[domains.tunis-a]
+region = "tunis"
+
+[domains.tunis-b]
+"""
+
+
+def test_domains_give_their_regions(parse, small_text):
+    declared = parse(small_text, REGIONS)
+    assert isinstance(declared, draft.Draft)
+    accepted = draft.configuration_of(declared, revision=1, digest="")
+    regions = {
+        name: accepted.region_of(name)
+        for name in ("tunis-a", "tunis-b", "elsewhere")
+    }
+    assert regions == {"tunis-a": "tunis", "tunis-b": "", "elsewhere": ""}
+    assert draft.draft_of(accepted) == declared
+    assert parse(rendering.render_declarations(declared)) == declared
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ('[domains.tunis-a]\nregion = "a b"', "domains.tunis-a.region"),
+        ('[domains.tunis-a]\nregoin = "tunis"', "domains.tunis-a.regoin"),
+        ('[domains.tunnis-a]\nregion = "tunis"', "domains.tunnis-a"),
+    ],
+)
+def test_faults_of_domains(parse, small_text, text, key):
+    assert _keys(parse(small_text, text)) == {key}
+
+
+def test_regions_of_two_domains_rebase_and_of_one_clash(parse, small_text):
+    base = parse(small_text)
+    first, second, third = (
+        parse(small_text, f'[domains.{domain}]\nregion = "{region}"')
+        for domain, region in (
+            ("tunis-a", "tunis"),
+            ("tunis-b", "tunis"),
+            ("tunis-a", "sfax"),
+        )
+    )
+    merged = rebase.rebase(base=base, head=first, mine=second)
+    assert set(merged.domains_by_name) == {"tunis-a", "tunis-b"}
+    clash = rebase.rebase(base=base, head=first, mine=third)
+    assert [str(name) for name in clash.names] == ["domain:tunis-a"]
--- a/packages/config/tests/test_snapshot.py
+++ b/packages/config/tests/test_snapshot.py
@@ -1,7 +1,9 @@
 """Snapshots: canonical, checked, and small enough for the store."""
 
 import dataclasses
+import json
 import random
+import zlib
 
 import pytest
 from hypothesis import given, settings
@@ -51,8 +53,11 @@
     model=names,
     count=st.integers(0, 9),
 )
+domains = st.builds(
+    model.Domain, name=names, region=st.one_of(st.just(""), names)
+)
 entries = st.lists(
-    st.one_of(profiles, organisations, services, upstreams, placements)
+    st.one_of(profiles, organisations, services, upstreams, placements, domains)
 )
 
 
@@ -75,7 +80,8 @@
             by_name[draft.placement_name(value)] = value
             continue
         name = getattr(value, "name", None) or value.id
-        key = draft.EntryName(kind=kinds[type(value)], name=name)
+        kind = kinds.get(type(value), draft.EntryKind.DOMAIN)
+        key = draft.EntryName(kind=kind, name=name)
         by_name[key] = value
     return draft.from_entries(by_name)
 
@@ -92,6 +98,26 @@
     assert again == encoded
 
 
+def test_snapshots_without_domains_are_those_of_older_builds(small_draft):
+    """A fleet is upgraded to a build that knows domains, one VM at a time.
+
+    Operators declare none yet. Old and new entry VMs have to agree on the
+    digest of what is in force, and to read each other's snapshots; a new
+    section, even an empty one, would split the fleet.
+    """
+    encoded = snapshot.encode_snapshot(small_draft)
+    tables = json.loads(zlib.decompress(encoded.content))
+    assert set(tables) == {
+        "format",
+        "profiles",
+        "organisations",
+        "services",
+        "upstreams",
+        "placements",
+    }
+    assert snapshot.decode_snapshot(encoded) == small_draft
+
+
 @pytest.mark.parametrize(
     "damage",
     [
--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -21,6 +21,9 @@
 UpstreamId = NewType("UpstreamId", str)
 EntryVmId = NewType("EntryVmId", str)
 FailureDomain = NewType("FailureDomain", str)
+Region = NewType("Region", str)
+"""Failure domains that are near each other; empty for the unnamed one."""
+
 ShardId = NewType("ShardId", str)
 """`pool@domain/index`: at most 32 runners of one pool in one domain."""
 
--- a/packages/standins/src/lagoonrun_standins/reference_pages.py
+++ b/packages/standins/src/lagoonrun_standins/reference_pages.py
@@ -76,6 +76,15 @@
         without=(),
         probe=value_rules.probe_placement,
     ),
+    _Section(
+        heading="`[domains.NAME]`",
+        words="A failure domain. It need not be declared; without "
+        "declarations all domains are one region. "
+        "See [regions](../how-to/declare-regions.md).",
+        kind=model.Domain,
+        without=("name",),
+        probe=value_rules.probe_named("domains"),
+    ),
 )
 
 
