--- a/packages/membership/src/lagoonrun_membership/membership.py
+++ b/packages/membership/src/lagoonrun_membership/membership.py
@@ -8,7 +8,7 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import errors, events, logs, types
-from lagoonrun_membership import gossip, listener, members, shards
+from lagoonrun_membership import gossip, listener, members, outbox, shards
 from lagoonrun_membership import timing as timings
 from lagoonrun_protocol import codec, datagrams, hub, messages
 
@@ -282,13 +282,13 @@
             rejected_datagrams=self._rejections,
         )
 
-    def _act(self, outgoing: list[gossip.Outgoing]) -> None:
+    def _act(self, outgoing: list[outbox.Outgoing]) -> None:
         self._send(outgoing)
         self._publish()
         if self._gossip.next_wakeup() < self._sleeps_until:
             self._earlier.set()
 
-    def _send(self, outgoing: list[gossip.Outgoing]) -> None:
+    def _send(self, outgoing: list[outbox.Outgoing]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         self._sealer.raise_incarnation(self._gossip.members.own.incarnation)
--- a/packages/standins/src/lagoonrun_standins/bench_membership.py
+++ b/packages/standins/src/lagoonrun_standins/bench_membership.py
@@ -20,7 +20,7 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import types
-from lagoonrun_membership import gossip
+from lagoonrun_membership import gossip, outbox
 from lagoonrun_membership import timing as timings
 from lagoonrun_protocol import codec, datagrams, hub, messages
 
@@ -161,7 +161,7 @@
     def act(
         self,
         name: str,
-        call: Callable[[gossip.GossipProtocol], list[gossip.Outgoing]],
+        call: Callable[[gossip.GossipProtocol], list[outbox.Outgoing]],
     ) -> None:
         """Have a member do something and send what comes of it."""
         member = self.members_by_id[name]
@@ -237,7 +237,7 @@
 
         def receive(
             protocol: gossip.GossipProtocol,
-        ) -> list[gossip.Outgoing]:
+        ) -> list[outbox.Outgoing]:
             datagram = member.opener.open(data)
             message = codec.decode(datagram.body)
             return protocol.receive(
@@ -356,7 +356,7 @@
 
     def _adopt_revision(
         self, protocol: gossip.GossipProtocol
-    ) -> list[gossip.Outgoing]:
+    ) -> list[outbox.Outgoing]:
         return protocol.announce_configuration(
             types.Revision(2), _DIGEST, now=self._fleet.now
         )
