--- a/packages/membership/src/lagoonrun_membership/composer.py
+++ b/packages/membership/src/lagoonrun_membership/composer.py
@@ -80,13 +80,13 @@
 
     def digests(self) -> tuple[int, ...]:
         """Return the digests of the members' parts and of the upstreams."""
-        return (*self._members.digests, self._upstreams.digest)
+        return (*self._members.records.digests, self._upstreams.digest)
 
     def is_accused(self, entry_vm: types.EntryVmId) -> bool:
         """Return whether a member should hear what is believed of it."""
         if not self._members.knows(entry_vm):
             return False
-        return self._members.wire(entry_vm).state in _ACCUSED_STATES
+        return self._members.records.wire(entry_vm).state in _ACCUSED_STATES
 
     def collect_news(self) -> bool:
         """Queue what the tables have learned.
@@ -98,7 +98,7 @@
         """
         is_urgent = False
         for entry_vm in self._members.take_news():
-            update = self._members.wire(entry_vm)
+            update = self._members.records.wire(entry_vm)
             is_accusation = update.state in _ACCUSED_STATES
             if is_accusation and not self.tells_accusations:
                 self._member_news.discard(entry_vm)
@@ -210,7 +210,7 @@
             and self.tells_accusations
             and self.is_accused(target)
         ):
-            records.append(self._members.wire(target))
+            records.append(self._members.records.wire(target))
         room = _BODY_BYTES - _FIXED_BYTES
         return records, room - sum(map(sizes.of_member, records))
 
@@ -271,6 +271,6 @@
         view = self._members.view(target) or self._members.own
         if not is_far_apart(differing):
             room = min(room, _SMALL_PAGE_BYTES)
-        return self._members.page(
+        return self._members.records.page(
             parts, domain=view.domain, after=after, size=room
         )
--- a/packages/membership/src/lagoonrun_membership/gossip.py
+++ b/packages/membership/src/lagoonrun_membership/gossip.py
@@ -224,7 +224,7 @@
             return
         hearers = shards.hearing_domains(
             self.members.own.domain,
-            self.members.domains,
+            self.members.records.domains,
             self._timing.summary_domains,
         )
         for domain in hearers:
--- a/packages/membership/src/lagoonrun_membership/members.py
+++ b/packages/membership/src/lagoonrun_membership/members.py
@@ -6,11 +6,10 @@
 everyone ends with the same belief, and old news brings no dead member back.
 """
 
-import bisect
 import dataclasses
 
 from lagoonrun_core import types
-from lagoonrun_membership import damping, digests, sizes
+from lagoonrun_membership import damping, records
 from lagoonrun_membership import timing as timings
 from lagoonrun_protocol import messages
 
@@ -26,17 +25,6 @@
 )
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Record:
-    """Belief of one member; `update.state` is not used here."""
-
-    update: messages.MemberUpdate
-    leaving: bool = False
-    suspect_until: float | None = None
-    dead_since: float | None = None
-    digest: int = 0
-
-
 class MemberTable:
     """Beliefs of all members, this process included.
 
@@ -46,6 +34,13 @@
         The record of this process.
     timing
         Suspicion, holds and forgetting.
+
+    Attributes
+    ----------
+    records
+        The records that the rules work on.
+    refutations
+        How often this process had to say that it is alive.
     """
 
     def __init__(
@@ -54,14 +49,7 @@
         self._own_id = own.entry_vm
         self._timing = timing
         self._damping = damping.FlapDamping(timing=timing)
-        self._records_by_id: dict[types.EntryVmId, _Record] = {}
-        self._ids_by_part: list[list[types.EntryVmId]] = [
-            [] for _ in range(digests.MEMBER_PARTS)
-        ]
-        self._digests = [0] * digests.MEMBER_PARTS
-        self._ids_by_domain: dict[
-            types.FailureDomain, dict[types.EntryVmId, None]
-        ] = {}
+        self.records = records.MemberRecords(own_id=own.entry_vm)
         self._suspects: set[types.EntryVmId] = set()
         self._dead: set[types.EntryVmId] = set()
         self._news: dict[types.EntryVmId, None] = {}
@@ -69,65 +57,36 @@
         self._forgotten: list[types.EntryVmId] = []
         self._condemned: list[types.EntryVmId] = []
         self.refutations = 0
-        self._add(_Record(update=own))
+        self.records.add(records.Record(update=own))
 
     # Reading.
 
     def __len__(self) -> int:
         """Return the number of members that are not dead, self included."""
-        return len(self._records_by_id) - len(self._dead)
+        return len(self.records.by_id) - len(self._dead)
 
     @property
     def own(self) -> messages.MemberUpdate:
         """The record of this process, as it is told to others."""
-        return self.wire(self._own_id)
-
-    @property
-    def digests(self) -> tuple[int, ...]:
-        """Digest of each part of the table."""
-        return tuple(self._digests)
+        return self.records.wire(self._own_id)
 
     @property
     def dead(self) -> tuple[types.EntryVmId, ...]:
         """Members held for dead, in the order of their names."""
         return tuple(sorted(self._dead))
 
-    @property
-    def domains(self) -> tuple[types.FailureDomain, ...]:
-        """Domains that have members, in the order of their names."""
-        return tuple(sorted(d for d, ids in self._ids_by_domain.items() if ids))
-
     def view(self, entry_vm: types.EntryVmId) -> MemberView | None:
-        """Return the member as the owner sees it; leaving hides suspicion."""
-        record = self._records_by_id.get(entry_vm)
-        if record is None:
-            return None
-        return _with_state(record, _view_state(record))
+        """Return a member as the owner sees it."""
+        return self.records.view(entry_vm)
 
     def views_by_id(self) -> dict[types.EntryVmId, MemberView]:
         """Return all members by id."""
-        return {
-            entry_vm: _with_state(record, _view_state(record))
-            for entry_vm, record in self._records_by_id.items()
-        }
-
-    def wire(self, entry_vm: types.EntryVmId) -> messages.MemberUpdate:
-        """Return what others are told; suspicion hides leaving.
-
-        A suspected member must hear of it in order to refute it; when it
-        does, it says again that it is leaving.
-        """
-        record = self._records_by_id[entry_vm]
-        update = _with_state(record, _wire_state(record))
-        # A snapshot's digest is for those who fetch it from the member, and
-        # it says that itself. Passed on, it would double a record's size.
-        if entry_vm != self._own_id and update.digest:
-            update = dataclasses.replace(update, digest="")
-        return update
+        views = map(self.records.view, self.records.by_id)
+        return {view.entry_vm: view for view in views if view is not None}
 
     def knows(self, entry_vm: types.EntryVmId) -> bool:
         """Return whether there is a record of the member."""
-        return entry_vm in self._records_by_id
+        return entry_vm in self.records.by_id
 
     def is_dead(self, entry_vm: types.EntryVmId) -> bool:
         """Return whether the member is held for dead."""
@@ -139,7 +98,7 @@
         """Return all members of `domain` that are not dead, without self."""
         return tuple(
             entry_vm
-            for entry_vm in self._ids_by_domain.get(domain, ())
+            for entry_vm in self.records.in_domain(domain)
             if entry_vm != self._own_id and entry_vm not in self._dead
         )
 
@@ -154,55 +113,13 @@
         return tuple(
             sorted(
                 entry_vm
-                for entry_vm in self._ids_by_domain.get(domain, ())
+                for entry_vm in self.records.in_domain(domain)
                 if entry_vm not in self._dead
-                and not self._records_by_id[entry_vm].leaving
+                and not self.records.by_id[entry_vm].leaving
                 and not self._damping.is_held(entry_vm)
             )
         )
 
-    def page(
-        self,
-        parts: tuple[int, ...],
-        *,
-        domain: types.FailureDomain,
-        after: str,
-        size: int,
-    ) -> list[messages.MemberUpdate]:
-        """Return records of `parts` for `size` bytes.
-
-        The order is the same at all members, so that a process can ask one
-        after the other and go on where the last page ended.
-
-        Parameters
-        ----------
-        parts
-            Parts of the table.
-        domain
-            Whose members come first.
-        after
-            Member after which to begin; empty for the beginning.
-        size
-            Room, in bytes.
-        """
-
-        def order(entry_vm: str) -> tuple[bool, str]:
-            record = self._records_by_id.get(types.EntryVmId(entry_vm))
-            is_other = record is None or record.update.domain != domain
-            return (is_other, entry_vm)
-
-        ids = [id_ for part in parts for id_ in self._ids_by_part[part]]
-        ids.sort(key=order)
-        start = bisect.bisect(ids, order(after), key=order) if after else 0
-        page = []
-        for entry_vm in ids[start:] + ids[:start]:
-            update = self.wire(entry_vm)
-            size -= sizes.of_member(update)
-            if size < 0:
-                break
-            page.append(update)
-        return page
-
     # Taking what has come of the events.
 
     def take_news(self) -> tuple[types.EntryVmId, ...]:
@@ -248,7 +165,7 @@
         if update.entry_vm == self._own_id:
             self._refute(update)
             return
-        record = self._records_by_id.get(update.entry_vm)
+        record = self.records.by_id.get(update.entry_vm)
         if record is None:
             self._meet(update, now)
         elif update.incarnation > record.update.incarnation:
@@ -258,7 +175,7 @@
 
     def suspect(self, entry_vm: types.EntryVmId, *, now: float) -> None:
         """Suspect a member that did not answer a probe."""
-        record = self._records_by_id.get(entry_vm)
+        record = self.records.by_id.get(entry_vm)
         if record is None or record.dead_since is not None:
             return
         if record.suspect_until is None:
@@ -267,12 +184,12 @@
     def expire(self, now: float) -> None:
         """Let time pass: suspects die, the dead are forgotten, holds end."""
         for entry_vm in tuple(self._suspects):
-            record = self._records_by_id[entry_vm]
+            record = self.records.by_id[entry_vm]
             until = record.suspect_until
             if until is not None and now >= until:
                 self._die(record, now)
         for entry_vm in tuple(self._dead):
-            since = self._records_by_id[entry_vm].dead_since
+            since = self.records.by_id[entry_vm].dead_since
             if since is not None and (
                 now - since >= self._timing.forget_seconds
             ):
@@ -288,7 +205,7 @@
         suspects for dead at once.
         """
         for entry_vm in self._suspects:
-            record = self._records_by_id[entry_vm]
+            record = self.records.by_id[entry_vm]
             if record.suspect_until is not None:
                 record.suspect_until += seconds
 
@@ -296,7 +213,7 @@
         self, revision: types.Revision, digest: str
     ) -> None:
         """Tell others which revision this process has in force."""
-        record = self._records_by_id[self._own_id]
+        record = self.records.by_id[self._own_id]
         record.update = dataclasses.replace(
             record.update, revision=revision, digest=digest
         )
@@ -304,11 +221,11 @@
 
     def announce_leaving(self) -> None:
         """Tell others that this process takes no more shards."""
-        record = self._records_by_id[self._own_id]
+        record = self.records.by_id[self._own_id]
         if not record.leaving:
             self._start_incarnation(record, record.update.incarnation + 1)
             record.leaving = True
-            self._rehash(record)
+            self.records.rehash(record)
 
     # The rules.
 
@@ -319,7 +236,7 @@
         is a higher incarnation than ours: it is from an earlier process of
         our name whose clock was ahead, and its news would go before ours.
         """
-        record = self._records_by_id[self._own_id]
+        record = self.records.by_id[self._own_id]
         ours = record.update.incarnation
         if update.incarnation < ours:
             return
@@ -330,7 +247,9 @@
         self.refutations += 1
         self._start_incarnation(record, update.incarnation + 1)
 
-    def _start_incarnation(self, record: _Record, incarnation: int) -> None:
+    def _start_incarnation(
+        self, record: records.Record, incarnation: int
+    ) -> None:
         record.update = dataclasses.replace(
             record.update, incarnation=types.Incarnation(incarnation)
         )
@@ -341,18 +260,18 @@
         # else of them for ever.
         if update.state is messages.MemberState.DEAD:
             return
-        record = _Record(
+        record = records.Record(
             update=update,
             leaving=update.state is messages.MemberState.LEAVING,
         )
-        self._add(record)
+        self.records.add(record)
         self._told(record)
         if update.state is messages.MemberState.SUSPECT:
             self._start_suspicion(record, now + self._suspicion(record))
 
     def _renew(
         self,
-        record: _Record,
+        record: records.Record,
         update: messages.MemberUpdate,
         *,
         direct: bool,
@@ -361,10 +280,10 @@
         """Take in a higher incarnation."""
         was_dead = record.dead_since is not None
         if was_dead and update.state is messages.MemberState.DEAD:
-            self._move(record, update)
+            self.records.move(record, update)
             self._told(record)
             return
-        self._move(record, update)
+        self.records.move(record, update)
         if was_dead:
             record.dead_since = None
             self._dead.discard(update.entry_vm)
@@ -378,7 +297,7 @@
 
     def _merge(
         self,
-        record: _Record,
+        record: records.Record,
         update: messages.MemberUpdate,
         *,
         direct: bool,
@@ -399,7 +318,7 @@
 
     def _accuse(
         self,
-        record: _Record,
+        record: records.Record,
         update: messages.MemberUpdate,
         *,
         direct: bool,
@@ -422,7 +341,7 @@
                 until = now + self._timing.verdict_seconds
                 self._start_suspicion(record, until)
 
-    def _start_suspicion(self, record: _Record, until: float) -> None:
+    def _start_suspicion(self, record: records.Record, until: float) -> None:
         if record.suspect_until is None:
             record.suspect_until = until
             self._suspects.add(record.update.entry_vm)
@@ -430,91 +349,34 @@
         else:
             record.suspect_until = min(record.suspect_until, until)
 
-    def _end_suspicion(self, record: _Record) -> None:
+    def _end_suspicion(self, record: records.Record) -> None:
         record.suspect_until = None
         self._suspects.discard(record.update.entry_vm)
 
-    def _die(self, record: _Record, now: float) -> None:
+    def _die(self, record: records.Record, now: float) -> None:
         self._end_suspicion(record)
         record.dead_since = now
         self._dead.add(record.update.entry_vm)
         self._told(record)
 
-    def _suspicion(self, record: _Record) -> float:
-        own = self._records_by_id[self._own_id].update
+    def _suspicion(self, record: records.Record) -> float:
+        own = self.records.by_id[self._own_id].update
         members = len(self)
         if record.update.domain == own.domain:
-            members = len(self._ids_by_domain[own.domain])
+            members = len(self.records.in_domain(own.domain))
         return self._timing.suspicion_for(members)
 
     # Upkeep.
 
-    def _told(self, record: _Record) -> None:
+    def _told(self, record: records.Record) -> None:
         """Note a change for the owner, the other members and the digest."""
         self._news[record.update.entry_vm] = None
         self._changed[record.update.entry_vm] = None
-        self._rehash(record)
-
-    def _rehash(self, record: _Record) -> None:
-        """Bring the digest up to date.
-
-        The dead have none, since each process forgets them at its own time;
-        nor does suspicion, which passes.
-        """
-        update = record.update
-        part = digests.part_of(update.entry_vm)
-        self._digests[part] ^= record.digest
-        record.digest = 0
-        if record.dead_since is None:
-            record.digest = digests.entry_hash(
-                update.entry_vm, update.incarnation, record.leaving
-            )
-        self._digests[part] ^= record.digest
-
-    def _add(self, record: _Record) -> None:
-        entry_vm = record.update.entry_vm
-        self._records_by_id[entry_vm] = record
-        self._ids_by_part[digests.part_of(entry_vm)].append(entry_vm)
-        ids = self._ids_by_domain.setdefault(record.update.domain, {})
-        ids[entry_vm] = None
-        self._rehash(record)
-
-    def _move(self, record: _Record, update: messages.MemberUpdate) -> None:
-        """Replace the record's data; the member may be in another domain."""
-        del self._ids_by_domain[record.update.domain][update.entry_vm]
-        record.update = update
-        ids = self._ids_by_domain.setdefault(update.domain, {})
-        ids[update.entry_vm] = None
+        self.records.rehash(record)
 
     def _forget(self, entry_vm: types.EntryVmId) -> None:
-        record = self._records_by_id.pop(entry_vm)
+        self.records.remove(entry_vm)
         self._dead.discard(entry_vm)
-        self._ids_by_part[digests.part_of(entry_vm)].remove(entry_vm)
-        del self._ids_by_domain[record.update.domain][entry_vm]
         self._damping.forget(entry_vm)
         self._news.pop(entry_vm, None)
         self._forgotten.append(entry_vm)
-
-
-def _wire_state(record: _Record) -> messages.MemberState:
-    if record.dead_since is not None:
-        return messages.MemberState.DEAD
-    if record.suspect_until is not None:
-        return messages.MemberState.SUSPECT
-    if record.leaving:
-        return messages.MemberState.LEAVING
-    return messages.MemberState.ALIVE
-
-
-def _view_state(record: _Record) -> messages.MemberState:
-    if record.leaving and record.dead_since is None:
-        return messages.MemberState.LEAVING
-    return _wire_state(record)
-
-
-def _with_state(
-    record: _Record, state: messages.MemberState
-) -> messages.MemberUpdate:
-    if record.update.state is state:
-        return record.update
-    return dataclasses.replace(record.update, state=state)
--- a/packages/membership/src/lagoonrun_membership/probes.py
+++ b/packages/membership/src/lagoonrun_membership/probes.py
@@ -79,7 +79,7 @@
         """Return the next target outside, or None if there is none."""
         domains = {
             domain
-            for domain in self._table.domains
+            for domain in self._table.records.domains
             if domain != self._table.own.domain
             and self._table.others_in(domain)
         }
@@ -111,7 +111,7 @@
     def other_domains_sample(self, count: int) -> list[types.EntryVmId]:
         """Return one member each of up to `count` other domains."""
         own = self._table.own.domain
-        domains = [d for d in self._table.domains if d != own]
+        domains = [d for d in self._table.records.domains if d != own]
         chosen = self._sample(domains, count)
         return [
             self._random.choice(others)
--- a/packages/membership/tests/test_members.py
+++ b/packages/membership/tests/test_members.py
@@ -140,7 +140,7 @@
             view = self.table.view(name)
             if view is not None and view.state is not _DEAD:
                 fresh.apply(view, direct=False, now=self.now)
-        assert fresh.digests == self.table.digests
+        assert fresh.records.digests == self.table.records.digests
 
 
 def _update(name, state, incarnation, **fields):
@@ -231,7 +231,7 @@
     seen = []
     after = ""
     while len(seen) < 61:
-        page = table.page(
+        page = table.records.page(
             tuple(range(8)), domain="south", after=after, size=500
         )
         assert page
