Write message fields one by one: a seventh of the time to encode

bench_inner_protocol measures each step of a message and two hubs over loopback. Encoding a permit request through a dictionary of all fields took 78.6 µs of 78.6 + 23.3 for codec both ways; setting the fields of the struct one by one takes 11.0 µs, and leaving zero and empty values out makes the message 116 bytes instead of 122. Hub to hub in bursts of 200: 102.4 µs of processor time a message before (both sides in one process), 42.6 after; 9,765 and 23,473 messages a second.

python -m lagoonrun_standins.bench_inner_protocol

--- a/packages/protocol/src/lagoonrun_protocol/codec.py
+++ b/packages/protocol/src/lagoonrun_protocol/codec.py
@@ -20,12 +20,21 @@
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("schema.capnp")))
 
 
+class _Shape(enum.Enum):
+    """How a field's value is written."""
+
+    PLAIN = "plain"
+    ENUM = "enum"
+    LIST = "list"
+    STRUCT_LIST = "struct-list"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _FieldCodec:
     name: str
     wire_name: str
-    to_wire: Callable[[Any], Any] | None
-    from_wire: Callable[[Any], Any] | None
+    shape: _Shape = _Shape.PLAIN
+    from_wire: Callable[[Any], Any] | None = None
 
 
 def _camel_case(name: str) -> str:
@@ -39,37 +48,29 @@
 
 
 def _field_codec(name: str, field_type: Any) -> _FieldCodec:
-    to_wire: Callable[[Any], Any] | None = None
+    shape = _Shape.PLAIN
     from_wire: Callable[[Any], Any] | None = None
     if typing.get_origin(field_type) is tuple:
         item = typing.get_args(field_type)[0]
         if dataclasses.is_dataclass(item):
-            to_wire = _list_to_wire
+            shape = _Shape.STRUCT_LIST
             from_wire = _struct_list_reader(typing.cast(type, item))
         else:
-            to_wire = list
+            shape = _Shape.LIST
             from_wire = tuple
     elif isinstance(field_type, type) and issubclass(field_type, enum.Enum):
-        to_wire = _enum_to_wire
+        shape = _Shape.ENUM
         from_wire = field_type
     elif field_type is bytes:
         from_wire = bytes
     return _FieldCodec(
         name=name,
         wire_name=_camel_case(name),
-        to_wire=to_wire,
+        shape=shape,
         from_wire=from_wire,
     )
 
 
-def _enum_to_wire(value: enum.Enum) -> str:
-    return value.value
-
-
-def _list_to_wire(items: tuple[Any, ...]) -> list[dict[str, Any]]:
-    return [_to_wire(item) for item in items]
-
-
 def _struct_list_reader(item_type: type) -> Callable[[Any], Any]:
     def read(items: Any) -> tuple[Any, ...]:
         return tuple(_from_wire(item_type, item) for item in items)
@@ -96,14 +97,31 @@
 )
 
 
-def _to_wire(message: Any) -> dict[str, Any]:
-    fields = {}
+_VARIANTS_BY_TYPE: types.MappingProxyType[type, str] = types.MappingProxyType(
+    {t: variant for variant, t in _TYPES_BY_VARIANT.items()}
+)
+
+
+def _write(builder: Any, message: Any) -> None:
+    """Set the fields of a struct one by one.
+
+    Building the struct from a dictionary of all fields costs seven times as
+    much; zero and empty values are the defaults and need no bytes.
+    """
     for codec in _CODECS_BY_TYPE[type(message)]:
         value = getattr(message, codec.name)
-        fields[codec.wire_name] = (
-            codec.to_wire(value) if codec.to_wire else value
-        )
-    return fields
+        if not value:
+            continue
+        if codec.shape is _Shape.PLAIN:
+            setattr(builder, codec.wire_name, value)
+        elif codec.shape is _Shape.ENUM:
+            setattr(builder, codec.wire_name, value.value)
+        elif codec.shape is _Shape.LIST:
+            setattr(builder, codec.wire_name, list(value))
+        else:
+            items = builder.init(codec.wire_name, len(value))
+            for position, item in enumerate(value):
+                _write(items[position], item)
 
 
 def _from_wire(message_type: type, reader: Any) -> Any:
@@ -118,8 +136,8 @@
 
 def encode(message: messages.Message) -> bytes:
     """Return the packed bytes of `message`."""
-    variant = _variant_name(type(message))
-    envelope = _SCHEMA.Envelope.new_message(**{variant: _to_wire(message)})
+    envelope = _SCHEMA.Envelope.new_message()
+    _write(envelope.init(_VARIANTS_BY_TYPE[type(message)]), message)
     return envelope.to_bytes_packed()
 
 
