Show who orders a domain and which claims wait for the platform

An operator could not tell from an entry VM whether it sends its domain's orders, nor whether ends of claims pile up in an outage. Status and metrics say so now. The results of a claim move to a module of their own.

--- a/packages/claims/src/lagoonrun_claims/claims.py
+++ b/packages/claims/src/lagoonrun_claims/claims.py
@@ -15,6 +15,7 @@
 from lagoonrun_claims import claim as claim_module
 from lagoonrun_claims import group_commit as group_commit_module
 from lagoonrun_claims import pacing as pacing_module
+from lagoonrun_claims import results
 from lagoonrun_claims import retention as retention_module
 from lagoonrun_claims import settler as settler_module
 from lagoonrun_core import clock as clock_module
@@ -29,69 +30,12 @@
 _ATTEMPT_BITS = 128
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Attempt:
-    """A claim that this process owns.
-
-    Parameters
-    ----------
-    revision
-        Store revision of the write that claimed the key.
-    send_before
-        Monotonic reading from which the request must no longer be sent,
-        since the store may have forgotten the claim; see `may_send`.
-    """
-
-    record: claim_module.ClaimRecord
-    revision: store_module.StoreRevision
-    send_before: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Won:
-    """The key is this attempt's: it may write the request once."""
-
-    attempt: Attempt
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Taken:
-    """Another attempt has the key.
-
-    Parameters
-    ----------
-    state
-        `CLAIMED` (not known whether it was sent) or `ENDED`.
-    outcome
-        How it ended, where the state is `ENDED`.
-    age_seconds
-        Since that attempt's claim, by two wall clocks: for people only.
-    """
-
-    state: claim_module.ClaimState
-    outcome: outcomes.Outcome | None
-    entry_vm: types.EntryVmId
-    request_id: types.RequestId
-    age_seconds: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class BodyDiffers:
-    """Another attempt has the key for a different request."""
-
-    entry_vm: types.EntryVmId
-    request_id: types.RequestId
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Unavailable:
-    """The claim could not be made sure of: the request must not be sent."""
-
-    retry_after_seconds: float
-    detail: str
-
-
-ClaimResult = Won | Taken | BodyDiffers | Unavailable
+Attempt = results.Attempt
+Won = results.Won
+Taken = results.Taken
+BodyDiffers = results.BodyDiffers
+Unavailable = results.Unavailable
+ClaimResult = results.ClaimResult
 
 
 class Claims:
--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -208,7 +208,7 @@
         )
         self._unfinished = background.BackgroundTasks()
         self._settlements = background.BackgroundTasks()
-        self._orderer = placement.make_orderer(
+        self.orderer = placement.make_orderer(
             configured=configured,
             store=self.store,
             client=self.client,
@@ -301,6 +301,8 @@
             self.metrics.owned_shards,
             lambda: len(self.dispatcher.owned_shards),
         )
+        observe(self.metrics.orderer, lambda: self.orderer.fencing is not None)
+        observe(self.metrics.pending_claims, lambda: self.claims.pending)
 
     @property
     def settings(self) -> settings.Settings:
@@ -345,7 +347,7 @@
         await self._load_reader.start()
         await self._summaries.start()
         await self._vm_watch.start()
-        await self._orderer.start()
+        await self.orderer.start()
         await self.admin_server.start()
         await self.caller_server.start()
         self._tasks = [asyncio.create_task(self._follow_configuration())]
@@ -371,7 +373,7 @@
         self.fleet.on_members_changed()
         self.dispatcher.stop_owning()
         # Before the drain, which may be long: another orders meanwhile.
-        await self._orderer.close()
+        await self.orderer.close()
         await asyncio.sleep(self._settings.readiness_grace_seconds)
         self.caller_server.stop_accepting()
         left = await self.caller_server.drain(
@@ -390,7 +392,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.caller_server.close()
-        await self._orderer.close()
+        await self.orderer.close()
         await self._vm_watch.close()
         await self._summaries.close()
         await self._load_reader.close()
--- a/packages/daemon/src/lagoonrun_daemon/metrics.py
+++ b/packages/daemon/src/lagoonrun_daemon/metrics.py
@@ -157,6 +157,14 @@
         self.ready = self._gauge(
             "lagoonrun_ready", "1 while callers should be sent here, else 0."
         )
+        self.orderer = self._gauge(
+            "lagoonrun_orderer",
+            "1 while this entry VM orders its domain's upstreams, else 0.",
+        )
+        self.pending_claims = self._gauge(
+            "lagoonrun_claims_pending",
+            "Ends and releases of claims that the platform has not taken yet.",
+        )
         self.live_members = self._gauge(
             "lagoonrun_members_live",
             "Entry VMs that are believed alive, this one included.",
--- a/packages/daemon/src/lagoonrun_daemon/status.py
+++ b/packages/daemon/src/lagoonrun_daemon/status.py
@@ -60,6 +60,8 @@
             ],
             "upstreams": self._upstreams(configuration),
             "leaving_upstreams": sorted(daemon.fleet.leaving_upstreams()),
+            "orderer_fencing": daemon.orderer.fencing,
+            "claims_pending": daemon.claims.pending,
         }
 
     def explain(self, request_id: types.RequestId) -> admin.JsonObject | None:
--- a/packages/daemon/tests/test_placement.py
+++ b/packages/daemon/tests/test_placement.py
@@ -55,4 +55,5 @@
                 break
             await asyncio.sleep(0.01)
     assert orders.version_by_model == {"catalogue-1": "7"}
-    assert orders.fencing_seen > 0
+    status = (await small_deployment.ask_admin("/status")).json()
+    assert status["orderer_fencing"] == orders.fencing_seen
--- a/packages/orders/src/lagoonrun_orders/orderer.py
+++ b/packages/orders/src/lagoonrun_orders/orderer.py
@@ -87,6 +87,12 @@
         self._unsettled_until_by_id: dict[types.UpstreamId, float] = {}
         self._told_by_id: dict[types.UpstreamId, plan_module.Decision] = {}
 
+    @property
+    def fencing(self) -> types.FencingNumber | None:
+        """Return the number that orders carry now; None when none may go."""
+        tenure = self._leadership.tenure
+        return None if tenure is None else tenure.fencing
+
     async def start(self) -> None:
         """Begin the rounds; the tenure is sought once it is of use."""
         self._task = asyncio.create_task(self._run())
