Refuse to remove what the files merely lack

The files that `apply` names are the whole: one forgotten file removed all that it holds, with a valid set left over. A prompt was ruled out, since scripts have no one to answer it.

--- a/packages/cli/src/lagoonrun_cli/change_commands.py
+++ b/packages/cli/src/lagoonrun_cli/change_commands.py
@@ -124,6 +124,10 @@
         )
         if not isinstance(base, int):
             return outcome_reports.report_failure(base)
+        if not invocation.flag("allow_removals"):
+            removed = await changes.removed_names(store, declared.draft, base)
+            if removed:
+                return _report_removals(removed, invocation.arguments)
         outcome = await changes.apply(
             context,
             store,
@@ -144,6 +148,26 @@
     )
 
 
+def _report_removals(
+    removed: tuple[str, ...], paths: tuple[str, ...]
+) -> reports.Report:
+    return reports.Report(
+        code=exit_codes.ExitCode.REFUSED,
+        fields={"removed": list(removed)},
+        sections=(
+            reports.Text(
+                text="refused: the files lack entries of their base, which "
+                "would be removed; nothing was changed"
+            ),
+            reports.Table(
+                columns=("removed",), rows=tuple((name,) for name in removed)
+            ),
+        ),
+        next_command="name all files, or lagoonrun apply --allow_removals "
+        f"{' '.join(paths)}",
+    )
+
+
 async def _move_base(
     store: changes.ConfigurationStore,
     paths: tuple[str, ...],
@@ -229,6 +253,12 @@
 def _define_apply(values: flags.FlagValues) -> None:
     _define_base(values)
     changes.define_wait(values)
+    flags.DEFINE_bool(
+        "allow_removals",
+        False,
+        "Remove what the base holds and the files lack.",
+        flag_values=values,
+    )
     flags.DEFINE_string(
         "change_id",
         None,
@@ -284,8 +314,9 @@
     summary="Bring declarations into force as a new revision.",
     description="""
     Commits one change by one compare-and-swap. The files must hold all
-    declarations. They start from a base: what others changed since in other
-    entries is kept; the same entry changed on both sides is a clash.
+    declarations: an entry of the base that they lack is removed, which needs
+    --allow_removals. What others changed since the base in other entries is
+    kept; the same entry changed on both sides is a clash.
 
     After it is accepted, waits until each entry VM has it in force. A lost
     reply is settled by reading back; where that is not possible the outcome
--- a/packages/cli/src/lagoonrun_cli/changes.py
+++ b/packages/cli/src/lagoonrun_cli/changes.py
@@ -102,6 +102,24 @@
     return choose_base(flag=flag, written=written, current=types.Revision(last))
 
 
+async def removed_names(
+    store: ConfigurationStore,
+    draft: draft_module.Draft,
+    base: types.Revision,
+) -> tuple[str, ...]:
+    """Return the entries of `base` that `draft` lacks.
+
+    A forgotten file looks the same as a wish to remove all that it holds.
+    """
+    start = await store.get(base)
+    if not isinstance(start, model.Configuration):
+        # The change itself will tell what is wrong with the base.
+        return ()
+    before = draft_module.draft_of(start).entries_by_name()
+    after = draft.entries_by_name()
+    return tuple(sorted(str(name) for name in before.keys() - after.keys()))
+
+
 async def apply(
     context: contexts.Context,
     store: ConfigurationStore,
--- a/packages/cli/tests/test_change_commands.py
+++ b/packages/cli/tests/test_change_commands.py
@@ -82,6 +82,21 @@
     assert "--base=in-force" in ran.err
 
 
+async def test_forgotten_file_removes_nothing(operator, in_force):
+    """An operator applies one of several files.
+
+    The whole set is what the named files hold, so that services and
+    upstreams in the other files would vanish and traffic with them.
+    """
+    text = in_force.read_text()
+    in_force.write_text(text[: text.index("[organisations")])
+    ran = await operator.run("apply", str(in_force), "--json")
+    assert ran.code == ExitCode.REFUSED
+    assert "service:lookups" in ran.json()["removed"]
+    ran = await operator.run("apply", str(in_force), "--allow_removals")
+    assert ran.code == ExitCode.DONE
+
+
 async def test_changes_of_different_profiles_merge(operator, in_force):
     """Two operators edit different profiles from the same revision.
 
