--- a/packages/cli/src/lagoonrun_cli/explain_sections.py
+++ b/packages/cli/src/lagoonrun_cli/explain_sections.py
@@ -79,8 +79,7 @@
         f"tier {record['tier']}, configuration revision {record['revision']}",
         f"  phase {record['phase']}, waited {record['waited_seconds']:.4f} s, "
         f"left until the limit {record['remaining_seconds']:.4f} s",
-        f"  needs {record['expected_service_seconds']:.4f} s (high quantile "
-        f"of {record['expected_samples']} samples), expected wait "
+        f"  needs {_service(record)}, expected wait "
         f"{record['expected_wait_seconds']:.4f} s",
         f"  queue {record['queue_length']} of {record['queue_capacity']}; "
         f"waiting in higher tiers {record['higher_tier_waiting']}, in lower "
@@ -91,6 +90,15 @@
     return "\n".join(lines)
 
 
+def _service(record: dict[str, Any]) -> str:
+    """Return the expected service time; few samples give none."""
+    seconds = record["expected_service_seconds"]
+    samples = record["expected_samples"]
+    if seconds == 0:
+        return f"not known yet ({samples} samples)"
+    return f"{seconds:.4f} s (high quantile of {samples} samples)"
+
+
 def _candidates(record: dict[str, Any]) -> reports.Table:
     return reports.Table(
         columns=(
--- a/packages/standins/src/lagoonrun_standins/demo.py
+++ b/packages/standins/src/lagoonrun_standins/demo.py
@@ -1,4 +1,4 @@
-"""`make demo`: a small deployment that serves, explains and stops.
+"""`make demo`: a small deployment that serves, explains, drains and stops.
 
 Exits with 0 if everything was as expected, else with 1 after naming what
 differed.
@@ -8,6 +8,7 @@
 import json
 import sys
 
+from lagoonrun_cli import main
 from lagoonrun_config import declarations
 from lagoonrun_core import outcomes, types
 from lagoonrun_standins import deployment, fleet, http_client
@@ -106,7 +107,7 @@
         self.differences: list[str] = []
 
     async def run(self) -> None:
-        """Send all requests of the demo and explain one of them."""
+        """Send all requests of the demo, explain one and drain an upstream."""
         house_a = types.OrganisationId("maison-carthage")
         house_b = types.OrganisationId("maison-zaghouan")
         await self._chat("entry-1", house_a, streamed=True)
@@ -117,6 +118,7 @@
         await self._warn_twice(house_a)
         await self._refuse_stranger()
         await self._explain(last)
+        await self._operate()
 
     async def _chat(
         self,
@@ -182,16 +184,38 @@
         self._expect_outcome(answer, 401, outcomes.Outcome.NOT_RUN)
 
     async def _explain(self, request_id: str) -> None:
-        decisions = []
-        for entry_vm in _ENTRY_VMS:
-            answer = await self._running.ask_admin(
-                entry_vm.id, f"/explain/{request_id}"
-            )
-            if answer.status == 200:
-                decisions += answer.json()["decisions"]
-                print(f"explained by {entry_vm.id}:")
-                print(json.dumps(answer.json(), indent=2))
-        self._expect(bool(decisions), "no entry VM explains the decision")
+        """Ask why a request went as it did, as an operator does."""
+        await self._command("explain", request_id, "--check")
+
+    async def _operate(self) -> None:
+        """Drain an upstream, see that work goes elsewhere, and end it."""
+        await self._command("drain", "portal-1")
+        await self._plain(
+            "entry-1",
+            types.OrganisationId("maison-carthage"),
+            "/portal/lookups/page/9",
+        )
+        await self._command("status")
+        await self._command("drain", "portal-1", "--end")
+
+    async def _command(self, *words: str) -> None:
+        """Run `lagoonrun` as it is run in a shell."""
+        print(f"$ lagoonrun {' '.join(words)}", flush=True)
+        addresses = [
+            str(self._running.process(entry_vm.id).address("admin"))
+            for entry_vm in _ENTRY_VMS
+        ]
+        code = await main.execute(
+            [
+                *words,
+                f"--platform={self._running.platform.address()}",
+                f"--entry_vms={','.join(addresses)}",
+                "--operator=demo",
+            ],
+            out=sys.stdout,
+            err=sys.stdout,
+        )
+        self._expect(code == 0, f"lagoonrun {words[0]} ended with {code}")
 
     def _print(self, what: str, answer: http_client.Answer) -> None:
         headers = answer.head.headers
