--- a/packages/config/src/lagoonrun_config/configuration_store.py
+++ b/packages/config/src/lagoonrun_config/configuration_store.py
@@ -9,16 +9,12 @@
 """
 
 import asyncio
-import dataclasses
 import random
 
 from lagoonrun_config import (
+    change_attempt,
     change_outcomes,
-    checks,
-    faults,
     head_access,
-    rebase,
-    snapshot,
 )
 from lagoonrun_config import draft as draft_module
 from lagoonrun_config import head as head_module
@@ -75,8 +71,12 @@
         operator
             Who changes it, for the history.
         """
-        attempt = _Attempt(
-            draft=draft, base=base, change_id=change_id, operator=operator
+        attempt = change_attempt.ChangeAttempt(
+            access=self._access,
+            draft=draft,
+            base=base,
+            change_id=change_id,
+            operator=operator,
         )
         failure = "no attempt made"
         for number in range(_MOST_ATTEMPTS):
@@ -85,11 +85,11 @@
             if isinstance(read, store_module.Unreachable):
                 failure = read.detail
                 continue
-            step = await self._try_once(attempt, read)
-            if not isinstance(step, _Again):
+            step = await attempt.try_once(read)
+            if not isinstance(step, change_attempt.Again):
                 return step
             failure = step.detail
-        if attempt.compared_with is not None:
+        if attempt.has_open_write:
             return change_outcomes.Unknown(
                 change_id=change_id, base=base, detail=failure
             )
@@ -117,7 +117,7 @@
             if isinstance(read, store_module.Unreachable):
                 failure = read.detail
                 continue
-            known = _known_outcome(read.head, change_id)
+            known = change_attempt.known_outcome(read.head, change_id)
             if known is not None:
                 return known
             if not read.head.holds_all_after(base):
@@ -129,7 +129,7 @@
                 return change_outcomes.Cancelled(
                     change_id=change_id, revision=cancelled.revision
                 )
-            failure = _detail(result)
+            failure = change_attempt.describe(result)
         return change_outcomes.Unknown(
             change_id=change_id, base=base, detail=failure
         )
@@ -185,85 +185,6 @@
             operator=operator,
         )
 
-    async def _try_once(
-        self, attempt: "_Attempt", read: head_access.ReadHead
-    ) -> "change_outcomes.ApplyOutcome | _Again":
-        known = _known_apply_outcome(read.head, attempt.change_id)
-        if known is not None:
-            return known
-        if attempt.may_hide_in(read):
-            return change_outcomes.Unknown(
-                change_id=attempt.change_id,
-                base=attempt.base,
-                detail="the head no longer holds all changes since",
-            )
-        merged = await self._merge(attempt, read.head)
-        if not isinstance(merged, _Merged):
-            return merged
-        if not merged.names:
-            return change_outcomes.Accepted(revision=read.head.revision)
-        encoded = snapshot.encode_snapshot(merged.draft)
-        found = checks.check_draft(merged.draft) + snapshot.check_size(encoded)
-        if found:
-            return change_outcomes.Refused(faults=found)
-        written = await self._access.write_snapshot(encoded)
-        if isinstance(written, store_module.Unknown | store_module.Unreachable):
-            return _Again(detail=written.detail)
-        return await self._commit(attempt, read, merged, encoded)
-
-    async def _merge(
-        self, attempt: "_Attempt", head: head_module.Head
-    ) -> "_Merged | change_outcomes.ApplyOutcome | _Again":
-        if not head.holds_all_after(attempt.base) or (
-            attempt.base and head.at(attempt.base) is None
-        ):
-            # With the tail cut off it can't be told whether this very change
-            # was accepted long ago; applied again it would undo others'.
-            return _refuse_base(attempt.base, head)
-        current = await self._access.content(head, head.revision)
-        base = await self._access.content(head, attempt.base)
-        for content in (current, base):
-            if isinstance(content, store_module.Unreachable):
-                return _Again(detail=content.detail)
-            if content is None:
-                return _Again(detail="the head moved while it was read")
-        merged = rebase.rebase(base=base, head=current, mine=attempt.draft)
-        if isinstance(merged, rebase.Conflict):
-            return change_outcomes.Clash(
-                names=merged.names,
-                revision=head.revision,
-                changes=tuple(
-                    change
-                    for change in head.tail
-                    if change.revision > attempt.base
-                ),
-            )
-        names = rebase.changed_names(current, merged)
-        return _Merged(draft=merged, names=names)
-
-    async def _commit(
-        self,
-        attempt: "_Attempt",
-        read: head_access.ReadHead,
-        merged: "_Merged",
-        encoded: snapshot.Snapshot,
-    ) -> "change_outcomes.Accepted | _Again":
-        change = head_module.new_change(
-            revision=types.Revision(read.head.revision + 1),
-            change_id=attempt.change_id,
-            operator=attempt.operator,
-            names=merged.names,
-            digest=encoded.digest,
-        )
-        new_head = read.head.with_change(change)
-        garbage = await self._access.garbage(new_head)
-        result = await self._access.swap(read, new_head, deletes=garbage)
-        if isinstance(result, store_module.Committed):
-            return _accepted(change)
-        if isinstance(result, store_module.Unknown):
-            attempt.compared_with = read.head.revision
-        return _Again(detail=_detail(result))
-
     async def _pause(self, failures: int) -> None:
         if failures == 0:
             return
@@ -272,108 +193,8 @@
         await asyncio.sleep(delay * self._chance.uniform(0.5, 1.5))
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Attempt:
-    """One call of `apply`.
-
-    Parameters
-    ----------
-    compared_with
-        Revision of the head that the last write of unknown end was compared
-        with; None while no such write is open.
-    """
-
-    draft: draft_module.Draft
-    base: types.Revision
-    change_id: types.ChangeId
-    operator: str
-    compared_with: types.Revision | None = None
-
-    def may_hide_in(self, read: head_access.ReadHead) -> bool:
-        """Return whether the open write may be applied but forgotten.
-
-        Called when the tail does not name the change. If the head moved and
-        the tail is whole since, the open write can't be applied any more.
-        """
-        if self.compared_with is None:
-            return False
-        if not read.head.holds_all_after(self.compared_with):
-            return True
-        if read.head.revision > self.compared_with:
-            self.compared_with = None
-        return False
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Merged:
-    """Content to bring into force and the entries it changes."""
-
-    draft: draft_module.Draft
-    names: tuple[draft_module.EntryName, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Again:
-    """The step did not end; the next attempt reads the head anew."""
-
-    detail: str
-
-
-def _known_outcome(
-    head: head_module.Head, change_id: types.ChangeId
-) -> change_outcomes.Accepted | change_outcomes.Cancelled | None:
-    change = head.change(change_id)
-    if change is not None:
-        return _accepted(change)
-    if change_id in head.cancelled:
-        return change_outcomes.Cancelled(
-            change_id=change_id, revision=head.revision
-        )
-    return None
-
-
-def _known_apply_outcome(
-    head: head_module.Head, change_id: types.ChangeId
-) -> change_outcomes.Accepted | change_outcomes.Refused | None:
-    known = _known_outcome(head, change_id)
-    if not isinstance(known, change_outcomes.Cancelled):
-        return known
-    fault = faults.Fault(
-        key="change_id",
-        value=change_id,
-        valid="an id that was not settled as cancelled",
-    )
-    return change_outcomes.Refused(faults=(fault,))
-
-
-def _accepted(change: head_module.Change) -> change_outcomes.Accepted:
-    return change_outcomes.Accepted(
-        revision=change.revision, names=change.names
-    )
-
-
-def _refuse_base(
-    base: types.Revision, head: head_module.Head
-) -> change_outcomes.Refused:
-    kept = [change.revision for change in head.tail] or [0]
-    fault = faults.Fault(
-        key="base",
-        value=str(base),
-        valid=f"a kept revision, from {kept[0]} to {kept[-1]}",
-    )
-    return change_outcomes.Refused(faults=(fault,))
-
-
 def _no_such_revision(
     head: head_module.Head, wanted: types.Revision
 ) -> change_outcomes.NoSuchRevision:
     kept = tuple(change.revision for change in head.tail)
     return change_outcomes.NoSuchRevision(wanted=wanted, kept=kept)
-
-
-def _detail(result: store_module.TransactionResult) -> str:
-    if isinstance(result, store_module.Rejected):
-        return "another change came first"
-    if isinstance(result, store_module.Committed):
-        return ""
-    return result.detail
