--- a/packages/standins/src/lagoonrun_standins/bench_configuration.py
+++ b/packages/standins/src/lagoonrun_standins/bench_configuration.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import json
 import random
@@ -24,13 +25,18 @@
 )
 from lagoonrun_config import draft as draft_module
 from lagoonrun_core import clock, types
+from lagoonrun_membership import ranking
 from lagoonrun_platform import etcd_gateway
 from lagoonrun_standins import deployment, fleet, http_client
 
 _COUNTS = flags.DEFINE_list("counts", ["2", "4", "8"], "Numbers of entry VMs.")
 _DOMAINS = flags.DEFINE_integer("domains", 2, "Failure domains.")
 _CHANGES = flags.DEFINE_integer("changes", 10, "Changes for each number.")
+_FROZEN = flags.DEFINE_bool(
+    "frozen", False, "Freeze all watchers of the head before each change."
+)
 _PAUSE_SECONDS = 0.5
+_RECOVERY_SECONDS = 8.0
 _POLL_SECONDS = 0.01
 _LONGEST_SECONDS = 30.0
 
@@ -85,8 +91,53 @@
         self._entry_vms = tuple(entry_vms)
         self._store = store
 
-    async def change(self, number: int) -> Rollout:
-        """Accept one change and wait until it is in force everywhere."""
+    async def change_frozen(self, number: int) -> Rollout:
+        """Accept one change while all watchers are frozen.
+
+        The figures are of the other entry VMs; the watchers are resumed and
+        waited for afterwards.
+        """
+        watchers = self._watchers()
+        rest = [one for one in self._entry_vms if one.id not in watchers]
+        processes = [self._deployed.process(name) for name in watchers]
+        for process in processes:
+            process.freeze()
+        try:
+            rollout = await self.change(number, asked=rest)
+        finally:
+            for process in processes:
+                process.resume()
+        revision = types.Revision(number + 1)
+        await asyncio.gather(*(self._wait(one, revision) for one in watchers))
+        await asyncio.sleep(_RECOVERY_SECONDS)
+        return rollout
+
+    def _watchers(self) -> tuple[types.EntryVmId, ...]:
+        names_by_domain: dict[types.FailureDomain, list[types.EntryVmId]] = (
+            collections.defaultdict(list)
+        )
+        for one in self._entry_vms:
+            names_by_domain[one.domain].append(one.id)
+        return tuple(
+            watcher
+            for domain, names in names_by_domain.items()
+            for watcher in ranking.choose_watchers(domain, names)
+        )
+
+    async def change(
+        self,
+        number: int,
+        *,
+        asked: Sequence[deployment.EntryVm] | None = None,
+    ) -> Rollout:
+        """Accept one change and wait until it is in force everywhere.
+
+        Parameters
+        ----------
+        asked
+            Entry VMs to wait for; all if None.
+        """
+        waited_for = self._entry_vms if asked is None else asked
         base = types.Revision(number)
         began = time.monotonic()
         outcome = await self._store.apply(
@@ -99,7 +150,7 @@
         if not isinstance(outcome, change_outcomes.Accepted):
             raise RuntimeError(f"change {number} was not accepted: {outcome}")
         instants = await asyncio.gather(
-            *(self._wait(one.id, outcome.revision) for one in self._entry_vms)
+            *(self._wait(one.id, outcome.revision) for one in waited_for)
         )
         return Rollout(
             apply_seconds=accepted - began,
@@ -184,7 +235,8 @@
     rollouts = []
     try:
         for number in range(1, changes + 1):
-            rollouts.append(await bench.change(number))
+            change = bench.change_frozen if _FROZEN.value else bench.change
+            rollouts.append(await change(number))
             await asyncio.sleep(_PAUSE_SECONDS)
     finally:
         await gateway.close()
@@ -198,6 +250,7 @@
     last = [one.last_seconds for one in rollouts]
     return {
         "entry_vms": count,
+        "watchers_frozen": _FROZEN.value,
         "changes": len(rollouts),
         "apply_median_ms": _median_ms([one.apply_seconds for one in rollouts]),
         "first_median_ms": _median_ms([one.first_seconds for one in rollouts]),
