Tell ingresses what a dispatcher has dropped; refuse no class that is new

Cause: the dispatcher kept its own list of waiting requests beside the scheduler's. When the scheduler dropped those of an ingress that was taken for dead, the list went on to say that they were known, and they would have waited in vain until their limit. Also: while a revision spreads, a class that the ingress had and the dispatcher had not was refused as unconfigured. Both found by reading.

--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -7,16 +7,17 @@
 
 import asyncio
 import dataclasses
-import logging
 from collections.abc import Sequence
 from typing import Protocol
 
 from lagoonrun_config import model
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import events, logs, outcomes, types
+from lagoonrun_core import events, logs, types
 from lagoonrun_daemon import (
+    decision_log,
     explanations,
     lost_ingresses,
+    permit_events,
     shards,
     transport,
 )
@@ -43,8 +44,6 @@
     shard: shards.Shard
     scheduler: scheduler.ShardScheduler
     timer: asyncio.TimerHandle | None = None
-    # Ingresses with a request in this shard's queue, to be told of a release.
-    waiting_by_key: dict[policy_messages.PermitKey, types.EntryVmId]
     leaving: frozenset[types.UpstreamId]
     ejected: frozenset[types.UpstreamId] = frozenset()
 
@@ -215,46 +214,32 @@
         known = message.shard in self._shards_by_id
         others_turn = owner != self._entry_vm and not message.handover
         handed_over = self._stopping and owner != self._entry_vm
-        if handed_over or not known or others_turn:
+        out_of_turn = handed_over or others_turn
+        if not known or out_of_turn or self._is_behind(message):
             self._send_not_mine(sender, message, owner)
             return
-        owned = self._own(message.shard)
-        key = _key_of(message)
-        profiles = self._configuration.profiles_by_name
-        if message.profile not in profiles:
-            self._transport.send(
-                sender,
-                messages.PermitRefused(
-                    request_id=message.request_id,
-                    attempt_id=message.attempt_id,
-                    reason=outcomes.Reason.UNCONFIGURED,
-                    retry_after_seconds=1.0,
-                ),
-            )
-            return
+        self._own(message.shard)
         self._transport.send(
             sender,
             messages.PermitAcknowledged(
                 request_id=message.request_id, attempt_id=message.attempt_id
             ),
         )
-        owned.waiting_by_key[key] = sender
         self._handle(
-            message.shard,
-            policy_messages.PermitRequested(
-                key=key,
-                ingress=sender,
-                profile=message.profile,
-                organisation=message.organisation,
-                remaining_seconds=message.remaining_seconds,
-                remaining_target_seconds=message.remaining_target_seconds,
-                prefix_hash=message.prefix_hash,
-                prompt_bytes=message.prompt_bytes,
-                excluded=message.excluded,
-                model=message.model,
-            ),
+            message.shard, permit_events.request_event(sender, message)
         )
 
+    def _is_behind(self, message: messages.PermitRequest) -> bool:
+        """Return whether the ingress has a class that is not known here yet.
+
+        While a new revision spreads, ingresses may have it first. A refusal
+        would tell callers that a class which is in force does not exist; the
+        ingress asks on until the revision has come here, or elsewhere.
+        """
+        configuration = self._configuration
+        known = message.profile in configuration.profiles_by_name
+        return not known and message.revision > configuration.revision
+
     def _send_not_mine(
         self,
         sender: types.EntryVmId,
@@ -276,43 +261,20 @@
     def _on_return(self, message: messages.PermitReturn) -> None:
         if message.shard not in self._owned_by_id:
             return
-        key = _key_of(message)
-        self._owned_by_id[message.shard].waiting_by_key.pop(key, None)
+        key = permit_events.key_of(message)
         self._handle(message.shard, policy_messages.PermitReturned(key=key))
 
     def _on_end(self, message: messages.PermitEnd) -> None:
         if message.shard not in self._owned_by_id:
             return
-        self._handle(
-            message.shard,
-            policy_messages.PermitEnded(
-                key=_key_of(message),
-                upstream=message.upstream,
-                outcome=message.outcome,
-                reason=message.reason,
-                first_token_seconds=message.first_token_seconds,
-                total_seconds=message.total_seconds,
-                tokens=message.tokens,
-            ),
-        )
-        self._log_ejections(self._owned_by_id[message.shard])
+        self._handle(message.shard, permit_events.ended_event(message))
+        self._note_ejections(self._owned_by_id[message.shard])
 
-    def _log_ejections(self, owned: _OwnedShard) -> None:
-        """Tell which runners failed out of service, or came back."""
+    def _note_ejections(self, owned: _OwnedShard) -> None:
         ejected = owned.scheduler.ejected_runners()
-        for upstream in sorted(ejected - owned.ejected):
-            logs.emit(
-                events.LogEvent.UPSTREAM_EJECTED,
-                level=logging.WARNING,
-                upstream=upstream,
-                shard=owned.shard.id,
-            )
-        for upstream in sorted(owned.ejected - ejected):
-            logs.emit(
-                events.LogEvent.UPSTREAM_RESTORED,
-                upstream=upstream,
-                shard=owned.shard.id,
-            )
+        decision_log.log_ejections(
+            owned.shard.id, before=owned.ejected, after=ejected
+        )
         owned.ejected = ejected
 
     def _on_digest(
@@ -329,12 +291,12 @@
         unknown = tuple(
             work
             for work in message.waiting
-            if owned.waiting_by_key.get(_key_of(work)) != sender
+            if not owned.scheduler.is_waiting(permit_events.key_of(work))
         )
-        self._handle(message.shard, _digest_event(sender, message))
+        self._handle(message.shard, permit_events.digest_event(sender, message))
         for work in message.running:
             if work.tokens:
-                self._handle(message.shard, _progress_event(work))
+                self._handle(message.shard, permit_events.progress_event(work))
         self._transport.send(
             sender,
             messages.DigestAcknowledged(shard=message.shard, unknown=unknown),
@@ -348,7 +310,6 @@
                 scheduler=scheduler.ShardScheduler(
                     policy=self._policy(shard_id), switches=self._switches
                 ),
-                waiting_by_key={},
                 leaving=self._view.leaving_upstreams(),
             )
             self._owned_by_id[shard_id] = owned
@@ -362,12 +323,13 @@
             owned.timer.cancel()
         owner = self._view.owner_of(shard_id)
         named = owner if owner and owner != self._entry_vm else None
-        for key, ingress in owned.waiting_by_key.items():
+        waiting = owned.scheduler.waiting_requests()
+        for request in waiting:
             self._transport.send(
-                ingress,
+                request.ingress,
                 messages.PermitNotMine(
-                    request_id=key.request_id,
-                    attempt_id=key.attempt_id,
+                    request_id=request.key.request_id,
+                    attempt_id=request.key.attempt_id,
                     owner=named or types.EntryVmId(""),
                 ),
             )
@@ -375,7 +337,7 @@
             events.LogEvent.SHARD_RELEASED,
             shard=shard_id,
             owner=named,
-            waiting=len(owned.waiting_by_key),
+            waiting=len(waiting),
         )
 
     def _policy(self, shard_id: types.ShardId) -> policy_messages.ShardPolicy:
@@ -415,41 +377,12 @@
     def _carry_out(
         self, owned: _OwnedShard, action: policy_messages.Action
     ) -> None:
-        key = action.key
-        match action:
-            case policy_messages.Grant():
-                owned.waiting_by_key.pop(key, None)
-                self._explanations.add_decision(action.record)
-                _log_decision(action.record)
-                answer: messages.Message = messages.PermitGranted(
-                    request_id=key.request_id,
-                    attempt_id=key.attempt_id,
-                    upstream=action.upstream,
-                    shard=owned.shard.id,
-                )
-            case policy_messages.Refuse():
-                owned.waiting_by_key.pop(key, None)
-                self._explanations.add_decision(action.record)
-                _log_decision(action.record)
-                answer = messages.PermitRefused(
-                    request_id=key.request_id,
-                    attempt_id=key.attempt_id,
-                    reason=action.reason,
-                    retry_after_seconds=action.retry_after_seconds,
-                )
-            case policy_messages.Cut():
-                logs.emit(
-                    events.LogEvent.REQUEST_CUT,
-                    request_id=key.request_id,
-                    attempt_id=key.attempt_id,
-                    shard=owned.shard.id,
-                    reason=action.reason.value,
-                )
-                answer = messages.CutWork(
-                    request_id=key.request_id,
-                    attempt_id=key.attempt_id,
-                    reason=action.reason,
-                )
+        if isinstance(action, policy_messages.Cut):
+            decision_log.log_cut(owned.shard.id, action)
+        else:
+            self._explanations.add_decision(action.record)
+            decision_log.log_decision(action.record)
+        answer = permit_events.answer_of(action, shard=owned.shard.id)
         self._transport.send(action.ingress, answer)
 
     def _set_timer(self, owned: _OwnedShard) -> None:
@@ -468,69 +401,3 @@
     def _on_timer(self, shard_id: types.ShardId) -> None:
         if shard_id in self._owned_by_id:
             self._handle(shard_id, policy_messages.Ticked())
-
-
-KeyedMessage = (
-    messages.PermitRequest
-    | messages.PermitReturn
-    | messages.PermitEnd
-    | messages.RunningWork
-    | messages.WaitingWork
-)
-
-
-def _key_of(message: KeyedMessage) -> policy_messages.PermitKey:
-    return policy_messages.PermitKey(
-        request_id=message.request_id, attempt_id=message.attempt_id
-    )
-
-
-def _digest_event(
-    sender: types.EntryVmId, message: messages.WorkDigest
-) -> policy_messages.InFlightDigest:
-    return policy_messages.InFlightDigest(
-        ingress=sender,
-        running=tuple(
-            policy_messages.InFlight(
-                key=_key_of(work),
-                upstream=work.upstream,
-                profile=work.profile,
-                organisation=work.organisation,
-                running_seconds=work.running_seconds,
-                tokens=work.tokens,
-            )
-            for work in message.running
-        ),
-        waiting=tuple(_key_of(work) for work in message.waiting),
-    )
-
-
-def _progress_event(
-    work: messages.RunningWork,
-) -> policy_messages.WorkProgressed:
-    return policy_messages.WorkProgressed(
-        key=_key_of(work),
-        tokens=work.tokens,
-        first_token_seconds=work.first_token_seconds,
-    )
-
-
-def _log_decision(record: policy_messages.DecisionRecord) -> None:
-    granted = record.upstream is not None
-    logs.emit(
-        events.LogEvent.REQUEST_ROUTED
-        if granted
-        else events.LogEvent.REQUEST_REFUSED,
-        level=logging.INFO,
-        request_id=record.key.request_id,
-        attempt_id=record.key.attempt_id,
-        shard=record.shard,
-        profile=record.profile,
-        tier=record.tier,
-        organisation=record.organisation,
-        upstream=record.upstream,
-        reason=record.reason.value,
-        waited_seconds=round(record.waited_seconds, 4),
-        queue_length=record.queue_length,
-        revision=record.revision,
-    )
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -113,6 +113,15 @@
         """Number of requests that wait."""
         return len(self._slots.permits.queued_by_key)
 
+    def is_waiting(self, key: messages.PermitKey) -> bool:
+        """Return whether a request waits in a queue of the shard."""
+        return key in self._slots.permits.queued_by_key
+
+    def waiting_requests(self) -> Sequence[messages.PermitRequested]:
+        """Return all requests that wait."""
+        queued = self._slots.permits.queued_by_key.values()
+        return [one.waiting.request for one in queued]
+
     def summary(self, *, now: float) -> shards.ShardView:
         """Return what other failure domains need to know of the shard."""
         return summaries.summarise(self._shard, now=now)
