Add cutting of the lowest tier's idempotent work, switched off

It is there to be measured. Only the lowest tier that runs is cut, least work first, only where the caller can ask again, and only for a higher tier that has waited a quarter of its target.

--- /dev/null
+++ b/packages/policy/src/lagoonrun_policy/cutting.py
@@ -0,0 +1,91 @@
+"""Cut running work of the lowest tier for a higher one that waits too long.
+
+Off unless it is switched on: what is cut is wasted work, and only a
+measurement can say whether it pays.
+"""
+
+from collections.abc import Callable
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_policy import class_state, ledger, messages, shard, slots
+
+_PATIENCE_FRACTION = 0.25
+"""Part of the target that a request waits before others are cut for it."""
+
+
+class Cutting:
+    """Chooses what to cut.
+
+    Parameters
+    ----------
+    shared
+        The shard.
+    book
+        Its slots and permits.
+    emit
+        Takes each cut.
+    """
+
+    def __init__(
+        self,
+        *,
+        shared: shard.Shard,
+        book: slots.SlotBook,
+        emit: Callable[[messages.Action], None],
+    ) -> None:
+        self._shard = shared
+        self._slots = book
+        self._emit = emit
+
+    def cut_for_waiting(self, now: float) -> None:
+        """Cut one piece of work for each request that waits too long."""
+        for state in self._shard.classes:
+            due = self.due_at(state)
+            if due is None or now < due:
+                continue
+            self._cut_for(state)
+            return
+
+    def due_at(self, state: class_state.ClassState) -> float | None:
+        """Return when the class has waited long enough; None if it never."""
+        earliest = state.queue.earliest()
+        if earliest is None:
+            return None
+        patience = _PATIENCE_FRACTION * state.policy.target_seconds
+        return earliest.arrived_at + patience
+
+    def _cut_for(self, state: class_state.ClassState) -> None:
+        running = self._slots.permits.running_by_key.values()
+        lowest = max(
+            (r.state.policy.tier for r in running if r.state is not None),
+            default=state.policy.tier,
+        )
+        if lowest <= state.policy.tier:
+            return
+        under_way = sum(r.cut for r in running)
+        victims = sorted(
+            (r for r in running if self._may_cut(r, lowest)),
+            key=lambda r: (r.tokens, r.key.request_id, r.key.attempt_id),
+        )
+        for victim in victims[: max(0, state.queue.length - under_way)]:
+            victim.cut = True
+            self._emit(
+                messages.Cut(
+                    key=victim.key,
+                    ingress=victim.ingress,
+                    upstream=victim.upstream,
+                    reason=outcomes.Reason.CUT_FOR_HIGHER_TIER,
+                )
+            )
+
+    def _may_cut(self, running: ledger.Running, lowest: types.Tier) -> bool:
+        """Return whether the work may be cut.
+
+        Only the lowest tier that runs: cutting a middle one while a lower
+        one goes on would serve them in the wrong order. Only idempotent
+        work: the caller must be able to ask again.
+        """
+        state = running.state
+        if state is None or running.cut or not state.policy.idempotent:
+            return False
+        return state.policy.tier == lowest
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -6,6 +6,7 @@
 from lagoonrun_policy import (
     admission,
     class_state,
+    cutting,
     decision,
     fair_queue,
     features,
@@ -50,6 +51,9 @@
         self._granting = granting.Granting(
             shared=self._shard, book=self._slots, emit=self._emit
         )
+        self._cutting = cutting.Cutting(
+            shared=self._shard, book=self._slots, emit=self._emit
+        )
         self._actions: list[messages.Action] = []
         self._sequence = 0
         self._silence_check_at = 0.0
@@ -85,6 +89,8 @@
         self._drop_silent(now)
         self._admission.refuse_expired(now)
         self._granting.grant_waiting(now)
+        if self._shard.switches.cutting:
+            self._cutting.cut_for_waiting(now)
         return self._actions
 
     def next_wake(self, *, now: float) -> float | None:
@@ -95,6 +101,9 @@
             if earliest is not None:
                 margin = self._shard.margins_of(state, now).best
                 instants.append(earliest.deadline - margin)
+                cut_at = self._cutting.due_at(state)
+                if self._shard.switches.cutting and cut_at > now:
+                    instants.append(cut_at)
         if not instants:
             return None
         instants.append(max(now, self._silence_check_at))
--- a/packages/policy/tests/test_promises.py
+++ b/packages/policy/tests/test_promises.py
@@ -35,6 +35,16 @@
     world.walk(subject, seed=seed, steps=400, successor=_make)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_promises_hold_with_cutting(seed):
+    def make(policy):
+        switches = dataclasses.replace(_SWITCHES, cutting=True)
+        return scheduler.ShardScheduler(policy=policy, switches=switches)
+
+    subject = world.World(subject=make(_POLICY), policy=_POLICY)
+    world.walk(subject, seed=seed, steps=400, successor=make)
+
+
 class _Broken:
     """A scheduler with one part left out."""
 
--- a/packages/policy/tests/world.py
+++ b/packages/policy/tests/world.py
@@ -231,6 +231,8 @@
                     self._check_grant(action)
                 case messages.Refuse():
                     self._check_refusal(action)
+                case messages.Cut():
+                    self._check_cut(action)
         self._check_books()
 
     def _ended(self, request, failed) -> messages.PermitEnded:
@@ -311,6 +313,35 @@
         ):
             self._check_room(request, refusal)
 
+    def _check_cut(self, cut: messages.Cut) -> None:
+        # Work whose end went unreported may be cut; nobody notices.
+        known = self.running | self.unreported
+        expect("only running work is cut", cut.key in known, cut)
+        victim = known[cut.key]
+        expect(
+            "what may run once only is not cut",
+            self.policy.classes_by_name[victim.event.profile].idempotent,
+            cut,
+        )
+        expect(
+            "work is cut for a higher tier only",
+            any(self._tier(r) < self._tier(victim) for r in self._waiting()),
+            cut,
+        )
+        expect(
+            "no work is cut while a lower tier runs",
+            all(self._tier(r) <= self._tier(victim) for r in self._running()),
+            cut,
+        )
+
+    def _waiting(self):
+        return [r for r in self.waiting.values() if r.key in self.known]
+
+    def _running(self):
+        """Return what runs in a class that is still configured."""
+        classes = self.policy.classes_by_name
+        return [r for r in self.running.values() if r.event.profile in classes]
+
     def _check_room(self, request, refusal) -> None:
         below = collections.Counter(
             r.event.profile
