--- a/packages/daemon/tests/failures/conftest.py
+++ b/packages/daemon/tests/failures/conftest.py
@@ -288,6 +288,52 @@
         await self.deployment.wait_members(len(ENTRY_VMS))
 
 
+class Balancer:
+    """Sends each request to an entry VM that says it is ready.
+
+    It asks for readiness from time to time, so that it notices with a lag.
+    A VM that refuses the connection was sent nothing; the next one is tried.
+    """
+
+    def __init__(self, *, trial: Trial) -> None:
+        self._trial = trial
+        self._ready: list[types.EntryVmId] = [vm.id for vm in ENTRY_VMS]
+        self._turn = 0
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to ask for readiness."""
+        self._task = asyncio.create_task(self._probe_forever())
+
+    async def close(self) -> None:
+        """Stop asking."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def ask(self, path: str, **options) -> http_client.Answer:
+        """Make one caller's request of the next ready entry VM."""
+        for _ in range(len(ENTRY_VMS) * 2):
+            self._turn += 1
+            vm = self._ready[self._turn % len(self._ready)]
+            with contextlib.suppress(ConnectionRefusedError):
+                return await self._trial.ask(vm, path, **options)
+        raise AssertionError("no entry VM takes connections")
+
+    async def _probe_forever(self) -> None:
+        while True:
+            ready = [vm.id for vm in ENTRY_VMS if await self._is_ready(vm.id)]
+            self._ready = ready or self._ready
+            await asyncio.sleep(_POLL_SECONDS)
+
+    async def _is_ready(self, entry_vm: types.EntryVmId) -> bool:
+        try:
+            answer = await self._trial.deployment.ask_admin(entry_vm, "/readyz")
+        except (OSError, fleet.managed_process.ProcessError):
+            return False
+        return answer.status == 200
+
+
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def whole():
     """Start a deployment that the tests of a module share."""
