--- a/packages/standins/src/lagoonrun_standins/deployment.py
+++ b/packages/standins/src/lagoonrun_standins/deployment.py
@@ -103,10 +103,17 @@
             await self.wait_ready(entry_vm.id)
         await self.wait_members(len(self._entry_vms))
 
-    async def apply(self, draft: draft_module.Draft) -> types.Revision:
-        """Bring `draft` into force as the next revision."""
+    async def apply(
+        self,
+        draft: draft_module.Draft,
+        *,
+        base: types.Revision = _NO_REVISION,
+    ) -> types.Revision:
+        """Bring `draft` into force as the next revision after `base`."""
         assert self.platform is not None
-        return await apply_declarations(draft, platform=self.platform.address())
+        return await apply_declarations(
+            draft, platform=self.platform.address(), base=base
+        )
 
     async def start_entry_vm(
         self, entry_vm: EntryVm
