--- a/packages/daemon/tests/failures/test_leaving_upstreams.py
+++ b/packages/daemon/tests/failures/test_leaving_upstreams.py
@@ -108,8 +108,12 @@
     """An upstream says that it is leaving while no requests come.
 
     Were reports read only for shards that are in use, the first request
-    long after would still be sent to it.
+    long after would still be sent to it. The entry VMs are new, so that no
+    shard has been in use.
     """
+    for vm in ENTRY_VMS:
+        await leaver.process(vm.id).kill()
+    await leaver.restart_lost()
     await leaver.control(_LEAVING, leaving=True)
     await _wait_known(leaver, leaving=True)
     for vm in ENTRY_VMS:
