--- a/packages/standins/src/lagoonrun_standins/bench_claims.py
+++ b/packages/standins/src/lagoonrun_standins/bench_claims.py
@@ -1,7 +1,8 @@
 """Measure claims per second and store calls per claim of one entry VM.
 
 The store is a fake in this process that answers each call after a fixed
-delay. Arrivals come at an even rate whether or not earlier ones are done;
+delay; with `--gateway`, the platform stand-in in a process of its own, met by
+the client that the daemon uses. Arrivals come at an even rate whether or not earlier ones are done;
 each claims a key of its own and records its end. Run as
 `python -m lagoonrun_standins.bench_claims`.
 """
@@ -22,7 +23,9 @@
 from lagoonrun_claims import claims as claims_module
 from lagoonrun_core import clock as clock_module
 from lagoonrun_core import outcomes, types
+from lagoonrun_platform import etcd_gateway
 from lagoonrun_platform import store as store_module
+from lagoonrun_standins import fleet
 
 _SECONDS = flags.DEFINE_float("seconds", 4.0, "Length of each trial.")
 _DELAY = flags.DEFINE_float(
@@ -38,7 +41,11 @@
 _WRITES = flags.DEFINE_float(
     "writes_per_second", 40.0, "Budget of the entry VM for the store."
 )
+_GATEWAY = flags.DEFINE_bool(
+    "gateway", False, "Use the platform stand-in by its gateway."
+)
 _DEADLINE_SECONDS = 2.0
+_GATEWAY_CALLS_PER_SECOND = 10_000.0
 _CALLS_PER_TICK_SECONDS = 0.002
 
 
@@ -49,13 +56,13 @@
         self._delay_seconds = delay_seconds
         self._found_by_key: dict[str, store_module.KeyValue] = {}
         self._revisions = itertools.count(1)
-        self.calls = 0
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
 
     async def grant_lease(
         self, *, ttl_seconds: float
     ) -> store_module.LeaseResult:
         """Grant a lease; see `KeyValueStore`."""
-        self.calls += 1
+        self.calls_by_kind["lease"] += 1
         await asyncio.sleep(self._delay_seconds)
         return store_module.LeaseGranted(
             lease=store_module.LeaseId(1), ttl_seconds=ttl_seconds
@@ -68,7 +75,7 @@
         puts: Sequence[store_module.Put] = (),
     ) -> store_module.TransactionResult:
         """Compare and write; see `KeyValueStore`."""
-        self.calls += 1
+        self.calls_by_kind["transact"] += 1
         await asyncio.sleep(self._delay_seconds)
         revision = store_module.StoreRevision(next(self._revisions))
         if not all(self._holds(one) for one in comparisons):
@@ -116,7 +123,34 @@
 
 
 async def _run(*, shards: int, batch: int, rate: float) -> dict[str, float]:
-    store = DelayedStore(delay_seconds=_DELAY.value)
+    if not _GATEWAY.value:
+        store = DelayedStore(delay_seconds=_DELAY.value)
+        return await _run_with(store, shards=shards, batch=batch, rate=rate)
+    processes = fleet.Fleet()
+    await processes.start()
+    try:
+        platform = await processes.start_platform_store()
+        store = etcd_gateway.EtcdGateway(
+            addresses=[platform.address()],
+            clock=clock_module.SystemClock(),
+            chance=random.Random(1),
+            calls_per_second=_GATEWAY_CALLS_PER_SECOND,
+            burst=_GATEWAY_CALLS_PER_SECOND,
+        )
+        line = await _run_with(store, shards=shards, batch=batch, rate=rate)
+        await store.close()
+        return line
+    finally:
+        await processes.close()
+
+
+async def _run_with(
+    store: DelayedStore | etcd_gateway.EtcdGateway,
+    *,
+    shards: int,
+    batch: int,
+    rate: float,
+) -> dict[str, float]:
     claims = claims_module.Claims(
         store=store,
         entry_vm=types.EntryVmId("vm"),
@@ -134,7 +168,8 @@
     took = time.monotonic() - began
     used = time.process_time() - used
     await claims.close()
-    return _summary(trial, shards, batch, rate, took, used, store.calls)
+    calls = sum(store.calls_by_kind.values())
+    return _summary(trial, shards, batch, rate, took, used, calls)
 
 
 async def _offer(
