Go on seeking the tenure after a fault of the store's client

An exception of the client, such as on an answer that it cannot read, ended the task that seeks a domain's tenure, and that entry VM never ordered again. Calls now go through one place that bounds their time and turns a fault into "unknown"; a fault of a watch ends the watch. The wait for a vacant key is a module of its own.

--- /dev/null
+++ b/packages/orders/src/lagoonrun_orders/bounded_store.py
@@ -0,0 +1,90 @@
+"""The store with a bound on each call's time, and no exceptions."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Sequence
+from typing import TypeVar
+
+from lagoonrun_platform import store as store_module
+
+_R = TypeVar("_R")
+DEFAULT_TIMEOUT_SECONDS = 3.0
+
+
+class BoundedStore:
+    """Calls of a `KeyValueStore` that end within a time.
+
+    A call that does not, or that fails by a fault of the adapter, ends as
+    `Unknown`. Its caller's task would otherwise hang, or end for good, and
+    its entry VM would never again seek what it seeks.
+
+    Parameters
+    ----------
+    timeout_seconds
+        Longest time of one call; a watch has none.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: store_module.KeyValueStore,
+        timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS,
+    ) -> None:
+        self._store = store
+        self._timeout_seconds = timeout_seconds
+
+    async def transact(
+        self,
+        *,
+        comparisons: Sequence[store_module.Comparison],
+        puts: Sequence[store_module.Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> store_module.TransactionResult:
+        """Compare and write; see `KeyValueStore`."""
+        return await self._bound(
+            self._store.transact(
+                comparisons=comparisons, puts=puts, deletes=deletes
+            )
+        )
+
+    async def grant_lease(
+        self, *, ttl_seconds: float
+    ) -> store_module.LeaseResult:
+        """Ask for a lease; see `KeyValueStore`."""
+        return await self._bound(
+            self._store.grant_lease(ttl_seconds=ttl_seconds)
+        )
+
+    async def keep_lease(
+        self, lease: store_module.LeaseId
+    ) -> store_module.LeaseResult:
+        """Renew a lease; see `KeyValueStore`."""
+        return await self._bound(self._store.keep_lease(lease))
+
+    async def watch(
+        self, key: str, *, from_revision: store_module.StoreRevision
+    ) -> AsyncIterator[store_module.WatchMessage]:
+        """Yield changes of a key; see `KeyValueStore`."""
+        watching = self._store.watch(key, from_revision=from_revision)
+        async with contextlib.aclosing(watching) as messages:
+            try:
+                async for message in messages:
+                    yield message
+            except Exception as error:
+                yield store_module.Unreachable(detail=f"watch: {error!r}")
+
+    async def _bound(self, call: Awaitable[_R]) -> _R | store_module.Unknown:
+        try:
+            async with asyncio.timeout(self._timeout_seconds):
+                return await call
+        except TimeoutError:
+            return store_module.Unknown(detail="no answer in time")
+        except Exception as error:
+            return store_module.Unknown(detail=f"store failed: {error!r}")
+
+
+def compare(
+    key: str, modified: store_module.StoreRevision
+) -> store_module.Comparison:
+    """Return the comparison that `key` was last written at `modified`."""
+    return store_module.Comparison(key=key, modified=modified)
--- a/packages/orders/src/lagoonrun_orders/leadership.py
+++ b/packages/orders/src/lagoonrun_orders/leadership.py
@@ -13,21 +13,17 @@
 
 from lagoonrun_core import clock as clock_module
 from lagoonrun_core import errors, events, logs, types
+from lagoonrun_orders import bounded_store, vacancy
 from lagoonrun_orders import tenure as tenure_module
 from lagoonrun_platform import store as store_module
 
 DEFAULT_TTL_SECONDS = 30.0
 DEFAULT_MARGIN_SECONDS = 2.0
 _RENEWALS_PER_TTL = 3
-_CALL_TIMEOUT_SECONDS = 3.0
 _FIRST_PAUSE_SECONDS = 0.5
 _LONGEST_PAUSE_SECONDS = 8.0
-_POLL_SECONDS = 15.0
-_SPREAD_SECONDS = 0.2
-_BROKEN_WATCH_SECONDS = 5.0
 _MAXIMUM_TRIES = 4
 _NONCE_BITS = 128
-_LOST = store_module.Unknown(detail="no answer in time")
 
 
 class Leadership:
@@ -60,7 +56,7 @@
         margin_seconds: float = DEFAULT_MARGIN_SECONDS,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
-        self._store = store
+        self._store = bounded_store.BoundedStore(store=store)
         self._domain = domain
         self._entry_vm = entry_vm
         self._clock = clock
@@ -71,6 +67,13 @@
         self._sleep = sleep
         self._holder_key = tenure_module.holder_key(domain)
         self._last_key = tenure_module.last_key(domain)
+        self._vacancy = vacancy.Vacancy(
+            store=self._store,
+            key=self._holder_key,
+            is_mine=self._is_mine,
+            random=random,
+            sleep=sleep,
+        )
         self._last: store_module.KeyValue | None = None
         self._lease: store_module.LeaseId | None = None
         self._nonce = ""
@@ -122,66 +125,30 @@
     async def _run(self) -> None:
         pause = _FIRST_PAUSE_SECONDS
         while True:
-            vacant_from = await self._find_vacancy()
-            if vacant_from is None and await self._acquire():
+            found = await self._vacancy.find()
+            if isinstance(found, vacancy.Held):
+                pause = _FIRST_PAUSE_SECONDS
+                await self._vacancy.wait(found)
+            elif isinstance(found, vacancy.Vacant) and await self._acquire():
                 pause = _FIRST_PAUSE_SECONDS
                 await self._hold()
-            elif vacant_from is None or vacant_from == store_module.ABSENT:
+            else:
                 await self._sleep(pause * self._random.uniform(0.5, 1.0))
                 pause = min(2 * pause, _LONGEST_PAUSE_SECONDS)
-            else:
-                pause = _FIRST_PAUSE_SECONDS
-                await self._wait_for_vacancy(vacant_from)
-
-    async def _find_vacancy(self) -> store_module.StoreRevision | None:
-        """Return None when there is no holder, else where to watch from.
-
-        `ABSENT` says that the store did not answer.
-        """
-        result = await self._transact(
-            comparisons=[_compare(self._holder_key, store_module.ABSENT)]
-        )
-        match result:
-            case store_module.Committed():
-                return None
-            case store_module.Rejected():
-                holder = result.item(self._holder_key)
-                if holder is not None and self._is_mine(holder):
-                    # An acquisition whose reply was lost, or that arrived
-                    # late: it is this process's, under a lease it knows.
-                    return None
-                return store_module.StoreRevision(result.revision + 1)
-        return store_module.ABSENT
-
-    async def _wait_for_vacancy(
-        self, revision: store_module.StoreRevision
-    ) -> None:
-        spread = _SPREAD_SECONDS
-        with contextlib.suppress(TimeoutError):
-            async with (
-                asyncio.timeout(_POLL_SECONDS * self._random.uniform(0.5, 1)),
-                contextlib.aclosing(
-                    self._store.watch(self._holder_key, from_revision=revision)
-                ) as messages,
-            ):
-                async for message in messages:
-                    if not isinstance(message, store_module.WatchBatch):
-                        spread = _BROKEN_WATCH_SECONDS
-                        break
-                    if any(event.value is None for event in message.events):
-                        break
-        # Without it, all entry VMs of the domain ask for a lease at once.
-        await self._sleep(self._random.uniform(0.0, spread))
 
     async def _acquire(self) -> bool:
         asked = self._clock.monotonic()
         if not await self._renew_lease():
             return False
         for _ in range(_MAXIMUM_TRIES):
-            result = await self._transact(
+            result = await self._store.transact(
                 comparisons=[
-                    _compare(self._holder_key, store_module.ABSENT),
-                    _compare(self._last_key, _modified(self._last)),
+                    bounded_store.compare(
+                        self._holder_key, store_module.ABSENT
+                    ),
+                    bounded_store.compare(
+                        self._last_key, _modified(self._last)
+                    ),
                 ],
                 puts=[
                     store_module.Put(
@@ -214,15 +181,13 @@
 
     async def _renew_lease(self) -> bool:
         if self._lease is not None:
-            kept = await self._call(self._store.keep_lease(self._lease))
+            kept = await self._store.keep_lease(self._lease)
             if isinstance(kept, store_module.LeaseGranted):
                 return kept.ttl_seconds >= self._ttl_seconds
             if not isinstance(kept, store_module.LeaseLost):
                 return False
         self._lease = None
-        granted = await self._call(
-            self._store.grant_lease(ttl_seconds=self._ttl_seconds)
-        )
+        granted = await self._store.grant_lease(ttl_seconds=self._ttl_seconds)
         if not isinstance(granted, store_module.LeaseGranted):
             return False
         self._lease = granted.lease
@@ -303,7 +268,7 @@
         """Return whether lease and key are held; None when not known."""
         if self._lease is None:
             return False
-        kept = await self._call(self._store.keep_lease(self._lease))
+        kept = await self._store.keep_lease(self._lease)
         if isinstance(kept, store_module.LeaseLost):
             self._lease = None
             return False
@@ -311,8 +276,10 @@
             return None
         # The lease can be alive without the key, when somebody deleted the
         # key by hand; then another entry VM holds it by now.
-        result = await self._transact(
-            comparisons=[_compare(self._holder_key, self._modified)]
+        result = await self._store.transact(
+            comparisons=[
+                bounded_store.compare(self._holder_key, self._modified)
+            ]
         )
         if isinstance(result, store_module.Committed):
             return True
@@ -327,8 +294,10 @@
                 )
             )
         for _ in range(2):
-            result = await self._transact(
-                comparisons=[_compare(self._holder_key, self._modified)],
+            result = await self._store.transact(
+                comparisons=[
+                    bounded_store.compare(self._holder_key, self._modified)
+                ],
                 puts=puts,
                 deletes=[self._holder_key],
             )
@@ -365,22 +334,6 @@
             return False
         return self._nonce != "" and record.nonce == self._nonce
 
-    async def _transact(self, **options) -> store_module.TransactionResult:
-        return await self._call(self._store.transact(**options))
-
-    async def _call(self, call: Awaitable):
-        try:
-            async with asyncio.timeout(_CALL_TIMEOUT_SECONDS):
-                return await call
-        except TimeoutError:
-            return _LOST
-
-
-def _compare(
-    key: str, modified: store_module.StoreRevision
-) -> store_module.Comparison:
-    return store_module.Comparison(key=key, modified=modified)
-
 
 def _modified(
     found: store_module.KeyValue | None,
--- a/packages/orders/tests/test_leadership.py
+++ b/packages/orders/tests/test_leadership.py
@@ -161,6 +161,34 @@
     assert first.tenure.fencing == found.created
 
 
+@pytest.mark.parametrize("name", ["transact", "grant_lease", "watch"])
+async def test_a_fault_of_the_adapter_does_not_end_the_search(
+    candidate, timers, store, monkeypatch, name
+):
+    """A domain has no orderer, though each of its entry VMs is up.
+
+    The store's client failed once on an answer that it could not read, and
+    the task that seeks the tenure ended with it.
+    """
+    holder = await candidate()
+
+    async def fail(*_arguments, **_options):
+        raise ValueError("unreadable answer")
+
+    async def fail_watch(*_arguments, **_options):
+        raise ValueError("unreadable answer")
+        yield
+
+    with monkeypatch.context() as patched:
+        fault = fail_watch if name == "watch" else fail
+        patched.setattr(store, name, fault)
+        seeker = await candidate()
+        await timers.advance(1.0)
+    await holder.close(clean=True)
+    await timers.advance(20.0)
+    assert seeker.tenure is not None
+
+
 async def test_a_deleted_key_ends_the_tenure(candidate, timers, store):
     """An operator deletes the key by hand while its holder's lease lives."""
     first, second = await candidate(), await candidate()
