--- a/packages/daemon/src/lagoonrun_daemon/loads.py
+++ b/packages/daemon/src/lagoonrun_daemon/loads.py
@@ -95,7 +95,7 @@
             async with asyncio.timeout(_REPORT_TIMEOUT_SECONDS):
                 text = await self._fetch(upstream)
                 if text is not None:
-                    self._take(upstream.id, text)
+                    self.take(upstream.id, text)
 
     async def _fetch(self, upstream: model.Upstream) -> str | None:
         request = http_upstream.UpstreamRequest(
@@ -115,7 +115,8 @@
             return None
         return body.decode(errors="replace")
 
-    def _take(self, upstream: types.UpstreamId, text: str) -> None:
+    def take(self, upstream: types.UpstreamId, text: str) -> None:
+        """Take in the text of one report; ignore one that is no report."""
         values: dict[str, float] = {}
         models: list[str] = []
         try:
