--- a/packages/daemon/src/lagoonrun_daemon/loads.py
+++ b/packages/daemon/src/lagoonrun_daemon/loads.py
@@ -84,13 +84,14 @@
         """
         if upstream.id in self._reads_by_id:
             return
-        task = asyncio.create_task(self._read(upstream))
+        task = asyncio.create_task(self.read(upstream))
         self._reads_by_id[upstream.id] = task
         task.add_done_callback(
             lambda _: self._reads_by_id.pop(upstream.id, None)
         )
 
-    async def _read(self, upstream: model.Upstream) -> None:
+    async def read(self, upstream: model.Upstream) -> None:
+        """Read and take in one upstream's report, if it answers in time."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_REPORT_TIMEOUT_SECONDS):
                 text = await self._fetch(upstream)
--- a/packages/standins/src/lagoonrun_standins/bench_capacity.py
+++ b/packages/standins/src/lagoonrun_standins/bench_capacity.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import dataclasses
 import gc
 import json
 import random
@@ -24,10 +25,12 @@
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import outcomes, types
 from lagoonrun_daemon import loads, shards
+from lagoonrun_http import limits
+from lagoonrun_http import upstream as upstream_client
 from lagoonrun_policy import messages as policy_messages
 from lagoonrun_policy import scheduler as schedulers
 from lagoonrun_protocol import codec, frames, messages
-from lagoonrun_standins import bench_path, load_report
+from lagoonrun_standins import bench_path, fleet, load_report
 
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of all random choices.")
 _PERMITS = flags.DEFINE_integer("permits", 3000, "Permits of each size.")
@@ -262,6 +265,35 @@
     }
 
 
+async def _measure_report_reads() -> dict[str, object]:
+    """Return what reading and parsing one report of a real engine costs."""
+    processes = fleet.Fleet()
+    await processes.start()
+    client = upstream_client.UpstreamClient(
+        limits=limits.ClientLimits(), clock=clocks.SystemClock()
+    )
+    reader = loads.LoadReader(
+        client=client,
+        upstreams=list,
+        on_report=lambda report: None,
+        on_leaving=lambda upstream, incarnation, leaving: None,
+    )
+    try:
+        process = await processes.start_engine("runner-0")
+        engine = dataclasses.replace(
+            _upstream(0), address=process.host, port=process.port
+        )
+        await reader.read(engine)
+        began = time.process_time()
+        for _ in range(_REPEATS):
+            await reader.read(engine)
+        used = time.process_time() - began
+    finally:
+        await client.close()
+        await processes.close()
+    return {"us_read_and_parse": round(used / _REPEATS * 1e6, 1)}
+
+
 def _declared(upstreams: int) -> draft_module.Draft:
     names = [types.ProfileName(f"tier-{tier}") for tier in range(1, _TIERS + 1)]
     return draft_module.Draft(
@@ -346,7 +378,8 @@
             | _wire_cost(_digest(entries), max(1, _REPEATS // entries))
             for entries in _DIGEST_ENTRIES
         ],
-        "load_report": _load_report_cost(),
+        "load_report": _load_report_cost()
+        | asyncio.run(_measure_report_reads()),
         "configuration": [
             _configuration_cost(int(count)) for count in _UPSTREAMS.value
         ],
