Tell a slow dispatcher from a silent one

From the wake of a frozen entry VM on, until the storm was over, ingresses passed over dispatchers that lived (up to 40 handovers to or from one of them in half a second, in the log): their event loops were busy for longer than the 150 ms of an acknowledgement.

An ask whose dispatcher has said anything to this ingress since is now waited for again, five times at most; a frozen one says nothing and is passed over after 150 ms as before. Ruled out: a longer timeout, which delays every real handover.

Flags of the benches have names of their own now, since one test process imports several of them.

--- a/packages/daemon/src/lagoonrun_daemon/permit_types.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_types.py
@@ -24,6 +24,9 @@
         Time between two digests of running and waiting work.
     silence_memory_seconds
         How long a silent dispatcher is passed over by later requests.
+    slow_acknowledgements
+        How often a dispatcher that answers others meanwhile is waited for
+        again.
     unanswered_digests
         Periods without a sign of life after which a dispatcher is silent.
     empty_digests
@@ -35,6 +38,7 @@
     acknowledge_timeout_seconds: float = 0.15
     own_lateness_seconds: float = 0.02
     digest_period_seconds: float = 0.5
+    slow_acknowledgements: int = 5
     silence_memory_seconds: float = 2.0
     unanswered_digests: int = 3
     empty_digests: int = 20
@@ -170,6 +174,11 @@
     ----------
     asked_at
         Reading of the monotonic clock.
+    heard_before
+        Messages of the dispatcher that had been heard, at first when this
+        was asked.
+    patience_left
+        How often the acknowledgement may still be waited for again.
     """
 
     wanted: PermitWanted
@@ -177,8 +186,24 @@
     dispatcher: types.EntryVmId
     asked_at: float
     answer: asyncio.Future[Answer]
+    heard_before: int = 0
+    patience_left: int = 0
     timer: asyncio.TimerHandle | None = None
 
+    def waits_again(self, heard: int) -> bool:
+        """Return whether the dispatcher is slow rather than silent.
+
+        Parameters
+        ----------
+        heard
+            Messages of the dispatcher that have been heard by now.
+        """
+        is_heard = heard > self.heard_before and self.patience_left > 0
+        if is_heard:
+            self.heard_before = heard
+            self.patience_left -= 1
+        return is_heard
+
     def acknowledge(self) -> None:
         """Take in that the dispatcher has the request in its queue."""
         if self.timer:
--- a/packages/daemon/src/lagoonrun_daemon/permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/permits.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, outcomes, types
@@ -72,6 +73,9 @@
             permit_types.AttemptKey, permit_types.Permit
         ] = {}
         self._attempts_by_request: dict[types.RequestId, int] = {}
+        self._messages_by_vm: collections.Counter[types.EntryVmId] = (
+            collections.Counter()
+        )
         self._digest_task: asyncio.Task[None] | None = None
 
     @property
@@ -177,6 +181,7 @@
         self, sender: types.EntryVmId, message: messages.Message
     ) -> None:
         """Take in one answer of a dispatcher."""
+        self._messages_by_vm[sender] += 1
         self._unanswered.note_sign_of_life(sender)
         if self._search.note_sign_of_life(sender):
             self._return_to(sender)
@@ -350,6 +355,8 @@
             dispatcher=dispatcher,
             asked_at=now,
             answer=loop.create_future(),
+            heard_before=self._messages_by_vm[dispatcher],
+            patience_left=self._timing.slow_acknowledgements,
         )
         self._asks_by_key[ask.key] = ask
         request = self._request_of(ask, search)
@@ -370,15 +377,20 @@
         ask.timer = loop.call_at(due, self._on_unacknowledged, ask, due)
 
     def _on_unacknowledged(self, ask: permit_types.Ask, due: float) -> None:
-        """Settle an ask as silent, unless this process itself was late.
-
-        A burst of callers can keep the event loop busy for longer than the
-        timeout: the timer is then due while the acknowledgement waits unread
-        in the socket. Such a timer is set again, so that sockets are read
-        before the dispatcher is given up.
+        """Settle an ask as silent, unless someone is only slow.
+
+        A burst of callers can keep an event loop busy for longer than the
+        timeout. If it is this process's, the timer is due while the
+        acknowledgement waits unread in the socket; if it is the
+        dispatcher's, it answers others meanwhile. Either was taken for a
+        frozen dispatcher: then two entry VMs granted all slots of the same
+        runners, which made everything slower still. Such a timer is set
+        again, a few times at most where the dispatcher is slow.
         """
         lateness = asyncio.get_running_loop().time() - due
-        if lateness > self._timing.own_lateness_seconds:
+        is_late = lateness > self._timing.own_lateness_seconds
+        heard = self._messages_by_vm[ask.dispatcher]
+        if is_late or ask.waits_again(heard):
             self._await_acknowledgement(ask)
             return
         ask.settle(permit_types.Silent())
--- a/packages/daemon/tests/test_permits.py
+++ b/packages/daemon/tests/test_permits.py
@@ -357,6 +357,33 @@
     assert client.is_fresh(await task, maximum_age_seconds=1.0)
 
 
+async def test_slow_dispatcher_that_answers_others_is_not_passed_over(
+    manual_clock,
+):
+    """A storm of check-ins keeps a dispatcher busy for longer than 150 ms.
+
+    Taken for silent, it was passed over while it went on granting; two entry
+    VMs filled the same runners twice, and the highest tier came too late.
+    One that says nothing at all, or is slow for ever, is passed over.
+    """
+    waiting = permit_types.Ask(
+        wanted=wanted(manual_clock),
+        key=permit_types.AttemptKey(request_id="r-1", attempt_id=1),
+        dispatcher="vm-1",
+        asked_at=0.0,
+        answer=asyncio.get_running_loop().create_future(),
+        heard_before=7,
+        patience_left=2,
+    )
+    heard = [8, 8, 9, 10]
+    assert [waiting.waits_again(count) for count in heard] == [
+        True,
+        False,
+        True,
+        False,
+    ]
+
+
 async def test_next_dispatcher_learns_at_once_of_running_work(
     client, manual_clock, sent
 ):
--- a/packages/standins/src/lagoonrun_standins/bench_capacity.py
+++ b/packages/standins/src/lagoonrun_standins/bench_capacity.py
@@ -4,7 +4,7 @@
 permit at its dispatcher by runners and by waiting requests, of a message on
 the wire, of a digest by entries, of a load report, of a configuration by
 upstreams. On real processes (`bench_path`, with its flags): a token event, a
-request and an open stream; `--streams=` leaves them out. `bench_membership`, `bench_configuration` and `bench_claims` give
+request and an open stream; `--open_streams=` leaves them out. `bench_membership`, `bench_configuration` and `bench_claims` give
 the slopes of heartbeats, changes and claims.
 """
 
@@ -32,7 +32,7 @@
 from lagoonrun_protocol import codec, frames, messages
 from lagoonrun_standins import bench_path, fleet, load_report
 
-_SEED = flags.DEFINE_integer("seed", 1, "Seed of all random choices.")
+_SEED = flags.DEFINE_integer("capacity_seed", 1, "Seed of all random choices.")
 _PERMITS = flags.DEFINE_integer("permits", 3000, "Permits of each size.")
 _RUNNERS = flags.DEFINE_list("runners", ["4", "8", "16", "32"], "Per shard.")
 _QUEUES = flags.DEFINE_list(
@@ -397,7 +397,9 @@
         "bench": "capacity",
         "seed": _SEED.value,
         **_own_slopes(),
-        "path": _path_slopes([int(count) for count in flags.FLAGS.streams]),
+        "path": _path_slopes(
+            [int(count) for count in flags.FLAGS.open_streams]
+        ),
     }
     json.dump(found, sys.stdout, indent=2)
     print()
--- a/packages/standins/src/lagoonrun_standins/bench_path.py
+++ b/packages/standins/src/lagoonrun_standins/bench_path.py
@@ -33,7 +33,9 @@
     process_usage,
 )
 
-_STREAMS = flags.DEFINE_list("streams", ["1", "100", "1000"], "Open streams.")
+_STREAMS = flags.DEFINE_list(
+    "open_streams", ["1", "100", "1000"], "Numbers of open streams."
+)
 _PACED_RATE = flags.DEFINE_integer(
     "paced_rate", 4000, "Most events a second of the open streams together."
 )
