Ask a large fleet for what concerns each entry VM alone

/status grows with the fleet: members, all shards, all upstreams. Asked of every entry VM, and four times a second while a change spreads, it would cost more than the change. /status?scope=own leaves those out; the command line asks the named entry VMs for all and the others for their own, 64 at a time, and reads revisions from gossip where there are more than 64.

Weighed: only ever gossip, which is late by a heartbeat also in a fleet of eight, where asking costs nothing.

status shows who orders a domain, by its fencing number.

--- a/packages/cli/src/lagoonrun_cli/entry_vms.py
+++ b/packages/cli/src/lagoonrun_cli/entry_vms.py
@@ -9,7 +9,11 @@
 from lagoonrun_config import settings
 from lagoonrun_core import errors as core_errors
 
+MOST_ASKED = 64
+"""Entry VMs that are asked at once, and most that are asked again and again."""
+
 _STATUS_PATH = "/status"
+_OWN_STATUS_PATH = "/status?scope=own"
 _ALIVE = "alive"
 
 
@@ -76,9 +80,17 @@
         self._addresses = tuple(addresses)
         self._client = client
 
-    async def statuses(self) -> list[EntryVmStatus]:
+    async def statuses(
+        self, *, most_asked: int | None = None
+    ) -> list[EntryVmStatus]:
         """Return one entry for each entry VM that is known, by name.
 
+        Parameters
+        ----------
+        most_asked
+            Where more are learnt of, none of those is asked and gossip
+            speaks for them; None to ask any number.
+
         Raises
         ------
         errors.CommandError
@@ -94,7 +106,9 @@
             and (address := _admin_address(member)) is not None
             and address not in self._addresses
         }
-        second = await self._ask_all(tuple(learnt.values()), _STATUS_PATH)
+        if most_asked is not None and len(learnt) > most_asked:
+            learnt = {}
+        second = await self._ask_all(tuple(learnt.values()), _OWN_STATUS_PATH)
         found = _collect(first | second, gossip_by_name)
         if not any(one.status for one in found):
             raise _none_answers(first)
@@ -119,9 +133,15 @@
     ) -> dict[
         settings.Address, admin_client.AdminAnswer | admin_client.AdminFailure
     ]:
-        answers = await asyncio.gather(
-            *(self._client.get(address, path) for address in addresses)
-        )
+        room = asyncio.Semaphore(MOST_ASKED)
+
+        async def ask(
+            address: settings.Address,
+        ) -> admin_client.AdminAnswer | admin_client.AdminFailure:
+            async with room:
+                return await self._client.get(address, path)
+
+        answers = await asyncio.gather(*map(ask, addresses))
         return dict(zip(addresses, answers, strict=True))
 
 
@@ -198,7 +218,7 @@
             name=name,
             address=address,
             gossip=member,
-            failure=failure_by_address.pop(address, "address not known")
+            failure=failure_by_address.pop(address, "not asked")
             if address
             else "admin address not known",
         )
--- a/packages/cli/src/lagoonrun_cli/in_force.py
+++ b/packages/cli/src/lagoonrun_cli/in_force.py
@@ -61,7 +61,11 @@
 async def look(context: contexts.Context, revision: types.Revision) -> Spread:
     """Return how far `revision` has come by now."""
     try:
-        statuses = await open_entry_vms(context).statuses()
+        # Gossip carries each entry VM's revision. In a large fleet it is
+        # later by a heartbeat, which is cheaper than asking all in turn.
+        statuses = await open_entry_vms(context).statuses(
+            most_asked=entry_vms.MOST_ASKED
+        )
     except errors.CommandError as error:
         return Spread(revision=revision, failure=error.detail)
     live = tuple(one for one in statuses if one.is_alive)
--- a/packages/cli/src/lagoonrun_cli/status_tables.py
+++ b/packages/cli/src/lagoonrun_cli/status_tables.py
@@ -23,6 +23,7 @@
             "revision",
             "platform",
             "open",
+            "orders",
             "admin address",
         ),
         rows=tuple(_entry_vm_row(one) for one in found),
@@ -147,6 +148,7 @@
             str(one.revision) if one.gossip else _NOT_KNOWN,
             _NOT_KNOWN,
             _NOT_KNOWN,
+            _NOT_KNOWN,
             f"{one.address or _NOT_KNOWN} ({one.failure})",
         )
     return (
@@ -157,10 +159,17 @@
         str(one.revision),
         "reachable" if status["platform_reachable"] else "UNREACHABLE",
         str(status["open_requests"]),
+        _orders(status),
         str(one.address),
     )
 
 
+def _orders(status: dict[str, Any]) -> str:
+    """Return under which fencing number the entry VM orders its domain."""
+    fencing = status["orderer_fencing"]
+    return _NOT_KNOWN if fencing is None else f"fencing {fencing}"
+
+
 def _shards(
     found: Sequence[entry_vms.EntryVmStatus],
 ) -> list[dict[str, Any]]:
@@ -190,7 +199,7 @@
 def _newest_upstreams(
     found: Sequence[entry_vms.EntryVmStatus],
 ) -> list[dict[str, Any]]:
-    answered = [one for one in found if one.status is not None]
+    answered = [one for one in found if "upstreams" in (one.status or {})]
     if not answered:
         return []
     newest = max(answered, key=lambda one: one.revision)
--- a/packages/cli/tests/test_system_commands.py
+++ b/packages/cli/tests/test_system_commands.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from lagoonrun_cli import exit_codes
+from lagoonrun_cli import admin_client, exit_codes
+from lagoonrun_config import settings
 from lagoonrun_daemon import daemon as daemons
 from lagoonrun_daemon import explanations
 from lagoonrun_policy import decision
@@ -99,6 +100,17 @@
     assert status["platform_reachable"]
 
 
+async def test_own_status_leaves_out_what_grows_with_the_fleet(system):
+    await system.look_up()
+    client = admin_client.AdminClient(token=system.operator.admin_token)
+    address = settings.Address(
+        host="127.0.0.1", port=system.daemon.admin_server.port
+    )
+    answer = await client.get(address, "/status?scope=own")
+    assert answer.value["shards"][0]["dispatched_here"]
+    assert {"members", "upstreams"} & answer.value.keys() == set()
+
+
 async def test_status_is_written_as_tables(system):
     await system.look_up()
     ran = await system.operator.run("status")
--- a/packages/daemon/src/lagoonrun_daemon/admin.py
+++ b/packages/daemon/src/lagoonrun_daemon/admin.py
@@ -12,6 +12,7 @@
 
 JsonObject = Mapping[str, Any]
 _BEARER = "bearer "
+_OWN_SCOPE = "scope=own"
 _OPEN_PATHS = frozenset(("/healthz", "/readyz"))
 
 
@@ -25,7 +26,10 @@
         """Return the metrics in the Prometheus text format."""
 
     def status(self) -> JsonObject:
-        """Return the state of this entry VM as JSON values."""
+        """Return the state of this entry VM and what it knows of others."""
+
+    def own_status(self) -> JsonObject:
+        """Return what concerns this entry VM alone."""
 
     def explain(self, request_id: types.RequestId) -> JsonObject | None:
         """Return what is known of a request, None where it is nothing."""
@@ -50,7 +54,7 @@
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Answer one admin request."""
         await exchange.read_body()
-        path = exchange.head.target.partition("?")[0]
+        path, _, query = exchange.head.target.partition("?")
         if path not in _OPEN_PATHS and not self._is_allowed(exchange):
             await _respond_json(exchange, 401, {"error": "bearer token"})
             return
@@ -63,6 +67,8 @@
                 await _respond_json(exchange, status, {"ready": ready})
             case ["metrics"]:
                 await self._respond_metrics(exchange)
+            case ["status"] if query == _OWN_SCOPE:
+                await _respond_json(exchange, 200, self._source.own_status())
             case ["status"]:
                 await _respond_json(exchange, 200, self._source.status())
             case ["explain", request_id]:
--- a/packages/daemon/src/lagoonrun_daemon/status.py
+++ b/packages/daemon/src/lagoonrun_daemon/status.py
@@ -33,8 +33,11 @@
         """Return the metrics in the Prometheus text format."""
         return self._daemon.metrics.render()
 
-    def status(self) -> admin.JsonObject:
-        """Return the state of this entry VM as JSON values."""
+    def own_status(self) -> admin.JsonObject:
+        """Return what concerns this entry VM alone.
+
+        It stays small in a large fleet, where each entry VM is asked.
+        """
         daemon = self._daemon
         configuration = daemon.fleet.configuration
         return {
@@ -50,6 +53,20 @@
             "platform_failures": dict(daemon.store.failures_by_kind),
             "open_requests": daemon.caller_server.open_exchanges,
             "requests": to_json(daemon.metrics.totals()),
+            "orderer_fencing": daemon.orderer.fencing,
+            "claims_pending": daemon.claims.pending,
+            "shards": [
+                self._shard(shard)
+                for shard_id in daemon.dispatcher.owned_shards
+                if (shard := daemon.fleet.shards_by_id.get(shard_id))
+            ],
+        }
+
+    def status(self) -> admin.JsonObject:
+        """Return the state of this entry VM and what it knows of others."""
+        daemon = self._daemon
+        return {
+            **self.own_status(),
             "members": [
                 to_json(member)
                 for member in daemon.members.members_by_id.values()
@@ -58,10 +75,8 @@
                 self._shard(shard)
                 for shard in daemon.fleet.shards_by_id.values()
             ],
-            "upstreams": self._upstreams(configuration),
+            "upstreams": self._upstreams(daemon.fleet.configuration),
             "leaving_upstreams": sorted(daemon.fleet.leaving_upstreams()),
-            "orderer_fencing": daemon.orderer.fencing,
-            "claims_pending": daemon.claims.pending,
         }
 
     def explain(self, request_id: types.RequestId) -> admin.JsonObject | None:
