--- a/packages/config/src/lagoonrun_config/snapshot.py
+++ b/packages/config/src/lagoonrun_config/snapshot.py
@@ -177,6 +177,11 @@
 def _draft_from(tables: dict) -> draft_module.Draft:
     if tables["format"] != _FORMAT:
         raise ValueError(f"format {tables['format']!r}")
+    unknown = tables.keys() - _CLASS_BY_SECTION.keys() - {"format"}
+    if unknown:
+        # An operator's older build that passed over a section would write
+        # the merged content without it, and an accepted change were gone.
+        raise ValueError(f"unknown sections {sorted(unknown)}")
     read = {
         section: _entries(kind, _section(tables, section))
         for section, kind in _CLASS_BY_SECTION.items()
--- a/packages/config/tests/test_snapshot.py
+++ b/packages/config/tests/test_snapshot.py
@@ -1,6 +1,7 @@
 """Snapshots: canonical, checked, and small enough for the store."""
 
 import dataclasses
+import hashlib
 import json
 import random
 import zlib
@@ -171,3 +172,25 @@
     )
     (fault,) = snapshot.check_size(oversized)
     assert "900001 bytes" in fault.value
+
+
+@pytest.mark.parametrize("place", ["section", "field"])
+def test_content_of_a_newer_build_is_not_read_in_part(small_draft, place):
+    """An operator's build is older than the one that wrote the snapshot.
+
+    Read in part, the content would be merged and written back without the
+    rest: an accepted change would be gone, and nobody told.
+    """
+    encoded = snapshot.encode_snapshot(small_draft)
+    tables = json.loads(zlib.decompress(encoded.content))
+    if place == "section":
+        tables["quotas"] = {"name": ["a"]}
+    else:
+        tables["profiles"]["colour"] = ["blue"] * len(tables["profiles"])
+    text = json.dumps(tables, sort_keys=True, separators=(",", ":")).encode()
+    newer = snapshot.Snapshot(
+        digest=snapshot.Digest(hashlib.sha256(text).hexdigest()),
+        content=zlib.compress(text),
+    )
+    with pytest.raises(snapshot.SnapshotError, match="valid: format"):
+        snapshot.decode_snapshot(newer)
