--- a/packages/protocol/tests/test_hub.py
+++ b/packages/protocol/tests/test_hub.py
@@ -7,9 +7,11 @@
 import pytest
 
 from lagoonrun_core import errors, events, logs
-from lagoonrun_protocol import frames, messages, outgoing
+from lagoonrun_protocol import frames, handshake, messages, outgoing
+from lagoonrun_protocol import hub as hubs
 
 _WAIT_SECONDS = 10.0
+_KEY = b"shared key of the tests"
 _REQUEST = messages.SnapshotRequest(revision=3)
 
 
@@ -165,6 +167,94 @@
         pass
 
 
+async def test_recorded_connection_cannot_be_replayed(
+    start_hub, address_book, rejections
+):
+    """Someone records all that one entry VM wrote to another.
+
+    Replayed on a new connection, the same bytes would run the same requests
+    again. The acceptor's nonce is another one, so the proof no longer fits.
+    """
+    receiver, handler = await start_hub("vm-1")
+    sender, _ = await start_hub("vm-2")
+    target = address_book.addresses_by_id["vm-1"]
+    recorded = bytearray()
+
+    async def relay(reader, writer):
+        onward = await asyncio.open_connection(target.host, target.port)
+        await asyncio.gather(
+            _copy(reader, onward[1], recorded), _copy(onward[0], writer, None)
+        )
+
+    server = await asyncio.start_server(relay, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    address_book.addresses_by_id["vm-1"] = hubs.PeerAddress(
+        host="127.0.0.1", port=port
+    )
+    assert sender.send("vm-1", _REQUEST)
+    assert await handler.next_message() == ("vm-2", _REQUEST)
+    reader, writer = await asyncio.open_connection(target.host, target.port)
+    writer.write(bytes(recorded))
+    assert "another key" in (await _next_rejection(rejections))["detail"]
+    await asyncio.wait_for(_until_closed(reader), _WAIT_SECONDS)
+    assert handler.received.empty()
+    writer.close()
+    await receiver.close()
+    await sender.close()
+    server.close()
+
+
+async def _copy(reader, writer, recorded):
+    while data := await reader.read(4096):
+        if recorded is not None:
+            recorded += data
+        writer.write(data)
+    writer.close()
+
+
+async def test_peer_that_stops_reading_is_lost(
+    start_hub, address_book, monkeypatch
+):
+    """A dispatcher's process is frozen with its sockets open.
+
+    The system takes messages until its buffers are full. Then the link must
+    be given up, or its queue would stay full and `send` say no for ever.
+    """
+    monkeypatch.setattr(outgoing, "_WRITE_TIMEOUT_SECONDS", 0.05)
+    first, first_handler = await start_hub("vm-1")
+    frozen = asyncio.Event()
+
+    async def accept_and_freeze(reader, writer):
+        await handshake.accept(
+            reader,
+            writer,
+            key=_KEY,
+            hello=messages.Hello(
+                entry_vm="vm-2", incarnation=1, domain="north"
+            ),
+            peer="vm-1",
+        )
+        await frozen.wait()
+        writer.close()
+
+    server = await asyncio.start_server(
+        accept_and_freeze, "127.0.0.1", 0, limit=1024
+    )
+    port = server.sockets[0].getsockname()[1]
+    address_book.addresses_by_id["vm-2"] = hubs.PeerAddress(
+        host="127.0.0.1", port=port
+    )
+    body = messages.SnapshotReply(
+        revision=1, digest="", body=os.urandom(1_000_000)
+    )
+    for _ in range(100):
+        first.send("vm-2", body)
+        await asyncio.sleep(0)
+    assert await first_handler.next_loss() == "vm-2"
+    frozen.set()
+    server.close()
+
+
 async def test_newer_connection_replaces_a_half_open_one(start_hub):
     """A peer's VM vanishes without a reset and comes back.
 
