--- a/packages/membership/src/lagoonrun_membership/composer.py
+++ b/packages/membership/src/lagoonrun_membership/composer.py
@@ -24,7 +24,6 @@
 _UPSTREAM_BYTES = 320
 _SMALL_PAGE_BYTES = 400
 _FAR_APART_PARTS = 4
-_SHARD_TRANSMISSIONS = 2
 
 _URGENT_STATES = (messages.MemberState.LEAVING, messages.MemberState.DEAD)
 _ACCUSED_STATES = (messages.MemberState.SUSPECT, messages.MemberState.DEAD)
@@ -181,8 +180,7 @@
 
     def summaries(self, *, now: float) -> messages.Ping:
         """Return a datagram with this process's shards, without an answer."""
-        own = self._members.own
-        room = _BODY_BYTES - _FIXED_BYTES - sizes.of_member(own)
+        room = _BODY_BYTES - _FIXED_BYTES
         fitting = []
         for summary in self._shards.own(now):
             room -= sizes.of_shard(summary)
@@ -191,8 +189,7 @@
             fitting.append(summary)
         return messages.Ping(
             sequence=0,
-            source=own.entry_vm,
-            members=(own,),
+            source=self._members.own.entry_vm,
             shards=tuple(fitting),
         )
 
@@ -244,8 +241,11 @@
         view = self._members.view(target) if target is not None else None
         if view is None or view.domain != self._members.own.domain:
             return [], room
+        # News that everyone passes on that often has reached a domain.
+        peers = len(self._members.others_in(view.domain))
         queued = self._shard_news.take(
-            size=min(room, _SHARD_BYTES), transmissions=_SHARD_TRANSMISSIONS
+            size=min(room, _SHARD_BYTES),
+            transmissions=max(1, peers.bit_length()),
         )
         news = [
             summary
--- a/packages/membership/src/lagoonrun_membership/gossip.py
+++ b/packages/membership/src/lagoonrun_membership/gossip.py
@@ -88,6 +88,7 @@
         self._configurations: list[ConfigurationNews] = []
         self._summaries: list[messages.ShardSummary] = []
         self._forgotten: list[types.EntryVmId] = []
+        self._region_of: shards.RegionOf = _one_region
         self._urgent = False
         self._urgent_tokens = timing.urgent_burst
         self._next_period_at = now
@@ -122,6 +123,10 @@
         """Join through further addresses, as the platform's list shows."""
         self._seeds.add(addresses)
 
+    def use_regions(self, region_of: shards.RegionOf) -> None:
+        """Tell shards first to domains of the same region."""
+        self._region_of = region_of
+
     # What the owner announces. Each returns datagrams to be sent.
 
     def announce_configuration(
@@ -225,7 +230,8 @@
         hearers = shards.hearing_domains(
             self.members.own.domain,
             self.members.records.domains,
-            self._timing.summary_domains,
+            count=self._timing.summary_domains,
+            region_of=self._region_of,
         )
         for domain in hearers:
             others = self.members.others_in(domain)
@@ -367,3 +373,9 @@
         silence = now - self._last_heard_at
         limit = _ISOLATED_PERIODS * self._timing.period_seconds
         self._composer.tells_accusations = silence <= limit
+
+
+def _one_region(domain: types.FailureDomain) -> types.Region:
+    """Return the same region for every domain."""
+    del domain
+    return types.Region("")
--- a/packages/membership/src/lagoonrun_membership/membership.py
+++ b/packages/membership/src/lagoonrun_membership/membership.py
@@ -174,6 +174,14 @@
 
     # What the owner announces.
 
+    def use_regions(self, region_of: shards.RegionOf) -> None:
+        """Tell shards first to domains of the same region.
+
+        Set from each configuration that comes into force. While entry VMs
+        have different ones, some domains hear of more or fewer others.
+        """
+        self._gossip.use_regions(region_of)
+
     def add_seeds(self, addresses: Iterable[hub.PeerAddress]) -> None:
         """Join through further addresses, as the platform's list shows."""
         self._gossip.add_seeds(addresses)
--- a/packages/membership/src/lagoonrun_membership/shards.py
+++ b/packages/membership/src/lagoonrun_membership/shards.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 from collections.abc import Iterable
+from typing import Protocol
 
 import xxhash
 
@@ -24,21 +25,31 @@
     return types.FailureDomain(after_pool.rpartition("/")[0])
 
 
+class RegionOf(Protocol):
+    """Tells in which region a domain stands."""
+
+    def __call__(self, domain: types.FailureDomain, /) -> types.Region:
+        """Return the region of `domain`; one name for all if unknown."""
+
+
 def hearing_domains(
     domain: types.FailureDomain,
     domains: Iterable[types.FailureDomain],
+    *,
     count: int,
+    region_of: RegionOf,
 ) -> tuple[types.FailureDomain, ...]:
     """Return the domains that are to hear of the shards of `domain`.
 
-    Each of `domains` hears of `count` others. With up to `count` + 1 domains
-    everyone hears of everyone.
+    Each of `domains` hears of `count` others, those of its own region first.
+    With up to `count` + 1 domains everyone hears of everyone.
     """
     known = tuple(domains)
     return tuple(
         hearer
         for hearer in known
-        if hearer != domain and domain in _heard_by(hearer, known, count)
+        if hearer != domain
+        and domain in _heard_by(hearer, known, count, region_of)
     )
 
 
@@ -46,9 +57,12 @@
     hearer: types.FailureDomain,
     domains: tuple[types.FailureDomain, ...],
     count: int,
+    region_of: RegionOf,
 ) -> list[types.FailureDomain]:
-    def weight(domain: types.FailureDomain) -> int:
-        return xxhash.xxh3_64_intdigest(f"{hearer}/{domain}".encode())
+    def weight(domain: types.FailureDomain) -> tuple[bool, int]:
+        is_far = region_of(domain) != region_of(hearer)
+        key = f"{hearer}/{domain}".encode()
+        return (is_far, xxhash.xxh3_64_intdigest(key))
 
     others = (domain for domain in domains if domain != hearer)
     return sorted(others, key=weight)[:count]
--- /dev/null
+++ b/packages/membership/tests/test_shards.py
@@ -0,0 +1,66 @@
+"""Summaries of shards go where they are needed, and the newest wins."""
+
+from lagoonrun_membership import shards
+from lagoonrun_membership import timing as timings
+from lagoonrun_protocol import messages
+
+
+def _one_region(domain):
+    return ""
+
+
+def test_domains_hear_of_a_bounded_number_of_others():
+    domains = [f"domain-{n}" for n in range(30)]
+    heard = dict.fromkeys(domains, 0)
+    for domain in domains:
+        for hearer in shards.hearing_domains(
+            domain, domains, count=4, region_of=_one_region
+        ):
+            heard[hearer] += 1
+    assert set(heard.values()) == {4}
+    few = domains[:4]
+    for domain in few:
+        hearers = shards.hearing_domains(
+            domain, few, count=4, region_of=_one_region
+        )
+        assert set(hearers) == set(few) - {domain}
+
+
+def test_domains_of_one_region_hear_of_each_other_first():
+    domains = [f"domain-{n}" for n in range(12)]
+    regions_by_domain = {d: str(n % 3) for n, d in enumerate(domains)}
+    for domain in domains:
+        hearers = shards.hearing_domains(
+            domain,
+            domains,
+            count=4,
+            region_of=regions_by_domain.__getitem__,
+        )
+        near = {
+            other
+            for other in domains
+            if regions_by_domain[other] == regions_by_domain[domain]
+        }
+        assert near - {domain} <= set(hearers)
+
+
+def test_newest_summary_wins_whatever_way_it_took():
+    table = shards.ShardTable(domain="south", timing=timings.Timing())
+
+    def summary(free, age):
+        return messages.ShardSummary(
+            shard="scans@north/0",
+            dispatcher="vm-1",
+            free=free,
+            lowest_waiting_tier=0,
+            lowest_running_tier=0,
+            wait_seconds=0.0,
+            age_seconds=age,
+        )
+
+    table.apply(summary(5, 1.0), now=100.0)
+    table.apply(summary(1, 4.0), now=102.0)
+    table.apply(summary(7, 0.5), now=103.0)
+    seen = table.by_shard(104.0)["scans@north/0"]
+    assert (seen.free, seen.age_seconds) == (7, 1.5)
+    assert table.by_shard(113.0) == {}
--- a/packages/membership/tests/test_upstreams.py
+++ b/packages/membership/tests/test_upstreams.py
@@ -3,8 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from lagoonrun_membership import shards, upstreams
-from lagoonrun_membership import timing as timings
+from lagoonrun_membership import upstreams
 from lagoonrun_protocol import messages
 
 _NEWS = strategies.builds(
@@ -56,38 +55,3 @@
     )
     assert not table.is_leaving("runner-1")
     assert [u.leaving for u in table.take_changed()] == [False]
-
-
-def test_domains_hear_of_a_bounded_number_of_others():
-    domains = [f"domain-{n}" for n in range(30)]
-    heard = dict.fromkeys(domains, 0)
-    for domain in domains:
-        for hearer in shards.hearing_domains(domain, domains, 4):
-            heard[hearer] += 1
-    assert set(heard.values()) == {4}
-    few = domains[:4]
-    for domain in few:
-        hearers = shards.hearing_domains(domain, few, 4)
-        assert set(hearers) == set(few) - {domain}
-
-
-def test_newest_summary_wins_whatever_way_it_took(update):
-    table = shards.ShardTable(domain="south", timing=timings.Timing())
-
-    def summary(free, age):
-        return messages.ShardSummary(
-            shard="scans@north/0",
-            dispatcher="vm-1",
-            free=free,
-            lowest_waiting_tier=0,
-            lowest_running_tier=0,
-            wait_seconds=0.0,
-            age_seconds=age,
-        )
-
-    table.apply(summary(5, 1.0), now=100.0)
-    table.apply(summary(1, 4.0), now=102.0)
-    table.apply(summary(7, 0.5), now=103.0)
-    seen = table.by_shard(104.0)["scans@north/0"]
-    assert (seen.free, seen.age_seconds) == (7, 1.5)
-    assert table.by_shard(113.0) == {}
--- a/packages/standins/src/lagoonrun_standins/bench_membership.py
+++ b/packages/standins/src/lagoonrun_standins/bench_membership.py
@@ -261,6 +261,7 @@
             size, max(_MINIMUM_DOMAINS, round(size / per_domain))
         )
         self._size = size
+        self._next_summaries_at = 0.0
         self._fleet = Fleet(size=size, domains=self._domains, seed=_SEED.value)
 
     def run(self) -> None:
@@ -319,8 +320,27 @@
                 1e6 * fleet.processor_seconds / max(1, number)
             ),
         }
+        result.update(self._summary_freshness())
         print(json.dumps(result), flush=True)
 
+    def _summary_freshness(self) -> dict[str, float]:
+        """Return how many remote summaries a member knows, and their age."""
+        now = self._fleet.now
+        own_and_others = [p.shards.by_shard(now) for p in self._protocols()]
+        own = [len(p.shards.own(now)) for p in self._protocols()]
+        ages = [
+            summary.age_seconds
+            for by_shard in own_and_others
+            for summary in by_shard.values()
+        ]
+        if not ages:
+            return {}
+        known = len(ages) - sum(own)
+        return {
+            "remote_summaries_per_member": round(known / len(own), 1),
+            "mean_summary_age_seconds": round(sum(ages) / len(ages), 2),
+        }
+
     def _names(self) -> list[str]:
         return sorted(self._fleet.members_by_id)
 
@@ -331,7 +351,10 @@
         return all(len(p.members) == self._size for p in self._protocols())
 
     def _announce_shards(self) -> bool:
-        """Give some members shards, and keep their summaries fresh."""
+        """Give some members shards, with a new summary each second."""
+        if self._fleet.now < self._next_summaries_at:
+            return False
+        self._next_summaries_at = self._fleet.now + 1.0
         firsts = self._names()[: self._domains]
         for name in firsts:
             protocol = self._fleet.members_by_id[name].protocol
