Spread equal runners; test estimates, room, health, reports and prefixes

Found by the tests: with little load all runners score alike, and the first in the list got every request, so that the others' pace was never learnt. Of equals the first from a place that the request's id draws is taken now; the decision stays a pure function of its record.

--- a/packages/policy/src/lagoonrun_policy/decision.py
+++ b/packages/policy/src/lagoonrun_policy/decision.py
@@ -213,12 +213,7 @@
             reason=reason,
             retry_after_seconds=_retry_after(inputs, reason),
         )
-    best: messages.Candidate | None = None
-    for candidate in inputs.candidates:
-        if candidate.eligible and (
-            best is None or candidate.score < best.score
-        ):
-            best = candidate
+    best = _best(inputs.candidates, inputs.key)
     if best is None:
         return Verdict(kind=VerdictKind.WAIT)
     return Verdict(kind=VerdictKind.GRANT, upstream=best.upstream)
@@ -293,6 +288,24 @@
         ) from error
 
 
+def _best(
+    candidates: tuple[messages.Candidate, ...], key: messages.PermitKey
+) -> messages.Candidate | None:
+    """Return the eligible candidate of least score.
+
+    Of equals the first from a place that the request's id draws: with little
+    load all runners are equal, and the first in the list would get it all.
+    """
+    start = int(jitter.fraction(key.request_id) * len(candidates))
+    best: messages.Candidate | None = None
+    for candidate in candidates[start:] + candidates[:start]:
+        if candidate.eligible and (
+            best is None or candidate.score < best.score
+        ):
+            best = candidate
+    return best
+
+
 def _none_lasts(candidates: tuple[messages.Candidate, ...]) -> bool:
     return all(c.exclusion in _LASTING for c in candidates)
 
--- a/packages/policy/tests/oracle.py
+++ b/packages/policy/tests/oracle.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from lagoonrun_core import outcomes
-from lagoonrun_policy import messages
+from lagoonrun_policy import jitter, messages
 
 
 @dataclasses.dataclass
@@ -129,15 +129,10 @@
             counts = dict.fromkeys(self.policy.runners_by_id, 0)
             for upstream, *_ in self.running.values():
                 counts[upstream] += 1
-            free = [
-                r
-                for r in self.policy.runners_by_id.values()
-                if counts[r.id] < r.slots
-            ]
-            if not free:
+            if all(counts[r] >= s for r, s in self._slots().items()):
                 return
-            runner = min(free, key=lambda r: (counts[r.id] + 1) / r.slots)
             item, floor = self._next(now)
+            runner = self._runner(counts, item.request.key.request_id)
             self.waiting.remove(item)
             name = item.request.profile
             account = (name, item.request.organisation)
@@ -146,12 +141,25 @@
             )
             self._charge(account, 1)
             self.running[item.request.key] = (
-                runner.id,
+                runner,
                 account,
                 floor,
             )
             self._earn(name, floor)
-            out.append(("grant", item.request.key, runner.id))
+            out.append(("grant", item.request.key, runner))
+
+    def _slots(self):
+        return {r.id: r.slots for r in self.policy.runners_by_id.values()}
+
+    def _runner(self, counts, request_id):
+        """Return the least loaded; of equals the first after a drawn one."""
+        ids = list(self.policy.runners_by_id)
+        start = int(jitter.fraction(request_id) * len(ids))
+        slots = self._slots()
+        return min(
+            (i for i in ids[start:] + ids[:start] if counts[i] < slots[i]),
+            key=lambda i: (counts[i] + 1) / slots[i],
+        )
 
     def _earn(self, name, floor):
         self.grants += 1
--- /dev/null
+++ b/packages/policy/tests/test_runners.py
@@ -0,0 +1,201 @@
+"""What is learnt of runners: room, failures, pace, reports and prefixes."""
+
+import pytest
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_policy import affinity, features, messages, room
+
+from .conftest import class_policy
+
+_PROFILE = types.ProfileName("lookup")
+
+
+def _observe(subject, count, seconds, *, in_flight=16, now=0.0):
+    for _ in range(count):
+        subject.observe(
+            profile=_PROFILE,
+            first_token_seconds=seconds * 10,
+            seconds_per_token=seconds,
+            in_flight=in_flight,
+            now=now,
+        )
+
+
+def test_room_falls_while_answers_are_slow_and_grows_back():
+    subject = room.AdaptiveRoom(slots=16)
+    _observe(subject, 50, 0.004)
+    assert subject.limit == 16
+    _observe(subject, 300, 0.04)
+    assert subject.limit < 8
+    _observe(subject, 2000, 0.004)
+    assert subject.limit == 16
+
+
+def test_room_never_closes_and_does_not_fall_all_at_once():
+    subject = room.AdaptiveRoom(slots=16)
+    _observe(subject, 50, 0.004)
+    _observe(subject, 45, 0.04)
+    assert subject.limit > 10
+    _observe(subject, 5000, 0.4)
+    assert subject.limit >= room.MINIMUM_ROOM
+
+
+def test_long_prompts_of_another_class_do_not_lower_the_room():
+    subject = room.AdaptiveRoom(slots=16)
+    for number in range(500):
+        summary = number % 2 or number > 250
+        subject.observe(
+            profile=types.ProfileName("summary" if summary else "lookup"),
+            first_token_seconds=2.0 if summary else 0.02,
+            seconds_per_token=0.004,
+            in_flight=16,
+            now=0.0,
+        )
+    assert subject.limit == 16
+
+
+def _fail(driver, upstream, count=1, **shape):
+    """Let requests that go to one runner fail, the others end well."""
+    failed = 0
+    for _ in range(200):
+        key = driver.request("lookup", **shape)
+        if driver.upstream_by_key.get(key) == upstream and failed < count:
+            driver.end(
+                key,
+                outcome=outcomes.Outcome.FAILED,
+                reason=outcomes.Reason.UPSTREAM_CONNECT,
+            )
+            failed += 1
+        elif key in driver.upstream_by_key:
+            driver.end(key)
+        if failed == count:
+            return
+    raise AssertionError(f"{upstream} got only {failed} of {count} requests")
+
+
+def _taken(driver, count=12, **changes):
+    keys = [driver.request("lookup", **changes) for _ in range(count)]
+    taken = [driver.upstream_by_key[k] for k in keys]
+    for key in keys:
+        driver.end(key)
+    return taken
+
+
+def test_failing_runner_is_ejected_probed_and_taken_back(drive):
+    driver = drive(class_policy("lookup", 1), runners=3, slots=4)
+    _fail(driver, "r1", 3)
+    assert "r1" not in _taken(driver, 8)
+    driver.now += 1.5
+    keys = [driver.request("lookup") for _ in range(8)]
+    probes = [k for k in keys if driver.upstream_by_key[k] == "r1"]
+    assert len(probes) == 1
+    driver.end(probes[0])
+    for key in set(keys) - set(probes):
+        driver.end(key)
+    assert "r1" in _taken(driver, 8)
+
+
+def test_never_more_than_a_third_is_ejected(drive):
+    """A fault that all runners share makes each of them fail.
+
+    Ejecting one after another would send all work to the last one.
+    """
+    driver = drive(class_policy("lookup", 1), runners=3, slots=4)
+    for upstream in ("r0", "r1", "r2"):
+        _fail(driver, upstream, 3)
+    assert len(set(_taken(driver, 8))) == 2
+
+
+def test_probe_is_not_made_with_what_may_run_once_only(drive):
+    warning = class_policy("lookup", 1, idempotent=False)
+    driver = drive(warning, runners=3, slots=4)
+    _fail(driver, "r1", 3)
+    driver.now += 2.0
+    assert "r1" not in _taken(driver, 8)
+    driver.now += 20.0
+    assert "r1" in _taken(driver, 8)
+
+
+def test_straggler_gets_less(drive):
+    driver = drive(
+        class_policy("lookup", 1),
+        runners=3,
+        slots=8,
+        switches=features.Features(deadline_refusal=False),
+    )
+    for _ in range(60):
+        key = driver.request("lookup")
+        slow = driver.upstream_by_key[key] == "r0"
+        driver.now += 0.1
+        driver.end(key, total_seconds=4.0 if slow else 1.0, tokens=100)
+    taken = _taken(driver, 9)
+    assert taken.count("r0") < taken.count("r1")
+
+
+def test_work_of_others_counts_and_fades(drive):
+    driver = drive(class_policy("lookup", 1), runners=2, slots=8)
+    report = messages.LoadReported(
+        upstream=types.UpstreamId("r0"),
+        running=6,
+        waiting=2,
+        cache_usage=0.0,
+        age_seconds=0.1,
+    )
+    driver.send(report)
+    assert _taken(driver, 4) == ["r1"] * 4
+    driver.now += 30.0
+    assert sorted(_taken(driver, 4)) == ["r0", "r0", "r1", "r1"]
+
+
+def test_own_work_in_an_old_report_does_not_count_twice(drive):
+    driver = drive(class_policy("lookup", 1), runners=2, slots=8)
+    keys = [driver.request("lookup") for _ in range(8)]
+    for key in keys:
+        driver.end(key)
+    for upstream, running in (("r0", 4), ("r1", 0)):
+        driver.send(
+            messages.LoadReported(
+                upstream=types.UpstreamId(upstream),
+                running=running,
+                waiting=0,
+                cache_usage=0.0,
+                age_seconds=0.5,
+            )
+        )
+    assert sorted(_taken(driver, 4)) == ["r0", "r0", "r1", "r1"]
+
+
+def test_same_prefix_goes_to_the_same_runner_of_its_house_only(drive):
+    driver = drive(class_policy("lookup", 1), runners=3, slots=8)
+    prefix = types.PrefixHash(77)
+    first = driver.request("lookup", prefix_hash=prefix)
+    home = driver.upstream_by_key[first]
+    driver.end(first)
+    again = driver.request("lookup", prefix_hash=prefix)
+    assert driver.upstream_by_key[again] == home
+    other = driver.request(
+        "lookup", prefix_hash=prefix, organisation="another-house"
+    )
+    assert driver.upstream_by_key[other] != home
+
+
+@pytest.mark.parametrize("houses", [1, 3])
+def test_prefix_memory_is_bounded_per_house(houses):
+    subject = affinity.PrefixAffinity()
+    for number in range(2000):
+        subject.served(
+            organisation=types.OrganisationId(f"o{number % houses}"),
+            prefix=types.PrefixHash(number + 1),
+            upstream=types.UpstreamId("r0"),
+            now=0.0,
+        )
+    known = [
+        number
+        for number in range(2000)
+        if subject.shares(
+            organisation=types.OrganisationId(f"o{number % houses}"),
+            prefix=types.PrefixHash(number + 1),
+            now=0.0,
+        )
+    ]
+    assert len(known) == 512 * houses
--- a/packages/policy/tests/world.py
+++ b/packages/policy/tests/world.py
@@ -53,6 +53,7 @@
     def __init__(self, *, subject, policy: messages.ShardPolicy) -> None:
         self.subject = subject
         self.policy = policy
+        self.declared = policy.classes_by_name
         self.now = 1000.0
         self.waiting: dict[messages.PermitKey, Request] = {}
         self.running: dict[messages.PermitKey, Request] = {}
@@ -320,7 +321,7 @@
         victim = known[cut.key]
         expect(
             "what may run once only is not cut",
-            self.policy.classes_by_name[victim.event.profile].idempotent,
+            self.declared[victim.event.profile].idempotent,
             cut,
         )
         expect(
