Prove a stop in an outage, a leaving engine's streams, tiers under overload

An entry VM that is stopped while the platform is down answers the warning that it runs and exits with 0, and the claim that it could not end still keeps a retry from running. A stream of an engine that begins to leave goes on. All lookups are answered while a lower tier is refused for room.

--- a/packages/daemon/tests/failures/conftest.py
+++ b/packages/daemon/tests/failures/conftest.py
@@ -281,11 +281,12 @@
     async def restart_lost(self) -> None:
         """Put a new VM in the place of each that was lost."""
         lost = [vm for vm in ENTRY_VMS if not self.process(vm.id).is_running]
-        for vm in lost:
-            await self.deployment.start_entry_vm(vm)
-        for vm in lost:
-            await self.deployment.wait_ready(vm.id)
-        await self.deployment.wait_members(len(ENTRY_VMS))
+        async with asyncio.timeout(WAIT_SECONDS):
+            for vm in lost:
+                await self.deployment.start_entry_vm(vm)
+            for vm in lost:
+                await self.deployment.wait_ready(vm.id)
+            await self.deployment.wait_members(len(ENTRY_VMS))
 
 
 class Balancer:
--- a/packages/daemon/tests/failures/test_answers.py
+++ b/packages/daemon/tests/failures/test_answers.py
@@ -1,6 +1,7 @@
 """Each caller gets its own answer, and "not run" is true."""
 
 import collections
+import dataclasses
 
 import pytest
 
@@ -124,8 +125,8 @@
 async def test_overload_refuses_truthfully(trial):
     """More requests come than upstreams can serve within their limits.
 
-    The refused ones come back as not run, with the time to come back, and
-    none of them was run by any upstream.
+    The refused ones come back as not run, and none of them was run by any
+    upstream. Lookups, of a higher tier, are all answered meanwhile.
     """
     for name in PORTALS:
         await trial.control(name, service_seconds=0.2)
@@ -137,15 +138,22 @@
         limit_seconds=1.0,
         patience_seconds=20.0,
     )
+    lookup = dataclasses.replace(
+        crowd, name="lookup", target="/lookups/page", rate=20.0
+    )
     arrivals = traffic.arrivals(
-        [crowd], callers(), duration_seconds=1.0, seed=1
+        [crowd, lookup], callers(), duration_seconds=1.0, seed=1
     )
     generator = load.LoadGenerator(addresses=entry_addresses(trial))
     results = await generator.run(arrivals)
     await generator.close()
-    kinds = collections.Counter(result.verdict.kind for result in results)
-    assert kinds[_KIND.NOT_RUN] > 0, kinds
-    assert kinds[_KIND.MISMATCHED] == 0
+    kinds = {name: collections.Counter() for name in ("hurry", "lookup")}
+    for result in results:
+        name = result.arrival.traffic_class.name
+        kinds[name][result.verdict.kind] += 1
+    assert kinds["hurry"][_KIND.NOT_RUN] > 0
+    assert kinds["hurry"][_KIND.MISMATCHED] == 0
+    assert set(kinds["lookup"]) == {_KIND.COMPLETE}
     runs = await trial.runs("by_request_id")
     refused = [r for r in results if r.verdict.kind is _KIND.NOT_RUN]
     assert [r.request_id for r in refused if runs.get(r.request_id)] == []
--- a/packages/daemon/tests/failures/test_leaving_upstreams.py
+++ b/packages/daemon/tests/failures/test_leaving_upstreams.py
@@ -8,7 +8,15 @@
 
 from lagoonrun_standins import http_client
 
-from .conftest import ENTRY_VMS, LOOKUP, PORTALS, told, until
+from .conftest import (
+    ENTRY_VMS,
+    LOOKUP,
+    PORTALS,
+    SOUTH_1,
+    chat,
+    told,
+    until,
+)
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -143,6 +151,36 @@
         await _wait_more_runs(leaver, _LEAVING, 10)
 
 
+async def test_streams_of_a_leaving_engine_go_on(trial):
+    """An engine begins to leave with a stream half way.
+
+    Connections to it are forgotten so that nothing new goes there; the one
+    that carries the stream must not be among them.
+    """
+    tokens = 700
+    asked = asyncio.create_task(
+        trial.ask(SOUTH_1, "/v1/chat/completions", body=chat(tokens=tokens))
+    )
+
+    async def running():
+        return (await _runs(trial, "writer-2")) > 0
+
+    await until(running)
+    await trial.control("writer-2", leaving=True)
+
+    async def known():
+        status = await trial.status(SOUTH_1)
+        return "writer-2" in status["leaving_upstreams"]
+
+    await until(known)
+    assert not asked.done()
+    answer = await asked
+    assert answer.body.count(b'"content"') == tokens
+    assert answer.body.endswith(b"data: [DONE]\n\n")
+    counters = await trial.counters("writer-2")
+    assert counters["requests_cancelled"] == 0
+
+
 @pytest.mark.parametrize("upstream", PORTALS)
 async def test_each_upstream_tells_its_start(trial, upstream):
     """A restarted upstream is told from the one that left by its start."""
--- a/packages/daemon/tests/failures/test_planned_stops.py
+++ b/packages/daemon/tests/failures/test_planned_stops.py
@@ -83,6 +83,38 @@
     await trial.wait_nothing_held()
 
 
+@pytest.mark.parametrize("outage", ["close", "hang"])
+async def test_stop_in_an_outage_ends(trial, outage):
+    """An entry VM is stopped while the platform is down.
+
+    The end of a warning that it has just run can't be recorded. It still
+    answers its caller and exits; the claim stays, so nothing runs twice.
+    """
+    key = f"stop-{outage}"
+    for name in PORTALS:
+        await trial.control(name, service_seconds=0.5)
+    before = await trial.total("runs")
+    asked = asyncio.create_task(trial.warn(NORTH_1, key))
+
+    async def runs():
+        return await trial.total("runs") > before
+
+    await until(runs)
+    await trial.control("platform", outage=outage)
+    process = trial.process(NORTH_1)
+    assert await process.terminate(timeout_seconds=_STOP_SECONDS) == 0
+    assert told(await asked) == (200, "complete")
+    await trial.control("platform", outage="none")
+    await trial.restart_lost()
+
+    async def retried():
+        # Refused while the others find that the platform is back.
+        return (await trial.warn(NORTH_2, key)).status == 409
+
+    await until(retried)
+    assert await trial.runs_of_key(key) == 1
+
+
 async def test_rolling_replacement_cuts_nothing(trial):
     """All entry VMs are replaced one after the other under load.
 
--- a/packages/daemon/tests/failures/test_platform.py
+++ b/packages/daemon/tests/failures/test_platform.py
@@ -148,7 +148,7 @@
     ]
     answers = await asyncio.gather(*warned)
     assert {told(answer) for answer in answers} == {(503, "not-run")}
-    assert (await trial.counters("platform"))["calls_in_outage"] <= 150
+    assert (await trial.counters("platform"))["calls_in_outage"] <= 60
     assert not any(
         key.startswith("outage-")
         for key in await trial.runs("by_idempotency_key")
