Go on claiming after a fault of the store's client at a lease

An exception while a lease was asked for ended the task that writes claims; each later claim of the entry VM waited for its deadline and was refused. The new test hung there before.

--- a/packages/claims/src/lagoonrun_claims/group_commit.py
+++ b/packages/claims/src/lagoonrun_claims/group_commit.py
@@ -215,7 +215,9 @@
         try:
             async with asyncio.timeout(self._write_timeout_seconds):
                 return await self._retention.lease()
-        except TimeoutError:
+        except Exception:
+            # No answer in time, or a fault of the adapter: as in `_transact`,
+            # neither may end the shard's task.
             return None
 
     async def _transact(
--- a/packages/claims/tests/test_claims.py
+++ b/packages/claims/tests/test_claims.py
@@ -266,3 +266,26 @@
 
 def _put(key, value):
     return store_module.Put(key=key, value=value)
+
+
+@pytest.mark.parametrize("name", ["transact", "grant_lease"])
+async def test_a_fault_of_the_adapter_does_not_end_the_claims(
+    make_claims, arrive, store, clock, monkeypatch, name
+):
+    """Every request with a key is refused until the entry VM is replaced.
+
+    The store's client failed once on an answer that it could not read, and
+    the task that writes claims ended with it.
+    """
+    claims = await make_claims()
+
+    async def fail(**_options):
+        raise ValueError("unreadable answer")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(store, name, fail)
+        refused = await arrive(claims)
+        assert isinstance(refused, claims_module.Unavailable)
+    clock.advance(10.0)
+    await _until(lambda: claims.pending == 0)
+    assert isinstance(await arrive(claims), claims_module.Won)
