Tell the attainment of large and small organisations apart

Whether fair sharing buys anything does not show in a class's whole attainment, which is what the switch of fair_sharing was judged by so far.

--- a/packages/standins/src/lagoonrun_standins/bench_policy.py
+++ b/packages/standins/src/lagoonrun_standins/bench_policy.py
@@ -172,6 +172,7 @@
             load_summary.summarise(
                 results, duration_seconds=self._duration_seconds
             ),
+            results=results,
             policy=self._policy,
             counters=counters,
             runs_by_key=runs_by_key,
--- a/packages/standins/src/lagoonrun_standins/policy_figures.py
+++ b/packages/standins/src/lagoonrun_standins/policy_figures.py
@@ -8,6 +8,14 @@
 _SMALL = 1e-9
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SizeAttainment:
+    """Attainment of a class's requests by the size of their organisation."""
+
+    large: float
+    small: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Figures:
     """What one run gave.
@@ -22,6 +30,8 @@
         Requests that were run by all engines, resumed ones counted again.
     repeated_keys
         Idempotency keys that engines ran more than once; must be 0.
+    attainment_by_size
+        Of large and small organisations, by class.
     """
 
     policy: str
@@ -30,6 +40,7 @@
     cut_tokens: int
     engine_runs: int
     repeated_keys: int
+    attainment_by_size: Mapping[str, "SizeAttainment"]
     entry_vm_processor_seconds: float
 
     @property
@@ -74,6 +85,11 @@
             "load_generator_lag": _quantiles(self.summary.send_lag),
             "classes": {
                 name: _class_to_json(found)
+                | {
+                    "attainment_by_size": dataclasses.asdict(
+                        self.attainment_by_size[name]
+                    )
+                }
                 for name, found in self.summary.classes_by_name.items()
             },
         }
@@ -82,6 +98,7 @@
 def figures_of(
     summary: load_summary.Summary,
     *,
+    results: Sequence[load_summary.Result],
     policy: str,
     counters: Sequence[Mapping[str, int]],
     runs_by_key: Mapping[str, int],
@@ -98,6 +115,7 @@
         produced_tokens=total["tokens_produced"],
         cut_tokens=total["tokens_wasted"] + total["tokens_crashed"],
         engine_runs=sum(engine["runs"] for engine in counters),
+        attainment_by_size=_attainment_by_size(results),
         repeated_keys=sum(count > 1 for count in runs_by_key.values()),
         entry_vm_processor_seconds=entry_vm_processor_seconds,
     )
@@ -130,6 +148,28 @@
     }
 
 
+def _attainment_by_size(
+    results: Sequence[load_summary.Result],
+) -> dict[str, SizeAttainment]:
+    found: dict[str, dict[bool, list[bool]]] = {}
+    for result in results:
+        arrival = result.arrival
+        by_size = found.setdefault(
+            arrival.traffic_class.name, {True: [], False: []}
+        )
+        by_size[arrival.caller.weight > 1.0].append(result.attains)
+    return {
+        name: SizeAttainment(
+            large=_share(by_size[True]), small=_share(by_size[False])
+        )
+        for name, by_size in found.items()
+    }
+
+
+def _share(attained: Sequence[bool]) -> float:
+    return round(sum(attained) / max(1, len(attained)), 4)
+
+
 def _class_to_json(found: load_summary.ClassSummary) -> dict[str, object]:
     return {
         "offered": found.offered,
--- a/packages/standins/tests/test_bench_policy.py
+++ b/packages/standins/tests/test_bench_policy.py
@@ -81,6 +81,7 @@
         ]
         return policy_figures.figures_of(
             load_summary.summarise(results, duration_seconds=1.0),
+            results=results,
             policy="p",
             counters=[
                 {
@@ -102,6 +103,7 @@
     figures = make_figures([0.5, 3.0], produced=20)
     assert figures.wasted_share == pytest.approx(0.5)
     assert figures.repeated_keys == 1
+    assert figures.attainment_by_size["lookup"].small == pytest.approx(0.5)
 
 
 def test_ratios_stay_finite_without_misses(make_figures):
