Ask each entry VM once for an explanation; split the checks off the changes

An explanation asked every entry VM for its status before it asked for the request. Gossip knows the addresses; the dead are left out.

A test looks for keys and tokens in what commands show.

--- a/packages/cli/src/lagoonrun_cli/changes.py
+++ b/packages/cli/src/lagoonrun_cli/changes.py
@@ -34,6 +34,17 @@
     )
 
 
+def define_base(values: flags.FlagValues) -> None:
+    """Add the flag that says what the files started from."""
+    flags.DEFINE_string(
+        "base",
+        None,
+        "Revision that the files started from, or `in-force` where they hold "
+        "all that is in force; by default the files' `# lagoonrun-base` line.",
+        flag_values=values,
+    )
+
+
 def parse_revision(written: str) -> types.Revision:
     """Return the revision that an operator wrote.
 
--- a/packages/cli/src/lagoonrun_cli/entry_vms.py
+++ b/packages/cli/src/lagoonrun_cli/entry_vms.py
@@ -15,6 +15,7 @@
 _STATUS_PATH = "/status"
 _OWN_STATUS_PATH = "/status?scope=own"
 _ALIVE = "alive"
+_DEAD = "dead"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -117,8 +118,12 @@
     async def ask_each(
         self, path: str
     ) -> dict[str, admin_client.AdminAnswer | admin_client.AdminFailure]:
-        """Return the answer of each entry VM to `path`, by its name."""
-        known = [one for one in await self.statuses() if one.address]
+        """Return the answer of each entry VM to `path`, by its name.
+
+        Those that gossip knows as dead are not asked.
+        """
+        found = await self.statuses(most_asked=0)
+        known = [one for one in found if one.address and one.state != _DEAD]
         answers = await self._ask_all(
             tuple(one.address for one in known if one.address), path
         )
--- a/packages/cli/src/lagoonrun_cli/registry.py
+++ b/packages/cli/src/lagoonrun_cli/registry.py
@@ -2,6 +2,7 @@
 
 from lagoonrun_cli import (
     change_commands,
+    check_commands,
     drain_command,
     explain_command,
     key_command,
@@ -11,8 +12,8 @@
 )
 
 COMMANDS = (
-    change_commands.VALIDATE,
-    change_commands.DIFF,
+    check_commands.VALIDATE,
+    check_commands.DIFF,
     change_commands.APPLY,
     change_commands.SETTLE,
     revision_commands.GET,
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -25,6 +25,7 @@
 KEY = "key-of-house"
 KEY_DIGEST = hashlib.sha256(KEY.encode()).hexdigest()
 ADMIN_TOKEN = "token-of-operators"
+INNER_KEY = b"k" * 32
 
 DECLARATIONS = f"""
 [profiles.lookup]
@@ -121,6 +122,12 @@
     return Operator(platform_port=platform.port)
 
 
+@pytest.fixture
+def secrets() -> tuple[str, ...]:
+    """Return what no command and no page may show."""
+    return (KEY, ADMIN_TOKEN, INNER_KEY.hex())
+
+
 @pytest.fixture
 def declared(tmp_path: pathlib.Path) -> pathlib.Path:
     path = tmp_path / "all.toml"
@@ -149,7 +156,7 @@
             caller=any_port,
             peer=fleet.free_peer_address(),
             platform=(settings.Address(host="127.0.0.1", port=platform_port),),
-            inner_key=b"k" * 32,
+            inner_key=INNER_KEY,
             admin_token_digest=hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest(),
             readiness_grace_seconds=0.0,
             **values,
--- a/packages/cli/tests/test_entry_vms.py
+++ b/packages/cli/tests/test_entry_vms.py
@@ -26,7 +26,7 @@
     """Answers for entry VMs 1 to `count`, but for the silent ones."""
 
     def __init__(self, *, count: int, silent: tuple[int, ...] = ()) -> None:
-        self._members = [member(number + 1) for number in range(count)]
+        self.members = [member(number + 1) for number in range(count)]
         self._silent = {f"10.0.0.{number}" for number in silent}
         self.asked: list[str] = []
 
@@ -42,7 +42,7 @@
         number = address.host.rpartition(".")[-1]
         own = {"entry_vm": f"entry-{number}", "revision": 1}
         if path == "/status":
-            own["members"] = self._members
+            own["members"] = self.members
         return admin_client.AdminAnswer(status=200, value=own)
 
 
@@ -82,6 +82,15 @@
     assert {one.revision for one in found} == {1}
 
 
+async def test_each_is_asked_once_and_the_dead_are_not():
+    fake = FakeAdmin(count=3)
+    fake.members[2] = member(3, state="dead")
+    answers = await asking(fake).ask_each("/explain/7")
+    assert set(answers) == {"entry-1", "entry-2"}
+    assert fake.asked.count("10.0.0.2/explain/7") == 1
+    assert len(fake.asked) == 3
+
+
 async def test_no_answer_at_all_names_the_addresses():
     with pytest.raises(errors.CommandError, match=r"10\.0\.0\.1:8081"):
         await asking(FakeAdmin(count=1, silent=(1,))).statuses()
--- a/packages/cli/tests/test_system_commands.py
+++ b/packages/cli/tests/test_system_commands.py
@@ -154,6 +154,14 @@
     assert " by entry-1 for portal@north/0\tentry-1\n" in ran.out
 
 
+@pytest.mark.parametrize("command", [["status"], ["history"], ["get"]])
+async def test_no_secret_is_shown(system, secrets, command):
+    await system.look_up()
+    ran = await system.operator.run(*command, "--json")
+    shown = ran.out + ran.err
+    assert [secret for secret in secrets if secret in shown] == []
+
+
 async def test_explanation_of_a_refusal_names_reason_and_candidates(system):
     for portal in ("portal-1", "portal-2"):
         await system.operator.run("drain", portal)
