Rank shards of the own region first, far ones by time to target

Domains were ranked by their summaries alone, so that a free shard 100 ms away went before a queue of 20 ms next door.

Near and far shards keep their old order among themselves; the two orders are merged, and a far shard goes first only where the near one would miss the request's target and the far one, with three round trips counted in, is sooner. Ruled out: near ones always first (a high tier would wait its limit out beside free shards far away) and the shortest delay always first (every small difference of reported waits would cross regions).

Only a few shards are asked. Those that have room or admit lower tiers are kept before other queues whatever their region, but for the first, so that staying near does not cost the promise to higher tiers.

--- a/packages/policy/src/lagoonrun_policy/shards.py
+++ b/packages/policy/src/lagoonrun_policy/shards.py
@@ -1,14 +1,22 @@
-"""Which shard to ask: the own domain's first, then others by their summary."""
+"""Which shard to ask: the own domain's first, then others by their summary.
+
+Shards of the own region go before those of other regions, unless the request
+would miss its target there and a far one serves it sooner, its distance
+counted in.
+"""
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from lagoonrun_core import types
 
 NO_TIER = types.Tier(0)
 """Stands for "none waits" or "none runs" in a summary."""
 
+ROUND_TRIPS = 3
+"""Round trips before a far answer begins: permit, connection, request."""
+
 _OLD_SECONDS = 5.0
 
 
@@ -22,6 +30,10 @@
         Whether the shard is in the ingress's own failure domain.
     reachable
         Whether its dispatcher answers, as far as is known.
+    near
+        Whether the shard is in the ingress's own region.
+    distance_seconds
+        Round trip between the ingress and the shard's domain.
     free
         Requests that could start at once.
     lowest_waiting_tier, lowest_running_tier
@@ -35,6 +47,8 @@
     shard: types.ShardId
     own: bool
     reachable: bool = True
+    near: bool = True
+    distance_seconds: float = 0.0
     free: int = 0
     lowest_waiting_tier: types.Tier = NO_TIER
     lowest_running_tier: types.Tier = NO_TIER
@@ -52,40 +66,82 @@
     OLD_SUMMARY = 4
 
 
+_PROMISING = (_Rank.FREE, _Rank.ADMITS_LOWER_TIER)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Ranked:
+    """A shard that may serve the request."""
+
+    view: ShardView
+    rank: _Rank
+    travel_seconds: float
+    delay_seconds: float
+
+    def sort_key(self) -> tuple[int, float, int, types.ShardId]:
+        """Return the order among shards that are equally near."""
+        return (
+            self.rank,
+            self.delay_seconds,
+            -self.view.free,
+            self.view.shard,
+        )
+
+
 def rank_shards(
     views: Iterable[ShardView],
     *,
     tier: types.Tier,
     remaining_seconds: float,
+    remaining_target_seconds: float | None = None,
+    most: int | None = None,
 ) -> tuple[types.ShardId, ...]:
     """Return the shards to ask, in order.
 
     The next one is asked when one is gone or refuses for room. A shard of
     another domain that admits lower tiers is always among them, so that no
     high tier is refused here while a lower one is served there. One whose
-    queue alone is longer than the time left is left out.
+    queue or distance alone takes longer than the time left is left out.
 
     Parameters
     ----------
     tier, remaining_seconds
         Of the request.
+    remaining_target_seconds
+        Time left to the target; None where it is that to the limit.
+    most
+        Most shards to return; None for all. Those that have room or admit
+        lower tiers are kept before others, but for the first of another
+        domain, which is the one that is asked soonest.
     """
-    ranked = sorted(
-        (_rank(view, tier), view.wait_seconds, -view.free, view.shard)
+    target = remaining_seconds
+    if remaining_target_seconds is not None:
+        target = remaining_target_seconds
+    candidates = [
+        one
         for view in views
-        if view.reachable and _may_serve(view, tier, remaining_seconds)
+        if view.reachable
+        and _may_serve(one := _ranked(view, tier), remaining_seconds)
+    ]
+    own = _sorted(one for one in candidates if one.view.own)
+    others = _merge(
+        near=_sorted(c for c in candidates if c.view.near and not c.view.own),
+        far=_sorted(c for c in candidates if not (c.view.near or c.view.own)),
+        target_seconds=target,
+    )
+    chosen = _choose(own, others, len(candidates) if most is None else most)
+    return tuple(one.view.shard for one in chosen)
+
+
+def _ranked(view: ShardView, tier: types.Tier) -> _Ranked:
+    travel = 0.0 if view.own else ROUND_TRIPS * view.distance_seconds
+    wait = 0.0 if view.free > 0 and not view.own else view.wait_seconds
+    return _Ranked(
+        view=view,
+        rank=_rank(view, tier),
+        travel_seconds=travel,
+        delay_seconds=wait + travel,
     )
-    return tuple(shard for *_, shard in ranked)
-
-
-def _may_serve(
-    view: ShardView, tier: types.Tier, remaining_seconds: float
-) -> bool:
-    if view.own or view.age_seconds > _OLD_SECONDS:
-        return True
-    if view.free > 0 or _admits_lower(view, tier):
-        return True
-    return view.wait_seconds < remaining_seconds
 
 
 def _rank(view: ShardView, tier: types.Tier) -> _Rank:
@@ -102,3 +158,68 @@
 
 def _admits_lower(view: ShardView, tier: types.Tier) -> bool:
     return max(view.lowest_waiting_tier, view.lowest_running_tier) > tier
+
+
+def _may_serve(one: _Ranked, remaining_seconds: float) -> bool:
+    if one.rank is _Rank.OWN:
+        return True
+    if one.rank is _Rank.QUEUES:
+        return one.delay_seconds < remaining_seconds
+    # What a summary says of the wait is of the lowest tier, or too old.
+    return one.travel_seconds <= remaining_seconds
+
+
+def _sorted(ranked: Iterable[_Ranked]) -> list[_Ranked]:
+    return sorted(ranked, key=_Ranked.sort_key)
+
+
+def _merge(
+    *, near: list[_Ranked], far: list[_Ranked], target_seconds: float
+) -> list[_Ranked]:
+    """Return both in one order; near ones go first unless a far one is due.
+
+    The order among near ones and that among far ones stay as they are.
+    """
+    merged = []
+    near_index = far_index = 0
+    while near_index < len(near) and far_index < len(far):
+        if _goes_before(far[far_index], near[near_index], target_seconds):
+            merged.append(far[far_index])
+            far_index += 1
+        else:
+            merged.append(near[near_index])
+            near_index += 1
+    return merged + near[near_index:] + far[far_index:]
+
+
+def _goes_before(far: _Ranked, near: _Ranked, target_seconds: float) -> bool:
+    """Return whether a far shard is asked before a near one."""
+    if far.rank is _Rank.OLD_SUMMARY:
+        return False
+    if near.rank is _Rank.OLD_SUMMARY:
+        return True
+    if near.rank is _Rank.FREE or near.delay_seconds <= target_seconds:
+        return False
+    if far.delay_seconds <= target_seconds:
+        return True
+    # Both are late. The wait of a shard that admits lower tiers is theirs,
+    # so that it may be shorter for this request; a queue's is its own.
+    is_queue = near.rank is _Rank.QUEUES
+    return is_queue and far.delay_seconds < near.delay_seconds
+
+
+def _choose(
+    own: Sequence[_Ranked], others: Sequence[_Ranked], most: int
+) -> list[_Ranked]:
+    """Return at most `most` of both, own ones first, in their order."""
+    # Cut to the nearest few, a request would be refused by queues of its own
+    # region while a far shard that was left out admits lower tiers.
+    by_importance = sorted(
+        range(len(others)),
+        key=lambda index: (
+            index > 0 and others[index].rank not in _PROMISING,
+            index,
+        ),
+    )
+    kept = sorted(by_importance[: max(0, most - len(own))])
+    return [*own[:most], *(others[index] for index in kept)]
