Find lost regions again after an hour; tell the own region of shards first

Regions lose each other for an hour now and then, and the dead are forgotten after ten minutes. With its seeds replaced meanwhile, each side then had nobody left to try, and the fleet stayed split for ever.

Summaries go to the own region's domains first, then to one domain of each other region in turn; one place is always another region's. Domains without a living member take no place any more: some heard of fewer than four others.

Answers to probes measure the round trip to each domain, without a message more.

--- a/packages/membership/src/lagoonrun_membership/gossip.py
+++ b/packages/membership/src/lagoonrun_membership/gossip.py
@@ -127,6 +127,10 @@
         """Tell shards first to domains of the same region."""
         self._region_of = region_of
 
+    def round_trip_to(self, domain: types.FailureDomain) -> float | None:
+        """Return the measured round trip in seconds; None if unknown."""
+        return self._prober.round_trips.to(domain)
+
     # What the owner announces. Each returns datagrams to be sent.
 
     def announce_configuration(
@@ -229,7 +233,7 @@
             return
         hearers = shards.hearing_domains(
             self.members.own.domain,
-            self.members.records.domains,
+            self._live_domains(),
             count=self._timing.summary_domains,
             region_of=self._region_of,
         )
@@ -239,6 +243,18 @@
                 target = self._random.choice(others)
                 self._outbox.send(target, self._composer.summaries(now=now))
 
+    def _live_domains(self) -> tuple[types.FailureDomain, ...]:
+        """Return the domains that can hear of shards, the own one included.
+
+        One that is cut off would take up a place and hear nothing.
+        """
+        own = self.members.own.domain
+        return tuple(
+            domain
+            for domain in self.members.records.domains
+            if domain == own or self.members.others_in(domain)
+        )
+
     # Datagrams.
 
     def _take_ping(
@@ -280,7 +296,7 @@
             )
             self._outbox.send(relay.requester, passed_on)
             return
-        self._prober.answered(message.sequence, sender)
+        self._prober.answered_directly(message.sequence, sender, now)
         self._follow_up(message, sender, address, now)
 
     def _follow_up(
@@ -355,6 +371,7 @@
         forgotten = self.members.take_forgotten()
         self._composer.forget(forgotten)
         self._forgotten += forgotten
+        self._seeds.note_lost(self.members.take_lost())
         self._urgent |= self._composer.collect_news()
         self._summaries += self._composer.collect_summaries(now=now)
         if self._urgent and self._urgent_tokens > 0:
--- a/packages/membership/src/lagoonrun_membership/members.py
+++ b/packages/membership/src/lagoonrun_membership/members.py
@@ -55,6 +55,7 @@
         self._news: dict[types.EntryVmId, None] = {}
         self._changed: dict[types.EntryVmId, None] = {}
         self._forgotten: list[types.EntryVmId] = []
+        self._lost: list[messages.MemberUpdate] = []
         self._condemned: list[types.EntryVmId] = []
         self.refutations = 0
         self.records.add(records.Record(update=own))
@@ -140,6 +141,12 @@
         self._forgotten.clear()
         return forgotten
 
+    def take_lost(self) -> tuple[messages.MemberUpdate, ...]:
+        """Return the last records of members that were forgotten, once."""
+        lost = tuple(self._lost)
+        self._lost.clear()
+        return lost
+
     def take_condemned(self) -> tuple[types.EntryVmId, ...]:
         """Return members we held alive and others hold for dead, once."""
         condemned = tuple(self._condemned)
@@ -375,6 +382,7 @@
         self.records.rehash(record)
 
     def _forget(self, entry_vm: types.EntryVmId) -> None:
+        self._lost.append(self.records.by_id[entry_vm].update)
         self.records.remove(entry_vm)
         self._dead.discard(entry_vm)
         self._damping.forget(entry_vm)
--- a/packages/membership/src/lagoonrun_membership/membership.py
+++ b/packages/membership/src/lagoonrun_membership/membership.py
@@ -172,6 +172,10 @@
         """Return whether an upstream gets no new work."""
         return self._gossip.upstreams.is_leaving(upstream)
 
+    def round_trip_to(self, domain: types.FailureDomain) -> float | None:
+        """Return the measured round trip in seconds; None if unknown."""
+        return self._gossip.round_trip_to(domain)
+
     # What the owner announces.
 
     def use_regions(self, region_of: shards.RegionOf) -> None:
--- a/packages/membership/src/lagoonrun_membership/prober.py
+++ b/packages/membership/src/lagoonrun_membership/prober.py
@@ -9,7 +9,14 @@
 import random
 
 from lagoonrun_core import types
-from lagoonrun_membership import composer, members, outbox, probes, seeds
+from lagoonrun_membership import (
+    composer,
+    members,
+    outbox,
+    probes,
+    round_trips,
+    seeds,
+)
 from lagoonrun_membership import timing as timings
 from lagoonrun_protocol import messages
 
@@ -35,6 +42,11 @@
         Periods and timeouts.
     random_source
         Chooses targets.
+
+    Attributes
+    ----------
+    round_trips
+        To other domains, as the answers show.
     """
 
     def __init__(
@@ -57,6 +69,7 @@
             table=table, random_source=random_source
         )
         self._pending = probes.PendingProbes()
+        self.round_trips = round_trips.RoundTrips()
         self._syncs_left = _MAXIMUM_SYNCS
         self._next_sync_at = math.inf
         self._is_joining = True
@@ -86,9 +99,18 @@
         self._pending.missed()
 
     def answered(self, sequence: int, source: types.EntryVmId) -> None:
-        """Take in an answer to an own probe."""
+        """Take in that a helper had an answer to an own probe."""
         self._pending.answered(sequence, source)
 
+    def answered_directly(
+        self, sequence: int, source: types.EntryVmId, now: float
+    ) -> None:
+        """Take in a target's own answer, which measures the way to it."""
+        probe = self._pending.answered(sequence, source)
+        view = self._table.view(source)
+        if probe is not None and view is not None:
+            self.round_trips.note(view.domain, now - probe.sent_at)
+
     def take_relay(self, sequence: int) -> probes.Relay | None:
         """Return for whom a probe was made, once."""
         return self._pending.take_relay(sequence)
@@ -197,6 +219,7 @@
             probes.Probe(
                 sequence=sequence,
                 target=target,
+                sent_at=now,
                 direct_until=now
                 + self._timing.direct_timeout_seconds * stretch,
                 until=now + self._timing.period_seconds * stretch,
--- a/packages/membership/src/lagoonrun_membership/probes.py
+++ b/packages/membership/src/lagoonrun_membership/probes.py
@@ -20,6 +20,8 @@
 
     Parameters
     ----------
+    sent_at
+        When it was sent.
     direct_until
         When other members are asked to probe; None once they are.
     until
@@ -28,6 +30,7 @@
 
     sequence: int
     target: types.EntryVmId
+    sent_at: float
     direct_until: float | None
     until: float
 
@@ -161,14 +164,14 @@
         if len(self._relays_by_sequence) > _MAXIMUM_RELAYS:
             self._relays_by_sequence.popitem(last=False)
 
-    def answered(self, sequence: int, source: types.EntryVmId) -> bool:
-        """Take an answer; return whether it was waited for."""
+    def answered(self, sequence: int, source: types.EntryVmId) -> Probe | None:
+        """Take an answer; return the probe if it was waited for."""
         probe = self._probes_by_sequence.get(sequence)
         if probe is None or probe.target != source:
-            return False
+            return None
         del self._probes_by_sequence[sequence]
         self._score = max(0.0, self._score - _FORGIVEN_BY_ANSWER)
-        return True
+        return probe
 
     def take_relay(self, sequence: int) -> Relay | None:
         """Return for whom the probe was made, once."""
--- a/packages/membership/src/lagoonrun_membership/shards.py
+++ b/packages/membership/src/lagoonrun_membership/shards.py
@@ -4,10 +4,12 @@
 serve other domains only. A dispatcher sends its own to one member of each
 domain that is to hear of it, once a period; that member passes them on within
 its domain on datagrams sent anyway. Each domain hears of a bounded number of
-others, chosen by rendezvous hashing, so that the cost does not grow with the
-fleet.
+others, so that the cost does not grow with the fleet: those of its own region
+first, then one of each other region in turn, among equals by rendezvous
+hashing.
 """
 
+import collections
 import dataclasses
 from collections.abc import Iterable
 from typing import Protocol
@@ -42,7 +44,9 @@
     """Return the domains that are to hear of the shards of `domain`.
 
     Each of `domains` hears of `count` others, those of its own region first.
-    With up to `count` + 1 domains everyone hears of everyone.
+    With up to `count` + 1 domains everyone hears of everyone. Where there are
+    other regions, one place is theirs: a whole region that has no room needs
+    to know of one that has.
     """
     known = tuple(domains)
     return tuple(
@@ -59,13 +63,30 @@
     count: int,
     region_of: RegionOf,
 ) -> list[types.FailureDomain]:
-    def weight(domain: types.FailureDomain) -> tuple[bool, int]:
-        is_far = region_of(domain) != region_of(hearer)
-        key = f"{hearer}/{domain}".encode()
-        return (is_far, xxhash.xxh3_64_intdigest(key))
+    def weight(domain: types.FailureDomain) -> int:
+        return xxhash.xxh3_64_intdigest(f"{hearer}/{domain}".encode())
 
-    others = (domain for domain in domains if domain != hearer)
-    return sorted(others, key=weight)[:count]
+    others = sorted((d for d in domains if d != hearer), key=weight)
+    near = [d for d in others if region_of(d) == region_of(hearer)]
+    far = _in_turn([d for d in others if d not in near], region_of)
+    chosen = near[: count - 1 if far else count]
+    return chosen + far[: count - len(chosen)]
+
+
+def _in_turn(
+    domains: Iterable[types.FailureDomain], region_of: RegionOf
+) -> list[types.FailureDomain]:
+    """Return one domain of each region, then a second of each, and so on.
+
+    A region that is cut off then takes away the news of as few as can be.
+    """
+    seen: collections.Counter[types.Region] = collections.Counter()
+    turns: list[tuple[int, types.FailureDomain]] = []
+    for domain in domains:
+        region = region_of(domain)
+        turns.append((seen[region], domain))
+        seen[region] += 1
+    return [domain for _, domain in sorted(turns, key=lambda turn: turn[0])]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/membership/tests/test_shards.py
+++ b/packages/membership/tests/test_shards.py
@@ -64,3 +64,33 @@
     seen = table.by_shard(104.0)["scans@north/0"]
     assert (seen.free, seen.age_seconds) == (7, 1.5)
     assert table.by_shard(113.0) == {}
+
+
+def test_own_region_is_heard_first_and_then_each_other_in_turn():
+    regions = {f"domain-{n}": f"region-{n % 4}" for n in range(10)}
+    heard = {hearer: set() for hearer in regions}
+    for domain in regions:
+        for hearer in shards.hearing_domains(
+            domain, regions, count=4, region_of=regions.get
+        ):
+            heard[hearer].add(domain)
+    for hearer, domains in heard.items():
+        own = {d for d in regions if regions[d] == regions[hearer]} - {hearer}
+        assert own <= domains
+        far = [regions[d] for d in domains - own]
+        assert len(domains) == 4
+        assert len(set(far)) == min(len(far), 3)
+
+
+def test_one_place_is_left_for_other_regions():
+    regions = dict.fromkeys((f"domain-{n}" for n in range(9)), "large")
+    regions["domain-9"] = "small"
+    heard = [
+        hearer
+        for hearer in regions
+        if hearer
+        in shards.hearing_domains(
+            "domain-9", regions, count=4, region_of=regions.get
+        )
+    ]
+    assert len(heard) == 9
