Bound what silent domains cost a request; dispatch within the region

Until the membership holds a cut-off domain for dead, some ten seconds, each request that looked for room elsewhere asked its entry VMs one after the other, 150 ms each, to its own limit. Once held for dead, whichever entry VM lived took the domain's shards over and granted runners that nobody could reach.

A request that gave up early does not make a dispatcher silent: its acknowledgement is still waited for. The way to a domain, measured by the membership, is added to what an acknowledgement may take; 150 ms alone would have found every far region silent.

A shard whose domain has no living entry VM is dispatched within its region only; a far region without any is passed over. Others' summaries are ranked when the own domain has refused, not before, and read once instead of once for each shard.

--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -25,6 +25,7 @@
     peer_snapshots,
     permits,
     placement,
+    reach,
     shards,
     stalls,
     status,
@@ -159,12 +160,14 @@
             switches=experiment.switches_of(configured.experiment),
         )
         self._stalls = stalls.StallDetector(clock=self._clock)
+        self._reach = reach.DomainReach(clock=self._clock)
         self.permits = permits.PermitClient(
             entry_vm=configured.entry_vm,
             ranking=self.fleet,
             transport=self._transport,
             clock=self._clock,
             stalls=self._stalls,
+            domains=self._reach,
         )
         self._naive_permits: naive_permits.NaivePermits | None = None
         if configured.experiment.policy is settings.ExperimentPolicy.NAIVE:
@@ -224,6 +227,7 @@
                 permits=self._naive_permits or self.permits,
                 client=self.client,
                 fleet=self.fleet,
+                reach=self._reach,
                 explanations=self.explanations,
                 budget=self._budget,
                 claims=self.claims,
--- a/packages/daemon/src/lagoonrun_daemon/dispatcher_search.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher_search.py
@@ -1,6 +1,7 @@
 """Find the dispatcher that answers for a shard."""
 
 import dataclasses
+import math
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -58,6 +59,7 @@
         self._clock = clock
         self._memory_seconds = memory_seconds
         self._silent_until_by_vm: dict[types.EntryVmId, float] = {}
+        self._heard_at_by_vm: dict[types.EntryVmId, float] = {}
 
     def choose(
         self, shard: types.ShardId, search: Search
@@ -89,7 +91,8 @@
         """
         if search.silent or dispatcher in search.disowned:
             return True
-        return self._ranking.ranked_for(shard)[0] != dispatcher
+        ranked = self._ranking.ranked_for(shard)
+        return not ranked or ranked[0] != dispatcher
 
     def owner_of(self, shard: types.ShardId) -> types.EntryVmId | None:
         """Return who is asked first for `shard` at present."""
@@ -116,10 +119,15 @@
         bool
             Whether it was passed over before.
         """
+        self._heard_at_by_vm[dispatcher] = self._clock.monotonic()
         passed_over = self._was_silent(dispatcher)
         self._silent_until_by_vm.pop(dispatcher, None)
         return passed_over
 
+    def heard_since(self, dispatcher: types.EntryVmId, at: float) -> bool:
+        """Return whether a dispatcher has sent a message since `at`."""
+        return self._heard_at_by_vm.get(dispatcher, -math.inf) >= at
+
     def _was_silent(self, entry_vm: types.EntryVmId) -> bool:
         until = self._silent_until_by_vm.get(entry_vm, 0.0)
         return until > self._clock.monotonic()
--- a/packages/daemon/src/lagoonrun_daemon/fleet.py
+++ b/packages/daemon/src/lagoonrun_daemon/fleet.py
@@ -1,5 +1,6 @@
 """The daemon's view of the fleet: who dispatches what, who is leaving."""
 
+import dataclasses
 import math
 from collections.abc import Sequence
 
@@ -10,8 +11,24 @@
 from lagoonrun_daemon import shards
 from lagoonrun_membership import membership, ranking
 from lagoonrun_policy import shards as policy_shards
+from lagoonrun_protocol import messages
 
 _OWN_SHARDS_ASKED = 2
+_ASSUMED_NEAR_SECONDS = 0.005
+_ASSUMED_FAR_SECONDS = 0.1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Place:
+    """Where a shard is, as seen from here."""
+
+    own: bool
+    near: bool
+    distance_seconds: float
+    reachable: bool
+
+
+_OWN_PLACE = _Place(own=True, near=True, distance_seconds=0.0, reachable=True)
 
 
 class FleetView:
@@ -42,6 +59,11 @@
             types.ShardId, tuple[types.EntryVmId, ...]
         ] = {}
 
+    @property
+    def domain(self) -> types.FailureDomain:
+        """Failure domain of this entry VM."""
+        return self._domain
+
     @property
     def configuration(self) -> model.Configuration | None:
         """Configuration in force, None before the first."""
@@ -71,7 +93,9 @@
         """Return the live entry VMs that may dispatch `shard`, best first.
 
         Only entry VMs of the shard's own failure domain dispatch it, unless
-        none of them lives; then any live one does. Never empty.
+        none of them lives; then any live one of its region does. Empty where
+        a whole region other than the own one is dead: it is most likely cut
+        off, and grants for its runners would be in vain.
         """
         ranked = self._ranked_by_shard.get(shard)
         if ranked is None:
@@ -107,55 +131,98 @@
         declared = self._configuration.upstreams_by_id.get(upstream)
         return declared is not None and declared.draining
 
-    def shard_views(
+    def region_of(self, domain: types.FailureDomain) -> types.Region:
+        """Return the region of a failure domain."""
+        if self._configuration is None:
+            return model.NO_REGION
+        return self._configuration.region_of(domain)
+
+    def distance_to(self, domain: types.FailureDomain) -> float:
+        """Return the round trip to a domain in seconds.
+
+        Measured on probes of the membership; assumed where none was answered
+        yet.
+        """
+        if domain == self._domain:
+            return 0.0
+        measured = self._members.round_trip_to(domain)
+        if measured is not None:
+            return measured
+        if self._is_near(domain):
+            return _ASSUMED_NEAR_SECONDS
+        return _ASSUMED_FAR_SECONDS
+
+    def own_shard_views(
         self, pool: types.PoolName, *, spread_by: int | str
     ) -> Sequence[policy_shards.ShardView]:
-        """Return what is known of the shards of `pool`.
+        """Return what is known of the shards of `pool` in the own domain.
 
         Parameters
         ----------
         spread_by
-            Two shards of the own domain are chosen by it where there are
-            more: requests with one prefix meet the same two, and no shard
-            is asked by all at once because its summary looked best.
+            Two shards are chosen by it where there are more: requests with
+            one prefix meet the same two, and no shard is asked by all at
+            once because its summary looked best.
         """
-        shards_here = []
-        elsewhere = []
-        for shard in self._shards_by_pool.get(pool, ()):
-            here = shard.domain == self._domain
-            (shards_here if here else elsewhere).append(shard.id)
-        chosen = _spread(shards_here, spread_by)
-        return [self._view_of(shard, own=True) for shard in chosen] + [
-            self._view_of(shard, own=False) for shard in elsewhere
+        shards_here = [
+            shard.id
+            for shard in self._shards_by_pool.get(pool, ())
+            if shard.domain == self._domain
+        ]
+        summaries = self._members.summaries_by_shard
+        return [
+            _view(shard, summaries.get(shard), _OWN_PLACE)
+            for shard in _spread(shards_here, spread_by)
         ]
 
-    def _view_of(
-        self, shard: types.ShardId, *, own: bool
-    ) -> policy_shards.ShardView:
-        summary = self._members.summaries_by_shard.get(shard)
-        if summary is None:
-            return policy_shards.ShardView(
-                shard=shard, own=own, age_seconds=math.inf
-            )
-        return policy_shards.ShardView(
-            shard=shard,
-            own=own,
-            free=summary.free,
-            lowest_waiting_tier=summary.lowest_waiting_tier,
-            lowest_running_tier=summary.lowest_running_tier,
-            wait_seconds=summary.wait_seconds,
+    def other_shard_views(
+        self, pool: types.PoolName
+    ) -> Sequence[policy_shards.ShardView]:
+        """Return what is known of the shards of `pool` in other domains."""
+        summaries = self._members.summaries_by_shard
+        places_by_domain: dict[types.FailureDomain, _Place] = {}
+        views = []
+        for shard in self._shards_by_pool.get(pool, ()):
+            if shard.domain == self._domain:
+                continue
+            place = places_by_domain.get(shard.domain)
+            if place is None:
+                place = self._place_of(shard.domain)
+                places_by_domain[shard.domain] = place
+            views.append(_view(shard.id, summaries.get(shard.id), place))
+        return views
+
+    def _place_of(self, domain: types.FailureDomain) -> _Place:
+        near = self._is_near(domain)
+        return _Place(
+            own=False,
+            near=near,
+            distance_seconds=self.distance_to(domain),
+            # A far region without a living member is cut off: its runners
+            # would be asked in vain, whoever dispatched them.
+            reachable=near or bool(self._live_in_region_of(domain)),
+        )
+
+    def _is_near(self, domain: types.FailureDomain) -> bool:
+        return self.region_of(domain) == self.region_of(self._domain)
+
+    def _live_in_region_of(
+        self, domain: types.FailureDomain
+    ) -> tuple[types.EntryVmId, ...]:
+        region = self.region_of(domain)
+        return tuple(
+            vm
+            for other in self._domains()
+            if self.region_of(other) == region
+            for vm in self._members.live_in(other)
         )
 
     def _rank(self, shard: types.ShardId) -> tuple[types.EntryVmId, ...]:
         domain = self._shards_by_id[shard].domain
         live = self._members.live_in(domain)
         if not live:
-            live = tuple(
-                vm
-                for other in self._domains()
-                for vm in self._members.live_in(other)
-            )
-        if not live:
+            live = self._live_in_region_of(domain)
+        if not live and self._is_near(domain):
             # This entry VM runs, whatever the others believe of it: while
             # it stops as the last one, or has just come back, it goes on
             # dispatching for itself.
@@ -167,6 +234,32 @@
         return sorted({member.domain for member in members})
 
 
+def _view(
+    shard: types.ShardId, summary: messages.ShardSummary | None, place: _Place
+) -> policy_shards.ShardView:
+    if summary is None:
+        return policy_shards.ShardView(
+            shard=shard,
+            own=place.own,
+            near=place.near,
+            distance_seconds=place.distance_seconds,
+            reachable=place.reachable,
+            age_seconds=math.inf,
+        )
+    return policy_shards.ShardView(
+        shard=shard,
+        own=place.own,
+        near=place.near,
+        distance_seconds=place.distance_seconds,
+        reachable=place.reachable,
+        free=summary.free,
+        lowest_waiting_tier=summary.lowest_waiting_tier,
+        lowest_running_tier=summary.lowest_running_tier,
+        wait_seconds=summary.wait_seconds,
+        age_seconds=summary.age_seconds,
+    )
+
+
 def _spread(
     shards_here: Sequence[types.ShardId], spread_by: int | str
 ) -> Sequence[types.ShardId]:
--- a/packages/daemon/src/lagoonrun_daemon/permit_seeking.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_seeking.py
@@ -1,18 +1,14 @@
 """Seek a permit for one call, in the own failure domain and in others."""
 
-from collections.abc import Sequence
-
 from lagoonrun_config import model
 from lagoonrun_core import outcomes, types
 from lagoonrun_daemon import call as calls
-from lagoonrun_daemon import permit_types
+from lagoonrun_daemon import permit_types, shard_search
 from lagoonrun_daemon import services as daemon_services
-from lagoonrun_policy import shards as policy_shards
 
 MAXIMUM_PERMIT_AGE_SECONDS = 1.0
 """An older permit is given back: its upstream may be leaving by now."""
 
-_MAXIMUM_SHARDS_ASKED = 4
 _FLAT_RETRY_AFTER_SECONDS = 1.0
 _ROOM_REASONS = frozenset(
     {
@@ -67,8 +63,13 @@
         no high tier is refused here while lower ones are admitted there.
         """
         first_refusal: permit_types.PermitRefusal | None = None
-        for shard in self._candidate_shards():
-            answer = await self._services.permits.obtain(self._wanted(shard))
+        search = shard_search.ShardSearch(
+            call=self._call, services=self._services
+        )
+        while (shard := search.next_shard()) is not None:
+            answer = await self._services.permits.obtain(
+                self._wanted(shard, search.limits(shard))
+            )
             if isinstance(answer, permit_types.Permit):
                 return answer
             self._services.note(
@@ -77,6 +78,7 @@
                 f"{answer.reason.value} by {answer.dispatcher or 'nobody'} "
                 f"for {shard}",
             )
+            search.note_refusal(shard, answer)
             if first_refusal is None:
                 first_refusal = answer
             if answer.reason not in _ROOM_REASONS:
@@ -102,20 +104,9 @@
         configuration = self._services.fleet.configuration
         return configuration.upstreams_by_id.get(permit.upstream)
 
-    def _candidate_shards(self) -> Sequence[types.ShardId]:
-        resolved = self._call.resolved
-        remaining = self._call.limit_at - self._services.clock.monotonic()
-        ranked = policy_shards.rank_shards(
-            self._services.fleet.shard_views(
-                resolved.service.pool,
-                spread_by=resolved.prefix_hash or self._call.request_id,
-            ),
-            tier=resolved.profile.tier,
-            remaining_seconds=remaining,
-        )
-        return ranked[:_MAXIMUM_SHARDS_ASKED]
-
-    def _wanted(self, shard: types.ShardId) -> permit_types.PermitWanted:
+    def _wanted(
+        self, shard: types.ShardId, silence: permit_types.SilenceLimit | None
+    ) -> permit_types.PermitWanted:
         call = self._call
         return permit_types.PermitWanted(
             request_id=call.request_id,
@@ -129,4 +120,5 @@
             excluded=self._excluded,
             revision=call.configuration.revision,
             model=call.resolved.model,
+            silence=silence,
         )
--- a/packages/daemon/src/lagoonrun_daemon/permit_types.py
+++ b/packages/daemon/src/lagoonrun_daemon/permit_types.py
@@ -45,6 +45,23 @@
     ask_again_seconds: float = 0.05
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SilenceLimit:
+    """How long another domain's dispatchers may leave an ask unanswered.
+
+    Parameters
+    ----------
+    distance_seconds
+        Round trip to the domain, which each acknowledgement takes besides.
+    at
+        Reading of the monotonic clock at which the shard is given up if no
+        dispatcher has acknowledged the ask.
+    """
+
+    distance_seconds: float
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PermitWanted:
     """What an ingress asks a shard for.
@@ -53,6 +70,9 @@
     ----------
     limit_at, target_at
         Readings of the monotonic clock.
+    silence
+        Bound on unanswered asks; None in the own domain, where the request
+        looks for a dispatcher to its limit.
     """
 
     request_id: types.RequestId
@@ -66,6 +86,7 @@
     excluded: tuple[types.UpstreamId, ...] = ()
     revision: types.Revision = types.Revision(0)
     model: str = ""
+    silence: SilenceLimit | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -144,6 +165,11 @@
     """The dispatcher did not answer in time, or is dead."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GaveUp:
+    """The request cannot wait until the dispatcher counts as silent."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Forgotten:
     """The dispatcher lives but does not know of the request."""
@@ -161,6 +187,7 @@
     | messages.PermitRefused
     | messages.PermitNotMine
     | Silent
+    | GaveUp
     | Forgotten
     | CameBack
 )
@@ -189,6 +216,7 @@
     heard_before: int = 0
     patience_left: int = 0
     timer: asyncio.TimerHandle | None = None
+    give_up_timer: asyncio.TimerHandle | None = None
 
     def waits_again(self, heard: int) -> bool:
         """Return whether the dispatcher is slow rather than silent.
@@ -206,8 +234,14 @@
 
     def acknowledge(self) -> None:
         """Take in that the dispatcher has the request in its queue."""
-        if self.timer:
-            self.timer.cancel()
+        for timer in (self.timer, self.give_up_timer):
+            if timer:
+                timer.cancel()
+
+    def give_up(self) -> None:
+        """Go on without an answer; the timer still shows a silence."""
+        if not self.answer.done():
+            self.answer.set_result(GaveUp())
 
     def settle(self, answer: Answer) -> None:
         """Take in an answer; only the first one counts."""
--- a/packages/daemon/src/lagoonrun_daemon/permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/permits.py
@@ -13,10 +13,12 @@
 from lagoonrun_daemon import (
     dispatcher_search,
     permit_types,
+    reach,
     stalls,
     transport,
     work_digests,
 )
+from lagoonrun_membership import shards as membership_shards
 from lagoonrun_protocol import messages
 
 _ASKS_WITHOUT_PAUSE = 4
@@ -40,6 +42,8 @@
         Tells of times in which this process did not run.
     timing
         Times of the exchange.
+    domains
+        Takes in which domains answer.
     """
 
     def __init__(
@@ -51,12 +55,14 @@
         clock: clocks.Clock,
         stalls: stalls.StallDetector,
         timing: permit_types.PermitTiming | None = None,
+        domains: reach.DomainReach | None = None,
     ) -> None:
         self._entry_vm = entry_vm
         self._transport = transport
         self._clock = clock
         self._stalls = stalls
         self._timing = timing or permit_types.PermitTiming()
+        self._domains = domains or reach.DomainReach(clock=clock)
         self._search = dispatcher_search.DispatcherSearch(
             ranking=ranking,
             clock=clock,
@@ -190,6 +196,7 @@
                 ask = self._asks_by_key.get(_key_of(message))
                 if ask:
                     ask.acknowledge()
+                    self._domains.note_answer(_domain_of(ask))
             case messages.PermitGranted():
                 self._on_granted(sender, message)
             case messages.PermitRefused() | messages.PermitNotMine():
@@ -262,6 +269,8 @@
         remaining = wanted.limit_at - self._clock.monotonic()
         if remaining <= 0:
             return _refusal(outcomes.Reason.DEADLINE)
+        if search.silent and self._may_not_wait(wanted):
+            return _refusal(outcomes.Reason.NO_DISPATCHER)
         dispatcher = self._search.choose(wanted.shard, search)
         if dispatcher is None:
             return _refusal(outcomes.Reason.NO_DISPATCHER)
@@ -303,6 +312,11 @@
             case permit_types.Silent():
                 search.silent.add(ask.dispatcher)
                 self._give_up_on(ask)
+            case permit_types.GaveUp():
+                self._send_return(ask.dispatcher, ask.key, ask.wanted.shard)
+                return _refusal(
+                    outcomes.Reason.NO_DISPATCHER, dispatcher=ask.dispatcher
+                )
             case permit_types.CameBack():
                 search.silent.discard(answer.dispatcher)
             case permit_types.Forgotten():
@@ -328,9 +342,7 @@
 
     def _give_up_on(self, ask: permit_types.Ask) -> None:
         """Pass a silent dispatcher over, and withdraw the request there."""
-        if self._search.note_silence(ask.dispatcher):
-            # The next dispatcher would else grant slots that are in use.
-            self.on_ranking_changed()
+        self._note_silence(ask)
         self._send_return(ask.dispatcher, ask.key, ask.wanted.shard)
         logs.emit(
             events.LogEvent.PERMIT_HANDOVER,
@@ -340,6 +352,12 @@
             dispatcher=ask.dispatcher,
         )
 
+    def _note_silence(self, ask: permit_types.Ask) -> None:
+        self._domains.note_silence(_domain_of(ask), ask.dispatcher)
+        if self._search.note_silence(ask.dispatcher):
+            # The next dispatcher would else grant slots that are in use.
+            self.on_ranking_changed()
+
     def _send_ask(
         self,
         wanted: permit_types.PermitWanted,
@@ -364,8 +382,37 @@
             ask.settle(permit_types.Silent())
         elif dispatcher != self._entry_vm:
             self._await_acknowledgement(ask)
+            self._bound_silence(ask)
         return ask
 
+    def _may_not_wait(self, wanted: permit_types.PermitWanted) -> bool:
+        silence = wanted.silence
+        return silence is not None and self._clock.monotonic() >= silence.at
+
+    def _bound_silence(self, ask: permit_types.Ask) -> None:
+        """Give the ask up when its request can wait no longer.
+
+        That may be sooner than the dispatcher counts as silent: one that is
+        only slow must not be passed over by all others for it.
+        """
+        silence = ask.wanted.silence
+        if silence is None:
+            return
+        loop = asyncio.get_running_loop()
+        due = loop.time() + max(0.0, silence.at - self._clock.monotonic())
+        ask.give_up_timer = loop.call_at(due, self._on_given_up, ask, due)
+
+    def _on_given_up(self, ask: permit_types.Ask, due: float) -> None:
+        """Give an ask up, unless this process itself was late."""
+        loop = asyncio.get_running_loop()
+        if loop.time() - due > self._timing.own_lateness_seconds:
+            again = loop.time()
+            ask.give_up_timer = loop.call_at(
+                again, self._on_given_up, ask, again
+            )
+            return
+        ask.give_up()
+
     def _await_acknowledgement(self, ask: permit_types.Ask) -> None:
         """Take a remote dispatcher for silent if it does not answer in time.
 
@@ -373,7 +420,10 @@
         together, and a timer that is due then would only say so.
         """
         loop = asyncio.get_running_loop()
-        due = loop.time() + self._timing.acknowledge_timeout_seconds
+        timeout = self._timing.acknowledge_timeout_seconds
+        if ask.wanted.silence is not None:
+            timeout += 2 * ask.wanted.silence.distance_seconds
+        due = loop.time() + timeout
         ask.timer = loop.call_at(due, self._on_unacknowledged, ask, due)
 
     def _on_unacknowledged(self, ask: permit_types.Ask, due: float) -> None:
@@ -393,7 +443,12 @@
         if is_late or ask.waits_again(heard):
             self._await_acknowledgement(ask)
             return
-        ask.settle(permit_types.Silent())
+        if not ask.answer.done():
+            ask.settle(permit_types.Silent())
+        elif self._search.heard_since(ask.dispatcher, ask.asked_at):
+            self._domains.note_answer(_domain_of(ask))
+        else:
+            self._note_silence(ask)
 
     def _request_of(
         self, ask: permit_types.Ask, search: dispatcher_search.Search
@@ -480,6 +535,10 @@
         )
 
 
+def _domain_of(ask: permit_types.Ask) -> types.FailureDomain:
+    return membership_shards.domain_of(ask.wanted.shard)
+
+
 _Keyed = (
     messages.PermitAcknowledged
     | messages.PermitGranted
--- a/packages/daemon/src/lagoonrun_daemon/services.py
+++ b/packages/daemon/src/lagoonrun_daemon/services.py
@@ -11,6 +11,7 @@
     fleet,
     metrics,
     permit_types,
+    reach,
 )
 from lagoonrun_daemon import call as calls
 from lagoonrun_http import upstream as http_upstream
@@ -33,6 +34,7 @@
     permits: permit_types.PermitSource
     client: http_upstream.UpstreamClient
     fleet: fleet.FleetView
+    reach: reach.DomainReach
     explanations: explanations.ExplanationRing
     budget: retries.RetryBudget
     claims: claims.Claims
