Keep what can meet its target from runners too slow for it

A free straggler was taken by a lookup whose target it could not meet, though a fast runner was free a moment later. While the best runner can still meet the target with a quarter to spare, runners whose high quantile exceeds the time left until the target are left to others.

--- a/packages/policy/src/lagoonrun_policy/decision.py
+++ b/packages/policy/src/lagoonrun_policy/decision.py
@@ -49,6 +49,7 @@
     MODEL_NOT_LOADED = "model-not-loaded"
     FULL = "full"
     TOO_SLOW = "too-slow"
+    TOO_SLOW_FOR_TARGET = "too-slow-for-target"
 
 
 class VerdictKind(enum.Enum):
@@ -59,7 +60,13 @@
     REFUSE = "refuse"
 
 
-_COMPUTED = frozenset({Exclusion.FULL.value, Exclusion.TOO_SLOW.value})
+_COMPUTED = frozenset(
+    {
+        Exclusion.FULL.value,
+        Exclusion.TOO_SLOW.value,
+        Exclusion.TOO_SLOW_FOR_TARGET.value,
+    }
+)
 _LASTING = frozenset(
     {
         Exclusion.LEAVING.value,
@@ -125,6 +132,7 @@
     straggler_factor: float,
     expected_service_seconds: float,
     remaining_seconds: float,
+    target_budget_seconds: float,
     exclusion: str,
 ) -> messages.Candidate:
     """Score one runner for a request.
@@ -133,6 +141,8 @@
     ----------
     foreign_load
         Work that only the report shows, as of the report.
+    target_budget_seconds
+        See `messages.DecisionRecord`.
     exclusion
         Rule that already excludes the runner; empty for none.
     """
@@ -141,6 +151,8 @@
             exclusion = Exclusion.FULL.value
         elif expected_service_seconds > remaining_seconds:
             exclusion = Exclusion.TOO_SLOW.value
+        elif 0 < target_budget_seconds < expected_service_seconds:
+            exclusion = Exclusion.TOO_SLOW_FOR_TARGET.value
     score = 0.0
     if not exclusion:
         load = in_flight + 1.0
@@ -221,9 +233,7 @@
 
 def check(record: messages.DecisionRecord) -> Agreement:
     """Decide again from a record's inputs and compare."""
-    candidates = tuple(
-        _weigh_again(c, record.remaining_seconds) for c in record.candidates
-    )
+    candidates = tuple(_weigh_again(c, record) for c in record.candidates)
     recomputed = decide(
         DecisionInputs(
             key=record.key,
@@ -322,7 +332,7 @@
 
 
 def _weigh_again(
-    candidate: messages.Candidate, remaining_seconds: float
+    candidate: messages.Candidate, record: messages.DecisionRecord
 ) -> messages.Candidate:
     given = candidate.exclusion
     return weigh(
@@ -335,7 +345,8 @@
         affinity=candidate.affinity,
         straggler_factor=candidate.straggler_factor,
         expected_service_seconds=candidate.expected_service_seconds,
-        remaining_seconds=remaining_seconds,
+        remaining_seconds=record.remaining_seconds,
+        target_budget_seconds=record.target_budget_seconds,
         exclusion="" if given in _COMPUTED else given,
     )
 
--- a/packages/policy/src/lagoonrun_policy/features.py
+++ b/packages/policy/src/lagoonrun_policy/features.py
@@ -13,6 +13,8 @@
         Weighted fair queueing between the organisations of a class.
     target_lanes
         Serve first what can still meet its target.
+    target_runners
+        Keep what can meet its target from runners too slow for it.
     floors
         Grants set aside for each lower class that waits.
     deadline_refusal
@@ -35,6 +37,7 @@
 
     fair_sharing: bool = True
     target_lanes: bool = True
+    target_runners: bool = True
     floors: bool = True
     deadline_refusal: bool = True
     wait_refusal: bool = True
--- a/packages/policy/src/lagoonrun_policy/messages.py
+++ b/packages/policy/src/lagoonrun_policy/messages.py
@@ -292,6 +292,9 @@
     drain_seconds
         Time until the work of this and the higher tiers that waits now has
         been granted; the base of `retry_after_seconds`.
+    target_budget_seconds
+        Time left until the target, where a runner that is too slow for it is
+        not worth taking; 0 where any will do.
     reserved_floor_share
         Share of grants set aside for lower classes that wait; the two times
         above are reckoned on the rest.
@@ -322,6 +325,7 @@
     expected_wait_seconds: float = 0.0
     drain_seconds: float = 0.0
     reserved_floor_share: float = 0.0
+    target_budget_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/policy/src/lagoonrun_policy/records.py
+++ b/packages/policy/src/lagoonrun_policy/records.py
@@ -35,6 +35,7 @@
     """
     margins = shared.margins_of(state, now)
     remaining = waiting.deadline - now
+    target_budget = shared.target_budget(waiting, state, now)
     queue_length = state.queue.length
     inputs = decision.DecisionInputs(
         key=waiting.request.key,
@@ -52,6 +53,7 @@
             margins=margins.by_id,
             kept=kept,
             remaining_seconds=remaining,
+            target_budget_seconds=target_budget,
             now=now,
         ),
     )
@@ -81,6 +83,7 @@
         phase=phase.value,
         expected_wait_seconds=expected_wait_seconds,
         drain_seconds=inputs.drain_seconds,
+        target_budget_seconds=target_budget,
         reserved_floor_share=floors.reserved_share(state, shared.classes),
     )
     return verdict, record
--- a/packages/policy/src/lagoonrun_policy/runners.py
+++ b/packages/policy/src/lagoonrun_policy/runners.py
@@ -247,6 +247,7 @@
         margins: dict[types.UpstreamId, float],
         kept: Set[types.UpstreamId],
         remaining_seconds: float,
+        target_budget_seconds: float,
         now: float,
     ) -> tuple[messages.Candidate, ...]:
         """Weigh every runner for a request."""
@@ -263,6 +264,7 @@
                 margin=margins.get(runner.id, 0.0),
                 share=shares.get(runner.id, 0.0),
                 remaining_seconds=remaining_seconds,
+                target_budget_seconds=target_budget_seconds,
                 exclusion=self._exclusion(runner, request, profile, kept, now),
                 now=now,
             )
@@ -337,6 +339,7 @@
         margin: float,
         share: float,
         remaining_seconds: float,
+        target_budget_seconds: float,
         exclusion: decision.Exclusion,
         now: float,
     ) -> messages.Candidate:
@@ -352,6 +355,7 @@
             straggler_factor=self.straggler_factor(runner, now),
             expected_service_seconds=margin,
             remaining_seconds=remaining_seconds,
+            target_budget_seconds=target_budget_seconds,
             exclusion=exclusion.value,
         )
 
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -101,6 +101,9 @@
             if earliest is not None:
                 margin = self._shard.margins_of(state, now).best
                 instants.append(earliest.deadline - margin)
+                budget = self._shard.budget_until(earliest, state, now)
+                if budget > now:
+                    instants.append(budget)
                 cut_at = self._cutting.due_at(state)
                 if self._shard.switches.cutting and cut_at > now:
                     instants.append(cut_at)
--- a/packages/policy/src/lagoonrun_policy/shard.py
+++ b/packages/policy/src/lagoonrun_policy/shard.py
@@ -6,6 +6,7 @@
 from lagoonrun_policy import (
     class_state,
     estimates,
+    fair_queue,
     features,
     floors,
     messages,
@@ -13,6 +14,7 @@
 )
 
 _MARGIN_REFRESH_SECONDS = 0.05
+_TARGET_SLACK = 1.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -125,6 +127,36 @@
             )
         return now + self.services.typical(profile=profile, now=now)
 
+    def target_budget(
+        self,
+        waiting: fair_queue.Waiting,
+        state: class_state.ClassState,
+        now: float,
+    ) -> float:
+        """Return the time in which a runner has to be done; 0 if any will do.
+
+        While the best runner can meet the target with some time to spare, it
+        is better to wait for one than to take a straggler that cannot.
+        """
+        if state.policy.target_on_first_token:
+            return 0.0
+        remaining = waiting.target_deadline - now
+        return (
+            remaining if now < self.budget_until(waiting, state, now) else 0.0
+        )
+
+    def budget_until(
+        self,
+        waiting: fair_queue.Waiting,
+        state: class_state.ClassState,
+        now: float,
+    ) -> float:
+        """Return the instant from which any runner will do."""
+        best = self.margins_of(state, now).best
+        if not self.switches.target_runners or best == 0.0:
+            return now
+        return waiting.target_deadline - _TARGET_SLACK * best
+
     def any_waiting(self) -> bool:
         """Return whether any request waits."""
         return any(c.queue.length for c in self.classes)
--- a/packages/policy/tests/test_runners.py
+++ b/packages/policy/tests/test_runners.py
@@ -1,5 +1,7 @@
 """What is learnt of runners: room, failures, pace, reports and prefixes."""
 
+import dataclasses
+
 import pytest
 
 from lagoonrun_core import outcomes, types
@@ -7,6 +9,7 @@
 
 from .conftest import class_policy
 
+_LEARNT = features.Features(adaptive_room=False, straggler_penalty=False)
 _PROFILE = types.ProfileName("lookup")
 
 
@@ -132,6 +135,55 @@
     assert taken.count("r0") < taken.count("r1")
 
 
+@pytest.mark.parametrize("switched_on", [True, False])
+def test_lookup_waits_for_a_runner_that_can_meet_its_target(drive, switched_on):
+    """A straggler has a free slot, and a lookup comes that it would make late.
+
+    A fast runner's slot is free in a moment. Taking the straggler at once
+    would miss a target that a short wait meets.
+    """
+    driver = drive(
+        class_policy("lookup", 1),
+        class_policy("digest", 2, limit_seconds=60.0),
+        runners=2,
+        slots=2,
+        switches=dataclasses.replace(_LEARNT, target_runners=switched_on),
+    )
+    for _ in range(120):
+        key = driver.request("lookup")
+        driver.now += 0.05
+        slow = driver.upstream_by_key[key] == "r0"
+        seconds = 2.0 if slow else 0.2
+        driver.end(key, total_seconds=seconds, tokens=100)
+    keys = [driver.request("lookup") for _ in range(3)]
+    taken = [driver.upstream_by_key.get(k) for k in keys]
+    if not switched_on:
+        assert "r0" in taken
+        return
+    assert taken == ["r1", "r1", None]
+    driver.end(keys[0])
+    assert driver.upstream_by_key[keys[2]] == "r1"
+
+
+def test_lookup_takes_the_straggler_when_waiting_no_longer_helps(drive):
+    driver = drive(
+        class_policy("lookup", 1), runners=2, slots=1, switches=_LEARNT
+    )
+    for _ in range(120):
+        key = driver.request("lookup")
+        driver.now += 0.05
+        slow = driver.upstream_by_key[key] == "r0"
+        driver.end(key, total_seconds=2.0 if slow else 0.2, tokens=100)
+    driver.request("lookup")
+    key = driver.request("lookup")
+    assert key not in driver.upstream_by_key
+    wake = driver.subject.next_wake(now=driver.now)
+    assert driver.now < wake < driver.now + 1.0
+    driver.now = wake + 0.1
+    driver.send(messages.Ticked())
+    assert driver.upstream_by_key[key] == "r0"
+
+
 def test_work_of_others_counts_and_fades(drive):
     driver = drive(class_policy("lookup", 1), runners=2, slots=8)
     report = messages.LoadReported(
