--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Sequence
 
 from lagoonrun_claims import claims
 from lagoonrun_config import follower as followers
@@ -17,6 +16,7 @@
     experiment,
     explanations,
     fleet,
+    gauges,
     ingress,
     loads,
     message_router,
@@ -31,6 +31,7 @@
     status,
     summaries,
     transport,
+    upstream_reports,
     vm_watch,
 )
 from lagoonrun_daemon import services as daemon_services
@@ -39,7 +40,6 @@
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_membership import membership, ranking
 from lagoonrun_platform import etcd_gateway
-from lagoonrun_policy import messages as policy_messages
 from lagoonrun_policy import retries
 from lagoonrun_protocol import hub, messages
 
@@ -84,7 +84,7 @@
         self._build_network()
         self._build_decisions()
         self._build_edges()
-        self._watch_gauges()
+        gauges.watch(self)
 
     def _build_network(self) -> None:
         configured = self._settings
@@ -255,11 +255,18 @@
             ),
             clock=self._clock,
         )
+        self._reports = upstream_reports.UpstreamReports(
+            entry_vm=configured.entry_vm,
+            view=self.fleet,
+            dispatcher=self.dispatcher,
+            members=self.members,
+            naive=self._naive_permits,
+        )
         self._load_reader = loads.LoadReader(
             client=self.client,
-            upstreams=self._dispatched_upstreams,
-            on_report=self._on_load_report,
-            on_leaving=self._on_own_report,
+            upstreams=self._reports.upstreams,
+            on_report=self._reports.on_load_report,
+            on_leaving=self._reports.on_own_report,
         )
 
         self._summaries = summaries.SummaryAnnouncer(
@@ -275,39 +282,6 @@
             chance=self._random,
         )
 
-    def _watch_gauges(self) -> None:
-        observe = self.metrics.observe_with
-        self.metrics.platform_calls.set_function(
-            lambda: self.store.calls_by_kind
-        )
-        self.metrics.platform_failures.set_function(
-            lambda: self.store.failures_by_kind
-        )
-        observe(self.metrics.ready, lambda: float(self.ready))
-        observe(
-            self.metrics.platform_reachable,
-            lambda: float(self.follower.platform_reachable),
-        )
-        observe(self.metrics.configuration_age, lambda: self.in_force_seconds)
-        observe(
-            self.metrics.live_members,
-            lambda: sum(
-                member.state is messages.MemberState.ALIVE
-                for member in self.members.members_by_id.values()
-            ),
-        )
-        observe(
-            self.metrics.leaving_upstreams,
-            lambda: len(self.fleet.leaving_upstreams()),
-        )
-        observe(self.metrics.ejected_upstreams, self.dispatcher.ejected_count)
-        observe(
-            self.metrics.owned_shards,
-            lambda: len(self.dispatcher.owned_shards),
-        )
-        observe(self.metrics.orderer, lambda: self.orderer.fencing is not None)
-        observe(self.metrics.pending_claims, lambda: self.claims.pending)
-
     @property
     def settings(self) -> settings.Settings:
         """Checked settings of this entry VM."""
@@ -469,7 +443,10 @@
         if leaving:
             logs.emit(events.LogEvent.UPSTREAM_LEAVING, upstream=upstream)
         self.dispatcher.on_upstream_changed(upstream, leaving=leaving)
-        self._forget_connections(upstream)
+        configuration = self.fleet.configuration
+        declared = configuration and configuration.upstreams_by_id.get(upstream)
+        if declared:
+            self.client.forget(declared.address, declared.port)
 
     def on_configuration_announced(
         self,
@@ -488,49 +465,3 @@
         live = self.members.live_in(self._settings.domain)
         chosen = ranking.choose_watchers(self._settings.domain, live)
         return self._settings.entry_vm in chosen
-
-    # What the load reader asks and tells.
-
-    def _dispatched_upstreams(self) -> Sequence[model.Upstream]:
-        """Return the upstreams whose reports are read here.
-
-        Also those of shards that nobody has asked for yet: the first request
-        after a quiet time must not be granted an upstream that has said
-        meanwhile that it is leaving.
-        """
-        if self._naive_permits is not None:
-            return self._naive_permits.upstreams()
-        owned = self.dispatcher.owned_shards
-        return [
-            upstream
-            for shard in self.fleet.shards_by_id.values()
-            if shard.id in owned
-            or self.fleet.owner_of(shard.id) == self._settings.entry_vm
-            for upstream in shard.upstreams
-        ]
-
-    def _on_load_report(self, report: policy_messages.LoadReported) -> None:
-        if self._naive_permits is not None:
-            self._naive_permits.on_load_report(report)
-            return
-        for shard_id in self.dispatcher.owned_shards:
-            shard = self.fleet.shards_by_id.get(shard_id)
-            if shard and any(u.id == report.upstream for u in shard.upstreams):
-                self.dispatcher.on_load_report(shard_id, report)
-
-    def _on_own_report(
-        self,
-        upstream: types.UpstreamId,
-        incarnation: types.Incarnation,
-        leaving: bool,
-    ) -> None:
-        if leaving != self.members.upstream_is_leaving(upstream):
-            self.members.report_upstream(upstream, incarnation, leaving)
-
-    def _forget_connections(self, upstream: types.UpstreamId) -> None:
-        configuration = self.fleet.configuration
-        if configuration is None:
-            return
-        declared = configuration.upstreams_by_id.get(upstream)
-        if declared is not None:
-            self.client.forget(declared.address, declared.port)
