Ask given-up shards again before a refusal; test lost regions

The bound on silent domains cost a promise: with one far entry VM dead, two lookups within 0.3 s were refused although its domain had free runners, where the search went on to the next-ranked before.

Failure tests run one ingress among five domains of three regions in virtual time.

--- a/packages/daemon/src/lagoonrun_daemon/shard_search.py
+++ b/packages/daemon/src/lagoonrun_daemon/shard_search.py
@@ -23,7 +23,9 @@
     A domain that is cut off does not answer, and nobody has told of it yet.
     All such domains together cost a call a bounded share of its time: each
     may use up half of what is left of it, and the region of a silent domain
-    comes last from then on.
+    comes last from then on. Before the call is refused, those given up so are
+    asked again with a share of the time to its limit: of a domain whose
+    dispatcher alone has died, the next-ranked one answers then.
 
     Parameters
     ----------
@@ -42,6 +44,8 @@
         self._asked_at = 0.0
         self._silence_seconds_left = 0.0
         self._others_ranked = False
+        self._given_up: list[types.ShardId] = []
+        self._is_second_pass = False
         self._left = self._own_shards()
 
     def next_shard(self) -> types.ShardId | None:
@@ -50,7 +54,9 @@
             # Ranked only now: the own domain's queue may have taken long.
             self._others_ranked = True
             self._left = self._other_shards()
-        while self._left and self._asked < _MAXIMUM_SHARDS_ASKED:
+        if not self._left and self._given_up:
+            self._begin_second_pass()
+        while self._left:
             shard = self._left.pop(0)
             if self._may_ask(shard):
                 self._asked += 1
@@ -84,11 +90,20 @@
             return
         if domain == fleet.domain:
             return
+        if not self._is_second_pass:
+            self._given_up.append(shard)
         lost = self._services.clock.monotonic() - self._asked_at
         self._silence_seconds_left = max(0.0, self._silence_seconds_left - lost)
         region = fleet.region_of(domain)
         self._left.sort(key=lambda other: self._region_of(other) == region)
 
+    def _begin_second_pass(self) -> None:
+        now = self._services.clock.monotonic()
+        remaining = max(self._call.limit_at - now, 0.0)
+        self._silence_seconds_left = _SILENCE_SHARE * remaining
+        self._left, self._given_up = self._given_up, []
+        self._is_second_pass = True
+
     def _own_shards(self) -> list[types.ShardId]:
         resolved = self._call.resolved
         return self._rank(
--- /dev/null
+++ b/packages/daemon/tests/failures/test_lost_regions.py
@@ -0,0 +1,447 @@
+"""Other regions that stop answering while requests look for room there.
+
+Time is virtual: the event loop's clock jumps to the next timer.
+"""
+
+import asyncio
+import collections
+import itertools
+import selectors
+import types as builtin_types
+
+import pytest
+
+from lagoonrun_config import declarations, draft
+from lagoonrun_core import outcomes
+from lagoonrun_daemon import (
+    fleet,
+    permit_seeking,
+    permit_types,
+    permits,
+    reach,
+    stalls,
+)
+from lagoonrun_membership import shards as membership_shards
+from lagoonrun_protocol import messages
+
+OWN = "east-a"
+_REGION_BY_DOMAIN = {
+    "east-a": "east",
+    "east-b": "east",
+    "north-a": "north",
+    "north-b": "north",
+    "west-a": "west",
+}
+_VMS_PER_DOMAIN = 5
+_ENTRY_VM = "vm-east-a-0"
+_NEAR_SECONDS = 0.001
+_FAR_SECONDS = 0.08
+
+TARGET_SECONDS = 0.6
+LIMIT_SECONDS = 4.0
+
+_PROFILE = f"""
+[profiles.lookup]
+tier = 1
+target_seconds = {TARGET_SECONDS}
+limit_seconds = {LIMIT_SECONDS}
+
+[services.lookups]
+kind = "plain"
+pool = "portal"
+profile = "lookup"
+path_prefix = "/lookups"
+"""
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Let the loop's clock jump where it would wait."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout=None):
+        """Return what is ready without waiting."""
+        if timeout:
+            self.now += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes only while nothing is to be done."""
+
+    def __init__(self):
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self):
+        """Return the virtual time."""
+        return self._jumping.now
+
+
+class LoopClock:
+    """The virtual time as the daemon's clock."""
+
+    def monotonic(self):
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+
+class Members:
+    """What a membership would tell: who lives, how far, with what room."""
+
+    def __init__(self):
+        self.dead_domains = set()
+        self.summaries_by_shard = {}
+
+    @property
+    def members_by_id(self):
+        """All members, by id."""
+        return {
+            vm: builtin_types.SimpleNamespace(domain=domain)
+            for domain in _REGION_BY_DOMAIN
+            for vm in _vms(domain)
+        }
+
+    def live_in(self, domain):
+        """Return the entry VMs of a domain."""
+        return () if domain in self.dead_domains else _vms(domain)
+
+    def round_trip_to(self, domain):
+        """Return how far a domain is."""
+        return _distance(domain)
+
+    def upstream_is_leaving(self, upstream):
+        """Return that none is."""
+        return False
+
+
+class Dispatchers:
+    """All dispatchers: each domain answers in its own way, or not at all."""
+
+    def __init__(self):
+        self.silent = set()
+        self.answer_by_domain = {}
+        self.acknowledge_seconds = 0.0
+        self.asks_by_domain = collections.Counter()
+        self.asked = set()
+        self.client = None
+
+    def send(self, to, message):
+        """Take a message in; answer it when its way there and back is over."""
+        if not isinstance(message, messages.PermitRequest):
+            return True
+        domain = membership_shards.domain_of(message.shard)
+        self.asks_by_domain[domain] += 1
+        self.asked.add((domain, to))
+        if domain in self.silent or to in self.silent:
+            return True
+        loop = asyncio.get_running_loop()
+        delay = _distance(domain) + self.acknowledge_seconds
+        keyed = {
+            "request_id": message.request_id,
+            "attempt_id": message.attempt_id,
+        }
+        loop.call_later(
+            delay,
+            self.client.on_message,
+            to,
+            messages.PermitAcknowledged(**keyed),
+        )
+        wait, answer = self.answer_by_domain[domain](message, keyed)
+        loop.call_later(delay + wait, self.client.on_message, to, answer)
+        return True
+
+
+def _vms(domain):
+    return tuple(f"vm-{domain}-{n}" for n in range(_VMS_PER_DOMAIN))
+
+
+def _distance(domain):
+    if domain == OWN:
+        return 0.0
+    near = _REGION_BY_DOMAIN[domain] == _REGION_BY_DOMAIN[OWN]
+    return _NEAR_SECONDS if near else _FAR_SECONDS
+
+
+def refuses(message, keyed):
+    """Refuse for room at once."""
+    del message
+    return 0.0, messages.PermitRefused(
+        **keyed,
+        reason=outcomes.Reason.QUEUE_FULL,
+        retry_after_seconds=1.0,
+    )
+
+
+def grants_after(seconds):
+    """Return the answer of a dispatcher with a short queue."""
+
+    def grant(message, keyed):
+        return seconds, messages.PermitGranted(
+            **keyed, upstream="any", shard=message.shard
+        )
+
+    return grant
+
+
+def _configuration():
+    text = _PROFILE + "".join(
+        f'[domains.{domain}]\nregion = "{region}"\n'
+        f'[[pools.portal.upstreams]]\nid = "{domain}-1"\n'
+        f'domain = "{domain}"\naddress = "10.0.0.{n}"\nport = 9000\n'
+        for n, (domain, region) in enumerate(_REGION_BY_DOMAIN.items())
+    )
+    parsed = declarations.parse_declarations(
+        [declarations.DeclarationFile(name="test", text=text)]
+    )
+    assert isinstance(parsed, draft.Draft), parsed.faults
+    return draft.configuration_of(parsed, revision=1, digest="")
+
+
+class World:
+    """One ingress in the middle of five domains in three regions."""
+
+    def __init__(self):
+        self.clock = LoopClock()
+        self.members = Members()
+        self.dispatchers = Dispatchers()
+        self.fleet = fleet.FleetView(
+            entry_vm=_ENTRY_VM, domain=OWN, members=self.members
+        )
+        self.fleet.set_configuration(_configuration())
+        self.reach = reach.DomainReach(clock=self.clock)
+        self.client = permits.PermitClient(
+            entry_vm=_ENTRY_VM,
+            ranking=self.fleet,
+            transport=self.dispatchers,
+            clock=self.clock,
+            stalls=stalls.StallDetector(clock=self.clock),
+            domains=self.reach,
+        )
+        self.dispatchers.client = self.client
+        self.dispatchers.answer_by_domain = {
+            domain: grants_after(0.0) for domain in _REGION_BY_DOMAIN
+        }
+        self.dispatchers.answer_by_domain[OWN] = refuses
+        self._numbers = itertools.count()
+        self._services = builtin_types.SimpleNamespace(
+            fleet=self.fleet,
+            reach=self.reach,
+            permits=self.client,
+            clock=self.clock,
+            note=lambda call, what, detail: None,
+        )
+
+    def tell(self, domain, *, free=0, wait_seconds=0.0):
+        """Have a domain's summary known."""
+        shard = f"portal@{domain}/0"
+        self.members.summaries_by_shard[shard] = messages.ShardSummary(
+            shard=shard,
+            dispatcher=_vms(domain)[0],
+            free=free,
+            lowest_waiting_tier=0,
+            lowest_running_tier=1,
+            wait_seconds=wait_seconds,
+        )
+
+    async def seek(self):
+        """Have one lookup seek a permit; return it and its seconds."""
+        configuration = self.fleet.configuration
+        service = configuration.services_by_name["lookups"]
+        now = self.clock.monotonic()
+        call = builtin_types.SimpleNamespace(
+            request_id=f"r-{next(self._numbers)}",
+            resolved=builtin_types.SimpleNamespace(
+                service=service,
+                profile=configuration.profiles_by_name["lookup"],
+                organisation="house",
+                prefix_hash=0,
+                model="",
+            ),
+            body=b"",
+            configuration=configuration,
+            target_at=now + TARGET_SECONDS,
+            limit_at=now + LIMIT_SECONDS,
+        )
+        seeker = permit_seeking.PermitSeeker(call=call, services=self._services)
+        answer = await seeker.obtain()
+        return answer, self.clock.monotonic() - now
+
+    def domain_of(self, permit):
+        """Return the domain that granted a permit."""
+        return membership_shards.domain_of(permit.shard)
+
+
+@pytest.fixture
+def run():
+    """Return what runs a scenario on a world in virtual time."""
+
+    def run_scenario(scenario):
+        async def on_new_world():
+            return await scenario(World())
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            return runner.run(on_new_world())
+
+    return run_scenario
+
+
+def lost_regions(world):
+    """Two regions with room are cut off; the near domain has a queue."""
+    for domain in ("north-a", "north-b", "west-a"):
+        world.tell(domain, free=8)
+        world.dispatchers.silent.add(domain)
+    world.tell("east-b", wait_seconds=2.0)
+    world.dispatchers.answer_by_domain["east-b"] = grants_after(0.2)
+
+
+async def burst(world, *, requests, period_seconds):
+    """Have lookups come in at a steady rate; return all answers."""
+    tasks = []
+    for _ in range(requests):
+        tasks.append(asyncio.create_task(world.seek()))
+        await asyncio.sleep(period_seconds)
+    return await asyncio.gather(*tasks)
+
+
+def test_lost_regions_cost_lookups_no_target(run):
+    """Two regions are cut off under load, and nobody has told of it yet.
+
+    The own shard refuses for room, the far ones had free runners a moment
+    ago, the near one a queue. Each lookup asked the far entry VMs one after
+    the other, 150 ms each, while the near queue would have served it in time.
+    """
+
+    async def scenario(world):
+        lost_regions(world)
+        answers = await burst(world, requests=500, period_seconds=0.02)
+        return world, answers
+
+    world, answers = run(scenario)
+    for permit, _ in answers:
+        assert isinstance(permit, permit_types.Permit)
+        assert world.domain_of(permit) == "east-b"
+    assert max(seconds for _, seconds in answers) <= TARGET_SECONDS
+    # After the first second or two, only trials ask in vain.
+    delayed = [seconds for _, seconds in answers[100:] if seconds > 0.25]
+    assert len(delayed) <= 12
+
+
+def test_room_of_a_region_that_is_back_is_used_again(run):
+    """A cut of half a minute ends; the far region has room, the near none.
+
+    The far domains are passed over meanwhile; one lookup now and then has to
+    try them, or their room would stay unused until a restart.
+    """
+
+    async def scenario(world):
+        lost_regions(world)
+        world.dispatchers.answer_by_domain["east-b"] = refuses
+        await burst(world, requests=300, period_seconds=0.1)
+        world.dispatchers.silent.clear()
+        return await burst(world, requests=120, period_seconds=0.1)
+
+    answers = run(scenario)
+    granted = [isinstance(answer, permit_types.Permit) for answer, _ in answers]
+    assert granted.index(True) <= 80
+    assert all(granted[85:])
+
+
+def test_one_dead_entry_vm_does_not_hide_its_domain(run):
+    """The dispatcher of a far shard dies; its domain goes on without it.
+
+    The next-ranked one has to be asked by the same lookup. Were the domain
+    passed over for one silent entry VM, lookups would be refused here while
+    lower tiers run there.
+    """
+
+    async def scenario(world):
+        world.tell("west-a", free=8)
+        world.dispatchers.answer_by_domain["east-b"] = refuses
+        for domain in ("north-a", "north-b"):
+            world.dispatchers.answer_by_domain[domain] = refuses
+        first = world.fleet.ranked_for("portal@west-a/0")[0]
+        world.dispatchers.silent.add(first)
+        return world, await burst(world, requests=20, period_seconds=0.2)
+
+    world, answers = run(scenario)
+    granted = [isinstance(answer, permit_types.Permit) for answer, _ in answers]
+    assert all(granted)
+    assert world.reach.may_ask("west-a")
+
+
+def test_slow_acknowledgement_hides_nobody(run):
+    """A dispatcher is busy and acknowledges after 120 ms.
+
+    A lookup with little time left goes on without it, but that is no silence:
+    all others of this entry VM would pass a healthy dispatcher over.
+    """
+
+    async def scenario(world):
+        world.dispatchers.acknowledge_seconds = 0.12
+        world.tell("east-b", free=8)
+        for domain in ("north-a", "north-b", "west-a"):
+            world.dispatchers.answer_by_domain[domain] = refuses
+        await burst(world, requests=10, period_seconds=0.5)
+        return world
+
+    world = run(scenario)
+    assert world.reach.may_ask("east-b")
+    first = world.fleet.ranked_for("portal@east-b/0")[0]
+    asked = {to for domain, to in world.dispatchers.asked if domain == "east-b"}
+    assert asked == {first}
+
+
+def test_far_dispatcher_is_not_silent_for_the_way(run):
+    """A region is further away than a near dispatcher may stay silent.
+
+    Each acknowledgement comes after 150 ms; every dispatcher there would be
+    passed over, and a second one would grant the same runners.
+    """
+
+    async def scenario(world):
+        world.tell("west-a", free=8)
+        world.dispatchers.acknowledge_seconds = 0.1
+        for domain in ("east-b", "north-a", "north-b"):
+            world.dispatchers.answer_by_domain[domain] = refuses
+        return world, await world.seek()
+
+    world, (permit, _) = run(scenario)
+    assert isinstance(permit, permit_types.Permit)
+    first = world.fleet.ranked_for("portal@west-a/0")[0]
+    asked = {to for domain, to in world.dispatchers.asked if domain == "west-a"}
+    assert asked == {first}
+
+
+def test_dead_region_is_dispatched_by_nobody_here(run):
+    """All entry VMs of a far region are held for dead: it is cut off.
+
+    Whoever lived took its shards over and granted runners out of reach, and
+    read their load reports in vain.
+    """
+
+    async def scenario(world):
+        lost_regions(world)
+        world.members.dead_domains.update(("north-a", "north-b", "west-a"))
+        world.fleet.on_members_changed()
+        await burst(world, requests=20, period_seconds=0.02)
+        return world
+
+    world = run(scenario)
+    assert world.fleet.owner_of("portal@west-a/0") is None
+    assert set(world.dispatchers.asks_by_domain) == {OWN, "east-b"}
+
+
+def test_lost_domain_is_dispatched_within_its_region(run):
+    async def scenario(world):
+        world.members.dead_domains.update(("north-a", "east-b"))
+        world.fleet.on_members_changed()
+        return world
+
+    world = run(scenario)
+    far = world.fleet.ranked_for("portal@north-a/0")
+    assert set(far) == set(_vms("north-b"))
+    near = world.fleet.ranked_for("portal@east-b/0")
+    assert set(near) == set(_vms(OWN))
