--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -1,5 +1,6 @@
 """Shared fixtures: the platform's stand-in, and commands run in process."""
 
+import asyncio
 import dataclasses
 import hashlib
 import io
@@ -25,6 +26,7 @@
 KEY = "key-of-house"
 KEY_DIGEST = hashlib.sha256(KEY.encode()).hexdigest()
 ADMIN_TOKEN = "token-of-operators"
+_LONGEST_RECORDING_SECONDS = 10.0
 INNER_KEY = b"k" * 32
 
 DECLARATIONS = f"""
@@ -135,6 +137,18 @@
     return path
 
 
+async def _recorded(
+    ingress: daemons.Daemon, request_id: types.RequestId
+) -> None:
+    """Wait until the end is recorded, which a quick caller may outrun."""
+    async with asyncio.timeout(_LONGEST_RECORDING_SECONDS):
+        while True:
+            found = ingress.explanations.find(request_id)
+            if found is not None and found.ending is not None:
+                return
+            await asyncio.sleep(0)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RunningSystem:
     """Two plain services behind one entry VM, with its platform."""
@@ -167,13 +181,16 @@
     ) -> http_client.Answer:
         """Make one caller's request, by default of the first entry VM."""
         ingress = through or self.daemon
-        return await http_client.fetch(
+        answer = await http_client.fetch(
             "127.0.0.1",
             ingress.caller_server.port,
             "GET",
             "/lookups/page/7",
             headers=[("Authorization", f"Bearer {KEY}")],
         )
+        request_id = answer.head.headers["lagoonrun-request-id"]
+        await _recorded(ingress, types.RequestId(request_id))
+        return answer
 
 
 @pytest.fixture
