Take a stream for lost after 15 s of silence in its middle

An engine that stops keeps its connections open. A stream's limit ends with its first token, so that only the idle bound of 60 s showed it: a reader looked at half an answer for a minute. Now another engine goes on after 15 s, or an error event tells. Ruled out: a bound by the engine's usual pace, which a continuous batch breaks when it prefills long prompts.

--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -53,6 +53,14 @@
 
 _SETTLEMENT_TIMEOUT_SECONDS = 2.0
 
+_STALLED_BODY_SECONDS = 15.0
+"""Silence in the middle of an answer after which it counts as lost.
+
+An engine that has stopped keeps its connections open. Nothing else shows it
+once a stream has begun, since the limit of such profiles ends with the first
+token; the reader would look at half an answer.
+"""
+
 
 class Daemon:
     """All of one entry VM.
@@ -199,7 +207,10 @@
         configured = self._settings
         self.metrics = metrics.DaemonMetrics()
         self.client = http_upstream.UpstreamClient(
-            limits=http_limits.ClientLimits(head_seconds=_LONGEST_CALL_SECONDS),
+            limits=http_limits.ClientLimits(
+                head_seconds=_LONGEST_CALL_SECONDS,
+                body_idle_seconds=_STALLED_BODY_SECONDS,
+            ),
             clock=self._clock,
         )
         self.claims = claims.Claims(
--- a/packages/daemon/tests/test_daemon.py
+++ b/packages/daemon/tests/test_daemon.py
@@ -1,9 +1,13 @@
 """The whole path of one entry VM, from the caller to the upstream."""
 
+import asyncio
+import dataclasses
 import json
 
 import pytest
 
+from lagoonrun_standins import engine_reply
+
 
 def chat(**fields) -> bytes:
     body = {
@@ -168,3 +172,37 @@
     )
     assert outcome_of(answer) == "not-run"
     assert not small_deployment.portal.runs.by_idempotency_key["spill-4"]
+
+
+async def test_stalled_stream_does_not_stay_open(small_deployment, monkeypatch):
+    """An engine stops in the middle of a stream; its connection stays.
+
+    The reader would look at half an answer until the connection breaks. It
+    counts as lost after a while: another engine goes on, or an event tells.
+    """
+    client = small_deployment.daemon.client
+    limits = dataclasses.replace(client._limits, body_idle_seconds=0.3)
+    monkeypatch.setattr(client, "_limits", limits)
+    writer = small_deployment.writer
+    begun = asyncio.Event()
+    emit = engine_reply.Reply.emit
+
+    def note(reply, index):
+        emit(reply, index)
+        if index == 5:
+            begun.set()
+
+    monkeypatch.setattr(engine_reply.Reply, "emit", note)
+    asked = asyncio.create_task(
+        small_deployment.ask(
+            "/v1/chat/completions", body=chat(stream=True, max_tokens=4000)
+        )
+    )
+    async with asyncio.timeout(10):
+        await begun.wait()
+        writer.control({"frozen": True})
+        answer = await asked
+    writer.control({"frozen": False})
+    assert answer.status == 200
+    assert b"event: error" in answer.body
+    assert b"[DONE]" not in answer.body
