--- a/packages/config/src/lagoonrun_config/follower.py
+++ b/packages/config/src/lagoonrun_config/follower.py
@@ -157,22 +157,31 @@
 
     def _want(self, wanted: _Wanted) -> None:
         """Remember what a source has, if it is newer, and fetch."""
-        if not self._is_newer(wanted):
-            return
-        self._wanted_by_source[wanted.source] = wanted
-        self._start_fetches()
+        if self._contradicts(wanted):
+            self._reject(wanted, "same-revision-differs")
+        # Peers repeat themselves with each heartbeat; what can't be read
+        # from one of them is not fetched from it again and again.
+        if self._is_newer(wanted) and wanted not in self._rejected:
+            self._wanted_by_source[wanted.source] = wanted
+            self._start_fetches()
+
+    def _contradicts(self, wanted: _Wanted) -> bool:
+        """Return whether two contents have the revision in force.
+
+        The head is damaged, or a peer is of another fleet. Which one is
+        right can't be told here, and a switch could revert an accepted
+        change, so what is in force stays.
+        """
+        if self._in_force is None:
+            return False
+        current = self._in_force.configuration
+        same_revision = wanted.revision == current.revision
+        return same_revision and wanted.digest != current.digest
 
     def _is_newer(self, wanted: _Wanted) -> bool:
         if self._in_force is None:
             return wanted.revision > 0
-        current = self._in_force.configuration
-        same = wanted.revision == current.revision
-        if same and wanted.digest != current.digest:
-            # Two contents under one revision: a damaged head or a peer of
-            # another fleet. Which one is right can't be told here, and a
-            # switch could revert an accepted change.
-            self._reject(wanted, "same-revision-differs")
-        return wanted.revision > current.revision
+        return wanted.revision > self._in_force.configuration.revision
 
     def _start_fetches(self) -> None:
         """Fetch the newest, from a few sources at once.
@@ -202,11 +211,9 @@
                 content = await self._fetch(wanted)
             if content is not None:
                 await self._take(wanted, content)
-        except TimeoutError:
+        except (TimeoutError, errors.LagoonrunError):
             # The source announces itself again if it still lives.
             return
-        except errors.LagoonrunError as error:
-            self._reject(wanted, error.detail)
         finally:
             del self._fetches_by_source[wanted.source]
             self._start_fetches()
@@ -277,7 +284,6 @@
             queue.put_nowait(configuration)
 
     def _reject(self, wanted: _Wanted, reason: str) -> None:
-        # Peers repeat themselves with each heartbeat; one line says it.
         if wanted in self._rejected or len(self._rejected) >= _MOST_REJECTED:
             return
         self._rejected.add(wanted)
--- a/packages/config/tests/test_follower.py
+++ b/packages/config/tests/test_follower.py
@@ -333,10 +333,12 @@
     bad.damaged = True
     network.store.stop()
     new = await network.add("a-3")
-    new.hear(bad)
-    await _spin()
+    for _ in range(3):
+        new.hear(bad)
+        await _spin()
     assert not new.follower.ready
-    assert len(rejected()) == 1
+    # It announces itself with each heartbeat; one fetch and one line do.
+    assert (len(rejected()), new.fetches) == (1, 1)
     new.hear(good)
     await _spin()
     assert new.follower.ready
