--- a/packages/protocol/src/lagoonrun_protocol/hub.py
+++ b/packages/protocol/src/lagoonrun_protocol/hub.py
@@ -163,8 +163,9 @@
 
         A frozen or unplugged peer keeps its sockets open; without this the
         handler would hear of the loss only when the write timeout runs out.
+        Links of replaced VMs also would pile up.
         """
-        link = self._links_by_peer.get(peer)
+        link = self._links_by_peer.pop(peer, None)
         if link is not None:
             link.drop()
         task = self._incoming_by_peer.get(peer)
--- a/packages/protocol/tests/test_hub.py
+++ b/packages/protocol/tests/test_hub.py
@@ -302,3 +302,6 @@
     await second_handler.next_message()
     first.drop("vm-2")
     assert await first_handler.next_loss() == "vm-2"
+    assert first.send("vm-2", messages.SnapshotRequest(revision=4))
+    _, message = await second_handler.next_message()
+    assert message.revision == 4
