--- a/packages/membership/tests/test_gossip.py
+++ b/packages/membership/tests/test_gossip.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lagoonrun_protocol import messages
+from lagoonrun_protocol import hub, messages
 
 _ALIVE = messages.MemberState.ALIVE
 _LEAVING = messages.MemberState.LEAVING
@@ -26,12 +26,38 @@
     """
     network = make_network()
     domains = [f"domain-{n}" for n in range(8)]
-    names = network.start_fleet(domains=domains, per_domain=6)
+    names = network.start_fleet(domains=domains, per_domain=12)
     network.introduce_all()
     network.start("vm-domain-3-new", domain="domain-3", seeds=names[:2])
     joiner = network.nodes_by_id["vm-domain-3-new"].members
-    network.run_until(lambda: len(joiner.live_in("domain-3")) == 7, within=2.0)
-    network.run_until(lambda: len(joiner) == 49, within=10.0)
+    network.run_until(lambda: len(joiner.live_in("domain-3")) == 13, within=2.0)
+    network.run_until(lambda: len(joiner) == 97, within=4.0)
+
+
+def test_member_that_others_condemn_is_told_at_once(network, update):
+    """A cut heals, and the far side tells that a near member is dead.
+
+    The member can refute only what it hears of, and has little time. Whoever
+    holds it alive tells it at once, instead of at the next probe.
+    """
+    node = network.nodes_by_id["vm-north-0"]
+    verdict = update(
+        "vm-south-1", domain="south", state=messages.MemberState.DEAD
+    )
+    news = messages.Ping(sequence=0, source="vm-west-0", members=(verdict,))
+    outgoing = node.receive(
+        news,
+        sender="vm-west-0",
+        address=hub.PeerAddress(host="vm-west-0", port=9000),
+        now=network.now,
+    )
+    told = [item for item in outgoing if item.address.host == "vm-south-1"]
+    assert told
+    states = {
+        record.entry_vm: record.state for record in told[0].message.members
+    }
+    assert states["vm-south-1"] is messages.MemberState.SUSPECT
+    assert told[0].message.sequence != 0
 
 
 @pytest.mark.parametrize("seed", range(3))
