--- a/packages/policy/src/lagoonrun_policy/affinity.py
+++ b/packages/policy/src/lagoonrun_policy/affinity.py
@@ -67,7 +67,3 @@
             upstream: 0.5 ** ((now - at) / _HALF_LIFE_SECONDS)
             for upstream, at in served_at.items()
         }
-
-    def forget_organisation(self, organisation: types.OrganisationId) -> None:
-        """Drop what is known of an organisation."""
-        self._by_organisation.pop(organisation, None)
--- a/packages/policy/src/lagoonrun_policy/decision.py
+++ b/packages/policy/src/lagoonrun_policy/decision.py
@@ -15,7 +15,7 @@
 REPORT_DECAY_SECONDS = 1.0
 """Age at which a load report counts for 1/e."""
 
-AFFINITY_WEIGHT = 0.3
+AFFINITY_WEIGHT = 0.1
 """Part of a runner's score that a wholly cached prefix takes off."""
 
 MINIMUM_RETRY_SECONDS = 0.25
