--- a/packages/daemon/src/lagoonrun_daemon/fleet.py
+++ b/packages/daemon/src/lagoonrun_daemon/fleet.py
@@ -53,6 +53,7 @@
         self._domain = domain
         self._members = members
         self._configuration: model.Configuration | None = None
+        self._known_domains: Sequence[types.FailureDomain] | None = None
         self._shards_by_id: dict[types.ShardId, shards.Shard] = {}
         self._shards_by_pool: dict[types.PoolName, list[shards.Shard]] = {}
         self._ranked_by_shard: dict[
@@ -87,6 +88,7 @@
 
     def on_members_changed(self) -> None:
         """Forget rankings that older memberships gave."""
+        self._known_domains = None
         self._ranked_by_shard.clear()
 
     def ranked_for(self, shard: types.ShardId) -> Sequence[types.EntryVmId]:
@@ -169,9 +171,8 @@
             for shard in self._shards_by_pool.get(pool, ())
             if shard.domain == self._domain
         ]
-        summaries = self._members.summaries_by_shard
         return [
-            _view(shard, summaries.get(shard), _OWN_PLACE)
+            _view(shard, self._members.summary_of(shard), _OWN_PLACE)
             for shard in _spread(shards_here, spread_by)
         ]
 
@@ -179,7 +180,6 @@
         self, pool: types.PoolName
     ) -> Sequence[policy_shards.ShardView]:
         """Return what is known of the shards of `pool` in other domains."""
-        summaries = self._members.summaries_by_shard
         places_by_domain: dict[types.FailureDomain, _Place] = {}
         views = []
         for shard in self._shards_by_pool.get(pool, ()):
@@ -189,7 +189,9 @@
             if place is None:
                 place = self._place_of(shard.domain)
                 places_by_domain[shard.domain] = place
-            views.append(_view(shard.id, summaries.get(shard.id), place))
+            views.append(
+                _view(shard.id, self._members.summary_of(shard.id), place)
+            )
         return views
 
     def _place_of(self, domain: types.FailureDomain) -> _Place:
@@ -230,8 +232,10 @@
         return ranking.rank_entry_vms(shard, live)
 
     def _domains(self) -> Sequence[types.FailureDomain]:
-        members = self._members.members_by_id.values()
-        return sorted({member.domain for member in members})
+        if self._known_domains is None:
+            members = self._members.members_by_id.values()
+            self._known_domains = sorted({m.domain for m in members})
+        return self._known_domains
 
 
 def _view(
--- a/packages/daemon/src/lagoonrun_daemon/shard_search.py
+++ b/packages/daemon/src/lagoonrun_daemon/shard_search.py
@@ -50,13 +50,7 @@
 
     def next_shard(self) -> types.ShardId | None:
         """Return whom to ask next, None if there is nobody left."""
-        if not self._left and not self._others_ranked:
-            # Ranked only now: the own domain's queue may have taken long.
-            self._others_ranked = True
-            self._left = self._other_shards()
-        if not self._left and self._given_up:
-            self._begin_second_pass()
-        while self._left:
+        while self._left or self._begin_stage():
             shard = self._left.pop(0)
             if self._may_ask(shard):
                 self._asked += 1
@@ -97,6 +91,16 @@
         region = fleet.region_of(domain)
         self._left.sort(key=lambda other: self._region_of(other) == region)
 
+    def _begin_stage(self) -> bool:
+        """Take the next shards to ask; return whether there are any."""
+        if not self._others_ranked:
+            # Ranked only now: the own domain's queue may have taken long.
+            self._others_ranked = True
+            self._left = self._other_shards()
+        if not self._left and self._given_up:
+            self._begin_second_pass()
+        return bool(self._left)
+
     def _begin_second_pass(self) -> None:
         now = self._services.clock.monotonic()
         remaining = max(self._call.limit_at - now, 0.0)
--- a/packages/daemon/tests/failures/test_lost_regions.py
+++ b/packages/daemon/tests/failures/test_lost_regions.py
@@ -104,6 +104,10 @@
             for vm in _vms(domain)
         }
 
+    def summary_of(self, shard):
+        """Return what a shard's dispatcher told last."""
+        return self.summaries_by_shard.get(shard)
+
     def live_in(self, domain):
         """Return the entry VMs of a domain."""
         return () if domain in self.dead_domains else _vms(domain)
--- a/packages/membership/src/lagoonrun_membership/membership.py
+++ b/packages/membership/src/lagoonrun_membership/membership.py
@@ -147,6 +147,10 @@
         """
         return self._summaries_by_shard
 
+    def summary_of(self, shard: types.ShardId) -> messages.ShardSummary | None:
+        """Return one shard's summary; None if there is no fresh one."""
+        return self._gossip.shards.summary(shard, self._clock.monotonic())
+
     def live_in(
         self, domain: types.FailureDomain
     ) -> tuple[types.EntryVmId, ...]:
--- a/packages/membership/src/lagoonrun_membership/shards.py
+++ b/packages/membership/src/lagoonrun_membership/shards.py
@@ -174,6 +174,23 @@
                 return _aged(dated, now)
         return self.aged(shard, now)
 
+    def summary(
+        self, shard: types.ShardId, now: float
+    ) -> messages.ShardSummary | None:
+        """Return one shard's summary with its age, if it is fresh.
+
+        Every request asks for a few; ageing all of them each time took
+        milliseconds with hundreds of shards.
+        """
+        for dated in self._own:
+            if dated.summary.shard == shard:
+                return (
+                    _aged(dated, now)
+                    if self._is_fresh(dated.made_at, now)
+                    else None
+                )
+        return self.aged(shard, now)
+
     def by_shard(
         self, now: float
     ) -> dict[types.ShardId, messages.ShardSummary]:
--- a/packages/membership/tests/test_shards.py
+++ b/packages/membership/tests/test_shards.py
@@ -64,6 +64,30 @@
     seen = table.by_shard(104.0)["scans@north/0"]
     assert (seen.free, seen.age_seconds) == (7, 1.5)
     assert table.by_shard(113.0) == {}
+    assert table.summary("scans@north/0", 104.0) == seen
+    assert table.summary("scans@north/0", 113.0) is None
+
+
+def test_single_summaries_are_those_of_the_whole_table():
+    table = shards.ShardTable(domain="south", timing=timings.Timing())
+
+    def summary(shard, age):
+        return messages.ShardSummary(
+            shard=shard,
+            dispatcher="vm-1",
+            free=1,
+            lowest_waiting_tier=0,
+            lowest_running_tier=0,
+            wait_seconds=0.0,
+            age_seconds=age,
+        )
+
+    table.announce([summary("scans@south/0", 0.0)], now=100.0)
+    table.apply(summary("scans@north/0", 2.0), now=100.0)
+    for now in (100.0, 107.0, 109.0, 111.0):
+        whole = table.by_shard(now)
+        for shard in ("scans@south/0", "scans@north/0", "scans@west/0"):
+            assert table.summary(shard, now) == whole.get(shard)
 
 
 def test_own_region_is_heard_first_and_then_each_other_in_turn():
--- a/packages/standins/src/lagoonrun_standins/bench_membership.py
+++ b/packages/standins/src/lagoonrun_standins/bench_membership.py
@@ -90,9 +90,21 @@
         Number of failure domains that they are spread over.
     seed
         Of all random choices.
+    timing
+        Times and limits of all members.
+    seeds
+        Number of members that everyone can join through.
     """
 
-    def __init__(self, *, size: int, domains: int, seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        size: int,
+        domains: int,
+        seed: int,
+        timing: timings.Timing | None = None,
+        seeds: int = _SEEDS_OF_A_MEMBER,
+    ) -> None:
         self.clock = clocks.ManualClock()
         self._random = random.Random(seed)
         self._order = itertools.count()
@@ -101,7 +113,8 @@
         self._due_at_by_id: dict[str, float] = {}
         self.processor_seconds = 0.0
         names = [f"entry-vm-{n:03d}" for n in range(size)]
-        self._seeds = names[:_SEEDS_OF_A_MEMBER]
+        self._seeds = names[:seeds]
+        self._timing = timing or timings.Timing()
         self.members_by_id: dict[str, _Member] = {}
         for n, name in enumerate(names):
             self.start(name, f"domain-{n % domains:02d}")
@@ -136,7 +149,7 @@
         protocol = gossip.GossipProtocol(
             own=own,
             seeds=seeds,
-            timing=timings.Timing(),
+            timing=self._timing,
             random_source=random.Random(self._random.random()),
             now=self.now + self._random.random(),
         )
