Free slots whose ends were lost in a dispatcher's stall with one digest

Connections to a frozen process are given up, and with them the ends of granted work that wait there; on waking it held those slots for taken until two digests of each ingress had not named them. Ruled out: one missing digest for all (a grant may still be on its way to its ingress when the digest leaves). After a stall it can't be: digests come after what was granted before it. What: the stall detector tells the dispatcher; work granted before the stall ends with the first digest that does not name it.

--- a/packages/daemon/src/lagoonrun_daemon/daemon.py
+++ b/packages/daemon/src/lagoonrun_daemon/daemon.py
@@ -168,6 +168,7 @@
             switches=experiment.switches_of(configured.experiment),
         )
         self._stalls = stalls.StallDetector(clock=self._clock)
+        self._stalls.subscribe(self.dispatcher.on_stall)
         self._reach = reach.DomainReach(clock=self._clock)
         self.permits = permits.PermitClient(
             entry_vm=configured.entry_vm,
--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -162,6 +162,12 @@
         for shard_id in list(self._owned_by_id):
             self._handle(shard_id, event)
 
+    def on_stall(self) -> None:
+        """Take in that this process did not run for a while."""
+        event = policy_messages.DispatcherStalled()
+        for shard_id in list(self._owned_by_id):
+            self._handle(shard_id, event)
+
     def on_link_lost(self, ingress: types.EntryVmId) -> None:
         """Take in the loss of a connection with an entry VM."""
         self._lost_ingresses.note_lost(ingress)
--- a/packages/daemon/src/lagoonrun_daemon/stalls.py
+++ b/packages/daemon/src/lagoonrun_daemon/stalls.py
@@ -1,6 +1,7 @@
 """Notice times in which this process did not run."""
 
 import asyncio
+from collections.abc import Callable
 
 from lagoonrun_core import clock as clocks
 
@@ -27,6 +28,11 @@
         self._ticked_at = clock.monotonic()
         self._stall_ended_at = float("-inf")
         self._task: asyncio.Task[None] | None = None
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` at the end of each stall."""
+        self._listeners.append(listener)
 
     async def start(self) -> None:
         """Begin to tick."""
@@ -46,9 +52,13 @@
 
     def note(self, now: float) -> None:
         """Take in that the process runs at `now`."""
-        if now - self._ticked_at > _STALL_SECONDS:
-            self._stall_ended_at = now
+        stalled = now - self._ticked_at > _STALL_SECONDS
         self._ticked_at = max(self._ticked_at, now)
+        if not stalled:
+            return
+        self._stall_ended_at = now
+        for listener in self._listeners:
+            listener()
 
     async def _tick_forever(self) -> None:
         while True:
--- a/packages/policy/src/lagoonrun_policy/messages.py
+++ b/packages/policy/src/lagoonrun_policy/messages.py
@@ -209,6 +209,14 @@
     policy: ShardPolicy
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DispatcherStalled:
+    """The dispatcher's process did not run for a while.
+
+    Ends of granted work may have been lost meanwhile.
+    """
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ticked:
     """Time has passed; due refusals and grants are worked out."""
@@ -224,6 +232,7 @@
     | UpstreamChanged
     | IngressGone
     | PolicyChanged
+    | DispatcherStalled
     | Ticked
 )
 
--- a/packages/policy/src/lagoonrun_policy/scheduler.py
+++ b/packages/policy/src/lagoonrun_policy/scheduler.py
@@ -84,6 +84,8 @@
                 self._drop_ingress(event.ingress, now)
             case messages.PolicyChanged():
                 self._on_policy(event, now)
+            case messages.DispatcherStalled():
+                self._slots.doubt_running()
             case messages.Ticked():
                 pass
         self._drop_silent(now)
--- a/packages/policy/src/lagoonrun_policy/slots.py
+++ b/packages/policy/src/lagoonrun_policy/slots.py
@@ -77,6 +77,17 @@
         self.occupy(running)
         self.charge(running, float(max(work.tokens, 1)))
 
+    def doubt_running(self) -> None:
+        """Let one digest that does not name granted work end it.
+
+        While the process did not run, connections to it were given up, and
+        with them the ends that waited there. Digests come after what was
+        granted before the stall, so that what the first of them does not
+        name is over; waiting for a second one would leave slots empty.
+        """
+        for running in self.permits.running_by_key.values():
+            running.missed_digests = _DIGESTS_TO_DROP - 1
+
     def miss(self, key: messages.PermitKey, now: float) -> None:
         """Drop what its ingress no longer names.
 
--- a/packages/policy/tests/test_scheduler.py
+++ b/packages/policy/tests/test_scheduler.py
@@ -159,3 +159,49 @@
     assert not decision.check(tampered).agrees
     with pytest.raises(ValueError, match="not a decision record"):
         decision.record_from_json("{}")
+
+
+def test_ends_lost_in_a_stall_free_their_slots_with_the_first_digest(drive):
+    """A dispatcher is frozen while work that it granted ends elsewhere.
+
+    The connections were given up, and the ends with them. On waking it held
+    the slots for taken until two digests had not named them; the highest
+    tier waited for runners that had nothing to do.
+    """
+    driver = drive(_HIGH, runners=1, slots=1)
+    lost = driver.request("lookup")
+    waiting = driver.request("lookup", remaining_seconds=60.0)
+    driver.now += 5.0
+    driver.send(messages.DispatcherStalled())
+    assert driver.granted() == [lost]
+    driver.send(
+        messages.InFlightDigest(
+            ingress=types.EntryVmId("vm0"), running=(), waiting=(waiting,)
+        )
+    )
+    assert driver.granted() == [lost, waiting]
+
+
+def test_work_that_goes_on_through_a_stall_keeps_its_slot(drive):
+    driver = drive(_HIGH, runners=1, slots=1)
+    running = driver.request("lookup")
+    waiting = driver.request("lookup", remaining_seconds=60.0)
+    driver.now += 5.0
+    driver.send(messages.DispatcherStalled())
+    named = messages.InFlight(
+        key=running,
+        upstream=driver.upstream_by_key[running],
+        profile=types.ProfileName("lookup"),
+        organisation=types.OrganisationId("house"),
+        running_seconds=5.0,
+        tokens=3,
+    )
+    for _ in range(2):
+        driver.send(
+            messages.InFlightDigest(
+                ingress=types.EntryVmId("vm0"),
+                running=(named,),
+                waiting=(waiting,),
+            )
+        )
+    assert driver.granted() == [running]
