Answer a permit request once, and before it is logged

A dispatcher acknowledged each request right before the grant that said the same, and wrote the log line of the decision before the answer left. What is decided at once is no longer acknowledged; the line is written later in the same turn of the loop, after the answer was queued.

--- a/packages/daemon/src/lagoonrun_daemon/dispatcher.py
+++ b/packages/daemon/src/lagoonrun_daemon/dispatcher.py
@@ -224,16 +224,19 @@
         if not known or out_of_turn or self._is_behind(message):
             self._send_not_mine(sender, message, owner)
             return
-        self._own(message.shard)
-        self._transport.send(
-            sender,
-            messages.PermitAcknowledged(
-                request_id=message.request_id, attempt_id=message.attempt_id
-            ),
-        )
+        owned = self._own(message.shard)
         self._handle(
             message.shard, permit_events.request_event(sender, message)
         )
+        if owned.scheduler.is_waiting(permit_events.key_of(message)):
+            # What was granted or refused at once says as much.
+            self._transport.send(
+                sender,
+                messages.PermitAcknowledged(
+                    request_id=message.request_id,
+                    attempt_id=message.attempt_id,
+                ),
+            )
 
     def _is_behind(self, message: messages.PermitRequest) -> bool:
         """Return whether the ingress has a class that is not known here yet.
@@ -387,7 +390,9 @@
             decision_log.log_cut(owned.shard.id, action)
         else:
             self._explanations.add_decision(action.record)
-            decision_log.log_decision(action.record)
+            # The answer waits in this turn of the loop and leaves first.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(decision_log.log_decision, action.record)
         answer = permit_events.answer_of(action, shard=owned.shard.id)
         self._transport.send(action.ingress, answer)
 
--- a/packages/daemon/tests/test_dispatcher.py
+++ b/packages/daemon/tests/test_dispatcher.py
@@ -190,3 +190,14 @@
     subject.on_message("vm-2", request(1, handover=True))
     (told,) = sent.take(messages.PermitNotMine)
     assert told.owner == "vm-3"
+
+
+async def test_only_what_waits_is_acknowledged(subject, sent):
+    """A grant says as much as an acknowledgement, and saves a message."""
+    subject.on_message("vm-2", request(0))
+    assert [type(m) for _, m in sent.sent] == [messages.PermitGranted]
+    waiting = await fill(subject, sent, 20)
+    assert waiting
+    sent.sent.clear()
+    subject.on_message("vm-2", request(99))
+    assert [type(m) for _, m in sent.sent] == [messages.PermitAcknowledged]
