--- a/packages/daemon/src/lagoonrun_daemon/attempt.py
+++ b/packages/daemon/src/lagoonrun_daemon/attempt.py
@@ -17,21 +17,6 @@
 """Set to `true` by an upstream that says it did not run the request."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Whole:
-    """The upstream's whole answer, read but not yet delivered."""
-
-    head: http_messages.ResponseHead
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Streaming:
-    """The upstream has begun to answer; its chunks are to be relayed."""
-
-    response: http_upstream.UpstreamResponse
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Lost:
     """The attempt gave no answer that may be delivered.
--- a/packages/daemon/src/lagoonrun_daemon/permits.py
+++ b/packages/daemon/src/lagoonrun_daemon/permits.py
@@ -11,6 +11,7 @@
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, outcomes, types
 from lagoonrun_daemon import (
+    ask_timers,
     dispatcher_search,
     permit_types,
     reach,
@@ -71,6 +72,12 @@
         self._unanswered = work_digests.UnansweredDigests(
             limit=self._timing.unanswered_digests
         )
+        self._timers = ask_timers.AskTimers(
+            timing=self._timing,
+            clock=clock,
+            heard=lambda dispatcher: self._messages_by_vm[dispatcher],
+            on_unanswered=self._on_unanswered,
+        )
         self._ended_work = work_digests.EndedWork(
             digests=self._timing.empty_digests
         )
@@ -381,71 +388,16 @@
         if not self._transport.send(dispatcher, request):
             ask.settle(permit_types.Silent())
         elif dispatcher != self._entry_vm:
-            self._await_acknowledgement(ask)
-            self._bound_silence(ask)
+            self._timers.watch(ask)
         return ask
 
     def _may_not_wait(self, wanted: permit_types.PermitWanted) -> bool:
         silence = wanted.silence
         return silence is not None and self._clock.monotonic() >= silence.at
 
-    def _bound_silence(self, ask: permit_types.Ask) -> None:
-        """Give the ask up when its request can wait no longer.
-
-        That may be sooner than the dispatcher counts as silent: one that is
-        only slow must not be passed over by all others for it.
-        """
-        silence = ask.wanted.silence
-        if silence is None:
-            return
-        loop = asyncio.get_running_loop()
-        due = loop.time() + max(0.0, silence.at - self._clock.monotonic())
-        ask.give_up_timer = loop.call_at(due, self._on_given_up, ask, due)
-
-    def _on_given_up(self, ask: permit_types.Ask, due: float) -> None:
-        """Give an ask up, unless this process itself was late."""
-        loop = asyncio.get_running_loop()
-        if loop.time() - due > self._timing.own_lateness_seconds:
-            again = loop.time()
-            ask.give_up_timer = loop.call_at(
-                again, self._on_given_up, ask, again
-            )
-            return
-        ask.give_up()
-
-    def _await_acknowledgement(self, ask: permit_types.Ask) -> None:
-        """Take a remote dispatcher for silent if it does not answer in time.
-
-        This process's own dispatcher is never silent to it: both stall
-        together, and a timer that is due then would only say so.
-        """
-        loop = asyncio.get_running_loop()
-        timeout = self._timing.acknowledge_timeout_seconds
-        if ask.wanted.silence is not None:
-            timeout += 2 * ask.wanted.silence.distance_seconds
-        due = loop.time() + timeout
-        ask.timer = loop.call_at(due, self._on_unacknowledged, ask, due)
-
-    def _on_unacknowledged(self, ask: permit_types.Ask, due: float) -> None:
-        """Settle an ask as silent, unless someone is only slow.
-
-        A burst of callers can keep an event loop busy for longer than the
-        timeout. If it is this process's, the timer is due while the
-        acknowledgement waits unread in the socket; if it is the
-        dispatcher's, it answers others meanwhile. Either was taken for a
-        frozen dispatcher: then two entry VMs granted all slots of the same
-        runners, which made everything slower still. Such a timer is set
-        again, a few times at most where the dispatcher is slow.
-        """
-        lateness = asyncio.get_running_loop().time() - due
-        is_late = lateness > self._timing.own_lateness_seconds
-        heard = self._messages_by_vm[ask.dispatcher]
-        if is_late or ask.waits_again(heard):
-            self._await_acknowledgement(ask)
-            return
-        if not ask.answer.done():
-            ask.settle(permit_types.Silent())
-        elif self._search.heard_since(ask.dispatcher, ask.asked_at):
+    def _on_unanswered(self, ask: permit_types.Ask) -> None:
+        """Take in that a dispatcher never acknowledged a given-up ask."""
+        if self._search.heard_since(ask.dispatcher, ask.asked_at):
             self._domains.note_answer(_domain_of(ask))
         else:
             self._note_silence(ask)
--- a/packages/policy/src/lagoonrun_policy/naive.py
+++ b/packages/policy/src/lagoonrun_policy/naive.py
@@ -1,7 +1,6 @@
 """Each entry VM alone: two random runners, the less loaded one by its report.
 
-This is what the shard's dispatcher is measured against, and, with a limit of
-its own, what an ingress falls back to while no dispatcher answers.
+This is what the dispatcher of a shard is measured against.
 """
 
 import random
@@ -11,7 +10,6 @@
 from lagoonrun_policy import decision, messages
 
 _CHOICES = 2
-_FALLBACK_FRACTION = 0.5
 
 
 class NaiveScheduler:
@@ -111,54 +109,6 @@
         )
 
 
-class FallbackChooser:
-    """Choose a runner without a dispatcher, within a conservative limit.
-
-    While cut off, an entry VM does not see what the others send. It uses at
-    most its even part of half of the declared slots, at least one request
-    per runner, so that all VMs together do not overfill a runner.
-
-    Parameters
-    ----------
-    policy
-        Classes and runners of the shard.
-    entry_vms
-        How many entry VMs may be sending to the same runners; at least 1.
-    rng
-        Source of the two choices.
-    """
-
-    def __init__(
-        self,
-        *,
-        policy: messages.ShardPolicy,
-        entry_vms: int,
-        rng: random.Random,
-    ) -> None:
-        if entry_vms < 1:
-            raise ValueError(f"entry_vms is {entry_vms}; valid: at least 1")
-        self._entry_vms = entry_vms
-        self._view = _View(policy=policy, rng=rng)
-
-    def take(self, event: messages.Event) -> None:
-        """Take in a load report, a state, an end or a new policy."""
-        self._view.take(event)
-
-    def choose(
-        self, request: messages.PermitRequested
-    ) -> types.UpstreamId | None:
-        """Return a runner and count the request there, or None for no room."""
-        upstream = self._view.better_of_two(
-            request.excluded, room=self._room_at
-        )
-        if upstream is not None:
-            self._view.sent(request.key, upstream)
-        return upstream
-
-    def _room_at(self, runner: messages.Runner) -> int:
-        return max(1, int(runner.slots * _FALLBACK_FRACTION / self._entry_vms))
-
-
 class _View:
     """What one entry VM knows by itself."""
 
