Name the order by target for what it is

Cause: "lanes" was a word of our own for requests that can still meet their target and those that cannot; the switch is target_first now. Behaviour is unchanged.

--- a/packages/policy/src/lagoonrun_policy/class_state.py
+++ b/packages/policy/src/lagoonrun_policy/class_state.py
@@ -31,7 +31,7 @@
         self.queue = fair_queue.FairQueue(
             weights_by_organisation=weights_by_organisation,
             fair=switches.fair_sharing,
-            lanes=switches.target_lanes,
+            target_first=switches.target_first,
         )
         self.running = 0
         self.floor_running = 0
--- a/packages/policy/src/lagoonrun_policy/fair_queue.py
+++ b/packages/policy/src/lagoonrun_policy/fair_queue.py
@@ -59,7 +59,7 @@
         Shares; an organisation that is not named has weight 1.
     fair
         Without it all organisations share one account.
-    lanes
+    target_first
         With it, a request that can still meet its target goes before those
         of the same organisation that cannot.
 
@@ -74,11 +74,11 @@
         *,
         weights_by_organisation: Mapping[types.OrganisationId, float],
         fair: bool = True,
-        lanes: bool = True,
+        target_first: bool = True,
     ) -> None:
         self._weights = weights_by_organisation
         self._fair = fair
-        self._lanes = lanes
+        self._target_first = target_first
         self._accounts: dict[types.OrganisationId, _Account] = {}
         self._order: list[tuple[float, types.OrganisationId]] = []
         self._virtual_now = 0.0
@@ -104,14 +104,14 @@
                 self._active_weight += account.weight
 
     def push(self, waiting: Waiting) -> None:
-        """Add a request; it joins the lane of those in time for the target."""
+        """Add a request; it goes with those in time for the target."""
         organisation = self._account_name(waiting)
         account = self._account(organisation)
         if not account.by_sequence:
             self._activate(organisation, account)
         waiting.queued = True
         account.by_sequence[waiting.sequence] = waiting
-        self._push_lane(account, waiting)
+        self._push_in_order(account, waiting)
         heapq.heappush(
             self._deadlines, (waiting.deadline, waiting.sequence, waiting)
         )
@@ -189,9 +189,9 @@
     ) -> Waiting | None:
         """Return an organisation's late request with the least time left."""
         account = self._accounts.get(organisation if self._fair else _EVERYONE)
-        if account is None or not account.by_sequence or not self._lanes:
+        if account is None or not account.by_sequence or not self._target_first:
             return None
-        self._sort_lanes(account, late_before)
+        self._split_by_target(account, late_before)
         return account.late[0][2] if account.late else None
 
     def last_to_serve(self) -> Waiting | None:
@@ -252,25 +252,27 @@
         ]
         heapq.heapify(self._order)
 
-    def _push_lane(self, account: _Account, waiting: Waiting) -> None:
-        key = waiting.target_deadline if self._lanes else waiting.sequence
+    def _push_in_order(self, account: _Account, waiting: Waiting) -> None:
+        key = (
+            waiting.target_deadline if self._target_first else waiting.sequence
+        )
         heapq.heappush(account.in_time, (key, waiting.sequence, waiting))
         if len(account.in_time) > _COMPACT_ABOVE + 2 * len(account.by_sequence):
             account.in_time = [i for i in account.in_time if i[2].queued]
             heapq.heapify(account.in_time)
 
     def _next_of(self, account: _Account, late_before: float) -> Waiting:
-        self._sort_lanes(account, late_before)
-        lane = account.in_time if account.in_time else account.late
-        return lane[0][2]
+        self._split_by_target(account, late_before)
+        heap = account.in_time if account.in_time else account.late
+        return heap[0][2]
 
-    def _sort_lanes(self, account: _Account, late_before: float) -> None:
+    def _split_by_target(self, account: _Account, late_before: float) -> None:
         in_time = account.in_time
         while in_time:
             waiting = in_time[0][2]
             if not waiting.queued:
                 heapq.heappop(in_time)
-            elif self._lanes and waiting.target_deadline < late_before:
+            elif self._target_first and waiting.target_deadline < late_before:
                 heapq.heappop(in_time)
                 item = (waiting.deadline, waiting.sequence, waiting)
                 heapq.heappush(account.late, item)
--- a/packages/policy/src/lagoonrun_policy/features.py
+++ b/packages/policy/src/lagoonrun_policy/features.py
@@ -11,7 +11,7 @@
     ----------
     fair_sharing
         Weighted fair queueing between the organisations of a class.
-    target_lanes
+    target_first
         Serve first what can still meet its target.
     target_runners
         Keep what can meet its target from runners too slow for it.
@@ -36,7 +36,7 @@
     """
 
     fair_sharing: bool = True
-    target_lanes: bool = True
+    target_first: bool = True
     target_runners: bool = True
     floors: bool = True
     deadline_refusal: bool = True
--- a/packages/policy/tests/test_differential.py
+++ b/packages/policy/tests/test_differential.py
@@ -122,7 +122,7 @@
     _compare(_random_steps(seed), _SWITCHES)
 
 
-@pytest.mark.parametrize("part", ["fair_sharing", "target_lanes", "floors"])
+@pytest.mark.parametrize("part", ["fair_sharing", "target_first", "floors"])
 def test_comparison_notices_a_missing_part(part):
     without = dataclasses.replace(_SWITCHES, **{part: False})
     with pytest.raises(AssertionError):
--- a/packages/standins/src/lagoonrun_standins/bench_policy.py
+++ b/packages/standins/src/lagoonrun_standins/bench_policy.py
@@ -65,7 +65,7 @@
 _SETTLE_SECONDS = 1.0
 _STEP_NAMES = (
     "fair_sharing",
-    "target_lanes",
+    "target_first",
     "floors",
     "deadline_refusal",
     "wait_refusal",
