Go on to another upstream where none was reached

Cause: a call that may run only once is never tried again, and the rule was applied also where no connection was made: warnings granted to a crashed server were told not-run although another stood idle beside it. For other classes such losses spent the retry budget, which a crash empties at once. Found while looking for the cause of a lookup that was once not answered under load (failures/test_leaving_upstreams); that cause is not found. What: a loss by connection, with no byte sent, costs nothing and is followed by another upstream, three in all. Ways weighed: the same for an upstream's own word that it ran nothing. An overloaded upstream says so as well, and retrying what was refused for room is ruled out.

--- a/packages/daemon/tests/test_delivery.py
+++ b/packages/daemon/tests/test_delivery.py
@@ -1,12 +1,17 @@
 """What goes to upstreams, and calls that outlive their limit."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
+from lagoonrun_config import settings
 from lagoonrun_core import types
 from lagoonrun_daemon import delivery
 from lagoonrun_http import messages
+from lagoonrun_standins import deployment, fleet
+
+from .conftest import declare
 
 _BOUND_SECONDS = 20.0
 
@@ -68,3 +73,38 @@
             if b"its outcome: complete" in retry.body:
                 break
     assert small_deployment.portal.counters()["runs"] == 1
+
+
+async def test_call_that_may_run_once_goes_on_from_an_unreachable_upstream(
+    small_deployment,
+):
+    """One of two servers that take warnings has crashed.
+
+    No byte of a warning that is granted there leaves. It goes to the other
+    server, once, instead of being told "not run" to its caller.
+    """
+    await _add_unreachable_portal(small_deployment)
+    for _ in range(6):
+        answer = await small_deployment.ask("/warnings/spill")
+        assert answer.status == 200
+        assert answer.head.headers["lagoonrun-outcome"] == "complete"
+    assert small_deployment.portal.counters()["runs"] == 6
+
+
+async def _add_unreachable_portal(small):
+    draft = declare(
+        writer_port=small.writer.port, portal_port=small.portal.port
+    )
+    portal = draft.upstreams_by_id["portal-1"]
+    lost = dataclasses.replace(
+        portal, id="portal-0", port=fleet.free_peer_address().port
+    )
+    upstreams = {**draft.upstreams_by_id, lost.id: lost}
+    revision = await deployment.apply_declarations(
+        dataclasses.replace(draft, upstreams_by_id=upstreams),
+        platform=settings.Address(host="127.0.0.1", port=small.platform.port),
+        base=types.Revision(1),
+    )
+    async with asyncio.timeout(_BOUND_SECONDS):
+        while small.daemon.fleet.configuration.revision < revision:
+            await small.ask_admin("/readyz")
--- a/packages/policy/src/lagoonrun_policy/retries.py
+++ b/packages/policy/src/lagoonrun_policy/retries.py
@@ -14,6 +14,9 @@
 _LONGEST_BACKOFF_SECONDS = 2.0
 _MOST_SAVED = 10.0
 
+_UNREACHED_UPSTREAMS = 3
+"""Upstreams that a request fails to reach before its caller is told."""
+
 RETRIED_REASONS = frozenset(
     {
         outcomes.Reason.UPSTREAM_CONNECT,
@@ -111,6 +114,8 @@
             return RetryDenied(reason=reason)
         if sent and not policy.idempotent:
             return RetryDenied(reason=reason)
+        if reason is outcomes.Reason.UPSTREAM_CONNECT and not sent:
+            return _after_no_connection(request_id, attempts)
         if attempts >= maximum_attempts:
             return RetryDenied(reason=reason)
         saved = self._saved_by_name.get(profile, 1.0)
@@ -125,6 +130,23 @@
         )
 
 
+def _after_no_connection(
+    request_id: types.RequestId, attempts: int
+) -> RetryGranted | RetryDenied:
+    """Try another upstream where none has been reached.
+
+    Nothing was asked of anyone, so that this is no second attempt: also a
+    request that may run only once goes on, and the budget is not touched. A
+    crashed upstream takes more requests at once than any budget has saved
+    until it is out of service. The number is bounded all the same.
+    """
+    if attempts >= _UNREACHED_UPSTREAMS:
+        return RetryDenied(reason=outcomes.Reason.UPSTREAM_CONNECT)
+    return RetryGranted(
+        pause_seconds=backoff_seconds(request_id=request_id, attempts=attempts)
+    )
+
+
 def backoff_seconds(*, request_id: types.RequestId, attempts: int) -> float:
     """Return the pause before the next attempt.
 
--- a/packages/policy/tests/test_retries.py
+++ b/packages/policy/tests/test_retries.py
@@ -85,3 +85,33 @@
     assert max(pauses(9)) <= 2.0
     assert len(set(pauses(3))) > 90
     assert sum(pauses(4)) > 2 * sum(pauses(1))
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_unreached_upstreams_cost_nothing_and_are_bounded(idempotent):
+    """A portal server crashes, and warnings are sent to it.
+
+    No byte of them left. Their callers were told "not run" and had to come
+    back, although another server stood idle beside it.
+    """
+    policy = class_policy(
+        "warning",
+        1,
+        idempotent=idempotent,
+        retry_ratio=0.1 if idempotent else 0.0,
+    )
+    budget = retries.RetryBudget(classes_by_name={policy.name: policy})
+    for request in range(50):
+        decided = [
+            budget.decide(
+                profile=policy.name,
+                request_id=types.RequestId(f"q{request}"),
+                attempts=attempts,
+                maximum_attempts=1,
+                reason=outcomes.Reason.UPSTREAM_CONNECT,
+                sent=False,
+            )
+            for attempts in (1, 2, 3)
+        ]
+        granted = [isinstance(d, retries.RetryGranted) for d in decided]
+        assert granted == [True, True, False]
