Wait for events in two tests instead of the clock

Cause: test_every_entry_vm_pauses_in_turn_under_load and test_a_declared_model_is_loaded polled by short sleeps. The first waits for an event of its entry VM now, the second asks the daemon in turn; bounds and assertions are as they were.

--- a/packages/daemon/tests/failures/test_dispatchers.py
+++ b/packages/daemon/tests/failures/test_dispatchers.py
@@ -191,14 +191,14 @@
     slots are free at the end.
     """
     stop = asyncio.Event()
-    frozen = set()
+    awake_by_vm = {vm.id: asyncio.Event() for vm in ENTRY_VMS}
+    for awake in awake_by_vm.values():
+        awake.set()
     answers = []
 
     async def send_forever(entry_vm):
         while not stop.is_set():
-            if entry_vm in frozen:
-                await asyncio.sleep(0.02)
-                continue
+            await awake_by_vm[entry_vm].wait()
             answers.append(await trial.ask(entry_vm, LOOKUP, method="GET"))
 
     for name in PORTALS:
@@ -209,12 +209,12 @@
         for _ in range(4)
     ]
     for vm in (NORTH_1, NORTH_2, SOUTH_1):
-        frozen.add(vm)
+        awake_by_vm[vm].clear()
         trial.process(vm).freeze()
         seen = len(answers)
         await until(lambda seen=seen: _later(len(answers) > seen + 50))
         trial.process(vm).resume()
-        frozen.discard(vm)
+        awake_by_vm[vm].set()
     stop.set()
     await asyncio.gather(*senders)
     assert {told(answer) for answer in answers} == {(200, "complete")}
--- a/packages/daemon/tests/test_placement.py
+++ b/packages/daemon/tests/test_placement.py
@@ -50,10 +50,8 @@
     await place(checks_fencing=True)
     orders = small_deployment.writer.orders
     async with asyncio.timeout(20):
-        while True:
-            if orders.applied:
-                break
-            await asyncio.sleep(0.01)
+        while not orders.applied:
+            await small_deployment.ask_admin("/readyz")
     assert orders.version_by_model == {"catalogue-1": "7"}
     status = (await small_deployment.ask_admin("/status")).json()
     assert status["orderer_fencing"] == orders.fencing_seen
