--- a/packages/core/src/lagoonrun_core/clock.py
+++ b/packages/core/src/lagoonrun_core/clock.py
@@ -26,6 +26,22 @@
         return time.time()
 
 
+class SuspendAwareClock:
+    """The operating system's clocks, with the time of suspensions counted.
+
+    Ages of idle connections and of what others told must grow while the VM
+    is suspended: the other side's time went on.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds since the VM's start, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def wall(self) -> float:
+        """Return the wall clock in seconds since the Unix epoch."""
+        return time.time()
+
+
 class ManualClock:
     """Clock for tests that moves only when told.
 
--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -16,6 +16,9 @@
     PROCESS_STOPPING = (102, "process-stopping")
     PROCESS_STOPPED = (103, "process-stopped")
     TASK_FAILED = (104, "task-failed")
+    SETTINGS_RELOADED = (105, "settings-reloaded")
+    READINESS_CHANGED = (106, "readiness-changed")
+    LOG_LINES_LEFT_OUT = (107, "log-lines-left-out")
 
     REQUEST_ENDED = (200, "request-ended")
     REQUEST_REJECTED = (201, "request-rejected")
@@ -36,12 +39,17 @@
     UPSTREAM_RESTORED = (401, "upstream-restored")
     UPSTREAM_LEAVING = (402, "upstream-leaving")
     UPSTREAM_MISMATCH = (403, "upstream-mismatch")
+    UPSTREAM_STATE_CHANGED = (404, "upstream-state-changed")
+    UPSTREAM_ATTEMPT_LOST = (405, "upstream-attempt-lost")
+    UPSTREAM_ENTRY_REJECTED = (406, "upstream-entry-rejected")
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
 
     MEMBER_STATE_CHANGED = (600, "member-state-changed")
     PEER_FRAME_REJECTED = (601, "peer-frame-rejected")
+    PEER_GAINED = (602, "peer-gained")
+    PEER_LOST = (603, "peer-lost")
 
     PLATFORM_UNREACHABLE = (700, "platform-unreachable")
     PLATFORM_REACHABLE = (701, "platform-reachable")
--- a/packages/core/src/lagoonrun_core/logs.py
+++ b/packages/core/src/lagoonrun_core/logs.py
@@ -2,16 +2,19 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger import json as json_logger
 
-from lagoonrun_core import events
+from lagoonrun_core import bounded_log, events
 
 _ROOT_NAME = "lagoonrun"
 
 
-def configure(*, entry_vm: str, level: int = logging.INFO) -> None:
-    """Send all lagoonrun log lines to standard error as JSON.
+def configure(
+    *, entry_vm: str, level: int = logging.INFO, stream: TextIO | None = None
+) -> None:
+    """Send all lagoonrun log lines to standard output as JSON.
 
     Parameters
     ----------
@@ -19,8 +22,10 @@
         Name of this process, repeated on each line.
     level
         Lowest level that is written.
+    stream
+        Where the lines go; standard output if None.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = bounded_log.BoundedLogHandler(stream=stream or sys.stdout)
     handler.setFormatter(
         json_logger.JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
--- a/packages/http/src/lagoonrun_http/limits.py
+++ b/packages/http/src/lagoonrun_http/limits.py
@@ -64,7 +64,13 @@
     body_idle_seconds
         Time between two pieces of a response body.
     idle_seconds
-        How long an unused connection is kept; shorter than upstreams do.
+        How long an unused connection is kept where the upstream does not say
+        how long it keeps one; shorter than upstreams do.
+    longest_idle_seconds
+        How long an unused connection is kept whatever the upstream says.
+    unacknowledged_seconds
+        How long the upstream's system may acknowledge nothing: neither bytes
+        of a request nor a probe of a silent connection.
     header_bytes
         Largest response head.
     connections_per_upstream
@@ -82,6 +88,8 @@
     head_seconds: float = 120.0
     body_idle_seconds: float = 60.0
     idle_seconds: float = 4.0
+    longest_idle_seconds: float = 30.0
+    unacknowledged_seconds: float = 10.0
     header_bytes: int = 32 * 1024
     connections_per_upstream: int = 512
     idle_per_upstream: int = 64
--- /dev/null
+++ b/packages/http/src/lagoonrun_http/liveness.py
@@ -0,0 +1,40 @@
+"""Have the system notice a peer that vanished without a word."""
+
+import asyncio
+import contextlib
+import socket
+
+_PROBES = 2
+
+
+def watch(transport: asyncio.Transport, *, within_seconds: float) -> None:
+    """End a connection whose other side acknowledges nothing.
+
+    A VM that lost its power or its network sends no reset. Without probes an
+    idle connection to it looks sound for ever, and a request written into it
+    waits for the whole limit of its route.
+
+    Parameters
+    ----------
+    within_seconds
+        About how long the other side may be silent on the network.
+    """
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return
+    interval = max(1, round(within_seconds / (_PROBES + 1)))
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, interval),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(within_seconds * 1000),
+        ),
+    )
+    with contextlib.suppress(OSError):
+        # A system without one of the options only notices later.
+        for level, option, value in options:
+            raw.setsockopt(level, option, value)
--- a/packages/http/src/lagoonrun_http/server.py
+++ b/packages/http/src/lagoonrun_http/server.py
@@ -62,6 +62,7 @@
         self._buffer = read_buffer.ReadBuffer()
         self._held_body_bytes = 0
         self.stopping = False
+        """Whether answers tell callers to connect anew, elsewhere."""
 
     @property
     def port(self) -> int:
@@ -92,6 +93,18 @@
         self._port = self._listener.sockets[0].getsockname()[1]
         self._sweep.start()
 
+    def use_limits(self, limits: limits.ServerLimits) -> None:
+        """Bound the connections that are accepted from now on by `limits`."""
+        self._limits = limits
+
+    def send_callers_away(self) -> None:
+        """Answer on, with each answer the last one of its connection.
+
+        New connections are still taken: a balancer goes on sending some
+        until it has seen that this process is not ready any more.
+        """
+        self.stopping = True
+
     def stop_accepting(self) -> None:
         """Take no new connection; running exchanges go on."""
         self.stopping = True
--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -150,8 +150,11 @@
         answer would carry the id that the next one is checked by.
         """
         idle = self._idle_by_endpoint.get(endpoint, [])
+        now = self._clock.monotonic()
         for connection in reversed(idle):
-            usable = not connection.closed
+            # By its age as well: after a suspension the sweep comes late.
+            age = now - connection.idle_since
+            usable = not connection.closed and age < connection.idle_seconds
             if usable and connection.last_request_id != request_id:
                 idle.remove(connection)
                 return connection
@@ -215,7 +218,7 @@
         for connection in tuple(self._connections):
             if connection.busy:
                 connection.check_deadlines(now)
-            elif now - connection.idle_since >= self._limits.idle_seconds:
+            elif now - connection.idle_since >= connection.idle_seconds:
                 connection.close_idle()
 
 
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -1,6 +1,7 @@
 """One connection to an upstream: h11 state and the running response."""
 
 import asyncio
+import re
 from typing import Protocol
 
 import h11
@@ -10,6 +11,7 @@
 from lagoonrun_http import (
     hop_by_hop,
     limits,
+    liveness,
     messages,
     read_buffer,
     resetting,
@@ -20,6 +22,9 @@
 _Stage = upstream_messages.FailureStage
 _SET_HERE = ("content-length", "expect", upstream_messages.REQUEST_ID_HEADER)
 _JOINED_BODY_BYTES = 64 * 1024
+_ANNOUNCED_IDLE = re.compile(r"timeout=(\d{1,6})")
+_PART_OF_ANNOUNCED_IDLE = 0.75
+"""Leaves a quarter for a delayed request and for a clock that differs."""
 
 
 class ConnectionPool(Protocol):
@@ -62,6 +67,7 @@
         self.address = address
         self.port = port
         self.idle_since = 0.0
+        self.idle_seconds = client_limits.idle_seconds
         self.last_request_id: types.RequestId | None = None
         self.closed = False
         self._peer = f"{address}:{port}"
@@ -153,6 +159,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport: asyncio.Transport = transport  # type: ignore[assignment]
+        liveness.watch(
+            self._transport,
+            within_seconds=self._limits.unacknowledged_seconds,
+        )
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the room for the next read."""
@@ -246,6 +256,7 @@
         if fault:
             self._fail(_Stage.PROTOCOL, fault)
             return
+        self._note_idle_time(head)
         self._response = upstream_response.UpstreamResponse(
             head=messages.ResponseHead(
                 status=head.status, headers=hop_by_hop.strip(head.headers)
@@ -259,6 +270,19 @@
         if not waiting.done():
             waiting.set_result(self._response)
 
+    def _note_idle_time(self, head: messages.ResponseHead) -> None:
+        """Keep the connection a little shorter than the upstream does.
+
+        One that the upstream closes while a request is on its way to it
+        leaves unknown whether the request ran.
+        """
+        match = _ANNOUNCED_IDLE.search(head.headers.get("Keep-Alive") or "")
+        if match:
+            self.idle_seconds = min(
+                self._limits.longest_idle_seconds,
+                int(match[1]) * _PART_OF_ANNOUNCED_IDLE,
+            )
+
     def _is_close_delimited(self, head: messages.ResponseHead) -> bool:
         if self._method == "HEAD" or head.status in (204, 304):
             return False
--- a/packages/platform/src/lagoonrun_platform/etcd_gateway.py
+++ b/packages/platform/src/lagoonrun_platform/etcd_gateway.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 from lagoonrun_core import clock as clock_module
-from lagoonrun_platform import _http, call_budget, gateway_format, store
+from lagoonrun_platform import call_budget, gateway_format, http_calls, store
 from lagoonrun_platform import vm_list as vm_list_module
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
@@ -18,8 +18,8 @@
 _SERVER_ERROR = 500
 _BAD_REQUEST = 400
 _UNANSWERED = (
-    _http.NotSentError,
-    _http.ReplyLostError,
+    http_calls.NotSentError,
+    http_calls.ReplyLostError,
     gateway_format.FormatError,
 )
 
@@ -57,7 +57,7 @@
     def __init__(
         self,
         *,
-        addresses: Sequence[_http.NetworkAddress],
+        addresses: Sequence[http_calls.NetworkAddress],
         clock: clock_module.Clock,
         chance: random.Random,
         call_timeout_seconds: float = _CALL_TIMEOUT_SECONDS,
@@ -66,7 +66,7 @@
     ) -> None:
         self._call_timeout_seconds = call_timeout_seconds
         self._pools = collections.deque(
-            _http.ConnectionPool(
+            http_calls.ConnectionPool(
                 address=address,
                 connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS,
                 clock=clock,
@@ -81,7 +81,7 @@
             clock=clock,
             chance=chance,
         )
-        self._watches: set[_http.GatewayConnection] = set()
+        self._watches: set[http_calls.GatewayConnection] = set()
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
         self.failures_by_kind: collections.Counter[str] = collections.Counter()
 
@@ -177,7 +177,7 @@
         request = gateway_format.watch_request(
             key, prefix=prefix, from_revision=from_revision
         )
-        call = _http.Call(
+        call = http_calls.Call(
             method="POST",
             path="/v3/watch",
             body=gateway_format.encode(request),
@@ -197,8 +197,8 @@
             connection.close()
 
     async def _open_watch(
-        self, call: _http.Call
-    ) -> _http.GatewayConnection | store.Unreachable:
+        self, call: http_calls.Call
+    ) -> http_calls.GatewayConnection | store.Unreachable:
         denied = await self._admit("watch")
         if denied is not None:
             return denied
@@ -207,13 +207,13 @@
             self.calls_by_kind["watch"] += 1
             try:
                 connection = await pool.connect()
-            except _http.NotSentError as error:
+            except http_calls.NotSentError as error:
                 detail = self._next_pool(pool, error)
                 continue
             try:
                 async with asyncio.timeout(self._call_timeout_seconds):
                     status = await connection.open_stream(call)
-            except (TimeoutError, _http.ReplyLostError) as error:
+            except (TimeoutError, http_calls.ReplyLostError) as error:
                 connection.close()
                 detail = self._next_pool(pool, error)
                 continue
@@ -228,7 +228,7 @@
         return self._fail("watch", detail)
 
     async def _messages(
-        self, connection: _http.GatewayConnection
+        self, connection: http_calls.GatewayConnection
     ) -> AsyncIterator[store.WatchMessage]:
         waiting = b""
         try:
@@ -239,13 +239,13 @@
                     for line in filter(None, lines):
                         fields = gateway_format.decode(line)
                         yield gateway_format.watch_message(fields)
-        except (_http.ReplyLostError, gateway_format.FormatError) as error:
+        except (http_calls.ReplyLostError, gateway_format.FormatError) as error:
             yield store.Unreachable(detail=f"watch lost: {error}")
             return
         yield store.Unreachable(detail="watch ended by the store")
 
     async def _read(
-        self, kind: str, call: _http.Call, *, parse: Callable[[dict], _T]
+        self, kind: str, call: http_calls.Call, *, parse: Callable[[dict], _T]
     ) -> _T | store.Unreachable:
         """Send a call that changes nothing, to each address if need be."""
         denied = await self._admit(kind)
@@ -264,7 +264,7 @@
         return self._fail(kind, detail)
 
     async def _write(
-        self, kind: str, call: _http.Call, *, parse: Callable[[dict], _T]
+        self, kind: str, call: http_calls.Call, *, parse: Callable[[dict], _T]
     ) -> _T | store.Unknown | store.Unreachable:
         """Send a call that may change something, once."""
         denied = await self._admit(kind)
@@ -278,7 +278,7 @@
                     call, timeout_seconds=self._call_timeout_seconds
                 )
                 return self._answered(reply, parse)
-            except _http.NotSentError as error:
+            except http_calls.NotSentError as error:
                 detail = self._next_pool(pool, error)
             except _UNANSWERED as error:
                 # It may have been applied: another try could apply it twice
@@ -298,19 +298,19 @@
         return None
 
     def _answered(
-        self, reply: _http.Reply, parse: Callable[[dict], _T]
+        self, reply: http_calls.Reply, parse: Callable[[dict], _T]
     ) -> _T | store.Unreachable:
         """Return the outcome that an answer tells.
 
         Raises
         ------
-        _http.ReplyLostError, gateway_format.FormatError
+        http_calls.ReplyLostError, gateway_format.FormatError
             When it tells nothing that can be relied on.
         """
         if reply.status >= _SERVER_ERROR:
             # "Request timed out" comes as a server error, and such a
             # request may still be applied.
-            raise _http.ReplyLostError(f"status {reply.status}")
+            raise http_calls.ReplyLostError(f"status {reply.status}")
         fields = gateway_format.decode(reply.body)
         self._budget.succeeded()
         if reply.status >= _BAD_REQUEST and not gateway_format.is_not_found(
@@ -325,7 +325,7 @@
         return parse(fields)
 
     def _next_pool(
-        self, failed: _http.ConnectionPool, error: Exception | str
+        self, failed: http_calls.ConnectionPool, error: Exception | str
     ) -> str:
         """Put the failed address last; return what is to be reported."""
         if len(self._pools) > 1 and self._pools[0] is failed:
@@ -344,9 +344,9 @@
         return store.Unknown(detail=detail)
 
 
-def _call(path: str, request: gateway_format.Json | None) -> _http.Call:
+def _call(path: str, request: gateway_format.Json | None) -> http_calls.Call:
     if request is None:
-        return _http.Call(method="GET", path=path)
-    return _http.Call(
+        return http_calls.Call(method="GET", path=path)
+    return http_calls.Call(
         method="POST", path=path, body=gateway_format.encode(request)
     )
--- a/packages/platform/src/lagoonrun_platform/_http.py
+++ b/packages/platform/src/lagoonrun_platform/http_calls.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client of the platform's gateway: pooled calls and one stream.
+"""HTTP/1.1 calls to a service of the platform or to a peer: pooled, or a stream.
 
 It tells a call that was certainly not sent (`NotSentError`) from one whose
 reply was lost (`ReplyLostError`); the caller's promises rest on that.
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -297,6 +297,80 @@
     target: types.EntryVmId
 
 
+# Entry VMs that decide alone.
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UpstreamLoad:
+    """The sender's own work at one upstream.
+
+    Parameters
+    ----------
+    waiting_tokens
+        Prompt tokens of its requests without a first event.
+    running
+        Its requests without an end.
+    sensitive
+        Streams among them, each by the inverse of its longest pause.
+    """
+
+    upstream: types.UpstreamId
+    waiting_tokens: float
+    running: int
+    sensitive: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromptPlacement:
+    """A shared part of a prompt and the upstream that was given it."""
+
+    part: str
+    upstream: types.UpstreamId
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryVmAddress:
+    """Where an entry VM listens for the others."""
+
+    entry_vm: types.EntryVmId
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouterState:
+    """What an entry VM tells the others several times a second.
+
+    Parameters
+    ----------
+    start
+        Drawn at random by each start of the process.
+    sequence
+        Grows with each message of one start: an overtaken one is dropped.
+    port
+        Where the sender listens, for datagrams and for calls.
+    revision
+        Declarations that it has in force; 0 for none.
+    stopping
+        Whether it is about to end and takes no more part.
+    leaving
+        Upstreams that get nothing new, the newest last.
+    known
+        Some of the entry VMs that it knows.
+    """
+
+    entry_vm: types.EntryVmId
+    start: int
+    sequence: int
+    port: int
+    revision: types.Revision
+    stopping: bool = False
+    leaving: tuple[types.UpstreamId, ...] = ()
+    loads: tuple[UpstreamLoad, ...] = ()
+    placements: tuple[PromptPlacement, ...] = ()
+    known: tuple[EntryVmAddress, ...] = ()
+
+
 Message = (
     Hello
     | PermitRequest
@@ -315,4 +389,5 @@
     | Acknowledge
     | PingRequest
     | DigestAcknowledged
+    | RouterState
 )
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -165,6 +165,37 @@
   unknown @1 :List(WaitingWork);
 }
 
+struct UpstreamLoad {
+  upstream @0 :Text;
+  waitingTokens @1 :Float64;
+  running @2 :UInt64;
+  sensitive @3 :Float64;
+}
+
+struct PromptPlacement {
+  part @0 :Text;
+  upstream @1 :Text;
+}
+
+struct EntryVmAddress {
+  entryVm @0 :Text;
+  host @1 :Text;
+  port @2 :UInt64;
+}
+
+struct RouterState {
+  entryVm @0 :Text;
+  start @1 :UInt64;
+  sequence @2 :UInt64;
+  port @3 :UInt64;
+  revision @4 :UInt64;
+  stopping @5 :Bool;
+  leaving @6 :List(Text);
+  loads @7 :List(UpstreamLoad);
+  placements @8 :List(PromptPlacement);
+  known @9 :List(EntryVmAddress);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -184,5 +215,6 @@
     acknowledge @14 :Acknowledge;
     pingRequest @15 :PingRequest;
     digestAcknowledged @16 :DigestAcknowledged;
+    routerState @17 :RouterState;
   }
 }
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/answers.py
@@ -0,0 +1,103 @@
+"""Answers that the router itself gives to callers."""
+
+import random
+
+from lagoonrun_core import errors, outcomes, types
+from lagoonrun_http import errors as http_errors
+from lagoonrun_http import exchange as exchanges
+from lagoonrun_http import messages as http_messages
+
+OUTCOME_HEADER = "Lagoonrun-Outcome"
+REASON_HEADER = "Lagoonrun-Reason"
+
+_NOT_RUN_STATUS = 503
+_TIMEOUT_STATUS = 504
+_BROKEN_STATUS = 502
+_UNAUTHORIZED = 401
+
+_RETRY_SECONDS = 0.25
+"""When to come back where the cause is likely to have passed by then.
+
+Runners free slots several times a second, and another entry VM may see more.
+Long against a round trip, short against the shortest time limit in use (0.6 s).
+"""
+
+_RETRY_JITTER = 0.5
+"""Part of the above by which callers are spread, so that they don't meet."""
+
+
+def retry_after_seconds(chance: random.Random, *, left_seconds: float) -> float:
+    """Return when a refused caller should come back.
+
+    Parameters
+    ----------
+    left_seconds
+        Time left to the caller; it comes back within a third of it or not
+        at all.
+    """
+    seconds = _RETRY_SECONDS * (1.0 + _RETRY_JITTER * chance.random())
+    return max(0.01, min(seconds, left_seconds / 4.0))
+
+
+async def end_without_answer(
+    exchange: exchanges.Exchange,
+    *,
+    request_id: types.RequestId,
+    ending: outcomes.Ending,
+) -> None:
+    """Tell a caller that there is no answer, and whether its request ran.
+
+    Only an ending `NOT_RUN` becomes 503, which callers take for the promise
+    that the request has not run and never will.
+    """
+    body = http_errors.error_body(
+        step=errors.Step.UPSTREAM_READ,
+        field="",
+        message=ending.detail or ending.reason.value,
+        valid="",
+    )
+    pairs = [
+        (OUTCOME_HEADER, ending.outcome.value),
+        (REASON_HEADER, ending.reason.value),
+        ("Lagoonrun-Request-Id", request_id),
+        ("Content-Type", "application/json"),
+    ]
+    if ending.outcome is outcomes.Outcome.NOT_RUN:
+        pairs.append(("Retry-After", f"{ending.retry_after_seconds:.3f}"))
+    await exchange.respond(
+        status=_status_of(ending),
+        headers=http_messages.Headers(pairs=pairs),
+        body=body,
+    )
+
+
+async def reject(
+    exchange: exchanges.Exchange,
+    *,
+    status: int,
+    step: errors.Step,
+    field: str,
+    message: str,
+    valid: str,
+) -> None:
+    """Answer a request that cannot be served as it stands."""
+    body = http_errors.error_body(
+        step=step, field=field, message=message, valid=valid
+    )
+    pairs = [
+        (OUTCOME_HEADER, outcomes.Outcome.NOT_RUN.value),
+        ("Content-Type", "application/json"),
+    ]
+    if status == _UNAUTHORIZED:
+        pairs.append(("WWW-Authenticate", "Bearer"))
+    await exchange.respond(
+        status=status, headers=http_messages.Headers(pairs=pairs), body=body
+    )
+
+
+def _status_of(ending: outcomes.Ending) -> int:
+    if ending.outcome is outcomes.Outcome.NOT_RUN:
+        return _NOT_RUN_STATUS
+    if ending.reason is outcomes.Reason.DEADLINE:
+        return _TIMEOUT_STATUS
+    return _BROKEN_STATUS
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -0,0 +1,178 @@
+"""Turn what the store and the peers tell into declarations and upstreams."""
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import events, logs, types
+from lagoonrun_platform import store as store_module
+from lagoonrun_router import (
+    declarations,
+    dialect,
+    peer_table,
+    store_follower,
+    upstreams,
+)
+
+_Section = store_follower.Section
+
+
+class DeclarationsListener(Protocol):
+    """Receives each revision that comes into force."""
+
+    def __call__(self, declared: declarations.Declarations) -> None:
+        """Put `declared` into force."""
+
+
+class Beliefs:
+    """Receives the store's contents; the declarations only move forwards.
+
+    Parameters
+    ----------
+    layout
+        Keys and formats of the store.
+    directory
+        Receives the upstreams.
+    peers
+        Receives the entry VMs.
+    on_declarations
+        Receives each newer revision.
+    on_upstreams
+        Called when upstreams have changed.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        layout: dialect.StoreLayout,
+        directory: upstreams.UpstreamDirectory,
+        peers: peer_table.PeerTable,
+        on_declarations: DeclarationsListener,
+        on_upstreams: Callable[[], None],
+        clock: clocks.Clock,
+    ) -> None:
+        self._layout = layout
+        self._directory = directory
+        self._peers = peers
+        self._on_declarations = on_declarations
+        self._on_upstreams = on_upstreams
+        self._clock = clock
+        self.revision = types.Revision(0)
+        self.declarations_value = b""
+        """The declarations in force as they were read, for peers."""
+        self.upstreams_known = False
+
+    # What the store follower tells.
+
+    def take_listing(
+        self,
+        section: store_follower.Section,
+        items: tuple[store_module.KeyValue, ...],
+    ) -> None:
+        """Take in all keys of a section."""
+        if section is _Section.UPSTREAMS:
+            self._take_upstreams(items)
+            return
+        for item in items:
+            self._take_value(section, item.key, item.value)
+
+    def take_event(
+        self, section: store_follower.Section, event: store_module.Event
+    ) -> None:
+        """Take in one change."""
+        if event.value is not None:
+            self._take_value(section, event.key, event.value)
+            return
+        now = self._clock.monotonic()
+        if section is _Section.UPSTREAMS:
+            id = event.key.removeprefix(self._layout.upstreams_prefix)
+            self._directory.take_removal(types.UpstreamId(id), now=now)
+            self._on_upstreams()
+        elif section is _Section.ENTRY_VMS:
+            name = event.key.removeprefix(self._layout.entry_vms_prefix)
+            self._peers.remove(types.EntryVmId(name))
+
+    def take_store_lost(
+        self, section: store_follower.Section, detail: str
+    ) -> None:
+        """Keep upstreams whose entries run out meanwhile."""
+        if section is _Section.UPSTREAMS:
+            self._directory.take_store_lost()
+
+    def take_store_regained(self, section: store_follower.Section) -> None:
+        """Give entries that ran out the time to come back."""
+        if section is _Section.UPSTREAMS:
+            now = self._clock.monotonic()
+            self._directory.take_store_regained(now=now)
+
+    # What peers tell.
+
+    def take_declarations(self, value: bytes, *, source: str) -> None:
+        """Put a value of the declarations into force if it is newer."""
+        try:
+            declared = self._layout.decode_declarations(value)
+        except dialect.FormatError as error:
+            logs.emit(
+                events.LogEvent.CONFIGURATION_REJECTED,
+                level=logging.ERROR,
+                source=source,
+                reason=error.detail,
+                revision=self.revision,
+            )
+            return
+        if declared.revision <= self.revision:
+            return
+        previous = self.revision
+        self.revision = declared.revision
+        self.declarations_value = value
+        logs.emit(
+            events.LogEvent.CONFIGURATION_IN_FORCE,
+            revision=declared.revision,
+            previous=previous,
+            source=source,
+            routes=len(declared.routes),
+        )
+        self._on_declarations(declared)
+
+    # Parts.
+
+    def _take_value(
+        self, section: store_follower.Section, key: str, value: bytes
+    ) -> None:
+        if section is _Section.DECLARATIONS:
+            if key == self._layout.declarations_key:
+                self.take_declarations(value, source="store")
+        elif section is _Section.UPSTREAMS:
+            registration = self._decoded(key, value)
+            if registration is not None:
+                now = self._clock.monotonic()
+                self._directory.take_entry(registration, now=now)
+                self.upstreams_known = True
+                self._on_upstreams()
+        else:
+            name = key.removeprefix(self._layout.entry_vms_prefix)
+            self._peers.take_record(types.EntryVmId(name), value)
+
+    def _take_upstreams(self, items: tuple[store_module.KeyValue, ...]) -> None:
+        decoded = [self._decoded(item.key, item.value) for item in items]
+        now = self._clock.monotonic()
+        self._directory.take_listing(
+            [one for one in decoded if one is not None], now=now
+        )
+        self.upstreams_known = self.upstreams_known or bool(items)
+        self._on_upstreams()
+
+    def _decoded(self, key: str, value: bytes) -> upstreams.Registration | None:
+        try:
+            return self._layout.decode_upstream(key, value)
+        except dialect.FormatError as error:
+            logs.emit(
+                events.LogEvent.UPSTREAM_ENTRY_REJECTED,
+                level=logging.ERROR,
+                key=key,
+                reason=error.detail,
+            )
+            return None
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/call.py
@@ -0,0 +1,107 @@
+"""One request of a caller, as far as decisions need to know it."""
+
+import dataclasses
+
+from lagoonrun_core import types
+from lagoonrun_http import messages as http_messages
+from lagoonrun_router import declarations
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromptPart:
+    """A run of tokens at a fixed place in a prompt.
+
+    Parameters
+    ----------
+    id
+        The same for all prompts that have this part after the same parts.
+    """
+
+    id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallFeatures:
+    """What a caller says of its request.
+
+    Parameters
+    ----------
+    key
+        Bearer key; None where none was sent.
+    patience_seconds
+        How long the caller waits from the sending on; None if unsaid.
+    prompt
+        Parts of the prompt in order; the last is the request's own.
+    prompt_tokens
+        All tokens of the prompt; 0 for plain services.
+    resumes_after
+        Event after which the caller wants a broken stream to go on; empty
+        for a stream from its beginning.
+    """
+
+    request_id: types.RequestId
+    host: str
+    key: str | None = None
+    patience_seconds: float | None = None
+    prompt: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    resumes_after: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Call:
+    """A request that is being served.
+
+    Parameters
+    ----------
+    arrived_at
+        Reading of the clock when the head was complete.
+    limit_at
+        Reading of the clock at which the caller gets a final answer, whatever
+        has become of the request.
+    revision
+        Declarations by which the request was resolved.
+    """
+
+    features: CallFeatures
+    head: http_messages.RequestHead
+    body: bytes
+    route: declarations.Route
+    pool: declarations.Pool
+    organisation: declarations.RankedOrganisation | None
+    tier: types.Tier
+    arrived_at: float
+    limit_at: float
+    revision: types.Revision
+
+    @property
+    def request_id(self) -> types.RequestId:
+        """Id of the request, chosen by the caller."""
+        return self.features.request_id
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.profile.idempotent
+
+    @property
+    def streamed(self) -> bool:
+        """Whether the answer is a series of events."""
+        return self.route.answer_kind is declarations.AnswerKind.EVENTS
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may share."""
+        return sum(part.tokens for part in self.features.prompt[:-1])
+
+    @property
+    def home_part(self) -> PromptPart | None:
+        """The part by which requests are brought together on an upstream.
+
+        The largest shared one: reading it again costs most.
+        """
+        shared = self.features.prompt[:-1]
+        if not shared:
+            return None
+        return max(shared, key=lambda part: part.tokens)
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -0,0 +1,127 @@
+"""Gather what is known of a call's candidates and choose among them."""
+
+import dataclasses
+from collections.abc import Container
+
+from lagoonrun_core import events, logs, types
+from lagoonrun_router import call as calls
+from lagoonrun_router import parts as router_parts
+from lagoonrun_router import placement, upstreams
+
+_LOGGED_CANDIDATES = 4
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choice:
+    """An upstream, and what its choice rested on.
+
+    Parameters
+    ----------
+    new_tokens
+        Prompt tokens that it has to read.
+    decided_at
+        Reading of the clock.
+    """
+
+    upstream: upstreams.Registration
+    new_tokens: float
+    decided_at: float
+
+
+class Chooser:
+    """Chooses the upstream of each attempt.
+
+    Parameters
+    ----------
+    parts
+        Shared parts of the process.
+    """
+
+    def __init__(self, *, parts: router_parts.Parts) -> None:
+        self._parts = parts
+
+    def choose(
+        self, call: calls.Call, *, excluded: Container[types.UpstreamId]
+    ) -> Choice | None:
+        """Return the upstream of the next attempt; None if there is none.
+
+        Parameters
+        ----------
+        excluded
+            Upstreams of earlier attempts.
+        """
+        now = self._parts.clock.monotonic()
+        registered = self._parts.directory.usable(call.pool.name, now=now)
+        by_id = {one.id: one for one in registered if one.id not in excluded}
+        if not by_id:
+            return None
+        request = _request_of(call)
+        candidates = tuple(
+            self._candidate(call, one, now) for one in by_id.values()
+        )
+        ranked = placement.rank(request, candidates)
+        self._log(call, ranked)
+        best = ranked[0]
+        return Choice(
+            upstream=by_id[best.candidate.upstream],
+            new_tokens=best.new_tokens,
+            decided_at=now,
+        )
+
+    def _candidate(
+        self, call: calls.Call, upstream: upstreams.Registration, now: float
+    ) -> placement.Candidate:
+        parts = self._parts
+        home = call.home_part
+        return placement.Candidate(
+            upstream=upstream.id,
+            slots=upstream.slots,
+            has_shared=home is not None
+            and parts.homes.has(home.id, upstream.id, now=now),
+            same_domain=upstream.domain == parts.domain,
+            load=parts.ledger.load_of(upstream.id, now=now),
+            recent_prefill=parts.ledger.recent_prefill(upstream.id, now=now),
+            failures=parts.ledger.failures(upstream.id, now=now),
+        )
+
+    def _log(
+        self, call: calls.Call, ranked: tuple[placement.Ranked, ...]
+    ) -> None:
+        logs.emit(
+            events.LogEvent.REQUEST_ROUTED,
+            request_id=call.request_id,
+            route=call.route.name,
+            pool=call.pool.name,
+            revision=call.revision,
+            prompt_tokens=call.features.prompt_tokens,
+            shared_tokens=call.shared_tokens,
+            candidates=[
+                {
+                    "upstream": one.candidate.upstream,
+                    "cost": round(one.cost, 3),
+                    "has_shared": one.candidate.has_shared,
+                    "waiting_tokens": round(one.candidate.load.waiting_tokens),
+                    "running": one.candidate.load.running,
+                    "failures": round(one.candidate.failures, 2),
+                }
+                for one in ranked[:_LOGGED_CANDIDATES]
+            ],
+        )
+
+
+def _request_of(call: calls.Call) -> placement.Request:
+    home = call.home_part
+    return placement.Request(
+        affinity=home.id if home else call.request_id,
+        prompt_tokens=call.features.prompt_tokens,
+        shared_tokens=call.shared_tokens,
+        target_seconds=call.route.profile.target_seconds,
+        sensitivity=sensitivity_of(call),
+        body_bytes=len(call.body),
+    )
+
+
+def sensitivity_of(call: calls.Call) -> float:
+    """Return the inverse of the longest pause of a call's stream."""
+    pause = call.route.longest_pause_seconds
+    return 1.0 / pause if pause else 0.0
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -0,0 +1,381 @@
+"""See one call to its final answer: attempts, retries, limits."""
+
+import asyncio
+import logging
+
+from lagoonrun_core import events, logs, outcomes, types
+from lagoonrun_http import exchange as exchanges
+from lagoonrun_http import upstream as http_upstream
+from lagoonrun_router import (
+    answers,
+    attempt,
+    choosing,
+    loads,
+    retrying,
+    stream_relay,
+)
+from lagoonrun_router import call as calls
+from lagoonrun_router import parts as router_parts
+
+_LARGEST_HELD_ANSWER_BYTES = 4 * 1024 * 1024
+"""Largest answer of a plain service. It is held until it is whole, so that a
+truncated one can be asked for again and is never delivered."""
+
+_OLDEST_CHOICE_SECONDS = 1.0
+"""Age from which a choice is not acted on any more.
+
+The process may have stood still between the choice and the first byte; the
+upstream may have left meanwhile.
+"""
+
+_FAILED_STATUS = 500
+
+_SILENT_TARGETS = 3.0
+"""Silence, in targets, after which a repeatable plain request goes to another
+upstream. Three times what is on time: rare in calm, and time is left."""
+
+_REJECTED_LOW = 400
+
+
+class CallExecution:
+    """Serve one call.
+
+    Parameters
+    ----------
+    call
+        The resolved call.
+    exchange
+        Where its answer goes.
+    parts
+        Shared parts of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: calls.Call,
+        exchange: exchanges.Exchange,
+        parts: router_parts.Parts,
+    ) -> None:
+        self._call = call
+        self._exchange = exchange
+        self._parts = parts
+        self._chooser = choosing.Chooser(parts=parts)
+        self._relay = stream_relay.StreamRelay(
+            call=call, exchange=exchange, clock=parts.clock
+        )
+        self._tried: set[types.UpstreamId] = set()
+        self._sends = retrying.Sends()
+        self._earlier_may_have_run = False
+        self._sending = False
+        self._whole_at: float | None = None
+
+    @property
+    def first_answer_at(self) -> float | None:
+        """When the first event or the whole answer came."""
+        return self._relay.first_event_at or self._whole_at
+
+    @property
+    def longest_pause_seconds(self) -> float:
+        """Longest pause between two events."""
+        return self._relay.longest_pause_seconds
+
+    async def run(self) -> outcomes.Ending:
+        """Return how the request ended; the caller has its answer."""
+        left = self._call.limit_at - self._parts.clock.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                return await self._attempts()
+        except TimeoutError:
+            return await self._end(
+                reason=outcomes.Reason.DEADLINE,
+                detail="the time limit of the request has passed",
+            )
+
+    async def _attempts(self) -> outcomes.Ending:
+        while True:
+            choice = self._chooser.choose(self._call, excluded=self._tried)
+            if choice is None and not self._tried:
+                return await self._end(
+                    reason=outcomes.Reason.NO_UPSTREAM,
+                    detail="no upstream of the pool is known",
+                )
+            if choice is None:
+                # All were tried; one that failed may do better by now.
+                self._tried.clear()
+                choice = self._chooser.choose(self._call, excluded=())
+            if choice is None:
+                return await self._end(
+                    reason=outcomes.Reason.NO_UPSTREAM,
+                    detail="no upstream of the pool is left",
+                )
+            result = await self._attempt(choice)
+            if isinstance(result, attempt.Delivered):
+                return result.ending
+            ending = await self._after_loss(result)
+            if ending is not None:
+                return ending
+
+    async def _after_loss(self, lost: attempt.Lost) -> outcomes.Ending | None:
+        """Return the end of the request, or None to send it once more."""
+        now = self._parts.clock.monotonic()
+        self._note_loss(lost, now)
+        verdict = retrying.decide(self._call, lost, self._sends, now=now)
+        pool = self._call.pool.name
+        if verdict is retrying.Verdict.PAID:
+            if self._parts.budget.spend(pool, now=now):
+                self._parts.metrics.repeats.labels(pool).inc()
+            else:
+                self._parts.metrics.denied_repeats.labels(pool).inc()
+                verdict = retrying.Verdict.END
+        if verdict is retrying.Verdict.END:
+            return await self._end_lost(lost)
+        logs.emit(
+            events.LogEvent.REQUEST_RETRIED,
+            request_id=self._call.request_id,
+            verdict=verdict.value,
+            reached=self._sends.reached,
+            unreached=self._sends.unreached,
+            budget_left=round(self._parts.budget.left(pool, now=now), 1),
+            resume_after=self._relay.resume_after,
+        )
+        return None
+
+    def _note_loss(self, lost: attempt.Lost, now: float) -> None:
+        self._sends = self._sends.with_lost(lost)
+        self._tried.add(lost.upstream)
+        self._sending = False
+        if lost.ran is not outcomes.Outcome.NOT_RUN:
+            self._earlier_may_have_run = True
+        if lost.elsewhere:
+            self._parts.directory.take_gone(lost.upstream, source="answer")
+        else:
+            self._parts.ledger.add_failure(lost.upstream, now=now)
+        self._parts.metrics.lost_attempts.labels(
+            self._call.pool.name, lost.reason.value
+        ).inc()
+        logs.emit(
+            events.LogEvent.UPSTREAM_ATTEMPT_LOST,
+            level=logging.WARNING,
+            request_id=self._call.request_id,
+            upstream=lost.upstream,
+            ran=lost.ran.value,
+            reason=lost.reason.value,
+            detail=lost.detail,
+        )
+
+    async def _attempt(self, choice: choosing.Choice) -> attempt.Result:
+        work = loads.Work(
+            upstream=choice.upstream.id,
+            new_tokens=choice.new_tokens,
+            sensitivity=choosing.sensitivity_of(self._call),
+        )
+        parts = self._parts
+        now = parts.clock.monotonic()
+        parts.ledger.begin(work, now=now)
+        parts.metrics.new_tokens.labels(self._call.pool.name).inc(
+            choice.new_tokens
+        )
+        home = self._call.home_part
+        if home is not None:
+            parts.homes.place(home.id, choice.upstream.id, now=now)
+        try:
+            return await self._exchange_with(choice, work)
+        finally:
+            parts.ledger.end(work)
+
+    async def _exchange_with(
+        self, choice: choosing.Choice, work: loads.Work
+    ) -> attempt.Result:
+        upstream = choice.upstream
+        now = self._parts.clock.monotonic()
+        head = self._parts.dialect.upstream_head(
+            self._call,
+            upstream=upstream,
+            remaining_seconds=self._call.limit_at - now,
+            resume_after=self._relay.resume_after,
+        )
+        try:
+            async with asyncio.timeout(self._head_seconds()):
+                response = await self._parts.client.send(
+                    http_upstream.UpstreamRequest(
+                        head=head,
+                        body=self._call.body,
+                        request_id=self._call.request_id,
+                    ),
+                    address=upstream.host,
+                    port=upstream.port,
+                    may_write=lambda: self._may_write(choice),
+                )
+        except TimeoutError:
+            return attempt.Lost(
+                ran=outcomes.Outcome.UNKNOWN,
+                reason=outcomes.Reason.UPSTREAM_TIMEOUT,
+                detail="silent",
+                upstream=upstream.id,
+            )
+        if isinstance(response, http_upstream.UpstreamFailure):
+            return attempt.lost_by(response, upstream=upstream.id)
+        try:
+            return await self._take(response, upstream.id, work)
+        finally:
+            await response.cancel()
+
+    def _may_write(self, choice: choosing.Choice) -> bool:
+        now = self._parts.clock.monotonic()
+        if now - choice.decided_at > _OLDEST_CHOICE_SECONDS:
+            return False
+        may = self._parts.directory.may_send(choice.upstream.id, now=now)
+        # From here on the request may run; a limit that passes meanwhile
+        # must not be told as "not run".
+        self._sending = may
+        return may
+
+    def _head_seconds(self) -> float | None:
+        """Return how long the head of a response may take; None for no bound.
+
+        Only where the request can be repeated: another upstream may do
+        better, and the first one's work is not lost by asking it.
+        """
+        if self._call.streamed:
+            return self._relay.silence_seconds()
+        more = self._call.route.profile.maximum_attempts - self._sends.reached
+        if not self._call.repeatable or more <= 1:
+            return None
+        return _SILENT_TARGETS * self._call.route.profile.target_seconds
+
+    async def _take(
+        self,
+        response: http_upstream.UpstreamResponse,
+        upstream: types.UpstreamId,
+        work: loads.Work,
+    ) -> attempt.Result:
+        head = response.head
+        dialect = self._parts.dialect
+        if dialect.is_other_upstream(head) or dialect.says_not_run(head):
+            return await self._not_run(response, upstream)
+        if head.status < _REJECTED_LOW and not dialect.is_genuine(head):
+            return attempt.Lost(
+                ran=outcomes.Outcome.UNKNOWN,
+                reason=outcomes.Reason.UPSTREAM_PROTOCOL,
+                detail=f"status {head.status} without the upstream's mark",
+                upstream=upstream,
+            )
+        if self._call.streamed and head.status < _REJECTED_LOW:
+            return await self._relay.run(
+                response,
+                upstream=upstream,
+                on_event=lambda: self._parts.ledger.first_event(work),
+            )
+        return await self._take_whole(response, upstream)
+
+    async def _not_run(
+        self,
+        response: http_upstream.UpstreamResponse,
+        upstream: types.UpstreamId,
+    ) -> attempt.Lost:
+        # Read to its end, so that the connection can be used again.
+        await response.read_all(_LARGEST_HELD_ANSWER_BYTES)
+        return attempt.Lost(
+            ran=outcomes.Outcome.NOT_RUN,
+            reason=outcomes.Reason.UPSTREAM_REFUSED,
+            detail=f"the upstream answered {response.head.status}: not run",
+            upstream=upstream,
+            elsewhere=self._parts.dialect.is_other_upstream(response.head),
+        )
+
+    async def _take_whole(
+        self,
+        response: http_upstream.UpstreamResponse,
+        upstream: types.UpstreamId,
+    ) -> attempt.Result:
+        body = await response.read_all(_LARGEST_HELD_ANSWER_BYTES)
+        if isinstance(body, http_upstream.UpstreamFailure):
+            return attempt.lost_by(body, upstream=upstream)
+        answer = attempt.WholeAnswer(head=response.head, body=body)
+        if response.head.status >= _FAILED_STATUS:
+            return attempt.Lost(
+                ran=outcomes.Outcome.FAILED,
+                reason=outcomes.Reason.UPSTREAM_FAILED,
+                detail=f"the upstream answered {response.head.status}",
+                upstream=upstream,
+                answer=answer,
+            )
+        return await self._pass_on(answer, upstream)
+
+    async def _pass_on(
+        self, answer: attempt.WholeAnswer, upstream: types.UpstreamId
+    ) -> attempt.Delivered:
+        self._whole_at = self._parts.clock.monotonic()
+        await self._exchange.respond(
+            status=answer.head.status,
+            headers=answer.head.headers,
+            body=answer.body,
+        )
+        ending = outcomes.Ending(
+            outcome=outcomes.Outcome.COMPLETE, upstream=upstream
+        )
+        if answer.head.status >= _REJECTED_LOW:
+            ending = outcomes.Ending(
+                outcome=outcomes.Outcome.FAILED,
+                reason=outcomes.Reason.UPSTREAM_FAILED,
+                upstream=upstream,
+            )
+        return attempt.Delivered(ending=ending)
+
+    # The end without an upstream's answer.
+
+    async def _end_lost(self, lost: attempt.Lost) -> outcomes.Ending:
+        if lost.answer is not None and not self._exchange.started:
+            delivered = await self._pass_on(lost.answer, lost.upstream)
+            return delivered.ending
+        return await self._end(
+            reason=lost.reason, detail=lost.detail, upstream=lost.upstream
+        )
+
+    async def _end(
+        self,
+        *,
+        reason: outcomes.Reason,
+        detail: str,
+        upstream: types.UpstreamId | None = None,
+    ) -> outcomes.Ending:
+        if self._exchange.started:
+            # Part of the answer is with the caller: only a broken connection
+            # tells that it is not whole.
+            self._exchange.abort()
+            return outcomes.Ending(
+                outcome=outcomes.Outcome.PARTIAL,
+                reason=reason,
+                detail=detail,
+                upstream=upstream,
+            )
+        ending = self._unanswered(reason, detail, upstream)
+        await answers.end_without_answer(
+            self._exchange, request_id=self._call.request_id, ending=ending
+        )
+        return ending
+
+    def _unanswered(
+        self,
+        reason: outcomes.Reason,
+        detail: str,
+        upstream: types.UpstreamId | None,
+    ) -> outcomes.Ending:
+        if self._earlier_may_have_run or self._sending:
+            return outcomes.Ending(
+                outcome=outcomes.Outcome.UNKNOWN,
+                reason=reason,
+                detail=detail,
+                upstream=upstream,
+            )
+        left = self._call.limit_at - self._parts.clock.monotonic()
+        return outcomes.Ending(
+            outcome=outcomes.Outcome.NOT_RUN,
+            reason=reason,
+            detail=detail,
+            upstream=upstream,
+            retry_after_seconds=answers.retry_after_seconds(
+                self._parts.chance, left_seconds=left
+            ),
+        )
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -0,0 +1,262 @@
+"""Take callers' requests in and see each to its final answer."""
+
+import asyncio
+import enum
+import logging
+
+from lagoonrun_core import errors, events, logs, outcomes, types
+from lagoonrun_http import errors as http_errors
+from lagoonrun_http import exchange as exchanges
+from lagoonrun_router import (
+    answers,
+    declarations,
+    dialect,
+    execution,
+    route_table,
+)
+from lagoonrun_router import call as calls
+from lagoonrun_router import parts as router_parts
+
+_UNCONFIGURED_RETRY_SECONDS = 0.5
+"""A starting process has its declarations within about this time."""
+
+
+class _Fault(enum.Enum):
+    """Requests that cannot be served as they stand."""
+
+    MALFORMED = (
+        400,
+        errors.Step.CALLER_READ,
+        "request",
+        "a request as the interface describes it",
+    )
+    UNKNOWN_KEY = (
+        401,
+        errors.Step.AUTHENTICATE,
+        "Authorization",
+        "Authorization: Bearer KEY with a key of an organisation",
+    )
+    NO_ROUTE = (
+        404,
+        errors.Step.RESOLVE_SERVICE,
+        "path",
+        "a host and a path of a declared route",
+    )
+
+    def __init__(
+        self, status: int, step: errors.Step, field: str, valid: str
+    ) -> None:
+        self.status = status
+        self.step = step
+        self.field = field
+        self.valid = valid
+
+
+class Ingress:
+    """Handle the exchanges of the caller address.
+
+    Parameters
+    ----------
+    parts
+        Shared parts of the process.
+    """
+
+    def __init__(self, *, parts: router_parts.Parts) -> None:
+        self._parts = parts
+        self._table: route_table.RouteTable | None = None
+
+    def use(self, table: route_table.RouteTable) -> None:
+        """Resolve the following requests by another revision."""
+        self._table = table
+
+    async def handle(self, exchange: exchanges.Exchange) -> None:
+        """Answer one request; never raises for what a caller does."""
+        arrived_at = self._parts.clock.monotonic()
+        try:
+            features = self._parts.dialect.read_features(exchange.head)
+        except dialect.FormatError as error:
+            await self._reject(exchange, _Fault.MALFORMED, error.detail)
+            return
+        body = await exchange.read_body()
+        # Resolved after the body: a revision that came into force meanwhile
+        # is the one that counts.
+        call = await self._resolve(exchange, features, body, arrived_at)
+        if call is not None:
+            await self._serve(call, exchange)
+
+    async def _resolve(
+        self,
+        exchange: exchanges.Exchange,
+        features: calls.CallFeatures,
+        body: bytes,
+        arrived_at: float,
+    ) -> calls.Call | None:
+        table = self._table
+        if table is None:
+            await self._refuse_unconfigured(exchange, features)
+            return None
+        route = table.route_of(features.host, exchange.head.target)
+        if route is None:
+            await self._reject(
+                exchange,
+                _Fault.NO_ROUTE,
+                f"no route for {features.host}{exchange.head.target}",
+            )
+            return None
+        organisation = table.organisation_of(features.key)
+        if organisation is None and table.asks_for_keys and not route.public:
+            await self._reject(
+                exchange, _Fault.UNKNOWN_KEY, "the key is missing or unknown"
+            )
+            return None
+        return _call_of(
+            table=table,
+            route=route,
+            organisation=organisation,
+            features=features,
+            exchange=exchange,
+            body=body,
+            arrived_at=arrived_at,
+        )
+
+    async def _serve(
+        self, call: calls.Call, exchange: exchanges.Exchange
+    ) -> None:
+        now = self._parts.clock.monotonic()
+        self._parts.budget.note_request(call.pool.name, now=now)
+        run = execution.CallExecution(
+            call=call, exchange=exchange, parts=self._parts
+        )
+        work = asyncio.create_task(run.run())
+        left = asyncio.create_task(exchange.caller_left.wait())
+        try:
+            await asyncio.wait(
+                {work, left}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done() and (call.repeatable or call.streamed):
+                # Nobody reads the answer, and the upstream stops when its
+                # connection ends. What may run once only and is short goes
+                # on to its end.
+                work.cancel()
+            ending = await _ending_of(work)
+        except asyncio.CancelledError:
+            work.cancel()
+            raise
+        finally:
+            left.cancel()
+        self._record(call, run, ending)
+
+    def _record(
+        self,
+        call: calls.Call,
+        run: execution.CallExecution,
+        ending: outcomes.Ending,
+    ) -> None:
+        now = self._parts.clock.monotonic()
+        first_seconds = None
+        if run.first_answer_at is not None:
+            first_seconds = run.first_answer_at - call.arrived_at
+        self._parts.metrics.count_ending(
+            call,
+            ending,
+            first_seconds=first_seconds,
+            longest_pause_seconds=run.longest_pause_seconds,
+        )
+        logs.emit(
+            events.LogEvent.REQUEST_ENDED,
+            request_id=call.request_id,
+            route=call.route.name,
+            profile=call.route.profile.name,
+            outcome=ending.outcome.value,
+            reason=ending.reason.value,
+            detail=ending.detail,
+            upstream=ending.upstream,
+            seconds=round(now - call.arrived_at, 4),
+            first_seconds=first_seconds and round(first_seconds, 4),
+            longest_pause=round(run.longest_pause_seconds, 4),
+            retry_after=round(ending.retry_after_seconds, 3),
+            revision=call.revision,
+        )
+
+    async def _refuse_unconfigured(
+        self, exchange: exchanges.Exchange, features: calls.CallFeatures
+    ) -> None:
+        ending = outcomes.Ending(
+            outcome=outcomes.Outcome.NOT_RUN,
+            reason=outcomes.Reason.UNCONFIGURED,
+            retry_after_seconds=_UNCONFIGURED_RETRY_SECONDS,
+            detail="no declarations are in force yet",
+        )
+        logs.emit(
+            events.LogEvent.REQUEST_REFUSED,
+            level=logging.WARNING,
+            request_id=features.request_id,
+            reason=ending.reason.value,
+            retry_after=ending.retry_after_seconds,
+        )
+        await answers.end_without_answer(
+            exchange, request_id=features.request_id, ending=ending
+        )
+
+    async def _reject(
+        self, exchange: exchanges.Exchange, fault: _Fault, message: str
+    ) -> None:
+        logs.emit(
+            events.LogEvent.REQUEST_REJECTED,
+            peer=exchange.peer,
+            status=fault.status,
+            step=fault.step.value,
+            field=fault.field,
+            reason=fault.name.lower(),
+            detail=message,
+            revision=self._table.declared.revision if self._table else 0,
+        )
+        await answers.reject(
+            exchange,
+            status=fault.status,
+            step=fault.step,
+            field=fault.field,
+            message=message,
+            valid=fault.valid,
+        )
+
+
+def _call_of(
+    *,
+    table: route_table.RouteTable,
+    route: declarations.Route,
+    organisation: declarations.RankedOrganisation | None,
+    features: calls.CallFeatures,
+    exchange: exchanges.Exchange,
+    body: bytes,
+    arrived_at: float,
+) -> calls.Call:
+    pool_name = route_table.choose_pool(route, features.request_id)
+    tier = route.profile.tier
+    if organisation is not None and organisation.tier is not None:
+        tier = organisation.tier
+    limit_seconds = route.profile.limit_seconds
+    if features.patience_seconds is not None:
+        limit_seconds = min(limit_seconds, features.patience_seconds)
+    return calls.Call(
+        features=features,
+        head=exchange.head,
+        body=body,
+        route=route,
+        pool=table.declared.pools_by_name[pool_name],
+        organisation=organisation,
+        tier=types.Tier(tier),
+        arrived_at=arrived_at,
+        limit_at=arrived_at + limit_seconds,
+        revision=table.declared.revision,
+    )
+
+
+async def _ending_of(work: asyncio.Task[outcomes.Ending]) -> outcomes.Ending:
+    try:
+        return await work
+    except (asyncio.CancelledError, http_errors.CallerLeftError):
+        return outcomes.Ending(
+            outcome=outcomes.Outcome.UNKNOWN,
+            reason=outcomes.Reason.CALLER_LEFT,
+        )
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -0,0 +1,229 @@
+"""What each upstream has to do, as far as this entry VM knows.
+
+Own requests are known exactly. Other entry VMs tell theirs several times a
+second; what is old is left out, since it says nothing any more.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from lagoonrun_core import types
+
+PEER_LOAD_SECONDS = 1.5
+"""Age from which what a peer told of its load is not used any more.
+
+Peers repeat it at least every half second while it is not zero.
+"""
+
+_FAILURE_HALF_LIFE_SECONDS = 3.0
+"""After this time half of an upstream's failures are forgotten.
+
+Crashed upstreams are replaced within a few seconds, and failing ones mend.
+"""
+
+_PREFILL_HALF_LIFE_SECONDS = 2.0
+"""Time over which the prompt tokens sent to a runner are averaged."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Load:
+    """Work at one upstream.
+
+    Parameters
+    ----------
+    waiting_tokens
+        Prompt tokens of requests without a first event, less those cached.
+    running
+        Requests without an end.
+    sensitive
+        Running streams for which a short pause is late already, in units of
+        streams with a longest pause of one second.
+    """
+
+    waiting_tokens: float = 0.0
+    running: int = 0
+    sensitive: float = 0.0
+
+    def plus(self, other: "Load") -> "Load":
+        """Return both together."""
+        return Load(
+            waiting_tokens=self.waiting_tokens + other.waiting_tokens,
+            running=self.running + other.running,
+            sensitive=self.sensitive + other.sensitive,
+        )
+
+
+NO_LOAD = Load()
+
+
+@dataclasses.dataclass(kw_only=True)
+class Work:
+    """One request at one upstream, from its sending to its end."""
+
+    upstream: types.UpstreamId
+    new_tokens: float
+    sensitivity: float
+    waiting: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Told:
+    loads_by_upstream: Mapping[types.UpstreamId, Load]
+    at: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Decaying:
+    """A sum whose parts fade with time."""
+
+    half_life_seconds: float
+    value: float = 0.0
+    at: float = 0.0
+
+    def read(self, now: float) -> float:
+        elapsed = max(0.0, now - self.at)
+        return self.value * 0.5 ** (elapsed / self.half_life_seconds)
+
+    def add(self, amount: float, now: float) -> None:
+        self.value = self.read(now) + amount
+        self.at = now
+
+
+class LoadLedger:
+    """Own and told loads, failures and recent prompt tokens by upstream."""
+
+    def __init__(self) -> None:
+        self._own_by_upstream: dict[types.UpstreamId, list[Work]] = {}
+        self._told_by_peer: dict[types.EntryVmId, _Told] = {}
+        self._failures_by_upstream: dict[types.UpstreamId, _Decaying] = {}
+        self._prefill_by_upstream: dict[types.UpstreamId, _Decaying] = {}
+        self.changed = False
+
+    # Own work.
+
+    def begin(self, work: Work, *, now: float) -> None:
+        """Count a request that is about to be sent."""
+        self._own_by_upstream.setdefault(work.upstream, []).append(work)
+        self.add_prefill(work.upstream, work.new_tokens, now=now)
+        self.changed = True
+
+    def first_event(self, work: Work) -> None:
+        """Count the request's prompt as read."""
+        if work.waiting:
+            work.waiting = False
+            self.changed = True
+
+    def end(self, work: Work) -> None:
+        """Count the request no more."""
+        own = self._own_by_upstream.get(work.upstream, [])
+        if work in own:
+            own.remove(work)
+            self.changed = True
+        if not own:
+            self._own_by_upstream.pop(work.upstream, None)
+
+    def own_loads(self) -> dict[types.UpstreamId, Load]:
+        """Return the own work by upstream, for the other entry VMs."""
+        return {
+            upstream: _sum_of(works)
+            for upstream, works in self._own_by_upstream.items()
+        }
+
+    # What peers tell.
+
+    def take_told(
+        self,
+        peer: types.EntryVmId,
+        loads_by_upstream: Mapping[types.UpstreamId, Load],
+        *,
+        now: float,
+    ) -> None:
+        """Replace what `peer` told before."""
+        before = self._told_by_peer.get(peer)
+        for upstream, load in loads_by_upstream.items():
+            known = NO_LOAD
+            if before is not None:
+                known = before.loads_by_upstream.get(upstream, NO_LOAD)
+            added = load.waiting_tokens - known.waiting_tokens
+            if added > 0:
+                self.add_prefill(upstream, added, now=now)
+        self._told_by_peer[peer] = _Told(
+            loads_by_upstream=loads_by_upstream, at=now
+        )
+
+    def forget_peer(self, peer: types.EntryVmId) -> None:
+        """Drop what a lost peer told."""
+        self._told_by_peer.pop(peer, None)
+
+    # Failures and recent work.
+
+    def add_failure(self, upstream: types.UpstreamId, *, now: float) -> None:
+        """Count a failure that is the upstream's own."""
+        self._decaying(
+            self._failures_by_upstream, upstream, _FAILURE_HALF_LIFE_SECONDS
+        ).add(1.0, now)
+
+    def failures(self, upstream: types.UpstreamId, *, now: float) -> float:
+        """Return the faded number of failures."""
+        known = self._failures_by_upstream.get(upstream)
+        return known.read(now) if known else 0.0
+
+    def add_prefill(
+        self, upstream: types.UpstreamId, tokens: float, *, now: float
+    ) -> None:
+        """Count prompt tokens that an upstream is to read."""
+        self._decaying(
+            self._prefill_by_upstream, upstream, _PREFILL_HALF_LIFE_SECONDS
+        ).add(tokens, now)
+
+    def recent_prefill(
+        self, upstream: types.UpstreamId, *, now: float
+    ) -> float:
+        """Return the prompt tokens a second sent to `upstream` lately."""
+        known = self._prefill_by_upstream.get(upstream)
+        if known is None:
+            return 0.0
+        # A steady rate r sums to r times the half-life over ln 2.
+        return known.read(now) * 0.693 / _PREFILL_HALF_LIFE_SECONDS
+
+    def load_of(self, upstream: types.UpstreamId, *, now: float) -> Load:
+        """Return all known work at `upstream`."""
+        total = _sum_of(self._own_by_upstream.get(upstream, ()))
+        for told in self._told_by_peer.values():
+            if now - told.at < PEER_LOAD_SECONDS:
+                load = told.loads_by_upstream.get(upstream)
+                if load is not None:
+                    total = total.plus(load)
+        return total
+
+    def forget_upstreams(self, known: Iterable[types.UpstreamId]) -> None:
+        """Drop what is kept of upstreams that are not in `known`."""
+        kept = set(known)
+        for by_upstream in (
+            self._failures_by_upstream,
+            self._prefill_by_upstream,
+        ):
+            for upstream in [one for one in by_upstream if one not in kept]:
+                del by_upstream[upstream]
+
+    @staticmethod
+    def _decaying(
+        by_upstream: dict[types.UpstreamId, _Decaying],
+        upstream: types.UpstreamId,
+        half_life_seconds: float,
+    ) -> _Decaying:
+        return by_upstream.setdefault(
+            upstream, _Decaying(half_life_seconds=half_life_seconds)
+        )
+
+
+def _sum_of(works: Iterable[Work]) -> Load:
+    waiting = 0.0
+    running = 0
+    sensitive = 0.0
+    for work in works:
+        running += 1
+        sensitive += work.sensitivity
+        if work.waiting:
+            waiting += work.new_tokens
+    return Load(waiting_tokens=waiting, running=running, sensitive=sensitive)
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -0,0 +1,124 @@
+"""Counters and histograms of one router process."""
+
+import prometheus_client
+
+from lagoonrun_core import outcomes
+from lagoonrun_router import call as calls
+
+_LATENCY_BUCKETS = (
+    0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
+)  # fmt: skip
+"""Seconds; between the shortest target and the longest limit in use."""
+
+
+class RouterMetrics:
+    """All metrics, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.ended = prometheus_client.Counter(
+            "lagoonrun_requests_ended",
+            "Requests by class, outcome and reason.",
+            ["profile", "outcome", "reason"],
+            registry=self.registry,
+        )
+        self.in_time = prometheus_client.Counter(
+            "lagoonrun_requests_in_time",
+            "Complete answers that met the target of their class.",
+            ["profile"],
+            registry=self.registry,
+        )
+        self.first = prometheus_client.Histogram(
+            "lagoonrun_first_answer_seconds",
+            "Time to the first event or to the whole answer.",
+            ["profile"],
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.pauses = prometheus_client.Histogram(
+            "lagoonrun_longest_pause_seconds",
+            "Longest pause between two events of a stream.",
+            ["profile"],
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.repeats = prometheus_client.Counter(
+            "lagoonrun_repeated_sends",
+            "Sends beyond the first of a request.",
+            ["pool"],
+            registry=self.registry,
+        )
+        self.denied_repeats = prometheus_client.Counter(
+            "lagoonrun_denied_repeats",
+            "Sends that the shared budget did not allow.",
+            ["pool"],
+            registry=self.registry,
+        )
+        self.lost_attempts = prometheus_client.Counter(
+            "lagoonrun_lost_attempts",
+            "Attempts without an answer, by reason.",
+            ["pool", "reason"],
+            registry=self.registry,
+        )
+        self.new_tokens = prometheus_client.Counter(
+            "lagoonrun_prompt_tokens_sent",
+            "Prompt tokens that upstreams had to read.",
+            ["pool"],
+            registry=self.registry,
+        )
+        self.revision = prometheus_client.Gauge(
+            "lagoonrun_declarations_revision",
+            "Declarations in force; 0 for none.",
+            registry=self.registry,
+        )
+        self.ready = prometheus_client.Gauge(
+            "lagoonrun_ready",
+            "1 while callers should be sent here.",
+            registry=self.registry,
+        )
+        self.peers = prometheus_client.Gauge(
+            "lagoonrun_peers",
+            "Other entry VMs that were heard lately.",
+            registry=self.registry,
+        )
+        self.upstreams = prometheus_client.Gauge(
+            "lagoonrun_upstreams",
+            "Upstreams by state.",
+            ["state"],
+            registry=self.registry,
+        )
+        self.store_calls = prometheus_client.Counter(
+            "lagoonrun_store_calls",
+            "Calls to the platform's store, by kind and result.",
+            ["kind", "result"],
+            registry=self.registry,
+        )
+
+    def count_ending(
+        self,
+        call: calls.Call,
+        ending: outcomes.Ending,
+        *,
+        first_seconds: float | None,
+        longest_pause_seconds: float,
+    ) -> None:
+        """Count the end of a request."""
+        profile = call.route.profile
+        self.ended.labels(
+            profile.name, ending.outcome.value, ending.reason.value
+        ).inc()
+        if first_seconds is None:
+            return
+        self.first.labels(profile.name).observe(first_seconds)
+        if call.streamed:
+            self.pauses.labels(profile.name).observe(longest_pause_seconds)
+        pause = call.route.longest_pause_seconds
+        paused = pause is not None and longest_pause_seconds > pause
+        complete = ending.outcome is outcomes.Outcome.COMPLETE
+        on_time = first_seconds <= profile.target_seconds
+        if complete and on_time and not paused:
+            self.in_time.labels(profile.name).inc()
+
+    def text(self) -> bytes:
+        """Return everything in the text format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -0,0 +1,32 @@
+"""What the handling of each call uses, together."""
+
+import dataclasses
+import random
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import types
+from lagoonrun_http import upstream as http_upstream
+from lagoonrun_router import (
+    dialect,
+    loads,
+    metrics,
+    prompt_homes,
+    retry_budget,
+    upstreams,
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Parts:
+    """Shared parts of one router process."""
+
+    domain: types.FailureDomain
+    dialect: dialect.Dialect
+    directory: upstreams.UpstreamDirectory
+    ledger: loads.LoadLedger
+    homes: prompt_homes.PromptHomes
+    budget: retry_budget.RetryBudget
+    client: http_upstream.UpstreamClient
+    clock: clocks.Clock
+    chance: random.Random
+    metrics: metrics.RouterMetrics
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -0,0 +1,304 @@
+"""Tell the other entry VMs what this one knows, and hear what they know.
+
+Small states go as datagrams several times a second; a lost one is made up
+for by the next. Declarations, which are larger, are fetched by a call from a
+peer that has a newer revision: so they get to an entry VM that the store
+turns away.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import logging
+import random
+import secrets
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import errors, events, logs, types
+from lagoonrun_platform import http_calls
+from lagoonrun_protocol import codec, messages
+from lagoonrun_router import (
+    beliefs,
+    loads,
+    peer_table,
+    prompt_homes,
+    settings,
+    upstreams,
+)
+
+DECLARATIONS_PATH = "/declarations"
+
+_BEAT_SECONDS = 0.05
+"""Time between two looks for something to tell. Loads that are told later
+than a prompt takes to be read (0.1 s and more) would not prevent that two
+entry VMs send long prompts to the same runner."""
+
+_QUIET_BEATS = 8
+"""Looks without news after which a state is told all the same."""
+
+_MOST_TOLD = 12
+"""Peers that each state goes to; in larger fleets a random choice."""
+
+_TOLD_MEMBERS = 4
+_FETCH_SECONDS = 1.0
+_TAG_BYTES = 16
+_LARGEST_DATAGRAM_BYTES = 16_384
+_OK = 200
+
+
+class Peers:
+    """Socket and timer of the exchange with the other entry VMs.
+
+    Parameters
+    ----------
+    configured
+        Settings of the process.
+    key
+        Keeps datagrams of other fleets out.
+    table
+        The other entry VMs.
+    known
+        Declarations in force.
+    directory, ledger, homes
+        What is told and heard.
+    clock, chance
+        Sources of time and of choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        configured: settings.RouterSettings,
+        key: bytes,
+        table: peer_table.PeerTable,
+        known: beliefs.Beliefs,
+        directory: upstreams.UpstreamDirectory,
+        ledger: loads.LoadLedger,
+        homes: prompt_homes.PromptHomes,
+        clock: clocks.Clock,
+        chance: random.Random,
+    ) -> None:
+        self._settings = configured
+        self._key = hashlib.blake2b(key, digest_size=32).digest()
+        self._table = table
+        self._known = known
+        self._directory = directory
+        self._ledger = ledger
+        self._homes = homes
+        self._clock = clock
+        self._chance = chance
+        # Not a time: the wall clock may have been ahead at an earlier start.
+        self._start = secrets.randbits(63)
+        self._sequence = 0
+        self._beats_without_news = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.Task[None] | None = None
+        self._fetch: asyncio.Task[None] | None = None
+        self.stopping = False
+
+    async def start(self) -> None:
+        """Open the socket and begin to tell."""
+        loop = asyncio.get_running_loop()
+        own = self._settings.peer
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(owner=self), local_addr=(own.host, own.port)
+        )
+        self._timer = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop telling and hearing."""
+        for task in (self._timer, self._fetch):
+            if task is not None:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+        if self._transport is not None:
+            self._transport.close()
+
+    # Telling.
+
+    async def _run(self) -> None:
+        while True:
+            self._beat()
+            await asyncio.sleep(_BEAT_SECONDS)
+
+    def _beat(self) -> None:
+        now = self._clock.monotonic()
+        for lost in self._table.take_lost(now=now):
+            self._ledger.forget_peer(lost)
+        placements = self._homes.take_untold()
+        news = self._ledger.changed or placements
+        self._beats_without_news += 1
+        if not news and self._beats_without_news < _QUIET_BEATS:
+            return
+        self._beats_without_news = 0
+        self._ledger.changed = False
+        self._tell(self._state(placements))
+
+    def _state(
+        self, placements: dict[str, types.UpstreamId]
+    ) -> messages.RouterState:
+        self._sequence += 1
+        known = list(self._table.known().items())
+        shown = self._chance.sample(known, min(len(known), _TOLD_MEMBERS))
+        return messages.RouterState(
+            entry_vm=self._settings.entry_vm,
+            start=self._start,
+            sequence=self._sequence,
+            port=self._settings.peer.port,
+            revision=self._known.revision,
+            stopping=self.stopping,
+            leaving=self._directory.leaving_ids,
+            loads=tuple(
+                messages.UpstreamLoad(
+                    upstream=upstream,
+                    waiting_tokens=load.waiting_tokens,
+                    running=load.running,
+                    sensitive=load.sensitive,
+                )
+                for upstream, load in self._ledger.own_loads().items()
+            ),
+            placements=tuple(
+                messages.PromptPlacement(part=part, upstream=upstream)
+                for part, upstream in placements.items()
+            ),
+            known=tuple(
+                messages.EntryVmAddress(
+                    entry_vm=entry_vm, host=address.host, port=address.port
+                )
+                for entry_vm, address in shown
+            ),
+        )
+
+    def _tell(self, state: messages.RouterState) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        addresses = list(self._table.addresses())
+        if len(addresses) > _MOST_TOLD:
+            addresses = self._chance.sample(addresses, _MOST_TOLD)
+        if not addresses:
+            addresses = [
+                seed
+                for seed in self._settings.seeds
+                if seed != self._settings.peer
+            ]
+        body = codec.encode(state)
+        data = self._tag(body) + body
+        for address in addresses:
+            self._transport.sendto(data, (address.host, address.port))
+
+    # Hearing.
+
+    def receive(self, data: bytes, host: str) -> None:
+        """Take in a datagram."""
+        tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
+        if not hmac.compare_digest(tag, self._tag(body)):
+            self._reject(host, f"{len(data)} bytes with a wrong tag")
+            return
+        try:
+            state = codec.decode(body, peer=host)
+        except errors.LagoonrunError as error:
+            self._reject(host, error.detail)
+            return
+        if not isinstance(state, messages.RouterState):
+            self._reject(host, f"a {type(state).__name__}")
+            return
+        self._take(state, host)
+
+    def _take(self, state: messages.RouterState, host: str) -> None:
+        now = self._clock.monotonic()
+        address = settings.Address(host=host, port=state.port)
+        newer = self._table.hear(
+            state.entry_vm,
+            address,
+            start=state.start,
+            sequence=state.sequence,
+            now=now,
+        )
+        if not newer:
+            return
+        for member in state.known:
+            if self._table.address_of(member.entry_vm) is None:
+                self._table.add(
+                    member.entry_vm,
+                    settings.Address(host=member.host, port=member.port),
+                )
+        for upstream in state.leaving:
+            self._directory.take_leaving(upstream, source=state.entry_vm)
+        self._take_loads(state, now)
+        if state.revision > self._known.revision:
+            self._fetch_from(state.entry_vm, address)
+
+    def _take_loads(self, state: messages.RouterState, now: float) -> None:
+        self._ledger.take_told(
+            state.entry_vm,
+            {
+                told.upstream: loads.Load(
+                    waiting_tokens=told.waiting_tokens,
+                    running=told.running,
+                    sensitive=told.sensitive,
+                )
+                for told in state.loads
+            },
+            now=now,
+        )
+        for placement in state.placements:
+            self._homes.take_told(placement.part, placement.upstream, now=now)
+
+    def _reject(self, host: str, detail: str) -> None:
+        logs.emit(
+            events.LogEvent.PEER_FRAME_REJECTED,
+            level=logging.WARNING,
+            peer=host,
+            detail=detail,
+        )
+
+    def _tag(self, body: bytes) -> bytes:
+        return hashlib.blake2b(
+            body, key=self._key, digest_size=_TAG_BYTES
+        ).digest()
+
+    # Declarations of peers.
+
+    def _fetch_from(
+        self, peer: types.EntryVmId, address: settings.Address
+    ) -> None:
+        if self._fetch is not None and not self._fetch.done():
+            return
+        self._fetch = asyncio.create_task(self._take_from(peer, address))
+
+    async def _take_from(
+        self, peer: types.EntryVmId, address: settings.Address
+    ) -> None:
+        pool = http_calls.ConnectionPool(
+            address=address,
+            connect_timeout_seconds=_FETCH_SECONDS,
+            clock=self._clock,
+        )
+        try:
+            reply = await pool.call(
+                http_calls.Call(method="GET", path=DECLARATIONS_PATH),
+                timeout_seconds=_FETCH_SECONDS,
+            )
+        except (http_calls.NotSentError, http_calls.ReplyLostError) as error:
+            # Its next state leads to another try.
+            self._reject(peer, f"no declarations: {error}")
+            return
+        finally:
+            pool.close()
+        if reply.status == _OK:
+            self._known.take_declarations(reply.body, source=peer)
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Hands datagrams on."""
+
+    def __init__(self, *, owner: Peers) -> None:
+        self._owner = owner
+
+    def datagram_received(self, data: bytes, address: tuple) -> None:
+        if len(data) <= _LARGEST_DATAGRAM_BYTES:
+            self._owner.receive(data, address[0])
+
+    def error_received(self, error: Exception) -> None:
+        # A peer whose process is away; it is told again with the next beat.
+        del error
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -0,0 +1,193 @@
+"""Choose the upstream of one request.
+
+A pure decision: readings go in, a ranking with its reasons comes out. The
+cost of a candidate is an estimate of the credit that is lost by the choice:
+by the request itself, which waits for the prompts before it, and by the
+streams that run there, whose tokens wait for this prompt.
+"""
+
+import dataclasses
+import enum
+
+import xxhash
+
+from lagoonrun_core import types
+from lagoonrun_router import loads
+
+_HASH_RANGE = float(1 << 64)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Weights:
+    """How much each consideration counts.
+
+    Parameters
+    ----------
+    prefill_tokens_per_second
+        Prompt tokens that a runner reads in a second, alone.
+    harm
+        Cost of delaying one stream with a longest pause of one second by
+        one second of prompt reading.
+    exposure
+        Cost of sending a stream with a longest pause of one second to a
+        runner that reads prompts all of the time.
+    reading
+        Cost of reading a thousand prompt tokens once more.
+    other_domain
+        Cost of sending a megabyte to another failure domain.
+    failure
+        Cost of each recent failure of the upstream.
+    queue
+        Cost of each request that runs there, for one slot of the upstream.
+    spread
+        Range of the costs by which the hash of a prompt's shared part orders
+        upstreams that are otherwise alike.
+    """
+
+    prefill_tokens_per_second: float = 40_000.0
+    harm: float = 0.6
+    exposure: float = 0.6
+    reading: float = 0.02
+    other_domain: float = 4.0
+    failure: float = 1.0
+    queue: float = 1.0
+    spread: float = 0.05
+
+
+DEFAULT_WEIGHTS = Weights()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Request:
+    """What counts of a request.
+
+    Parameters
+    ----------
+    affinity
+        What brings requests together on an upstream: the id of the largest
+        shared part of the prompt, or the request's own id.
+    prompt_tokens, shared_tokens
+        Whole prompt, and the part of it that an upstream may have read.
+    target_seconds
+        Time to the first event, or to the whole answer, that is on time.
+    sensitivity
+        Inverse of the longest pause in seconds; 0 where there are no pauses.
+    body_bytes
+        Bytes that go to the upstream.
+    """
+
+    affinity: str
+    prompt_tokens: float = 0.0
+    shared_tokens: float = 0.0
+    target_seconds: float
+    sensitivity: float = 0.0
+    body_bytes: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Candidate:
+    """What is known of an upstream.
+
+    Parameters
+    ----------
+    has_shared
+        Whether it probably has the request's shared parts in its memory.
+    same_domain
+        Whether it stands in the failure domain of this entry VM.
+    load
+        Known work there.
+    recent_prefill
+        Prompt tokens a second that it was sent lately.
+    failures
+        Faded number of its failures.
+    """
+
+    upstream: types.UpstreamId
+    slots: int
+    has_shared: bool
+    same_domain: bool
+    load: loads.Load
+    recent_prefill: float = 0.0
+    failures: float = 0.0
+
+
+class CostKind(enum.Enum):
+    """Parts of a candidate's cost."""
+
+    WAIT = "wait"
+    HARM = "harm"
+    EXPOSURE = "exposure"
+    READING = "reading"
+    DOMAIN = "domain"
+    FAILURE = "failure"
+    QUEUE = "queue"
+    SPREAD = "spread"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ranked:
+    """A candidate with its cost.
+
+    Parameters
+    ----------
+    new_tokens
+        Prompt tokens that it would have to read.
+    """
+
+    candidate: Candidate
+    new_tokens: float
+    cost: float
+    cost_by_kind: dict[CostKind, float]
+
+
+def rank(
+    request: Request,
+    candidates: tuple[Candidate, ...],
+    weights: Weights = DEFAULT_WEIGHTS,
+) -> tuple[Ranked, ...]:
+    """Return the candidates, the cheapest first."""
+    ranked = [_assess(request, one, weights) for one in candidates]
+    return tuple(sorted(ranked, key=_order))
+
+
+def _order(ranked: Ranked) -> tuple[float, str]:
+    return ranked.cost, ranked.candidate.upstream
+
+
+def _assess(request: Request, candidate: Candidate, weights: Weights) -> Ranked:
+    new_tokens = request.prompt_tokens
+    if candidate.has_shared:
+        new_tokens -= request.shared_tokens
+    rate = weights.prefill_tokens_per_second
+    load = candidate.load
+    own_seconds = new_tokens / rate
+    wait_seconds = load.waiting_tokens / rate + own_seconds
+    # Peers and runners serve this runner too, so its slots are not ours.
+    occupied = load.running / max(1, candidate.slots)
+    cost_by_kind = {
+        CostKind.WAIT: wait_seconds / request.target_seconds,
+        CostKind.HARM: weights.harm * own_seconds * load.sensitive,
+        CostKind.EXPOSURE: weights.exposure
+        * request.sensitivity
+        * min(1.0, candidate.recent_prefill / rate),
+        CostKind.READING: weights.reading * new_tokens / 1000.0,
+        CostKind.DOMAIN: 0.0
+        if candidate.same_domain
+        else weights.other_domain * request.body_bytes / 1e6,
+        CostKind.FAILURE: weights.failure * candidate.failures,
+        CostKind.QUEUE: weights.queue * occupied,
+        CostKind.SPREAD: weights.spread * _spread(request, candidate),
+    }
+    return Ranked(
+        candidate=candidate,
+        new_tokens=new_tokens,
+        cost=sum(cost_by_kind.values()),
+        cost_by_kind=cost_by_kind,
+    )
+
+
+def _spread(request: Request, candidate: Candidate) -> float:
+    """Return a number from 0 to 1 that all entry VMs compute alike."""
+    digest = xxhash.xxh3_64(request.affinity.encode())
+    digest.update(candidate.upstream.encode())
+    return digest.intdigest() / _HASH_RANGE
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/prompt_homes.py
@@ -0,0 +1,57 @@
+"""Which upstreams have read which shared parts of prompts lately."""
+
+import collections
+
+from lagoonrun_core import types
+
+KEPT_SECONDS = 30.0
+"""Age from which a part is taken for evicted.
+
+Runners yield the least recently used parts first; in a busy minute they read
+more than fits into their memory.
+"""
+
+_MOST_PARTS = 8192
+"""Parts that are remembered, the least recently used are forgotten first."""
+
+_TOLD_AT_ONCE = 24
+"""Placements in one message to the other entry VMs; fits a datagram."""
+
+
+class PromptHomes:
+    """Where shared parts were read, by own and by others' placements."""
+
+    def __init__(self) -> None:
+        self._seen_by_part: collections.OrderedDict[
+            str, dict[types.UpstreamId, float]
+        ] = collections.OrderedDict()
+        self._untold: dict[str, types.UpstreamId] = {}
+
+    def place(
+        self, part: str, upstream: types.UpstreamId, *, now: float
+    ) -> None:
+        """Record an own placement, which others are to be told."""
+        self.take_told(part, upstream, now=now)
+        self._untold[part] = upstream
+
+    def take_told(
+        self, part: str, upstream: types.UpstreamId, *, now: float
+    ) -> None:
+        """Record a placement."""
+        seen = self._seen_by_part.setdefault(part, {})
+        seen[upstream] = now
+        self._seen_by_part.move_to_end(part)
+        if len(self._seen_by_part) > _MOST_PARTS:
+            self._seen_by_part.popitem(last=False)
+
+    def has(self, part: str, upstream: types.UpstreamId, *, now: float) -> bool:
+        """Return whether `upstream` probably has `part` in its memory."""
+        seen = self._seen_by_part.get(part, {}).get(upstream)
+        return seen is not None and now - seen < KEPT_SECONDS
+
+    def take_untold(self) -> dict[str, types.UpstreamId]:
+        """Return placements that others have not been told; they now are."""
+        told = {}
+        for part in list(self._untold)[:_TOLD_AT_ONCE]:
+            told[part] = self._untold.pop(part)
+        return told
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/retrying.py
@@ -0,0 +1,82 @@
+"""Whether a lost request may be sent to another upstream. Pure decisions."""
+
+import dataclasses
+import enum
+
+from lagoonrun_core import outcomes
+from lagoonrun_router import attempt
+from lagoonrun_router import call as calls
+
+MOST_UNREACHED = 3
+"""Upstreams that a request fails to reach before its caller is told."""
+
+_LEAST_PART_OF_TARGET = 0.25
+"""Part of the target below which another attempt can't succeed any more."""
+
+
+class Verdict(enum.Enum):
+    """What becomes of a lost request."""
+
+    FREE = "free"
+    """Another send that repeats nothing: no upstream has had the request."""
+
+    PAID = "paid"
+    """Another send that draws on the shared budget."""
+
+    END = "end"
+    """No other send."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sends:
+    """Sends of one request so far.
+
+    Parameters
+    ----------
+    reached
+        Upstreams that had the request, those that were not meant left out.
+    unreached
+        Upstreams that no connection was had to, or that were not meant.
+    """
+
+    reached: int = 0
+    unreached: int = 0
+
+    def with_lost(self, lost: attempt.Lost) -> "Sends":
+        """Return the count with one more lost attempt."""
+        if lost.sent and not lost.elsewhere:
+            return dataclasses.replace(self, reached=self.reached + 1)
+        return dataclasses.replace(self, unreached=self.unreached + 1)
+
+
+def decide(
+    call: calls.Call,
+    lost: attempt.Lost,
+    sends: Sends,
+    *,
+    now: float,
+) -> Verdict:
+    """Return whether `call` may go to another upstream.
+
+    Parameters
+    ----------
+    sends
+        All sends so far, the lost one included.
+    """
+    target = call.route.profile.target_seconds
+    if call.limit_at - now < _LEAST_PART_OF_TARGET * min(target, 1.0):
+        return Verdict.END
+    if not lost.sent or lost.elsewhere:
+        if sends.unreached >= MOST_UNREACHED:
+            return Verdict.END
+        # A request at an address that another process has by now counts as
+        # an arrival there, although that process does not run it.
+        return Verdict.PAID if lost.elsewhere else Verdict.FREE
+    if sends.reached >= call.route.profile.maximum_attempts:
+        return Verdict.END
+    if lost.ran is outcomes.Outcome.NOT_RUN:
+        return Verdict.PAID
+    if lost.ran is outcomes.Outcome.PARTIAL:
+        return Verdict.PAID if call.route.resumable else Verdict.END
+    repeatable = call.repeatable or call.route.resumable
+    return Verdict.PAID if repeatable else Verdict.END
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/route_table.py
@@ -0,0 +1,82 @@
+"""Look up the route and the organisation of a request."""
+
+import dataclasses
+import hashlib
+
+import xxhash
+
+from lagoonrun_core import types
+from lagoonrun_router import declarations
+
+_HASH_RANGE = float(1 << 64)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Place:
+    host: str
+    path_prefix: str
+
+
+class RouteTable:
+    """Index of one revision of the declarations; a new one gets a new table.
+
+    Parameters
+    ----------
+    declared
+        The revision in force.
+    """
+
+    def __init__(self, *, declared: declarations.Declarations) -> None:
+        self.declared = declared
+        self._routes_by_place = {
+            _Place(host=route.host, path_prefix=route.path_prefix): route
+            for route in declared.routes
+        }
+        self._organisations_by_digest = {
+            digest: organisation
+            for organisation in declared.organisations_by_id.values()
+            for digest in organisation.key_digests
+        }
+
+    @property
+    def asks_for_keys(self) -> bool:
+        """Whether routes that are not public need a key."""
+        return bool(self.declared.organisations_by_id)
+
+    def route_of(self, host: str, target: str) -> declarations.Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        path = target.partition("?")[0]
+        end = path.rfind("/") + 1
+        while end > 0:
+            place = _Place(host=host, path_prefix=path[:end])
+            route = self._routes_by_place.get(place)
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+    def organisation_of(
+        self, key: str | None
+    ) -> declarations.RankedOrganisation | None:
+        """Return who bears `key`; None for no key and an unknown one."""
+        if not key:
+            return None
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return self._organisations_by_digest.get(digest)
+
+
+def choose_pool(
+    route: declarations.Route, request_id: types.RequestId
+) -> types.PoolName:
+    """Return the pool of one request: the same for the same id.
+
+    A hash of the id divides requests in proportion to the weights without
+    any state, and a repeated decision gives the same pool.
+    """
+    total = sum(one.weight for one in route.destinations)
+    point = xxhash.xxh3_64_intdigest(request_id.encode()) / _HASH_RANGE * total
+    for destination in route.destinations:
+        point -= destination.weight
+        if point < 0:
+            return destination.pool
+    return route.destinations[-1].pool
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -0,0 +1,366 @@
+"""Assemble one router process: start all tasks, and stop them gracefully."""
+
+import asyncio
+import gc
+import random
+import secrets
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import events, logs
+from lagoonrun_http import exchange as exchanges
+from lagoonrun_http import limits as http_limits
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import server as http_server
+from lagoonrun_http import upstream as http_upstream
+from lagoonrun_platform import store as store_module
+from lagoonrun_router import (
+    beliefs,
+    declarations,
+    dialect,
+    ingress,
+    loads,
+    metrics,
+    parts,
+    peer_table,
+    peers,
+    prompt_homes,
+    retry_budget,
+    route_table,
+    settings,
+    store_follower,
+    upstreams,
+)
+
+_UNREADY_SECONDS = 2.6
+"""Time from the signal to stop until no new connection is taken.
+
+The balancer asks once a second and needs two misses; the rest is for a late
+question."""
+
+_STOP_MARGIN_SECONDS = 0.5
+"""Time before the process is killed at which the last requests are cut."""
+
+_CONNECT_SECONDS = 0.4
+"""Longest wait for a connection to an upstream: a hundred round trips."""
+
+_UNACKNOWLEDGED_SECONDS = 1.5
+"""Silence on the network after which an upstream counts as dark."""
+
+_LONGEST_SILENCE_SECONDS = 60.0
+"""No bound of its own: the limits of the routes end every request."""
+
+_HELD_BODIES_BYTES = 32 * 1024 * 1024
+"""Request bodies held at a time; a tenth of the smallest VM in use."""
+
+_SWEEP_SECONDS = 0.1
+_RECORD_PAUSE_SECONDS = 1.0
+
+
+class Router:
+    """All of one entry VM.
+
+    Parameters
+    ----------
+    configured
+        Checked settings.
+    store
+        The platform's store.
+    layout
+        Keys and formats of the store.
+    language
+        Requests and answers on the wire.
+    clock, chance
+        Sources of time and of choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        configured: settings.RouterSettings,
+        store: store_module.KeyValueStore,
+        layout: dialect.StoreLayout,
+        language: dialect.Dialect,
+        clock: clocks.Clock | None = None,
+        chance: random.Random | None = None,
+    ) -> None:
+        self._settings = configured
+        self._store = store
+        self._layout = layout
+        self._clock = clock or clocks.SuspendAwareClock()
+        self._chance = chance or random.Random(secrets.randbits(64))
+        self._stopping = False
+        self._was_ready = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self.metrics = metrics.RouterMetrics()
+        self.directory = upstreams.UpstreamDirectory()
+        self._ledger = loads.LoadLedger()
+        self._homes = prompt_homes.PromptHomes()
+        self._budget = retry_budget.RetryBudget(
+            allowance=configured.retry_allowance
+        )
+        self._build_knowledge()
+        self._build_edges(language)
+
+    def _build_knowledge(self) -> None:
+        configured = self._settings
+        self._table = peer_table.PeerTable(entry_vm=configured.entry_vm)
+        self.beliefs = beliefs.Beliefs(
+            layout=self._layout,
+            directory=self.directory,
+            peers=self._table,
+            on_declarations=self._put_in_force,
+            on_upstreams=self._on_upstreams,
+            clock=self._clock,
+        )
+        prefixes_by_section = {
+            store_follower.Section.DECLARATIONS: self._layout.declarations_key,
+            store_follower.Section.UPSTREAMS: self._layout.upstreams_prefix,
+            store_follower.Section.ENTRY_VMS: self._layout.entry_vms_prefix,
+        }
+        self._followers = [
+            store_follower.StoreFollower(
+                store=self._store,
+                section=section,
+                prefix=prefix,
+                reader=self.beliefs,
+                chance=self._chance,
+            )
+            for section, prefix in prefixes_by_section.items()
+        ]
+        self._peers = peers.Peers(
+            configured=configured,
+            key=configured.store.host.encode(),
+            table=self._table,
+            known=self.beliefs,
+            directory=self.directory,
+            ledger=self._ledger,
+            homes=self._homes,
+            clock=self._clock,
+            chance=self._chance,
+        )
+
+    def _build_edges(self, language: dialect.Dialect) -> None:
+        configured = self._settings
+        self._client = http_upstream.UpstreamClient(
+            limits=http_limits.ClientLimits(
+                connect_seconds=_CONNECT_SECONDS,
+                write_stall_seconds=_LONGEST_SILENCE_SECONDS,
+                head_seconds=_LONGEST_SILENCE_SECONDS,
+                body_idle_seconds=_LONGEST_SILENCE_SECONDS,
+                unacknowledged_seconds=_UNACKNOWLEDGED_SECONDS,
+            ),
+            clock=self._clock,
+        )
+        self._ingress = ingress.Ingress(
+            parts=parts.Parts(
+                domain=configured.domain,
+                dialect=language,
+                directory=self.directory,
+                ledger=self._ledger,
+                homes=self._homes,
+                budget=self._budget,
+                client=self._client,
+                clock=self._clock,
+                chance=self._chance,
+                metrics=self.metrics,
+            )
+        )
+        self._caller_server = self._server(configured.caller, self._ingress)
+        self._readiness_server = self._server(
+            configured.readiness, _Readiness(router=self)
+        )
+        self._peer_server = self._server(
+            configured.peer, _PeerCalls(known=self.beliefs)
+        )
+        self._metrics_server = None
+        if configured.metrics is not None:
+            self._metrics_server = self._server(
+                configured.metrics, _Metrics(router=self)
+            )
+
+    def _server(
+        self, address: settings.Address, handler: exchanges.ExchangeHandler
+    ) -> http_server.HttpServer:
+        return http_server.HttpServer(
+            host=address.host,
+            port=address.port,
+            limits=http_limits.ServerLimits(
+                held_body_bytes=_HELD_BODIES_BYTES,
+                sweep_seconds=_SWEEP_SECONDS,
+            ),
+            handler=handler,
+            clock=self._clock,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        known = self.beliefs.revision > 0 and self.beliefs.upstreams_known
+        ready = known and not self._stopping
+        if ready != self._was_ready:
+            self._was_ready = ready
+            logs.emit(
+                events.LogEvent.READINESS_CHANGED,
+                ready=ready,
+                revision=self.beliefs.revision,
+                upstreams_known=self.beliefs.upstreams_known,
+                stopping=self._stopping,
+            )
+        return ready
+
+    async def start(self) -> None:
+        """Start all tasks; ready once declarations and upstreams are known."""
+        logs.emit(
+            events.LogEvent.PROCESS_STARTED,
+            domain=self._settings.domain,
+            store=f"{self._settings.store.host}:{self._settings.store.port}",
+        )
+        await self._readiness_server.start()
+        await self._caller_server.start()
+        await self._peer_server.start()
+        if self._metrics_server is not None:
+            await self._metrics_server.start()
+        await self._peers.start()
+        for follower in self._followers:
+            await follower.start()
+        self._tasks = [
+            asyncio.create_task(self._record_self()),
+            asyncio.create_task(self._keep_house()),
+        ]
+        # What lives until now lives on; collections need not look at it.
+        gc.freeze()
+
+    async def stop(self) -> int:
+        """Stop as planned; return how many requests had to be cut."""
+        stopped_at = self._clock.monotonic()
+        self._stopping = True
+        self._peers.stopping = True
+        logs.emit(
+            events.LogEvent.PROCESS_STOPPING,
+            open_exchanges=self._caller_server.open_exchanges,
+        )
+        self._caller_server.send_callers_away()
+        await asyncio.sleep(_UNREADY_SECONDS)
+        self._caller_server.stop_accepting()
+        passed = self._clock.monotonic() - stopped_at
+        left = self._settings.stop_seconds - _STOP_MARGIN_SECONDS - passed
+        cut = await self._caller_server.drain(max(0.0, left))
+        await self.close()
+        logs.emit(events.LogEvent.PROCESS_STOPPED, cut_requests=cut)
+        return cut
+
+    async def close(self) -> None:
+        """End all tasks at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for follower in self._followers:
+            await follower.close()
+        await self._caller_server.close()
+        await self._peers.close()
+        await self._client.close()
+        await self._peer_server.close()
+        await self._readiness_server.close()
+        if self._metrics_server is not None:
+            await self._metrics_server.close()
+
+    # Changes.
+
+    def _put_in_force(self, declared: declarations.Declarations) -> None:
+        self._ingress.use(route_table.RouteTable(declared=declared))
+        self.metrics.revision.set(declared.revision)
+        bounds = declared.caller_limits
+        self._caller_server.use_limits(
+            http_limits.ServerLimits(
+                header_bytes=bounds.header_bytes,
+                body_bytes=bounds.body_bytes,
+                held_body_bytes=_HELD_BODIES_BYTES,
+                idle_seconds=bounds.idle_seconds,
+                header_read_seconds=bounds.header_read_seconds,
+                body_read_seconds=bounds.idle_seconds,
+                sweep_seconds=_SWEEP_SECONDS,
+            )
+        )
+
+    def _on_upstreams(self) -> None:
+        self._ledger.forget_upstreams(
+            one.id for one in self.directory.registrations
+        )
+
+    async def _record_self(self) -> None:
+        """Write this entry VM's address to the store, once."""
+        key = self._layout.entry_vms_prefix + self._settings.entry_vm
+        value = self._table.record(self._settings.peer)
+        while True:
+            result = await self._store.transact(
+                comparisons=(),
+                puts=[store_module.Put(key=key, value=value)],
+            )
+            if isinstance(result, store_module.Committed):
+                return
+            # Written twice it says the same.
+            pause = _RECORD_PAUSE_SECONDS * (0.5 + self._chance.random())
+            await asyncio.sleep(pause)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            now = self._clock.monotonic()
+            self._budget.share_among(self._table.sharers(now=now))
+
+    def metrics_text(self) -> bytes:
+        """Return all metrics in the text format."""
+        self.metrics.ready.set(self.ready)
+        self.metrics.peers.set(len(self._table.known()))
+        for state, count in self.directory.counts_by_state().items():
+            self.metrics.upstreams.labels(state.value).set(count)
+        return self.metrics.text()
+
+
+class _Readiness:
+    """Answers the balancer's question."""
+
+    def __init__(self, *, router: Router) -> None:
+        self._router = router
+
+    async def handle(self, exchange: exchanges.Exchange) -> None:
+        await exchange.read_body()
+        status = 200 if self._router.ready else 503
+        await exchange.respond(
+            status=status, headers=http_messages.Headers(), body=b""
+        )
+
+
+class _PeerCalls:
+    """Gives other entry VMs the declarations in force."""
+
+    def __init__(self, *, known: beliefs.Beliefs) -> None:
+        self._known = known
+
+    async def handle(self, exchange: exchanges.Exchange) -> None:
+        await exchange.read_body()
+        found = (
+            exchange.head.target == peers.DECLARATIONS_PATH
+            and self._known.declarations_value
+        )
+        await exchange.respond(
+            status=200 if found else 404,
+            headers=http_messages.Headers(),
+            body=self._known.declarations_value if found else b"",
+        )
+
+
+class _Metrics:
+    """Serves the metrics."""
+
+    def __init__(self, *, router: Router) -> None:
+        self._router = router
+
+    async def handle(self, exchange: exchanges.Exchange) -> None:
+        await exchange.read_body()
+        headers = http_messages.Headers(
+            pairs=[("Content-Type", "text/plain; version=0.0.4")]
+        )
+        await exchange.respond(
+            status=200, headers=headers, body=self._router.metrics_text()
+        )
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/settings.py
@@ -0,0 +1,50 @@
+"""Settings of one router process."""
+
+import dataclasses
+
+from lagoonrun_core import types
+from lagoonrun_router import retry_budget
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Address:
+    """IP number and TCP port."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouterSettings:
+    """What a process is told about itself and its platform.
+
+    Parameters
+    ----------
+    caller
+        Where callers connect.
+    readiness
+        Where the platform asks whether to send callers here.
+    peer
+        Where the other entry VMs reach this one: datagrams and calls.
+    metrics
+        Where counters and histograms are served; None for nowhere.
+    seeds
+        Entry VMs to ask for others, which may be stale.
+    store
+        The platform's store.
+    stop_seconds
+        Time from the signal to stop until the process is killed.
+    retry_allowance
+        Repeats that all entry VMs together may send.
+    """
+
+    entry_vm: types.EntryVmId
+    domain: types.FailureDomain
+    caller: Address
+    readiness: Address
+    peer: Address
+    metrics: Address | None
+    seeds: tuple[Address, ...]
+    store: Address
+    stop_seconds: float
+    retry_allowance: retry_budget.Allowance
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -0,0 +1,295 @@
+"""What an entry VM believes of the upstreams that register in the store.
+
+An entry that disappears means one of two things. In calm, the upstream is
+leaving or dead, and gets nothing new. While the store is away, entries may
+run out although their upstreams live; they come back within seconds of the
+store's return, so that until then the upstream stays in use.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from lagoonrun_core import events, logs, types
+
+LAPSE_SECONDS = 2.5
+"""How long after the store's return a missing entry may still come back.
+
+The platform promises about two seconds; the rest is for the watch's delay.
+"""
+
+DOUBTFUL_SECONDS = 1.2
+"""How long a removed upstream may serve where no other is left.
+
+An upstream that left goes on for two seconds at least after its entry is
+removed; past this time a request might reach it too late.
+"""
+
+_MASS_SHARE = 0.5
+_MASS_LEAST = 3
+"""From this many entries removed together on it is taken for a lapse.
+
+A long outage may end without any call of ours having failed. Operators take
+away a few upstreams at a time; half of all at once are never leaving.
+"""
+
+_MASS_SECONDS = 1.0
+
+
+class UpstreamState(enum.Enum):
+    """Whether an upstream may be given work."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    MISSING = "missing"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Registration:
+    """What an upstream says of itself.
+
+    Parameters
+    ----------
+    slots
+        Requests that it works on at once.
+    leaving
+        Whether it takes no more work soon.
+    cold_seconds
+        How much longer it is slow after its start.
+    """
+
+    id: types.UpstreamId
+    pool: types.PoolName
+    domain: types.FailureDomain
+    host: str
+    port: int
+    slots: int
+    leaving: bool = False
+    cold_seconds: float = 0.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Known:
+    registration: Registration
+    state: UpstreamState
+    missing_since: float = 0.0
+    lapsed: bool = False
+
+
+class UpstreamDirectory:
+    """Beliefs about all upstreams, by the store, by peers and by answers."""
+
+    def __init__(self) -> None:
+        self._known_by_id: dict[types.UpstreamId, _Known] = {}
+        self._gone_ids: dict[types.UpstreamId, None] = {}
+        self._store_lost = False
+        self._store_regained_at = float("-inf")
+        self._removals: list[float] = []
+
+    # What is asked.
+
+    def usable(
+        self, pool: types.PoolName, *, now: float
+    ) -> tuple[Registration, ...]:
+        """Return the upstreams of `pool` that may be given work, by id."""
+        self._expire(now)
+        known = [
+            one
+            for one in self._known_by_id.values()
+            if one.registration.pool == pool
+        ]
+        sure = [one for one in known if _is_sure(one)]
+        chosen = sure or [
+            one for one in known if one.state is UpstreamState.MISSING
+        ]
+        return tuple(sorted((one.registration for one in chosen), key=_id_of))
+
+    def may_send(self, upstream: types.UpstreamId, *, now: float) -> bool:
+        """Return whether a request may still be sent to `upstream`."""
+        self._expire(now)
+        known = self._known_by_id.get(upstream)
+        return known is not None and known.state is not UpstreamState.LEAVING
+
+    def counts_by_state(self) -> dict[UpstreamState, int]:
+        """Return how many upstreams are in each state."""
+        counts = dict.fromkeys(UpstreamState, 0)
+        for one in self._known_by_id.values():
+            counts[one.state] += 1
+        return counts
+
+    @property
+    def leaving_ids(self) -> tuple[types.UpstreamId, ...]:
+        """Upstreams that get nothing new, for the other entry VMs."""
+        leaving = [
+            id
+            for id, one in self._known_by_id.items()
+            if one.state is UpstreamState.LEAVING
+        ]
+        return tuple([*self._gone_ids, *leaving][-_TOLD_LEAVING:])
+
+    @property
+    def registrations(self) -> tuple[Registration, ...]:
+        """All registrations, those of missing and leaving ones included."""
+        return tuple(one.registration for one in self._known_by_id.values())
+
+    # What the store tells.
+
+    def take_listing(
+        self, registrations: Iterable[Registration], *, now: float
+    ) -> None:
+        """Take in all entries of the store at once."""
+        listed = {one.id: one for one in registrations}
+        for registration in listed.values():
+            self.take_entry(registration, now=now)
+        for id in [id for id in self._known_by_id if id not in listed]:
+            self.take_removal(id, now=now)
+
+    def take_entry(self, registration: Registration, *, now: float) -> None:
+        """Take in a new or changed entry."""
+        if registration.id in self._gone_ids:
+            return
+        known = self._known_by_id.get(registration.id)
+        state = (
+            UpstreamState.LEAVING
+            if registration.leaving
+            else UpstreamState.SERVING
+        )
+        if known is not None and known.state is UpstreamState.LEAVING:
+            # An older listing, or a lagging one, must not bring it back.
+            state = UpstreamState.LEAVING
+        self._known_by_id[registration.id] = _Known(
+            registration=registration, state=state
+        )
+        if known is None or known.state is not state:
+            _log_state(registration, state, source="store")
+
+    def take_removal(self, upstream: types.UpstreamId, *, now: float) -> None:
+        """Take in that an entry is not there any more."""
+        known = self._known_by_id.get(upstream)
+        if known is None or known.state is UpstreamState.MISSING:
+            return
+        if known.state is UpstreamState.LEAVING:
+            self._forget(upstream)
+            return
+        known.state = UpstreamState.MISSING
+        known.missing_since = now
+        known.lapsed = self._is_lapse(now)
+        self._removals.append(now)
+        self._mark_mass_removal(now)
+        _log_state(
+            known.registration,
+            known.state,
+            source="store",
+            lapsed=known.lapsed,
+        )
+
+    def take_store_lost(self) -> None:
+        """Take in that the store cannot be reached."""
+        self._store_lost = True
+
+    def take_store_regained(self, *, now: float) -> None:
+        """Take in that the store answers again."""
+        if self._store_lost:
+            self._store_lost = False
+            self._store_regained_at = now
+
+    # What others tell.
+
+    def take_leaving(self, upstream: types.UpstreamId, *, source: str) -> None:
+        """Take in that an upstream takes no more work.
+
+        Parameters
+        ----------
+        source
+            Who says so, for the log.
+        """
+        known = self._known_by_id.get(upstream)
+        if known is None or known.state is UpstreamState.LEAVING:
+            return
+        known.state = UpstreamState.LEAVING
+        _log_state(known.registration, known.state, source=source)
+
+    def take_gone(self, upstream: types.UpstreamId, *, source: str) -> None:
+        """Take in that another process has the upstream's address."""
+        known = self._known_by_id.get(upstream)
+        if known is not None:
+            _log_state(known.registration, UpstreamState.LEAVING, source=source)
+            self._forget(upstream)
+
+    # Parts.
+
+    def _is_lapse(self, now: float) -> bool:
+        if self._store_lost:
+            return True
+        return now - self._store_regained_at < LAPSE_SECONDS
+
+    def _mark_mass_removal(self, now: float) -> None:
+        self._removals = [
+            at for at in self._removals if now - at < _MASS_SECONDS
+        ]
+        removed = len(self._removals)
+        if removed < _MASS_LEAST:
+            return
+        if removed < _MASS_SHARE * len(self._known_by_id):
+            return
+        for one in self._known_by_id.values():
+            if one.state is UpstreamState.MISSING:
+                one.lapsed = True
+
+    def _expire(self, now: float) -> None:
+        for id, one in list(self._known_by_id.items()):
+            if one.state is UpstreamState.MISSING and self._is_over(one, now):
+                _log_state(
+                    one.registration, UpstreamState.LEAVING, source="absence"
+                )
+                # Not for good: one that was only cut off registers again.
+                del self._known_by_id[id]
+
+    def _is_over(self, one: _Known, now: float) -> bool:
+        if not one.lapsed:
+            return now - one.missing_since >= DOUBTFUL_SECONDS
+        if self._store_lost:
+            return False
+        since = max(one.missing_since, self._store_regained_at)
+        return now - since >= LAPSE_SECONDS
+
+    def _forget(self, upstream: types.UpstreamId) -> None:
+        del self._known_by_id[upstream]
+        self._gone_ids[upstream] = None
+        while len(self._gone_ids) > _REMEMBERED_GONE:
+            del self._gone_ids[next(iter(self._gone_ids))]
+
+
+_REMEMBERED_GONE = 1024
+"""Ids that stay refused, so that a late entry brings none of them back."""
+
+_TOLD_LEAVING = 16
+"""Most ids that other entry VMs are told: the newest; fits a datagram."""
+
+
+def _is_sure(one: _Known) -> bool:
+    if one.state is UpstreamState.SERVING:
+        return True
+    return one.state is UpstreamState.MISSING and one.lapsed
+
+
+def _id_of(registration: Registration) -> types.UpstreamId:
+    return registration.id
+
+
+def _log_state(
+    registration: Registration,
+    state: UpstreamState,
+    *,
+    source: str,
+    lapsed: bool = False,
+) -> None:
+    logs.emit(
+        events.LogEvent.UPSTREAM_STATE_CHANGED,
+        upstream=registration.id,
+        pool=registration.pool,
+        domain=registration.domain,
+        state=state.value,
+        source=source,
+        lapsed=lapsed,
+    )
