--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -11,12 +11,9 @@
     declarations,
     dialect,
     peer_table,
-    store_follower,
     upstreams,
 )
 
-_Section = store_follower.Section
-
 
 class DeclarationsListener(Protocol):
     """Receives each revision that comes into force."""
@@ -67,46 +64,37 @@
 
     # What the store follower tells.
 
-    def take_listing(
-        self,
-        section: store_follower.Section,
-        items: tuple[store_module.KeyValue, ...],
-    ) -> None:
-        """Take in all keys of a section."""
-        if section is _Section.UPSTREAMS:
-            self._take_upstreams(items)
-            return
+    def take_listing(self, items: tuple[store_module.KeyValue, ...]) -> None:
+        """Take in all keys."""
+        entries = []
         for item in items:
-            self._take_value(section, item.key, item.value)
+            if item.key.startswith(self._layout.upstreams_prefix):
+                entries.append(item)
+            else:
+                self._take_value(item.key, item.value)
+        self._take_upstreams(entries)
 
-    def take_event(
-        self, section: store_follower.Section, event: store_module.Event
-    ) -> None:
+    def take_event(self, event: store_module.Event) -> None:
         """Take in one change."""
         if event.value is not None:
-            self._take_value(section, event.key, event.value)
+            self._take_value(event.key, event.value)
             return
         now = self._clock.monotonic()
-        if section is _Section.UPSTREAMS:
+        if event.key.startswith(self._layout.upstreams_prefix):
             id = event.key.removeprefix(self._layout.upstreams_prefix)
             self._directory.take_removal(types.UpstreamId(id), now=now)
             self._on_upstreams()
-        elif section is _Section.ENTRY_VMS:
+        elif event.key.startswith(self._layout.entry_vms_prefix):
             name = event.key.removeprefix(self._layout.entry_vms_prefix)
             self._peers.remove(types.EntryVmId(name))
 
-    def take_store_lost(
-        self, section: store_follower.Section, detail: str
-    ) -> None:
+    def take_store_lost(self) -> None:
         """Keep upstreams whose entries run out meanwhile."""
-        if section is _Section.UPSTREAMS:
-            self._directory.take_store_lost()
+        self._directory.take_store_lost()
 
-    def take_store_regained(self, section: store_follower.Section) -> None:
+    def take_store_regained(self) -> None:
         """Give entries that ran out the time to come back."""
-        if section is _Section.UPSTREAMS:
-            now = self._clock.monotonic()
-            self._directory.take_store_regained(now=now)
+        self._directory.take_store_regained(now=self._clock.monotonic())
 
     # What peers tell.
 
@@ -139,24 +127,21 @@
 
     # Parts.
 
-    def _take_value(
-        self, section: store_follower.Section, key: str, value: bytes
-    ) -> None:
-        if section is _Section.DECLARATIONS:
-            if key == self._layout.declarations_key:
-                self.take_declarations(value, source="store")
-        elif section is _Section.UPSTREAMS:
+    def _take_value(self, key: str, value: bytes) -> None:
+        if key == self._layout.declarations_key:
+            self.take_declarations(value, source="store")
+        elif key.startswith(self._layout.upstreams_prefix):
             registration = self._decoded(key, value)
             if registration is not None:
                 now = self._clock.monotonic()
                 self._directory.take_entry(registration, now=now)
                 self.upstreams_known = True
                 self._on_upstreams()
-        else:
+        elif key.startswith(self._layout.entry_vms_prefix):
             name = key.removeprefix(self._layout.entry_vms_prefix)
             self._peers.take_record(types.EntryVmId(name), value)
 
-    def _take_upstreams(self, items: tuple[store_module.KeyValue, ...]) -> None:
+    def _take_upstreams(self, items: list[store_module.KeyValue]) -> None:
         decoded = [self._decoded(item.key, item.value) for item in items]
         now = self._clock.monotonic()
         self._directory.take_listing(
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -55,7 +55,7 @@
         by_id = {one.id: one for one in registered if one.id not in excluded}
         if not by_id:
             return None
-        request = _request_of(call)
+        request = _request_of(call, shared_lately=self._shared_lately(call))
         candidates = tuple(
             self._candidate(call, one, now) for one in by_id.values()
         )
@@ -84,6 +84,13 @@
             failures=parts.ledger.failures(upstream.id, now=now),
         )
 
+    def _shared_lately(self, call: calls.Call) -> bool:
+        home = call.home_part
+        if home is None:
+            return False
+        now = self._parts.clock.monotonic()
+        return self._parts.homes.used_lately(home.id, now=now)
+
     def _log(
         self, call: calls.Call, ranked: tuple[placement.Ranked, ...]
     ) -> None:
@@ -109,7 +116,7 @@
         )
 
 
-def _request_of(call: calls.Call) -> placement.Request:
+def _request_of(call: calls.Call, *, shared_lately: bool) -> placement.Request:
     home = call.home_part
     return placement.Request(
         affinity=home.id if home else call.request_id,
@@ -117,6 +124,7 @@
         shared_tokens=call.shared_tokens,
         target_seconds=call.route.profile.target_seconds,
         sensitivity=sensitivity_of(call),
+        shared_lately=shared_lately,
         body_bytes=len(call.body),
     )
 
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -31,8 +31,13 @@
     exposure
         Cost of sending a stream with a longest pause of one second to a
         runner that reads prompts all of the time.
+    wait
+        Cost of being on time by a hair; it grows with the square of the time.
     reading
-        Cost of reading a thousand prompt tokens once more.
+        Cost of reading a thousand prompt tokens.
+    rereading
+        Further cost of a thousand tokens of a shared part that another
+        upstream has read a moment ago.
     other_domain
         Cost of sending a megabyte to another failure domain.
     failure
@@ -47,8 +52,10 @@
     prefill_tokens_per_second: float = 40_000.0
     harm: float = 0.6
     exposure: float = 0.6
-    reading: float = 0.02
-    other_domain: float = 4.0
+    wait: float = 1.5
+    reading: float = 0.01
+    rereading: float = 0.08
+    other_domain: float = 6.0
     failure: float = 1.0
     queue: float = 1.0
     spread: float = 0.05
@@ -72,6 +79,8 @@
         Time to the first event, or to the whole answer, that is on time.
     sensitivity
         Inverse of the longest pause in seconds; 0 where there are no pauses.
+    shared_lately
+        Whether some upstream has read the shared parts a moment ago.
     body_bytes
         Bytes that go to the upstream.
     """
@@ -81,6 +90,7 @@
     shared_tokens: float = 0.0
     target_seconds: float
     sensitivity: float = 0.0
+    shared_lately: bool = False
     body_bytes: int = 0
 
 
@@ -158,6 +168,9 @@
     new_tokens = request.prompt_tokens
     if candidate.has_shared:
         new_tokens -= request.shared_tokens
+    reading = weights.reading * new_tokens
+    if request.shared_lately and not candidate.has_shared:
+        reading += weights.rereading * request.shared_tokens
     rate = weights.prefill_tokens_per_second
     load = candidate.load
     own_seconds = new_tokens / rate
@@ -165,12 +178,13 @@
     # Peers and runners serve this runner too, so its slots are not ours.
     occupied = load.running / max(1, candidate.slots)
     cost_by_kind = {
-        CostKind.WAIT: wait_seconds / request.target_seconds,
+        CostKind.WAIT: weights.wait
+        * (wait_seconds / request.target_seconds) ** 2,
         CostKind.HARM: weights.harm * own_seconds * load.sensitive,
         CostKind.EXPOSURE: weights.exposure
         * request.sensitivity
         * min(1.0, candidate.recent_prefill / rate),
-        CostKind.READING: weights.reading * new_tokens / 1000.0,
+        CostKind.READING: reading / 1000.0,
         CostKind.DOMAIN: 0.0
         if candidate.same_domain
         else weights.other_domain * request.body_bytes / 1e6,
--- a/packages/router/src/lagoonrun_router/prompt_homes.py
+++ b/packages/router/src/lagoonrun_router/prompt_homes.py
@@ -11,6 +11,13 @@
 more than fits into their memory.
 """
 
+REUSE_SECONDS = 10.0
+"""Age from which a part that is read again counts as read for the first time.
+
+The platform's operators say so: what was not used for ten seconds may have
+been evicted anyhow.
+"""
+
 _MOST_PARTS = 8192
 """Parts that are remembered, the least recently used are forgotten first."""
 
@@ -49,6 +56,11 @@
         seen = self._seen_by_part.get(part, {}).get(upstream)
         return seen is not None and now - seen < KEPT_SECONDS
 
+    def used_lately(self, part: str, *, now: float) -> bool:
+        """Return whether a part was read somewhere a moment ago."""
+        seen = self._seen_by_part.get(part)
+        return bool(seen) and now - max(seen.values()) < REUSE_SECONDS
+
     def take_untold(self) -> dict[str, types.UpstreamId]:
         """Return placements that others have not been told; they now are."""
         told = {}
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -112,21 +112,9 @@
             on_upstreams=self._on_upstreams,
             clock=self._clock,
         )
-        prefixes_by_section = {
-            store_follower.Section.DECLARATIONS: self._layout.declarations_key,
-            store_follower.Section.UPSTREAMS: self._layout.upstreams_prefix,
-            store_follower.Section.ENTRY_VMS: self._layout.entry_vms_prefix,
-        }
-        self._followers = [
-            store_follower.StoreFollower(
-                store=self._store,
-                section=section,
-                prefix=prefix,
-                reader=self.beliefs,
-                chance=self._chance,
-            )
-            for section, prefix in prefixes_by_section.items()
-        ]
+        self._follower = store_follower.StoreFollower(
+            store=self._store, reader=self.beliefs, chance=self._chance
+        )
         self._peers = peers.Peers(
             configured=configured,
             key=configured.store.host.encode(),
@@ -221,8 +209,7 @@
         if self._metrics_server is not None:
             await self._metrics_server.start()
         await self._peers.start()
-        for follower in self._followers:
-            await follower.start()
+        await self._follower.start()
         self._tasks = [
             asyncio.create_task(self._record_self()),
             asyncio.create_task(self._keep_house()),
@@ -254,8 +241,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for follower in self._followers:
-            await follower.close()
+        await self._follower.close()
         await self._caller_server.close()
         await self._peers.close()
         await self._client.close()
--- a/packages/router/src/lagoonrun_router/store_follower.py
+++ b/packages/router/src/lagoonrun_router/store_follower.py
@@ -1,13 +1,13 @@
 """Follow the platform's store: declarations, upstreams and entry VMs.
 
-For each prefix one task reads all keys and then waits for changes. A cut
+One task reads all keys and then waits for changes of any of them: a watch is
+a call that is paid for, and three would cost three times as much. A cut
 watch, a history that is gone, and a store that is away all end in another
 reading of all keys, which shows what was missed; only a reading that fails
 as well means that the store is lost.
 """
 
 import asyncio
-import enum
 import logging
 import random
 from typing import Protocol
@@ -15,6 +15,7 @@
 from lagoonrun_core import events, logs
 from lagoonrun_platform import store as store_module
 
+_ALL_KEYS = ""
 _FIRST_PAUSE_SECONDS = 0.1
 _LONGEST_PAUSE_SECONDS = 1.0
 """Longest pause between two tries while the store is away.
@@ -24,41 +25,29 @@
 """
 
 
-class Section(enum.Enum):
-    """What the keys below a prefix are about."""
-
-    DECLARATIONS = "declarations"
-    UPSTREAMS = "upstreams"
-    ENTRY_VMS = "entry-vms"
-
-
 class StoreReader(Protocol):
     """Receives what the store holds. Methods are called in the store's order."""
 
-    def take_listing(
-        self, section: Section, items: tuple[store_module.KeyValue, ...]
-    ) -> None:
-        """Take in all keys of a section."""
+    def take_listing(self, items: tuple[store_module.KeyValue, ...]) -> None:
+        """Take in all keys."""
 
-    def take_event(self, section: Section, event: store_module.Event) -> None:
+    def take_event(self, event: store_module.Event) -> None:
         """Take in one change."""
 
-    def take_store_lost(self, section: Section, detail: str) -> None:
-        """Take in that a section cannot be read."""
+    def take_store_lost(self) -> None:
+        """Take in that the store cannot be read."""
 
-    def take_store_regained(self, section: Section) -> None:
-        """Take in that a section can be read again; its listing follows."""
+    def take_store_regained(self) -> None:
+        """Take in that the store can be read again; a listing follows."""
 
 
 class StoreFollower:
-    """Keeps a reader up to date with one section of the store.
+    """Keeps a reader up to date with the store.
 
     Parameters
     ----------
     store
         The platform's store.
-    section, prefix
-        What to follow.
     reader
         Receives it.
     chance
@@ -69,14 +58,10 @@
         self,
         *,
         store: store_module.KeyValueStore,
-        section: Section,
-        prefix: str,
         reader: StoreReader,
         chance: random.Random,
     ) -> None:
         self._store = store
-        self._section = section
-        self._prefix = prefix
         self._reader = reader
         self._chance = chance
         self._lost = False
@@ -95,19 +80,19 @@
 
     async def _run(self) -> None:
         while True:
-            listing = await self._store.list_prefix(self._prefix)
+            listing = await self._store.list_prefix(_ALL_KEYS)
             if isinstance(listing, store_module.Unreachable):
                 self._note_lost(listing.detail)
                 await asyncio.sleep(self._next_pause())
                 continue
             self._note_regained()
-            self._reader.take_listing(self._section, listing.items)
+            self._reader.take_listing(listing.items)
             await self._watch(listing.revision)
 
     async def _watch(self, revision: store_module.StoreRevision) -> None:
         """Take in changes until the watch ends for whatever reason."""
         watch = self._store.watch(
-            self._prefix,
+            _ALL_KEYS,
             prefix=True,
             from_revision=store_module.StoreRevision(revision + 1),
         )
@@ -115,7 +100,7 @@
             if not isinstance(message, store_module.WatchBatch):
                 return
             for event in message.events:
-                self._reader.take_event(self._section, event)
+                self._reader.take_event(event)
 
     def _note_lost(self, detail: str) -> None:
         if self._lost:
@@ -124,20 +109,17 @@
         logs.emit(
             events.LogEvent.PLATFORM_UNREACHABLE,
             level=logging.WARNING,
-            section=self._section.value,
             detail=detail,
         )
-        self._reader.take_store_lost(self._section, detail)
+        self._reader.take_store_lost()
 
     def _note_regained(self) -> None:
         self._pause_seconds = _FIRST_PAUSE_SECONDS
         if not self._lost:
             return
         self._lost = False
-        logs.emit(
-            events.LogEvent.PLATFORM_REACHABLE, section=self._section.value
-        )
-        self._reader.take_store_regained(self._section)
+        logs.emit(events.LogEvent.PLATFORM_REACHABLE)
+        self._reader.take_store_regained()
 
     def _next_pause(self) -> float:
         pause = self._pause_seconds
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -19,21 +19,16 @@
 """
 
 DOUBTFUL_SECONDS = 1.2
-"""How long a removed upstream may serve where no other is left.
+"""How long a removed upstream may serve in calm where few others are left.
 
 An upstream that left goes on for two seconds at least after its entry is
 removed; past this time a request might reach it too late.
 """
 
-_MASS_SHARE = 0.5
-_MASS_LEAST = 3
-"""From this many entries removed together on it is taken for a lapse.
-
-A long outage may end without any call of ours having failed. Operators take
-away a few upstreams at a time; half of all at once are never leaving.
-"""
-
-_MASS_SECONDS = 1.0
+_LEAST_SHARE = 0.5
+"""Part of a pool that has to be registered for missing upstreams to be left
+out. Operators replace or take away a few at a time, and new ones register
+before old ones leave. When most of a pool is missing, entries have run out."""
 
 
 class UpstreamState(enum.Enum):
@@ -73,7 +68,6 @@
     registration: Registration
     state: UpstreamState
     missing_since: float = 0.0
-    lapsed: bool = False
 
 
 class UpstreamDirectory:
@@ -84,7 +78,6 @@
         self._gone_ids: dict[types.UpstreamId, None] = {}
         self._store_lost = False
         self._store_regained_at = float("-inf")
-        self._removals: list[float] = []
 
     # What is asked.
 
@@ -93,16 +86,16 @@
     ) -> tuple[Registration, ...]:
         """Return the upstreams of `pool` that may be given work, by id."""
         self._expire(now)
+        states = (UpstreamState.SERVING, UpstreamState.MISSING)
         known = [
             one
             for one in self._known_by_id.values()
-            if one.registration.pool == pool
+            if one.registration.pool == pool and one.state in states
         ]
-        sure = [one for one in known if _is_sure(one)]
-        chosen = sure or [
-            one for one in known if one.state is UpstreamState.MISSING
-        ]
-        return tuple(sorted((one.registration for one in chosen), key=_id_of))
+        serving = [one for one in known if one.state is UpstreamState.SERVING]
+        if len(serving) >= _LEAST_SHARE * len(known):
+            known = serving
+        return tuple(sorted((one.registration for one in known), key=_id_of))
 
     def may_send(self, upstream: types.UpstreamId, *, now: float) -> bool:
         """Return whether a request may still be sent to `upstream`."""
@@ -173,15 +166,7 @@
             return
         known.state = UpstreamState.MISSING
         known.missing_since = now
-        known.lapsed = self._is_lapse(now)
-        self._removals.append(now)
-        self._mark_mass_removal(now)
-        _log_state(
-            known.registration,
-            known.state,
-            source="store",
-            lapsed=known.lapsed,
-        )
+        _log_state(known.registration, known.state, source="store")
 
     def take_store_lost(self) -> None:
         """Take in that the store cannot be reached."""
@@ -218,40 +203,32 @@
 
     # Parts.
 
-    def _is_lapse(self, now: float) -> bool:
-        if self._store_lost:
-            return True
-        return now - self._store_regained_at < LAPSE_SECONDS
-
-    def _mark_mass_removal(self, now: float) -> None:
-        self._removals = [
-            at for at in self._removals if now - at < _MASS_SECONDS
-        ]
-        removed = len(self._removals)
-        if removed < _MASS_LEAST:
-            return
-        if removed < _MASS_SHARE * len(self._known_by_id):
-            return
-        for one in self._known_by_id.values():
-            if one.state is UpstreamState.MISSING:
-                one.lapsed = True
-
     def _expire(self, now: float) -> None:
+        hold_seconds = DOUBTFUL_SECONDS
+        if self._may_be_lapse(now):
+            hold_seconds = LAPSE_SECONDS
         for id, one in list(self._known_by_id.items()):
-            if one.state is UpstreamState.MISSING and self._is_over(one, now):
+            if one.state is not UpstreamState.MISSING:
+                continue
+            if now - one.missing_since >= hold_seconds:
                 _log_state(
                     one.registration, UpstreamState.LEAVING, source="absence"
                 )
                 # Not for good: one that was only cut off registers again.
                 del self._known_by_id[id]
 
-    def _is_over(self, one: _Known, now: float) -> bool:
-        if not one.lapsed:
-            return now - one.missing_since >= DOUBTFUL_SECONDS
+    def _may_be_lapse(self, now: float) -> bool:
+        """Return whether entries may have run out while the store was away.
+
+        A long outage may end without any call of ours having failed; then
+        most entries are missing at once.
+        """
         if self._store_lost:
-            return False
-        since = max(one.missing_since, self._store_regained_at)
-        return now - since >= LAPSE_SECONDS
+            return True
+        if now - self._store_regained_at < 2.0 * LAPSE_SECONDS:
+            return True
+        missing = self.counts_by_state()[UpstreamState.MISSING]
+        return missing > _LEAST_SHARE * len(self._known_by_id)
 
     def _forget(self, upstream: types.UpstreamId) -> None:
         del self._known_by_id[upstream]
@@ -267,12 +244,6 @@
 """Most ids that other entry VMs are told: the newest; fits a datagram."""
 
 
-def _is_sure(one: _Known) -> bool:
-    if one.state is UpstreamState.SERVING:
-        return True
-    return one.state is UpstreamState.MISSING and one.lapsed
-
-
 def _id_of(registration: Registration) -> types.UpstreamId:
     return registration.id
 
@@ -282,7 +253,6 @@
     state: UpstreamState,
     *,
     source: str,
-    lapsed: bool = False,
 ) -> None:
     logs.emit(
         events.LogEvent.UPSTREAM_STATE_CHANGED,
@@ -291,5 +261,4 @@
         domain=registration.domain,
         state=state.value,
         source=source,
-        lapsed=lapsed,
     )
