--- a/packages/http/src/lagoonrun_http/server.py
+++ b/packages/http/src/lagoonrun_http/server.py
@@ -1,6 +1,7 @@
 """The HTTP/1.1 server towards callers."""
 
 import asyncio
+import socket
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_http import (
@@ -19,6 +20,10 @@
 
 _LINGERING_REFUSALS = 64
 
+_BACKLOG = 1024
+"""Connections that wait to be accepted; a full queue drops the opening of
+further ones, which come again only after a second."""
+
 
 class HttpServer:
     """Accepts connections and hands each request to a handler.
@@ -35,6 +40,8 @@
         Answers the requests.
     clock
         Source of time for the bounds.
+    listening
+        Socket that listens already at the address; None to open one.
     """
 
     def __init__(
@@ -45,7 +52,9 @@
         limits: limits.ServerLimits,
         handler: exchange.ExchangeHandler,
         clock: clocks.Clock,
+        listening: socket.socket | None = None,
     ) -> None:
+        self._listening = listening
         self._host = host
         self._port = port
         self._limits = limits
@@ -87,9 +96,14 @@
     async def start(self) -> None:
         """Listen; raises `OSError` when the address is taken."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._accept, self._host, self._port, backlog=1024
-        )
+        if self._listening is not None:
+            self._listener = await loop.create_server(
+                self._accept, sock=self._listening, backlog=_BACKLOG
+            )
+        else:
+            self._listener = await loop.create_server(
+                self._accept, self._host, self._port, backlog=_BACKLOG
+            )
         self._port = self._listener.sockets[0].getsockname()[1]
         self._sweep.start()
 
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -360,6 +360,7 @@
     """
 
     entry_vm: types.EntryVmId
+    domain: types.FailureDomain
     start: int
     sequence: int
     port: int
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -194,6 +194,7 @@
   loads @7 :List(UpstreamLoad);
   placements @8 :List(PromptPlacement);
   known @9 :List(EntryVmAddress);
+  domain @10 :Text;
 }
 
 struct Envelope {
--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -10,6 +10,7 @@
 from lagoonrun_router import (
     declarations,
     dialect,
+    format_error,
     peer_table,
     upstreams,
 )
@@ -102,7 +103,7 @@
         """Put a value of the declarations into force if it is newer."""
         try:
             declared = self._layout.decode_declarations(value)
-        except dialect.FormatError as error:
+        except format_error.FormatError as error:
             logs.emit(
                 events.LogEvent.CONFIGURATION_REJECTED,
                 level=logging.ERROR,
@@ -153,7 +154,7 @@
     def _decoded(self, key: str, value: bytes) -> upstreams.Registration | None:
         try:
             return self._layout.decode_upstream(key, value)
-        except dialect.FormatError as error:
+        except format_error.FormatError as error:
             logs.emit(
                 events.LogEvent.UPSTREAM_ENTRY_REJECTED,
                 level=logging.ERROR,
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -82,6 +82,7 @@
             load=parts.ledger.load_of(upstream.id, now=now),
             recent_prefill=parts.ledger.recent_prefill(upstream.id, now=now),
             failures=parts.ledger.failures(upstream.id, now=now),
+            silent_domain=parts.domains.is_silent(upstream.domain, now=now),
         )
 
     def _shared_lately(self, call: calls.Call) -> bool:
--- a/packages/router/src/lagoonrun_router/dialect.py
+++ b/packages/router/src/lagoonrun_router/dialect.py
@@ -5,16 +5,11 @@
 
 from typing import Protocol
 
-from lagoonrun_core import errors
 from lagoonrun_http import messages as http_messages
 from lagoonrun_router import call as calls
 from lagoonrun_router import declarations, upstreams
 
 
-class FormatError(errors.LagoonrunError):
-    """Something on the wire is not what the platform says it is."""
-
-
 class Dialect(Protocol):
     """Requests and answers as callers and upstreams write them."""
 
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -205,6 +205,9 @@
                     ),
                     address=upstream.host,
                     port=upstream.port,
+                    fresh=self._parts.domains.is_quiet(
+                        upstream.domain, now=now
+                    ),
                     may_write=lambda: self._may_write(choice),
                 )
         except TimeoutError:
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -1,6 +1,7 @@
 """Take callers' requests in and see each to its final answer."""
 
 import asyncio
+import contextlib
 import enum
 import logging
 
@@ -10,13 +11,17 @@
 from lagoonrun_router import (
     answers,
     declarations,
-    dialect,
     execution,
+    format_error,
     route_table,
 )
 from lagoonrun_router import call as calls
 from lagoonrun_router import parts as router_parts
 
+_UNCONFIGURED_WAIT_SECONDS = 0.4
+"""How long a request waits for the first declarations, below the time after
+which callers go elsewhere; the store usually answers in a few milliseconds."""
+
 _UNCONFIGURED_RETRY_SECONDS = 0.5
 """A starting process has its declarations within about this time."""
 
@@ -64,26 +69,40 @@
     def __init__(self, *, parts: router_parts.Parts) -> None:
         self._parts = parts
         self._table: route_table.RouteTable | None = None
+        self._configured = asyncio.Event()
 
     def use(self, table: route_table.RouteTable) -> None:
         """Resolve the following requests by another revision."""
         self._table = table
+        self._configured.set()
 
     async def handle(self, exchange: exchanges.Exchange) -> None:
         """Answer one request; never raises for what a caller does."""
         arrived_at = self._parts.clock.monotonic()
         try:
             features = self._parts.dialect.read_features(exchange.head)
-        except dialect.FormatError as error:
+        except format_error.FormatError as error:
             await self._reject(exchange, _Fault.MALFORMED, error.detail)
             return
         body = await exchange.read_body()
+        await self._wait_configured()
         # Resolved after the body: a revision that came into force meanwhile
         # is the one that counts.
         call = await self._resolve(exchange, features, body, arrived_at)
         if call is not None:
             await self._serve(call, exchange)
 
+    async def _wait_configured(self) -> None:
+        """Let a request wait for the first declarations, for a moment.
+
+        After a stop of the whole fleet callers connect at once, and the
+        declarations are here within some milliseconds; a refusal would use
+        up the callers' few retries.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_UNCONFIGURED_WAIT_SECONDS):
+                await self._configured.wait()
+
     async def _resolve(
         self,
         exchange: exchanges.Exchange,
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -11,6 +11,7 @@
     loads,
     metrics,
     prompt_homes,
+    reach,
     retry_budget,
     upstreams,
 )
@@ -25,6 +26,7 @@
     directory: upstreams.UpstreamDirectory
     ledger: loads.LoadLedger
     homes: prompt_homes.PromptHomes
+    domains: reach.DomainReach
     budget: retry_budget.RetryBudget
     client: http_upstream.UpstreamClient
     clock: clocks.Clock
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -22,6 +22,7 @@
     loads,
     peer_table,
     prompt_homes,
+    reach,
     settings,
     upstreams,
 )
@@ -59,7 +60,7 @@
         The other entry VMs.
     known
         Declarations in force.
-    directory, ledger, homes
+    directory, ledger, homes, domains
         What is told and heard.
     clock, chance
         Sources of time and of choices.
@@ -75,6 +76,7 @@
         directory: upstreams.UpstreamDirectory,
         ledger: loads.LoadLedger,
         homes: prompt_homes.PromptHomes,
+        domains: reach.DomainReach,
         clock: clocks.Clock,
         chance: random.Random,
     ) -> None:
@@ -85,6 +87,7 @@
         self._directory = directory
         self._ledger = ledger
         self._homes = homes
+        self._domains = domains
         self._clock = clock
         self._chance = chance
         # Not a time: the wall clock may have been ahead at an earlier start.
@@ -142,6 +145,7 @@
         shown = self._chance.sample(known, min(len(known), _TOLD_MEMBERS))
         return messages.RouterState(
             entry_vm=self._settings.entry_vm,
+            domain=self._settings.domain,
             start=self._start,
             sequence=self._sequence,
             port=self._settings.peer.port,
@@ -206,6 +210,7 @@
 
     def _take(self, state: messages.RouterState, host: str) -> None:
         now = self._clock.monotonic()
+        self._domains.hear(state.domain, now=now)
         address = settings.Address(host=host, port=state.port)
         newer = self._table.hear(
             state.entry_vm,
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -42,6 +42,8 @@
         Cost of sending a megabyte to another failure domain.
     failure
         Cost of each recent failure of the upstream.
+    silence
+        Cost of an upstream in a failure domain that is silent.
     queue
         Cost of each request that runs there, for one slot of the upstream.
     spread
@@ -57,6 +59,7 @@
     rereading: float = 0.08
     other_domain: float = 6.0
     failure: float = 1.0
+    silence: float = 5.0
     queue: float = 1.0
     spread: float = 0.05
 
@@ -110,6 +113,8 @@
         Prompt tokens a second that it was sent lately.
     failures
         Faded number of its failures.
+    silent_domain
+        Whether its failure domain is probably cut off from here.
     """
 
     upstream: types.UpstreamId
@@ -119,6 +124,7 @@
     load: loads.Load
     recent_prefill: float = 0.0
     failures: float = 0.0
+    silent_domain: bool = False
 
 
 class CostKind(enum.Enum):
@@ -130,6 +136,7 @@
     READING = "reading"
     DOMAIN = "domain"
     FAILURE = "failure"
+    SILENCE = "silence"
     QUEUE = "queue"
     SPREAD = "spread"
 
@@ -189,6 +196,7 @@
         if candidate.same_domain
         else weights.other_domain * request.body_bytes / 1e6,
         CostKind.FAILURE: weights.failure * candidate.failures,
+        CostKind.SILENCE: weights.silence * candidate.silent_domain,
         CostKind.QUEUE: weights.queue * occupied,
         CostKind.SPREAD: weights.spread * _spread(request, candidate),
     }
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -4,6 +4,7 @@
 import gc
 import random
 import secrets
+import socket
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs
@@ -24,6 +25,7 @@
     peer_table,
     peers,
     prompt_homes,
+    reach,
     retry_budget,
     route_table,
     settings,
@@ -71,6 +73,8 @@
         Requests and answers on the wire.
     clock, chance
         Sources of time and of choices.
+    listening
+        Socket of the caller address that listens already; None to open one.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         language: dialect.Dialect,
         clock: clocks.Clock | None = None,
         chance: random.Random | None = None,
+        listening: socket.socket | None = None,
     ) -> None:
         self._settings = configured
         self._store = store
@@ -95,11 +100,12 @@
         self.directory = upstreams.UpstreamDirectory()
         self._ledger = loads.LoadLedger()
         self._homes = prompt_homes.PromptHomes()
+        self._domains = reach.DomainReach()
         self._budget = retry_budget.RetryBudget(
             allowance=configured.retry_allowance
         )
         self._build_knowledge()
-        self._build_edges(language)
+        self._build_edges(language, listening)
 
     def _build_knowledge(self) -> None:
         configured = self._settings
@@ -123,11 +129,14 @@
             directory=self.directory,
             ledger=self._ledger,
             homes=self._homes,
+            domains=self._domains,
             clock=self._clock,
             chance=self._chance,
         )
 
-    def _build_edges(self, language: dialect.Dialect) -> None:
+    def _build_edges(
+        self, language: dialect.Dialect, listening: socket.socket | None
+    ) -> None:
         configured = self._settings
         self._client = http_upstream.UpstreamClient(
             limits=http_limits.ClientLimits(
@@ -146,6 +155,7 @@
                 directory=self.directory,
                 ledger=self._ledger,
                 homes=self._homes,
+                domains=self._domains,
                 budget=self._budget,
                 client=self._client,
                 clock=self._clock,
@@ -153,7 +163,9 @@
                 metrics=self.metrics,
             )
         )
-        self._caller_server = self._server(configured.caller, self._ingress)
+        self._caller_server = self._server(
+            configured.caller, self._ingress, listening
+        )
         self._readiness_server = self._server(
             configured.readiness, _Readiness(router=self)
         )
@@ -167,7 +179,10 @@
             )
 
     def _server(
-        self, address: settings.Address, handler: exchanges.ExchangeHandler
+        self,
+        address: settings.Address,
+        handler: exchanges.ExchangeHandler,
+        listening: socket.socket | None = None,
     ) -> http_server.HttpServer:
         return http_server.HttpServer(
             host=address.host,
@@ -178,6 +193,7 @@
             ),
             handler=handler,
             clock=self._clock,
+            listening=listening,
         )
 
     @property
