--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,13 +1,21 @@
 #!/bin/sh
 # Put the locked libraries and the product's packages under target/deps.
 set -eu
-stamp=target/deps/.libraries
-if [ ! -e "$stamp" ] || [ requirements.lock -nt "$stamp" ]; then
+libraries=target/deps/.libraries
+sources=target/deps/.sources
+if [ ! -e "$libraries" ] || [ requirements.lock -nt "$libraries" ]; then
     rm -rf target/deps
     python3 -m pip install --quiet --require-hashes --target target/deps \
         --requirement requirements.lock
-    touch "$stamp"
+    touch "$libraries"
 fi
+# Days that are played side by side build side by side: one that has nothing
+# to do must not touch what the others run from.
+if [ -e "$sources" ] && [ -z "$(find packages platform deploy \
+    -newer "$sources" -not -path '*/__pycache__*' -print -quit)" ]; then
+    exit 0
+fi
+touch "$sources.new"
 rm -rf target/deps/lagoonrun_*
 for source in packages/*/src/* platform/src/*; do
     case "$source" in
@@ -15,4 +23,5 @@
         *) cp -r "$source" target/deps/ ;;
     esac
 done
-python3 -m compileall -q target/deps/lagoonrun_* || true
+python3 -m compileall -q target/deps/lagoonrun_*
+mv "$sources.new" "$sources"
