Weigh stragglers and memory in placement; build by the sources' contents

Pauses between events, running requests against the median of the pool, and memory go into the cost.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,11 +11,11 @@
 fi
 # Days that are played side by side build side by side: one that has nothing
 # to do must not touch what the others run from.
-if [ -e "$sources" ] && [ -z "$(find packages platform deploy \
-    -newer "$sources" -not -path '*/__pycache__*' -print -quit)" ]; then
+wanted=$(find packages/*/src platform/src deploy -type f \
+    -not -path '*/__pycache__/*' -exec sha256sum {} + | sort | sha256sum)
+if [ -e "$sources" ] && [ "$wanted" = "$(cat "$sources")" ]; then
     exit 0
 fi
-touch "$sources.new"
 rm -rf target/deps/lagoonrun_*
 for source in packages/*/src/* platform/src/*; do
     case "$source" in
@@ -24,4 +24,4 @@
     esac
 done
 python3 -m compileall -q target/deps/lagoonrun_*
-mv "$sources.new" "$sources"
+echo "$wanted" > "$sources"
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -312,12 +312,21 @@
         Its requests without an end.
     sensitive
         Streams among them, each by the inverse of its longest pause.
+    held_tokens
+        Prompt tokens of all of them.
+    pause_seconds
+        Average of the latest pauses between events there.
+    pauses
+        Faded number of pauses that the average is of.
     """
 
     upstream: types.UpstreamId
     waiting_tokens: float
     running: int
     sensitive: float
+    held_tokens: float = 0.0
+    pause_seconds: float = 0.0
+    pauses: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -170,6 +170,9 @@
   waitingTokens @1 :Float64;
   running @2 :UInt64;
   sensitive @3 :Float64;
+  heldTokens @4 :Float64;
+  pauseSeconds @5 :Float64;
+  pauses @6 :Float64;
 }
 
 struct PromptPlacement {
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -76,6 +76,9 @@
         return placement.Candidate(
             upstream=upstream.id,
             slots=upstream.slots,
+            cache_tokens=call.pool.engine.cache_tokens
+            if call.pool.engine
+            else 0.0,
             has_shared=home is not None
             and parts.homes.has(home.id, upstream.id, now=now),
             same_domain=upstream.domain == parts.domain,
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -169,6 +169,7 @@
             upstream=choice.upstream.id,
             new_tokens=choice.new_tokens,
             sensitivity=choosing.sensitivity_of(self._call),
+            prompt_tokens=self._call.features.prompt_tokens,
         )
         parts = self._parts
         now = parts.clock.monotonic()
@@ -268,10 +269,16 @@
             return await self._relay.run(
                 response,
                 upstream=upstream,
-                on_event=lambda: self._parts.ledger.first_event(work),
+                on_event=lambda pause: self._note_event(work, pause),
             )
         return await self._take_whole(response, upstream)
 
+    def _note_event(self, work: loads.Work, pause: float | None) -> None:
+        self._parts.ledger.first_event(work)
+        if pause is not None:
+            now = self._parts.clock.monotonic()
+            self._parts.ledger.add_pause(work.upstream, pause, now=now)
+
     async def _not_run(
         self,
         response: http_upstream.UpstreamResponse,
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -21,6 +21,13 @@
 Crashed upstreams are replaced within a few seconds, and failing ones mend.
 """
 
+_PAUSE_HALF_LIFE_SECONDS = 1.0
+"""Time over which pauses are averaged: some ten events of each stream, long
+against a single prompt's reading, short against a runner's slow spell."""
+
+_LEAST_PAUSES = 0.5
+"""Faded pauses below which an average is not told: seconds old."""
+
 _PREFILL_HALF_LIFE_SECONDS = 2.0
 """Time over which the prompt tokens sent to a runner are averaged."""
 
@@ -38,18 +45,33 @@
     sensitive
         Running streams for which a short pause is late already, in units of
         streams with a longest pause of one second.
+    held_tokens
+        Prompt tokens of all requests without an end, cached ones included.
+    pause_seconds
+        Average of the latest pauses between events; 0 where there are none.
+    pauses
+        Faded number of pauses that the average is of.
     """
 
     waiting_tokens: float = 0.0
     running: int = 0
     sensitive: float = 0.0
+    held_tokens: float = 0.0
+    pause_seconds: float = 0.0
+    pauses: float = 0.0
 
     def plus(self, other: "Load") -> "Load":
         """Return both together."""
+        pauses = self.pauses + other.pauses
+        pause_sum = self.pause_seconds * self.pauses
+        pause_sum += other.pause_seconds * other.pauses
         return Load(
             waiting_tokens=self.waiting_tokens + other.waiting_tokens,
             running=self.running + other.running,
             sensitive=self.sensitive + other.sensitive,
+            held_tokens=self.held_tokens + other.held_tokens,
+            pause_seconds=pause_sum / pauses if pauses else 0.0,
+            pauses=pauses,
         )
 
 
@@ -63,6 +85,7 @@
     upstream: types.UpstreamId
     new_tokens: float
     sensitivity: float
+    prompt_tokens: float = 0.0
     waiting: bool = True
 
 
@@ -89,6 +112,22 @@
         self.at = now
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Pauses:
+    """Faded number and sum of the pauses between events."""
+
+    count: _Decaying = dataclasses.field(
+        default_factory=lambda: _Decaying(
+            half_life_seconds=_PAUSE_HALF_LIFE_SECONDS
+        )
+    )
+    seconds: _Decaying = dataclasses.field(
+        default_factory=lambda: _Decaying(
+            half_life_seconds=_PAUSE_HALF_LIFE_SECONDS
+        )
+    )
+
+
 class LoadLedger:
     """Own and told loads, failures and recent prompt tokens by upstream."""
 
@@ -97,6 +136,7 @@
         self._told_by_peer: dict[types.EntryVmId, _Told] = {}
         self._failures_by_upstream: dict[types.UpstreamId, _Decaying] = {}
         self._prefill_by_upstream: dict[types.UpstreamId, _Decaying] = {}
+        self._pauses_by_upstream: dict[types.UpstreamId, _Pauses] = {}
         self.changed = False
 
     # Own work.
@@ -122,13 +162,33 @@
         if not own:
             self._own_by_upstream.pop(work.upstream, None)
 
-    def own_loads(self) -> dict[types.UpstreamId, Load]:
+    def add_pause(
+        self, upstream: types.UpstreamId, seconds: float, *, now: float
+    ) -> None:
+        """Note the time between two events of a stream."""
+        pauses = self._pauses_by_upstream.setdefault(upstream, _Pauses())
+        pauses.count.add(1.0, now)
+        pauses.seconds.add(seconds, now)
+
+    def own_loads(self, *, now: float) -> dict[types.UpstreamId, Load]:
         """Return the own work by upstream, for the other entry VMs."""
         return {
-            upstream: _sum_of(works)
-            for upstream, works in self._own_by_upstream.items()
+            upstream: self._own_load(upstream, now)
+            for upstream in self._own_by_upstream
         }
 
+    def _own_load(self, upstream: types.UpstreamId, now: float) -> Load:
+        load = _sum_of(self._own_by_upstream.get(upstream, ()))
+        known = self._pauses_by_upstream.get(upstream)
+        count = known.count.read(now) if known else 0.0
+        if count < _LEAST_PAUSES:
+            return load
+        return dataclasses.replace(
+            load,
+            pauses=count,
+            pause_seconds=known.seconds.read(now) / count,
+        )
+
     # What peers tell.
 
     def take_told(
@@ -188,7 +248,7 @@
 
     def load_of(self, upstream: types.UpstreamId, *, now: float) -> Load:
         """Return all known work at `upstream`."""
-        total = _sum_of(self._own_by_upstream.get(upstream, ()))
+        total = self._own_load(upstream, now)
         for told in self._told_by_peer.values():
             if now - told.at < PEER_LOAD_SECONDS:
                 load = told.loads_by_upstream.get(upstream)
@@ -202,6 +262,7 @@
         for by_upstream in (
             self._failures_by_upstream,
             self._prefill_by_upstream,
+            self._pauses_by_upstream,
         ):
             for upstream in [one for one in by_upstream if one not in kept]:
                 del by_upstream[upstream]
@@ -221,9 +282,16 @@
     waiting = 0.0
     running = 0
     sensitive = 0.0
+    held = 0.0
     for work in works:
         running += 1
         sensitive += work.sensitivity
+        held += work.prompt_tokens
         if work.waiting:
             waiting += work.new_tokens
-    return Load(waiting_tokens=waiting, running=running, sensitive=sensitive)
+    return Load(
+        waiting_tokens=waiting,
+        running=running,
+        sensitive=sensitive,
+        held_tokens=held,
+    )
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -151,6 +151,7 @@
         self, placements: dict[str, types.UpstreamId]
     ) -> messages.RouterState:
         self._sequence += 1
+        now = self._clock.monotonic()
         known = list(self._table.known().items())
         shown = self._chance.sample(known, min(len(known), _TOLD_MEMBERS))
         return messages.RouterState(
@@ -169,8 +170,11 @@
                     waiting_tokens=load.waiting_tokens,
                     running=load.running,
                     sensitive=load.sensitive,
+                    held_tokens=load.held_tokens,
+                    pause_seconds=load.pause_seconds,
+                    pauses=load.pauses,
                 )
-                for upstream, load in self._ledger.own_loads().items()
+                for upstream, load in self._ledger.own_loads(now=now).items()
             ),
             placements=tuple(
                 messages.PromptPlacement(part=part, upstream=upstream)
@@ -254,6 +258,9 @@
                     waiting_tokens=told.waiting_tokens,
                     running=told.running,
                     sensitive=told.sensitive,
+                    held_tokens=told.held_tokens,
+                    pause_seconds=told.pause_seconds,
+                    pauses=told.pauses,
                 )
                 for told in state.loads
             },
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import statistics
 
 import xxhash
 
@@ -15,6 +16,8 @@
 from lagoonrun_router import loads
 
 _HASH_RANGE = float(1 << 64)
+_WORST_SLOWNESS = 4.0
+_FULL_SHARE = 0.75
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -45,7 +48,13 @@
     silence
         Cost of an upstream in a failure domain that is silent.
     queue
-        Cost of each request that runs there, for one slot of the upstream.
+        Cost of running as many requests as there are slots.
+    crowd
+        Cost of running twice as many requests as others of the pool.
+    pace
+        Cost of pauses between events that are twice those of others.
+    memory
+        Cost of a request for which an upstream's memory is used up.
     spread
         Range of the costs by which the hash of a prompt's shared part orders
         upstreams that are otherwise alike.
@@ -61,6 +70,9 @@
     failure: float = 1.0
     silence: float = 5.0
     queue: float = 1.0
+    crowd: float = 0.1
+    pace: float = 0.3
+    memory: float = 1.0
     spread: float = 0.05
 
 
@@ -103,6 +115,8 @@
 
     Parameters
     ----------
+    cache_tokens
+        Tokens that fit into its memory; 0 where that is not known.
     has_shared
         Whether it probably has the request's shared parts in its memory.
     same_domain
@@ -119,6 +133,7 @@
 
     upstream: types.UpstreamId
     slots: int
+    cache_tokens: float = 0.0
     has_shared: bool
     same_domain: bool
     load: loads.Load
@@ -138,6 +153,9 @@
     FAILURE = "failure"
     SILENCE = "silence"
     QUEUE = "queue"
+    CROWD = "crowd"
+    PACE = "pace"
+    MEMORY = "memory"
     SPREAD = "spread"
 
 
@@ -163,7 +181,8 @@
     weights: Weights = DEFAULT_WEIGHTS,
 ) -> tuple[Ranked, ...]:
     """Return the candidates, the cheapest first."""
-    ranked = [_assess(request, one, weights) for one in candidates]
+    usual = _usual_of(candidates)
+    ranked = [_assess(request, one, usual, weights) for one in candidates]
     return tuple(sorted(ranked, key=_order))
 
 
@@ -171,7 +190,27 @@
     return ranked.cost, ranked.candidate.upstream
 
 
-def _assess(request: Request, candidate: Candidate, weights: Weights) -> Ranked:
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Usual:
+    """Medians over the candidates, against which stragglers show."""
+
+    running: float
+    pause_seconds: float
+
+
+def _usual_of(candidates: tuple[Candidate, ...]) -> _Usual:
+    pauses = [
+        one.load.pause_seconds for one in candidates if one.load.pauses > 0
+    ]
+    return _Usual(
+        running=statistics.median(one.load.running for one in candidates),
+        pause_seconds=statistics.median(pauses) if pauses else 0.0,
+    )
+
+
+def _assess(
+    request: Request, candidate: Candidate, usual: _Usual, weights: Weights
+) -> Ranked:
     new_tokens = request.prompt_tokens
     if candidate.has_shared:
         new_tokens -= request.shared_tokens
@@ -198,6 +237,10 @@
         CostKind.FAILURE: weights.failure * candidate.failures,
         CostKind.SILENCE: weights.silence * candidate.silent_domain,
         CostKind.QUEUE: weights.queue * occupied,
+        CostKind.CROWD: weights.crowd
+        * max(0.0, load.running / (usual.running + 2.0) - 1.0),
+        CostKind.PACE: weights.pace * _slowness(load, usual),
+        CostKind.MEMORY: weights.memory * _overflow(request, candidate),
         CostKind.SPREAD: weights.spread * _spread(request, candidate),
     }
     return Ranked(
@@ -208,6 +251,26 @@
     )
 
 
+def _slowness(load: loads.Load, usual: _Usual) -> float:
+    """Return by how much its pauses exceed the usual ones, 0 to 4."""
+    if not load.pauses or not usual.pause_seconds:
+        return 0.0
+    ratio = load.pause_seconds / usual.pause_seconds
+    return min(_WORST_SLOWNESS, max(0.0, ratio - 1.0))
+
+
+def _overflow(request: Request, candidate: Candidate) -> float:
+    """Return the part of the memory that would be missing.
+
+    From three quarters on: shared parts that no request holds at the moment
+    are to stay as well.
+    """
+    if not candidate.cache_tokens:
+        return 0.0
+    needed = candidate.load.held_tokens + request.prompt_tokens
+    return max(0.0, needed / candidate.cache_tokens - _FULL_SHARE)
+
+
 def _spread(request: Request, candidate: Candidate) -> float:
     """Return a number from 0 to 1 that all entry VMs compute alike."""
     digest = xxhash.xxh3_64(request.affinity.encode())
--- a/packages/router/src/lagoonrun_router/stream_relay.py
+++ b/packages/router/src/lagoonrun_router/stream_relay.py
@@ -51,6 +51,7 @@
         self._exchange = exchange
         self._clock = clock
         self._last_event_at: float | None = None
+        self._last_event_here_at: float | None = None
         self.resume_after = call.features.resumes_after
         self.events = 0
         self.first_event_at: float | None = None
@@ -71,16 +72,18 @@
         response: http_upstream.UpstreamResponse,
         *,
         upstream: types.UpstreamId,
-        on_event: Callable[[], None],
+        on_event: Callable[[float | None], None],
     ) -> attempt.Result:
         """Relay one upstream's events to their end or loss.
 
         Parameters
         ----------
         on_event
-            Called when whole events have arrived, before they are sent on.
+            Called when whole events have arrived, before they are sent on,
+            with the seconds since the event before from this upstream.
         """
         splitter = event_splitter.EventSplitter()
+        self._last_event_here_at = None
         while True:
             try:
                 async with asyncio.timeout(self.silence_seconds()):
@@ -96,7 +99,7 @@
             except event_splitter.OversizedEventError as error:
                 return self._lost(str(error), upstream)
             if whole:
-                on_event()
+                on_event(self._pause_here())
                 await self._pass_on(response.head, whole, splitter)
 
     async def _pass_on(
@@ -112,6 +115,11 @@
             self.resume_after = splitter.last_id
         await self._exchange.send(whole)
 
+    def _pause_here(self) -> float | None:
+        now = self._clock.monotonic()
+        before, self._last_event_here_at = self._last_event_here_at, now
+        return None if before is None else now - before
+
     def _note_time(self) -> None:
         now = self._clock.monotonic()
         if self.first_event_at is None:
