Admit by tier in an overload; classes before organisations

And all requests of an organisation had its tier instead of their class's, so that an engine served summaries before questions.

--- a/packages/core/src/lagoonrun_core/outcomes.py
+++ b/packages/core/src/lagoonrun_core/outcomes.py
@@ -37,6 +37,7 @@
     CALLER_LEFT = "caller-left"
     CUT_FOR_HIGHER_TIER = "cut-for-higher-tier"
     UPSTREAM_REFUSED = "upstream-refused"
+    OVERLOADED = "overloaded"
     UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_CONNECT = "upstream-connect"
     UPSTREAM_CLOSED = "upstream-closed"
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -306,14 +306,15 @@
 
     Parameters
     ----------
-    waiting_tokens
-        Prompt tokens of its requests without a first event.
+    waiting_by_tier
+        Prompt tokens of its requests without a first event; the first is of
+        the highest tier.
     running
         Its requests without an end.
     sensitive
         Streams among them, each by the inverse of its longest pause.
     held_tokens
-        Prompt tokens of all of them.
+        Prompt tokens of all of them, less those that were cached.
     pause_seconds
         Average of the latest pauses between events there.
     pauses
@@ -321,7 +322,7 @@
     """
 
     upstream: types.UpstreamId
-    waiting_tokens: float
+    waiting_by_tier: tuple[float, ...]
     running: int
     sensitive: float
     held_tokens: float = 0.0
@@ -337,6 +338,15 @@
     upstream: types.UpstreamId
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PressedTier:
+    """A tier of a pool that could not be served a moment ago."""
+
+    pool: types.PoolName
+    tier: types.Tier
+    age_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntryVmAddress:
     """Where an entry VM listens for the others."""
@@ -382,6 +392,7 @@
     loads: tuple[UpstreamLoad, ...] = ()
     placements: tuple[PromptPlacement, ...] = ()
     known: tuple[EntryVmAddress, ...] = ()
+    pressed: tuple[PressedTier, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -167,7 +167,7 @@
 
 struct UpstreamLoad {
   upstream @0 :Text;
-  waitingTokens @1 :Float64;
+  waitingByTier @1 :List(Float64);
   running @2 :UInt64;
   sensitive @3 :Float64;
   heldTokens @4 :Float64;
@@ -186,6 +186,12 @@
   port @2 :UInt64;
 }
 
+struct PressedTier {
+  pool @0 :Text;
+  tier @1 :UInt64;
+  ageSeconds @2 :Float64;
+}
+
 struct RouterState {
   entryVm @0 :Text;
   start @1 :UInt64;
@@ -199,6 +205,7 @@
   known @9 :List(EntryVmAddress);
   domain @10 :Text;
   followsStore @11 :Bool;
+  pressed @12 :List(PressedTier);
 }
 
 struct StoredItem {
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/admission.py
@@ -0,0 +1,106 @@
+"""Whether a request is let in, in an overload. Pure decisions.
+
+A runner that is given all that comes serves nobody: prompts wait until their
+callers have left, and urgent streams find no place beside earlier ones. So
+lower tiers use only a part of each runner, and what would wait for longer
+than its caller does is refused at once, with a time to come back.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from lagoonrun_core import types
+from lagoonrun_router import placement
+
+LOWEST_SHARE = 0.5
+"""Part of a runner's places and memory that the lowest tier may fill.
+
+The rest is for higher tiers; those in between get parts in between.
+"""
+
+PATIENCE_PART = 0.7
+"""Part of a caller's patience that may pass before the first event.
+
+The estimate of the wait is rough; above this part most callers have left
+when their first event comes.
+"""
+
+
+class Refusal(enum.Enum):
+    """Why a request is not let in."""
+
+    NO_ROOM = "no-room"
+    HIGHER_TIER = "higher-tier"
+    TOO_LATE = "too-late"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Standing:
+    """What admission needs to know of a request.
+
+    Parameters
+    ----------
+    tiers
+        Tiers of all classes of the pool.
+    patience_seconds
+        How long the caller waits for the first event or the whole answer.
+    higher_turned_away
+        Whether a request of a higher tier found no room or no time just now.
+    floor_due
+        Whether one request of the class is let in whatever else is.
+    """
+
+    tier: types.Tier
+    tiers: tuple[types.Tier, ...]
+    patience_seconds: float
+    higher_turned_away: bool = False
+    floor_due: bool = False
+
+
+def share_of(tier: types.Tier, tiers: Iterable[types.Tier]) -> float:
+    """Return the part of a runner that `tier` may fill."""
+    ordered = sorted({*tiers, tier})
+    if len(ordered) == 1:
+        return 1.0
+    position = ordered.index(tier) / (len(ordered) - 1)
+    return 1.0 - (1.0 - LOWEST_SHARE) * position
+
+
+def admit(
+    standing: Standing, ranked: tuple[placement.Ranked, ...]
+) -> placement.Ranked | Refusal:
+    """Return the cheapest upstream that may take the request, or why none.
+
+    Parameters
+    ----------
+    ranked
+        At least one candidate, the cheapest first.
+    """
+    if standing.floor_due:
+        return ranked[0]
+    if standing.higher_turned_away:
+        return Refusal.HIGHER_TIER
+    share = share_of(standing.tier, standing.tiers)
+    with_room = [one for one in ranked if _has_room(one, standing, share)]
+    in_time = [
+        one
+        for one in with_room
+        if one.wait_seconds <= PATIENCE_PART * standing.patience_seconds
+    ]
+    if in_time:
+        return in_time[0]
+    return Refusal.TOO_LATE if with_room else Refusal.NO_ROOM
+
+
+def _has_room(
+    ranked: placement.Ranked, standing: Standing, share: float
+) -> bool:
+    candidate = ranked.candidate
+    if candidate.load.running >= share * candidate.places:
+        return False
+    if not candidate.cache_tokens:
+        return True
+    held = candidate.load.held_tokens + ranked.new_tokens
+    # One request alone is always let in, however large its prompt is.
+    return candidate.load.running == 0 or held <= share * candidate.cache_tokens
--- a/packages/router/src/lagoonrun_router/call.py
+++ b/packages/router/src/lagoonrun_router/call.py
@@ -55,6 +55,11 @@
 
     Parameters
     ----------
+    urgency
+        Place in the order of service, 0 for the most urgent: by the tier of
+        the class, then by that of the organisation.
+    pool_tiers
+        Tiers of all classes of the pool.
     arrived_at
         Reading of the clock when the head was complete.
     limit_at
@@ -70,7 +75,8 @@
     route: declarations.Route
     pool: declarations.Pool
     organisation: declarations.RankedOrganisation | None
-    tier: types.Tier
+    urgency: int
+    pool_tiers: tuple[types.Tier, ...]
     arrived_at: float
     limit_at: float
     revision: types.Revision
@@ -80,11 +86,24 @@
         """Id of the request, chosen by the caller."""
         return self.features.request_id
 
+    @property
+    def tier(self) -> types.Tier:
+        """Tier of the request's class."""
+        return self.route.profile.tier
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may run more than once."""
         return self.route.profile.idempotent
 
+    @property
+    def patience_seconds(self) -> float:
+        """How long the caller waits for its first event, or its answer."""
+        limit_seconds = self.limit_at - self.arrived_at
+        if self.route.patience_seconds is None:
+            return limit_seconds
+        return min(limit_seconds, self.route.patience_seconds)
+
     @property
     def streamed(self) -> bool:
         """Whether the answer is a series of events."""
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -4,9 +4,9 @@
 from collections.abc import Container
 
 from lagoonrun_core import events, logs, types
+from lagoonrun_router import admission, placement, upstreams
 from lagoonrun_router import call as calls
 from lagoonrun_router import parts as router_parts
-from lagoonrun_router import placement, upstreams
 
 _LOGGED_CANDIDATES = 4
 
@@ -42,7 +42,7 @@
 
     def choose(
         self, call: calls.Call, *, excluded: Container[types.UpstreamId]
-    ) -> Choice | None:
+    ) -> Choice | admission.Refusal | None:
         """Return the upstream of the next attempt; None if there is none.
 
         Parameters
@@ -61,13 +61,41 @@
         )
         ranked = placement.rank(request, candidates)
         self._log(call, ranked)
-        best = ranked[0]
+        best = self._admit(call, ranked, now)
+        if isinstance(best, admission.Refusal):
+            return best
+        self._parts.let_in.note(call.route.profile.name, now=now)
         return Choice(
             upstream=by_id[best.candidate.upstream],
             new_tokens=best.new_tokens,
             decided_at=now,
         )
 
+    def _admit(
+        self,
+        call: calls.Call,
+        ranked: tuple[placement.Ranked, ...],
+        now: float,
+    ) -> placement.Ranked | admission.Refusal:
+        """Return the upstream that may take the call.
+
+        Plain services refuse by themselves and at once what they have no
+        room for; only engines take more than they can serve.
+        """
+        if call.pool.engine is None:
+            return ranked[0]
+        profile = call.route.profile.name
+        standing = admission.Standing(
+            tier=call.tier,
+            tiers=call.pool_tiers,
+            patience_seconds=call.patience_seconds,
+            higher_turned_away=self._parts.pressed.keeps_out(
+                call.pool.name, call.tier, now=now
+            ),
+            floor_due=self._parts.let_in.is_due(profile, now=now),
+        )
+        return admission.admit(standing, ranked)
+
     def _candidate(
         self, call: calls.Call, upstream: upstreams.Registration, now: float
     ) -> placement.Candidate:
@@ -76,6 +104,7 @@
         return placement.Candidate(
             upstream=upstream.id,
             slots=upstream.slots,
+            places=upstream.slots,
             cache_tokens=call.pool.engine.cache_tokens
             if call.pool.engine
             else 0.0,
@@ -124,6 +153,7 @@
     home = call.home_part
     return placement.Request(
         affinity=home.id if home else call.request_id,
+        tier=call.tier,
         prompt_tokens=call.features.prompt_tokens,
         shared_tokens=call.shared_tokens,
         target_seconds=call.route.profile.target_seconds,
--- a/packages/router/src/lagoonrun_router/declarations.py
+++ b/packages/router/src/lagoonrun_router/declarations.py
@@ -51,6 +51,9 @@
     longest_pause_seconds
         Pause between two events above which a stream counts as late; None
         where answers are not event streams.
+    patience_seconds
+        How long callers wait for the first event; None where only the limit
+        of the profile says so.
     """
 
     name: str
@@ -62,6 +65,7 @@
     public: bool = False
     resumable: bool = False
     longest_pause_seconds: float | None = None
+    patience_seconds: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -97,12 +101,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RankedOrganisation(model.Organisation):
-    """A customer whose requests may have a tier of their own.
+    """A customer that may have a place in the order within each class.
 
     Parameters
     ----------
     tier
-        Goes before the tier of the route's profile; None for the latter.
+        Order within a class, 1 for the first; None for the last.
     """
 
     tier: types.Tier | None = None
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -7,6 +7,7 @@
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
+    admission,
     answers,
     attempt,
     choosing,
@@ -87,6 +88,8 @@
             async with asyncio.timeout(max(0.0, left)):
                 return await self._attempts()
         except TimeoutError:
+            if self.first_answer_at is None:
+                self._note_pressure()
             return await self._end(
                 reason=outcomes.Reason.DEADLINE,
                 detail="the time limit of the request has passed",
@@ -95,20 +98,12 @@
     async def _attempts(self) -> outcomes.Ending:
         while True:
             choice = self._chooser.choose(self._call, excluded=self._tried)
-            if choice is None and not self._tried:
-                return await self._end(
-                    reason=outcomes.Reason.NO_UPSTREAM,
-                    detail="no upstream of the pool is known",
-                )
-            if choice is None:
+            if choice is None and self._tried:
                 # All were tried; one that failed may do better by now.
                 self._tried.clear()
                 choice = self._chooser.choose(self._call, excluded=())
-            if choice is None:
-                return await self._end(
-                    reason=outcomes.Reason.NO_UPSTREAM,
-                    detail="no upstream of the pool is left",
-                )
+            if not isinstance(choice, choosing.Choice):
+                return await self._refuse(choice)
             result = await self._attempt(choice)
             if isinstance(result, attempt.Delivered):
                 return result.ending
@@ -116,6 +111,48 @@
             if ending is not None:
                 return ending
 
+    async def _refuse(
+        self, refusal: admission.Refusal | None
+    ) -> outcomes.Ending:
+        """End a request that no upstream may take now."""
+        if refusal is None:
+            reason = outcomes.Reason.NO_UPSTREAM
+            detail = "no upstream of the pool is known"
+        else:
+            reason = outcomes.Reason.OVERLOADED
+            detail = refusal.value
+        self._note_pressure()
+        logs.emit(
+            events.LogEvent.REQUEST_REFUSED,
+            level=logging.WARNING,
+            request_id=self._call.request_id,
+            reason=reason.value,
+            detail=detail,
+            tier=self._call.tier,
+            patience_seconds=round(self._call.patience_seconds, 3),
+        )
+        return await self._end(reason=reason, detail=detail)
+
+    def _note_pressure(self) -> None:
+        """Tell lower tiers of the pool to stand back."""
+        if self._call.pool.engine is not None:
+            self._parts.pressed.note(
+                self._call.pool.name,
+                self._call.tier,
+                now=self._parts.clock.monotonic(),
+            )
+
+    def note_caller_left(self) -> None:
+        """Take in that the caller has left before its answer was whole.
+
+        One that has waited for half of its patience in vain left because of
+        the wait.
+        """
+        waited = self._parts.clock.monotonic() - self._call.arrived_at
+        in_vain = self.first_answer_at is None
+        if in_vain and waited >= self._call.patience_seconds / 2:
+            self._note_pressure()
+
     async def _after_loss(self, lost: attempt.Lost) -> outcomes.Ending | None:
         """Return the end of the request, or None to send it once more."""
         now = self._parts.clock.monotonic()
@@ -129,6 +166,8 @@
                 self._parts.metrics.denied_repeats.labels(pool).inc()
                 verdict = retrying.Verdict.END
         if verdict is retrying.Verdict.END:
+            if lost.reason is outcomes.Reason.UPSTREAM_REFUSED:
+                self._note_pressure()
             return await self._end_lost(lost)
         logs.emit(
             events.LogEvent.REQUEST_RETRIED,
@@ -169,7 +208,7 @@
             upstream=choice.upstream.id,
             new_tokens=choice.new_tokens,
             sensitivity=choosing.sensitivity_of(self._call),
-            prompt_tokens=self._call.features.prompt_tokens,
+            tier=self._call.tier,
         )
         parts = self._parts
         now = parts.clock.monotonic()
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -5,7 +5,7 @@
 import enum
 import logging
 
-from lagoonrun_core import errors, events, logs, outcomes, types
+from lagoonrun_core import errors, events, logs, outcomes
 from lagoonrun_http import errors as http_errors
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_router import (
@@ -14,6 +14,7 @@
     execution,
     format_error,
     route_table,
+    urgency,
 )
 from lagoonrun_router import call as calls
 from lagoonrun_router import parts as router_parts
@@ -157,6 +158,7 @@
                 # connection ends. What may run once only and is short goes
                 # on to its end.
                 work.cancel()
+                run.note_caller_left()
             ending = await _ending_of(work)
         except asyncio.CancelledError:
             work.cancel()
@@ -251,9 +253,6 @@
     arrived_at: float,
 ) -> calls.Call:
     pool_name = route_table.choose_pool(route, features.request_id)
-    tier = route.profile.tier
-    if organisation is not None and organisation.tier is not None:
-        tier = organisation.tier
     limit_seconds = route.profile.limit_seconds
     if features.patience_seconds is not None:
         limit_seconds = min(limit_seconds, features.patience_seconds)
@@ -264,7 +263,12 @@
         route=route,
         pool=table.declared.pools_by_name[pool_name],
         organisation=organisation,
-        tier=types.Tier(tier),
+        urgency=urgency.of(
+            route.profile.tier,
+            organisation,
+            organisation_tiers=table.organisation_tiers,
+        ),
+        pool_tiers=table.tiers_of(pool_name),
         arrived_at=arrived_at,
         limit_at=arrived_at + limit_seconds,
         revision=table.declared.revision,
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 from collections.abc import Iterable, Mapping
 
 from lagoonrun_core import types
@@ -38,35 +39,50 @@
 
     Parameters
     ----------
-    waiting_tokens
-        Prompt tokens of requests without a first event, less those cached.
+    waiting_by_tier
+        Prompt tokens of requests without a first event, less those cached;
+        the first is of the highest tier.
     running
         Requests without an end.
     sensitive
         Running streams for which a short pause is late already, in units of
         streams with a longest pause of one second.
     held_tokens
-        Prompt tokens of all requests without an end, cached ones included.
+        Prompt tokens of all requests without an end, less those cached.
     pause_seconds
         Average of the latest pauses between events; 0 where there are none.
     pauses
         Faded number of pauses that the average is of.
     """
 
-    waiting_tokens: float = 0.0
+    waiting_by_tier: tuple[float, ...] = ()
     running: int = 0
     sensitive: float = 0.0
     held_tokens: float = 0.0
     pause_seconds: float = 0.0
     pauses: float = 0.0
 
+    @property
+    def waiting_tokens(self) -> float:
+        """Prompt tokens that wait, of all tiers."""
+        return sum(self.waiting_by_tier)
+
+    def waiting_before(self, tier: types.Tier) -> float:
+        """Return the tokens that an engine reads before those of `tier`."""
+        return sum(self.waiting_by_tier[:tier])
+
     def plus(self, other: "Load") -> "Load":
         """Return both together."""
         pauses = self.pauses + other.pauses
         pause_sum = self.pause_seconds * self.pauses
         pause_sum += other.pause_seconds * other.pauses
         return Load(
-            waiting_tokens=self.waiting_tokens + other.waiting_tokens,
+            waiting_by_tier=tuple(
+                own + more
+                for own, more in itertools.zip_longest(
+                    self.waiting_by_tier, other.waiting_by_tier, fillvalue=0.0
+                )
+            ),
             running=self.running + other.running,
             sensitive=self.sensitive + other.sensitive,
             held_tokens=self.held_tokens + other.held_tokens,
@@ -85,7 +101,7 @@
     upstream: types.UpstreamId
     new_tokens: float
     sensitivity: float
-    prompt_tokens: float = 0.0
+    tier: types.Tier = types.HIGHEST_TIER
     waiting: bool = True
 
 
@@ -279,18 +295,20 @@
 
 
 def _sum_of(works: Iterable[Work]) -> Load:
-    waiting = 0.0
+    waiting_by_tier: list[float] = []
     running = 0
     sensitive = 0.0
     held = 0.0
     for work in works:
         running += 1
         sensitive += work.sensitivity
-        held += work.prompt_tokens
+        held += work.new_tokens
         if work.waiting:
-            waiting += work.new_tokens
+            missing = work.tier - len(waiting_by_tier)
+            waiting_by_tier.extend([0.0] * missing)
+            waiting_by_tier[work.tier - 1] += work.new_tokens
     return Load(
-        waiting_tokens=waiting,
+        waiting_by_tier=tuple(waiting_by_tier),
         running=running,
         sensitive=sensitive,
         held_tokens=held,
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -8,8 +8,10 @@
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
     dialect,
+    let_in_times,
     loads,
     metrics,
+    pressure,
     prompt_homes,
     reach,
     retry_budget,
@@ -25,6 +27,8 @@
     dialect: dialect.Dialect
     directory: upstreams.UpstreamDirectory
     ledger: loads.LoadLedger
+    let_in: let_in_times.LetInTimes
+    pressed: pressure.Pressure
     homes: prompt_homes.PromptHomes
     domains: reach.DomainReach
     budget: retry_budget.RetryBudget
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -21,6 +21,7 @@
     beliefs,
     loads,
     peer_table,
+    pressure,
     prompt_homes,
     reach,
     settings,
@@ -68,7 +69,7 @@
         The other entry VMs.
     known
         Declarations in force.
-    directory, ledger, homes, domains
+    directory, ledger, homes, domains, pressed
         What is told and heard.
     clock, chance
         Sources of time and of choices.
@@ -85,6 +86,7 @@
         ledger: loads.LoadLedger,
         homes: prompt_homes.PromptHomes,
         domains: reach.DomainReach,
+        pressed: pressure.Pressure,
         clock: clocks.Clock,
         chance: random.Random,
     ) -> None:
@@ -96,6 +98,7 @@
         self._ledger = ledger
         self._homes = homes
         self._domains = domains
+        self._pressed = pressed
         self._clock = clock
         self._chance = chance
         # Not a time: the wall clock may have been ahead at an earlier start.
@@ -139,12 +142,13 @@
         for lost in self._table.take_lost(now=now):
             self._ledger.forget_peer(lost)
         placements = self._homes.take_untold()
-        news = self._ledger.changed or placements
+        news = self._ledger.changed or self._pressed.changed or placements
         self._beats_without_news += 1
         if not news and self._beats_without_news < _QUIET_BEATS:
             return
         self._beats_without_news = 0
         self._ledger.changed = False
+        self._pressed.changed = False
         self._tell(self._state(placements))
 
     def _state(
@@ -167,7 +171,7 @@
             loads=tuple(
                 messages.UpstreamLoad(
                     upstream=upstream,
-                    waiting_tokens=load.waiting_tokens,
+                    waiting_by_tier=load.waiting_by_tier,
                     running=load.running,
                     sensitive=load.sensitive,
                     held_tokens=load.held_tokens,
@@ -180,6 +184,14 @@
                 messages.PromptPlacement(part=part, upstream=upstream)
                 for part, upstream in placements.items()
             ),
+            pressed=tuple(
+                messages.PressedTier(
+                    pool=one.pool,
+                    tier=one.tier,
+                    age_seconds=one.age_seconds,
+                )
+                for one in self._pressed.recent(now=now)
+            ),
             known=tuple(
                 messages.EntryVmAddress(
                     entry_vm=entry_vm, host=address.host, port=address.port
@@ -255,7 +267,7 @@
             state.entry_vm,
             {
                 told.upstream: loads.Load(
-                    waiting_tokens=told.waiting_tokens,
+                    waiting_by_tier=told.waiting_by_tier,
                     running=told.running,
                     sensitive=told.sensitive,
                     held_tokens=told.held_tokens,
@@ -266,6 +278,11 @@
             },
             now=now,
         )
+        for one in state.pressed:
+            told = pressure.Pressed(
+                pool=one.pool, tier=one.tier, age_seconds=one.age_seconds
+            )
+            self._pressed.take_told(told, now=now)
         for placement in state.placements:
             self._homes.take_told(placement.part, placement.upstream, now=now)
 
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -28,6 +28,9 @@
     ----------
     prefill_tokens_per_second
         Prompt tokens that a runner reads in a second, alone.
+    lower_tiers
+        Part of the waiting prompts of lower tiers that is read first all the
+        same, because it is being read already.
     harm
         Cost of delaying one stream with a longest pause of one second by
         one second of prompt reading.
@@ -61,6 +64,7 @@
     """
 
     prefill_tokens_per_second: float = 40_000.0
+    lower_tiers: float = 0.3
     harm: float = 0.6
     exposure: float = 0.6
     wait: float = 1.5
@@ -88,6 +92,8 @@
     affinity
         What brings requests together on an upstream: the id of the largest
         shared part of the prompt, or the request's own id.
+    tier
+        Engines read the prompts of higher tiers first.
     prompt_tokens, shared_tokens
         Whole prompt, and the part of it that an upstream may have read.
     target_seconds
@@ -101,6 +107,7 @@
     """
 
     affinity: str
+    tier: types.Tier = types.HIGHEST_TIER
     prompt_tokens: float = 0.0
     shared_tokens: float = 0.0
     target_seconds: float
@@ -115,6 +122,8 @@
 
     Parameters
     ----------
+    places
+        Requests that it takes, those that wait there included.
     cache_tokens
         Tokens that fit into its memory; 0 where that is not known.
     has_shared
@@ -133,6 +142,7 @@
 
     upstream: types.UpstreamId
     slots: int
+    places: int
     cache_tokens: float = 0.0
     has_shared: bool
     same_domain: bool
@@ -167,10 +177,13 @@
     ----------
     new_tokens
         Prompt tokens that it would have to read.
+    wait_seconds
+        Estimated time to the first event.
     """
 
     candidate: Candidate
     new_tokens: float
+    wait_seconds: float
     cost: float
     cost_by_kind: dict[CostKind, float]
 
@@ -220,7 +233,7 @@
     rate = weights.prefill_tokens_per_second
     load = candidate.load
     own_seconds = new_tokens / rate
-    wait_seconds = load.waiting_tokens / rate + own_seconds
+    wait_seconds = waiting_seconds(load, request.tier, weights) + own_seconds
     # Peers and runners serve this runner too, so its slots are not ours.
     occupied = load.running / max(1, candidate.slots)
     cost_by_kind = {
@@ -246,11 +259,22 @@
     return Ranked(
         candidate=candidate,
         new_tokens=new_tokens,
+        wait_seconds=wait_seconds,
         cost=sum(cost_by_kind.values()),
         cost_by_kind=cost_by_kind,
     )
 
 
+def waiting_seconds(
+    load: loads.Load, tier: types.Tier, weights: Weights
+) -> float:
+    """Return how long a new prompt of `tier` waits for others."""
+    before = load.waiting_before(tier)
+    behind = load.waiting_tokens - before
+    tokens = before + weights.lower_tiers * behind
+    return tokens / weights.prefill_tokens_per_second
+
+
 def _slowness(load: loads.Load, usual: _Usual) -> float:
     """Return by how much its pauses exceed the usual ones, 0 to 4."""
     if not load.pauses or not usual.pause_seconds:
--- a/packages/router/src/lagoonrun_router/route_table.py
+++ b/packages/router/src/lagoonrun_router/route_table.py
@@ -32,12 +32,28 @@
             _Place(host=route.host, path_prefix=route.path_prefix): route
             for route in declared.routes
         }
+        self._tiers_by_pool = _tiers_by_pool(declared.routes)
         self._organisations_by_digest = {
             digest: organisation
             for organisation in declared.organisations_by_id.values()
             for digest in organisation.key_digests
         }
 
+    @property
+    def organisation_tiers(self) -> int:
+        """Return the lowest tier of any organisation, at least 1."""
+        return max(
+            (
+                organisation.tier or 1
+                for organisation in self.declared.organisations_by_id.values()
+            ),
+            default=1,
+        )
+
+    def tiers_of(self, pool: types.PoolName) -> tuple[types.Tier, ...]:
+        """Return the tiers of all classes of a pool, without repeats."""
+        return self._tiers_by_pool.get(pool, ())
+
     @property
     def asks_for_keys(self) -> bool:
         """Whether routes that are not public need a key."""
@@ -65,6 +81,16 @@
         return self._organisations_by_digest.get(digest)
 
 
+def _tiers_by_pool(
+    routes: tuple[declarations.Route, ...],
+) -> dict[types.PoolName, tuple[types.Tier, ...]]:
+    tiers: dict[types.PoolName, set[types.Tier]] = {}
+    for route in routes:
+        for destination in route.destinations:
+            tiers.setdefault(destination.pool, set()).add(route.profile.tier)
+    return {pool: tuple(sorted(found)) for pool, found in tiers.items()}
+
+
 def choose_pool(
     route: declarations.Route, request_id: types.RequestId
 ) -> types.PoolName:
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -20,11 +20,13 @@
     declarations,
     dialect,
     ingress,
+    let_in_times,
     loads,
     metrics,
     parts,
     peer_table,
     peers,
+    pressure,
     prompt_homes,
     reach,
     retry_budget,
@@ -102,6 +104,10 @@
         self._ledger = loads.LoadLedger()
         self._homes = prompt_homes.PromptHomes()
         self._domains = reach.DomainReach()
+        self._pressed = pressure.Pressure()
+        self._let_in = let_in_times.LetInTimes(
+            started_at=self._clock.monotonic()
+        )
         self._budget = retry_budget.RetryBudget(
             allowance=configured.retry_allowance
         )
@@ -131,6 +137,7 @@
             ledger=self._ledger,
             homes=self._homes,
             domains=self._domains,
+            pressed=self._pressed,
             clock=self._clock,
             chance=self._chance,
         )
@@ -155,6 +162,8 @@
                 dialect=language,
                 directory=self.directory,
                 ledger=self._ledger,
+                let_in=self._let_in,
+                pressed=self._pressed,
                 homes=self._homes,
                 domains=self._domains,
                 budget=self._budget,
@@ -319,7 +328,9 @@
         while True:
             await asyncio.sleep(1.0)
             now = self._clock.monotonic()
-            self._budget.share_among(self._table.sharers(now=now))
+            sharers = self._table.sharers(now=now)
+            self._budget.share_among(sharers)
+            self._let_in.share_among(sharers)
 
     def metrics_text(self) -> bytes:
         """Return all metrics in the text format."""
--- a/packages/router/tests/test_loads.py
+++ b/packages/router/tests/test_loads.py
@@ -20,7 +20,7 @@
     one = work()
     ledger.begin(one, now=0.0)
     assert ledger.load_of("u-1", now=0.0) == loads.Load(
-        waiting_tokens=1000.0, running=1, sensitive=2.0
+        waiting_by_tier=(1000.0,), running=1, sensitive=2.0, held_tokens=1000.0
     )
     ledger.first_event(one)
     assert ledger.load_of("u-1", now=0.0).waiting_tokens == 0.0
@@ -38,7 +38,7 @@
 
 
 def test_what_peers_told_is_added_until_it_is_old(ledger):
-    told = {"u-1": loads.Load(waiting_tokens=500.0, running=2)}
+    told = {"u-1": loads.Load(waiting_by_tier=(500.0,), running=2)}
     ledger.take_told("vm-2", told, now=10.0)
     ledger.take_told("vm-3", told, now=10.0)
     assert ledger.load_of("u-1", now=10.1).running == 4
@@ -69,7 +69,7 @@
 
 
 def test_told_prompts_count_as_recent_once(ledger):
-    told = {"u-1": loads.Load(waiting_tokens=1000.0, running=1)}
+    told = {"u-1": loads.Load(waiting_by_tier=(1000.0,), running=1)}
     ledger.take_told("vm-2", told, now=0.0)
     once = ledger.recent_prefill("u-1", now=0.0)
     ledger.take_told("vm-2", told, now=0.0)
--- a/packages/router/tests/test_placement.py
+++ b/packages/router/tests/test_placement.py
@@ -28,6 +28,7 @@
 def candidate(upstream="u-1", **changes):
     values = {
         "slots": 64,
+        "places": 64,
         "has_shared": False,
         "same_domain": True,
         "load": loads.NO_LOAD,
@@ -45,7 +46,9 @@
 
 
 def test_short_prompt_keeps_away_from_prompts_that_are_being_read():
-    busy = candidate("a", load=loads.Load(waiting_tokens=17_000.0, running=1))
+    busy = candidate(
+        "a", load=loads.Load(waiting_by_tier=(17_000.0,), running=1)
+    )
     assert best(SHORT, busy, candidate("b", same_domain=False)) == "b"
 
 
@@ -65,7 +68,9 @@
 
 
 def test_silent_domain_comes_after_loaded_ones():
-    loaded = candidate("b", load=loads.Load(waiting_tokens=20_000.0, running=9))
+    loaded = candidate(
+        "b", load=loads.Load(waiting_by_tier=(20_000.0,), running=9)
+    )
     silent = candidate("a", silent_domain=True, has_shared=True)
     assert best(SHORT, silent, loaded) == "b"
 
@@ -95,7 +100,9 @@
 def test_more_work_never_makes_an_upstream_cheaper(tokens, running, fast, fail):
     free = placement.rank(SHORT, (candidate(),))[0].cost
     loaded = candidate(
-        load=loads.Load(waiting_tokens=tokens, running=running, sensitive=fast),
+        load=loads.Load(
+            waiting_by_tier=(tokens,), running=running, sensitive=fast
+        ),
         failures=fail,
     )
     assert placement.rank(SHORT, (loaded,))[0].cost >= free
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -126,7 +126,7 @@
         engine=declarations.Engine(slots=1, cache_tokens=1),
     )
     sent = upstream_head(
-        ("X-Tenant-Id", "other"), organisation=house, pool=engine, tier=3
+        ("X-Tenant-Id", "other"), organisation=house, pool=engine, urgency=2
     )
     assert sent.headers.get_all("X-Tenant-Id") == ("house",)
     assert sent.headers.get_all("X-Request-Priority") == ("2",)
