--- /dev/null
+++ b/packages/cli/src/lagoonrun_cli/explain_log_command.py
@@ -0,0 +1,124 @@
+"""`explain-log`: from a request's id to its cause, by captured log lines."""
+
+import pathlib
+import sys
+from collections.abc import Iterator
+
+from absl import flags
+
+from lagoonrun_cli import (
+    command,
+    errors,
+    exit_codes,
+    log_explanation,
+    log_lines,
+    reports,
+)
+from lagoonrun_cli import context as contexts
+
+_STANDARD_INPUT = "-"
+_UNSHOWN = frozenset(
+    ("asctime", "levelname", "message", "entry_vm", "event", "request_id")
+)
+
+
+async def _explain_log(
+    context: contexts.Context, invocation: command.Invocation
+) -> reports.Report:
+    del context
+    (request_id,) = invocation.arguments
+    paths = invocation.flag("log") or [_STANDARD_INPUT]
+    lines = log_lines.read(_texts_of(paths))
+    explanation = log_explanation.explain(request_id, lines)
+    if explanation is None:
+        return reports.Report(
+            code=exit_codes.ExitCode.NOT_FOUND,
+            fields={"request_id": request_id},
+            sections=(
+                reports.Text(text=f"no line bears the id {request_id!r}"),
+            ),
+            next_command="the log lines of the other entry VMs",
+        )
+    return _report(explanation)
+
+
+def _texts_of(paths: list[str]) -> Iterator[str]:
+    for path in paths:
+        if path == _STANDARD_INPUT:
+            yield from sys.stdin
+            continue
+        try:
+            with pathlib.Path(path).open(encoding="utf-8") as file:
+                yield from file
+        except (OSError, UnicodeDecodeError) as error:
+            raise errors.usage_error(
+                f"{path}: {error}; valid: a readable file of log lines"
+            ) from error
+
+
+def _report(explanation: log_explanation.Explanation) -> reports.Report:
+    return reports.Report(
+        code=exit_codes.ExitCode.DONE,
+        fields={
+            "request_id": explanation.request_id,
+            "verdict": explanation.verdict.value,
+            "causes": list(explanation.causes),
+            "lines": [dict(one.fields) for one in explanation.own],
+            "beliefs": [dict(one.fields) for one in explanation.beliefs],
+        },
+        sections=(
+            reports.Text(
+                text=f"{explanation.request_id}: {explanation.verdict.value}"
+            ),
+            reports.Text(
+                text="\n".join(f"- {one}" for one in explanation.causes)
+            ),
+            _table("its lines", explanation.own),
+            _table("what its entry VMs believed", explanation.beliefs),
+        ),
+    )
+
+
+def _table(title: str, lines: tuple[log_lines.LogLine, ...]) -> reports.Table:
+    return reports.Table(
+        title=title,
+        columns=("time", "entry vm", "event", "fields"),
+        rows=tuple(
+            (one.time, one.entry_vm, one.message, _fields(one)) for one in lines
+        ),
+    )
+
+
+def _fields(line: log_lines.LogLine) -> str:
+    return " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in _UNSHOWN
+    )
+
+
+def _define(values: flags.FlagValues) -> None:
+    flags.DEFINE_multi_string(
+        "log",
+        None,
+        "File of captured log lines; may be given several times. Standard "
+        "input if none is given.",
+        flag_values=values,
+    )
+
+
+EXPLAIN_LOG = command.Command(
+    name="explain-log",
+    usage="REQUEST_ID [--log FILE ...]",
+    summary="Say from log lines why a request failed or was late.",
+    description="""
+    Joins the lines that bear the id, of all entry VMs, with the latest lines
+    by which those entry VMs changed what they believed of the upstream, the
+    store, their peers and the declarations. Needs no running process.
+    """,
+    run=_explain_log,
+    minimum_arguments=1,
+    maximum_arguments=1,
+    define_flags=_define,
+    codes=(exit_codes.ExitCode.NOT_FOUND,),
+)
--- /dev/null
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -0,0 +1,184 @@
+"""Join the log lines of a request with what its processes believed then."""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from lagoonrun_cli import log_lines
+
+_BELIEFS = frozenset(
+    (
+        "configuration-in-force",
+        "platform-unreachable",
+        "platform-reachable",
+        "peer-lost",
+        "peer-gained",
+        "upstream-state-changed",
+        "readiness-changed",
+        "process-started",
+        "process-stopping",
+    )
+)
+
+
+class Verdict(enum.Enum):
+    """What became of a request."""
+
+    IN_TIME = "answered in time"
+    LATE = "answered late"
+    REFUSED = "refused at once"
+    LOST = "lost with its upstream"
+    LIMIT = "ended by its time limit"
+    FAILED = "failed by its upstream"
+    CALLER_LEFT = "left by its caller"
+    REJECTED = "rejected as it stood"
+    OPEN = "without an end in these lines"
+
+
+_VERDICT_BY_REASON = {
+    "overloaded": Verdict.REFUSED,
+    "no-upstream": Verdict.REFUSED,
+    "unconfigured": Verdict.REFUSED,
+    "upstream-refused": Verdict.REFUSED,
+    "deadline": Verdict.LIMIT,
+    "caller-left": Verdict.CALLER_LEFT,
+    "upstream-failed": Verdict.FAILED,
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Explanation:
+    """A request's lines, its end and its cause.
+
+    Parameters
+    ----------
+    own
+        Lines that bear the id, of all entry VMs.
+    beliefs
+        The latest lines before its end by which the entry VMs that had the
+        request changed a belief that bears on it.
+    causes
+        Sentences from the fields of those lines, the likeliest first.
+    """
+
+    request_id: str
+    verdict: Verdict
+    own: tuple[log_lines.LogLine, ...]
+    beliefs: tuple[log_lines.LogLine, ...]
+    causes: tuple[str, ...]
+
+
+def explain(
+    request_id: str, lines: Iterable[log_lines.LogLine]
+) -> Explanation | None:
+    """Return what the lines tell of a request; None where none bears its id."""
+    ordered = log_lines.in_order(lines)
+    own = tuple(one for one in ordered if one.get("request_id") == request_id)
+    if not own:
+        return None
+    beliefs = _beliefs_before(own, ordered)
+    return Explanation(
+        request_id=request_id,
+        verdict=_verdict_of(own),
+        own=own,
+        beliefs=beliefs,
+        causes=(*_causes_of(own), *_causes_in(beliefs)),
+    )
+
+
+def _beliefs_before(
+    own: tuple[log_lines.LogLine, ...], ordered: tuple[log_lines.LogLine, ...]
+) -> tuple[log_lines.LogLine, ...]:
+    entry_vms = {one.entry_vm for one in own}
+    upstreams = {one.get("upstream") for one in own} - {None}
+    end = own[-1].time
+    latest: dict[object, log_lines.LogLine] = {}
+    for line in ordered:
+        bears = line.message in _BELIEFS and line.entry_vm in entry_vms
+        about = line.get("upstream")
+        if not bears or line.time > end:
+            continue
+        if about is not None and about not in upstreams:
+            continue
+        topic = (line.entry_vm, about or line.get("peer") or _topic(line))
+        latest[topic] = line
+    return log_lines.in_order(latest.values())
+
+
+def _topic(line: log_lines.LogLine) -> str:
+    """Return what an event is about: two of one topic replace each other."""
+    return line.message.partition("-")[0]
+
+
+def _verdict_of(own: tuple[log_lines.LogLine, ...]) -> Verdict:
+    last = own[-1]
+    if last.message in ("request-rejected", "request-refused"):
+        rejected = last.message == "request-rejected"
+        return Verdict.REJECTED if rejected else Verdict.REFUSED
+    if last.message != "request-ended":
+        return Verdict.OPEN
+    if last.get("outcome") == "complete":
+        return Verdict.LATE if _is_late(last) else Verdict.IN_TIME
+    reason = str(last.get("reason"))
+    return _VERDICT_BY_REASON.get(reason, Verdict.LOST)
+
+
+def _is_late(ended: log_lines.LogLine) -> bool:
+    first, target = ended.get("first_seconds"), ended.get("target_seconds")
+    if first is not None and target is not None and first > target:
+        return True
+    pause, longest = (
+        ended.get("pause_target_seconds"),
+        ended.get("longest_pause"),
+    )
+    return pause is not None and longest is not None and longest > pause
+
+
+def _causes_of(own: tuple[log_lines.LogLine, ...]) -> Iterable[str]:
+    for line in reversed(own):
+        if line.message == "request-refused":
+            yield (
+                f"{line.entry_vm} refused it: {line.get('reason')} "
+                f"{line.get('detail') or ''}, tier {line.get('tier')}"
+            )
+        elif line.message == "upstream-attempt-lost":
+            yield (
+                f"the attempt at {line.get('upstream')} was lost: "
+                f"{line.get('detail')}; it ran: {line.get('ran')}"
+            )
+        elif line.message == "request-routed":
+            yield from _placement_of(line)
+        elif line.message == "request-ended" and _is_late(line):
+            yield (
+                f"first answer after {line.get('first_seconds')} s of "
+                f"{line.get('target_seconds')} s, longest pause "
+                f"{line.get('longest_pause')} s of "
+                f"{line.get('pause_target_seconds')} s"
+            )
+
+
+def _placement_of(routed: log_lines.LogLine) -> Iterable[str]:
+    candidates = routed.get("candidates") or []
+    if candidates:
+        best = candidates[0]
+        yield (
+            f"cheapest of {len(candidates)} candidates shown was "
+            f"{best['upstream']}: {best['waiting_tokens']} prompt tokens "
+            f"waiting, {best['running']} requests running, shared part there: "
+            f"{best['has_shared']}"
+        )
+
+
+def _causes_in(beliefs: tuple[log_lines.LogLine, ...]) -> Iterable[str]:
+    for line in beliefs:
+        if line.message == "platform-unreachable":
+            yield f"{line.entry_vm} had lost the store at {line.time}"
+        elif line.message == "peer-lost":
+            yield (
+                f"{line.entry_vm} had lost {line.get('peer')} at {line.time}"
+            )
+        elif line.message == "upstream-state-changed":
+            yield (
+                f"{line.get('upstream')} was {line.get('state')} for "
+                f"{line.entry_vm} since {line.time}, by {line.get('source')}"
+            )
--- a/packages/cli/src/lagoonrun_cli/registry.py
+++ b/packages/cli/src/lagoonrun_cli/registry.py
@@ -5,6 +5,7 @@
     check_commands,
     drain_command,
     explain_command,
+    explain_log_command,
     key_command,
     profile_command,
     revision_commands,
@@ -23,6 +24,7 @@
     drain_command.DRAIN,
     status_command.STATUS,
     explain_command.EXPLAIN,
+    explain_log_command.EXPLAIN_LOG,
     key_command.KEYS,
 )
 
