--- /dev/null
+++ b/packages/cli/tests/test_explain_log.py
@@ -0,0 +1,106 @@
+"""From an id to its cause, by lines that a run of a whole fleet wrote.
+
+The recorded lines are of one day of a fleet of 8 entry VMs with revoked keys,
+crashed upstreams, an outage of the store and restarts.
+"""
+
+import io
+import json
+import pathlib
+
+import pytest
+
+from lagoonrun_cli import (
+    exit_codes,
+    log_explanation,
+    log_lines,
+    main,
+)
+
+RECORDED = pathlib.Path(__file__).parent / "recorded"
+REFUSED = "0d6505f864f92edb"
+LOST = "c98a1940e624d1cc"
+LATE = "62ac92ce122e3c1e"
+
+
+async def run(*arguments):
+    out, err = io.StringIO(), io.StringIO()
+    code = await main.execute(["explain-log", *arguments], out=out, err=err)
+    return code, out.getvalue(), err.getvalue()
+
+
+def explained(name, request_id):
+    text = (RECORDED / f"{name}.log").read_text(encoding="utf-8")
+    return log_explanation.explain(
+        request_id, log_lines.read(text.splitlines())
+    )
+
+
+def test_refused_request_leads_to_the_room_that_was_missing():
+    found = explained("refused", REFUSED)
+    assert found.verdict is log_explanation.Verdict.REFUSED
+    assert "overloaded" in found.causes[0]
+    assert any("prompt tokens waiting" in cause for cause in found.causes)
+
+
+def test_lost_request_leads_to_its_upstream():
+    found = explained("lost", LOST)
+    assert found.verdict is log_explanation.Verdict.LOST
+    upstream = found.own[-1].get("upstream")
+    assert upstream in found.causes[0]
+    assert "it ran: unknown" in found.causes[0]
+    assert any(one.get("upstream") == upstream for one in found.beliefs)
+
+
+def test_late_request_leads_to_its_times():
+    found = explained("late", LATE)
+    assert found.verdict is log_explanation.Verdict.LATE
+    assert "first answer after" in found.causes[0]
+
+
+async def test_command_prints_verdict_causes_and_lines():
+    path = str(RECORDED / "lost.log")
+    code, out, _ = await run(LOST, "--log", path)
+    assert code is exit_codes.ExitCode.DONE
+    assert out.startswith(f"{LOST}: lost with its upstream")
+    assert "upstream-attempt-lost" in out
+
+
+async def test_lines_of_two_entry_vms_are_joined(tmp_path):
+    """A caller tries again with the same id and reaches another entry VM."""
+    text = (RECORDED / "lost.log").read_text(encoding="utf-8")
+    lines = [one for one in text.splitlines() if LOST in one]
+    entry_vm = json.loads(lines[0])["entry_vm"]
+    again = [
+        one.replace(entry_vm, "entry-9").replace("2026-", "2027-")
+        for one in lines
+    ]
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text("\n".join(again), encoding="utf-8")
+    second.write_text("\n".join(lines), encoding="utf-8")
+    _, out, _ = await run(
+        LOST, "--log", str(first), "--log", str(second), "--json"
+    )
+    entry_vms = [line["entry_vm"] for line in json.loads(out)["lines"]]
+    assert entry_vms == [entry_vm] * len(lines) + ["entry-9"] * len(lines)
+
+
+async def test_unknown_id_and_unreadable_file_are_told(tmp_path):
+    path = str(RECORDED / "late.log")
+    code, _, _ = await run("nothing", "--log", path)
+    assert code is exit_codes.ExitCode.NOT_FOUND
+    code, _, err = await run("x", "--log", str(tmp_path / "missing"))
+    assert code is exit_codes.ExitCode.USAGE
+    assert "missing" in err
+
+
+@pytest.mark.parametrize(
+    "text", ["", "no json", "{", '{"message"', "[1]", '{"a": 1}']
+)
+def test_other_lines_are_passed_over(text):
+    assert list(log_lines.read([text])) == []
+
+
+def test_what_stands_before_a_line_does_not_matter():
+    (line,) = log_lines.read(['  1.2 vm-1 {"message": "x", "event": 1}'])
+    assert line.message == "x"
--- a/packages/core/src/lagoonrun_core/bounded_log.py
+++ b/packages/core/src/lagoonrun_core/bounded_log.py
@@ -70,7 +70,8 @@
             self.handleError(record)
             return
         self._tell_left_out(record)
-        self._write(line.encode("utf-8", "replace"))
+        if not self._write(line.encode("utf-8", "replace")):
+            self._leave_out()
 
     def _admits(self, record: logging.LogRecord) -> bool:
         second = int(time.monotonic())
@@ -101,24 +102,22 @@
                 "left_out": self._untold,
             }
         )
-        self._untold = 0
-        self._write((self.format(told) + "\n").encode("utf-8", "replace"))
+        line = (self.format(told) + "\n").encode("utf-8", "replace")
+        if self._write(line):
+            self._untold = 0
 
-    def _write(self, line: bytes) -> None:
+    def _write(self, line: bytes) -> bool:
+        """Write what fits at once; return whether the line was taken."""
         # A line that was written in part must be ended before the next one.
-        if len(self._pending) + len(line) > _PENDING_BYTES:
-            self._leave_out()
-            line = b""
-        data = self._pending + line
-        if not data:
-            return
+        taken = len(self._pending) + len(line) <= _PENDING_BYTES
+        data = self._pending + line if taken else self._pending
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
             written = 0
         except OSError:
             # The reader is gone for good; there is no one to tell.
-            self._leave_out()
             self._pending = b""
-            return
+            return False
         self._pending = data[written:]
+        return taken
--- /dev/null
+++ b/packages/http/tests/test_moving_callers.py
@@ -0,0 +1,87 @@
+"""A server that sends its callers away, and sockets that listen already."""
+
+import asyncio
+import dataclasses
+import socket
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_http import limits, messages, server
+
+WAIT_SECONDS = 10.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Echo:
+    """Answers each request with its target."""
+
+    async def handle(self, exchange):
+        """Answer one request."""
+        await exchange.read_body()
+        await exchange.respond(
+            status=200,
+            headers=messages.Headers(),
+            body=exchange.head.target.encode(),
+        )
+
+
+def make_server(listening=None, **bounds):
+    return server.HttpServer(
+        host="127.0.0.1",
+        port=0,
+        limits=limits.ServerLimits(**bounds),
+        handler=Echo(),
+        clock=clocks.SystemClock(),
+        listening=listening,
+    )
+
+
+async def ask(reader, writer, target="/x"):
+    writer.write(f"GET {target} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+    async with asyncio.timeout(WAIT_SECONDS):
+        head = await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(len(target))
+    return head.lower()
+
+
+async def test_answers_end_their_connections_and_new_ones_are_taken():
+    """An entry VM is about to stop; the balancer has not noticed yet.
+
+    Kept connections move elsewhere with their next answer, and callers that
+    still come are served.
+    """
+    made = make_server()
+    await made.start()
+    kept = await asyncio.open_connection("127.0.0.1", made.port)
+    assert b"connection: close" not in await ask(*kept)
+    made.send_callers_away()
+    assert b"connection: close" in await ask(*kept)
+    new = await asyncio.open_connection("127.0.0.1", made.port)
+    assert b"connection: close" in await ask(*new)
+    await made.close()
+
+
+async def test_callers_wait_in_a_socket_that_listens_before_the_server():
+    """The program takes a while to load; its port listens from the start."""
+    listening = socket.socket()
+    listening.bind(("127.0.0.1", 0))
+    listening.listen(16)
+    listening.setblocking(False)
+    port = listening.getsockname()[1]
+    early = await asyncio.open_connection("127.0.0.1", port)
+    made = make_server(listening)
+    await made.start()
+    assert b" 200 " in await ask(*early)
+    assert made.port == port
+    await made.close()
+
+
+async def test_limits_of_a_new_revision_bound_new_connections():
+    made = make_server()
+    await made.start()
+    made.use_limits(limits.ServerLimits(header_bytes=100))
+    reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 200 + b"\r\n\r\n")
+    async with asyncio.timeout(WAIT_SECONDS):
+        head = await reader.readuntil(b"\r\n\r\n")
+    assert b" 431 " in head
+    await made.close()
