--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -302,7 +302,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamLoad:
-    """The sender's own work at one upstream.
+    """The sender's own work at one upstream, in small whole numbers.
+
+    Bytes between failure domains have a price, and whole numbers are packed
+    into a third of the bytes of fractions.
 
     Parameters
     ----------
@@ -311,23 +314,23 @@
         the highest tier.
     running
         Its requests without an end.
-    sensitive
+    sensitive_hundredths
         Streams among them, each by the inverse of its longest pause.
     held_tokens
         Prompt tokens of all of them, less those that were cached.
-    pause_seconds
+    pause_milliseconds
         Average of the latest pauses between events there.
-    pauses
+    pauses_tenths
         Faded number of pauses that the average is of.
     """
 
     upstream: types.UpstreamId
-    waiting_by_tier: tuple[float, ...]
+    waiting_by_tier: tuple[int, ...]
     running: int
-    sensitive: float
-    held_tokens: float = 0.0
-    pause_seconds: float = 0.0
-    pauses: float = 0.0
+    sensitive_hundredths: int
+    held_tokens: int = 0
+    pause_milliseconds: int = 0
+    pauses_tenths: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -167,12 +167,12 @@
 
 struct UpstreamLoad {
   upstream @0 :Text;
-  waitingByTier @1 :List(Float64);
-  running @2 :UInt64;
-  sensitive @3 :Float64;
-  heldTokens @4 :Float64;
-  pauseSeconds @5 :Float64;
-  pauses @6 :Float64;
+  waitingByTier @1 :List(UInt32);
+  running @2 :UInt32;
+  sensitiveHundredths @3 :UInt32;
+  heldTokens @4 :UInt32;
+  pauseMilliseconds @5 :UInt32;
+  pausesTenths @6 :UInt32;
 }
 
 struct PromptPlacement {
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -16,6 +16,10 @@
 Peers repeat it at least every half second while it is not zero.
 """
 
+URGENT_TOKENS = 1000.0
+"""Prompt tokens from which a sent request is told at once: they keep a runner
+for 25 ms and more, which others' short prompts should avoid."""
+
 _FAILURE_HALF_LIFE_SECONDS = 3.0
 """After this time half of an upstream's failures are forgotten.
 
@@ -154,6 +158,7 @@
         self._prefill_by_upstream: dict[types.UpstreamId, _Decaying] = {}
         self._pauses_by_upstream: dict[types.UpstreamId, _Pauses] = {}
         self.changed = False
+        self.urgent_change = False
 
     # Own work.
 
@@ -161,20 +166,22 @@
         """Count a request that is about to be sent."""
         self._own_by_upstream.setdefault(work.upstream, []).append(work)
         self.add_prefill(work.upstream, work.new_tokens, now=now)
-        self.changed = True
+        self._note_change(work)
+        if work.new_tokens >= URGENT_TOKENS:
+            self.urgent_change = True
 
     def first_event(self, work: Work) -> None:
         """Count the request's prompt as read."""
         if work.waiting:
             work.waiting = False
-            self.changed = True
+            self._note_change(work)
 
     def end(self, work: Work) -> None:
         """Count the request no more."""
         own = self._own_by_upstream.get(work.upstream, [])
         if work in own:
             own.remove(work)
-            self.changed = True
+            self._note_change(work)
         if not own:
             self._own_by_upstream.pop(work.upstream, None)
 
@@ -186,11 +193,23 @@
         pauses.count.add(1.0, now)
         pauses.seconds.add(seconds, now)
 
+    def mark_told(self) -> None:
+        """Take in that the other entry VMs have been told."""
+        self.changed = False
+        self.urgent_change = False
+
+    def _note_change(self, work: Work) -> None:
+        # Plain services have no prompts; their requests are over before
+        # others would hear of them.
+        if work.new_tokens:
+            self.changed = True
+
     def own_loads(self, *, now: float) -> dict[types.UpstreamId, Load]:
         """Return the own work by upstream, for the other entry VMs."""
         return {
             upstream: self._own_load(upstream, now)
-            for upstream in self._own_by_upstream
+            for upstream, works in self._own_by_upstream.items()
+            if any(work.new_tokens for work in works)
         }
 
     def _own_load(self, upstream: types.UpstreamId, now: float) -> Load:
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -36,6 +36,10 @@
 than a prompt takes to be read (0.1 s and more) would not prevent that two
 entry VMs send long prompts to the same runner."""
 
+_CHANGE_BEATS = 2
+"""Looks after which work that has ended is told. A tenth of a second late
+does no harm; a quarter does, in a burst."""
+
 _QUIET_BEATS = 8
 """Looks without news after which a state is told all the same."""
 
@@ -104,7 +108,8 @@
         # Not a time: the wall clock may have been ahead at an earlier start.
         self._start = secrets.randbits(63)
         self._sequence = 0
-        self._beats_without_news = 0
+        self._beats_since_told = 0
+        self._told_leaving: tuple[types.UpstreamId, ...] = ()
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
@@ -141,23 +146,43 @@
         now = self._clock.monotonic()
         for lost in self._table.take_lost(now=now):
             self._ledger.forget_peer(lost)
+        self._beats_since_told += 1
         placements = self._homes.take_untold()
-        news = self._ledger.changed or self._pressed.changed or placements
-        self._beats_without_news += 1
-        if not news and self._beats_without_news < _QUIET_BEATS:
+        if not placements and self._beats_since_told < self._wanted_beats():
             return
-        self._beats_without_news = 0
-        self._ledger.changed = False
+        quiet = self._beats_since_told >= _QUIET_BEATS
+        self._beats_since_told = 0
+        self._ledger.mark_told()
         self._pressed.changed = False
-        self._tell(self._state(placements))
+        self._tell(self._state(placements, now=now, quiet=quiet))
+
+    def _wanted_beats(self) -> int:
+        """Return after how many beats what has changed is worth telling."""
+        if self._ledger.urgent_change or self._pressed.changed:
+            return 1
+        if self._ledger.changed:
+            return _CHANGE_BEATS
+        return _QUIET_BEATS
 
     def _state(
-        self, placements: dict[str, types.UpstreamId]
+        self,
+        placements: dict[str, types.UpstreamId],
+        *,
+        now: float,
+        quiet: bool,
     ) -> messages.RouterState:
+        """Return what is to be told.
+
+        Parameters
+        ----------
+        quiet
+            Whether there is nothing urgent, and so time for what rarely
+            changes.
+        """
         self._sequence += 1
-        now = self._clock.monotonic()
-        known = list(self._table.known().items())
-        shown = self._chance.sample(known, min(len(known), _TOLD_MEMBERS))
+        leaving = self._directory.leaving_ids
+        tell_leaving = quiet or leaving != self._told_leaving
+        self._told_leaving = leaving
         return messages.RouterState(
             entry_vm=self._settings.entry_vm,
             domain=self._settings.domain,
@@ -167,17 +192,9 @@
             revision=self._known.revision,
             follows_store=self._known.follows_store,
             stopping=self.stopping,
-            leaving=self._directory.leaving_ids,
+            leaving=leaving if tell_leaving else (),
             loads=tuple(
-                messages.UpstreamLoad(
-                    upstream=upstream,
-                    waiting_by_tier=load.waiting_by_tier,
-                    running=load.running,
-                    sensitive=load.sensitive,
-                    held_tokens=load.held_tokens,
-                    pause_seconds=load.pause_seconds,
-                    pauses=load.pauses,
-                )
+                _load_message(upstream, load)
                 for upstream, load in self._ledger.own_loads(now=now).items()
             ),
             placements=tuple(
@@ -192,12 +209,17 @@
                 )
                 for one in self._pressed.recent(now=now)
             ),
-            known=tuple(
-                messages.EntryVmAddress(
-                    entry_vm=entry_vm, host=address.host, port=address.port
-                )
-                for entry_vm, address in shown
-            ),
+            known=self._some_members() if quiet else (),
+        )
+
+    def _some_members(self) -> tuple[messages.EntryVmAddress, ...]:
+        known = list(self._table.known().items())
+        shown = self._chance.sample(known, min(len(known), _TOLD_MEMBERS))
+        return tuple(
+            messages.EntryVmAddress(
+                entry_vm=entry_vm, host=address.host, port=address.port
+            )
+            for entry_vm, address in shown
         )
 
     def _tell(self, state: messages.RouterState) -> None:
@@ -265,17 +287,7 @@
     def _take_loads(self, state: messages.RouterState, now: float) -> None:
         self._ledger.take_told(
             state.entry_vm,
-            {
-                told.upstream: loads.Load(
-                    waiting_by_tier=told.waiting_by_tier,
-                    running=told.running,
-                    sensitive=told.sensitive,
-                    held_tokens=told.held_tokens,
-                    pause_seconds=told.pause_seconds,
-                    pauses=told.pauses,
-                )
-                for told in state.loads
-            },
+            {told.upstream: _load_of(told) for told in state.loads},
             now=now,
         )
         for one in state.pressed:
@@ -379,6 +391,31 @@
         return reply.body if reply.status == _OK else None
 
 
+def _load_message(
+    upstream: types.UpstreamId, load: loads.Load
+) -> messages.UpstreamLoad:
+    return messages.UpstreamLoad(
+        upstream=upstream,
+        waiting_by_tier=tuple(map(round, load.waiting_by_tier)),
+        running=load.running,
+        sensitive_hundredths=round(load.sensitive * 100),
+        held_tokens=round(load.held_tokens),
+        pause_milliseconds=round(load.pause_seconds * 1000),
+        pauses_tenths=round(load.pauses * 10),
+    )
+
+
+def _load_of(told: messages.UpstreamLoad) -> loads.Load:
+    return loads.Load(
+        waiting_by_tier=tuple(map(float, told.waiting_by_tier)),
+        running=told.running,
+        sensitive=told.sensitive_hundredths / 100,
+        held_tokens=float(told.held_tokens),
+        pause_seconds=told.pause_milliseconds / 1000,
+        pauses=told.pauses_tenths / 10,
+    )
+
+
 class _Receiver(asyncio.DatagramProtocol):
     """Hands datagrams on."""
 
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -70,7 +70,7 @@
     wait: float = 1.5
     reading: float = 0.01
     rereading: float = 0.08
-    other_domain: float = 6.0
+    other_domain: float = 11.0
     failure: float = 1.0
     silence: float = 5.0
     queue: float = 1.0
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -24,6 +24,7 @@
             host=head.headers.get("Host") or "",
             key=key.removeprefix("Bearer ") if key else None,
             patience_seconds=float(patience) if patience else None,
+            prompt_tokens=int(head.headers.get("Tokens") or 0),
             resumes_after=head.headers.get("Resume-After") or "",
         )
 
