Take an overload only from several requests that were foreseen to wait

Ruled out: room, which was never short. Three failures at all entry VMs together, each with a wait that was foreseen, are needed now.

--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -343,11 +343,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PressedTier:
-    """A tier of a pool that could not be served a moment ago."""
+    """Requests of a tier that could not be served a moment ago."""
 
     pool: types.PoolName
     tier: types.Tier
-    age_seconds: float
+    requests: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -188,8 +188,8 @@
 
 struct PressedTier {
   pool @0 :Text;
-  tier @1 :UInt64;
-  ageSeconds @2 :Float64;
+  tier @1 :UInt32;
+  requests @2 :UInt32;
 }
 
 struct RouterState {
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -19,12 +19,15 @@
     ----------
     new_tokens
         Prompt tokens that it has to read.
+    wait_seconds
+        Estimated time to the first event.
     decided_at
         Reading of the clock.
     """
 
     upstream: upstreams.Registration
     new_tokens: float
+    wait_seconds: float
     decided_at: float
 
 
@@ -68,6 +71,7 @@
         return Choice(
             upstream=by_id[best.candidate.upstream],
             new_tokens=best.new_tokens,
+            wait_seconds=best.wait_seconds,
             decided_at=now,
         )
 
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -29,6 +29,9 @@
 upstream may have left meanwhile.
 """
 
+_OVERLOAD_PART = 0.25
+"""Part of a caller's patience from which a foreseen wait means overload."""
+
 _FAILED_STATUS = 500
 
 _SILENT_TARGETS = 3.0
@@ -70,6 +73,7 @@
         self._earlier_may_have_run = False
         self._sending = False
         self._whole_at: float | None = None
+        self._foreseen_wait_seconds = 0.0
 
     @property
     def first_answer_at(self) -> float | None:
@@ -88,8 +92,7 @@
             async with asyncio.timeout(max(0.0, left)):
                 return await self._attempts()
         except TimeoutError:
-            if self.first_answer_at is None:
-                self._note_pressure()
+            self._note_failed_in_overload()
             return await self._end(
                 reason=outcomes.Reason.DEADLINE,
                 detail="the time limit of the request has passed",
@@ -149,8 +152,18 @@
         the wait.
         """
         waited = self._parts.clock.monotonic() - self._call.arrived_at
-        in_vain = self.first_answer_at is None
-        if in_vain and waited >= self._call.patience_seconds / 2:
+        if waited >= self._call.patience_seconds / 2:
+            self._note_failed_in_overload()
+
+    def _note_failed_in_overload(self) -> None:
+        """Count a request without any answer, where a long wait was foreseen.
+
+        One that failed at a runner with little to do failed for another
+        reason, a crash or a fault, and turning others away would not help.
+        """
+        foreseen = self._foreseen_wait_seconds
+        long_wait = _OVERLOAD_PART * self._call.patience_seconds
+        if self.first_answer_at is None and foreseen >= long_wait:
             self._note_pressure()
 
     async def _after_loss(self, lost: attempt.Lost) -> outcomes.Ending | None:
@@ -167,7 +180,7 @@
                 verdict = retrying.Verdict.END
         if verdict is retrying.Verdict.END:
             if lost.reason is outcomes.Reason.UPSTREAM_REFUSED:
-                self._note_pressure()
+                self._note_failed_in_overload()
             return await self._end_lost(lost)
         logs.emit(
             events.LogEvent.REQUEST_RETRIED,
@@ -213,6 +226,7 @@
         parts = self._parts
         now = parts.clock.monotonic()
         parts.ledger.begin(work, now=now)
+        self._foreseen_wait_seconds = choice.wait_seconds
         parts.metrics.new_tokens.labels(self._call.pool.name).inc(
             choice.new_tokens
         )
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -205,7 +205,7 @@
                 messages.PressedTier(
                     pool=one.pool,
                     tier=one.tier,
-                    age_seconds=one.age_seconds,
+                    requests=one.requests,
                 )
                 for one in self._pressed.recent(now=now)
             ),
@@ -290,11 +290,16 @@
             {told.upstream: _load_of(told) for told in state.loads},
             now=now,
         )
-        for one in state.pressed:
-            told = pressure.Pressed(
-                pool=one.pool, tier=one.tier, age_seconds=one.age_seconds
-            )
-            self._pressed.take_told(told, now=now)
+        self._pressed.take_told(
+            state.entry_vm,
+            tuple(
+                pressure.Pressed(
+                    pool=one.pool, tier=one.tier, requests=one.requests
+                )
+                for one in state.pressed
+            ),
+            now=now,
+        )
         for placement in state.placements:
             self._homes.take_told(placement.part, placement.upstream, now=now)
 
--- a/packages/router/src/lagoonrun_router/pressure.py
+++ b/packages/router/src/lagoonrun_router/pressure.py
@@ -16,19 +16,27 @@
 """
 
 
+LEAST_REQUESTS = 3
+"""Failed requests of a tier, at all entry VMs, that keep lower ones out.
+
+A single one may have been given up by an impatient caller or have been lost
+with a broken upstream; lower tiers are not turned away for that.
+"""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Pressed:
     """A tier of a pool that could not be served.
 
     Parameters
     ----------
-    age_seconds
-        Time since its latest request that could not.
+    requests
+        Requests of the last moments that could not.
     """
 
     pool: types.PoolName
     tier: types.Tier
-    age_seconds: float
+    requests: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -37,43 +45,62 @@
     tier: types.Tier
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Told:
+    pressed: tuple[Pressed, ...]
+    at: float
+
+
 class Pressure:
-    """Latest failures by pool and tier, own and told ones."""
+    """Failed requests of the last moments, own and told ones."""
 
     def __init__(self) -> None:
-        self._at_by_place: dict[_Place, float] = {}
+        self._own_by_place: dict[_Place, list[float]] = {}
+        self._told_by_peer: dict[types.EntryVmId, _Told] = {}
         self.changed = False
 
     def note(
         self, pool: types.PoolName, tier: types.Tier, *, now: float
     ) -> None:
         """Note that a request found no room or no time."""
-        self._at_by_place[_Place(pool=pool, tier=tier)] = now
+        place = _Place(pool=pool, tier=tier)
+        self._own_by_place.setdefault(place, []).append(now)
         self.changed = True
 
-    def take_told(self, pressed: Pressed, *, now: float) -> None:
-        """Take in what a peer met."""
-        place = _Place(pool=pressed.pool, tier=pressed.tier)
-        at = now - pressed.age_seconds
-        self._at_by_place[place] = max(at, self._at_by_place.get(place, at))
+    def take_told(
+        self,
+        peer: types.EntryVmId,
+        pressed: tuple[Pressed, ...],
+        *,
+        now: float,
+    ) -> None:
+        """Replace what a peer told of its own requests."""
+        self._told_by_peer[peer] = _Told(pressed=pressed, at=now)
 
     def keeps_out(
         self, pool: types.PoolName, tier: types.Tier, *, now: float
     ) -> bool:
-        """Return whether a higher tier of the pool could not be served."""
-        return any(
-            place.pool == pool
-            and place.tier < tier
-            and now - at < PRESSURE_SECONDS
-            for place, at in self._at_by_place.items()
+        """Return whether a higher tier of the pool cannot be served."""
+        known = [*self.recent(now=now)]
+        for told in self._told_by_peer.values():
+            if now - told.at < PRESSURE_SECONDS:
+                known.extend(told.pressed)
+        failed = sum(
+            one.requests
+            for one in known
+            if one.pool == pool and one.tier < tier
         )
+        return failed >= LEAST_REQUESTS
 
     def recent(self, *, now: float) -> tuple[Pressed, ...]:
-        """Return what still counts, for the other entry VMs."""
-        for place, at in list(self._at_by_place.items()):
-            if now - at >= PRESSURE_SECONDS:
-                del self._at_by_place[place]
+        """Return what own requests met, for the other entry VMs."""
+        for place, times in list(self._own_by_place.items()):
+            kept = [at for at in times if now - at < PRESSURE_SECONDS]
+            if kept:
+                self._own_by_place[place] = kept
+            else:
+                del self._own_by_place[place]
         return tuple(
-            Pressed(pool=place.pool, tier=place.tier, age_seconds=now - at)
-            for place, at in self._at_by_place.items()
+            Pressed(pool=place.pool, tier=place.tier, requests=len(times))
+            for place, times in self._own_by_place.items()
         )
