--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -322,6 +322,8 @@
         Average of the latest pauses between events there.
     pauses_tenths
         Faded number of pauses that the average is of.
+    overdue
+        Requests whose first event should have come long ago.
     """
 
     upstream: types.UpstreamId
@@ -331,6 +333,7 @@
     held_tokens: int = 0
     pause_milliseconds: int = 0
     pauses_tenths: int = 0
+    overdue: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -173,6 +173,7 @@
   heldTokens @4 :UInt32;
   pauseMilliseconds @5 :UInt32;
   pausesTenths @6 :UInt32;
+  overdue @7 :UInt32;
 }
 
 struct PromptPlacement {
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -217,14 +217,17 @@
         )
 
     async def _attempt(self, choice: choosing.Choice) -> attempt.Result:
+        parts = self._parts
+        now = parts.clock.monotonic()
         work = loads.Work(
             upstream=choice.upstream.id,
             new_tokens=choice.new_tokens,
             sensitivity=choosing.sensitivity_of(self._call),
             tier=self._call.tier,
+            overdue_at=loads.overdue_at(
+                now=now, foreseen_seconds=choice.wait_seconds
+            ),
         )
-        parts = self._parts
-        now = parts.clock.monotonic()
         parts.ledger.begin(work, now=now)
         self._foreseen_wait_seconds = choice.wait_seconds
         parts.metrics.new_tokens.labels(self._call.pool.name).inc(
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -16,6 +16,12 @@
 Peers repeat it at least every half second while it is not zero.
 """
 
+LEAST_OVERDUE_SECONDS = 0.6
+OVERDUE_WAITS = 3.0
+"""A first event is overdue after so much time, and after so many times the
+wait that was foreseen. A dark or mute runner shows in nothing else: its
+connections stay open, and its callers leave after two seconds."""
+
 URGENT_TOKENS = 1000.0
 """Prompt tokens from which a sent request is told at once: they keep a runner
 for 25 ms and more, which others' short prompts should avoid."""
@@ -57,6 +63,8 @@
         Average of the latest pauses between events; 0 where there are none.
     pauses
         Faded number of pauses that the average is of.
+    overdue
+        Requests whose first event should have come long ago.
     """
 
     waiting_by_tier: tuple[float, ...] = ()
@@ -65,6 +73,7 @@
     held_tokens: float = 0.0
     pause_seconds: float = 0.0
     pauses: float = 0.0
+    overdue: int = 0
 
     @property
     def waiting_tokens(self) -> float:
@@ -92,6 +101,7 @@
             held_tokens=self.held_tokens + other.held_tokens,
             pause_seconds=pause_sum / pauses if pauses else 0.0,
             pauses=pauses,
+            overdue=self.overdue + other.overdue,
         )
 
 
@@ -100,12 +110,19 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Work:
-    """One request at one upstream, from its sending to its end."""
+    """One request at one upstream, from its sending to its end.
+
+    Parameters
+    ----------
+    overdue_at
+        Reading of the clock from which its first event is long overdue.
+    """
 
     upstream: types.UpstreamId
     new_tokens: float
     sensitivity: float
     tier: types.Tier = types.HIGHEST_TIER
+    overdue_at: float = float("inf")
     waiting: bool = True
 
 
@@ -213,7 +230,7 @@
         }
 
     def _own_load(self, upstream: types.UpstreamId, now: float) -> Load:
-        load = _sum_of(self._own_by_upstream.get(upstream, ()))
+        load = _sum_of(self._own_by_upstream.get(upstream, ()), now=now)
         known = self._pauses_by_upstream.get(upstream)
         count = known.count.read(now) if known else 0.0
         if count < _LEAST_PAUSES:
@@ -313,16 +330,24 @@
         )
 
 
-def _sum_of(works: Iterable[Work]) -> Load:
+def overdue_at(*, now: float, foreseen_seconds: float) -> float:
+    """Return from when a request sent now is long overdue."""
+    patience = OVERDUE_WAITS * foreseen_seconds
+    return now + max(LEAST_OVERDUE_SECONDS, patience)
+
+
+def _sum_of(works: Iterable[Work], *, now: float) -> Load:
     waiting_by_tier: list[float] = []
     running = 0
     sensitive = 0.0
     held = 0.0
+    overdue = 0
     for work in works:
         running += 1
         sensitive += work.sensitivity
         held += work.new_tokens
         if work.waiting:
+            overdue += now >= work.overdue_at
             missing = work.tier - len(waiting_by_tier)
             waiting_by_tier.extend([0.0] * missing)
             waiting_by_tier[work.tier - 1] += work.new_tokens
@@ -331,4 +356,5 @@
         running=running,
         sensitive=sensitive,
         held_tokens=held,
+        overdue=overdue,
     )
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -407,6 +407,7 @@
         held_tokens=round(load.held_tokens),
         pause_milliseconds=round(load.pause_seconds * 1000),
         pauses_tenths=round(load.pauses * 10),
+        overdue=load.overdue,
     )
 
 
@@ -418,6 +419,7 @@
         held_tokens=float(told.held_tokens),
         pause_seconds=told.pause_milliseconds / 1000,
         pauses=told.pauses_tenths / 10,
+        overdue=told.overdue,
     )
 
 
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -48,6 +48,8 @@
         Cost of sending a megabyte to another failure domain.
     failure
         Cost of each recent failure of the upstream.
+    overdue
+        Cost of each request there that is long overdue.
     silence
         Cost of an upstream in a failure domain that is silent.
     queue
@@ -72,6 +74,7 @@
     rereading: float = 0.08
     other_domain: float = 11.0
     failure: float = 1.0
+    overdue: float = 1.0
     silence: float = 5.0
     queue: float = 1.0
     crowd: float = 0.1
@@ -161,6 +164,7 @@
     READING = "reading"
     DOMAIN = "domain"
     FAILURE = "failure"
+    OVERDUE = "overdue"
     SILENCE = "silence"
     QUEUE = "queue"
     CROWD = "crowd"
@@ -248,6 +252,7 @@
         if candidate.same_domain
         else weights.other_domain * request.body_bytes / 1e6,
         CostKind.FAILURE: weights.failure * candidate.failures,
+        CostKind.OVERDUE: weights.overdue * load.overdue,
         CostKind.SILENCE: weights.silence * candidate.silent_domain,
         CostKind.QUEUE: weights.queue * occupied,
         CostKind.CROWD: weights.crowd
--- a/packages/router/tests/test_loads.py
+++ b/packages/router/tests/test_loads.py
@@ -80,3 +80,25 @@
     ledger.add_failure("u-1", now=0.0)
     ledger.forget_upstreams(["u-2"])
     assert ledger.failures("u-1", now=0.0) == 0.0
+
+
+def test_request_without_an_answer_becomes_overdue(ledger):
+    """A runner goes dark with its connections open.
+
+    Nothing fails until the callers leave; requests that came meanwhile went
+    there as well.
+    """
+    at = loads.overdue_at(now=0.0, foreseen_seconds=0.5)
+    one = loads.Work(
+        upstream="u-1", new_tokens=10.0, sensitivity=0.0, overdue_at=at
+    )
+    ledger.begin(one, now=0.0)
+    assert ledger.load_of("u-1", now=1.4).overdue == 0
+    assert ledger.load_of("u-1", now=1.5).overdue == 1
+    ledger.first_event(one)
+    assert ledger.load_of("u-1", now=1.5).overdue == 0
+
+
+def test_short_wait_is_not_overdue_at_once():
+    at = loads.overdue_at(now=0.0, foreseen_seconds=0.0)
+    assert at == loads.LEAST_OVERDUE_SECONDS
--- a/packages/router/tests/test_placement.py
+++ b/packages/router/tests/test_placement.py
@@ -112,3 +112,8 @@
     ranked = placement.rank(LONG, (candidate(failures=1.0),))[0]
     assert ranked.cost == sum(ranked.cost_by_kind.values())
     assert set(ranked.cost_by_kind) == set(placement.CostKind)
+
+
+def test_runner_with_an_overdue_request_is_avoided():
+    dark = candidate("a", load=loads.Load(running=1, overdue=1))
+    assert best(SHORT, dark, candidate("b", same_domain=False)) == "b"
