--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -11,6 +11,7 @@
     let_in_times,
     loads,
     metrics,
+    peer_table,
     pressure,
     prompt_homes,
     reach,
@@ -27,6 +28,7 @@
     dialect: dialect.Dialect
     directory: upstreams.UpstreamDirectory
     ledger: loads.LoadLedger
+    peers: peer_table.PeerTable
     let_in: let_in_times.LetInTimes
     pressed: pressure.Pressure
     homes: prompt_homes.PromptHomes
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -10,6 +10,13 @@
 HEARD_SECONDS = 2.0
 """Silence after which a peer counts as lost: four of its slowest messages."""
 
+MOST_TOLD = 12
+"""Peers that each state goes to; in larger fleets a random choice.
+
+Each then hears of each other about every seventh time: loads are half a second
+old, and placements are known of some only.
+"""
+
 _FORGOTTEN_SECONDS = 60.0
 """Silence after which a peer counts no more among those that share budgets."""
 
@@ -127,6 +134,11 @@
         peer = self._peers_by_id.get(entry_vm)
         return peer.address if peer else None
 
+    @property
+    def is_large(self) -> bool:
+        """Whether there are too many peers to hear all news of each."""
+        return len(self._peers_by_id) > MOST_TOLD
+
     def sharers(self, *, now: float) -> int:
         """Return how many entry VMs share budgets, this one included.
 
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -43,9 +43,6 @@
 _QUIET_BEATS = 8
 """Looks without news after which a state is told all the same."""
 
-_MOST_TOLD = 12
-"""Peers that each state goes to; in larger fleets a random choice."""
-
 _TOLD_MEMBERS = 4
 _FETCH_SECONDS = 1.0
 
@@ -226,8 +223,8 @@
         if self._transport is None or self._transport.is_closing():
             return
         addresses = list(self._table.addresses())
-        if len(addresses) > _MOST_TOLD:
-            addresses = self._chance.sample(addresses, _MOST_TOLD)
+        if self._table.is_large:
+            addresses = self._chance.sample(addresses, peer_table.MOST_TOLD)
         if not addresses:
             addresses = [
                 seed
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -162,6 +162,7 @@
                 dialect=language,
                 directory=self.directory,
                 ledger=self._ledger,
+                peers=self._table,
                 let_in=self._let_in,
                 pressed=self._pressed,
                 homes=self._homes,
