Split one send from the call's execution; one copy of the reasons

A second upstream's whole answer to the rest of a stream was written into the begun answer (an error of the protocol library, and a reset); it is a lost attempt now. Test: test_refused_rest_of_a_stream_is_not_put_into_it.

--- a/packages/daemon/src/lagoonrun_daemon/attempt.py
+++ b/packages/daemon/src/lagoonrun_daemon/attempt.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from lagoonrun_core import outcomes, types
+from lagoonrun_http import failure_reasons
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
 
@@ -34,17 +35,6 @@
     upstream: types.UpstreamId
 
 
-_REASONS_BY_STAGE = {
-    http_upstream.FailureStage.CONNECT: outcomes.Reason.UPSTREAM_CONNECT,
-    http_upstream.FailureStage.WRITE: outcomes.Reason.UPSTREAM_CLOSED,
-    http_upstream.FailureStage.READ_HEAD: outcomes.Reason.UPSTREAM_CLOSED,
-    http_upstream.FailureStage.READ_BODY: outcomes.Reason.UPSTREAM_CLOSED,
-    http_upstream.FailureStage.MISMATCH: outcomes.Reason.UPSTREAM_MISMATCH,
-    http_upstream.FailureStage.PROTOCOL: outcomes.Reason.UPSTREAM_PROTOCOL,
-    http_upstream.FailureStage.TIMEOUT: outcomes.Reason.UPSTREAM_TIMEOUT,
-}
-
-
 def lost_by(
     failure: http_upstream.UpstreamFailure, *, upstream: types.UpstreamId
 ) -> Lost:
@@ -56,7 +46,7 @@
     )
     return Lost(
         ran=ran,
-        reason=_REASONS_BY_STAGE[failure.stage],
+        reason=failure_reasons.REASONS_BY_STAGE[failure.stage],
         detail=failure.detail,
         upstream=upstream,
     )
--- a/packages/router/src/lagoonrun_router/answers.py
+++ b/packages/router/src/lagoonrun_router/answers.py
@@ -6,6 +6,7 @@
 from lagoonrun_http import errors as http_errors
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import messages as http_messages
+from lagoonrun_router import attempt
 
 OUTCOME_HEADER = "Lagoonrun-Outcome"
 REASON_HEADER = "Lagoonrun-Reason"
@@ -14,6 +15,7 @@
 _TIMEOUT_STATUS = 504
 _BROKEN_STATUS = 502
 _UNAUTHORIZED = 401
+_LOWEST_FAILURE = 400
 
 _RETRY_SECONDS = 0.25
 """When to come back where the cause is likely to have passed by then.
@@ -71,6 +73,29 @@
     )
 
 
+async def pass_on(
+    exchange: exchanges.Exchange,
+    answer: attempt.WholeAnswer,
+    *,
+    upstream: types.UpstreamId,
+) -> outcomes.Ending:
+    """Answer with an upstream's whole answer; return what it means."""
+    await exchange.respond(
+        status=answer.head.status,
+        headers=answer.head.headers,
+        body=answer.body,
+    )
+    if answer.head.status < _LOWEST_FAILURE:
+        return outcomes.Ending(
+            outcome=outcomes.Outcome.COMPLETE, upstream=upstream
+        )
+    return outcomes.Ending(
+        outcome=outcomes.Outcome.FAILED,
+        reason=outcomes.Reason.UPSTREAM_FAILED,
+        upstream=upstream,
+    )
+
+
 async def reject(
     exchange: exchanges.Exchange,
     *,
--- a/packages/router/src/lagoonrun_router/attempt.py
+++ b/packages/router/src/lagoonrun_router/attempt.py
@@ -3,19 +3,10 @@
 import dataclasses
 
 from lagoonrun_core import outcomes, types
+from lagoonrun_http import failure_reasons
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
 
-_REASONS_BY_STAGE = {
-    http_upstream.FailureStage.CONNECT: outcomes.Reason.UPSTREAM_CONNECT,
-    http_upstream.FailureStage.WRITE: outcomes.Reason.UPSTREAM_CLOSED,
-    http_upstream.FailureStage.READ_HEAD: outcomes.Reason.UPSTREAM_CLOSED,
-    http_upstream.FailureStage.READ_BODY: outcomes.Reason.UPSTREAM_CLOSED,
-    http_upstream.FailureStage.MISMATCH: outcomes.Reason.UPSTREAM_MISMATCH,
-    http_upstream.FailureStage.PROTOCOL: outcomes.Reason.UPSTREAM_PROTOCOL,
-    http_upstream.FailureStage.TIMEOUT: outcomes.Reason.UPSTREAM_TIMEOUT,
-}
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Delivered:
@@ -73,7 +64,7 @@
     )
     return Lost(
         ran=ran,
-        reason=_REASONS_BY_STAGE[failure.stage],
+        reason=failure_reasons.REASONS_BY_STAGE[failure.stage],
         detail=failure.detail,
         upstream=upstream,
         sent=failure.bytes_left,
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -5,7 +5,6 @@
 
 from lagoonrun_core import events, logs, outcomes, types
 from lagoonrun_http import exchange as exchanges
-from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
     admission,
     answers,
@@ -13,33 +12,15 @@
     choosing,
     loads,
     retrying,
+    sending,
     stream_relay,
 )
 from lagoonrun_router import call as calls
 from lagoonrun_router import parts as router_parts
 
-_LARGEST_HELD_ANSWER_BYTES = 4 * 1024 * 1024
-"""Largest answer of a plain service. It is held until it is whole, so that a
-truncated one can be asked for again and is never delivered."""
-
-_OLDEST_CHOICE_SECONDS = 1.0
-"""Age from which a choice is not acted on any more.
-
-The process may have stood still between the choice and the first byte; the
-upstream may have left meanwhile.
-"""
-
 _OVERLOAD_PART = 0.25
 """Part of a caller's patience from which a foreseen wait means overload."""
 
-_FAILED_STATUS = 500
-
-_SILENT_TARGETS = 3.0
-"""Silence, in targets, after which a repeatable plain request goes to another
-upstream. Three times what is on time: rare in calm, and time is left."""
-
-_REJECTED_LOW = 400
-
 
 class CallExecution:
     """Serve one call.
@@ -71,7 +52,7 @@
         self._tried: set[types.UpstreamId] = set()
         self._sends = retrying.Sends()
         self._earlier_may_have_run = False
-        self._sending = False
+        self._sending: sending.Sending | None = None
         self._whole_at: float | None = None
         self._foreseen_wait_seconds = 0.0
 
@@ -196,7 +177,7 @@
     def _note_loss(self, lost: attempt.Lost, now: float) -> None:
         self._sends = self._sends.with_lost(lost)
         self._tried.add(lost.upstream)
-        self._sending = False
+        self._sending = None
         if lost.ran is not outcomes.Outcome.NOT_RUN:
             self._earlier_may_have_run = True
         if lost.elsewhere:
@@ -236,165 +217,36 @@
         home = self._call.home_part
         if home is not None:
             parts.homes.place(home.id, choice.upstream.id, now=now)
-        try:
-            return await self._exchange_with(choice, work)
-        finally:
-            parts.ledger.end(work)
-
-    async def _exchange_with(
-        self, choice: choosing.Choice, work: loads.Work
-    ) -> attempt.Result:
-        upstream = choice.upstream
-        now = self._parts.clock.monotonic()
-        head = self._parts.dialect.upstream_head(
-            self._call,
-            upstream=upstream,
-            remaining_seconds=self._call.limit_at - now,
-            resume_after=self._relay.resume_after,
+        self._sending = sending.Sending(
+            call=self._call,
+            exchange=self._exchange,
+            relay=self._relay,
+            choice=choice,
+            work=work,
+            last=not self._may_repeat_elsewhere(),
+            parts=parts,
         )
         try:
-            async with asyncio.timeout(self._head_seconds()):
-                response = await self._parts.client.send(
-                    http_upstream.UpstreamRequest(
-                        head=head,
-                        body=self._call.body,
-                        request_id=self._call.request_id,
-                    ),
-                    address=upstream.host,
-                    port=upstream.port,
-                    fresh=self._parts.domains.is_quiet(
-                        upstream.domain, now=now
-                    ),
-                    may_write=lambda: self._may_write(choice),
-                )
-        except TimeoutError:
-            return attempt.Lost(
-                ran=outcomes.Outcome.UNKNOWN,
-                reason=outcomes.Reason.UPSTREAM_TIMEOUT,
-                detail="silent",
-                upstream=upstream.id,
-            )
-        if isinstance(response, http_upstream.UpstreamFailure):
-            return attempt.lost_by(response, upstream=upstream.id)
-        try:
-            return await self._take(response, upstream.id, work)
+            result = await self._sending.run()
         finally:
-            await response.cancel()
-
-    def _may_write(self, choice: choosing.Choice) -> bool:
-        now = self._parts.clock.monotonic()
-        if now - choice.decided_at > _OLDEST_CHOICE_SECONDS:
-            return False
-        may = self._parts.directory.may_send(choice.upstream.id, now=now)
-        # From here on the request may run; a limit that passes meanwhile
-        # must not be told as "not run".
-        self._sending = may
-        return may
-
-    def _head_seconds(self) -> float | None:
-        """Return how long the head of a response may take; None for no bound.
-
-        Only where the request can be repeated: another upstream may do
-        better, and the first one's work is not lost by asking it.
-        """
-        if self._call.streamed:
-            return self._relay.silence_seconds()
-        more = self._call.route.profile.maximum_attempts - self._sends.reached
-        if not self._call.repeatable or more <= 1:
-            return None
-        return _SILENT_TARGETS * self._call.route.profile.target_seconds
-
-    async def _take(
-        self,
-        response: http_upstream.UpstreamResponse,
-        upstream: types.UpstreamId,
-        work: loads.Work,
-    ) -> attempt.Result:
-        head = response.head
-        dialect = self._parts.dialect
-        if dialect.is_other_upstream(head) or dialect.says_not_run(head):
-            return await self._not_run(response, upstream)
-        if head.status < _REJECTED_LOW and not dialect.is_genuine(head):
-            return attempt.Lost(
-                ran=outcomes.Outcome.UNKNOWN,
-                reason=outcomes.Reason.UPSTREAM_PROTOCOL,
-                detail=f"status {head.status} without the upstream's mark",
-                upstream=upstream,
-            )
-        if self._call.streamed and head.status < _REJECTED_LOW:
-            return await self._relay.run(
-                response,
-                upstream=upstream,
-                on_event=lambda pause: self._note_event(work, pause),
-            )
-        return await self._take_whole(response, upstream)
-
-    def _note_event(self, work: loads.Work, pause: float | None) -> None:
-        self._parts.ledger.first_event(work)
-        if pause is not None:
-            now = self._parts.clock.monotonic()
-            self._parts.ledger.add_pause(work.upstream, pause, now=now)
-
-    async def _not_run(
-        self,
-        response: http_upstream.UpstreamResponse,
-        upstream: types.UpstreamId,
-    ) -> attempt.Lost:
-        # Read to its end, so that the connection can be used again.
-        await response.read_all(_LARGEST_HELD_ANSWER_BYTES)
-        return attempt.Lost(
-            ran=outcomes.Outcome.NOT_RUN,
-            reason=outcomes.Reason.UPSTREAM_REFUSED,
-            detail=f"the upstream answered {response.head.status}: not run",
-            upstream=upstream,
-            elsewhere=self._parts.dialect.is_other_upstream(response.head),
-        )
-
-    async def _take_whole(
-        self,
-        response: http_upstream.UpstreamResponse,
-        upstream: types.UpstreamId,
-    ) -> attempt.Result:
-        body = await response.read_all(_LARGEST_HELD_ANSWER_BYTES)
-        if isinstance(body, http_upstream.UpstreamFailure):
-            return attempt.lost_by(body, upstream=upstream)
-        answer = attempt.WholeAnswer(head=response.head, body=body)
-        if response.head.status >= _FAILED_STATUS:
-            return attempt.Lost(
-                ran=outcomes.Outcome.FAILED,
-                reason=outcomes.Reason.UPSTREAM_FAILED,
-                detail=f"the upstream answered {response.head.status}",
-                upstream=upstream,
-                answer=answer,
-            )
-        return await self._pass_on(answer, upstream)
+            parts.ledger.end(work)
+        if isinstance(result, attempt.Delivered):
+            self._whole_at = parts.clock.monotonic()
+        return result
 
-    async def _pass_on(
-        self, answer: attempt.WholeAnswer, upstream: types.UpstreamId
-    ) -> attempt.Delivered:
-        self._whole_at = self._parts.clock.monotonic()
-        await self._exchange.respond(
-            status=answer.head.status,
-            headers=answer.head.headers,
-            body=answer.body,
-        )
-        ending = outcomes.Ending(
-            outcome=outcomes.Outcome.COMPLETE, upstream=upstream
-        )
-        if answer.head.status >= _REJECTED_LOW:
-            ending = outcomes.Ending(
-                outcome=outcomes.Outcome.FAILED,
-                reason=outcomes.Reason.UPSTREAM_FAILED,
-                upstream=upstream,
-            )
-        return attempt.Delivered(ending=ending)
+    def _may_repeat_elsewhere(self) -> bool:
+        """Return whether another upstream may have the request after this."""
+        most = self._call.route.profile.maximum_attempts
+        return self._call.repeatable and most - self._sends.reached > 1
 
     # The end without an upstream's answer.
 
     async def _end_lost(self, lost: attempt.Lost) -> outcomes.Ending:
         if lost.answer is not None and not self._exchange.started:
-            delivered = await self._pass_on(lost.answer, lost.upstream)
-            return delivered.ending
+            self._whole_at = self._parts.clock.monotonic()
+            return await answers.pass_on(
+                self._exchange, lost.answer, upstream=lost.upstream
+            )
         return await self._end(
             reason=lost.reason, detail=lost.detail, upstream=lost.upstream
         )
@@ -428,7 +280,8 @@
         detail: str,
         upstream: types.UpstreamId | None,
     ) -> outcomes.Ending:
-        if self._earlier_may_have_run or self._sending:
+        running = self._sending is not None and self._sending.may_have_run
+        if self._earlier_may_have_run or running:
             return outcomes.Ending(
                 outcome=outcomes.Outcome.UNKNOWN,
                 reason=reason,
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -0,0 +1,210 @@
+"""Send one call to one upstream, and take what it answers."""
+
+import asyncio
+
+from lagoonrun_core import outcomes, types
+from lagoonrun_http import exchange as exchanges
+from lagoonrun_http import upstream as http_upstream
+from lagoonrun_router import answers, attempt, choosing, loads, stream_relay
+from lagoonrun_router import call as calls
+from lagoonrun_router import parts as router_parts
+
+_LARGEST_HELD_ANSWER_BYTES = 4 * 1024 * 1024
+"""Largest answer of a plain service. It is held until it is whole, so that a
+truncated one can be asked for again and is never delivered."""
+
+_OLDEST_CHOICE_SECONDS = 1.0
+"""Age from which a choice is not acted on any more.
+
+The process may have stood still between the choice and the first byte; the
+upstream may have left meanwhile.
+"""
+
+_SILENT_TARGETS = 3.0
+"""Silence, in targets, after which a repeatable plain request goes to another
+upstream. Three times what is on time: rare in calm, and time is left."""
+
+_REJECTED_LOW = 400
+
+_FAILED_STATUS = 500
+
+
+class Sending:
+    """One send.
+
+    Parameters
+    ----------
+    call, exchange, relay
+        The call, where its answer goes, and how far its stream has got.
+    choice
+        The upstream, and when it was chosen.
+    work
+        What the ledger counts for it.
+    last
+        Whether no other upstream may have the request after this one.
+    parts
+        Shared parts of the process.
+
+    Attributes
+    ----------
+    may_have_run
+        Whether a byte of the request may have reached the upstream.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: calls.Call,
+        exchange: exchanges.Exchange,
+        relay: stream_relay.StreamRelay,
+        choice: choosing.Choice,
+        work: loads.Work,
+        last: bool,
+        parts: router_parts.Parts,
+    ) -> None:
+        self._call = call
+        self._exchange = exchange
+        self._relay = relay
+        self._choice = choice
+        self._work = work
+        self._last = last
+        self._parts = parts
+        self.may_have_run = False
+
+    async def run(self) -> attempt.Result:
+        """Return the answer that the caller has, or why it has none."""
+        upstream = self._choice.upstream
+        now = self._parts.clock.monotonic()
+        head = self._parts.dialect.upstream_head(
+            self._call,
+            upstream=upstream,
+            remaining_seconds=self._call.limit_at - now,
+            resume_after=self._relay.resume_after,
+        )
+        try:
+            async with asyncio.timeout(self._head_seconds()):
+                response = await self._parts.client.send(
+                    http_upstream.UpstreamRequest(
+                        head=head,
+                        body=self._call.body,
+                        request_id=self._call.request_id,
+                    ),
+                    address=upstream.host,
+                    port=upstream.port,
+                    fresh=self._parts.domains.is_quiet(
+                        upstream.domain, now=now
+                    ),
+                    may_write=self._may_write,
+                )
+        except TimeoutError:
+            return attempt.Lost(
+                ran=outcomes.Outcome.UNKNOWN,
+                reason=outcomes.Reason.UPSTREAM_TIMEOUT,
+                detail="silent",
+                upstream=upstream.id,
+            )
+        if isinstance(response, http_upstream.UpstreamFailure):
+            return attempt.lost_by(response, upstream=upstream.id)
+        try:
+            return await self._take(response, upstream.id)
+        finally:
+            await response.cancel()
+
+    def _may_write(self) -> bool:
+        now = self._parts.clock.monotonic()
+        choice = self._choice
+        if now - choice.decided_at > _OLDEST_CHOICE_SECONDS:
+            return False
+        may = self._parts.directory.may_send(choice.upstream.id, now=now)
+        # From here on the request may run; a limit that passes meanwhile
+        # must not be told as "not run".
+        self.may_have_run = may
+        return may
+
+    def _head_seconds(self) -> float | None:
+        """Return how long the head of a response may take; None for no bound.
+
+        Only where the request can be repeated: another upstream may do
+        better, and the first one's work is not lost by asking it.
+        """
+        if self._call.streamed:
+            return self._relay.silence_seconds()
+        if self._last:
+            return None
+        return _SILENT_TARGETS * self._call.route.profile.target_seconds
+
+    async def _take(
+        self,
+        response: http_upstream.UpstreamResponse,
+        upstream: types.UpstreamId,
+    ) -> attempt.Result:
+        head = response.head
+        dialect = self._parts.dialect
+        if dialect.is_other_upstream(head) or dialect.says_not_run(head):
+            return await self._not_run(response, upstream)
+        if head.status < _REJECTED_LOW and not dialect.is_genuine(head):
+            return attempt.Lost(
+                ran=outcomes.Outcome.UNKNOWN,
+                reason=outcomes.Reason.UPSTREAM_PROTOCOL,
+                detail=f"status {head.status} without the upstream's mark",
+                upstream=upstream,
+            )
+        if self._call.streamed and head.status < _REJECTED_LOW:
+            return await self._relay.run(
+                response,
+                upstream=upstream,
+                on_event=self._note_event,
+            )
+        return await self._take_whole(response, upstream)
+
+    def _note_event(self, pause: float | None) -> None:
+        self._parts.ledger.first_event(self._work)
+        if pause is not None:
+            now = self._parts.clock.monotonic()
+            upstream = self._work.upstream
+            self._parts.ledger.add_pause(upstream, pause, now=now)
+
+    async def _not_run(
+        self,
+        response: http_upstream.UpstreamResponse,
+        upstream: types.UpstreamId,
+    ) -> attempt.Lost:
+        # Read to its end, so that the connection can be used again.
+        await response.read_all(_LARGEST_HELD_ANSWER_BYTES)
+        return attempt.Lost(
+            ran=outcomes.Outcome.NOT_RUN,
+            reason=outcomes.Reason.UPSTREAM_REFUSED,
+            detail=f"the upstream answered {response.head.status}: not run",
+            upstream=upstream,
+            elsewhere=self._parts.dialect.is_other_upstream(response.head),
+        )
+
+    async def _take_whole(
+        self,
+        response: http_upstream.UpstreamResponse,
+        upstream: types.UpstreamId,
+    ) -> attempt.Result:
+        body = await response.read_all(_LARGEST_HELD_ANSWER_BYTES)
+        if isinstance(body, http_upstream.UpstreamFailure):
+            return attempt.lost_by(body, upstream=upstream)
+        answer = attempt.WholeAnswer(head=response.head, body=body)
+        if response.head.status >= _FAILED_STATUS:
+            return attempt.Lost(
+                ran=outcomes.Outcome.FAILED,
+                reason=outcomes.Reason.UPSTREAM_FAILED,
+                detail=f"the upstream answered {response.head.status}",
+                upstream=upstream,
+                answer=answer,
+            )
+        if self._exchange.started:
+            # The rest of a stream was asked for, not another answer.
+            return attempt.Lost(
+                ran=outcomes.Outcome.PARTIAL,
+                reason=outcomes.Reason.UPSTREAM_PROTOCOL,
+                detail=f"status {response.head.status} for a resumed stream",
+                upstream=upstream,
+            )
+        ending = await answers.pass_on(
+            self._exchange, answer, upstream=upstream
+        )
+        return attempt.Delivered(ending=ending)
--- a/packages/router/tests/test_execution.py
+++ b/packages/router/tests/test_execution.py
@@ -337,6 +337,31 @@
     assert got.body == b"".join(EVENTS)
 
 
+async def test_refused_rest_of_a_stream_is_not_put_into_it(world):
+    """A stream breaks, and the second upstream answers 404 for its rest.
+
+    That answer is none to the caller's request, whose answer has begun.
+    """
+
+    async def answer(exchange):
+        if exchange.head.headers.get("Resume-After"):
+            await exchange.respond(
+                status=404, headers=marked(exchange), body=b"unknown"
+            )
+        else:
+            await answer_events(EVENTS[0], then="abort")(exchange)
+
+    await served(
+        world,
+        make_stream_route(resumable=True, maximum_attempts=2),
+        u_1=answer,
+        u_2=answer,
+    )
+    got = await world.ask("/lookups/1", method="POST", body=b"x")
+    assert not got.whole
+    assert got.body == EVENTS[0]
+
+
 async def test_silent_stream_goes_on_elsewhere(world):
     """A runner stops in the middle of a stream and keeps its connection."""
 
