--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -112,7 +112,7 @@
         part = call.home_part
         if part is None or not self._parts.peers.is_large:
             return None
-        return hash_home.of(part.id, registered, domain=self._parts.domain)
+        return hash_home.of(part.id, registered)
 
     def _candidate(
         self,
--- a/packages/router/src/lagoonrun_router/hash_home.py
+++ b/packages/router/src/lagoonrun_router/hash_home.py
@@ -5,30 +5,24 @@
 from lagoonrun_core import types
 from lagoonrun_router import upstreams
 
-_LEAST_IN_DOMAIN = 3
-"""Upstreams of a domain from which each domain has homes of its own: a part is
-then read once in each, and no prompt crosses between them. With fewer, one
-hot part would fill a runner."""
-
 
 def of(
-    part: str,
-    registered: tuple[upstreams.Registration, ...],
-    *,
-    domain: types.FailureDomain,
+    part: str, registered: tuple[upstreams.Registration, ...]
 ) -> types.UpstreamId:
-    """Return the upstream that reads `part` for callers in `domain`.
+    """Return the upstream that reads `part`.
 
-    By rendezvous hashing: when an upstream goes, only its parts move.
+    By rendezvous hashing: when an upstream goes, only its parts move. One for
+    all failure domains: with 82 entry VMs and 30 runners, a home in each
+    domain left a calm day worth 0.37, one home 0.60. Parts are used so seldom
+    there that reading them three times costs more than the bytes between
+    domains.
 
     Parameters
     ----------
     registered
         At least one upstream of the pool.
     """
-    own = [one for one in registered if one.domain == domain]
-    among = own if len(own) >= _LEAST_IN_DOMAIN else registered
-    best = max(among, key=lambda one: _rank(part, one.id))
+    best = max(registered, key=lambda one: _rank(part, one.id))
     return best.id
 
 
