--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -21,6 +21,9 @@
 UpstreamId = NewType("UpstreamId", str)
 EntryVmId = NewType("EntryVmId", str)
 FailureDomain = NewType("FailureDomain", str)
+
+LoadTeller = EntryVmId | FailureDomain
+"""Who tells of work: an entry VM of its own, or one for a whole domain."""
 Region = NewType("Region", str)
 """Failure domains that are near each other; empty for the unnamed one."""
 
--- a/packages/platform/src/lagoonrun_platform/etcd_gateway.py
+++ b/packages/platform/src/lagoonrun_platform/etcd_gateway.py
@@ -172,8 +172,10 @@
         *,
         prefix: bool = False,
         from_revision: store.StoreRevision = store.ABSENT,
+        longest_wait_seconds: float | None = None,
     ) -> AsyncIterator[store.WatchMessage]:
-        """Yield changes; see `KeyValueStore`."""
+        """Yield changes; see `KeyValueStore`. One call waits for them all."""
+        del longest_wait_seconds
         request = gateway_format.watch_request(
             key, prefix=prefix, from_revision=from_revision
         )
--- a/packages/protocol/src/lagoonrun_protocol/messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/messages.py
@@ -377,7 +377,9 @@
     revision
         Declarations that it has in force; 0 for none.
     follows_store
-        Whether it is up to date with the store.
+        Whether it reads the store itself and is up to date with it.
+    store_revision
+        Revision of the store up to which it knows the upstreams; 0 for none.
     stopping
         Whether it is about to end and takes no more part.
     leaving
@@ -393,6 +395,7 @@
     port: int
     revision: types.Revision
     follows_store: bool = False
+    store_revision: int = 0
     stopping: bool = False
     leaving: tuple[types.UpstreamId, ...] = ()
     loads: tuple[UpstreamLoad, ...] = ()
@@ -401,6 +404,33 @@
     pressed: tuple[PressedTier, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DomainNews:
+    """What one entry VM tells other failure domains of all of its own.
+
+    Parameters
+    ----------
+    entry_vm
+        Who summed it up.
+    start
+        Drawn at random by each start of the process.
+    sequence
+        Grows with each message of one start: an overtaken one is dropped.
+    loads
+        Work of the whole failure domain.
+    placements
+        Prompt parts that were placed since the message before.
+    """
+
+    entry_vm: types.EntryVmId
+    domain: types.FailureDomain
+    start: int
+    sequence: int
+    loads: tuple[UpstreamLoad, ...] = ()
+    placements: tuple[PromptPlacement, ...] = ()
+    pressed: tuple[PressedTier, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoredItem:
     """A key of the store with its value, as it was read."""
@@ -411,9 +441,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoredItems:
-    """Keys of the store, for an entry VM that the store turns away."""
+    """Keys of the store, for an entry VM that does not read it itself.
+
+    Parameters
+    ----------
+    store_revision
+        Revision of the store that the items are of.
+    """
 
     items: tuple[StoredItem, ...]
+    store_revision: int = 0
 
 
 Message = (
@@ -436,4 +473,5 @@
     | DigestAcknowledged
     | RouterState
     | StoredItems
+    | DomainNews
 )
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -207,6 +207,17 @@
   domain @10 :Text;
   followsStore @11 :Bool;
   pressed @12 :List(PressedTier);
+  storeRevision @13 :UInt64;
+}
+
+struct DomainNews {
+  entryVm @0 :Text;
+  domain @1 :Text;
+  start @2 :UInt64;
+  sequence @3 :UInt64;
+  loads @4 :List(UpstreamLoad);
+  placements @5 :List(PromptPlacement);
+  pressed @6 :List(PressedTier);
 }
 
 struct StoredItem {
@@ -216,6 +227,7 @@
 
 struct StoredItems {
   items @0 :List(StoredItem);
+  storeRevision @1 :UInt64;
 }
 
 struct Envelope {
@@ -239,5 +251,6 @@
     digestAcknowledged @16 :DigestAcknowledged;
     routerState @17 :RouterState;
     storedItems @18 :StoredItems;
+    domainNews @19 :DomainNews;
   }
 }
--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -63,14 +63,21 @@
         """The declarations in force as they were read, for peers."""
         self.upstreams_known = False
         self.follows_store = False
-        """Whether the last reading of the store succeeded."""
+        """Whether the last own reading of the store succeeded."""
+        self.store_revision = store_module.ABSENT
+        """Revision of the store up to which the upstreams are known."""
         self._entries_by_key: dict[str, bytes] = {}
 
     # What the store follower tells.
 
-    def take_listing(self, items: tuple[store_module.KeyValue, ...]) -> None:
-        """Take in all keys."""
+    def take_listing(
+        self,
+        items: tuple[store_module.KeyValue, ...],
+        revision: store_module.StoreRevision,
+    ) -> None:
+        """Take in all keys, as of `revision` at least."""
         self.follows_store = True
+        self.store_revision = max(self.store_revision, revision)
         entries_by_key = {}
         for item in items:
             if item.key.startswith(self._layout.upstreams_prefix):
@@ -81,6 +88,8 @@
 
     def take_event(self, event: store_module.Event) -> None:
         """Take in one change."""
+        if event.key.startswith(self._layout.upstreams_prefix):
+            self.store_revision = max(self.store_revision, event.modified)
         if event.value is not None:
             self._take_value(event.key, event.value)
             return
@@ -103,20 +112,29 @@
         """Give entries that ran out the time to come back."""
         self._directory.take_store_regained(now=self._clock.monotonic())
 
+    def take_store_left(self) -> None:
+        """Rely on peers from now on."""
+        self.follows_store = False
+
     # What peers tell and ask.
 
     def upstream_entries(self) -> dict[str, bytes]:
         """Return the upstreams' entries as they were read."""
         return dict(self._entries_by_key)
 
-    def take_entries_of_peer(self, entries_by_key: dict[str, bytes]) -> None:
-        """Take in the upstreams' entries as a peer reads them.
+    def take_entries_of_peer(
+        self,
+        entries_by_key: dict[str, bytes],
+        revision: store_module.StoreRevision,
+    ) -> None:
+        """Take in the upstreams' entries as a peer knows them.
 
-        Only while the store cannot be read from here: the peer's reading is
-        some time old.
+        Only where the store is not read from here, and only what is newer: a
+        peer that is behind must not bring back what has left.
         """
-        if self.follows_store or not entries_by_key:
+        if self.follows_store or revision <= self.store_revision:
             return
+        self.store_revision = revision
         self._take_upstreams(entries_by_key)
 
     def take_declarations(self, value: bytes, *, source: str) -> None:
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -4,7 +4,7 @@
 from collections.abc import Container
 
 from lagoonrun_core import events, logs, types
-from lagoonrun_router import admission, hash_home, placement, upstreams
+from lagoonrun_router import admission, placement, upstreams
 from lagoonrun_router import call as calls
 from lagoonrun_router import parts as router_parts
 
@@ -59,10 +59,8 @@
         if not by_id:
             return None
         request = _request_of(call, shared_lately=self._shared_lately(call))
-        home = self._home_by_hash(call, registered)
         candidates = tuple(
-            self._candidate(call, one, now, is_home=one.id == home)
-            for one in by_id.values()
+            self._candidate(call, one, now) for one in by_id.values()
         )
         ranked = placement.rank(request, candidates)
         best = self._admit(call, ranked, now)
@@ -103,24 +101,11 @@
         )
         return admission.admit(standing, ranked)
 
-    def _home_by_hash(
-        self,
-        call: calls.Call,
-        registered: tuple[upstreams.Registration, ...],
-    ) -> types.UpstreamId | None:
-        """Return the home of a call's shared part where news are incomplete."""
-        part = call.home_part
-        if part is None or not self._parts.peers.is_large:
-            return None
-        return hash_home.of(part.id, registered)
-
     def _candidate(
         self,
         call: calls.Call,
         upstream: upstreams.Registration,
         now: float,
-        *,
-        is_home: bool,
     ) -> placement.Candidate:
         parts = self._parts
         home = call.home_part
@@ -130,11 +115,8 @@
             cache_tokens=call.pool.engine.cache_tokens
             if call.pool.engine
             else 0.0,
-            has_shared=is_home
-            or (
-                home is not None
-                and parts.homes.has(home.id, upstream.id, now=now)
-            ),
+            has_shared=home is not None
+            and parts.homes.has(home.id, upstream.id, now=now),
             same_domain=upstream.domain == parts.domain,
             load=parts.ledger.load_of(upstream.id, now=now),
             recent_prefill=parts.ledger.recent_prefill(upstream.id, now=now),
@@ -146,8 +128,6 @@
         home = call.home_part
         if home is None:
             return False
-        if self._parts.peers.is_large:
-            return True
         now = self._parts.clock.monotonic()
         return self._parts.homes.used_lately(home.id, now=now)
 
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -170,7 +170,7 @@
 
     def __init__(self) -> None:
         self._own_by_upstream: dict[types.UpstreamId, list[Work]] = {}
-        self._told_by_peer: dict[types.EntryVmId, _Told] = {}
+        self._told_by_peer: dict[types.LoadTeller, _Told] = {}
         self._failures_by_upstream: dict[types.UpstreamId, _Decaying] = {}
         self._prefill_by_upstream: dict[types.UpstreamId, _Decaying] = {}
         self._pauses_by_upstream: dict[types.UpstreamId, _Pauses] = {}
@@ -245,7 +245,7 @@
 
     def take_told(
         self,
-        peer: types.EntryVmId,
+        peer: types.LoadTeller,
         loads_by_upstream: Mapping[types.UpstreamId, Load],
         *,
         now: float,
@@ -308,6 +308,19 @@
                     total = total.plus(load)
         return total
 
+    def loads_of(
+        self, peers: Iterable[types.EntryVmId], *, now: float
+    ) -> dict[types.UpstreamId, Load]:
+        """Return the own work and that of `peers` together, by upstream."""
+        sums = self.own_loads(now=now)
+        for peer in peers:
+            told = self._told_by_peer.get(peer)
+            if told is None or now - told.at >= PEER_LOAD_SECONDS:
+                continue
+            for upstream, load in told.loads_by_upstream.items():
+                sums[upstream] = sums.get(upstream, NO_LOAD).plus(load)
+        return sums
+
     def forget_upstreams(self, known: Iterable[types.UpstreamId]) -> None:
         """Drop what is kept of upstreams that are not in `known`."""
         kept = set(known)
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -7,19 +7,24 @@
 """
 
 import asyncio
+import dataclasses
 import hashlib
 import hmac
 import logging
 import random
 import secrets
+from collections.abc import Iterable
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import errors, events, logs, types
 from lagoonrun_platform import http_calls
+from lagoonrun_platform import store as store_module
 from lagoonrun_protocol import codec, messages
 from lagoonrun_router import (
     beliefs,
+    domain_news,
     loads,
+    peer_loads,
     peer_table,
     pressure,
     prompt_homes,
@@ -46,11 +51,10 @@
 _TOLD_MEMBERS = 4
 _FETCH_SECONDS = 1.0
 
-_UPSTREAMS_SECONDS = 0.5
-"""Time between two fetches of the upstreams while the store is out of reach.
-
-An upstream that leaves serves on for two seconds after the store says so;
-half a second here and the way of the news leave a margin."""
+_UPSTREAMS_SECONDS = 0.1
+"""Time between two fetches of the upstreams where the store is not read from
+here. An upstream that leaves serves on for two seconds after the store says
+so; changes that come together are fetched together."""
 
 _TAG_BYTES = 16
 _LARGEST_DATAGRAM_BYTES = 16_384
@@ -107,6 +111,19 @@
         self._sequence = 0
         self._beats_since_told = 0
         self._told_leaving: tuple[types.UpstreamId, ...] = ()
+        self._told_news = (0, 0, False)
+        self._beats_since_far = 0
+        self._domain_news = domain_news.DomainNewsExchange(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            start=self._start,
+            table=table,
+            ledger=ledger,
+            homes=homes,
+            pressed=pressed,
+            domains=domains,
+            send=self._send,
+        )
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
@@ -143,12 +160,15 @@
         now = self._clock.monotonic()
         for lost in self._table.take_lost(now=now):
             self._ledger.forget_peer(lost)
+        self._domain_news.beat(now=now)
+        self._tell_far(now)
         self._beats_since_told += 1
         placements = self._homes.take_untold()
         if not placements and self._beats_since_told < self._wanted_beats():
             return
         quiet = self._beats_since_told >= _QUIET_BEATS
         self._beats_since_told = 0
+        self._told_news = self._news()
         self._ledger.mark_told()
         self._pressed.changed = False
         self._tell(self._state(placements, now=now, quiet=quiet))
@@ -157,10 +177,17 @@
         """Return after how many beats what has changed is worth telling."""
         if self._ledger.urgent_change or self._pressed.changed:
             return 1
+        if self._news() != self._told_news:
+            return 1
         if self._ledger.changed:
             return _CHANGE_BEATS
         return _QUIET_BEATS
 
+    def _news(self) -> tuple[int, int, bool]:
+        """Return what others that do not read the store wait for."""
+        known = self._known
+        return known.revision, known.store_revision, known.follows_store
+
     def _state(
         self,
         placements: dict[str, types.UpstreamId],
@@ -188,24 +215,12 @@
             port=self._settings.peer.port,
             revision=self._known.revision,
             follows_store=self._known.follows_store,
+            store_revision=self._known.store_revision,
             stopping=self.stopping,
             leaving=leaving if tell_leaving else (),
-            loads=tuple(
-                _load_message(upstream, load)
-                for upstream, load in self._ledger.own_loads(now=now).items()
-            ),
-            placements=tuple(
-                messages.PromptPlacement(part=part, upstream=upstream)
-                for part, upstream in placements.items()
-            ),
-            pressed=tuple(
-                messages.PressedTier(
-                    pool=one.pool,
-                    tier=one.tier,
-                    requests=one.requests,
-                )
-                for one in self._pressed.recent(now=now)
-            ),
+            loads=peer_loads.to_messages(self._ledger.own_loads(now=now)),
+            placements=peer_loads.placements(placements),
+            pressed=peer_loads.pressed(self._pressed.recent(now=now)),
             known=self._some_members() if quiet else (),
         )
 
@@ -220,18 +235,33 @@
         )
 
     def _tell(self, state: messages.RouterState) -> None:
+        self._send(state, self._table.told(self._chance) or self._seeds())
+
+    def _seeds(self) -> tuple[settings.Address, ...]:
+        """Return whom to tell while no neighbour is known."""
+        own = self._settings.peer
+        return tuple(seed for seed in self._settings.seeds if seed != own)
+
+    def _tell_far(self, now: float) -> None:
+        """Tell some peer of another failure domain who there is."""
+        self._beats_since_far += 1
+        if self._beats_since_far < _QUIET_BEATS:
+            return
+        self._beats_since_far = 0
+        far = self._table.far_told(self._chance)
+        if far:
+            state = self._state({}, now=now, quiet=True)
+            # Work of this domain is told by its relay.
+            self._send(dataclasses.replace(state, loads=(), pressed=()), far)
+
+    def _send(
+        self,
+        message: messages.RouterState | messages.DomainNews,
+        addresses: Iterable[settings.Address],
+    ) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        addresses = list(self._table.addresses())
-        if self._table.is_large:
-            addresses = self._chance.sample(addresses, peer_table.MOST_TOLD)
-        if not addresses:
-            addresses = [
-                seed
-                for seed in self._settings.seeds
-                if seed != self._settings.peer
-            ]
-        body = codec.encode(state)
+        body = codec.encode(message)
         data = self._tag(body) + body
         for address in addresses:
             self._transport.sendto(data, (address.host, address.port))
@@ -249,10 +279,13 @@
         except errors.LagoonrunError as error:
             self._reject(host, error.detail)
             return
-        if not isinstance(state, messages.RouterState):
+        if isinstance(state, messages.DomainNews):
+            now = self._clock.monotonic()
+            self._domain_news.take(state, host=host, now=now)
+        elif isinstance(state, messages.RouterState):
+            self._take(state, host)
+        else:
             self._reject(host, f"a {type(state).__name__}")
-            return
-        self._take(state, host)
 
     def _take(self, state: messages.RouterState, host: str) -> None:
         now = self._clock.monotonic()
@@ -264,6 +297,9 @@
             start=state.start,
             sequence=state.sequence,
             now=now,
+            domain=state.domain,
+            follows_store=state.follows_store and not state.stopping,
+            stopping=state.stopping,
         )
         if not newer:
             return
@@ -275,7 +311,8 @@
                 )
         for upstream in state.leaving:
             self._directory.take_leaving(upstream, source=state.entry_vm)
-        self._take_loads(state, now)
+        if state.domain == self._settings.domain:
+            self._take_loads(state, now)
         if state.revision > self._known.revision:
             self._fetch_from(state.entry_vm, address)
         if self._should_fetch_upstreams(state):
@@ -283,19 +320,10 @@
 
     def _take_loads(self, state: messages.RouterState, now: float) -> None:
         self._ledger.take_told(
-            state.entry_vm,
-            {told.upstream: _load_of(told) for told in state.loads},
-            now=now,
+            state.entry_vm, peer_loads.from_messages(state.loads), now=now
         )
         self._pressed.take_told(
-            state.entry_vm,
-            tuple(
-                pressure.Pressed(
-                    pool=one.pool, tier=one.tier, requests=one.requests
-                )
-                for one in state.pressed
-            ),
-            now=now,
+            state.entry_vm, peer_loads.pressed_of(state.pressed), now=now
         )
         for placement in state.placements:
             self._homes.take_told(placement.part, placement.upstream, now=now)
@@ -334,12 +362,18 @@
     def _should_fetch_upstreams(self, state: messages.RouterState) -> bool:
         """Return whether a peer knows more of the upstreams.
 
-        One that does not follow the store either knows what this process,
+        One that does not read the store either may know what this process,
         started in an outage, has never read.
         """
         if self._known.follows_store:
             return False
-        return state.follows_store or not self._known.upstreams_known
+        if state.store_revision <= self._known.store_revision:
+            return False
+        # Where neighbours read the store they tell it, without bytes between
+        # failure domains.
+        near = state.domain == self._settings.domain
+        now = self._clock.monotonic()
+        return near or not self._table.watching(now=now)
 
     def _fetch_upstreams_from(
         self, peer: types.EntryVmId, address: settings.Address, now: float
@@ -367,7 +401,8 @@
             return
         if isinstance(told, messages.StoredItems):
             self._known.take_entries_of_peer(
-                {item.key: item.value for item in told.items}
+                {item.key: item.value for item in told.items},
+                store_module.StoreRevision(told.store_revision),
             )
 
     async def _call(
@@ -393,33 +428,6 @@
         return reply.body if reply.status == _OK else None
 
 
-def _load_message(
-    upstream: types.UpstreamId, load: loads.Load
-) -> messages.UpstreamLoad:
-    return messages.UpstreamLoad(
-        upstream=upstream,
-        waiting_by_tier=tuple(map(round, load.waiting_by_tier)),
-        running=load.running,
-        sensitive_hundredths=round(load.sensitive * 100),
-        held_tokens=round(load.held_tokens),
-        pause_milliseconds=round(load.pause_seconds * 1000),
-        pauses_tenths=round(load.pauses * 10),
-        overdue=load.overdue,
-    )
-
-
-def _load_of(told: messages.UpstreamLoad) -> loads.Load:
-    return loads.Load(
-        waiting_by_tier=tuple(map(float, told.waiting_by_tier)),
-        running=told.running,
-        sensitive=told.sensitive_hundredths / 100,
-        held_tokens=float(told.held_tokens),
-        pause_seconds=told.pause_milliseconds / 1000,
-        pauses=told.pauses_tenths / 10,
-        overdue=told.overdue,
-    )
-
-
 class _Receiver(asyncio.DatagramProtocol):
     """Hands datagrams on."""
 
--- a/packages/router/src/lagoonrun_router/pressure.py
+++ b/packages/router/src/lagoonrun_router/pressure.py
@@ -4,7 +4,9 @@
 its prompts would take the place of those that are turned away.
 """
 
+import collections
 import dataclasses
+from collections.abc import Iterable
 
 from lagoonrun_core import types
 
@@ -56,7 +58,7 @@
 
     def __init__(self) -> None:
         self._own_by_place: dict[_Place, list[float]] = {}
-        self._told_by_peer: dict[types.EntryVmId, _Told] = {}
+        self._told_by_peer: dict[types.LoadTeller, _Told] = {}
         self.changed = False
 
     def note(
@@ -69,7 +71,7 @@
 
     def take_told(
         self,
-        peer: types.EntryVmId,
+        peer: types.LoadTeller,
         pressed: tuple[Pressed, ...],
         *,
         now: float,
@@ -92,6 +94,24 @@
         )
         return failed >= LEAST_REQUESTS
 
+    def recent_with(
+        self, peers: Iterable[types.EntryVmId], *, now: float
+    ) -> tuple[Pressed, ...]:
+        """Return what own requests met and those of `peers`, together."""
+        known = [*self.recent(now=now)]
+        for peer in peers:
+            told = self._told_by_peer.get(peer)
+            if told is not None and now - told.at < PRESSURE_SECONDS:
+                known.extend(told.pressed)
+        requests_by_place: collections.Counter[_Place] = collections.Counter()
+        for one in known:
+            place = _Place(pool=one.pool, tier=one.tier)
+            requests_by_place[place] += one.requests
+        return tuple(
+            Pressed(pool=place.pool, tier=place.tier, requests=requests)
+            for place, requests in requests_by_place.items()
+        )
+
     def recent(self, *, now: float) -> tuple[Pressed, ...]:
         """Return what own requests met, for the other entry VMs."""
         for place, times in list(self._own_by_place.items()):
--- a/packages/router/src/lagoonrun_router/prompt_homes.py
+++ b/packages/router/src/lagoonrun_router/prompt_homes.py
@@ -25,6 +25,11 @@
 """Placements in one message to the other entry VMs; fits a datagram."""
 
 
+_MOST_UNRELAYED = 48
+"""Placements of a failure domain that wait to be told to others; several times
+those of a tenth of a second, and few enough for a datagram."""
+
+
 class PromptHomes:
     """Where shared parts were read, by own and by others' placements."""
 
@@ -33,6 +38,9 @@
             str, dict[types.UpstreamId, float]
         ] = collections.OrderedDict()
         self._untold: dict[str, types.UpstreamId] = {}
+        self._unrelayed: collections.OrderedDict[str, types.UpstreamId] = (
+            collections.OrderedDict()
+        )
 
     def place(
         self, part: str, upstream: types.UpstreamId, *, now: float
@@ -44,7 +52,16 @@
     def take_told(
         self, part: str, upstream: types.UpstreamId, *, now: float
     ) -> None:
-        """Record a placement."""
+        """Record a placement of the own failure domain."""
+        self.take_far(part, upstream, now=now)
+        self._unrelayed[part] = upstream
+        if len(self._unrelayed) > _MOST_UNRELAYED:
+            self._unrelayed.popitem(last=False)
+
+    def take_far(
+        self, part: str, upstream: types.UpstreamId, *, now: float
+    ) -> None:
+        """Record a placement of another failure domain."""
         seen = self._seen_by_part.setdefault(part, {})
         seen[upstream] = now
         self._seen_by_part.move_to_end(part)
@@ -61,6 +78,12 @@
         seen = self._seen_by_part.get(part)
         return bool(seen) and now - max(seen.values()) < REUSE_SECONDS
 
+    def take_unrelayed(self) -> dict[str, types.UpstreamId]:
+        """Return the domain's placements that others were not told yet."""
+        told = dict(self._unrelayed)
+        self._unrelayed.clear()
+        return told
+
     def take_untold(self) -> dict[str, types.UpstreamId]:
         """Return placements that others have not been told; they now are."""
         told = {}
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -32,6 +32,7 @@
     retry_budget,
     route_table,
     settings,
+    store_duty,
     store_follower,
     upstreams,
 )
@@ -116,7 +117,9 @@
 
     def _build_knowledge(self) -> None:
         configured = self._settings
-        self._table = peer_table.PeerTable(entry_vm=configured.entry_vm)
+        self._table = peer_table.PeerTable(
+            entry_vm=configured.entry_vm, domain=configured.domain
+        )
         self.beliefs = beliefs.Beliefs(
             layout=self._layout,
             directory=self.directory,
@@ -128,6 +131,13 @@
         self.follower = store_follower.StoreFollower(
             store=self._store, reader=self.beliefs, chance=self._chance
         )
+        self._duty = store_duty.StoreDuty(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            table=self._table,
+            follower=self.follower,
+            clock=self._clock,
+        )
         self._peers = peers.Peers(
             configured=configured,
             key=configured.store.host.encode(),
@@ -247,6 +257,7 @@
             await self._metrics_server.start()
         await self._peers.start()
         await self.follower.start()
+        await self._duty.start()
         self._tasks = [
             asyncio.create_task(self._record_self()),
             asyncio.create_task(self._keep_house()),
@@ -278,6 +289,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._duty.close()
         await self.follower.close()
         await self._caller_server.close()
         await self._peers.close()
@@ -380,7 +392,8 @@
                     items=tuple(
                         messages.StoredItem(key=key, value=value)
                         for key, value in self._known.upstream_entries().items()
-                    )
+                    ),
+                    store_revision=self._known.store_revision,
                 )
             )
         return b""
--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lagoonrun_platform import memory_store
-from lagoonrun_router import retry_budget, router, settings
+from lagoonrun_router import retry_budget, router, settings, store_follower
 from lagoonrun_standins.router_samples import HOST
 from lagoonrun_standins.router_upstream import Upstream, answer_whole
 from lagoonrun_standins.router_words import PlainDialect, PlainLayout
@@ -29,6 +29,20 @@
         await made.close()
 
 
+_SETTLE_SECONDS = 0.05
+
+
+@pytest.fixture(autouse=True)
+def quick_start(monkeypatch):
+    """Have routers watch the store soon after their first reading."""
+    monkeypatch.setattr(store_follower, "_SETTLE_SECONDS", _SETTLE_SECONDS)
+
+
+@pytest.fixture
+def chance():
+    return random.Random(1)
+
+
 @pytest.fixture
 def store():
     return memory_store.MemoryStore()
--- a/packages/router/tests/test_peer_table.py
+++ b/packages/router/tests/test_peer_table.py
@@ -1,5 +1,7 @@
 """Other entry VMs: addresses, silence, overtaken messages."""
 
+import random
+
 import pytest
 
 from lagoonrun_router import peer_table, settings
@@ -10,11 +12,12 @@
 
 @pytest.fixture
 def table():
-    return peer_table.PeerTable(entry_vm="vm-1")
+    return peer_table.PeerTable(entry_vm="vm-1", domain="north")
 
 
-def hear(table, name="vm-2", address=A, start=7, sequence=1, now=0.0):
-    return table.hear(name, address, start=start, sequence=sequence, now=now)
+def hear(table, name="vm-2", address=A, domain="north", **changes):
+    values = {"start": 7, "sequence": 1, "now": 0.0, "domain": domain}
+    return table.hear(name, address, **{**values, **changes})
 
 
 def test_record_in_the_store_is_read_back(table):
@@ -66,6 +69,21 @@
     assert table.sharers(now=100.0) == 1
 
 
+def test_peer_of_another_domain_shares_budgets_although_hardly_heard(table):
+    """It tells this one by chance, in a large fleet once in half a minute."""
+    hear(table, domain="south", now=0.0)
+    assert table.take_lost(now=10.0) == ()
+    assert table.sharers(now=100.0) == 2
+
+
+def test_states_go_to_the_own_domain_and_now_and_then_to_another(table):
+    hear(table, "near", A)
+    hear(table, "far", B, domain="south")
+    chance = random.Random(1)
+    assert table.told(chance) == (A,)
+    assert table.far_told(chance) == (B,)
+
+
 def test_peer_with_a_new_address_is_reached_there(table):
     hear(table, address=A)
     hear(table, address=B, sequence=2)
