Read the settings again when they change; metrics by upstream and store

Cause: SIGHUP was taken and ignored, and a file that changed silently was never read; the catalogue promised event 105. Metrics lacked what an engineer on call asks first: which upstream is loaded, how old the store's news are, how many repeats are left. lagoonrun_store_calls was declared and never fed.

Now the file is looked at once a second and on SIGHUP; seeds, the store's address, the time to stop and the shared allowance take effect, the rest is named as needing a restart; a file that is not valid changes nothing and is said (event 108). Gauges are set when they are asked for; series of upstreams end with them.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -19,6 +19,7 @@
     SETTINGS_RELOADED = (105, "settings-reloaded")
     READINESS_CHANGED = (106, "readiness-changed")
     LOG_LINES_LEFT_OUT = (107, "log-lines-left-out")
+    SETTINGS_REJECTED = (108, "settings-rejected")
 
     REQUEST_ENDED = (200, "request-ended")
     REQUEST_REJECTED = (201, "request-rejected")
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -68,6 +68,10 @@
             self._log(call, ranked, chosen="", refusal=best.value)
             return best
         self._log(call, ranked, chosen=best.candidate.upstream)
+        if request.shared_lately and not best.candidate.has_shared:
+            self._parts.metrics.reread_tokens.labels(call.pool.name).inc(
+                request.shared_tokens
+            )
         self._parts.let_in.note(call.route.profile.name, now=now)
         return Choice(
             upstream=by_id[best.candidate.upstream],
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -229,6 +229,13 @@
             if any(work.new_tokens for work in works)
         }
 
+    def own_running(self) -> dict[types.UpstreamId, int]:
+        """Return how many own requests run at each upstream."""
+        return {
+            upstream: len(works)
+            for upstream, works in self._own_by_upstream.items()
+        }
+
     def _own_load(self, upstream: types.UpstreamId, now: float) -> Load:
         load = _sum_of(self._own_by_upstream.get(upstream, ()), now=now)
         known = self._pauses_by_upstream.get(upstream)
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -87,10 +87,59 @@
             ["state"],
             registry=self.registry,
         )
-        self.store_calls = prometheus_client.Counter(
+        self.reread_tokens = prometheus_client.Counter(
+            "lagoonrun_shared_tokens_read_again",
+            "Tokens of shared prompt parts sent to an upstream that lacks "
+            "them though another has read them a moment ago.",
+            ["pool"],
+            registry=self.registry,
+        )
+        self.budget_left = prometheus_client.Gauge(
+            "lagoonrun_repeats_left",
+            "Sends beyond the first that this entry VM may make now.",
+            ["pool"],
+            registry=self.registry,
+        )
+        self._add_store_metrics()
+        self._add_upstream_metrics()
+
+    def _add_store_metrics(self) -> None:
+        self.store_calls = prometheus_client.Gauge(
             "lagoonrun_store_calls",
-            "Calls to the platform's store, by kind and result.",
-            ["kind", "result"],
+            "Calls to the platform's store since the start, by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.store_age = prometheus_client.Gauge(
+            "lagoonrun_store_age_seconds",
+            "Time since the store answered this entry VM last.",
+            registry=self.registry,
+        )
+        self.store_watched = prometheus_client.Gauge(
+            "lagoonrun_store_watched",
+            "1 while this entry VM reads the store, 0 while others do for it.",
+            registry=self.registry,
+        )
+
+    def _add_upstream_metrics(self) -> None:
+        self.upstream_running = self._upstream_gauge(
+            "running", "Requests at an upstream, of all entry VMs."
+        )
+        self.upstream_own_running = self._upstream_gauge(
+            "own_running", "Requests of this entry VM at an upstream."
+        )
+        self.upstream_waiting_tokens = self._upstream_gauge(
+            "waiting_tokens", "Prompt tokens that wait at an upstream."
+        )
+        self.upstream_failures = self._upstream_gauge(
+            "failures", "Faded number of an upstream's failures."
+        )
+
+    def _upstream_gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"lagoonrun_upstream_{name}",
+            text,
+            ["pool", "upstream"],
             registry=self.registry,
         )
 
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -131,6 +131,10 @@
         self._upstreams_fetched_at = float("-inf")
         self.stopping = False
 
+    def use_seeds(self, seeds: tuple[settings.Address, ...]) -> None:
+        """Replace whom to tell while no neighbour is known."""
+        self._settings = dataclasses.replace(self._settings, seeds=seeds)
+
     async def start(self) -> None:
         """Open the socket and begin to tell."""
         loop = asyncio.get_running_loop()
--- a/packages/router/src/lagoonrun_router/retry_budget.py
+++ b/packages/router/src/lagoonrun_router/retry_budget.py
@@ -57,6 +57,10 @@
             types.PoolName, collections.deque[float]
         ] = collections.defaultdict(collections.deque)
 
+    def use(self, allowance: Allowance) -> None:
+        """Replace what all entry VMs share."""
+        self._allowance = allowance
+
     def share_among(self, entry_vms: int) -> None:
         """Set the number of entry VMs, this one included."""
         self._entry_vms = max(1, entry_vms)
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -1,10 +1,12 @@
 """Assemble one router process: start all tasks, and stop them gracefully."""
 
 import asyncio
+import dataclasses
 import gc
 import random
 import secrets
 import socket
+from collections.abc import Mapping
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, types
@@ -19,6 +21,7 @@
     beliefs,
     declarations,
     dialect,
+    gauges,
     ingress,
     let_in_times,
     loads,
@@ -77,6 +80,8 @@
         Requests and answers on the wire.
     clock, chance
         Sources of time and of choices.
+    store_calls_by_kind
+        Counts of the store's client, for the metrics.
     listening
         Socket of the caller address that listens already; None to open one.
     """
@@ -89,6 +94,7 @@
         layout: dialect.StoreLayout,
         language: dialect.Dialect,
         clock: clocks.Clock | None = None,
+        store_calls_by_kind: Mapping[str, int] | None = None,
         chance: random.Random | None = None,
         listening: socket.socket | None = None,
     ) -> None:
@@ -97,6 +103,7 @@
         self._layout = layout
         self._clock = clock or clocks.SuspendAwareClock()
         self._chance = chance or random.Random(secrets.randbits(64))
+        self._store_calls_by_kind = store_calls_by_kind or {}
         self._stopping = False
         self._was_ready = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -112,6 +119,7 @@
         self._budget = retry_budget.RetryBudget(
             allowance=configured.retry_allowance
         )
+        self._routes: route_table.RouteTable | None = None
         self._build_knowledge()
         self._build_edges(language, listening)
 
@@ -129,7 +137,18 @@
             clock=self._clock,
         )
         self.follower = store_follower.StoreFollower(
-            store=self._store, reader=self.beliefs, chance=self._chance
+            store=self._store,
+            reader=self.beliefs,
+            chance=self._chance,
+            clock=self._clock,
+        )
+        self._gauges = gauges.Gauges(
+            into=self.metrics,
+            directory=self.directory,
+            ledger=self._ledger,
+            peers=self._table,
+            budget=self._budget,
+            follower=self.follower,
         )
         self._duty = store_duty.StoreDuty(
             entry_vm=configured.entry_vm,
@@ -301,8 +320,25 @@
 
     # Changes.
 
+    def use_settings(self, changed: settings.RouterSettings) -> frozenset[str]:
+        """Put new settings into force; return the names that need a restart.
+
+        The store's address is its client's own.
+        """
+        names = settings.changed_names(self._settings, changed)
+        self._settings = dataclasses.replace(
+            self._settings,
+            seeds=changed.seeds,
+            stop_seconds=changed.stop_seconds,
+            retry_allowance=changed.retry_allowance,
+        )
+        self._peers.use_seeds(changed.seeds)
+        self._budget.use(changed.retry_allowance)
+        return names - settings.CHANGEABLE_NAMES
+
     def _put_in_force(self, declared: declarations.Declarations) -> None:
-        self._ingress.use(route_table.RouteTable(declared=declared))
+        self._routes = route_table.RouteTable(declared=declared)
+        self._ingress.use(self._routes)
         self.metrics.revision.set(declared.revision)
         bounds = declared.caller_limits
         self._caller_server.use_limits(
@@ -347,10 +383,12 @@
 
     def metrics_text(self) -> bytes:
         """Return all metrics in the text format."""
-        self.metrics.ready.set(self.ready)
-        self.metrics.peers.set(self.peer_count)
-        for state, count in self.directory.counts_by_state().items():
-            self.metrics.upstreams.labels(state.value).set(count)
+        self._gauges.refresh(
+            now=self._clock.monotonic(),
+            ready=self.ready,
+            table=self._routes,
+            store_calls_by_kind=self._store_calls_by_kind,
+        )
         return self.metrics.text()
 
 
--- a/packages/router/src/lagoonrun_router/settings.py
+++ b/packages/router/src/lagoonrun_router/settings.py
@@ -48,3 +48,20 @@
     store: Address
     stop_seconds: float
     retry_allowance: retry_budget.Allowance
+
+
+CHANGEABLE_NAMES = frozenset(
+    {"seeds", "store", "stop_seconds", "retry_allowance"}
+)
+"""Settings that a running process takes over; sockets stay where they are."""
+
+
+def changed_names(
+    before: RouterSettings, after: RouterSettings
+) -> frozenset[str]:
+    """Return the names of the settings in which two differ."""
+    return frozenset(
+        field.name
+        for field in dataclasses.fields(RouterSettings)
+        if getattr(before, field.name) != getattr(after, field.name)
+    )
--- a/packages/router/src/lagoonrun_router/store_follower.py
+++ b/packages/router/src/lagoonrun_router/store_follower.py
@@ -13,6 +13,7 @@
 import random
 from typing import Protocol
 
+from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs
 from lagoonrun_platform import store as store_module
 
@@ -93,6 +94,8 @@
         Receives it.
     chance
         Source of the jitter.
+    clock
+        Dates the store's answers.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         store: store_module.KeyValueStore,
         reader: StoreReader,
         chance: random.Random,
+        clock: clocks.Clock,
     ) -> None:
         self._store = store
         self._reader = reader
@@ -109,7 +113,10 @@
         self._settled = False
         self._pause_seconds = _FIRST_PAUSE_SECONDS
         self._task: asyncio.Task[None] | None = None
+        self._clock = clock
         self.duty = Duty.ALONE
+        self.heard_at: float | None = None
+        """When the store answered last; None for never."""
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -145,6 +152,7 @@
                 await asyncio.sleep(self._next_pause())
                 continue
             self._note_regained()
+            self.heard_at = self._clock.monotonic()
             self._reader.take_listing(listing.items, listing.revision)
             if not self._settled:
                 self._settled = True
@@ -164,6 +172,7 @@
         async for message in watch:
             if not isinstance(message, store_module.WatchBatch):
                 return
+            self.heard_at = self._clock.monotonic()
             for event in message.events:
                 self._reader.take_event(event)
             if message.events:
--- a/packages/router/tests/test_router.py
+++ b/packages/router/tests/test_router.py
@@ -41,6 +41,23 @@
     text = (await get(world.settings.metrics, "/metrics")).body.decode()
     assert "lagoonrun_ready 1.0" in text
     assert 'outcome="complete"' in text
+    assert (
+        'lagoonrun_upstream_own_running{pool="portal",upstream="u-1"}' in text
+    )
+    assert 'lagoonrun_repeats_left{pool="portal"}' in text
+    assert "lagoonrun_store_age_seconds" in text
+
+
+async def test_metrics_of_an_upstream_end_with_it(world):
+    """Upstreams come and go all day; their series must not pile up."""
+    await world.add_upstream(id="gone")
+    await world.add_upstream(id="stays")
+    await world.ready()
+    assert 'upstream="gone"' in world.router.metrics_text().decode()
+    world.router.directory.take_gone("gone", source="test")
+    text = world.router.metrics_text().decode()
+    assert 'upstream="gone"' not in text
+    assert 'upstream="stays"' in text
 
 
 async def test_planned_stop_cuts_nothing_and_sends_callers_away(world):
--- a/packages/router/tests/test_store_duty.py
+++ b/packages/router/tests/test_store_duty.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lagoonrun_core import clock as clocks
 from lagoonrun_router import store_duty, store_follower, upstreams
 from lagoonrun_router.store_follower import Duty
 from lagoonrun_standins.router_world import wait_for
@@ -78,7 +79,10 @@
 @pytest.fixture
 async def follower(store, chance):
     made = store_follower.StoreFollower(
-        store=store, reader=Reader(), chance=chance
+        store=store,
+        reader=Reader(),
+        chance=chance,
+        clock=clocks.SystemClock(),
     )
     await made.start()
     yield made
--- a/tests/users_platform/conftest.py
+++ b/tests/users_platform/conftest.py
@@ -203,6 +203,15 @@
     await made.close()
 
 
+@pytest.fixture
+async def other_stand_in():
+    """Return another such store."""
+    made = StandInStore()
+    await made.start()
+    yield made
+    await made.close()
+
+
 @pytest.fixture
 async def client(stand_in):
     """Return the client under test, connected to the stand-in."""
--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -140,3 +140,11 @@
     await client.get("a")
     await client.list_prefix("")
     assert client.calls_by_kind == {"kv-key": 1, "kv-range": 1}
+
+
+async def test_calls_go_to_a_new_address(stand_in, other_stand_in, client):
+    """The platform moves its store while the process runs."""
+    await put(other_stand_in.memory, "moved")
+    client.use_address(other_stand_in.address)
+    assert (await client.get("moved")).found is not None
+    assert stand_in.targets == []
