Soak the real programs under faults from outside

The program with one promise broken on purpose is found for all eight; the tests of the suite hold it to that.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/installed
 
-.PHONY: bench-configuration install demo test lint format bench-path bench-policy bench-capacity
+.PHONY: soak bench-configuration install demo test lint format bench-path bench-policy bench-capacity
 
 install: $(STAMP)
 
@@ -41,5 +41,10 @@
 bench-capacity: install
 	$(BIN)/python -m lagoonrun_standins.bench_capacity
 
+# Fifty soaks with seeds from SEED on; logs of broken ones stay in /tmp.
+SEED ?= 1
+soak: install
+	$(BIN)/python -m lagoonrun_soak.main --seed $(SEED) --seeds 50
+
 bench-configuration: install
 	$(BIN)/python -m lagoonrun_standins.bench_configuration
--- /dev/null
+++ b/packages/soak/src/lagoonrun_soak/layout.py
@@ -0,0 +1,219 @@
+"""Addresses, classes and declarations of the soak's deployment."""
+
+import dataclasses
+import hashlib
+import os
+
+from lagoonrun_config import model
+from lagoonrun_core import types
+from lagoonrun_router import declarations, retry_budget, settings, upstreams
+
+CALLER_PORT = 8227
+READINESS_PORT = 8220
+PEER_PORT = 7340
+STORE_PORT = 8223
+UPSTREAM_PORT = 9000
+
+STOP_SECONDS = 8.0
+"""Time from the signal to stop until an entry VM is killed."""
+
+HOST = "soak.test"
+PLAIN = types.PoolName("portal")
+ENGINES = types.PoolName("readers")
+ORGANISATION = types.OrganisationId("house")
+STABLE_KEY = "key-stable"
+DOMAINS = (types.FailureDomain("north"), types.FailureDomain("south"))
+
+EVENTS = 8
+"""Events of a stream: long enough that faults hit it on its way."""
+
+ENGINE_SLOTS = 6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestKind:
+    """One class of requests, as callers send it."""
+
+    route: declarations.Route
+    prompt_tokens: int = 0
+
+    @property
+    def name(self) -> str:
+        """Name of the route and of the class."""
+        return self.route.name
+
+    @property
+    def once(self) -> bool:
+        """Whether a request runs once at most."""
+        return not (self.route.profile.idempotent or self.route.resumable)
+
+    @property
+    def streamed(self) -> bool:
+        """Whether the answer is a series of events."""
+        return self.route.answer_kind is declarations.AnswerKind.EVENTS
+
+
+def _route(
+    name: str,
+    *,
+    tier: int,
+    pool: types.PoolName = PLAIN,
+    idempotent: bool = False,
+    streamed: bool = False,
+    resumable: bool = False,
+) -> declarations.Route:
+    return declarations.Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        profile=model.Profile(
+            name=types.ProfileName(name),
+            tier=types.Tier(tier),
+            target_seconds=0.5,
+            limit_seconds=5.0 if streamed else 2.0,
+            idempotent=idempotent,
+            maximum_attempts=2,
+            target_kind=model.TargetKind.FIRST_TOKEN
+            if streamed
+            else model.TargetKind.TOTAL,
+        ),
+        destinations=(declarations.Destination(pool=pool),),
+        answer_kind=declarations.AnswerKind.EVENTS
+        if streamed
+        else declarations.AnswerKind.WHOLE,
+        resumable=resumable,
+        longest_pause_seconds=0.5 if streamed else None,
+    )
+
+
+LOOKUP = RequestKind(route=_route("lookup", tier=1))
+CHECK = RequestKind(route=_route("check", tier=2, idempotent=True))
+ASK = RequestKind(
+    route=_route("ask", tier=1, pool=ENGINES, streamed=True),
+    prompt_tokens=1000,
+)
+SUMMARY = RequestKind(
+    route=_route(
+        "summary", tier=3, pool=ENGINES, streamed=True, resumable=True
+    ),
+    prompt_tokens=6000,
+)
+KINDS_BY_NAME = {kind.name: kind for kind in (LOOKUP, CHECK, ASK, SUMMARY)}
+
+
+def key_of(revision: int) -> str:
+    """Return the key that a revision of the declarations adds."""
+    return f"key-of-{revision}"
+
+
+def keys_at(revision: int) -> tuple[str, ...]:
+    """Return all keys of a revision: each adds one, none goes."""
+    return (STABLE_KEY, *(key_of(one) for one in range(1, revision + 1)))
+
+
+def declarations_at(revision: int) -> declarations.Declarations:
+    """Return a revision of the declarations."""
+    return declarations.Declarations(
+        revision=types.Revision(revision),
+        routes=tuple(kind.route for kind in KINDS_BY_NAME.values()),
+        pools_by_name={
+            PLAIN: declarations.Pool(name=PLAIN, maximum_connections=200),
+            ENGINES: declarations.Pool(
+                name=ENGINES,
+                maximum_connections=200,
+                engine=declarations.Engine(
+                    slots=ENGINE_SLOTS, cache_tokens=100_000
+                ),
+            ),
+        },
+        organisations_by_id={
+            ORGANISATION: declarations.RankedOrganisation(
+                id=ORGANISATION,
+                key_digests=tuple(
+                    hashlib.sha256(key.encode()).hexdigest()
+                    for key in keys_at(revision)
+                ),
+            )
+        },
+        caller_limits=declarations.CallerLimits(
+            header_bytes=16_384,
+            body_bytes=100_000,
+            header_read_seconds=3.0,
+            idle_seconds=15.0,
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Network:
+    """Loopback addresses of one soak; several run side by side.
+
+    Parameters
+    ----------
+    octet
+        Second number of all addresses.
+    """
+
+    octet: int
+
+    @classmethod
+    def of_process(cls) -> "Network":
+        """Return the network of this process."""
+        return cls(octet=20 + os.getpid() % 200)
+
+    def _address(self, group: int, index: int, port: int) -> settings.Address:
+        return settings.Address(
+            host=f"127.{self.octet}.{group}.{index + 1}", port=port
+        )
+
+    @property
+    def store(self) -> settings.Address:
+        """Where the store listens, behind the links."""
+        return self._address(1, 0, STORE_PORT)
+
+    def store_link(self, vm: int) -> settings.Address:
+        """Return where one entry VM reaches the store."""
+        return self._address(2, vm, STORE_PORT)
+
+    def upstream_link(self, index: int) -> settings.Address:
+        """Return where entry VMs reach an upstream."""
+        return self._address(3, index, UPSTREAM_PORT)
+
+    def upstream(self, index: int) -> settings.Address:
+        """Return where an upstream listens, behind its link."""
+        return self._address(4, index, UPSTREAM_PORT)
+
+    def peer(self, vm: int) -> settings.Address:
+        """Return where an entry VM hears the others."""
+        return self._address(0, vm, PEER_PORT)
+
+    def settings_of(self, vm: int, *, vms: int) -> settings.RouterSettings:
+        """Return the settings of one entry VM of a fleet."""
+        return settings.RouterSettings(
+            entry_vm=types.EntryVmId(f"vm-{vm}"),
+            domain=DOMAINS[vm % len(DOMAINS)],
+            caller=self._address(0, vm, CALLER_PORT),
+            readiness=self._address(0, vm, READINESS_PORT),
+            peer=self.peer(vm),
+            metrics=None,
+            seeds=tuple(self.peer(one) for one in range(min(vms, 3))),
+            store=self.store_link(vm),
+            stop_seconds=STOP_SECONDS,
+            retry_allowance=retry_budget.Allowance(
+                ratio=0.2, window_seconds=10.0, fixed=50.0
+            ),
+        )
+
+    def registration(
+        self, index: int, pool: types.PoolName
+    ) -> upstreams.Registration:
+        """Return the registration of the upstream with a number."""
+        link = self.upstream_link(index)
+        return upstreams.Registration(
+            id=types.UpstreamId(f"u-{index}"),
+            pool=pool,
+            domain=DOMAINS[index % len(DOMAINS)],
+            host=link.host,
+            port=link.port,
+            slots=ENGINE_SLOTS if pool == ENGINES else 16,
+        )
--- /dev/null
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -0,0 +1,170 @@
+"""The entry VM's program with one promise broken on purpose.
+
+A soak that does not notice these proves nothing. Only the soak runs this.
+"""
+
+import asyncio
+import enum
+import sys
+
+from lagoonrun_core import outcomes
+from lagoonrun_http import exchange as exchanges
+from lagoonrun_router import (
+    admission,
+    answers,
+    attempt,
+    beliefs,
+    declarations,
+    execution,
+    retrying,
+    router,
+    upstreams,
+)
+from lagoonrun_users_platform import main
+
+_REVERT_SECONDS = 1.0
+
+
+class Planted(enum.Enum):
+    """Which promise is broken."""
+
+    ONCE = "once"
+    OWN_ANSWER = "own-answer"
+    NOT_RUN = "not-run"
+    LEAVING = "leaving"
+    PLANNED_STOP = "planned-stop"
+    NO_REVERT = "no-revert"
+    IN_FORCE = "in-force"
+    TIERS = "tiers"
+
+
+def plant(planted: Planted) -> None:
+    """Break one promise in this process."""
+    _BREAKS[planted]()
+
+
+def _break_once() -> None:
+    """Send whatever was lost to another upstream."""
+
+    def decide(call, lost, sends, *, now):
+        del call, lost, now
+        if sends.reached > 2:
+            return retrying.Verdict.END
+        return retrying.Verdict.FREE
+
+    retrying.decide = decide
+
+
+def _break_own_answer() -> None:
+    """Cut the last byte off, as if the answer were whole."""
+    sound = answers.pass_on
+
+    async def pass_on(
+        exchange: exchanges.Exchange, answer: attempt.WholeAnswer, **more
+    ) -> outcomes.Ending:
+        cut = attempt.WholeAnswer(head=answer.head, body=answer.body[:-1])
+        return await sound(exchange, cut, **more)
+
+    answers.pass_on = pass_on
+
+
+def _break_not_run() -> None:
+    """Say of each failed request that it has not run."""
+
+    def unanswered(self, reason, detail, upstream):
+        del self
+        return outcomes.Ending(
+            outcome=outcomes.Outcome.NOT_RUN,
+            reason=reason,
+            detail=detail,
+            upstream=upstream,
+            retry_after_seconds=0.1,
+        )
+
+    execution.CallExecution._unanswered = unanswered
+
+
+def _break_leaving() -> None:
+    """Go on sending to upstreams that leave."""
+    directory = upstreams.UpstreamDirectory
+    directory.may_send = lambda self, upstream, *, now: True
+    directory.usable = lambda self, pool, *, now: tuple(
+        one for one in self.registrations if one.pool == pool
+    )
+    directory.take_removal = lambda self, upstream, *, now: None
+
+
+def _break_planned_stop() -> None:
+    """End at once."""
+
+    async def stop(self) -> int:
+        await self.close()
+        return 0
+
+    router.Router.stop = stop
+
+
+def _break_no_revert() -> None:
+    """Put the declarations of before into force again after a while."""
+    sound = beliefs.Beliefs.__init__
+
+    def init(self, *, on_declarations, **more) -> None:
+        before: list[declarations.Declarations] = []
+
+        def take(declared: declarations.Declarations) -> None:
+            on_declarations(declared)
+            if before:
+                asyncio.get_running_loop().call_later(
+                    _REVERT_SECONDS, on_declarations, before[-1]
+                )
+            before.append(declared)
+
+        sound(self, on_declarations=take, **more)
+
+    beliefs.Beliefs.__init__ = init
+
+
+def _break_in_force() -> None:
+    """Take only the first declarations."""
+    sound = beliefs.Beliefs.take_declarations
+
+    def take(self, value, *, source) -> None:
+        if not self.revision:
+            sound(self, value, source=source)
+
+    beliefs.Beliefs.take_declarations = take
+
+
+def _break_tiers() -> None:
+    """Leave the most room to the lowest tier."""
+    sound = admission.share_of
+
+    def share_of(tier, tiers):
+        ordered = sorted({*tiers, tier})
+        mirrored = ordered[-1 - ordered.index(tier)]
+        return sound(mirrored, tiers) if mirrored != ordered[0] else 1.0
+
+    def admit(standing, ranked):
+        if standing.tier == min(standing.tiers):
+            return admission.Refusal.NO_ROOM
+        return ranked[0]
+
+    admission.share_of = share_of
+    admission.admit = admit
+
+
+_BREAKS = {
+    Planted.ONCE: _break_once,
+    Planted.OWN_ANSWER: _break_own_answer,
+    Planted.NOT_RUN: _break_not_run,
+    Planted.LEAVING: _break_leaving,
+    Planted.PLANNED_STOP: _break_planned_stop,
+    Planted.NO_REVERT: _break_no_revert,
+    Planted.IN_FORCE: _break_in_force,
+    Planted.TIERS: _break_tiers,
+}
+
+
+if __name__ == "__main__":
+    plant(Planted(sys.argv[1]))
+    sys.exit(main.run())
--- /dev/null
+++ b/packages/soak/src/lagoonrun_soak/soak.py
@@ -0,0 +1,87 @@
+"""One soak: a fleet, faults by a seed, and the promises checked at the end."""
+
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import random
+
+from lagoonrun_soak import checks, faults, fleet, layout
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+    """What a soak does.
+
+    Parameters
+    ----------
+    seed
+        Of all choices.
+    seconds
+        How long faults are injected.
+    vms
+        Entry VMs.
+    planted
+        Promise that is broken on purpose; empty for none.
+    kinds
+        Faults that may come.
+    """
+
+    seed: int
+    seconds: float
+    vms: int
+    planted: str = ""
+    kinds: tuple[faults.FaultKind, ...] = tuple(faults.FaultKind)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What a soak found.
+
+    Parameters
+    ----------
+    asks
+        Requests by class and status; status 0 is no answer.
+    faults
+        What happened, with the time.
+    """
+
+    violations: tuple[checks.Violation, ...]
+    asks: collections.Counter[str]
+    faults: tuple[str, ...]
+
+
+_CALM_SECONDS = 1.0
+"""Before the first fault, and after the last for answers on their way."""
+
+
+async def run(plan: Plan, *, folder: pathlib.Path) -> Outcome:
+    """Run one soak; its logs and settings are left in `folder`."""
+    chance = random.Random(plan.seed)
+    world = fleet.Fleet(
+        network=layout.Network.of_process(),
+        vms=plan.vms,
+        folder=folder,
+        chance=chance,
+        planted=plan.planted,
+    )
+    injector = faults.FaultInjector(
+        world=world, chance=chance, kinds=plan.kinds
+    )
+    try:
+        await world.start()
+        await asyncio.sleep(_CALM_SECONDS)
+        await injector.start()
+        await asyncio.sleep(plan.seconds)
+        await injector.close()
+        await asyncio.sleep(_CALM_SECONDS)
+    finally:
+        await world.close()
+    seen = world.seen
+    return Outcome(
+        violations=tuple(checks.check(seen)),
+        asks=collections.Counter(
+            f"{ask.kind} {ask.status}" for ask in seen.asks_by_id.values()
+        ),
+        faults=tuple(seen.faults),
+    )
--- /dev/null
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -0,0 +1,145 @@
+"""An upstream of the soak: answers by the request's id and notes each run."""
+
+import asyncio
+import collections
+import time
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import types
+from lagoonrun_http import errors as http_errors
+from lagoonrun_http import exchange as exchanges
+from lagoonrun_http import limits as http_limits
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import server as http_server
+from lagoonrun_router import settings, upstreams
+from lagoonrun_soak import layout, record
+from lagoonrun_users_platform import standin_words
+
+_PLAIN_WORK_SECONDS = 0.03
+_EVENT_SECONDS = 0.06
+_QUEUED = 4
+"""Requests above the slots that wait; further ones are refused as not run.
+
+Less urgent ones don't count: an engine lets more urgent ones in before them.
+"""
+
+
+def whole_body(request_id: str) -> bytes:
+    """Return the only right body of a plain answer."""
+    return f"answer to {request_id}".encode()
+
+
+def event(request_id: str, number: int) -> bytes:
+    """Return one event of a stream, the first is 1."""
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+class SoakUpstream:
+    """One upstream process's stand-in.
+
+    Parameters
+    ----------
+    registration
+        What it says of itself.
+    address
+        Where it listens, behind its link.
+    seen
+        Where runs are noted.
+    """
+
+    def __init__(
+        self,
+        *,
+        registration: upstreams.Registration,
+        address: settings.Address,
+        seen: record.Record,
+    ) -> None:
+        self.registration = registration
+        self._seen = seen
+        self._running_by_urgency: collections.Counter[int] = (
+            collections.Counter()
+        )
+        self._slots = asyncio.Semaphore(registration.slots)
+        self._server = http_server.HttpServer(
+            host=address.host,
+            port=address.port,
+            limits=http_limits.ServerLimits(),
+            handler=self,
+            clock=clocks.SystemClock(),
+        )
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """End at once, as a crash does."""
+        await self._server.close()
+
+    async def handle(self, exchange: exchanges.Exchange) -> None:
+        """Run one request, or say that it was not run."""
+        await exchange.read_body()
+        request = standin_words.read_request(exchange.head)
+        if request.expected != self.registration.id:
+            await self._refuse(exchange, request.request_id, status=421)
+            return
+        before = sum(
+            count
+            for urgency, count in self._running_by_urgency.items()
+            if urgency <= request.urgency
+        )
+        if before >= self.registration.slots + _QUEUED:
+            await self._refuse(exchange, request.request_id, status=503)
+            return
+        self._running_by_urgency[request.urgency] += 1
+        try:
+            async with self._slots:
+                await self._run(exchange, request)
+        except http_errors.CallerLeftError:
+            # Whoever sent it has gone; the work ends with the connection.
+            return
+        finally:
+            self._running_by_urgency[request.urgency] -= 1
+
+    async def _refuse(
+        self,
+        exchange: exchanges.Exchange,
+        request_id: types.RequestId,
+        *,
+        status: int,
+    ) -> None:
+        headers = standin_words.not_run_headers(request_id)
+        await exchange.respond(status=status, headers=headers, body=b"")
+
+    async def _run(
+        self,
+        exchange: exchanges.Exchange,
+        request: standin_words.UpstreamRequest,
+    ) -> None:
+        id = request.request_id
+        kind = exchange.head.target.split("/")[1]
+        self._seen.runs_by_id[id].append(
+            record.Run(
+                id=id,
+                upstream=self.registration.id,
+                at=time.monotonic(),
+                kind=kind,
+            )
+        )
+        headers = standin_words.answer_headers(id)
+        if not layout.KINDS_BY_NAME[kind].streamed:
+            await asyncio.sleep(_PLAIN_WORK_SECONDS)
+            await exchange.respond(
+                status=200, headers=headers, body=whole_body(id)
+            )
+            return
+        await exchange.start(
+            http_messages.ResponseHead(
+                status=200,
+                headers=headers.with_added("Content-Type", "text/event-stream"),
+            )
+        )
+        for number in range(request.resumes_after + 1, layout.EVENTS + 1):
+            await asyncio.sleep(_EVENT_SECONDS)
+            await exchange.send(event(id, number))
+        await exchange.finish()
--- /dev/null
+++ b/packages/soak/src/lagoonrun_soak/vm.py
@@ -0,0 +1,158 @@
+"""One entry VM: the real program as a process, ended by its id only."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import time
+from typing import BinaryIO
+
+from lagoonrun_router import settings
+from lagoonrun_users_platform import settings_file, standin_words
+
+PROGRAM = "lagoonrun_users_platform.main"
+PLANTED_PROGRAM = "lagoonrun_soak.planted"
+
+_POLL_SECONDS = 0.5
+_POLL_TIMEOUT_SECONDS = 0.4
+_MISSES = 2
+_END_SECONDS = 3.0
+
+
+class EntryVm:
+    """A process that is started, stopped, paused and killed by signals.
+
+    Parameters
+    ----------
+    configured
+        Its settings.
+    folder
+        Where its settings and its log are.
+    planted
+        Fault that is planted into the program; empty for none.
+
+    Attributes
+    ----------
+    boot
+        How many times it was started.
+    in_rotation
+        Whether the balancer sends new connections here.
+    """
+
+    def __init__(
+        self,
+        *,
+        configured: settings.RouterSettings,
+        folder: pathlib.Path,
+        planted: str = "",
+    ) -> None:
+        self.configured = configured
+        self.name = str(configured.entry_vm)
+        self._folder = folder
+        self._planted = planted
+        self._process: asyncio.subprocess.Process | None = None
+        self._poller: asyncio.Task[None] | None = None
+        self.boot = 0
+        self.in_rotation = False
+
+    @property
+    def _settings_path(self) -> pathlib.Path:
+        return self._folder / f"{self.name}.toml"
+
+    async def start(self) -> None:
+        """Start the program."""
+        self.write_settings("")
+        module = (
+            [PLANTED_PROGRAM, self._planted] if self._planted else [PROGRAM]
+        )
+        with self._open_log() as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *module,
+                env={
+                    **os.environ,
+                    settings_file.PATH_VARIABLE: str(self._settings_path),
+                },
+                stdout=log,
+                stderr=log,
+            )
+        self.boot += 1
+        if self._poller is None:
+            self._poller = asyncio.create_task(self._poll())
+
+    def _open_log(self) -> BinaryIO:
+        return open(self._folder / f"{self.name}.log", "ab")
+
+    def write_settings(self, comment: str) -> None:
+        """Write the settings file, with a comment that changes it."""
+        text = standin_words.settings_text(self.configured)
+        self._settings_path.write_text(f"# {comment}\n{text}", encoding="utf-8")
+
+    def send(self, number: signal.Signals) -> None:
+        """Send the process a signal; one that has ended gets none."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def ended(self, seconds: float) -> bool:
+        """Wait for the process's end; return whether it came in time."""
+        if self._process is None:
+            return True
+        try:
+            async with asyncio.timeout(seconds):
+                await self._process.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """End the process and the balancer's questions."""
+        if self._poller is not None:
+            self._poller.cancel()
+            await asyncio.gather(self._poller, return_exceptions=True)
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.ended(_END_SECONDS)
+
+    async def _poll(self) -> None:
+        """Ask whether callers may come, as the platform's balancer does."""
+        misses = _MISSES
+        while True:
+            misses = 0 if await self._is_ready() else misses + 1
+            self.in_rotation = misses < _MISSES
+            await asyncio.sleep(_POLL_SECONDS)
+
+    async def _is_ready(self) -> bool:
+        address = self.configured.readiness
+        writer = None
+        try:
+            async with asyncio.timeout(_POLL_TIMEOUT_SECONDS):
+                reader, writer = await asyncio.open_connection(
+                    address.host, address.port
+                )
+                writer.write(b"GET /ready HTTP/1.1\r\nHost: vm\r\n\r\n")
+                status = await reader.readline()
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+        return b" 200 " in status
+
+
+async def wait_until_ready(vms: list[EntryVm], *, seconds: float) -> None:
+    """Wait until all entry VMs take callers.
+
+    Raises
+    ------
+    TimeoutError
+        If one does not in time.
+    """
+    ends_at = time.monotonic() + seconds
+    while not all(vm.in_rotation for vm in vms):
+        if time.monotonic() > ends_at:
+            raise TimeoutError(f"not all of {len(vms)} entry VMs are ready")
+        with contextlib.suppress(TimeoutError):
+            await asyncio.sleep(0.05)
--- /dev/null
+++ b/packages/soak/tests/test_link.py
@@ -0,0 +1,76 @@
+"""Links on loopback: each state does to the bytes what its name says."""
+
+import asyncio
+import random
+
+import pytest
+
+from lagoonrun_router import settings
+from lagoonrun_soak.link import FaultyLink, LinkState
+from lagoonrun_standins.router_world import free_ports
+
+HOST = "127.0.0.1"
+SHORT_SECONDS = 0.2
+
+
+@pytest.fixture
+async def faulty():
+    """Return a link to a server that echoes what it gets."""
+
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+
+    ports = free_ports(2)
+    server = await asyncio.start_server(echo, HOST, ports[1])
+    made = FaultyLink(
+        listen=settings.Address(host=HOST, port=ports[0]),
+        target=settings.Address(host=HOST, port=ports[1]),
+        chance=random.Random(1),
+    )
+    await made.start()
+    made.port = ports[0]
+    yield made
+    await made.close()
+    server.close()
+
+
+async def answer_of(reader, writer):
+    writer.write(b"x")
+    async with asyncio.timeout(SHORT_SECONDS):
+        return await reader.read(1)
+
+
+async def test_sound_and_delayed_links_pass_everything(faulty):
+    reader, writer = await asyncio.open_connection(HOST, faulty.port)
+    assert await answer_of(reader, writer) == b"x"
+    faulty.use(LinkState.DELAYED)
+    writer.write(b"y")
+    assert await reader.read(1) == b"y"
+    writer.close()
+
+
+async def test_reset_ends_open_connections_and_new_ones(faulty):
+    reader, writer = await asyncio.open_connection(HOST, faulty.port)
+    assert await answer_of(reader, writer) == b"x"
+    faulty.use(LinkState.RESET)
+    with pytest.raises(ConnectionError):
+        await answer_of(reader, writer)
+    reader, writer = await asyncio.open_connection(HOST, faulty.port)
+    with pytest.raises(ConnectionError):
+        await reader.readexactly(1)
+
+
+@pytest.mark.parametrize("state", [LinkState.SILENT, LinkState.ONE_WAY])
+async def test_silent_connection_stays_silent_and_new_ones_work(faulty, state):
+    """A connection goes silent for good, without a reset."""
+    reader, writer = await asyncio.open_connection(HOST, faulty.port)
+    assert await answer_of(reader, writer) == b"x"
+    faulty.use(state)
+    faulty.use(LinkState.SOUND)
+    with pytest.raises(TimeoutError):
+        await answer_of(reader, writer)
+    other = await asyncio.open_connection(HOST, faulty.port)
+    assert await answer_of(*other) == b"x"
+    for one in (writer, other[1]):
+        one.close()
--- /dev/null
+++ b/packages/soak/tests/test_soak.py
@@ -0,0 +1,65 @@
+"""The soak itself: it keeps quiet on the product, and finds what is planted.
+
+Promises are broken on purpose in the real program, one at a time, and the
+faults that show it are injected. A soak that misses one proves nothing.
+"""
+
+import pytest
+
+from lagoonrun_soak import checks, faults, soak
+from lagoonrun_soak.faults import FaultKind
+from lagoonrun_soak.planted import Planted
+
+FAULTS_BY_PLANTED = {
+    Planted.ONCE: (FaultKind.UPSTREAM_LINK, FaultKind.UPSTREAM_CRASHED),
+    Planted.OWN_ANSWER: (FaultKind.DECLARED,),
+    Planted.NOT_RUN: (FaultKind.UPSTREAM_LINK, FaultKind.UPSTREAM_CRASHED),
+    Planted.LEAVING: (FaultKind.UPSTREAM_LEAVES,),
+    Planted.PLANNED_STOP: (FaultKind.VM_STOPPED,),
+    Planted.NO_REVERT: (FaultKind.DECLARED,),
+    Planted.IN_FORCE: (FaultKind.DECLARED,),
+    Planted.TIERS: (FaultKind.BURST,),
+}
+
+SECONDS = 7.0
+"""Long enough for what takes three seconds to count as overdue."""
+
+
+async def run(tmp_path, seed=1, **changes):
+    values = {"seed": seed, "seconds": SECONDS, "vms": 3}
+    plan = soak.Plan(**{**values, **changes})
+    return await soak.run(plan, folder=tmp_path)
+
+
+@pytest.mark.parametrize("planted", list(Planted))
+async def test_planted_fault_is_found(planted, tmp_path):
+    found = await run(
+        tmp_path, planted=planted.value, kinds=FAULTS_BY_PLANTED[planted]
+    )
+    promise = checks.Promise(planted.value)
+    assert promise in {one.promise for one in found.violations}
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+async def test_short_soak_finds_nothing(seed, tmp_path):
+    found = await run(tmp_path, seed=seed)
+    assert found.violations == ()
+    assert len(found.faults) > 2
+    assert found.asks["lookup 200"] > 50
+
+
+@pytest.mark.parametrize("kind", [FaultKind.VM_STOPPED, FaultKind.BURST])
+async def test_single_fault_in_series_breaks_nothing(kind, tmp_path):
+    found = await run(tmp_path, kinds=(kind,))
+    assert found.violations == ()
+
+
+def test_every_planted_promise_is_checked():
+    assert {one.value for one in Planted} == {
+        one.value for one in checks.Promise
+    }
+    assert set(FAULTS_BY_PLANTED) == set(Planted)
+    assert (
+        faults.FaultKind.VM_KILLED
+        in soak.Plan(seed=1, seconds=1.0, vms=2).kinds
+    )
