Keep the router's tasks alive after a fault, and log it

Cause: an unforeseen error in the task that follows the store, tells the peers or keeps house ended it in silence; the entry VM would have served on with what it knew. Seen on the way of a refactoring (a message type that the codec did not know): the peers fell silent and no line said why.

StandingTask of core logs event 104 with the trace and begins anew after a second; six tasks of the router use it in place of their own handling.

--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import errors, events, logs, types
+from lagoonrun_core import errors, events, logs, standing_task, types
 from lagoonrun_protocol import codec, router_messages
 from lagoonrun_router import (
     beliefs,
@@ -111,7 +111,9 @@
             send=self._send,
         )
         self._transport: asyncio.DatagramTransport | None = None
-        self._timer: asyncio.Task[None] | None = None
+        self._timer = standing_task.StandingTask(
+            name="peers", function=self._run
+        )
         self._fetcher = peer_fetch.PeerFetcher(
             domain=configured.domain, table=table, known=known, clock=clock
         )
@@ -128,13 +130,11 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(owner=self), local_addr=(own.host, own.port)
         )
-        self._timer = asyncio.create_task(self._run())
+        self._timer.start()
 
     async def close(self) -> None:
         """Stop telling and hearing."""
-        if self._timer is not None:
-            self._timer.cancel()
-            await asyncio.gather(self._timer, return_exceptions=True)
+        await self._timer.close()
         await self._fetcher.close()
         if self._transport is not None:
             self._transport.close()
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import events, logs, types
+from lagoonrun_core import events, logs, standing_task, types
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import server as http_server
@@ -105,7 +105,14 @@
         self._store_calls_by_kind = store_calls_by_kind or {}
         self._stopping = False
         self._was_ready = False
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = (
+            standing_task.StandingTask(
+                name="own-record", function=self._record_self
+            ),
+            standing_task.StandingTask(
+                name="house-keeping", function=self._keep_house
+            ),
+        )
         self.metrics = metrics.RouterMetrics()
         self.directory = upstreams.UpstreamDirectory()
         self._ledger = loads.LoadLedger()
@@ -276,10 +283,8 @@
         await self._peers.start()
         await self.follower.start()
         await self._duty.start()
-        self._tasks = [
-            asyncio.create_task(self._record_self()),
-            asyncio.create_task(self._keep_house()),
-        ]
+        for task in self._tasks:
+            task.start()
         # What lives until now lives on; collections need not look at it.
         gc.freeze()
 
@@ -305,8 +310,7 @@
     async def close(self) -> None:
         """End all tasks at once."""
         for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+            await task.close()
         await self._duty.close()
         await self.follower.close()
         await self._caller_server.close()
--- a/packages/router/src/lagoonrun_router/settings_watch.py
+++ b/packages/router/src/lagoonrun_router/settings_watch.py
@@ -6,7 +6,7 @@
 import os
 from collections.abc import Callable
 
-from lagoonrun_core import events, logs
+from lagoonrun_core import events, logs, standing_task
 from lagoonrun_router import format_error, settings
 
 _LOOK_SECONDS = 1.0
@@ -57,17 +57,17 @@
         self._load = load
         self._use = use
         self._stamp = _stamp_of(path)
-        self._task: asyncio.Task[None] | None = None
+        self._task = standing_task.StandingTask(
+            name="settings-watch", function=self._run
+        )
 
     async def start(self) -> None:
         """Begin to look at the file."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
 
     async def _run(self) -> None:
         while True:
--- a/packages/router/src/lagoonrun_router/store_duty.py
+++ b/packages/router/src/lagoonrun_router/store_duty.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import events, logs, types
+from lagoonrun_core import events, logs, standing_task, types
 from lagoonrun_router import peer_table, store_follower
 
 WATCHERS_IN_DOMAIN = 2
@@ -82,17 +82,17 @@
         self._table = table
         self._follower = follower
         self._clock = clock
-        self._task: asyncio.Task[None] | None = None
+        self._task = standing_task.StandingTask(
+            name="store-duty", function=self._run
+        )
 
     async def start(self) -> None:
         """Begin to look."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
 
     async def _run(self) -> None:
         while True:
--- a/packages/router/src/lagoonrun_router/store_follower.py
+++ b/packages/router/src/lagoonrun_router/store_follower.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import events, logs
+from lagoonrun_core import events, logs, standing_task
 from lagoonrun_platform import store as store_module
 
 _ALL_KEYS = ""
@@ -112,7 +112,9 @@
         self._lost = False
         self._settled = False
         self._pause_seconds = _FIRST_PAUSE_SECONDS
-        self._task: asyncio.Task[None] | None = None
+        self._task = standing_task.StandingTask(
+            name="store-follower", function=self._run
+        )
         self._clock = clock
         self.duty = Duty.ALONE
         self.heard_at: float | None = None
@@ -120,23 +122,20 @@
 
     async def start(self) -> None:
         """Begin to follow."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
 
     def use(self, duty: Duty) -> None:
         """Begin to read the store, leave it to others, or change the pace."""
         previous, self.duty = self.duty, duty
         if duty is Duty.STAND_BY:
-            if self._task is not None:
-                self._task.cancel()
+            self._task.cancel()
             self._leave()
         elif previous is Duty.STAND_BY:
-            self._task = asyncio.create_task(self._run())
+            self._task.start()
 
     def _leave(self) -> None:
         if self._lost:
--- a/packages/router/tests/test_store_duty.py
+++ b/packages/router/tests/test_store_duty.py
@@ -5,6 +5,8 @@
 import pytest
 
 from lagoonrun_core import clock as clocks
+from lagoonrun_core import standing_task
+from lagoonrun_platform import store as store_module
 from lagoonrun_router import store_duty, store_follower, upstreams
 from lagoonrun_router.store_follower import Duty
 from lagoonrun_standins.router_world import wait_for
@@ -115,6 +117,29 @@
     assert told[-2:] == ["regained", "left"]
 
 
+async def test_follower_outlives_a_value_that_nobody_foresaw(
+    follower, store, monkeypatch
+):
+    """A reader raises while it takes a change in.
+
+    The follower must not end with it: nothing would ever be heard of the
+    store again.
+    """
+    monkeypatch.setattr(standing_task, "RESTART_SECONDS", 0.01)
+    told = follower._reader.told
+    await wait_for(lambda: "listing" in told)
+
+    def fail(event):
+        del event
+        raise ValueError("unforeseen")
+
+    monkeypatch.setattr(follower._reader, "take_event", fail)
+    await wait_for(lambda: store.calls_by_kind["watch"] == 1)
+    put = store_module.Put(key="a", value=b"")
+    await store.transact(comparisons=(), puts=[put])
+    await wait_for(lambda: told.count("listing") >= 2)
+
+
 @pytest.fixture
 async def fleet(world_of):
     """Return 14 entry VMs of one domain that have found each other."""
