--- a/packages/standins/src/lagoonrun_standins/fleet.py
+++ b/packages/standins/src/lagoonrun_standins/fleet.py
@@ -7,18 +7,15 @@
 import os
 import pathlib
 import signal
-import socket
 import tempfile
 from collections.abc import Mapping, Sequence
 
 from lagoonrun_config import settings
-from lagoonrun_standins import command_line, managed_process
+from lagoonrun_standins import command_line, managed_process, reserved_ports
 
 _DAEMON_MODULE = "lagoonrun_daemon.main"
 _STAND_IN_PACKAGE = "lagoonrun_standins"
 _LOOPBACK = "127.0.0.1"
-_PORT_TRIES = 50
-_kept_sockets: list[socket.socket] = []
 _EXPERIMENT = "experiment"
 
 FlagValue = str | int | float | bool
@@ -190,20 +187,6 @@
     OSError
         If no such port is found.
     """
-    for _ in range(_PORT_TRIES):
-        stream = socket.socket(type=socket.SOCK_STREAM)
-        # The port is kept until this process ends: let go, it would be given
-        # to any connection that is made before the entry VM listens on it,
-        # or while one is replaced. With the option an entry VM, which sets
-        # it too, can listen all the same, since this socket does not.
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        _kept_sockets.append(stream)
-        stream.bind((_LOOPBACK, 0))
-        port = stream.getsockname()[1]
-        with socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            try:
-                datagram.bind((_LOOPBACK, port))
-            except OSError:
-                continue
-            return settings.Address(host=_LOOPBACK, port=port)
-    raise OSError(f"no port free for TCP and UDP in {_PORT_TRIES} tries")
+    return settings.Address(
+        host=_LOOPBACK, port=reserved_ports.reserve(_LOOPBACK)
+    )
--- a/packages/standins/src/lagoonrun_standins/router_world.py
+++ b/packages/standins/src/lagoonrun_standins/router_world.py
@@ -3,12 +3,12 @@
 import asyncio
 import dataclasses
 import json
-import socket
 from collections.abc import Awaitable, Callable
 
 from lagoonrun_platform import memory_store
 from lagoonrun_platform import store as store_module
 from lagoonrun_router import router, settings
+from lagoonrun_standins import reserved_ports
 from lagoonrun_standins.router_samples import (
     HOST,
     KEY,
@@ -169,10 +169,4 @@
 
 def free_ports(count: int) -> list[int]:
     """Return ports that nobody listens on."""
-    opened = [socket.socket() for _ in range(count)]
-    for one in opened:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in opened]
-    for one in opened:
-        one.close()
-    return ports
+    return [reserved_ports.reserve(HOST) for _ in range(count)]
