--- a/packages/core/tests/test_standing_task.py
+++ b/packages/core/tests/test_standing_task.py
@@ -13,6 +13,13 @@
     monkeypatch.setattr(standing_task, "RESTART_SECONDS", 0.01)
 
 
+async def other_tasks_ended():
+    """Wait until nothing but the test itself runs."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    async with asyncio.timeout(5):
+        await asyncio.gather(*others, return_exceptions=True)
+
+
 async def test_task_goes_on_after_a_fault_and_logs_it(quick, caplog):
     """A value that nobody foresaw raises in the middle of a task."""
     runs = []
@@ -44,23 +51,23 @@
 
     task = standing_task.StandingTask(name="once", function=work)
     task.start()
-    await asyncio.sleep(0.05)
-    await task.close()
+    await other_tasks_ended()
     assert runs == [1]
+    await task.close()
 
 
 async def test_cancelled_task_may_be_started_again():
-    running = []
+    started = asyncio.Queue()
 
     async def work():
-        running.append(1)
+        started.put_nowait(1)
         await asyncio.Event().wait()
 
     task = standing_task.StandingTask(name="reader", function=work)
     task.start()
-    await asyncio.sleep(0.01)
+    await asyncio.wait_for(started.get(), 5)
     task.cancel()
     task.start()
-    await asyncio.sleep(0.01)
-    assert len(running) == 2
+    await asyncio.wait_for(started.get(), 5)
     await task.close()
+    assert started.empty()
--- a/packages/router/tests/test_store_duty.py
+++ b/packages/router/tests/test_store_duty.py
@@ -97,7 +97,10 @@
     follower.use(Duty.STAND_BY)
     assert told[-1] == "left"
     calls = store.calls_by_kind.total()
-    await asyncio.sleep(0.3)
+    # Nothing is left that could make one.
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    async with asyncio.timeout(5):
+        await asyncio.gather(*others, return_exceptions=True)
     assert store.calls_by_kind.total() == calls
     follower.use(Duty.FOR_OTHERS)
     await wait_for(lambda: told[-1] == "listing")
