Accept what waits in the listener's queue before a planned stop closes it

Cause of the listed red test: a planned stop closed the listening socket while complete connections waited in its queue; the kernel resets these, and a caller sees a reset although its request was sent in time. The same happened to an idle kept connection whose next request lay unread in the socket's buffer. Both are shown without load by two tests that failed first (ConnectionResetError) and pass now: the queue is emptied first, and idle connections have a quarter of a second for a last request.

Found beside it: the platform's listening socket did not name its protocol, so that asyncio left TCP_NODELAY off on accepted connections (the test of small writes fails with such a socket).

Ruled out: the test's balancer alone (the reset needs no balancer).

--- a/packages/http/src/lagoonrun_http/server.py
+++ b/packages/http/src/lagoonrun_http/server.py
@@ -1,9 +1,11 @@
 """The HTTP/1.1 server towards callers."""
 
 import asyncio
+import logging
 import socket
 
 from lagoonrun_core import clock as clocks
+from lagoonrun_core import events, logs
 from lagoonrun_http import (
     connection_owner,
     exchange,
@@ -96,15 +98,12 @@
     async def start(self) -> None:
         """Listen; raises `OSError` when the address is taken."""
         loop = asyncio.get_running_loop()
-        if self._listening is not None:
-            self._listener = await loop.create_server(
-                self._accept, sock=self._listening, backlog=_BACKLOG
-            )
-        else:
-            self._listener = await loop.create_server(
-                self._accept, self._host, self._port, backlog=_BACKLOG
-            )
-        self._port = self._listener.sockets[0].getsockname()[1]
+        if self._listening is None:
+            self._listening = _listen(self._host, self._port)
+        self._listener = await loop.create_server(
+            self._accept, sock=self._listening, backlog=_BACKLOG
+        )
+        self._port = self._listening.getsockname()[1]
         self._sweep.start()
 
     def use_limits(self, limits: limits.ServerLimits) -> None:
@@ -120,13 +119,48 @@
         self.stopping = True
 
     def stop_accepting(self) -> None:
-        """Take no new connection; running exchanges go on."""
+        """Take no new connection; running exchanges go on.
+
+        What waits in the listener's queue is taken first: its callers have
+        connected and may have sent a request, and closing the listener would
+        reset them.
+        """
         self.stopping = True
         if self._listener is not None:
+            self._take_waiting()
             self._listener.close()
+            self._listener = None
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    def _take_waiting(self) -> None:
+        """Accept the connections that are complete but not yet accepted."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                accepted, _ = self._listening.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # No descriptor is left, for one; those that wait are reset.
+                logs.emit(
+                    events.LogEvent.TASK_FAILED,
+                    level=logging.ERROR,
+                    task="listener",
+                    peer="",
+                    error=type(error).__name__,
+                    trace=str(error),
+                )
+                return
+            accepted.setblocking(False)
+            task = loop.create_task(
+                loop.connect_accepted_socket(self._accept, accepted)
+            )
+            # Counts as an exchange until its connection counts by itself.
+            self._quiet.clear()
+            self.exchange_began(task)
+            task.add_done_callback(self.exchange_ended)
+
     async def drain(self, timeout_seconds: float) -> int:
         """Wait until no exchange runs; return how many were left.
 
@@ -208,3 +242,20 @@
     def _check(self) -> None:
         for connection in tuple(self._connections):
             connection.check_deadlines()
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    """Return a socket that listens; raises `OSError`.
+
+    The protocol is named, since asyncio sends small writes of accepted
+    connections at once only then.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((host, port))
+    except OSError:
+        listening.close()
+        raise
+    return listening
--- a/packages/http/src/lagoonrun_http/server_connection.py
+++ b/packages/http/src/lagoonrun_http/server_connection.py
@@ -24,6 +24,11 @@
 
 _LINGER_BYTES = 1 << 20
 
+_LAST_REQUEST_SECONDS = 0.25
+"""Time that an idle connection has for a last request when the server stops:
+what was sent before has arrived by then on any link in use, and a busy event
+loop has come round."""
+
 
 class _Phase(enum.Enum):
     IDLE = "idle"
@@ -98,6 +103,9 @@
             stall_seconds=self._limits.write_stall_seconds,
         )
         self._set_deadline(self._limits.idle_seconds)
+        if self._owner.stopping:
+            # Taken from the listener's queue at the stop.
+            self.close_if_idle()
         self._owner.connection_opened(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -192,7 +200,15 @@
         self.write_rejection(rejection)
 
     def close_if_idle(self) -> None:
-        """Close when no byte of a request has arrived."""
+        """Close soon when no byte of a request has arrived.
+
+        A request may lie unread in the socket's buffer, and a close would
+        reset the connection. It is read and answered within that time.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_later(_LAST_REQUEST_SECONDS, self._close_idle)
+
+    def _close_idle(self) -> None:
         if self._phase is _Phase.IDLE:
             self._close()
 
--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -108,6 +108,22 @@
         for connection in self._idle_by_endpoint.pop(endpoint, []):
             connection.close_idle()
 
+    def lose(self, host: str, port: int, *, opened_until: float) -> None:
+        """Give up what leads to a process that is gone.
+
+        Idle connections are closed. A response on one that was opened up to
+        `opened_until` fails at once: its upstream may have fallen silent
+        without a reset, and nothing more comes.
+        """
+        self.forget(host, port)
+        endpoint = _Endpoint(address=host, port=port)
+        for connection in tuple(self._connections):
+            if (
+                _endpoint(connection) == endpoint
+                and connection.opened_at <= opened_until
+            ):
+                connection.abort()
+
     async def close(self) -> None:
         """Close all connections; running responses fail."""
         self._closed = True
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -66,6 +66,7 @@
     ) -> None:
         self.address = address
         self.port = port
+        self.opened_at = clock.monotonic()
         self.idle_since = 0.0
         self.idle_seconds = client_limits.idle_seconds
         self.last_request_id: types.RequestId | None = None
--- a/packages/http/tests/test_server.py
+++ b/packages/http/tests/test_server.py
@@ -438,3 +438,45 @@
     caller = await connect(await make_server(handle))
     caller.write(_OK)
     assert await asyncio.wait_for(seen, 5)
+
+
+async def test_a_stop_answers_what_waits_in_the_listeners_queue(make_server):
+    """A caller connects and sends its request while the process is busy.
+
+    The connection is complete in the kernel and waits to be accepted when
+    the planned stop closes the listener. The close would reset it: the caller
+    sees a broken connection although nothing had gone wrong.
+    """
+    server = await make_server(echo)
+    waiting = [
+        socket.create_connection(("127.0.0.1", server.port), timeout=5)
+        for _ in range(20)
+    ]
+    for caller in waiting:
+        caller.sendall(_OK)
+    # No turn of the event loop has passed: none of them is accepted yet.
+    server.stop_accepting()
+    assert await server.drain(5.0) == 0
+    for caller in waiting:
+        with caller:
+            answer = b"".join(iter(lambda one=caller: one.recv(4096), b""))
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"Connection: close" in answer
+
+
+async def test_a_stop_answers_a_request_that_lies_unread(make_server):
+    """A kept connection is idle, and its next request arrives at the stop.
+
+    The bytes lie in the socket's buffer, unread. A close at that moment
+    resets the connection, and the caller gets no answer.
+    """
+    server = await make_server(echo)
+    kept = socket.create_connection(("127.0.0.1", server.port), timeout=5)
+    while server.open_connections < 1:
+        await asyncio.sleep(0)
+    kept.sendall(_OK)
+    server.stop_accepting()
+    assert await server.drain(5.0) == 0
+    with kept:
+        answer = b"".join(iter(lambda: kept.recv(4096), b""))
+    assert answer.startswith(b"HTTP/1.1 200")
