Start anew with an upstream that starts again; take no upstream from an unreadable entry

An upstream may start again under its id. Its load, shared parts, failures and pauses were kept in our beliefs, one that had said it leaves stayed out for good, kept connections to the old process were used, and a stream on a runner that had gone dark waited out its own silence. Entries are now ordered by the start that they name; a later one drops all of that, an earlier one is an old message, and what entry VMs tell each other of leaving upstreams names the start it is about. Responses on connections from before the last word of the old process fail at once, so that streams go on elsewhere.

An entry by another writer (bytes, types, missing fields, a state that nobody named, a host name in place of an IP number) was taken in with defaults, and one that turned bad left the old one in use. It names no upstream now until a readable one replaces it; the others hold.

Ruled out: requiring the start. The tests failed before (no such field; u-2 stayed usable; the stream waited).

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -43,6 +43,7 @@
     UPSTREAM_STATE_CHANGED = (404, "upstream-state-changed")
     UPSTREAM_ATTEMPT_LOST = (405, "upstream-attempt-lost")
     UPSTREAM_ENTRY_REJECTED = (406, "upstream-entry-rejected")
+    UPSTREAM_RESTARTED = (407, "upstream-restarted")
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -19,6 +19,13 @@
 
 PoolName = NewType("PoolName", str)
 UpstreamId = NewType("UpstreamId", str)
+
+UpstreamStart = NewType("UpstreamStart", int)
+"""Orders the starts of an upstream under one id; a later one is larger."""
+
+UNKNOWN_UPSTREAM_START = UpstreamStart(0)
+"""Of an upstream that does not say when it started."""
+
 EntryVmId = NewType("EntryVmId", str)
 FailureDomain = NewType("FailureDomain", str)
 
--- a/packages/http/tests/test_server.py
+++ b/packages/http/tests/test_server.py
@@ -472,8 +472,12 @@
     """
     server = await make_server(echo)
     kept = socket.create_connection(("127.0.0.1", server.port), timeout=5)
-    while server.open_connections < 1:
-        await asyncio.sleep(0)
+    # The first answer shows that the connection is accepted.
+    kept.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(kept, _OK)
+    assert (await loop.sock_recv(kept, 4096)).startswith(b"HTTP/1.1 200")
+    kept.setblocking(True)
     kept.sendall(_OK)
     server.stop_accepting()
     assert await server.drain(5.0) == 0
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -67,6 +67,20 @@
     port: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeavingUpstream:
+    """An upstream that gets nothing new.
+
+    Parameters
+    ----------
+    start
+        Which start of it; it may have started again under its id since.
+    """
+
+    upstream: types.UpstreamId
+    start: types.UpstreamStart
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RouterState:
     """What an entry VM tells the others several times a second.
@@ -87,7 +101,7 @@
         Revision of the store up to which it knows the upstreams; 0 for none.
     stopping
         Whether it is about to end and takes no more part.
-    leaving
+    leaving_starts
         Upstreams that get nothing new, the newest last.
     known
         Some of the entry VMs that it knows.
@@ -102,7 +116,7 @@
     follows_store: bool = False
     store_revision: int = 0
     stopping: bool = False
-    leaving: tuple[types.UpstreamId, ...] = ()
+    leaving_starts: tuple[LeavingUpstream, ...] = ()
     loads: tuple[UpstreamLoad, ...] = ()
     placements: tuple[PromptPlacement, ...] = ()
     known: tuple[EntryVmAddress, ...] = ()
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -193,6 +193,11 @@
   requests @2 :UInt32;
 }
 
+struct LeavingUpstream {
+  upstream @0 :Text;
+  start @1 :UInt64;
+}
+
 struct RouterState {
   entryVm @0 :Text;
   start @1 :UInt64;
@@ -200,6 +205,7 @@
   port @3 :UInt64;
   revision @4 :UInt64;
   stopping @5 :Bool;
+  # Ids without their starts; not written any more.
   leaving @6 :List(Text);
   loads @7 :List(UpstreamLoad);
   placements @8 :List(PromptPlacement);
@@ -208,6 +214,7 @@
   followsStore @11 :Bool;
   pressed @12 :List(PressedTier);
   storeRevision @13 :UInt64;
+  leavingStarts @14 :List(LeavingUpstream);
 }
 
 struct DomainNews {
--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -96,8 +96,7 @@
         now = self._clock.monotonic()
         if event.key.startswith(self._layout.upstreams_prefix):
             self._entries_by_key.pop(event.key, None)
-            id = event.key.removeprefix(self._layout.upstreams_prefix)
-            self._directory.take_removal(types.UpstreamId(id), now=now)
+            self._directory.take_removal(self._upstream_id(event.key), now=now)
             self._on_upstreams()
         elif event.key.startswith(self._layout.entry_vms_prefix):
             name = event.key.removeprefix(self._layout.entry_vms_prefix)
@@ -171,24 +170,43 @@
             self.take_declarations(value, source="store")
         elif key.startswith(self._layout.upstreams_prefix):
             self._entries_by_key[key] = value
-            registration = self._decoded(key, value)
-            if registration is not None:
-                now = self._clock.monotonic()
-                self._directory.take_entry(registration, now=now)
-                self.upstreams_known = True
-                self._on_upstreams()
+            self._take_entry(key, value)
         elif key.startswith(self._layout.entry_vms_prefix):
             name = key.removeprefix(self._layout.entry_vms_prefix)
             self._peers.take_record(types.EntryVmId(name), value)
 
+    def _take_entry(self, key: str, value: bytes) -> None:
+        """Take in one upstream's entry.
+
+        One that makes no sense, of another writer, names no upstream; the
+        others hold.
+        """
+        registration = self._decoded(key, value)
+        if registration is None:
+            self._directory.take_unreadable(self._upstream_id(key))
+        else:
+            now = self._clock.monotonic()
+            self._directory.take_entry(registration, now=now)
+            self.upstreams_known = True
+        self._on_upstreams()
+
+    def _upstream_id(self, key: str) -> types.UpstreamId:
+        return types.UpstreamId(key.removeprefix(self._layout.upstreams_prefix))
+
     def _take_upstreams(self, entries_by_key: dict[str, bytes]) -> None:
         self._entries_by_key = dict(entries_by_key)
-        decoded = [
-            self._decoded(key, value) for key, value in entries_by_key.items()
-        ]
-        now = self._clock.monotonic()
+        registrations = []
+        unreadable = []
+        for key, value in entries_by_key.items():
+            registration = self._decoded(key, value)
+            if registration is None:
+                unreadable.append(self._upstream_id(key))
+            else:
+                registrations.append(registration)
         self._directory.take_listing(
-            [one for one in decoded if one is not None], now=now
+            registrations,
+            unreadable=unreadable,
+            now=self._clock.monotonic(),
         )
         self.upstreams_known = self.upstreams_known or bool(entries_by_key)
         self._on_upstreams()
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -108,10 +108,12 @@
 NO_LOAD = Load()
 
 
-@dataclasses.dataclass(kw_only=True)
+@dataclasses.dataclass(kw_only=True, eq=False)
 class Work:
     """One request at one upstream, from its sending to its end.
 
+    Two that are alike are two all the same, and each ends once.
+
     Parameters
     ----------
     overdue_at
@@ -328,6 +330,29 @@
                 sums[upstream] = sums.get(upstream, NO_LOAD).plus(load)
         return sums
 
+    def forget_start(self, upstream: types.UpstreamId) -> None:
+        """Drop what is known of an upstream that has started again.
+
+        Requests that ran there are lost, and count no more also where their
+        own end shows only later.
+        """
+        self._own_by_upstream.pop(upstream, None)
+        for by_upstream in (
+            self._failures_by_upstream,
+            self._prefill_by_upstream,
+            self._pauses_by_upstream,
+        ):
+            by_upstream.pop(upstream, None)
+        for peer, told in self._told_by_peer.items():
+            others = {
+                id: load
+                for id, load in told.loads_by_upstream.items()
+                if id != upstream
+            }
+            self._told_by_peer[peer] = _Told(
+                loads_by_upstream=others, at=told.at
+            )
+
     def forget_upstreams(self, known: Iterable[types.UpstreamId]) -> None:
         """Drop what is kept of upstreams that are not in `known`."""
         kept = set(known)
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -96,7 +96,7 @@
         self._start = secrets.randbits(63)
         self._sequence = 0
         self._beats_since_told = 0
-        self._told_leaving: tuple[types.UpstreamId, ...] = ()
+        self._told_leaving: tuple[router_messages.LeavingUpstream, ...] = ()
         self._told_news = (0, 0, False)
         self._beats_since_far = 0
         self._domain_news = domain_news.DomainNewsExchange(
@@ -162,7 +162,7 @@
         self._ledger.mark_told()
         self._pressed.changed = False
         self._tell(self._state(placements, now=now, quiet=quiet))
-        self._told_leaving = self._directory.leaving_ids
+        self._told_leaving = self._directory.leaving
 
     def _wanted_beats(self) -> int:
         """Return after how many beats what has changed is worth telling."""
@@ -195,7 +195,7 @@
             changes.
         """
         self._sequence += 1
-        leaving = self._directory.leaving_ids
+        leaving = self._directory.leaving
         tell_leaving = quiet or leaving != self._told_leaving
         return router_messages.RouterState(
             entry_vm=self._settings.entry_vm,
@@ -207,7 +207,7 @@
             follows_store=self._known.follows_store,
             store_revision=self._known.store_revision,
             stopping=self.stopping,
-            leaving=leaving if tell_leaving else (),
+            leaving_starts=leaving if tell_leaving else (),
             loads=peer_loads.to_messages(self._ledger.own_loads(now=now)),
             placements=peer_loads.placements(placements),
             pressed=peer_loads.pressed(self._pressed.recent(now=now)),
@@ -306,8 +306,10 @@
                     member.entry_vm,
                     settings.Address(host=member.host, port=member.port),
                 )
-        for upstream in state.leaving:
-            self._directory.take_leaving(upstream, source=state.entry_vm)
+        for one in state.leaving_starts:
+            self._directory.take_leaving(
+                one.upstream, start=one.start, source=state.entry_vm
+            )
         if state.domain == self._settings.domain:
             self._take_loads(state, now)
         self._fetcher.take(state, address, now=now)
--- a/packages/router/src/lagoonrun_router/prompt_homes.py
+++ b/packages/router/src/lagoonrun_router/prompt_homes.py
@@ -68,6 +68,14 @@
         if len(self._seen_by_part) > _MOST_PARTS:
             self._seen_by_part.popitem(last=False)
 
+    def forget_upstream(self, upstream: types.UpstreamId) -> None:
+        """Drop the parts of an upstream whose memory is empty."""
+        for seen in self._seen_by_part.values():
+            seen.pop(upstream, None)
+        for placed in (self._untold, self._unrelayed):
+            for part in [one for one in placed if placed[one] == upstream]:
+                del placed[part]
+
     def has(self, part: str, upstream: types.UpstreamId, *, now: float) -> bool:
         """Return whether `upstream` probably has `part` in its memory."""
         seen = self._seen_by_part.get(part, {}).get(upstream)
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -357,6 +357,13 @@
         )
 
     def _on_upstreams(self) -> None:
+        for restarted in self.directory.take_restarted():
+            before = restarted.before
+            self._ledger.forget_start(before.id)
+            self._homes.forget_upstream(before.id)
+            self._client.lose(
+                before.host, before.port, opened_until=restarted.heard_at
+            )
         self._ledger.forget_upstreams(
             one.id for one in self.directory.registrations
         )
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -4,13 +4,18 @@
 leaving or dead, and gets nothing new. While the store is away, entries may
 run out although their upstreams live; they come back within seconds of the
 store's return, so that until then the upstream stays in use.
+
+An upstream may start again under its id. What was known of the process before
+is void then: it may have said that it leaves, and it held prompts and runs
+that the new one knows nothing of.
 """
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from lagoonrun_core import events, logs, types
+from lagoonrun_protocol import router_messages
 
 LAPSE_SECONDS = 2.5
 """How long after the store's return a missing entry may still come back.
@@ -37,6 +42,11 @@
     SERVING = "serving"
     LEAVING = "leaving"
     MISSING = "missing"
+    UNREADABLE = "unreadable"
+    """Its entry was overwritten by something that names no upstream."""
+
+
+_SENDABLE = (UpstreamState.SERVING, UpstreamState.MISSING)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,6 +61,8 @@
         Whether it takes no more work soon.
     cold_seconds
         How much longer it is slow after its start.
+    start
+        Tells this start of the upstream from earlier ones under its id.
     """
 
     id: types.UpstreamId
@@ -61,12 +73,31 @@
     slots: int
     leaving: bool = False
     cold_seconds: float = 0.0
+    start: types.UpstreamStart = types.UNKNOWN_UPSTREAM_START
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Restarted:
+    """An upstream that has started again under its id.
+
+    Parameters
+    ----------
+    before
+        What the process before said of itself.
+    heard_at
+        Reading of the clock when it last did: all connections made until
+        then lead to it and not to the new process.
+    """
+
+    before: Registration
+    heard_at: float
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Known:
     registration: Registration
     state: UpstreamState
+    heard_at: float
     missing_since: float = 0.0
 
 
@@ -75,7 +106,8 @@
 
     def __init__(self) -> None:
         self._known_by_id: dict[types.UpstreamId, _Known] = {}
-        self._gone_ids: dict[types.UpstreamId, None] = {}
+        self._gone_start_by_id: dict[types.UpstreamId, types.UpstreamStart] = {}
+        self._restarted: list[Restarted] = []
         self._store_lost = False
         self._store_regained_at = float("-inf")
 
@@ -86,11 +118,10 @@
     ) -> tuple[Registration, ...]:
         """Return the upstreams of `pool` that may be given work, by id."""
         self._expire(now)
-        states = (UpstreamState.SERVING, UpstreamState.MISSING)
         known = [
             one
             for one in self._known_by_id.values()
-            if one.registration.pool == pool and one.state in states
+            if one.registration.pool == pool and one.state in _SENDABLE
         ]
         serving = [one for one in known if one.state is UpstreamState.SERVING]
         if len(serving) >= _LEAST_SHARE * len(known):
@@ -101,7 +132,7 @@
         """Return whether a request may still be sent to `upstream`."""
         self._expire(now)
         known = self._known_by_id.get(upstream)
-        return known is not None and known.state is not UpstreamState.LEAVING
+        return known is not None and known.state in _SENDABLE
 
     def counts_by_state(self) -> dict[UpstreamState, int]:
         """Return how many upstreams are in each state."""
@@ -111,14 +142,18 @@
         return counts
 
     @property
-    def leaving_ids(self) -> tuple[types.UpstreamId, ...]:
+    def leaving(self) -> tuple[router_messages.LeavingUpstream, ...]:
         """Upstreams that get nothing new, for the other entry VMs."""
-        leaving = [
-            id
+        start_by_id = self._gone_start_by_id | {
+            id: one.registration.start
             for id, one in self._known_by_id.items()
             if one.state is UpstreamState.LEAVING
-        ]
-        return tuple([*self._gone_ids, *leaving][-_TOLD_LEAVING:])
+        }
+        newest = list(start_by_id.items())[-_TOLD_LEAVING:]
+        return tuple(
+            router_messages.LeavingUpstream(upstream=id, start=start)
+            for id, start in newest
+        )
 
     @property
     def registrations(self) -> tuple[Registration, ...]:
@@ -128,20 +163,39 @@
     # What the store tells.
 
     def take_listing(
-        self, registrations: Iterable[Registration], *, now: float
+        self,
+        registrations: Iterable[Registration],
+        *,
+        unreadable: Collection[types.UpstreamId] = (),
+        now: float,
     ) -> None:
-        """Take in all entries of the store at once."""
+        """Take in all entries of the store at once.
+
+        Parameters
+        ----------
+        unreadable
+            Ids whose entries make no sense.
+        """
         listed = {one.id: one for one in registrations}
         for registration in listed.values():
             self.take_entry(registration, now=now)
-        for id in [id for id in self._known_by_id if id not in listed]:
+        for id in unreadable:
+            self.take_unreadable(id)
+        present = {*listed, *unreadable}
+        for id in [id for id in self._known_by_id if id not in present]:
             self.take_removal(id, now=now)
 
     def take_entry(self, registration: Registration, *, now: float) -> None:
-        """Take in a new or changed entry."""
-        if registration.id in self._gone_ids:
+        """Take in a new or changed entry; one of an earlier start is void."""
+        gone_start = self._gone_start_by_id.get(registration.id)
+        if gone_start is not None and registration.start <= gone_start:
             return
         known = self._known_by_id.get(registration.id)
+        if known is not None and registration.start < known.registration.start:
+            return
+        if known is not None and registration.start > known.registration.start:
+            self._note_restart(known, registration)
+            known = None
         state = (
             UpstreamState.LEAVING
             if registration.leaving
@@ -151,11 +205,30 @@
             # An older listing, or a lagging one, must not bring it back.
             state = UpstreamState.LEAVING
         self._known_by_id[registration.id] = _Known(
-            registration=registration, state=state
+            registration=registration, state=state, heard_at=now
         )
         if known is None or known.state is not state:
             _log_state(registration, state, source="store")
 
+    def _note_restart(self, known: _Known, registration: Registration) -> None:
+        self._restarted.append(
+            Restarted(before=known.registration, heard_at=known.heard_at)
+        )
+        logs.emit(
+            events.LogEvent.UPSTREAM_RESTARTED,
+            upstream=registration.id,
+            pool=registration.pool,
+            start=registration.start,
+            previous_start=known.registration.start,
+            previous_state=known.state.value,
+        )
+
+    def take_restarted(self) -> tuple[Restarted, ...]:
+        """Return the upstreams that started again since the last call."""
+        restarted = tuple(self._restarted)
+        self._restarted.clear()
+        return restarted
+
     def take_removal(self, upstream: types.UpstreamId, *, now: float) -> None:
         """Take in that an entry is not there any more."""
         known = self._known_by_id.get(upstream)
@@ -164,10 +237,25 @@
         if known.state is UpstreamState.LEAVING:
             self._forget(upstream)
             return
+        if known.state is UpstreamState.UNREADABLE:
+            del self._known_by_id[upstream]
+            return
         known.state = UpstreamState.MISSING
         known.missing_since = now
         _log_state(known.registration, known.state, source="store")
 
+    def take_unreadable(self, upstream: types.UpstreamId) -> None:
+        """Take in that an entry makes no sense any more.
+
+        It names no upstream until a readable one replaces it; one that is
+        missing may come back, but this one was there and said something else.
+        """
+        known = self._known_by_id.get(upstream)
+        if known is None or known.state not in _SENDABLE:
+            return
+        known.state = UpstreamState.UNREADABLE
+        _log_state(known.registration, known.state, source="store")
+
     def take_store_lost(self) -> None:
         """Take in that the store cannot be reached."""
         self._store_lost = True
@@ -180,17 +268,27 @@
 
     # What others tell.
 
-    def take_leaving(self, upstream: types.UpstreamId, *, source: str) -> None:
+    def take_leaving(
+        self,
+        upstream: types.UpstreamId,
+        *,
+        start: types.UpstreamStart,
+        source: str,
+    ) -> None:
         """Take in that an upstream takes no more work.
 
         Parameters
         ----------
+        start
+            Which start of it; one that has started again since stays in use.
         source
             Who says so, for the log.
         """
         known = self._known_by_id.get(upstream)
         if known is None or known.state is UpstreamState.LEAVING:
             return
+        if start < known.registration.start:
+            return
         known.state = UpstreamState.LEAVING
         _log_state(known.registration, known.state, source=source)
 
@@ -231,10 +329,10 @@
         return missing > _LEAST_SHARE * len(self._known_by_id)
 
     def _forget(self, upstream: types.UpstreamId) -> None:
-        del self._known_by_id[upstream]
-        self._gone_ids[upstream] = None
-        while len(self._gone_ids) > _REMEMBERED_GONE:
-            del self._gone_ids[next(iter(self._gone_ids))]
+        known = self._known_by_id.pop(upstream)
+        self._gone_start_by_id[upstream] = known.registration.start
+        while len(self._gone_start_by_id) > _REMEMBERED_GONE:
+            del self._gone_start_by_id[next(iter(self._gone_start_by_id))]
 
 
 _REMEMBERED_GONE = 1024
--- a/packages/router/tests/test_execution.py
+++ b/packages/router/tests/test_execution.py
@@ -469,3 +469,44 @@
     except ConnectionError:
         pass
     return parts
+
+
+async def test_stream_goes_on_when_its_upstream_has_started_again(world):
+    """A runner goes dark in the midst of a stream and starts again as itself.
+
+    No reset tells that its runs are lost, and the stream's own silence would
+    show only after seconds. The entry of the new start ends the wait.
+    """
+    (dark,) = await served(
+        world,
+        make_stream_route(
+            resumable=True, maximum_attempts=2, longest_pause_seconds=60.0
+        ),
+        u_1=answer_events(*EVENTS[:2], then="hang"),
+    )
+    caller = await world.caller()
+    caller.send("/lookups/1")
+    await asyncio.wait_for(dark.arrived.wait(), WAIT_SECONDS)
+    await caller.reader.readuntil(b"id: 2\ndata: x\n\n")
+    await world.register(dark, slots=7)
+    await wait_for(lambda: world.router.directory.registrations[0].slots == 7)
+    rest = await world.add_upstream(answer_events(*EVENTS[2:]), id="u-2")
+    await world.register(dark, start=9)
+    async with asyncio.timeout(WAIT_SECONDS):
+        await caller.reader.readuntil(b"id: 4\ndata: x\n\n")
+    assert rest.heads[0].headers.get("Resume-After") == "2"
+    caller.writer.close()
+
+
+async def test_kept_connections_to_the_start_before_are_not_used(world):
+    """A runner starts again under its id; connections to it are kept.
+
+    A request written to one of them is lost, and nobody knows if it ran.
+    """
+    (upstream,) = await served(world, make_route(), u_1=answer_whole)
+    assert (await world.ask("/lookups/1")).status == 200
+    client = world.router._client
+    assert client.open_connections == 1
+    await world.register(upstream, start=9)
+    await wait_for(lambda: client.open_connections == 0)
+    assert (await world.ask("/lookups/1", id="r-2")).status == 200
--- a/packages/router/tests/test_loads.py
+++ b/packages/router/tests/test_loads.py
@@ -102,3 +102,26 @@
 def test_short_wait_is_not_overdue_at_once():
     at = loads.overdue_at(now=0.0, foreseen_seconds=0.0)
     assert at == loads.LEAST_OVERDUE_SECONDS
+
+
+def test_restarted_upstream_begins_with_nothing(ledger):
+    """A runner starts again under its id while requests ran there.
+
+    Counted on, they would keep new ones away from an empty runner; their
+    late ends must not be counted a second time either.
+    """
+    lost = work()
+    ledger.begin(lost, now=0.0)
+    ledger.add_failure("u-1", now=0.0)
+    ledger.add_pause("u-1", 0.5, now=0.0)
+    told = {"u-1": loads.Load(running=2), "u-2": loads.Load(running=3)}
+    ledger.take_told("vm-2", told, now=0.0)
+    ledger.forget_start("u-1")
+    assert ledger.load_of("u-1", now=0.0) == loads.NO_LOAD
+    assert ledger.failures("u-1", now=0.0) == 0.0
+    assert ledger.recent_prefill("u-1", now=0.0) == 0.0
+    assert ledger.load_of("u-2", now=0.0).running == 3
+    fresh = work()
+    ledger.begin(fresh, now=0.1)
+    ledger.end(lost)
+    assert ledger.load_of("u-1", now=0.1).running == 1
--- a/packages/router/tests/test_prompt_homes.py
+++ b/packages/router/tests/test_prompt_homes.py
@@ -46,3 +46,20 @@
         homes.take_told(f"p-{number}", "u-1", now=0.0)
     assert not homes.has("p-0", "u-1", now=0.0)
     assert homes.has("p-8999", "u-1", now=0.0)
+
+
+def test_restarted_upstream_has_read_nothing(homes):
+    """A runner starts again under its id: its memory is empty.
+
+    Prompts sent there for their shared parts would be read anew, and nobody
+    else is to be told that the parts are there.
+    """
+    homes.place("p", "u-1", now=0.0)
+    homes.place("p", "u-2", now=0.0)
+    homes.place("q", "u-1", now=0.0)
+    homes.forget_upstream("u-1")
+    assert not homes.has("p", "u-1", now=0.0)
+    assert homes.has("p", "u-2", now=0.0)
+    assert not homes.used_lately("q", now=0.0)
+    assert homes.take_untold() == {"p": "u-2"}
+    assert homes.take_unrelayed() == {"p": "u-2"}
--- a/packages/router/tests/test_router.py
+++ b/packages/router/tests/test_router.py
@@ -188,3 +188,27 @@
     await wait_for(lambda: second.router.known_running("u-1") == 1)
     caller.writer.close()
     await wait_for(lambda: second.router.known_running("u-1") == 0)
+
+
+async def test_entry_of_another_writer_names_no_upstream_until_it_is_good(
+    world,
+):
+    """Something writes over the entry of one of two upstreams.
+
+    Requests go to the other one, until the upstream has written its own.
+    """
+    good = await world.add_upstream(id="u-1")
+    hit = await world.add_upstream(id="u-2")
+    await world.ready()
+    directory = world.router.directory
+
+    def usable():
+        return [one.id for one in directory.usable("portal", now=0.0)]
+
+    for value in (b"\xff\x00", b"[]", b'{"pool": "portal"}'):
+        await world.put("upstreams/u-2", value)
+        await wait_for(lambda: usable() == ["u-1"])
+        assert (await world.ask("/lookups/1")).status == 200
+        await world.register(hit)
+        await wait_for(lambda: usable() == ["u-1", "u-2"])
+    assert good.heads
--- a/packages/router/tests/test_upstreams.py
+++ b/packages/router/tests/test_upstreams.py
@@ -41,6 +41,67 @@
     assert not directory.may_send("u-1", now=1001.0)
 
 
+@pytest.mark.parametrize("gone", [False, True], ids=["leaving", "gone"])
+def test_upstream_that_starts_again_is_used(directory, gone):
+    """An upstream says that it leaves, ends, and starts again under its id.
+
+    Held back as the one that left, it would idle while the others drown.
+    """
+    listed(directory, "u-1", "u-2")
+    directory.take_entry(make_registration("u-1", leaving=True), now=1000.0)
+    if gone:
+        directory.take_removal("u-1", now=1001.0)
+    directory.take_entry(make_registration("u-1", start=5), now=1002.0)
+    assert ids(directory, 1002.0) == ["u-1", "u-2"]
+    assert directory.may_send("u-1", now=1002.0)
+
+
+def test_entry_of_an_earlier_start_changes_nothing(directory):
+    """A lagging reader hands on what an upstream said before its restart.
+
+    It said that it leaves: taken as news, that would idle the new process.
+    """
+    directory.take_entry(make_registration("u-1", start=9), now=1000.0)
+    old = make_registration("u-1", start=5, leaving=True, port=1)
+    directory.take_entry(old, now=1001.0)
+    directory.take_leaving("u-1", start=5, source="vm-2")
+    (known,) = directory.usable("portal", now=1001.0)
+    assert (known.start, known.port) == (9, 9000)
+    assert directory.take_restarted() == ()
+    directory.take_leaving("u-1", start=9, source="vm-2")
+    assert ids(directory, 1001.0) == []
+
+
+def test_restart_is_told_once_with_what_was_known_before(directory):
+    directory.take_entry(make_registration("u-1", start=5), now=1000.0)
+    directory.take_entry(make_registration("u-1", start=5), now=1001.0)
+    directory.take_entry(make_registration("u-1", start=9, port=1), now=1002.0)
+    (restarted,) = directory.take_restarted()
+    assert (restarted.before.port, restarted.heard_at) == (9000, 1001.0)
+    assert directory.take_restarted() == ()
+
+
+def test_unreadable_entry_names_no_upstream_until_it_is_good_again(directory):
+    """Another writer overwrites an upstream's entry, and the upstream its own.
+
+    In between the entry names nobody, also where most of the pool is hit.
+    The others hold.
+    """
+    listed(directory, "u-1", "u-2")
+    directory.take_unreadable("u-1")
+    assert ids(directory) == ["u-2"]
+    directory.take_listing(
+        [make_registration("u-2")], unreadable=["u-1"], now=1000.5
+    )
+    assert not directory.may_send("u-1", now=1000.5)
+    directory.take_unreadable("u-2")
+    assert ids(directory, 1001.0) == []
+    directory.take_entry(make_registration("u-1"), now=1002.0)
+    assert ids(directory, 1002.0) == ["u-1"]
+    directory.take_removal("u-2", now=1002.0)
+    assert ids(directory, 1002.0) == ["u-1"]
+
+
 def test_removed_upstream_gets_nothing_where_others_serve(directory):
     """An upstream leaves without a word: only its entry goes away.
 
@@ -118,9 +179,9 @@
 def test_peers_hear_of_the_newest_leaving_upstreams(directory):
     listed(directory, *(f"u-{n}" for n in range(40)))
     for n in range(40):
-        directory.take_leaving(f"u-{n}", source="vm-2")
-    assert directory.leaving_ids[-1] == "u-39"
-    assert len(directory.leaving_ids) <= 16
+        directory.take_leaving(f"u-{n}", start=0, source="vm-2")
+    assert directory.leaving[-1].upstream == "u-39"
+    assert len(directory.leaving) <= 16
 
 
 class LeavingMachine(RuleBasedStateMachine):
--- a/tests/users_platform/test_layout.py
+++ b/tests/users_platform/test_layout.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lagoonrun_core import types
 from lagoonrun_router import declarations, format_error
 from lagoonrun_users_platform import layout
 
@@ -67,10 +68,12 @@
     "service": "pool-a",
     "address": "10.128.0.9:8080",
     "zone": "hall",
+    "version": "v1",
     "slots": 64,
     "state": "ready",
     "cold_remaining_ms": 1500,
     "seq_no": 4,
+    "born": 1_790_000_000_123,
     "something_new": 1,
 }
 LAYOUT = layout.PlatformLayout()
@@ -128,6 +131,7 @@
     assert (upstream.id, upstream.pool) == ("i-7", "pool-a")
     assert (upstream.host, upstream.port) == ("10.128.0.9", 8080)
     assert upstream.cold_seconds == 1.5
+    assert upstream.start == 1_790_000_000_123
     assert not upstream.leaving
     assert decode_entry(state="draining").leaving
 
@@ -167,7 +171,53 @@
         LAYOUT.decode_upstream("servers/x", value)
 
 
-@pytest.mark.parametrize("address", ["", "10.0.0.1", ":80", "10.0.0.1:x"])
+@pytest.mark.parametrize("field", sorted(ENTRY.keys() - {"something_new"}))
+@pytest.mark.parametrize(
+    "value", [None, "", True, [], {}, -1, 1.5, "1"], ids=repr
+)
+def test_entry_of_another_writer_is_a_fault(field, value):
+    """Something else writes over an upstream's entry.
+
+    A field is missing, or has another type. Read with a default in its place,
+    the entry would send requests to an address or a pool of nobody.
+    """
+    fitting = {"service", "zone", "version"} if value == "1" else set()
+    if field in fitting or (field == "cold_remaining_ms" and value == 1.5):
+        decode_entry(**{field: value})
+        return
+    with pytest.raises(format_error.FormatError):
+        decode_entry(**{field: value})
+
+
+def _entry_without(field):
+    return {key: value for key, value in ENTRY.items() if key != field}
+
+
+def test_entry_without_a_start_has_an_unknown_one():
+    value = json.dumps(_entry_without("born")).encode()
+    upstream = LAYOUT.decode_upstream("servers/i-7", value)
+    assert upstream.start == types.UNKNOWN_UPSTREAM_START
+
+
+@pytest.mark.parametrize(
+    "field", sorted(ENTRY.keys() - {"something_new", "born"})
+)
+def test_entry_without_a_field_is_a_fault(field):
+    entry = _entry_without(field)
+    with pytest.raises(format_error.FormatError):
+        LAYOUT.decode_upstream("servers/i-7", json.dumps(entry).encode())
+
+
+@pytest.mark.parametrize("state", ["Ready", "starting", "gone", "ready "])
+def test_state_that_nobody_named_is_a_fault(state):
+    with pytest.raises(format_error.FormatError):
+        decode_entry(state=state)
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["", "10.0.0.1", ":80", "10.0.0.1:x", "host:80", "10.0.0.1:0", "1.2:70000"],
+)
 def test_address_without_host_or_port_is_a_fault(address):
     with pytest.raises(format_error.FormatError):
         decode_entry(address=address)
