Count the causes of missing and late answers from captured log lines

Lines that were missing for it: how many prompt tokens waited at the upstream in a stream's longest pause (request-ended), and tokens of shared parts that are read again (request-routed).

--- a/packages/cli/src/lagoonrun_cli/explain_log_command.py
+++ b/packages/cli/src/lagoonrun_cli/explain_log_command.py
@@ -7,9 +7,11 @@
 from absl import flags
 
 from lagoonrun_cli import (
+    causes_report,
     command,
     errors,
     exit_codes,
+    log_causes,
     log_explanation,
     log_lines,
     reports,
@@ -26,9 +28,15 @@
     context: contexts.Context, invocation: command.Invocation
 ) -> reports.Report:
     del context
-    (request_id,) = invocation.arguments
     paths = invocation.flag("log") or [_STANDARD_INPUT]
     lines = log_lines.read(_texts_of(paths))
+    if invocation.flag("causes"):
+        return causes_report.report(log_causes.count(lines))
+    if len(invocation.arguments) != 1:
+        raise errors.usage_error(
+            f"{len(invocation.arguments)} ids; valid: one id, or --causes"
+        )
+    (request_id,) = invocation.arguments
     explanation = log_explanation.explain(request_id, lines)
     if explanation is None:
         return reports.Report(
@@ -105,19 +113,28 @@
         "input if none is given.",
         flag_values=values,
     )
+    flags.DEFINE_bool(
+        "causes",
+        False,
+        "Count, over all requests in the lines, why answers were missing or "
+        "late: by cause, class, failure domain and moment.",
+        flag_values=values,
+    )
 
 
 EXPLAIN_LOG = command.Command(
     name="explain-log",
-    usage="REQUEST_ID [--log FILE ...]",
-    summary="Say from log lines why a request failed or was late.",
+    usage="REQUEST_ID | --causes [--log FILE ...]",
+    summary="Say from log lines why requests failed or were late.",
     description="""
     Joins the lines that bear the id, of all entry VMs, with the latest lines
     by which those entry VMs changed what they believed of the upstream, the
     store, their peers and the declarations. Needs no running process.
+
+    With --causes in place of an id, counts the causes of all requests.
     """,
     run=_explain_log,
-    minimum_arguments=1,
+    minimum_arguments=0,
     maximum_arguments=1,
     define_flags=_define,
     codes=(exit_codes.ExitCode.NOT_FOUND,),
--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -118,12 +118,13 @@
     if last.message != "request-ended":
         return Verdict.OPEN
     if last.get("outcome") == "complete":
-        return Verdict.LATE if _is_late(last) else Verdict.IN_TIME
+        return Verdict.LATE if is_late(last) else Verdict.IN_TIME
     reason = str(last.get("reason"))
     return _VERDICT_BY_REASON.get(reason, Verdict.LOST)
 
 
-def _is_late(ended: log_lines.LogLine) -> bool:
+def is_late(ended: log_lines.LogLine) -> bool:
+    """Return whether a whole answer missed its target or a longest pause."""
     first, target = ended.get("first_seconds"), ended.get("target_seconds")
     if first is not None and target is not None and first > target:
         return True
@@ -148,7 +149,7 @@
             )
         elif line.message == "request-routed":
             yield from _placement_of(line)
-        elif line.message == "request-ended" and _is_late(line):
+        elif line.message == "request-ended" and is_late(line):
             yield (
                 f"first answer after {line.get('first_seconds')} s of "
                 f"{line.get('target_seconds')} s, longest pause "
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -67,11 +67,16 @@
         if isinstance(best, admission.Refusal):
             self._log(call, ranked, chosen="", refusal=best.value)
             return best
-        self._log(call, ranked, chosen=best.candidate.upstream)
+        reread = 0
         if request.shared_lately and not best.candidate.has_shared:
-            self._parts.metrics.reread_tokens.labels(call.pool.name).inc(
-                request.shared_tokens
-            )
+            reread = call.shared_tokens
+            self._parts.metrics.reread_tokens.labels(call.pool.name).inc(reread)
+        self._log(
+            call,
+            ranked,
+            chosen=best.candidate.upstream,
+            reread_tokens=reread,
+        )
         self._parts.let_in.note(call.route.profile.name, now=now)
         return Choice(
             upstream=by_id[best.candidate.upstream],
@@ -142,6 +147,7 @@
         *,
         chosen: str,
         refusal: str = "",
+        reread_tokens: int = 0,
     ) -> None:
         logs.emit(
             events.LogEvent.REQUEST_ROUTED,
@@ -153,6 +159,7 @@
             revision=call.revision,
             prompt_tokens=call.features.prompt_tokens,
             shared_tokens=call.shared_tokens,
+            reread_tokens=reread_tokens,
             candidates=[
                 {
                     "upstream": one.candidate.upstream,
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -55,6 +55,7 @@
         self._sending: sending.Sending | None = None
         self._whole_at: float | None = None
         self._foreseen_wait_seconds = 0.0
+        self._pause_waiting_tokens = 0
 
     @property
     def first_answer_at(self) -> float | None:
@@ -66,6 +67,11 @@
         """Longest pause between two events."""
         return self._relay.longest_pause_seconds
 
+    @property
+    def pause_waiting_tokens(self) -> int:
+        """Prompt tokens that waited at the upstream in the longest pause."""
+        return self._pause_waiting_tokens
+
     async def run(self) -> outcomes.Ending:
         """Return how the request ended; the caller has its answer."""
         left = self._call.limit_at - self._parts.clock.monotonic()
@@ -230,6 +236,7 @@
             result = await self._sending.run()
         finally:
             parts.ledger.end(work)
+            self._pause_waiting_tokens = self._sending.pause_waiting_tokens
         if isinstance(result, attempt.Delivered):
             self._whole_at = parts.clock.monotonic()
         return result
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -195,6 +195,7 @@
             seconds=round(now - call.arrived_at, 4),
             first_seconds=first_seconds and round(first_seconds, 4),
             longest_pause=round(run.longest_pause_seconds, 4),
+            pause_waiting_tokens=run.pause_waiting_tokens,
             target_seconds=call.route.profile.target_seconds,
             pause_target_seconds=call.route.longest_pause_seconds,
             retry_after=round(ending.retry_after_seconds, 3),
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -49,6 +49,9 @@
     ----------
     may_have_run
         Whether a byte of the request may have reached the upstream.
+    pause_waiting_tokens
+        Prompt tokens that were known to wait at the upstream when the longest
+        pause of the stream ended, for the log.
     """
 
     def __init__(
@@ -70,6 +73,8 @@
         self._last = last
         self._parts = parts
         self.may_have_run = False
+        self.pause_waiting_tokens = 0
+        self._longest_pause_seconds = 0.0
 
     async def run(self) -> attempt.Result:
         """Return the answer that the caller has, or why it has none."""
@@ -160,9 +165,19 @@
     def _note_event(self, pause: float | None) -> None:
         self._parts.ledger.first_event(self._work)
         if pause is not None:
-            now = self._parts.clock.monotonic()
-            upstream = self._work.upstream
-            self._parts.ledger.add_pause(upstream, pause, now=now)
+            self._note_pause(pause)
+
+    def _note_pause(self, pause: float) -> None:
+        now = self._parts.clock.monotonic()
+        upstream = self._work.upstream
+        self._parts.ledger.add_pause(upstream, pause, now=now)
+        if pause <= self._longest_pause_seconds:
+            return
+        self._longest_pause_seconds = pause
+        limit = self._call.route.longest_pause_seconds
+        if limit is not None and pause > limit:
+            load = self._parts.ledger.load_of(upstream, now=now)
+            self.pause_waiting_tokens = round(load.waiting_tokens)
 
     async def _not_run(
         self,
