Divide a pool softly between streams with tight pauses and long prompts

Hypothesis: by loads alone, streams go where no prompt is read and prompts where no stream runs, both by news a tenth of a second old, so that they run after each other; larger weights make that worse. A place in an order of the pool that all entry VMs compute alike breaks the symmetry.

--- a/packages/router/src/lagoonrun_router/call.py
+++ b/packages/router/src/lagoonrun_router/call.py
@@ -60,6 +60,8 @@
         the class, then by that of the organisation.
     pool_tiers
         Tiers of all classes of the pool.
+    tightest_pause_seconds
+        Shortest longest pause of any class of the pool; None for none.
     arrived_at
         Reading of the clock when the head was complete.
     limit_at
@@ -77,6 +79,7 @@
     organisation: declarations.RankedOrganisation | None
     urgency: int
     pool_tiers: tuple[types.Tier, ...]
+    tightest_pause_seconds: float | None
     arrived_at: float
     limit_at: float
     revision: types.Revision
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -183,6 +183,7 @@
         shared_tokens=call.shared_tokens,
         target_seconds=call.route.profile.target_seconds,
         sensitivity=sensitivity_of(call),
+        tightest_pause_seconds=call.tightest_pause_seconds,
         shared_lately=shared_lately,
         body_bytes=len(call.body),
     )
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -272,6 +272,7 @@
             organisation_tiers=table.organisation_tiers,
         ),
         pool_tiers=table.tiers_of(pool_name),
+        tightest_pause_seconds=table.tightest_pause_of(pool_name),
         arrived_at=arrived_at,
         limit_at=arrived_at + limit_seconds,
         revision=table.declared.revision,
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -74,6 +74,8 @@
     spread
         Range of the costs by which the hash of a prompt's shared part orders
         upstreams that are otherwise alike.
+    side
+        Cost of standing at the wrong end of the pool; see `_side`.
     """
 
     prefill_tokens_per_second: float = 40_000.0
@@ -92,6 +94,7 @@
     pace: float = 0.3
     memory: float = 1.0
     spread: float = 0.05
+    side: float = 4.0
 
 
 DEFAULT_WEIGHTS = Weights()
@@ -114,6 +117,9 @@
         Time to the first event, or to the whole answer, that is on time.
     sensitivity
         Inverse of the longest pause in seconds; 0 where there are no pauses.
+    tightest_pause_seconds
+        Shortest longest pause of any class of the pool; None where no class
+        has one.
     shared_lately
         Whether some upstream has read the shared parts a moment ago.
     body_bytes
@@ -126,6 +132,7 @@
     shared_tokens: float = 0.0
     target_seconds: float
     sensitivity: float = 0.0
+    tightest_pause_seconds: float | None = None
     shared_lately: bool = False
     body_bytes: int = 0
 
@@ -181,6 +188,7 @@
     PACE = "pace"
     MEMORY = "memory"
     SPREAD = "spread"
+    SIDE = "side"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -231,11 +239,15 @@
         part just now, and what they choose is heard a tenth of a second
         later. In the first ten seconds of a fleet of 82, 0.75 of the requests
         were served in this way, else 0.68.
+    position_by_upstream
+        Place of each candidate in an order of the pool, from 0 to 1, that all
+        entry VMs compute alike.
     """
 
     running: float
     pause_seconds: float
     readers: frozenset[types.UpstreamId]
+    position_by_upstream: dict[types.UpstreamId, float]
 
 
 def _usual_of(request: Request, candidates: tuple[Candidate, ...]) -> _Usual:
@@ -246,6 +258,7 @@
         running=statistics.median(one.load.running for one in candidates),
         pause_seconds=statistics.median(pauses) if pauses else 0.0,
         readers=_first_readers(request, candidates),
+        position_by_upstream=_positions(candidates),
     )
 
 
@@ -292,6 +305,12 @@
         CostKind.PACE: weights.pace * _slowness(load, usual),
         CostKind.MEMORY: weights.memory * _overflow(request, candidate),
         CostKind.SPREAD: weights.spread * _spread(request, candidate),
+        CostKind.SIDE: weights.side
+        * _side(
+            request,
+            own_seconds,
+            usual.position_by_upstream[candidate.upstream],
+        ),
     }
     return Ranked(
         candidate=candidate,
@@ -320,6 +339,40 @@
     return min(_WORST_SLOWNESS, max(0.0, ratio - 1.0))
 
 
+def _positions(
+    candidates: tuple[Candidate, ...],
+) -> dict[types.UpstreamId, float]:
+    """Return the places of upstreams in an order by the hash of their ids.
+
+    One that comes or goes moves the others by one place at most.
+    """
+    ordered = sorted(candidates, key=_id_hash)
+    last = max(1, len(ordered) - 1)
+    return {one.upstream: place / last for place, one in enumerate(ordered)}
+
+
+def _id_hash(candidate: Candidate) -> int:
+    return xxhash.xxh3_64_intdigest(candidate.upstream.encode())
+
+
+def _side(request: Request, own_seconds: float, position: float) -> float:
+    """Return how far a request is from its own end of the pool, 0 to 1.
+
+    A prompt that is read for as long as the tightest pause of the pool makes
+    each such stream beside it late, wherever it is read. Streams with tight
+    pauses gather at one end and long prompts at the other, with all between
+    them in between. The loads alone don't divide them so: streams go where no
+    prompt is read and prompts where no such stream runs, both by what was
+    heard a moment ago, so that they run after each other.
+    """
+    tightest = request.tightest_pause_seconds
+    if tightest is None:
+        return 0.0
+    tight = request.sensitivity * tightest
+    long = min(1.0, own_seconds / tightest)
+    return tight * position + long * (1.0 - position)
+
+
 def _overflow(request: Request, candidate: Candidate) -> float:
     """Return the part of the memory that would be missing.
 
--- a/packages/router/src/lagoonrun_router/route_table.py
+++ b/packages/router/src/lagoonrun_router/route_table.py
@@ -33,6 +33,7 @@
             for route in declared.routes
         }
         self._tiers_by_pool = _tiers_by_pool(declared.routes)
+        self._tightest_pause_by_pool = _tightest_pause_by_pool(declared.routes)
         self._organisations_by_digest = {
             digest: organisation
             for organisation in declared.organisations_by_id.values()
@@ -54,6 +55,13 @@
         """Return the tiers of all classes of a pool, without repeats."""
         return self._tiers_by_pool.get(pool, ())
 
+    def tightest_pause_of(self, pool: types.PoolName) -> float | None:
+        """Return the shortest longest pause of any class of a pool.
+
+        In seconds; None where no class of the pool has one.
+        """
+        return self._tightest_pause_by_pool.get(pool)
+
     @property
     def asks_for_keys(self) -> bool:
         """Whether routes that are not public need a key."""
@@ -91,6 +99,20 @@
     return {pool: tuple(sorted(found)) for pool, found in tiers.items()}
 
 
+def _tightest_pause_by_pool(
+    routes: tuple[declarations.Route, ...],
+) -> dict[types.PoolName, float]:
+    tightest: dict[types.PoolName, float] = {}
+    for route in routes:
+        pause = route.longest_pause_seconds
+        if pause is None:
+            continue
+        for destination in route.destinations:
+            known = tightest.get(destination.pool, pause)
+            tightest[destination.pool] = min(known, pause)
+    return tightest
+
+
 def choose_pool(
     route: declarations.Route, request_id: types.RequestId
 ) -> types.PoolName:
--- a/packages/standins/src/lagoonrun_standins/router_samples.py
+++ b/packages/standins/src/lagoonrun_standins/router_samples.py
@@ -94,6 +94,7 @@
         "organisation": None,
         "urgency": 0,
         "pool_tiers": (1,),
+        "tightest_pause_seconds": None,
         "arrived_at": 1000.0,
         "limit_at": 1003.0,
         "revision": 1,
