--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -106,12 +106,13 @@
     ) -> outcomes.Ending:
         """End a request that no upstream may take now."""
         if refusal is None:
+            # Not for want of room: other tiers need not stand back.
             reason = outcomes.Reason.NO_UPSTREAM
             detail = "no upstream of the pool is known"
         else:
             reason = outcomes.Reason.OVERLOADED
             detail = refusal.value
-        self._note_pressure()
+            self._note_pressure()
         logs.emit(
             events.LogEvent.REQUEST_REFUSED,
             level=logging.WARNING,
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -20,8 +20,9 @@
 from lagoonrun_router import parts as router_parts
 
 _UNCONFIGURED_WAIT_SECONDS = 0.4
-"""How long a request waits for the first declarations, below the time after
-which callers go elsewhere; the store usually answers in a few milliseconds."""
+"""How long a request waits for the first declarations and upstreams, below the
+time after which callers go elsewhere; the store usually answers in a few
+milliseconds."""
 
 _UNCONFIGURED_RETRY_SECONDS = 0.5
 """A starting process has its declarations within about this time."""
@@ -70,12 +71,22 @@
     def __init__(self, *, parts: router_parts.Parts) -> None:
         self._parts = parts
         self._table: route_table.RouteTable | None = None
+        self._upstreams_known = False
         self._configured = asyncio.Event()
 
     def use(self, table: route_table.RouteTable) -> None:
         """Resolve the following requests by another revision."""
         self._table = table
-        self._configured.set()
+        self._note_configured()
+
+    def take_upstreams_known(self) -> None:
+        """Take in that upstreams are known by now."""
+        self._upstreams_known = True
+        self._note_configured()
+
+    def _note_configured(self) -> None:
+        if self._table is not None and self._upstreams_known:
+            self._configured.set()
 
     async def handle(self, exchange: exchanges.Exchange) -> None:
         """Answer one request; never raises for what a caller does."""
@@ -94,11 +105,11 @@
             await self._serve(call, exchange)
 
     async def _wait_configured(self) -> None:
-        """Let a request wait for the first declarations, for a moment.
+        """Let a request wait for declarations and upstreams, for a moment.
 
-        After a stop of the whole fleet callers connect at once, and the
-        declarations are here within some milliseconds; a refusal would use
-        up the callers' few retries.
+        After a stop of the whole fleet callers connect at once, and both are
+        here within some milliseconds; the declarations may come first, from a
+        peer. A refusal would use up the callers' few retries.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_UNCONFIGURED_WAIT_SECONDS):
--- a/packages/router/src/lagoonrun_router/prompt_homes.py
+++ b/packages/router/src/lagoonrun_router/prompt_homes.py
@@ -11,12 +11,6 @@
 more than fits into their memory.
 """
 
-REUSE_SECONDS = 10.0
-"""Age from which a part that is read again counts as read for the first time.
-
-The platform's operators say so: what was not used for ten seconds may have
-been evicted anyhow.
-"""
 
 _MOST_PARTS = 8192
 """Parts that are remembered, the least recently used are forgotten first."""
@@ -31,9 +25,18 @@
 
 
 class PromptHomes:
-    """Where shared parts were read, by own and by others' placements."""
-
-    def __init__(self) -> None:
+    """Where shared parts were read, by own and by others' placements.
+
+    Parameters
+    ----------
+    reuse_seconds
+        Age from which a part that is read again counts as read for the first
+        time, by the operators: what was not used for so long may have been
+        evicted anyhow.
+    """
+
+    def __init__(self, *, reuse_seconds: float) -> None:
+        self._reuse_seconds = reuse_seconds
         self._seen_by_part: collections.OrderedDict[
             str, dict[types.UpstreamId, float]
         ] = collections.OrderedDict()
@@ -84,7 +87,7 @@
     def used_lately(self, part: str, *, now: float) -> bool:
         """Return whether a part was read somewhere a moment ago."""
         seen = self._seen_by_part.get(part)
-        return bool(seen) and now - max(seen.values()) < REUSE_SECONDS
+        return bool(seen) and now - max(seen.values()) < self._reuse_seconds
 
     def take_unrelayed(self) -> dict[str, types.UpstreamId]:
         """Return the domain's placements that others were not told yet."""
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -116,7 +116,9 @@
         self.metrics = metrics.RouterMetrics()
         self.directory = upstreams.UpstreamDirectory()
         self._ledger = loads.LoadLedger()
-        self._homes = prompt_homes.PromptHomes()
+        self._homes = prompt_homes.PromptHomes(
+            reuse_seconds=configured.reuse_seconds
+        )
         self._domains = reach.DomainReach()
         self._pressed = pressure.Pressure()
         self._let_in = let_in_times.LetInTimes(
@@ -364,6 +366,8 @@
             self._client.lose(
                 before.host, before.port, opened_until=restarted.heard_at
             )
+        if self.beliefs.upstreams_known:
+            self._ingress.take_upstreams_known()
         self._ledger.forget_upstreams(
             one.id for one in self.directory.registrations
         )
--- a/packages/router/src/lagoonrun_router/settings.py
+++ b/packages/router/src/lagoonrun_router/settings.py
@@ -36,6 +36,9 @@
         Time from the signal to stop until the process is killed.
     retry_allowance
         Repeats that all entry VMs together may send.
+    reuse_seconds
+        Age from which a shared part of a prompt that is read again counts as
+        read for the first time.
     """
 
     entry_vm: types.EntryVmId
@@ -48,6 +51,7 @@
     store: Address
     stop_seconds: float
     retry_allowance: retry_budget.Allowance
+    reuse_seconds: float
 
 
 CHANGEABLE_NAMES = frozenset(
--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -70,6 +70,7 @@
             "retry_allowance": retry_budget.Allowance(
                 ratio=0.2, window_seconds=10.0, fixed=50.0
             ),
+            "reuse_seconds": 10.0,
         }
         configured = settings.RouterSettings(**{**values, **changes})
         made = router.Router(
--- a/packages/router/tests/test_domain_news.py
+++ b/packages/router/tests/test_domain_news.py
@@ -64,7 +64,7 @@
         sent = []
         shared = {
             "ledger": loads.LoadLedger(),
-            "homes": prompt_homes.PromptHomes(),
+            "homes": prompt_homes.PromptHomes(reuse_seconds=10.0),
             "pressed": pressure.Pressure(),
             "table": peer_table.PeerTable(
                 entry_vm=name, domain=DOMAIN_OF[name]
--- a/packages/router/tests/test_ingress.py
+++ b/packages/router/tests/test_ingress.py
@@ -98,3 +98,37 @@
 
 def _other():
     return declarations.RankedOrganisation(id="x", key_digests=("00",))
+
+
+async def test_requests_wait_a_moment_for_the_first_upstreams(world_of):
+    """All entry VMs restart; a peer tells the declarations before the store.
+
+    The upstreams are read some milliseconds later; until then each request
+    was refused, and its tier kept all lower ones out for seconds.
+    """
+    world = await world_of()
+    await world.declare()
+    await wait_for(lambda: world.router.beliefs.revision == 1)
+    caller = await world.caller()
+    caller.send("/lookups/1")
+    await world.add_upstream()
+    async with asyncio.timeout(WAIT_SECONDS):
+        assert (await caller.answer()).status == 200
+
+
+async def test_missing_upstreams_keep_no_lower_tier_out(world):
+    """The engines of a pool are all gone for a moment.
+
+    That is no overload: when they are back, lower tiers are let in at once.
+    """
+    pool = declarations.Pool(
+        name="portal",
+        maximum_connections=64,
+        engine=declarations.Engine(slots=8, cache_tokens=100_000),
+    )
+    await world.declare(revision=2, pools_by_name={"portal": pool})
+    await wait_for(lambda: world.router.beliefs.revision == 2)
+    for number in range(5):
+        refused = await world.ask("/lookups/1", id=f"r-{number}")
+        assert refused.status == 503
+    assert world.router._pressed.recent(now=0.0) == ()
--- a/packages/router/tests/test_prompt_homes.py
+++ b/packages/router/tests/test_prompt_homes.py
@@ -4,10 +4,12 @@
 
 from lagoonrun_router import prompt_homes
 
+REUSE_SECONDS = 7.0
+
 
 @pytest.fixture
 def homes():
-    return prompt_homes.PromptHomes()
+    return prompt_homes.PromptHomes(reuse_seconds=REUSE_SECONDS)
 
 
 def test_part_is_at_its_upstream_until_it_is_old(homes):
@@ -19,8 +21,8 @@
 
 def test_recent_use_anywhere_is_seen(homes):
     homes.take_told("p", "u-2", now=0.0)
-    assert homes.used_lately("p", now=prompt_homes.REUSE_SECONDS - 0.1)
-    assert not homes.used_lately("p", now=prompt_homes.REUSE_SECONDS)
+    assert homes.used_lately("p", now=REUSE_SECONDS - 0.1)
+    assert not homes.used_lately("p", now=REUSE_SECONDS)
     assert not homes.used_lately("q", now=0.0)
 
 
--- a/packages/soak/src/lagoonrun_soak/layout.py
+++ b/packages/soak/src/lagoonrun_soak/layout.py
@@ -202,6 +202,7 @@
             retry_allowance=retry_budget.Allowance(
                 ratio=0.2, window_seconds=10.0, fixed=50.0
             ),
+            reuse_seconds=10.0,
         )
 
     def registration(
--- a/tests/users_platform/test_settings_file.py
+++ b/tests/users_platform/test_settings_file.py
@@ -47,6 +47,12 @@
     assert configured.stop_seconds == 8.0
     assert configured.retry_allowance.fixed == 54.0
     assert configured.metrics.port == settings_file.METRICS_PORT
+    assert configured.reuse_seconds == 10.0
+
+
+def test_operators_say_what_counts_as_read_again(load):
+    text = TEXT.replace("[bounds]", "[bounds]\nreuse_window_s = 6.7")
+    assert load(text).reuse_seconds == 6.7
 
 
 def test_seeds_are_the_others_at_the_port_for_peers(load):
