Tell loads in columns, keep their sum, look less often for lost peers

Cause of the processor time of large fleets, by a benchmark of the parts on a calm core (45 upstreams, 27 neighbours): reading one message of 45 loads took 0.85 ms and happens ten times a second; the loads of 45 candidates took 1.3 ms a decision; the look for lost peers asked for the fleet's size for each peer, 0.2 ms twenty times a second.

Now 0.09 ms to read, 0.12 ms for the loads of 45 candidates, 0.015 ms for the look, four times a second. Sums are held against adding up by a differential test.

--- a/packages/protocol/src/lagoonrun_protocol/codec.py
+++ b/packages/protocol/src/lagoonrun_protocol/codec.py
@@ -26,6 +26,7 @@
     PLAIN = "plain"
     ENUM = "enum"
     LIST = "list"
+    STRUCT = "struct"
     STRUCT_LIST = "struct-list"
 
 
@@ -58,6 +59,9 @@
         else:
             shape = _Shape.LIST
             from_wire = tuple
+    elif dataclasses.is_dataclass(field_type):
+        shape = _Shape.STRUCT
+        from_wire = _struct_reader(typing.cast(type, field_type))
     elif isinstance(field_type, type) and issubclass(field_type, enum.Enum):
         shape = _Shape.ENUM
         from_wire = field_type
@@ -71,6 +75,13 @@
     )
 
 
+def _struct_reader(struct_type: type) -> Callable[[Any], Any]:
+    def read(struct: Any) -> Any:
+        return _from_wire(struct_type, struct)
+
+    return read
+
+
 def _struct_list_reader(item_type: type) -> Callable[[Any], Any]:
     def read(items: Any) -> tuple[Any, ...]:
         return tuple(_from_wire(item_type, item) for item in items)
@@ -117,6 +128,8 @@
             setattr(builder, codec.wire_name, value)
         elif codec.shape is _Shape.ENUM:
             setattr(builder, codec.wire_name, value.value)
+        elif codec.shape is _Shape.STRUCT:
+            _write(builder.init(codec.wire_name), value)
         elif codec.shape is _Shape.LIST:
             setattr(builder, codec.wire_name, list(value))
         else:
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -6,19 +6,24 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class UpstreamLoad:
-    """The sender's own work at one upstream, in small whole numbers.
+class LoadColumns:
+    """Work at several upstreams, in small whole numbers.
 
-    Bytes between failure domains have a price, and whole numbers are packed
-    into a third of the bytes of fractions.
+    The n-th entry of each column is of the n-th upstream: a list of structs
+    takes a dozen times as long to read as lists of numbers, and each entry VM
+    reads a hundred such messages a second in a large fleet. Bytes between
+    failure domains have a price, and whole numbers are packed into a third of
+    the bytes of fractions.
 
     Parameters
     ----------
-    waiting_by_tier
-        Prompt tokens of its requests without a first event; the first is of
-        the highest tier.
+    tiers
+        Entries of `waiting_tokens` for each upstream.
+    waiting_tokens
+        Prompt tokens of requests without a first event: those of the first
+        upstream by tier, the highest first, then those of the second.
     running
-        Its requests without an end.
+        Requests without an end.
     sensitive_hundredths
         Streams among them, each by the inverse of its longest pause.
     held_tokens
@@ -31,14 +36,15 @@
         Requests whose first event should have come long ago.
     """
 
-    upstream: types.UpstreamId
-    waiting_by_tier: tuple[int, ...]
-    running: int
-    sensitive_hundredths: int
-    held_tokens: int = 0
-    pause_milliseconds: int = 0
-    pauses_tenths: int = 0
-    overdue: int = 0
+    upstreams: tuple[types.UpstreamId, ...] = ()
+    tiers: int = 0
+    waiting_tokens: tuple[int, ...] = ()
+    running: tuple[int, ...] = ()
+    sensitive_hundredths: tuple[int, ...] = ()
+    held_tokens: tuple[int, ...] = ()
+    pause_milliseconds: tuple[int, ...] = ()
+    pauses_tenths: tuple[int, ...] = ()
+    overdue: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -117,7 +123,7 @@
     store_revision: int = 0
     stopping: bool = False
     leaving_starts: tuple[LeavingUpstream, ...] = ()
-    loads: tuple[UpstreamLoad, ...] = ()
+    loads: LoadColumns = LoadColumns()
     placements: tuple[PromptPlacement, ...] = ()
     known: tuple[EntryVmAddress, ...] = ()
     pressed: tuple[PressedTier, ...] = ()
@@ -145,7 +151,7 @@
     domain: types.FailureDomain
     start: int
     sequence: int
-    loads: tuple[UpstreamLoad, ...] = ()
+    loads: LoadColumns = LoadColumns()
     placements: tuple[PromptPlacement, ...] = ()
     pressed: tuple[PressedTier, ...] = ()
 
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -165,6 +165,19 @@
   unknown @1 :List(WaitingWork);
 }
 
+struct LoadColumns {
+  upstreams @0 :List(Text);
+  tiers @1 :UInt32;
+  waitingTokens @2 :List(UInt32);
+  running @3 :List(UInt32);
+  sensitiveHundredths @4 :List(UInt32);
+  heldTokens @5 :List(UInt32);
+  pauseMilliseconds @6 :List(UInt32);
+  pausesTenths @7 :List(UInt32);
+  overdue @8 :List(UInt32);
+}
+
+# Not written any more.
 struct UpstreamLoad {
   upstream @0 :Text;
   waitingByTier @1 :List(UInt32);
@@ -207,7 +220,8 @@
   stopping @5 :Bool;
   # Ids without their starts; not written any more.
   leaving @6 :List(Text);
-  loads @7 :List(UpstreamLoad);
+  # A struct for each upstream; not written any more.
+  structLoads @7 :List(UpstreamLoad);
   placements @8 :List(PromptPlacement);
   known @9 :List(EntryVmAddress);
   domain @10 :Text;
@@ -215,6 +229,7 @@
   pressed @12 :List(PressedTier);
   storeRevision @13 :UInt64;
   leavingStarts @14 :List(LeavingUpstream);
+  loads @15 :LoadColumns;
 }
 
 struct DomainNews {
@@ -222,9 +237,11 @@
   domain @1 :Text;
   start @2 :UInt64;
   sequence @3 :UInt64;
-  loads @4 :List(UpstreamLoad);
+  # A struct for each upstream; not written any more.
+  structLoads @4 :List(UpstreamLoad);
   placements @5 :List(PromptPlacement);
   pressed @6 :List(PressedTier);
+  loads @7 :LoadColumns;
 }
 
 struct StoredItem {
--- a/packages/router/src/lagoonrun_router/domain_news.py
+++ b/packages/router/src/lagoonrun_router/domain_news.py
@@ -139,7 +139,7 @@
             domain=self._domain,
             start=self._start,
             sequence=self._sequence,
-            loads=peer_loads.to_messages(known),
+            loads=peer_loads.to_columns(known),
             placements=peer_loads.placements(self._homes.take_unrelayed()),
             pressed=peer_loads.pressed(
                 self._pressed.recent_with(near, now=now)
@@ -173,7 +173,7 @@
             return
         self._domains.hear(news.domain, now=now)
         self._ledger.take_told(
-            news.domain, peer_loads.from_messages(news.loads), now=now
+            news.domain, peer_loads.from_columns(news.loads), now=now
         )
         self._pressed.take_told(
             news.domain, peer_loads.pressed_of(news.pressed), now=now
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -134,6 +134,65 @@
     at: float
 
 
+class _ToldSum:
+    """Work at one upstream by all that tell of it.
+
+    Kept up to date with each message: with thirty tellers and 45 candidates,
+    adding up for each decision took most of its time.
+    """
+
+    def __init__(self) -> None:
+        self.tellers = 0
+        self._waiting_by_tier: list[float] = []
+        self._running = 0
+        self._sensitive = 0.0
+        self._held_tokens = 0.0
+        self._pause_seconds = 0.0
+        self._pauses = 0.0
+        self._overdue = 0
+
+    def add(self, load: Load) -> None:
+        """Add what somebody tells."""
+        self.tellers += 1
+        self._change(load, 1)
+
+    def take_back(self, load: Load) -> None:
+        """Leave out what somebody told before."""
+        self.tellers -= 1
+        self._change(load, -1)
+
+    def _change(self, load: Load, sign: int) -> None:
+        missing = len(load.waiting_by_tier) - len(self._waiting_by_tier)
+        self._waiting_by_tier.extend([0.0] * missing)
+        for place, tokens in enumerate(load.waiting_by_tier):
+            self._waiting_by_tier[place] += sign * tokens
+        self._running += sign * load.running
+        self._sensitive += sign * load.sensitive
+        self._held_tokens += sign * load.held_tokens
+        self._pause_seconds += sign * load.pause_seconds * load.pauses
+        self._pauses += sign * load.pauses
+        self._overdue += sign * load.overdue
+
+    def load(self) -> Load:
+        """Return the sum.
+
+        Fractions that were added and taken back may leave a rest of some
+        1e-12, which is kept from being negative.
+        """
+        pauses = max(0.0, self._pauses)
+        return Load(
+            waiting_by_tier=tuple(self._waiting_by_tier),
+            running=self._running,
+            sensitive=max(0.0, self._sensitive),
+            held_tokens=self._held_tokens,
+            pause_seconds=max(0.0, self._pause_seconds) / pauses
+            if pauses > _LEAST_PAUSES
+            else 0.0,
+            pauses=pauses,
+            overdue=self._overdue,
+        )
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Decaying:
     """A sum whose parts fade with time."""
@@ -172,7 +231,9 @@
 
     def __init__(self) -> None:
         self._own_by_upstream: dict[types.UpstreamId, list[Work]] = {}
+        # The one that told longest ago comes first.
         self._told_by_peer: dict[types.LoadTeller, _Told] = {}
+        self._told_sum_by_upstream: dict[types.UpstreamId, _ToldSum] = {}
         self._failures_by_upstream: dict[types.UpstreamId, _Decaying] = {}
         self._prefill_by_upstream: dict[types.UpstreamId, _Decaying] = {}
         self._pauses_by_upstream: dict[types.UpstreamId, _Pauses] = {}
@@ -239,7 +300,8 @@
         }
 
     def _own_load(self, upstream: types.UpstreamId, now: float) -> Load:
-        load = _sum_of(self._own_by_upstream.get(upstream, ()), now=now)
+        works = self._own_by_upstream.get(upstream)
+        load = _sum_of(works, now=now) if works else NO_LOAD
         known = self._pauses_by_upstream.get(upstream)
         count = known.count.read(now) if known else 0.0
         if count < _LEAST_PAUSES:
@@ -260,21 +322,46 @@
         now: float,
     ) -> None:
         """Replace what `peer` told before."""
-        before = self._told_by_peer.get(peer)
+        before = self._take_back(peer)
         for upstream, load in loads_by_upstream.items():
-            known = NO_LOAD
-            if before is not None:
-                known = before.loads_by_upstream.get(upstream, NO_LOAD)
+            known = before.get(upstream, NO_LOAD)
             added = load.waiting_tokens - known.waiting_tokens
             if added > 0:
                 self.add_prefill(upstream, added, now=now)
-        self._told_by_peer[peer] = _Told(
-            loads_by_upstream=loads_by_upstream, at=now
-        )
+        self._tell(peer, _Told(loads_by_upstream=loads_by_upstream, at=now))
 
     def forget_peer(self, peer: types.EntryVmId) -> None:
         """Drop what a lost peer told."""
-        self._told_by_peer.pop(peer, None)
+        self._take_back(peer)
+
+    def _tell(self, peer: types.LoadTeller, told: _Told) -> None:
+        self._told_by_peer[peer] = told
+        for upstream, load in told.loads_by_upstream.items():
+            known = self._told_sum_by_upstream.get(upstream)
+            if known is None:
+                known = self._told_sum_by_upstream[upstream] = _ToldSum()
+            known.add(load)
+
+    def _take_back(
+        self, peer: types.LoadTeller
+    ) -> Mapping[types.UpstreamId, Load]:
+        """Leave out what `peer` told last, and return it."""
+        told = self._told_by_peer.pop(peer, None)
+        if told is None:
+            return {}
+        for upstream, load in told.loads_by_upstream.items():
+            known = self._told_sum_by_upstream[upstream]
+            known.take_back(load)
+            if not known.tellers:
+                del self._told_sum_by_upstream[upstream]
+        return told.loads_by_upstream
+
+    def _drop_old(self, now: float) -> None:
+        while self._told_by_peer:
+            peer = next(iter(self._told_by_peer))
+            if now - self._told_by_peer[peer].at < PEER_LOAD_SECONDS:
+                return
+            self._take_back(peer)
 
     # Failures and recent work.
 
@@ -309,22 +396,22 @@
 
     def load_of(self, upstream: types.UpstreamId, *, now: float) -> Load:
         """Return all known work at `upstream`."""
-        total = self._own_load(upstream, now)
-        for told in self._told_by_peer.values():
-            if now - told.at < PEER_LOAD_SECONDS:
-                load = told.loads_by_upstream.get(upstream)
-                if load is not None:
-                    total = total.plus(load)
-        return total
+        self._drop_old(now)
+        own = self._own_load(upstream, now)
+        told = self._told_sum_by_upstream.get(upstream)
+        if told is None:
+            return own
+        return told.load() if own is NO_LOAD else own.plus(told.load())
 
     def loads_of(
         self, peers: Iterable[types.EntryVmId], *, now: float
     ) -> dict[types.UpstreamId, Load]:
         """Return the own work and that of `peers` together, by upstream."""
+        self._drop_old(now)
         sums = self.own_loads(now=now)
         for peer in peers:
             told = self._told_by_peer.get(peer)
-            if told is None or now - told.at >= PEER_LOAD_SECONDS:
+            if told is None:
                 continue
             for upstream, load in told.loads_by_upstream.items():
                 sums[upstream] = sums.get(upstream, NO_LOAD).plus(load)
@@ -343,6 +430,7 @@
             self._pauses_by_upstream,
         ):
             by_upstream.pop(upstream, None)
+        self._told_sum_by_upstream.pop(upstream, None)
         for peer, told in self._told_by_peer.items():
             others = {
                 id: load
--- a/packages/router/src/lagoonrun_router/peer_loads.py
+++ b/packages/router/src/lagoonrun_router/peer_loads.py
@@ -2,47 +2,95 @@
 
 from collections.abc import Iterable, Mapping
 
-from lagoonrun_core import types
+from lagoonrun_core import errors, types
 from lagoonrun_protocol import router_messages
-from lagoonrun_router import loads
+from lagoonrun_router import format_error, loads
 from lagoonrun_router import pressure as pressures
 
 
-def to_messages(
+def to_columns(
     loads_by_upstream: Mapping[types.UpstreamId, loads.Load],
-) -> tuple[router_messages.UpstreamLoad, ...]:
+) -> router_messages.LoadColumns:
     """Return what is told of the work at each upstream."""
-    return tuple(
-        router_messages.UpstreamLoad(
-            upstream=upstream,
-            waiting_by_tier=tuple(map(round, load.waiting_by_tier)),
-            running=load.running,
-            sensitive_hundredths=round(load.sensitive * 100),
-            held_tokens=round(load.held_tokens),
-            pause_milliseconds=round(load.pause_seconds * 1000),
-            pauses_tenths=round(load.pauses * 10),
-            overdue=load.overdue,
-        )
-        for upstream, load in loads_by_upstream.items()
+    known = tuple(loads_by_upstream.values())
+    tiers = max((len(load.waiting_by_tier) for load in known), default=0)
+    waiting: list[int] = []
+    for load in known:
+        waiting.extend(map(round, load.waiting_by_tier))
+        waiting.extend([0] * (tiers - len(load.waiting_by_tier)))
+    return router_messages.LoadColumns(
+        upstreams=tuple(loads_by_upstream),
+        tiers=tiers,
+        waiting_tokens=tuple(waiting),
+        running=tuple(load.running for load in known),
+        sensitive_hundredths=tuple(
+            round(load.sensitive * 100) for load in known
+        ),
+        held_tokens=tuple(round(load.held_tokens) for load in known),
+        pause_milliseconds=tuple(
+            round(load.pause_seconds * 1000) for load in known
+        ),
+        pauses_tenths=tuple(round(load.pauses * 10) for load in known),
+        overdue=tuple(load.overdue for load in known),
     )
 
 
-def from_messages(
-    told: Iterable[router_messages.UpstreamLoad],
+def from_columns(
+    told: router_messages.LoadColumns,
 ) -> dict[types.UpstreamId, loads.Load]:
-    """Return the work at each upstream by what was told."""
-    return {one.upstream: _load_of(one) for one in told}
+    """Return the work at each upstream by what was told.
+
+    Raises
+    ------
+    FormatError
+        Where the columns are not of one length.
+    """
+    rows = zip(
+        told.upstreams,
+        told.running,
+        told.sensitive_hundredths,
+        told.held_tokens,
+        told.pause_milliseconds,
+        told.pauses_tenths,
+        told.overdue,
+        strict=True,
+    )
+    if len(told.waiting_tokens) != told.tiers * len(told.upstreams):
+        raise _uneven(told, f"{len(told.waiting_tokens)} waiting tokens")
+    try:
+        return {
+            upstream: loads.Load(
+                waiting_by_tier=told.waiting_tokens[
+                    place * told.tiers : (place + 1) * told.tiers
+                ],
+                running=running,
+                sensitive=sensitive / 100,
+                held_tokens=held,
+                pause_seconds=pause / 1000,
+                pauses=pauses / 10,
+                overdue=overdue,
+            )
+            for place, (
+                upstream,
+                running,
+                sensitive,
+                held,
+                pause,
+                pauses,
+                overdue,
+            ) in enumerate(rows)
+        }
+    except ValueError as error:
+        raise _uneven(told, str(error)) from error
 
 
-def _load_of(told: router_messages.UpstreamLoad) -> loads.Load:
-    return loads.Load(
-        waiting_by_tier=tuple(map(float, told.waiting_by_tier)),
-        running=told.running,
-        sensitive=told.sensitive_hundredths / 100,
-        held_tokens=float(told.held_tokens),
-        pause_seconds=told.pause_milliseconds / 1000,
-        pauses=told.pauses_tenths / 10,
-        overdue=told.overdue,
+def _uneven(
+    told: router_messages.LoadColumns, detail: str
+) -> format_error.FormatError:
+    return format_error.FormatError(
+        step=errors.Step.PEER_FRAME,
+        detail=f"loads of {len(told.upstreams)} upstreams with columns of "
+        f"other lengths: {detail}",
     )
 
 
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -142,8 +142,12 @@
     def take_lost(self, *, now: float) -> tuple[types.EntryVmId, ...]:
         """Return the peers that have fallen silent since the last call."""
         lost = []
+        near_seconds = _SAMPLED_SECONDS if self._is_sampled else HEARD_SECONDS
         for entry_vm, peer in self._peers_by_id.items():
-            if peer.alive and now - peer.heard_at > self._patience(peer):
+            # Those of other domains tell this one by chance only.
+            far = self._is_far(peer)
+            patience = _FORGOTTEN_SECONDS if far else near_seconds
+            if peer.alive and now - peer.heard_at > patience:
                 peer.alive = False
                 lost.append(entry_vm)
                 logs.emit(
@@ -154,15 +158,6 @@
                 )
         return tuple(lost)
 
-    def _patience(self, peer: _Peer) -> float:
-        """Return the silence after which a peer counts as lost.
-
-        Those of other domains tell this one by chance only.
-        """
-        if self._is_far(peer):
-            return _FORGOTTEN_SECONDS
-        return _SAMPLED_SECONDS if self._is_sampled else HEARD_SECONDS
-
     def neighbours(self) -> tuple[types.EntryVmId, ...]:
         """Return the peers of the own failure domain that were heard lately."""
         return tuple(
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -42,6 +42,10 @@
 _QUIET_BEATS = 8
 """Looks without news after which a state is told all the same."""
 
+_LOOK_BEATS = 5
+"""Looks for something to tell between two looks for lost peers, who count as
+lost after seconds of silence; each looks at all peers."""
+
 _TOLD_MEMBERS = 4
 _TAG_BYTES = 16
 _LARGEST_DATAGRAM_BYTES = 16_384
@@ -96,6 +100,7 @@
         self._start = secrets.randbits(63)
         self._sequence = 0
         self._beats_since_told = 0
+        self._beats_until_look = 0
         self._told_leaving: tuple[router_messages.LeavingUpstream, ...] = ()
         self._told_news = (0, 0, False)
         self._beats_since_far = 0
@@ -148,8 +153,11 @@
 
     def _beat(self) -> None:
         now = self._clock.monotonic()
-        for lost in self._table.take_lost(now=now):
-            self._ledger.forget_peer(lost)
+        self._beats_until_look -= 1
+        if self._beats_until_look <= 0:
+            self._beats_until_look = _LOOK_BEATS
+            for lost in self._table.take_lost(now=now):
+                self._ledger.forget_peer(lost)
         self._domain_news.beat(now=now)
         self._tell_far(now)
         self._beats_since_told += 1
@@ -208,7 +216,7 @@
             store_revision=self._known.store_revision,
             stopping=self.stopping,
             leaving_starts=leaving if tell_leaving else (),
-            loads=peer_loads.to_messages(self._ledger.own_loads(now=now)),
+            loads=peer_loads.to_columns(self._ledger.own_loads(now=now)),
             placements=peer_loads.placements(placements),
             pressed=peer_loads.pressed(self._pressed.recent(now=now)),
             known=self._some_members() if quiet else (),
@@ -272,17 +280,18 @@
             self._reject(host, f"{len(data)} bytes with a wrong tag")
             return
         try:
-            state = codec.decode(body, peer=host)
+            self._take_message(codec.decode(body, peer=host), host)
         except errors.LagoonrunError as error:
             self._reject(host, error.detail)
-            return
-        if isinstance(state, router_messages.DomainNews):
+
+    def _take_message(self, message: object, host: str) -> None:
+        if isinstance(message, router_messages.DomainNews):
             now = self._clock.monotonic()
-            self._domain_news.take(state, host=host, now=now)
-        elif isinstance(state, router_messages.RouterState):
-            self._take(state, host)
+            self._domain_news.take(message, host=host, now=now)
+        elif isinstance(message, router_messages.RouterState):
+            self._take(message, host)
         else:
-            self._reject(host, f"a {type(state).__name__}")
+            self._reject(host, f"a {type(message).__name__}")
 
     def _take(self, state: router_messages.RouterState, host: str) -> None:
         now = self._clock.monotonic()
@@ -318,7 +327,7 @@
         self, state: router_messages.RouterState, now: float
     ) -> None:
         self._ledger.take_told(
-            state.entry_vm, peer_loads.from_messages(state.loads), now=now
+            state.entry_vm, peer_loads.from_columns(state.loads), now=now
         )
         self._pressed.take_told(
             state.entry_vm, peer_loads.pressed_of(state.pressed), now=now
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -191,7 +191,7 @@
     SIDE = "side"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Ranked:
     """A candidate with its cost.
 
@@ -201,13 +201,20 @@
         Prompt tokens that it would have to read.
     wait_seconds
         Estimated time to the first event.
+    costs
+        Its parts, in the order of `CostKind`.
     """
 
     candidate: Candidate
     new_tokens: float
     wait_seconds: float
     cost: float
-    cost_by_kind: dict[CostKind, float]
+    costs: tuple[float, ...]
+
+    @property
+    def cost_by_kind(self) -> dict[CostKind, float]:
+        """The parts of the cost by their kinds."""
+        return dict(zip(CostKind, self.costs, strict=True))
 
 
 def rank(
@@ -233,9 +240,9 @@
     ----------
     running, pause_seconds
         Medians over the candidates, against which stragglers show.
-    readers
+    reader
         Where a shared part that nobody has read lately is to be read: one
-        upstream, by the hash of the part. Other entry VMs may have the same
+        upstream, by the hash of the part; None for a part that was. Other entry VMs may have the same
         part just now, and what they choose is heard a tenth of a second
         later. In the first ten seconds of a fleet of 82, 0.75 of the requests
         were served in this way, else 0.68.
@@ -246,7 +253,7 @@
 
     running: float
     pause_seconds: float
-    readers: frozenset[types.UpstreamId]
+    reader: types.UpstreamId | None
     position_by_upstream: dict[types.UpstreamId, float]
 
 
@@ -257,18 +264,17 @@
     return _Usual(
         running=statistics.median(one.load.running for one in candidates),
         pause_seconds=statistics.median(pauses) if pauses else 0.0,
-        readers=_first_readers(request, candidates),
+        reader=_first_reader(request, candidates),
         position_by_upstream=_positions(candidates),
     )
 
 
-def _first_readers(
+def _first_reader(
     request: Request, candidates: tuple[Candidate, ...]
-) -> frozenset[types.UpstreamId]:
+) -> types.UpstreamId | None:
     if request.shared_lately:
-        return frozenset()
-    first = min(candidates, key=lambda one: _spread(request, one))
-    return frozenset((first.upstream,))
+        return None
+    return min(candidates, key=lambda one: _spread(request, one)).upstream
 
 
 def _assess(
@@ -278,46 +284,41 @@
     if candidate.has_shared:
         new_tokens -= request.shared_tokens
     reading = weights.reading * new_tokens
-    if candidate.upstream not in usual.readers and not candidate.has_shared:
+    if candidate.upstream != usual.reader and not candidate.has_shared:
         reading += weights.rereading * request.shared_tokens
     rate = weights.prefill_tokens_per_second
     load = candidate.load
     own_seconds = new_tokens / rate
     wait_seconds = waiting_seconds(load, request.tier, weights) + own_seconds
     occupied = load.running / max(1, candidate.slots)
-    cost_by_kind = {
-        CostKind.WAIT: weights.wait
-        * (wait_seconds / request.target_seconds) ** 2,
-        CostKind.HARM: weights.harm * own_seconds * load.sensitive,
-        CostKind.EXPOSURE: weights.exposure
+    position = usual.position_by_upstream[candidate.upstream]
+    # In the order of `CostKind`.
+    costs = (
+        weights.wait * (wait_seconds / request.target_seconds) ** 2,
+        weights.harm * own_seconds * load.sensitive,
+        weights.exposure
         * request.sensitivity
         * min(1.0, candidate.recent_prefill / rate),
-        CostKind.READING: reading / 1000.0,
-        CostKind.DOMAIN: 0.0
+        reading / 1000.0,
+        0.0
         if candidate.same_domain
         else weights.other_domain * request.body_bytes / 1e6,
-        CostKind.FAILURE: weights.failure * candidate.failures,
-        CostKind.OVERDUE: weights.overdue * load.overdue,
-        CostKind.SILENCE: weights.silence * candidate.silent_domain,
-        CostKind.QUEUE: weights.queue * occupied,
-        CostKind.CROWD: weights.crowd
-        * max(0.0, load.running / (usual.running + 2.0) - 1.0),
-        CostKind.PACE: weights.pace * _slowness(load, usual),
-        CostKind.MEMORY: weights.memory * _overflow(request, candidate),
-        CostKind.SPREAD: weights.spread * _spread(request, candidate),
-        CostKind.SIDE: weights.side
-        * _side(
-            request,
-            own_seconds,
-            usual.position_by_upstream[candidate.upstream],
-        ),
-    }
+        weights.failure * candidate.failures,
+        weights.overdue * load.overdue,
+        weights.silence * candidate.silent_domain,
+        weights.queue * occupied,
+        weights.crowd * max(0.0, load.running / (usual.running + 2.0) - 1.0),
+        weights.pace * _slowness(load, usual),
+        weights.memory * _overflow(request, candidate),
+        weights.spread * _spread(request, candidate),
+        weights.side * _side(request, own_seconds, position),
+    )
     return Ranked(
         candidate=candidate,
         new_tokens=new_tokens,
         wait_seconds=wait_seconds,
-        cost=sum(cost_by_kind.values()),
-        cost_by_kind=cost_by_kind,
+        cost=sum(costs),
+        costs=costs,
     )
 
 
@@ -387,6 +388,5 @@
 
 def _spread(request: Request, candidate: Candidate) -> float:
     """Return a number from 0 to 1 that all entry VMs compute alike."""
-    digest = xxhash.xxh3_64(request.affinity.encode())
-    digest.update(candidate.upstream.encode())
-    return digest.intdigest() / _HASH_RANGE
+    named = f"{request.affinity} {candidate.upstream}"
+    return xxhash.xxh3_64_intdigest(named.encode()) / _HASH_RANGE
--- a/packages/router/tests/test_admission.py
+++ b/packages/router/tests/test_admission.py
@@ -23,7 +23,7 @@
         new_tokens=new,
         wait_seconds=wait,
         cost=0.0,
-        cost_by_kind={},
+        costs=(),
     )
 
 
--- a/packages/router/tests/test_loads.py
+++ b/packages/router/tests/test_loads.py
@@ -1,6 +1,8 @@
 """Own and told loads, and how they fade."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from lagoonrun_router import loads
 
@@ -125,3 +127,58 @@
     ledger.begin(fresh, now=0.1)
     ledger.end(lost)
     assert ledger.load_of("u-1", now=0.1).running == 1
+
+
+TOLD = st.dictionaries(
+    st.sampled_from(["u-1", "u-2", "u-3"]),
+    st.builds(
+        loads.Load,
+        waiting_by_tier=st.lists(st.integers(0, 9000), max_size=3).map(tuple),
+        running=st.integers(0, 9),
+        sensitive=st.integers(0, 900).map(lambda n: n / 100),
+        held_tokens=st.integers(0, 90_000),
+        pause_seconds=st.integers(0, 500).map(lambda n: n / 1000),
+        pauses=st.integers(1, 50).map(lambda n: n / 10),
+        overdue=st.integers(0, 2),
+    ),
+    max_size=3,
+)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["vm-2", "vm-3", "south"]), TOLD, st.floats(0, 1))
+)
+
+
+@given(STEPS)
+def test_sums_are_those_of_the_latest_messages(steps):
+    """The differential test against adding up what each teller told last."""
+    ledger = loads.LoadLedger()
+    latest = {}
+    now = 0.0
+    for teller, told, pause in steps:
+        now += pause
+        ledger.take_told(teller, told, now=now)
+        latest[teller] = (now, told)
+        for upstream in ("u-1", "u-2", "u-3"):
+            known = [
+                loads_by_upstream[upstream]
+                for at, loads_by_upstream in latest.values()
+                if now - at < loads.PEER_LOAD_SECONDS
+                and upstream in loads_by_upstream
+            ]
+            naive = loads.NO_LOAD
+            for load in known:
+                naive = naive.plus(load)
+            found = ledger.load_of(upstream, now=now)
+            assert found.waiting_tokens == pytest.approx(naive.waiting_tokens)
+            assert found.waiting_before(2) == pytest.approx(
+                naive.waiting_before(2)
+            )
+            assert found.running == naive.running
+            assert found.sensitive == pytest.approx(naive.sensitive, abs=1e-6)
+            assert found.held_tokens == pytest.approx(naive.held_tokens)
+            assert found.overdue == naive.overdue
+            assert found.pauses == pytest.approx(naive.pauses, abs=1e-6)
+            if naive.pauses > 0.5:
+                assert found.pause_seconds == pytest.approx(
+                    naive.pause_seconds, abs=1e-6
+                )
