--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -249,34 +249,35 @@
     position_by_upstream
         Place of each candidate in an order of the pool, from 0 to 1, that all
         entry VMs compute alike.
+    spread_by_upstream
+        Number from 0 to 1 for the request and each candidate, alike as well.
     """
 
     running: float
     pause_seconds: float
     reader: types.UpstreamId | None
     position_by_upstream: dict[types.UpstreamId, float]
+    spread_by_upstream: dict[types.UpstreamId, float]
 
 
 def _usual_of(request: Request, candidates: tuple[Candidate, ...]) -> _Usual:
     pauses = [
         one.load.pause_seconds for one in candidates if one.load.pauses > 0
     ]
+    spread_by_upstream = {
+        one.upstream: _spread(request, one) for one in candidates
+    }
     return _Usual(
         running=statistics.median(one.load.running for one in candidates),
         pause_seconds=statistics.median(pauses) if pauses else 0.0,
-        reader=_first_reader(request, candidates),
+        reader=None
+        if request.shared_lately
+        else min(spread_by_upstream, key=spread_by_upstream.__getitem__),
         position_by_upstream=_positions(candidates),
+        spread_by_upstream=spread_by_upstream,
     )
 
 
-def _first_reader(
-    request: Request, candidates: tuple[Candidate, ...]
-) -> types.UpstreamId | None:
-    if request.shared_lately:
-        return None
-    return min(candidates, key=lambda one: _spread(request, one)).upstream
-
-
 def _assess(
     request: Request, candidate: Candidate, usual: _Usual, weights: Weights
 ) -> Ranked:
@@ -310,7 +311,7 @@
         weights.crowd * max(0.0, load.running / (usual.running + 2.0) - 1.0),
         weights.pace * _slowness(load, usual),
         weights.memory * _overflow(request, candidate),
-        weights.spread * _spread(request, candidate),
+        weights.spread * usual.spread_by_upstream[candidate.upstream],
         weights.side * _side(request, own_seconds, position),
     )
     return Ranked(
@@ -388,5 +389,5 @@
 
 def _spread(request: Request, candidate: Candidate) -> float:
     """Return a number from 0 to 1 that all entry VMs compute alike."""
-    named = f"{request.affinity} {candidate.upstream}"
+    named = f"{request.affinity}{candidate.upstream}"
     return xxhash.xxh3_64_intdigest(named.encode()) / _HASH_RANGE
