--- a/packages/router/tests/test_division.py
+++ b/packages/router/tests/test_division.py
@@ -15,30 +15,64 @@
 import random
 import statistics
 
+import pytest
+
 from lagoonrun_router import loads, placement
 
-RUNNERS = tuple(f"u-{n}" for n in range(5))
-READ_PER_SECOND = 50_000.0
-NEWS_SECONDS = 0.2
 STREAM_SECONDS = 2.5
-QUESTIONS_PER_SECOND = 14.0
-DIGESTS_PER_SECOND = 28.0
-FATAL_TOKENS = 8_000.0
-QUESTION = placement.Request(
-    affinity="question",
-    prompt_tokens=700.0,
-    target_seconds=1.0,
-    sensitivity=5.0,
-    tightest_pause_seconds=0.2,
-)
-DIGEST = placement.Request(
-    affinity="digest",
-    tier=3,
-    prompt_tokens=3_000.0,
-    target_seconds=1.5,
-    sensitivity=1.25,
-    tightest_pause_seconds=0.2,
-)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """Figures of a pool and of its load.
+
+    Parameters
+    ----------
+    read_per_second
+        Prompt tokens that a runner reads in a second.
+    tightest_pause_seconds
+        Longest pause of the questions' streams.
+    question_tokens, digest_tokens
+        Prompts; those of digests are the median of a wide distribution.
+    questions_per_second, digests_per_second
+        Rates for each runner.
+    """
+
+    runners: int = 5
+    read_per_second: float = 50_000.0
+    tightest_pause_seconds: float = 0.2
+    news_seconds: float = 0.2
+    question_tokens: float = 700.0
+    digest_tokens: float = 2_000.0
+    questions_per_second: float = 2.8
+    digests_per_second: float = 5.6
+    names: str = "u"
+
+    @property
+    def fatal_tokens(self) -> float:
+        """Tokens that make a stream late when they are read in one go."""
+        return 0.8 * self.read_per_second * self.tightest_pause_seconds
+
+    def question(self, number: int) -> placement.Request:
+        """Return an urgent question."""
+        return placement.Request(
+            affinity=f"question-{number}",
+            prompt_tokens=self.question_tokens,
+            target_seconds=1.0,
+            sensitivity=1.0 / self.tightest_pause_seconds,
+            tightest_pause_seconds=self.tightest_pause_seconds,
+        )
+
+    def digest(self, number: int, tokens: float) -> placement.Request:
+        """Return a digest with a prompt of `tokens`."""
+        return placement.Request(
+            affinity=f"digest-{number}",
+            tier=3,
+            prompt_tokens=tokens,
+            target_seconds=1.5,
+            sensitivity=0.25 / self.tightest_pause_seconds,
+            tightest_pause_seconds=self.tightest_pause_seconds,
+        )
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -63,18 +97,23 @@
 class Fleet:
     """Runners by a rough model, and what entry VMs have heard of them."""
 
-    def __init__(self):
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.runners = [
+            f"{deployment.names}-{n}" for n in range(deployment.runners)
+        ]
         self.streams = []
         self.prompts = []
 
     def backlog(self, runner, now):
         """Return the tokens that the runner has still to read."""
         ends = [one.read_at for one in self.prompts if one.runner == runner]
-        return max(0.0, max(ends, default=0.0) - now) * READ_PER_SECOND
+        left = max(0.0, max(ends, default=0.0) - now)
+        return left * self.deployment.read_per_second
 
     def heard(self, runner, now):
         """Return the runner's load as it was heard."""
-        then = now - NEWS_SECONDS
+        then = now - self.deployment.news_seconds
         running = [
             one
             for one in self.streams
@@ -89,16 +128,16 @@
         return loads.Load(
             waiting_by_tier=(0.0, 0.0, waiting),
             running=len(running),
-            sensitive=5.0 * len(running),
+            sensitive=len(running) / self.deployment.tightest_pause_seconds,
         )
 
     def recent_prefill(self, runner, now):
         """Return the tokens a second that the runner was sent lately."""
+        heard_until = now - self.deployment.news_seconds
         recent = sum(
             one.tokens
             for one in self.prompts
-            if one.runner == runner
-            and now - 2.0 <= one.sent_at <= now - NEWS_SECONDS
+            if one.runner == runner and now - 2.0 <= one.sent_at <= heard_until
         )
         return recent / 2.0
 
@@ -113,7 +152,7 @@
                 load=self.heard(runner, now),
                 recent_prefill=self.recent_prefill(runner, now),
             )
-            for runner in RUNNERS
+            for runner in self.runners
         )
         ranked = placement.rank(request, candidates, weights)
         return ranked[0].candidate.upstream
@@ -127,39 +166,36 @@
                 runner=runner,
                 tokens=request.prompt_tokens,
                 sent_at=now,
-                read_at=now + backlog / READ_PER_SECOND,
+                read_at=now + backlog / self.deployment.read_per_second,
             )
         )
         if request.affinity.startswith("question"):
             self.streams.append(
                 Stream(runner=runner, ends_at=now + STREAM_SECONDS)
             )
-        if backlog >= FATAL_TOKENS:
+        if backlog >= self.deployment.fatal_tokens:
             for one in self.streams:
                 if one.runner == runner and one.ends_at > now:
                     one.late = True
 
 
-def late_share(seed, weights):
+def late_share(deployment, seed, weights):
     """Return the share of late streams in a burst."""
     chance = random.Random(seed)
-    fleet = Fleet()
+    fleet = Fleet(deployment)
+    questions = deployment.questions_per_second * deployment.runners
+    rate = questions + deployment.digests_per_second * deployment.runners
     now = 0.0
     number = 0
-    rate = QUESTIONS_PER_SECOND + DIGESTS_PER_SECOND
-    question_share = QUESTIONS_PER_SECOND / rate
     while now < 10.0:
         now += chance.expovariate(rate)
         number += 1
-        if chance.random() < question_share:
-            request = dataclasses.replace(
-                QUESTION, affinity=f"question-{number}"
-            )
+        if chance.random() < questions / rate:
+            request = deployment.question(number)
         else:
-            tokens = min(20_000.0, chance.lognormvariate(7.6, 0.9))
-            request = dataclasses.replace(
-                DIGEST, affinity=f"digest-{number}", prompt_tokens=tokens
-            )
+            median = deployment.digest_tokens
+            tokens = median * chance.lognormvariate(0.0, 0.9)
+            request = deployment.digest(number, min(10 * median, tokens))
         fleet.send(request, now, weights)
     late = sum(one.late for one in fleet.streams)
     return late / len(fleet.streams)
@@ -168,9 +204,11 @@
 UNDIVIDED = dataclasses.replace(placement.DEFAULT_WEIGHTS, side=0.0)
 
 
-def mean_late_share(weights):
+def mean_late_share(deployment, weights, seeds=6):
     """Return the share of late streams over several bursts."""
-    return statistics.fmean(late_share(seed, weights) for seed in range(6))
+    return statistics.fmean(
+        late_share(deployment, seed, weights) for seed in range(seeds)
+    )
 
 
 def test_streams_with_tight_pauses_stay_apart_from_long_prompts():
@@ -179,6 +217,33 @@
     By loads alone, questions and digests run after each other: each long
     digest finds some questions beside it, and their streams are late.
     """
-    undivided = mean_late_share(UNDIVIDED)
+    undivided = mean_late_share(Deployment(), UNDIVIDED)
     assert undivided > 0.05
-    assert mean_late_share(placement.DEFAULT_WEIGHTS) < 0.1 * undivided
+    divided = mean_late_share(Deployment(), placement.DEFAULT_WEIGHTS)
+    assert divided < 0.1 * undivided
+
+
+@pytest.mark.parametrize(
+    "deployment",
+    [
+        Deployment(names="reader"),
+        Deployment(runners=3),
+        Deployment(runners=12, news_seconds=0.4),
+        Deployment(read_per_second=20_000.0, digest_tokens=800.0),
+        Deployment(
+            read_per_second=100_000.0,
+            digest_tokens=4_000.0,
+            question_tokens=1_400.0,
+        ),
+        Deployment(tightest_pause_seconds=0.4, digest_tokens=4_000.0),
+        Deployment(tightest_pause_seconds=0.1, digest_tokens=1_000.0),
+    ],
+    ids=["names", "few", "many", "slow", "fast", "patient", "hasty"],
+)
+def test_division_serves_other_deployments(deployment):
+    """Names, sizes, speeds and pauses are others than those it was made for.
+
+    The division must never make more streams late than the loads alone.
+    """
+    divided = mean_late_share(deployment, placement.DEFAULT_WEIGHTS, seeds=3)
+    assert divided <= mean_late_share(deployment, UNDIVIDED, seeds=3)
