Take out what measured nothing: crowd, pace, memory, and the pauses that were told

With them go the averages of pauses that each event updated and each message carried. What they were there for is held by what stays: overdue requests and failures for stragglers, admission for memory.

--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -28,10 +28,6 @@
         Streams among them, each by the inverse of its longest pause.
     held_tokens
         Prompt tokens of all of them, less those that were cached.
-    pause_milliseconds
-        Average of the latest pauses between events there.
-    pauses_tenths
-        Faded number of pauses that the average is of.
     overdue
         Requests whose first event should have come long ago.
     """
@@ -42,8 +38,6 @@
     running: tuple[int, ...] = ()
     sensitive_hundredths: tuple[int, ...] = ()
     held_tokens: tuple[int, ...] = ()
-    pause_milliseconds: tuple[int, ...] = ()
-    pauses_tenths: tuple[int, ...] = ()
     overdue: tuple[int, ...] = ()
 
 
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -172,9 +172,7 @@
   running @3 :List(UInt32);
   sensitiveHundredths @4 :List(UInt32);
   heldTokens @5 :List(UInt32);
-  pauseMilliseconds @6 :List(UInt32);
-  pausesTenths @7 :List(UInt32);
-  overdue @8 :List(UInt32);
+  overdue @6 :List(UInt32);
 }
 
 # Not written any more.
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -32,13 +32,6 @@
 Crashed upstreams are replaced within a few seconds, and failing ones mend.
 """
 
-_PAUSE_HALF_LIFE_SECONDS = 1.0
-"""Time over which pauses are averaged: some ten events of each stream, long
-against a single prompt's reading, short against a runner's slow spell."""
-
-_LEAST_PAUSES = 0.5
-"""Faded pauses below which an average is not told: seconds old."""
-
 _PREFILL_HALF_LIFE_SECONDS = 2.0
 """Time over which the prompt tokens sent to a runner are averaged."""
 
@@ -59,10 +52,6 @@
         streams with a longest pause of one second.
     held_tokens
         Prompt tokens of all requests without an end, less those cached.
-    pause_seconds
-        Average of the latest pauses between events; 0 where there are none.
-    pauses
-        Faded number of pauses that the average is of.
     overdue
         Requests whose first event should have come long ago.
     """
@@ -71,8 +60,6 @@
     running: int = 0
     sensitive: float = 0.0
     held_tokens: float = 0.0
-    pause_seconds: float = 0.0
-    pauses: float = 0.0
     overdue: int = 0
 
     @property
@@ -86,9 +73,6 @@
 
     def plus(self, other: "Load") -> "Load":
         """Return both together."""
-        pauses = self.pauses + other.pauses
-        pause_sum = self.pause_seconds * self.pauses
-        pause_sum += other.pause_seconds * other.pauses
         return Load(
             waiting_by_tier=tuple(
                 own + more
@@ -99,8 +83,6 @@
             running=self.running + other.running,
             sensitive=self.sensitive + other.sensitive,
             held_tokens=self.held_tokens + other.held_tokens,
-            pause_seconds=pause_sum / pauses if pauses else 0.0,
-            pauses=pauses,
             overdue=self.overdue + other.overdue,
         )
 
@@ -147,8 +129,6 @@
         self._running = 0
         self._sensitive = 0.0
         self._held_tokens = 0.0
-        self._pause_seconds = 0.0
-        self._pauses = 0.0
         self._overdue = 0
 
     def add(self, load: Load) -> None:
@@ -169,8 +149,6 @@
         self._running += sign * load.running
         self._sensitive += sign * load.sensitive
         self._held_tokens += sign * load.held_tokens
-        self._pause_seconds += sign * load.pause_seconds * load.pauses
-        self._pauses += sign * load.pauses
         self._overdue += sign * load.overdue
 
     def load(self) -> Load:
@@ -179,16 +157,11 @@
         Fractions that were added and taken back may leave a rest of some
         1e-12, which is kept from being negative.
         """
-        pauses = max(0.0, self._pauses)
         return Load(
             waiting_by_tier=tuple(self._waiting_by_tier),
             running=self._running,
             sensitive=max(0.0, self._sensitive),
             held_tokens=self._held_tokens,
-            pause_seconds=max(0.0, self._pause_seconds) / pauses
-            if pauses > _LEAST_PAUSES
-            else 0.0,
-            pauses=pauses,
             overdue=self._overdue,
         )
 
@@ -210,22 +183,6 @@
         self.at = now
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Pauses:
-    """Faded number and sum of the pauses between events."""
-
-    count: _Decaying = dataclasses.field(
-        default_factory=lambda: _Decaying(
-            half_life_seconds=_PAUSE_HALF_LIFE_SECONDS
-        )
-    )
-    seconds: _Decaying = dataclasses.field(
-        default_factory=lambda: _Decaying(
-            half_life_seconds=_PAUSE_HALF_LIFE_SECONDS
-        )
-    )
-
-
 class LoadLedger:
     """Own and told loads, failures and recent prompt tokens by upstream."""
 
@@ -236,7 +193,6 @@
         self._told_sum_by_upstream: dict[types.UpstreamId, _ToldSum] = {}
         self._failures_by_upstream: dict[types.UpstreamId, _Decaying] = {}
         self._prefill_by_upstream: dict[types.UpstreamId, _Decaying] = {}
-        self._pauses_by_upstream: dict[types.UpstreamId, _Pauses] = {}
         self.changed = False
         self.urgent_change = False
 
@@ -265,14 +221,6 @@
         if not own:
             self._own_by_upstream.pop(work.upstream, None)
 
-    def add_pause(
-        self, upstream: types.UpstreamId, seconds: float, *, now: float
-    ) -> None:
-        """Note the time between two events of a stream."""
-        pauses = self._pauses_by_upstream.setdefault(upstream, _Pauses())
-        pauses.count.add(1.0, now)
-        pauses.seconds.add(seconds, now)
-
     def mark_told(self) -> None:
         """Take in that the other entry VMs have been told."""
         self.changed = False
@@ -301,16 +249,7 @@
 
     def _own_load(self, upstream: types.UpstreamId, now: float) -> Load:
         works = self._own_by_upstream.get(upstream)
-        load = _sum_of(works, now=now) if works else NO_LOAD
-        known = self._pauses_by_upstream.get(upstream)
-        count = known.count.read(now) if known else 0.0
-        if count < _LEAST_PAUSES:
-            return load
-        return dataclasses.replace(
-            load,
-            pauses=count,
-            pause_seconds=known.seconds.read(now) / count,
-        )
+        return _sum_of(works, now=now) if works else NO_LOAD
 
     # What peers tell.
 
@@ -427,7 +366,6 @@
         for by_upstream in (
             self._failures_by_upstream,
             self._prefill_by_upstream,
-            self._pauses_by_upstream,
         ):
             by_upstream.pop(upstream, None)
         self._told_sum_by_upstream.pop(upstream, None)
@@ -447,7 +385,6 @@
         for by_upstream in (
             self._failures_by_upstream,
             self._prefill_by_upstream,
-            self._pauses_by_upstream,
         ):
             for upstream in [one for one in by_upstream if one not in kept]:
                 del by_upstream[upstream]
--- a/packages/router/src/lagoonrun_router/peer_loads.py
+++ b/packages/router/src/lagoonrun_router/peer_loads.py
@@ -27,10 +27,6 @@
             round(load.sensitive * 100) for load in known
         ),
         held_tokens=tuple(round(load.held_tokens) for load in known),
-        pause_milliseconds=tuple(
-            round(load.pause_seconds * 1000) for load in known
-        ),
-        pauses_tenths=tuple(round(load.pauses * 10) for load in known),
         overdue=tuple(load.overdue for load in known),
     )
 
@@ -50,8 +46,6 @@
         told.running,
         told.sensitive_hundredths,
         told.held_tokens,
-        told.pause_milliseconds,
-        told.pauses_tenths,
         told.overdue,
         strict=True,
     )
@@ -66,8 +60,6 @@
                 running=running,
                 sensitive=sensitive / 100,
                 held_tokens=held,
-                pause_seconds=pause / 1000,
-                pauses=pauses / 10,
                 overdue=overdue,
             )
             for place, (
@@ -75,8 +67,6 @@
                 running,
                 sensitive,
                 held,
-                pause,
-                pauses,
                 overdue,
             ) in enumerate(rows)
         }
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -8,7 +8,6 @@
 
 import dataclasses
 import enum
-import statistics
 
 import xxhash
 
@@ -16,8 +15,6 @@
 from lagoonrun_router import loads
 
 _HASH_RANGE = float(1 << 64)
-_WORST_SLOWNESS = 4.0
-_FULL_SHARE = 0.75
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -30,9 +27,9 @@
     megabyte between failure domains, the higher one taken); the others were
     set by hand to the credit of what is usually lost, and moved only where
     days of the users' deployments showed a difference: between 6 and 20 for
-    `other_domain`, and 0 and 1 for `overdue` (0.05 of the worth of a day with
-    dark runners). `crowd`, `pace` and `memory` showed none beyond chance
-    (0.005) and are there for runners that straggle.
+    `other_domain`, 0 and 1 for `overdue` (0.05 of the worth of a day with dark
+    runners), and 0 and 4 for `side` (0.018 on five days of a fleet of five
+    runners, 0.023 and 0.003 on two others).
 
     Parameters
     ----------
@@ -65,12 +62,6 @@
         Cost of an upstream in a failure domain that is silent.
     queue
         Cost of running as many requests as there are slots.
-    crowd
-        Cost of running twice as many requests as others of the pool.
-    pace
-        Cost of pauses between events that are twice those of others.
-    memory
-        Cost of a request for which an upstream's memory is used up.
     spread
         Range of the costs by which the hash of a prompt's shared part orders
         upstreams that are otherwise alike.
@@ -90,9 +81,6 @@
     overdue: float = 1.0
     silence: float = 5.0
     queue: float = 1.0
-    crowd: float = 0.1
-    pace: float = 0.3
-    memory: float = 1.0
     spread: float = 0.05
     side: float = 4.0
 
@@ -184,9 +172,6 @@
     OVERDUE = "overdue"
     SILENCE = "silence"
     QUEUE = "queue"
-    CROWD = "crowd"
-    PACE = "pace"
-    MEMORY = "memory"
     SPREAD = "spread"
     SIDE = "side"
 
@@ -238,8 +223,6 @@
 
     Parameters
     ----------
-    running, pause_seconds
-        Medians over the candidates, against which stragglers show.
     reader
         Where a shared part that nobody has read lately is to be read: one
         upstream, by the hash of the part; None for a part that was. Other entry VMs may have the same
@@ -253,23 +236,16 @@
         Number from 0 to 1 for the request and each candidate, alike as well.
     """
 
-    running: float
-    pause_seconds: float
     reader: types.UpstreamId | None
     position_by_upstream: dict[types.UpstreamId, float]
     spread_by_upstream: dict[types.UpstreamId, float]
 
 
 def _usual_of(request: Request, candidates: tuple[Candidate, ...]) -> _Usual:
-    pauses = [
-        one.load.pause_seconds for one in candidates if one.load.pauses > 0
-    ]
     spread_by_upstream = {
         one.upstream: _spread(request, one) for one in candidates
     }
     return _Usual(
-        running=statistics.median(one.load.running for one in candidates),
-        pause_seconds=statistics.median(pauses) if pauses else 0.0,
         reader=None
         if request.shared_lately
         else min(spread_by_upstream, key=spread_by_upstream.__getitem__),
@@ -308,9 +284,6 @@
         weights.overdue * load.overdue,
         weights.silence * candidate.silent_domain,
         weights.queue * occupied,
-        weights.crowd * max(0.0, load.running / (usual.running + 2.0) - 1.0),
-        weights.pace * _slowness(load, usual),
-        weights.memory * _overflow(request, candidate),
         weights.spread * usual.spread_by_upstream[candidate.upstream],
         weights.side * _side(request, own_seconds, position),
     )
@@ -333,14 +306,6 @@
     return tokens / weights.prefill_tokens_per_second
 
 
-def _slowness(load: loads.Load, usual: _Usual) -> float:
-    """Return by how much its pauses exceed the usual ones, 0 to 4."""
-    if not load.pauses or not usual.pause_seconds:
-        return 0.0
-    ratio = load.pause_seconds / usual.pause_seconds
-    return min(_WORST_SLOWNESS, max(0.0, ratio - 1.0))
-
-
 def _positions(
     candidates: tuple[Candidate, ...],
 ) -> dict[types.UpstreamId, float]:
@@ -375,18 +340,6 @@
     return tight * position + long * (1.0 - position)
 
 
-def _overflow(request: Request, candidate: Candidate) -> float:
-    """Return the part of the memory that would be missing.
-
-    From three quarters on: shared parts that no request holds at the moment
-    are to stay as well.
-    """
-    if not candidate.cache_tokens:
-        return 0.0
-    needed = candidate.load.held_tokens + request.prompt_tokens
-    return max(0.0, needed / candidate.cache_tokens - _FULL_SHARE)
-
-
 def _spread(request: Request, candidate: Candidate) -> float:
     """Return a number from 0 to 1 that all entry VMs compute alike."""
     named = f"{request.affinity}{candidate.upstream}"
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -171,15 +171,13 @@
             self._note_pause(pause)
 
     def _note_pause(self, pause: float) -> None:
-        now = self._parts.clock.monotonic()
-        upstream = self._work.upstream
-        self._parts.ledger.add_pause(upstream, pause, now=now)
         if pause <= self._longest_pause_seconds:
             return
         self._longest_pause_seconds = pause
         limit = self._call.route.longest_pause_seconds
         if limit is not None and pause > limit:
-            load = self._parts.ledger.load_of(upstream, now=now)
+            now = self._parts.clock.monotonic()
+            load = self._parts.ledger.load_of(self._work.upstream, now=now)
             self.pause_waiting_tokens = round(load.waiting_tokens)
 
     async def _not_run(
--- a/packages/router/tests/test_loads.py
+++ b/packages/router/tests/test_loads.py
@@ -115,7 +115,6 @@
     lost = work()
     ledger.begin(lost, now=0.0)
     ledger.add_failure("u-1", now=0.0)
-    ledger.add_pause("u-1", 0.5, now=0.0)
     told = {"u-1": loads.Load(running=2), "u-2": loads.Load(running=3)}
     ledger.take_told("vm-2", told, now=0.0)
     ledger.forget_start("u-1")
@@ -137,8 +136,6 @@
         running=st.integers(0, 9),
         sensitive=st.integers(0, 900).map(lambda n: n / 100),
         held_tokens=st.integers(0, 90_000),
-        pause_seconds=st.integers(0, 500).map(lambda n: n / 1000),
-        pauses=st.integers(1, 50).map(lambda n: n / 10),
         overdue=st.integers(0, 2),
     ),
     max_size=3,
@@ -177,8 +174,3 @@
             assert found.sensitive == pytest.approx(naive.sensitive, abs=1e-6)
             assert found.held_tokens == pytest.approx(naive.held_tokens)
             assert found.overdue == naive.overdue
-            assert found.pauses == pytest.approx(naive.pauses, abs=1e-6)
-            if naive.pauses > 0.5:
-                assert found.pause_seconds == pytest.approx(
-                    naive.pause_seconds, abs=1e-6
-                )
--- a/packages/router/tests/test_peer_loads.py
+++ b/packages/router/tests/test_peer_loads.py
@@ -16,8 +16,6 @@
     running=COUNT,
     sensitive=COUNT.map(lambda n: n / 100),
     held_tokens=COUNT,
-    pause_seconds=COUNT.map(lambda n: n / 1000),
-    pauses=COUNT.map(lambda n: n / 10),
     overdue=COUNT,
 )
 
