--- a/packages/router/src/lagoonrun_router/domain_news.py
+++ b/packages/router/src/lagoonrun_router/domain_news.py
@@ -22,7 +22,7 @@
 from lagoonrun_core import types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
-    loads,
+    load_ledger,
     peer_loads,
     peer_table,
     pressure,
@@ -92,7 +92,7 @@
         domain: types.FailureDomain,
         start: int,
         table: peer_table.PeerTable,
-        ledger: loads.LoadLedger,
+        ledger: load_ledger.LoadLedger,
         homes: prompt_homes.PromptHomes,
         pressed: pressure.Pressure,
         domains: reach.DomainReach,
--- a/packages/router/src/lagoonrun_router/gauges.py
+++ b/packages/router/src/lagoonrun_router/gauges.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from lagoonrun_router import (
-    loads,
+    load_ledger,
     metrics,
     peer_table,
     retry_budget,
@@ -32,7 +32,7 @@
         *,
         into: metrics.RouterMetrics,
         directory: upstreams.UpstreamDirectory,
-        ledger: loads.LoadLedger,
+        ledger: load_ledger.LoadLedger,
         peers: peer_table.PeerTable,
         budget: retry_budget.RetryBudget,
         follower: store_follower.StoreFollower,
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -9,7 +9,7 @@
 from lagoonrun_router import (
     dialect,
     let_in_times,
-    loads,
+    load_ledger,
     metrics,
     peer_table,
     pressure,
@@ -27,7 +27,7 @@
     domain: types.FailureDomain
     dialect: dialect.Dialect
     directory: upstreams.UpstreamDirectory
-    ledger: loads.LoadLedger
+    ledger: load_ledger.LoadLedger
     peers: peer_table.PeerTable
     let_in: let_in_times.LetInTimes
     pressed: pressure.Pressure
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -19,7 +19,7 @@
 from lagoonrun_router import (
     beliefs,
     domain_news,
-    loads,
+    load_ledger,
     peer_fetch,
     peer_loads,
     peer_table,
@@ -78,7 +78,7 @@
         table: peer_table.PeerTable,
         known: beliefs.Beliefs,
         directory: upstreams.UpstreamDirectory,
-        ledger: loads.LoadLedger,
+        ledger: load_ledger.LoadLedger,
         homes: prompt_homes.PromptHomes,
         domains: reach.DomainReach,
         pressed: pressure.Pressure,
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -22,7 +22,7 @@
     gauges,
     ingress,
     let_in_times,
-    loads,
+    load_ledger,
     metrics,
     own_calls,
     parts,
@@ -115,7 +115,7 @@
         )
         self.metrics = metrics.RouterMetrics()
         self.directory = upstreams.UpstreamDirectory()
-        self._ledger = loads.LoadLedger()
+        self._ledger = load_ledger.LoadLedger()
         self._homes = prompt_homes.PromptHomes(
             reuse_seconds=configured.reuse_seconds
         )
--- a/packages/router/tests/test_domain_news.py
+++ b/packages/router/tests/test_domain_news.py
@@ -6,6 +6,7 @@
 
 from lagoonrun_router import (
     domain_news,
+    load_ledger,
     loads,
     peer_table,
     pressure,
@@ -32,7 +33,7 @@
 
     name: str
     exchange: domain_news.DomainNewsExchange
-    ledger: loads.LoadLedger
+    ledger: load_ledger.LoadLedger
     homes: prompt_homes.PromptHomes
     pressed: pressure.Pressure
     table: peer_table.PeerTable
@@ -63,7 +64,7 @@
     def make(name, now=0.0):
         sent = []
         shared = {
-            "ledger": loads.LoadLedger(),
+            "ledger": load_ledger.LoadLedger(),
             "homes": prompt_homes.PromptHomes(reuse_seconds=10.0),
             "pressed": pressure.Pressure(),
             "table": peer_table.PeerTable(
--- a/packages/router/tests/test_loads.py
+++ b/packages/router/tests/test_load_ledger.py
@@ -4,12 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonrun_router import loads
+from lagoonrun_router import load_ledger, loads
 
 
 @pytest.fixture
 def ledger():
-    return loads.LoadLedger()
+    return load_ledger.LoadLedger()
 
 
 def work(upstream="u-1", tokens=1000.0, sensitivity=2.0):
@@ -44,7 +44,7 @@
     ledger.take_told("vm-2", told, now=10.0)
     ledger.take_told("vm-3", told, now=10.0)
     assert ledger.load_of("u-1", now=10.1).running == 4
-    old = 10.0 + loads.PEER_LOAD_SECONDS
+    old = 10.0 + load_ledger.PEER_LOAD_SECONDS
     assert ledger.load_of("u-1", now=old).running == 0
 
 
@@ -148,7 +148,7 @@
 @given(STEPS)
 def test_sums_are_those_of_the_latest_messages(steps):
     """The differential test against adding up what each teller told last."""
-    ledger = loads.LoadLedger()
+    ledger = load_ledger.LoadLedger()
     latest = {}
     now = 0.0
     for teller, told, pause in steps:
@@ -159,7 +159,7 @@
             known = [
                 loads_by_upstream[upstream]
                 for at, loads_by_upstream in latest.values()
-                if now - at < loads.PEER_LOAD_SECONDS
+                if now - at < load_ledger.PEER_LOAD_SECONDS
                 and upstream in loads_by_upstream
             ]
             naive = loads.NO_LOAD
