--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -229,7 +229,14 @@
     # Upstreams.
 
     async def _break_upstream_link(self) -> None:
-        id = self._chance.choice(sorted(self._world.upstreams))
+        """Break the link to an upstream at work.
+
+        The router gathers requests of a class at few upstreams; a link that
+        carries nothing breaks without anybody noticing.
+        """
+        upstreams = self._world.upstreams
+        busy = [one for one in sorted(upstreams) if upstreams[one].busy]
+        id = self._chance.choice(busy or sorted(upstreams))
         self._seen.disturb(str(id), time.monotonic(), float("inf"))
         broken = self._world.upstream_links[id]
         broken.use(self._chance.choice(_FAULTY))
--- a/packages/soak/src/lagoonrun_soak/upstream.py
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -68,6 +68,11 @@
             clock=clocks.SystemClock(),
         )
 
+    @property
+    def busy(self) -> bool:
+        """Whether it has a request."""
+        return self._running_by_urgency.total() > 0
+
     async def start(self) -> None:
         """Listen."""
         await self._server.start()
