Have two entry VMs of a fleet read the store, and the relays hand changes on

Now one entry VM in each of two domains watches, for three seconds at a time; the relays of the other domains hand the changes on, and fetch what they miss. A domain that hears of no reader elsewhere reads itself; a reader that knows less than others say asks again on another connection.

Ruled out: longer watches alone (ten calls for each change would stay); no readers but one (its loss would cost its successor's time each time).

--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -45,6 +45,8 @@
 Revision = NewType("Revision", int)
 """Number of an accepted configuration; grows by one with each change."""
 
+NO_REVISION = Revision(0)
+
 ChangeId = NewType("ChangeId", str)
 Incarnation = NewType("Incarnation", int)
 FencingNumber = NewType("FencingNumber", int)
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -151,14 +151,25 @@
         Grows with each message of one start: an overtaken one is dropped.
     loads
         Work of the whole failure domain.
+    port
+        Where the sender listens, for datagrams and for calls.
     placements
         Prompt parts that were placed since the message before.
+    revision, store_revision, read_revision
+        What the sender knows of the store; see `RouterState`.
+    reads_store
+        Whether some entry VM of the failure domain reads the store.
     """
 
     entry_vm: types.EntryVmId
     domain: types.FailureDomain
     start: int
     sequence: int
+    port: int = 0
+    revision: types.Revision = types.NO_REVISION
+    store_revision: int = 0
+    read_revision: int = 0
+    reads_store: bool = False
     loads: LoadRows = LoadRows()
     placements: tuple[PromptPlacement, ...] = ()
     pressed: tuple[PressedTier, ...] = ()
@@ -187,6 +198,8 @@
         Prompt parts that were placed since the message before.
     domains, silent_milliseconds
         Other failure domains, and how long ago each was heard.
+    reading_domains
+        Those of them in which some entry VM reads the store.
     tellers, teller_sequences
         Short hashes of the entry VMs that told the relay, and the sequence of
         the newest state of each: a reader takes its own work of that state out
@@ -205,6 +218,7 @@
     pressed: tuple[PressedTier, ...] = ()
     domains: tuple[types.FailureDomain, ...] = ()
     silent_milliseconds: tuple[int, ...] = ()
+    reading_domains: tuple[types.FailureDomain, ...] = ()
     tellers: tuple[int, ...] = ()
     teller_sequences: tuple[int, ...] = ()
     leaving_starts: tuple[LeavingUpstream, ...] = ()
@@ -269,10 +283,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoreChanges:
-    """What a reader of the store has just seen, for its neighbours.
+    """What a reader of the store has just seen, for the others.
 
     Parameters
     ----------
+    domain
+        Failure domain of the reader.
     since
         Revision of the upstreams that the items change.
     until
@@ -285,6 +301,7 @@
 
     since: int
     until: int
+    domain: types.FailureDomain = types.UNKNOWN_DOMAIN
     items: tuple[ChangedItem, ...] = ()
     declared: tuple[DeclaredChange, ...] = ()
 
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -255,6 +255,11 @@
   # Lists of numbers; not written any more.
   columnLoads @7 :LoadColumns;
   loads @8 :LoadRows;
+  port @9 :UInt64;
+  revision @10 :UInt64;
+  storeRevision @11 :UInt64;
+  readRevision @12 :UInt64;
+  readsStore @13 :Bool;
 }
 
 struct FleetNews {
@@ -271,6 +276,7 @@
   tellers @10 :List(UInt32);
   tellerSequences @11 :List(UInt64);
   leavingStarts @12 :List(LeavingUpstream);
+  readingDomains @13 :List(Text);
 }
 
 struct StoredItem {
@@ -304,6 +310,7 @@
   until @1 :UInt64;
   items @2 :List(ChangedItem);
   declared @3 :List(DeclaredChange);
+  domain @4 :Text;
 }
 
 struct Envelope {
--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -77,6 +77,8 @@
         """Revision of the store that last changed the upstreams, as known."""
         self.read_revision = store_module.ABSENT
         """Revision of the store up to which all keys are known."""
+        self.newest_told_revision = store_module.ABSENT
+        """The same of whichever peer knows most."""
         self._entries_by_key: dict[str, bytes] = {}
 
     @property
@@ -193,25 +195,30 @@
 
     def take_changes_of_peer(
         self, changes: router_messages.StoreChanges, *, source: str
-    ) -> None:
+    ) -> bool:
         """Take in what a neighbour has just read of the store.
 
-        Only where the store is not read from here. Changes of upstreams count
-        where nothing is missing between them and what is known; else all of
-        them are fetched.
+        Returns whether anything of it was new here. Changes of upstreams count
+        only where the store is not read from here, and where nothing is missing
+        between them and what is known; else all of them are fetched.
         """
+        revision = self.revision
         for change in changes.declared:
             self.take_declared_change(change, source=source)
+        return self._take_items(changes) or self.revision > revision
+
+    def _take_items(self, changes: router_messages.StoreChanges) -> bool:
         if self.follows_store:
-            return
+            return False
         if not changes.since <= self.store_revision < changes.until:
-            return
+            return False
         for item in changes.items:
             if item.removed:
                 self._take_removal(item.key)
             else:
                 self._take_value(item.key, item.value)
         self.store_revision = store_module.StoreRevision(changes.until)
+        return True
 
     def take_declared_change(
         self, change: router_messages.DeclaredChange, *, source: str
@@ -237,20 +244,27 @@
             return
         self.take_declarations(value, source=source)
 
-    def note_read_by_peer(self, state: router_messages.RouterState) -> None:
-        """Take in up to where a neighbour has read the store.
+    def note_read_by_peer(
+        self, told: router_messages.RouterState | router_messages.DomainNews
+    ) -> None:
+        """Take in up to where a peer knows the store.
 
-        What it knows is all known here if nothing it knows is newer.
+        What it knows is all known here where it knows the same declarations
+        and upstreams.
         """
-        if self.follows_store or not state.follows_store:
+        self.newest_told_revision = max(
+            self.newest_told_revision,
+            store_module.StoreRevision(told.read_revision),
+        )
+        if self.follows_store:
             return
-        if (state.revision, state.store_revision) == (
+        if (told.revision, told.store_revision) == (
             self.revision,
             self.store_revision,
         ):
             self.read_revision = max(
                 self.read_revision,
-                store_module.StoreRevision(state.read_revision),
+                store_module.StoreRevision(told.read_revision),
             )
 
     def take_entries_of_peer(
--- a/packages/router/src/lagoonrun_router/domain_news.py
+++ b/packages/router/src/lagoonrun_router/domain_news.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from lagoonrun_core import types
 from lagoonrun_protocol import router_messages
@@ -45,6 +46,18 @@
 """Sends a message to each address."""
 
 
+class KnowsStore(Protocol):
+    """What is told of the store; see `RouterState`."""
+
+    @property
+    def revision(self) -> types.Revision:
+        """Revision of the declarations in force."""
+
+    store_revision: int
+    read_revision: int
+    follows_store: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Relay:
     address: settings.Address
@@ -58,10 +71,14 @@
     ----------
     entry_vm, domain
         This entry VM.
+    port
+        Where it listens for the others.
     start
         Drawn at random by each start of the process.
     table
         The other entry VMs.
+    known
+        What this entry VM knows of the store.
     relays
         Order of the relays of the own failure domain.
     gathered
@@ -77,8 +94,10 @@
         *,
         entry_vm: types.EntryVmId,
         domain: types.FailureDomain,
+        port: int,
         start: int,
         table: peer_table.PeerTable,
+        known: KnowsStore,
         relays: roster.Roster,
         gathered: gathered_work.GatheredWork,
         ledger: load_ledger.LoadLedger,
@@ -89,8 +108,10 @@
     ) -> None:
         self._entry_vm = entry_vm
         self._domain = domain
+        self._port = port
         self._start = start
         self._table = table
+        self._known = known
         self._relays = relays
         self._gathered = gathered
         self._ledger = ledger
@@ -109,9 +130,9 @@
         if self._beats < self._wanted_beats:
             return
         self._beats = 0
-        if self._relays.on_duty(now=now)[:1] == (self._entry_vm,):
+        if self._relays.leads(now=now):
             self._sequence += 1
-            self._send(self._news(now), self._far_addresses(now))
+            self._send(self._news(now), self.far_addresses(now=now))
 
     @property
     def _wanted_beats(self) -> int:
@@ -130,6 +151,12 @@
             domain=self._domain,
             start=self._start,
             sequence=self._sequence,
+            port=self._port,
+            revision=self._known.revision,
+            store_revision=self._known.store_revision,
+            read_revision=self._known.read_revision,
+            reads_store=self._known.follows_store
+            or bool(self._table.watching(now=now)),
             loads=peer_loads.to_rows(known),
             placements=peer_loads.placements(
                 self._homes.take_for_other_domains()
@@ -137,7 +164,7 @@
             pressed=peer_loads.pressed(pressed),
         )
 
-    def _far_addresses(self, now: float) -> list[settings.Address]:
+    def far_addresses(self, *, now: float) -> list[settings.Address]:
         """Return whom to tell in each other failure domain."""
         addresses = []
         for domain, cores_by_id in self._table.far_sizes_by_domain().items():
@@ -152,9 +179,11 @@
 
     def take(
         self, news: router_messages.DomainNews, *, host: str, now: float
-    ) -> None:
+    ) -> bool:
         """Take in what another failure domain's relay tells.
 
+        Returns whether it came from that relay itself and is news.
+
         Parameters
         ----------
         host
@@ -162,20 +191,22 @@
             own failure domain.
         """
         if news.domain == self._domain or not self._is_newer(news):
-            return
+            return False
         self._domains.hear(news.domain, now=now)
+        self._domains.note_reading(news.domain, news.reads_store)
         for placement in news.placements:
             self._homes.take_far(placement.part, placement.upstream, now=now)
-        address = self._table.address_of(news.entry_vm)
-        from_relay = address is not None and address.host == host
+        known_address = self._table.address_of(news.entry_vm)
+        from_relay = known_address is not None and known_address.host == host
         if from_relay:
             # It is to be told of this domain.
             self._relays_by_domain[news.domain] = _Relay(
-                address=address, heard_at=now
+                address=settings.Address(host=host, port=news.port),
+                heard_at=now,
             )
         if self._table.has_relay:
             self._gathered.take_domain(news, now=now)
-            return
+            return from_relay
         self._ledger.take_told(
             news.domain, peer_loads.from_rows(news.loads), now=now
         )
@@ -184,6 +215,7 @@
         )
         if from_relay:
             self._send(news, self._table.near_addresses())
+        return from_relay
 
     def _is_newer(self, news: router_messages.DomainNews) -> bool:
         latest = self._latest_by_sender.get(news.entry_vm)
--- a/packages/router/src/lagoonrun_router/fleet_news.py
+++ b/packages/router/src/lagoonrun_router/fleet_news.py
@@ -160,6 +160,7 @@
             silent_milliseconds=tuple(
                 round(seconds * 1000) for seconds in silent_by_domain.values()
             ),
+            reading_domains=self._domains.reading,
             tellers=tuple(
                 gathered_work.short_hash(one.entry_vm) for one in tellers
             ),
@@ -207,6 +208,7 @@
             news.domains, news.silent_milliseconds, strict=False
         ):
             self._domains.hear(domain, now=now - milliseconds / 1000)
+            self._domains.note_reading(domain, domain in news.reading_domains)
         self._note_alive(sequence_by_teller, now)
 
     def _own_part(
--- a/packages/router/src/lagoonrun_router/peer_fetch.py
+++ b/packages/router/src/lagoonrun_router/peer_fetch.py
@@ -5,14 +5,16 @@
 """
 
 import asyncio
+import dataclasses
 import logging
+from typing import Protocol
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import errors, events, logs, types
 from lagoonrun_platform import http_calls
 from lagoonrun_platform import store as store_module
 from lagoonrun_protocol import router_codec, router_messages
-from lagoonrun_router import beliefs, peer_table, settings
+from lagoonrun_router import beliefs, peer_table, roster, settings
 
 DECLARATIONS_PATH = "/declarations"
 """Gives the whole value, for entry VMs of before the one below."""
@@ -37,12 +39,33 @@
 
 _OK = 200
 
+_BEHIND_SECONDS = 1.0
+"""Time after which an entry VM asks another failure domain itself for what its
+relay should have told it: the relay is lost, or reaches less than this one."""
+
 _UPSTREAMS_SECONDS = 0.1
 """Time between two fetches of the upstreams where the store is not read from
 here. An upstream that leaves serves on for two seconds after the store says
 so; changes that come together are fetched together."""
 
 
+class TellsKnowledge(Protocol):
+    """What a message says of its sender's knowledge; see `RouterState`."""
+
+    entry_vm: types.EntryVmId
+    domain: types.FailureDomain
+    revision: types.Revision
+    store_revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Known:
+    """What this entry VM knew when it heard of more."""
+
+    revision: types.Revision
+    store_revision: int
+
+
 class PeerFetcher:
     """Fetches from one peer at a time.
 
@@ -50,8 +73,9 @@
     ----------
     domain
         Failure domain of this entry VM.
-    table
-        The other entry VMs.
+    relays
+        Order of the relays of the own failure domain: bytes between domains
+        cost, so that one entry VM fetches from others for all its neighbours.
     known
         Receives what was fetched.
     clock
@@ -63,16 +87,20 @@
         *,
         domain: types.FailureDomain,
         table: peer_table.PeerTable,
+        relays: roster.Roster,
         known: beliefs.Beliefs,
         clock: clocks.Clock,
     ) -> None:
         self._domain = domain
         self._table = table
+        self._relays = relays
         self._known = known
         self._clock = clock
         self._declarations: asyncio.Task[None] | None = None
         self._upstreams: asyncio.Task[None] | None = None
         self._upstreams_at = float("-inf")
+        self._behind_with: _Known | None = None
+        self._behind_since = 0.0
 
     async def close(self) -> None:
         """Give up what is on its way."""
@@ -83,19 +111,23 @@
 
     def take(
         self,
-        state: router_messages.RouterState,
+        state: TellsKnowledge,
         address: settings.Address,
         *,
         now: float,
     ) -> None:
         """Fetch what a peer knows and this process does not."""
+        if not self._is_newer(state):
+            return
+        if not self._may_fetch_from(state.domain, now):
+            return
         if state.revision > self._known.revision and _is_idle(
             self._declarations
         ):
             self._declarations = asyncio.create_task(
                 self._take_declarations(state, address)
             )
-        if not self._should_fetch_upstreams(state, now):
+        if not self._should_fetch_upstreams(state):
             return
         recent = now - self._upstreams_at < _UPSTREAMS_SECONDS
         if _is_idle(self._upstreams) and not recent:
@@ -104,9 +136,27 @@
                 self._take_upstreams(state, address)
             )
 
-    def _should_fetch_upstreams(
-        self, state: router_messages.RouterState, now: float
-    ) -> bool:
+    def _is_newer(self, state: TellsKnowledge) -> bool:
+        return (
+            state.revision > self._known.revision
+            or self._should_fetch_upstreams(state)
+        )
+
+    def _may_fetch_from(self, domain: types.FailureDomain, now: float) -> bool:
+        """Return whether to ask a peer of `domain` and not a neighbour."""
+        if domain == self._domain or not self._table.is_large:
+            return True
+        known = _Known(
+            revision=self._known.revision,
+            store_revision=self._known.store_revision,
+        )
+        if known != self._behind_with:
+            self._behind_with = known
+            self._behind_since = now
+        late = now - self._behind_since >= _BEHIND_SECONDS
+        return late or self._relays.leads(now=now)
+
+    def _should_fetch_upstreams(self, state: TellsKnowledge) -> bool:
         """Return whether a peer knows more of the upstreams.
 
         One that does not read the store either may know what this process,
@@ -114,15 +164,10 @@
         """
         if self._known.follows_store:
             return False
-        if state.store_revision <= self._known.store_revision:
-            return False
-        # Where neighbours read the store they tell it, without bytes between
-        # failure domains.
-        near = state.domain == self._domain
-        return near or not self._table.watching(now=now)
+        return state.store_revision > self._known.store_revision
 
     async def _take_declarations(
-        self, state: router_messages.RouterState, address: settings.Address
+        self, state: TellsKnowledge, address: settings.Address
     ) -> None:
         peer = state.entry_vm
         await self._wait_until_told()
@@ -141,7 +186,7 @@
             self._known.take_declared_change(change, source=peer)
 
     async def _take_upstreams(
-        self, state: router_messages.RouterState, address: settings.Address
+        self, state: TellsKnowledge, address: settings.Address
     ) -> None:
         peer = state.entry_vm
         await self._wait_until_told()
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -66,7 +66,7 @@
         self._domain = domain
         self._peers_by_id: dict[types.EntryVmId, _Peer] = {}
         self._near_by_id: dict[types.EntryVmId, _Peer] = {}
-        self.near_changes = 0
+        self.changes = 0
         """Grows when a neighbour comes or goes or tells another size."""
 
     def record(
@@ -125,19 +125,19 @@
         peer.domain = domain or peer.domain
         if processor_cores and processor_cores != peer.processor_cores:
             peer.processor_cores = processor_cores
-            self.near_changes += 1
+            self.changes += 1
         near = peer.domain == self._domain
         if near is not (entry_vm in self._near_by_id):
             self._near_by_id.pop(entry_vm, None)
             if near:
                 self._near_by_id[entry_vm] = peer
-            self.near_changes += 1
+            self.changes += 1
 
     def remove(self, entry_vm: types.EntryVmId) -> None:
         """Forget a peer."""
         self._peers_by_id.pop(entry_vm, None)
         if self._near_by_id.pop(entry_vm, None) is not None:
-            self.near_changes += 1
+            self.changes += 1
 
     def hear(
         self,
@@ -218,7 +218,7 @@
         """Return all peers of the own failure domain, silent ones included."""
         return tuple(self._near_by_id)
 
-    def near_sizes(self) -> dict[types.EntryVmId, float]:
+    def sizes(self) -> dict[types.EntryVmId, float]:
         """Return all peers of the own failure domain and their cores."""
         return {
             entry_vm: peer.processor_cores
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -125,9 +125,9 @@
         self._relays = roster.Roster(
             duty="relay",
             places=_RELAYS,
-            entry_vm=configured.entry_vm,
-            processor_cores=configured.processor_cores,
-            table=table,
+            own=configured.entry_vm,
+            own_size=configured.processor_cores,
+            others=table,
         )
         self._teller = state_telling.StateTeller(
             configured=configured,
@@ -157,8 +157,10 @@
         self._domain_news = domain_news.DomainNewsExchange(
             entry_vm=configured.entry_vm,
             domain=configured.domain,
+            port=configured.peer.port,
             start=start,
             table=table,
+            known=known,
             relays=self._relays,
             gathered=gathered,
             ledger=ledger,
@@ -172,7 +174,11 @@
             name="peers", function=self._run
         )
         self._fetcher = peer_fetch.PeerFetcher(
-            domain=configured.domain, table=table, known=known, clock=clock
+            domain=configured.domain,
+            table=table,
+            relays=self._relays,
+            known=known,
+            clock=clock,
         )
 
     def use_seeds(self, seeds: tuple[settings.Address, ...]) -> None:
@@ -252,7 +258,24 @@
         """
         size = sum(len(item.value) for item in changes.items)
         size += sum(len(one.packed_text) for one in changes.declared)
-        if self._table.is_large and size <= _LARGEST_TOLD_CHANGE_BYTES:
+        if not self._table.is_large or size > _LARGEST_TOLD_CHANGE_BYTES:
+            return
+        told = dataclasses.replace(changes, domain=self._settings.domain)
+        self._send(told, self._table.near_addresses())
+        self._hand_on(told)
+
+    def _hand_on(self, changes: router_messages.StoreChanges) -> None:
+        """Hand changes on, as the relay.
+
+        Those read here go to the other domains, those read elsewhere to the
+        neighbours.
+        """
+        now = self._clock.monotonic()
+        if not self._relays.leads(now=now):
+            return
+        if changes.domain == self._settings.domain:
+            self._send(changes, self._domain_news.far_addresses(now=now))
+        else:
             self._send(changes, self._table.near_addresses())
 
     def _addresses_of(
@@ -309,14 +332,24 @@
             self._table.note_alive(message.entry_vm, now=now)
             self._take_leaving(message.leaving_starts, message.entry_vm)
         elif isinstance(message, router_messages.DomainNews):
-            self._domain_news.take(message, host=host, now=now)
+            self._take_domain_news(message, host, now)
         elif isinstance(message, router_messages.RouterState):
             self._take_state(message, host, now)
         elif isinstance(message, router_messages.StoreChanges):
-            self._known.take_changes_of_peer(message, source=host)
+            if self._known.take_changes_of_peer(message, source=host):
+                self._hand_on(message)
         else:
             self._reject(host, f"a {type(message).__name__}")
 
+    def _take_domain_news(
+        self, news: router_messages.DomainNews, host: str, now: float
+    ) -> None:
+        if not self._domain_news.take(news, host=host, now=now):
+            return
+        self._known.note_read_by_peer(news)
+        address = settings.Address(host=host, port=news.port)
+        self._fetcher.take(news, address, now=now)
+
     def _take_state(
         self, state: router_messages.RouterState, host: str, now: float
     ) -> None:
@@ -339,7 +372,7 @@
         self._take_leaving(state.leaving_starts, state.entry_vm)
         if state.domain == self._settings.domain:
             self._take_work(state, now)
-            self._known.note_read_by_peer(state)
+        self._known.note_read_by_peer(state)
         self._fetcher.take(state, address, now=now)
 
     def _take_members(
--- a/packages/router/src/lagoonrun_router/reach.py
+++ b/packages/router/src/lagoonrun_router/reach.py
@@ -20,16 +20,57 @@
 
 
 class DomainReach:
-    """When each failure domain was heard last."""
+    """When each failure domain was heard last, and whether the store is read there.
+
+    Attributes
+    ----------
+    changes
+        Grows when a domain is heard for the first time.
+    """
 
     def __init__(self) -> None:
         self._heard_at_by_domain: dict[types.FailureDomain, float] = {}
+        self._reading: set[types.FailureDomain] = set()
+        self.changes = 0
 
     def hear(self, domain: types.FailureDomain, *, now: float) -> None:
         """Note that an entry VM of `domain` was heard at `now`."""
+        if domain not in self._heard_at_by_domain:
+            self.changes += 1
         known = self._heard_at_by_domain.get(domain, now)
         self._heard_at_by_domain[domain] = max(known, now)
 
+    def note_reading(self, domain: types.FailureDomain, reads: bool) -> None:
+        """Note whether some entry VM of `domain` reads the store."""
+        if reads:
+            self._reading.add(domain)
+        else:
+            self._reading.discard(domain)
+
+    def is_reading(self, domain: types.FailureDomain) -> bool:
+        """Return whether some entry VM of `domain` has said to read the store."""
+        return domain in self._reading
+
+    @property
+    def reading(self) -> tuple[types.FailureDomain, ...]:
+        """Failure domains that have said to read the store."""
+        return tuple(self._reading)
+
+    # As members of a roster.
+
+    def sizes(self) -> dict[types.FailureDomain, float]:
+        """Return all failure domains, as if of one size."""
+        return dict.fromkeys(self._heard_at_by_domain, 1.0)
+
+    def heard_at(self, domain: types.FailureDomain) -> float:
+        """Return when a domain was heard last; minus infinity for never."""
+        return self._heard_at_by_domain.get(domain, float("-inf"))
+
+    def is_stopping(self, domain: types.FailureDomain) -> bool:
+        """Return whether a domain is about to end, which none says."""
+        del domain
+        return False
+
     def silent_seconds(self, *, now: float) -> dict[types.FailureDomain, float]:
         """Return for how long each failure domain has been silent."""
         return {
--- a/packages/router/src/lagoonrun_router/roster.py
+++ b/packages/router/src/lagoonrun_router/roster.py
@@ -1,11 +1,11 @@
-"""Which neighbours do a duty for the whole failure domain.
+"""Which members do a duty for all: entry VMs of a domain, or domains of a fleet.
 
-All entry VMs of a domain compute the same order: the larger ones first, among
-equals by a hash. Whoever comes first and is not silent has the duty. Nobody is
-elected and nothing is agreed on, so that two entry VMs may have a duty at once
-for a moment; a duty has to bear that.
+All compute the same order: the larger ones first, among equals by a hash.
+Whoever comes first and is not silent has the duty. Nobody is elected and
+nothing is agreed on, so that two may have a duty at once for a moment; a duty
+has to bear that.
 
-A neighbour that was not relied on so far may never have told this entry VM
+A member that was not relied on so far may never have told this entry VM
 anything. It is trusted for as long as a silence may last, and passed over only
 if it stays silent then.
 """
@@ -16,18 +16,35 @@
 import xxhash
 
 from lagoonrun_core import types
-from lagoonrun_router import peer_table
+
+Member = types.EntryVmId | types.FailureDomain
 
 SILENT_SECONDS = 1.0
-"""Silence after which a neighbour is passed over: twice its slowest pause
-between two messages. What it was relied on for matters in two to three seconds.
-"""
+"""Silence after which a member is passed over: twice its slowest pause between
+two messages. What it was relied on for matters in two to three seconds."""
+
+
+class Members(Protocol):
+    """The others that may have a duty."""
+
+    @property
+    def changes(self) -> int:
+        """Grows when a member comes or goes or tells another size."""
+
+    def sizes(self) -> dict[Member, float]:
+        """Return all members, silent ones included, and their sizes."""
+
+    def heard_at(self, member: Member) -> float:
+        """Return when a member was heard last; minus infinity for never."""
+
+    def is_stopping(self, member: Member) -> bool:
+        """Return whether a member has said that it is about to end."""
 
 
 class Fills(Protocol):
-    """Whether an entry VM does its duty, as far as others can see."""
+    """Whether a member does its duty, as far as others can see."""
 
-    def __call__(self, entry_vm: types.EntryVmId, *, since: float) -> bool:
+    def __call__(self, member: Member, *, since: float) -> bool:
         """Return whether it fills its place.
 
         Parameters
@@ -38,26 +55,26 @@
 
 
 class Roster:
-    """The order in which the entry VMs of a failure domain take up one duty.
+    """The order in which members take up one duty.
 
     Parameters
     ----------
     duty
-        Name of the duty: entry VMs of one size have another order for each.
+        Name of the duty: members of one size have another order for each.
     places
-        Entry VMs that are to do the duty.
+        Members that are to do the duty.
     most
-        Entry VMs that may have it at once while those before them are there
+        Members that may have it at once while those before them are there
         but don't do it; None for no more than `places`.
     fills
         Tells those that do the duty from those that only have it; None where
         whoever is not silent does it.
-    entry_vm
-        This one, which belongs to the order.
-    processor_cores
-        Processor time that it may use, in cores.
-    table
-        The other entry VMs.
+    own
+        This entry VM or its domain, which belongs to the order.
+    own_size
+        Its size.
+    others
+        The other members.
     """
 
     def __init__(
@@ -67,30 +84,39 @@
         places: int,
         most: int | None = None,
         fills: Fills | None = None,
-        entry_vm: types.EntryVmId,
-        processor_cores: float,
-        table: peer_table.PeerTable,
+        own: Member,
+        own_size: float = 1.0,
+        others: Members,
     ) -> None:
         self._duty = duty
         self._places = places
         self._most = most or places
         self._fills = fills
-        self._entry_vm = entry_vm
-        self._processor_cores = processor_cores
-        self._table = table
-        self._order: tuple[types.EntryVmId, ...] = (entry_vm,)
+        self._own = own
+        self._own_size = own_size
+        self._others = others
+        self._order: tuple[Member, ...] = (own,)
         self._order_of_changes = -1
-        self._relied_on_since: dict[types.EntryVmId, float] = {}
+        self._relied_on_since: dict[Member, float] = {}
         self.stopping = False
         """Whether this entry VM is about to end and takes up no duty."""
 
-    def on_duty(self, *, now: float) -> tuple[types.EntryVmId, ...]:
-        """Return who has the duty, in their order."""
-        chosen: list[types.EntryVmId] = []
+    def on_duty(
+        self, *, now: float, places: int | None = None
+    ) -> tuple[Member, ...]:
+        """Return who has the duty, in their order.
+
+        Parameters
+        ----------
+        places
+            Members that are to do it; None for as many as usual.
+        """
+        places = places or self._places
+        chosen: list[Member] = []
         filled = 0
         since_by_id = {}
         for one in self._in_order():
-            if filled == self._places or len(chosen) == self._most:
+            if filled == places or len(chosen) == max(places, self._most):
                 break
             since = self._relied_on_since.get(one, now)
             since_by_id[one] = since
@@ -102,34 +128,36 @@
         self._relied_on_since = since_by_id
         return tuple(chosen)
 
-    def _is_silent(
-        self, one: types.EntryVmId, *, since: float, now: float
-    ) -> bool:
-        if one == self._entry_vm:
+    def leads(self, *, now: float) -> bool:
+        """Return whether the own member comes first."""
+        return self.on_duty(now=now)[:1] == (self._own,)
+
+    def _is_silent(self, one: Member, *, since: float, now: float) -> bool:
+        if one == self._own:
             return self.stopping
-        if self._table.is_stopping(one):
+        if self._others.is_stopping(one):
             return True
-        heard_at = max(self._table.heard_at(one), since)
+        heard_at = max(self._others.heard_at(one), since)
         return now - heard_at >= SILENT_SECONDS
 
-    def _in_order(self) -> tuple[types.EntryVmId, ...]:
-        if self._order_of_changes != self._table.near_changes:
-            self._order_of_changes = self._table.near_changes
-            cores_by_id = self._table.near_sizes()
-            cores_by_id[self._entry_vm] = self._processor_cores
-            self._order = self.order_of(cores_by_id)
+    def _in_order(self) -> tuple[Member, ...]:
+        if self._order_of_changes != self._others.changes:
+            self._order_of_changes = self._others.changes
+            size_by_member = self._others.sizes()
+            size_by_member[self._own] = self._own_size
+            self._order = self.order_of(size_by_member)
         return self._order
 
     def order_of(
-        self, cores_by_id: Mapping[types.EntryVmId, float]
-    ) -> tuple[types.EntryVmId, ...]:
-        """Return the order of any failure domain, by the sizes of its VMs."""
+        self, size_by_member: Mapping[Member, float]
+    ) -> tuple[Member, ...]:
+        """Return the order of any members, by their sizes."""
         return tuple(
             sorted(
-                cores_by_id,
-                key=lambda one: (-cores_by_id[one], self._hash(one)),
+                size_by_member,
+                key=lambda one: (-size_by_member[one], self._hash(one)),
             )
         )
 
-    def _hash(self, one: types.EntryVmId) -> int:
+    def _hash(self, one: Member) -> int:
         return xxhash.xxh3_64_intdigest(f"{one}/{self._duty}".encode())
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -169,6 +169,7 @@
             domain=configured.domain,
             processor_cores=configured.processor_cores,
             table=self._table,
+            domains=self._domains,
             known=self.beliefs,
             follower=self.follower,
             clock=self._clock,
--- a/packages/router/src/lagoonrun_router/store_follower.py
+++ b/packages/router/src/lagoonrun_router/store_follower.py
@@ -41,10 +41,11 @@
 """Time between a change and the next watch: changes that come together are
 read by one call. A tenth of the time that any of them may take to spread."""
 
-_WAIT_FOR_OTHERS_SECONDS = 1.0
-"""How long a watch waits that others rely on: when its connection has gone
-silent, they are to know it before what they missed matters, in two to three
-seconds."""
+_WAIT_FOR_OTHERS_SECONDS = 3.0
+"""How long a watch waits that others rely on. Each is a call that is paid for. If
+the connection has gone silent, another reader shows that there is more within
+half a second; where all connections have, at once, this bounds how late a
+change is seen."""
 
 _CATCH_UP_WAIT_SECONDS = 0.05
 """How long the first watch of a series waits: it shows that the store answers, and
@@ -170,6 +171,16 @@
         elif previous is Duty.STAND_BY:
             self._task.start()
 
+    def look_again(self) -> None:
+        """Ask at once what came since, on another connection.
+
+        Others know more of the store: the connection of the watch that waits
+        may have gone silent without a reset.
+        """
+        if self.duty is not Duty.STAND_BY:
+            self._task.cancel()
+            self._task.start()
+
     def _leave(self) -> None:
         if self._lost:
             # The others that are up to date with it say so.
--- a/packages/router/tests/test_domain_news.py
+++ b/packages/router/tests/test_domain_news.py
@@ -28,9 +28,8 @@
     return roster.Roster(
         duty="relay",
         places=2,
-        entry_vm=name,
-        processor_cores=1.0,
-        table=table,
+        own=name,
+        others=table,
     )
 
 
@@ -46,6 +45,16 @@
     )
 
 
+@dataclasses.dataclass(kw_only=True)
+class Known:
+    """What an entry VM knows of the store."""
+
+    revision: int = 3
+    store_revision: int = 8
+    read_revision: int = 9
+    follows_store: bool = True
+
+
 @dataclasses.dataclass(kw_only=True)
 class Vm:
     """One entry VM's part in the exchange, with what it has sent."""
@@ -97,7 +106,9 @@
         exchange = domain_news.DomainNewsExchange(
             entry_vm=name,
             domain=DOMAIN_OF[name],
+            port=1,
             start=1,
+            known=Known(),
             domains=reach.DomainReach(),
             send=lambda news, to: sent.append((news, tuple(to))),
             **shared,
@@ -157,6 +168,17 @@
     assert neighbours == (address_of(neighbour_of(far_relay)),)
 
 
+def test_relay_tells_what_its_domain_knows_of_the_store(relay, far_relay):
+    relay.beat(now=0.1)
+    news, _ = relay.sent[-1]
+    assert (news.revision, news.store_revision, news.read_revision) == (3, 8, 9)
+    assert news.reads_store
+    assert far_relay.exchange.take(
+        news, host=address_of(relay.name).host, now=0.1
+    )
+    assert far_relay.exchange._domains.is_reading("north")
+
+
 def test_news_that_were_handed_on_go_no_further(vm_of, relay, far_relay):
     relay.beat(now=0.1)
     news, _ = relay.sent[-1]
--- a/packages/router/tests/test_peer_table.py
+++ b/packages/router/tests/test_peer_table.py
@@ -23,14 +23,14 @@
 def test_record_in_the_store_is_read_back(table):
     table.take_record("vm-2", table.record(A, processor_cores=0.5))
     assert table.address_of("vm-2") == A
-    assert table.near_sizes() == {"vm-2": 0.5}
+    assert table.sizes() == {"vm-2": 0.5}
 
 
 def test_record_of_an_entry_vm_that_tells_no_size_is_read(table):
     """A fleet is upgraded one entry VM after the other."""
     record = b'{"host": "10.0.0.1", "port": 1, "domain": "north"}'
     table.take_record("vm-2", record)
-    assert table.near_sizes() == {"vm-2": 0.0}
+    assert table.sizes() == {"vm-2": 0.0}
 
 
 def test_own_and_broken_records_are_left_out(table):
@@ -103,10 +103,10 @@
 
 def test_peer_that_moves_to_another_domain_is_no_neighbour_any_more(table):
     hear(table)
-    changes = table.near_changes
+    changes = table.changes
     hear(table, sequence=2, domain="south")
     assert table.near_ids() == ()
-    assert table.near_changes > changes
+    assert table.changes > changes
 
 
 def test_relay_that_lists_a_peer_shows_that_it_lives(table):
--- a/packages/router/tests/test_roster.py
+++ b/packages/router/tests/test_roster.py
@@ -33,9 +33,9 @@
         self.roster = roster.Roster(
             duty="relay",
             **{"places": 2, **options},
-            entry_vm=name,
-            processor_cores=CORES[name],
-            table=self.table,
+            own=name,
+            own_size=CORES[name],
+            others=self.table,
         )
         self.sequence = 0
 
@@ -119,9 +119,9 @@
     """
     filled = set()
 
-    def fills(entry_vm, *, since):
+    def fills(member, *, since):
         del since
-        return entry_vm in filled
+        return member in filled
 
     vm = Vm("vm-0", most=4, fills=fills)
     order = vm.roster.order_of(CORES)
--- a/packages/router/tests/test_store_duty.py
+++ b/packages/router/tests/test_store_duty.py
@@ -14,6 +14,7 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_router import (
     peer_table,
+    reach,
     roster,
     settings,
     store_duty,
@@ -35,6 +36,11 @@
     def __init__(self):
         self.duty = Duty.ALONE
         self.duties = []
+        self.looked_again = 0
+
+    def look_again(self):
+        """Count."""
+        self.looked_again += 1
 
     def use(self, duty):
         """Take up a duty."""
@@ -49,7 +55,10 @@
         self.name = name
         self.clock = clock
         self.follows_store = False
+        self.read_revision = 5
+        self.newest_told_revision = 5
         self.sequence = 0
+        self.domains = reach.DomainReach()
         self.table = peer_table.PeerTable(entry_vm=name, domain="north")
         for other in NAMES:
             self.table.add(other, address_of(other), "north")
@@ -59,6 +68,7 @@
             domain="north",
             processor_cores=0.0,
             table=self.table,
+            domains=self.domains,
             known=self,
             follower=self.follower,
             clock=clock,
@@ -183,6 +193,78 @@
     assert vms[3].look() is Duty.STAND_BY
 
 
+OTHER_DOMAINS = ("south", "east", "west", "centre")
+
+
+@pytest.fixture
+def first(vms):
+    """Return the first reader of its failure domain, which is the third."""
+    vm = vms[0]
+    names = vm.duty._reading_domains.order_of(
+        dict.fromkeys(("north", *OTHER_DOMAINS), 1.0)
+    )
+    before = [name for name in names[:2] if name != "north"]
+    # Two domains before this one, whatever the hashes say.
+    vm.before = (before + [n for n in OTHER_DOMAINS if n not in before])[:2]
+    vm.duty._reading_domains._hash = (*vm.before, "north").index
+    for domain in vm.before:
+        vm.domains.hear(domain, now=vm.clock.monotonic())
+        vm.domains.note_reading(domain, True)
+    return vm
+
+
+def test_domain_is_told_by_two_others_that_read(first, clock):
+    """Five domains with a reader each would make five calls for a change."""
+    for _ in range(20):
+        clock.advance(0.25)
+        for domain in first.before:
+            first.domains.hear(domain, now=clock.monotonic())
+        assert first.look() is Duty.STAND_BY
+
+
+def test_domain_that_is_cut_off_reads_the_store_itself(first, clock):
+    assert first.look() is Duty.STAND_BY
+    clock.advance(roster.SILENT_SECONDS)
+    assert first.look() is Duty.FOR_OTHERS
+
+
+def test_domain_joins_when_another_does_not_reach_the_store(first, clock):
+    assert first.look() is Duty.STAND_BY
+    first.domains.note_reading(first.before[0], False)
+    clock.advance(store_duty.CATCH_UP_SECONDS)
+    for domain in first.before:
+        first.domains.hear(domain, now=clock.monotonic())
+    assert first.look() is Duty.FOR_OTHERS
+
+
+def test_fleet_of_two_domains_has_one_reader_in_each(vms):
+    for vm in vms:
+        vm.domains.hear("south", now=vm.clock.monotonic())
+        vm.domains.note_reading("south", True)
+    assert duties(vms) == [Duty.FOR_OTHERS] + [Duty.STAND_BY] * 13
+
+
+def test_reader_whose_watch_has_gone_silent_asks_again(vms, clock):
+    """Its connection to the store went silent without a reset.
+
+    The other reader sees a change; this one would see it seconds later, when
+    its watch has waited for its time.
+    """
+    reader = vms[0]
+    reader.follows_store = True
+    reader.look()
+    reader.newest_told_revision = 6
+    reader.look()
+    assert reader.follower.looked_again == 0
+    reader.look()
+    assert reader.follower.looked_again == 1
+    reader.read_revision = 6
+    reader.look()
+    reader.newest_told_revision = 7
+    reader.look()
+    assert reader.follower.looked_again == 1
+
+
 def test_stopping_reader_leaves_the_duty_to_the_next(vms, clock):
     let_pass(vms, clock, 1.0, following=vms[:2])
     vms[0].duty.begin_stop()
