Take over the reading of the store within a second and a half of a silent cut

A watch waited 3 s and 1 s more, so that nobody heard of seven versions for four seconds; 3 s are allowed. In a large domain the loss was told to the relay only. Now a watch waits 1 s and half a second more; a failed call lets others begin at once, six of them in place of one after the other; the loss is told to all, and the relay's news name the readers.

Ruled out: readers in more domains (the same chance of a cut for each); keepalive probes alone (two seconds at the least).

Two calls a second for the fleet in place of two in three.

--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -204,6 +204,8 @@
         Short hashes of the entry VMs that told the relay, and the sequence of
         the newest state of each: a reader takes its own work of that state out
         of `loads`, and knows of the others that they live.
+    readers
+        Those of the tellers that read the store and are up to date with it.
     leaving_starts
         Upstreams that get nothing new, the newest last.
     """
@@ -221,6 +223,7 @@
     reading_domains: tuple[types.FailureDomain, ...] = ()
     tellers: tuple[int, ...] = ()
     teller_sequences: tuple[int, ...] = ()
+    readers: tuple[int, ...] = ()
     leaving_starts: tuple[LeavingUpstream, ...] = ()
 
 
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -277,6 +277,7 @@
   tellerSequences @11 :List(UInt64);
   leavingStarts @12 :List(LeavingUpstream);
   readingDomains @13 :List(Text);
+  readers @14 :List(UInt32);
 }
 
 struct StoredItem {
--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -174,6 +174,10 @@
             key=key, value=value or b"", removed=value is None
         )
 
+    def take_store_doubtful(self) -> None:
+        """Have others read until the store answers again."""
+        self.follows_store = False
+
     def take_store_lost(self) -> None:
         """Keep upstreams whose entries run out meanwhile."""
         self.follows_store = False
--- a/packages/router/src/lagoonrun_router/fleet_news.py
+++ b/packages/router/src/lagoonrun_router/fleet_news.py
@@ -40,10 +40,6 @@
 """Own states that may be the newest one that the relay has heard: at a beat of
 0.05 s more than those of the time after which it leaves a state out."""
 
-_ALIVE_SECONDS = 0.3
-"""Time between two looks at who tells the relay: a third of the silence after
-which a neighbour is not relied on."""
-
 Sender = Callable[[router_messages.FleetNews, Iterable[settings.Address]], None]
 """Sends a message to each address."""
 
@@ -100,7 +96,6 @@
             int, Mapping[types.UpstreamId, loads.Load]
         ] = collections.OrderedDict()
         self._latest_by_relay: dict[types.EntryVmId, tuple[int, int]] = {}
-        self._noted_alive_at = float("-inf")
 
     # As the relay.
 
@@ -165,6 +160,11 @@
                 gathered_work.short_hash(one.entry_vm) for one in tellers
             ),
             teller_sequences=tuple(one.sequence for one in tellers),
+            readers=tuple(
+                gathered_work.short_hash(one.entry_vm)
+                for one in tellers
+                if one.follows_store
+            ),
             leaving_starts=self._directory.leaving,
         )
 
@@ -209,7 +209,7 @@
         ):
             self._domains.hear(domain, now=now - milliseconds / 1000)
             self._domains.note_reading(domain, domain in news.reading_domains)
-        self._note_alive(sequence_by_teller, now)
+        self._note_alive(news, now)
 
     def _own_part(
         self, sequence_by_teller: Mapping[int, int]
@@ -219,15 +219,15 @@
         sequence = sequence_by_teller.get(own_hash)
         return self._own_by_sequence.get(sequence, {})
 
-    def _note_alive(self, tellers: Iterable[int], now: float) -> None:
-        if now - self._noted_alive_at < _ALIVE_SECONDS:
-            return
-        self._noted_alive_at = now
+    def _note_alive(self, news: router_messages.FleetNews, now: float) -> None:
         entry_vm_by_hash = _by_hash(self._table.near_ids())
-        for teller in tellers:
+        readers = frozenset(news.readers)
+        for teller in news.tellers:
             entry_vm = entry_vm_by_hash.get(teller)
             if entry_vm is not None:
-                self._table.note_alive(entry_vm, now=now)
+                self._table.note_alive(
+                    entry_vm, now=now, follows_store=teller in readers
+                )
 
     def _is_newer(self, news: router_messages.FleetNews) -> bool:
         latest = self._latest_by_relay.get(news.entry_vm)
--- a/packages/router/src/lagoonrun_router/gathered_work.py
+++ b/packages/router/src/lagoonrun_router/gathered_work.py
@@ -30,11 +30,14 @@
     ----------
     sequence
         Of its newest state.
+    follows_store
+        Whether it reads the store and is up to date with it.
     """
 
     entry_vm: types.EntryVmId
     sequence: int
     at: float
+    follows_store: bool
 
 
 class GatheredWork:
@@ -60,7 +63,10 @@
             self._tellers_by_id.pop(state.entry_vm, None)
             return
         self._tellers_by_id[state.entry_vm] = Teller(
-            entry_vm=state.entry_vm, sequence=state.sequence, at=now
+            entry_vm=state.entry_vm,
+            sequence=state.sequence,
+            at=now,
+            follows_store=state.follows_store,
         )
 
     def take_domain(
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -167,11 +167,22 @@
         self._note_alive(entry_vm, peer)
         return True
 
-    def note_alive(self, entry_vm: types.EntryVmId, *, now: float) -> None:
+    def note_alive(
+        self,
+        entry_vm: types.EntryVmId,
+        *,
+        now: float,
+        follows_store: bool | None = None,
+    ) -> None:
         """Take in that another entry VM has heard a peer lately.
 
         What was heard a moment before a peer said that it ends does not make
         it live on.
+
+        Parameters
+        ----------
+        follows_store
+            Whether it said to be up to date with the store; None for unknown.
         """
         peer = self._peers_by_id.get(entry_vm)
         if peer is None:
@@ -179,6 +190,8 @@
         if peer.stopping and now - peer.heard_at < HEARD_SECONDS:
             return
         peer.stopping = False
+        if follows_store is not None:
+            peer.follows_store = follows_store
         peer.heard_at = max(peer.heard_at, now)
         self._note_alive(entry_vm, peer)
 
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -243,7 +243,7 @@
             self._fleet_news.take_state(state, now=now)
         # Those that rely on this entry VM, for the store or as their relay,
         # have to hear of a change without waiting for a relay.
-        relied_on = state.follows_store or state.entry_vm in relays
+        relied_on = self._teller.was_reader or state.entry_vm in relays
         if relied_on and self._teller.news_changed:
             told = self._table.near_addresses()
         else:
--- a/packages/router/src/lagoonrun_router/roster.py
+++ b/packages/router/src/lagoonrun_router/roster.py
@@ -44,13 +44,15 @@
 class Fills(Protocol):
     """Whether a member does its duty, as far as others can see."""
 
-    def __call__(self, member: Member, *, since: float) -> bool:
-        """Return whether it fills its place.
+    def __call__(self, member: Member, *, since: float, first: bool) -> bool:
+        """Return whether it does its duty, or may be about to.
 
         Parameters
         ----------
         since
             Reading of the clock since when it is relied on.
+        first
+            Whether it is one of the first, who have time to begin.
         """
 
 
@@ -64,8 +66,8 @@
     places
         Members that are to do the duty.
     most
-        Members that may have it at once while those before them are there
-        but don't do it; None for no more than `places`.
+        Members that have it at once while one of the first ones is there but
+        does not do it; None for no more than `places`.
     fills
         Tells those that do the duty from those that only have it; None where
         whoever is not silent does it.
@@ -113,21 +115,33 @@
         """
         places = places or self._places
         chosen: list[Member] = []
-        filled = 0
+        done = 0
         since_by_id = {}
         for one in self._in_order():
-            if filled == places or len(chosen) == max(places, self._most):
+            if len(chosen) >= places and done >= places:
+                break
+            if len(chosen) >= max(places, self._most):
                 break
             since = self._relied_on_since.get(one, now)
             since_by_id[one] = since
             if self._is_silent(one, since=since, now=now):
                 continue
+            done += self._does_duty(one, since, first=len(chosen) < places)
             chosen.append(one)
-            filled += self._fills is None or self._fills(one, since=since)
         # Those behind are trusted anew when they are needed.
         self._relied_on_since = since_by_id
         return tuple(chosen)
 
+    def _does_duty(self, one: Member, since: float, *, first: bool) -> bool:
+        """Return whether a member does its duty.
+
+        The first ones have time to begin. While one of them fails, the others
+        begin all at once: to wait for each in turn would take too long.
+        """
+        if self._fills is None:
+            return True
+        return self._fills(one, since=since, first=first)
+
     def leads(self, *, now: float) -> bool:
         """Return whether the own member comes first."""
         return self.on_duty(now=now)[:1] == (self._own,)
--- a/packages/router/src/lagoonrun_router/state_telling.py
+++ b/packages/router/src/lagoonrun_router/state_telling.py
@@ -1,5 +1,6 @@
 """When an entry VM tells its state, what it tells, and to whom."""
 
+import dataclasses
 import random
 
 from lagoonrun_core import types
@@ -28,6 +29,16 @@
 """Entry VMs that a quiet state names; who there is passes on from peer to peer."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _News:
+    """What others wait for; see `RouterState`."""
+
+    revision: types.Revision
+    store_revision: int
+    follows_store: bool
+    stopping: bool
+
+
 class StateTeller:
     """Composes the own states.
 
@@ -71,8 +82,11 @@
         self._chance = chance
         self._sequence = 0
         self._beats_since_told = 0
-        self._told_news: tuple[int, int, bool, bool] | None = None
+        self._told_news: _News | None = None
         self._told_leaving: tuple[router_messages.LeavingUpstream, ...] = ()
+        self.was_reader = False
+        """Whether the last two states told that this entry VM reads the store, or
+        that it does no more."""
         self.news_changed = False
         """Whether the last state told what others wait for that do not read
         the store, or that this entry VM is about to end."""
@@ -87,6 +101,10 @@
         quiet = self._beats_since_told >= _QUIET_BEATS
         news = self._news()
         self.news_changed = quiet or news != self._told_news
+        before = self._told_news
+        self.was_reader = self._known.follows_store or (
+            before is not None and before.follows_store
+        )
         self._told_news = news
         self._beats_since_told = 0
         self._ledger.mark_told()
@@ -112,13 +130,13 @@
             return _CHANGE_BEATS
         return _QUIET_BEATS
 
-    def _news(self) -> tuple[int, int, bool, bool]:
+    def _news(self) -> "_News":
         known = self._known
-        return (
-            known.revision,
-            known.store_revision,
-            known.follows_store,
-            self.stopping,
+        return _News(
+            revision=known.revision,
+            store_revision=known.store_revision,
+            follows_store=known.follows_store,
+            stopping=self.stopping,
         )
 
     def _state(
--- a/packages/router/src/lagoonrun_router/store_duty.py
+++ b/packages/router/src/lagoonrun_router/store_duty.py
@@ -25,9 +25,9 @@
 """Entry VMs of the fleet that watch: one may be lost unnoticed."""
 
 MOST_TRYING = 6
-"""Entry VMs of a failure domain that try to read the store at a time while those
-before them don't reach it. Where the store turns away a third of all, six in a
-row are turned away once in a thousand cases."""
+"""Entry VMs of a failure domain that try to read the store at once while one of
+the first does not reach it, until enough of them do. Where a third of all are
+cut off from the store, six in a row are once in a thousand cases."""
 
 MOST_TRYING_DOMAINS = 3
 """Failure domains that try at a time, while those before them don't reach it."""
@@ -161,20 +161,22 @@
         if self._looks_behind == _LOOKS_BEHIND:
             self._follower.look_again()
 
-    def _reads_or_may(self, member: roster.Member, *, since: float) -> bool:
+    def _reads_or_may(
+        self, member: roster.Member, *, since: float, first: bool
+    ) -> bool:
         """Return whether one with the duty reads, or may be about to."""
-        if self._clock.monotonic() - since < CATCH_UP_SECONDS:
+        if first and self._clock.monotonic() - since < CATCH_UP_SECONDS:
             return True
         if member == self._entry_vm:
             return self._known.follows_store
         return self._table.follows_store(member)
 
     def _domain_reads_or_may(
-        self, member: roster.Member, *, since: float
+        self, member: roster.Member, *, since: float, first: bool
     ) -> bool:
         """Return whether some entry VM of a domain reads, or may be about to."""
         now = self._clock.monotonic()
-        if now - since < CATCH_UP_SECONDS:
+        if first and now - since < CATCH_UP_SECONDS:
             return True
         if member == self._domain:
             near = self._table.watching(now=now)
--- a/packages/router/src/lagoonrun_router/store_follower.py
+++ b/packages/router/src/lagoonrun_router/store_follower.py
@@ -41,11 +41,11 @@
 """Time between a change and the next watch: changes that come together are
 read by one call. A tenth of the time that any of them may take to spread."""
 
-_WAIT_FOR_OTHERS_SECONDS = 3.0
-"""How long a watch waits that others rely on. Each is a call that is paid for. If
-the connection has gone silent, another reader shows that there is more within
-half a second; where all connections have, at once, this bounds how late a
-change is seen."""
+_WAIT_FOR_OTHERS_SECONDS = 1.0
+"""How long a watch waits that others rely on. Both readers of a fleet may be cut
+off from the store in silence, in the moment in which something changes: this
+bounds when they notice, and that it is in force everywhere within three
+seconds. It costs two calls a second for the whole fleet."""
 
 _CATCH_UP_WAIT_SECONDS = 0.05
 """How long the first watch of a series waits: it shows that the store answers, and
@@ -103,6 +103,9 @@
     ) -> None:
         """Take in all changes up to `revision`; there may be none."""
 
+    def take_store_doubtful(self) -> None:
+        """Take in that a call has failed; the next will tell."""
+
     def take_store_lost(self) -> None:
         """Take in that the store cannot be read."""
 
@@ -231,6 +234,8 @@
             wait_seconds = None if alone else _WAIT_FOR_OTHERS_SECONDS
             end = await self._watch(wait_seconds=wait_seconds)
             if end is _WatchEnd.FAILED:
+                # The next call may take as long to fail; others begin now.
+                self._reader.take_store_doubtful()
                 return
             if end is _WatchEnd.BEHIND:
                 # All keys again and again, if the store forgets at once.
--- a/packages/router/tests/test_roster.py
+++ b/packages/router/tests/test_roster.py
@@ -115,12 +115,13 @@
 def test_places_that_are_not_filled_bring_in_others():
     """The first two live, but the store turns them away.
 
-    Up to four may try at a time; the rest would only ask in vain.
+    Up to four try at a time, and at once: each would need a second to find out
+    that it is turned away as well. The rest would only ask in vain.
     """
     filled = set()
 
-    def fills(member, *, since):
-        del since
+    def fills(member, *, since, first):
+        del since, first
         return member in filled
 
     vm = Vm("vm-0", most=4, fills=fills)
--- a/packages/router/tests/test_store_duty.py
+++ b/packages/router/tests/test_store_duty.py
@@ -152,6 +152,23 @@
     assert duties(vms)[2:] == [Duty.STAND_BY] * 12
 
 
+def test_both_readers_are_cut_off_and_four_others_begin_at_once(vms, clock):
+    """Both readers lose the store, in silence, as an operator revokes a key.
+
+    They notice after a second and a half. Of the next in order one or two may
+    be cut off as well, and three seconds after the operator's word the key must
+    be refused everywhere: there is no time to try one after the other.
+    """
+    let_pass(vms, clock, 2.0, following=vms[:2])
+    for teller in vms[:2]:
+        teller.follows_store = False
+        for vm in vms:
+            if vm is not teller:
+                vm.hear(teller.name, follows_store=False)
+    assert duties(vms)[2:6] == [Duty.SPARE] * 4
+    assert duties(vms)[6:] == [Duty.STAND_BY] * 8
+
+
 def test_store_that_turns_two_away_is_read_by_the_next(vms, clock):
     let_pass(vms, clock, 2.0, following=vms[:2])
     let_pass(vms, clock, 1.0, following=vms[2:4])
@@ -288,6 +305,10 @@
         self.told.extend(change.key for change in changes)
         self.read_revision = revision
 
+    def take_store_doubtful(self):
+        """Note the doubt."""
+        self.told.append("doubtful")
+
     def take_store_lost(self):
         """Note the loss."""
         self.told.append("lost")
@@ -378,6 +399,7 @@
     await wait_for(lambda: told[-1] == "a")
     assert told.count("listing") == 1
     assert "lost" not in told
+    assert "doubtful" in told
 
 
 async def test_versions_that_come_faster_than_the_link_are_skipped(
