--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -1,10 +1,15 @@
 """The client of the store: the same cases as for the in-memory store."""
 
 import asyncio
+import base64
+import contextlib
+import json
 
 import pytest
 
+from lagoonrun_core import clock as clocks
 from lagoonrun_platform import store
+from lagoonrun_router import settings
 from lagoonrun_users_platform import store_client
 
 
@@ -148,3 +153,72 @@
     client.use_address(other_stand_in.address)
     assert (await client.get("moved")).found is not None
     assert stand_in.targets == []
+
+
+PARTS = 8
+PAUSE_SECONDS = 0.05
+
+
+@pytest.fixture
+async def slow_link():
+    """Return where a store answers in parts; `stall_after` ends them early."""
+    opened = []
+
+    class Link:
+        stall_after = PARTS
+
+        async def answer(self, reader, writer):
+            """Answer one watch with a change, part by part."""
+            opened.append(writer)
+            await reader.readuntil(b"\r\n\r\n")
+            value = base64.b64encode(b"x" * 8000).decode()
+            change = {"key": "large", "value": value, "revision": 7}
+            body = json.dumps(
+                {"events": [change], "store_revision": 7}
+            ).encode()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode())
+            size = -(-len(body) // PARTS)
+            for part in range(self.stall_after):
+                writer.write(body[part * size : (part + 1) * size])
+                await asyncio.sleep(PAUSE_SECONDS)
+
+    link = Link()
+    server = await asyncio.start_server(link.answer, "127.0.0.1", 0)
+    link.address = settings.Address(
+        host="127.0.0.1", port=server.sockets[0].getsockname()[1]
+    )
+    yield link
+    for writer in opened:
+        writer.close()
+    server.close()
+
+
+async def first_message(link, monkeypatch, *, stall_seconds):
+    """Watch for a moment; return the first message."""
+    monkeypatch.setattr(store_client, "_WATCH_SLACK_SECONDS", 0.1)
+    monkeypatch.setattr(store_client, "_STALL_SECONDS", stall_seconds)
+    client = store_client.StoreClient(
+        address=link.address, clock=clocks.SystemClock()
+    )
+    watch = client.watch("", from_revision=5, longest_wait_seconds=0.01)
+    async with contextlib.aclosing(watch):
+        return await anext(watch)
+
+
+async def test_long_answer_on_a_thin_link_is_waited_for(slow_link, monkeypatch):
+    """A large configuration has come, and the links are thin.
+
+    Each answer took longer than the limit, and was begun anew: no entry VM got
+    the configuration, nor any after it.
+    """
+    message = await first_message(slow_link, monkeypatch, stall_seconds=5.0)
+    assert isinstance(message, store.WatchBatch)
+    assert len(message.events[0].value) == 8000
+
+
+async def test_answer_that_stops_midway_is_given_up(slow_link, monkeypatch):
+    """The connection has gone silent without a reset."""
+    slow_link.stall_after = 2
+    message = await first_message(slow_link, monkeypatch, stall_seconds=0.2)
+    assert isinstance(message, store.Unreachable)
