Log who a VM relies on as its relay; name the reader of a told change, not its host

Cause: a line 'configuration-in-force' named the host that a datagram came from, which is the relay and not the entry VM that read the store; and nothing said when an entry VM of a large failure domain began to rely on another neighbour. Ruled out: no decision changes; packages/router, protocol and tests pass (the bound of the message is a text of 20 bytes).

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -52,6 +52,7 @@
     PEER_FRAME_REJECTED = (601, "peer-frame-rejected")
     PEER_GAINED = (602, "peer-gained")
     PEER_LOST = (603, "peer-lost")
+    RELAY_CHANGED = (604, "relay-changed")
 
     PLATFORM_UNREACHABLE = (700, "platform-unreachable")
     PLATFORM_REACHABLE = (701, "platform-reachable")
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -290,8 +290,8 @@
 
     Parameters
     ----------
-    domain
-        Failure domain of the reader.
+    entry_vm, domain
+        The reader.
     since
         Revision of the upstreams that the items change.
     until
@@ -304,6 +304,7 @@
 
     since: int
     until: int
+    entry_vm: types.EntryVmId = types.NO_ENTRY_VM
     domain: types.FailureDomain = types.UNKNOWN_DOMAIN
     items: tuple[ChangedItem, ...] = ()
     declared: tuple[DeclaredChange, ...] = ()
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -312,6 +312,7 @@
   items @2 :List(ChangedItem);
   declared @3 :List(DeclaredChange);
   domain @4 :Text;
+  entryVm @5 :Text;
 }
 
 struct Envelope {
--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -198,9 +198,9 @@
         return dict(self._entries_by_key)
 
     def take_changes_of_peer(
-        self, changes: router_messages.StoreChanges, *, source: str
+        self, changes: router_messages.StoreChanges
     ) -> bool:
-        """Take in what a neighbour has just read of the store.
+        """Take in what another entry VM has just read of the store.
 
         Returns whether anything of it was new here. Changes of upstreams count
         only where the store is not read from here, and where nothing is missing
@@ -208,7 +208,7 @@
         """
         revision = self.revision
         for change in changes.declared:
-            self.take_declared_change(change, source=source)
+            self.take_declared_change(change, source=changes.entry_vm)
         return self._take_items(changes) or self.revision > revision
 
     def _take_items(self, changes: router_messages.StoreChanges) -> bool:
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -260,7 +260,11 @@
         size += sum(len(one.packed_text) for one in changes.declared)
         if not self._table.is_large or size > _LARGEST_TOLD_CHANGE_BYTES:
             return
-        told = dataclasses.replace(changes, domain=self._settings.domain)
+        told = dataclasses.replace(
+            changes,
+            entry_vm=self._settings.entry_vm,
+            domain=self._settings.domain,
+        )
         self._send(told, self._table.near_addresses())
         self._hand_on(told)
 
@@ -336,7 +340,7 @@
         elif isinstance(message, router_messages.RouterState):
             self._take_state(message, host, now)
         elif isinstance(message, router_messages.StoreChanges):
-            if self._known.take_changes_of_peer(message, source=host):
+            if self._known.take_changes_of_peer(message):
                 self._hand_on(message)
         else:
             self._reject(host, f"a {type(message).__name__}")
--- a/packages/router/src/lagoonrun_router/state_telling.py
+++ b/packages/router/src/lagoonrun_router/state_telling.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from lagoonrun_core import types
+from lagoonrun_core import events, logs, types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     beliefs,
@@ -87,6 +87,7 @@
         self.was_reader = False
         """Whether the last two states told that this entry VM reads the store, or
         that it does no more."""
+        self._relied_on = types.NO_ENTRY_VM
         self.news_changed = False
         """Whether the last state told what others wait for that do not read
         the store, or that this entry VM is about to end."""
@@ -186,11 +187,20 @@
         )
 
     def _relay(self, now: float) -> types.EntryVmId:
-        if not self._table.has_relay:
-            return types.NO_ENTRY_VM
-        return next(
-            iter(self._relays.on_duty(now=now)), self._configured.entry_vm
-        )
+        """Return the neighbour that this entry VM relies on."""
+        relay = types.NO_ENTRY_VM
+        if self._table.has_relay:
+            own = self._configured.entry_vm
+            relay = next(iter(self._relays.on_duty(now=now)), own)
+        if relay != self._relied_on:
+            logs.emit(
+                events.LogEvent.RELAY_CHANGED,
+                relay=relay,
+                previous=self._relied_on,
+                neighbours=len(self._table.near_ids()),
+            )
+            self._relied_on = relay
+        return relay
 
     def _some_members(self) -> tuple[router_messages.EntryVmAddress, ...]:
         known = list(self._table.known())
--- a/packages/router/tests/test_spread_of_changes.py
+++ b/packages/router/tests/test_spread_of_changes.py
@@ -178,9 +178,7 @@
     reader.told.clear()
     read_changes(reader, store)
     (changes,) = reader.told
-    member.known.take_changes_of_peer(
-        over_the_wire(changes), source=reader.name
-    )
+    member.known.take_changes_of_peer(over_the_wire(changes))
     assert member.known.revision == 2
     assert set(member.usable()) == {"u-1", "u-2"}
 
@@ -197,7 +195,7 @@
     read_changes(reader, store)
     store.put_upstream("u-2")
     read_changes(reader, store)
-    member.known.take_changes_of_peer(reader.told[1], source=reader.name)
+    member.known.take_changes_of_peer(reader.told[1])
     assert set(member.usable()) == {"u-1"}
     fetch(member, reader)
     assert member.known.upstream_entries() == reader.known.upstream_entries()
@@ -212,9 +210,7 @@
     store.put_upstream("u-2")
     read_all(reader, store)
     (changes,) = reader.told
-    member.known.take_changes_of_peer(
-        over_the_wire(changes), source=reader.name
-    )
+    member.known.take_changes_of_peer(over_the_wire(changes))
     assert member.known.upstream_entries() == reader.known.upstream_entries()
 
 
@@ -285,7 +281,7 @@
         for changes in self.vms[name].told:
             for member in heard:
                 self.vms[member].known.take_changes_of_peer(
-                    over_the_wire(changes), source=name
+                    over_the_wire(changes)
                 )
         self.vms[name].told.clear()
 
