Have the tenure of the orders be one of any named duty

Cause: the users' platform asks for calls that one entry VM at a time makes; the only lease with fencing numbers in the tree was tied to a failure domain. Change: Leadership takes a duty's name; records name the holders before, so that one that comes back waits for a while (for receivers that know no numbers, A, B, A within a lease look like two at once); the key itself is looked at every few renewals. The watches of the store in memory are kept in their order: a set made a test of several candidates different from run to run (seen as FlakyStrategyDefinition). Ruled out: a second implementation beside it. packages/orders and daemon's tests of orderers assert what they did before, with the duty's name in place of the domain.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -62,6 +62,10 @@
     ORDERER_LOST = (801, "orderer-lost")
     ORDER_DECIDED = (802, "order-decided")
     ORDER_ENDED = (803, "order-ended")
+    USAGE_SETTLED = (804, "usage-settled")
+    USAGE_REPORTED = (805, "usage-reported")
+    USAGE_RECORD_REJECTED = (806, "usage-record-rejected")
+    RUNNERS_ORDERED = (807, "runners-ordered")
 
     def __init__(self, number: int, label: str) -> None:
         self.number = number
--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -33,6 +33,9 @@
 
 LoadTeller = EntryVmId | FailureDomain
 """Who tells of work: an entry VM of its own, or one for a whole domain."""
+DutyName = NewType("DutyName", str)
+"""Names what one entry VM at a time does for all others."""
+
 Region = NewType("Region", str)
 """Failure domains that are near each other; empty for the unnamed one."""
 
--- a/packages/daemon/src/lagoonrun_daemon/placement.py
+++ b/packages/daemon/src/lagoonrun_daemon/placement.py
@@ -10,6 +10,7 @@
     http_orders,
     leadership,
     orderer,
+    tenure,
     weight_budget,
 )
 from lagoonrun_platform import store as store_module
@@ -45,7 +46,7 @@
         domain=configured.domain,
         leadership=leadership.Leadership(
             store=store,
-            domain=configured.domain,
+            duty=tenure.duty_of_domain(configured.domain),
             entry_vm=configured.entry_vm,
             clock=clock,
             random=chance,
--- a/packages/daemon/tests/failures/test_orderers.py
+++ b/packages/daemon/tests/failures/test_orderers.py
@@ -99,7 +99,7 @@
 
     async def holder(self):
         """Return the entry VM that holds the domain."""
-        key = tenure.holder_key(NORTH)
+        key = tenure.holder_key(tenure.duty_of_domain(NORTH))
         found = (await self._store.get(key)).found
         return tenure.decode(found.value).entry_vm if found else None
 
--- a/packages/orders/src/lagoonrun_orders/leadership.py
+++ b/packages/orders/src/lagoonrun_orders/leadership.py
@@ -1,4 +1,4 @@
-"""Which entry VM of a failure domain sends orders: a lease of the platform.
+"""Which entry VM has a duty that only one may have: a lease of the platform.
 
 The holder's key lives under the holder's lease. Its own view of the lease
 ends before the store's does: it counts from before each renewal was sent, and
@@ -21,16 +21,18 @@
 DEFAULT_MARGIN_SECONDS = 2.0
 _RENEWALS_PER_TTL = 3
 _FIRST_PAUSE_SECONDS = 0.5
-_LONGEST_PAUSE_SECONDS = 8.0
+DEFAULT_LONGEST_PAUSE_SECONDS = 8.0
 _MAXIMUM_TRIES = 4
 _NONCE_BITS = 128
 
 
 class Leadership:
-    """Seeks and keeps the tenure of one failure domain.
+    """Seeks and keeps the tenure of one duty.
 
     Parameters
     ----------
+    duty
+        What only one entry VM may do at a time.
     random
         Source of jitter and nonces; must differ between processes.
     order_timeout_seconds
@@ -41,32 +43,49 @@
     margin_seconds
         Taken off the lease's end, and added to waits for others' leases;
         covers clocks of different rates and short pauses.
+    longest_pause_seconds
+        Longest pause between two tries while the store does not answer.
+    return_seconds
+        Time that a tenure first waits out where this entry VM has had the duty
+        before its predecessor. For receivers that know no fencing numbers, two
+        holders that take turns within a lease look like two at once.
+    renewals_per_key_check
+        Renewals of the lease for each look whether the key is still there. Only
+        a hand that deletes the key makes the two differ, and each look costs as
+        much as ten renewals.
     """
 
     def __init__(
         self,
         *,
         store: store_module.KeyValueStore,
-        domain: types.FailureDomain,
+        duty: types.DutyName,
         entry_vm: types.EntryVmId,
         clock: clock_module.Clock,
         random: random.Random,
         order_timeout_seconds: float,
         ttl_seconds: float = DEFAULT_TTL_SECONDS,
         margin_seconds: float = DEFAULT_MARGIN_SECONDS,
+        longest_pause_seconds: float = DEFAULT_LONGEST_PAUSE_SECONDS,
+        return_seconds: float = 0.0,
+        renewals_per_key_check: int = 1,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._store = bounded_store.BoundedStore(store=store)
-        self._domain = domain
+        self._duty = duty
         self._entry_vm = entry_vm
         self._clock = clock
         self._random = random
         self._order_timeout_seconds = order_timeout_seconds
         self._ttl_seconds = ttl_seconds
         self._margin_seconds = margin_seconds
+        self._longest_pause_seconds = longest_pause_seconds
+        self._return_seconds = return_seconds
+        self._renewals_per_key_check = renewals_per_key_check
+        self._renewals = 0
         self._sleep = sleep
-        self._holder_key = tenure_module.holder_key(domain)
-        self._last_key = tenure_module.last_key(domain)
+        self._holder_key = tenure_module.holder_key(duty)
+        self._last_key = tenure_module.last_key(duty)
         self._vacancy = vacancy.Vacancy(
             store=self._store,
             key=self._holder_key,
@@ -75,6 +94,7 @@
             sleep=sleep,
         )
         self._last: store_module.KeyValue | None = None
+        self._before: tuple[types.EntryVmId, ...] = ()
         self._lease: store_module.LeaseId | None = None
         self._nonce = ""
         self._tenure: tenure_module.Tenure | None = None
@@ -134,13 +154,14 @@
                 await self._hold()
             else:
                 await self._sleep(pause * self._random.uniform(0.5, 1.0))
-                pause = min(2 * pause, _LONGEST_PAUSE_SECONDS)
+                pause = min(2 * pause, self._longest_pause_seconds)
 
     async def _acquire(self) -> bool:
         asked = self._clock.monotonic()
         if not await self._renew_lease():
             return False
         for _ in range(_MAXIMUM_TRIES):
+            self._before = self._holders_before()
             result = await self._store.transact(
                 comparisons=[
                     bounded_store.compare(
@@ -216,30 +237,58 @@
         self._modified = revision
         self._valid_until = asked + self._ttl_seconds - self._margin_seconds
         self._tenure = tenure_module.Tenure(
-            domain=self._domain,
+            duty=self._duty,
             fencing=types.FencingNumber(revision),
             first_order_at=self._clock.monotonic() + self._wait_seconds(),
         )
         logs.emit(
             events.LogEvent.ORDERER_ELECTED,
-            domain=self._domain,
+            duty=self._duty,
             fencing=revision,
             wait_seconds=self._wait_seconds(),
         )
 
     def _wait_seconds(self) -> float:
+        """Return how long a new tenure gives no order."""
+        if self._entry_vm in self._earlier():
+            return max(self._return_seconds, self._predecessor_seconds())
+        return self._predecessor_seconds()
+
+    def _predecessor_seconds(self) -> float:
         """Return how long a predecessor's orders may still take effect."""
         longest = self._order_timeout_seconds
         if self._last is not None:
-            try:
-                last = tenure_module.decode(self._last.value)
-            except errors.LagoonrunError:
+            last = self._last_record()
+            if last is None:
                 return longest + self._margin_seconds
             if last.released:
                 return 0.0
             longest = max(longest, last.order_timeout_seconds)
         return longest + self._margin_seconds
 
+    def _last_record(self) -> tenure_module.TenureRecord | None:
+        """Return how the last tenure began or ended; None for not readable."""
+        if self._last is None:
+            return None
+        try:
+            return tenure_module.decode(self._last.value)
+        except errors.LagoonrunError:
+            return None
+
+    def _earlier(self) -> tuple[types.EntryVmId, ...]:
+        """Return who held the duty before its last holder."""
+        last = self._last_record()
+        return () if last is None else last.earlier
+
+    def _holders_before(self) -> tuple[types.EntryVmId, ...]:
+        """Return who held the duty before this tenure, this entry VM aside."""
+        last = self._last_record()
+        if last is None:
+            return ()
+        before = dict.fromkeys((last.entry_vm, *last.earlier))
+        before.pop(self._entry_vm, None)
+        return tuple(before)[: tenure_module.MOST_EARLIER]
+
     async def _hold(self) -> None:
         pause = _FIRST_PAUSE_SECONDS
         while self.tenure is not None:
@@ -250,7 +299,7 @@
             asked = self._clock.monotonic()
             renewed = await self._renew()
             if renewed is None:
-                pause = min(2 * pause, _LONGEST_PAUSE_SECONDS)
+                pause = min(2 * pause, self._longest_pause_seconds)
             elif renewed:
                 pause = _FIRST_PAUSE_SECONDS
                 self._extend(asked)
@@ -274,6 +323,9 @@
             return False
         if not isinstance(kept, store_module.LeaseGranted):
             return None
+        self._renewals += 1
+        if self._renewals % self._renewals_per_key_check:
+            return True
         # The lease can be alive without the key, when somebody deleted the
         # key by hand; then another entry VM holds it by now.
         result = await self._store.transact(
@@ -309,7 +361,7 @@
             return
         logs.emit(
             events.LogEvent.ORDERER_LOST,
-            domain=self._domain,
+            duty=self._duty,
             fencing=self._tenure.fencing,
             reason=why,
         )
@@ -324,6 +376,7 @@
                 nonce=self._nonce,
                 released=released,
                 order_timeout_seconds=self._order_timeout_seconds,
+                earlier=self._before,
             )
         )
 
--- a/packages/orders/src/lagoonrun_orders/tenure.py
+++ b/packages/orders/src/lagoonrun_orders/tenure.py
@@ -1,4 +1,4 @@
-"""Records of an orderer in the store and the tenure that they stand for."""
+"""Records of a holder in the store and the tenure that they stand for."""
 
 import dataclasses
 import json
@@ -7,10 +7,13 @@
 
 _PREFIX = "orders/"
 
+MOST_EARLIER = 4
+"""Earlier holders that a record names: more than change within one lease."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Tenure:
-    """One unbroken time as the orderer of a failure domain.
+    """One unbroken time as the holder of a duty.
 
     Parameters
     ----------
@@ -22,7 +25,7 @@
         fencing numbers gets no order.
     """
 
-    domain: types.FailureDomain
+    duty: types.DutyName
     fencing: types.FencingNumber
     first_order_at: float
 
@@ -40,22 +43,30 @@
         The holder ended it knowing that none of its orders is under way.
     order_timeout_seconds
         Longest time that its orders may take.
+    earlier
+        Other entry VMs that held the duty before, the latest first.
     """
 
     entry_vm: types.EntryVmId
     nonce: str
     released: bool
     order_timeout_seconds: float
+    earlier: tuple[types.EntryVmId, ...] = ()
 
 
-def holder_key(domain: types.FailureDomain) -> str:
-    """Return the key that the orderer holds under its lease."""
-    return f"{_PREFIX}{domain}/holder"
+def holder_key(duty: types.DutyName) -> str:
+    """Return the key that the holder has under its lease."""
+    return f"{_PREFIX}{duty}/holder"
 
 
-def last_key(domain: types.FailureDomain) -> str:
+def last_key(duty: types.DutyName) -> str:
     """Return the key that says how the last tenure began or ended."""
-    return f"{_PREFIX}{domain}/last"
+    return f"{_PREFIX}{duty}/last"
+
+
+def duty_of_domain(domain: types.FailureDomain) -> types.DutyName:
+    """Return the duty to order the runners of a failure domain."""
+    return types.DutyName(domain)
 
 
 def encode(record: TenureRecord) -> bytes:
@@ -74,8 +85,10 @@
         When the value is not such a record.
     """
     try:
-        return TenureRecord(**json.loads(value))
-    except (ValueError, TypeError) as error:
+        table = json.loads(value)
+        table["earlier"] = tuple(table.get("earlier", ()))
+        return TenureRecord(**table)
+    except (ValueError, TypeError, AttributeError) as error:
         raise errors.LagoonrunError(
             step=errors.Step.ORDER, detail=f"record unreadable: {error}"
         ) from error
--- a/packages/orders/tests/test_fencing.py
+++ b/packages/orders/tests/test_fencing.py
@@ -26,6 +26,7 @@
 from lagoonrun_core import types
 from lagoonrun_orders import leadership as leadership_module
 from lagoonrun_orders import orderer as orderer_module
+from lagoonrun_orders import tenure as tenure_module
 from lagoonrun_orders import upstream_orders, weight_budget
 from lagoonrun_platform import memory_store
 from lagoonrun_platform import store as store_module
@@ -256,7 +257,7 @@
         sleep = functools.partial(self.sleep, process)
         leadership = leadership_module.Leadership(
             store=self.stores[vm],
-            domain=DOMAIN,
+            duty=tenure_module.duty_of_domain(DOMAIN),
             entry_vm=types.EntryVmId(f"vm-{vm}"),
             clock=self.clock,
             random=random.Random(self.numbers),
--- a/packages/orders/tests/test_leadership.py
+++ b/packages/orders/tests/test_leadership.py
@@ -11,7 +11,7 @@
 from lagoonrun_orders import tenure as tenure_module
 from lagoonrun_platform import store as store_module
 
-DOMAIN = types.FailureDomain("d")
+DUTY = types.DutyName("d")
 TTL_SECONDS = 30.0
 ORDER_SECONDS = 10.0
 MARGIN_SECONDS = 2.0
@@ -61,7 +61,7 @@
         number = len(made) + 1
         one = leadership_module.Leadership(
             store=store,
-            domain=DOMAIN,
+            duty=DUTY,
             entry_vm=types.EntryVmId(f"vm-{number}"),
             clock=clock,
             random=random.Random(number),
@@ -157,7 +157,7 @@
     first = await candidate()
     await timers.advance(15.0)
     assert first.tenure is not None
-    found = (await store.get(tenure_module.holder_key(DOMAIN))).found
+    found = (await store.get(tenure_module.holder_key(DUTY))).found
     assert first.tenure.fencing == found.created
 
 
@@ -194,7 +194,7 @@
     first, second = await candidate(), await candidate()
     old = first.tenure
     await store.transact(
-        comparisons=(), deletes=[tenure_module.holder_key(DOMAIN)]
+        comparisons=(), deletes=[tenure_module.holder_key(DUTY)]
     )
     await timers.advance(TTL_SECONDS)
     held = [one.tenure for one in (first, second) if one.tenure is not None]
--- a/packages/orders/tests/test_orderer.py
+++ b/packages/orders/tests/test_orderer.py
@@ -21,7 +21,7 @@
 
     def __init__(self):
         self.tenure = tenure_module.Tenure(
-            domain=DOMAIN,
+            duty=tenure_module.duty_of_domain(DOMAIN),
             fencing=types.FencingNumber(7),
             first_order_at=0.0,
         )
--- a/packages/platform/src/lagoonrun_platform/memory_store.py
+++ b/packages/platform/src/lagoonrun_platform/memory_store.py
@@ -55,7 +55,8 @@
         self._events: list[store.Event] = []
         self._leases: dict[store.LeaseId, _Lease] = {}
         self._next_lease = 1
-        self._watchers: set[_Watcher] = set()
+        # In their order, so that tests with several watches repeat themselves.
+        self._watchers: dict[_Watcher, None] = {}
 
     @property
     def revision(self) -> store.StoreRevision:
@@ -169,7 +170,7 @@
             yield fault
             return
         watcher = _Watcher(key=key, prefix=prefix)
-        self._watchers.add(watcher)
+        self._watchers[watcher] = None
         try:
             past = () if from_revision == store.ABSENT else self._events
             missed = tuple(
@@ -184,7 +185,7 @@
                 if isinstance(message, store.Unreachable):
                     return
         finally:
-            self._watchers.discard(watcher)
+            self._watchers.pop(watcher, None)
 
     async def _enter(self, kind: str) -> store.Unreachable | None:
         self.calls_by_kind[kind] += 1
