Report usage and order runners as the one holder of the duties

Change: packages/duties. One tenure for all duties, kept by a lease of the store; the relays of the domains try for it in an order, and only while no holder is heard of, so that the others make no call. Counts of usage are told with the states to the relay, summed by domain, sent to the holder; a window is settled in the store under a condition before it is reported. Orders of runners go out for a plan; the first plan is the constant that later ones are to be shown against: lasting ones as found, reclaimable ones up to the most.

--- /dev/null
+++ b/packages/duties/src/lagoonrun_duties/usage_record.py
@@ -0,0 +1,85 @@
+"""What the store keeps of usage reports: the windows that were settled last.
+
+A window is written before it is reported, under the condition that nobody has
+written since. So whoever holds the duty next says exactly the same of it, and
+nobody ever says anything else, whatever was lost on the way.
+"""
+
+import dataclasses
+import json
+from collections.abc import Mapping
+
+from lagoonrun_core import errors, types
+from lagoonrun_duties import platform_calls
+
+KEY = "lagoonrun/usage"
+
+_KEPT = 3
+"""Windows that are kept: those whose report may still be under way."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SettledWindow:
+    """What is said of one window, by whoever says it.
+
+    Parameters
+    ----------
+    reported
+        Whether the platform has confirmed it, as far as the writer knew.
+    """
+
+    window: platform_calls.UsageWindow
+    count_by_organisation: Mapping[types.OrganisationId, int]
+    reported: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UsageRecord:
+    """The settled windows, the newest last."""
+
+    windows: tuple[SettledWindow, ...] = ()
+
+    @property
+    def newest(self) -> platform_calls.UsageWindow | None:
+        """The newest settled window; None for none."""
+        return self.windows[-1].window if self.windows else None
+
+    def with_settled(self, settled: SettledWindow) -> "UsageRecord":
+        """Return the record with one more window."""
+        return UsageRecord(windows=(*self.windows, settled)[-_KEPT:])
+
+    def with_reported(
+        self, window: platform_calls.UsageWindow
+    ) -> "UsageRecord":
+        """Return the record with a window that the platform has confirmed."""
+        return UsageRecord(
+            windows=tuple(
+                dataclasses.replace(one, reported=True)
+                if one.window == window
+                else one
+                for one in self.windows
+            )
+        )
+
+
+def encode(record: UsageRecord) -> bytes:
+    """Return a record as compact JSON."""
+    rows = [dataclasses.asdict(one) for one in record.windows]
+    return json.dumps({"windows": rows}, separators=(",", ":")).encode()
+
+
+def decode(value: bytes) -> UsageRecord:
+    """Read a record back.
+
+    Raises
+    ------
+    LagoonrunError
+        When the value is not such a record.
+    """
+    try:
+        rows = json.loads(value)["windows"]
+        return UsageRecord(windows=tuple(SettledWindow(**row) for row in rows))
+    except (ValueError, TypeError, KeyError) as error:
+        raise errors.LagoonrunError(
+            step=errors.Step.ORDER, detail=f"usage record unreadable: {error}"
+        ) from error
--- /dev/null
+++ b/packages/duties/tests/test_usage_exchange.py
@@ -0,0 +1,138 @@
+"""How counts get from all entry VMs to the one that reports them."""
+
+import pytest
+
+from lagoonrun_core import types
+from lagoonrun_duties import usage_exchange
+from lagoonrun_protocol import router_messages
+
+WINDOW = 40
+
+
+class _Fleet:
+    """Two failure domains of three entry VMs; the first of each is the relay."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.window = WINDOW
+        self.by_id = {}
+        self.lost = set()
+        for domain in ("north", "south"):
+            for number in (1, 2, 3):
+                self.start(domain, number)
+
+    def start(self, domain, number):
+        name = types.EntryVmId(f"{domain}-{number}")
+        self.by_id[name] = usage_exchange.UsageExchange(
+            entry_vm=name,
+            domain=domain,
+            window_now=lambda: self.window,
+            send=self.send,
+        )
+        return self.by_id[name]
+
+    def send(self, news, to):
+        if to not in self.lost:
+            self.by_id[to].take_news(news)
+
+    def round(self, seconds=0.5, *, start=1):
+        """All tell their relay, and relays what they know of the holder."""
+        self.now += seconds
+        for name, one in self.by_id.items():
+            domain = name.partition("-")[0]
+            state = router_messages.RouterState(
+                entry_vm=name,
+                domain=domain,
+                start=start,
+                sequence=1,
+                port=1,
+                revision=1,
+                usage=one.rows_for_relay(f"{domain}-1", now=self.now),
+                holds_duties=one.holds,
+            )
+            for number in (1, 2):
+                heard = self.by_id[f"{domain}-{number}"]
+                if heard is not one:
+                    heard.take_state(state, now=self.now)
+        for domain, other in (("north", "south"), ("south", "north")):
+            near = [one for one in self.by_id if one.startswith(domain)]
+            named = self.by_id[f"{domain}-1"].near_holder(near, now=self.now)
+            self.by_id[f"{other}-1"].note_far_holder(
+                domain, named, now=self.now
+            )
+        for name, one in self.by_id.items():
+            one.beat(now=self.now, leads=name.endswith("-1"))
+
+
+@pytest.fixture
+def fleet():
+    return _Fleet()
+
+
+def count_all(fleet):
+    for one in fleet.by_id.values():
+        one.note_begun("house")
+
+
+def test_holder_knows_all_counts_of_all_domains(fleet):
+    holder = fleet.by_id["north-1"]
+    holder.holds = True
+    count_all(fleet)
+    for _ in range(3):
+        fleet.round()
+    assert holder.counts(WINDOW) == {"house": 6}
+
+
+def test_new_holder_is_told_everything_again(fleet):
+    """The report of a window lacks a failure domain after a planned stop.
+
+    Its relay had told its counts to the entry VM that held the duties before,
+    and told the next one only what grew since.
+    """
+    before, after = fleet.by_id["north-1"], fleet.by_id["south-2"]
+    before.holds = True
+    count_all(fleet)
+    for _ in range(4):
+        fleet.round()
+    before.holds = False
+    after.holds = True
+    for _ in range(8):
+        fleet.round()
+    assert after.counts(WINDOW) == {"house": 6}
+
+
+def test_lost_message_to_the_holder_is_made_up_for(fleet):
+    holder = fleet.by_id["north-1"]
+    holder.holds = True
+    count_all(fleet)
+    fleet.lost = {"north-1"}
+    fleet.round()
+    fleet.lost = set()
+    for _ in range(3):
+        fleet.round()
+    assert holder.counts(WINDOW) == {"house": 6}
+
+
+def test_lost_holder_is_forgotten_after_seconds(fleet):
+    """Nobody does the duties any more.
+
+    Two domains tell each other of a holder that is long gone.
+    """
+    fleet.by_id["north-1"].holds = True
+    for _ in range(4):
+        fleet.round()
+    assert fleet.by_id["south-1"].holder(now=fleet.now) == "north-1"
+    fleet.by_id["north-1"].holds = False
+    for _ in range(5):
+        fleet.round()
+    for one in fleet.by_id.values():
+        assert one.holder(now=fleet.now) == types.NO_ENTRY_VM
+
+
+def test_nothing_is_told_more_often_than_twice_a_second(fleet):
+    one = fleet.by_id["north-3"]
+    told = 0
+    for step in range(100):
+        one.note_begun("house")
+        told += bool(one.rows_for_relay("north-1", now=step * 0.05).windows)
+    assert told <= 13
--- a/packages/platform/src/lagoonrun_platform/http_calls.py
+++ b/packages/platform/src/lagoonrun_platform/http_calls.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import socket
+import struct
 from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
@@ -54,11 +55,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Call:
-    """One request with a JSON body; a GET has none."""
+    """One request with a JSON body; a GET has none.
+
+    Parameters
+    ----------
+    headers
+        Further fields of the head.
+    """
 
     method: str
     path: str
     body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class GatewayConnection:
@@ -150,6 +158,14 @@
         """Close the connection without waiting for the other side."""
         self._writer.close()
 
+    def reset(self) -> None:
+        """Close the connection, and drop what has not been sent yet."""
+        raw = self._writer.get_extra_info("socket")
+        if raw is not None:
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self._writer.transport.abort()
+
     async def _send(self, call: Call) -> None:
         request = h11.Request(
             method=call.method,
@@ -158,6 +174,7 @@
                 ("Host", self._host),
                 ("Content-Type", "application/json"),
                 ("Content-Length", str(len(call.body))),
+                *call.headers,
             ],
         )
         data = self._state.send(request) or b""
@@ -262,6 +279,28 @@
         self._give_back(connection)
         return reply
 
+    async def call_once(self, call: Call) -> Reply:
+        """Send a call over a connection of its own.
+
+        One that is given up, by its caller's time limit too, is reset: no byte
+        of it arrives later.
+
+        Raises
+        ------
+        NotSentError
+            When no connection could be had.
+        ReplyLostError
+            When it was sent and no whole reply came.
+        """
+        connection = await self.connect()
+        try:
+            reply = await connection.call(call)
+        except BaseException:
+            connection.reset()
+            raise
+        connection.close()
+        return reply
+
     async def connect(self) -> GatewayConnection:
         """Open a connection.
 
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -33,6 +33,28 @@
     numbers: bytes = b""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UsageRows:
+    """Requests that began to run, by window and organisation.
+
+    Parameters
+    ----------
+    windows
+        Window of each row.
+    organisations
+        Organisation of each row, one a line.
+    counts
+        Number of each row, four bytes each, the lowest byte first.
+    """
+
+    windows: tuple[int, ...] = ()
+    organisations: str = ""
+    counts: bytes = b""
+
+
+NO_USAGE = UsageRows()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PromptPlacement:
     """A shared part of a prompt and the upstream that was given it."""
@@ -116,6 +138,10 @@
     relay
         Neighbour that it relies on to tell it of the fleet; empty where
         neighbours tell each other all.
+    usage
+        Counts of requests that have grown since they were told.
+    holds_duties
+        Whether it does what one entry VM at a time does for all.
     """
 
     entry_vm: types.EntryVmId
@@ -135,6 +161,8 @@
     placements: tuple[PromptPlacement, ...] = ()
     known: tuple[EntryVmAddress, ...] = ()
     pressed: tuple[PressedTier, ...] = ()
+    usage: UsageRows = NO_USAGE
+    holds_duties: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -159,6 +187,9 @@
         What the sender knows of the store; see `RouterState`.
     reads_store
         Whether some entry VM of the failure domain reads the store.
+    duties_holder
+        Entry VM of the failure domain that does what one at a time does for
+        all; empty for none.
     """
 
     entry_vm: types.EntryVmId
@@ -173,6 +204,7 @@
     loads: LoadRows = LoadRows()
     placements: tuple[PromptPlacement, ...] = ()
     pressed: tuple[PressedTier, ...] = ()
+    duties_holder: types.EntryVmId = types.NO_ENTRY_VM
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -227,6 +259,21 @@
     leaving_starts: tuple[LeavingUpstream, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UsageNews:
+    """Counts of a whole failure domain, for the holder of the duties.
+
+    Parameters
+    ----------
+    entry_vm, domain
+        The relay that summed them up.
+    """
+
+    entry_vm: types.EntryVmId
+    domain: types.FailureDomain
+    rows: UsageRows = NO_USAGE
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoredItem:
     """A key of the store with its value, as it was read."""
@@ -315,6 +362,7 @@
     | DomainNews
     | FleetNews
     | StoreChanges
+    | UsageNews
     | DeclaredChange
     | StoredItems
 )
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -241,6 +241,20 @@
   relay @17 :Text;
   readRevision @18 :UInt64;
   loads @19 :LoadRows;
+  usage @20 :UsageRows;
+  holdsDuties @21 :Bool;
+}
+
+struct UsageRows {
+  windows @0 :List(UInt64);
+  organisations @1 :Text;
+  counts @2 :Data;
+}
+
+struct UsageNews {
+  entryVm @0 :Text;
+  domain @1 :Text;
+  rows @2 :UsageRows;
 }
 
 struct DomainNews {
@@ -260,6 +274,7 @@
   storeRevision @11 :UInt64;
   readRevision @12 :UInt64;
   readsStore @13 :Bool;
+  dutiesHolder @14 :Text;
 }
 
 struct FleetNews {
@@ -340,5 +355,6 @@
     fleetNews @20 :FleetNews;
     storeChanges @21 :StoreChanges;
     declaredChange @22 :DeclaredChange;
+    usageNews @23 :UsageNews;
   }
 }
--- a/packages/router/src/lagoonrun_router/declarations.py
+++ b/packages/router/src/lagoonrun_router/declarations.py
@@ -10,6 +10,7 @@
 
 from lagoonrun_config import model
 from lagoonrun_core import types
+from lagoonrun_duties import runner_model
 
 
 class AnswerKind(enum.Enum):
@@ -92,11 +93,14 @@
     ----------
     engine
         None where the upstreams are plain services.
+    scaling
+        How many upstreams may be ordered; None where none may.
     """
 
     name: types.PoolName
     maximum_connections: int
     engine: Engine | None = None
+    scaling: runner_model.Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/router/src/lagoonrun_router/domain_news.py
+++ b/packages/router/src/lagoonrun_router/domain_news.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from lagoonrun_core import types
+from lagoonrun_duties import usage_exchange
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     gathered_work,
@@ -85,6 +86,8 @@
         What neighbours told where they tell a relay only.
     ledger, homes, pressed, domains
         What is told and heard.
+    usage
+        Who holds the duties; None where there are none.
     send
         Sends a message.
     """
@@ -104,6 +107,7 @@
         homes: prompt_homes.PromptHomes,
         pressed: pressure.Pressure,
         domains: reach.DomainReach,
+        usage: usage_exchange.UsageExchange | None = None,
         send: Sender,
     ) -> None:
         self._entry_vm = entry_vm
@@ -118,6 +122,7 @@
         self._homes = homes
         self._pressed = pressed
         self._domains = domains
+        self._usage = usage
         self._send = send
         self._beats = 0
         self._sequence = 0
@@ -162,8 +167,14 @@
                 self._homes.take_for_other_domains()
             ),
             pressed=peer_loads.pressed(pressed),
+            duties_holder=self._duties_holder(now),
         )
 
+    def _duties_holder(self, now: float) -> types.EntryVmId:
+        if self._usage is None:
+            return types.NO_ENTRY_VM
+        return self._usage.near_holder(self._table.near_ids(), now=now)
+
     def far_addresses(self, *, now: float) -> list[settings.Address]:
         """Return whom to tell in each other failure domain."""
         addresses = []
@@ -194,6 +205,10 @@
             return False
         self._domains.hear(news.domain, now=now)
         self._domains.note_reading(news.domain, news.reads_store)
+        if self._usage is not None:
+            self._usage.note_far_holder(
+                news.domain, news.duties_holder, now=now
+            )
         for placement in news.placements:
             self._homes.take_far(placement.part, placement.upstream, now=now)
         known_address = self._table.address_of(news.entry_vm)
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -0,0 +1,136 @@
+"""What the duties need to know of this router: its place, its pools, its work."""
+
+from collections.abc import Iterable
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import types
+from lagoonrun_duties import runner_model
+from lagoonrun_router import (
+    declarations,
+    load_ledger,
+    peers,
+    reach,
+    roster,
+    settings,
+    upstreams,
+)
+
+_TRYING_DOMAINS = 3
+"""Failure domains whose relays try for the duties, one after the other."""
+
+_COMPLETE_SECONDS = 1.0
+"""Silence of a failure domain from which its counts are waited for."""
+
+_GONE_SECONDS = 20.0
+"""Silence from which a failure domain is not waited for any more."""
+
+
+class FleetView:
+    """Answers what the duties ask.
+
+    Parameters
+    ----------
+    configured
+        Settings of the process.
+    exchange, domains
+        The relays of the own failure domain, and the other domains.
+    directory, ledger
+        The upstreams, and the work there.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        configured: settings.RouterSettings,
+        exchange: peers.Peers,
+        domains: reach.DomainReach,
+        directory: upstreams.UpstreamDirectory,
+        ledger: load_ledger.LoadLedger,
+        clock: clocks.Clock,
+    ) -> None:
+        self._entry_vm = configured.entry_vm
+        self._domain = configured.domain
+        self._exchange = exchange
+        self._domains = domains
+        self._directory = directory
+        self._ledger = ledger
+        self._clock = clock
+        self._pools: tuple[declarations.Pool, ...] = ()
+        self._order = roster.Roster(
+            duty="duties",
+            places=_TRYING_DOMAINS,
+            own=configured.domain,
+            others=domains,
+        )
+
+    def use(self, pools: Iterable[declarations.Pool]) -> None:
+        """Take in the pools that are declared now."""
+        self._pools = tuple(one for one in pools if one.scaling is not None)
+
+    def rank(self, now: float) -> int | None:
+        """Return the place among those that are to try; None for not at all."""
+        if not self._pools:
+            return None
+        near = self._exchange.relays_on_duty(now=now)
+        domains = self._order.on_duty(now=now)
+        if self._entry_vm not in near or self._domain not in domains:
+            return None
+        return domains.index(self._domain) * len(near) + near.index(
+            self._entry_vm
+        )
+
+    def is_complete(self) -> bool:
+        """Return whether every failure domain was heard lately."""
+        now = self._clock.monotonic()
+        silent = self._domains.silent_seconds(now=now).values()
+        return not any(
+            _COMPLETE_SECONDS < one < _GONE_SECONDS for one in silent
+        )
+
+    def views(self) -> tuple[runner_model.PoolView, ...]:
+        """Return the pools whose runners may be ordered, as they are now."""
+        return tuple(self._view(pool) for pool in self._pools)
+
+    def _view(self, pool: declarations.Pool) -> runner_model.PoolView:
+        now = self._clock.monotonic()
+        serving = self._directory.usable(pool.name, now=now)
+        return runner_model.PoolView(
+            pool=pool.name,
+            scaling=pool.scaling,
+            domains=tuple(
+                _runners(domain, serving)
+                for domain in pool.scaling.price_by_domain
+            ),
+            demand=self._demand(serving, now),
+        )
+
+    def _demand(
+        self, serving: Iterable[upstreams.Registration], now: float
+    ) -> runner_model.PoolDemand:
+        tokens_per_second = 0.0
+        running = 0
+        waiting_tokens = 0.0
+        for one in serving:
+            load = self._ledger.load_of(one.id, now=now)
+            running += load.running
+            waiting_tokens += load.waiting_tokens
+            tokens_per_second += self._ledger.recent_prefill(one.id, now=now)
+        return runner_model.PoolDemand(
+            prompt_tokens_per_second=tokens_per_second,
+            running=running,
+            waiting_tokens=waiting_tokens,
+        )
+
+
+def _runners(
+    domain: types.FailureDomain, serving: Iterable[upstreams.Registration]
+) -> runner_model.DomainRunners:
+    here = [one for one in serving if one.domain == domain]
+    reclaimable = sum(one.reclaimable for one in here)
+    return runner_model.DomainRunners(
+        domain=domain,
+        lasting=len(here) - reclaimable,
+        reclaimable=reclaimable,
+    )
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -5,6 +5,7 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import types
+from lagoonrun_duties import usage_exchange
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
     dialect,
@@ -22,7 +23,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Parts:
-    """Shared parts of one router process."""
+    """Shared parts of one router process.
+
+    Parameters
+    ----------
+    usage
+        Counts requests that begin to run; None where nobody asks for usage.
+    """
 
     domain: types.FailureDomain
     dialect: dialect.Dialect
@@ -38,3 +45,4 @@
     clock: clocks.Clock
     chance: random.Random
     metrics: metrics.RouterMetrics
+    usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -15,6 +15,7 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import errors, events, logs, standing_task, ticks, types
+from lagoonrun_duties import usage_exchange
 from lagoonrun_protocol import router_codec, router_messages
 from lagoonrun_router import (
     beliefs,
@@ -67,6 +68,7 @@
     | router_messages.DomainNews
     | router_messages.FleetNews
     | router_messages.StoreChanges
+    | router_messages.UsageNews
 )
 
 
@@ -85,6 +87,8 @@
         Declarations in force.
     directory, ledger, homes, domains, pressed, gathered
         What is told and heard.
+    usage
+        Counts of requests; None where nobody asks for them.
     clock, chance
         Sources of time and of choices.
     """
@@ -102,6 +106,7 @@
         domains: reach.DomainReach,
         pressed: pressure.Pressure,
         gathered: gathered_work.GatheredWork,
+        usage: usage_exchange.UsageExchange | None = None,
         clock: clocks.Clock,
         chance: random.Random,
     ) -> None:
@@ -116,6 +121,7 @@
         self._domains = domains
         self._pressed = pressed
         self._gathered = gathered
+        self._usage = usage
         self._clock = clock
         self._chance = chance
         self._beats_until_look = 0
@@ -139,6 +145,7 @@
             homes=homes,
             pressed=pressed,
             relays=self._relays,
+            usage=usage,
             chance=chance,
         )
         self._fleet_news = fleet_news.FleetNewsExchange(
@@ -167,6 +174,7 @@
             homes=homes,
             pressed=pressed,
             domains=domains,
+            usage=usage,
             send=self._send,
         )
         self._transport: asyncio.DatagramTransport | None = None
@@ -221,6 +229,8 @@
             self._tell(state, now)
         self._fleet_news.beat(now=now)
         self._domain_news.beat(now=now)
+        if self._usage is not None:
+            self._usage.beat(now=now, leads=self._relays.leads(now=now))
         self._greet(now)
 
     def _look_for_lost(self, now: float) -> None:
@@ -288,6 +298,16 @@
         found = (self._table.address_of(one) for one in entry_vms)
         return tuple(one for one in found if one is not None)
 
+    def send_usage(
+        self, news: router_messages.UsageNews, to: types.EntryVmId
+    ) -> None:
+        """Send counts of the own failure domain to the holder of the duties."""
+        self._send(news, self._addresses_of((to,)))
+
+    def relays_on_duty(self, *, now: float) -> tuple[types.EntryVmId, ...]:
+        """Return who hears all of the own failure domain, in their order."""
+        return self._relays.on_duty(now=now)
+
     def _seeds(self) -> tuple[settings.Address, ...]:
         """Return whom to tell while no neighbour is known."""
         own = self._settings.peer
@@ -342,6 +362,9 @@
         elif isinstance(message, router_messages.StoreChanges):
             if self._known.take_changes_of_peer(message):
                 self._hand_on(message)
+        elif isinstance(message, router_messages.UsageNews):
+            if self._usage is not None:
+                self._usage.take_news(message)
         else:
             self._reject(host, f"a {type(message).__name__}")
 
@@ -376,6 +399,8 @@
         self._take_leaving(state.leaving_starts, state.entry_vm)
         if state.domain == self._settings.domain:
             self._take_work(state, now)
+            if self._usage is not None:
+                self._usage.take_state(state, now=now)
         self._known.note_read_by_peer(state)
         self._fetcher.take(state, address, now=now)
 
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -7,9 +7,11 @@
 import secrets
 import socket
 from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, standing_task, ticks, types
+from lagoonrun_duties import platform_calls, true_time, usage_exchange
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import server as http_server
@@ -19,6 +21,7 @@
     beliefs,
     declarations,
     dialect,
+    fleet_duties,
     gathered_work,
     gauges,
     ingress,
@@ -40,6 +43,9 @@
     upstreams,
 )
 
+if TYPE_CHECKING:
+    from lagoonrun_duties import duties as duties_module
+
 _UNREADY_SECONDS = 2.6
 """Time from the signal to stop until no new connection is taken.
 
@@ -88,6 +94,9 @@
         Counts of the store's client, for the metrics.
     listening
         Socket of the caller address that listens already; None to open one.
+    duty_platform
+        Receives the calls of the holder of the duties; None where there are
+        none.
     """
 
     def __init__(
@@ -101,9 +110,11 @@
         store_calls_by_kind: Mapping[str, int] | None = None,
         chance: random.Random | None = None,
         listening: socket.socket | None = None,
+        duty_platform: platform_calls.DutyPlatform | None = None,
     ) -> None:
         self._settings = configured
         self._store = store
+        self._duty_platform = duty_platform
         self._layout = layout
         self._clock = clock or clocks.SuspendAwareClock()
         self._chance = chance or random.Random(secrets.randbits(64))
@@ -134,9 +145,55 @@
             allowance=configured.retry_allowance
         )
         self._routes: route_table.RouteTable | None = None
+        self._usage: usage_exchange.UsageExchange | None = None
+        self._true_time: true_time.TrueTime | None = None
+        if duty_platform is not None and configured.duties is not None:
+            self._build_usage(configured.duties)
         self._build_knowledge()
+        self._fleet_view = fleet_duties.FleetView(
+            configured=configured,
+            exchange=self._peers,
+            domains=self._domains,
+            directory=self.directory,
+            ledger=self._ledger,
+            clock=self._clock,
+        )
+        self._duties = self._build_duties()
         self._build_edges(language, listening)
 
+    def _build_usage(self, duties: platform_calls.DutySettings) -> None:
+        time = self._true_time = true_time.TrueTime(clock=self._clock)
+        self._usage = usage_exchange.UsageExchange(
+            entry_vm=self._settings.entry_vm,
+            domain=self._settings.domain,
+            window_now=lambda: duties.window_at(time.now()),
+            send=lambda news, to: self._peers.send_usage(news, to),
+        )
+
+    def _build_duties(self) -> "duties_module.Duties | None":
+        if self._usage is None:
+            return None
+        # Only here: a deployment without duties starts without them.
+        from lagoonrun_duties import duties as duties_module
+
+        return duties_module.Duties(
+            configured=self._settings.duties,
+            entry_vm=self._settings.entry_vm,
+            store=self._store,
+            platform=self._duty_platform,
+            exchange=self._usage,
+            rank=self._duties_rank,
+            is_complete=self._fleet_view.is_complete,
+            views=self._fleet_view.views,
+            time=self._true_time,
+            clock=self._clock,
+            chance=self._chance,
+        )
+
+    def _duties_rank(self, now: float) -> int | None:
+        """Return the place among those that are to try for the duties."""
+        return self._fleet_view.rank(now) if self.ready else None
+
     def _build_knowledge(self) -> None:
         configured = self._settings
         self._table = peer_table.PeerTable(
@@ -185,6 +242,7 @@
             domains=self._domains,
             pressed=self._pressed,
             gathered=self._gathered,
+            usage=self._usage,
             clock=self._clock,
             chance=self._chance,
         )
@@ -219,6 +277,7 @@
                 clock=self._clock,
                 chance=self._chance,
                 metrics=self.metrics,
+                usage=self._usage,
             )
         )
         self._caller_server = self._server(
@@ -295,6 +354,8 @@
         await self._peers.start()
         await self.follower.start()
         await self._duty.start()
+        if self._duties is not None:
+            await self._duties.start()
         for task in self._tasks:
             task.start()
         # What lives until now lives on; collections need not look at it.
@@ -312,7 +373,10 @@
             open_exchanges=self._caller_server.open_exchanges,
         )
         self._caller_server.send_callers_away()
-        await asyncio.sleep(_UNREADY_SECONDS)
+        if self._duties is not None:
+            await self._duties.stop()
+        passed = self._clock.monotonic() - stopped_at
+        await asyncio.sleep(max(0.0, _UNREADY_SECONDS - passed))
         self._caller_server.stop_accepting()
         passed = self._clock.monotonic() - stopped_at
         left = self._settings.stop_seconds - _STOP_MARGIN_SECONDS - passed
@@ -325,6 +389,8 @@
         """End all tasks at once."""
         for task in self._tasks:
             await task.close()
+        if self._duties is not None:
+            await self._duties.close()
         await self._duty.close()
         await self.follower.close()
         await self._caller_server.close()
@@ -356,6 +422,7 @@
     def _put_in_force(self, declared: declarations.Declarations) -> None:
         self._routes = route_table.RouteTable(declared=declared)
         self._ingress.use(self._routes)
+        self._fleet_view.use(declared.pools_by_name.values())
         self.metrics.revision.set(declared.revision)
         bounds = declared.caller_limits
         self._caller_server.use_limits(
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -166,10 +166,18 @@
         return await self._take_whole(response, upstream)
 
     def _note_event(self, pause: float | None) -> None:
-        self._parts.ledger.first_event(self._work)
+        if self._work.waiting:
+            self._parts.ledger.first_event(self._work)
+            self._note_begun()
         if pause is not None:
             self._note_pause(pause)
 
+    def _note_begun(self) -> None:
+        """Count the request as one that an upstream has begun to run."""
+        organisation = self._call.organisation
+        if self._parts.usage is not None and organisation is not None:
+            self._parts.usage.note_begun(organisation.id)
+
     def _note_pause(self, pause: float) -> None:
         if pause <= self._longest_pause_seconds:
             return
@@ -200,6 +208,7 @@
         response: http_upstream.UpstreamResponse,
         upstream: types.UpstreamId,
     ) -> attempt.Result:
+        self._note_begun()
         body = await response.read_all(_LARGEST_HELD_ANSWER_BYTES)
         if isinstance(body, http_upstream.UpstreamFailure):
             return attempt.lost_by(body, upstream=upstream)
--- a/packages/router/src/lagoonrun_router/settings.py
+++ b/packages/router/src/lagoonrun_router/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lagoonrun_core import types
+from lagoonrun_duties import platform_calls
 from lagoonrun_router import retry_budget
 
 
@@ -41,6 +42,11 @@
         read for the first time.
     processor_cores
         Processor time that the process may use, in cores.
+    duty_platform
+        Where the holder of the duties calls the platform; None where the
+        deployment has none.
+    duties
+        What one entry VM at a time does for all; None for nothing.
     """
 
     entry_vm: types.EntryVmId
@@ -55,6 +61,8 @@
     retry_allowance: retry_budget.Allowance
     reuse_seconds: float
     processor_cores: float = 1.0
+    duty_platform: Address | None = None
+    duties: platform_calls.DutySettings | None = None
 
 
 CHANGEABLE_NAMES = frozenset(
--- a/packages/router/src/lagoonrun_router/state_telling.py
+++ b/packages/router/src/lagoonrun_router/state_telling.py
@@ -4,6 +4,7 @@
 import random
 
 from lagoonrun_core import events, logs, types
+from lagoonrun_duties import usage_exchange
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     beliefs,
@@ -52,6 +53,8 @@
         What is told.
     relays
         Order of the relays of the own failure domain.
+    usage
+        Counts of requests; None where nobody asks for them.
     chance
         Source of choices.
     """
@@ -68,6 +71,7 @@
         homes: prompt_homes.PromptHomes,
         pressed: pressure.Pressure,
         relays: roster.Roster,
+        usage: usage_exchange.UsageExchange | None = None,
         chance: random.Random,
     ) -> None:
         self._configured = configured
@@ -79,6 +83,7 @@
         self._homes = homes
         self._pressed = pressed
         self._relays = relays
+        self._usage = usage
         self._chance = chance
         self._sequence = 0
         self._beats_since_told = 0
@@ -163,6 +168,10 @@
         tell_leaving = quiet or leaving != self._told_leaving
         loads = router_messages.LoadRows()
         pressed: tuple[router_messages.PressedTier, ...] = ()
+        usage = router_messages.NO_USAGE
+        relay = self._relay(now)
+        if with_work and self._usage is not None:
+            usage = self._usage.rows_for_relay(relay, now=now)
         if with_work:
             loads = peer_loads.to_rows(self._ledger.own_loads(now=now))
             pressed = peer_loads.pressed(self._pressed.recent(now=now))
@@ -183,7 +192,9 @@
             pressed=pressed,
             known=self._some_members() if quiet else (),
             processor_hundredths=round(self._configured.processor_cores * 100),
-            relay=self._relay(now),
+            relay=relay,
+            usage=usage,
+            holds_duties=self._usage is not None and self._usage.holds,
         )
 
     def _relay(self, now: float) -> types.EntryVmId:
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -63,6 +63,8 @@
         How much longer it is slow after its start.
     start
         Tells this start of the upstream from earlier ones under its id.
+    reclaimable
+        Whether the platform may take it away at any time.
     """
 
     id: types.UpstreamId
@@ -74,6 +76,7 @@
     leaving: bool = False
     cold_seconds: float = 0.0
     start: types.UpstreamStart = types.UNKNOWN_UPSTREAM_START
+    reclaimable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/users_platform/test_reference.py
+++ b/tests/users_platform/test_reference.py
@@ -28,6 +28,9 @@
 cpu_share = 0.5
 [platform]
 address = "10.200.1.7:8223"
+[cloud_api]
+address = "10.200.0.113:8424"
+duties = ["usage_report", "autoscale"]
 """
 )
 
