--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -1,6 +1,7 @@
 """Assemble one router process: start all tasks, and stop them gracefully."""
 
 import asyncio
+import contextlib
 import dataclasses
 import gc
 import random
@@ -373,10 +374,9 @@
             open_exchanges=self._caller_server.open_exchanges,
         )
         self._caller_server.send_callers_away()
-        if self._duties is not None:
-            await self._duties.stop()
-        passed = self._clock.monotonic() - stopped_at
-        await asyncio.sleep(max(0.0, _UNREADY_SECONDS - passed))
+        await asyncio.gather(
+            asyncio.sleep(_UNREADY_SECONDS), self._give_duties_up()
+        )
         self._caller_server.stop_accepting()
         passed = self._clock.monotonic() - stopped_at
         left = self._settings.stop_seconds - _STOP_MARGIN_SECONDS - passed
@@ -385,6 +385,16 @@
         logs.emit(events.LogEvent.PROCESS_STOPPED, cut_requests=cut)
         return cut
 
+    async def _give_duties_up(self) -> None:
+        """Have another entry VM take the duties over before this one ends."""
+        if self._duties is None:
+            return
+        # A store that does not answer must not hold the stop up: the lease
+        # runs out then.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_UNREADY_SECONDS):
+                await self._duties.stop()
+
     async def close(self) -> None:
         """End all tasks at once."""
         for task in self._tasks:
--- a/tests/users_platform/test_layout.py
+++ b/tests/users_platform/test_layout.py
@@ -248,3 +248,38 @@
 def test_address_without_host_or_port_is_a_fault(address):
     with pytest.raises(format_error.FormatError):
         decode_entry(address=address)
+
+
+def test_scaling_of_a_pool_is_decoded():
+    config = copy.deepcopy(CONFIG)
+    config["services"][0]["scaling"] = {
+        "min": 1,
+        "max": 47,
+        "boot_time_s": 4.0,
+        "spot_price": 0.18,
+        "zone_prices": {"north": 0.85, "south": 1.2},
+    }
+    pools = decode(config).pools_by_name
+    scaling = pools["pool-a"].scaling
+    assert (scaling.minimum, scaling.maximum) == (1, 47)
+    assert scaling.boot_seconds == 4.0
+    assert scaling.reclaimable_price == 0.18
+    assert scaling.price_by_domain == {"north": 0.85, "south": 1.2}
+    assert pools["pool-b"].scaling is None
+
+
+def test_scaling_without_prices_names_no_domain():
+    """The configuration holds; no runner is ordered where no price is known."""
+    config = copy.deepcopy(CONFIG)
+    config["services"][0]["scaling"] = {"max": 5}
+    scaling = decode(config).pools_by_name["pool-a"].scaling
+    assert not scaling.price_by_domain
+
+
+def test_entry_says_whether_the_platform_may_take_the_upstream_away():
+    made = layout.PlatformLayout()
+    entry = {**ENTRY, "spot": True}
+    value = json.dumps(entry).encode()
+    assert made.decode_upstream("servers/a", value).reclaimable
+    value = json.dumps(ENTRY).encode()
+    assert not made.decode_upstream("servers/a", value).reclaimable
--- a/tests/users_platform/test_settings_file.py
+++ b/tests/users_platform/test_settings_file.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lagoonrun_duties import platform_calls
 from lagoonrun_router import format_error, settings
 from lagoonrun_users_platform import settings_file
 
@@ -98,3 +99,33 @@
     assert len(done.stderr.strip().splitlines()) == 1
     assert "ip" in done.stderr or "node" in done.stderr
     assert done.stdout == ""
+
+
+DUTIES = """
+[cloud_api]
+address = "10.200.0.113:8424"
+duties = ["usage_report", "autoscale", "something_new"]
+duty_per_s = 50.0
+"""
+BOUNDS = "[bounds]\nreport_window_s = 5\nusage_late_s = 9\nlease_ms = 3000"
+
+
+def test_deployment_without_duties_has_none(load):
+    configured = load(TEXT)
+    assert configured.duties is None
+    assert configured.duty_platform is None
+
+
+def test_duties_of_the_platform_are_read(load):
+    configured = load(TEXT.replace("[bounds]", BOUNDS) + DUTIES)
+    assert configured.duty_platform.port == 8424
+    duties = configured.duties
+    assert duties.duties == frozenset(platform_calls.Duty)
+    assert duties.calls_per_second == 50.0
+    assert (duties.window_seconds, duties.late_seconds) == (5.0, 9.0)
+    assert duties.return_seconds == 3.0
+
+
+def test_duties_that_are_not_known_are_left_out(load):
+    text = TEXT + DUTIES.replace('"usage_report", "autoscale", ', "")
+    assert load(text).duties is None
