Pass by crashed upstreams that refuse connections

Change: refused connections cost a round trip and don't count among the three that take 0.4 s each, up to twelve; an upstream that no connection was had to counts as five failures, so that the next requests of this entry VM go elsewhere. Ruled out: holding the request: the bound on dark upstreams is as it was.

--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -53,6 +53,7 @@
         self._sends = retrying.Sends()
         self._earlier_may_have_run = False
         self._sending: sending.Sending | None = None
+        self._sent_at = call.arrived_at
         self._whole_at: float | None = None
         self._foreseen_wait_seconds = 0.0
         self._pause_waiting_tokens = 0
@@ -182,7 +183,7 @@
         return None
 
     def _note_loss(self, lost: attempt.Lost, now: float) -> None:
-        self._sends = self._sends.with_lost(lost)
+        self._sends = self._sends.with_lost(lost, seconds=now - self._sent_at)
         self._tried.add(lost.upstream)
         self._sending = None
         if lost.ran is not outcomes.Outcome.NOT_RUN:
@@ -190,7 +191,9 @@
         if lost.elsewhere:
             self._parts.directory.take_gone(lost.upstream, source="answer")
         else:
-            self._parts.ledger.add_failure(lost.upstream, now=now)
+            self._parts.ledger.add_failure(
+                lost.upstream, now=now, unreached=not lost.sent
+            )
         self._parts.metrics.lost_attempts.labels(
             self._call.pool.name, lost.reason.value
         ).inc()
@@ -206,7 +209,7 @@
 
     async def _attempt(self, choice: choosing.Choice) -> attempt.Result:
         parts = self._parts
-        now = parts.clock.monotonic()
+        now = self._sent_at = parts.clock.monotonic()
         work = loads.Work(
             upstream=choice.upstream.id,
             new_tokens=choice.new_tokens,
--- a/packages/router/src/lagoonrun_router/load_ledger.py
+++ b/packages/router/src/lagoonrun_router/load_ledger.py
@@ -26,6 +26,12 @@
 Crashed upstreams are replaced within a few seconds, and failing ones mend.
 """
 
+_UNREACHED_FAILURES = 5.0
+"""Failures for which one connection that was not had counts. The process is dead or
+cut off, while one that fails a request may serve the next; the store lists a dead
+one for three and a half seconds more, in which a busy entry VM would try it again
+with every request that finds the others busy."""
+
 _PREFILL_HALF_LIFE_SECONDS = 2.0
 """Time over which the prompt tokens sent to a runner are averaged."""
 
@@ -183,11 +189,23 @@
 
     # Failures and recent work.
 
-    def add_failure(self, upstream: types.UpstreamId, *, now: float) -> None:
-        """Count a failure that is the upstream's own."""
+    def add_failure(
+        self,
+        upstream: types.UpstreamId,
+        *,
+        now: float,
+        unreached: bool = False,
+    ) -> None:
+        """Count a failure that is the upstream's own.
+
+        Parameters
+        ----------
+        unreached
+            Whether no connection was had to it.
+        """
         self._decaying(
             self._failures_by_upstream, upstream, _FAILURE_HALF_LIFE_SECONDS
-        ).add(1.0, now)
+        ).add(_UNREACHED_FAILURES if unreached else 1.0, now)
 
     def failures(self, upstream: types.UpstreamId, *, now: float) -> float:
         """Return the faded number of failures."""
--- a/packages/router/src/lagoonrun_router/retrying.py
+++ b/packages/router/src/lagoonrun_router/retrying.py
@@ -8,7 +8,17 @@
 from lagoonrun_router import call as calls
 
 MOST_UNREACHED = 3
-"""Upstreams that a request fails to reach before its caller is told."""
+"""Upstreams that a request fails to reach before its caller is told. Each takes
+0.4 s where it is dark or cut off."""
+
+MOST_REFUSED = 12
+"""Upstreams that refuse a connection before the caller is told. Each takes a round
+trip; after a crash of a third of a pool, one request in thirty finds three of them
+in a row, until the store lists them no more seconds later."""
+
+REFUSED_SECONDS = 0.05
+"""Time within which an upstream that refuses connections has done so: ten round
+trips between failure domains."""
 
 _LEAST_PART_OF_TARGET = 0.25
 """Part of the target below which another attempt can't succeed any more."""
@@ -37,15 +47,26 @@
         Upstreams that had the request, those that were not meant left out.
     unreached
         Upstreams that no connection was had to, or that were not meant.
+    refused
+        Upstreams that refused a connection at once.
     """
 
     reached: int = 0
     unreached: int = 0
+    refused: int = 0
+
+    def with_lost(self, lost: attempt.Lost, *, seconds: float) -> "Sends":
+        """Return the count with one more lost attempt.
 
-    def with_lost(self, lost: attempt.Lost) -> "Sends":
-        """Return the count with one more lost attempt."""
+        Parameters
+        ----------
+        seconds
+            How long the attempt took.
+        """
         if lost.sent and not lost.elsewhere:
             return dataclasses.replace(self, reached=self.reached + 1)
+        if not lost.elsewhere and seconds < REFUSED_SECONDS:
+            return dataclasses.replace(self, refused=self.refused + 1)
         return dataclasses.replace(self, unreached=self.unreached + 1)
 
 
@@ -67,7 +88,7 @@
     if call.limit_at - now < _LEAST_PART_OF_TARGET * min(target, 1.0):
         return Verdict.END
     if not lost.sent or lost.elsewhere:
-        if sends.unreached >= MOST_UNREACHED:
+        if sends.unreached >= MOST_UNREACHED or sends.refused >= MOST_REFUSED:
             return Verdict.END
         # A request at an address that another process has by now counts as
         # an arrival there, although that process does not run it.
