--- a/packages/router/src/lagoonrun_router/fleet_duties.py
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -1,10 +1,20 @@
-"""What the duties need to know of this router: its place, its pools, its work."""
+"""The duties of this entry VM: assembled, and told what they ask of the router."""
 
-from collections.abc import Iterable
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Iterable
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import types
-from lagoonrun_duties import runner_model
+from lagoonrun_duties import (
+    platform_calls,
+    runner_model,
+    true_time,
+    usage_exchange,
+)
+from lagoonrun_platform import store as store_module
+from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     declarations,
     load_ledger,
@@ -25,6 +35,109 @@
 """Silence from which a failure domain is not waited for any more."""
 
 
+class Counting:
+    """Counts of usage, which are told whether or not this entry VM holds duties.
+
+    Parameters
+    ----------
+    configured
+        Settings of the process, with duties.
+    clock
+        Source of time.
+
+    Attributes
+    ----------
+    send
+        Sends counts to the holder; set once there is a socket.
+    """
+
+    def __init__(
+        self, *, configured: settings.RouterSettings, clock: clocks.Clock
+    ) -> None:
+        self.time = true_time.TrueTime(clock=clock)
+        self.send: Callable[
+            [router_messages.UsageNews, types.EntryVmId], None
+        ] = _send_nowhere
+        self.exchange = usage_exchange.UsageExchange(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            window_now=lambda: configured.duties.window_at(self.time.now()),
+            send=lambda news, to: self.send(news, to),
+        )
+
+
+def _send_nowhere(news: router_messages.UsageNews, to: types.EntryVmId) -> None:
+    del news, to
+
+
+class FleetDuties:
+    """The duties of one entry VM, which does them when it is its turn.
+
+    Parameters
+    ----------
+    configured
+        Settings of the process, with duties.
+    counting
+        What this entry VM counts and hears of usage.
+    store, platform
+        Where the tenure is kept, and who receives the calls.
+    view
+        What the duties ask of the router.
+    ready
+        Returns whether the router knows enough to act for the fleet.
+    clock, chance
+        Sources of time and of choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        configured: settings.RouterSettings,
+        counting: Counting,
+        store: store_module.KeyValueStore,
+        platform: platform_calls.DutyPlatform,
+        view: "FleetView",
+        ready: Callable[[], bool],
+        clock: clocks.Clock,
+        chance: random.Random,
+    ) -> None:
+        # Only here: a deployment without duties starts without them.
+        from lagoonrun_duties import duties
+
+        self.view = view
+        self._duties = duties.Duties(
+            configured=configured.duties,
+            entry_vm=configured.entry_vm,
+            store=store,
+            platform=platform,
+            exchange=counting.exchange,
+            rank=lambda now: view.rank(now) if ready() else None,
+            is_complete=view.is_complete,
+            views=view.views,
+            time=counting.time,
+            clock=clock,
+            chance=chance,
+        )
+
+    async def start(self) -> None:
+        """Begin to look whether it is this entry VM's turn."""
+        await self._duties.start()
+
+    async def stop(self, *, within_seconds: float) -> None:
+        """Have another entry VM take the duties over before this one ends.
+
+        A store that does not answer must not hold the stop up: the lease runs
+        out then.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within_seconds):
+                await self._duties.stop()
+
+    async def close(self) -> None:
+        """End at once."""
+        await self._duties.close()
+
+
 class FleetView:
     """Answers what the duties ask.
 
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -1,18 +1,16 @@
 """Assemble one router process: start all tasks, and stop them gracefully."""
 
 import asyncio
-import contextlib
 import dataclasses
 import gc
 import random
 import secrets
 import socket
 from collections.abc import Mapping
-from typing import TYPE_CHECKING
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, standing_task, ticks, types
-from lagoonrun_duties import platform_calls, true_time, usage_exchange
+from lagoonrun_duties import platform_calls, usage_exchange
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import server as http_server
@@ -44,9 +42,6 @@
     upstreams,
 )
 
-if TYPE_CHECKING:
-    from lagoonrun_duties import duties as duties_module
-
 _UNREADY_SECONDS = 2.6
 """Time from the signal to stop until no new connection is taken.
 
@@ -146,55 +141,41 @@
             allowance=configured.retry_allowance
         )
         self._routes: route_table.RouteTable | None = None
-        self._usage: usage_exchange.UsageExchange | None = None
-        self._true_time: true_time.TrueTime | None = None
+        self._counting: fleet_duties.Counting | None = None
         if duty_platform is not None and configured.duties is not None:
-            self._build_usage(configured.duties)
+            self._counting = fleet_duties.Counting(
+                configured=configured, clock=self._clock
+            )
         self._build_knowledge()
-        self._fleet_view = fleet_duties.FleetView(
-            configured=configured,
-            exchange=self._peers,
-            domains=self._domains,
-            directory=self.directory,
-            ledger=self._ledger,
-            clock=self._clock,
-        )
         self._duties = self._build_duties()
         self._build_edges(language, listening)
 
-    def _build_usage(self, duties: platform_calls.DutySettings) -> None:
-        time = self._true_time = true_time.TrueTime(clock=self._clock)
-        self._usage = usage_exchange.UsageExchange(
-            entry_vm=self._settings.entry_vm,
-            domain=self._settings.domain,
-            window_now=lambda: duties.window_at(time.now()),
-            send=lambda news, to: self._peers.send_usage(news, to),
-        )
+    @property
+    def _usage(self) -> usage_exchange.UsageExchange | None:
+        return self._counting.exchange if self._counting else None
 
-    def _build_duties(self) -> "duties_module.Duties | None":
-        if self._usage is None:
+    def _build_duties(self) -> fleet_duties.FleetDuties | None:
+        if self._counting is None:
             return None
-        # Only here: a deployment without duties starts without them.
-        from lagoonrun_duties import duties as duties_module
-
-        return duties_module.Duties(
-            configured=self._settings.duties,
-            entry_vm=self._settings.entry_vm,
+        self._counting.send = self._peers.send_usage
+        return fleet_duties.FleetDuties(
+            configured=self._settings,
+            counting=self._counting,
             store=self._store,
             platform=self._duty_platform,
-            exchange=self._usage,
-            rank=self._duties_rank,
-            is_complete=self._fleet_view.is_complete,
-            views=self._fleet_view.views,
-            time=self._true_time,
+            view=fleet_duties.FleetView(
+                configured=self._settings,
+                exchange=self._peers,
+                domains=self._domains,
+                directory=self.directory,
+                ledger=self._ledger,
+                clock=self._clock,
+            ),
+            ready=lambda: self.ready,
             clock=self._clock,
             chance=self._chance,
         )
 
-    def _duties_rank(self, now: float) -> int | None:
-        """Return the place among those that are to try for the duties."""
-        return self._fleet_view.rank(now) if self.ready else None
-
     def _build_knowledge(self) -> None:
         configured = self._settings
         self._table = peer_table.PeerTable(
@@ -386,14 +367,8 @@
         return cut
 
     async def _give_duties_up(self) -> None:
-        """Have another entry VM take the duties over before this one ends."""
-        if self._duties is None:
-            return
-        # A store that does not answer must not hold the stop up: the lease
-        # runs out then.
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_UNREADY_SECONDS):
-                await self._duties.stop()
+        if self._duties is not None:
+            await self._duties.stop(within_seconds=_UNREADY_SECONDS)
 
     async def close(self) -> None:
         """End all tasks at once."""
@@ -432,7 +407,8 @@
     def _put_in_force(self, declared: declarations.Declarations) -> None:
         self._routes = route_table.RouteTable(declared=declared)
         self._ingress.use(self._routes)
-        self._fleet_view.use(declared.pools_by_name.values())
+        if self._duties is not None:
+            self._duties.view.use(declared.pools_by_name.values())
         self.metrics.revision.set(declared.revision)
         bounds = declared.caller_limits
         self._caller_server.use_limits(
