Forget ended neighbours' counts; seek the duties without pools to scale

Cause: read as a newcomer: counts of each start of a neighbour stayed for as long as a process ran where it was not the relay; a deployment that asks for usage reports but scales nothing had no holder; a setting was read and used for nothing.

--- a/packages/duties/src/lagoonrun_duties/platform_calls.py
+++ b/packages/duties/src/lagoonrun_duties/platform_calls.py
@@ -40,8 +40,6 @@
     ----------
     duties
         Those that the platform asks for.
-    calls_per_second
-        Calls that the platform takes from all entry VMs together.
     window_seconds
         Length of a window of usage.
     late_seconds
@@ -51,7 +49,6 @@
     """
 
     duties: frozenset[Duty]
-    calls_per_second: float
     window_seconds: float
     late_seconds: float
     return_seconds: float
--- a/packages/duties/src/lagoonrun_duties/usage_exchange.py
+++ b/packages/duties/src/lagoonrun_duties/usage_exchange.py
@@ -53,6 +53,7 @@
         self._neighbours = usage_counts.GatheredUsage()
         self._domain_sums = usage_counts.UsageCounts()
         self._fleet = usage_counts.GatheredUsage()
+        self._newest_window: platform_calls.UsageWindow | None = None
         self._told_at = _NEVER
         self._sent_at = _NEVER
         self._told_to: types.EntryVmId = types.NO_ENTRY_VM
@@ -112,11 +113,15 @@
                 sums[organisation] = sums.get(organisation, 0) + count
             for organisation, count in sums.items():
                 self._domain_sums.raise_to(window, organisation, count)
-        self._neighbours.forget_before(
-            platform_calls.UsageWindow(
-                self._window_now() - usage_counts.KEPT_WINDOWS
-            )
-        )
+
+    def _forget_old(self) -> None:
+        """Drop tellers that ended long ago, once a window."""
+        window = self._window_now()
+        if window == self._newest_window:
+            return
+        self._newest_window = window
+        oldest = platform_calls.UsageWindow(window - usage_counts.KEPT_WINDOWS)
+        self._neighbours.forget_before(oldest)
 
     # Hearing.
 
@@ -125,6 +130,7 @@
     ) -> None:
         """Take in what a neighbour has counted, and whether it is the holder."""
         self._neighbours.take_in(state.entry_vm, state.start, state.usage)
+        self._forget_old()
         if state.holds_duties:
             self._note_holder(state.entry_vm, now)
         elif state.entry_vm == self._heard_holder:
--- a/packages/duties/tests/conftest.py
+++ b/packages/duties/tests/conftest.py
@@ -21,7 +21,6 @@
 def configured():
     return platform_calls.DutySettings(
         duties=frozenset(platform_calls.Duty),
-        calls_per_second=50.0,
         window_seconds=5.0,
         late_seconds=10.0,
         return_seconds=3.0,
--- a/packages/duties/tests/test_usage_exchange.py
+++ b/packages/duties/tests/test_usage_exchange.py
@@ -136,3 +136,14 @@
         one.note_begun("house")
         told += bool(one.rows_for_relay("north-1", now=step * 0.05).windows)
     assert told <= 13
+
+
+def test_ended_entry_vms_are_forgotten(fleet):
+    """Memory grows with each restart of a neighbour, for as long as one runs."""
+    relay = fleet.by_id["north-1"]
+    for start in range(50):
+        fleet.window += 1
+        count_all(fleet)
+        fleet.round(start=start)
+    known = relay._neighbours._counts_by_teller
+    assert len(known) <= 2 * 8
--- a/packages/router/src/lagoonrun_router/fleet_duties.py
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -184,8 +184,6 @@
 
     def rank(self, now: float) -> int | None:
         """Return the place among those that are to try; None for not at all."""
-        if not self._pools:
-            return None
         near = self._exchange.relays_on_duty(now=now)
         domains = self._order.on_duty(now=now)
         if self._entry_vm not in near or self._domain not in domains:
--- a/tests/users_platform/test_duties_machine.py
+++ b/tests/users_platform/test_duties_machine.py
@@ -32,7 +32,6 @@
 
 CONFIGURED = platform_calls.DutySettings(
     duties=frozenset(platform_calls.Duty),
-    calls_per_second=50.0,
     window_seconds=5.0,
     late_seconds=10.0,
     return_seconds=3.0,
--- a/tests/users_platform/test_settings_file.py
+++ b/tests/users_platform/test_settings_file.py
@@ -105,7 +105,6 @@
 [cloud_api]
 address = "10.200.0.113:8424"
 duties = ["usage_report", "autoscale", "something_new"]
-duty_per_s = 50.0
 """
 BOUNDS = "[bounds]\nreport_window_s = 5\nusage_late_s = 9\nlease_ms = 3000"
 
@@ -121,7 +120,6 @@
     assert configured.duty_platform.port == 8424
     duties = configured.duties
     assert duties.duties == frozenset(platform_calls.Duty)
-    assert duties.calls_per_second == 50.0
     assert (duties.window_seconds, duties.late_seconds) == (5.0, 9.0)
     assert duties.return_seconds == 3.0
 
