Wait for no counts of the own failure domain; test the duties of two routers

Cause: found by a new test over real sockets: an entry VM that was left alone in its failure domain took the domain for silent, and settled each window 5 s late. The counts of the own domain come from neighbours, which are gone then. Before: no report within 10 s of a planned stop of the only other entry VM; after: the next window. Seen red without the change.

--- a/packages/router/src/lagoonrun_router/fleet_duties.py
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -193,11 +193,16 @@
         )
 
     def is_complete(self) -> bool:
-        """Return whether every failure domain was heard lately."""
+        """Return whether every other failure domain was heard lately.
+
+        The own one is heard by its neighbours, and may have no other.
+        """
         now = self._clock.monotonic()
-        silent = self._domains.silent_seconds(now=now).values()
+        silent_by_domain = self._domains.silent_seconds(now=now)
+        silent_by_domain.pop(self._domain, None)
         return not any(
-            _COMPLETE_SECONDS < one < _GONE_SECONDS for one in silent
+            _COMPLETE_SECONDS < one < _GONE_SECONDS
+            for one in silent_by_domain.values()
         )
 
     def views(self) -> tuple[runner_model.PoolView, ...]:
--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -56,6 +56,7 @@
 
     async def start(name="vm-1", domain="north", seeds=(), **changes) -> World:
         ports = free_ports(4)
+        platform = changes.pop("platform", None)
         addresses = [settings.Address(host=HOST, port=port) for port in ports]
         values = {
             "entry_vm": name,
@@ -79,6 +80,7 @@
             layout=layout,
             language=PlainDialect(),
             chance=random.Random(1),
+            duty_platform=platform,
         )
         await made.start()
         started.append(made)
