Have a fifth of the runners be lasting, whatever the demand

The plan is the constant again, by the declared most and not by what had registered at the first look. What only the other plans used is taken out.

--- a/packages/duties/src/lagoonrun_duties/duties.py
+++ b/packages/duties/src/lagoonrun_duties/duties.py
@@ -128,7 +128,7 @@
         self._orders = runner_orders.RunnerOrders(
             platform=platform,
             views=views,
-            plan=runner_plan.ReclaimablePlan(),
+            plan=runner_plan.MixedPlan(),
             may_call=self._may_call,
             clock=clock,
         )
--- a/packages/duties/src/lagoonrun_duties/runner_orders.py
+++ b/packages/duties/src/lagoonrun_duties/runner_orders.py
@@ -20,9 +20,6 @@
 """Time for which an answer that none are to be had is believed. Each try is a call
 that is paid for; a shortage lasts for some ten seconds."""
 
-_SHORTAGE_SECONDS = 1.5 * UNAVAILABLE_SECONDS
-"""Time for which a shortage counts as going on: until the next try has an answer."""
-
 _REFUSED_SECONDS = 1.0
 """Pause after a call that was refused or not answered."""
 
@@ -35,7 +32,7 @@
     """Decides how many runners there are to be."""
 
     def wanted(
-        self, view: runner_model.PoolView, *, now: float
+        self, view: runner_model.PoolView
     ) -> tuple[runner_model.WantedRunners, ...]:
         """Return what each failure domain of a pool is to have."""
 
@@ -87,7 +84,6 @@
         self._tenure: tenures.Tenure | None = None
         self._ordered_by_place: dict[_Place, _Ordered] = {}
         self._not_before_by_place: dict[_Place, float] = {}
-        self._none_at_by_place: dict[_Place, float] = {}
 
     async def step(self, tenure: tenures.Tenure) -> None:
         """Send what is due now; called a few times a second."""
@@ -96,7 +92,6 @@
             self._tenure = tenure
             self._ordered_by_place.clear()
             self._not_before_by_place.clear()
-            self._none_at_by_place.clear()
         for view in self._views():
             await self._bring_up(view, tenure)
 
@@ -104,7 +99,7 @@
         self, view: runner_model.PoolView, tenure: tenures.Tenure
     ) -> None:
         now = self._clock.monotonic()
-        wanted = self._plan.wanted(self._with_shortages(view, now), now=now)
+        wanted = self._plan.wanted(view)
         present_by_domain = {one.domain: one for one in view.domains}
         for kind in _KINDS:
             for one in wanted:
@@ -117,29 +112,6 @@
                     return
                 await self._send(place, count, present, view, tenure)
 
-    def _with_shortages(
-        self, view: runner_model.PoolView, now: float
-    ) -> runner_model.PoolView:
-        """Return the pool with the domains that have no reclaimable runners."""
-        return dataclasses.replace(
-            view,
-            domains=tuple(
-                dataclasses.replace(
-                    one, unavailable=self._is_short(view.pool, one.domain, now)
-                )
-                for one in view.domains
-            ),
-        )
-
-    def _is_short(
-        self, pool: types.PoolName, domain: types.FailureDomain, now: float
-    ) -> bool:
-        place = _Place(
-            pool=pool, domain=domain, kind=platform_calls.RunnerKind.RECLAIMABLE
-        )
-        told_at = self._none_at_by_place.get(place, float("-inf"))
-        return now - told_at < _SHORTAGE_SECONDS
-
     def _is_due(
         self,
         place: _Place,
@@ -181,7 +153,6 @@
             self._ordered_by_place[place] = _Ordered(count=count, at=now)
         elif isinstance(result, platform_calls.NoneAvailable):
             self._not_before_by_place[place] = now + UNAVAILABLE_SECONDS
-            self._none_at_by_place[place] = now
         else:
             self._not_before_by_place[place] = now + _REFUSED_SECONDS
         logs.emit(
--- a/packages/router/src/lagoonrun_router/fleet_duties.py
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -212,16 +212,11 @@
     def _view(self, pool: declarations.Pool) -> runner_model.PoolView:
         now = self._clock.monotonic()
         serving = self._directory.usable(pool.name, now=now)
-        leaving = [
-            one
-            for one in self._directory.registrations
-            if one.pool == pool.name and one.leaving and one.reclaimable
-        ]
         return runner_model.PoolView(
             pool=pool.name,
             scaling=pool.scaling,
             domains=tuple(
-                _runners(domain, serving, leaving)
+                _runners(domain, serving)
                 for domain in pool.scaling.price_by_domain
             ),
             demand=self._demand(serving, now),
@@ -248,7 +243,6 @@
 def _runners(
     domain: types.FailureDomain,
     serving: Iterable[upstreams.Registration],
-    leaving: Iterable[upstreams.Registration],
 ) -> runner_model.DomainRunners:
     here = [one for one in serving if one.domain == domain]
     reclaimable = sum(one.reclaimable for one in here)
@@ -256,5 +250,4 @@
         domain=domain,
         lasting=len(here) - reclaimable,
         reclaimable=reclaimable,
-        leaving_reclaimable=sum(one.domain == domain for one in leaving),
     )
