--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -4,19 +4,15 @@
 for by the next. What is larger is fetched by `peer_fetch`.
 """
 
-import asyncio
 import dataclasses
-import hashlib
-import hmac
-import logging
 import random
 import secrets
 from collections.abc import Iterable
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import errors, events, logs, standing_task, ticks, types
+from lagoonrun_core import errors, standing_task, ticks, types
 from lagoonrun_duties import usage_exchange
-from lagoonrun_protocol import router_codec, router_messages
+from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     beliefs,
     domain_news,
@@ -25,6 +21,7 @@
     load_ledger,
     peer_fetch,
     peer_loads,
+    peer_socket,
     peer_table,
     pressure,
     prompt_homes,
@@ -60,20 +57,9 @@
 """Bytes of a change that neighbours are told in a datagram: forty entries of
 upstreams, or a dozen routes. Larger ones are fetched over connections."""
 
-_TAG_BYTES = 16
-_LARGEST_DATAGRAM_BYTES = 16_384
-
-_Datagram = (
-    router_messages.RouterState
-    | router_messages.DomainNews
-    | router_messages.FleetNews
-    | router_messages.StoreChanges
-    | router_messages.UsageNews
-)
-
 
 class Peers:
-    """Socket and timer of the exchange with the other entry VMs.
+    """What is told to the other entry VMs and heard from them, and when.
 
     Parameters
     ----------
@@ -111,7 +97,9 @@
         chance: random.Random,
     ) -> None:
         self._settings = configured
-        self._key = hashlib.blake2b(key, digest_size=32).digest()
+        self._socket = peer_socket.PeerSocket(
+            key=key, on_message=self._take_message
+        )
         self._table = table
         self._known = known
         known.on_changes = self._tell_changes
@@ -159,7 +147,7 @@
             homes=homes,
             domains=domains,
             directory=directory,
-            send=self._send,
+            send=self._socket.send,
         )
         self._domain_news = domain_news.DomainNewsExchange(
             entry_vm=configured.entry_vm,
@@ -175,9 +163,8 @@
             pressed=pressed,
             domains=domains,
             usage=usage,
-            send=self._send,
+            send=self._socket.send,
         )
-        self._transport: asyncio.DatagramTransport | None = None
         self._timer = standing_task.StandingTask(
             name="peers", function=self._run
         )
@@ -195,11 +182,7 @@
 
     async def start(self) -> None:
         """Open the socket and begin to tell."""
-        loop = asyncio.get_running_loop()
-        own = self._settings.peer
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Receiver(owner=self), local_addr=(own.host, own.port)
-        )
+        await self._socket.start(self._settings.peer)
         self._timer.start()
 
     def begin_stop(self) -> None:
@@ -211,8 +194,7 @@
         """Stop telling and hearing."""
         await self._timer.close()
         await self._fetcher.close()
-        if self._transport is not None:
-            self._transport.close()
+        self._socket.close()
 
     # Telling.
 
@@ -245,7 +227,7 @@
     def _tell(self, state: router_messages.RouterState, now: float) -> None:
         if not self._table.has_relay:
             told = self._table.near_addresses()
-            self._send(state, told or self._seeds())
+            self._socket.send(state, told or self._seeds())
             return
         self._fleet_news.note_told(state)
         relays = self._relays.on_duty(now=now)
@@ -258,7 +240,7 @@
             told = self._table.near_addresses()
         else:
             told = self._addresses_of(relays)
-        self._send(state, told)
+        self._socket.send(state, told)
 
     def _tell_changes(self, changes: router_messages.StoreChanges) -> None:
         """Tell what this entry VM has just read to those that don't read.
@@ -275,7 +257,7 @@
             entry_vm=self._settings.entry_vm,
             domain=self._settings.domain,
         )
-        self._send(told, self._table.near_addresses())
+        self._socket.send(told, self._table.near_addresses())
         self._hand_on(told)
 
     def _hand_on(self, changes: router_messages.StoreChanges) -> None:
@@ -288,9 +270,9 @@
         if not self._relays.leads(now=now):
             return
         if changes.domain == self._settings.domain:
-            self._send(changes, self._domain_news.far_addresses(now=now))
+            self._socket.send(changes, self._domain_news.far_addresses(now=now))
         else:
-            self._send(changes, self._table.near_addresses())
+            self._socket.send(changes, self._table.near_addresses())
 
     def _addresses_of(
         self, entry_vms: Iterable[types.EntryVmId]
@@ -302,7 +284,7 @@
         self, news: router_messages.UsageNews, to: types.EntryVmId
     ) -> None:
         """Send counts of the own failure domain to the holder of the duties."""
-        self._send(news, self._addresses_of((to,)))
+        self._socket.send(news, self._addresses_of((to,)))
 
     def relays_on_duty(self, *, now: float) -> tuple[types.EntryVmId, ...]:
         """Return who hears all of the own failure domain, in their order."""
@@ -324,31 +306,10 @@
         self._beats_since_greeting = 0
         far = self._table.far_told(self._chance)
         if far:
-            self._send(self._teller.greeting(now=now), far)
-
-    def _send(
-        self, message: _Datagram, addresses: Iterable[settings.Address]
-    ) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        body = router_codec.encode(message)
-        data = self._tag(body) + body
-        for address in addresses:
-            self._transport.sendto(data, (address.host, address.port))
+            self._socket.send(self._teller.greeting(now=now), far)
 
     # Hearing.
 
-    def receive(self, data: bytes, host: str) -> None:
-        """Take in a datagram."""
-        tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
-        if not hmac.compare_digest(tag, self._tag(body)):
-            self._reject(host, f"{len(data)} bytes with a wrong tag")
-            return
-        try:
-            self._take_message(router_codec.decode(body, peer=host), host)
-        except errors.LagoonrunError as error:
-            self._reject(host, error.detail)
-
     def _take_message(self, message: object, host: str) -> None:
         now = self._clock.monotonic()
         if isinstance(message, router_messages.FleetNews):
@@ -366,7 +327,11 @@
             if self._usage is not None:
                 self._usage.take_news(message)
         else:
-            self._reject(host, f"a {type(message).__name__}")
+            raise errors.LagoonrunError(
+                step=errors.Step.PEER_FRAME,
+                peer=host,
+                detail=f"a {type(message).__name__}; valid: a datagram",
+            )
 
     def _take_domain_news(
         self, news: router_messages.DomainNews, host: str, now: float
@@ -443,31 +408,3 @@
         )
         for placement in state.placements:
             self._homes.take_told(placement.part, placement.upstream, now=now)
-
-    def _reject(self, host: str, detail: str) -> None:
-        logs.emit(
-            events.LogEvent.PEER_FRAME_REJECTED,
-            level=logging.WARNING,
-            peer=host,
-            detail=detail,
-        )
-
-    def _tag(self, body: bytes) -> bytes:
-        return hashlib.blake2b(
-            body, key=self._key, digest_size=_TAG_BYTES
-        ).digest()
-
-
-class _Receiver(asyncio.DatagramProtocol):
-    """Hands datagrams on."""
-
-    def __init__(self, *, owner: Peers) -> None:
-        self._owner = owner
-
-    def datagram_received(self, data: bytes, address: tuple) -> None:
-        if len(data) <= _LARGEST_DATAGRAM_BYTES:
-            self._owner.receive(data, address[0])
-
-    def error_received(self, error: Exception) -> None:
-        # A peer whose process is away; it is told again with the next beat.
-        del error
