--- a/packages/duties/src/lagoonrun_duties/duties.py
+++ b/packages/duties/src/lagoonrun_duties/duties.py
@@ -138,6 +138,11 @@
             name="duties", function=self._run
         )
 
+    @property
+    def usage_report_age(self) -> float | None:
+        """Time since the platform took a report of this entry VM; None for never."""
+        return self._reporter.report_age()
+
     async def start(self) -> None:
         """Begin to look whether it is this entry VM's turn."""
         self._task.start()
--- a/packages/router/src/lagoonrun_router/fleet_duties.py
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -18,6 +18,7 @@
 from lagoonrun_router import (
     declarations,
     load_ledger,
+    metrics,
     peers,
     reach,
     roster,
@@ -105,6 +106,7 @@
         from lagoonrun_duties import duties
 
         self.view = view
+        self._exchange = counting.exchange
         self._duties = duties.Duties(
             configured=configured.duties,
             entry_vm=configured.entry_vm,
@@ -137,6 +139,11 @@
         """End at once."""
         await self._duties.close()
 
+    def show(self, into: metrics.RouterMetrics) -> None:
+        """Set the gauges of the duties."""
+        into.holds_duties.set(self._exchange.holds)
+        into.usage_report_age.set(self._duties.usage_report_age or 0.0)
+
 
 class FleetView:
     """Answers what the duties ask.
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -101,6 +101,7 @@
             registry=self.registry,
         )
         self._add_store_metrics()
+        self._add_duty_metrics()
         self._add_upstream_metrics()
 
     def _add_store_metrics(self) -> None:
@@ -121,6 +122,19 @@
             registry=self.registry,
         )
 
+    def _add_duty_metrics(self) -> None:
+        self.holds_duties = prometheus_client.Gauge(
+            "lagoonrun_holds_duties",
+            "1 on the entry VM that reports usage and orders runners for all.",
+            registry=self.registry,
+        )
+        self.usage_report_age = prometheus_client.Gauge(
+            "lagoonrun_usage_report_age_seconds",
+            "Time since this entry VM reported a window of usage last; 0 for "
+            "never.",
+            registry=self.registry,
+        )
+
     def _add_upstream_metrics(self) -> None:
         self.upstream_running = self._upstream_gauge(
             "running", "Requests at an upstream, of all entry VMs."
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -466,6 +466,8 @@
 
     def metrics_text(self) -> bytes:
         """Return all metrics in the text format."""
+        if self._duties is not None:
+            self._duties.show(self.metrics)
         self._gauges.refresh(
             now=self._clock.monotonic(),
             ready=self.ready,
--- a/packages/router/tests/test_fleet_duties.py
+++ b/packages/router/tests/test_fleet_duties.py
@@ -97,6 +97,8 @@
             assert answer.status == 200
     await wait_for(lambda: platform.reported() == 10)
     assert len(set(platform.holders)) == 1
+    texts = [world.router.metrics_text().decode() for world in pair]
+    assert sum("lagoonrun_holds_duties 1.0" in text for text in texts) == 1
 
 
 async def test_one_entry_vm_orders_runners(pair, platform):
