--- a/packages/orders/tests/test_leadership.py
+++ b/packages/orders/tests/test_leadership.py
@@ -57,8 +57,8 @@
     """Return a function that starts one more candidate."""
     made = []
 
-    async def start():
-        number = len(made) + 1
+    async def start(number=None, **changes):
+        number = number or len(made) + 1
         one = leadership_module.Leadership(
             store=store,
             duty=DUTY,
@@ -69,6 +69,7 @@
             ttl_seconds=TTL_SECONDS,
             margin_seconds=MARGIN_SECONDS,
             sleep=timers.sleep,
+            **changes,
         )
         made.append(one)
         await one.start()
@@ -208,3 +209,36 @@
     await store.revoke_lease(store_module.LeaseId(1))
     await timers.advance(TTL_SECONDS / 2)
     assert first.tenure.fencing > old.fencing
+
+
+@pytest.mark.parametrize(
+    ("returns", "waits"), [("vm-1", True), ("vm-3", False)]
+)
+async def test_holder_that_comes_back_waits_for_a_while(
+    candidate, timers, clock, returns, waits
+):
+    """A receiver that knows no numbers sees two entry VMs take turns.
+
+    The first is restarted, the second takes over and is restarted in turn, and
+    the first is back by then.
+    """
+    options = {"return_seconds": 3.0}
+    first = await candidate(1, **options)
+    second = await candidate(2, **options)
+    await first.close(clean=True)
+    await timers.advance(1.0)
+    assert second.tenure is not None
+    third = await candidate(int(returns[-1]), **options)
+    await second.close(clean=True)
+    await timers.advance(1.0)
+    wait = third.tenure.first_order_at - clock.monotonic()
+    assert (wait > 1.0) is waits
+
+
+async def test_key_is_looked_at_every_few_renewals(candidate, timers, store):
+    """Each look costs as much as ten renewals."""
+    await candidate(renewals_per_key_check=5)
+    before = store.calls_by_kind["transact"]
+    await timers.advance(20 * TTL_SECONDS / 3)
+    looks = store.calls_by_kind["transact"] - before
+    assert 3 <= looks <= 4
