--- a/packages/duties/src/lagoonrun_duties/runner_plan.py
+++ b/packages/duties/src/lagoonrun_duties/runner_plan.py
@@ -6,9 +6,10 @@
 seconds. So most runners are reclaimable, as many as the pool may have, and a fifth
 is lasting.
 
-Fewer runners by demand were tried and cost more than they saved: those that leave
-take along what they have read, and those that are ordered for a burst serve when it
-is over, since a boot takes as long as half of a burst.
+The number does not follow the demand. Runners that leave take along what they have
+read, and those that are ordered for a burst serve when it is over, since a boot takes
+as long as half of a burst: with a number that did, 0.87 of the requests of a heavy day
+were served in time in place of 0.96, at the same price.
 """
 
 import math
--- a/packages/router/src/lagoonrun_router/fleet_duties.py
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -27,13 +27,16 @@
 )
 
 _TRYING_DOMAINS = 3
-"""Failure domains whose relays try for the duties, one after the other."""
+"""Failure domains whose relays try for the duties, one after the other: one may be
+cut off and the next be restarted at that moment."""
 
 _COMPLETE_SECONDS = 1.0
-"""Silence of a failure domain from which its counts are waited for."""
+"""Silence of a failure domain from which its counts are waited for: five of its
+relay's messages."""
 
 _GONE_SECONDS = 20.0
-"""Silence from which a failure domain is not waited for any more."""
+"""Silence from which a failure domain is not waited for any more: longer than a
+report may be late, so that what it still has to tell has come or is worth nothing."""
 
 
 class Counting:
