--- a/packages/duties/src/lagoonrun_duties/runner_plan.py
+++ b/packages/duties/src/lagoonrun_duties/runner_plan.py
@@ -9,7 +9,7 @@
 The number does not follow the demand. Runners that leave take along what they have
 read, and those that are ordered for a burst serve when it is over, since a boot takes
 as long as half of a burst: with a number that did, 0.87 of the requests of a heavy day
-were served in time in place of 0.96, at the same price.
+were served in time in place of 0.96, at no lower price.
 """
 
 import math
