Show which requests ran at an upstream that has crashed

Now: request-routed has a digest of caller, path and body; a broken request is followed by one connection attempt, and an upstream in service that refuses it is logged as crashed (408) with the digests of what ran there. No decision depends on it yet. Weighed: the store's removal of the entry says the same, 1 to 3 s later, and also of upstreams that were only cut off.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -30,6 +30,8 @@
     REQUEST_CUT = (206, "request-cut")
     CLAIM_DECIDED = (207, "claim-decided")
     FALLBACK_ROUTED = (208, "fallback-routed")
+    REQUEST_BLOCKED = (209, "request-blocked")
+    REQUEST_UNBLOCKED = (210, "request-unblocked")
 
     SHARD_OWNED = (300, "shard-owned")
     SHARD_RELEASED = (301, "shard-released")
@@ -44,6 +46,7 @@
     UPSTREAM_ATTEMPT_LOST = (405, "upstream-attempt-lost")
     UPSTREAM_ENTRY_REJECTED = (406, "upstream-entry-rejected")
     UPSTREAM_RESTARTED = (407, "upstream-restarted")
+    UPSTREAM_CRASHED = (408, "upstream-crashed")
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -9,6 +9,11 @@
 RequestId = NewType("RequestId", str)
 """Identifies one arrival at one entry VM; passed on to the upstream."""
 
+RequestDigest = NewType("RequestDigest", str)
+"""The same for all requests of one caller with the same path and body."""
+
+UNKNOWN_REQUEST = RequestDigest("")
+
 AttemptId = NewType("AttemptId", int)
 """Numbers the permit attempts of one request, from 1."""
 
--- a/packages/router/src/lagoonrun_router/call.py
+++ b/packages/router/src/lagoonrun_router/call.py
@@ -71,6 +71,8 @@
         has become of the request.
     revision
         Declarations by which the request was resolved.
+    digest
+        The same for each copy of the request that its caller sends.
     """
 
     features: CallFeatures
@@ -86,6 +88,7 @@
     arrived_at: float
     limit_at: float
     revision: types.Revision
+    digest: types.RequestDigest = types.UNKNOWN_REQUEST
 
     @property
     def request_id(self) -> types.RequestId:
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -218,6 +218,7 @@
             route=call.route.name,
             pool=call.pool.name,
             revision=call.revision,
+            digest=call.digest,
             prompt_tokens=call.features.prompt_tokens,
             shared_tokens=call.shared_tokens,
             reread_tokens=reread_tokens,
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -13,6 +13,7 @@
     declarations,
     execution,
     format_error,
+    request_digest,
     route_table,
     urgency,
 )
@@ -291,6 +292,12 @@
         arrived_at=arrived_at,
         limit_at=arrived_at + limit_seconds,
         revision=table.declared.revision,
+        digest=request_digest.digest_of(
+            exchange.head,
+            host=features.host,
+            organisation=organisation.id if organisation else None,
+            body=body,
+        ),
     )
 
 
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -60,6 +60,13 @@
             ["pool", "reason"],
             registry=self.registry,
         )
+        self.upstream_crashes = prometheus_client.Counter(
+            "lagoonrun_upstream_crashes",
+            "Upstreams in service that broke off requests and then refused "
+            "connections.",
+            ["pool"],
+            registry=self.registry,
+        )
         self.new_tokens = prometheus_client.Counter(
             "lagoonrun_prompt_tokens_sent",
             "Prompt tokens that upstreams had to read.",
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -8,6 +8,7 @@
 from lagoonrun_duties import usage_exchange
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
+    crash_watch,
     dialect,
     let_in_times,
     load_ledger,
@@ -27,6 +28,8 @@
 
     Parameters
     ----------
+    crashes
+        Follows what runs at the upstreams.
     usage
         Counts requests that begin to run; None where nobody asks for usage.
     """
@@ -45,4 +48,5 @@
     clock: clocks.Clock
     chance: random.Random
     metrics: metrics.RouterMetrics
+    crashes: crash_watch.CrashWatch
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -18,6 +18,7 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_router import (
     beliefs,
+    crash_watch,
     declarations,
     dialect,
     fleet_duties,
@@ -243,6 +244,11 @@
             ),
             clock=self._clock,
         )
+        self._crashes = crash_watch.CrashWatch(
+            directory=self.directory,
+            counters=self.metrics,
+            clock=self._clock,
+        )
         self._ingress = ingress.Ingress(
             parts=parts.Parts(
                 domain=configured.domain,
@@ -259,6 +265,7 @@
                 clock=self._clock,
                 chance=self._chance,
                 metrics=self.metrics,
+                crashes=self._crashes,
                 usage=self._usage,
             )
         )
@@ -381,6 +388,7 @@
         await self._caller_server.close()
         await self._peers.close()
         await self._client.close()
+        await self._crashes.close()
         await self._peer_server.close()
         await self._readiness_server.close()
         if self._metrics_server is not None:
@@ -463,6 +471,7 @@
             sharers = self._table.sharers(now=now)
             self._budget.share_among(sharers)
             self._let_in.share_among(sharers)
+            self._crashes.forget_old()
 
     def metrics_text(self) -> bytes:
         """Return all metrics in the text format."""
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -5,7 +5,14 @@
 from lagoonrun_core import outcomes, types
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import upstream as http_upstream
-from lagoonrun_router import answers, attempt, choosing, loads, stream_relay
+from lagoonrun_router import (
+    answers,
+    attempt,
+    choosing,
+    loads,
+    running_requests,
+    stream_relay,
+)
 from lagoonrun_router import call as calls
 from lagoonrun_router import parts as router_parts
 
@@ -74,10 +81,22 @@
         self._parts = parts
         self.may_have_run = False
         self.pause_waiting_tokens = 0
+        self._run: running_requests.Run | None = None
         self._longest_pause_seconds = 0.0
 
     async def run(self) -> attempt.Result:
         """Return the answer that the caller has, or why it has none."""
+        result: attempt.Result | None = None
+        try:
+            result = await self._exchange_once()
+            return result
+        finally:
+            if self._run is not None:
+                self._parts.crashes.end(
+                    self._run, result, self._choice.upstream
+                )
+
+    async def _exchange_once(self) -> attempt.Result:
         upstream = self._choice.upstream
         now = self._parts.clock.monotonic()
         head = self._parts.dialect.upstream_head(
@@ -127,6 +146,10 @@
         # From here on the request may run; a limit that passes meanwhile
         # must not be told as "not run".
         self.may_have_run = may
+        if may:
+            self._run = self._parts.crashes.begin(
+                self._call.digest, choice.upstream
+            )
         return may
 
     def _head_seconds(self) -> float | None:
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -137,6 +137,11 @@
         known = self._known_by_id.get(upstream)
         return known is not None and known.state in _SENDABLE
 
+    def is_serving(self, upstream: types.UpstreamId) -> bool:
+        """Return whether `upstream` is in service and has not said it leaves."""
+        known = self._known_by_id.get(upstream)
+        return known is not None and known.state is UpstreamState.SERVING
+
     def counts_by_state(self) -> dict[UpstreamState, int]:
         """Return how many upstreams are in each state."""
         counts = dict.fromkeys(UpstreamState, 0)
--- /dev/null
+++ b/packages/router/tests/test_crash_watch.py
@@ -0,0 +1,114 @@
+"""Whether a broken request means that its upstream has crashed."""
+
+import asyncio
+
+import pytest
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import outcomes
+from lagoonrun_router import attempt, crash_watch, metrics, upstreams
+from lagoonrun_standins import router_samples
+from lagoonrun_standins.router_world import free_ports, wait_for
+
+BROKEN = attempt.Lost(
+    ran=outcomes.Outcome.UNKNOWN,
+    reason=outcomes.Reason.UPSTREAM_CLOSED,
+    detail="reset",
+    upstream="u-1",
+)
+COMPLETE = attempt.Delivered(
+    ending=outcomes.Ending(outcome=outcomes.Outcome.COMPLETE)
+)
+FAILED = attempt.Lost(
+    ran=outcomes.Outcome.FAILED,
+    reason=outcomes.Reason.UPSTREAM_FAILED,
+    detail="the upstream answered 500",
+    upstream="u-1",
+)
+
+
+@pytest.fixture
+def registration():
+    (port,) = free_ports(1)
+    return router_samples.make_registration("u-1", port=port, start=5)
+
+
+@pytest.fixture
+def directory(registration):
+    made = upstreams.UpstreamDirectory()
+    made.take_entry(registration, now=0.0)
+    return made
+
+
+@pytest.fixture
+async def watch(directory):
+    made = crash_watch.CrashWatch(
+        directory=directory,
+        counters=metrics.RouterMetrics(),
+        clock=clocks.SystemClock(),
+    )
+    made.seen = []
+    made.answered = []
+    made.on_crash = lambda at, requests: made.seen.append((at, requests))
+    made.on_answer = made.answered.append
+    yield made
+    await made.close()
+
+
+async def settled(watch):
+    """Wait until no upstream is looked into."""
+    await wait_for(lambda: not watch.looks_into)
+
+
+async def test_upstream_that_refuses_connections_has_crashed(
+    watch, registration
+):
+    one = watch.begin("one", registration)
+    two = watch.begin("two", registration)
+    left = watch.begin("left", registration)
+    done = watch.begin("done", registration)
+    watch.end(done, COMPLETE, registration)
+    watch.end(left, None, registration)
+    watch.end(one, BROKEN, registration)
+    watch.end(two, BROKEN, registration)
+    await settled(watch)
+    ((at, requests),) = watch.seen
+    assert (at.upstream, at.start) == ("u-1", 5)
+    assert requests == {"one", "two", "left"}
+    assert watch.answered == ["done"]
+
+
+async def test_upstream_that_takes_connections_lives(watch, registration):
+    """A fault resets connections; nothing has crashed, nobody is suspect."""
+    server = await asyncio.start_server(
+        lambda reader, writer: writer.close(),
+        registration.host,
+        registration.port,
+    )
+    watch.end(watch.begin("one", registration), BROKEN, registration)
+    await settled(watch)
+    server.close()
+    assert watch.seen == []
+
+
+async def test_upstream_that_is_leaving_ends_as_planned(
+    watch, directory, registration
+):
+    """An upstream that is reclaimed or replaced ends with what it still runs.
+
+    Its callers come again, and the next may be reclaimed as well.
+    """
+    run = watch.begin("one", registration)
+    directory.take_leaving("u-1", start=5, source="store")
+    watch.end(run, BROKEN, registration)
+    await settled(watch)
+    assert watch.seen == []
+
+
+@pytest.mark.parametrize("result", [FAILED, None])
+async def test_answered_failure_or_caller_that_left_is_not_looked_into(
+    watch, registration, result
+):
+    watch.end(watch.begin("one", registration), result, registration)
+    assert not watch.looks_into
+    assert watch.seen == []
--- a/packages/standins/src/lagoonrun_standins/router_world.py
+++ b/packages/standins/src/lagoonrun_standins/router_world.py
@@ -41,6 +41,8 @@
     layout: PlainLayout
     settings: settings.RouterSettings
     make_upstream: Callable[..., Awaitable[Upstream]]
+    closing: list[asyncio.Task] = dataclasses.field(default_factory=list)
+    """Upstreams that are about to end; kept from being collected."""
 
     async def declare(self, *routes, revision: int = 1, **changes):
         """Write declarations into the store."""
