--- a/packages/core/src/lagoonrun_core/outcomes.py
+++ b/packages/core/src/lagoonrun_core/outcomes.py
@@ -45,6 +45,7 @@
     UPSTREAM_MISMATCH = "upstream-mismatch"
     UPSTREAM_PROTOCOL = "upstream-protocol"
     UNCONFIGURED = "unconfigured"
+    CRASHED_UPSTREAMS = "crashed-upstreams"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -274,6 +274,41 @@
     rows: UsageRows = NO_USAGE
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashedRun:
+    """A request ran at an upstream when that crashed.
+
+    Parameters
+    ----------
+    request
+        The same for each copy of the request.
+    route
+        Name of its route, for operators.
+    start
+        Which start of the upstream.
+    age_milliseconds
+        Time since the crash.
+    void
+        Whether the request was answered, or its block lifted, since.
+    """
+
+    request: types.RequestDigest
+    route: str
+    upstream: types.UpstreamId
+    start: types.UpstreamStart
+    age_milliseconds: int
+    void: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashNews:
+    """What an entry VM knows of requests that ran at crashed upstreams."""
+
+    entry_vm: types.EntryVmId
+    domain: types.FailureDomain
+    runs: tuple[CrashedRun, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoredItem:
     """A key of the store with its value, as it was read."""
@@ -363,6 +398,7 @@
     | FleetNews
     | StoreChanges
     | UsageNews
+    | CrashNews
     | DeclaredChange
     | StoredItems
 )
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -295,6 +295,21 @@
   readers @14 :List(UInt32);
 }
 
+struct CrashedRun {
+  request @0 :Text;
+  route @1 :Text;
+  upstream @2 :Text;
+  start @3 :UInt64;
+  ageMilliseconds @4 :UInt32;
+  void @5 :Bool;
+}
+
+struct CrashNews {
+  entryVm @0 :Text;
+  domain @1 :Text;
+  runs @2 :List(CrashedRun);
+}
+
 struct StoredItem {
   key @0 :Text;
   value @1 :Data;
@@ -356,5 +371,6 @@
     storeChanges @21 :StoreChanges;
     declaredChange @22 :DeclaredChange;
     usageNews @23 :UsageNews;
+    crashNews @24 :CrashNews;
   }
 }
--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -25,6 +25,16 @@
         """Put `declared` into force."""
 
 
+class BlocksListener(Protocol):
+    """Receives the blocked requests that the store keeps."""
+
+    def take_stored(self, request: types.RequestDigest, value: bytes) -> None:
+        """Take in a block."""
+
+    def take_unstored(self, request: types.RequestDigest) -> None:
+        """Take in that a block was removed, or its time has passed."""
+
+
 class ChangesListener(Protocol):
     """Receives what this entry VM has read of the store itself."""
 
@@ -43,6 +53,8 @@
         Receives the upstreams.
     peers
         Receives the entry VMs.
+    blocks
+        Receives the blocked requests.
     on_declarations
         Receives each newer revision.
     on_upstreams
@@ -57,6 +69,7 @@
         layout: dialect.StoreLayout,
         directory: upstreams.UpstreamDirectory,
         peers: peer_table.PeerTable,
+        blocks: BlocksListener,
         on_declarations: DeclarationsListener,
         on_upstreams: Callable[[], None],
         clock: clocks.Clock,
@@ -64,6 +77,7 @@
         self._layout = layout
         self._directory = directory
         self._peers = peers
+        self._blocks = blocks
         self._on_declarations = on_declarations
         self._on_upstreams = on_upstreams
         self._clock = clock
@@ -100,11 +114,11 @@
         self.follows_store = True
         entries_by_key = {}
         for item in items:
-            if item.key.startswith(self._layout.upstreams_prefix):
+            if self._is_entry(item.key):
                 entries_by_key[item.key] = item.value
             else:
                 self._take_value(item.key, item.value)
-        self._take_upstreams(entries_by_key)
+        self._take_entries(entries_by_key)
         self.read_revision = max(self.read_revision, revision)
         changed = {
             key
@@ -126,7 +140,7 @@
         self.follows_store = True
         changed = set()
         for change in changes:
-            if change.key.startswith(self._layout.upstreams_prefix):
+            if self._is_entry(change.key):
                 changed.add(change.key)
                 self.store_revision = max(self.store_revision, change.modified)
             if change.value is None:
@@ -136,12 +150,24 @@
         self.read_revision = max(self.read_revision, revision)
         self._tell_changes(since, changed, declared_before)
 
+    def _is_entry(self, key: str) -> bool:
+        """Return whether the entry VMs hand a key on to each other."""
+        return key.startswith(
+            (
+                self._layout.upstreams_prefix,
+                self._layout.blocked_requests_prefix,
+            )
+        )
+
     def _take_removal(self, key: str) -> None:
         if key.startswith(self._layout.upstreams_prefix):
             self._entries_by_key.pop(key, None)
             now = self._clock.monotonic()
             self._directory.take_removal(self._upstream_id(key), now=now)
             self._on_upstreams()
+        elif key.startswith(self._layout.blocked_requests_prefix):
+            self._entries_by_key.pop(key, None)
+            self._blocks.take_unstored(self._blocked_request(key))
         elif key.startswith(self._layout.entry_vms_prefix):
             name = key.removeprefix(self._layout.entry_vms_prefix)
             self._peers.remove(types.EntryVmId(name))
@@ -194,7 +220,7 @@
     # What peers tell and ask.
 
     def upstream_entries(self) -> dict[str, bytes]:
-        """Return the upstreams' entries as they were read."""
+        """Return the entries of upstreams and blocks as they were read."""
         return dict(self._entries_by_key)
 
     def take_changes_of_peer(
@@ -276,7 +302,7 @@
         entries_by_key: Mapping[str, bytes],
         revision: store_module.StoreRevision,
     ) -> None:
-        """Take in the upstreams' entries as a peer knows them.
+        """Take in the entries of upstreams and blocks as a peer knows them.
 
         Only where the store is not read from here, and only what is newer: a
         peer that is behind must not bring back what has left.
@@ -284,7 +310,7 @@
         if self.follows_store or revision <= self.store_revision:
             return
         self.store_revision = revision
-        self._take_upstreams(entries_by_key)
+        self._take_entries(entries_by_key)
 
     def take_declarations(self, value: bytes, *, source: str) -> None:
         """Put a value of the declarations into force if it is newer."""
@@ -320,6 +346,9 @@
         elif key.startswith(self._layout.upstreams_prefix):
             self._entries_by_key[key] = value
             self._take_entry(key, value)
+        elif key.startswith(self._layout.blocked_requests_prefix):
+            self._entries_by_key[key] = value
+            self._blocks.take_stored(self._blocked_request(key), value)
         elif key.startswith(self._layout.entry_vms_prefix):
             name = key.removeprefix(self._layout.entry_vms_prefix)
             self._peers.take_record(types.EntryVmId(name), value)
@@ -342,8 +371,25 @@
     def _upstream_id(self, key: str) -> types.UpstreamId:
         return types.UpstreamId(key.removeprefix(self._layout.upstreams_prefix))
 
-    def _take_upstreams(self, entries_by_key: Mapping[str, bytes]) -> None:
+    def _blocked_request(self, key: str) -> types.RequestDigest:
+        prefix = self._layout.blocked_requests_prefix
+        return types.RequestDigest(key.removeprefix(prefix))
+
+    def _take_entries(self, entries_by_key: Mapping[str, bytes]) -> None:
         self._entries_by_key = dict(entries_by_key)
+        prefix = self._layout.upstreams_prefix
+        upstream_entries = {
+            key: value
+            for key, value in entries_by_key.items()
+            if key.startswith(prefix)
+        }
+        self._take_upstreams(upstream_entries)
+        # Those that are missing are left to end by time: a listing does not
+        # say whether they were removed or never written.
+        for key in entries_by_key.keys() - upstream_entries.keys():
+            self._take_value(key, entries_by_key[key])
+
+    def _take_upstreams(self, entries_by_key: Mapping[str, bytes]) -> None:
         registrations = []
         unreadable = []
         for key, value in entries_by_key.items():
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/block_keeper.py
@@ -0,0 +1,116 @@
+"""Keep blocked requests in the store.
+
+A stop of the whole fleet, or of all entry VMs that have heard of the crashes, would
+else let them run again.
+"""
+
+import asyncio
+import random
+
+from lagoonrun_core import standing_task, types
+from lagoonrun_platform import store as store_module
+from lagoonrun_router import block_record, crash_evidence
+
+_PAUSE_SECONDS = 0.5
+"""Time between two tries while the store is away: well below the time that entry
+VMs have to know of a block after its return."""
+
+_MOST_WAITING = 64
+"""Blocks and lifted blocks that wait for the store; the oldest yield."""
+
+
+class BlockKeeper:
+    """Writes and removes the keys of blocked requests.
+
+    The keys go away by a lease when their crashes say nothing any more.
+
+    Parameters
+    ----------
+    store
+        The platform's store.
+    prefix
+        Keys of blocked requests begin so.
+    chance
+        Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: store_module.KeyValueStore,
+        prefix: str,
+        chance: random.Random,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._chance = chance
+        self._wanted_by_request: dict[
+            types.RequestDigest, crash_evidence.Block | None
+        ] = {}
+        self._wakes = asyncio.Event()
+        self._task = standing_task.StandingTask(
+            name="block-keeper", function=self._run
+        )
+
+    async def start(self) -> None:
+        """Begin to write."""
+        self._task.start()
+
+    async def close(self) -> None:
+        """Stop writing."""
+        await self._task.close()
+
+    def keep(self, block: crash_evidence.Block) -> None:
+        """Have a block written as soon as the store takes it."""
+        self._want(block.request, block)
+
+    def remove(self, request: types.RequestDigest) -> None:
+        """Have a block removed as soon as the store takes it."""
+        self._want(request, None)
+
+    def _want(
+        self, request: types.RequestDigest, block: crash_evidence.Block | None
+    ) -> None:
+        self._wanted_by_request.pop(request, None)
+        self._wanted_by_request[request] = block
+        while len(self._wanted_by_request) > _MOST_WAITING:
+            del self._wanted_by_request[next(iter(self._wanted_by_request))]
+        self._wakes.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wakes.wait()
+            if not self._wanted_by_request:
+                self._wakes.clear()
+                continue
+            request, block = next(iter(self._wanted_by_request.items()))
+            if not await self._write(request, block):
+                pause = _PAUSE_SECONDS * (0.5 + self._chance.random())
+                await asyncio.sleep(pause)
+            elif self._wanted_by_request.get(request) is block:
+                del self._wanted_by_request[request]
+
+    async def _write(
+        self, request: types.RequestDigest, block: crash_evidence.Block | None
+    ) -> bool:
+        """Return whether the store has taken it; written twice it says the same."""
+        key = self._prefix + request
+        if block is None:
+            result = await self._store.transact(comparisons=(), deletes=[key])
+            return isinstance(result, store_module.Committed)
+        lease = await self._store.grant_lease(
+            ttl_seconds=crash_evidence.FORGET_SECONDS
+        )
+        if not isinstance(lease, store_module.LeaseGranted):
+            return False
+        result = await self._store.transact(
+            comparisons=(),
+            puts=[
+                store_module.Put(
+                    key=key,
+                    value=block_record.encode(block),
+                    lease=lease.lease,
+                )
+            ],
+        )
+        return isinstance(result, store_module.Committed)
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/crash_news.py
@@ -0,0 +1,189 @@
+"""Tell the other entry VMs which requests ran at crashed upstreams.
+
+A crash is told to the whole fleet at once, by way of the relays of the other
+failure domains. Datagrams get lost, and a failure domain may be cut off meanwhile:
+so each entry VM repeats what it knows to a peer of its own domain and one of
+another, several times a second while it is news, and now and then later.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from lagoonrun_core import types
+from lagoonrun_protocol import router_messages
+from lagoonrun_router import (
+    crash_evidence,
+    peer_table,
+    running_requests,
+    settings,
+)
+
+NEWS_SECONDS = 5.0
+"""Age up to which a record is repeated often: longer than entry VMs may take to
+know of it."""
+
+_NEWS_BEATS = 5
+"""Beats between two repetitions of news: a quarter of a second."""
+
+_OLD_BEATS = 20
+"""The same of what is older: a second. It reaches those that were cut off within
+the seconds that they have to know of it."""
+
+_MOST_TOLD = 24
+"""Records in a message: two kilobytes."""
+
+Sender = Callable[[router_messages.CrashNews, Iterable[settings.Address]], None]
+"""Sends a message to each address."""
+
+
+class FleetAddresses(Protocol):
+    """Whom to tell in other failure domains, and whether to hand news on."""
+
+    def far_addresses(self) -> Iterable[settings.Address]:
+        """Return the relays of the other failure domains."""
+
+    def leads(self) -> bool:
+        """Return whether this entry VM is the relay of its failure domain."""
+
+
+class CrashNewsExchange:
+    """Sends, repeats and hands on records of crashes.
+
+    Parameters
+    ----------
+    entry_vm, domain
+        This entry VM.
+    table
+        The other entry VMs.
+    fleet
+        Relays of the failure domains.
+    records
+        Returns all records, the weightiest first.
+    send
+        Sends a message.
+    chance
+        Source of the choice of peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_vm: types.EntryVmId,
+        domain: types.FailureDomain,
+        table: peer_table.PeerTable,
+        fleet: FleetAddresses,
+        records: Callable[[], tuple[crash_evidence.CrashRecord, ...]],
+        send: Sender,
+        chance: random.Random,
+    ) -> None:
+        self._entry_vm = entry_vm
+        self._domain = domain
+        self._table = table
+        self._fleet = fleet
+        self._records = records
+        self._send = send
+        self._chance = chance
+        self._beats = 0
+        self._next_old = 0
+
+    def tell(
+        self, records: tuple[crash_evidence.CrashRecord, ...], *, now: float
+    ) -> None:
+        """Tell the whole fleet what this entry VM has just learned itself."""
+        for news in self._messages(records, now):
+            self._send(news, self._table.near_addresses())
+            self._send(news, self._fleet.far_addresses())
+
+    def hand_on(
+        self,
+        told: router_messages.CrashNews,
+        new: tuple[crash_evidence.CrashRecord, ...],
+        *,
+        now: float,
+    ) -> None:
+        """Hand on, as the relay, what was new from another failure domain."""
+        if not new or told.domain == self._domain or not self.leads:
+            return
+        for news in self._messages(new, now):
+            self._send(news, self._table.near_addresses())
+
+    @property
+    def leads(self) -> bool:
+        """Whether this entry VM is the relay of its failure domain."""
+        return self._fleet.leads()
+
+    def beat(self, *, now: float) -> None:
+        """Repeat what others may not have heard, every few calls."""
+        self._beats += 1
+        if self._beats % _NEWS_BEATS:
+            return
+        records = self._records()
+        if not records:
+            return
+        told = [one for one in records if now - one.seen_at < NEWS_SECONDS]
+        if not told and self._beats % _OLD_BEATS == 0:
+            told = self._some_old(records)
+        addresses = self._some_peers()
+        for news in self._messages(tuple(told[:_MOST_TOLD]), now):
+            self._send(news, addresses)
+
+    def _some_old(
+        self, records: tuple[crash_evidence.CrashRecord, ...]
+    ) -> list[crash_evidence.CrashRecord]:
+        """Return the next part of all records, the weightiest in each."""
+        half = _MOST_TOLD // 2
+        heavy, others = records[:half], records[half:]
+        if self._next_old >= len(others):
+            self._next_old = 0
+        part = others[self._next_old : self._next_old + half]
+        self._next_old += half
+        return [*heavy, *part]
+
+    def _some_peers(self) -> tuple[settings.Address, ...]:
+        near = self._table.near_addresses()
+        near_one = self._chance.sample(near, min(1, len(near)))
+        return (*near_one, *self._table.far_told(self._chance))
+
+    def _messages(
+        self, records: tuple[crash_evidence.CrashRecord, ...], now: float
+    ) -> Iterable[router_messages.CrashNews]:
+        for begin in range(0, len(records), _MOST_TOLD):
+            part = records[begin : begin + _MOST_TOLD]
+            yield router_messages.CrashNews(
+                entry_vm=self._entry_vm,
+                domain=self._domain,
+                runs=tuple(_told(one, now) for one in part),
+            )
+
+
+def records_of(
+    news: router_messages.CrashNews, *, now: float
+) -> tuple[crash_evidence.CrashRecord, ...]:
+    """Return the records in a message."""
+    return tuple(
+        crash_evidence.CrashRecord(
+            request=one.request,
+            at=running_requests.StartedUpstream(
+                upstream=one.upstream, start=one.start
+            ),
+            route=one.route,
+            seen_at=now - one.age_milliseconds / 1000.0,
+            void=one.void,
+        )
+        for one in news.runs
+    )
+
+
+def _told(
+    record: crash_evidence.CrashRecord, now: float
+) -> router_messages.CrashedRun:
+    age_seconds = max(0.0, now - record.seen_at)
+    return router_messages.CrashedRun(
+        request=record.request,
+        route=record.route,
+        upstream=record.at.upstream,
+        start=record.at.start,
+        age_milliseconds=round(age_seconds * 1000.0),
+        void=record.void,
+    )
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -33,7 +33,7 @@
     def __call__(
         self,
         at: running_requests.StartedUpstream,
-        requests: frozenset[types.RequestDigest],
+        requests: frozenset[running_requests.RanRequest],
     ) -> None:
         """Take in which requests of this entry VM ran there; maybe none."""
 
@@ -99,7 +99,9 @@
     # What the sends tell.
 
     def begin(
-        self, request: types.RequestDigest, upstream: upstreams.Registration
+        self,
+        request: running_requests.RanRequest,
+        upstream: upstreams.Registration,
     ) -> running_requests.Run:
         """Note that a request is about to be written to an upstream."""
         return self._running.begin(request, _started(upstream))
@@ -120,7 +122,7 @@
         end = _end_of(result)
         self._running.end(run, end, now=self._clock.monotonic())
         if end is running_requests.RunEnd.ANSWERED and self.on_answer:
-            self.on_answer(run.request)
+            self.on_answer(run.request.digest)
         broken = end is running_requests.RunEnd.BROKEN
         if broken and self._directory.is_serving(run.at.upstream):
             self._probe(run.at, upstream)
@@ -133,7 +135,7 @@
 
     def ran_at(
         self, at: running_requests.StartedUpstream
-    ) -> frozenset[types.RequestDigest]:
+    ) -> frozenset[running_requests.RanRequest]:
         """Return the requests of this entry VM that ran at a crashed upstream.
 
         Another entry VM has noticed the crash; here callers may have left
@@ -180,7 +182,7 @@
             upstream=at.upstream,
             start=at.start,
             pool=upstream.pool,
-            requests=sorted(requests),
+            requests=sorted(one.digest for one in requests),
         )
         if self.on_crash is not None:
             self.on_crash(at, requests)
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -0,0 +1,287 @@
+"""Keep requests that end upstreams away from the upstreams.
+
+A request that crashes each runner that begins to run it comes again, by its caller
+or by whoever retries for it, at any entry VM. Each copy would cost another runner
+with all that it runs. So entry VMs hold against a request the upstreams that ended
+while they ran it, tell each other, and refuse it after a few.
+"""
+
+import logging
+from typing import Protocol
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import errors, events, logs, types
+from lagoonrun_protocol import router_messages
+from lagoonrun_router import (
+    block_keeper,
+    block_record,
+    crash_evidence,
+    crash_news,
+    crash_watch,
+    running_requests,
+)
+
+_OWN_KEEP_SECONDS = 0.25
+"""Time from a crash until a block is written to the store: by then the other entry
+VMs have told what else ran there."""
+
+_TOLD_KEEP_SECONDS = 1.5
+"""The same for a relay that was only told of it, if nobody has written it: whoever
+saw the crash may have ended right after."""
+
+_CRASHES_TO_TELL = 2
+"""Crashes from which it is told at once that a request was answered. With one, as
+all that ran beside the cause have, it is of no use to others."""
+
+
+class TellsCrashes(Protocol):
+    """Tells the other entry VMs."""
+
+    @property
+    def leads(self) -> bool:
+        """Whether this entry VM is the relay of its failure domain."""
+
+    def tell(
+        self, records: tuple[crash_evidence.CrashRecord, ...], *, now: float
+    ) -> None:
+        """Tell the whole fleet."""
+
+    def hand_on(
+        self,
+        told: router_messages.CrashNews,
+        new: tuple[crash_evidence.CrashRecord, ...],
+        *,
+        now: float,
+    ) -> None:
+        """Hand on what was new in a message."""
+
+
+class CrashingRequests:
+    """Takes in crashes, decides, and has the decision spread and kept.
+
+    Parameters
+    ----------
+    watch
+        Notices crashes at this entry VM.
+    keeper
+        Writes blocks to the store.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        watch: crash_watch.CrashWatch,
+        keeper: block_keeper.BlockKeeper,
+        clock: clocks.Clock,
+    ) -> None:
+        self._watch = watch
+        watch.on_crash = self.take_crash
+        watch.on_answer = self.take_answer
+        self._keeper = keeper
+        self._clock = clock
+        self._evidence = crash_evidence.CrashEvidence()
+        self._blocked: set[types.RequestDigest] = set()
+        self._stored: set[types.RequestDigest] = set()
+        self._keep_at_by_request: dict[types.RequestDigest, float] = {}
+        self.news: TellsCrashes | None = None
+        """Set once the exchange with the peers is there."""
+
+    # What is asked.
+
+    def block_of(
+        self, request: types.RequestDigest
+    ) -> crash_evidence.Block | None:
+        """Return why a request must not be sent; None where it may."""
+        return self._evidence.block_of(request, now=self._clock.monotonic())
+
+    def blocks(self) -> tuple[crash_evidence.Block, ...]:
+        """Return all requests that must not be sent."""
+        return self._evidence.blocks(now=self._clock.monotonic())
+
+    def records(self) -> tuple[crash_evidence.CrashRecord, ...]:
+        """Return all records, those of the most suspect requests first."""
+        return self._evidence.records()
+
+    # What this entry VM notices.
+
+    def take_crash(
+        self,
+        at: running_requests.StartedUpstream,
+        requests: frozenset[running_requests.RanRequest],
+    ) -> None:
+        """Hold a crash against the requests that ran there."""
+        now = self._clock.monotonic()
+        new = self._take(_records(at, requests, seen_at=now), now)
+        self._tell(new, now)
+        for one in self._note_blocked(new, source="own"):
+            self._keep_at_by_request[one.request] = now + _OWN_KEEP_SECONDS
+
+    def take_answer(self, request: types.RequestDigest) -> None:
+        """Hold nothing against a request that an upstream has run."""
+        cleared = self._clear(request, reason="answered")
+        if len(cleared) >= _CRASHES_TO_TELL:
+            self._tell(cleared, self._clock.monotonic())
+
+    def lift(self, request: types.RequestDigest) -> bool:
+        """Let a request run again; return whether anything was held against it."""
+        cleared = self._clear(request, reason="lifted")
+        self._tell(cleared, self._clock.monotonic())
+        return bool(cleared)
+
+    # What peers and the store tell.
+
+    def take_news(self, news: router_messages.CrashNews) -> None:
+        """Take in what a peer knows of crashes."""
+        now = self._clock.monotonic()
+        told = crash_news.records_of(news, now=now)
+        new = self._take(told, now)
+        own = self._own_records(told, now)
+        self._tell(own, now)
+        if self.news is not None:
+            self.news.hand_on(news, new, now=now)
+        for one in self._note_blocked((*new, *own), source=news.entry_vm):
+            stored = one.request in self._stored
+            if self.news is not None and self.news.leads and not stored:
+                self._keep_at_by_request.setdefault(
+                    one.request, now + _TOLD_KEEP_SECONDS
+                )
+
+    def take_stored(self, request: types.RequestDigest, value: bytes) -> None:
+        """Take in a block that the store keeps."""
+        now = self._clock.monotonic()
+        try:
+            records = block_record.decode(request, value, now=now)
+        except errors.LagoonrunError as error:
+            logs.emit(
+                events.LogEvent.PEER_FRAME_REJECTED,
+                level=logging.WARNING,
+                peer="store",
+                detail=str(error),
+            )
+            return
+        self._stored.add(request)
+        self._keep_at_by_request.pop(request, None)
+        self._note_blocked(self._take(records, now), source="store")
+
+    def take_unstored(self, request: types.RequestDigest) -> None:
+        """Take in that the store keeps a block no more.
+
+        Its lease has run out, or somebody lifted it.
+        """
+        if request in self._stored:
+            self._stored.discard(request)
+            self._clear(request, reason="removed from the store")
+
+    def beat(self) -> None:
+        """Write what nobody has written, and forget what is old."""
+        now = self._clock.monotonic()
+        self._evidence.forget_old(now=now)
+        for request, at in tuple(self._keep_at_by_request.items()):
+            if now >= at:
+                del self._keep_at_by_request[request]
+                self._keep(request)
+        for request in tuple(self._blocked):
+            if self.block_of(request) is None:
+                self._note_unblocked(request, reason="time has passed")
+
+    # Parts.
+
+    def _take(
+        self, records: tuple[crash_evidence.CrashRecord, ...], now: float
+    ) -> tuple[crash_evidence.CrashRecord, ...]:
+        return tuple(
+            one for one in records if self._evidence.take(one, now=now)
+        )
+
+    def _own_records(
+        self, told: tuple[crash_evidence.CrashRecord, ...], now: float
+    ) -> tuple[crash_evidence.CrashRecord, ...]:
+        """Return what ran here at upstreams that others saw crash.
+
+        Callers may have left here right before, so that nothing was broken.
+        """
+        news = {
+            one.at
+            for one in told
+            if now - one.seen_at < running_requests.SUSPECT_SECONDS
+        }
+        found: list[crash_evidence.CrashRecord] = []
+        for at in news:
+            records = _records(at, self._watch.ran_at(at), seen_at=now)
+            found.extend(self._take(records, now))
+        return tuple(found)
+
+    def _tell(
+        self, records: tuple[crash_evidence.CrashRecord, ...], now: float
+    ) -> None:
+        if records and self.news is not None:
+            self.news.tell(records, now=now)
+
+    def _clear(
+        self, request: types.RequestDigest, *, reason: str
+    ) -> tuple[crash_evidence.CrashRecord, ...]:
+        cleared = self._evidence.clear(request)
+        if request in self._stored:
+            self._keeper.remove(request)
+        self._note_unblocked(request, reason=reason)
+        return cleared
+
+    def _note_blocked(
+        self, records: tuple[crash_evidence.CrashRecord, ...], *, source: str
+    ) -> tuple[crash_evidence.Block, ...]:
+        """Return what is blocked of what was just told; log what changed."""
+        blocks = []
+        for request in {one.request for one in records}:
+            block = self.block_of(request)
+            if block is None:
+                self._note_unblocked(request, reason=f"cleared by {source}")
+                continue
+            blocks.append(block)
+            if request not in self._blocked:
+                self._blocked.add(request)
+                self._log_blocked(block, source)
+        return tuple(blocks)
+
+    def _log_blocked(self, block: crash_evidence.Block, source: str) -> None:
+        left_seconds = block.until - self._clock.monotonic()
+        logs.emit(
+            events.LogEvent.REQUEST_BLOCKED,
+            level=logging.WARNING,
+            digest=block.request,
+            route=block.route,
+            upstreams=[one.upstream for one in block.crashes],
+            seconds=round(left_seconds, 1),
+            source=source,
+        )
+
+    def _note_unblocked(
+        self, request: types.RequestDigest, *, reason: str
+    ) -> None:
+        self._keep_at_by_request.pop(request, None)
+        if request not in self._blocked:
+            return
+        self._blocked.discard(request)
+        logs.emit(
+            events.LogEvent.REQUEST_UNBLOCKED, digest=request, reason=reason
+        )
+
+    def _keep(self, request: types.RequestDigest) -> None:
+        block = self.block_of(request)
+        if block is not None:
+            self._keeper.keep(block)
+
+
+def _records(
+    at: running_requests.StartedUpstream,
+    requests: frozenset[running_requests.RanRequest],
+    *,
+    seen_at: float,
+) -> tuple[crash_evidence.CrashRecord, ...]:
+    return tuple(
+        crash_evidence.CrashRecord(
+            request=one.digest, at=at, route=one.route, seen_at=seen_at
+        )
+        for one in requests
+    )
--- a/packages/router/src/lagoonrun_router/dialect.py
+++ b/packages/router/src/lagoonrun_router/dialect.py
@@ -61,6 +61,9 @@
     entry_vms_prefix: str
     """Keys that entry VMs may write, one each, begin so."""
 
+    blocked_requests_prefix: str
+    """Keys that entry VMs may write, one for a blocked request, begin so."""
+
     def decode_declarations(self, value: bytes) -> declarations.Declarations:
         """Return the declarations in a value; raises `FormatError`."""
 
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -1,6 +1,7 @@
 """See one call to its final answer: attempts, retries, limits."""
 
 import asyncio
+import dataclasses
 import logging
 
 from lagoonrun_core import events, logs, outcomes, types
@@ -10,6 +11,7 @@
     answers,
     attempt,
     choosing,
+    crash_evidence,
     loads,
     retrying,
     sending,
@@ -88,6 +90,11 @@
 
     async def _attempts(self) -> outcomes.Ending:
         while True:
+            # Before each send, also of a request that was sent before: what is
+            # known of it may have grown meanwhile.
+            block = self._parts.crashing.block_of(self._call.digest)
+            if block is not None:
+                return await self._refuse_blocked(block)
             choice = self._chooser.choose(self._call, excluded=self._tried)
             if choice is None and self._tried:
                 # All were tried; one that failed may do better by now.
@@ -125,6 +132,32 @@
         )
         return await self._end(reason=reason, detail=detail)
 
+    async def _refuse_blocked(
+        self, block: crash_evidence.Block
+    ) -> outcomes.Ending:
+        """End a request that has ended too many upstreams.
+
+        Its caller is told when it may be tried again: not sooner, since each
+        try that fails costs an upstream with all that it runs.
+        """
+        reason = outcomes.Reason.CRASHED_UPSTREAMS
+        detail = f"{len(block.crashes)} upstreams ended while they ran it"
+        left_seconds = block.until - self._parts.clock.monotonic()
+        logs.emit(
+            events.LogEvent.REQUEST_REFUSED,
+            level=logging.WARNING,
+            request_id=self._call.request_id,
+            reason=reason.value,
+            detail=detail,
+            tier=self._call.tier,
+            digest=block.request,
+            upstreams=[one.upstream for one in block.crashes],
+            retry_after=round(left_seconds, 3),
+        )
+        return await self._end(
+            reason=reason, detail=detail, retry_after_seconds=left_seconds
+        )
+
     def _note_pressure(self) -> None:
         """Tell lower tiers of the pool to stand back."""
         if self._call.pool.engine is not None:
@@ -268,7 +301,15 @@
         reason: outcomes.Reason,
         detail: str,
         upstream: types.UpstreamId | None = None,
+        retry_after_seconds: float | None = None,
     ) -> outcomes.Ending:
+        """End a request without an answer of an upstream.
+
+        Parameters
+        ----------
+        retry_after_seconds
+            When to come back if it has not run; None for soon.
+        """
         if self._exchange.started:
             # Part of the answer is with the caller: only a broken connection
             # tells that it is not whole.
@@ -280,6 +321,11 @@
                 upstream=upstream,
             )
         ending = self._unanswered(reason, detail, upstream)
+        not_run = ending.outcome is outcomes.Outcome.NOT_RUN
+        if not_run and retry_after_seconds is not None:
+            ending = dataclasses.replace(
+                ending, retry_after_seconds=retry_after_seconds
+            )
         await answers.end_without_answer(
             self._exchange, request_id=self._call.request_id, ending=ending
         )
--- a/packages/router/src/lagoonrun_router/gauges.py
+++ b/packages/router/src/lagoonrun_router/gauges.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from lagoonrun_router import (
+    crashing_requests,
     load_ledger,
     metrics,
     peer_table,
@@ -23,7 +24,7 @@
     ----------
     into
         The metrics.
-    directory, ledger, peers, budget, follower
+    directory, ledger, peers, budget, follower, crashing
         What is shown.
     """
 
@@ -36,6 +37,7 @@
         peers: peer_table.PeerTable,
         budget: retry_budget.RetryBudget,
         follower: store_follower.StoreFollower,
+        crashing: crashing_requests.CrashingRequests,
     ) -> None:
         self._metrics = into
         self._directory = directory
@@ -43,6 +45,7 @@
         self._peers = peers
         self._budget = budget
         self._follower = follower
+        self._crashing = crashing
 
     def refresh(
         self,
@@ -64,6 +67,7 @@
         into = self._metrics
         into.ready.set(ready)
         into.peers.set(len(self._peers.known()))
+        into.blocked_requests.set(len(self._crashing.blocks()))
         into.store_watched.set(
             self._follower.duty is not store_follower.Duty.STAND_BY
         )
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -67,6 +67,11 @@
             ["pool"],
             registry=self.registry,
         )
+        self.blocked_requests = prometheus_client.Gauge(
+            "lagoonrun_blocked_requests",
+            "Requests that are not sent since upstreams ended under them.",
+            registry=self.registry,
+        )
         self.new_tokens = prometheus_client.Counter(
             "lagoonrun_prompt_tokens_sent",
             "Prompt tokens that upstreams had to read.",
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -9,6 +9,7 @@
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
     crash_watch,
+    crashing_requests,
     dialect,
     let_in_times,
     load_ledger,
@@ -30,6 +31,8 @@
     ----------
     crashes
         Follows what runs at the upstreams.
+    crashing
+        Requests that end upstreams.
     usage
         Counts requests that begin to run; None where nobody asks for usage.
     """
@@ -49,4 +52,5 @@
     chance: random.Random
     metrics: metrics.RouterMetrics
     crashes: crash_watch.CrashWatch
+    crashing: crashing_requests.CrashingRequests
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -15,6 +15,8 @@
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     beliefs,
+    crash_news,
+    crashing_requests,
     domain_news,
     fleet_news,
     gathered_work,
@@ -73,6 +75,8 @@
         Declarations in force.
     directory, ledger, homes, domains, pressed, gathered
         What is told and heard.
+    crashing
+        Requests that end upstreams.
     usage
         Counts of requests; None where nobody asks for them.
     clock, chance
@@ -92,6 +96,7 @@
         domains: reach.DomainReach,
         pressed: pressure.Pressure,
         gathered: gathered_work.GatheredWork,
+        crashing: crashing_requests.CrashingRequests,
         usage: usage_exchange.UsageExchange | None = None,
         clock: clocks.Clock,
         chance: random.Random,
@@ -165,6 +170,17 @@
             usage=usage,
             send=self._socket.send,
         )
+        self._crashing = crashing
+        self._crash_news = crash_news.CrashNewsExchange(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            table=table,
+            fleet=self,
+            records=crashing.records,
+            send=self._socket.send,
+            chance=chance,
+        )
+        crashing.news = self._crash_news
         self._timer = standing_task.StandingTask(
             name="peers", function=self._run
         )
@@ -211,6 +227,7 @@
             self._tell(state, now)
         self._fleet_news.beat(now=now)
         self._domain_news.beat(now=now)
+        self._crash_news.beat(now=now)
         if self._usage is not None:
             self._usage.beat(now=now, leads=self._relays.leads(now=now))
         self._greet(now)
@@ -286,6 +303,15 @@
         """Send counts of the own failure domain to the holder of the duties."""
         self._socket.send(news, self._addresses_of((to,)))
 
+    def far_addresses(self) -> tuple[settings.Address, ...]:
+        """Return the relays of the other failure domains."""
+        now = self._clock.monotonic()
+        return tuple(self._domain_news.far_addresses(now=now))
+
+    def leads(self) -> bool:
+        """Return whether this entry VM is the relay of its failure domain."""
+        return self._relays.leads(now=self._clock.monotonic())
+
     def relays_on_duty(self, *, now: float) -> tuple[types.EntryVmId, ...]:
         """Return who hears all of the own failure domain, in their order."""
         return self._relays.on_duty(now=now)
@@ -323,6 +349,8 @@
         elif isinstance(message, router_messages.StoreChanges):
             if self._known.take_changes_of_peer(message):
                 self._hand_on(message)
+        elif isinstance(message, router_messages.CrashNews):
+            self._crashing.take_news(message)
         elif isinstance(message, router_messages.UsageNews):
             if self._usage is not None:
                 self._usage.take_news(message)
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -18,7 +18,9 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_router import (
     beliefs,
+    block_keeper,
     crash_watch,
+    crashing_requests,
     declarations,
     dialect,
     fleet_duties,
@@ -147,6 +149,7 @@
             self._counting = fleet_duties.Counting(
                 configured=configured, clock=self._clock
             )
+        self._build_crash_watch()
         self._build_knowledge()
         self._duties = self._build_duties()
         self._build_edges(language, listening)
@@ -177,6 +180,23 @@
             chance=self._chance,
         )
 
+    def _build_crash_watch(self) -> None:
+        self._crashes = crash_watch.CrashWatch(
+            directory=self.directory,
+            counters=self.metrics,
+            clock=self._clock,
+        )
+        self._block_keeper = block_keeper.BlockKeeper(
+            store=self._store,
+            prefix=self._layout.blocked_requests_prefix,
+            chance=self._chance,
+        )
+        self.crashing = crashing_requests.CrashingRequests(
+            watch=self._crashes,
+            keeper=self._block_keeper,
+            clock=self._clock,
+        )
+
     def _build_knowledge(self) -> None:
         configured = self._settings
         self._table = peer_table.PeerTable(
@@ -186,6 +206,7 @@
             layout=self._layout,
             directory=self.directory,
             peers=self._table,
+            blocks=self.crashing,
             on_declarations=self._put_in_force,
             on_upstreams=self._on_upstreams,
             clock=self._clock,
@@ -203,6 +224,7 @@
             peers=self._table,
             budget=self._budget,
             follower=self.follower,
+            crashing=self.crashing,
         )
         self._duty = store_duty.StoreDuty(
             entry_vm=configured.entry_vm,
@@ -225,6 +247,7 @@
             domains=self._domains,
             pressed=self._pressed,
             gathered=self._gathered,
+            crashing=self.crashing,
             usage=self._usage,
             clock=self._clock,
             chance=self._chance,
@@ -244,11 +267,6 @@
             ),
             clock=self._clock,
         )
-        self._crashes = crash_watch.CrashWatch(
-            directory=self.directory,
-            counters=self.metrics,
-            clock=self._clock,
-        )
         self._ingress = ingress.Ingress(
             parts=parts.Parts(
                 domain=configured.domain,
@@ -266,6 +284,7 @@
                 chance=self._chance,
                 metrics=self.metrics,
                 crashes=self._crashes,
+                crashing=self.crashing,
                 usage=self._usage,
             )
         )
@@ -343,6 +362,7 @@
         await self._peers.start()
         await self.follower.start()
         await self._duty.start()
+        await self._block_keeper.start()
         if self._duties is not None:
             await self._duties.start()
         for task in self._tasks:
@@ -389,6 +409,7 @@
         await self._peers.close()
         await self._client.close()
         await self._crashes.close()
+        await self._block_keeper.close()
         await self._peer_server.close()
         await self._readiness_server.close()
         if self._metrics_server is not None:
@@ -472,6 +493,7 @@
             self._budget.share_among(sharers)
             self._let_in.share_among(sharers)
             self._crashes.forget_old()
+            self.crashing.beat()
 
     def metrics_text(self) -> bytes:
         """Return all metrics in the text format."""
--- a/packages/router/src/lagoonrun_router/running_requests.py
+++ b/packages/router/src/lagoonrun_router/running_requests.py
@@ -34,6 +34,20 @@
     start: types.UpstreamStart
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RanRequest:
+    """A request as those who look into a crash know it.
+
+    Parameters
+    ----------
+    route
+        Name of its route, for operators.
+    """
+
+    digest: types.RequestDigest
+    route: str
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Run:
     """A request that was written to an upstream.
@@ -47,7 +61,7 @@
         it runs.
     """
 
-    request: types.RequestDigest
+    request: RanRequest
     at: StartedUpstream
     ended_at: float | None = None
 
@@ -58,7 +72,7 @@
     def __init__(self) -> None:
         self._runs_by_upstream: dict[StartedUpstream, list[Run]] = {}
 
-    def begin(self, request: types.RequestDigest, at: StartedUpstream) -> Run:
+    def begin(self, request: RanRequest, at: StartedUpstream) -> Run:
         """Note that a request is about to be written to an upstream."""
         run = Run(request=request, at=at)
         self._runs_by_upstream.setdefault(at, []).append(run)
@@ -74,7 +88,7 @@
 
     def ran_at(
         self, at: StartedUpstream, *, now: float
-    ) -> frozenset[types.RequestDigest]:
+    ) -> frozenset[RanRequest]:
         """Return the requests that ran at an upstream a moment ago."""
         self._forget_old(at, now)
         runs = self._runs_by_upstream.get(at, ())
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -148,7 +148,10 @@
         self.may_have_run = may
         if may:
             self._run = self._parts.crashes.begin(
-                self._call.digest, choice.upstream
+                running_requests.RanRequest(
+                    digest=self._call.digest, route=self._call.route.name
+                ),
+                choice.upstream,
             )
         return may
 
--- /dev/null
+++ b/packages/router/tests/test_block_keeper.py
@@ -0,0 +1,105 @@
+"""Blocks reach the store, whatever it is doing, and end by themselves."""
+
+import random
+
+import pytest
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_platform import memory_store
+from lagoonrun_router import (
+    block_keeper,
+    block_record,
+    crash_evidence,
+    running_requests,
+)
+from lagoonrun_standins.router_world import wait_for
+
+PREFIX = "blocked/"
+BLOCK = crash_evidence.Block(
+    request="one",
+    route="lookups",
+    crashes=tuple(
+        running_requests.StartedUpstream(upstream=f"u-{n}", start=n)
+        for n in range(3)
+    ),
+    until=100.0,
+)
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def store(clock):
+    return memory_store.MemoryStore(clock=clock)
+
+
+@pytest.fixture
+async def keeper(store, monkeypatch):
+    monkeypatch.setattr(block_keeper, "_PAUSE_SECONDS", 0.01)
+    made = block_keeper.BlockKeeper(
+        store=store, prefix=PREFIX, chance=random.Random(1)
+    )
+    await made.start()
+    yield made
+    await made.close()
+
+
+async def stored(store):
+    return (await store.get(PREFIX + "one")).found
+
+
+async def test_block_is_kept_until_its_crashes_say_nothing_more(
+    keeper, store, clock
+):
+    before = store.revision
+    keeper.keep(BLOCK)
+    await wait_for(lambda: store.revision > before)
+    kept = await stored(store)
+    records = block_record.decode("one", kept.value, now=5.0)
+    assert tuple(one.at for one in records) == BLOCK.crashes
+    clock.advance(crash_evidence.FORGET_SECONDS + 1.0)
+    # A lease ends when a call sees it expired.
+    await store.grant_lease(ttl_seconds=1.0)
+    assert await stored(store) is None
+
+
+async def test_block_is_written_after_the_store_has_come_back(keeper, store):
+    store.reachable = False
+    before = store.revision
+    keeper.keep(BLOCK)
+    calls = store.calls_by_kind["lease"]
+    await wait_for(lambda: store.calls_by_kind["lease"] > calls + 1)
+    store.reachable = True
+    await wait_for(lambda: store.revision > before)
+    assert await stored(store) is not None
+
+
+async def test_answer_that_is_lost_has_it_written_again(keeper, store):
+    store.lost_replies = 1
+    before = store.revision
+    keeper.keep(BLOCK)
+    await wait_for(lambda: store.revision > before)
+    assert await stored(store) is not None
+
+
+async def test_lifted_block_is_removed(keeper, store):
+    before = store.revision
+    keeper.keep(BLOCK)
+    await wait_for(lambda: store.revision > before)
+    before = store.revision
+    keeper.remove("one")
+    await wait_for(lambda: store.revision > before)
+    assert await stored(store) is None
+
+
+async def test_lifted_block_that_was_not_written_yet_never_is(keeper, store):
+    store.reachable = False
+    keeper.keep(BLOCK)
+    keeper.remove("one")
+    before = store.calls_by_kind["transact"]
+    store.reachable = True
+    await wait_for(lambda: store.calls_by_kind["transact"] > before)
+    assert await stored(store) is None
--- a/packages/router/tests/test_crash_watch.py
+++ b/packages/router/tests/test_crash_watch.py
@@ -6,7 +6,13 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import outcomes
-from lagoonrun_router import attempt, crash_watch, metrics, upstreams
+from lagoonrun_router import (
+    attempt,
+    crash_watch,
+    metrics,
+    running_requests,
+    upstreams,
+)
 from lagoonrun_standins import router_samples
 from lagoonrun_standins.router_world import free_ports, wait_for
 
@@ -55,6 +61,12 @@
     await made.close()
 
 
+def begin(watch, digest, registration):
+    """Begin a run of a request."""
+    ran = running_requests.RanRequest(digest=digest, route="lookups")
+    return watch.begin(ran, registration)
+
+
 async def settled(watch):
     """Wait until no upstream is looked into."""
     await wait_for(lambda: not watch.looks_into)
@@ -63,10 +75,10 @@
 async def test_upstream_that_refuses_connections_has_crashed(
     watch, registration
 ):
-    one = watch.begin("one", registration)
-    two = watch.begin("two", registration)
-    left = watch.begin("left", registration)
-    done = watch.begin("done", registration)
+    one = begin(watch, "one", registration)
+    two = begin(watch, "two", registration)
+    left = begin(watch, "left", registration)
+    done = begin(watch, "done", registration)
     watch.end(done, COMPLETE, registration)
     watch.end(left, None, registration)
     watch.end(one, BROKEN, registration)
@@ -74,7 +86,7 @@
     await settled(watch)
     ((at, requests),) = watch.seen
     assert (at.upstream, at.start) == ("u-1", 5)
-    assert requests == {"one", "two", "left"}
+    assert {one.digest for one in requests} == {"one", "two", "left"}
     assert watch.answered == ["done"]
 
 
@@ -85,7 +97,7 @@
         registration.host,
         registration.port,
     )
-    watch.end(watch.begin("one", registration), BROKEN, registration)
+    watch.end(begin(watch, "one", registration), BROKEN, registration)
     await settled(watch)
     server.close()
     assert watch.seen == []
@@ -98,7 +110,7 @@
 
     Its callers come again, and the next may be reclaimed as well.
     """
-    run = watch.begin("one", registration)
+    run = begin(watch, "one", registration)
     directory.take_leaving("u-1", start=5, source="store")
     watch.end(run, BROKEN, registration)
     await settled(watch)
@@ -109,6 +121,6 @@
 async def test_answered_failure_or_caller_that_left_is_not_looked_into(
     watch, registration, result
 ):
-    watch.end(watch.begin("one", registration), result, registration)
+    watch.end(begin(watch, "one", registration), result, registration)
     assert not watch.looks_into
     assert watch.seen == []
--- a/packages/router/tests/test_crashing_requests.py
+++ b/packages/router/tests/test_crashing_requests.py
@@ -6,11 +6,14 @@
 import asyncio
 import itertools
 
+from lagoonrun_http import messages
+from lagoonrun_router import request_digest
 from lagoonrun_standins.router_samples import make_route, make_stream_route
 from lagoonrun_standins.router_upstream import answer_whole
 from lagoonrun_standins.router_world import wait_for
 
 BAD = b"prompt that the engine can't bear"
+LONG = b"prompt whose answer takes longer than anybody waits"
 MOST_RETRIES = 3
 """Copies that may still reach an upstream after the third crash."""
 
@@ -19,6 +22,16 @@
 REASON = "crashed-upstreams"
 
 
+def digest_of(body):
+    """Return the digest of a request as `ask` sends it."""
+    return request_digest.digest_of(
+        messages.RequestHead(method="POST", target="/lookups/1"),
+        host="portal.test",
+        organisation="house",
+        body=body,
+    )
+
+
 class CrashingPool:
     """Upstreams that end when they run `BAD`, each replaced by a new one.
 
@@ -34,6 +47,18 @@
         self._numbers = itertools.count(1)
         self._started_by_id = {}
         self.crashed = []
+        self.mended = False
+
+    def running(self, body):
+        """Return how many requests with a body arrived at living upstreams."""
+        return sum(
+            one.bodies.count(body) for one in self._started_by_id.values()
+        )
+
+    @property
+    def living(self):
+        """Ids of the upstreams that have not ended."""
+        return set(self._started_by_id)
 
     async def start(self):
         """Start all of the pool."""
@@ -44,8 +69,11 @@
         id = f"u-{next(self._numbers)}"
 
         async def answer(exchange):
-            if self._started_by_id[id].bodies[-1] == BAD:
+            body = self._started_by_id[id].bodies[-1]
+            if body == BAD and not self.mended:
                 await self._crash(id)
+            elif body == LONG:
+                await exchange.caller_left.wait()
             else:
                 await answer_whole(exchange)
 
@@ -107,7 +135,10 @@
 
     It comes again, with another id each time, at any entry VM; ten upstreams
     ended within as many seconds, and with each the answers of up to five other
-    callers.
+    callers. Nothing related one copy to the next: what was known of a crash was
+    held against the upstream, which was gone, and the one that had just started
+    was the emptiest. The logs of a recorded day, once they had the digest of a
+    request, showed the same one at each crash.
     """
     worlds, pool = await fleet(world_of, make_stream_route())
     refusal_by_vm = await send_until_refused_everywhere(worlds, pool, most=12)
@@ -125,3 +156,110 @@
     worlds, pool = await fleet(world_of, route)
     await send_until_refused_everywhere(worlds, pool, most=12)
     assert len(pool.crashed) <= CRASHES_BEFORE + MOST_RETRIES
+
+
+async def block_everywhere(worlds, pool):
+    """Have the fleet block `BAD`, and the store keep that."""
+    refusals = await send_until_refused_everywhere(worlds, pool, most=12)
+    assert len(refusals) == len(worlds)
+    await wait_for_stored(worlds[0], [digest_of(BAD)])
+
+
+async def wait_for_stored(world, requests):
+    """Wait until the store keeps the blocks of just these requests."""
+    prefix = world.layout.blocked_requests_prefix
+    wanted = tuple(f"{prefix}{one}" for one in requests)
+    while await world.keys(prefix) != wanted:
+        seen = world.store.revision
+        await wait_for(lambda seen=seen: world.store.revision > seen)
+
+
+async def ask(world, body=BAD, **options):
+    """Send a request to one entry VM."""
+    return await world.ask("/lookups/1", method="POST", body=body, **options)
+
+
+async def test_block_outlives_all_entry_vms(world_of):
+    """All processes of the fleet are killed at the same time.
+
+    What they knew of crashes is gone with them; the request comes again, and
+    would end three more upstreams.
+    """
+    worlds, pool = await fleet(world_of, make_stream_route())
+    await block_everywhere(worlds, pool)
+    for world in worlds:
+        await world.router.close()
+    crashed = len(pool.crashed)
+    again = await world_of(name="vm-0")
+    again.layout.declared_by_revision = worlds[0].layout.declared_by_revision
+    await again.declare(make_stream_route(), revision=3)
+    await again.ready()
+    got = await ask(again)
+    assert got.headers["lagoonrun-reason"] == REASON
+    assert len(pool.crashed) == crashed
+
+
+async def test_block_outlives_the_entry_vm_that_saw_the_crashes(world_of):
+    """One entry VM sent all copies, and is killed right after the third crash."""
+    worlds, pool = await fleet(world_of, make_stream_route())
+    for number in range(CRASHES_BEFORE):
+        assert (await ask(worlds[0], id=f"r-{number}")).status == 502
+        await pool.replace_crashed()
+    await worlds[0].router.close()
+    await send_until_refused_everywhere(worlds[1:], pool, most=12)
+    assert len(pool.crashed) <= CRASHES_BEFORE + MOST_RETRIES
+    for world in worlds[1:]:
+        got = await ask(world)
+        assert got.headers["lagoonrun-reason"] == REASON
+
+
+async def test_requests_beside_the_cause_are_served_when_they_come_again(
+    world_of,
+):
+    """A crash cuts all that its upstream runs; their callers send them again."""
+    worlds, pool = await fleet(world_of, make_stream_route())
+    beside = [f"other prompt {number}".encode() for number in range(6)]
+    for number in range(CRASHES_BEFORE):
+        cut = [
+            asyncio.create_task(ask(world, LONG, id=f"long-{number}-{n}"))
+            for n, world in enumerate(worlds)
+        ]
+        await wait_for(lambda: pool.running(LONG) == len(worlds))
+        await ask(worlds[number], id=f"bad-{number}")
+        await pool.replace_crashed()
+        for one in cut:
+            one.cancel()
+        await asyncio.gather(*cut, return_exceptions=True)
+    await block_everywhere(worlds, pool)
+    for world in worlds:
+        for body in beside:
+            assert (await ask(world, body)).status == 200
+        assert world.router.crashing.block_of(digest_of(LONG)) is None
+
+
+async def test_nothing_is_held_against_upstreams_that_crashed(world_of):
+    """Their new starts get work at once, as many as were there before."""
+    worlds, pool = await fleet(world_of, make_stream_route())
+    await block_everywhere(worlds, pool)
+    for world in worlds:
+        usable = world.router.directory.usable("portal", now=0.0)
+        assert {one.id for one in usable} == pool.living
+        text = world.router.metrics_text().decode()
+        for id in pool.living:
+            name = (
+                f'lagoonrun_upstream_failures{{pool="portal",upstream="{id}"}}'
+            )
+            assert f"{name} 0.0" in text
+
+
+async def test_lifted_request_runs_again(world_of):
+    """The operator has mended the engine and does not wait for the block to end."""
+    worlds, pool = await fleet(world_of, make_stream_route())
+    await block_everywhere(worlds, pool)
+    pool.mended = True
+    assert worlds[1].router.crashing.lift(digest_of(BAD))
+    assert (await ask(worlds[1])).status == 200
+    for world in worlds:
+        await wait_for(lambda world=world: not world.router.crashing.blocks())
+        assert (await ask(world)).status == 200
+    await wait_for_stored(worlds[0], [])
--- a/packages/router/tests/test_spread_of_changes.py
+++ b/packages/router/tests/test_spread_of_changes.py
@@ -31,6 +31,20 @@
 READERS = ("reader-1", "reader-2")
 MEMBERS = ("member-1", "member-2", "member-3")
 UPSTREAMS = ("u-1", "u-2", "u-3")
+REQUESTS = ("request-1", "request-2")
+
+
+class KeptBlocks(set):
+    """Blocked requests that an entry VM was told of by the store."""
+
+    def take_stored(self, request, value):
+        """Keep a block."""
+        del value
+        self.add(request)
+
+    def take_unstored(self, request):
+        """Drop a block."""
+        self.discard(request)
 
 
 class Vm:
@@ -40,10 +54,12 @@
         self.name = name
         self.told = []
         self.directory = upstreams.UpstreamDirectory()
+        self.blocks = KeptBlocks()
         self.known = beliefs.Beliefs(
             layout=layout,
             directory=self.directory,
             peers=peer_table.PeerTable(entry_vm=name, domain="north"),
+            blocks=self.blocks,
             on_declarations=lambda declared: None,
             on_upstreams=lambda: None,
             clock=clocks.ManualClock(),
@@ -108,6 +124,14 @@
         value = json.dumps(dataclasses.asdict(entry)).encode()
         self.write(self.layout.upstreams_prefix + id, value)
 
+    def block(self, request):
+        """Write the key of a blocked request."""
+        self.write(self.layout.blocked_requests_prefix + request, b"{}")
+
+    def unblock(self, request):
+        """Remove the key of a blocked request."""
+        self.write(self.layout.blocked_requests_prefix + request, None)
+
     def listing(self):
         """Return all keys as a reader lists them."""
         return tuple(
@@ -214,6 +238,29 @@
     assert member.known.upstream_entries() == reader.known.upstream_entries()
 
 
+def test_block_is_told_and_so_is_its_end(layout, store, reader):
+    member = Vm("member-1", layout)
+    fetch(member, reader)
+    store.block("request-1")
+    store.block("request-2")
+    read_changes(reader, store)
+    store.unblock("request-2")
+    read_changes(reader, store)
+    for changes in reader.told[1:]:
+        member.known.take_changes_of_peer(over_the_wire(changes))
+    assert member.blocks == reader.blocks == {"request-1"}
+
+
+def test_block_is_known_to_an_entry_vm_that_starts(layout, store, reader):
+    """All that knew it may have ended; the store keeps it."""
+    store.block("request-1")
+    assert read_all(Vm("reader-2", layout), store).blocks == {"request-1"}
+    read_changes(reader, store)
+    member = Vm("member-1", layout)
+    fetch(member, reader)
+    assert member.blocks == {"request-1"}
+
+
 def test_reading_that_shows_nothing_new_tells_nothing(store, reader):
     reader.told.clear()
     read_all(reader, store)
@@ -263,6 +310,14 @@
         else:
             self.store.put_upstream(id)
 
+    @rule(request=st.sampled_from(REQUESTS), ended=st.booleans())
+    def change_block(self, request, ended):
+        """Have an entry VM block a request, or its block end."""
+        if ended:
+            self.store.unblock(request)
+        else:
+            self.store.block(request)
+
     @rule(name=st.sampled_from(READERS), everything=st.booleans())
     def read(self, name, everything):
         """Have a reader read on, or all."""
@@ -308,11 +363,18 @@
         read_changes(reader, self.store)
         fetch(vm, reader)
         assert vm.known.revision == self.store.declared
+        prefix = self.layout.blocked_requests_prefix
         assert vm.known.upstream_entries() == {
             key: value
             for key, value in self.store.items.items()
-            if key.startswith(self.layout.upstreams_prefix)
+            if key.startswith((self.layout.upstreams_prefix, prefix))
+        }
+        stored = {
+            key.removeprefix(prefix)
+            for key in self.store.items
+            if key.startswith(prefix)
         }
+        assert vm.blocks >= stored
 
     @invariant()
     def nobody_goes_back(self):
--- a/packages/router/tests/test_state_telling.py
+++ b/packages/router/tests/test_state_telling.py
@@ -39,6 +39,7 @@
         layout=PlainLayout(),
         directory=upstreams.UpstreamDirectory(),
         peers=table,
+        blocks=None,
         on_declarations=lambda declared: None,
         on_upstreams=lambda: None,
         clock=clocks.ManualClock(),
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -58,6 +58,7 @@
     declarations_key = "declared"
     upstreams_prefix = "upstreams/"
     entry_vms_prefix = "entry-vms/"
+    blocked_requests_prefix = "blocked-requests/"
 
     def __init__(self):
         self.declared_by_revision = {}
--- a/packages/standins/src/lagoonrun_standins/router_world.py
+++ b/packages/standins/src/lagoonrun_standins/router_world.py
@@ -57,6 +57,11 @@
             comparisons=(), puts=[store_module.Put(key=key, value=value)]
         )
 
+    async def keys(self, prefix: str) -> tuple[str, ...]:
+        """Return the keys of the store that begin so."""
+        listing = await self.store.list_prefix(prefix, keys_only=True)
+        return tuple(item.key for item in listing.items)
+
     async def remove(self, key: str):
         """Delete one key."""
         await self.store.transact(comparisons=(), deletes=[key])
