Hold a crash against those whose answer had not begun

Cause: what runs beside the request that ends an upstream breaks as often as it comes again; counted plainly, it is turned away with it.

--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -288,6 +288,8 @@
         Which start of the upstream.
     age_milliseconds
         Time since the crash.
+    silent
+        Whether its caller had nothing of its answer.
     void
         Whether the request was answered, or its block lifted, since.
     """
@@ -297,6 +299,7 @@
     upstream: types.UpstreamId
     start: types.UpstreamStart
     age_milliseconds: int
+    silent: bool = True
     void: bool = False
 
 
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -301,7 +301,8 @@
   upstream @2 :Text;
   start @3 :UInt64;
   ageMilliseconds @4 :UInt32;
-  void @5 :Bool;
+  silent @5 :Bool;
+  void @6 :Bool;
 }
 
 struct CrashNews {
--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -2,9 +2,10 @@
 
 All requests that ran at an upstream when it crashed are suspects, and one of them
 at most is the cause. What tells it apart is that it ends each upstream that begins
-to run it: it is never answered, and it is there again when the next one ends. So
-a request is blocked by the number of its crashes since it was answered last, and
-a crash does not count against it where another suspect has had more.
+to run it: it is never answered, it is there again when the next one ends, and its
+caller has nothing of its answer by then. So a request is blocked by the number of
+its crashes since it was answered last; one does not count where the answer had
+begun, or where another suspect has had more. A few more crashes count in any case.
 """
 
 import dataclasses
@@ -18,8 +19,8 @@
 that runs beside it, and a request may be there by chance once or twice."""
 
 CRASHES_SURE = 4
-"""Crashes that count even where another suspect had as many: two requests that end
-upstreams and always come together would else excuse each other for ever."""
+"""Crashes from which all count: a request that ends upstreams after its answer has
+begun, or two that always come together, would else go on for ever."""
 
 BLOCK_SECONDS = 300.0
 """Time from the newest crash to the next trial: what callers are told to wait. An
@@ -43,6 +44,8 @@
         Route of the request, for operators.
     seen_at
         Reading of the clock at the crash, as far as it is known here.
+    silent
+        Whether its caller had nothing of its answer.
     void
         Whether the request was answered, or its block lifted, since.
     """
@@ -51,6 +54,7 @@
     at: running_requests.StartedUpstream
     route: str
     seen_at: float
+    silent: bool = True
     void: bool = False
 
 
@@ -99,9 +103,9 @@
         crashes = self._crashes_of(request, now)
         if len(crashes) < CRASHES_TO_BLOCK:
             return None
-        counted = [
-            one for one in crashes if self._counts(one, len(crashes), now)
-        ]
+        counted = crashes
+        if len(crashes) < CRASHES_SURE:
+            counted = [one for one in crashes if self._counts(one, now)]
         if len(counted) < CRASHES_TO_BLOCK:
             return None
         until = counted[-1].seen_at + BLOCK_SECONDS
@@ -152,6 +156,8 @@
         merged = dataclasses.replace(
             known,
             seen_at=min(known.seen_at, record.seen_at),
+            # Of several copies that ran there, each may be the cause.
+            silent=known.silent or record.silent,
             void=known.void or record.void,
         )
         records[record.at] = merged
@@ -194,23 +200,26 @@
         ]
         return sorted(crashes, key=lambda one: one.seen_at)
 
-    def _counts(self, crash: CrashRecord, crashes: int, now: float) -> bool:
-        """Return whether no other suspect explains a crash better.
+    def _counts(self, crash: CrashRecord, now: float) -> bool:
+        """Return whether no other suspect explains a crash as well.
 
         Requests that ran beside the cause break with it, come again and may
-        meet it again; none of them has been there as often.
+        meet it again; none of them has been there as often, or as silent.
         """
-        most_of_others = max(
-            (
-                len(self._crashes_of(other, now))
-                for other in self._suspects_by_upstream[crash.at]
-                if other != crash.request
-            ),
-            default=0,
+        own = self._suspicion(crash.request, now)
+        return crash.silent and all(
+            self._suspicion(other, now) < own
+            for other in self._suspects_by_upstream[crash.at]
+            if other != crash.request
+        )
+
+    def _suspicion(
+        self, request: types.RequestDigest, now: float
+    ) -> "_Suspicion":
+        crashes = self._crashes_of(request, now)
+        return _Suspicion(
+            crashes=len(crashes), silent=sum(one.silent for one in crashes)
         )
-        if most_of_others == crashes:
-            return crashes >= CRASHES_SURE
-        return most_of_others < crashes
 
     def _drop_least(self) -> None:
         """Drop the quarter of the requests that are the least suspect."""
@@ -236,6 +245,12 @@
             self._size -= 1
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+class _Suspicion:
+    crashes: int
+    silent: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
 class _Weight:
     crashes: int
--- a/packages/router/src/lagoonrun_router/crash_news.py
+++ b/packages/router/src/lagoonrun_router/crash_news.py
@@ -169,6 +169,7 @@
             ),
             route=one.route,
             seen_at=now - one.age_milliseconds / 1000.0,
+            silent=one.silent,
             void=one.void,
         )
         for one in news.runs
@@ -185,5 +186,6 @@
         upstream=record.at.upstream,
         start=record.at.start,
         age_milliseconds=round(age_seconds * 1000.0),
+        silent=record.silent,
         void=record.void,
     )
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -100,11 +100,13 @@
 
     def begin(
         self,
-        request: running_requests.RanRequest,
+        digest: types.RequestDigest,
+        *,
+        route: str,
         upstream: upstreams.Registration,
     ) -> running_requests.Run:
         """Note that a request is about to be written to an upstream."""
-        return self._running.begin(request, _started(upstream))
+        return self._running.begin(digest, route=route, at=_started(upstream))
 
     def end(
         self,
@@ -122,7 +124,7 @@
         end = _end_of(result)
         self._running.end(run, end, now=self._clock.monotonic())
         if end is running_requests.RunEnd.ANSWERED and self.on_answer:
-            self.on_answer(run.request.digest)
+            self.on_answer(run.digest)
         broken = end is running_requests.RunEnd.BROKEN
         if broken and self._directory.is_serving(run.at.upstream):
             self._probe(run.at, upstream)
@@ -183,6 +185,7 @@
             start=at.start,
             pool=upstream.pool,
             requests=sorted(one.digest for one in requests),
+            silent=sorted(one.digest for one in requests if one.silent),
         )
         if self.on_crash is not None:
             self.on_crash(at, requests)
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -281,7 +281,11 @@
 ) -> tuple[crash_evidence.CrashRecord, ...]:
     return tuple(
         crash_evidence.CrashRecord(
-            request=one.digest, at=at, route=one.route, seen_at=seen_at
+            request=one.digest,
+            at=at,
+            route=one.route,
+            seen_at=seen_at,
+            silent=one.silent,
         )
         for one in requests
     )
--- a/packages/router/src/lagoonrun_router/running_requests.py
+++ b/packages/router/src/lagoonrun_router/running_requests.py
@@ -42,10 +42,13 @@
     ----------
     route
         Name of its route, for operators.
+    silent
+        Whether nothing of its answer had come.
     """
 
     digest: types.RequestDigest
     route: str
+    silent: bool = True
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -59,11 +62,18 @@
     ended_at
         Reading of the clock when it was broken off or abandoned; None while
         it runs.
+
+    Attributes
+    ----------
+    silent
+        Whether nothing of its answer has come yet.
     """
 
-    request: RanRequest
+    digest: types.RequestDigest
+    route: str
     at: StartedUpstream
     ended_at: float | None = None
+    silent: bool = True
 
 
 class RunningRequests:
@@ -72,9 +82,11 @@
     def __init__(self) -> None:
         self._runs_by_upstream: dict[StartedUpstream, list[Run]] = {}
 
-    def begin(self, request: RanRequest, at: StartedUpstream) -> Run:
+    def begin(
+        self, digest: types.RequestDigest, *, route: str, at: StartedUpstream
+    ) -> Run:
         """Note that a request is about to be written to an upstream."""
-        run = Run(request=request, at=at)
+        run = Run(digest=digest, route=route, at=at)
         self._runs_by_upstream.setdefault(at, []).append(run)
         return run
 
@@ -92,7 +104,10 @@
         """Return the requests that ran at an upstream a moment ago."""
         self._forget_old(at, now)
         runs = self._runs_by_upstream.get(at, ())
-        return frozenset(run.request for run in runs)
+        return frozenset(
+            RanRequest(digest=run.digest, route=run.route, silent=run.silent)
+            for run in runs
+        )
 
     @property
     def upstreams(self) -> int:
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -148,10 +148,9 @@
         self.may_have_run = may
         if may:
             self._run = self._parts.crashes.begin(
-                running_requests.RanRequest(
-                    digest=self._call.digest, route=self._call.route.name
-                ),
-                choice.upstream,
+                self._call.digest,
+                route=self._call.route.name,
+                upstream=choice.upstream,
             )
         return may
 
@@ -192,6 +191,8 @@
         return await self._take_whole(response, upstream)
 
     def _note_event(self, pause: float | None) -> None:
+        if self._run is not None:
+            self._run.silent = False
         if self._work.waiting:
             self._parts.ledger.first_event(self._work)
             self._note_begun()
--- a/packages/router/tests/test_crash_evidence.py
+++ b/packages/router/tests/test_crash_evidence.py
@@ -37,9 +37,10 @@
     )
 
 
-def crash(evidence, upstream, *requests, at=NOW):
+def crash(evidence, upstream, *requests, at=NOW, silent=True):
     for request in requests:
-        evidence.take(record(request, upstream, seen_at=at), now=at)
+        one = record(request, upstream, seen_at=at, silent=silent)
+        evidence.take(one, now=at)
 
 
 def blocked(evidence, request, *, now=NOW):
@@ -86,6 +87,28 @@
     assert not blocked(evidence, BESIDE)
 
 
+def test_request_whose_answers_had_begun_is_not_blocked_at_first(evidence):
+    """A stream beside the cause; the cause is another request each time.
+
+    The engine had run it for a while, so it did not end by beginning to.
+    """
+    for number in range(3):
+        crash(evidence, f"u-{number}", f"cause-{number}")
+        crash(evidence, f"u-{number}", BESIDE, silent=False)
+    assert not blocked(evidence, BESIDE)
+    # One that ends upstreams late in its answer is not sent for ever.
+    crash(evidence, "u-3", BESIDE, silent=False)
+    assert blocked(evidence, BESIDE)
+
+
+def test_silent_one_of_two_that_were_always_together_is_blocked(evidence):
+    for number in range(3):
+        crash(evidence, f"u-{number}", GUILTY)
+        crash(evidence, f"u-{number}", BESIDE, silent=number == 0)
+    assert blocked(evidence, GUILTY)
+    assert not blocked(evidence, BESIDE)
+
+
 def test_two_that_were_always_together_wait_for_one_more_crash(evidence):
     """At three crashes each, one of them is innocent, and nobody knows which."""
     for number in range(3):
@@ -172,13 +195,19 @@
         requests=st.sets(
             st.sampled_from(("a", "b", "c")), min_size=1, max_size=3
         ),
+        silent=st.booleans(),
     )
-    def crash(self, vm, requests):
+    def crash(self, vm, requests, silent):
         """Have an upstream end under some requests."""
         self.upstreams += 1
         self.now += 0.1
         for request in requests:
-            one = record(request, f"u-{self.upstreams}", seen_at=self.now)
+            one = record(
+                request,
+                f"u-{self.upstreams}",
+                seen_at=self.now,
+                silent=silent,
+            )
             assert self.vms[vm].take(one, now=self.now)
             self.told.append(one)
 
@@ -221,10 +250,10 @@
         }
         for request in blocked:
             assert counts[request] >= crash_evidence.CRASHES_TO_BLOCK
-        most = max(counts.values())
-        if most >= crash_evidence.CRASHES_SURE:
-            # Whatever ran beside it, the most suspect one is not sent.
-            assert any(counts[request] == most for request in blocked)
+        for request, count in counts.items():
+            # Whatever ran beside it, so many crashes are enough.
+            if count >= crash_evidence.CRASHES_SURE:
+                assert request in blocked
 
     @invariant()
     def no_block_without_crashes(self):
--- a/packages/router/tests/test_crash_watch.py
+++ b/packages/router/tests/test_crash_watch.py
@@ -10,7 +10,6 @@
     attempt,
     crash_watch,
     metrics,
-    running_requests,
     upstreams,
 )
 from lagoonrun_standins import router_samples
@@ -63,8 +62,7 @@
 
 def begin(watch, digest, registration):
     """Begin a run of a request."""
-    ran = running_requests.RanRequest(digest=digest, route="lookups")
-    return watch.begin(ran, registration)
+    return watch.begin(digest, route="lookups", upstream=registration)
 
 
 async def settled(watch):
@@ -77,6 +75,7 @@
 ):
     one = begin(watch, "one", registration)
     two = begin(watch, "two", registration)
+    two.silent = False
     left = begin(watch, "left", registration)
     done = begin(watch, "done", registration)
     watch.end(done, COMPLETE, registration)
@@ -86,7 +85,8 @@
     await settled(watch)
     ((at, requests),) = watch.seen
     assert (at.upstream, at.start) == ("u-1", 5)
-    assert {one.digest for one in requests} == {"one", "two", "left"}
+    silent_by_digest = {one.digest: one.silent for one in requests}
+    assert silent_by_digest == {"one": True, "two": False, "left": True}
     assert watch.answered == ["done"]
 
 
