--- a/packages/cli/src/lagoonrun_cli/admin_client.py
+++ b/packages/cli/src/lagoonrun_cli/admin_client.py
@@ -66,9 +66,20 @@
         self, address: settings.Address, path: str
     ) -> AdminAnswer | AdminFailure:
         """Return the answer to `GET path`."""
+        return await self._ask(address, "GET", path)
+
+    async def delete(
+        self, address: settings.Address, path: str
+    ) -> AdminAnswer | AdminFailure:
+        """Return the answer to `DELETE path`."""
+        return await self._ask(address, "DELETE", path)
+
+    async def _ask(
+        self, address: settings.Address, method: str, path: str
+    ) -> AdminAnswer | AdminFailure:
         try:
             async with asyncio.timeout(self._timeout_seconds):
-                return await self._get(address, path)
+                return await self._exchange(address, method, path)
         except TimeoutError:
             detail = f"no answer within {self._timeout_seconds:g} s"
         except (OSError, h11.ProtocolError, ValueError) as error:
@@ -77,15 +88,15 @@
             step=errors.Step.PEER_CONNECT, peer=str(address), detail=detail
         )
 
-    async def _get(
-        self, address: settings.Address, path: str
+    async def _exchange(
+        self, address: settings.Address, method: str, path: str
     ) -> AdminAnswer | AdminFailure:
         reader, writer = await asyncio.open_connection(
             address.host, address.port
         )
         try:
             connection = h11.Connection(h11.CLIENT)
-            for event in self._request(address, path):
+            for event in self._request(address, method, path):
                 writer.write(connection.send(event) or b"")
             await writer.drain()
             status, body = await _read_answer(connection, reader)
@@ -101,12 +112,12 @@
         return AdminAnswer(status=status, value=json.loads(body))
 
     def _request(
-        self, address: settings.Address, path: str
+        self, address: settings.Address, method: str, path: str
     ) -> tuple[h11.Event, ...]:
         headers = [("Host", str(address)), ("Connection", "close")]
         if self._token:
             headers.append(("Authorization", f"Bearer {self._token}"))
-        request = h11.Request(method="GET", target=path, headers=headers)
+        request = h11.Request(method=method, target=path, headers=headers)
         return (request, h11.EndOfMessage())
 
 
--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -39,6 +39,7 @@
     "overloaded": Verdict.REFUSED,
     "no-upstream": Verdict.REFUSED,
     "unconfigured": Verdict.REFUSED,
+    "crashed-upstreams": Verdict.REFUSED,
     "upstream-refused": Verdict.REFUSED,
     "deadline": Verdict.LIMIT,
     "caller-left": Verdict.CALLER_LEFT,
@@ -76,7 +77,9 @@
     own = tuple(one for one in ordered if one.get("request_id") == request_id)
     if not own:
         return None
-    beliefs = _beliefs_before(own, ordered)
+    beliefs = log_lines.in_order(
+        (*_beliefs_before(own, ordered), *_crashes_under(own, ordered))
+    )
     return Explanation(
         request_id=request_id,
         verdict=_verdict_of(own),
@@ -105,6 +108,19 @@
     return log_lines.in_order(latest.values())
 
 
+def _crashes_under(
+    own: tuple[log_lines.LogLine, ...], ordered: tuple[log_lines.LogLine, ...]
+) -> Iterable[log_lines.LogLine]:
+    """Return the crashes of upstreams that ran the request or a copy of it."""
+    digests = {one.get("digest") for one in own} - {None, ""}
+    return (
+        one
+        for one in ordered
+        if one.message == "upstream-crashed"
+        and digests.intersection(one.get("requests") or ())
+    )
+
+
 def _topic(line: log_lines.LogLine) -> str:
     """Return what an event is about: two of one topic replace each other."""
     return line.message.partition("-")[0]
@@ -142,6 +158,7 @@
                 f"{line.entry_vm} refused it: {line.get('reason')} "
                 f"{line.get('detail') or ''}, tier {line.get('tier')}"
             )
+            yield from _crashes_of(line)
         elif line.message == "upstream-attempt-lost":
             yield (
                 f"the attempt at {line.get('upstream')} was lost: "
@@ -158,6 +175,17 @@
             )
 
 
+def _crashes_of(refused: log_lines.LogLine) -> Iterable[str]:
+    """Name the crashes that counted, and where to read of them."""
+    upstreams = refused.get("upstreams")
+    if upstreams:
+        yield (
+            f"upstreams that ended while they ran request "
+            f"{refused.get('digest')}: {', '.join(upstreams)}; it may be "
+            f"tried again {refused.get('retry_after')} s later"
+        )
+
+
 def _placement_of(routed: log_lines.LogLine) -> Iterable[str]:
     candidates = routed.get("candidates") or []
     if candidates:
@@ -178,6 +206,12 @@
             yield (
                 f"{line.entry_vm} had lost {line.get('peer')} at {line.time}"
             )
+        elif line.message == "upstream-crashed":
+            yield (
+                f"{line.get('upstream')} crashed at {line.time} while it ran "
+                f"the request or a copy of it, as {line.entry_vm} saw; requests "
+                f"that it sent there: {len(line.get('requests'))}"
+            )
         elif line.message == "upstream-state-changed":
             yield (
                 f"{line.get('upstream')} was {line.get('state')} for "
--- a/packages/cli/src/lagoonrun_cli/registry.py
+++ b/packages/cli/src/lagoonrun_cli/registry.py
@@ -1,6 +1,7 @@
 """All subcommands, in the order in which the help lists them."""
 
 from lagoonrun_cli import (
+    blocked_requests_command,
     change_commands,
     check_commands,
     drain_command,
@@ -25,6 +26,7 @@
     status_command.STATUS,
     explain_command.EXPLAIN,
     explain_log_command.EXPLAIN_LOG,
+    blocked_requests_command.BLOCKED_REQUESTS,
     key_command.KEYS,
 )
 
--- a/packages/cli/tests/test_explain_log.py
+++ b/packages/cli/tests/test_explain_log.py
@@ -58,6 +58,42 @@
     assert "first answer after" in found.causes[0]
 
 
+def line_of(message, **fields):
+    return json.dumps({"message": message, "event": 0, **fields})
+
+
+def test_refused_copy_leads_to_the_crashes_that_counted():
+    """A request that ends upstreams is refused at an entry VM that saw none."""
+    lines = [
+        line_of(
+            "upstream-crashed",
+            asctime=f"2026-01-01 00:00:0{number},000",
+            entry_vm=f"vm-{number}",
+            upstream=f"u-{number}",
+            requests=["other", "digest"],
+        )
+        for number in range(3)
+    ]
+    refused = line_of(
+        "request-refused",
+        asctime="2026-01-01 00:00:09,000",
+        entry_vm="vm-9",
+        request_id="r-9",
+        reason="crashed-upstreams",
+        detail="3 upstreams ended while they ran it",
+        digest="digest",
+        upstreams=["u-0", "u-1", "u-2"],
+        retry_after=293.0,
+    )
+    found = log_explanation.explain("r-9", log_lines.read([*lines, refused]))
+    assert found.verdict is log_explanation.Verdict.REFUSED
+    assert "crashed-upstreams" in found.causes[0]
+    assert "u-0, u-1, u-2" in found.causes[1]
+    crashes = [one for one in found.causes if "crashed at" in one]
+    assert len(crashes) == 3
+    assert "vm-1" in crashes[1]
+
+
 async def test_command_prints_verdict_causes_and_lines():
     path = str(RECORDED / "lost.log")
     code, out, _ = await run(LOST, "--log", path)
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -300,7 +300,10 @@
         self._metrics_server = None
         if configured.metrics is not None:
             self._metrics_server = self._server(
-                configured.metrics, own_calls.MetricsCalls(router=self)
+                configured.metrics,
+                own_calls.OperatorCalls(
+                    router=self, blocks=self.crashing, clock=self._clock
+                ),
             )
 
     def _server(
