Do not block a request that was answered lately

Many callers may send the same lookup at the same time, and several upstreams end for another reason within the second until its next answer. What ends each upstream that begins to run it is never answered, so that its block is not delayed.

--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -18,6 +18,7 @@
     crash_evidence,
     crash_news,
     crash_watch,
+    recent_answers,
     running_requests,
 )
 
@@ -82,6 +83,7 @@
         self._keeper = keeper
         self._clock = clock
         self._evidence = crash_evidence.CrashEvidence()
+        self._answered = recent_answers.RecentAnswers()
         self._blocked: set[types.RequestDigest] = set()
         self._stored: set[types.RequestDigest] = set()
         self._keep_at_by_request: dict[types.RequestDigest, float] = {}
@@ -120,9 +122,11 @@
 
     def take_answer(self, request: types.RequestDigest) -> None:
         """Hold nothing against a request that an upstream has run."""
+        now = self._clock.monotonic()
+        self._answered.note(request, now=now)
         cleared = self._clear(request, reason="answered")
         if len(cleared) >= _CRASHES_TO_TELL:
-            self._tell(cleared, self._clock.monotonic())
+            self._tell(cleared, now)
 
     def lift(self, request: types.RequestDigest) -> bool:
         """Let a request run again; return whether anything was held against it."""
@@ -234,6 +238,7 @@
         """Return what is blocked of what was just told; log what changed."""
         blocks = []
         for request in {one.request for one in records}:
+            self._clear_if_answered(request)
             block = self.block_of(request)
             if block is None:
                 self._note_unblocked(request, reason=f"cleared by {source}")
@@ -244,6 +249,16 @@
                 self._log_blocked(block, source)
         return tuple(blocks)
 
+    def _clear_if_answered(self, request: types.RequestDigest) -> None:
+        """Clear a request that would be blocked and was answered here lately.
+
+        Many callers may send the same request at the same time, and several
+        upstreams end for another reason before the next answer comes.
+        """
+        now = self._clock.monotonic()
+        if self.block_of(request) and self._answered.has(request, now=now):
+            self._tell(self._clear(request, reason="answered lately"), now)
+
     def _log_blocked(self, block: crash_evidence.Block, source: str) -> None:
         left_seconds = block.until - self._clock.monotonic()
         logs.emit(
--- a/packages/router/tests/test_crashing_requests_units.py
+++ b/packages/router/tests/test_crashing_requests_units.py
@@ -8,6 +8,7 @@
     block_record,
     crash_evidence,
     crashing_requests,
+    recent_answers,
     running_requests,
 )
 
@@ -196,6 +197,25 @@
     assert news.told == []
 
 
+def test_request_that_was_answered_lately_is_not_blocked_here_or_elsewhere(
+    crashing, news, clock
+):
+    """Many callers send the same lookup; several upstreams end within a second."""
+    crashing.take_answer("one")
+    clock.advance(1.0)
+    crashing.take_news(told(("one", 0), ("one", 1), ("one", 2)))
+    assert blocked(crashing) == []
+    assert [one.void for one in news.told] == [True] * 3
+
+
+def test_request_that_was_answered_long_ago_is_blocked(crashing, clock):
+    """A new version of an engine ends by what the one before could bear."""
+    crashing.take_answer("one")
+    clock.advance(recent_answers.ANSWERED_SECONDS)
+    crash_thrice(crashing)
+    assert blocked(crashing) == ["one"]
+
+
 def test_lifted_block_is_void_for_peers_that_tell_it_again(crashing):
     crash_thrice(crashing)
     assert crashing.lift("one")
--- /dev/null
+++ b/packages/router/tests/test_recent_answers.py
@@ -0,0 +1,35 @@
+"""Answers are remembered for a while, and in a bounded number."""
+
+import pytest
+
+from lagoonrun_router import recent_answers
+
+NOW = 100.0
+LATER = NOW + recent_answers.ANSWERED_SECONDS
+
+
+@pytest.fixture
+def answers():
+    return recent_answers.RecentAnswers()
+
+
+def test_answer_counts_for_a_while(answers):
+    answers.note("one", now=NOW)
+    assert answers.has("one", now=LATER - 1.0)
+    assert not answers.has("one", now=LATER)
+    assert not answers.has("two", now=NOW)
+
+
+def test_newer_answer_counts_longer(answers):
+    answers.note("one", now=NOW)
+    answers.note("one", now=LATER)
+    assert answers.has("one", now=LATER + 1.0)
+
+
+def test_oldest_yield(answers):
+    for number in range(3000):
+        answers.note(f"r-{number}", now=NOW)
+        answers.note("often", now=NOW)
+    assert not answers.has("r-0", now=NOW)
+    assert answers.has("r-2999", now=NOW)
+    assert answers.has("often", now=NOW)
