Send requests that end upstreams in the soak, and count whom they turn away

Callers send one such request at all entry VMs for six seconds; its upstream ends and another comes a second later. Checked: no more than three retries reach an upstream later than the entry VMs have to know, and no other request is refused for it. Planted: no crash is held against any request; found.

--- a/packages/soak/src/lagoonrun_soak/caller.py
+++ b/packages/soak/src/lagoonrun_soak/caller.py
@@ -6,7 +6,8 @@
 import random
 import time
 
-from lagoonrun_soak import layout, record, vm
+from lagoonrun_router import answers
+from lagoonrun_soak import layout, record, upstream, vm
 from lagoonrun_standins import router_world
 from lagoonrun_users_platform import standin_words
 
@@ -34,6 +35,9 @@
         Where requests are noted.
     chance
         Source of pauses.
+    crashing
+        Name of a request that ends upstreams, which this caller sends again and
+        again; empty for one that sends others.
     """
 
     def __init__(
@@ -44,7 +48,9 @@
         target: vm.EntryVm,
         seen: record.Record,
         chance: random.Random,
+        crashing: str = "",
     ) -> None:
+        self._crashing = crashing
         self._name = name
         self._kind = kind
         self._target = target
@@ -101,6 +107,7 @@
         ask.status = answer.status
         ask.body = answer.body
         ask.whole = answer.whole
+        ask.reason = answer.headers.get(answers.REASON_HEADER.lower(), "")
         ask.genuine = standin_words.is_genuine(answer.headers)
         closes = answer.headers.get("connection", "").lower() == "close"
         return answer.whole and answer.status > 0 and not closes
@@ -119,6 +126,7 @@
             boot=boot,
             key_revision=revision,
             sent_at=now,
+            crashing=self._crashing,
         )
         self._seen.asks_by_id[ask.id] = ask
         connection.writer.write(
@@ -130,6 +138,7 @@
                 key=layout.key_of(revision) if revision else layout.STABLE_KEY,
                 patience_seconds=profile.limit_seconds,
                 prompt_tokens=self._kind.prompt_tokens,
+                body=upstream.crashing_body(self._crashing),
             )
         )
         return ask, profile.limit_seconds + _PATIENCE_SLACK_SECONDS
--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -1,9 +1,11 @@
 """The promises, checked from what callers and upstreams saw."""
 
+import collections
 import dataclasses
 import enum
 from collections.abc import Iterator
 
+from lagoonrun_core import outcomes
 from lagoonrun_soak import layout, record, upstream
 
 CONTACT_SECONDS = 3.0
@@ -28,6 +30,11 @@
 _TIER_REQUESTS = 8
 """Refused urgent requests, and less urgent ones begun, in one window."""
 
+_CRASHES_BEFORE = 3
+_MOST_RETRIES = 3
+"""Upstreams that a request may end before the entry VMs know of it, and that it may
+reach later than they have to know."""
+
 _PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 _UNAUTHORIZED = 401
 _OK = 200
@@ -44,6 +51,7 @@
     IN_FORCE = "in-force"
     NO_REVERT = "no-revert"
     TIERS = "tiers"
+    CRASHING = "crashing"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -66,6 +74,7 @@
         *_in_force(seen),
         *_no_revert(seen),
         *_tiers(seen),
+        *_crashing(seen),
     ]
 
 
@@ -240,3 +249,42 @@
                 detail=f"{count} urgent ones refused, {lower} others begun",
             )
             return
+
+
+def _crashing(seen: record.Record) -> Iterator[Violation]:
+    runs_by_name: dict[str, list[record.Run]] = collections.defaultdict(list)
+    for ask in seen.asks_by_id.values():
+        if ask.crashing:
+            runs_by_name[ask.crashing].extend(seen.runs_by_id.get(ask.id, ()))
+        elif ask.reason == outcomes.Reason.CRASHED_UPSTREAMS.value:
+            yield Violation(
+                promise=Promise.CRASHING,
+                request_id=ask.id,
+                detail="turned away for what another request did",
+            )
+    for name, runs in runs_by_name.items():
+        late = _late_retries(seen, sorted(runs, key=lambda one: one.at))
+        if len(late) > _MOST_RETRIES:
+            yield Violation(
+                promise=Promise.CRASHING,
+                request_id=late[-1].id,
+                detail=f"{name} reached {len(late)} more, {len(runs)} in all",
+            )
+
+
+def _late_retries(
+    seen: record.Record, runs: list[record.Run]
+) -> list[record.Run]:
+    """Return the runs that entry VMs in touch should have prevented."""
+    if len(runs) <= _CRASHES_BEFORE:
+        return []
+    known_at = runs[_CRASHES_BEFORE - 1].at + CONTACT_SECONDS
+    return [
+        run
+        for run in runs
+        if run.at > known_at
+        and all(
+            seen.is_calm(one, run.at - CONTACT_SECONDS, run.at)
+            for one in (seen.asks_by_id[run.id].vm, record.STORE)
+        )
+    ]
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -21,6 +21,7 @@
 _LEAST_OF_POOL = 2
 _BURST_CALLERS = 24
 _BURST_SECONDS = 2.5
+_CRASHING_SECONDS = 2.0 * checks.CONTACT_SECONDS
 
 
 class FaultKind(enum.Enum):
@@ -39,6 +40,7 @@
     UPSTREAM_VANISHES = "upstream-vanishes"
     DECLARED = "declared"
     BURST = "burst"
+    CRASHING_REQUEST = "crashing-request"
 
 
 _FAULTY = tuple(
@@ -72,6 +74,7 @@
         self._kinds = kinds
         self._task: asyncio.Task[None] | None = None
         self._busy_vms: set[str] = set()
+        self._crashing = 0
         self._running: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -120,6 +123,7 @@
             FaultKind.UPSTREAM_VANISHES: self._remove_upstream,
             FaultKind.DECLARED: self._world.declare,
             FaultKind.BURST: self._burst,
+            FaultKind.CRASHING_REQUEST: self._send_crashing,
         }
         now = time.monotonic()
         self._seen.faults.append(f"{now:.3f} {kind.value}")
@@ -235,6 +239,9 @@
         carries nothing breaks without anybody noticing.
         """
         upstreams = self._world.upstreams
+        if not upstreams:
+            # Requests have ended them all; others come in a moment.
+            return
         busy = [one for one in sorted(upstreams) if upstreams[one].busy]
         id = self._chance.choice(busy or sorted(upstreams))
         self._seen.disturb(str(id), time.monotonic(), float("inf"))
@@ -250,6 +257,8 @@
             for one in sorted(self._world.upstreams)
             if one not in self._seen.left_at_by_upstream
         ]
+        if not free:
+            return None
         taken = self._chance.choice(free)
         pool = self._world.upstreams[taken].registration.pool
         await self._world.add_upstream(pool)
@@ -289,3 +298,17 @@
         await asyncio.sleep(_BURST_SECONDS)
         for one in made:
             await one.close()
+
+    async def _send_crashing(self) -> None:
+        """Send a request that ends upstreams at all entry VMs for a while."""
+        self._crashing += 1
+        kind = self._chance.choice(tuple(layout.KINDS_BY_NAME.values()))
+        made = [
+            await self._world.add_caller(
+                kind, target, crashing=f"request-{self._crashing}"
+            )
+            for target in self._world.vms
+        ]
+        await asyncio.sleep(_CRASHING_SECONDS)
+        for one in made:
+            await one.close()
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -22,6 +22,9 @@
 _SILENCE_SECONDS = 1.5
 """After so long the store drops the entry of an upstream that has crashed."""
 
+_REPLACED_SECONDS = 1.0
+"""After so long another comes for one that a request has ended."""
+
 _READY_SECONDS = 20.0
 
 
@@ -121,15 +124,20 @@
         task.add_done_callback(self._tasks.discard)
 
     async def add_caller(
-        self, kind: layout.RequestKind, target: vm.EntryVm
+        self,
+        kind: layout.RequestKind,
+        target: vm.EntryVm,
+        *,
+        crashing: str = "",
     ) -> caller.Caller:
-        """Start another caller."""
+        """Start another caller; of a request that ends upstreams, if named."""
         made = caller.Caller(
             name=f"c{len(self._callers)}-{kind.name}",
             kind=kind,
             target=target,
             seen=self.seen,
             chance=random.Random(self.chance.random()),
+            crashing=crashing,
         )
         self._callers.append(made)
         await made.start()
@@ -160,6 +168,7 @@
             registration=registration,
             address=self.network.upstream(index),
             seen=self.seen,
+            on_crash=self._crash_and_replace,
         )
         self.upstream_links[registration.id] = link.FaultyLink(
             listen=self.network.upstream_link(index),
@@ -189,6 +198,15 @@
         await self._close_upstream(id)
         self.later(_SILENCE_SECONDS, lambda: self._remove_entry(id))
 
+    def _crash_and_replace(self, id: types.UpstreamId) -> None:
+        """Have an upstream crash, and another come a while later."""
+        made = self.upstreams.get(id)
+        if made is None:
+            return
+        pool = made.registration.pool
+        self.later(0.0, lambda: self.crash(id))
+        self.later(_REPLACED_SECONDS, lambda: self.add_upstream(pool))
+
     async def _end_upstream(self, id: types.UpstreamId) -> None:
         await self._remove_entry(id)
         self.seen.disturb(str(id), time.monotonic(), float("inf"))
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -14,6 +14,7 @@
     answers,
     attempt,
     beliefs,
+    crash_evidence,
     declarations,
     execution,
     retrying,
@@ -36,6 +37,7 @@
     NO_REVERT = "no-revert"
     IN_FORCE = "in-force"
     TIERS = "tiers"
+    CRASHING = "crashing"
 
 
 def plant(planted: Planted) -> None:
@@ -153,6 +155,11 @@
     admission.admit = admit
 
 
+def _break_crashing() -> None:
+    """Hold no crash against any request."""
+    crash_evidence.CrashEvidence.take = lambda self, record, *, now: False
+
+
 _BREAKS = {
     Planted.ONCE: _break_once,
     Planted.OWN_ANSWER: _break_own_answer,
@@ -162,6 +169,7 @@
     Planted.NO_REVERT: _break_no_revert,
     Planted.IN_FORCE: _break_in_force,
     Planted.TIERS: _break_tiers,
+    Planted.CRASHING: _break_crashing,
 }
 
 
--- a/packages/soak/src/lagoonrun_soak/record.py
+++ b/packages/soak/src/lagoonrun_soak/record.py
@@ -24,6 +24,11 @@
         0 where there was no answer.
     whole
         Whether the answer came to its end.
+    reason
+        Why the router has no answer, as it says.
+    crashing
+        Name of the request that ends upstreams of which this is a copy; empty
+        for any other.
     """
 
     id: str
@@ -37,6 +42,8 @@
     body: bytes = b""
     whole: bool = False
     genuine: bool = False
+    reason: str = ""
+    crashing: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/soak/src/lagoonrun_soak/upstream.py
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import time
+from typing import Protocol
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import types
@@ -17,6 +18,10 @@
 
 _PLAIN_WORK_SECONDS = 0.03
 _EVENT_SECONDS = 0.06
+_CRASHING_WORD = b"crashes "
+_CRASH_SECONDS = 0.05
+"""Time from the beginning of a run that ends the upstream to that end."""
+
 _QUEUED = 4
 """Requests above the slots that wait; further ones are refused as not run.
 
@@ -34,6 +39,18 @@
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
 
+def crashing_body(name: str) -> bytes:
+    """Return the body of a request that ends upstreams; empty for no name."""
+    return _CRASHING_WORD + name.encode() if name else b""
+
+
+class CrashListener(Protocol):
+    """Ends an upstream at once."""
+
+    def __call__(self, id: types.UpstreamId) -> None:
+        """Have the process end, whatever it runs."""
+
+
 class SoakUpstream:
     """One upstream process's stand-in.
 
@@ -45,6 +62,8 @@
         Where it listens, behind its link.
     seen
         Where runs are noted.
+    on_crash
+        Ends it when it runs what it can't bear.
     """
 
     def __init__(
@@ -53,7 +72,9 @@
         registration: upstreams.Registration,
         address: settings.Address,
         seen: record.Record,
+        on_crash: CrashListener,
     ) -> None:
+        self._on_crash = on_crash
         self.registration = registration
         self._seen = seen
         self._running_by_urgency: collections.Counter[int] = (
@@ -83,7 +104,7 @@
 
     async def handle(self, exchange: exchanges.Exchange) -> None:
         """Run one request, or say that it was not run."""
-        await exchange.read_body()
+        body = await exchange.read_body()
         request = standin_words.read_request(exchange.head)
         if request.expected != self.registration.id:
             await self._refuse(exchange, request.request_id, status=421)
@@ -99,6 +120,12 @@
         self._running_by_urgency[request.urgency] += 1
         try:
             async with self._slots:
+                self._note_run(exchange, request)
+                if body.startswith(_CRASHING_WORD):
+                    await asyncio.sleep(_CRASH_SECONDS)
+                    self._on_crash(self.registration.id)
+                    await exchange.caller_left.wait()
+                    return
                 await self._run(exchange, request)
         except http_errors.CallerLeftError:
             # Whoever sent it has gone; the work ends with the connection.
@@ -116,23 +143,29 @@
         headers = standin_words.not_run_headers(request_id)
         await exchange.respond(status=status, headers=headers, body=b"")
 
-    async def _run(
+    def _note_run(
         self,
         exchange: exchanges.Exchange,
         request: standin_words.UpstreamRequest,
     ) -> None:
         id = request.request_id
-        kind = exchange.head.target.split("/")[1]
         self._seen.runs_by_id[id].append(
             record.Run(
                 id=id,
                 upstream=self.registration.id,
                 at=time.monotonic(),
-                kind=kind,
+                kind=_kind_of(exchange),
             )
         )
+
+    async def _run(
+        self,
+        exchange: exchanges.Exchange,
+        request: standin_words.UpstreamRequest,
+    ) -> None:
+        id = request.request_id
         headers = standin_words.answer_headers(id)
-        if not layout.KINDS_BY_NAME[kind].streamed:
+        if not layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
             await asyncio.sleep(_PLAIN_WORK_SECONDS)
             await exchange.respond(
                 status=200, headers=headers, body=whole_body(id)
@@ -148,3 +181,7 @@
             await asyncio.sleep(_EVENT_SECONDS)
             await exchange.send(event(id, number))
         await exchange.finish()
+
+
+def _kind_of(exchange: exchanges.Exchange) -> str:
+    return exchange.head.target.split("/")[1]
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -19,6 +19,7 @@
     Planted.NO_REVERT: (FaultKind.DECLARED,),
     Planted.IN_FORCE: (FaultKind.DECLARED,),
     Planted.TIERS: (FaultKind.BURST,),
+    Planted.CRASHING: (FaultKind.CRASHING_REQUEST,),
 }
 
 SECONDS = 7.0
@@ -48,7 +49,9 @@
     assert found.asks["lookup 200"] > 50
 
 
-@pytest.mark.parametrize("kind", [FaultKind.VM_STOPPED, FaultKind.BURST])
+@pytest.mark.parametrize(
+    "kind", [FaultKind.VM_STOPPED, FaultKind.BURST, FaultKind.CRASHING_REQUEST]
+)
 async def test_single_fault_in_series_breaks_nothing(kind, tmp_path):
     found = await run(tmp_path, kinds=(kind,))
     assert found.violations == ()
