Have the entry VMs of a soak hear each other

Cause: a fleet's datagrams are tagged by the host of its store. In the soak each entry VM had a link to the store at a host of its own, so all datagrams of peers were rejected (event 601), in every soak so far: nothing of the exchange between entry VMs was tried by it. Found since one crashing request ended six upstreams there and not three: each entry VM knew of its own crashes only. Now: one host, a port for each link; a test holds that they hear each other.

--- a/packages/soak/src/lagoonrun_soak/layout.py
+++ b/packages/soak/src/lagoonrun_soak/layout.py
@@ -172,8 +172,12 @@
         return self._address(1, 0, STORE_PORT)
 
     def store_link(self, vm: int) -> settings.Address:
-        """Return where one entry VM reaches the store."""
-        return self._address(2, vm, STORE_PORT)
+        """Return where one entry VM reaches the store.
+
+        At the same host for all, as on the platform: by it they know that they
+        are of one fleet.
+        """
+        return self._address(2, 0, STORE_PORT + vm)
 
     def upstream_link(self, index: int) -> settings.Address:
         """Return where entry VMs reach an upstream."""
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -57,6 +57,20 @@
     assert found.violations == ()
 
 
+async def test_entry_vms_hear_each_other(tmp_path):
+    """No soak of the exchange between entry VMs says anything without it.
+
+    Each reached the store at a host of its own and took the datagrams of the
+    others for those of another fleet, for as long as there was a soak.
+    """
+    await run(tmp_path, seconds=2.0, kinds=(FaultKind.DECLARED,))
+    logs = {path.name: path.read_text() for path in tmp_path.glob("*.log")}
+    assert len(logs) == 3
+    for text in logs.values():
+        assert "peer-gained" in text
+        assert "peer-frame-rejected" not in text
+
+
 def test_every_planted_promise_is_checked():
     assert {one.value for one in Planted} == {
         one.value for one in checks.Promise
