--- a/packages/router/tests/test_crashing_requests.py
+++ b/packages/router/tests/test_crashing_requests.py
@@ -9,7 +9,7 @@
 from lagoonrun_http import messages
 from lagoonrun_router import request_digest
 from lagoonrun_standins.router_samples import make_route, make_stream_route
-from lagoonrun_standins.router_upstream import answer_whole
+from lagoonrun_standins.router_upstream import answer_whole, marked
 from lagoonrun_standins.router_world import wait_for
 
 BAD = b"prompt that the engine can't bear"
@@ -39,6 +39,10 @@
     ----------
     crashed
         Ids of the upstreams that have ended so.
+    mended
+        Whether new ones bear it.
+    events_before
+        Whether they send a part of the answer before they end.
     """
 
     def __init__(self, worlds, *, size):
@@ -48,6 +52,7 @@
         self._started_by_id = {}
         self.crashed = []
         self.mended = False
+        self.events_before = False
 
     def running(self, body):
         """Return how many requests with a body arrived at living upstreams."""
@@ -71,6 +76,7 @@
         async def answer(exchange):
             body = self._started_by_id[id].bodies[-1]
             if body == BAD and not self.mended:
+                await self._begin(exchange)
                 await self._crash(id)
             elif body == LONG:
                 await exchange.caller_left.wait()
@@ -82,6 +88,14 @@
         for world in self._worlds:
             await wait_for(lambda world=world: world.knows(id))
 
+    async def _begin(self, exchange):
+        """Send the first events of an answer, where the test wants some."""
+        if self.events_before:
+            headers = marked(exchange, Content_Type="text/event-stream")
+            head = messages.ResponseHead(status=200, headers=headers)
+            await exchange.start(head)
+            await exchange.send(b"id: 1\ndata: x\n\n")
+
     async def _crash(self, id):
         """End at once, and have the store learn of it as of a dead process."""
         self.crashed.append(id)
@@ -158,6 +172,20 @@
     assert len(pool.crashed) <= CRASHES_BEFORE + MOST_RETRIES
 
 
+async def test_resumed_stream_ends_no_further_upstreams(world_of):
+    """A stream breaks after its first event, and goes on at another upstream.
+
+    Its request ends that one as well, within the same request of the caller.
+    """
+    route = make_stream_route(resumable=True, maximum_attempts=3)
+    worlds, pool = await fleet(world_of, route)
+    pool.events_before = True
+    await send_until_refused_everywhere(worlds, pool, most=12)
+    assert len(pool.crashed) <= CRASHES_BEFORE + MOST_RETRIES
+    for world in worlds:
+        assert world.router.crashing.block_of(digest_of(BAD))
+
+
 async def block_everywhere(worlds, pool):
     """Have the fleet block `BAD`, and the store keep that."""
     refusals = await send_until_refused_everywhere(worlds, pool, most=12)
