Look at recent records only when repeating news of crashes

The product sorted as many four times a second while the table is full; now only the records of the last seconds.

--- a/packages/router/src/lagoonrun_router/block_keeper.py
+++ b/packages/router/src/lagoonrun_router/block_keeper.py
@@ -88,7 +88,7 @@
                 pause = _PAUSE_SECONDS * (0.5 + self._chance.random())
                 await asyncio.sleep(pause)
             elif self._wanted_by_request.get(request) is block:
-                del self._wanted_by_request[request]
+                self._wanted_by_request.pop(request, None)
 
     async def _write(
         self, request: types.RequestDigest, block: crash_evidence.Block | None
--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -131,12 +131,33 @@
         records = self._records_by_request.get(request, {})
         return any(not one.void for one in records.values())
 
-    def records(self) -> tuple[CrashRecord, ...]:
-        """Return all records, those of the most suspect requests first."""
-        requests = sorted(
-            self._records_by_request.values(), key=_weight, reverse=True
+    @property
+    def size(self) -> int:
+        """Number of records that are kept."""
+        return self._size
+
+    def records(
+        self, *, since: float = float("-inf")
+    ) -> tuple[CrashRecord, ...]:
+        """Return the records of the most suspect requests first.
+
+        Parameters
+        ----------
+        since
+            Reading of the clock from which crashes are wanted.
+        """
+        wanted = [
+            records
+            for records in self._records_by_request.values()
+            if any(one.seen_at >= since for one in records.values())
+        ]
+        wanted.sort(key=_weight, reverse=True)
+        return tuple(
+            one
+            for records in wanted
+            for one in records.values()
+            if one.seen_at >= since
         )
-        return tuple(one for records in requests for one in records.values())
 
     # What is told.
 
--- a/packages/router/src/lagoonrun_router/crash_news.py
+++ b/packages/router/src/lagoonrun_router/crash_news.py
@@ -37,6 +37,15 @@
 """Sends a message to each address."""
 
 
+class KnownRecords(Protocol):
+    """Gives the records of crashes that this entry VM knows."""
+
+    def __call__(
+        self, *, since: float = float("-inf")
+    ) -> tuple[crash_evidence.CrashRecord, ...]:
+        """Return those of crashes since then, the weightiest first."""
+
+
 class FleetAddresses(Protocol):
     """Whom to tell in other failure domains, and whether to hand news on."""
 
@@ -59,7 +68,7 @@
     fleet
         Relays of the failure domains.
     records
-        Returns all records, the weightiest first.
+        What is known of crashes.
     send
         Sends a message.
     chance
@@ -73,7 +82,7 @@
         domain: types.FailureDomain,
         table: peer_table.PeerTable,
         fleet: FleetAddresses,
-        records: Callable[[], tuple[crash_evidence.CrashRecord, ...]],
+        records: KnownRecords,
         send: Sender,
         chance: random.Random,
     ) -> None:
@@ -118,19 +127,18 @@
         self._beats += 1
         if self._beats % _NEWS_BEATS:
             return
-        records = self._records()
-        if not records:
-            return
-        told = [one for one in records if now - one.seen_at < NEWS_SECONDS]
+        told = self._records(since=now - NEWS_SECONDS)
         if not told and self._beats % _OLD_BEATS == 0:
-            told = self._some_old(records)
+            told = self._some_old(self._records())
+        if not told:
+            return
         addresses = self._some_peers()
-        for news in self._messages(tuple(told[:_MOST_TOLD]), now):
+        for news in self._messages(told[:_MOST_TOLD], now):
             self._send(news, addresses)
 
     def _some_old(
         self, records: tuple[crash_evidence.CrashRecord, ...]
-    ) -> list[crash_evidence.CrashRecord]:
+    ) -> tuple[crash_evidence.CrashRecord, ...]:
         """Return the next part of all records, the weightiest in each."""
         half = _MOST_TOLD // 2
         heavy, others = records[:half], records[half:]
@@ -138,7 +146,7 @@
             self._next_old = 0
         part = others[self._next_old : self._next_old + half]
         self._next_old += half
-        return [*heavy, *part]
+        return (*heavy, *part)
 
     def _some_peers(self) -> tuple[settings.Address, ...]:
         near = self._table.near_addresses()
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -102,9 +102,11 @@
         """Return all requests that must not be sent."""
         return self._evidence.blocks(now=self._clock.monotonic())
 
-    def records(self) -> tuple[crash_evidence.CrashRecord, ...]:
-        """Return all records, those of the most suspect requests first."""
-        return self._evidence.records()
+    def records(
+        self, *, since: float = float("-inf")
+    ) -> tuple[crash_evidence.CrashRecord, ...]:
+        """Return the records of crashes since then; see `CrashEvidence`."""
+        return self._evidence.records(since=since)
 
     # What this entry VM notices.
 
--- a/packages/router/tests/test_crash_evidence.py
+++ b/packages/router/tests/test_crash_evidence.py
@@ -169,12 +169,20 @@
         crash(evidence, f"u-{number}", GUILTY)
     for number in range(3 * crash_evidence.MOST_RECORDS):
         crash(evidence, f"u-{number // 60}", f"r-{number}", at=NOW + 1)
-        assert len(evidence.records()) <= crash_evidence.MOST_RECORDS or (
-            number < crash_evidence.MOST_RECORDS
-        )
+        assert evidence.size <= crash_evidence.MOST_RECORDS
         if number % 1000 == 0:
             assert blocked(evidence, GUILTY, now=NOW + 1)
     assert blocked(evidence, GUILTY, now=NOW + 1)
+    assert len(evidence.records()) == evidence.size
+
+
+def test_records_since_a_time_are_those_of_later_crashes(evidence):
+    crash(evidence, "u-1", "old", GUILTY)
+    crash(evidence, "u-2", GUILTY, at=NOW + 5)
+    found = evidence.records(since=NOW + 1)
+    assert [(one.request, one.at.upstream) for one in found] == [
+        (GUILTY, "u-2")
+    ]
 
 
 class Exchange(RuleBasedStateMachine):
