Carry revisions, leases and tenures through a restore of the store

What would have broken (docs/design/store-restores.md, a row for each place): members of a large fleet take no change until the store has caught up; a tenure's number falls or repeats; a holder that has not heard acts beside its successor; a window of usage is reported twice; an upstream that ended without a word is back. Now: era and revision are one number, made and taken apart by the store's client; on top of it directed guards for upstreams, usage, tenures and blocks. Weighed: an era beside each revision; dropping all that is known. Not shown: soak and machine of tenures with restores, calls after one.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -60,6 +60,7 @@
     PLATFORM_UNREACHABLE = (700, "platform-unreachable")
     PLATFORM_REACHABLE = (701, "platform-reachable")
     STORE_DUTY_CHANGED = (702, "store-duty-changed")
+    STORE_ERA_CHANGED = (703, "store-era-changed")
 
     ORDERER_ELECTED = (800, "orderer-elected")
     ORDERER_LOST = (801, "orderer-lost")
--- a/packages/duties/src/lagoonrun_duties/duties.py
+++ b/packages/duties/src/lagoonrun_duties/duties.py
@@ -75,6 +75,8 @@
         Whether every failure domain was heard lately.
     views
         Returns the pools that may be scaled.
+    era_seen_at
+        Returns when the store first told its newest era; None for none.
     time, clock, chance, sleep
         Sources of time and of choices.
     """
@@ -93,6 +95,7 @@
         time: true_time.TrueTime,
         clock: clocks.Clock,
         chance: random.Random,
+        era_seen_at: Callable[[], float | None] = lambda: None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._exchange = exchange
@@ -110,6 +113,7 @@
             longest_pause_seconds=_LONGEST_PAUSE_SECONDS,
             return_seconds=configured.return_seconds,
             renewals_per_key_check=_RENEWALS_PER_KEY_CHECK,
+            era_seen_at=era_seen_at,
             sleep=sleep,
         )
         self._seeks = False
@@ -123,6 +127,7 @@
             may_call=self._may_call,
             counts_of=exchange.counts,
             is_complete=is_complete,
+            era_age=lambda: _age(era_seen_at(), clock),
             time=time,
         )
         self._orders = runner_orders.RunnerOrders(
@@ -219,3 +224,7 @@
         """Return whether a call that is begun now ends within the tenure."""
         remaining = self._leadership.remaining_seconds(tenure)
         return remaining > platform_calls.CALL_SECONDS
+
+
+def _age(at: float | None, clock: clocks.Clock) -> float | None:
+    return None if at is None else clock.monotonic() - at
--- a/packages/duties/src/lagoonrun_duties/usage_record.py
+++ b/packages/duties/src/lagoonrun_duties/usage_record.py
@@ -14,7 +14,7 @@
 
 KEY = "lagoonrun/usage"
 
-_KEPT = 3
+KEPT = 3
 """Windows that are kept: those whose report may still be under way."""
 
 
@@ -46,7 +46,17 @@
 
     def with_settled(self, settled: SettledWindow) -> "UsageRecord":
         """Return the record with one more window."""
-        return UsageRecord(windows=(*self.windows, settled)[-_KEPT:])
+        return UsageRecord(windows=(*self.windows, settled)[-KEPT:])
+
+    def with_remembered(
+        self,
+        settled_by_window: Mapping[platform_calls.UsageWindow, SettledWindow],
+    ) -> "UsageRecord":
+        """Return the record with windows that it lacks."""
+        by_window = dict(settled_by_window)
+        by_window.update((one.window, one) for one in self.windows)
+        windows = tuple(by_window[one] for one in sorted(by_window))
+        return UsageRecord(windows=windows[-KEPT:])
 
     def with_reported(
         self, window: platform_calls.UsageWindow
--- a/packages/duties/src/lagoonrun_duties/usage_reporter.py
+++ b/packages/duties/src/lagoonrun_duties/usage_reporter.py
@@ -38,6 +38,9 @@
         Returns what is known of a window.
     is_complete
         Whether every part of the fleet has told lately.
+    era_age
+        Returns how long ago the store first told its newest era; None where it
+        tells of none.
     time
         Source of true time.
     """
@@ -53,6 +56,7 @@
             [platform_calls.UsageWindow], Mapping[types.OrganisationId, int]
         ],
         is_complete: Callable[[], bool],
+        era_age: Callable[[], float | None] = lambda: None,
         time: true_time.TrueTime,
     ) -> None:
         self._configured = configured
@@ -61,6 +65,10 @@
         self._may_call = may_call
         self._counts_of = counts_of
         self._is_complete = is_complete
+        self._era_age = era_age
+        self._said_by_window: dict[
+            platform_calls.UsageWindow, usage_record.SettledWindow
+        ] = {}
         self._time = time
         self._first_window = configured.window_at(time.now())
         self._tenure: tenures.Tenure | None = None
@@ -94,6 +102,8 @@
         if item.found is not None:
             self._revision = item.found.modified
             self._record = _decoded(item.found.value)
+        # A store that came back from an older copy lacks what was settled since.
+        self._record = self._record.with_remembered(self._said_by_window)
         return True
 
     async def _report_settled(self, tenure: tenures.Tenure) -> None:
@@ -166,6 +176,7 @@
             return
         self._revision = result.revision
         self._record = record
+        self._remember(settled)
         logs.emit(
             events.LogEvent.USAGE_SETTLED,
             window=window,
@@ -176,6 +187,11 @@
         if self._may_call(tenure):
             await self._report(settled, tenure)
 
+    def _remember(self, settled: usage_record.SettledWindow) -> None:
+        self._said_by_window[settled.window] = settled
+        while len(self._said_by_window) > usage_record.KEPT:
+            del self._said_by_window[min(self._said_by_window)]
+
     def _next_window(self) -> platform_calls.UsageWindow:
         """Return the window after the last settled one that is not too late.
 
@@ -190,7 +206,23 @@
 
     def _is_too_late(self, window: platform_calls.UsageWindow) -> bool:
         end = (window + 1) * self._configured.window_seconds
-        return self._time.now() > end + self._configured.late_seconds
+        if self._time.now() > end + self._configured.late_seconds:
+            return True
+        return self._may_be_forgotten(window, end)
+
+    def _may_be_forgotten(
+        self, window: platform_calls.UsageWindow, end: float
+    ) -> bool:
+        """Return whether a window may have been reported and then forgotten.
+
+        The store came back from an older copy after the window's end: another
+        entry VM may have settled and reported it, with other counts. Nothing is
+        said of such a window, but by the one that remembers what it said.
+        """
+        era_age = self._era_age()
+        if era_age is None or window in self._said_by_window:
+            return False
+        return end < self._time.now() - era_age
 
 
 def _decoded(value: bytes) -> usage_record.UsageRecord:
--- a/packages/duties/tests/test_usage_reporter.py
+++ b/packages/duties/tests/test_usage_reporter.py
@@ -35,6 +35,7 @@
         self.may_call = True
         self.store = store
         self.tenure = None
+        self.era_seen_at = None
         self.reporter = usage_reporter.UsageReporter(
             configured=configured,
             store=store,
@@ -42,6 +43,11 @@
             may_call=lambda tenure: self.may_call,
             counts_of=lambda window: {"house": self.count},
             is_complete=lambda: self.complete,
+            era_age=lambda: (
+                None
+                if self.era_seen_at is None
+                else clock.monotonic() - self.era_seen_at
+            ),
             time=true_time.TrueTime(clock=clock),
         )
 
@@ -196,3 +202,43 @@
     await store.transact(comparisons=(), puts=[put])
     await pass_time(clock, 7.0, holder)
     assert [one[0] for one in platform.reports] == [200]
+
+
+async def test_holder_remembers_what_a_restored_store_has_forgotten(
+    holder, platform, clock, store
+):
+    """The store comes back from a copy without the window that was reported.
+
+    A second report of it, with the counts that came in since, would contradict.
+    """
+    copy = store.revision
+    holder.count = 3
+    await pass_time(clock, 7.0, holder)
+    store.restore(copy)
+    holder.era_seen_at = clock.monotonic()
+    holder.count = 8
+    await holder.take_office()
+    await pass_time(clock, 6.0, holder)
+    counts_by_window = {}
+    for window, counts, _ in platform.reports:
+        counts_by_window.setdefault(window, []).append(counts["house"])
+    assert set(counts_by_window) == {200, 201}
+    assert set(counts_by_window[200]) == {3}
+
+
+async def test_successor_leaves_out_what_may_have_been_said_and_forgotten(
+    make_holder, platform, clock, store
+):
+    """The holder has reported a window and ended; the store has forgotten both."""
+    copy = store.revision
+    first, second = make_holder(), make_holder()
+    await first.take_office()
+    first.count = 3
+    await pass_time(clock, 7.0, first)
+    store.restore(copy)
+    second.era_seen_at = clock.monotonic()
+    second.count = 8
+    await second.take_office()
+    await pass_time(clock, 6.0, second)
+    reports = [(window, one["house"]) for window, one, _ in platform.reports]
+    assert set(reports) == {(200, 3), (201, 8)}
--- a/packages/orders/src/lagoonrun_orders/leadership.py
+++ b/packages/orders/src/lagoonrun_orders/leadership.py
@@ -49,6 +49,10 @@
         Time that a tenure first waits out where this entry VM has had the duty
         before its predecessor. For receivers that know no fencing numbers, two
         holders that take turns within a lease look like two at once.
+    era_seen_at
+        Returns when the store first told its newest era; None where it tells of
+        none. A restore frees the holder's key at once, and its holder, which may
+        not know, acts on for what it believes to be left of its lease.
     renewals_per_key_check
         Renewals of the lease for each look whether the key is still there. Only
         a hand that deletes the key makes the two differ, and each look costs as
@@ -69,6 +73,7 @@
         longest_pause_seconds: float = DEFAULT_LONGEST_PAUSE_SECONDS,
         return_seconds: float = 0.0,
         renewals_per_key_check: int = 1,
+        era_seen_at: Callable[[], float | None] = lambda: None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._store = bounded_store.BoundedStore(store=store)
@@ -82,6 +87,7 @@
         self._longest_pause_seconds = longest_pause_seconds
         self._return_seconds = return_seconds
         self._renewals_per_key_check = renewals_per_key_check
+        self._era_seen_at = era_seen_at
         self._renewals = 0
         self._sleep = sleep
         self._holder_key = tenure_module.holder_key(duty)
@@ -250,9 +256,18 @@
 
     def _wait_seconds(self) -> float:
         """Return how long a new tenure gives no order."""
+        wait = max(self._predecessor_seconds(), self._unseated_seconds())
         if self._entry_vm in self._earlier():
-            return max(self._return_seconds, self._predecessor_seconds())
-        return self._predecessor_seconds()
+            return max(self._return_seconds, wait)
+        return wait
+
+    def _unseated_seconds(self) -> float:
+        """Return how long a holder that the store has forgotten may still act."""
+        era_seen_at = self._era_seen_at()
+        if era_seen_at is None:
+            return 0.0
+        passed = self._clock.monotonic() - era_seen_at
+        return max(0.0, self._ttl_seconds + self._margin_seconds - passed)
 
     def _predecessor_seconds(self) -> float:
         """Return how long a predecessor's orders may still take effect."""
--- a/packages/orders/tests/test_leadership.py
+++ b/packages/orders/tests/test_leadership.py
@@ -242,3 +242,17 @@
     await timers.advance(20 * TTL_SECONDS / 3)
     looks = store.calls_by_kind["transact"] - before
     assert 3 <= looks <= 4
+
+
+async def test_holder_after_a_restore_waits_for_one_that_was_forgotten(
+    candidate, timers, clock
+):
+    """The store comes back without the lease; its holder is cut off and acts on.
+
+    The key is free at once, long before the lease would have run out.
+    """
+    seen_at = clock.monotonic()
+    successor = await candidate(era_seen_at=lambda: seen_at)
+    await timers.advance(1.0)
+    wait = successor.tenure.first_order_at - seen_at
+    assert wait >= TTL_SECONDS + MARGIN_SECONDS
--- a/packages/platform/src/lagoonrun_platform/http_calls.py
+++ b/packages/platform/src/lagoonrun_platform/http_calls.py
@@ -9,7 +9,7 @@
 import dataclasses
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Protocol
 
 import h11
@@ -47,10 +47,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Reply:
-    """A whole reply."""
+    """A whole reply.
+
+    Parameters
+    ----------
+    headers
+        Values by name in lower case.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -119,7 +126,7 @@
         """
         try:
             await self._send(call)
-            status = await self._read_status()
+            head = await self._read_head()
             body = bytearray()
             async for part in self._read_body():
                 body += part
@@ -136,13 +143,20 @@
             h11.SERVER: h11.DONE,
         }:
             self._state.start_next_cycle()
-        return Reply(status=status, body=bytes(body))
+        return Reply(
+            status=head.status_code,
+            body=bytes(body),
+            headers={
+                name.decode(): value.decode("latin-1")
+                for name, value in head.headers
+            },
+        )
 
     async def open_stream(self, call: Call) -> int:
         """Send a call and return its status; `parts` gives the body."""
         try:
             await self._send(call)
-            return await self._read_status()
+            return (await self._read_head()).status_code
         except (OSError, h11.ProtocolError) as error:
             raise ReplyLostError(str(error)) from error
 
@@ -184,11 +198,11 @@
         self._writer.write(data)
         await self._writer.drain()
 
-    async def _read_status(self) -> int:
+    async def _read_head(self) -> h11.Response:
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return event.status_code
+                return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ReplyLostError("connection closed before the reply")
 
--- a/packages/platform/src/lagoonrun_platform/memory_store.py
+++ b/packages/platform/src/lagoonrun_platform/memory_store.py
@@ -77,6 +77,27 @@
         """End an outage."""
         self.reachable = True
 
+    def restore(self, revision: store.StoreRevision) -> None:
+        """Come back from a copy that was made at `revision`.
+
+        What was written since is gone, and leases too; revisions and leases are
+        given out again. Watches break.
+        """
+        self.break_watches()
+        self._history = [
+            past for past in self._history if past.revision <= revision
+        ]
+        past = self._history[-1]
+        self._revision = past.revision
+        self._items = dict(past.items)
+        self._events = [one for one in self._events if one.modified <= revision]
+        now = self._clock.monotonic()
+        self._leases = {
+            lease: _Lease(ttl_seconds=ttl, expires=now + ttl)
+            for lease, ttl in past.ttl_by_lease.items()
+        }
+        self._next_lease = max(self._leases, default=0) + 1
+
     async def get(self, key: str) -> store.Item | store.Unreachable:
         """Read one key; see `KeyValueStore`."""
         if fault := await self._enter("get"):
@@ -261,7 +282,14 @@
 
     def _publish(self, changes: list[tuple[str, bytes | None]]) -> None:
         self._history.append(
-            _Past(revision=self._revision, items=dict(self._items))
+            _Past(
+                revision=self._revision,
+                items=dict(self._items),
+                ttl_by_lease={
+                    lease: held.ttl_seconds
+                    for lease, held in self._leases.items()
+                },
+            )
         )
         events = [
             store.Event(key=key, value=value, modified=self._revision)
@@ -304,10 +332,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Past:
-    """The store's keys as they were at one revision."""
+    """The store's keys and leases as they were at one revision."""
 
     revision: store.StoreRevision
     items: dict[str, store.KeyValue]
+    ttl_by_lease: dict[store.LeaseId, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -7,6 +7,7 @@
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, types
 from lagoonrun_platform import store as store_module
+from lagoonrun_platform import store_eras
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     declarations,
@@ -34,6 +35,9 @@
     def take_unstored(self, request: types.RequestDigest) -> None:
         """Take in that a block was removed, or its time has passed."""
 
+    def take_store_restored(self) -> None:
+        """Take in that the store may have lost blocks that it had."""
+
 
 class ChangesListener(Protocol):
     """Receives what this entry VM has read of the store itself."""
@@ -108,6 +112,7 @@
         revision: store_module.StoreRevision,
     ) -> None:
         """Take in all keys, as of `revision` at least."""
+        self._note_restored(since=self.read_revision, until=revision)
         since = self.store_revision
         entries_before = self._entries_by_key
         declared_before = self.declared.newest.digest
@@ -242,6 +247,9 @@
             return False
         if not changes.since <= self.store_revision < changes.until:
             return False
+        if _is_restored(since=changes.since, until=changes.until):
+            # What stands in an older copy is no news; all is looked at.
+            return False
         for item in changes.items:
             if item.removed:
                 self._take_removal(item.key)
@@ -309,6 +317,7 @@
         """
         if self.follows_store or revision <= self.store_revision:
             return
+        self._note_restored(since=self.store_revision, until=revision)
         self.store_revision = revision
         self._take_entries(entries_by_key)
 
@@ -371,6 +380,22 @@
     def _upstream_id(self, key: str) -> types.UpstreamId:
         return types.UpstreamId(key.removeprefix(self._layout.upstreams_prefix))
 
+    def _note_restored(
+        self,
+        *,
+        since: store_module.StoreRevision,
+        until: store_module.StoreRevision,
+    ) -> None:
+        """Take in that a listing is of an older copy of what was known.
+
+        Upstreams that are missing in it register again; those that have gone
+        since the copy was made stand in it, and don't come back by that. Blocks
+        that it lacks are written again.
+        """
+        if _is_restored(since=since, until=until):
+            self._directory.take_store_restored(now=self._clock.monotonic())
+            self._blocks.take_store_restored()
+
     def _blocked_request(self, key: str) -> types.RequestDigest:
         prefix = self._layout.blocked_requests_prefix
         return types.RequestDigest(key.removeprefix(prefix))
@@ -417,3 +442,10 @@
                 reason=error.detail,
             )
             return None
+
+
+def _is_restored(*, since: int, until: int) -> bool:
+    """Return whether the store came back from an older copy in between."""
+    return since != store_module.ABSENT and (
+        store_eras.era_of(since) < store_eras.era_of(until)
+    )
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -180,6 +180,18 @@
             self._stored.discard(request)
             self._clear(request, reason="removed from the store")
 
+    def take_store_restored(self) -> None:
+        """Have the relays write again what the store may have lost."""
+        now = self._clock.monotonic()
+        lost, self._stored = self._stored, set()
+        if self.news is None or not self.news.leads:
+            return
+        for request in lost:
+            if self.block_of(request) is not None:
+                self._keep_at_by_request.setdefault(
+                    request, now + _TOLD_KEEP_SECONDS
+                )
+
     def beat(self) -> None:
         """Write what nobody has written, and forget what is old."""
         now = self._clock.monotonic()
--- a/packages/router/src/lagoonrun_router/fleet_duties.py
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -89,6 +89,8 @@
         What the duties ask of the router.
     ready
         Returns whether the router knows enough to act for the fleet.
+    era_seen_at
+        Returns when the store first told its newest era; None for none.
     clock, chance
         Sources of time and of choices.
     """
@@ -104,6 +106,7 @@
         ready: Callable[[], bool],
         clock: clocks.Clock,
         chance: random.Random,
+        era_seen_at: Callable[[], float | None] = lambda: None,
     ) -> None:
         # Only here: a deployment without duties starts without them.
         from lagoonrun_duties import duties
@@ -122,6 +125,7 @@
             time=counting.time,
             clock=clock,
             chance=chance,
+            era_seen_at=era_seen_at,
         )
 
     async def start(self) -> None:
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -128,6 +128,12 @@
             "Time since the store answered this entry VM last.",
             registry=self.registry,
         )
+        self.store_era = prometheus_client.Gauge(
+            "lagoonrun_store_era",
+            "Era of the store, one more with each restore; 0 where it tells "
+            "none.",
+            registry=self.registry,
+        )
         self.store_watched = prometheus_client.Gauge(
             "lagoonrun_store_watched",
             "1 while this entry VM reads the store, 0 while others do for it.",
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -16,6 +16,7 @@
 from lagoonrun_http import server as http_server
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_platform import store as store_module
+from lagoonrun_platform import store_eras
 from lagoonrun_router import (
     beliefs,
     block_keeper,
@@ -91,6 +92,8 @@
         Sources of time and of choices.
     store_calls_by_kind
         Counts of the store's client, for the metrics.
+    eras
+        Eras of the store; None where it is never restored.
     listening
         Socket of the caller address that listens already; None to open one.
     duty_platform
@@ -107,6 +110,7 @@
         language: dialect.Dialect,
         clock: clocks.Clock | None = None,
         store_calls_by_kind: Mapping[str, int] | None = None,
+        eras: store_eras.StoreEras | None = None,
         chance: random.Random | None = None,
         listening: socket.socket | None = None,
         duty_platform: platform_calls.DutyPlatform | None = None,
@@ -118,6 +122,7 @@
         self._clock = clock or clocks.SuspendAwareClock()
         self._chance = chance or random.Random(secrets.randbits(64))
         self._store_calls_by_kind = store_calls_by_kind or {}
+        self._eras = eras or store_eras.StoreEras(clock=self._clock)
         self._stopping = False
         self._was_ready = False
         self._tasks = (
@@ -178,6 +183,7 @@
             ready=lambda: self.ready,
             clock=self._clock,
             chance=self._chance,
+            era_seen_at=lambda: self._eras.seen_at,
         )
 
     def _build_crash_watch(self) -> None:
@@ -502,6 +508,7 @@
         """Return all metrics in the text format."""
         if self._duties is not None:
             self._duties.show(self.metrics)
+        self.metrics.store_era.set(self._eras.newest)
         self._gauges.refresh(
             now=self._clock.monotonic(),
             ready=self.ready,
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -30,6 +30,13 @@
 removed; past this time a request might reach it too late.
 """
 
+_COPY_SECONDS = 60.0
+"""Age that a copy of the store may have at most; it is some seconds old."""
+
+_RESTORED_SECONDS = 10.0
+"""Time after a restore in which entries of the copy may stand for upstreams that
+have ended: their leases run out after three heartbeats."""
+
 _LEAST_SHARE = 0.5
 """Part of a pool that has to be registered for missing upstreams to be left
 out. Operators replace or take away a few at a time, and new ones register
@@ -96,6 +103,12 @@
     heard_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Expired:
+    start: types.UpstreamStart
+    at: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Known:
     registration: Registration
@@ -110,9 +123,11 @@
     def __init__(self) -> None:
         self._known_by_id: dict[types.UpstreamId, _Known] = {}
         self._gone_start_by_id: dict[types.UpstreamId, types.UpstreamStart] = {}
+        self._expired_by_id: dict[types.UpstreamId, _Expired] = {}
         self._restarted: list[Restarted] = []
         self._store_lost = False
         self._store_regained_at = float("-inf")
+        self._restored_at = float("-inf")
 
     # What is asked.
 
@@ -186,6 +201,8 @@
         """
         listed = {one.id: one for one in registrations}
         for registration in listed.values():
+            if self._stands_in_copy_only(registration, now):
+                continue
             self.take_entry(registration, now=now)
         for id in unreadable:
             self.take_unreadable(id)
@@ -268,6 +285,16 @@
         """Take in that the store cannot be reached."""
         self._store_lost = True
 
+    def take_store_restored(self, *, now: float) -> None:
+        """Take in that the store has come back from an older copy.
+
+        Upstreams that registered since are not in it, and do so again within the
+        time that they have after an outage.
+        """
+        self._store_lost = False
+        self._store_regained_at = now
+        self._restored_at = now
+
     def take_store_regained(self, *, now: float) -> None:
         """Take in that the store answers again."""
         if self._store_lost:
@@ -309,6 +336,23 @@
 
     # Parts.
 
+    def _stands_in_copy_only(
+        self, registration: Registration, now: float
+    ) -> bool:
+        """Return whether a listed entry is one that has ended before.
+
+        A store that came back from an older copy has the entries of upstreams
+        that have ended since. Those that live write theirs again, which is a
+        change and no listing.
+        """
+        expired = self._expired_by_id.get(registration.id)
+        return (
+            expired is not None
+            and now - self._restored_at < _RESTORED_SECONDS
+            and now - expired.at < _COPY_SECONDS
+            and registration.start <= expired.start
+        )
+
     def _expire(self, now: float) -> None:
         missing = [
             (id, one)
@@ -327,6 +371,15 @@
                 )
                 # Not for good: one that was only cut off registers again.
                 del self._known_by_id[id]
+                self._note_expired(one.registration, now)
+
+    def _note_expired(self, registration: Registration, now: float) -> None:
+        self._expired_by_id.pop(registration.id, None)
+        self._expired_by_id[registration.id] = _Expired(
+            start=registration.start, at=now
+        )
+        while len(self._expired_by_id) > _REMEMBERED_GONE:
+            del self._expired_by_id[next(iter(self._expired_by_id))]
 
     def _may_be_lapse(self, now: float, *, missing: int) -> bool:
         """Return whether entries may have run out while the store was away.
--- a/packages/router/tests/test_crashing_requests_units.py
+++ b/packages/router/tests/test_crashing_requests_units.py
@@ -235,6 +235,31 @@
     assert blocked(crashing) == []
 
 
+@pytest.mark.parametrize("leads", [True, False])
+def test_relay_writes_a_block_again_that_a_restored_store_may_lack(
+    crashing, news, keeper, clock, leads
+):
+    news.leads = leads
+    crashing.take_stored("one", _stored_block())
+    crashing.take_store_restored()
+    clock.advance(LONG_SECONDS)
+    crashing.beat()
+    assert keeper.kept == (["one"] if leads else [])
+    assert blocked(crashing) == ["one"]
+
+
+def test_block_that_a_restored_store_has_is_not_written_again(
+    crashing, news, keeper, clock
+):
+    news.leads = True
+    crashing.take_stored("one", _stored_block())
+    crashing.take_store_restored()
+    crashing.take_stored("one", _stored_block())
+    clock.advance(LONG_SECONDS)
+    crashing.beat()
+    assert keeper.kept == []
+
+
 def test_block_of_ones_own_does_not_end_by_a_key_that_was_not_seen(crashing):
     crash_thrice(crashing)
     crashing.take_unstored("one")
--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -222,3 +222,125 @@
     slow_link.stall_after = 2
     message = await first_message(slow_link, monkeypatch, stall_seconds=0.2)
     assert isinstance(message, store.Unreachable)
+
+
+# A store that comes back from an older copy of itself.
+
+
+@pytest.fixture
+async def copy(stand_in, client):
+    """Return the revision of a copy, made before two more keys were written."""
+    stand_in.era = 1
+    made = stand_in.memory.revision
+    await put(client, "a", b"1")
+    await put(client, "b", b"1")
+    return made
+
+
+async def test_revision_after_a_restore_is_larger(stand_in, client, copy):
+    before = await put(client, "c")
+    stand_in.restore(copy)
+    assert (await client.get("nothing")).revision > before
+    assert await put(client, "c") > before
+
+
+async def test_comparison_with_a_number_given_out_again_does_not_hold(
+    stand_in, client, copy
+):
+    """Somebody writes another value, which gets the revision of the lost one.
+
+    Compared by revision alone, it would be overwritten as if nobody had been
+    there.
+    """
+    known = (await client.get("a")).found.modified
+    stand_in.restore(copy)
+    await put(stand_in.memory, "a", b"other")
+    plain = (await stand_in.memory.get("a")).found.modified
+    assert plain == known & 0xFFFF
+    await client.get("b")
+    result = await client.transact(
+        comparisons=[store.Comparison(key="a", modified=known)],
+        puts=[store.Put(key="a", value=b"2")],
+    )
+    assert isinstance(result, store.Rejected)
+    assert result.item("a").value == b"other"
+
+
+async def test_write_that_crosses_a_restore_is_not_known(
+    stand_in, client, copy
+):
+    """The client hears of the restore by the answer to its own write."""
+    known = (await client.get("a")).found.modified
+    stand_in.restore(copy)
+    await put(stand_in.memory, "a", b"other")
+    result = await client.transact(
+        comparisons=[store.Comparison(key="a", modified=known)],
+        puts=[store.Put(key="a", value=b"2")],
+    )
+    assert isinstance(result, store.Unknown)
+
+
+async def test_watch_from_an_older_era_starts_anew(stand_in, client, copy):
+    """The revision that it goes on from was given out again for other changes."""
+    known = (await client.list_prefix("")).revision
+    stand_in.restore(copy)
+    for number in range(5):
+        await put(stand_in.memory, f"other-{number}")
+    for _ in range(2):
+        async with contextlib.aclosing(
+            client.watch("", prefix=True, from_revision=known + 1)
+        ) as watch:
+            async for message in watch:
+                assert isinstance(message, store.WatchCompacted)
+
+
+async def test_lease_of_an_older_era_is_lost(stand_in, client, copy):
+    """The store has given its number to somebody else."""
+    held = await client.grant_lease(ttl_seconds=5.0)
+    stand_in.restore(copy)
+    other = await stand_in.memory.grant_lease(ttl_seconds=5.0)
+    assert other.lease == held.lease & 0xFFFF
+    await client.get("a")
+    assert isinstance(await client.keep_lease(held.lease), store.LeaseLost)
+    assert isinstance(await client.revoke_lease(held.lease), store.LeaseLost)
+    result = await client.transact(
+        comparisons=(),
+        puts=[store.Put(key="a", value=b"", lease=held.lease)],
+    )
+    assert isinstance(result, store.Unreachable)
+    assert isinstance(
+        await stand_in.memory.keep_lease(other.lease), store.LeaseGranted
+    )
+
+
+async def test_answer_of_an_older_era_is_void(stand_in, client, copy):
+    """Another path to the store still answers from before the restore."""
+    stand_in.restore(copy)
+    await client.get("a")
+    stand_in.era -= 1
+    assert isinstance(await client.get("a"), store.Unreachable)
+    assert isinstance(await client.list_prefix(""), store.Unreachable)
+
+
+async def test_listing_over_a_restore_is_none(stand_in, client, copy):
+    for number in range(8):
+        await put(client, f"p/{number}")
+    answer = stand_in._kv_range
+
+    async def restore_within(query, body, rest):
+        if "after" in query:
+            stand_in.era += 1
+        return await answer(query, body, rest)
+
+    stand_in._kv_range = restore_within
+    assert isinstance(await client.list_prefix("p/"), store.Unreachable)
+
+
+async def test_restore_that_loses_nothing_is_one_all_the_same(
+    stand_in, client, copy
+):
+    before = await put(client, "c")
+    stand_in.restore(stand_in.memory.revision)
+    item = await client.get("c")
+    assert item.found.value == b"v"
+    assert item.found.modified > before
