--- a/packages/router/tests/test_retry_budget.py
+++ b/packages/router/tests/test_retry_budget.py
@@ -1,6 +1,6 @@
 """The shares of all entry VMs stay within what is allowed to all."""
 
-from hypothesis import given, settings
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from lagoonrun_router import retry_budget
@@ -42,7 +42,8 @@
     assert one.spend("p", now=10.1)
 
 
-@settings(max_examples=50)
+# Drawing long lists takes a while where the machine is busy; that is no fault.
+@settings(max_examples=50, suppress_health_check=[HealthCheck.too_slow])
 @given(
     st.lists(
         st.tuples(st.integers(0, 7), st.booleans(), st.floats(0.0, 0.3)),
