--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -12,18 +12,15 @@
 from lagoonrun_core import events, logs, standing_task, ticks, types
 from lagoonrun_duties import platform_calls, usage_exchange
 from lagoonrun_http import exchange as exchanges
-from lagoonrun_http import limits as http_limits
 from lagoonrun_http import server as http_server
-from lagoonrun_http import upstream as http_upstream
 from lagoonrun_platform import store as store_module
 from lagoonrun_platform import store_eras
 from lagoonrun_router import (
     beliefs,
-    block_keeper,
-    crash_watch,
-    crashing_requests,
+    crash_guard,
     declarations,
     dialect,
+    edges,
     fleet_duties,
     gathered_work,
     gauges,
@@ -55,22 +52,6 @@
 _STOP_MARGIN_SECONDS = 0.5
 """Time before the process is killed at which the last requests are cut."""
 
-_CONNECT_SECONDS = 0.4
-"""Longest wait for a connection to an upstream: a hundred round trips."""
-
-_UNACKNOWLEDGED_SECONDS = 1.5
-"""Silence on the network after which an upstream counts as dark."""
-
-_LONGEST_SILENCE_SECONDS = 60.0
-"""No bound of its own: the limits of the routes end every request."""
-
-_HELD_BODIES_BYTES = 32 * 1024 * 1024
-"""Request bodies held at a time; a tenth of the smallest VM in use."""
-
-_SWEEP_SECONDS = 0.25
-"""Time between two looks at what callers and peers take too long for; the bounds
-are seconds."""
-
 _HOUSE_KEEPING_SECONDS = 1.0
 _RECORD_PAUSE_SECONDS = 1.0
 
@@ -154,7 +135,15 @@
             self._counting = fleet_duties.Counting(
                 configured=configured, clock=self._clock
             )
-        self._build_crash_watch()
+        self._crash_guard = crash_guard.CrashGuard(
+            directory=self.directory,
+            counters=self.metrics,
+            store=self._store,
+            prefix=self._layout.blocked_requests_prefix,
+            clock=self._clock,
+            chance=self._chance,
+        )
+        self.crashing = self._crash_guard.crashing
         self._build_knowledge()
         self._duties = self._build_duties()
         self._build_edges(language, listening)
@@ -186,23 +175,6 @@
             era_seen_at=lambda: self._eras.seen_at,
         )
 
-    def _build_crash_watch(self) -> None:
-        self._crashes = crash_watch.CrashWatch(
-            directory=self.directory,
-            counters=self.metrics,
-            clock=self._clock,
-        )
-        self._block_keeper = block_keeper.BlockKeeper(
-            store=self._store,
-            prefix=self._layout.blocked_requests_prefix,
-            chance=self._chance,
-        )
-        self.crashing = crashing_requests.CrashingRequests(
-            watch=self._crashes,
-            keeper=self._block_keeper,
-            clock=self._clock,
-        )
-
     def _build_knowledge(self) -> None:
         configured = self._settings
         self._table = peer_table.PeerTable(
@@ -263,16 +235,7 @@
         self, language: dialect.Dialect, listening: socket.socket | None
     ) -> None:
         configured = self._settings
-        self._client = http_upstream.UpstreamClient(
-            limits=http_limits.ClientLimits(
-                connect_seconds=_CONNECT_SECONDS,
-                write_stall_seconds=_LONGEST_SILENCE_SECONDS,
-                head_seconds=_LONGEST_SILENCE_SECONDS,
-                body_idle_seconds=_LONGEST_SILENCE_SECONDS,
-                unacknowledged_seconds=_UNACKNOWLEDGED_SECONDS,
-            ),
-            clock=self._clock,
-        )
+        self._client = edges.upstream_client(clock=self._clock)
         self._ingress = ingress.Ingress(
             parts=parts.Parts(
                 domain=configured.domain,
@@ -289,7 +252,7 @@
                 clock=self._clock,
                 chance=self._chance,
                 metrics=self.metrics,
-                crashes=self._crashes,
+                crashes=self._crash_guard.watch,
                 crashing=self.crashing,
                 usage=self._usage,
             )
@@ -318,16 +281,8 @@
         handler: exchanges.ExchangeHandler,
         listening: socket.socket | None = None,
     ) -> http_server.HttpServer:
-        return http_server.HttpServer(
-            host=address.host,
-            port=address.port,
-            limits=http_limits.ServerLimits(
-                held_body_bytes=_HELD_BODIES_BYTES,
-                sweep_seconds=_SWEEP_SECONDS,
-            ),
-            handler=handler,
-            clock=self._clock,
-            listening=listening,
+        return edges.server(
+            address, handler, clock=self._clock, listening=listening
         )
 
     @property
@@ -371,7 +326,7 @@
         await self._peers.start()
         await self.follower.start()
         await self._duty.start()
-        await self._block_keeper.start()
+        await self._crash_guard.start()
         if self._duties is not None:
             await self._duties.start()
         for task in self._tasks:
@@ -417,8 +372,7 @@
         await self._caller_server.close()
         await self._peers.close()
         await self._client.close()
-        await self._crashes.close()
-        await self._block_keeper.close()
+        await self._crash_guard.close()
         await self._peer_server.close()
         await self._readiness_server.close()
         if self._metrics_server is not None:
@@ -448,17 +402,8 @@
         if self._duties is not None:
             self._duties.view.use(declared.pools_by_name.values())
         self.metrics.revision.set(declared.revision)
-        bounds = declared.caller_limits
         self._caller_server.use_limits(
-            http_limits.ServerLimits(
-                header_bytes=bounds.header_bytes,
-                body_bytes=bounds.body_bytes,
-                held_body_bytes=_HELD_BODIES_BYTES,
-                idle_seconds=bounds.idle_seconds,
-                header_read_seconds=bounds.header_read_seconds,
-                body_read_seconds=bounds.idle_seconds,
-                sweep_seconds=_SWEEP_SECONDS,
-            )
+            edges.caller_limits(declared.caller_limits)
         )
 
     def _on_upstreams(self) -> None:
@@ -501,8 +446,7 @@
             sharers = self._table.sharers(now=now)
             self._budget.share_among(sharers)
             self._let_in.share_among(sharers)
-            self._crashes.forget_old()
-            self.crashing.beat()
+            self._crash_guard.keep_house()
 
     def metrics_text(self) -> bytes:
         """Return all metrics in the text format."""
