Restore the soak's store from older copies

The store comes back from a copy of up to four seconds, in a new era; what operators and upstreams wrote is written again.

--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -20,6 +20,9 @@
 _SETTLING_SECONDS = checks.CONTACT_SECONDS
 _RESTART_SECONDS = 0.3
 _LEAST_OF_POOL = 2
+_COPY_SECONDS = 4.0
+"""Age that the copy has at most from which the store comes back."""
+
 _BURST_CALLERS = 24
 _BURST_SECONDS = 2.5
 _CRASHING_SECONDS = 2.0 * checks.CONTACT_SECONDS
@@ -35,6 +38,7 @@
     STORE_LINK = "store-link"
     STORE_AWAY = "store-away"
     STORE_FORGETS = "store-forgets"
+    STORE_RESTORED = "store-restored"
     UPSTREAM_LINK = "upstream-link"
     UPSTREAM_CRASHED = "upstream-crashed"
     UPSTREAM_LEAVES = "upstream-leaves"
@@ -118,6 +122,7 @@
             FaultKind.STORE_LINK: self._break_store_link,
             FaultKind.STORE_AWAY: self._break_store,
             FaultKind.STORE_FORGETS: self._forget,
+            FaultKind.STORE_RESTORED: self._restore,
             FaultKind.UPSTREAM_LINK: self._break_upstream_link,
             FaultKind.UPSTREAM_CRASHED: self._crash_upstream,
             FaultKind.UPSTREAM_LEAVES: self._drain_upstream,
@@ -231,6 +236,17 @@
             record.STORE, since, time.monotonic() + _SETTLING_SECONDS
         )
 
+    async def _restore(self) -> None:
+        """Have the store come back from a copy that is some seconds old."""
+        since = time.monotonic()
+        copy = self._world.store.memory.revision
+        await asyncio.sleep(self._chance.uniform(0.0, _COPY_SECONDS))
+        self._world.store.restore(copy)
+        await self._world.write_again()
+        self._seen.disturb(
+            record.STORE, since, time.monotonic() + _SETTLING_SECONDS
+        )
+
     # Upstreams.
 
     async def _break_upstream_link(self) -> None:
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -84,6 +84,7 @@
 
     async def start(self) -> None:
         """Start everything; return when all entry VMs take callers."""
+        self.store.era = 1
         await self.store.start()
         await self.declare()
         for pool in _FIRST_UPSTREAMS:
@@ -148,6 +149,10 @@
     async def declare(self) -> None:
         """Put the next revision of the declarations into the store."""
         self._revision += 1
+        await self._put_declarations()
+        self.seen.declared_at_by_revision[self._revision] = time.monotonic()
+
+    async def _put_declarations(self) -> None:
         value = standin_words.declarations_value(
             layout.declarations_at(self._revision),
             keys_by_organisation={
@@ -155,7 +160,14 @@
             },
         )
         await self._put(platform_layout.PlatformLayout.declarations_key, value)
-        self.seen.declared_at_by_revision[self._revision] = time.monotonic()
+
+    async def write_again(self) -> None:
+        """Write what operators and upstreams wrote and a restored store lacks."""
+        await self._put_declarations()
+        for made in tuple(self.upstreams.values()):
+            id = made.registration.id
+            if id not in self.seen.left_at_by_upstream:
+                await self._register(made.registration)
 
     # What upstreams do.
 
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -50,7 +50,13 @@
 
 
 @pytest.mark.parametrize(
-    "kind", [FaultKind.VM_STOPPED, FaultKind.BURST, FaultKind.CRASHING_REQUEST]
+    "kind",
+    [
+        FaultKind.VM_STOPPED,
+        FaultKind.BURST,
+        FaultKind.CRASHING_REQUEST,
+        FaultKind.STORE_RESTORED,
+    ],
 )
 async def test_single_fault_in_series_breaks_nothing(kind, tmp_path):
     found = await run(tmp_path, kinds=(kind,))
