Have members look at all anew after a restore that changed nothing for their reader

Found by the state machine with restores (its example stays as a test): one reader had seen a write that the store then lost; a member heard of it late, and its number was larger than that of the other reader, for whose listing nothing had changed: it kept an entry that the store does not have, until the next change. Now a listing of a new era counts as a change.

--- a/packages/router/src/lagoonrun_router/beliefs.py
+++ b/packages/router/src/lagoonrun_router/beliefs.py
@@ -112,7 +112,9 @@
         revision: store_module.StoreRevision,
     ) -> None:
         """Take in all keys, as of `revision` at least."""
-        self._note_restored(since=self.read_revision, until=revision)
+        restored = _is_restored(since=self.read_revision, until=revision)
+        if restored:
+            self._note_restored()
         since = self.store_revision
         entries_before = self._entries_by_key
         declared_before = self.declared.newest.digest
@@ -130,7 +132,9 @@
             for key in entries_before.keys() | entries_by_key.keys()
             if entries_before.get(key) != entries_by_key.get(key)
         }
-        if changed or since == store_module.ABSENT:
+        # After a restore also where nothing changed here: a neighbour may have
+        # heard of what the store has lost, and has to look at all anew.
+        if changed or restored or since == store_module.ABSENT:
             self.store_revision = max(self.store_revision, revision)
         self._tell_changes(since, changed, declared_before)
 
@@ -317,7 +321,8 @@
         """
         if self.follows_store or revision <= self.store_revision:
             return
-        self._note_restored(since=self.store_revision, until=revision)
+        if _is_restored(since=self.store_revision, until=revision):
+            self._note_restored()
         self.store_revision = revision
         self._take_entries(entries_by_key)
 
@@ -380,21 +385,15 @@
     def _upstream_id(self, key: str) -> types.UpstreamId:
         return types.UpstreamId(key.removeprefix(self._layout.upstreams_prefix))
 
-    def _note_restored(
-        self,
-        *,
-        since: store_module.StoreRevision,
-        until: store_module.StoreRevision,
-    ) -> None:
+    def _note_restored(self) -> None:
         """Take in that a listing is of an older copy of what was known.
 
         Upstreams that are missing in it register again; those that have gone
         since the copy was made stand in it, and don't come back by that. Blocks
         that it lacks are written again.
         """
-        if _is_restored(since=since, until=until):
-            self._directory.take_store_restored(now=self._clock.monotonic())
-            self._blocks.take_store_restored()
+        self._directory.take_store_restored(now=self._clock.monotonic())
+        self._blocks.take_store_restored()
 
     def _blocked_request(self, key: str) -> types.RequestDigest:
         prefix = self._layout.blocked_requests_prefix
--- a/packages/router/tests/test_spread_of_changes.py
+++ b/packages/router/tests/test_spread_of_changes.py
@@ -334,6 +334,28 @@
     assert set(member.usable()) >= {"u-1", "u-3"}
 
 
+def test_late_news_of_what_a_restore_has_lost_does_not_stay(
+    layout, store, reader
+):
+    """One reader had seen a write that the store lost; its news comes late.
+
+    For the other reader nothing has changed; by its state the member, whose
+    number is the larger one, would keep for ever what nobody has.
+    """
+    other = read_all(Vm("reader-2", layout), store)
+    member = Vm("member-1", layout)
+    fetch(member, reader)
+    other.told.clear()
+    store.put_upstream("u-9")
+    read_changes(other, store)
+    store.restore(1)
+    member.known.take_changes_of_peer(over_the_wire(other.told[0]))
+    assert "u-9" in member.usable()
+    read_changes(reader, store)
+    fetch(member, reader)
+    assert member.known.upstream_entries() == reader.known.upstream_entries()
+
+
 class Spread(RuleBasedStateMachine):
     """Changes, readings, losses, restarts and fetches in any order."""
 
