Tell by the era in a record whether anything was forgotten since

A process that has just started hears of the era for the first time and can't know whether a restore has just been. It waited a lease out and left out windows, also after a mere kill of the whole fleet. Tenures and the usage record now have the era in which they were written: the same one says that nothing was lost since.

--- a/packages/duties/src/lagoonrun_duties/duties.py
+++ b/packages/duties/src/lagoonrun_duties/duties.py
@@ -25,6 +25,7 @@
 from lagoonrun_orders import leadership
 from lagoonrun_orders import tenure as tenures
 from lagoonrun_platform import store as store_module
+from lagoonrun_platform import store_eras
 
 DUTY = types.DutyName("lagoonrun/duties")
 """One tenure for all duties: one lease to renew, and one entry VM that hears all."""
@@ -75,8 +76,8 @@
         Whether every failure domain was heard lately.
     views
         Returns the pools that may be scaled.
-    era_seen_at
-        Returns when the store first told its newest era; None for none.
+    eras
+        Eras of the store; None where it is never restored.
     time, clock, chance, sleep
         Sources of time and of choices.
     """
@@ -95,7 +96,7 @@
         time: true_time.TrueTime,
         clock: clocks.Clock,
         chance: random.Random,
-        era_seen_at: Callable[[], float | None] = lambda: None,
+        eras: store_eras.StoreEras | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._exchange = exchange
@@ -113,7 +114,7 @@
             longest_pause_seconds=_LONGEST_PAUSE_SECONDS,
             return_seconds=configured.return_seconds,
             renewals_per_key_check=_RENEWALS_PER_KEY_CHECK,
-            era_seen_at=era_seen_at,
+            eras=eras,
             sleep=sleep,
         )
         self._seeks = False
@@ -127,7 +128,8 @@
             may_call=self._may_call,
             counts_of=exchange.counts,
             is_complete=is_complete,
-            era_age=lambda: _age(era_seen_at(), clock),
+            eras=eras or store_eras.StoreEras(clock=clock),
+            clock=clock,
             time=time,
         )
         self._orders = runner_orders.RunnerOrders(
@@ -224,7 +226,3 @@
         """Return whether a call that is begun now ends within the tenure."""
         remaining = self._leadership.remaining_seconds(tenure)
         return remaining > platform_calls.CALL_SECONDS
-
-
-def _age(at: float | None, clock: clocks.Clock) -> float | None:
-    return None if at is None else clock.monotonic() - at
--- a/packages/duties/src/lagoonrun_duties/usage_record.py
+++ b/packages/duties/src/lagoonrun_duties/usage_record.py
@@ -35,18 +35,28 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UsageRecord:
-    """The settled windows, the newest last."""
+    """The settled windows, the newest last.
+
+    Parameters
+    ----------
+    era
+        Era of the store in which it was written: an older one says that the store
+        has come back from an older copy since.
+    """
 
     windows: tuple[SettledWindow, ...] = ()
+    era: int = 0
 
     @property
     def newest(self) -> platform_calls.UsageWindow | None:
         """The newest settled window; None for none."""
         return self.windows[-1].window if self.windows else None
 
-    def with_settled(self, settled: SettledWindow) -> "UsageRecord":
-        """Return the record with one more window."""
-        return UsageRecord(windows=(*self.windows, settled)[-KEPT:])
+    def with_settled(
+        self, settled: SettledWindow, *, era: int
+    ) -> "UsageRecord":
+        """Return the record with one more window, as it is to be written."""
+        return UsageRecord(windows=(*self.windows, settled)[-KEPT:], era=era)
 
     def with_remembered(
         self,
@@ -56,26 +66,29 @@
         by_window = dict(settled_by_window)
         by_window.update((one.window, one) for one in self.windows)
         windows = tuple(by_window[one] for one in sorted(by_window))
-        return UsageRecord(windows=windows[-KEPT:])
+        return dataclasses.replace(self, windows=windows[-KEPT:])
 
     def with_reported(
         self, window: platform_calls.UsageWindow
     ) -> "UsageRecord":
         """Return the record with a window that the platform has confirmed."""
-        return UsageRecord(
+        return dataclasses.replace(
+            self,
             windows=tuple(
                 dataclasses.replace(one, reported=True)
                 if one.window == window
                 else one
                 for one in self.windows
-            )
+            ),
         )
 
 
 def encode(record: UsageRecord) -> bytes:
     """Return a record as compact JSON."""
     rows = [dataclasses.asdict(one) for one in record.windows]
-    return json.dumps({"windows": rows}, separators=(",", ":")).encode()
+    return json.dumps(
+        {"windows": rows, "era": record.era}, separators=(",", ":")
+    ).encode()
 
 
 def decode(value: bytes) -> UsageRecord:
@@ -87,8 +100,11 @@
         When the value is not such a record.
     """
     try:
-        rows = json.loads(value)["windows"]
-        return UsageRecord(windows=tuple(SettledWindow(**row) for row in rows))
+        table = json.loads(value)
+        return UsageRecord(
+            windows=tuple(SettledWindow(**row) for row in table["windows"]),
+            era=int(table.get("era", 0)),
+        )
     except (ValueError, TypeError, KeyError) as error:
         raise errors.LagoonrunError(
             step=errors.Step.ORDER, detail=f"usage record unreadable: {error}"
--- a/packages/duties/src/lagoonrun_duties/usage_reporter.py
+++ b/packages/duties/src/lagoonrun_duties/usage_reporter.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable, Mapping
 
+from lagoonrun_core import clock as clocks
 from lagoonrun_core import errors, events, logs, types
 from lagoonrun_duties import (
     platform_calls,
@@ -11,6 +12,7 @@
 )
 from lagoonrun_orders import tenure as tenures
 from lagoonrun_platform import store as store_module
+from lagoonrun_platform import store_eras
 
 SETTLE_SECONDS = 1.5
 """Time after the end of a window until it is settled. Counts are told within a
@@ -38,11 +40,10 @@
         Returns what is known of a window.
     is_complete
         Whether every part of the fleet has told lately.
-    era_age
-        Returns how long ago the store first told its newest era; None where it
-        tells of none.
-    time
-        Source of true time.
+    eras
+        Eras of the store.
+    time, clock
+        Sources of true time, and of the time by which eras are dated.
     """
 
     def __init__(
@@ -56,8 +57,9 @@
             [platform_calls.UsageWindow], Mapping[types.OrganisationId, int]
         ],
         is_complete: Callable[[], bool],
-        era_age: Callable[[], float | None] = lambda: None,
+        eras: store_eras.StoreEras,
         time: true_time.TrueTime,
+        clock: clocks.Clock,
     ) -> None:
         self._configured = configured
         self._store = store
@@ -65,7 +67,8 @@
         self._may_call = may_call
         self._counts_of = counts_of
         self._is_complete = is_complete
-        self._era_age = era_age
+        self._eras = eras
+        self._clock = clock
         self._said_by_window: dict[
             platform_calls.UsageWindow, usage_record.SettledWindow
         ] = {}
@@ -151,7 +154,7 @@
             window=window,
             count_by_organisation=dict(self._counts_of(window)),
         )
-        record = self._record.with_settled(settled)
+        record = self._record.with_settled(settled, era=self._eras.newest)
         result = await self._store.transact(
             comparisons=[
                 store_module.Comparison(
@@ -219,9 +222,13 @@
         entry VM may have settled and reported it, with other counts. Nothing is
         said of such a window, but by the one that remembers what it said.
         """
-        era_age = self._era_age()
-        if era_age is None or window in self._said_by_window:
+        seen_at = self._eras.seen_at
+        if seen_at is None or self._record.era == self._eras.newest:
+            # Written since the last restore, if there ever was one.
             return False
+        if window in self._said_by_window:
+            return False
+        era_age = self._clock.monotonic() - seen_at
         return end < self._time.now() - era_age
 
 
--- a/packages/orders/src/lagoonrun_orders/leadership.py
+++ b/packages/orders/src/lagoonrun_orders/leadership.py
@@ -16,6 +16,7 @@
 from lagoonrun_orders import bounded_store, vacancy
 from lagoonrun_orders import tenure as tenure_module
 from lagoonrun_platform import store as store_module
+from lagoonrun_platform import store_eras
 
 DEFAULT_TTL_SECONDS = 30.0
 DEFAULT_MARGIN_SECONDS = 2.0
@@ -49,10 +50,10 @@
         Time that a tenure first waits out where this entry VM has had the duty
         before its predecessor. For receivers that know no fencing numbers, two
         holders that take turns within a lease look like two at once.
-    era_seen_at
-        Returns when the store first told its newest era; None where it tells of
-        none. A restore frees the holder's key at once, and its holder, which may
-        not know, acts on for what it believes to be left of its lease.
+    eras
+        Eras of the store; None where it is never restored. A restore frees the
+        holder's key at once, and its holder, which may not know, acts on for what
+        it believes to be left of its lease.
     renewals_per_key_check
         Renewals of the lease for each look whether the key is still there. Only
         a hand that deletes the key makes the two differ, and each look costs as
@@ -73,7 +74,7 @@
         longest_pause_seconds: float = DEFAULT_LONGEST_PAUSE_SECONDS,
         return_seconds: float = 0.0,
         renewals_per_key_check: int = 1,
-        era_seen_at: Callable[[], float | None] = lambda: None,
+        eras: store_eras.StoreEras | None = None,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._store = bounded_store.BoundedStore(store=store)
@@ -87,7 +88,7 @@
         self._longest_pause_seconds = longest_pause_seconds
         self._return_seconds = return_seconds
         self._renewals_per_key_check = renewals_per_key_check
-        self._era_seen_at = era_seen_at
+        self._eras = eras or store_eras.StoreEras(clock=clock)
         self._renewals = 0
         self._sleep = sleep
         self._holder_key = tenure_module.holder_key(duty)
@@ -262,11 +263,15 @@
         return wait
 
     def _unseated_seconds(self) -> float:
-        """Return how long a holder that the store has forgotten may still act."""
-        era_seen_at = self._era_seen_at()
-        if era_seen_at is None:
+        """Return how long a holder that the store has forgotten may still act.
+
+        Where the last tenure began in this era, nothing was forgotten since.
+        """
+        last = self._last_record()
+        seen_at = self._eras.seen_at
+        if seen_at is None or (last and last.era == self._eras.newest):
             return 0.0
-        passed = self._clock.monotonic() - era_seen_at
+        passed = self._clock.monotonic() - seen_at
         return max(0.0, self._ttl_seconds + self._margin_seconds - passed)
 
     def _predecessor_seconds(self) -> float:
@@ -392,6 +397,7 @@
                 released=released,
                 order_timeout_seconds=self._order_timeout_seconds,
                 earlier=self._before,
+                era=self._eras.newest,
             )
         )
 
--- a/packages/orders/src/lagoonrun_orders/tenure.py
+++ b/packages/orders/src/lagoonrun_orders/tenure.py
@@ -45,6 +45,9 @@
         Longest time that its orders may take.
     earlier
         Other entry VMs that held the duty before, the latest first.
+    era
+        Era of the store in which it was written: an older one says that the store
+        has come back from an older copy since.
     """
 
     entry_vm: types.EntryVmId
@@ -52,6 +55,7 @@
     released: bool
     order_timeout_seconds: float
     earlier: tuple[types.EntryVmId, ...] = ()
+    era: int = 0
 
 
 def holder_key(duty: types.DutyName) -> str:
--- a/packages/platform/src/lagoonrun_platform/store_eras.py
+++ b/packages/platform/src/lagoonrun_platform/store_eras.py
@@ -40,12 +40,15 @@
         The newest era that the store has told.
     seen_at
         Reading of the clock when it was first told; None while none was.
+    restores
+        Restores that were seen: the first era that is told is none.
     """
 
     def __init__(self, *, clock: clocks.Clock) -> None:
         self._clock = clock
         self.newest = NO_ERA
         self.seen_at: float | None = None
+        self.restores = 0
 
     def take(self, era: int) -> bool:
         """Take in the era of an answer; return whether the answer counts.
@@ -55,17 +58,23 @@
         """
         if era < self.newest:
             return False
-        if era > self.newest:
-            previous, self.newest = self.newest, era
-            self.seen_at = self._clock.monotonic()
-            logs.emit(
-                events.LogEvent.STORE_ERA_CHANGED,
-                level=logging.WARNING if previous else logging.INFO,
-                era=era,
-                previous=previous,
-            )
+        if self.seen_at is None or era > self.newest:
+            self._begin(era)
         return True
 
+    def _begin(self, era: int) -> None:
+        restored = self.seen_at is not None
+        self.restores += restored
+        previous, self.newest = self.newest, era
+        self.seen_at = self._clock.monotonic()
+        logs.emit(
+            events.LogEvent.STORE_ERA_CHANGED,
+            level=logging.WARNING if restored else logging.INFO,
+            era=era,
+            previous=previous,
+            restored=restored,
+        )
+
     def revision(self, plain: int) -> store.StoreRevision:
         """Return the number of a revision of the newest era; 0 stays 0."""
         return store.StoreRevision(self._number(plain))
--- a/packages/router/src/lagoonrun_router/fleet_duties.py
+++ b/packages/router/src/lagoonrun_router/fleet_duties.py
@@ -14,6 +14,7 @@
     usage_exchange,
 )
 from lagoonrun_platform import store as store_module
+from lagoonrun_platform import store_eras
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     declarations,
@@ -89,8 +90,8 @@
         What the duties ask of the router.
     ready
         Returns whether the router knows enough to act for the fleet.
-    era_seen_at
-        Returns when the store first told its newest era; None for none.
+    eras
+        Eras of the store; None where it is never restored.
     clock, chance
         Sources of time and of choices.
     """
@@ -106,7 +107,7 @@
         ready: Callable[[], bool],
         clock: clocks.Clock,
         chance: random.Random,
-        era_seen_at: Callable[[], float | None] = lambda: None,
+        eras: store_eras.StoreEras | None = None,
     ) -> None:
         # Only here: a deployment without duties starts without them.
         from lagoonrun_duties import duties
@@ -125,7 +126,7 @@
             time=counting.time,
             clock=clock,
             chance=chance,
-            era_seen_at=era_seen_at,
+            eras=eras,
         )
 
     async def start(self) -> None:
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -172,7 +172,7 @@
             ready=lambda: self.ready,
             clock=self._clock,
             chance=self._chance,
-            era_seen_at=lambda: self._eras.seen_at,
+            eras=self._eras,
         )
 
     def _build_knowledge(self) -> None:
--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -322,6 +322,13 @@
     assert isinstance(await client.list_prefix(""), store.Unreachable)
 
 
+async def test_answer_without_an_era_says_nothing_of_it(stand_in, client, copy):
+    """Something before the store refuses a call, and knows no era."""
+    known = (await client.get("a")).found.modified
+    stand_in.era = None
+    assert (await client.get("a")).found.modified == known
+
+
 async def test_listing_over_a_restore_is_none(stand_in, client, copy):
     for number in range(8):
         await put(client, f"p/{number}")
