Read and show the limits that upstreams name in their answers

Now 409 upstream-limited (value, previous, source, age), 410 for values that make no sense, and a gauge. No decision depends on it yet. Statements are kept by the start of an upstream and dated; an answer to a request sent before the newest statement neither ends a limit nor brings one back. Zero is taken as one in ten seconds, 1,000 and more as none; of several the lowest counts.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -47,6 +47,8 @@
     UPSTREAM_ENTRY_REJECTED = (406, "upstream-entry-rejected")
     UPSTREAM_RESTARTED = (407, "upstream-restarted")
     UPSTREAM_CRASHED = (408, "upstream-crashed")
+    UPSTREAM_LIMITED = (409, "upstream-limited")
+    UPSTREAM_NOTICE_REJECTED = (410, "upstream-notice-rejected")
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -106,7 +106,9 @@
         upstream: upstreams.Registration,
     ) -> running_requests.Run:
         """Note that a request is about to be written to an upstream."""
-        return self._running.begin(digest, route=route, at=_started(upstream))
+        return self._running.begin(
+            digest, route=route, at=running_requests.started(upstream)
+        )
 
     def end(
         self,
@@ -196,14 +198,6 @@
             del self._crashed[next(iter(self._crashed))]
 
 
-def _started(
-    upstream: upstreams.Registration,
-) -> running_requests.StartedUpstream:
-    return running_requests.StartedUpstream(
-        upstream=upstream.id, start=upstream.start
-    )
-
-
 def _end_of(result: attempt.Result | None) -> running_requests.RunEnd:
     if result is None:
         return running_requests.RunEnd.ABANDONED
--- a/packages/router/src/lagoonrun_router/dialect.py
+++ b/packages/router/src/lagoonrun_router/dialect.py
@@ -7,7 +7,7 @@
 
 from lagoonrun_http import messages as http_messages
 from lagoonrun_router import call as calls
-from lagoonrun_router import declarations, upstreams
+from lagoonrun_router import declarations, upstream_notice, upstreams
 
 
 class Dialect(Protocol):
@@ -48,6 +48,11 @@
     def is_genuine(self, head: http_messages.ResponseHead) -> bool:
         """Return whether an upstream, and not something else, made this."""
 
+    def read_notice(
+        self, head: http_messages.ResponseHead
+    ) -> upstream_notice.UpstreamNotice:
+        """Return what the upstream says of itself; never raises."""
+
 
 class StoreLayout(Protocol):
     """Where the store keeps what the router reads, and in which format."""
--- a/packages/router/src/lagoonrun_router/gauges.py
+++ b/packages/router/src/lagoonrun_router/gauges.py
@@ -10,6 +10,7 @@
     retry_budget,
     route_table,
     store_follower,
+    upstream_limits,
     upstreams,
 )
 
@@ -24,7 +25,7 @@
     ----------
     into
         The metrics.
-    directory, ledger, peers, budget, follower, crashing
+    directory, ledger, peers, budget, follower, crashing, limits
         What is shown.
     """
 
@@ -38,6 +39,7 @@
         budget: retry_budget.RetryBudget,
         follower: store_follower.StoreFollower,
         crashing: crashing_requests.CrashingRequests,
+        limits: upstream_limits.UpstreamLimits,
     ) -> None:
         self._metrics = into
         self._directory = directory
@@ -46,6 +48,7 @@
         self._budget = budget
         self._follower = follower
         self._crashing = crashing
+        self._limits = limits
 
     def refresh(
         self,
@@ -94,9 +97,11 @@
             into.upstream_own_running,
             into.upstream_waiting_tokens,
             into.upstream_failures,
+            into.upstream_limit,
         ):
             gauge.clear()
         own = self._ledger.own_running()
+        limit_by_id = self._limits.limited()
         for one in self._directory.registrations:
             names = (one.pool, one.id)
             load = self._ledger.load_of(one.id, now=now)
@@ -105,3 +110,5 @@
             into.upstream_waiting_tokens.labels(*names).set(load.waiting_tokens)
             failures = self._ledger.failures(one.id, now=now)
             into.upstream_failures.labels(*names).set(failures)
+            if one.id in limit_by_id:
+                into.upstream_limit.labels(*names).set(limit_by_id[one.id])
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -180,6 +180,12 @@
             "failures", "Faded number of an upstream's failures."
         )
 
+        self.upstream_limit = self._upstream_gauge(
+            "limit",
+            "Requests a second that an upstream takes from all entry VMs; no "
+            "series where it names no limit.",
+        )
+
     def _upstream_gauge(self, name: str, text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
             f"lagoonrun_upstream_{name}",
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -19,6 +19,7 @@
     prompt_homes,
     reach,
     retry_budget,
+    upstream_limits,
     upstreams,
 )
 
@@ -33,6 +34,8 @@
         Follows what runs at the upstreams.
     crashing
         Requests that end upstreams.
+    limits
+        Limits that upstreams have named.
     usage
         Counts requests that begin to run; None where nobody asks for usage.
     """
@@ -53,4 +56,5 @@
     metrics: metrics.RouterMetrics
     crashes: crash_watch.CrashWatch
     crashing: crashing_requests.CrashingRequests
+    limits: upstream_limits.UpstreamLimits
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -37,9 +37,11 @@
     reach,
     retry_budget,
     route_table,
+    running_requests,
     settings,
     store_duty,
     store_follower,
+    upstream_limits,
     upstreams,
 )
 
@@ -124,6 +126,7 @@
         )
         self._domains = reach.DomainReach()
         self._pressed = pressure.Pressure()
+        self._limits = upstream_limits.UpstreamLimits()
         self._gathered = gathered_work.GatheredWork()
         self._let_in = let_in_times.LetInTimes(
             started_at=self._clock.monotonic()
@@ -205,6 +208,7 @@
             budget=self._budget,
             follower=self.follower,
             crashing=self.crashing,
+            limits=self._limits,
         )
         self._duty = store_duty.StoreDuty(
             entry_vm=configured.entry_vm,
@@ -256,6 +260,7 @@
                 metrics=self.metrics,
                 crashes=self._crash_guard.watch,
                 crashing=self.crashing,
+                limits=self._limits,
                 usage=self._usage,
             )
         )
@@ -414,6 +419,7 @@
             self._ledger.forget_start(before.id)
             self._gathered.forget_start(before.id)
             self._homes.forget_upstream(before.id)
+            self._limits.forget_start(running_requests.started(before))
             self._client.lose(
                 before.host, before.port, opened_until=restarted.heard_at
             )
--- a/packages/router/src/lagoonrun_router/running_requests.py
+++ b/packages/router/src/lagoonrun_router/running_requests.py
@@ -4,6 +4,7 @@
 import enum
 
 from lagoonrun_core import types
+from lagoonrun_router import upstreams
 
 SUSPECT_SECONDS = 1.0
 """How long a broken or abandoned run may have been ended by a crash that is only
@@ -34,6 +35,11 @@
     start: types.UpstreamStart
 
 
+def started(upstream: upstreams.Registration) -> StartedUpstream:
+    """Return the start of an upstream that a registration is of."""
+    return StartedUpstream(upstream=upstream.id, start=upstream.start)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RanRequest:
     """A request as those who look into a crash know it.
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -1,9 +1,11 @@
 """Send one call to one upstream, and take what it answers."""
 
 import asyncio
+import logging
 
-from lagoonrun_core import outcomes, types
+from lagoonrun_core import events, logs, outcomes, types
 from lagoonrun_http import exchange as exchanges
+from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
     answers,
@@ -80,6 +82,7 @@
         self._last = last
         self._parts = parts
         self.may_have_run = False
+        self._written_at = choice.decided_at
         self.pause_waiting_tokens = 0
         self._run: running_requests.Run | None = None
         self._longest_pause_seconds = 0.0
@@ -132,11 +135,33 @@
             )
         if isinstance(response, http_upstream.UpstreamFailure):
             return attempt.lost_by(response, upstream=upstream.id)
+        self._take_notice(response.head)
         try:
             return await self._take(response, upstream.id)
         finally:
             await response.cancel()
 
+    def _take_notice(self, head: http_messages.ResponseHead) -> None:
+        """Take in what the upstream says of itself, whatever it answers."""
+        dialect = self._parts.dialect
+        if dialect.is_other_upstream(head):
+            return
+        notice = dialect.read_notice(head)
+        upstream = self._choice.upstream
+        if notice.unreadable:
+            logs.emit(
+                events.LogEvent.UPSTREAM_NOTICE_REJECTED,
+                level=logging.WARNING,
+                upstream=upstream.id,
+                fields=notice.unreadable,
+            )
+        self._parts.limits.take_answer(
+            running_requests.started(upstream),
+            notice,
+            sent_at=self._written_at,
+            now=self._parts.clock.monotonic(),
+        )
+
     def _may_write(self) -> bool:
         now = self._parts.clock.monotonic()
         choice = self._choice
@@ -147,6 +172,7 @@
         # must not be told as "not run".
         self.may_have_run = may
         if may:
+            self._written_at = now
             self._run = self._parts.crashes.begin(
                 self._call.digest,
                 route=self._call.route.name,
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/upstream_limits.py
@@ -0,0 +1,153 @@
+"""Limits that upstreams have named, as far as this entry VM knows.
+
+An upstream in need names in its answers how many requests a second it takes, and
+leaves that out when it needs it no more. Answers overtake each other, and entry VMs
+tell each other what they were told; so each statement is dated, and an older one
+never replaces a newer one.
+"""
+
+import dataclasses
+import logging
+
+from lagoonrun_core import events, logs, types
+from lagoonrun_router import running_requests, upstream_notice
+
+LEAST_PER_SECOND = 0.1
+"""Smallest limit that is taken at its word. Only an answer can end a limit, so an
+upstream that takes nothing at all would never be asked again."""
+
+UNLIMITED_PER_SECOND = 1000.0
+"""Limit from which an upstream counts as unlimited: far above what one serves."""
+
+_MOST_LIMITS = 1024
+"""Upstreams of which statements are remembered; the oldest statements yield."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimitStatement:
+    """What an upstream has said of its limit, the newest that is known.
+
+    Parameters
+    ----------
+    at
+        Which start of the upstream; one that starts again owes nothing of this.
+    requests_per_second
+        For all entry VMs together; None where it names no limit any more.
+    heard_at
+        Reading of the clock when the answer that said so arrived.
+    """
+
+    at: running_requests.StartedUpstream
+    requests_per_second: float | None
+    heard_at: float
+
+
+class UpstreamLimits:
+    """The newest statement of each upstream."""
+
+    def __init__(self) -> None:
+        self._by_start: dict[
+            running_requests.StartedUpstream, LimitStatement
+        ] = {}
+
+    def limit_of(self, at: running_requests.StartedUpstream) -> float | None:
+        """Return the requests a second that an upstream takes; None for any."""
+        known = self._by_start.get(at)
+        return known.requests_per_second if known else None
+
+    def statements(
+        self, *, since: float = float("-inf")
+    ) -> tuple[LimitStatement, ...]:
+        """Return the statements heard since then, the newest last."""
+        return tuple(
+            one for one in self._by_start.values() if one.heard_at >= since
+        )
+
+    def limited(self) -> dict[types.UpstreamId, float]:
+        """Return the limits in force by upstream."""
+        return {
+            at.upstream: one.requests_per_second
+            for at, one in self._by_start.items()
+            if one.requests_per_second is not None
+        }
+
+    def take_answer(
+        self,
+        at: running_requests.StartedUpstream,
+        notice: upstream_notice.UpstreamNotice,
+        *,
+        sent_at: float,
+        now: float,
+    ) -> LimitStatement | None:
+        """Take in an answer to a request of this entry VM.
+
+        Returns the statement where it changes what is known. An answer may be
+        older than it seems by the time since its request was sent: one that
+        would begin or end a limit counts only where the request was sent after
+        the newest statement was heard.
+
+        Parameters
+        ----------
+        sent_at
+            Reading of the clock when the request was written.
+        """
+        per_second = _bounded(notice.requests_per_second)
+        known = self._by_start.get(at)
+        if known is None and per_second is None:
+            return None
+        if known is not None:
+            toggles = (known.requests_per_second is None) is not (
+                per_second is None
+            )
+            if toggles and sent_at < known.heard_at:
+                return None
+        return self._take(
+            LimitStatement(at=at, requests_per_second=per_second, heard_at=now),
+            source="answer",
+            now=now,
+        )
+
+    def take_told(
+        self, statement: LimitStatement, *, source: str, now: float
+    ) -> LimitStatement | None:
+        """Take in what a peer was told; return it where that is news."""
+        known = self._by_start.get(statement.at)
+        if known is not None and statement.heard_at <= known.heard_at:
+            return None
+        bounded = dataclasses.replace(
+            statement,
+            requests_per_second=_bounded(statement.requests_per_second),
+        )
+        return self._take(bounded, source=source, now=now)
+
+    def forget_start(self, at: running_requests.StartedUpstream) -> None:
+        """Forget what an upstream said before it started again."""
+        self._by_start.pop(at, None)
+
+    def _take(
+        self, statement: LimitStatement, *, source: str, now: float
+    ) -> LimitStatement | None:
+        known = self._by_start.pop(statement.at, None)
+        self._by_start[statement.at] = statement
+        while len(self._by_start) > _MOST_LIMITS:
+            del self._by_start[next(iter(self._by_start))]
+        before = known.requests_per_second if known else None
+        if statement.requests_per_second == before:
+            return None
+        logs.emit(
+            events.LogEvent.UPSTREAM_LIMITED,
+            level=logging.WARNING,
+            upstream=statement.at.upstream,
+            start=statement.at.start,
+            per_second=statement.requests_per_second,
+            previous=before,
+            source=source,
+            age_seconds=round(now - statement.heard_at, 3),
+        )
+        return statement
+
+
+def _bounded(per_second: float | None) -> float | None:
+    if per_second is None or per_second >= UNLIMITED_PER_SECOND:
+        return None
+    return max(LEAST_PER_SECOND, per_second)
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/upstream_notice.py
@@ -0,0 +1,23 @@
+"""What an upstream says of itself in the head of an answer."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UpstreamNotice:
+    """All that one answer says of the upstream that made it.
+
+    Parameters
+    ----------
+    requests_per_second
+        Most requests a second that it takes from all entry VMs together; None
+        where it names no limit.
+    unreadable
+        Header fields that make no sense, as they were written.
+    """
+
+    requests_per_second: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
+NO_NOTICE = UpstreamNotice()
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -4,7 +4,7 @@
 import json
 
 from lagoonrun_core import errors
-from lagoonrun_router import call, format_error, upstreams
+from lagoonrun_router import call, format_error, upstream_notice, upstreams
 
 
 class PlainDialect:
@@ -51,6 +51,13 @@
         """Return whether the answer has a mark."""
         return "Mark" in head.headers
 
+    def read_notice(self, head):
+        """Return what the answer says of its upstream."""
+        limit = head.headers.get("Limit")
+        return upstream_notice.UpstreamNotice(
+            requests_per_second=float(limit) if limit else None
+        )
+
 
 class PlainLayout:
     """A layout whose values name revisions and upstreams of the test."""
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -148,3 +148,39 @@
     assert DIALECT.is_other_upstream(answer(421))
     assert DIALECT.is_genuine(answer(X_Server_Signature="a.b"))
     assert not DIALECT.is_genuine(answer())
+
+
+@pytest.mark.parametrize(
+    ("texts", "limit"),
+    [
+        ((), None),
+        (("1.6",), 1.6),
+        (("0",), 0.0),
+        (("12",), 12.0),
+        ((" 2.5 ",), 2.5),
+        (("3", "1.5"), 1.5),
+        (("3", "soon"), 3.0),
+    ],
+)
+def test_limit_of_an_upstream_is_read(texts, limit):
+    notice = DIALECT.read_notice(limited(*texts))
+    assert notice.requests_per_second == limit
+
+
+@pytest.mark.parametrize(
+    "text", ["-1", "nan", "inf", "1e9", "1,6", "", "9" * 20, "١", "1 2"]
+)
+def test_limit_that_makes_no_sense_is_none_and_reported(text):
+    """Guards against a header of an upstream that stops its pool."""
+    notice = DIALECT.read_notice(limited(text))
+    assert notice.requests_per_second is None
+    assert notice.unreadable == (f"Server-Limit: {text}",)
+
+
+def limited(*texts):
+    return messages.ResponseHead(
+        status=200,
+        headers=messages.Headers(
+            pairs=[("Server-Limit", text) for text in texts]
+        ),
+    )
