Send news to the fleet in a module of its own

Crash news has its ways of telling all, handing on and repeating; other news needs the same. No change of behaviour; tests of crash news pass as they were, but for the assembly of their fixture.

--- a/packages/router/src/lagoonrun_router/crash_news.py
+++ b/packages/router/src/lagoonrun_router/crash_news.py
@@ -6,17 +6,15 @@
 another, several times a second while it is news, and now and then later.
 """
 
-import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Protocol
 
 from lagoonrun_core import types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     crash_evidence,
-    peer_table,
+    news_spreader,
     running_requests,
-    settings,
 )
 
 NEWS_SECONDS = 5.0
@@ -33,9 +31,6 @@
 _MOST_TOLD = 24
 """Records in a message: two kilobytes."""
 
-Sender = Callable[[router_messages.CrashNews, Iterable[settings.Address]], None]
-"""Sends a message to each address."""
-
 
 class KnownRecords(Protocol):
     """Gives the records of crashes that this entry VM knows."""
@@ -46,16 +41,6 @@
         """Return those of crashes since then, the weightiest first."""
 
 
-class FleetAddresses(Protocol):
-    """Whom to tell in other failure domains, and whether to hand news on."""
-
-    def far_addresses(self) -> Iterable[settings.Address]:
-        """Return the relays of the other failure domains."""
-
-    def leads(self) -> bool:
-        """Return whether this entry VM is the relay of its failure domain."""
-
-
 class CrashNewsExchange:
     """Sends, repeats and hands on records of crashes.
 
@@ -63,16 +48,10 @@
     ----------
     entry_vm, domain
         This entry VM.
-    table
-        The other entry VMs.
-    fleet
-        Relays of the failure domains.
+    spreader
+        Sends messages.
     records
         What is known of crashes.
-    send
-        Sends a message.
-    chance
-        Source of the choice of peers.
     """
 
     def __init__(
@@ -80,19 +59,13 @@
         *,
         entry_vm: types.EntryVmId,
         domain: types.FailureDomain,
-        table: peer_table.PeerTable,
-        fleet: FleetAddresses,
+        spreader: news_spreader.NewsSpreader,
         records: KnownRecords,
-        send: Sender,
-        chance: random.Random,
     ) -> None:
         self._entry_vm = entry_vm
         self._domain = domain
-        self._table = table
-        self._fleet = fleet
+        self._spreader = spreader
         self._records = records
-        self._send = send
-        self._chance = chance
         self._beats = 0
         self._next_old = 0
 
@@ -101,8 +74,7 @@
     ) -> None:
         """Tell the whole fleet what this entry VM has just learned itself."""
         for news in self._messages(records, now):
-            self._send(news, self._table.near_addresses())
-            self._send(news, self._fleet.far_addresses())
+            self._spreader.tell_all(news)
 
     def hand_on(
         self,
@@ -112,15 +84,13 @@
         now: float,
     ) -> None:
         """Hand on, as the relay, what was new from another failure domain."""
-        if not new or told.domain == self._domain or not self.leads:
-            return
         for news in self._messages(new, now):
-            self._send(news, self._table.near_addresses())
+            self._spreader.hand_on(news, origin=told.domain)
 
     @property
     def leads(self) -> bool:
         """Whether this entry VM is the relay of its failure domain."""
-        return self._fleet.leads()
+        return self._spreader.leads
 
     def beat(self, *, now: float) -> None:
         """Repeat what others may not have heard, every few calls."""
@@ -132,9 +102,8 @@
             told = self._some_old(self._records())
         if not told:
             return
-        addresses = self._some_peers()
         for news in self._messages(told[:_MOST_TOLD], now):
-            self._send(news, addresses)
+            self._spreader.tell_some(news)
 
     def _some_old(
         self, records: tuple[crash_evidence.CrashRecord, ...]
@@ -148,11 +117,6 @@
         self._next_old += half
         return (*heavy, *part)
 
-    def _some_peers(self) -> tuple[settings.Address, ...]:
-        near = self._table.near_addresses()
-        near_one = self._chance.sample(near, min(1, len(near)))
-        return (*near_one, *self._table.far_told(self._chance))
-
     def _messages(
         self, records: tuple[crash_evidence.CrashRecord, ...], now: float
     ) -> Iterable[router_messages.CrashNews]:
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -21,6 +21,7 @@
     fleet_news,
     gathered_work,
     load_ledger,
+    news_spreader,
     peer_fetch,
     peer_loads,
     peer_socket,
@@ -170,16 +171,20 @@
             usage=usage,
             send=self._socket.send,
         )
-        self._crashing = crashing
-        self._crash_news = crash_news.CrashNewsExchange(
-            entry_vm=configured.entry_vm,
+        spreader = news_spreader.NewsSpreader(
             domain=configured.domain,
             table=table,
             fleet=self,
-            records=crashing.records,
             send=self._socket.send,
             chance=chance,
         )
+        self._crashing = crashing
+        self._crash_news = crash_news.CrashNewsExchange(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            spreader=spreader,
+            records=crashing.records,
+        )
         crashing.news = self._crash_news
         self._timer = standing_task.StandingTask(
             name="peers", function=self._run
--- a/packages/router/tests/test_crash_news.py
+++ b/packages/router/tests/test_crash_news.py
@@ -8,6 +8,7 @@
 from lagoonrun_router import (
     crash_evidence,
     crash_news,
+    news_spreader,
     peer_table,
     running_requests,
     settings,
@@ -69,11 +70,14 @@
     return crash_news.CrashNewsExchange(
         entry_vm="vm-1",
         domain="north",
-        table=table,
-        fleet=fleet,
+        spreader=news_spreader.NewsSpreader(
+            domain="north",
+            table=table,
+            fleet=fleet,
+            send=lambda message, to: sent.append((message, tuple(to))),
+            chance=random.Random(1),
+        ),
         records=evidence.records,
-        send=lambda message, to: sent.append((message, tuple(to))),
-        chance=random.Random(1),
     )
 
 
