Give out the places of a limited upstream one by one, for the whole fleet

Callers saw: an upstream that had named a limit of 1.6 requests a second got 23 in four seconds from entry VMs that it had told. Cause: what an answer says of its upstream was used for one attempt at most. Class: knowledge that lives as long as the attempt that brought it. Ruled out: that one entry VM alone sent too much (each sent one or two a second; the sum was too much) and that ranking outweighed it (nothing was read). Now an upstream with a limit gets a request only with a place, which one entry VM gives out: the relay of the upstream's failure domain. Higher tiers have the next place, each tier one in ten seconds. Where that relay can't be asked, a domain's relay, or the entry VM, gives out the part of the entry VMs on its side, and the giver leaves them theirs. Where no upstream has a place the caller is told at once when the next comes up.

--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -14,6 +14,7 @@
         "peer-lost",
         "peer-gained",
         "upstream-state-changed",
+        "upstream-limited",
         "readiness-changed",
         "process-started",
         "process-stopping",
@@ -40,6 +41,7 @@
     "no-upstream": Verdict.REFUSED,
     "unconfigured": Verdict.REFUSED,
     "crashed-upstreams": Verdict.REFUSED,
+    "upstreams-limited": Verdict.REFUSED,
     "upstream-refused": Verdict.REFUSED,
     "deadline": Verdict.LIMIT,
     "caller-left": Verdict.CALLER_LEFT,
@@ -94,6 +96,9 @@
 ) -> tuple[log_lines.LogLine, ...]:
     entry_vms = {one.entry_vm for one in own}
     upstreams = {one.get("upstream") for one in own} - {None}
+    for one in own:
+        upstreams.update(one.get("without_place") or ())
+        upstreams.update(one.get("upstreams") or ())
     end = own[-1].time
     latest: dict[object, log_lines.LogLine] = {}
     for line in ordered:
@@ -103,7 +108,11 @@
             continue
         if about is not None and about not in upstreams:
             continue
-        topic = (line.entry_vm, about or line.get("peer") or _topic(line))
+        topic = (
+            line.entry_vm,
+            line.message,
+            about or line.get("peer") or _topic(line),
+        )
         latest[topic] = line
     return log_lines.in_order(latest.values())
 
@@ -164,6 +173,12 @@
                 f"the attempt at {line.get('upstream')} was lost: "
                 f"{line.get('detail')}; it ran: {line.get('ran')}"
             )
+        elif line.message == "place-decided" and not line.get("granted"):
+            yield (
+                f"no place at {line.get('upstream')}, which takes "
+                f"{line.get('per_second')} requests a second of all entry VMs; "
+                f"the next one {line.get('wait_seconds')} s later"
+            )
         elif line.message == "request-routed":
             yield from _placement_of(line)
         elif line.message == "request-ended" and is_late(line):
@@ -178,7 +193,7 @@
 def _crashes_of(refused: log_lines.LogLine) -> Iterable[str]:
     """Name the crashes that counted, and where to read of them."""
     upstreams = refused.get("upstreams")
-    if upstreams:
+    if upstreams and refused.get("digest"):
         yield (
             f"upstreams that ended while they ran request "
             f"{refused.get('digest')}: {', '.join(upstreams)}; it may be "
@@ -187,6 +202,9 @@
 
 
 def _placement_of(routed: log_lines.LogLine) -> Iterable[str]:
+    without_place = routed.get("without_place")
+    if without_place:
+        yield f"no place was left at {', '.join(without_place)}"
     candidates = routed.get("candidates") or []
     if candidates:
         best = candidates[0]
@@ -212,6 +230,12 @@
                 f"the request or a copy of it, as {line.entry_vm} saw; requests "
                 f"that it sent there: {len(line.get('requests'))}"
             )
+        elif line.message == "upstream-limited":
+            yield (
+                f"{line.get('upstream')} took {line.get('per_second')} requests "
+                f"a second for {line.entry_vm} since {line.time}, by "
+                f"{line.get('source')}"
+            )
         elif line.message == "upstream-state-changed":
             yield (
                 f"{line.get('upstream')} was {line.get('state')} for "
--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -32,6 +32,8 @@
     FALLBACK_ROUTED = (208, "fallback-routed")
     REQUEST_BLOCKED = (209, "request-blocked")
     REQUEST_UNBLOCKED = (210, "request-unblocked")
+    PLACE_DECIDED = (211, "place-decided")
+    PLACE_UNANSWERED = (212, "place-unanswered")
 
     SHARD_OWNED = (300, "shard-owned")
     SHARD_RELEASED = (301, "shard-released")
--- a/packages/core/src/lagoonrun_core/outcomes.py
+++ b/packages/core/src/lagoonrun_core/outcomes.py
@@ -46,6 +46,7 @@
     UPSTREAM_PROTOCOL = "upstream-protocol"
     UNCONFIGURED = "unconfigured"
     CRASHED_UPSTREAMS = "crashed-upstreams"
+    UPSTREAMS_LIMITED = "upstreams-limited"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -312,6 +312,80 @@
     runs: tuple[CrashedRun, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UpstreamLimit:
+    """What an upstream has said of the requests that it takes.
+
+    Parameters
+    ----------
+    start
+        Which start of the upstream.
+    thousandths_per_second
+        Requests in a thousand seconds, of all entry VMs together; 0 where it
+        names no limit any more.
+    age_milliseconds
+        Time since the answer that said so.
+    """
+
+    upstream: types.UpstreamId
+    start: types.UpstreamStart
+    thousandths_per_second: int
+    age_milliseconds: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LimitNews:
+    """What an entry VM knows of the limits that upstreams name."""
+
+    entry_vm: types.EntryVmId
+    domain: types.FailureDomain
+    limits: tuple[UpstreamLimit, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlaceRequest:
+    """An entry VM asks for one place at a limited upstream.
+
+    Parameters
+    ----------
+    entry_vm, host, port, domain
+        Who asks, and where the answer goes.
+    number
+        Names the question.
+    limit
+        What the asker knows of the limit.
+    upstream_domain
+        Failure domain of the upstream.
+    """
+
+    entry_vm: types.EntryVmId
+    host: str
+    port: int
+    domain: types.FailureDomain
+    number: int
+    limit: UpstreamLimit
+    upstream_domain: types.FailureDomain
+    tier: types.Tier
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlaceAnswer:
+    """Whether an entry VM has the place that it asked for.
+
+    Parameters
+    ----------
+    wait_milliseconds
+        Time until the next place may come up, where it has none.
+    giver
+        For whom places are given out where this was decided.
+    """
+
+    number: int
+    granted: bool
+    wait_milliseconds: int = 0
+    giver: str = ""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoredItem:
     """A key of the store with its value, as it was read."""
@@ -402,6 +476,9 @@
     | StoreChanges
     | UsageNews
     | CrashNews
+    | LimitNews
+    | PlaceRequest
+    | PlaceAnswer
     | DeclaredChange
     | StoredItems
 )
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -311,6 +311,37 @@
   runs @2 :List(CrashedRun);
 }
 
+struct UpstreamLimit {
+  upstream @0 :Text;
+  start @1 :UInt64;
+  thousandthsPerSecond @2 :UInt32;
+  ageMilliseconds @3 :UInt32;
+}
+
+struct LimitNews {
+  entryVm @0 :Text;
+  domain @1 :Text;
+  limits @2 :List(UpstreamLimit);
+}
+
+struct PlaceRequest {
+  entryVm @0 :Text;
+  host @1 :Text;
+  port @2 :UInt32;
+  domain @3 :Text;
+  number @4 :UInt64;
+  limit @5 :UpstreamLimit;
+  upstreamDomain @6 :Text;
+  tier @7 :UInt32;
+}
+
+struct PlaceAnswer {
+  number @0 :UInt64;
+  granted @1 :Bool;
+  waitMilliseconds @2 :UInt32;
+  giver @3 :Text;
+}
+
 struct StoredItem {
   key @0 :Text;
   value @1 :Data;
@@ -373,5 +404,8 @@
     declaredChange @22 :DeclaredChange;
     usageNews @23 :UsageNews;
     crashNews @24 :CrashNews;
+    limitNews @25 :LimitNews;
+    placeRequest @26 :PlaceRequest;
+    placeAnswer @27 :PlaceAnswer;
   }
 }
--- a/packages/router/src/lagoonrun_router/answers.py
+++ b/packages/router/src/lagoonrun_router/answers.py
@@ -41,6 +41,20 @@
     return max(0.01, min(seconds, left_seconds / 4.0))
 
 
+def spread_retry_seconds(
+    chance: random.Random, *, wait_seconds: float
+) -> float:
+    """Return when to come back for something that comes up for one at a time.
+
+    Parameters
+    ----------
+    wait_seconds
+        Time until it may come up next.
+    """
+    soonest = max(_RETRY_SECONDS, wait_seconds)
+    return soonest * (1.0 + chance.random())
+
+
 async def end_without_answer(
     exchange: exchanges.Exchange,
     *,
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from collections.abc import Container
+from collections.abc import Container, Iterable
 
 from lagoonrun_core import events, logs, types
 from lagoonrun_router import admission, considered, placement, upstreams
@@ -12,6 +12,22 @@
 _LOGGED_CANDIDATES = 4
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoPlace:
+    """All upstreams that are left have named a limit, and have no place.
+
+    Parameters
+    ----------
+    wait_seconds
+        Time until the first of them may have one.
+    upstreams
+        Some of them, for the log.
+    """
+
+    wait_seconds: float
+    upstreams: tuple[types.UpstreamId, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Choice:
     """An upstream, and what its choice rested on.
@@ -28,6 +44,8 @@
         Whether it waits behind all others of the pool.
     decided_at
         Reading of the clock.
+    has_place
+        Whether a place was taken there, as upstreams with a limit ask for.
     """
 
     upstream: upstreams.Registration
@@ -36,6 +54,7 @@
     tier: types.Tier
     stands_back: bool
     decided_at: float
+    has_place: bool = False
 
 
 class Chooser:
@@ -52,7 +71,7 @@
 
     def choose(
         self, call: calls.Call, *, excluded: Container[types.UpstreamId]
-    ) -> Choice | admission.Refusal | None:
+    ) -> Choice | admission.Refusal | NoPlace | None:
         """Return the upstream of the next attempt; None if there is none.
 
         Parameters
@@ -65,6 +84,14 @@
         by_id = {one.id: one for one in registered if one.id not in excluded}
         if not by_id:
             return None
+        closed_by_id = self._closed(call, by_id.values(), now)
+        if len(closed_by_id) == len(by_id):
+            return NoPlace(
+                wait_seconds=min(closed_by_id.values()),
+                upstreams=tuple(closed_by_id)[:_LOGGED_CANDIDATES],
+            )
+        for id in closed_by_id:
+            del by_id[id]
         usable = tuple(by_id.values())
         considered_few = self._considered(call, usable, now)
         ranking = self._rank(call, considered_few, usable, now)
@@ -76,7 +103,13 @@
             ranking = self._rank(call, usable, usable, now)
             best = self._admit(call, ranking.ranked, now)
         if isinstance(best, admission.Refusal):
-            self._log(call, ranking, chosen="", refusal=best.value)
+            self._log(
+                call,
+                ranking,
+                chosen="",
+                refusal=best.value,
+                without_place=closed_by_id,
+            )
             return best
         reread_tokens = ranking.reread_tokens(best)
         self._parts.metrics.reread_tokens.labels(call.pool.name).inc(
@@ -87,8 +120,8 @@
             ranking,
             chosen=best.candidate.upstream,
             reread_tokens=reread_tokens,
+            without_place=closed_by_id,
         )
-        self._parts.let_in.note(call.route.profile.name, now=now)
         return Choice(
             upstream=by_id[best.candidate.upstream],
             new_tokens=best.new_tokens,
@@ -98,6 +131,20 @@
             decided_at=now,
         )
 
+    def _closed(
+        self,
+        call: calls.Call,
+        registered: Iterable[upstreams.Registration],
+        now: float,
+    ) -> dict[types.UpstreamId, float]:
+        """Return the upstreams without a place, and for how long."""
+        closed_by_id = {}
+        for one in registered:
+            seconds = self._parts.places.closed_seconds(one, call.tier, now=now)
+            if seconds:
+                closed_by_id[one.id] = seconds
+        return closed_by_id
+
     def _considered(
         self,
         call: calls.Call,
@@ -209,6 +256,7 @@
         chosen: str,
         refusal: str = "",
         reread_tokens: int = 0,
+        without_place: Iterable[types.UpstreamId] = (),
     ) -> None:
         logs.emit(
             events.LogEvent.REQUEST_ROUTED,
@@ -223,6 +271,7 @@
             shared_tokens=call.shared_tokens,
             reread_tokens=reread_tokens,
             stands_back=ranking.stands_back,
+            without_place=list(without_place)[:_LOGGED_CANDIDATES],
             candidates=[
                 {
                     "upstream": one.candidate.upstream,
--- a/packages/router/src/lagoonrun_router/domain_news.py
+++ b/packages/router/src/lagoonrun_router/domain_news.py
@@ -188,6 +188,15 @@
             addresses.extend(one for one in found if one is not None)
         return addresses
 
+    def relay_of(
+        self, domain: types.FailureDomain, *, now: float
+    ) -> settings.Address | None:
+        """Return the relay of another domain, where it was heard lately."""
+        relay = self._relays_by_domain.get(domain)
+        if relay is None or now - relay.heard_at >= _RELAY_SECONDS:
+            return None
+        return relay.address
+
     def take(
         self, news: router_messages.DomainNews, *, host: str, now: float
     ) -> bool:
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -13,6 +13,7 @@
     choosing,
     crash_evidence,
     loads,
+    place_bucket,
     retrying,
     sending,
     stream_relay,
@@ -20,6 +21,10 @@
 from lagoonrun_router import call as calls
 from lagoonrun_router import parts as router_parts
 
+_MOST_PLACES_ASKED = 4
+"""Upstreams with a limit that a request asks for a place, each for a few milliseconds,
+before its caller is told when to come back."""
+
 _OVERLOAD_PART = 0.25
 """Part of a caller's patience from which a foreseen wait means overload."""
 
@@ -95,11 +100,9 @@
             block = self._parts.crashing.block_of(self._call.digest)
             if block is not None:
                 return await self._refuse_blocked(block)
-            choice = self._chooser.choose(self._call, excluded=self._tried)
-            if choice is None and self._tried:
-                # All were tried; one that failed may do better by now.
-                self._tried.clear()
-                choice = self._chooser.choose(self._call, excluded=())
+            choice = await self._choose()
+            if isinstance(choice, choosing.NoPlace):
+                return await self._refuse_without_place(choice)
             if not isinstance(choice, choosing.Choice):
                 return await self._refuse(choice)
             result = await self._attempt(choice)
@@ -109,6 +112,67 @@
             if ending is not None:
                 return ending
 
+    async def _choose(
+        self,
+    ) -> choosing.Choice | admission.Refusal | choosing.NoPlace | None:
+        """Choose an upstream, and take a place there where it has a limit."""
+        for _ in range(_MOST_PLACES_ASKED):
+            choice = self._choose_among_all()
+            if not isinstance(choice, choosing.Choice):
+                return choice
+            if not self._parts.places.is_limited(choice.upstream):
+                return choice
+            place = await self._parts.places.take(
+                choice.upstream,
+                self._call.tier,
+                request_id=self._call.request_id,
+            )
+            if isinstance(place, place_bucket.Granted):
+                return dataclasses.replace(choice, has_place=True)
+        return choosing.NoPlace(
+            wait_seconds=place.wait_seconds, upstreams=(choice.upstream.id,)
+        )
+
+    def _choose_among_all(
+        self,
+    ) -> choosing.Choice | admission.Refusal | choosing.NoPlace | None:
+        choice = self._chooser.choose(self._call, excluded=self._tried)
+        if self._tried and (
+            choice is None or isinstance(choice, choosing.NoPlace)
+        ):
+            # All were tried; one that failed may do better by now.
+            self._tried.clear()
+            choice = self._chooser.choose(self._call, excluded=())
+        return choice
+
+    async def _refuse_without_place(
+        self, refusal: choosing.NoPlace
+    ) -> outcomes.Ending:
+        """End a request for which the limits of its pool leave no place.
+
+        Callers come back one after the other: the next place is for one of
+        them.
+        """
+        seconds = answers.spread_retry_seconds(
+            self._parts.chance, wait_seconds=refusal.wait_seconds
+        )
+        reason = outcomes.Reason.UPSTREAMS_LIMITED
+        detail = "the upstreams of the pool have named a limit"
+        self._note_pressure()
+        logs.emit(
+            events.LogEvent.REQUEST_REFUSED,
+            level=logging.WARNING,
+            request_id=self._call.request_id,
+            reason=reason.value,
+            detail=detail,
+            tier=self._call.tier,
+            upstreams=list(refusal.upstreams),
+            retry_after=round(seconds, 3),
+        )
+        return await self._end(
+            reason=reason, detail=detail, retry_after_seconds=seconds
+        )
+
     async def _refuse(
         self, refusal: admission.Refusal | None
     ) -> outcomes.Ending:
@@ -243,6 +307,7 @@
     async def _attempt(self, choice: choosing.Choice) -> attempt.Result:
         parts = self._parts
         now = self._sent_at = parts.clock.monotonic()
+        parts.let_in.note(self._call.route.profile.name, now=now)
         work = loads.Work(
             upstream=choice.upstream.id,
             new_tokens=choice.new_tokens,
--- a/packages/router/src/lagoonrun_router/gauges.py
+++ b/packages/router/src/lagoonrun_router/gauges.py
@@ -101,7 +101,10 @@
         ):
             gauge.clear()
         own = self._ledger.own_running()
-        limit_by_id = self._limits.limited()
+        limit_by_id = {
+            one.at.upstream: one.requests_per_second
+            for one in self._limits.in_force()
+        }
         for one in self._directory.registrations:
             names = (one.pool, one.id)
             load = self._ledger.load_of(one.id, now=now)
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -72,6 +72,12 @@
             "Requests that are not sent since upstreams ended under them.",
             registry=self.registry,
         )
+        self.places = prometheus_client.Counter(
+            "lagoonrun_places",
+            "Places asked for at upstreams that name a limit, by who decided.",
+            ["pool", "verdict", "giver"],
+            registry=self.registry,
+        )
         self.new_tokens = prometheus_client.Counter(
             "lagoonrun_prompt_tokens_sent",
             "Prompt tokens that upstreams had to read.",
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -12,9 +12,11 @@
     crashing_requests,
     dialect,
     let_in_times,
+    limit_news,
     load_ledger,
     metrics,
     peer_table,
+    places,
     pressure,
     prompt_homes,
     reach,
@@ -34,8 +36,8 @@
         Follows what runs at the upstreams.
     crashing
         Requests that end upstreams.
-    limits
-        Limits that upstreams have named.
+    limits, limit_news, places
+        Limits that upstreams have named, who is told of them, and places there.
     usage
         Counts requests that begin to run; None where nobody asks for usage.
     """
@@ -57,4 +59,6 @@
     crashes: crash_watch.CrashWatch
     crashing: crashing_requests.CrashingRequests
     limits: upstream_limits.UpstreamLimits
+    limit_news: limit_news.LimitNewsExchange
+    places: places.Places
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -238,6 +238,13 @@
             for entry_vm, peer in self._near_by_id.items()
         }
 
+    def near_sharers(self, *, now: float) -> int:
+        """Return how many neighbours may be there, those cut off included."""
+        return sum(
+            now - peer.heard_at < _FORGOTTEN_SECONDS
+            for peer in self._near_by_id.values()
+        )
+
     def heard_at(self, entry_vm: types.EntryVmId) -> float:
         """Return when a peer was heard last; minus infinity for never."""
         peer = self._peers_by_id.get(entry_vm)
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -20,18 +20,23 @@
     domain_news,
     fleet_news,
     gathered_work,
+    limit_news,
     load_ledger,
+    metrics,
     news_spreader,
     peer_fetch,
     peer_loads,
     peer_socket,
     peer_table,
+    place_routing,
+    places,
     pressure,
     prompt_homes,
     reach,
     roster,
     settings,
     state_telling,
+    upstream_limits,
     upstreams,
 )
 
@@ -78,6 +83,10 @@
         What is told and heard.
     crashing
         Requests that end upstreams.
+    limits
+        Limits that upstreams have named.
+    counters
+        Receives the number of places at limited upstreams.
     usage
         Counts of requests; None where nobody asks for them.
     clock, chance
@@ -98,6 +107,8 @@
         pressed: pressure.Pressure,
         gathered: gathered_work.GatheredWork,
         crashing: crashing_requests.CrashingRequests,
+        limits: upstream_limits.UpstreamLimits,
+        counters: metrics.RouterMetrics,
         usage: usage_exchange.UsageExchange | None = None,
         clock: clocks.Clock,
         chance: random.Random,
@@ -186,6 +197,27 @@
             records=crashing.records,
         )
         crashing.news = self._crash_news
+        self.limit_news = limit_news.LimitNewsExchange(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            limits=limits,
+            spreader=spreader,
+        )
+        self.places = places.Places(
+            configured=configured,
+            limits=limits,
+            routing=place_routing.PlaceRouting(
+                entry_vm=configured.entry_vm,
+                domain=configured.domain,
+                table=table,
+                domains=domains,
+                relays=self,
+            ),
+            send=self._socket.send,
+            counters=counters,
+            clock=clock,
+            chance=chance,
+        )
         self._timer = standing_task.StandingTask(
             name="peers", function=self._run
         )
@@ -233,6 +265,7 @@
         self._fleet_news.beat(now=now)
         self._domain_news.beat(now=now)
         self._crash_news.beat(now=now)
+        self.limit_news.beat(now=now)
         if self._usage is not None:
             self._usage.beat(now=now, leads=self._relays.leads(now=now))
         self._greet(now)
@@ -317,6 +350,12 @@
         """Return whether this entry VM is the relay of its failure domain."""
         return self._relays.leads(now=self._clock.monotonic())
 
+    def relay_of(
+        self, domain: types.FailureDomain, *, now: float
+    ) -> settings.Address | None:
+        """Return the relay of another domain that was heard lately."""
+        return self._domain_news.relay_of(domain, now=now)
+
     def relays_on_duty(self, *, now: float) -> tuple[types.EntryVmId, ...]:
         """Return who hears all of the own failure domain, in their order."""
         return self._relays.on_duty(now=now)
@@ -356,6 +395,12 @@
                 self._hand_on(message)
         elif isinstance(message, router_messages.CrashNews):
             self._crashing.take_news(message)
+        elif isinstance(message, router_messages.LimitNews):
+            self.limit_news.take(message, now=now)
+        elif isinstance(message, router_messages.PlaceRequest):
+            self.places.take_question(message)
+        elif isinstance(message, router_messages.PlaceAnswer):
+            self.places.take_answer(message)
         elif isinstance(message, router_messages.UsageNews):
             if self._usage is not None:
                 self._usage.take_news(message)
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/place_giver.py
@@ -0,0 +1,79 @@
+"""Give out the places at limited upstreams, as the entry VM whose duty that is."""
+
+import random
+
+from lagoonrun_core import types
+from lagoonrun_router import place_bucket, running_requests, upstream_limits
+
+_MOST_BUCKETS = 1024
+"""Buckets that are kept; the one that was asked least lately yields."""
+
+
+class PlaceGiver:
+    """Has a bucket for each limited upstream that is asked for.
+
+    Parameters
+    ----------
+    limits
+        Limits that upstreams have named.
+    chance
+        Source of the first levels; None where buckets begin empty.
+    """
+
+    def __init__(
+        self,
+        *,
+        limits: upstream_limits.UpstreamLimits,
+        chance: random.Random | None = None,
+    ) -> None:
+        self._limits = limits
+        self._chance = chance
+        self._bucket_by_start: dict[
+            running_requests.StartedUpstream, place_bucket.PlaceBucket
+        ] = {}
+
+    def take(
+        self,
+        at: running_requests.StartedUpstream,
+        tier: types.Tier,
+        *,
+        part: float,
+        now: float,
+    ) -> place_bucket.Verdict:
+        """Take a place for a request of a tier.
+
+        Parameters
+        ----------
+        part
+            Part of the limit that is given out here, above 0.
+        """
+        limit = self._limits.limit_of(at)
+        if limit is None:
+            self._bucket_by_start.pop(at, None)
+            return place_bucket.Granted()
+        bucket = self._bucket(at, limit * part, now)
+        return bucket.take(tier, now=now)
+
+    def forget(self) -> None:
+        """Begin anew: what was left over is not to be used any more."""
+        self._bucket_by_start.clear()
+
+    def _bucket(
+        self,
+        at: running_requests.StartedUpstream,
+        per_second: float,
+        now: float,
+    ) -> place_bucket.PlaceBucket:
+        bucket = self._bucket_by_start.pop(at, None)
+        if bucket is None:
+            bucket = place_bucket.PlaceBucket(
+                per_second=per_second,
+                now=now,
+                level=self._chance.random() if self._chance else 0.0,
+            )
+        else:
+            bucket.use(per_second, now=now)
+        self._bucket_by_start[at] = bucket
+        while len(self._bucket_by_start) > _MOST_BUCKETS:
+            del self._bucket_by_start[next(iter(self._bucket_by_start))]
+        return bucket
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -126,7 +126,7 @@
         )
         self._domains = reach.DomainReach()
         self._pressed = pressure.Pressure()
-        self._limits = upstream_limits.UpstreamLimits()
+        self.limits = upstream_limits.UpstreamLimits()
         self._gathered = gathered_work.GatheredWork()
         self._let_in = let_in_times.LetInTimes(
             started_at=self._clock.monotonic()
@@ -208,7 +208,7 @@
             budget=self._budget,
             follower=self.follower,
             crashing=self.crashing,
-            limits=self._limits,
+            limits=self.limits,
         )
         self._duty = store_duty.StoreDuty(
             entry_vm=configured.entry_vm,
@@ -232,6 +232,8 @@
             pressed=self._pressed,
             gathered=self._gathered,
             crashing=self.crashing,
+            limits=self.limits,
+            counters=self.metrics,
             usage=self._usage,
             clock=self._clock,
             chance=self._chance,
@@ -260,7 +262,9 @@
                 metrics=self.metrics,
                 crashes=self._crash_guard.watch,
                 crashing=self.crashing,
-                limits=self._limits,
+                limits=self.limits,
+                limit_news=self._peers.limit_news,
+                places=self._peers.places,
                 usage=self._usage,
             )
         )
@@ -419,7 +423,7 @@
             self._ledger.forget_start(before.id)
             self._gathered.forget_start(before.id)
             self._homes.forget_upstream(before.id)
-            self._limits.forget_start(running_requests.started(before))
+            self.limits.forget_start(running_requests.started(before))
             self._client.lose(
                 before.host, before.port, opened_until=restarted.heard_at
             )
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -155,12 +155,15 @@
                 upstream=upstream.id,
                 fields=notice.unreadable,
             )
-        self._parts.limits.take_answer(
+        now = self._parts.clock.monotonic()
+        changed = self._parts.limits.take_answer(
             running_requests.started(upstream),
             notice,
             sent_at=self._written_at,
-            now=self._parts.clock.monotonic(),
+            now=now,
         )
+        if changed is not None:
+            self._parts.limit_news.tell(changed, now=now)
 
     def _may_write(self) -> bool:
         now = self._parts.clock.monotonic()
@@ -168,6 +171,11 @@
         if now - choice.decided_at > _OLDEST_CHOICE_SECONDS:
             return False
         may = self._parts.directory.may_send(choice.upstream.id, now=now)
+        if not choice.has_place and self._parts.places.is_limited(
+            choice.upstream
+        ):
+            # It has named a limit since it was chosen.
+            may = False
         # From here on the request may run; a limit that passes meanwhile
         # must not be told as "not run".
         self.may_have_run = may
--- a/packages/router/src/lagoonrun_router/upstream_limits.py
+++ b/packages/router/src/lagoonrun_router/upstream_limits.py
@@ -9,7 +9,7 @@
 import dataclasses
 import logging
 
-from lagoonrun_core import events, logs, types
+from lagoonrun_core import events, logs
 from lagoonrun_router import running_requests, upstream_notice
 
 LEAST_PER_SECOND = 0.1
@@ -19,6 +19,8 @@
 UNLIMITED_PER_SECOND = 1000.0
 """Limit from which an upstream counts as unlimited: far above what one serves."""
 
+_OWN_ANSWER = "answer"
+
 _MOST_LIMITS = 1024
 """Upstreams of which statements are remembered; the oldest statements yield."""
 
@@ -42,34 +44,48 @@
     heard_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Known:
+    """A statement, since when it says what it says, and whether heard here."""
+
+    statement: LimitStatement
+    changed_at: float
+    own: bool
+
+
 class UpstreamLimits:
     """The newest statement of each upstream."""
 
     def __init__(self) -> None:
-        self._by_start: dict[
-            running_requests.StartedUpstream, LimitStatement
-        ] = {}
+        self._by_start: dict[running_requests.StartedUpstream, _Known] = {}
 
     def limit_of(self, at: running_requests.StartedUpstream) -> float | None:
         """Return the requests a second that an upstream takes; None for any."""
         known = self._by_start.get(at)
-        return known.requests_per_second if known else None
+        return known.statement.requests_per_second if known else None
+
+    def statement_of(
+        self, at: running_requests.StartedUpstream
+    ) -> LimitStatement | None:
+        """Return what an upstream has said last; None for nothing."""
+        known = self._by_start.get(at)
+        return known.statement if known else None
 
-    def statements(
-        self, *, since: float = float("-inf")
-    ) -> tuple[LimitStatement, ...]:
-        """Return the statements heard since then, the newest last."""
+    def in_force(self) -> tuple[LimitStatement, ...]:
+        """Return the statements that name a limit."""
         return tuple(
-            one for one in self._by_start.values() if one.heard_at >= since
+            one.statement
+            for one in self._by_start.values()
+            if one.statement.requests_per_second is not None
         )
 
-    def limited(self) -> dict[types.UpstreamId, float]:
-        """Return the limits in force by upstream."""
-        return {
-            at.upstream: one.requests_per_second
-            for at, one in self._by_start.items()
-            if one.requests_per_second is not None
-        }
+    def own_changes(self, *, since: float) -> tuple[LimitStatement, ...]:
+        """Return what answers to this entry VM have changed since then."""
+        return tuple(
+            one.statement
+            for one in self._by_start.values()
+            if one.own and one.changed_at >= since
+        )
 
     def take_answer(
         self,
@@ -92,7 +108,7 @@
             Reading of the clock when the request was written.
         """
         per_second = _bounded(notice.requests_per_second)
-        known = self._by_start.get(at)
+        known = self.statement_of(at)
         if known is None and per_second is None:
             return None
         if known is not None:
@@ -103,7 +119,7 @@
                 return None
         return self._take(
             LimitStatement(at=at, requests_per_second=per_second, heard_at=now),
-            source="answer",
+            source=_OWN_ANSWER,
             now=now,
         )
 
@@ -111,7 +127,7 @@
         self, statement: LimitStatement, *, source: str, now: float
     ) -> LimitStatement | None:
         """Take in what a peer was told; return it where that is news."""
-        known = self._by_start.get(statement.at)
+        known = self.statement_of(statement.at)
         if known is not None and statement.heard_at <= known.heard_at:
             return None
         bounded = dataclasses.replace(
@@ -128,11 +144,16 @@
         self, statement: LimitStatement, *, source: str, now: float
     ) -> LimitStatement | None:
         known = self._by_start.pop(statement.at, None)
-        self._by_start[statement.at] = statement
+        before = known.statement.requests_per_second if known else None
+        changed = statement.requests_per_second != before
+        self._by_start[statement.at] = _Known(
+            statement=statement,
+            changed_at=now if changed or known is None else known.changed_at,
+            own=source == _OWN_ANSWER,
+        )
         while len(self._by_start) > _MOST_LIMITS:
             del self._by_start[next(iter(self._by_start))]
-        before = known.requests_per_second if known else None
-        if statement.requests_per_second == before:
+        if not changed:
             return None
         logs.emit(
             events.LogEvent.UPSTREAM_LIMITED,
--- a/packages/router/tests/test_limited_upstreams.py
+++ b/packages/router/tests/test_limited_upstreams.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import collections
+import itertools
 import time
 
 from lagoonrun_standins.router_samples import make_route
-from lagoonrun_standins.router_upstream import answer_whole, marked
+from lagoonrun_standins.router_upstream import answer_500, answer_whole, marked
 from lagoonrun_standins.router_world import wait_for
 
 LIMIT = 1.0
@@ -113,3 +114,109 @@
     allowed = 1.5 * LIMIT * WINDOW_SECONDS + 5
     assert limited.most_in_a_window() <= allowed
     assert set(statuses) == {200}
+
+
+async def test_limit_holds_across_failure_domains(world_of):
+    """Guards against domains that each use the whole limit."""
+    limited = LimitedUpstream()
+    worlds = await fleet(
+        world_of, limited, domains=("north", "north", "south", "south")
+    )
+    limited.limit = LIMIT
+    statuses = await send(worlds, seconds=6.0, per_second=40)
+    allowed = 1.5 * LIMIT * WINDOW_SECONDS + 5
+    assert limited.most_in_a_window() <= allowed
+    assert limited.arrivals >= 0.5 * LIMIT * 6.0
+    assert set(statuses) == {200}
+
+
+async def test_other_entry_vms_hear_of_a_limit_without_being_told_it(world_of):
+    """Guards against each entry VM learning of a limit by a request of its own."""
+    limited = LimitedUpstream()
+    worlds = await fleet(world_of, limited, domains=("north", "north", "south"))
+    limited.limit = LIMIT
+    for _ in range(30):
+        await ask(worlds[0])
+    for world in worlds:
+        await wait_for(lambda w=world: limits_known(w))
+
+
+async def test_end_of_a_limit_is_found_out_and_told(world_of):
+    """Guards against an upstream that stays limited when it needs it no more."""
+    limited = LimitedUpstream()
+    worlds = await fleet(world_of, limited)
+    limited.limit = 5.0
+    await send(worlds, seconds=1.0, per_second=40)
+    assert all(map(limits_known, worlds))
+    limited.limit = None
+    await send(worlds, seconds=1.5, per_second=40)
+    for world in worlds:
+        await wait_for(lambda w=world: not limits_known(w))
+    before = limited.arrivals
+    await send(worlds, seconds=1.0, per_second=60)
+    assert limited.arrivals - before >= 60 / UPSTREAMS / 2
+
+
+async def test_pool_that_is_limited_as_a_whole_refuses_at_once(world_of):
+    """Guards against callers that wait for a place until they give up."""
+    limited = LimitedUpstream()
+    world = await world_of()
+    await world.declare(make_route(), revision=2)
+    await world.add_upstream(limited.answer, "u-0")
+    await world.ready()
+    limited.limit = 0.2
+    await ask(world)
+    began = time.monotonic()
+    refused = await ask(world)
+    assert time.monotonic() - began < 0.5
+    assert refused.status == 503
+    assert refused.headers["lagoonrun-outcome"] == "not-run"
+    assert refused.headers["lagoonrun-reason"] == "upstreams-limited"
+    assert 1.0 < float(refused.headers["retry-after"]) <= 10.0
+    assert limited.arrivals == 1
+
+
+async def test_second_send_takes_a_place_as_well(world_of):
+    """Guards against retries that pass by the limit."""
+    limited = LimitedUpstream()
+    world = await world_of()
+    route = make_route(idempotent=True, maximum_attempts=3)
+    await world.declare(route, revision=2)
+    await world.add_upstream(limited.answer, "u-0")
+    await world.ready()
+    limited.limit = LIMIT
+    await ask(world)
+    await world.add_upstream(answer_500, "u-1")
+    answers = await asyncio.gather(*(ask(world) for _ in range(20)))
+    assert limited.arrivals <= 3
+    assert {one.status for one in answers} <= {200, 500, 503}
+
+
+async def test_upstream_that_starts_again_owes_nothing(world_of):
+    """Guards against a limit that outlives the process that named it."""
+    limited = LimitedUpstream()
+    world = await world_of()
+    await world.declare(make_route(), revision=2)
+    upstream = await world.add_upstream(limited.answer, "u-0", start=1)
+    await world.ready()
+    limited.limit = 0.1
+    await ask(world)
+    limited.limit = None
+    await world.register(upstream, start=2)
+    await wait_for(lambda: not limits_known(world))
+    answers = [await ask(world) for _ in range(10)]
+    assert {one.status for one in answers} == {200}
+
+
+_NUMBERS = itertools.count(1)
+
+
+async def ask(world):
+    """Send a request with an id of its own, which decides where it goes."""
+    id = f"one-{next(_NUMBERS)}"
+    return await world.ask("/lookups/1", id=id, headers=("Sent-To: 0",))
+
+
+def limits_known(world):
+    """Return whether an entry VM knows of a limit."""
+    return bool(world.router.limits.in_force())
--- /dev/null
+++ b/packages/router/tests/test_place_bucket.py
@@ -0,0 +1,99 @@
+"""Places of one limit: never more than come up, the higher tier first."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from lagoonrun_router import place_bucket
+
+NOW = 1000.0
+WINDOW_SECONDS = 4.0
+
+
+def bucket_of(per_second, **more):
+    return place_bucket.PlaceBucket(per_second=per_second, now=NOW, **more)
+
+
+def granted(bucket, tier, now):
+    return isinstance(bucket.take(tier, now=now), place_bucket.Granted)
+
+
+def test_places_come_up_at_the_rate():
+    bucket = bucket_of(2.0)
+    taken = [
+        now
+        for now in (NOW + step / 100 for step in range(1000))
+        if granted(bucket, 1, now)
+    ]
+    assert 19 <= len(taken) <= 20
+
+
+def test_refusal_tells_when_the_next_place_comes_up():
+    bucket = bucket_of(0.5)
+    refused = bucket.take(1, now=NOW)
+    assert refused == place_bucket.Refused(wait_seconds=2.0)
+    assert granted(bucket, 1, NOW + 2.0)
+
+
+def test_higher_tier_has_the_next_place():
+    """Guards against lower tiers that take the places of higher ones."""
+    bucket = bucket_of(1.0)
+    assert not granted(bucket, 1, NOW + 0.5)
+    assert not granted(bucket, 3, NOW + 1.0)
+    assert granted(bucket, 1, NOW + 1.1)
+    assert granted(bucket, 3, NOW + 2.2)
+
+
+def test_place_is_not_kept_for_a_caller_that_does_not_come_back():
+    bucket = bucket_of(1.0)
+    assert not granted(bucket, 1, NOW + 0.5)
+    assert granted(bucket, 3, NOW + 1.6)
+
+
+def test_every_tier_is_served_while_a_higher_one_takes_all():
+    """Guards against a class that is never served at limited upstreams."""
+    bucket = bucket_of(1.0)
+    lower = 0
+    for step in range(3000):
+        now = NOW + step / 100
+        granted(bucket, 0, now)
+        lower += granted(bucket, 4, now)
+    assert 2 <= lower <= 3
+
+
+def test_rate_may_change():
+    bucket = bucket_of(1.0)
+    bucket.use(10.0, now=NOW + 0.5)
+    assert granted(bucket, 1, NOW + 0.6)
+
+
+@hypothesis.given(
+    strategies.floats(0.1, 50.0),
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(0.0, 0.8), strategies.integers(0, 5)
+        ),
+        max_size=200,
+    ),
+)
+def test_no_window_has_more_than_come_up_and_were_kept(per_second, asked):
+    bucket = bucket_of(per_second)
+    now = NOW
+    taken = []
+    for pause, tier in asked:
+        now += pause
+        if granted(bucket, tier, now):
+            taken.append(now)
+    most = per_second * WINDOW_SECONDS + max(2.0, per_second)
+    for begin in taken:
+        end = begin + WINDOW_SECONDS
+        assert sum(begin <= one <= end for one in taken) <= most + 1e-6
+
+
+@pytest.mark.parametrize("per_second", [0.1, 1.4, 30.0])
+def test_most_of_the_limit_is_used(per_second):
+    bucket = bucket_of(per_second)
+    taken = sum(
+        granted(bucket, 1, NOW + step / 200) for step in range(200 * 60)
+    )
+    assert taken >= 0.95 * per_second * 60 - 1
--- /dev/null
+++ b/packages/router/tests/test_places.py
@@ -0,0 +1,325 @@
+"""Places at a limited upstream in fleets of several sizes, without a network."""
+
+import dataclasses
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_router import (
+    fleet_parts,
+    metrics,
+    place_bucket,
+    places,
+    running_requests,
+    settings,
+    upstream_limits,
+    upstream_notice,
+)
+from lagoonrun_standins.router_samples import make_registration
+
+LIMIT = 1.4
+WINDOW_SECONDS = 4.0
+STEP_SECONDS = 0.02
+UPSTREAM = make_registration("u-1", domain="domain-0", start=3)
+AT = running_requests.started(UPSTREAM)
+
+
+@dataclasses.dataclass
+class Fleet:
+    """Entry VMs whose messages arrive at once, unless something is cut.
+
+    Attributes
+    ----------
+    silent
+        Failure domains that others hear nothing of.
+    lost
+        Names of entry VMs that neither hear nor are heard.
+    deaf_seconds
+        Whether nobody has noticed yet what is silent or lost.
+    """
+
+    clock: clocks.ManualClock
+    domains: int
+    size: int
+    vms: list = dataclasses.field(default_factory=list)
+    silent: set = dataclasses.field(default_factory=set)
+    lost: set = dataclasses.field(default_factory=set)
+    noticed: bool = True
+    sent: int = 0
+
+    def start(self):
+        """Start all entry VMs."""
+        self.vms = [Vm(self, number) for number in range(self.size)]
+        return self
+
+    def near(self, domain):
+        """Return the entry VMs of a failure domain."""
+        return [one for one in self.vms if one.domain == domain]
+
+    def relay(self, domain):
+        """Return who relays there, as far as it was noticed."""
+        living = [
+            one
+            for one in self.near(domain)
+            if one.name not in self.lost or not self.noticed
+        ]
+        return living[0]
+
+    def hears(self, one, other):
+        """Return whether a message gets from one to the other."""
+        if {one.name, other.name} & self.lost:
+            return one is other
+        if one.domain == other.domain:
+            return True
+        return not self.silent & {one.domain, other.domain}
+
+    def tell(self, per_second, *, age=0.0):
+        """Have all hear of a limit."""
+        for one in self.vms:
+            one.limits.take_answer(
+                AT,
+                upstream_notice.UpstreamNotice(requests_per_second=per_second),
+                sent_at=self.clock.monotonic() - age,
+                now=self.clock.monotonic() - age,
+            )
+
+
+class Vm:
+    """One entry VM, with its view of the fleet as its routing."""
+
+    def __init__(self, fleet, number):
+        self._fleet = fleet
+        self.domain = f"domain-{number % fleet.domains}"
+        self.name = f"vm-{number}"
+        self.address = settings.Address(host=self.name, port=1)
+        self.limits = upstream_limits.UpstreamLimits()
+        self.places = places.Places(
+            configured=_Configured(
+                entry_vm=self.name, domain=self.domain, peer=self.address
+            ),
+            limits=self.limits,
+            routing=self,
+            send=self._send,
+            counters=metrics.RouterMetrics(),
+            clock=fleet.clock,
+            chance=random.Random(number),
+        )
+
+    def _send(self, message, addresses):
+        for address in addresses:
+            self._fleet.sent += 1
+            other = next(
+                one for one in self._fleet.vms if one.address == address
+            )
+            if not self._fleet.hears(self, other):
+                continue
+            if isinstance(message, places.router_messages.PlaceRequest):
+                other.places.take_question(message)
+            else:
+                other.places.take_answer(message)
+
+    def own_relay(self, *, now):
+        """Return whom to ask."""
+        relay = self._fleet.relay(self.domain)
+        return None if relay is self else relay.address
+
+    def gives(self, upstream_domain):
+        """Return whether the own domain is the upstream's."""
+        return upstream_domain == self.domain
+
+    def giver(self, upstream_domain, *, now):
+        """Return the relay there, unless it is silent."""
+        silent = self._fleet.silent & {upstream_domain, self.domain}
+        if silent and self._fleet.noticed:
+            return None
+        return self._fleet.relay(upstream_domain).address
+
+    def view(self, *, now):
+        """Return the fleet as it is heard."""
+        fleet = self._fleet
+        heard = [one for one in fleet.vms if fleet.hears(self, one)]
+        if not fleet.noticed:
+            heard = fleet.vms
+        return fleet_parts.FleetView(
+            known=len(fleet.vms),
+            near=sum(one.domain == self.domain for one in heard),
+            silent=len(fleet.vms) - len(heard),
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class _Configured:
+    entry_vm: str
+    domain: str
+    peer: settings.Address
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture(autouse=True)
+def short_answers(monkeypatch):
+    """Do not wait long for answers that will not come."""
+    monkeypatch.setattr(places, "_ANSWER_SECONDS", 0.001)
+
+
+async def granted_in(fleet, askers, *, seconds, per_second, seed=1):
+    """Return the times of granted places while some entry VMs ask at random."""
+    chance = random.Random(seed)
+    taken = []
+    end = fleet.clock.monotonic() + seconds
+    while fleet.clock.monotonic() < end:
+        fleet.clock.advance(STEP_SECONDS)
+        now = fleet.clock.monotonic()
+        if chance.random() >= per_second * STEP_SECONDS:
+            continue
+        vm = chance.choice(askers)
+        if vm.places.closed_seconds(UPSTREAM, 1, now=now):
+            continue
+        verdict = await vm.places.take(UPSTREAM, 1, request_id="r")
+        if isinstance(verdict, place_bucket.Granted):
+            taken.append(now)
+    return taken
+
+
+def most_in_a_window(taken):
+    """Return the most places in any window."""
+    return max(
+        sum(begin <= one < begin + WINDOW_SECONDS for one in taken)
+        for begin in taken
+    )
+
+
+ALLOWED = 1.5 * LIMIT * WINDOW_SECONDS + 5
+SIZES = [(3, 7), (3, 23), (5, 195)]
+
+
+@pytest.mark.parametrize(("domains", "size"), SIZES)
+@pytest.mark.parametrize("where", ["all", "one"])
+async def test_limit_is_kept_and_used_in_fleets_of_any_size(
+    clock, domains, size, where
+):
+    """Guards against shares too small to use, and shares that add up to more."""
+    fleet = Fleet(clock=clock, domains=domains, size=size).start()
+    fleet.tell(LIMIT)
+    askers = fleet.vms if where == "all" else fleet.vms[-1:]
+    taken = await granted_in(fleet, askers, seconds=40.0, per_second=8.0)
+    assert most_in_a_window(taken) <= ALLOWED
+    assert len(taken) >= 0.75 * LIMIT * 40.0
+
+
+@pytest.mark.parametrize(("domains", "size"), SIZES)
+async def test_sides_of_a_cut_have_no_more_together(clock, domains, size):
+    """Guards against a cut that gives each side the whole limit."""
+    fleet = Fleet(clock=clock, domains=domains, size=size).start()
+    fleet.tell(LIMIT)
+    fleet.silent = {"domain-1"}
+    fleet.noticed = False
+    taken = await granted_in(fleet, fleet.vms, seconds=1.0, per_second=8.0)
+    fleet.noticed = True
+    taken += await granted_in(fleet, fleet.vms, seconds=30.0, per_second=8.0)
+    assert most_in_a_window(taken) <= ALLOWED
+    assert len(taken) >= 0.5 * LIMIT * 30.0
+
+
+@pytest.mark.parametrize(("domains", "size"), SIZES)
+async def test_loss_of_the_giver_neither_stops_nor_opens_the_upstream(
+    clock, domains, size
+):
+    """Guards against a limit that nobody keeps, or that nobody may use."""
+    fleet = Fleet(clock=clock, domains=domains, size=size).start()
+    fleet.tell(LIMIT)
+    taken = await granted_in(fleet, fleet.vms, seconds=5.0, per_second=8.0)
+    lost = fleet.relay("domain-0")
+    fleet.lost = {lost.name}
+    living = [one for one in fleet.vms if one is not lost]
+    fleet.noticed = False
+    taken += await granted_in(fleet, living, seconds=1.0, per_second=8.0)
+    fleet.noticed = True
+    after = await granted_in(fleet, living, seconds=20.0, per_second=8.0)
+    assert most_in_a_window(taken + after) <= ALLOWED
+    assert len(after) >= 0.6 * LIMIT * 20.0
+
+
+async def test_entry_vm_that_joins_asks_as_the_others_do(clock):
+    fleet = Fleet(clock=clock, domains=3, size=7).start()
+    fleet.tell(LIMIT)
+    taken = await granted_in(fleet, fleet.vms, seconds=8.0, per_second=8.0)
+    fleet.vms.append(Vm(fleet, 7))
+    fleet.tell(LIMIT)
+    taken += await granted_in(fleet, fleet.vms, seconds=8.0, per_second=8.0)
+    assert most_in_a_window(taken) <= ALLOWED
+
+
+async def test_refused_request_does_not_ask_again_until_a_place_comes_up(clock):
+    """Guards against a storm of questions while a whole pool is limited."""
+    fleet = Fleet(clock=clock, domains=3, size=7).start()
+    fleet.tell(0.5)
+    vm = fleet.vms[4]
+    verdict = await vm.places.take(UPSTREAM, 2, request_id="r")
+    assert isinstance(verdict, place_bucket.Refused)
+    now = clock.monotonic()
+    assert vm.places.closed_seconds(UPSTREAM, 2, now=now) > 0.0
+    assert vm.places.closed_seconds(UPSTREAM, 3, now=now) > 0.0
+    assert vm.places.closed_seconds(UPSTREAM, 1, now=now) == 0.0
+    fleet.tell(None, age=-0.1)
+    assert vm.places.closed_seconds(UPSTREAM, 2, now=now) == 0.0
+
+
+async def test_question_brings_the_news_of_the_limit(clock):
+    """Guards against a giver that has not heard of the limit yet."""
+    fleet = Fleet(clock=clock, domains=3, size=7).start()
+    vm = fleet.vms[4]
+    vm.limits.take_answer(
+        AT,
+        upstream_notice.UpstreamNotice(requests_per_second=LIMIT),
+        sent_at=clock.monotonic(),
+        now=clock.monotonic(),
+    )
+    verdict = await vm.places.take(UPSTREAM, 1, request_id="r")
+    assert isinstance(verdict, place_bucket.Refused)
+    assert fleet.relay("domain-0").limits.limit_of(AT) == LIMIT
+
+
+async def test_limit_that_ended_needs_no_place(clock):
+    fleet = Fleet(clock=clock, domains=3, size=7).start()
+    fleet.tell(LIMIT)
+    clock.advance(1.0)
+    fleet.tell(None)
+    for vm in fleet.vms:
+        verdict = await vm.places.take(UPSTREAM, 1, request_id="r")
+        assert isinstance(verdict, place_bucket.Granted)
+    assert fleet.sent == 0
+
+
+@hypothesis.given(
+    strategies.lists(strategies.integers(1, 40), min_size=1, max_size=6),
+    strategies.data(),
+)
+def test_parts_of_all_sides_are_one_at_most(sizes, data):
+    """Each failure domain is heard by that of the upstream or not, as drawn."""
+    known = sum(sizes)
+    heard = [True] + [data.draw(strategies.booleans()) for _ in sizes[1:]]
+    lost_near = data.draw(strategies.integers(0, sizes[0] - 1))
+    silent = lost_near + sum(
+        size for size, one in zip(sizes, heard, strict=True) if not one
+    )
+    total = fleet_parts.part_of_giver(
+        fleet_parts.FleetView(known=known, near=sizes[0], silent=silent)
+    )
+    for size, one in zip(sizes, heard, strict=True):
+        if not one:
+            total += fleet_parts.part_of_domain(
+                fleet_parts.FleetView(
+                    known=known, near=size, silent=known - size
+                )
+            )
+    total += lost_near * fleet_parts.part_of_one(
+        fleet_parts.FleetView(known=known, near=1, silent=known - 1)
+    )
+    assert total <= 1.0 + 1e-9
--- a/packages/router/tests/test_upstream_limits.py
+++ b/packages/router/tests/test_upstream_limits.py
@@ -92,9 +92,10 @@
     for number in range(10):
         at = running_requests.StartedUpstream(upstream=f"u-{number}", start=1)
         answer(limits, 1.0, at=at)
-    assert set(limits.limited()) == {"u-6", "u-7", "u-8", "u-9"}
+    known = {one.at.upstream for one in limits.in_force()}
+    assert known == {"u-6", "u-7", "u-8", "u-9"}
 
 
 def test_answers_without_a_limit_are_not_remembered(limits):
     assert not answer(limits, None)
-    assert limits.statements() == ()
+    assert limits.statement_of(AT) is None
