Give nothing new to an upstream that says in an answer that it leaves

Callers saw: requests reached an upstream up to 3.8 s after it had told the same entry VM that it leaves, while the store was away and could not be told. Cause: as with limits, what an answer says of its upstream was not read; only the store's entry counted. Ruled out: that the store's older word undid it (the store was away), that others had not been told (the same entry VM had). Now such an answer counts like the entry: for that start of the upstream, at once, told to the neighbours with the states; no entry undoes it, also where the upstream's entry had run out just then. A later start owes nothing.

--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -155,6 +155,10 @@
                 upstream=upstream.id,
                 fields=notice.unreadable,
             )
+        if notice.leaving:
+            self._parts.directory.take_leaving(
+                upstream.id, start=upstream.start, source="answer"
+            )
         now = self._parts.clock.monotonic()
         changed = self._parts.limits.take_answer(
             running_requests.started(upstream),
--- a/packages/router/src/lagoonrun_router/upstream_notice.py
+++ b/packages/router/src/lagoonrun_router/upstream_notice.py
@@ -12,11 +12,14 @@
     requests_per_second
         Most requests a second that it takes from all entry VMs together; None
         where it names no limit.
+    leaving
+        Whether it takes no more work soon.
     unreadable
         Header fields that make no sense, as they were written.
     """
 
     requests_per_second: float | None = None
+    leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -320,7 +320,11 @@
             Who says so, for the log.
         """
         known = self._known_by_id.get(upstream)
-        if known is None or known.state is UpstreamState.LEAVING:
+        if known is None:
+            # Its entry may have run out, and be back before the upstream ends.
+            self._note_gone(upstream, start)
+            return
+        if known.state is UpstreamState.LEAVING:
             return
         if start < known.registration.start:
             return
@@ -395,7 +399,13 @@
 
     def _forget(self, upstream: types.UpstreamId) -> None:
         known = self._known_by_id.pop(upstream)
-        self._gone_start_by_id[upstream] = known.registration.start
+        self._note_gone(upstream, known.registration.start)
+
+    def _note_gone(
+        self, upstream: types.UpstreamId, start: types.UpstreamStart
+    ) -> None:
+        before = self._gone_start_by_id.pop(upstream, start)
+        self._gone_start_by_id[upstream] = max(before, start)
         while len(self._gone_start_by_id) > _REMEMBERED_GONE:
             del self._gone_start_by_id[next(iter(self._gone_start_by_id))]
 
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -55,7 +55,8 @@
         """Return what the answer says of its upstream."""
         limit = head.headers.get("Limit")
         return upstream_notice.UpstreamNotice(
-            requests_per_second=float(limit) if limit else None
+            requests_per_second=float(limit) if limit else None,
+            leaving="Leaving" in head.headers,
         )
 
 
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -184,3 +184,16 @@
             pairs=[("Server-Limit", text) for text in texts]
         ),
     )
+
+
+def test_upstream_that_leaves_says_so():
+    assert DIALECT.read_notice(answer(Server_Leaving="1")).leaving
+    assert DIALECT.read_notice(answer(503, Server_Leaving="1")).leaving
+    assert not DIALECT.read_notice(answer()).leaving
+
+
+@pytest.mark.parametrize("text", ["0", "true", "", "11"])
+def test_other_words_do_not_say_that_an_upstream_leaves(text):
+    notice = DIALECT.read_notice(answer(Server_Leaving=text))
+    assert not notice.leaving
+    assert notice.unreadable == (f"Server-Leaving: {text}",)
