Leave an upstream alone for the rest that it asks for

Callers saw: an upstream that had answered 503 with Retry-After: 3 got three requests from the same entry VM meanwhile, and their callers further refusals. Cause: of the same class; a refusal became a lost attempt without its header, and counted as a failure, a cost that fades in seconds. Now the rest closes that start of the upstream for the entry VM that was asked, before each send; callers are told when the first opens, each a little later than the next. The others are told once and prefer upstreams of which nothing was told: weighed against closing it for all, where a pool whose upstreams each turned one entry VM away would stand still (test), and telling nobody.

--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -15,6 +15,7 @@
         "peer-gained",
         "upstream-state-changed",
         "upstream-limited",
+        "upstream-rests",
         "readiness-changed",
         "process-started",
         "process-stopping",
@@ -42,6 +43,7 @@
     "unconfigured": Verdict.REFUSED,
     "crashed-upstreams": Verdict.REFUSED,
     "upstreams-limited": Verdict.REFUSED,
+    "upstreams-resting": Verdict.REFUSED,
     "upstream-refused": Verdict.REFUSED,
     "deadline": Verdict.LIMIT,
     "caller-left": Verdict.CALLER_LEFT,
@@ -97,8 +99,7 @@
     entry_vms = {one.entry_vm for one in own}
     upstreams = {one.get("upstream") for one in own} - {None}
     for one in own:
-        upstreams.update(one.get("without_place") or ())
-        upstreams.update(one.get("upstreams") or ())
+        upstreams.update(one.get("closed") or ())
     end = own[-1].time
     latest: dict[object, log_lines.LogLine] = {}
     for line in ordered:
@@ -193,7 +194,7 @@
 def _crashes_of(refused: log_lines.LogLine) -> Iterable[str]:
     """Name the crashes that counted, and where to read of them."""
     upstreams = refused.get("upstreams")
-    if upstreams and refused.get("digest"):
+    if upstreams:
         yield (
             f"upstreams that ended while they ran request "
             f"{refused.get('digest')}: {', '.join(upstreams)}; it may be "
@@ -202,9 +203,8 @@
 
 
 def _placement_of(routed: log_lines.LogLine) -> Iterable[str]:
-    without_place = routed.get("without_place")
-    if without_place:
-        yield f"no place was left at {', '.join(without_place)}"
+    for upstream, why in (routed.get("closed") or {}).items():
+        yield f"{upstream} was passed by, since it was {why}"
     candidates = routed.get("candidates") or []
     if candidates:
         best = candidates[0]
@@ -230,6 +230,11 @@
                 f"the request or a copy of it, as {line.entry_vm} saw; requests "
                 f"that it sent there: {len(line.get('requests'))}"
             )
+        elif line.message == "upstream-rests":
+            yield (
+                f"{line.get('upstream')} had asked for {line.get('seconds')} s "
+                f"of rest at {line.time}, by {line.get('source')}"
+            )
         elif line.message == "upstream-limited":
             yield (
                 f"{line.get('upstream')} took {line.get('per_second')} requests "
--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -51,6 +51,7 @@
     UPSTREAM_CRASHED = (408, "upstream-crashed")
     UPSTREAM_LIMITED = (409, "upstream-limited")
     UPSTREAM_NOTICE_REJECTED = (410, "upstream-notice-rejected")
+    UPSTREAM_RESTS = (411, "upstream-rests")
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
--- a/packages/core/src/lagoonrun_core/outcomes.py
+++ b/packages/core/src/lagoonrun_core/outcomes.py
@@ -47,6 +47,7 @@
     UNCONFIGURED = "unconfigured"
     CRASHED_UPSTREAMS = "crashed-upstreams"
     UPSTREAMS_LIMITED = "upstreams-limited"
+    UPSTREAMS_RESTING = "upstreams-resting"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -342,6 +342,25 @@
     limits: tuple[UpstreamLimit, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RestNews:
+    """An upstream has turned an entry VM away and asked it for rest.
+
+    Parameters
+    ----------
+    start
+        Which start of the upstream.
+    left_milliseconds
+        What is left of the rest.
+    """
+
+    entry_vm: types.EntryVmId
+    domain: types.FailureDomain
+    upstream: types.UpstreamId
+    start: types.UpstreamStart
+    left_milliseconds: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlaceRequest:
     """An entry VM asks for one place at a limited upstream.
@@ -477,6 +496,7 @@
     | UsageNews
     | CrashNews
     | LimitNews
+    | RestNews
     | PlaceRequest
     | PlaceAnswer
     | DeclaredChange
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -324,6 +324,14 @@
   limits @2 :List(UpstreamLimit);
 }
 
+struct RestNews {
+  entryVm @0 :Text;
+  domain @1 :Text;
+  upstream @2 :Text;
+  start @3 :UInt64;
+  leftMilliseconds @4 :UInt32;
+}
+
 struct PlaceRequest {
   entryVm @0 :Text;
   host @1 :Text;
@@ -407,5 +415,6 @@
     limitNews @25 :LimitNews;
     placeRequest @26 :PlaceRequest;
     placeAnswer @27 :PlaceAnswer;
+    restNews @28 :RestNews;
   }
 }
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -2,10 +2,16 @@
 
 import dataclasses
 import functools
-from collections.abc import Container, Iterable
+from collections.abc import Container
 
 from lagoonrun_core import events, logs, types
-from lagoonrun_router import admission, considered, placement, upstreams
+from lagoonrun_router import (
+    admission,
+    availability,
+    considered,
+    placement,
+    upstreams,
+)
 from lagoonrun_router import call as calls
 from lagoonrun_router import parts as router_parts
 
@@ -13,19 +19,16 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class NoPlace:
-    """All upstreams that are left have named a limit, and have no place.
+class AllClosed:
+    """All upstreams that are left take nothing just now, by their own word.
 
     Parameters
     ----------
-    wait_seconds
-        Time until the first of them may have one.
-    upstreams
-        Some of them, for the log.
+    closed
+        At least one, the first to open again first.
     """
 
-    wait_seconds: float
-    upstreams: tuple[types.UpstreamId, ...]
+    closed: tuple[availability.ClosedUpstream, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -71,7 +74,7 @@
 
     def choose(
         self, call: calls.Call, *, excluded: Container[types.UpstreamId]
-    ) -> Choice | admission.Refusal | NoPlace | None:
+    ) -> Choice | admission.Refusal | AllClosed | None:
         """Return the upstream of the next attempt; None if there is none.
 
         Parameters
@@ -84,15 +87,10 @@
         by_id = {one.id: one for one in registered if one.id not in excluded}
         if not by_id:
             return None
-        closed_by_id = self._closed(call, by_id.values(), now)
-        if len(closed_by_id) == len(by_id):
-            return NoPlace(
-                wait_seconds=min(closed_by_id.values()),
-                upstreams=tuple(closed_by_id)[:_LOGGED_CANDIDATES],
-            )
-        for id in closed_by_id:
-            del by_id[id]
-        usable = tuple(by_id.values())
+        available = self._parts.availability.among(by_id, call.tier, now=now)
+        if not available.open_by_id:
+            return AllClosed(closed=available.closed)
+        usable = tuple(available.open_by_id.values())
         considered_few = self._considered(call, usable, now)
         ranking = self._rank(call, considered_few, usable, now)
         best = self._admit(call, ranking.ranked, now)
@@ -108,7 +106,7 @@
                 ranking,
                 chosen="",
                 refusal=best.value,
-                without_place=closed_by_id,
+                closed=available.closed,
             )
             return best
         reread_tokens = ranking.reread_tokens(best)
@@ -120,7 +118,7 @@
             ranking,
             chosen=best.candidate.upstream,
             reread_tokens=reread_tokens,
-            without_place=closed_by_id,
+            closed=available.closed,
         )
         return Choice(
             upstream=by_id[best.candidate.upstream],
@@ -131,20 +129,6 @@
             decided_at=now,
         )
 
-    def _closed(
-        self,
-        call: calls.Call,
-        registered: Iterable[upstreams.Registration],
-        now: float,
-    ) -> dict[types.UpstreamId, float]:
-        """Return the upstreams without a place, and for how long."""
-        closed_by_id = {}
-        for one in registered:
-            seconds = self._parts.places.closed_seconds(one, call.tier, now=now)
-            if seconds:
-                closed_by_id[one.id] = seconds
-        return closed_by_id
-
     def _considered(
         self,
         call: calls.Call,
@@ -256,7 +240,7 @@
         chosen: str,
         refusal: str = "",
         reread_tokens: int = 0,
-        without_place: Iterable[types.UpstreamId] = (),
+        closed: tuple[availability.ClosedUpstream, ...] = (),
     ) -> None:
         logs.emit(
             events.LogEvent.REQUEST_ROUTED,
@@ -271,7 +255,10 @@
             shared_tokens=call.shared_tokens,
             reread_tokens=reread_tokens,
             stands_back=ranking.stands_back,
-            without_place=list(without_place)[:_LOGGED_CANDIDATES],
+            closed={
+                one.upstream: one.why.value
+                for one in closed[:_LOGGED_CANDIDATES]
+            },
             candidates=[
                 {
                     "upstream": one.candidate.upstream,
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -10,6 +10,7 @@
     admission,
     answers,
     attempt,
+    availability,
     choosing,
     crash_evidence,
     loads,
@@ -25,6 +26,13 @@
 """Upstreams with a limit that a request asks for a place, each for a few milliseconds,
 before its caller is told when to come back."""
 
+_LOGGED_UPSTREAMS = 4
+
+_REASON_BY_CLOSED = {
+    availability.Closed.LIMITED: outcomes.Reason.UPSTREAMS_LIMITED,
+    availability.Closed.RESTING: outcomes.Reason.UPSTREAMS_RESTING,
+}
+
 _OVERLOAD_PART = 0.25
 """Part of a caller's patience from which a foreseen wait means overload."""
 
@@ -101,8 +109,8 @@
             if block is not None:
                 return await self._refuse_blocked(block)
             choice = await self._choose()
-            if isinstance(choice, choosing.NoPlace):
-                return await self._refuse_without_place(choice)
+            if isinstance(choice, choosing.AllClosed):
+                return await self._refuse_closed(choice)
             if not isinstance(choice, choosing.Choice):
                 return await self._refuse(choice)
             result = await self._attempt(choice)
@@ -114,7 +122,7 @@
 
     async def _choose(
         self,
-    ) -> choosing.Choice | admission.Refusal | choosing.NoPlace | None:
+    ) -> choosing.Choice | admission.Refusal | choosing.AllClosed | None:
         """Choose an upstream, and take a place there where it has a limit."""
         for _ in range(_MOST_PLACES_ASKED):
             choice = self._choose_among_all()
@@ -129,35 +137,39 @@
             )
             if isinstance(place, place_bucket.Granted):
                 return dataclasses.replace(choice, has_place=True)
-        return choosing.NoPlace(
-            wait_seconds=place.wait_seconds, upstreams=(choice.upstream.id,)
+        refused = availability.ClosedUpstream(
+            upstream=choice.upstream.id,
+            why=availability.Closed.LIMITED,
+            wait_seconds=place.wait_seconds,
         )
+        return choosing.AllClosed(closed=(refused,))
 
     def _choose_among_all(
         self,
-    ) -> choosing.Choice | admission.Refusal | choosing.NoPlace | None:
+    ) -> choosing.Choice | admission.Refusal | choosing.AllClosed | None:
         choice = self._chooser.choose(self._call, excluded=self._tried)
         if self._tried and (
-            choice is None or isinstance(choice, choosing.NoPlace)
+            choice is None or isinstance(choice, choosing.AllClosed)
         ):
             # All were tried; one that failed may do better by now.
             self._tried.clear()
             choice = self._chooser.choose(self._call, excluded=())
         return choice
 
-    async def _refuse_without_place(
-        self, refusal: choosing.NoPlace
+    async def _refuse_closed(
+        self, refusal: choosing.AllClosed
     ) -> outcomes.Ending:
-        """End a request for which the limits of its pool leave no place.
+        """End a request that the upstreams of its pool don't take just now.
 
-        Callers come back one after the other: the next place is for one of
+        Callers come back one after the other: what opens first is for few of
         them.
         """
+        first = refusal.closed[0]
         seconds = answers.spread_retry_seconds(
-            self._parts.chance, wait_seconds=refusal.wait_seconds
+            self._parts.chance, wait_seconds=first.wait_seconds
         )
-        reason = outcomes.Reason.UPSTREAMS_LIMITED
-        detail = "the upstreams of the pool have named a limit"
+        reason = _REASON_BY_CLOSED[first.why]
+        detail = "no upstream of the pool takes a request now, by its own word"
         self._note_pressure()
         logs.emit(
             events.LogEvent.REQUEST_REFUSED,
@@ -166,7 +178,10 @@
             reason=reason.value,
             detail=detail,
             tier=self._call.tier,
-            upstreams=list(refusal.upstreams),
+            closed={
+                one.upstream: one.why.value
+                for one in refusal.closed[:_LOGGED_UPSTREAMS]
+            },
             retry_after=round(seconds, 3),
         )
         return await self._end(
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -8,6 +8,7 @@
 from lagoonrun_duties import usage_exchange
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
+    availability,
     crash_watch,
     crashing_requests,
     dialect,
@@ -20,8 +21,10 @@
     pressure,
     prompt_homes,
     reach,
+    rest_news,
     retry_budget,
     upstream_limits,
+    upstream_rests,
     upstreams,
 )
 
@@ -38,6 +41,10 @@
         Requests that end upstreams.
     limits, limit_news, places
         Limits that upstreams have named, who is told of them, and places there.
+    rests, rest_news
+        Rests that upstreams have asked for, and who is told of them.
+    availability
+        Which upstreams take a request, by limits and rests.
     usage
         Counts requests that begin to run; None where nobody asks for usage.
     """
@@ -61,4 +68,7 @@
     limits: upstream_limits.UpstreamLimits
     limit_news: limit_news.LimitNewsExchange
     places: places.Places
+    rests: upstream_rests.UpstreamRests
+    rest_news: rest_news.RestNewsExchange
+    availability: availability.Availability
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -33,10 +33,12 @@
     pressure,
     prompt_homes,
     reach,
+    rest_news,
     roster,
     settings,
     state_telling,
     upstream_limits,
+    upstream_rests,
     upstreams,
 )
 
@@ -83,8 +85,8 @@
         What is told and heard.
     crashing
         Requests that end upstreams.
-    limits
-        Limits that upstreams have named.
+    limits, rests
+        Limits that upstreams have named, and rests that they asked for.
     counters
         Receives the number of places at limited upstreams.
     usage
@@ -108,6 +110,7 @@
         gathered: gathered_work.GatheredWork,
         crashing: crashing_requests.CrashingRequests,
         limits: upstream_limits.UpstreamLimits,
+        rests: upstream_rests.UpstreamRests,
         counters: metrics.RouterMetrics,
         usage: usage_exchange.UsageExchange | None = None,
         clock: clocks.Clock,
@@ -203,6 +206,12 @@
             limits=limits,
             spreader=spreader,
         )
+        self.rest_news = rest_news.RestNewsExchange(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            rests=rests,
+            spreader=spreader,
+        )
         self.places = places.Places(
             configured=configured,
             limits=limits,
@@ -397,6 +406,8 @@
             self._crashing.take_news(message)
         elif isinstance(message, router_messages.LimitNews):
             self.limit_news.take(message, now=now)
+        elif isinstance(message, router_messages.RestNews):
+            self.rest_news.take(message, now=now)
         elif isinstance(message, router_messages.PlaceRequest):
             self.places.take_question(message)
         elif isinstance(message, router_messages.PlaceAnswer):
--- a/packages/router/src/lagoonrun_router/places.py
+++ b/packages/router/src/lagoonrun_router/places.py
@@ -133,6 +133,13 @@
             return 0.0
         return closed.until - now if self._limits.limit_of(at) else 0.0
 
+    def has_closed(self, *, now: float) -> bool:
+        """Return whether any upstream has refused a place a moment ago."""
+        for at, closed in tuple(self._closed_by_start.items()):
+            if now >= closed.until:
+                del self._closed_by_start[at]
+        return bool(self._closed_by_start)
+
     async def take(
         self,
         upstream: upstreams.Registration,
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -16,6 +16,7 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_platform import store_eras
 from lagoonrun_router import (
+    availability,
     beliefs,
     crash_guard,
     declarations,
@@ -42,6 +43,7 @@
     store_duty,
     store_follower,
     upstream_limits,
+    upstream_rests,
     upstreams,
 )
 
@@ -127,6 +129,7 @@
         self._domains = reach.DomainReach()
         self._pressed = pressure.Pressure()
         self.limits = upstream_limits.UpstreamLimits()
+        self._rests = upstream_rests.UpstreamRests(chance=self._chance)
         self._gathered = gathered_work.GatheredWork()
         self._let_in = let_in_times.LetInTimes(
             started_at=self._clock.monotonic()
@@ -233,6 +236,7 @@
             gathered=self._gathered,
             crashing=self.crashing,
             limits=self.limits,
+            rests=self._rests,
             counters=self.metrics,
             usage=self._usage,
             clock=self._clock,
@@ -265,6 +269,11 @@
                 limits=self.limits,
                 limit_news=self._peers.limit_news,
                 places=self._peers.places,
+                rests=self._rests,
+                rest_news=self._peers.rest_news,
+                availability=availability.Availability(
+                    limited=self._peers.places, rests=self._rests
+                ),
                 usage=self._usage,
             )
         )
@@ -424,6 +433,7 @@
             self._gathered.forget_start(before.id)
             self._homes.forget_upstream(before.id)
             self.limits.forget_start(running_requests.started(before))
+            self._rests.forget_start(running_requests.started(before))
             self._client.lose(
                 before.host, before.port, opened_until=restarted.heard_at
             )
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -160,6 +160,8 @@
                 upstream.id, start=upstream.start, source="answer"
             )
         now = self._parts.clock.monotonic()
+        if notice.rest_seconds is not None:
+            self._take_rest(notice.rest_seconds, now)
         changed = self._parts.limits.take_answer(
             running_requests.started(upstream),
             notice,
@@ -169,6 +171,15 @@
         if changed is not None:
             self._parts.limit_news.tell(changed, now=now)
 
+    def _take_rest(self, rest_seconds: float, now: float) -> None:
+        rest = self._parts.rests.take_answer(
+            running_requests.started(self._choice.upstream),
+            rest_seconds,
+            now=now,
+        )
+        if rest is not None:
+            self._parts.rest_news.tell(rest, now=now)
+
     def _may_write(self) -> bool:
         now = self._parts.clock.monotonic()
         choice = self._choice
@@ -180,6 +191,8 @@
         ):
             # It has named a limit since it was chosen.
             may = False
+        if self._parts.availability.rests(choice.upstream, now=now):
+            may = False
         # From here on the request may run; a limit that passes meanwhile
         # must not be told as "not run".
         self.may_have_run = may
--- a/packages/router/src/lagoonrun_router/upstream_notice.py
+++ b/packages/router/src/lagoonrun_router/upstream_notice.py
@@ -14,12 +14,16 @@
         where it names no limit.
     leaving
         Whether it takes no more work soon.
+    rest_seconds
+        Time for which it wants nothing more from this entry VM; None where it
+        asks for no rest.
     unreadable
         Header fields that make no sense, as they were written.
     """
 
     requests_per_second: float | None = None
     leaving: bool = False
+    rest_seconds: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/packages/router/tests/test_resting_upstreams.py
+++ b/packages/router/tests/test_resting_upstreams.py
@@ -5,7 +5,12 @@
 import time
 
 from lagoonrun_standins.router_samples import make_route
-from lagoonrun_standins.router_upstream import answer_whole, marked
+from lagoonrun_standins.router_upstream import (
+    answer_500,
+    answer_whole,
+    marked,
+)
+from lagoonrun_standins.router_world import wait_for
 
 REST_SECONDS = 2.0
 MOST_MEANWHILE = 2
@@ -32,6 +37,7 @@
         self.rest = rest
         self.refused = []
         self.answered = 0
+        self.port = 0
 
     async def answer(self, exchange):
         """Answer one request, or turn it away."""
@@ -74,7 +80,8 @@
     world = await world_of(**changes)
     route = make_route(idempotent=True, maximum_attempts=3)
     await world.declare(route, revision=2)
-    await world.add_upstream(upstream.answer, "u-0", start=1)
+    made = await world.add_upstream(upstream.answer, "u-0", start=1)
+    upstream.port = made.port
     await world.ready()
     return world
 
@@ -96,3 +103,78 @@
     answers = await ask_for(world, REST_SECONDS + NOTICED_SECONDS)
     assert upstream.most_meanwhile() <= MOST_MEANWHILE
     assert {one.status for one in answers} == {503}
+
+
+async def test_refused_caller_is_told_when_the_rest_ends(world_of):
+    """Guards against callers that come back again and again within a rest."""
+    upstream = RestingUpstream(rest=5.0)
+    world = await start_one(world_of, upstream)
+    await ask(world)
+    refused = await ask(world)
+    assert refused.headers["lagoonrun-reason"] == "upstreams-resting"
+    assert refused.headers["lagoonrun-outcome"] == "not-run"
+    assert 4.0 < float(refused.headers["retry-after"]) <= 5.5 * 2
+
+
+async def test_upstream_is_in_use_after_its_rest(world_of):
+    """Guards against an upstream that never gets work again."""
+    upstream = RestingUpstream(rest=0.4)
+    world = await start_one(world_of, upstream)
+    await ask(world)
+    upstream.rest = None
+    await ask_for(world, 0.8)
+    assert upstream.answered > 0
+
+
+async def test_second_sends_go_by_a_rest(world_of):
+    """Guards against retries that reach a resting upstream."""
+    upstream = RestingUpstream()
+    world = await start_one(world_of, upstream)
+    await ask(world)
+    await world.add_upstream(answer_500, "u-1")
+    for _ in range(20):
+        await ask(world)
+    assert len(upstream.refused) == 1
+
+
+async def test_other_entry_vms_prefer_upstreams_that_do_not_rest(world_of):
+    """Guards against each entry VM being turned away to learn of a rest."""
+    upstream = RestingUpstream()
+    world = await start_one(world_of, upstream, name="vm-1")
+    other = await world_of(name="vm-2", domain="south")
+    await other.ready()
+    await world.add_upstream(answer_whole, "u-1")
+    await wait_for(lambda: other.knows("u-1") and other.knows("u-0"))
+    for _ in range(30):
+        await ask(world)
+    assert len(upstream.refused) == 1
+    await asyncio.sleep(0.1)
+    for _ in range(30):
+        assert (await ask(other)).status == 200
+    assert len(upstream.refused) == 1
+
+
+async def test_pool_that_has_turned_one_entry_vm_away_serves_the_others(
+    world_of,
+):
+    """Guards against a pool that stands still for what one entry VM was told."""
+    upstream = RestingUpstream()
+    world = await start_one(world_of, upstream, name="vm-1")
+    other = await world_of(name="vm-2")
+    await other.ready()
+    await ask(world)
+    upstream.rest = None
+    await asyncio.sleep(0.1)
+    assert (await ask(world)).status == 503
+    assert (await ask(other)).status == 200
+
+
+async def test_next_start_of_a_resting_upstream_is_in_use(world_of):
+    """Guards against a new process that inherits the rest of the old one."""
+    upstream = RestingUpstream(rest=60.0)
+    world = await start_one(world_of, upstream)
+    await ask(world)
+    upstream.rest = None
+    await world.register_at("u-0", upstream.port, start=2)
+    await wait_for(lambda: world.router.directory.registrations[0].start == 2)
+    assert (await ask(world)).status == 200
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -54,9 +54,11 @@
     def read_notice(self, head):
         """Return what the answer says of its upstream."""
         limit = head.headers.get("Limit")
+        rest = head.headers.get("Retry-After") if head.status == 503 else None
         return upstream_notice.UpstreamNotice(
             requests_per_second=float(limit) if limit else None,
             leaving="Leaving" in head.headers,
+            rest_seconds=float(rest) if rest else None,
         )
 
 
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -197,3 +197,30 @@
     notice = DIALECT.read_notice(answer(Server_Leaving=text))
     assert not notice.leaving
     assert notice.unreadable == (f"Server-Leaving: {text}",)
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "rest"),
+    [
+        (503, "3", 3.0),
+        (503, "0.25", 0.25),
+        (429, "2", 2.0),
+        (503, "0", 0.0),
+        (200, "3", None),
+        (500, "3", None),
+        (503, None, None),
+    ],
+)
+def test_rest_of_an_upstream_is_read(status, text, rest):
+    more = {} if text is None else {"Retry_After": text}
+    assert DIALECT.read_notice(answer(status, **more)).rest_seconds == rest
+
+
+@pytest.mark.parametrize(
+    "text", ["-3", "nan", "Wed, 21 Oct 2026 07:28:00 GMT", "soon"]
+)
+def test_rest_that_can_not_be_read_is_a_short_one_and_reported(text):
+    """Guards against a header of an upstream that has no effect, or ends it."""
+    notice = DIALECT.read_notice(answer(503, Retry_After=text))
+    assert notice.rest_seconds == 1.0
+    assert notice.unreadable == (f"Retry-After: {text}",)
