Compare the size of an entry VM as all of them know it

Each compared its own size as it stands in the settings (1.074 cores) with those of others as messages tell them, in hundredths (1.07): equal entry VMs each were the largest, so that all relayed; with 0.516 (told 0.52) or 2.149 (told 2.15) each was the smallest, and nobody sent the domain's news at all. Class: one number in two precisions, compared. Ruled out: the hash that orders equal ones (1.0 core: one leads, in the same test).

--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -37,6 +37,16 @@
 """Silence after which a peer counts no more among those that share budgets."""
 
 
+def told_cores(processor_cores: float) -> float:
+    """Return the size of an entry VM as messages tell it.
+
+    Whoever compares its own size with those of others compares this one: rounded
+    differently, equal entry VMs would each take themselves for the largest, or for
+    the smallest.
+    """
+    return round(processor_cores * 100) / 100
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Peer:
     address: settings.Address
@@ -120,6 +130,7 @@
         """
         if entry_vm == self._entry_vm:
             return
+        processor_cores = told_cores(processor_cores)
         peer = self._peers_by_id.setdefault(entry_vm, _Peer(address=address))
         peer.address = address
         peer.domain = domain or peer.domain
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -163,7 +163,7 @@
     def _build_duties(self) -> fleet_duties.FleetDuties | None:
         if self._counting is None:
             return None
-        self._counting.send = self._peers.send_usage
+        self._counting.send = self.exchange.send_usage
         return fleet_duties.FleetDuties(
             configured=self._settings,
             counting=self._counting,
@@ -171,7 +171,7 @@
             platform=self._duty_platform,
             view=fleet_duties.FleetView(
                 configured=self._settings,
-                exchange=self._peers,
+                exchange=self.exchange,
                 domains=self._domains,
                 directory=self.directory,
                 ledger=self._ledger,
@@ -223,7 +223,7 @@
             follower=self.follower,
             clock=self._clock,
         )
-        self._peers = peers.Peers(
+        self.exchange = peers.Peers(
             configured=configured,
             key=configured.store.host.encode(),
             table=self._table,
@@ -267,12 +267,12 @@
                 crashes=self._crash_guard.watch,
                 crashing=self.crashing,
                 limits=self.limits,
-                limit_news=self._peers.limit_news,
-                places=self._peers.places,
+                limit_news=self.exchange.limit_news,
+                places=self.exchange.places,
                 rests=self._rests,
-                rest_news=self._peers.rest_news,
+                rest_news=self.exchange.rest_news,
                 availability=availability.Availability(
-                    limited=self._peers.places, rests=self._rests
+                    limited=self.exchange.places, rests=self._rests
                 ),
                 usage=self._usage,
             )
@@ -343,7 +343,7 @@
         await self._peer_server.start()
         if self._metrics_server is not None:
             await self._metrics_server.start()
-        await self._peers.start()
+        await self.exchange.start()
         await self.follower.start()
         await self._duty.start()
         await self._crash_guard.start()
@@ -359,7 +359,7 @@
         """Stop as planned; return how many requests had to be cut."""
         stopped_at = self._clock.monotonic()
         self._stopping = True
-        self._peers.begin_stop()
+        self.exchange.begin_stop()
         self._duty.begin_stop()
         logs.emit(
             events.LogEvent.PROCESS_STOPPING,
@@ -390,7 +390,7 @@
         await self._duty.close()
         await self.follower.close()
         await self._caller_server.close()
-        await self._peers.close()
+        await self.exchange.close()
         await self._client.close()
         await self._crash_guard.close()
         await self._peer_server.close()
@@ -412,7 +412,7 @@
             stop_seconds=changed.stop_seconds,
             retry_allowance=changed.retry_allowance,
         )
-        self._peers.use_seeds(changed.seeds)
+        self.exchange.use_seeds(changed.seeds)
         self._budget.use(changed.retry_allowance)
         return names - settings.CHANGEABLE_NAMES
 
