--- a/packages/router/src/lagoonrun_router/upstream_limits.py
+++ b/packages/router/src/lagoonrun_router/upstream_limits.py
@@ -21,6 +21,10 @@
 
 _OWN_ANSWER = "answer"
 
+_WAY_SECONDS = 0.05
+"""Longest usual time of a message: statements that are nearer to each other can't be
+told which is newer, and the one that is known stays."""
+
 _MOST_LIMITS = 1024
 """Upstreams of which statements are remembered; the oldest statements yield."""
 
@@ -127,13 +131,17 @@
         self, statement: LimitStatement, *, source: str, now: float
     ) -> LimitStatement | None:
         """Take in what a peer was told; return it where that is news."""
-        known = self.statement_of(statement.at)
-        if known is not None and statement.heard_at <= known.heard_at:
-            return None
         bounded = dataclasses.replace(
             statement,
             requests_per_second=_bounded(statement.requests_per_second),
         )
+        known = self.statement_of(statement.at)
+        if known is not None and (
+            bounded.requests_per_second == known.requests_per_second
+            # The age of a statement leaves the time on the way out.
+            or bounded.heard_at <= known.heard_at + _WAY_SECONDS
+        ):
+            return None
         return self._take(bounded, source=source, now=now)
 
     def forget_start(self, at: running_requests.StartedUpstream) -> None:
--- a/packages/router/src/lagoonrun_router/upstream_rests.py
+++ b/packages/router/src/lagoonrun_router/upstream_rests.py
@@ -23,6 +23,9 @@
 """Part of a rest by which it is prolonged at most, so that what waits for the end of
 many rests does not come at one moment."""
 
+_WAY_SECONDS = 0.1
+"""Longest time that a message takes, with a busy processor at its end."""
+
 _MOST_RESTS = 1024
 """Upstreams of which rests are remembered; the oldest yield."""
 
@@ -109,7 +112,9 @@
     def take_told(self, rest: Rest, *, source: str, now: float) -> bool:
         """Take in what a peer was asked for; return whether it is news."""
         until = min(rest.until, now + LONGEST_REST_SECONDS)
-        if until <= self._told_until.get(rest.at, now):
+        # What is left of a rest is told without the time on the way, so that
+        # the same rest seems to end later with each entry VM that hands it on.
+        if until <= self._told_until.get(rest.at, now) + _WAY_SECONDS:
             return False
         _note(self._told_until, rest.at, until)
         logs.emit(
