Hold what upstreams say of themselves in one module; tell callers when a rest ends

A caller whose only upstream turned it away and asked for rest was told to come back in 0.25 s, to be refused again; it is told when the first of its pool opens. Limits, rests and leaving are assembled in upstream_notices.py, so that the exchange with the peers and the sends know one part; refusals and givers of places each have one function now.

--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -87,7 +87,9 @@
         by_id = {one.id: one for one in registered if one.id not in excluded}
         if not by_id:
             return None
-        available = self._parts.availability.among(by_id, call.tier, now=now)
+        available = self._parts.notices.availability.among(
+            by_id, call.tier, now=now
+        )
         if not available.open_by_id:
             return AllClosed(closed=available.closed)
         usable = tuple(available.open_by_id.values())
@@ -129,6 +131,17 @@
             decided_at=now,
         )
 
+    def all_closed(
+        self, call: calls.Call
+    ) -> tuple[availability.ClosedUpstream, ...]:
+        """Return the upstreams of the pool if each takes nothing; else none."""
+        now = self._parts.clock.monotonic()
+        registered = self._parts.directory.usable(call.pool.name, now=now)
+        available = self._parts.notices.availability.among(
+            {one.id: one for one in registered}, call.tier, now=now
+        )
+        return () if available.open_by_id else available.closed
+
     def _considered(
         self,
         call: calls.Call,
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -16,6 +16,7 @@
     loads,
     place_bucket,
     retrying,
+    running_requests,
     sending,
     stream_relay,
 )
@@ -128,9 +129,9 @@
             choice = self._choose_among_all()
             if not isinstance(choice, choosing.Choice):
                 return choice
-            if not self._parts.places.is_limited(choice.upstream):
+            if not self._parts.notices.places.is_limited(choice.upstream):
                 return choice
-            place = await self._parts.places.take(
+            place = await self._parts.notices.places.take(
                 choice.upstream,
                 self._call.tier,
                 request_id=self._call.request_id,
@@ -164,28 +165,20 @@
         Callers come back one after the other: what opens first is for few of
         them.
         """
-        first = refusal.closed[0]
-        seconds = answers.spread_retry_seconds(
-            self._parts.chance, wait_seconds=first.wait_seconds
-        )
-        reason = _REASON_BY_CLOSED[first.why]
-        detail = "no upstream of the pool takes a request now, by its own word"
         self._note_pressure()
-        logs.emit(
-            events.LogEvent.REQUEST_REFUSED,
-            level=logging.WARNING,
-            request_id=self._call.request_id,
-            reason=reason.value,
-            detail=detail,
-            tier=self._call.tier,
-            closed={
-                one.upstream: one.why.value
-                for one in refusal.closed[:_LOGGED_UPSTREAMS]
-            },
-            retry_after=round(seconds, 3),
+        return await self._end_refused(
+            reason=_REASON_BY_CLOSED[refusal.closed[0].why],
+            detail="no upstream of the pool takes a request now, by its word",
+            retry_after_seconds=self._opening_seconds(refusal.closed),
+            closed=refusal.closed[:_LOGGED_UPSTREAMS],
         )
-        return await self._end(
-            reason=reason, detail=detail, retry_after_seconds=seconds
+
+    def _opening_seconds(
+        self, closed: tuple[availability.ClosedUpstream, ...]
+    ) -> float:
+        """Return when to come back to upstreams that take nothing now."""
+        return answers.spread_retry_seconds(
+            self._parts.chance, wait_seconds=closed[0].wait_seconds
         )
 
     async def _refuse(
@@ -200,16 +193,7 @@
             reason = outcomes.Reason.OVERLOADED
             detail = refusal.value
             self._note_pressure()
-        logs.emit(
-            events.LogEvent.REQUEST_REFUSED,
-            level=logging.WARNING,
-            request_id=self._call.request_id,
-            reason=reason.value,
-            detail=detail,
-            tier=self._call.tier,
-            patience_seconds=round(self._call.patience_seconds, 3),
-        )
-        return await self._end(reason=reason, detail=detail)
+        return await self._end_refused(reason=reason, detail=detail)
 
     async def _refuse_blocked(
         self, block: crash_evidence.Block
@@ -219,9 +203,31 @@
         Its caller is told when it may be tried again: not sooner, since each
         try that fails costs an upstream with all that it runs.
         """
-        reason = outcomes.Reason.CRASHED_UPSTREAMS
-        detail = f"{len(block.crashes)} upstreams ended while they ran it"
-        left_seconds = block.until - self._parts.clock.monotonic()
+        return await self._end_refused(
+            reason=outcomes.Reason.CRASHED_UPSTREAMS,
+            detail=f"{len(block.crashes)} upstreams ended while they ran it",
+            retry_after_seconds=block.until - self._parts.clock.monotonic(),
+            crashes=block.crashes,
+        )
+
+    async def _end_refused(
+        self,
+        *,
+        reason: outcomes.Reason,
+        detail: str,
+        retry_after_seconds: float | None = None,
+        closed: tuple[availability.ClosedUpstream, ...] = (),
+        crashes: tuple[running_requests.StartedUpstream, ...] = (),
+    ) -> outcomes.Ending:
+        """End a request that is not sent, with a line of what decided.
+
+        Parameters
+        ----------
+        retry_after_seconds
+            When to come back; None for soon.
+        closed, crashes
+            Upstreams that take nothing now, and those that ended under it.
+        """
         logs.emit(
             events.LogEvent.REQUEST_REFUSED,
             level=logging.WARNING,
@@ -229,12 +235,16 @@
             reason=reason.value,
             detail=detail,
             tier=self._call.tier,
-            digest=block.request,
-            upstreams=[one.upstream for one in block.crashes],
-            retry_after=round(left_seconds, 3),
+            patience_seconds=round(self._call.patience_seconds, 3),
+            digest=self._call.digest,
+            closed={one.upstream: one.why.value for one in closed},
+            upstreams=[one.upstream for one in crashes],
+            retry_after=retry_after_seconds and round(retry_after_seconds, 3),
         )
         return await self._end(
-            reason=reason, detail=detail, retry_after_seconds=left_seconds
+            reason=reason,
+            detail=detail,
+            retry_after_seconds=retry_after_seconds,
         )
 
     def _note_pressure(self) -> None:
@@ -371,8 +381,14 @@
             return await answers.pass_on(
                 self._exchange, lost.answer, upstream=lost.upstream
             )
+        closed = self._chooser.all_closed(self._call)
         return await self._end(
-            reason=lost.reason, detail=lost.detail, upstream=lost.upstream
+            reason=lost.reason,
+            detail=lost.detail,
+            upstream=lost.upstream,
+            retry_after_seconds=self._opening_seconds(closed)
+            if closed
+            else None,
         )
 
     async def _end(
--- a/packages/router/src/lagoonrun_router/parts.py
+++ b/packages/router/src/lagoonrun_router/parts.py
@@ -8,23 +8,18 @@
 from lagoonrun_duties import usage_exchange
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
-    availability,
     crash_watch,
     crashing_requests,
     dialect,
     let_in_times,
-    limit_news,
     load_ledger,
     metrics,
     peer_table,
-    places,
     pressure,
     prompt_homes,
     reach,
-    rest_news,
     retry_budget,
-    upstream_limits,
-    upstream_rests,
+    upstream_notices,
     upstreams,
 )
 
@@ -39,12 +34,8 @@
         Follows what runs at the upstreams.
     crashing
         Requests that end upstreams.
-    limits, limit_news, places
-        Limits that upstreams have named, who is told of them, and places there.
-    rests, rest_news
-        Rests that upstreams have asked for, and who is told of them.
-    availability
-        Which upstreams take a request, by limits and rests.
+    notices
+        What upstreams say of themselves, and what follows from it.
     usage
         Counts requests that begin to run; None where nobody asks for usage.
     """
@@ -65,10 +56,5 @@
     metrics: metrics.RouterMetrics
     crashes: crash_watch.CrashWatch
     crashing: crashing_requests.CrashingRequests
-    limits: upstream_limits.UpstreamLimits
-    limit_news: limit_news.LimitNewsExchange
-    places: places.Places
-    rests: upstream_rests.UpstreamRests
-    rest_news: rest_news.RestNewsExchange
-    availability: availability.Availability
+    notices: upstream_notices.UpstreamNotices
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/peers.py
+++ b/packages/router/src/lagoonrun_router/peers.py
@@ -20,7 +20,6 @@
     domain_news,
     fleet_news,
     gathered_work,
-    limit_news,
     load_ledger,
     metrics,
     news_spreader,
@@ -29,16 +28,13 @@
     peer_socket,
     peer_table,
     place_routing,
-    places,
     pressure,
     prompt_homes,
     reach,
-    rest_news,
     roster,
     settings,
     state_telling,
-    upstream_limits,
-    upstream_rests,
+    upstream_notices,
     upstreams,
 )
 
@@ -85,8 +81,6 @@
         What is told and heard.
     crashing
         Requests that end upstreams.
-    limits, rests
-        Limits that upstreams have named, and rests that they asked for.
     counters
         Receives the number of places at limited upstreams.
     usage
@@ -109,8 +103,6 @@
         pressed: pressure.Pressure,
         gathered: gathered_work.GatheredWork,
         crashing: crashing_requests.CrashingRequests,
-        limits: upstream_limits.UpstreamLimits,
-        rests: upstream_rests.UpstreamRests,
         counters: metrics.RouterMetrics,
         usage: usage_exchange.UsageExchange | None = None,
         clock: clocks.Clock,
@@ -185,7 +177,8 @@
             usage=usage,
             send=self._socket.send,
         )
-        spreader = news_spreader.NewsSpreader(
+        self.send = self._socket.send
+        self.spreader = news_spreader.NewsSpreader(
             domain=configured.domain,
             table=table,
             fleet=self,
@@ -196,33 +189,21 @@
         self._crash_news = crash_news.CrashNewsExchange(
             entry_vm=configured.entry_vm,
             domain=configured.domain,
-            spreader=spreader,
+            spreader=self.spreader,
             records=crashing.records,
         )
         crashing.news = self._crash_news
-        self.limit_news = limit_news.LimitNewsExchange(
+        self.routing = place_routing.PlaceRouting(
             entry_vm=configured.entry_vm,
             domain=configured.domain,
-            limits=limits,
-            spreader=spreader,
-        )
-        self.rest_news = rest_news.RestNewsExchange(
-            entry_vm=configured.entry_vm,
-            domain=configured.domain,
-            rests=rests,
-            spreader=spreader,
+            table=table,
+            domains=domains,
+            relays=self,
         )
-        self.places = places.Places(
+        self.notices = upstream_notices.UpstreamNotices(
             configured=configured,
-            limits=limits,
-            routing=place_routing.PlaceRouting(
-                entry_vm=configured.entry_vm,
-                domain=configured.domain,
-                table=table,
-                domains=domains,
-                relays=self,
-            ),
-            send=self._socket.send,
+            directory=directory,
+            exchange=self,
             counters=counters,
             clock=clock,
             chance=chance,
@@ -274,7 +255,7 @@
         self._fleet_news.beat(now=now)
         self._domain_news.beat(now=now)
         self._crash_news.beat(now=now)
-        self.limit_news.beat(now=now)
+        self.notices.beat(now=now)
         if self._usage is not None:
             self._usage.beat(now=now, leads=self._relays.leads(now=now))
         self._greet(now)
@@ -404,18 +385,10 @@
                 self._hand_on(message)
         elif isinstance(message, router_messages.CrashNews):
             self._crashing.take_news(message)
-        elif isinstance(message, router_messages.LimitNews):
-            self.limit_news.take(message, now=now)
-        elif isinstance(message, router_messages.RestNews):
-            self.rest_news.take(message, now=now)
-        elif isinstance(message, router_messages.PlaceRequest):
-            self.places.take_question(message)
-        elif isinstance(message, router_messages.PlaceAnswer):
-            self.places.take_answer(message)
         elif isinstance(message, router_messages.UsageNews):
             if self._usage is not None:
                 self._usage.take_news(message)
-        else:
+        elif not self.notices.take_message(message, now=now):
             raise errors.LagoonrunError(
                 step=errors.Step.PEER_FRAME,
                 peer=host,
--- a/packages/router/src/lagoonrun_router/places.py
+++ b/packages/router/src/lagoonrun_router/places.py
@@ -59,6 +59,13 @@
     """An entry VM that can't ask its relay."""
 
 
+_PART_OF = {
+    Giver.FLEET: fleet_parts.part_of_giver,
+    Giver.DOMAIN: fleet_parts.part_of_domain,
+    Giver.SELF: fleet_parts.part_of_one,
+}
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Closed:
     tier: types.Tier
@@ -101,11 +108,13 @@
         self._send = send
         self._metrics = counters
         self._clock = clock
-        self._fleet_giver = place_giver.PlaceGiver(limits=limits)
-        self._domain_giver = place_giver.PlaceGiver(limits=limits)
-        # Levels by chance: were all buckets of a fleet empty at first, the
-        # small parts of many entry VMs would come up together much later.
-        self._own_giver = place_giver.PlaceGiver(limits=limits, chance=chance)
+        self._giver_by_kind = {
+            Giver.FLEET: place_giver.PlaceGiver(limits=limits),
+            Giver.DOMAIN: place_giver.PlaceGiver(limits=limits),
+            # Levels by chance: were all buckets of a fleet empty at first, the
+            # small parts of many entry VMs would come up together much later.
+            Giver.SELF: place_giver.PlaceGiver(limits=limits, chance=chance),
+        }
         self._own_used_at = float("-inf")
         self._unanswered_until = float("-inf")
         self._number = 0
@@ -199,18 +208,18 @@
         now = self._clock.monotonic()
         relay = self._routing.own_relay(now=now)
         if relay is None and self._routing.gives(upstream.domain):
-            return Giver.FLEET, self._give_for_fleet(at, tier, now)
+            return Giver.FLEET, self._give(Giver.FLEET, at, tier, now)
         if now < self._unanswered_until:
-            return Giver.SELF, self._give_for_self(at, tier, now)
+            return Giver.SELF, self._give(Giver.SELF, at, tier, now)
         asked = self._question(upstream, at, tier, now)
         to = relay or self._routing.giver(upstream.domain, now=now)
         if to is None:
-            return Giver.DOMAIN, self._give_for_domain(at, tier, now)
+            return Giver.DOMAIN, self._give(Giver.DOMAIN, at, tier, now)
         answer = await self._exchange(asked, to)
         if answer is None:
             now = self._clock.monotonic()
             self._unanswered_until = now + _UNANSWERED_SECONDS
-            return Giver.SELF, self._give_for_self(at, tier, now)
+            return Giver.SELF, self._give(Giver.SELF, at, tier, now)
         return Giver(answer.giver), _verdict_of(answer)
 
     def _question(
@@ -276,7 +285,7 @@
         )
         tier = types.Tier(asked.tier)
         if self._routing.gives(asked.upstream_domain):
-            verdict = self._give_for_fleet(at, tier, now)
+            verdict = self._give(Giver.FLEET, at, tier, now)
             self._answer(asked, Giver.FLEET, verdict)
             return
         if asked.domain != self._configured.domain:
@@ -287,7 +296,7 @@
         if giver is not None:
             self._send(asked, (giver,))
             return
-        verdict = self._give_for_domain(at, tier, now)
+        verdict = self._give(Giver.DOMAIN, at, tier, now)
         self._answer(asked, Giver.DOMAIN, verdict)
 
     def _answer(
@@ -309,36 +318,26 @@
 
     # Giving.
 
-    def _give_for_fleet(
-        self,
-        at: running_requests.StartedUpstream,
-        tier: types.Tier,
-        now: float,
-    ) -> place_bucket.Verdict:
-        part = fleet_parts.part_of_giver(self._routing.view(now=now))
-        return self._fleet_giver.take(at, tier, part=part, now=now)
-
-    def _give_for_domain(
+    def _give(
         self,
+        giver: Giver,
         at: running_requests.StartedUpstream,
         tier: types.Tier,
         now: float,
     ) -> place_bucket.Verdict:
-        part = fleet_parts.part_of_domain(self._routing.view(now=now))
-        return self._domain_giver.take(at, tier, part=part, now=now)
+        """Decide on a place here, for the fleet or a part of it."""
+        if giver is Giver.SELF:
+            self._begin_own_part(now)
+        view = self._routing.view(now=now)
+        return self._giver_by_kind[giver].take(
+            at, tier, part=_PART_OF[giver](view), now=now
+        )
 
-    def _give_for_self(
-        self,
-        at: running_requests.StartedUpstream,
-        tier: types.Tier,
-        now: float,
-    ) -> place_bucket.Verdict:
+    def _begin_own_part(self, now: float) -> None:
+        """Save nothing up while others give the places out."""
         if now - self._own_used_at > place_bucket.FLOOR_SECONDS:
-            # Nothing is saved up while others give the places out.
-            self._own_giver.forget()
+            self._giver_by_kind[Giver.SELF].forget()
         self._own_used_at = now
-        part = fleet_parts.part_of_one(self._routing.view(now=now))
-        return self._own_giver.take(at, tier, part=part, now=now)
 
 
 def _verdict_of(answer: router_messages.PlaceAnswer) -> place_bucket.Verdict:
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -16,7 +16,6 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_platform import store_eras
 from lagoonrun_router import (
-    availability,
     beliefs,
     crash_guard,
     declarations,
@@ -38,12 +37,9 @@
     reach,
     retry_budget,
     route_table,
-    running_requests,
     settings,
     store_duty,
     store_follower,
-    upstream_limits,
-    upstream_rests,
     upstreams,
 )
 
@@ -128,8 +124,6 @@
         )
         self._domains = reach.DomainReach()
         self._pressed = pressure.Pressure()
-        self.limits = upstream_limits.UpstreamLimits()
-        self._rests = upstream_rests.UpstreamRests(chance=self._chance)
         self._gathered = gathered_work.GatheredWork()
         self._let_in = let_in_times.LetInTimes(
             started_at=self._clock.monotonic()
@@ -203,16 +197,6 @@
             chance=self._chance,
             clock=self._clock,
         )
-        self._gauges = gauges.Gauges(
-            into=self.metrics,
-            directory=self.directory,
-            ledger=self._ledger,
-            peers=self._table,
-            budget=self._budget,
-            follower=self.follower,
-            crashing=self.crashing,
-            limits=self.limits,
-        )
         self._duty = store_duty.StoreDuty(
             entry_vm=configured.entry_vm,
             domain=configured.domain,
@@ -235,13 +219,21 @@
             pressed=self._pressed,
             gathered=self._gathered,
             crashing=self.crashing,
-            limits=self.limits,
-            rests=self._rests,
             counters=self.metrics,
             usage=self._usage,
             clock=self._clock,
             chance=self._chance,
         )
+        self._gauges = gauges.Gauges(
+            into=self.metrics,
+            directory=self.directory,
+            ledger=self._ledger,
+            peers=self._table,
+            budget=self._budget,
+            follower=self.follower,
+            crashing=self.crashing,
+            limits=self.exchange.notices.limits,
+        )
 
     def _build_edges(
         self, language: dialect.Dialect, listening: socket.socket | None
@@ -266,14 +258,7 @@
                 metrics=self.metrics,
                 crashes=self._crash_guard.watch,
                 crashing=self.crashing,
-                limits=self.limits,
-                limit_news=self.exchange.limit_news,
-                places=self.exchange.places,
-                rests=self._rests,
-                rest_news=self.exchange.rest_news,
-                availability=availability.Availability(
-                    limited=self.exchange.places, rests=self._rests
-                ),
+                notices=self.exchange.notices,
                 usage=self._usage,
             )
         )
@@ -432,8 +417,7 @@
             self._ledger.forget_start(before.id)
             self._gathered.forget_start(before.id)
             self._homes.forget_upstream(before.id)
-            self.limits.forget_start(running_requests.started(before))
-            self._rests.forget_start(running_requests.started(before))
+            self.exchange.notices.forget_start(before)
             self._client.lose(
                 before.host, before.port, opened_until=restarted.heard_at
             )
--- a/packages/router/src/lagoonrun_router/sending.py
+++ b/packages/router/src/lagoonrun_router/sending.py
@@ -1,9 +1,8 @@
 """Send one call to one upstream, and take what it answers."""
 
 import asyncio
-import logging
 
-from lagoonrun_core import events, logs, outcomes, types
+from lagoonrun_core import outcomes, types
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
@@ -146,39 +145,11 @@
         dialect = self._parts.dialect
         if dialect.is_other_upstream(head):
             return
-        notice = dialect.read_notice(head)
-        upstream = self._choice.upstream
-        if notice.unreadable:
-            logs.emit(
-                events.LogEvent.UPSTREAM_NOTICE_REJECTED,
-                level=logging.WARNING,
-                upstream=upstream.id,
-                fields=notice.unreadable,
-            )
-        if notice.leaving:
-            self._parts.directory.take_leaving(
-                upstream.id, start=upstream.start, source="answer"
-            )
-        now = self._parts.clock.monotonic()
-        if notice.rest_seconds is not None:
-            self._take_rest(notice.rest_seconds, now)
-        changed = self._parts.limits.take_answer(
-            running_requests.started(upstream),
-            notice,
+        self._parts.notices.take_answer(
+            self._choice.upstream,
+            dialect.read_notice(head),
             sent_at=self._written_at,
-            now=now,
-        )
-        if changed is not None:
-            self._parts.limit_news.tell(changed, now=now)
-
-    def _take_rest(self, rest_seconds: float, now: float) -> None:
-        rest = self._parts.rests.take_answer(
-            running_requests.started(self._choice.upstream),
-            rest_seconds,
-            now=now,
         )
-        if rest is not None:
-            self._parts.rest_news.tell(rest, now=now)
 
     def _may_write(self) -> bool:
         now = self._parts.clock.monotonic()
@@ -186,13 +157,9 @@
         if now - choice.decided_at > _OLDEST_CHOICE_SECONDS:
             return False
         may = self._parts.directory.may_send(choice.upstream.id, now=now)
-        if not choice.has_place and self._parts.places.is_limited(
-            choice.upstream
-        ):
-            # It has named a limit since it was chosen.
-            may = False
-        if self._parts.availability.rests(choice.upstream, now=now):
-            may = False
+        may = may and self._parts.notices.may_write(
+            choice.upstream, has_place=choice.has_place, now=now
+        )
         # From here on the request may run; a limit that passes meanwhile
         # must not be told as "not run".
         self.may_have_run = may
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/upstream_notices.py
@@ -0,0 +1,173 @@
+"""What upstreams say of themselves in their answers, and what follows from it.
+
+Assembles limits, rests and leaving: what is known, what peers are told and tell, and
+which upstreams take a request.
+"""
+
+import logging
+import random
+from typing import Protocol
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import events, logs
+from lagoonrun_protocol import router_messages
+from lagoonrun_router import (
+    availability,
+    limit_news,
+    metrics,
+    news_spreader,
+    place_routing,
+    places,
+    rest_news,
+    running_requests,
+    settings,
+    upstream_limits,
+    upstream_notice,
+    upstream_rests,
+    upstreams,
+)
+
+
+class Exchange(Protocol):
+    """The exchange with the other entry VMs, as far as it is used here."""
+
+    spreader: news_spreader.NewsSpreader
+    routing: place_routing.PlaceRouting
+    send: news_spreader.Sender
+
+
+class UpstreamNotices:
+    """Takes in what answers and peers say, and answers what follows.
+
+    Parameters
+    ----------
+    configured
+        Settings of the process.
+    directory
+        The upstreams.
+    exchange
+        How peers are told.
+    counters
+        Receives the number of places at limited upstreams.
+    clock, chance
+        Sources of time and of choices.
+
+    Attributes
+    ----------
+    limits, rests
+        What is known.
+    places
+        Places at limited upstreams.
+    availability
+        Which upstreams take a request.
+    """
+
+    def __init__(
+        self,
+        *,
+        configured: settings.RouterSettings,
+        directory: upstreams.UpstreamDirectory,
+        exchange: Exchange,
+        counters: metrics.RouterMetrics,
+        clock: clocks.Clock,
+        chance: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._clock = clock
+        self.limits = upstream_limits.UpstreamLimits()
+        self.rests = upstream_rests.UpstreamRests(chance=chance)
+        self._limit_news = limit_news.LimitNewsExchange(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            limits=self.limits,
+            spreader=exchange.spreader,
+        )
+        self._rest_news = rest_news.RestNewsExchange(
+            entry_vm=configured.entry_vm,
+            domain=configured.domain,
+            rests=self.rests,
+            spreader=exchange.spreader,
+        )
+        self.places = places.Places(
+            configured=configured,
+            limits=self.limits,
+            routing=exchange.routing,
+            send=exchange.send,
+            counters=counters,
+            clock=clock,
+            chance=chance,
+        )
+        self.availability = availability.Availability(
+            limited=self.places, rests=self.rests
+        )
+
+    def take_answer(
+        self,
+        upstream: upstreams.Registration,
+        notice: upstream_notice.UpstreamNotice,
+        *,
+        sent_at: float,
+    ) -> None:
+        """Take in what the answer to a request of this entry VM says.
+
+        Parameters
+        ----------
+        sent_at
+            Reading of the clock when the request was written.
+        """
+        now = self._clock.monotonic()
+        at = running_requests.started(upstream)
+        if notice.unreadable:
+            logs.emit(
+                events.LogEvent.UPSTREAM_NOTICE_REJECTED,
+                level=logging.WARNING,
+                upstream=upstream.id,
+                fields=notice.unreadable,
+            )
+        if notice.leaving:
+            self._directory.take_leaving(
+                upstream.id, start=upstream.start, source="answer"
+            )
+        limit = self.limits.take_answer(at, notice, sent_at=sent_at, now=now)
+        if limit is not None:
+            self._limit_news.tell(limit, now=now)
+        rest = self.rests.take_answer(at, notice, now=now)
+        if rest is not None:
+            self._rest_news.tell(rest, now=now)
+
+    def take_message(
+        self, message: router_messages.RouterMessage, *, now: float
+    ) -> bool:
+        """Take in a message of a peer; return whether it was of this kind."""
+        if isinstance(message, router_messages.LimitNews):
+            self._limit_news.take(message, now=now)
+        elif isinstance(message, router_messages.RestNews):
+            self._rest_news.take(message, now=now)
+        elif isinstance(message, router_messages.PlaceRequest):
+            self.places.take_question(message)
+        elif isinstance(message, router_messages.PlaceAnswer):
+            self.places.take_answer(message)
+        else:
+            return False
+        return True
+
+    def beat(self, *, now: float) -> None:
+        """Repeat what others may not have heard; called several times a second."""
+        self._limit_news.beat(now=now)
+
+    def may_write(
+        self, upstream: upstreams.Registration, *, has_place: bool, now: float
+    ) -> bool:
+        """Return whether a request may be written to an upstream now.
+
+        It may have named a limit or asked for rest since it was chosen.
+        """
+        if not has_place and self.places.is_limited(upstream):
+            return False
+        return not self.availability.rests(upstream, now=now)
+
+    def forget_start(self, upstream: upstreams.Registration) -> None:
+        """Forget what an upstream said before it started again."""
+        at = running_requests.started(upstream)
+        self.limits.forget_start(at)
+        self.rests.forget_start(at)
--- a/packages/router/src/lagoonrun_router/upstream_rests.py
+++ b/packages/router/src/lagoonrun_router/upstream_rests.py
@@ -10,7 +10,7 @@
 import random
 
 from lagoonrun_core import events, logs
-from lagoonrun_router import running_requests
+from lagoonrun_router import running_requests, upstream_notice
 
 LONGEST_REST_SECONDS = 600.0
 """Longest rest that is kept at a time: an upstream that asks for a day may have
@@ -83,7 +83,7 @@
     def take_answer(
         self,
         at: running_requests.StartedUpstream,
-        rest_seconds: float,
+        notice: upstream_notice.UpstreamNotice,
         *,
         now: float,
     ) -> Rest | None:
@@ -91,9 +91,10 @@
 
         A shorter rest does not end a longer one: answers overtake each other.
         """
-        seconds = min(LONGEST_REST_SECONDS, rest_seconds)
-        if seconds <= 0.0:
+        asked_seconds = notice.rest_seconds
+        if not asked_seconds:
             return None
+        seconds = min(LONGEST_REST_SECONDS, asked_seconds)
         until = now + seconds * (1.0 + _JITTER * self._chance.random())
         if until <= self._own_until.get(at, now):
             return None
@@ -104,7 +105,7 @@
             upstream=at.upstream,
             start=at.start,
             seconds=round(seconds, 3),
-            asked_seconds=round(rest_seconds, 3),
+            asked_seconds=round(asked_seconds, 3),
             source="answer",
         )
         return Rest(at=at, until=now + seconds)
--- a/packages/router/tests/test_limited_upstreams.py
+++ b/packages/router/tests/test_limited_upstreams.py
@@ -219,4 +219,4 @@
 
 def limits_known(world):
     """Return whether an entry VM knows of a limit."""
-    return bool(world.router.limits.in_force())
+    return bool(world.router.exchange.notices.limits.in_force())
--- a/packages/router/tests/test_upstream_rests.py
+++ b/packages/router/tests/test_upstream_rests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lagoonrun_router import running_requests, upstream_rests
+from lagoonrun_router import running_requests, upstream_notice, upstream_rests
 
 AT = running_requests.StartedUpstream(upstream="u-1", start=7)
 NOW = 1000.0
@@ -15,16 +15,21 @@
     return upstream_rests.UpstreamRests(chance=random.Random(1))
 
 
+def ask(rests, at, seconds, *, now):
+    notice = upstream_notice.UpstreamNotice(rest_seconds=seconds)
+    return rests.take_answer(at, notice, now=now)
+
+
 def test_rest_is_kept_to_its_end_and_a_little_longer(rests):
-    rests.take_answer(AT, 3.0, now=NOW)
+    ask(rests, AT, 3.0, now=NOW)
     assert rests.rest_seconds(AT, now=NOW + 2.99) > 0.0
     assert rests.rest_seconds(AT, now=NOW + 3.0 * 1.1) == 0.0
 
 
 def test_shorter_rest_does_not_end_a_longer_one(rests):
     """Guards against an older answer that arrives late."""
-    rests.take_answer(AT, 3.0, now=NOW)
-    assert rests.take_answer(AT, 0.5, now=NOW + 0.1) is None
+    ask(rests, AT, 3.0, now=NOW)
+    assert ask(rests, AT, 0.5, now=NOW + 0.1) is None
     assert rests.rest_seconds(AT, now=NOW + 2.9) > 0.0
 
 
@@ -34,13 +39,13 @@
 )
 def test_strange_rests_have_defined_effects(rests, asked, kept):
     """Guards against an upstream that talks itself out of work for ever."""
-    rests.take_answer(AT, asked, now=NOW)
+    ask(rests, AT, asked, now=NOW)
     assert kept <= rests.rest_seconds(AT, now=NOW) <= kept * 1.1
 
 
 def test_other_start_of_an_upstream_does_not_rest(rests):
     """Guards against a rest that outlives the process that asked for it."""
-    rests.take_answer(AT, 3.0, now=NOW)
+    ask(rests, AT, 3.0, now=NOW)
     other = running_requests.StartedUpstream(upstream="u-1", start=8)
     assert rests.rest_seconds(other, now=NOW) == 0.0
     rests.forget_start(AT)
@@ -65,7 +70,7 @@
         for n in range(10)
     ]
     for at in ats:
-        rests.take_answer(at, 3.0, now=NOW)
+        ask(rests, at, 3.0, now=NOW)
     ends = {rests.rest_seconds(at, now=NOW) for at in ats}
     assert len(ends) == len(ats)
 
@@ -77,5 +82,5 @@
         for n in range(10)
     ]
     for at in ats:
-        rests.take_answer(at, 3.0, now=NOW)
+        ask(rests, at, 3.0, now=NOW)
     assert [at for at in ats if rests.rest_seconds(at, now=NOW)] == ats[6:]
