--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from lagoonrun_core import outcomes
-from lagoonrun_soak import layout, record, upstream
+from lagoonrun_soak import layout, record, upstream, word_checks
 
 CONTACT_SECONDS = 3.0
 """How long a fault goes on to excuse what depends on time."""
@@ -52,6 +52,9 @@
     NO_REVERT = "no-revert"
     TIERS = "tiers"
     CRASHING = "crashing"
+    LIMITS = "limits"
+    RESTS = "rests"
+    OWN_LEAVING = "own-leaving"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -75,9 +78,25 @@
         *_no_revert(seen),
         *_tiers(seen),
         *_crashing(seen),
+        *_own_words(seen),
     ]
 
 
+def _own_words(seen: record.Record) -> Iterator[Violation]:
+    """Check what upstreams said of themselves in their answers."""
+    ids_by_promise = {
+        Promise.LIMITS: word_checks.over_limits(
+            seen, contact_seconds=CONTACT_SECONDS
+        ),
+        Promise.RESTS: word_checks.in_rests(seen),
+        Promise.OWN_LEAVING: word_checks.after_leaving(seen),
+    }
+    for promise, ids in ids_by_promise.items():
+        for id in ids:
+            detail = "reached an upstream that had said otherwise"
+            yield Violation(promise=promise, request_id=id, detail=detail)
+
+
 def _once(seen: record.Record) -> Iterator[Violation]:
     for id, runs in seen.runs_by_id.items():
         ask = seen.asks_by_id.get(id)
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -8,7 +8,16 @@
 from collections.abc import Sequence
 
 from lagoonrun_core import types
-from lagoonrun_soak import checks, fleet, layout, link, record, vm
+from lagoonrun_soak import (
+    checks,
+    fleet,
+    layout,
+    link,
+    own_words,
+    record,
+    upstream,
+    vm,
+)
 
 _MEAN_PAUSE_SECONDS = 0.9
 """Time between the beginnings of two faults; most last longer, and overlap."""
@@ -23,6 +32,7 @@
 _COPY_SECONDS = 4.0
 """Age that the copy has at most from which the store comes back."""
 
+_LIMITED_SECONDS = (4.0, 7.0)
 _BURST_CALLERS = 24
 _BURST_SECONDS = 2.5
 _CRASHING_SECONDS = 2.0 * checks.CONTACT_SECONDS
@@ -46,6 +56,9 @@
     DECLARED = "declared"
     BURST = "burst"
     CRASHING_REQUEST = "crashing-request"
+    UPSTREAM_LIMITS = "upstream-limits"
+    POOL_RESTS = "pool-rests"
+    UPSTREAM_SAYS_IT_LEAVES = "upstream-says-it-leaves"
 
 
 _FAULTY = tuple(
@@ -130,6 +143,9 @@
             FaultKind.DECLARED: self._world.declare,
             FaultKind.BURST: self._burst,
             FaultKind.CRASHING_REQUEST: self._send_crashing,
+            FaultKind.UPSTREAM_LIMITS: self._limit_upstream,
+            FaultKind.POOL_RESTS: self._rest_pool,
+            FaultKind.UPSTREAM_SAYS_IT_LEAVES: self._leave_by_word,
         }
         now = time.monotonic()
         self._seen.faults.append(f"{now:.3f} {kind.value}")
@@ -309,6 +325,55 @@
         if taken is not None and taken in self._world.upstreams:
             await self._world.drain(taken, silently=silently)
 
+    # What upstreams say of themselves.
+
+    async def _limit_upstream(self) -> None:
+        """Have an upstream name a limit, another one, and none again."""
+        upstreams = self._world.upstreams
+        if not upstreams:
+            return
+        made = upstreams[self._choose_at_work(sorted(upstreams))]
+        since = time.monotonic()
+        for _ in range(self._chance.choice((1, 1, 2))):
+            per_second = self._chance.choice((0.5, 1.0, 1.4))
+            made.words = own_words.OwnWords(per_second=per_second)
+            await asyncio.sleep(self._chance.uniform(*_LIMITED_SECONDS))
+        self._say_nothing(made, since)
+
+    async def _rest_pool(self) -> None:
+        """Have all upstreams of a pool turn requests away and ask for rest."""
+        pool = self._chance.choice((layout.PLAIN, layout.ENGINES))
+        seconds = self._chance.choice((0.5, 1.5, 2.5))
+        resting = [
+            one
+            for one in self._world.upstreams.values()
+            if one.registration.pool == pool
+        ]
+        since = time.monotonic()
+        for one in resting:
+            one.words = own_words.OwnWords(rest_seconds=seconds)
+        await asyncio.sleep(1.5 * seconds)
+        for one in resting:
+            self._say_nothing(one, since)
+
+    def _say_nothing(self, made: upstream.SoakUpstream, since: float) -> None:
+        """End what an upstream says of itself.
+
+        Requests that found no place before begin beside those that come now.
+        """
+        made.words = own_words.NOTHING
+        end = time.monotonic() + _SETTLING_SECONDS
+        self._seen.disturb(str(made.registration.id), since, end)
+
+    async def _leave_by_word(self) -> None:
+        """Have an upstream leave that can't tell the store."""
+        taken = await self._take_upstream()
+        if taken is not None and taken in self._world.upstreams:
+            self._world.upstreams[taken].words = own_words.OwnWords(
+                leaving=True
+            )
+            await self._world.end_later(taken)
+
     # Callers.
 
     async def _burst(self) -> None:
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -204,6 +204,12 @@
         self.seen.left_at_by_upstream[id] = time.monotonic()
         self.later(_LEAVING_SERVES_SECONDS, lambda: self._end_upstream(id))
 
+    async def end_later(self, id: types.UpstreamId) -> None:
+        """Have an upstream end that has told its callers only that it leaves."""
+        self.later(
+            2.0 * _LEAVING_SERVES_SECONDS, lambda: self._end_upstream(id)
+        )
+
     async def crash(self, id: types.UpstreamId) -> None:
         """End an upstream at once; its entry runs out later."""
         self.seen.disturb(str(id), time.monotonic(), float("inf"))
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -17,8 +17,10 @@
     crash_evidence,
     declarations,
     execution,
+    places,
     retrying,
     router,
+    upstream_rests,
     upstreams,
 )
 from lagoonrun_users_platform import main
@@ -38,6 +40,9 @@
     IN_FORCE = "in-force"
     TIERS = "tiers"
     CRASHING = "crashing"
+    LIMITS = "limits"
+    RESTS = "rests"
+    OWN_LEAVING = "own-leaving"
 
 
 def plant(planted: Planted) -> None:
@@ -160,6 +165,24 @@
     crash_evidence.CrashEvidence.take = lambda self, record, *, now: False
 
 
+def _break_limits() -> None:
+    """Need no place at any upstream."""
+    places.Places.is_limited = lambda self, upstream: False
+
+
+def _break_rests() -> None:
+    """Hear of no rest."""
+    rests = upstream_rests.UpstreamRests
+    rests.take_answer = lambda self, at, notice, *, now: None
+
+
+def _break_own_leaving() -> None:
+    """Hear of leaving from the store only."""
+    upstreams.UpstreamDirectory.take_leaving = (
+        lambda self, upstream, *, start, source: None
+    )
+
+
 _BREAKS = {
     Planted.ONCE: _break_once,
     Planted.OWN_ANSWER: _break_own_answer,
@@ -170,6 +193,9 @@
     Planted.IN_FORCE: _break_in_force,
     Planted.TIERS: _break_tiers,
     Planted.CRASHING: _break_crashing,
+    Planted.LIMITS: _break_limits,
+    Planted.RESTS: _break_rests,
+    Planted.OWN_LEAVING: _break_own_leaving,
 }
 
 
--- a/packages/soak/src/lagoonrun_soak/upstream.py
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -13,7 +13,7 @@
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import server as http_server
 from lagoonrun_router import settings, upstreams
-from lagoonrun_soak import layout, record
+from lagoonrun_soak import layout, own_words, record
 from lagoonrun_users_platform import standin_words
 
 _PLAIN_WORK_SECONDS = 0.03
@@ -64,6 +64,11 @@
         Where runs are noted.
     on_crash
         Ends it when it runs what it can't bear.
+
+    Attributes
+    ----------
+    words
+        What its answers say of itself.
     """
 
     def __init__(
@@ -81,6 +86,7 @@
             collections.Counter()
         )
         self._slots = asyncio.Semaphore(registration.slots)
+        self.words = own_words.NOTHING
         self._server = http_server.HttpServer(
             host=address.host,
             port=address.port,
@@ -106,9 +112,19 @@
         """Run one request, or say that it was not run."""
         body = await exchange.read_body()
         request = standin_words.read_request(exchange.head)
+        self._seen.arrivals.append(
+            own_words.Arrival(
+                upstream=self.registration.id,
+                id=request.request_id,
+                at=time.monotonic(),
+            )
+        )
         if request.expected != self.registration.id:
             await self._refuse(exchange, request.request_id, status=421)
             return
+        if self.words.rest_seconds is not None:
+            await self._refuse(exchange, request.request_id, status=503)
+            return
         before = sum(
             count
             for urgency, count in self._running_by_urgency.items()
@@ -140,9 +156,31 @@
         *,
         status: int,
     ) -> None:
-        headers = standin_words.not_run_headers(request_id)
+        headers = self._with_words(
+            standin_words.not_run_headers(request_id), request_id
+        )
         await exchange.respond(status=status, headers=headers, body=b"")
 
+    def _with_words(
+        self, headers: http_messages.Headers, request_id: types.RequestId
+    ) -> http_messages.Headers:
+        """Return the headers with what it says of itself, and note that."""
+        words = self.words
+        self._seen.said.append(
+            own_words.Said(
+                upstream=self.registration.id,
+                id=request_id,
+                words=words,
+                at=time.monotonic(),
+            )
+        )
+        return standin_words.notice_headers(
+            headers,
+            per_second=words.per_second,
+            rest_seconds=words.rest_seconds,
+            leaving=words.leaving,
+        )
+
     def _note_run(
         self,
         exchange: exchanges.Exchange,
@@ -165,10 +203,14 @@
     ) -> None:
         id = request.request_id
         headers = standin_words.answer_headers(id)
+        if layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
+            headers = self._with_words(headers, id)
         if not layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
             await asyncio.sleep(_PLAIN_WORK_SECONDS)
             await exchange.respond(
-                status=200, headers=headers, body=whole_body(id)
+                status=200,
+                headers=self._with_words(headers, id),
+                body=whole_body(id),
             )
             return
         await exchange.start(
