--- a/packages/router/src/lagoonrun_router/availability.py
+++ b/packages/router/src/lagoonrun_router/availability.py
@@ -1,4 +1,4 @@
-"""Which upstreams of a pool take a request just now, by their own word.
+"""Which upstreams of a pool take a request just now.
 
 An upstream may have named a limit and have no place left, or have asked for rest.
 """
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -20,7 +20,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AllClosed:
-    """All upstreams that are left take nothing just now, by their own word.
+    """All upstreams that are left are rate limited or rest just now.
 
     Parameters
     ----------
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -168,7 +168,7 @@
         self._note_pressure()
         return await self._end_refused(
             reason=_REASON_BY_CLOSED[refusal.closed[0].why],
-            detail="no upstream of the pool takes a request now, by its word",
+            detail="all upstreams of the pool are rate limited or asked for rest",
             retry_after_seconds=self._opening_seconds(refusal.closed),
             closed=refusal.closed[:_LOGGED_UPSTREAMS],
         )
--- a/packages/router/src/lagoonrun_router/upstream_rests.py
+++ b/packages/router/src/lagoonrun_router/upstream_rests.py
@@ -67,7 +67,7 @@
         return max(0.0, self._own_until.get(at, now) - now)
 
     def has_any(self, *, now: float) -> bool:
-        """Return whether any upstream rests, by its own word or as was told."""
+        """Return whether any upstream rests, as it or a peer has said."""
         for until_by_start in (self._own_until, self._told_until):
             for at, until in tuple(until_by_start.items()):
                 if now >= until:
--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from lagoonrun_core import outcomes
-from lagoonrun_soak import layout, record, upstream, word_checks
+from lagoonrun_soak import layout, notice_checks, record, upstream
 
 CONTACT_SECONDS = 3.0
 """How long a fault goes on to excuse what depends on time."""
@@ -78,18 +78,18 @@
         *_no_revert(seen),
         *_tiers(seen),
         *_crashing(seen),
-        *_own_words(seen),
+        *_notices(seen),
     ]
 
 
-def _own_words(seen: record.Record) -> Iterator[Violation]:
+def _notices(seen: record.Record) -> Iterator[Violation]:
     """Check what upstreams said of themselves in their answers."""
     ids_by_promise = {
-        Promise.LIMITS: word_checks.over_limits(
+        Promise.LIMITS: notice_checks.over_limits(
             seen, contact_seconds=CONTACT_SECONDS
         ),
-        Promise.RESTS: word_checks.in_rests(seen),
-        Promise.OWN_LEAVING: word_checks.after_leaving(seen),
+        Promise.RESTS: notice_checks.in_rests(seen),
+        Promise.OWN_LEAVING: notice_checks.after_leaving(seen),
     }
     for promise, ids in ids_by_promise.items():
         for id in ids:
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -13,7 +13,7 @@
     fleet,
     layout,
     link,
-    own_words,
+    notices,
     record,
     upstream,
     vm,
@@ -336,9 +336,9 @@
         since = time.monotonic()
         for _ in range(self._chance.choice((1, 1, 2))):
             per_second = self._chance.choice((0.5, 1.0, 1.4))
-            made.words = own_words.OwnWords(per_second=per_second)
+            made.notice = notices.Notice(per_second=per_second)
             await asyncio.sleep(self._chance.uniform(*_LIMITED_SECONDS))
-        self._say_nothing(made, since)
+        self._end_notice(made, since)
 
     async def _rest_pool(self) -> None:
         """Have all upstreams of a pool turn requests away and ask for rest."""
@@ -351,17 +351,17 @@
         ]
         since = time.monotonic()
         for one in resting:
-            one.words = own_words.OwnWords(rest_seconds=seconds)
+            one.notice = notices.Notice(rest_seconds=seconds)
         await asyncio.sleep(1.5 * seconds)
         for one in resting:
-            self._say_nothing(one, since)
+            self._end_notice(one, since)
 
-    def _say_nothing(self, made: upstream.SoakUpstream, since: float) -> None:
+    def _end_notice(self, made: upstream.SoakUpstream, since: float) -> None:
         """End what an upstream says of itself.
 
         Requests that found no place before begin beside those that come now.
         """
-        made.words = own_words.NOTHING
+        made.notice = notices.NO_NOTICE
         end = time.monotonic() + _SETTLING_SECONDS
         self._seen.disturb(str(made.registration.id), since, end)
 
@@ -369,9 +369,7 @@
         """Have an upstream leave that can't tell the store."""
         taken = await self._take_upstream()
         if taken is not None and taken in self._world.upstreams:
-            self._world.upstreams[taken].words = own_words.OwnWords(
-                leaving=True
-            )
+            self._world.upstreams[taken].notice = notices.Notice(leaving=True)
             await self._world.end_later(taken)
 
     # Callers.
--- a/packages/soak/src/lagoonrun_soak/own_words.py
+++ b/packages/soak/src/lagoonrun_soak/notices.py
@@ -6,7 +6,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class OwnWords:
+class Notice:
     """What the answers of an upstream say.
 
     Parameters
@@ -25,11 +25,11 @@
     leaving: bool = False
 
 
-NOTHING = OwnWords()
+NO_NOTICE = Notice()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Said:
+class GivenNotice:
     """An answer that said something, or the first that said nothing again.
 
     Parameters
@@ -40,7 +40,7 @@
 
     upstream: types.UpstreamId
     id: str
-    words: OwnWords
+    notice: Notice
     at: float
 
 
--- a/packages/soak/src/lagoonrun_soak/record.py
+++ b/packages/soak/src/lagoonrun_soak/record.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from lagoonrun_core import types
-from lagoonrun_soak import own_words
+from lagoonrun_soak import notices
 
 STORE = "store"
 """Subject of faults of the store itself."""
@@ -85,8 +85,10 @@
     stops_by_vm: dict[str, list[float]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
-    said: list[own_words.Said] = dataclasses.field(default_factory=list)
-    arrivals: list[own_words.Arrival] = dataclasses.field(default_factory=list)
+    given_notices: list[notices.GivenNotice] = dataclasses.field(
+        default_factory=list
+    )
+    arrivals: list[notices.Arrival] = dataclasses.field(default_factory=list)
     faults: list[str] = dataclasses.field(default_factory=list)
 
     def disturb(self, subject: str, start: float, end: float) -> None:
--- a/packages/soak/src/lagoonrun_soak/upstream.py
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -13,7 +13,7 @@
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import server as http_server
 from lagoonrun_router import settings, upstreams
-from lagoonrun_soak import layout, own_words, record
+from lagoonrun_soak import layout, notices, record
 from lagoonrun_users_platform import standin_words
 
 _PLAIN_WORK_SECONDS = 0.03
@@ -67,7 +67,7 @@
 
     Attributes
     ----------
-    words
+    notice
         What its answers say of itself.
     """
 
@@ -86,7 +86,7 @@
             collections.Counter()
         )
         self._slots = asyncio.Semaphore(registration.slots)
-        self.words = own_words.NOTHING
+        self.notice = notices.NO_NOTICE
         self._server = http_server.HttpServer(
             host=address.host,
             port=address.port,
@@ -113,7 +113,7 @@
         body = await exchange.read_body()
         request = standin_words.read_request(exchange.head)
         self._seen.arrivals.append(
-            own_words.Arrival(
+            notices.Arrival(
                 upstream=self.registration.id,
                 id=request.request_id,
                 at=time.monotonic(),
@@ -122,7 +122,7 @@
         if request.expected != self.registration.id:
             await self._refuse(exchange, request.request_id, status=421)
             return
-        if self.words.rest_seconds is not None:
+        if self.notice.rest_seconds is not None:
             await self._refuse(exchange, request.request_id, status=503)
             return
         before = sum(
@@ -156,29 +156,29 @@
         *,
         status: int,
     ) -> None:
-        headers = self._with_words(
+        headers = self._with_notice(
             standin_words.not_run_headers(request_id), request_id
         )
         await exchange.respond(status=status, headers=headers, body=b"")
 
-    def _with_words(
+    def _with_notice(
         self, headers: http_messages.Headers, request_id: types.RequestId
     ) -> http_messages.Headers:
         """Return the headers with what it says of itself, and note that."""
-        words = self.words
-        self._seen.said.append(
-            own_words.Said(
+        notice = self.notice
+        self._seen.given_notices.append(
+            notices.GivenNotice(
                 upstream=self.registration.id,
                 id=request_id,
-                words=words,
+                notice=notice,
                 at=time.monotonic(),
             )
         )
         return standin_words.notice_headers(
             headers,
-            per_second=words.per_second,
-            rest_seconds=words.rest_seconds,
-            leaving=words.leaving,
+            per_second=notice.per_second,
+            rest_seconds=notice.rest_seconds,
+            leaving=notice.leaving,
         )
 
     def _note_run(
@@ -204,12 +204,12 @@
         id = request.request_id
         headers = standin_words.answer_headers(id)
         if layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
-            headers = self._with_words(headers, id)
+            headers = self._with_notice(headers, id)
         if not layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
             await asyncio.sleep(_PLAIN_WORK_SECONDS)
             await exchange.respond(
                 status=200,
-                headers=self._with_words(headers, id),
+                headers=self._with_notice(headers, id),
                 body=whole_body(id),
             )
             return
