--- a/packages/cli/tests/test_explain_log.py
+++ b/packages/cli/tests/test_explain_log.py
@@ -140,3 +140,57 @@
 def test_what_stands_before_a_line_does_not_matter():
     (line,) = log_lines.read(['  1.2 vm-1 {"message": "x", "event": 1}'])
     assert line.message == "x"
+
+
+def line(message, **fields):
+    return json.dumps(
+        {"message": message, "entry_vm": "vm-1", "request_id": "r-1", **fields}
+    )
+
+
+def test_request_without_a_place_leads_to_the_limit():
+    found = log_explanation.explain(
+        "r-1",
+        log_lines.read(
+            [
+                json.dumps(
+                    {
+                        "asctime": "2026-12-03 10:00:00,000",
+                        "message": "upstream-limited",
+                        "entry_vm": "vm-1",
+                        "upstream": "u-1",
+                        "per_second": 1.4,
+                        "source": "vm-2",
+                    }
+                ),
+                line(
+                    "request-routed",
+                    asctime="2026-12-03 10:00:01,000",
+                    closed={"u-2": "resting"},
+                    candidates=[],
+                ),
+                line(
+                    "place-decided",
+                    asctime="2026-12-03 10:00:01,001",
+                    upstream="u-1",
+                    per_second=1.4,
+                    granted=False,
+                    wait_seconds=0.5,
+                ),
+                line(
+                    "request-refused",
+                    asctime="2026-12-03 10:00:01,002",
+                    reason="upstreams-limited",
+                    closed={"u-1": "limited"},
+                    upstreams=[],
+                    tier=2,
+                ),
+            ]
+        ),
+    )
+    assert found.verdict is log_explanation.Verdict.REFUSED
+    causes = "; ".join(found.causes)
+    assert "upstreams-limited" in causes
+    assert "no place at u-1, which takes 1.4 requests a second" in causes
+    assert "u-2 was passed by, since it was resting" in causes
+    assert "u-1 took 1.4 requests a second for vm-1" in causes
