Keep the digits of a limit that messages keep; number questions by chance

A limit with more than three digits differed from what peers tell of it, so that each answer was news to the fleet (the test fails before). An answer to a question of an earlier process at the same address could be taken for one of this process.

--- a/packages/router/src/lagoonrun_router/place_routing.py
+++ b/packages/router/src/lagoonrun_router/place_routing.py
@@ -5,6 +5,7 @@
 others; that one passes the question on, and the answer comes back directly.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 import xxhash
@@ -95,7 +96,11 @@
         return min((self._domain, *others), key=_hash_with(upstream_domain))
 
 
-def _hash_with(upstream_domain: types.FailureDomain):
+def _hash_with(
+    upstream_domain: types.FailureDomain,
+) -> Callable[[types.FailureDomain], int]:
+    """Return the order of domains for the upstreams of another one."""
+
     def hash_of(domain: types.FailureDomain) -> int:
         named = f"{upstream_domain}/{domain}"
         return xxhash.xxh3_64_intdigest(named.encode())
--- a/packages/router/src/lagoonrun_router/places.py
+++ b/packages/router/src/lagoonrun_router/places.py
@@ -42,6 +42,8 @@
 _LEAST_CLOSED_SECONDS = 0.02
 """Shortest time of the same: a few round trips."""
 
+_NUMBER_BITS = 48
+
 _MOST_TIERS = 16
 """Tiers that are told apart; those below count as the last."""
 
@@ -117,7 +119,8 @@
         }
         self._own_used_at = float("-inf")
         self._unanswered_until = float("-inf")
-        self._number = 0
+        # By chance: an answer to the process before must not be taken for one.
+        self._number = chance.getrandbits(_NUMBER_BITS)
         self._waiting_by_number: dict[
             int, asyncio.Future[router_messages.PlaceAnswer]
         ] = {}
--- a/packages/router/src/lagoonrun_router/upstream_limits.py
+++ b/packages/router/src/lagoonrun_router/upstream_limits.py
@@ -21,6 +21,10 @@
 
 _OWN_ANSWER = "answer"
 
+_TOLD_DECIMALS = 3
+"""Digits of a limit that messages keep: with more, what an answer says would always
+differ from what a peer has told of it."""
+
 _WAY_SECONDS = 0.05
 """Longest usual time of a message: statements that are nearer to each other can't be
 told which is newer, and the one that is known stays."""
@@ -179,4 +183,4 @@
 def _bounded(per_second: float | None) -> float | None:
     if per_second is None or per_second >= UNLIMITED_PER_SECOND:
         return None
-    return max(LEAST_PER_SECOND, per_second)
+    return max(LEAST_PER_SECOND, round(per_second, _TOLD_DECIMALS))
--- a/packages/router/tests/test_upstream_limits.py
+++ b/packages/router/tests/test_upstream_limits.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from lagoonrun_router import running_requests, upstream_limits, upstream_notice
+from lagoonrun_router import (
+    limit_news,
+    running_requests,
+    upstream_limits,
+    upstream_notice,
+)
 
 AT = running_requests.StartedUpstream(upstream="u-1", start=7)
 NOW = 1000.0
@@ -99,3 +104,12 @@
 def test_answers_without_a_limit_are_not_remembered(limits):
     assert not answer(limits, None)
     assert limits.statement_of(AT) is None
+
+
+def test_limit_with_many_digits_is_the_same_when_a_peer_tells_it(limits):
+    """Guards against news with each answer of an upstream."""
+    made = answer(limits, 1.23456789)
+    message = limit_news.told(made, now=NOW + 1)
+    again = limit_news.statement_of(message, now=NOW + 1)
+    assert again.requests_per_second == limits.limit_of(AT)
+    assert not answer(limits, 1.23456789, now=NOW + 2)
