--- a/packages/policy/src/lagoonrun_policy/runners.py
+++ b/packages/policy/src/lagoonrun_policy/runners.py
@@ -154,6 +154,9 @@
         if runner is None:
             declared = messages.Runner(id=upstream, slots=1)
             runner = RunnerState(declared=declared)
+            # A runner that was announced as leaving before it became known
+            # stays excluded when a later revision declares it.
+            runner.state = self._not_live.get(upstream, declared.state)
             runner.configured = False
             self._by_id[upstream] = runner
         return runner
