Count requests by tier so that a backlog of a lower tier refuses no higher one

It was not a difference between the entry VMs' views, as suspected: all of them saw 48 running requests.

Loads now have the running requests by tier, also in the states of entry VMs; admission counts a tier and those above it. Requests of unknown tier, as older entry VMs report them, count for every tier as before. The test of this load failed before the change.

--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -39,11 +39,15 @@
         among them, each counted as the inverse of its maximum pause, in
         hundredths; prompt tokens of all of them, less the cached ones;
         requests whose first event is long overdue.
+    running
+        One row per upstream of 32-bit little-endian numbers: requests that
+        have not ended, for each tier, the highest first.
     """
 
     upstreams: str = ""
     tiers: int = 0
     numbers: bytes = b""
+    running: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -179,6 +179,7 @@
   upstreams @0 :Text;
   tiers @1 :UInt32;
   numbers @2 :Data;
+  running @3 :Data;
 }
 
 # Not written any more, like the lists of the struct before.
--- a/packages/router/src/lagoonrun_router/admission.py
+++ b/packages/router/src/lagoonrun_router/admission.py
@@ -144,7 +144,10 @@
     ranked: placement.Ranked, request: AdmissionRequest, share: float
 ) -> bool:
     candidate = ranked.candidate
-    if candidate.load.running >= share * candidate.slots:
+    # Requests of lower tiers don't count: engines serve higher tiers first, so
+    # a backlog of a lower tier must not cause the refusal of a higher one.
+    running = candidate.load.running_through(request.tier)
+    if running >= share * candidate.slots:
         return False
     if not candidate.cache_tokens:
         return True
--- a/packages/router/src/lagoonrun_router/load_ledger.py
+++ b/packages/router/src/lagoonrun_router/load_ledger.py
@@ -341,12 +341,16 @@
     in_flight: Iterable[loads.InFlightRequest], *, now: float
 ) -> loads.Load:
     waiting_by_tier: list[float] = []
+    running_by_tier: list[int] = []
     running = 0
     sensitive = 0.0
     held = 0.0
     overdue = 0
     for request in in_flight:
         running += 1
+        missing = request.tier - len(running_by_tier)
+        running_by_tier.extend([0] * missing)
+        running_by_tier[request.tier - 1] += 1
         sensitive += request.sensitivity
         held += request.new_tokens
         if request.waiting:
@@ -360,4 +364,5 @@
         sensitive=sensitive,
         held_tokens=held,
         overdue=overdue,
+        running_by_tier=tuple(running_by_tier),
     )
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -31,6 +31,9 @@
         Prompt tokens, except cached ones, of requests that have not ended.
     overdue
         Number of requests whose first event is overdue.
+    running_by_tier
+        The part of `running` whose tier is known, by tier; the first element
+        is that of the highest tier.
     """
 
     waiting_by_tier: tuple[float, ...] = ()
@@ -38,6 +41,11 @@
     sensitive: float = 0.0
     held_tokens: float = 0.0
     overdue: int = 0
+    running_by_tier: tuple[int, ...] = ()
+
+    def running_through(self, tier: types.Tier) -> int:
+        """Return the requests of `tier` and higher ones, or of unknown tier."""
+        return self.running - sum(self.running_by_tier[tier:])
 
     @property
     def waiting_tokens(self) -> float:
@@ -61,6 +69,12 @@
             sensitive=self.sensitive + other.sensitive,
             held_tokens=self.held_tokens + other.held_tokens,
             overdue=self.overdue + other.overdue,
+            running_by_tier=tuple(
+                own + more
+                for own, more in itertools.zip_longest(
+                    self.running_by_tier, other.running_by_tier, fillvalue=0
+                )
+            ),
         )
 
     def without(self, part: "Load") -> "Load":
@@ -76,6 +90,12 @@
             sensitive=max(0.0, self.sensitive - part.sensitive),
             held_tokens=max(0.0, self.held_tokens - part.held_tokens),
             overdue=max(0, self.overdue - part.overdue),
+            running_by_tier=tuple(
+                max(0, whole - less)
+                for whole, less in itertools.zip_longest(
+                    self.running_by_tier, part.running_by_tier, fillvalue=0
+                )
+            ),
         )
 
 
--- a/packages/router/src/lagoonrun_router/peer_loads.py
+++ b/packages/router/src/lagoonrun_router/peer_loads.py
@@ -37,18 +37,28 @@
         self._numbers = unpacked(
             rows.numbers, count=self._width * len(self.upstreams)
         )
+        # An entry VM of an older version does not send these numbers.
+        row_count = max(1, len(self.upstreams))
+        self._running_tiers = len(rows.running) // (_NUMBER_BYTES * row_count)
+        self._running = unpacked(
+            rows.running, count=self._running_tiers * row_count
+        )
 
     def row_load(self, index: int) -> loads.Load:
         """Return the load in one row."""
         start = index * self._width
         row = self._numbers[start : start + self._width]
         running, sensitive, held, overdue = row[self._tiers :]
+        running_start = index * self._running_tiers
         return loads.Load(
             waiting_by_tier=row[: self._tiers],
             running=running,
             sensitive=sensitive / 100,
             held_tokens=held,
             overdue=overdue,
+            running_by_tier=self._running[
+                running_start : running_start + self._running_tiers
+            ],
         )
 
     def by_upstream(self) -> dict[types.UpstreamId, loads.Load]:
@@ -67,13 +77,20 @@
     tiers = max(
         (len(load.waiting_by_tier) for load in ordered_loads), default=0
     )
+    running_tiers = max(
+        (len(load.running_by_tier) for load in ordered_loads), default=0
+    )
     numbers: list[float] = []
+    running: list[float] = []
     for load in ordered_loads:
         numbers.extend(_row(load, tiers))
+        running.extend(load.running_by_tier)
+        running.extend([0] * (running_tiers - len(load.running_by_tier)))
     return router_messages.LoadRows(
         upstreams="\n".join(loads_by_upstream),
         tiers=tiers,
         numbers=packed(numbers),
+        running=packed(running),
     )
 
 
--- a/packages/router/src/lagoonrun_router/reported_load_sum.py
+++ b/packages/router/src/lagoonrun_router/reported_load_sum.py
@@ -17,6 +17,7 @@
         self._sensitive = 0.0
         self._held_tokens = 0.0
         self._overdue = 0
+        self._running_by_tier: list[int] = []
 
     def add(self, load: loads.Load) -> None:
         """Add a reported load."""
@@ -37,6 +38,10 @@
         self._sensitive += sign * load.sensitive
         self._held_tokens += sign * load.held_tokens
         self._overdue += sign * load.overdue
+        missing = len(load.running_by_tier) - len(self._running_by_tier)
+        self._running_by_tier.extend([0] * missing)
+        for index, running in enumerate(load.running_by_tier):
+            self._running_by_tier[index] += sign * running
 
     def load(self) -> loads.Load:
         """Return the sum.
@@ -50,4 +55,5 @@
             sensitive=max(0.0, self._sensitive),
             held_tokens=self._held_tokens,
             overdue=self._overdue,
+            running_by_tier=tuple(self._running_by_tier),
         )
--- a/packages/router/tests/test_admission.py
+++ b/packages/router/tests/test_admission.py
@@ -55,6 +55,45 @@
     assert admission.admit(admission_request(1), (half,)) is half
 
 
+def test_backlog_of_a_lower_tier_refuses_no_higher_one():
+    """Guards against a refused higher tier while a lower one is served.
+
+    When four of five runners were taken away, the last one held 48 requests,
+    most of the lowest tier and still queued; the tier above was refused for
+    two seconds although the engine would have served it first.
+    """
+    lowest_first = ranked(running=48, running_by_tier=(4, 6, 38))
+    assert admission.admit(admission_request(2), (lowest_first,)) is (
+        lowest_first
+    )
+    assert (
+        admission.admit(admission_request(3), (lowest_first,))
+        is admission.Refusal.NO_ROOM
+    )
+    own_tier = ranked(running=48, running_by_tier=(4, 44, 0))
+    assert (
+        admission.admit(admission_request(2), (own_tier,))
+        is admission.Refusal.NO_ROOM
+    )
+
+
+def test_requests_of_unknown_tier_count_for_every_tier():
+    """Guards against an overload by requests that older peers report.
+
+    They report the number of their requests without the tiers.
+    """
+    unknown = ranked(running=48, running_by_tier=(0, 0, 8))
+    assert (
+        admission.admit(admission_request(2, patience=10.0), (unknown,))
+        is unknown
+    )
+    unknown = ranked(running=56, running_by_tier=(0, 0, 8))
+    assert (
+        admission.admit(admission_request(2), (unknown,))
+        is admission.Refusal.NO_ROOM
+    )
+
+
 def test_prefix_cache_is_reserved_for_higher_tiers():
     full = ranked(running=9, held_tokens=300_000.0)
     assert (
--- a/packages/router/tests/test_load_ledger.py
+++ b/packages/router/tests/test_load_ledger.py
@@ -22,7 +22,11 @@
     request = make_request()
     ledger.begin(request, now=0.0)
     assert ledger.load_of("u-1", now=0.0) == loads.Load(
-        waiting_by_tier=(1000.0,), running=1, sensitive=2.0, held_tokens=1000.0
+        waiting_by_tier=(1000.0,),
+        running=1,
+        sensitive=2.0,
+        held_tokens=1000.0,
+        running_by_tier=(1,),
     )
     ledger.first_event(request)
     assert ledger.load_of("u-1", now=0.0).waiting_tokens == 0.0
@@ -31,6 +35,24 @@
     assert ledger.load_of("u-1", now=0.0) == loads.NO_LOAD
 
 
+def test_running_requests_are_reported_by_tier(ledger):
+    """Guards against a higher tier that is refused for a lower one's requests.
+
+    The tiers of all reporters are added, those of a forgotten one subtracted.
+    """
+    first, third = make_request(), make_request()
+    third.tier = 3
+    ledger.begin(first, now=0.0)
+    ledger.begin(third, now=0.0)
+    report = {"u-1": loads.Load(running=5, running_by_tier=(0, 2, 3))}
+    ledger.apply_report("vm-2", report, now=0.0)
+    load = ledger.load_of("u-1", now=0.0)
+    assert load.running_by_tier == (1, 2, 4)
+    assert [load.running_through(tier) for tier in (1, 2, 3)] == [1, 3, 7]
+    ledger.forget_peer("vm-2")
+    assert ledger.load_of("u-1", now=0.0).running_by_tier == (1, 0, 1)
+
+
 def test_two_equal_requests_are_counted_separately(ledger):
     first, second = make_request(), make_request()
     ledger.begin(first, now=0.0)
--- a/packages/router/tests/test_peer_loads.py
+++ b/packages/router/tests/test_peer_loads.py
@@ -17,14 +17,20 @@
     sensitive=COUNT.map(lambda n: n / 100),
     held_tokens=COUNT,
     overdue=COUNT,
+    running_by_tier=st.lists(COUNT, max_size=4).map(tuple),
 )
 
 
-def padded(load, tiers):
+def padded(load, tiers, running_tiers):
     """Return a load with a number for each tier."""
     waiting = tuple(map(float, load.waiting_by_tier))
     missing = tiers - len(waiting)
-    return dataclasses.replace(load, waiting_by_tier=waiting + (0.0,) * missing)
+    running = load.running_by_tier
+    return dataclasses.replace(
+        load,
+        waiting_by_tier=waiting + (0.0,) * missing,
+        running_by_tier=running + (0,) * (running_tiers - len(running)),
+    )
 
 
 @given(st.dictionaries(st.sampled_from("abcdef"), LOADS))
@@ -45,11 +51,26 @@
         (len(one.waiting_by_tier) for one in loads_by_upstream.values()),
         default=0,
     )
+    running_tiers = max(
+        (len(one.running_by_tier) for one in loads_by_upstream.values()),
+        default=0,
+    )
     assert decoded == {
-        id: padded(load, tiers) for id, load in loads_by_upstream.items()
+        id: padded(load, tiers, running_tiers)
+        for id, load in loads_by_upstream.items()
     }
 
 
+def test_rows_of_an_older_version_have_no_tiers():
+    """Guards against a mixed fleet in which older entry VMs are not heard."""
+    rows = peer_loads.to_rows(
+        {"u-1": loads.Load(running=4, running_by_tier=(1, 3))}
+    )
+    older = dataclasses.replace(rows, running=b"")
+    decoded = peer_loads.from_rows(older)["u-1"]
+    assert decoded.running_through(1) == 4
+
+
 @pytest.mark.parametrize("missing", [1, 4, 20])
 def test_rows_of_another_length_are_rejected(missing):
     """A datagram of another version has one number less in each row.
