Read the load that upstreams report in X-Server-Load

Selecting upstreams by their speed needs the load and the slowness that they state in their answers (docs/design/hard-load.md, part 1). Malformed values are ignored and reported in UpstreamNotice.unreadable; of several values the slowest applies.

Tested: tests/users_platform/test_wire.py.

--- a/packages/router/src/lagoonrun_router/upstream_notice.py
+++ b/packages/router/src/lagoonrun_router/upstream_notice.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from lagoonrun_router import load_report
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamNotice:
@@ -16,6 +18,8 @@
         Whether it is about to shut down and accepts no new requests soon.
     rest_seconds
         Back-off that it asks this entry VM for; None for none.
+    load
+        Its load; None if it states none.
     unreadable
         Header fields that can't be parsed, as they were received.
     """
@@ -23,6 +27,7 @@
     requests_per_second: float | None = None
     leaving: bool = False
     rest_seconds: float | None = None
+    load: load_report.LoadReport | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from lagoonrun_http import messages
-from lagoonrun_router import declarations, format_error
+from lagoonrun_router import declarations, format_error, load_report
 from lagoonrun_standins.router_samples import make_call, make_registration
 from lagoonrun_users_platform import wire
 
@@ -224,3 +224,76 @@
     notice = DIALECT.read_notice(answer(503, Retry_After=text))
     assert notice.rest_seconds == 1.0
     assert notice.unreadable == (f"Retry-After: {text}",)
+
+
+def loaded(*texts, status=200):
+    return messages.ResponseHead(
+        status=status,
+        headers=messages.Headers(
+            pairs=[("X-Server-Load", text) for text in texts]
+        ),
+    )
+
+
+def report(running, waiting, slots, slowness=None):
+    return load_report.LoadReport(
+        running=running, waiting=waiting, slots=slots, slowness=slowness
+    )
+
+
+@pytest.mark.parametrize(
+    ("texts", "load"),
+    [
+        ((), None),
+        (("3,1,4",), report(3, 1, 4)),
+        (("3,1,4,250",), report(3, 1, 4, 2.5)),
+        (("0,0,0,1",), report(0, 0, 0, 0.01)),
+        ((" 3, 1 ,4,\t100 ",), report(3, 1, 4, 1.0)),
+        (("3,1,4,soon", "2,0,4,90"), report(2, 0, 4, 0.9)),
+        (("3,1,4,100", "2,0,4,250"), report(2, 0, 4, 2.5)),
+        (("3,1,4", "2,5,4"), report(2, 5, 4)),
+    ],
+)
+def test_load_of_an_upstream_is_read(texts, load):
+    """Guards against a misread load, and against the faster of two loads."""
+    assert DIALECT.read_notice(loaded(*texts)).load == load
+
+
+def test_load_is_read_from_refusals():
+    """Guards against ignoring the load of upstreams that refuse requests."""
+    notice = DIALECT.read_notice(loaded("4,9,4,300", status=503))
+    assert notice.load == report(4, 9, 4, 3.0)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "3",
+        "3,1",
+        "3,1,4,",
+        "3,1,4,0",
+        "3,1,4,100,5",
+        "3,1,-4",
+        "+3,1,4",
+        "3,1,4.0",
+        "3,1,4,nan",
+        "3,1,4,1e3",
+        "3,,4",
+        "3 1 4",
+        "٣,1,4",
+        "3,1," + "9" * 20,
+    ],
+)
+def test_malformed_load_is_ignored_and_reported(text):
+    """Guards against a malformed load that is taken for a measurement."""
+    notice = DIALECT.read_notice(loaded(text))
+    assert notice.load is None
+    assert notice.unreadable == (f"X-Server-Load: {text}",)
+
+
+@given(st.text(max_size=40))
+def test_malformed_loads_never_fail(text):
+    """Guards against an upstream's header that fails its requests."""
+    notice = DIALECT.read_notice(loaded(text))
+    assert (notice.load is None) == bool(notice.unreadable)
