Merge a reported sum of demands with newer own demand

The sum that a relay reports contains the own demand except the newest, so that the start of a burst is missing from it. larger_of takes the larger figure by organisation, and takes an organisation that the sum does not list out of the rest.

--- a/packages/router/src/lagoonrun_router/demand_table.py
+++ b/packages/router/src/lagoonrun_router/demand_table.py
@@ -60,6 +60,10 @@
         """Demand of all organisations."""
         return sum(self.asked_by_organisation.values()) + self.rest.asked
 
+    def asked_of(self, organisation: types.OrganisationId) -> float:
+        """Return the demand of an organisation, the mean one if not listed."""
+        return self.asked_by_organisation.get(organisation, self.unlisted_asked)
+
     def shortened(self) -> "DemandTable":
         """Return a table that lists only the largest organisations by name."""
         asked = self.asked_by_organisation
@@ -203,6 +207,35 @@
     )
 
 
+def larger_of(reported: DemandTable, own: DemandTable) -> DemandTable:
+    """Return a reported sum, with the own demand where that is larger.
+
+    The sum contains the own demand except the newest, so the two must not be
+    added.
+    """
+    asked = dict(reported.asked_by_organisation)
+    admitted = dict(reported.admitted_by_organisation)
+    rest = reported.rest
+    unlisted_asked = reported.unlisted_asked
+    taken = 0
+    for organisation, own_asked in own.asked_by_organisation.items():
+        if own_asked > asked.get(organisation, unlisted_asked):
+            taken += organisation not in asked
+            asked[organisation] = own_asked
+            admitted[organisation] = own.admitted_by_organisation[organisation]
+    left = max(0, rest.organisations - taken)
+    part = left / max(1, rest.organisations)
+    return DemandTable(
+        asked_by_organisation=asked,
+        admitted_by_organisation=admitted,
+        rest=Rest(
+            organisations=left,
+            asked=rest.asked * part,
+            admitted=rest.admitted * part,
+        ),
+    )
+
+
 def _excess(
     rates: Mapping[types.OrganisationId, float],
     kept: Mapping[types.OrganisationId, float],
--- a/packages/router/tests/test_demand_table.py
+++ b/packages/router/tests/test_demand_table.py
@@ -102,6 +102,22 @@
     assert largest == pytest.approx(129.0 + 71.0, rel=0.05)
 
 
+def test_larger_own_demand_is_taken_from_the_rest():
+    """Guards against an organisation counted by name and within the rest."""
+    reported = demand_table.DemandTable(
+        asked_by_organisation={"a": 100.0, "b": 50.0},
+        admitted_by_organisation={"a": 100.0, "b": 50.0},
+        rest=demand_table.Rest(organisations=4, asked=40.0, admitted=20.0),
+    )
+    own = make_table({"a": 20.0, "b": 60.0, "c": 30.0, "d": 5.0})
+    total = demand_table.larger_of(reported, own)
+    assert total.asked_by_organisation == {"a": 100.0, "b": 60.0, "c": 30.0}
+    assert total.rest == demand_table.Rest(
+        organisations=3, asked=30.0, admitted=15.0
+    )
+    assert reported.asked_by_organisation == {"a": 100.0, "b": 50.0}
+
+
 def test_oversized_message_is_shortened():
     """Guards against memory that grows with the messages of another version."""
     rows = [
