--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -68,6 +68,88 @@
 NO_USAGE = UsageRows()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ObservationRows:
+    """Observed speed and load of several upstreams, as integers.
+
+    Parameters
+    ----------
+    upstreams
+        Ids, one per line.
+    numbers
+        One row per upstream of 32-bit little-endian numbers, with 0 for unknown
+        values: upper and lower half of the start number; prompt tokens a
+        second; samples; slowness in hundredths; running requests plus one;
+        waiting requests plus one; service time in microseconds; age in
+        milliseconds.
+    """
+
+    upstreams: str = ""
+    numbers: bytes = b""
+
+    def __bool__(self) -> bool:
+        """Return whether there are rows; others take no space in messages."""
+        return bool(self.numbers)
+
+
+NO_OBSERVATIONS = ObservationRows()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DemandRows:
+    """Demand of several organisations for several pools, as integers.
+
+    Parameters
+    ----------
+    pools
+        Names of the pools, one per line.
+    organisations
+        Organisation of each row, one per line; empty for all others together.
+    numbers
+        One row per line of 32-bit little-endian numbers: index of the pool;
+        tier; number of organisations; prompt tokens a second that were asked
+        for, and that were admitted.
+    """
+
+    pools: str = ""
+    organisations: str = ""
+    numbers: bytes = b""
+
+    def __bool__(self) -> bool:
+        """Return whether there are rows; others take no space in messages."""
+        return bool(self.numbers)
+
+
+NO_DEMANDS = DemandRows()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InvitationRows:
+    """Times at which refused callers were told to return.
+
+    Parameters
+    ----------
+    pools
+        Names of the pools, one per line.
+    digests
+        Request digest of each row, one per line.
+    numbers
+        One row per digest of 32-bit little-endian numbers: index of the pool;
+        tier; prompt tokens; milliseconds until the caller returns.
+    """
+
+    pools: str = ""
+    digests: str = ""
+    numbers: bytes = b""
+
+    def __bool__(self) -> bool:
+        """Return whether there are rows; others take no space in messages."""
+        return bool(self.numbers)
+
+
+NO_INVITATIONS = InvitationRows()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PromptPlacement:
     """A shared prompt part and the upstream that a prompt with it was sent to."""
@@ -155,6 +237,11 @@
         Request counts that have increased since they were last sent.
     holds_duties
         Whether it holds the duties.
+    observations, invitations
+        Observations of upstreams and invitations to callers since the previous
+        message; empty where no pool is adaptive.
+    demands
+        Demand at this entry VM, in some of the messages; empty in the others.
     """
 
     entry_vm: types.EntryVmId
@@ -176,6 +263,9 @@
     pressed: tuple[PressedTier, ...] = ()
     usage: UsageRows = NO_USAGE
     holds_duties: bool = False
+    observations: ObservationRows = NO_OBSERVATIONS
+    demands: DemandRows = NO_DEMANDS
+    invitations: InvitationRows = NO_INVITATIONS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -203,6 +293,8 @@
         Whether some entry VM of the failure domain reads the store.
     duties_holder
         Entry VM of the failure domain that holds the duties; empty for none.
+    observations, demands
+        Those of the failure domain; see `RouterState`.
     """
 
     entry_vm: types.EntryVmId
@@ -218,6 +310,8 @@
     placements: tuple[PromptPlacement, ...] = ()
     pressed: tuple[PressedTier, ...] = ()
     duties_holder: types.EntryVmId = types.NO_ENTRY_VM
+    observations: ObservationRows = NO_OBSERVATIONS
+    demands: DemandRows = NO_DEMANDS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -257,6 +351,10 @@
         Those of the tellers that read the store and are up to date.
     leaving_starts
         Upstreams that must not receive new requests, the newest last.
+    observations, demands
+        Those of the fleet; see `RouterState`.
+    invitations
+        Those of the failure domain; see `RouterState`.
     """
 
     entry_vm: types.EntryVmId
@@ -274,6 +372,9 @@
     teller_sequences: tuple[int, ...] = ()
     readers: tuple[int, ...] = ()
     leaving_starts: tuple[LeavingUpstream, ...] = ()
+    observations: ObservationRows = NO_OBSERVATIONS
+    demands: DemandRows = NO_DEMANDS
+    invitations: InvitationRows = NO_INVITATIONS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -243,6 +243,26 @@
   loads @19 :LoadRows;
   usage @20 :UsageRows;
   holdsDuties @21 :Bool;
+  observations @22 :ObservationRows;
+  demands @23 :DemandRows;
+  invitations @24 :InvitationRows;
+}
+
+struct ObservationRows {
+  upstreams @0 :Text;
+  numbers @1 :Data;
+}
+
+struct DemandRows {
+  pools @0 :Text;
+  organisations @1 :Text;
+  numbers @2 :Data;
+}
+
+struct InvitationRows {
+  pools @0 :Text;
+  digests @1 :Text;
+  numbers @2 :Data;
 }
 
 struct UsageRows {
@@ -275,6 +295,8 @@
   readRevision @12 :UInt64;
   readsStore @13 :Bool;
   dutiesHolder @14 :Text;
+  observations @15 :ObservationRows;
+  demands @16 :DemandRows;
 }
 
 struct FleetNews {
@@ -293,6 +315,9 @@
   leavingStarts @12 :List(LeavingUpstream);
   readingDomains @13 :List(Text);
   readers @14 :List(UInt32);
+  observations @15 :ObservationRows;
+  demands @16 :DemandRows;
+  invitations @17 :InvitationRows;
 }
 
 struct CrashedRun {
--- a/packages/router/src/lagoonrun_router/admission.py
+++ b/packages/router/src/lagoonrun_router/admission.py
@@ -45,6 +45,12 @@
     NO_ROOM = "no-room"
     HIGHER_TIER = "higher-tier"
     TOO_LATE = "too-late"
+    OVER_SHARE = "over-share"
+    """The organisation exceeds its share of a pool that is short of
+    capacity."""
+    RESERVED = "reserved"
+    """The remaining capacity is reserved for callers that were told to
+    return."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/router/src/lagoonrun_router/call.py
+++ b/packages/router/src/lagoonrun_router/call.py
@@ -1,6 +1,7 @@
 """One request of a caller, with all that routing decisions use."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from lagoonrun_core import types
 from lagoonrun_http import messages as http_messages
@@ -75,6 +76,8 @@
         Revision of the declarations by which the request was resolved.
     digest
         The same for each repetition of the request by its caller.
+    tier_targets
+        Smallest target in seconds of each tier of the pool.
     """
 
     attributes: CallAttributes
@@ -91,6 +94,9 @@
     limit_at: float
     revision: types.Revision
     digest: types.RequestDigest = types.UNKNOWN_REQUEST
+    tier_targets: Mapping[types.Tier, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def request_id(self) -> types.RequestId:
--- a/packages/router/src/lagoonrun_router/candidate_sampling.py
+++ b/packages/router/src/lagoonrun_router/candidate_sampling.py
@@ -66,6 +66,19 @@
     )
 
 
+def pick(
+    registered: tuple[upstreams.Registration, ...],
+    *,
+    request_id: types.RequestId,
+    count: int,
+) -> tuple[upstreams.Registration, ...]:
+    """Return at most `count` upstreams, a different choice by request."""
+    if len(registered) <= count:
+        return registered
+    shuffled = sorted(registered, key=lambda one: _sample_key(request_id, one))
+    return tuple(shuffled[:count])
+
+
 def _sample_key(
     request_id: types.RequestId, upstream: upstreams.Registration
 ) -> int:
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -10,6 +10,8 @@
     availability,
     candidate_sampling,
     placement,
+    pool_capacity,
+    speed_estimate,
     upstreams,
 )
 from lagoonrun_router import call as calls
@@ -17,6 +19,12 @@
 
 _MAX_LOGGED_CANDIDATES = 4
 
+_RECENT_REPORT_SECONDS = 1.0
+"""Age up to which a load report of a plain service is compared with others."""
+
+_OUTDATED_CANDIDATES = 2
+"""Number of candidates among the plain services with older reports."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AllClosed:
@@ -47,6 +55,10 @@
         Whether the request yields to all others of the pool.
     decided_at
         Monotonic time of the decision.
+    ahead_tokens
+        Prompt tokens that were queued there before those of the request.
+    adaptive
+        Whether the pool is adaptive.
     has_place
         Whether a place was acquired, the right to send one request to a
         rate-limited upstream.
@@ -58,6 +70,8 @@
     tier: types.Tier
     stands_back: bool
     decided_at: float
+    ahead_tokens: float = 0.0
+    adaptive: bool = False
     has_place: bool = False
 
 
@@ -75,7 +89,7 @@
 
     def choose(
         self, call: calls.Call, *, excluded: Container[types.UpstreamId]
-    ) -> Choice | admission.Refusal | AllClosed | None:
+    ) -> Choice | pool_capacity.Rejection | AllClosed | None:
         """Return the upstream of the next attempt; None if none is usable.
 
         Parameters
@@ -94,23 +108,26 @@
         if not available.open_by_id:
             return AllClosed(closed=available.closed)
         usable = tuple(available.open_by_id.values())
-        sampled = self._sample_candidates(call, usable, now)
-        ranking = self._rank(call, sampled, usable, now)
+        adaptive = self._components.adaptive.is_adaptive(call.pool, usable)
+        sampled = self._sample_candidates(call, usable, now, adaptive=adaptive)
+        ranking = self._rank(call, sampled, usable, now, adaptive=adaptive)
         best = self._admit(call, ranking.ranked, now)
         if isinstance(best, admission.Refusal) and len(sampled) < len(usable):
             # A request is rejected only if no upstream of the pool has
             # capacity for it, so all of them are tried.
-            ranking = self._rank(call, usable, usable, now)
+            ranking = self._rank(call, usable, usable, now, adaptive=adaptive)
             best = self._admit(call, ranking.ranked, now)
-        if isinstance(best, admission.Refusal):
+        admitted = self._admit_adaptive(call, best, ranking, usable, now)
+        if isinstance(admitted, pool_capacity.Rejection):
             self._log(
                 call,
                 ranking,
                 chosen="",
-                refusal=best.value,
+                refusal=admitted.refusal.value,
                 closed=available.closed,
             )
-            return best
+            return admitted
+        best = admitted
         reread_tokens = ranking.reread_tokens(best)
         self._components.metrics.reread_tokens.labels(call.pool.name).inc(
             reread_tokens
@@ -129,6 +146,10 @@
             tier=ranking.request.tier,
             stands_back=ranking.stands_back,
             decided_at=now,
+            ahead_tokens=placement.waiting_tokens(
+                best.candidate.load, ranking.request.tier
+            ),
+            adaptive=adaptive,
         )
 
     def all_closed(
@@ -147,9 +168,13 @@
         call: calls.Call,
         usable: tuple[upstreams.Registration, ...],
         now: float,
+        *,
+        adaptive: bool,
     ) -> tuple[upstreams.Registration, ...]:
         """Return the candidates of a call: the pool, or a sample of it."""
         affinity_part = call.affinity_part
+        if adaptive and call.pool.engine is None:
+            return self._sample_plain(call, usable, now)
         if (
             call.pool.engine is None
             or len(usable) <= candidate_sampling.MAX_UNSAMPLED_POOL
@@ -173,12 +198,41 @@
             always_included=always_included,
         )
 
+    def _sample_plain(
+        self,
+        call: calls.Call,
+        usable: tuple[upstreams.Registration, ...],
+        now: float,
+    ) -> tuple[upstreams.Registration, ...]:
+        """Return the upstreams with recent reports, and two of the others.
+
+        If all entry VMs compared all upstreams by outdated reports, they would
+        select the same one.
+        """
+        speeds = self._components.adaptive.speeds
+        recent = []
+        outdated = []
+        for one in usable:
+            age = speeds.estimate(one.id, now=now).age_seconds
+            is_recent = age is not None and age <= _RECENT_REPORT_SECONDS
+            (recent if is_recent else outdated).append(one)
+        return (
+            *recent,
+            *candidate_sampling.pick(
+                tuple(outdated),
+                request_id=call.request_id,
+                count=_OUTDATED_CANDIDATES,
+            ),
+        )
+
     def _rank(
         self,
         call: calls.Call,
         registered: tuple[upstreams.Registration, ...],
         usable: tuple[upstreams.Registration, ...],
         now: float,
+        *,
+        adaptive: bool,
     ) -> "_Ranking":
         """Rank some usable upstreams.
 
@@ -187,7 +241,8 @@
         """
         request = _request_of(call, shared_recently=self._shared_recently(call))
         candidates = tuple(
-            self._candidate(call, one, now) for one in registered
+            self._candidate(call, one, now, adaptive=adaptive)
+            for one in registered
         )
         pool = _pool_order_of(usable)
         ranked = placement.rank(request, candidates, pool=pool)
@@ -201,7 +256,12 @@
             lowest_tier = types.Tier(call.tier + 1)
             request = dataclasses.replace(request, tier=lowest_tier)
             ranked = placement.rank(request, candidates, pool=pool)
-        return _Ranking(request=request, ranked=ranked, stands_back=stands_back)
+        return _Ranking(
+            request=request,
+            ranked=ranked,
+            stands_back=stands_back,
+            adaptive=adaptive,
+        )
 
     def _admit(
         self,
@@ -229,17 +289,64 @@
         )
         return admission.admit(admission_request, ranked)
 
+    def _admit_adaptive(
+        self,
+        call: calls.Call,
+        best: placement.Ranked | admission.Refusal,
+        ranking: "_Ranking",
+        usable: tuple[upstreams.Registration, ...],
+        now: float,
+    ) -> placement.Ranked | pool_capacity.Rejection:
+        """Apply the admission of adaptive pools to the decision so far."""
+        if not ranking.adaptive or call.pool.engine is None:
+            if isinstance(best, admission.Refusal):
+                return pool_capacity.Rejection(refusal=best)
+            return best
+        return self._components.capacity.admit(
+            call,
+            best,
+            usable,
+            tokens=self.new_tokens(call),
+            floor_due=self._components.admission_floor.is_due(
+                call.route.profile.name, now=now
+            ),
+            now=now,
+        )
+
+    def new_tokens(self, call: calls.Call) -> float:
+        """Return the prompt tokens of a call that are probably not cached."""
+        tokens = float(call.attributes.prompt_tokens)
+        if self._shared_recently(call):
+            tokens -= call.shared_tokens
+        return max(0.0, tokens)
+
     def _candidate(
         self,
         call: calls.Call,
         upstream: upstreams.Registration,
         now: float,
+        *,
+        adaptive: bool,
     ) -> placement.Candidate:
         components = self._components
         affinity_part = call.affinity_part
+        slots = upstream.slots
+        tokens_per_second = None
+        service_seconds = 0.0
+        if adaptive:
+            estimate = components.adaptive.speeds.estimate(upstream.id, now=now)
+            if call.pool.engine is None:
+                service_seconds = plain_seconds(estimate, slots=slots)
+            else:
+                tokens_per_second = estimate.current_tokens_per_second
+                slots = pool_capacity.scaled_slots(
+                    slots, estimate.relative_speed
+                )
         return placement.Candidate(
             upstream=upstream.id,
-            slots=upstream.slots,
+            slots=slots,
+            tokens_per_second=tokens_per_second,
+            service_seconds=service_seconds,
             cache_tokens=call.pool.engine.cache_tokens
             if call.pool.engine
             else 0.0,
@@ -283,6 +390,7 @@
             chosen=chosen,
             refusal=refusal,
             route=call.route.name,
+            organisation=call.organisation.id if call.organisation else "",
             pool=call.pool.name,
             revision=call.revision,
             digest=call.digest,
@@ -302,11 +410,40 @@
                     "waiting_tokens": round(one.candidate.load.waiting_tokens),
                     "running": one.candidate.load.running,
                     "failures": round(one.candidate.failures, 2),
+                    **self._logged_speed(one, ranking),
                 }
                 for one in ranking.ranked[:_MAX_LOGGED_CANDIDATES]
             ],
         )
 
+    def _logged_speed(
+        self, ranked: placement.Ranked, ranking: "_Ranking"
+    ) -> dict[str, float]:
+        if not ranking.adaptive:
+            return {}
+        estimate = self._components.adaptive.speeds.estimate(
+            ranked.candidate.upstream, now=self._components.clock.monotonic()
+        )
+        return {
+            "wait_seconds": round(ranked.wait_seconds, 3),
+            "tokens_per_second": round(estimate.tokens_per_second),
+            "slowness": round(estimate.slowness, 2),
+        }
+
+
+def plain_seconds(
+    estimate: speed_estimate.SpeedEstimate, *, slots: int
+) -> float:
+    """Return the expected time to an answer of a plain service; 0 if unknown.
+
+    Requests above the number of slots wait for those before them.
+    """
+    if estimate.service_seconds is None:
+        return 0.0
+    in_service = (estimate.running or 0) + (estimate.waiting or 0) + 1
+    queued = max(0, in_service - slots) / max(1, slots)
+    return estimate.service_seconds * estimate.slowness * (1.0 + queued)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Ranking:
@@ -318,11 +455,14 @@
         Request for which they were ranked.
     stands_back
         Whether the request yields to all others of the pool.
+    adaptive
+        Whether the pool is adaptive.
     """
 
     request: placement.Request
     ranked: tuple[placement.Ranked, ...]
     stands_back: bool
+    adaptive: bool = False
 
     def reread_tokens(self, chosen: placement.Ranked) -> int:
         """Return the shared tokens that another upstream prefilled recently."""
--- a/packages/router/src/lagoonrun_router/components.py
+++ b/packages/router/src/lagoonrun_router/components.py
@@ -8,6 +8,7 @@
 from lagoonrun_duties import usage_exchange
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
+    adaptive_load,
     admission_floor,
     crash_watch,
     crashing_requests,
@@ -15,6 +16,7 @@
     load_ledger,
     metrics,
     peer_table,
+    pool_capacity,
     pressure,
     prompt_locations,
     reach,
@@ -36,6 +38,10 @@
         Requests that crash upstreams, with the evidence against them.
     notices
         Applies what upstreams state about themselves in their answers.
+    adaptive
+        State of the adaptive pools.
+    capacity
+        Admits requests to the adaptive pools.
     usage
         Counts requests that begin to run; None if usage is not reported.
     """
@@ -57,4 +63,6 @@
     crash_watch: crash_watch.CrashWatch
     crashing_requests: crashing_requests.CrashingRequests
     notices: upstream_notices.UpstreamNotices
+    adaptive: adaptive_load.AdaptiveLoad
+    capacity: pool_capacity.PoolCapacity
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/domain_aggregate.py
+++ b/packages/router/src/lagoonrun_router/domain_aggregate.py
@@ -10,7 +10,15 @@
 
 from lagoonrun_core import types
 from lagoonrun_protocol import router_messages
-from lagoonrun_router import load_ledger, loads, peer_loads, pressure
+from lagoonrun_router import (
+    demand_row,
+    demand_rows,
+    load_ledger,
+    loads,
+    organisation_shares,
+    peer_loads,
+    pressure,
+)
 
 REPORTER_TIMEOUT_SECONDS = load_ledger.PEER_LOAD_SECONDS
 """Silence after which a neighbour is no longer listed as a reporter; its load
@@ -48,6 +56,7 @@
     def __init__(self) -> None:
         self._ledger = load_ledger.LoadLedger()
         self._pressure = pressure.Pressure()
+        self._shares = organisation_shares.OrganisationShares()
         self._reporters_by_id: dict[types.EntryVmId, Reporter] = {}
         self._domains: set[types.FailureDomain] = set()
 
@@ -63,6 +72,10 @@
             peer_loads.from_pressed_tiers(state.pressed),
             now=now,
         )
+        if state.demands:
+            self._shares.apply_report(
+                state.entry_vm, demand_rows.from_rows(state.demands), now=now
+            )
         if state.stopping:
             self._reporters_by_id.pop(state.entry_vm, None)
             return
@@ -84,6 +97,10 @@
         self._pressure.apply_report(
             news.domain, peer_loads.from_pressed_tiers(news.pressed), now=now
         )
+        if news.demands:
+            self._shares.apply_report(
+                news.domain, demand_rows.from_rows(news.demands), now=now
+            )
 
     def forget_instance(self, upstream: types.UpstreamId) -> None:
         """Drop the state of an upstream that has restarted."""
@@ -96,6 +113,7 @@
     def forget_peer(self, entry_vm: types.EntryVmId) -> None:
         """Drop the report of a lost neighbour."""
         self._ledger.forget_peer(entry_vm)
+        self._shares.forget_peer(entry_vm)
         self._reporters_by_id.pop(entry_vm, None)
 
     def reporters(self, *, now: float) -> tuple[Reporter, ...]:
@@ -125,3 +143,14 @@
         """Return the tiers that the whole fleet recently rejected."""
         reporters = (*self._reporters_by_id, *self._domains)
         return self._pressure.recent_with(reporters, now=now)
+
+    def domain_demands(
+        self, *, now: float
+    ) -> tuple[demand_row.DemandRow, ...]:
+        """Return the demand at this failure domain."""
+        return self._shares.rows_with(self._reporters_by_id, now=now)
+
+    def fleet_demands(self, *, now: float) -> tuple[demand_row.DemandRow, ...]:
+        """Return the demand at the whole fleet."""
+        reporters = (*self._reporters_by_id, *self._domains)
+        return self._shares.rows_with(reporters, now=now)
--- a/packages/router/src/lagoonrun_router/domain_news.py
+++ b/packages/router/src/lagoonrun_router/domain_news.py
@@ -12,14 +12,17 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable
-from typing import Protocol
+from typing import Any, Protocol
 
 from lagoonrun_core import types
 from lagoonrun_duties import usage_exchange
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
+    adaptive_load,
+    demand_rows,
     domain_aggregate,
     load_ledger,
+    observation_rows,
     peer_loads,
     peer_table,
     pressure,
@@ -27,6 +30,7 @@
     reach,
     roster,
     settings,
+    state_publisher,
 )
 
 _TICKS_BETWEEN_MESSAGES = 2
@@ -86,7 +90,7 @@
         Selects the relays of the own failure domain.
     aggregate
         Reports of the neighbours, where they report to a relay only.
-    ledger, prompt_locations, pressure, domains
+    ledger, prompt_locations, pressure, domains, adaptive
         State that is sent and updated.
     usage
         Knows which entry VM holds the duties, that is, reports usage and orders
@@ -110,6 +114,7 @@
         prompt_locations: prompt_locations.PromptLocations,
         pressure: pressure.Pressure,
         domains: reach.DomainReach,
+        adaptive: adaptive_load.AdaptiveLoad,
         usage: usage_exchange.UsageExchange | None = None,
         send: Sender,
     ) -> None:
@@ -125,6 +130,8 @@
         self._prompt_locations = prompt_locations
         self._pressure = pressure
         self._domains = domains
+        self._adaptive = adaptive
+        self._demands_sent_at = float("-inf")
         self._usage = usage
         self._send = send
         self._ticks = 0
@@ -175,8 +182,30 @@
             ),
             pressed=peer_loads.to_pressed_tiers(pressed),
             duties_holder=self._duties_holder(now),
+            **self._adaptive_fields(now),
         )
 
+    def _adaptive_fields(self, now: float) -> dict[str, Any]:
+        """Return the fields about the adaptive pools, by name."""
+        if not self._adaptive.adaptive_pools:
+            return {}
+        demands = router_messages.NO_DEMANDS
+        if now - self._demands_sent_at >= state_publisher.DEMAND_SECONDS:
+            self._demands_sent_at = now
+            if self._table.has_relay:
+                rows = self._aggregate.domain_demands(now=now)
+            else:
+                rows = self._adaptive.shares.rows_with(
+                    self._table.neighbours(), now=now
+                )
+            demands = demand_rows.to_rows(rows)
+        return {
+            "demands": demands,
+            "observations": observation_rows.to_rows(
+                self._adaptive.speeds.pop_for_other_domains(now=now)
+            ),
+        }
+
     def _duties_holder(self, now: float) -> types.EntryVmId:
         if self._usage is None:
             return types.NO_ENTRY_VM
@@ -234,6 +263,10 @@
             self._prompt_locations.apply_remote_report(
                 placement.part, placement.upstream, now=now
             )
+        if news.observations:
+            self._adaptive.speeds.apply_remote_observations(
+                observation_rows.from_rows(news.observations), now=now
+            )
         known_address = self._table.address_of(news.entry_vm)
         from_relay = known_address is not None and known_address.host == host
         if from_relay:
@@ -251,6 +284,10 @@
         self._pressure.apply_report(
             news.domain, peer_loads.from_pressed_tiers(news.pressed), now=now
         )
+        if news.demands:
+            self._adaptive.shares.apply_report(
+                news.domain, demand_rows.from_rows(news.demands), now=now
+            )
         if from_relay:
             self._send(news, self._table.neighbour_addresses())
         return from_relay
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -10,6 +10,7 @@
 from lagoonrun_core import events, logs, outcomes, types
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_router import (
+    adaptive_admission,
     admission,
     answers,
     attempt_result,
@@ -18,6 +19,7 @@
     crash_evidence,
     loads,
     place_bucket,
+    pool_capacity,
     retrying,
     running_requests,
     stream_relay,
@@ -38,6 +40,16 @@
     availability.ClosedReason.RESTING: outcomes.Reason.UPSTREAMS_RESTING,
 }
 
+_HELD_REFUSALS = frozenset(
+    (
+        admission.Refusal.NO_ROOM,
+        admission.Refusal.TOO_LATE,
+        admission.Refusal.RESERVED,
+    )
+)
+"""Refusals for lack of room, which may be free again within a fraction of the
+target."""
+
 _OVERLOAD_WAIT_FRACTION = 0.25
 """Expected wait, as a fraction of the caller's time limit, from which a failed
 request counts as a sign of overload."""
@@ -78,6 +90,7 @@
         self._complete_at: float | None = None
         self._expected_wait_seconds = 0.0
         self._pause_waiting_tokens = 0
+        self._held = False
 
     @property
     def first_answer_at(self) -> float | None:
@@ -99,6 +112,7 @@
         remaining_seconds = (
             self._call.limit_at - self._components.clock.monotonic()
         )
+        self._record_arrival()
         try:
             async with asyncio.timeout(max(0.0, remaining_seconds)):
                 return await self._attempts()
@@ -109,6 +123,23 @@
                 detail="the time limit of the request has passed",
             )
 
+    def _record_arrival(self) -> None:
+        """Count the demand of the call if its pool is adaptive."""
+        call = self._call
+        if (
+            call.pool.engine is None
+            or call.pool.name not in self._components.adaptive.adaptive_pools
+        ):
+            return
+        arrival = self._components.capacity.record_arrival(
+            call,
+            tokens=self._chooser.new_tokens(call),
+            now=self._components.clock.monotonic(),
+        )
+        self._components.metrics.returns.labels(
+            call.pool.name, arrival.value
+        ).inc()
+
     async def _attempts(self) -> outcomes.Ending:
         while True:
             # Checked before retries too: the request may have been found to
@@ -121,8 +152,12 @@
             choice = await self._choose()
             if isinstance(choice, choosing.AllClosed):
                 return await self._refuse_closed(choice)
-            if not isinstance(choice, choosing.Choice):
+            if isinstance(choice, pool_capacity.Rejection):
+                if await self._hold(choice):
+                    continue
                 return await self._refuse(choice)
+            if choice is None:
+                return await self._refuse_without_upstream()
             result = await self._attempt_at(choice)
             if isinstance(result, attempt_result.Delivered):
                 return result.ending
@@ -132,7 +167,7 @@
 
     async def _choose(
         self,
-    ) -> choosing.Choice | admission.Refusal | choosing.AllClosed | None:
+    ) -> choosing.Choice | pool_capacity.Rejection | choosing.AllClosed | None:
         """Choose an upstream; acquire a place there if it is rate limited."""
         for _ in range(_MAX_PLACE_REQUESTS):
             choice = self._choose_upstream()
@@ -156,7 +191,7 @@
 
     def _choose_upstream(
         self,
-    ) -> choosing.Choice | admission.Refusal | choosing.AllClosed | None:
+    ) -> choosing.Choice | pool_capacity.Rejection | choosing.AllClosed | None:
         choice = self._chooser.choose(self._call, excluded=self._tried)
         if self._tried and (
             choice is None or isinstance(choice, choosing.AllClosed)
@@ -191,19 +226,55 @@
             self._components.rng, wait_seconds=closed[0].wait_seconds
         )
 
+    async def _hold(self, rejection: pool_capacity.Rejection) -> bool:
+        """Wait once for room that is expected soon; return whether it waited.
+
+        A request that was sent before is not held: its caller has waited
+        already.
+        """
+        room = rejection.room
+        if room is None or self._held or self._tried:
+            return False
+        if rejection.refusal not in _HELD_REFUSALS:
+            return False
+        seconds = adaptive_admission.hold_seconds(
+            room, target_seconds=self._call.route.profile.target_seconds
+        )
+        if seconds is None:
+            return False
+        self._held = True
+        await asyncio.sleep(seconds)
+        return True
+
+    async def _refuse_without_upstream(self) -> outcomes.Ending:
+        """Refuse a request while no upstream of its pool is known.
+
+        No capacity is missing, so lower tiers are still admitted.
+        """
+        return await self._end_refused(
+            reason=outcomes.Reason.NO_UPSTREAM,
+            detail="no upstream of the pool is known",
+        )
+
     async def _refuse(
-        self, refusal: admission.Refusal | None
+        self, rejection: pool_capacity.Rejection
     ) -> outcomes.Ending:
         """Refuse a request that was not admitted at any upstream."""
-        if refusal is None:
-            # No capacity is missing, so lower tiers are still admitted.
-            reason = outcomes.Reason.NO_UPSTREAM
-            detail = "no upstream of the pool is known"
-        else:
-            reason = outcomes.Reason.OVERLOADED
-            detail = refusal.value
-            self._record_pressure()
-        return await self._end_refused(reason=reason, detail=detail)
+        self._record_pressure()
+        retry_after_seconds = None
+        if not self._earlier_may_have_run:
+            retry_after_seconds = self._components.capacity.return_seconds(
+                self._call,
+                rejection,
+                now=self._components.clock.monotonic(),
+            )
+        self._components.metrics.count_refusal(self._call, rejection)
+        return await self._end_refused(
+            reason=outcomes.Reason.OVERLOADED,
+            detail=rejection.refusal.value,
+            retry_after_seconds=retry_after_seconds,
+            rejection=rejection,
+        )
 
     async def _refuse_blocked(
         self, block: crash_evidence.Block
@@ -229,6 +300,7 @@
         retry_after_seconds: float | None = None,
         closed: tuple[availability.ClosedUpstream, ...] = (),
         crashes: tuple[running_requests.UpstreamInstance, ...] = (),
+        rejection: pool_capacity.Rejection | None = None,
     ) -> outcomes.Ending:
         """End a request that is not sent, and log what it was refused for.
 
@@ -239,13 +311,17 @@
         closed, crashes
             Upstreams that are closed, and upstream instances that crashed
             while they ran the request.
+        rejection
+            Decision of the admission; None if it did not decide.
         """
+        organisation = self._call.organisation
         logs.emit(
             events.LogEvent.REQUEST_REFUSED,
             level=logging.WARNING,
             request_id=self._call.request_id,
             reason=reason.value,
             detail=detail,
+            organisation=organisation.id if organisation else "",
             tier=self._call.tier,
             patience_seconds=round(self._call.patience_seconds, 3),
             digest=self._call.digest,
@@ -254,6 +330,7 @@
             },
             upstreams=[instance.upstream for instance in crashes],
             retry_after=retry_after_seconds and round(retry_after_seconds, 3),
+            **_logged_rejection(rejection),
         )
         return await self._end(
             reason=reason,
@@ -366,6 +443,16 @@
             ),
         )
         components.ledger.begin(in_flight, now=now)
+        if (
+            choice.adaptive
+            and self._call.pool.engine is not None
+            and not self._tried
+        ):
+            components.capacity.record_admission(
+                self._call,
+                tokens=self._chooser.new_tokens(self._call),
+                now=now,
+            )
         self._expected_wait_seconds = choice.wait_seconds
         components.metrics.new_tokens.labels(self._call.pool.name).inc(
             choice.new_tokens
@@ -484,3 +571,25 @@
                 self._components.rng, remaining_seconds=remaining_seconds
             ),
         )
+
+
+def _logged_rejection(
+    rejection: pool_capacity.Rejection | None,
+) -> dict[str, object]:
+    """Return the log fields of a rejection at an adaptive pool."""
+    if rejection is None or rejection.room is None:
+        return {}
+    fields: dict[str, object] = {
+        "arrival": rejection.arrival.value,
+        "room_tokens": round(rejection.room.tokens),
+        "room_wait_seconds": round(rejection.room.wait_seconds, 3),
+    }
+    share = rejection.share
+    if share is not None:
+        fields |= {
+            "fraction": round(share.fraction, 3),
+            "asked": round(share.asked),
+            "fair_rate": round(share.fair_rate),
+            "from_fleet": share.from_fleet,
+        }
+    return fields
--- a/packages/router/src/lagoonrun_router/fleet_news.py
+++ b/packages/router/src/lagoonrun_router/fleet_news.py
@@ -15,20 +15,26 @@
 import collections
 import functools
 from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 from lagoonrun_core import types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
+    adaptive_load,
+    demand_rows,
     domain_aggregate,
     fleet_loads,
+    invitation_rows,
     load_ledger,
     loads,
+    observation_rows,
     peer_loads,
     peer_table,
     pressure,
     prompt_locations,
     reach,
     settings,
+    state_publisher,
     upstreams,
 )
 
@@ -58,7 +64,7 @@
         Start number of the process, drawn at random.
     aggregate
         Reports of the neighbours and of the other failure domains.
-    table, ledger, pressure, prompt_locations, domains, directory
+    table, ledger, pressure, prompt_locations, domains, directory, adaptive
         State that is sent and updated.
     send
         Sends a message.
@@ -77,6 +83,7 @@
         prompt_locations: prompt_locations.PromptLocations,
         domains: reach.DomainReach,
         directory: upstreams.UpstreamDirectory,
+        adaptive: adaptive_load.AdaptiveLoad,
         send: Sender,
     ) -> None:
         self._entry_vm = entry_vm
@@ -89,6 +96,8 @@
         self._prompt_locations = prompt_locations
         self._domains = domains
         self._directory = directory
+        self._adaptive = adaptive
+        self._demands_sent_at = float("-inf")
         self._send = send
         self._ticks = 0
         self._sequence = 0
@@ -112,6 +121,17 @@
             self._prompt_locations.apply_report(
                 placement.part, placement.upstream, now=now
             )
+        if state.entry_vm != self._entry_vm:
+            # The own observations and invitations are known already.
+            if state.observations:
+                self._adaptive.speeds.apply_observations(
+                    observation_rows.from_rows(state.observations), now=now
+                )
+            if state.invitations:
+                self._adaptive.schedule.apply_invitations(
+                    invitation_rows.from_rows(state.invitations, now=now),
+                    now=now,
+                )
         if state.relay == self._entry_vm and not state.stopping:
             self._subscribed_at_by_id[state.entry_vm] = now
         else:
@@ -177,8 +197,29 @@
                 if one.follows_store
             ),
             leaving_starts=self._directory.leaving,
+            **self._adaptive_fields(now),
         )
 
+    def _adaptive_fields(self, now: float) -> dict[str, Any]:
+        """Return the fields about the adaptive pools, by name."""
+        if not self._adaptive.adaptive_pools:
+            return {}
+        demands = router_messages.NO_DEMANDS
+        if now - self._demands_sent_at >= state_publisher.DEMAND_SECONDS:
+            self._demands_sent_at = now
+            demands = demand_rows.to_rows(
+                self._aggregate.fleet_demands(now=now)
+            )
+        return {
+            "demands": demands,
+            "observations": observation_rows.to_rows(
+                self._adaptive.speeds.pop_for_neighbours(now=now)
+            ),
+            "invitations": invitation_rows.to_rows(
+                self._adaptive.schedule.pop_for_neighbours(now=now), now=now
+            ),
+        }
+
     # As a subscriber.
 
     def record_sent_state(self, state: router_messages.RouterState) -> None:
@@ -217,6 +258,12 @@
             self._prompt_locations.apply_relayed_report(
                 placement.part, placement.upstream, now=now
             )
+        if news.entry_vm != self._entry_vm:
+            self._apply_adaptive_fields(news, now)
+        if news.demands:
+            self._adaptive.shares.apply_fleet_report(
+                demand_rows.from_rows(news.demands), now=now
+            )
         for domain, milliseconds in zip(
             news.domains, news.silent_milliseconds, strict=False
         ):
@@ -224,6 +271,19 @@
             self._domains.record_reading(domain, domain in news.reading_domains)
         self._record_alive_reporters(news, now)
 
+    def _apply_adaptive_fields(
+        self, news: router_messages.FleetNews, now: float
+    ) -> None:
+        """Apply what the relay itself has applied when it received it."""
+        if news.observations:
+            self._adaptive.speeds.apply_relayed_observations(
+                observation_rows.from_rows(news.observations), now=now
+            )
+        if news.invitations:
+            self._adaptive.schedule.apply_invitations(
+                invitation_rows.from_rows(news.invitations, now=now), now=now
+            )
+
     def _own_loads_in(
         self, sequence_by_reporter: Mapping[int, int]
     ) -> Mapping[types.UpstreamId, loads.Load]:
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -204,6 +204,7 @@
             request_id=call.request_id,
             route=call.route.name,
             profile=call.route.profile.name,
+            organisation=call.organisation.id if call.organisation else "",
             outcome=ending.outcome.value,
             reason=ending.reason.value,
             detail=ending.detail,
@@ -302,6 +303,7 @@
             organisation=organisation.id if organisation else None,
             body=body,
         ),
+        tier_targets=table.tier_targets_of(pool_name),
     )
 
 
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -4,6 +4,7 @@
 
 from lagoonrun_core import outcomes
 from lagoonrun_router import call as calls
+from lagoonrun_router import pool_capacity
 
 _LATENCY_BUCKETS = (
     0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
@@ -118,6 +119,19 @@
             ["pool"],
             registry=self.registry,
         )
+        self.refusals = prometheus_client.Counter(
+            "lagoonrun_refusals",
+            "Requests that admission refused, by tier and reason.",
+            ["pool", "tier", "reason"],
+            registry=self.registry,
+        )
+        self.returns = prometheus_client.Counter(
+            "lagoonrun_returns",
+            "Requests to adaptive pools, by whether the caller was told to "
+            "return and is in time.",
+            ["pool", "arrival"],
+            registry=self.registry,
+        )
         self._add_store_metrics()
         self._add_duty_metrics()
         self._add_upstream_metrics()
@@ -229,6 +243,13 @@
         if complete and on_time and not pause_exceeded:
             self.in_time_requests.labels(profile.name).inc()
 
+    def count_refusal(
+        self, call: calls.Call, rejection: pool_capacity.Rejection
+    ) -> None:
+        """Count a request that admission refused."""
+        pool = call.pool.name
+        self.refusals.labels(pool, call.tier, rejection.refusal.value).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/packages/router/src/lagoonrun_router/peer_exchange.py
+++ b/packages/router/src/lagoonrun_router/peer_exchange.py
@@ -14,14 +14,18 @@
 from lagoonrun_duties import usage_exchange
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
+    adaptive_load,
     crash_news,
     crashing_requests,
+    demand_rows,
     domain_aggregate,
     domain_news,
     fleet_news,
+    invitation_rows,
     load_ledger,
     metrics,
     news_broadcaster,
+    observation_rows,
     peer_fetch,
     peer_loads,
     peer_socket,
@@ -80,6 +84,8 @@
         Replica of the store.
     directory, ledger, prompt_locations, domains, pressure, aggregate
         State that is sent and updated.
+    adaptive
+        State of the adaptive pools.
     crashing_requests
         Requests that crash upstreams.
     counters
@@ -103,6 +109,7 @@
         domains: reach.DomainReach,
         pressure: pressure.Pressure,
         aggregate: domain_aggregate.DomainAggregate,
+        adaptive: adaptive_load.AdaptiveLoad,
         crashing_requests: crashing_requests.CrashingRequests,
         counters: metrics.RouterMetrics,
         usage: usage_exchange.UsageExchange | None = None,
@@ -122,6 +129,7 @@
         self._domains = domains
         self._pressure = pressure
         self._aggregate = aggregate
+        self._adaptive = adaptive
         self._usage = usage
         self._clock = clock
         self._rng = rng
@@ -146,6 +154,7 @@
             ledger=ledger,
             prompt_locations=prompt_locations,
             pressure=pressure,
+            adaptive=adaptive,
             relays=self._relays,
             usage=usage,
             rng=rng,
@@ -161,6 +170,7 @@
             prompt_locations=prompt_locations,
             domains=domains,
             directory=directory,
+            adaptive=adaptive,
             send=self._socket.send,
         )
         self._domain_news = domain_news.DomainNewsExchange(
@@ -176,6 +186,7 @@
             prompt_locations=prompt_locations,
             pressure=pressure,
             domains=domains,
+            adaptive=adaptive,
             usage=usage,
             send=self._socket.send,
         )
@@ -269,6 +280,7 @@
         self._ticks_until_lost_check = _LOST_CHECK_TICKS
         for lost in self._table.pop_lost(now=now):
             self._ledger.forget_peer(lost)
+            self._adaptive.shares.forget_peer(lost)
             self._aggregate.forget_peer(lost)
 
     def _send_state(
@@ -484,3 +496,20 @@
             self._prompt_locations.apply_report(
                 placement.part, placement.upstream, now=now
             )
+        self._apply_adaptive_fields(state, now)
+
+    def _apply_adaptive_fields(
+        self, state: router_messages.RouterState, now: float
+    ) -> None:
+        if state.observations:
+            self._adaptive.speeds.apply_observations(
+                observation_rows.from_rows(state.observations), now=now
+            )
+        if state.demands:
+            self._adaptive.shares.apply_report(
+                state.entry_vm, demand_rows.from_rows(state.demands), now=now
+            )
+        if state.invitations:
+            self._adaptive.schedule.apply_invitations(
+                invitation_rows.from_rows(state.invitations, now=now), now=now
+            )
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -149,6 +149,10 @@
         Exponentially decaying count of its failures.
     silent_domain
         Whether its failure domain is probably unreachable.
+    tokens_per_second
+        Its current prefill rate; None for that of the weights.
+    service_seconds
+        Expected time to the answer of a plain service; 0 if unknown.
     """
 
     upstream: types.UpstreamId
@@ -160,6 +164,8 @@
     recent_prefill: float = 0.0
     failures: float = 0.0
     silent_domain: bool = False
+    tokens_per_second: float | None = None
+    service_seconds: float = 0.0
 
 
 class PoolOrder:
@@ -287,11 +293,13 @@
     reading = weights.reading * new_tokens
     if candidate.upstream != prefill_upstream and not candidate.has_shared:
         reading += weights.rereading * request.shared_tokens
-    rate = weights.prefill_tokens_per_second
+    rate = candidate.tokens_per_second or weights.prefill_tokens_per_second
     load = candidate.load
     prefill_seconds = new_tokens / rate
     wait_seconds = (
-        waiting_seconds(load, request.tier, weights) + prefill_seconds
+        waiting_tokens(load, request.tier, weights) / rate
+        + prefill_seconds
+        + candidate.service_seconds
     )
     occupied = load.running / max(1, candidate.slots)
     position = pool.position_of(candidate.upstream)
@@ -322,14 +330,13 @@
     )
 
 
-def waiting_seconds(
-    load: loads.Load, tier: types.Tier, weights: Weights
+def waiting_tokens(
+    load: loads.Load, tier: types.Tier, weights: Weights = DEFAULT_WEIGHTS
 ) -> float:
-    """Return how long a new prompt of `tier` waits for queued prompts."""
+    """Return the queued tokens that are prefilled before those of `tier`."""
     ahead = load.waiting_before(tier)
     behind = load.waiting_tokens - ahead
-    tokens = ahead + weights.lower_tiers * behind
-    return tokens / weights.prefill_tokens_per_second
+    return ahead + weights.lower_tiers * behind
 
 
 def _misplacement(
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -0,0 +1,266 @@
+"""Decisions on one request to an adaptive pool, with the state they rest on."""
+
+import dataclasses
+
+import xxhash
+
+from lagoonrun_core import types
+from lagoonrun_router import (
+    adaptive_admission,
+    adaptive_load,
+    admission,
+    demand_row,
+    load_ledger,
+    organisation_shares,
+    placement,
+    return_schedule,
+    shared_room,
+    upstreams,
+)
+from lagoonrun_router import call as calls
+
+_HASH_RANGE = float(1 << 64)
+_MAX_RETURN_FRACTION = 0.3
+"""Latest time to return, as a fraction of the remaining time limit: callers
+honour a Retry-After of up to a third of it."""
+
+_MIN_RETURN_SECONDS = 0.1
+"""Earliest time to return: the invitation has to reach the other entry VMs."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rejection:
+    """A rejected request, with what its Retry-After and log line need.
+
+    Parameters
+    ----------
+    refusal
+        Why it is rejected.
+    room
+        Room of its tier; None for a pool that is not adaptive.
+    share
+        The decision on the share of its organisation, if there was one.
+    arrival
+        Whether the caller was told to return.
+    tokens
+        Prompt tokens that would have to be prefilled.
+    """
+
+    refusal: admission.Refusal
+    room: shared_room.TierRoom | None = None
+    share: organisation_shares.ShareDecision | None = None
+    arrival: return_schedule.Arrival = return_schedule.Arrival.NEW
+    tokens: float = 0.0
+
+
+class PoolCapacity:
+    """Admits requests to adaptive pools and tells callers when to return.
+
+    Parameters
+    ----------
+    load
+        State of the adaptive pools.
+    ledger
+        Known loads of the upstreams.
+    """
+
+    def __init__(
+        self,
+        *,
+        load: adaptive_load.AdaptiveLoad,
+        ledger: load_ledger.LoadLedger,
+    ) -> None:
+        self._load = load
+        self._ledger = ledger
+
+    def record_arrival(
+        self, call: calls.Call, *, tokens: float, now: float
+    ) -> return_schedule.Arrival:
+        """Count what a call asks for, unless it repeats a refused one."""
+        arrival = self._load.schedule.arrival_of(call.digest, now=now)
+        self._load.shares.record_arrival(
+            self._share_key(call),
+            _organisation_of(call),
+            cost=max(1.0, tokens),
+            repeated=arrival is not return_schedule.Arrival.NEW,
+            now=now,
+        )
+        return arrival
+
+    def record_admission(
+        self, call: calls.Call, *, tokens: float, now: float
+    ) -> None:
+        """Count what was admitted, and end the call's invitation."""
+        self._load.shares.record_admission(
+            self._share_key(call),
+            _organisation_of(call),
+            cost=max(1.0, tokens),
+            now=now,
+        )
+        self._load.schedule.redeem(call.digest, now=now)
+
+    def admit(
+        self,
+        call: calls.Call,
+        base: placement.Ranked | admission.Refusal,
+        usable: tuple[upstreams.Registration, ...],
+        *,
+        tokens: float,
+        floor_due: bool,
+        now: float,
+    ) -> placement.Ranked | Rejection:
+        """Return the upstream that admits a call, or why it is rejected.
+
+        Parameters
+        ----------
+        base
+            The decision of `admission.admit`.
+        usable
+            All usable upstreams of the pool.
+        """
+        room = self.room(call, usable, now=now)
+        arrival = self._load.schedule.arrival_of(call.digest, now=now)
+        request = adaptive_admission.AdaptiveRequest(
+            tokens=tokens,
+            target_seconds=call.route.profile.target_seconds,
+            arrival=arrival,
+            room=room,
+            reserved_tokens=self._load.schedule.reserved_tokens(
+                call.pool.name, call.tier, now=now
+            ),
+            floor_due=floor_due,
+        )
+        verdict = adaptive_admission.admit(
+            request,
+            base,
+            decide_share=lambda: self._decide_share(call, room, tokens, now),
+        )
+        if isinstance(verdict, adaptive_admission.Admitted):
+            return verdict.upstream
+        return Rejection(
+            refusal=verdict.refusal,
+            room=room,
+            share=verdict.share,
+            arrival=arrival,
+            tokens=tokens,
+        )
+
+    def room(
+        self,
+        call: calls.Call,
+        usable: tuple[upstreams.Registration, ...],
+        *,
+        now: float,
+    ) -> shared_room.TierRoom:
+        """Return the room that a pool has for the tier of a call."""
+        rooms = self._load.rooms(
+            call.pool.name,
+            compute=lambda: self._compute_rooms(call, usable, now),
+            now=now,
+        )
+        return shared_room.room_of(rooms, call.tier)
+
+    def return_seconds(
+        self, call: calls.Call, rejection: Rejection, *, now: float
+    ) -> float | None:
+        """Return the Retry-After of a rejected call, and reserve its capacity.
+
+        None for a pool that is not adaptive.
+        """
+        room = rejection.room
+        if room is None:
+            return None
+        share_seconds = rejection.share.retry_seconds if rejection.share else 0
+        within = _MAX_RETURN_FRACTION * max(0.0, call.limit_at - now)
+        key = self._share_key(call)
+        invitation = self._load.schedule.invite(
+            call.digest,
+            pool=call.pool.name,
+            tier=call.tier,
+            tokens=max(1.0, rejection.tokens),
+            tokens_per_second=room.tokens_per_second
+            * self._load.shares.own_part(key, now=now),
+            after_seconds=max(
+                _MIN_RETURN_SECONDS, share_seconds, room.wait_seconds
+            ),
+            within_seconds=within,
+            now=now,
+        )
+        return max(0.01, invitation.due_at - now)
+
+    def _compute_rooms(
+        self,
+        call: calls.Call,
+        usable: tuple[upstreams.Registration, ...],
+        now: float,
+    ) -> tuple[shared_room.TierRoom, ...]:
+        engine = call.pool.engine
+        shares = self._load.shares
+        return shared_room.pool_room(
+            tuple(
+                self._capacity(one, engine.cache_tokens if engine else 0.0, now)
+                for one in usable
+            ),
+            tuple(
+                shared_room.TierDemand(
+                    tier=tier,
+                    target_seconds=target_seconds,
+                    asked_per_second=shares.demand_of(
+                        self._load.share_key(call.pool.name, tier), now=now
+                    ),
+                )
+                for tier, target_seconds in sorted(_targets_of(call).items())
+            ),
+            share_of=lambda tier: admission.share_of(tier, call.pool_tiers),
+        )
+
+    def _capacity(
+        self, upstream: upstreams.Registration, cache_tokens: float, now: float
+    ) -> shared_room.UpstreamCapacity:
+        estimate = self._load.speeds.estimate(upstream.id, now=now)
+        return shared_room.UpstreamCapacity(
+            slots=scaled_slots(upstream.slots, estimate.relative_speed),
+            cache_tokens=cache_tokens,
+            load=self._ledger.load_of(upstream.id, now=now),
+            tokens_per_second=estimate.current_tokens_per_second,
+        )
+
+    def _decide_share(
+        self,
+        call: calls.Call,
+        room: shared_room.TierRoom,
+        tokens: float,
+        now: float,
+    ) -> organisation_shares.ShareDecision:
+        return self._load.shares.decide(
+            self._share_key(call),
+            _organisation_of(call),
+            cost=max(1.0, tokens),
+            capacity=room.tokens_per_second,
+            weights=self._load.weight_of,
+            draw=_draw_of(call.request_id),
+            now=now,
+        )
+
+    def _share_key(self, call: calls.Call) -> demand_row.ShareKey:
+        return self._load.share_key(call.pool.name, call.tier)
+
+
+def scaled_slots(slots: int, relative_speed: float) -> int:
+    """Return the slots of an upstream, fewer if it is slower than others."""
+    return max(1, round(slots * min(1.0, relative_speed)))
+
+
+def _organisation_of(call: calls.Call) -> types.OrganisationId:
+    if call.organisation is None:
+        return demand_row.PUBLIC
+    return call.organisation.id
+
+
+def _targets_of(call: calls.Call) -> dict[types.Tier, float]:
+    return {call.tier: call.route.profile.target_seconds, **call.tier_targets}
+
+
+def _draw_of(request_id: types.RequestId) -> float:
+    """Return a number from 0 to 1 that differs by request."""
+    return xxhash.xxh3_64_intdigest(f"share {request_id}") / _HASH_RANGE
--- a/packages/router/src/lagoonrun_router/route_table.py
+++ b/packages/router/src/lagoonrun_router/route_table.py
@@ -1,6 +1,7 @@
 """Look up the route and the organisation of a request."""
 
 import hashlib
+from collections.abc import Mapping
 
 import xxhash
 
@@ -28,6 +29,7 @@
         }
         self._tiers_by_pool = _tiers_by_pool(declared.routes)
         self._tightest_pause_by_pool = _tightest_pause_by_pool(declared.routes)
+        self._targets_by_pool = _targets_by_pool(declared.routes)
         self._organisations_by_digest = {
             digest: organisation
             for organisation in declared.organisations_by_id.values()
@@ -56,6 +58,12 @@
         """
         return self._tightest_pause_by_pool.get(pool)
 
+    def tier_targets_of(
+        self, pool: types.PoolName
+    ) -> Mapping[types.Tier, float]:
+        """Return the smallest target in seconds of each tier of a pool."""
+        return self._targets_by_pool.get(pool, {})
+
     @property
     def requires_keys(self) -> bool:
         """Whether routes that are not public need a key."""
@@ -94,6 +102,19 @@
     }
 
 
+def _targets_by_pool(
+    routes: tuple[declarations.Route, ...],
+) -> dict[types.PoolName, dict[types.Tier, float]]:
+    targets: dict[types.PoolName, dict[types.Tier, float]] = {}
+    for route in routes:
+        profile = route.profile
+        for destination in route.destinations:
+            by_tier = targets.setdefault(destination.pool, {})
+            current = by_tier.get(profile.tier, profile.target_seconds)
+            by_tier[profile.tier] = min(current, profile.target_seconds)
+    return targets
+
+
 def _tightest_pause_by_pool(
     routes: tuple[declarations.Route, ...],
 ) -> dict[types.PoolName, float]:
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -16,6 +16,7 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_platform import store_eras
 from lagoonrun_router import (
+    adaptive_load,
     admission_floor,
     components,
     crash_guard,
@@ -30,6 +31,7 @@
     metrics,
     peer_exchange,
     peer_table,
+    pool_capacity,
     pressure,
     prompt_locations,
     reach,
@@ -126,6 +128,10 @@
         self._domains = reach.DomainReach()
         self._pressure = pressure.Pressure()
         self._aggregate = domain_aggregate.DomainAggregate()
+        self._adaptive = adaptive_load.AdaptiveLoad(
+            contended=configured.contended,
+            weight_override=lambda organisation: None,
+        )
         self._admission_floor = admission_floor.AdmissionFloor(
             started_at=self._clock.monotonic()
         )
@@ -219,6 +225,7 @@
             domains=self._domains,
             pressure=self._pressure,
             aggregate=self._aggregate,
+            adaptive=self._adaptive,
             crashing_requests=self.crashing_requests,
             counters=self.metrics,
             usage=self._usage_exchange,
@@ -260,6 +267,10 @@
                 crash_watch=self._crash_guard.watch,
                 crashing_requests=self.crashing_requests,
                 notices=self.exchange.notices,
+                adaptive=self._adaptive,
+                capacity=pool_capacity.PoolCapacity(
+                    load=self._adaptive, ledger=self._ledger
+                ),
                 usage=self._usage_exchange,
             )
         )
@@ -413,6 +424,7 @@
     def _apply_declarations(self, declared: declarations.Declarations) -> None:
         self._route_table = route_table.RouteTable(declared=declared)
         self._ingress.set_route_table(self._route_table)
+        self._adaptive.apply_declarations(declared)
         if self._duties is not None:
             self._duties.duty_inputs.use(declared.pools_by_name.values())
         self.metrics.revision.set(declared.revision)
@@ -425,6 +437,7 @@
             before = restarted.before
             self._ledger.forget_instance(before.id)
             self._aggregate.forget_instance(before.id)
+            self._adaptive.forget_instance(before.id)
             self._prompt_locations.forget_upstream(before.id)
             self.exchange.notices.forget_instance(before)
             self._client.abort_connections(
@@ -435,6 +448,7 @@
         known = frozenset(one.id for one in self.directory.registrations)
         self._ledger.forget_upstreams(known)
         self._aggregate.forget_upstreams(known)
+        self._adaptive.forget_upstreams(known)
 
     async def _write_own_record(self) -> None:
         """Write this entry VM's address to the store, retrying if needed."""
--- a/packages/router/src/lagoonrun_router/settings.py
+++ b/packages/router/src/lagoonrun_router/settings.py
@@ -48,6 +48,9 @@
     duties
         Settings of the duties, the tasks that one entry VM at a time performs
         for the fleet; None for no duties.
+    contended
+        Whether callers compete for too little capacity at times, so that all
+        pools of engines are adaptive.
     """
 
     entry_vm: types.EntryVmId
@@ -64,6 +67,7 @@
     processor_cores: float = 1.0
     duty_platform: Address | None = None
     duties: platform_calls.DutySettings | None = None
+    contended: bool = False
 
 
 CHANGEABLE_NAMES = frozenset(
--- a/packages/router/src/lagoonrun_router/state_publisher.py
+++ b/packages/router/src/lagoonrun_router/state_publisher.py
@@ -2,12 +2,17 @@
 
 import dataclasses
 import random
+from typing import Any
 
 from lagoonrun_core import events, logs, types
 from lagoonrun_duties import usage_exchange
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
+    adaptive_load,
+    demand_rows,
+    invitation_rows,
     load_ledger,
+    observation_rows,
     peer_loads,
     peer_table,
     pressure,
@@ -26,6 +31,10 @@
 """Ticks after which a full state is sent if nothing has changed: 0.4 s, so
 that two states may be lost before a second of silence has passed."""
 
+DEMAND_SECONDS = 0.4
+"""Time between two messages with the demand of organisations: a third of the
+time after which a report of it expires, so that two of them may be lost."""
+
 _SAMPLED_MEMBERS = 4
 """Number of entry VMs that a full state lists; membership spreads from peer to
 peer."""
@@ -52,6 +61,8 @@
         Start number of the process, drawn at random.
     table, replica, directory, ledger, prompt_locations, pressure
         State that is reported.
+    adaptive
+        State of the adaptive pools.
     relays
         Selects the relays of the own failure domain.
     usage
@@ -71,6 +82,7 @@
         ledger: load_ledger.LoadLedger,
         prompt_locations: prompt_locations.PromptLocations,
         pressure: pressure.Pressure,
+        adaptive: adaptive_load.AdaptiveLoad,
         relays: roster.Roster,
         usage: usage_exchange.UsageExchange | None = None,
         rng: random.Random,
@@ -83,6 +95,8 @@
         self._ledger = ledger
         self._prompt_locations = prompt_locations
         self._pressure = pressure
+        self._adaptive = adaptive
+        self._demands_sent_at = float("-inf")
         self._relays = relays
         self._usage = usage
         self._rng = rng
@@ -174,6 +188,7 @@
         pressed: tuple[router_messages.PressedTier, ...] = ()
         usage = router_messages.NO_USAGE
         relay = self._relay(now)
+        adaptive_fields = self._adaptive_fields(now) if with_load else {}
         if with_load and self._usage is not None:
             usage = self._usage.pending_rows(relay, now=now)
         if with_load:
@@ -201,8 +216,29 @@
             relay=relay,
             usage=usage,
             holds_duties=self._usage is not None and self._usage.is_holder,
+            **adaptive_fields,
         )
 
+    def _adaptive_fields(self, now: float) -> dict[str, Any]:
+        """Return the fields about the adaptive pools, by name."""
+        if not self._adaptive.adaptive_pools:
+            return {}
+        demands = router_messages.NO_DEMANDS
+        if now - self._demands_sent_at >= DEMAND_SECONDS:
+            demands = demand_rows.to_rows(
+                self._adaptive.shares.own_rows(now=now)
+            )
+            self._demands_sent_at = now
+        return {
+            "demands": demands,
+            "observations": observation_rows.to_rows(
+                self._adaptive.speeds.pop_own(now=now)
+            ),
+            "invitations": invitation_rows.to_rows(
+                self._adaptive.schedule.pop_own(now=now), now=now
+            ),
+        }
+
     def _relay(self, now: float) -> types.EntryVmId:
         """Return the relay of this entry VM; none in a small failure domain."""
         relay = types.NO_ENTRY_VM
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -10,6 +10,7 @@
     answers,
     attempt_result,
     choosing,
+    load_report,
     loads,
     running_requests,
     stream_relay,
@@ -84,6 +85,8 @@
         self.may_have_run = False
         self._written_at = choice.decided_at
         self.pause_waiting_tokens = 0
+        self._load_report: load_report.LoadReport | None = None
+        self._resumes = bool(relay.resume_after)
         self._run: running_requests.Run | None = None
         self._longest_pause_seconds = 0.0
 
@@ -148,11 +151,17 @@
         dialect = self._components.dialect
         if dialect.is_misdirected(head):
             return
+        notice = dialect.read_notice(head)
         self._components.notices.apply_answer(
-            self._choice.upstream,
-            dialect.read_notice(head),
-            sent_at=self._written_at,
+            self._choice.upstream, notice, sent_at=self._written_at
         )
+        self._load_report = notice.load
+        if notice.load is not None:
+            self._components.adaptive.record_report(
+                self._choice.upstream,
+                notice.load,
+                now=self._components.clock.monotonic(),
+            )
 
     def _may_write(self) -> bool:
         now = self._components.clock.monotonic()
@@ -219,6 +228,7 @@
         if self._in_flight.waiting:
             self._components.ledger.first_event(self._in_flight)
             self._record_started()
+            self._record_prefill()
         if pause is not None:
             self._record_pause(pause)
 
@@ -228,6 +238,46 @@
         if self._components.usage is not None and organisation is not None:
             self._components.usage.record_started(organisation.id)
 
+    def _record_prefill(self) -> None:
+        """Record how long the upstream took to prefill the prompt.
+
+        A resumed stream is left out: its upstream also prefills the tokens that
+        were generated before.
+        """
+        choice = self._choice
+        if not choice.adaptive or self._resumes:
+            return
+        now = self._components.clock.monotonic()
+        self._components.adaptive.speeds.record_prefill(
+            choice.upstream.id,
+            choice.upstream.start,
+            tokens=choice.new_tokens + choice.ahead_tokens,
+            seconds=now - self._written_at,
+            slowness=self._slowness,
+            now=now,
+        )
+
+    def _record_service(self) -> None:
+        """Record how long a plain service took to answer."""
+        choice = self._choice
+        if not choice.adaptive or self._call.streamed:
+            return
+        now = self._components.clock.monotonic()
+        self._components.adaptive.speeds.record_service(
+            choice.upstream.id,
+            choice.upstream.start,
+            seconds=now - self._written_at,
+            slowness=self._slowness,
+            now=now,
+        )
+
+    @property
+    def _slowness(self) -> float:
+        """How long work took at the upstream as of its answer; 1 is usual."""
+        if self._load_report is None or self._load_report.slowness is None:
+            return 1.0
+        return self._load_report.slowness
+
     def _record_pause(self, pause: float) -> None:
         if pause <= self._longest_pause_seconds:
             return
@@ -264,6 +314,7 @@
         body = await response.read_all(_MAX_BUFFERED_ANSWER_BYTES)
         if isinstance(body, http_upstream.UpstreamFailure):
             return attempt_result.lost_from_failure(body, upstream=upstream)
+        self._record_service()
         answer = attempt_result.WholeAnswer(head=response.head, body=body)
         if response.head.status >= _LOWEST_SERVER_ERROR_STATUS:
             return attempt_result.Lost(
