Deliver overrides of operators from the store, and leave out held upstreams

Keys under lagoonrun/overrides/ are delivered by the store replica like blocked requests, with one difference: an override has no lease, so one that is missing in a listing was removed. After a restore the overrides of the backup apply. The chooser leaves held upstreams out unless all usable ones of the pool are held. Without overrides the calls to the store and the messages are the same.

Tested: test_spread_of_changes.py, with overrides in its state machine.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -55,6 +55,7 @@
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
+    OVERRIDE_CHANGED = (502, "override-changed")
 
     MEMBER_STATE_CHANGED = (600, "member-state-changed")
     PEER_FRAME_REJECTED = (601, "peer-frame-rejected")
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -84,7 +84,7 @@
             Upstreams of earlier attempts.
         """
         now = self._components.clock.monotonic()
-        registered = self._components.directory.usable(call.pool.name, now=now)
+        registered = self._usable(call, now)
         by_id = {one.id: one for one in registered if one.id not in excluded}
         if not by_id:
             return None
@@ -131,12 +131,20 @@
             decided_at=now,
         )
 
+    def _usable(
+        self, call: calls.Call, now: float
+    ) -> tuple[upstreams.Registration, ...]:
+        """Return the usable upstreams; without held ones if others are left."""
+        usable = self._components.directory.usable(call.pool.name, now=now)
+        held = self._components.overrides.held
+        return tuple(one for one in usable if one.id not in held) or usable
+
     def all_closed(
         self, call: calls.Call
     ) -> tuple[availability.ClosedUpstream, ...]:
         """Return the upstreams of the pool if all are closed, else none."""
         now = self._components.clock.monotonic()
-        registered = self._components.directory.usable(call.pool.name, now=now)
+        registered = self._usable(call, now)
         available = self._components.notices.availability.partition(
             {one.id: one for one in registered}, call.tier, now=now
         )
--- a/packages/router/src/lagoonrun_router/components.py
+++ b/packages/router/src/lagoonrun_router/components.py
@@ -14,6 +14,7 @@
     dialect,
     load_ledger,
     metrics,
+    operator_overrides,
     peer_table,
     pressure,
     prompt_locations,
@@ -36,6 +37,8 @@
         Requests that crash upstreams, with the evidence against them.
     notices
         Applies what upstreams state about themselves in their answers.
+    overrides
+        Overrides that operators have set.
     usage
         Counts requests that begin to run; None if usage is not reported.
     """
@@ -57,4 +60,5 @@
     crash_watch: crash_watch.CrashWatch
     crashing_requests: crashing_requests.CrashingRequests
     notices: upstream_notices.UpstreamNotices
+    overrides: operator_overrides.OperatorOverrides
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/dialect.py
+++ b/packages/router/src/lagoonrun_router/dialect.py
@@ -71,6 +71,9 @@
     blocked_requests_prefix: str
     """Prefix of the keys of blocked requests; entry VMs write one for each."""
 
+    overrides_prefix: str
+    """Prefix of the keys of operators' overrides."""
+
     def decode_declarations(self, value: bytes) -> declarations.Declarations:
         """Return the declarations in `value`; raises `FormatError`."""
 
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -28,6 +28,7 @@
     ingress,
     load_ledger,
     metrics,
+    operator_overrides,
     peer_exchange,
     peer_table,
     pressure,
@@ -147,6 +148,7 @@
             rng=self._rng,
         )
         self.crashing_requests = self._crash_guard.crashing_requests
+        self.overrides = operator_overrides.OperatorOverrides()
         self._build_replication()
         self._duties = self._build_duties()
         self._build_endpoints(dialect, listening)
@@ -188,6 +190,7 @@
             directory=self.directory,
             peers=self._peer_table,
             blocks=self.crashing_requests,
+            overrides=self.overrides,
             on_declarations=self._apply_declarations,
             on_upstreams=self._on_upstreams_changed,
             clock=self._clock,
@@ -260,6 +263,7 @@
                 crash_watch=self._crash_guard.watch,
                 crashing_requests=self.crashing_requests,
                 notices=self.exchange.notices,
+                overrides=self.overrides,
                 usage=self._usage_exchange,
             )
         )
--- a/packages/router/src/lagoonrun_router/store_replica.py
+++ b/packages/router/src/lagoonrun_router/store_replica.py
@@ -1,4 +1,4 @@
-"""The local replica of the store: declarations, upstreams and blocked requests.
+"""The local replica of the store: declarations, upstreams, blocks, overrides.
 
 The replica is updated by the store follower, where this entry VM reads the
 store itself, and otherwise by changes and copies that peers send. Revisions of
@@ -46,6 +46,16 @@
         """React to a restore, by which the store may have lost blocks."""
 
 
+class OverridesListener(Protocol):
+    """Receives the operators' overrides that are stored."""
+
+    def apply_stored(self, key: str, value: bytes, *, source: str) -> None:
+        """Apply a stored override; `key` is without the prefix."""
+
+    def apply_removed(self, key: str, *, source: str) -> None:
+        """Apply that an override was removed."""
+
+
 class ChangesListener(Protocol):
     """Receives changes that this entry VM has read from the store."""
 
@@ -68,6 +78,8 @@
         Receives the records of entry VMs.
     blocks
         Receives the blocked requests.
+    overrides
+        Receives the operators' overrides.
     on_declarations
         Receives each newer revision of the declarations.
     on_upstreams
@@ -83,6 +95,7 @@
         directory: upstreams.UpstreamDirectory,
         peers: peer_table.PeerTable,
         blocks: BlocksListener,
+        overrides: OverridesListener,
         on_declarations: DeclarationsListener,
         on_upstreams: Callable[[], None],
         clock: clocks.Clock,
@@ -91,6 +104,7 @@
         self._directory = directory
         self._peer_table = peers
         self._blocks = blocks
+        self._overrides = overrides
         self._on_declarations = on_declarations
         self._on_upstreams = on_upstreams
         self._clock = clock
@@ -101,7 +115,7 @@
         self.follows_store = False
         """Whether the last read of the store by this entry VM succeeded."""
         self.store_revision = store_module.ABSENT
-        """Newest known store revision that changed upstreams or blocks."""
+        """Newest known store revision that changed a shared entry."""
         self.read_revision = store_module.ABSENT
         """Revision of the store up to which all keys are known."""
         self.newest_reported_revision = store_module.ABSENT
@@ -175,6 +189,7 @@
             (
                 self._layout.upstreams_prefix,
                 self._layout.blocked_requests_prefix,
+                self._layout.overrides_prefix,
             )
         )
 
@@ -187,6 +202,11 @@
         elif key.startswith(self._layout.blocked_requests_prefix):
             self._entries_by_key.pop(key, None)
             self._blocks.apply_removed(self._request_of(key))
+        elif key.startswith(self._layout.overrides_prefix):
+            self._entries_by_key.pop(key, None)
+            self._overrides.apply_removed(
+                self._override_key_of(key), source=self._entry_source
+            )
         elif key.startswith(self._layout.entry_vms_prefix):
             name = key.removeprefix(self._layout.entry_vms_prefix)
             self._peer_table.remove(types.EntryVmId(name))
@@ -239,14 +259,14 @@
     # Updates and queries by peers.
 
     def upstream_entries(self) -> dict[str, bytes]:
-        """Return the encoded entries of upstreams and blocks by key."""
+        """Return the encoded shared entries by key."""
         return dict(self._entries_by_key)
 
     def apply_peer_changes(self, changes: router_messages.StoreChanges) -> bool:
         """Apply changes that another entry VM has just read from the store.
 
-        Returns whether any of them was new. Changes of upstreams and blocks are
-        applied only if this entry VM does not read the store itself and no
+        Returns whether any of them was new. Changes of shared entries
+        are applied only if this entry VM does not read the store itself and no
         change before them is missing; otherwise all entries are fetched.
         """
         revision = self.revision
@@ -324,7 +344,7 @@
         entries_by_key: Mapping[str, bytes],
         revision: store_module.StoreRevision,
     ) -> None:
-        """Replace the entries of upstreams and blocks by those of a peer.
+        """Replace the shared entries by those of a peer.
 
         Applied only if this entry VM does not read the store itself, and only
         newer ones: a peer that lags must not restore removed entries.
@@ -371,6 +391,11 @@
         elif key.startswith(self._layout.blocked_requests_prefix):
             self._entries_by_key[key] = value
             self._blocks.apply_stored(self._request_of(key), value)
+        elif key.startswith(self._layout.overrides_prefix):
+            self._entries_by_key[key] = value
+            self._overrides.apply_stored(
+                self._override_key_of(key), value, source=self._entry_source
+            )
         elif key.startswith(self._layout.entry_vms_prefix):
             name = key.removeprefix(self._layout.entry_vms_prefix)
             self._peer_table.apply_record(types.EntryVmId(name), value)
@@ -398,7 +423,8 @@
 
         Upstreams that the backup lacks register again; those that have ended
         since it was made are still listed, but must not be used because of
-        that. Blocks that it lacks are written again.
+        that. Blocks that it lacks are written again; the overrides become
+        those of the backup.
         """
         self._directory.on_store_restored(now=self._clock.monotonic())
         self._blocks.on_store_restored()
@@ -407,7 +433,15 @@
         prefix = self._layout.blocked_requests_prefix
         return types.RequestDigest(key.removeprefix(prefix))
 
+    @property
+    def _entry_source(self) -> str:
+        return "store" if self.follows_store else "peer"
+
+    def _override_key_of(self, key: str) -> str:
+        return key.removeprefix(self._layout.overrides_prefix)
+
     def _apply_entries(self, entries_by_key: Mapping[str, bytes]) -> None:
+        missing = self._entries_by_key.keys() - entries_by_key.keys()
         self._entries_by_key = dict(entries_by_key)
         prefix = self._layout.upstreams_prefix
         upstream_entries = {
@@ -420,6 +454,10 @@
         # whether they were removed or never written.
         for key in entries_by_key.keys() - upstream_entries.keys():
             self._apply_value(key, entries_by_key[key])
+        # An override has no lease: one that is missing was removed.
+        for key in missing:
+            if key.startswith(self._layout.overrides_prefix):
+                self._apply_removal(key)
 
     def _apply_upstreams(self, entries_by_key: Mapping[str, bytes]) -> None:
         registrations = []
--- a/packages/router/tests/test_spread_of_changes.py
+++ b/packages/router/tests/test_spread_of_changes.py
@@ -22,7 +22,12 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_platform import store_eras
 from lagoonrun_protocol import router_codec, router_messages
-from lagoonrun_router import peer_table, store_replica, upstreams
+from lagoonrun_router import (
+    operator_overrides,
+    peer_table,
+    store_replica,
+    upstreams,
+)
 from lagoonrun_standins.router_samples import (
     make_declarations,
     make_registration,
@@ -33,6 +38,7 @@
 MEMBERS = ("member-1", "member-2", "member-3")
 UPSTREAMS = ("u-1", "u-2", "u-3")
 REQUESTS = ("request-1", "request-2")
+HELD = ("u-1", "u-2")
 
 
 class StoredBlocks(set):
@@ -59,11 +65,13 @@
         self.sent = []
         self.directory = upstreams.UpstreamDirectory()
         self.blocks = StoredBlocks()
+        self.overrides = operator_overrides.OperatorOverrides()
         self.replica = store_replica.StoreReplica(
             layout=layout,
             directory=self.directory,
             peers=peer_table.PeerTable(entry_vm=name, domain="north"),
             blocks=self.blocks,
+            overrides=self.overrides,
             on_declarations=lambda declared: None,
             on_upstreams=lambda: None,
             clock=clocks.ManualClock(),
@@ -160,6 +168,20 @@
         """Remove the key of a blocked request."""
         self.write(self.layout.blocked_requests_prefix + request, None)
 
+    def hold(self, upstream, held):
+        """Write the override of a held upstream, or remove it."""
+        key = f"{self.layout.overrides_prefix}held/{upstream}"
+        self.write(key, b'{"held":true}' if held else None)
+
+    def held(self):
+        """Return the upstreams that are held according to the store."""
+        prefix = f"{self.layout.overrides_prefix}held/"
+        return {
+            key.removeprefix(prefix)
+            for key in self.items
+            if key.startswith(prefix)
+        }
+
     def listing(self):
         """Return all keys as a reader lists them."""
         return tuple(
@@ -365,6 +387,63 @@
     )
 
 
+def test_override_and_its_removal_are_sent(layout, store, reader):
+    """Guards against overrides known only to the readers of the store."""
+    member = Vm("member-1", layout)
+    fetch(member, reader)
+    reader.sent.clear()
+    store.hold("u-1", True)
+    store.hold("u-2", True)
+    read_changes(reader, store)
+    store.hold("u-2", False)
+    read_changes(reader, store)
+    for changes in reader.sent:
+        member.replica.apply_peer_changes(encoded_and_decoded(changes))
+    assert member.overrides.held == reader.overrides.held == {"u-1"}
+
+
+def test_override_removed_during_an_outage_ends(layout, store, reader):
+    """Guards against an override that stays since its removal was compacted."""
+    store.hold("u-1", True)
+    read_changes(reader, store)
+    member = Vm("member-1", layout)
+    fetch(member, reader)
+    store.hold("u-1", False)
+    read_listing(reader, store)
+    fetch(member, reader)
+    assert member.overrides.held == reader.overrides.held == set()
+
+
+def test_overrides_are_those_of_the_backup_after_a_restore(
+    layout, store, reader
+):
+    """Guards against entry VMs that differ in overrides after a restore."""
+    store.hold("u-1", True)
+    store.hold("u-1", False)
+    store.hold("u-2", True)
+    read_changes(reader, store)
+    member = Vm("member-1", layout)
+    fetch(member, reader)
+    store.restore(2)
+    read_changes(reader, store)
+    fetch(member, reader)
+    assert member.overrides.held == reader.overrides.held == {"u-1"}
+
+
+def test_store_without_overrides_changes_no_message(layout, store, reader):
+    """Guards against messages that grow although no override is set."""
+    store.put_upstream("u-2")
+    reader.sent.clear()
+    read_changes(reader, store)
+    (changes,) = reader.sent
+    assert [item.key for item in changes.items] == [
+        f"{layout.upstreams_prefix}u-2"
+    ]
+    assert set(reader.replica.upstream_entries()) == {
+        f"{layout.upstreams_prefix}{id}" for id in ("u-1", "u-2")
+    }
+
+
 class ChangesMachine(RuleBasedStateMachine):
     """Changes, reads, lost messages, restarts and fetches in any order."""
 
@@ -402,6 +481,11 @@
         else:
             self.store.block(request)
 
+    @rule(upstream=st.sampled_from(HELD), held=st.booleans())
+    def change_override(self, upstream, held):
+        """Have an operator hold an upstream or release it."""
+        self.store.hold(upstream, held)
+
     @rule(lost=st.integers(0, 6))
     def restore(self, lost):
         """Restore the store from a backup, which may lack some last writes."""
@@ -461,8 +545,15 @@
         assert vm.replica.upstream_entries() == {
             key: value
             for key, value in self.store.items.items()
-            if key.startswith((self.layout.upstreams_prefix, prefix))
+            if key.startswith(
+                (
+                    self.layout.upstreams_prefix,
+                    prefix,
+                    self.layout.overrides_prefix,
+                )
+            )
         }
+        assert vm.overrides.held == reader.overrides.held == self.store.held()
         stored = {
             key.removeprefix(prefix)
             for key in self.store.items
--- a/packages/router/tests/test_state_publisher.py
+++ b/packages/router/tests/test_state_publisher.py
@@ -40,6 +40,7 @@
         directory=upstreams.UpstreamDirectory(),
         peers=table,
         blocks=None,
+        overrides=None,
         on_declarations=lambda declared: None,
         on_upstreams=lambda: None,
         clock=clocks.ManualClock(),
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -72,6 +72,7 @@
     upstreams_prefix = "upstreams/"
     entry_vms_prefix = "entry-vms/"
     blocked_requests_prefix = "blocked-requests/"
+    overrides_prefix = "overrides/"
 
     def __init__(self):
         self.declared_by_revision = {}
