--- a/packages/cli/tests/test_blocked_requests.py
+++ b/packages/cli/tests/test_blocked_requests.py
@@ -71,7 +71,10 @@
         port=port,
         limits=http_limits.ServerLimits(),
         handler=router_endpoints.OperatorEndpoint(
-            router=Router(), blocks=blocks, clock=clocks.ManualClock()
+            router=Router(),
+            blocks=blocks,
+            overrides=None,
+            clock=clocks.ManualClock(),
         ),
         clock=clocks.SystemClock(),
     )
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -29,6 +29,8 @@
     load_ledger,
     metrics,
     operator_overrides,
+    override_endpoint,
+    override_writer,
     peer_exchange,
     peer_table,
     pressure,
@@ -284,6 +286,13 @@
                 router_endpoints.OperatorEndpoint(
                     router=self,
                     blocks=self.crashing_requests,
+                    overrides=override_endpoint.OverrideEndpoint(
+                        overrides=self.overrides,
+                        writer=override_writer.OverrideWriter(
+                            store=self._store,
+                            prefix=self._layout.overrides_prefix,
+                        ),
+                    ),
                     clock=self._clock,
                 ),
             )
--- a/packages/router/src/lagoonrun_router/router_endpoints.py
+++ b/packages/router/src/lagoonrun_router/router_endpoints.py
@@ -1,6 +1,6 @@
 """HTTP endpoints of the router, for the platform, peers and operators."""
 
-import json
+from collections.abc import Mapping
 from typing import Protocol
 
 from lagoonrun_core import clock as clocks
@@ -8,9 +8,16 @@
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import messages as http_messages
 from lagoonrun_protocol import router_codec, router_messages
-from lagoonrun_router import crash_evidence, peer_fetch, store_replica
+from lagoonrun_router import (
+    crash_evidence,
+    json_responses,
+    override_endpoint,
+    peer_fetch,
+    store_replica,
+)
 
 BLOCKED_REQUESTS_PATH = "/blocked-requests"
+LOAD_PATH = "/load"
 
 
 class RouterStatus(Protocol):
@@ -34,6 +41,13 @@
         """Unblock a request; return whether it had crash records."""
 
 
+class LoadView(Protocol):
+    """What an entry VM knows of the load of adaptive pools."""
+
+    def as_json(self, *, now: float) -> Mapping[str, object]:
+        """Return the speeds, shares, room and invitations as JSON values."""
+
+
 class ReadinessEndpoint:
     """Answers the load balancer's readiness checks."""
 
@@ -91,10 +105,11 @@
 
 
 class OperatorEndpoint:
-    """Serves the metrics, and lists and unblocks blocked requests.
+    """Serves the metrics and the load, blocked requests and overrides.
 
     `GET /blocked-requests` lists them; `DELETE /blocked-requests/DIGEST`
-    unblocks one at all entry VMs. Any other call gets the metrics.
+    unblocks one at all entry VMs. `GET /load` returns the load; for
+    `/overrides` see `override_endpoint`. Any other call gets the metrics.
 
     Parameters
     ----------
@@ -102,8 +117,12 @@
         Source of the metrics.
     blocks
         The blocked requests.
+    overrides
+        Endpoint of the overrides.
     clock
-        Source of time, for the remaining time of the blocks.
+        Source of time, for the remaining time of the blocks and for the load.
+    load_view
+        The load of adaptive pools; None to answer 404.
     """
 
     def __init__(
@@ -111,17 +130,25 @@
         *,
         router: RouterStatus,
         blocks: BlockedRequests,
+        overrides: override_endpoint.OverrideEndpoint,
         clock: clocks.Clock,
+        load_view: LoadView | None = None,
     ) -> None:
         self._router = router
         self._blocks = blocks
+        self._overrides = overrides
         self._clock = clock
+        self._load_view = load_view
 
     async def handle(self, exchange: exchanges.Exchange) -> None:
         """Answer one call."""
-        await exchange.read_body()
+        body = await exchange.read_body()
         path = exchange.head.target
-        if path == BLOCKED_REQUESTS_PATH:
+        if path == LOAD_PATH:
+            await self._respond_with_load(exchange)
+        elif override_endpoint.serves(path):
+            await self._overrides.handle(exchange, path, body)
+        elif path == BLOCKED_REQUESTS_PATH:
             await self._respond_with_list(exchange)
         elif path.startswith(f"{BLOCKED_REQUESTS_PATH}/"):
             await self._lift_block(exchange)
@@ -132,6 +159,20 @@
                 body=self._router.metrics_text(),
             )
 
+    async def _respond_with_load(self, exchange: exchanges.Exchange) -> None:
+        if self._load_view is None:
+            await json_responses.respond_error(
+                exchange,
+                404,
+                field=LOAD_PATH,
+                message="this entry VM keeps no view of the load",
+            )
+            return
+        now = self._clock.monotonic()
+        await json_responses.respond(
+            exchange, 200, self._load_view.as_json(now=now)
+        )
+
     async def _respond_with_list(self, exchange: exchanges.Exchange) -> None:
         now = self._clock.monotonic()
         rows = [
@@ -143,30 +184,20 @@
             }
             for block in self._blocks.blocks()
         ]
-        await _respond_json(exchange, 200, {"blocked": rows})
+        await json_responses.respond(exchange, 200, {"blocked": rows})
 
     async def _lift_block(self, exchange: exchanges.Exchange) -> None:
         if exchange.head.method != "DELETE":
-            await _respond_json(exchange, 405, {"lifted": False})
+            await json_responses.respond(exchange, 405, {"lifted": False})
             return
         digest_text = exchange.head.target.removeprefix(
             f"{BLOCKED_REQUESTS_PATH}/"
         )
         lifted = self._blocks.lift(types.RequestDigest(digest_text))
-        await _respond_json(
+        await json_responses.respond(
             exchange, 200 if lifted else 404, {"lifted": lifted}
         )
 
 
 def _content_type_header(content_type: str) -> http_messages.Headers:
     return http_messages.Headers(pairs=[("Content-Type", content_type)])
-
-
-async def _respond_json(
-    exchange: exchanges.Exchange, status: int, value: object
-) -> None:
-    await exchange.respond(
-        status=status,
-        headers=_content_type_header("application/json"),
-        body=json.dumps(value).encode(),
-    )
