Add the commands overrides and load

Both ask the first entry VM that answers, like blocked-requests, whose code for this moves to metrics_address.py.

Tested: test_overrides.py, test_blocked_requests.py, test_reference_pages.py.

--- a/packages/cli/src/lagoonrun_cli/admin_client.py
+++ b/packages/cli/src/lagoonrun_cli/admin_client.py
@@ -68,6 +68,14 @@
         """Return the response to `GET path`."""
         return await self._send(address, "GET", path)
 
+    async def put(
+        self, address: settings.Address, path: str, value: Any
+    ) -> AdminResponse | AdminFailure:
+        """Return the response to `PUT path` with `value` as JSON."""
+        return await self._send(
+            address, "PUT", path, body=json.dumps(value).encode()
+        )
+
     async def delete(
         self, address: settings.Address, path: str
     ) -> AdminResponse | AdminFailure:
@@ -75,11 +83,16 @@
         return await self._send(address, "DELETE", path)
 
     async def _send(
-        self, address: settings.Address, method: str, path: str
+        self,
+        address: settings.Address,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
     ) -> AdminResponse | AdminFailure:
         try:
             async with asyncio.timeout(self._timeout_seconds):
-                return await self._exchange(address, method, path)
+                return await self._exchange(address, method, path, body)
         except TimeoutError:
             detail = f"no answer within {self._timeout_seconds:g} s"
         except (OSError, h11.ProtocolError, ValueError) as error:
@@ -89,17 +102,17 @@
         )
 
     async def _exchange(
-        self, address: settings.Address, method: str, path: str
+        self, address: settings.Address, method: str, path: str, body: bytes
     ) -> AdminResponse | AdminFailure:
         reader, writer = await asyncio.open_connection(
             address.host, address.port
         )
         try:
             connection = h11.Connection(h11.CLIENT)
-            for event in self._request(address, method, path):
+            for event in self._request(address, method, path, body):
                 writer.write(connection.send(event) or b"")
             await writer.drain()
-            status, body = await _read_response(connection, reader)
+            status, response_body = await _read_response(connection, reader)
         finally:
             writer.transport.abort()
         if status == 401:
@@ -109,16 +122,20 @@
                 detail="the admin token is missing or wrong; valid: the "
                 "token whose digest the entry VM's settings hold",
             )
-        return AdminResponse(status=status, value=json.loads(body))
+        return AdminResponse(status=status, value=json.loads(response_body))
 
     def _request(
-        self, address: settings.Address, method: str, path: str
+        self, address: settings.Address, method: str, path: str, body: bytes
     ) -> tuple[h11.Event, ...]:
         headers = [("Host", str(address)), ("Connection", "close")]
         if self._token:
             headers.append(("Authorization", f"Bearer {self._token}"))
+        if body:
+            headers.append(("Content-Length", str(len(body))))
         request = h11.Request(method=method, target=path, headers=headers)
-        return (request, h11.EndOfMessage())
+        if not body:
+            return (request, h11.EndOfMessage())
+        return (request, h11.Data(data=body), h11.EndOfMessage())
 
 
 async def _read_response(
--- a/packages/cli/src/lagoonrun_cli/blocked_requests_command.py
+++ b/packages/cli/src/lagoonrun_cli/blocked_requests_command.py
@@ -5,10 +5,10 @@
 from absl import flags
 
 from lagoonrun_cli import (
-    admin_client,
     command,
     errors,
     exit_codes,
+    metrics_address,
     reports,
 )
 from lagoonrun_cli import context as contexts
@@ -24,7 +24,9 @@
     digest = invocation.flag("lift")
     if digest:
         return await _lift(context, digest)
-    response = await _first_response(context, "GET", _PATH)
+    response = await metrics_address.first_response(
+        context, lambda client, address: client.get(address, _PATH)
+    )
     rows = response.value["blocked"]
     return reports.Report(
         code=exit_codes.ExitCode.DONE,
@@ -34,7 +36,10 @@
 
 
 async def _lift(context: contexts.Context, digest: str) -> reports.Report:
-    response = await _first_response(context, "DELETE", f"{_PATH}/{digest}")
+    path = f"{_PATH}/{digest}"
+    response = await metrics_address.first_response(
+        context, lambda client, address: client.delete(address, path)
+    )
     if response.status == _NOT_FOUND_STATUS:
         raise errors.CommandError(
             code=exit_codes.ExitCode.NOT_FOUND,
@@ -50,31 +55,6 @@
     )
 
 
-async def _first_response(
-    context: contexts.Context, method: str, path: str
-) -> admin_client.AdminResponse:
-    """Return the response of the first entry VM that gives one.
-
-    Each entry VM knows all blocks, and notifies the others of an unblocked
-    request.
-    """
-    client = admin_client.AdminClient(token=context.settings.admin_token)
-    failures = []
-    for address in context.settings.entry_vms:
-        send = client.get if method == "GET" else client.delete
-        response = await send(address, path)
-        if isinstance(response, admin_client.AdminResponse):
-            return response
-        failures.append(str(response))
-    raise errors.CommandError(
-        code=exit_codes.ExitCode.UNAVAILABLE,
-        step=core_errors.Step.PEER_CONNECT,
-        detail="; ".join(failures)
-        or "no address of an entry VM; valid: --entry_vms=IP:PORT with the "
-        "port of the metrics",
-    )
-
-
 def _table(rows: list[dict[str, Any]]) -> reports.Table:
     return reports.Table(
         title="requests that are not sent",
--- a/packages/cli/src/lagoonrun_cli/registry.py
+++ b/packages/cli/src/lagoonrun_cli/registry.py
@@ -8,6 +8,8 @@
     explain_command,
     explain_log_command,
     key_command,
+    load_command,
+    overrides_command,
     profile_command,
     revision_commands,
     status_command,
@@ -27,6 +29,8 @@
     explain_command.EXPLAIN,
     explain_log_command.EXPLAIN_LOG,
     blocked_requests_command.BLOCKED_REQUESTS,
+    overrides_command.OVERRIDES,
+    load_command.LOAD,
     key_command.KEYS,
 )
 
