Don't take a listing of the store for all changes since an older revision

With overrides in it, the state machine of test_spread_of_changes.py found that a member keeps a removed key. Cause: a reader sends what differs between two listings as changes, also those of its first listing, where removed keys don't appear, and those of a later one, where keys that were changed and changed back don't. A member between the two revisions applied them and took the newer revision for known, so it fetched nothing.

Items found by listing are marked and apply to the entries as of that revision only; without such items no revision is raised.

--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -473,11 +473,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ChangedItem:
-    """A key of the store after a change."""
+    """A key of the store after a change.
+
+    Parameters
+    ----------
+    listed
+        Whether the change was found by comparing listings. All items of such
+        a message apply to the entries as of its `since` only, since listings
+        do not show keys that were changed and changed back.
+    """
 
     key: str
     value: bytes = b""
     removed: bool = False
+    listed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -374,6 +374,7 @@
   key @0 :Text;
   value @1 :Data;
   removed @2 :Bool;
+  listed @3 :Bool;
 }
 
 struct StoreChanges {
--- a/packages/router/src/lagoonrun_router/store_replica.py
+++ b/packages/router/src/lagoonrun_router/store_replica.py
@@ -160,7 +160,7 @@
         # all entries again.
         if changed or restored or since == store_module.ABSENT:
             self.store_revision = max(self.store_revision, revision)
-        self._notify_changes(since, changed, declared_before)
+        self._notify_changes(since, changed, declared_before, listed=True)
 
     def apply_changes(
         self,
@@ -216,27 +216,36 @@
         since: store_module.StoreRevision,
         changed: Iterable[str],
         declared_before: str,
+        *,
+        listed: bool = False,
     ) -> None:
         """Notify the listener of changes just read from the store, if any."""
         declared = ()
         if self.declared.newest.digest != declared_before:
             declared = (self.declared.change_from(declared_before),)
-        items = tuple(map(self._changed_item, changed))
+        items = tuple(self._changed_item(key, listed=listed) for key in changed)
         if self.on_changes is None or not (items or declared):
             return
         self.on_changes(
             router_messages.StoreChanges(
                 since=since,
-                until=self.store_revision,
+                # A listing without a difference does not show that nothing
+                # has changed since, so it raises no revision.
+                until=since if listed and not items else self.store_revision,
                 items=items,
                 declared=declared,
             )
         )
 
-    def _changed_item(self, key: str) -> router_messages.ChangedItem:
+    def _changed_item(
+        self, key: str, *, listed: bool
+    ) -> router_messages.ChangedItem:
         value = self._entries_by_key.get(key)
         return router_messages.ChangedItem(
-            key=key, value=value or b"", removed=value is None
+            key=key,
+            value=value or b"",
+            removed=value is None,
+            listed=listed,
         )
 
     def on_store_call_failed(self) -> None:
@@ -281,6 +290,9 @@
             return False
         if not changes.since <= self.store_revision < changes.until:
             return False
+        listed = any(item.listed for item in changes.items)
+        if listed and changes.since != self.store_revision:
+            return False
         if _is_restored(since=changes.since, until=changes.until):
             # A restore also removes entries, so all entries are fetched.
             return False
--- a/packages/router/tests/test_spread_of_changes.py
+++ b/packages/router/tests/test_spread_of_changes.py
@@ -577,3 +577,48 @@
 
 
 TestChanges = ChangesMachine.TestCase
+
+
+def test_first_listing_of_a_reader_is_no_delta(layout, store, reader):
+    """Guards against a removal that a member misses as a reader starts.
+
+    The first listing of the new reader lacks the removed key; the member must
+    not take it for all changes since its own revision.
+    """
+    store.block("request-1")
+    read_changes(reader, store)
+    member = Vm("member-1", layout)
+    fetch(member, reader)
+    store.unblock("request-1")
+    started = read_listing(Vm("reader-2", layout), store)
+    for changes in started.sent:
+        member.replica.apply_peer_changes(encoded_and_decoded(changes))
+    fetch(member, started)
+    assert (
+        member.replica.upstream_entries() == started.replica.upstream_entries()
+    )
+
+
+def test_listing_is_a_delta_for_its_revision_only(layout, store, reader):
+    """Guards against a key that was removed and written again meanwhile.
+
+    A listing shows no change of it; a member that knows the removal must not
+    take the listing for all changes since.
+    """
+    store.block("request-1")
+    read_changes(reader, store)
+    other = read_listing(Vm("reader-2", layout), store)
+    member = Vm("member-1", layout)
+    store.unblock("request-1")
+    read_changes(other, store)
+    fetch(member, other)
+    store.block("request-1")
+    store.put_upstream("u-2")
+    reader.sent.clear()
+    read_listing(reader, store)
+    for changes in reader.sent:
+        member.replica.apply_peer_changes(encoded_and_decoded(changes))
+    fetch(member, reader)
+    assert (
+        member.replica.upstream_entries() == reader.replica.upstream_entries()
+    )
