--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -139,7 +139,8 @@
         Request digest of each row, one per line.
     numbers
         One row per digest of 32-bit little-endian numbers: index of the pool;
-        tier; prompt tokens; milliseconds until the caller returns.
+        tier; prompt tokens, 0 after the return; milliseconds until the caller
+        returns, plus 1,000.
     """
 
     pools: str = ""
@@ -578,11 +579,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ChangedItem:
-    """A key of the store after a change."""
+    """A key of the store after a change.
+
+    Parameters
+    ----------
+    listed
+        Whether the change was found by comparing listings. All items of such
+        a message apply to the entries as of its `since` only, since listings
+        do not show keys that were changed and changed back.
+    """
 
     key: str
     value: bytes = b""
     removed: bool = False
+    listed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/router/src/lagoonrun_router/components.py
+++ b/packages/router/src/lagoonrun_router/components.py
@@ -15,6 +15,7 @@
     dialect,
     load_ledger,
     metrics,
+    operator_overrides,
     peer_table,
     pool_capacity,
     pressure,
@@ -42,6 +43,8 @@
         State of the adaptive pools.
     capacity
         Admits requests to the adaptive pools.
+    overrides
+        Overrides that operators have set.
     usage
         Counts requests that begin to run; None if usage is not reported.
     """
@@ -65,4 +68,5 @@
     notices: upstream_notices.UpstreamNotices
     adaptive: adaptive_load.AdaptiveLoad
     capacity: pool_capacity.PoolCapacity
+    overrides: operator_overrides.OperatorOverrides
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/gauges.py
+++ b/packages/router/src/lagoonrun_router/gauges.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from lagoonrun_router import (
+    adaptive_load,
     crashing_requests,
     load_ledger,
     metrics,
@@ -25,7 +26,8 @@
     ----------
     router_metrics
         The metrics that are set.
-    directory, ledger, peers, budget, follower, crashing_requests, limits
+    directory, ledger, peers, budget, follower, crashing_requests, limits,
+    adaptive
         The state that the gauges show.
     """
 
@@ -40,6 +42,7 @@
         follower: store_follower.StoreFollower,
         crashing_requests: crashing_requests.CrashingRequests,
         limits: upstream_limits.UpstreamLimits,
+        adaptive: adaptive_load.AdaptiveLoad,
     ) -> None:
         self._metrics = router_metrics
         self._directory = directory
@@ -49,6 +52,7 @@
         self._follower = follower
         self._crashing_requests = crashing_requests
         self._limits = limits
+        self._adaptive = adaptive
 
     def refresh(
         self,
@@ -92,6 +96,7 @@
                 left = self._budget.left(pool, now=now)
                 router_metrics.budget_left.labels(pool).set(left)
         self._refresh_upstreams(now)
+        self._refresh_adaptive(now)
 
     def _refresh_upstreams(self, now: float) -> None:
         router_metrics = self._metrics
@@ -126,3 +131,33 @@
                 router_metrics.upstream_limit.labels(*label_values).set(
                     limit_by_id[one.id]
                 )
+
+    def _refresh_adaptive(self, now: float) -> None:
+        """Set the gauges of the adaptive pools; there are none without."""
+        router_metrics = self._metrics
+        for gauge in (
+            router_metrics.upstream_tokens_per_second,
+            router_metrics.upstream_slowness,
+            router_metrics.room_tokens,
+            router_metrics.organisation_asked,
+        ):
+            gauge.clear()
+        for one in self._directory.registrations:
+            if one.pool not in self._adaptive.adaptive_pools:
+                continue
+            estimate = self._adaptive.speeds.estimate(one.id, now=now)
+            router_metrics.upstream_tokens_per_second.labels(
+                one.pool, one.id
+            ).set(estimate.tokens_per_second)
+            router_metrics.upstream_slowness.labels(one.pool, one.id).set(
+                estimate.slowness
+            )
+        for pool, rooms in self._adaptive.latest_rooms().items():
+            for room in rooms:
+                router_metrics.room_tokens.labels(pool, room.tier).set(
+                    room.tokens
+                )
+        for row in self._adaptive.shares.known_rows(now=now):
+            router_metrics.organisation_asked.labels(
+                row.key.pool, row.organisation or "(others)"
+            ).inc(row.asked)
--- a/packages/router/src/lagoonrun_router/invitation_rows.py
+++ b/packages/router/src/lagoonrun_router/invitation_rows.py
@@ -9,6 +9,11 @@
 _WIDTH = 4
 _MILLISECONDS = 1000.0
 
+_MAX_PAST_SECONDS = 1.0
+"""How long ago a time in a message may be: invitations that are redeemed at the
+end of their time are reported after it. Times are sent with this added, since
+the numbers of a message can't be negative."""
+
 
 def to_rows(
     invitations: Iterable[return_schedule.Invitation], *, now: float
@@ -31,7 +36,7 @@
             pool_index,
             one.tier,
             one.tokens,
-            max(0.0, one.due_at - now) * _MILLISECONDS,
+            max(0.0, one.due_at - now + _MAX_PAST_SECONDS) * _MILLISECONDS,
         )
     return router_messages.InvitationRows(
         pools="\n".join(index_by_pool),
@@ -71,7 +76,7 @@
                 pool=types.PoolName(pools[pool_index]),
                 tier=types.Tier(tier),
                 tokens=float(tokens),
-                due_at=now + due / _MILLISECONDS,
+                due_at=now - _MAX_PAST_SECONDS + due / _MILLISECONDS,
             )
         )
     return tuple(invitations)
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -206,6 +206,31 @@
             "series where it names no limit.",
         )
 
+        self.upstream_tokens_per_second = self._upstream_gauge(
+            "tokens_per_second",
+            "Estimated prefill speed of an upstream of an adaptive pool at "
+            "usual slowness.",
+        )
+        self.upstream_slowness = self._upstream_gauge(
+            "slowness",
+            "How long work is expected to take at an upstream of an adaptive "
+            "pool now; 1 is usual.",
+        )
+        self.room_tokens = prometheus_client.Gauge(
+            "lagoonrun_room_tokens",
+            "Prompt tokens that an adaptive pool can still admit in time, by "
+            "tier.",
+            ["pool", "tier"],
+            registry=self.registry,
+        )
+        self.organisation_asked = prometheus_client.Gauge(
+            "lagoonrun_organisation_asked_tokens_per_second",
+            "Prompt tokens a second that an organisation asks of an adaptive "
+            "pool; the largest by name.",
+            ["pool", "organisation"],
+            registry=self.registry,
+        )
+
     def _upstream_gauge(self, name: str, text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
             f"lagoonrun_upstream_{name}",
--- a/packages/router/src/lagoonrun_router/return_schedule.py
+++ b/packages/router/src/lagoonrun_router/return_schedule.py
@@ -250,6 +250,14 @@
             if self._record(invitation, now=now):
                 self._for_neighbours.add(invitation)
 
+    def outstanding(self, *, now: float) -> tuple[Invitation, ...]:
+        """Return the invitations that are neither redeemed nor over."""
+        return tuple(
+            one
+            for one in self._by_digest.values()
+            if one.tokens > 0.0 and now <= one.ends_at
+        )
+
     def pop_own(self, *, now: float) -> tuple[Invitation, ...]:
         """Return and clear own invitations to be reported."""
         return self._own.pop(_MAX_OWN_PER_MESSAGE, now=now)
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -28,7 +28,11 @@
     http_endpoints,
     ingress,
     load_ledger,
+    load_view,
     metrics,
+    operator_overrides,
+    override_endpoint,
+    override_writer,
     peer_exchange,
     peer_table,
     pool_capacity,
@@ -128,9 +132,10 @@
         self._domains = reach.DomainReach()
         self._pressure = pressure.Pressure()
         self._aggregate = domain_aggregate.DomainAggregate()
+        self.overrides = operator_overrides.OperatorOverrides()
         self._adaptive = adaptive_load.AdaptiveLoad(
             contended=configured.contended,
-            weight_override=lambda organisation: None,
+            weight_override=self.overrides.weight_of,
         )
         self._admission_floor = admission_floor.AdmissionFloor(
             started_at=self._clock.monotonic()
@@ -194,6 +199,7 @@
             directory=self.directory,
             peers=self._peer_table,
             blocks=self.crashing_requests,
+            overrides=self.overrides,
             on_declarations=self._apply_declarations,
             on_upstreams=self._on_upstreams_changed,
             clock=self._clock,
@@ -241,6 +247,7 @@
             follower=self.follower,
             crashing_requests=self.crashing_requests,
             limits=self.exchange.notices.limits,
+            adaptive=self._adaptive,
         )
 
     def _build_endpoints(
@@ -271,6 +278,7 @@
                 capacity=pool_capacity.PoolCapacity(
                     load=self._adaptive, ledger=self._ledger
                 ),
+                overrides=self.overrides,
                 usage=self._usage_exchange,
             )
         )
@@ -291,7 +299,19 @@
                 router_endpoints.OperatorEndpoint(
                     router=self,
                     blocks=self.crashing_requests,
+                    overrides=override_endpoint.OverrideEndpoint(
+                        overrides=self.overrides,
+                        writer=override_writer.OverrideWriter(
+                            store=self._store,
+                            prefix=self._layout.overrides_prefix,
+                        ),
+                    ),
                     clock=self._clock,
+                    load_view=load_view.LoadView(
+                        load=self._adaptive,
+                        directory=self.directory,
+                        ledger=self._ledger,
+                    ),
                 ),
             )
 
