--- a/packages/router/src/lagoonrun_router/adaptive_load.py
+++ b/packages/router/src/lagoonrun_router/adaptive_load.py
@@ -112,9 +112,7 @@
                 return
         else:
             self._adaptive_pools.add(upstream.pool)
-        self.speeds.record_report(
-            upstream.id, upstream.start, report, now=now
-        )
+        self.speeds.record_report(upstream.id, upstream.start, report, now=now)
 
     def weight_of(self, organisation: types.OrganisationId) -> float:
         """Return the weight of an organisation's share."""
--- a/packages/router/src/lagoonrun_router/demand_rows.py
+++ b/packages/router/src/lagoonrun_router/demand_rows.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Iterable
 
-from lagoonrun_core import types
+from lagoonrun_core import errors, types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import demand_row, format_error, peer_loads
-from lagoonrun_core import errors
 
 _WIDTH = 5
 
--- a/packages/router/src/lagoonrun_router/domain_aggregate.py
+++ b/packages/router/src/lagoonrun_router/domain_aggregate.py
@@ -144,9 +144,7 @@
         reporters = (*self._reporters_by_id, *self._domains)
         return self._pressure.recent_with(reporters, now=now)
 
-    def domain_demands(
-        self, *, now: float
-    ) -> tuple[demand_row.DemandRow, ...]:
+    def domain_demands(self, *, now: float) -> tuple[demand_row.DemandRow, ...]:
         """Return the demand at this failure domain."""
         return self._shares.rows_with(self._reporters_by_id, now=now)
 
--- a/packages/router/tests/test_domain_news.py
+++ b/packages/router/tests/test_domain_news.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lagoonrun_router import (
+    adaptive_load,
     domain_aggregate,
     domain_news,
     load_ledger,
@@ -106,6 +107,9 @@
             "aggregate": domain_aggregate.DomainAggregate(),
         }
         exchange = domain_news.DomainNewsExchange(
+            adaptive=adaptive_load.AdaptiveLoad(
+                contended=False, weight_override=lambda id: None
+            ),
             entry_vm=name,
             domain=DOMAIN_OF[name],
             port=1,
--- a/packages/router/tests/test_fleet_news.py
+++ b/packages/router/tests/test_fleet_news.py
@@ -11,6 +11,7 @@
 
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
+    adaptive_load,
     domain_aggregate,
     fleet_news,
     format_error,
@@ -109,6 +110,9 @@
             "table": table,
         }
         exchange = fleet_news.FleetNewsExchange(
+            adaptive=adaptive_load.AdaptiveLoad(
+                contended=False, weight_override=lambda id: None
+            ),
             entry_vm=name,
             port=1,
             start=7,
--- a/packages/router/tests/test_state_publisher.py
+++ b/packages/router/tests/test_state_publisher.py
@@ -6,6 +6,7 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_router import (
+    adaptive_load,
     load_ledger,
     loads,
     peer_table,
@@ -66,6 +67,9 @@
         processor_cores=0.5,
     )
     made = state_publisher.StatePublisher(
+        adaptive=adaptive_load.AdaptiveLoad(
+            contended=False, weight_override=lambda id: None
+        ),
         configured=configured,
         start=7,
         table=table,
