--- a/packages/router/src/lagoonrun_router/organisation_shares.py
+++ b/packages/router/src/lagoonrun_router/organisation_shares.py
@@ -315,6 +315,16 @@
             for row in demand_table.sum_of(tables).rows(key)
         )
 
+    def known_rows(self, *, now: float) -> tuple[demand_row.DemandRow, ...]:
+        """Return the known demand of the fleet, for operators."""
+        if not self._fleet_report.is_current(now):
+            return self.rows_with(tuple(self._report_by_peer), now=now)
+        return tuple(
+            row
+            for key, table in self._fleet_report.table_by_key.items()
+            for row in table.rows(key)
+        )
+
     # Helpers.
 
     def _view(self, key: demand_row.ShareKey, now: float) -> _View:
--- a/packages/router/src/lagoonrun_router/router_endpoints.py
+++ b/packages/router/src/lagoonrun_router/router_endpoints.py
@@ -122,7 +122,7 @@
     clock
         Source of time, for the remaining time of the blocks and for the load.
     load_view
-        The load of adaptive pools.
+        The load of adaptive pools; None to answer 404.
     """
 
     def __init__(
@@ -132,7 +132,7 @@
         blocks: BlockedRequests,
         overrides: override_endpoint.OverrideEndpoint,
         clock: clocks.Clock,
-        load_view: LoadView,
+        load_view: LoadView | None = None,
     ) -> None:
         self._router = router
         self._blocks = blocks
@@ -160,6 +160,14 @@
             )
 
     async def _respond_with_load(self, exchange: exchanges.Exchange) -> None:
+        if self._load_view is None:
+            await json_responses.respond_error(
+                exchange,
+                404,
+                field=LOAD_PATH,
+                message="this entry VM keeps no view of the load",
+            )
+            return
         now = self._clock.monotonic()
         await json_responses.respond(
             exchange, 200, self._load_view.as_json(now=now)
