Hash the bytes of the request id for the draw; close a tier for higher ones only

A tier without own room was refused as higher-tier; a request that is admitted late is better than one that is refused. Speeds are used only where upstreams state their slowness.

--- a/packages/router/src/lagoonrun_router/adaptive_admission.py
+++ b/packages/router/src/lagoonrun_router/adaptive_admission.py
@@ -109,7 +109,7 @@
         return Rejected(refusal=base)
     if request.floor_due:
         return Admitted(upstream=base)
-    if not request.room.open and not request.invited:
+    if not request.room.higher_covered and not request.invited:
         return Rejected(refusal=admission.Refusal.HIGHER_TIER)
     if request.invited or not is_short(request, base):
         return Admitted(upstream=base)
--- a/packages/router/src/lagoonrun_router/adaptive_load.py
+++ b/packages/router/src/lagoonrun_router/adaptive_load.py
@@ -88,12 +88,22 @@
             return True
         if not (
             (self._contended and pool.engine is not None)
-            or any(self.speeds.states_slowness(one.id) for one in registered)
+            or self.states_slowness(registered)
         ):
             return False
         self._adaptive_pools.add(pool.name)
         return True
 
+    def states_slowness(
+        self, registered: Iterable[upstreams.Registration]
+    ) -> bool:
+        """Return whether an upstream of a pool states how long work takes.
+
+        Without such statements, the upstreams are taken to be equally fast:
+        measured speeds alone differ by queues that are not known.
+        """
+        return any(self.speeds.states_slowness(one.id) for one in registered)
+
     @property
     def adaptive_pools(self) -> frozenset[types.PoolName]:
         """Names of the pools that were found to be adaptive."""
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -248,9 +248,9 @@
         below all others.
         """
         request = _request_of(call, shared_recently=self._shared_recently(call))
+        uneven = adaptive and self._components.adaptive.states_slowness(usable)
         candidates = tuple(
-            self._candidate(call, one, now, adaptive=adaptive)
-            for one in registered
+            self._candidate(call, one, now, uneven=uneven) for one in registered
         )
         pool = _pool_order_of(usable)
         ranked = placement.rank(request, candidates, pool=pool)
@@ -334,14 +334,14 @@
         upstream: upstreams.Registration,
         now: float,
         *,
-        adaptive: bool,
+        uneven: bool,
     ) -> placement.Candidate:
         components = self._components
         affinity_part = call.affinity_part
         slots = upstream.slots
         tokens_per_second = None
         service_seconds = 0.0
-        if adaptive:
+        if uneven:
             estimate = components.adaptive.speeds.estimate(upstream.id, now=now)
             if call.pool.engine is None:
                 service_seconds = plain_seconds(estimate, slots=slots)
--- a/packages/router/src/lagoonrun_router/pool_capacity.py
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -263,4 +263,5 @@
 
 def _draw_of(request_id: types.RequestId) -> float:
     """Return a number from 0 to 1 that differs by request."""
-    return xxhash.xxh3_64_intdigest(f"share {request_id}") / _HASH_RANGE
+    drawn = xxhash.xxh3_64_intdigest(f"share {request_id}".encode())
+    return drawn / _HASH_RANGE
--- a/packages/router/src/lagoonrun_router/shared_room.py
+++ b/packages/router/src/lagoonrun_router/shared_room.py
@@ -81,8 +81,8 @@
         Queued prompt tokens of this and higher tiers.
     tokens_per_second
         Prefill rate that higher tiers leave for this one.
-    open
-        Whether requests of the tier may be admitted.
+    higher_covered
+        Whether each higher tier has the room that it asks for.
     wait_seconds
         Time until `tokens` is above zero; 0 if it is. It does not include the
         time until higher tiers have enough room for this one to open.
@@ -92,9 +92,14 @@
     tokens: float
     backlog_tokens: float
     tokens_per_second: float
-    open: bool
+    higher_covered: bool
     wait_seconds: float
 
+    @property
+    def open(self) -> bool:
+        """Whether requests of the tier may be admitted and be in time."""
+        return self.higher_covered and self.tokens > 0.0
+
 
 def pool_room(
     upstreams: Iterable[UpstreamCapacity],
@@ -138,7 +143,7 @@
                 tokens=tokens,
                 backlog_tokens=pool.backlog_tokens,
                 tokens_per_second=rate,
-                open=tokens > 0.0 and _all_covered(higher),
+                higher_covered=_all_covered(higher),
                 wait_seconds=wait_seconds,
             )
         )
