Take lasting differences of speed from the stated slowness

The stated slowness contains them: a fast machine states 55 all the time. Measured speeds of single upstreams differed by a factor of ten in an overload (12,000 to 146,000 tokens a second), by queues that were not known, and moved requests away from the upstreams that hold their shared parts.

--- a/packages/router/src/lagoonrun_router/momentary_slowness.py
+++ b/packages/router/src/lagoonrun_router/momentary_slowness.py
@@ -10,7 +10,7 @@
 """Time over which the mean is taken: several times the few seconds between two
 slow periods."""
 
-_PRIOR_SECONDS = 2.0
+_PRIOR_SECONDS = SLOW_PERIOD_SECONDS
 """Time at usual slowness that the mean starts with, so that a first report from
 a slow period does not count as the mean."""
 
--- a/packages/router/src/lagoonrun_router/upstream_speeds.py
+++ b/packages/router/src/lagoonrun_router/upstream_speeds.py
@@ -98,6 +98,7 @@
     def __init__(self) -> None:
         self._state_by_upstream: dict[types.UpstreamId, _State] = {}
         self._median = DEFAULT_TOKENS_PER_SECOND
+        self._median_slowness = 1.0
         self._median_count = 0
         self._median_at = -math.inf
         self._measured_count = 0
@@ -351,6 +352,13 @@
                 samples=0,
             )
         speed = state.speed.value or median
+        relative_speed = speed / median
+        if state.states_slowness:
+            # The stated slowness has the lasting differences as well. Measured
+            # speeds of single upstreams are less exact: in an overload they
+            # differed by a factor of ten, by queues that were not known.
+            speed = median
+            relative_speed = self._median_slowness / state.slowness.mean
         service = state.service.value
         age = (
             None
@@ -363,7 +371,7 @@
         )
         return speed_estimate.SpeedEstimate(
             tokens_per_second=speed,
-            relative_speed=speed / median,
+            relative_speed=relative_speed,
             slowness=state.slowness.expected(now=now),
             service_seconds=1.0 / service if service else None,
             running=state.running if current else None,
@@ -389,6 +397,7 @@
             step = max(1, self._measured_count // _MEDIAN_UPSTREAMS)
             speeds = self._measured_speeds(step) or self._measured_speeds(1)
             self._median = statistics.median(speeds)
+            self._median_slowness = self._compute_median_slowness(step)
             self._median_count = self._measured_count
             self._median_at = now
         return self._median
@@ -402,6 +411,19 @@
             if state.speed.samples
         ]
 
+    def _compute_median_slowness(self, step: int) -> float:
+        """Return the median of the mean slowness of every `step`-th upstream.
+
+        Upstreams that do not state their slowness are left out.
+        """
+        states = self._state_by_upstream.values()
+        means = [
+            state.slowness.mean
+            for state in itertools.islice(states, 0, None, step)
+            if state.states_slowness
+        ]
+        return statistics.median(means) if means else 1.0
+
     # Reports to other entry VMs.
 
     def pop_own(
