Explain refusals for a share, returns and the believed speed of candidates

explain-log shows the fields that routers add to request-refused and to the candidates of request-routed in adaptive pools. Lines without these fields are explained as before.

Tested with packages/cli/tests/test_explain_log.py.

--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -50,6 +50,23 @@
     "upstream-failed": Verdict.FAILED,
 }
 
+_SENTENCE_BY_ARRIVAL = {
+    "new": "the entry VM knew of no earlier refusal that named it a time to "
+    "return",
+    "early": "it returned before the time that it had been told",
+    "invited": "it returned in time, when it had been told to",
+    "expired": "it returned too late, after the time that it had been told",
+}
+"""Sentences by the `arrival` of a refused request."""
+
+_BELIEF_BY_FIELD = {
+    "tokens_per_second": "to process {} prompt tokens a second at its usual "
+    "speed",
+    "slowness": "to take {} times as long as usual",
+    "wait_seconds": "to have it wait {} s",
+}
+"""Texts about a candidate by the fields that adaptive pools add."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Explanation:
@@ -181,6 +198,8 @@
                 f"{line.entry_vm} refused it: {line.get('reason')} "
                 f"{line.get('detail') or ''}, tier {line.get('tier')}"
             )
+            yield from _share_of(line)
+            yield from _return_of(line)
             yield from _crashes_of(line)
         elif line.message == "upstream-attempt-lost":
             yield (
@@ -204,6 +223,37 @@
             )
 
 
+def _share_of(refused: log_lines.LogLine) -> Iterable[str]:
+    """Say by which figures the organisation of a request exceeded its share."""
+    fraction = refused.get("fraction")
+    if fraction is None:
+        return
+    figures = (
+        "the figures of the whole fleet"
+        if refused.get("from_fleet")
+        else f"the own figures of {refused.entry_vm} alone"
+    )
+    yield (
+        f"its organisation {refused.get('organisation')} exceeded its share: "
+        f"it asked for {refused.get('asked')} tokens a second, its fair rate "
+        f"was {refused.get('fair_rate')}, so a fraction of {fraction} of its "
+        f"requests was admitted, by {figures}"
+    )
+
+
+def _return_of(refused: log_lines.LogLine) -> Iterable[str]:
+    """Say whether a caller returned in time, and when it is to return."""
+    arrival = refused.get("arrival")
+    if arrival is None:
+        return
+    yield _SENTENCE_BY_ARRIVAL.get(arrival, f"its arrival was {arrival}")
+    if refused.get("retry_after"):
+        yield (
+            f"{refused.entry_vm} told it at {refused.time} to return "
+            f"{refused.get('retry_after')} s later"
+        )
+
+
 def _crashes_of(refused: log_lines.LogLine) -> Iterable[str]:
     """Name the crashes that led to the refusal."""
     upstreams = refused.get("upstreams")
@@ -227,6 +277,19 @@
             f"waiting, {best['running']} requests running, shared part there: "
             f"{best['has_shared']}"
         )
+    for candidate in candidates:
+        yield from _speed_of(candidate)
+
+
+def _speed_of(candidate: log_lines.Fields) -> Iterable[str]:
+    """Say how fast a candidate was believed to be; nothing in old lines."""
+    beliefs = [
+        text.format(candidate[name])
+        for name, text in _BELIEF_BY_FIELD.items()
+        if candidate.get(name) is not None
+    ]
+    if beliefs:
+        yield f"{candidate.get('upstream')} was believed {', '.join(beliefs)}"
 
 
 def _causes_of_state_changes(
--- a/packages/cli/tests/test_explain_log.py
+++ b/packages/cli/tests/test_explain_log.py
@@ -194,3 +194,112 @@
     assert "no place at u-1, which takes 1.4 requests a second" in causes
     assert "u-2 was passed by, since it was resting" in causes
     assert "u-1 took 1.4 requests a second for vm-1" in causes
+
+
+def refused_for_share(**changes):
+    fields = {
+        "asctime": "2026-12-03 10:00:01,002",
+        "reason": "overloaded",
+        "detail": "over-share",
+        "tier": 3,
+        "organisation": "o-1",
+        "fraction": 0.25,
+        "asked": 8000.0,
+        "fair_rate": 2000.0,
+        "from_fleet": True,
+        "retry_after": 1.2,
+        "arrival": "new",
+    }
+    return line("request-refused", **{**fields, **changes})
+
+
+def causes_of(*texts):
+    return log_explanation.explain("r-1", log_lines.read(texts)).causes
+
+
+@pytest.mark.parametrize(
+    ("from_fleet", "figures"),
+    [
+        (True, "by the figures of the whole fleet"),
+        (False, "by the own figures of vm-1 alone"),
+    ],
+)
+def test_request_refused_for_its_share_is_explained(from_fleet, figures):
+    causes = causes_of(refused_for_share(from_fleet=from_fleet))
+    assert causes[0] == "vm-1 refused it: overloaded over-share, tier 3"
+    assert causes[1] == (
+        "its organisation o-1 exceeded its share: it asked for 8000.0 tokens "
+        "a second, its fair rate was 2000.0, so a fraction of 0.25 of its "
+        f"requests was admitted, {figures}"
+    )
+    assert causes[3] == (
+        "vm-1 told it at 2026-12-03 10:00:01,002 to return 1.2 s later"
+    )
+
+
+@pytest.mark.parametrize(
+    ("arrival", "sentence"),
+    [
+        ("new", "the entry VM knew of no earlier refusal"),
+        ("early", "it returned before the time"),
+        ("invited", "it returned in time"),
+        ("expired", "it returned too late"),
+        ("other", "its arrival was other"),
+    ],
+)
+def test_return_of_a_refused_caller_is_explained(arrival, sentence):
+    causes = causes_of(refused_for_share(arrival=arrival))
+    assert any(one.startswith(sentence) for one in causes)
+
+
+def test_refusal_of_a_known_arrival_may_name_no_time_to_return():
+    causes = causes_of(refused_for_share(retry_after=None))
+    assert not any("to return None" in one for one in causes)
+
+
+def routed_in_adaptive_pool(**beliefs):
+    candidates = [
+        {
+            "upstream": f"u-{number}",
+            "waiting_tokens": 9000,
+            "running": 4,
+            "has_shared": False,
+            **beliefs,
+        }
+        for number in (1, 2)
+    ]
+    return line("request-routed", candidates=candidates)
+
+
+def test_beliefs_about_the_speed_of_candidates_are_shown():
+    causes = causes_of(
+        routed_in_adaptive_pool(
+            tokens_per_second=22000.0, slowness=2.5, wait_seconds=0.4
+        )
+    )
+    assert [one for one in causes if "was believed" in one] == [
+        f"{upstream} was believed to process 22000.0 prompt tokens a second "
+        "at its usual speed, to take 2.5 times as long as usual, to have it "
+        "wait 0.4 s"
+        for upstream in ("u-1", "u-2")
+    ]
+    (only_slowness,) = causes_of(routed_in_adaptive_pool(slowness=1.0))[-1:]
+    assert (
+        only_slowness == "u-2 was believed to take 1.0 times as long as usual"
+    )
+
+
+def test_old_lines_have_no_sentences_about_speed_share_or_return():
+    """Lines of earlier versions lack the fields."""
+    old = line(
+        "request-refused",
+        asctime="2026-12-03 10:00:01,002",
+        reason="overloaded",
+        detail="no-room",
+        tier=3,
+        retry_after=None,
+    )
+    causes = causes_of(routed_in_adaptive_pool(), old)
+    assert len(causes) == 2
+    assert "no-room" in causes[0]
+    assert causes[1].startswith("cheapest of 2 candidates")
