Report the load of simulated upstreams in X-Server-Load

The soak's upstreams sent no load report, so nothing tested its use. Each answer and refusal now states requests running, waiting and slots; upstreams of the engine pool add how long work takes. A slowness can be set, which the answers follow and report.

--- a/packages/soak/src/lagoonrun_soak/upstream.py
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -69,6 +69,8 @@
     ----------
     notice
         Notice sent with each response.
+    slowness
+        How long work takes, relative to the usual time.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         )
         self._slots = asyncio.Semaphore(registration.slots)
         self.notice = notices.NO_NOTICE
+        self.slowness = 1.0
         self._server = http_server.HttpServer(
             host=address.host,
             port=address.port,
@@ -164,7 +167,7 @@
     def _with_notice(
         self, headers: http_messages.Headers, request_id: types.RequestId
     ) -> http_messages.Headers:
-        """Add the current notice to the headers and record that it was sent."""
+        """Add the load and the current notice; record that it was sent."""
         notice = self.notice
         self._history.sent_notices.append(
             notices.SentNotice(
@@ -175,12 +178,27 @@
             )
         )
         return standin_messages.notice_headers(
-            headers,
+            self._with_load(headers),
             per_second=notice.per_second,
             rest_seconds=notice.rest_seconds,
             leaving=notice.leaving,
         )
 
+    def _with_load(
+        self, headers: http_messages.Headers
+    ) -> http_messages.Headers:
+        """Add the report of the current load to the headers."""
+        slots = self.registration.slots
+        requests = self._running_by_urgency.total()
+        states_slowness = self.registration.pool == layout.ENGINES
+        return standin_messages.load_headers(
+            headers,
+            running=min(requests, slots),
+            waiting=max(0, requests - slots),
+            slots=slots,
+            slowness=self.slowness if states_slowness else None,
+        )
+
     def _record_run(
         self,
         exchange: exchanges.Exchange,
@@ -206,7 +224,7 @@
         if layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
             headers = self._with_notice(headers, id)
         if not layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
-            await asyncio.sleep(_PLAIN_RUN_SECONDS)
+            await asyncio.sleep(_PLAIN_RUN_SECONDS * self.slowness)
             await exchange.respond(
                 status=200,
                 headers=self._with_notice(headers, id),
@@ -220,7 +238,7 @@
             )
         )
         for number in range(request.resumes_after + 1, layout.EVENTS + 1):
-            await asyncio.sleep(_EVENT_SECONDS)
+            await asyncio.sleep(_EVENT_SECONDS * self.slowness)
             await exchange.send(event(id, number))
         await exchange.finish()
 
