Soak slow engines and bursts of one organisation

The soak had one organisation and engines of equal speed. It now has three organisations with keys of their own, the fault upstream-slow (one engine takes 2.5 times as long for 2 to 5 s) and the fault organisation-burst. The guarantee shares: while one organisation bursts and nothing else disturbs, the engine requests of others are served; a planted defect violates it.

Requests have bodies of their own: all requests of a class had the same digest.

The router has no shares yet, so the check fails for both kinds of bursts.

--- a/packages/soak/src/lagoonrun_soak/caller.py
+++ b/packages/soak/src/lagoonrun_soak/caller.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from lagoonrun_core import types
 from lagoonrun_router import answers
 from lagoonrun_soak import layout, record, upstream, vm
 from lagoonrun_standins import router_world
@@ -38,6 +39,8 @@
         Records the requests.
     rng
         Draws pauses and keys.
+    organisation
+        Organisation whose keys it uses.
     crashing_request
         Name of a request that crashes upstreams and that this caller repeats;
         empty for a caller of ordinary requests.
@@ -51,6 +54,7 @@
         target: vm.EntryVm,
         history: record.History,
         rng: random.Random,
+        organisation: types.OrganisationId,
         crashing_request: str = "",
     ) -> None:
         self._crashing_request = crashing_request
@@ -59,6 +63,7 @@
         self._target = target
         self._history = history
         self._rng = rng
+        self._organisation = organisation
         self._numbers = itertools.count()
         self._task: asyncio.Task[None] | None = None
 
@@ -121,11 +126,11 @@
         self, connection: router_world.Caller, boot: int
     ) -> tuple[record.CallerRequest, float]:
         now = time.monotonic()
-        age = self._rng.choice(_KEY_AGES_SECONDS)
-        revision = 0 if age is None else self._history.revision_at(now - age)
+        revision, key = self._choose_key(now)
         profile = self._kind.route.profile
         request = record.CallerRequest(
             id=f"{self._name}-{next(self._numbers)}",
+            organisation=self._organisation,
             kind=self._kind.name,
             vm=self._target.name,
             boot=boot,
@@ -140,12 +145,23 @@
                 host=layout.HOST,
                 path=f"{self._kind.route.path_prefix}x",
                 request_id=request.id,
-                key=layout.added_key(revision)
-                if revision
-                else layout.STABLE_KEY,
+                key=key,
                 patience_seconds=profile.limit_seconds,
                 prompt_tokens=self._kind.prompt_tokens,
-                body=upstream.crashing_body(self._crashing_request),
+                # Without a body of their own, all requests of an organisation
+                # and class would have the same digest.
+                body=upstream.crashing_body(self._crashing_request)
+                or request.id.encode(),
             )
         )
         return request, profile.limit_seconds + _TIME_LIMIT_SLACK_SECONDS
+
+    def _choose_key(self, now: float) -> tuple[int, str]:
+        """Return a key and the revision that added it; 0 for every revision."""
+        key = layout.KEYS_BY_OTHER_ORGANISATION.get(self._organisation)
+        if key is not None:
+            return 0, key
+        age = self._rng.choice(_KEY_AGES_SECONDS)
+        revision = 0 if age is None else self._history.revision_at(now - age)
+        added_key = layout.added_key(revision)
+        return revision, added_key if revision else layout.STABLE_KEY
--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -37,6 +37,11 @@
 """Crashes after which entry VMs must block a request, and its runs that may
 still begin more than `RECOVERY_SECONDS` after those crashes."""
 
+_MAX_UNSERVED_SHARE = 0.25
+_MIN_UNSERVED = 4
+"""Share, and number, of the requests that other organisations send during a
+burst above and from which the ones that are not served violate the guarantee."""
+
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _UNAUTHORIZED = 401
 _OK = 200
@@ -57,6 +62,7 @@
     LIMITS = "limits"
     RESTS = "rests"
     OWN_LEAVING = "own-leaving"
+    SHARES = "shares"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -81,6 +87,7 @@
         *_tiers(history),
         *_crashing(history),
         *_notices(history),
+        *_shares(history),
     ]
 
 
@@ -342,3 +349,90 @@
             for subject in (history.requests_by_id[run.id].vm, record.STORE)
         )
     ]
+
+
+def _shares(history: record.History) -> Iterator[Violation]:
+    """Check that other organisations are served while one of them bursts."""
+    for burst in history.bursts:
+        if _is_disturbed_otherwise(history, burst):
+            continue
+        others = _engine_requests_of_others(history, burst)
+        unserved = [one for one in others if not _is_served(one)]
+        if len(unserved) >= _MIN_UNSERVED and len(
+            unserved
+        ) > _MAX_UNSERVED_SHARE * len(others):
+            yield Violation(
+                guarantee=Guarantee.SHARES,
+                request_id=unserved[0].id,
+                detail=_unserved_text(burst, others, unserved),
+            )
+
+
+def _is_disturbed_otherwise(
+    history: record.History, burst: record.Burst
+) -> bool:
+    """Return whether something other than a burst can have failed requests."""
+    start = burst.start - RECOVERY_SECONDS
+    is_stopping = any(
+        burst.start - layout.STOP_SECONDS <= at <= burst.end
+        for stops in history.stop_times_by_vm.values()
+        for at in stops
+    )
+    other_bursts = (
+        other
+        for other in history.bursts
+        if other.organisation != burst.organisation
+    )
+    return (
+        is_stopping
+        or any(
+            other.start <= burst.end and other.end >= start
+            for other in (*other_bursts, *history.unfinished_faults)
+        )
+        or not all(
+            history.is_undisturbed(subject, start, burst.end)
+            for subject in list(history.disturbances_by_subject)
+        )
+    )
+
+
+def _engine_requests_of_others(
+    history: record.History, burst: record.Burst
+) -> list[record.CallerRequest]:
+    """Return the ended engine requests that others sent during a burst.
+
+    Requests with a key that is not in force yet are left out.
+    """
+    kinds = {kind.name for kind in layout.ENGINE_KINDS}
+    return [
+        request
+        for request in history.requests_by_id.values()
+        if request.organisation != burst.organisation
+        and request.kind in kinds
+        and burst.start <= request.sent_at <= burst.end
+        and request.ended_at is not None
+        and request.status != _UNAUTHORIZED
+    ]
+
+
+def _is_served(request: record.CallerRequest) -> bool:
+    return request.status == _OK and request.whole
+
+
+def _unserved_text(
+    burst: record.Burst,
+    others: list[record.CallerRequest],
+    unserved: list[record.CallerRequest],
+) -> str:
+    """Return which requests were not served, by organisation, class, result."""
+    counts = collections.Counter(
+        f"{one.organisation} {one.kind} {one.status} {one.reason}".rstrip()
+        for one in unserved
+    )
+    seconds = [one.sent_at - burst.start for one in unserved]
+    return (
+        f"{len(unserved)} of {len(others)} engine requests of others were not "
+        f"served, sent {min(seconds):.2f} to {max(seconds):.2f} s after the "
+        f"start of a burst of {burst.organisation}: "
+        + ", ".join(f"{n} {text}" for text, n in sorted(counts.items()))
+    )
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -36,6 +36,10 @@
 _LIMIT_SECONDS_RANGE = (4.0, 7.0)
 _BURST_CALLERS = 24
 _BURST_SECONDS = 2.5
+_SLOW_SECONDS_RANGE = (2.0, 5.0)
+_SLOWNESS = 2.5
+"""Slowness of an engine in its slow periods, as in the uneven deployment."""
+
 _CRASHING_SECONDS = 2.0 * checks.RECOVERY_SECONDS
 
 
@@ -56,11 +60,24 @@
     UPSTREAM_VANISHES = "upstream-vanishes"
     DECLARED = "declared"
     BURST = "burst"
+    ORGANISATION_BURST = "organisation-burst"
     CRASHING_REQUEST = "crashing-request"
     UPSTREAM_LIMITS = "upstream-limits"
     POOL_RESTS = "pool-rests"
     UPSTREAM_SAYS_IT_LEAVES = "upstream-says-it-leaves"
+    UPSTREAM_SLOW = "upstream-slow"
+
 
+_UNDISTURBING_KINDS = frozenset(
+    (
+        FaultKind.BURST,
+        FaultKind.ORGANISATION_BURST,
+        FaultKind.UPSTREAM_SLOW,
+        FaultKind.DECLARED,
+        FaultKind.SETTINGS_WRITTEN,
+    )
+)
+"""Kinds that are no disturbance for the callers of other organisations."""
 
 _FAULTY_STATES = tuple(
     state for state in link.LinkState if state is not link.LinkState.SOUND
@@ -143,14 +160,23 @@
             FaultKind.UPSTREAM_VANISHES: self._remove_upstream,
             FaultKind.DECLARED: self._deployment.declare,
             FaultKind.BURST: self._burst,
+            FaultKind.ORGANISATION_BURST: self._burst_of_organisation,
             FaultKind.CRASHING_REQUEST: self._send_crashing,
             FaultKind.UPSTREAM_LIMITS: self._limit_upstream,
             FaultKind.POOL_RESTS: self._rest_pool,
             FaultKind.UPSTREAM_SAYS_IT_LEAVES: self._announce_leaving,
+            FaultKind.UPSTREAM_SLOW: self._slow_upstream,
         }
         now = time.monotonic()
         self._history.faults.append(f"{now:.3f} {kind.value}")
-        await actions[kind]()
+        try:
+            await actions[kind]()
+        except asyncio.CancelledError:
+            if kind not in _UNDISTURBING_KINDS:
+                self._history.unfinished_faults.append(
+                    record.Disturbance(start=now, end=float("inf"))
+                )
+            raise
 
     # Entry VMs.
 
@@ -396,13 +422,57 @@
             )
             await self._deployment.stop_later(upstream_id)
 
+    async def _slow_upstream(self) -> None:
+        """Slow down one engine, which reports it; others keep their speed.
+
+        This is no disturbance: the router has to select upstreams by their
+        speed.
+        """
+        usual = [
+            engine
+            for _, engine in sorted(self._deployment.upstreams.items())
+            if engine.registration.pool == layout.ENGINES
+            and engine.slowness == 1.0
+        ]
+        if len(usual) < _MIN_POOL_UPSTREAMS:
+            return
+        slow = self._rng.choice(usual)
+        slow.slowness = _SLOWNESS
+        await asyncio.sleep(self._rng.uniform(*_SLOW_SECONDS_RANGE))
+        slow.slowness = 1.0
+
     # Callers.
 
     async def _burst(self) -> None:
-        """Have many callers request summaries at once."""
+        await self._send_summaries(layout.ORGANISATION)
+
+    async def _burst_of_organisation(self) -> None:
+        """Have one organisation send many times its usual, if it doesn't yet.
+
+        Bursts of a series would add up to load that delays all processes of
+        the soak.
+        """
+        organisation = layout.BURSTING_ORGANISATION
+        now = time.monotonic()
+        if not any(
+            burst.organisation == organisation and burst.end >= now
+            for burst in self._history.bursts
+        ):
+            await self._send_summaries(organisation)
+
+    async def _send_summaries(self, organisation: types.OrganisationId) -> None:
+        """Have many callers of an organisation request summaries at once."""
+        now = time.monotonic()
+        self._history.bursts.append(
+            record.Burst(
+                organisation=organisation, start=now, end=now + _BURST_SECONDS
+            )
+        )
         callers = [
             await self._deployment.add_caller(
-                layout.SUMMARY, self._rng.choice(self._deployment.vms)
+                layout.SUMMARY,
+                self._rng.choice(self._deployment.vms),
+                organisation=organisation,
             )
             for _ in range(_BURST_CALLERS)
         ]
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -97,6 +97,11 @@
         for target in self.vms:
             for kind in layout.KINDS_BY_NAME.values():
                 await self.add_caller(kind, target)
+        for index, id in enumerate(layout.KEYS_BY_OTHER_ORGANISATION):
+            for kind in layout.KINDS_BY_NAME.values():
+                await self.add_caller(
+                    kind, self.vms[index % len(self.vms)], organisation=id
+                )
 
     async def close(self) -> None:
         """Stop all components."""
@@ -129,6 +134,7 @@
         kind: layout.RequestKind,
         target: vm.EntryVm,
         *,
+        organisation: types.OrganisationId = layout.ORGANISATION,
         crashing_request: str = "",
     ) -> caller.Caller:
         """Start a caller, of a crashing request if one is named."""
@@ -138,6 +144,7 @@
             target=target,
             history=self.history,
             rng=random.Random(self.rng.random()),
+            organisation=organisation,
             crashing_request=crashing_request,
         )
         self._callers.append(new_caller)
@@ -155,9 +162,7 @@
     async def _put_declarations(self) -> None:
         value = standin_messages.declarations_value(
             layout.declarations_at(self._revision),
-            keys_by_organisation={
-                layout.ORGANISATION: layout.keys_at(self._revision)
-            },
+            keys_by_organisation=layout.keys_by_organisation_at(self._revision),
         )
         await self._put(platform_layout.PlatformLayout.declarations_key, value)
 
--- a/packages/soak/src/lagoonrun_soak/layout.py
+++ b/packages/soak/src/lagoonrun_soak/layout.py
@@ -21,7 +21,18 @@
 PLAIN = types.PoolName("portal")
 ENGINES = types.PoolName("readers")
 ORGANISATION = types.OrganisationId("house")
+BURSTING_ORGANISATION = types.OrganisationId("guild")
+"""Organisation whose callers send many times their usual in a burst."""
+
+THIRD_ORGANISATION = types.OrganisationId("annex")
 STABLE_KEY = "key-stable"
+KEYS_BY_OTHER_ORGANISATION = {
+    BURSTING_ORGANISATION: "key-guild",
+    THIRD_ORGANISATION: "key-annex",
+}
+"""The only key of each organisation other than `ORGANISATION`, in every
+revision."""
+
 DOMAINS = (types.FailureDomain("north"), types.FailureDomain("south"))
 
 EVENTS = 8
@@ -98,6 +109,7 @@
     ),
     prompt_tokens=6000,
 )
+ENGINE_KINDS = (ASK, SUMMARY)
 KINDS_BY_NAME = {kind.name: kind for kind in (LOOKUP, CHECK, ASK, SUMMARY)}
 
 
@@ -114,6 +126,14 @@
     )
 
 
+def keys_by_organisation_at(
+    revision: int,
+) -> dict[types.OrganisationId, tuple[str, ...]]:
+    """Return all keys of a revision by organisation."""
+    others = {id: (key,) for id, key in KEYS_BY_OTHER_ORGANISATION.items()}
+    return {ORGANISATION: keys_at(revision), **others}
+
+
 def declarations_at(revision: int) -> declarations.Declarations:
     """Return the declarations of a revision."""
     return declarations.Declarations(
@@ -130,13 +150,13 @@
             ),
         },
         organisations_by_id={
-            ORGANISATION: declarations.RankedOrganisation(
-                id=ORGANISATION,
+            id: declarations.RankedOrganisation(
+                id=id,
                 key_digests=tuple(
-                    hashlib.sha256(key.encode()).hexdigest()
-                    for key in keys_at(revision)
+                    hashlib.sha256(key.encode()).hexdigest() for key in keys
                 ),
             )
+            for id, keys in keys_by_organisation_at(revision).items()
         },
         caller_limits=declarations.CallerLimits(
             header_bytes=16_384,
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import enum
 import sys
 
@@ -13,6 +14,7 @@
     admission,
     answers,
     attempt_result,
+    choosing,
     crash_evidence,
     declarations,
     execution,
@@ -26,6 +28,8 @@
 from lagoonrun_users_platform import main
 
 _REVERT_SECONDS = 1.0
+_RECENT_CHOICES = 20
+"""Choices in which an organisation must have the majority to be served."""
 
 
 class PlantedDefect(enum.Enum):
@@ -43,6 +47,7 @@
     LIMITS = "limits"
     RESTS = "rests"
     OWN_LEAVING = "own-leaving"
+    SHARES = "shares"
 
 
 def plant(defect: PlantedDefect) -> None:
@@ -187,6 +192,23 @@
     )
 
 
+def _break_shares() -> None:
+    """Serve engine requests only of the organisation that sends the most."""
+    original = choosing.Chooser.choose
+    recent = collections.deque(maxlen=_RECENT_CHOICES)
+
+    def choose(self, call, *, excluded):
+        if call.pool.engine is None:
+            return original(self, call, excluded=excluded)
+        organisation = call.organisation.id
+        recent.append(organisation)
+        if recent.count(organisation) < len(recent) / 2:
+            return admission.Refusal.NO_ROOM
+        return original(self, call, excluded=excluded)
+
+    choosing.Chooser.choose = choose
+
+
 _PLANTERS = {
     PlantedDefect.ONCE: _break_once,
     PlantedDefect.OWN_ANSWER: _break_own_answer,
@@ -200,6 +222,7 @@
     PlantedDefect.LIMITS: _break_limits,
     PlantedDefect.RESTS: _break_rests,
     PlantedDefect.OWN_LEAVING: _break_own_leaving,
+    PlantedDefect.SHARES: _break_shares,
 }
 
 
--- a/packages/soak/src/lagoonrun_soak/record.py
+++ b/packages/soak/src/lagoonrun_soak/record.py
@@ -29,12 +29,15 @@
         Whether the response's headers show that an upstream made it.
     reason
         Reason that the router gives for a response of its own.
+    organisation
+        Organisation of the caller.
     crashing_request
         Name of the crashing request that this one repeats; empty for any
         other.
     """
 
     id: str
+    organisation: types.OrganisationId
     kind: str
     vm: str
     boot: int
@@ -67,9 +70,27 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Burst:
+    """An interval in which an organisation sends many times its usual."""
+
+    organisation: types.OrganisationId
+    start: float
+    end: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class History:
-    """Everything that the checks use; times are of one monotonic clock."""
+    """Everything that the checks use; times are of one monotonic clock.
+
+    Parameters
+    ----------
+    bursts
+        Bursts of callers, which `disturbances_by_subject` does not hold.
+    unfinished_faults
+        Faults that were active at the end of the soak. Some kinds record their
+        disturbance only when they end.
+    """
 
     requests_by_id: dict[str, CallerRequest] = dataclasses.field(
         default_factory=dict
@@ -93,6 +114,10 @@
         default_factory=list
     )
     arrivals: list[notices.Arrival] = dataclasses.field(default_factory=list)
+    bursts: list[Burst] = dataclasses.field(default_factory=list)
+    unfinished_faults: list[Disturbance] = dataclasses.field(
+        default_factory=list
+    )
     faults: list[str] = dataclasses.field(default_factory=list)
 
     def record_disturbance(
--- a/packages/soak/tests/test_checks.py
+++ b/packages/soak/tests/test_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lagoonrun_soak import checks, record, upstream
+from lagoonrun_soak import checks, layout, record, upstream
 from lagoonrun_soak.checks import Guarantee
 
 EVENTS = [upstream.event("r", number) for number in range(1, 9)]
@@ -11,6 +11,7 @@
 def make_request(**changes):
     values = {
         "id": "r",
+        "organisation": "house",
         "kind": "lookup",
         "vm": "vm-0",
         "boot": 1,
@@ -172,3 +173,154 @@
         Guarantee.TIERS
     }
     assert violated_guarantees(*refused[1:], *others, runs=lower_runs) == set()
+
+
+BURST = record.Burst(
+    organisation=layout.BURSTING_ORGANISATION, start=100.0, end=102.5
+)
+
+
+def requests_in_burst(*, refused, served, **changes):
+    """Return summaries of another organisation, sent during the burst."""
+    whole = {
+        "kind": "summary",
+        "sent_at": 101.0,
+        "ended_at": 101.5,
+    }
+    return [
+        make_request(
+            id=f"refused-{n}",
+            status=503,
+            body=b"",
+            reason="overloaded",
+            **{**whole, **changes},
+        )
+        for n in range(refused)
+    ] + [
+        make_request(
+            id=f"served-{n}",
+            body=b"".join(
+                upstream.event(f"served-{n}", number)
+                for number in range(1, layout.EVENTS + 1)
+            ),
+            **{**whole, **changes},
+        )
+        for n in range(served)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("refused", "served", "expected"),
+    [
+        (0, 0, set()),
+        (0, 20, set()),
+        (3, 0, set()),
+        (4, 12, set()),
+        (4, 11, {Guarantee.SHARES}),
+        (20, 0, {Guarantee.SHARES}),
+    ],
+)
+def test_others_that_are_not_served_in_a_burst(refused, served, expected):
+    requests = requests_in_burst(refused=refused, served=served)
+    assert violated_guarantees(*requests, bursts=[BURST]) == expected
+    assert violated_guarantees(*requests) == set()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"organisation": layout.BURSTING_ORGANISATION},
+        {"kind": "lookup"},
+        {"sent_at": 99.9},
+        {"sent_at": 102.6},
+        {"ended_at": None},
+        {"status": 401},
+    ],
+)
+def test_requests_that_a_burst_does_not_concern(changes):
+    requests = [
+        make_request(
+            **{
+                "id": f"r-{n}",
+                "kind": "summary",
+                "sent_at": 101.0,
+                "status": 503,
+                **changes,
+            }
+        )
+        for n in range(20)
+    ]
+    assert violated_guarantees(*requests, bursts=[BURST]) == set()
+
+
+def test_requests_without_a_whole_answer_are_not_served():
+    """A request that fails or is cut counts like one that is refused."""
+    cut = requests_in_burst(refused=0, served=8, whole=False)
+    assert violated_guarantees(*cut, bursts=[BURST]) == {Guarantee.SHARES}
+
+
+def make_stops(at):
+    stops = record.History().stop_times_by_vm
+    stops["vm-0"] = [at]
+    return stops
+
+
+@pytest.mark.parametrize(
+    "disturbance",
+    [
+        {
+            "disturbances_by_subject": disturbances(
+                {"u-9": [record.Disturbance(start=97.5, end=98.0)]}
+            )
+        },
+        {"unfinished_faults": [record.Disturbance(start=102.0, end=1e9)]},
+        {"stop_times_by_vm": make_stops(93.0)},
+        {
+            "bursts": [
+                BURST,
+                record.Burst(organisation="house", start=95.0, end=97.5),
+            ]
+        },
+    ],
+)
+def test_burst_with_another_disturbance_is_not_checked(disturbance):
+    requests = requests_in_burst(refused=20, served=0)
+    changes = {"bursts": [BURST], **disturbance}
+    # The second burst has no requests of others.
+    assert violated_guarantees(*requests, **changes) == set()
+
+
+@pytest.mark.parametrize(
+    "disturbance",
+    [
+        {
+            "disturbances_by_subject": disturbances(
+                {"u-9": [record.Disturbance(start=90.0, end=96.9)]}
+            )
+        },
+        {"stop_times_by_vm": make_stops(91.0)},
+        {
+            "bursts": [
+                BURST,
+                record.Burst(organisation="house", start=94.0, end=96.5),
+            ]
+        },
+    ],
+)
+def test_burst_long_after_another_disturbance_is_checked(disturbance):
+    requests = requests_in_burst(refused=20, served=0)
+    changes = {"bursts": [BURST], **disturbance}
+    assert violated_guarantees(*requests, **changes) == {Guarantee.SHARES}
+
+
+def test_violation_of_shares_says_what_was_seen():
+    history = record.History(bursts=[BURST])
+    for request in requests_in_burst(refused=5, served=7):
+        history.requests_by_id[request.id] = request
+    (violation,) = checks.check(history)
+    assert violation.request_id == "refused-0"
+    assert violation.detail == (
+        "5 of 12 engine requests of others were not served, sent 1.00 to "
+        "1.00 s after the start of a burst of guild: 5 house summary 503 "
+        "overloaded"
+    )
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -26,14 +26,24 @@
     PlantedDefect.LIMITS: (FaultKind.UPSTREAM_LIMITS,),
     PlantedDefect.RESTS: (FaultKind.POOL_RESTS,),
     PlantedDefect.OWN_LEAVING: (FaultKind.UPSTREAM_SAYS_IT_LEAVES,),
+    PlantedDefect.SHARES: (FaultKind.ORGANISATION_BURST,),
 }
 
 SECONDS = 7.0
 """Long enough that a check which allows three seconds can find a violation."""
 
 
-SECONDS_BY_DEFECT = {PlantedDefect.LIMITS: 2 * SECONDS}
-"""A limit must be obeyed after three seconds; the next four are checked."""
+_BURST_KINDS = (FaultKind.BURST, FaultKind.ORGANISATION_BURST)
+
+SECONDS_BY_DEFECT = {
+    PlantedDefect.LIMITS: 2 * SECONDS,
+    PlantedDefect.NOT_RUN: 2 * SECONDS,
+}
+"""A limit must be obeyed after three seconds; the next four are checked.
+
+In seven seconds some seeds inject only three faults, which may hit no request
+that may not be repeated: soaks of seeds 3 and 4 missed the defect in 4 of 12.
+"""
 
 
 async def run_soak(tmp_path, seed=1, **changes):
@@ -66,12 +76,12 @@
     "kind",
     [
         FaultKind.VM_STOPPED,
-        FaultKind.BURST,
         FaultKind.CRASHING_REQUEST,
         FaultKind.STORE_RESTORED,
         FaultKind.UPSTREAM_LIMITS,
         FaultKind.POOL_RESTS,
         FaultKind.UPSTREAM_SAYS_IT_LEAVES,
+        FaultKind.UPSTREAM_SLOW,
     ],
 )
 async def test_single_fault_in_series_breaks_nothing(kind, tmp_path):
@@ -79,6 +89,31 @@
     assert result.violations == ()
 
 
+@pytest.mark.parametrize("kind", _BURST_KINDS)
+async def test_bursts_break_nothing_but_shares(kind, tmp_path):
+    result = await run_soak(tmp_path, kinds=(kind,))
+    assert [
+        violation
+        for violation in result.violations
+        if violation.guarantee is not checks.Guarantee.SHARES
+    ] == []
+
+
+@pytest.mark.parametrize("kind", _BURST_KINDS)
+async def test_bursts_leave_other_organisations_served(kind, tmp_path):
+    """Guards against one organisation that takes the capacity of a pool.
+
+    It is separate from the other guarantees, so that these stay checked while
+    this test is listed in KNOWN-RED.txt.
+    """
+    result = await run_soak(tmp_path, kinds=(kind,))
+    assert [
+        violation
+        for violation in result.violations
+        if violation.guarantee is checks.Guarantee.SHARES
+    ] == []
+
+
 async def test_entry_vms_hear_each_other(tmp_path):
     """Guards against entry VMs that reject each other's datagrams.
 
