--- a/packages/router/src/lagoonrun_router/adaptive_admission.py
+++ b/packages/router/src/lagoonrun_router/adaptive_admission.py
@@ -44,6 +44,8 @@
         Room of the request's tier in the pool.
     reserved_tokens
         Part of the room that is reserved for callers that were told to return.
+    recently_short
+        Whether the pool was short of capacity for the tier a moment ago.
     floor_due
         Whether the admission floor of the class is due.
     """
@@ -53,6 +55,7 @@
     arrival: return_schedule.Arrival
     room: shared_room.TierRoom
     reserved_tokens: float = 0.0
+    recently_short: bool = False
     floor_due: bool = False
 
     @property
@@ -122,7 +125,13 @@
 
 
 def is_short(request: AdaptiveRequest, best: placement.Ranked) -> bool:
-    """Return whether the pool is short of capacity for a request."""
+    """Return whether the pool is short of capacity for a request.
+
+    It stays short for a moment after there was no room: freed slots would
+    otherwise go to the organisation that asks most often.
+    """
+    if request.recently_short:
+        return True
     max_wait = SHORT_TARGET_FRACTION * request.target_seconds
     return best.wait_seconds > max_wait or _uses_reserved_room(request)
 
--- a/packages/router/src/lagoonrun_router/demand_table.py
+++ b/packages/router/src/lagoonrun_router/demand_table.py
@@ -60,6 +60,11 @@
         """Demand of all organisations."""
         return sum(self.asked_by_organisation.values()) + self.rest.asked
 
+    @property
+    def admitted(self) -> float:
+        """Admitted demand of all organisations."""
+        return sum(self.admitted_by_organisation.values()) + self.rest.admitted
+
     def asked_of(self, organisation: types.OrganisationId) -> float:
         """Return the demand of an organisation, the mean one if not listed."""
         return self.asked_by_organisation.get(organisation, self.unlisted_asked)
--- a/packages/router/src/lagoonrun_router/organisation_shares.py
+++ b/packages/router/src/lagoonrun_router/organisation_shares.py
@@ -251,6 +251,16 @@
             return view.asked
         return view.own.asked / self._part(key, now)
 
+    def admitted_of(self, key: demand_row.ShareKey, *, now: float) -> float:
+        """Return the tokens a second that were admitted of all organisations.
+
+        Without a current report it is extrapolated from the own admissions.
+        """
+        view = self._view(key, now)
+        if view.from_fleet:
+            return view.total.admitted
+        return view.own.admitted / self._part(key, now)
+
     def own_part(self, key: demand_row.ShareKey, *, now: float) -> float:
         """Return the part of the demand that this entry VM receives.
 
--- a/packages/router/src/lagoonrun_router/pool_capacity.py
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -24,9 +24,20 @@
 """Latest time to return, as a fraction of the remaining time limit: callers
 honour a Retry-After of up to a third of it."""
 
+_SHORT_SECONDS = 1.0
+"""Time for which a pool stays short of capacity for a tier after it had no room:
+twice the time in which all entry VMs learn of freed capacity."""
+
+_PROBED_CAPACITY = 1.1
+"""Capacity that is shared out, relative to what was admitted recently, in a pool
+that is short of slots or cache. Above 1, so that it follows a growing
+capacity."""
+
 _MIN_RETURN_SECONDS = 0.1
 """Earliest time to return: the invitation has to reach the other entry VMs."""
 
+_CAPACITY_REFUSALS = (admission.Refusal.NO_ROOM, admission.Refusal.TOO_LATE)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Rejection:
@@ -72,6 +83,7 @@
     ) -> None:
         self._load = load
         self._ledger = ledger
+        self._short_until_by_key: dict[demand_row.ShareKey, float] = {}
 
     def record_arrival(
         self, call: calls.Call, *, tokens: float, now: float
@@ -120,14 +132,16 @@
         """
         room = self.room(call, usable, now=now)
         arrival = self._load.schedule.arrival_of(call.digest, now=now)
+        key = self._share_key(call)
+        if room.tokens <= 0.0 or base in _CAPACITY_REFUSALS:
+            self._short_until_by_key[key] = now + _SHORT_SECONDS
         request = adaptive_admission.AdaptiveRequest(
             tokens=tokens,
             target_seconds=call.route.profile.target_seconds,
             arrival=arrival,
             room=room,
-            reserved_tokens=self._load.schedule.reserved_tokens(
-                call.pool.name, call.tier, now=now
-            ),
+            reserved_tokens=self._reserved_tokens(call, now),
+            recently_short=now < self._short_until_by_key.get(key, 0.0),
             floor_due=floor_due,
         )
         verdict = adaptive_admission.admit(
@@ -160,6 +174,17 @@
         )
         return shared_room.room_of(rooms, call.tier)
 
+    def _reserved_tokens(self, call: calls.Call, now: float) -> float:
+        """Return the tokens to leave to callers that are expected to return.
+
+        Invitations count in proportion to how many are redeemed: callers that
+        never return would otherwise leave capacity unused.
+        """
+        schedule = self._load.schedule
+        return schedule.reserved_tokens(
+            call.pool.name, call.tier, now=now
+        ) * schedule.redeemed_fraction(now=now)
+
     def return_seconds(
         self, call: calls.Call, rejection: Rejection, *, now: float
     ) -> float | None:
@@ -232,11 +257,17 @@
         tokens: float,
         now: float,
     ) -> organisation_shares.ShareDecision:
+        key = self._share_key(call)
+        capacity = room.tokens_per_second
+        if now < self._short_until_by_key.get(key, 0.0):
+            # Slots or cache may bind before the prefill rate does.
+            admitted = self._load.shares.admitted_of(key, now=now)
+            capacity = min(capacity, _PROBED_CAPACITY * admitted)
         return self._load.shares.decide(
-            self._share_key(call),
+            key,
             _organisation_of(call),
             cost=max(1.0, tokens),
-            capacity=room.tokens_per_second,
+            capacity=capacity,
             weights=self._load.weight_of,
             draw=_draw_of(call.request_id),
             now=now,
--- a/packages/router/src/lagoonrun_router/return_schedule.py
+++ b/packages/router/src/lagoonrun_router/return_schedule.py
@@ -31,6 +31,10 @@
 """Maximum time until an invitation is due; bounds the promised tenths of a
 second that are kept."""
 
+_OUTCOME_WEIGHT = 1.0 / 16.0
+"""Weight of one invitation in the fraction that is redeemed: it follows a change
+within some tens of refusals, a second or two of an overload."""
+
 _KEPT_SECONDS = 5.0
 """How long an invitation is kept after its end, so that a caller that returns
 late is recognised."""
@@ -131,6 +135,8 @@
         self._ends: list[tuple[float, types.RequestDigest]] = []
         self._due = due_tokens.DueTokens(max_count=MAX_INVITATIONS)
         self._calendar = drain_calendar.DrainCalendar()
+        self._issued: collections.deque[Invitation] = collections.deque()
+        self._redeemed_fraction = 1.0
         self._own = _PendingInvitations()
         self._for_neighbours = _PendingInvitations()
 
@@ -190,6 +196,7 @@
             ),
         )
         if self._record(invitation, now=now):
+            self._issued.append(invitation)
             self._own.add(invitation)
             self._for_neighbours.add(invitation)
         return invitation
@@ -227,6 +234,20 @@
         """
         return self._due.at_and_above(pool, tier, now=now)
 
+    def redeemed_fraction(self, *, now: float) -> float:
+        """Return the fraction of the own invitations that is redeemed.
+
+        1 before the first has ended.
+        """
+        while self._issued and now > self._issued[0].ends_at:
+            invitation = self._issued.popleft()
+            known = self._by_digest.get(invitation.digest)
+            redeemed = known is not None and known.tokens <= 0.0
+            self._redeemed_fraction += _OUTCOME_WEIGHT * (
+                redeemed - self._redeemed_fraction
+            )
+        return self._redeemed_fraction
+
     def apply_invitations(
         self, invitations: Iterable[Invitation], *, now: float
     ) -> None:
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -19,6 +19,7 @@
     declarations,
     execution,
     places,
+    pool_capacity,
     retrying,
     router,
     store_replica,
@@ -203,7 +204,7 @@
         organisation = call.organisation.id
         recent.append(organisation)
         if recent.count(organisation) < len(recent) / 2:
-            return admission.Refusal.NO_ROOM
+            return pool_capacity.Rejection(refusal=admission.Refusal.NO_ROOM)
         return original(self, call, excluded=excluded)
 
     choosing.Chooser.choose = choose
