--- a/packages/router/tests/test_pool_capacity.py
+++ b/packages/router/tests/test_pool_capacity.py
@@ -169,13 +169,13 @@
                 ),
                 placement.Ranked,
             )
-            for number in range(400)
+            for number in range(4000)
         )
         for organisation in ("house", "garden")
     }
-    assert admitted["garden"] == 400
+    assert admitted["garden"] == 4000
     # The default rate of one upstream, less what the other asks for.
-    assert admitted["house"] / 400 == pytest.approx(30 / 160, abs=0.06)
+    assert admitted["house"] / 4000 == pytest.approx(30 / 160, abs=0.02)
 
 
 # Repeated requests.
