--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -4,7 +4,13 @@
 import json
 
 from lagoonrun_core import errors
-from lagoonrun_router import call, format_error, upstream_notice, upstreams
+from lagoonrun_router import (
+    call,
+    format_error,
+    load_report,
+    upstream_notice,
+    upstreams,
+)
 
 
 class PlainDialect:
@@ -52,16 +58,30 @@
         return "Mark" in head.headers
 
     def read_notice(self, head):
-        """Return the upstream's rate limit, leaving state and back-off."""
+        """Return the upstream's rate limit, leaving state, back-off and load."""
         limit = head.headers.get("Limit")
         rest = head.headers.get("Retry-After") if head.status == 503 else None
         return upstream_notice.UpstreamNotice(
             requests_per_second=float(limit) if limit else None,
             leaving="Leaving" in head.headers,
             rest_seconds=float(rest) if rest else None,
+            load=_load_of(head.headers.get("Load")),
         )
 
 
+def _load_of(text):
+    """Return the load in `running,waiting,slots[,slowness in percent]`."""
+    if not text:
+        return None
+    running, waiting, slots, *slowness = (int(one) for one in text.split(","))
+    return load_report.LoadReport(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowness=slowness[0] / 100 if slowness else None,
+    )
+
+
 class PlainLayout:
     """Layout of a store whose values are revision numbers and JSON.
 
--- a/packages/standins/src/lagoonrun_standins/router_world.py
+++ b/packages/standins/src/lagoonrun_standins/router_world.py
@@ -114,13 +114,15 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
 
-    def send(self, path, *, method="GET", id="r-1", body=b"", headers=()):
+    def send(
+        self, path, *, method="GET", id="r-1", body=b"", headers=(), key=KEY
+    ):
         """Send a request."""
         lines = [
             f"{method} {path} HTTP/1.1",
             "Host: portal.test",
             f"X-Request-Id: {id}",
-            f"Authorization: Bearer {KEY}",
+            f"Authorization: Bearer {key}",
             *headers,
         ]
         if body:
