Learn service times only from answers that are no errors

An upstream that fails at once looked fast and attracted requests. An answer without a load also counted as one at the usual slowness, instead of at the mean slowness of its upstream.

--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -272,11 +272,12 @@
         )
 
     @property
-    def _slowness(self) -> float:
-        """How long work took at the upstream as of its answer; 1 is usual."""
-        if self._load_report is None or self._load_report.slowness is None:
-            return 1.0
-        return self._load_report.slowness
+    def _slowness(self) -> float | None:
+        """How long work took at the upstream; None if its answer has no figure.
+
+        1 is usual.
+        """
+        return None if self._load_report is None else self._load_report.slowness
 
     def _record_pause(self, pause: float) -> None:
         if pause <= self._longest_pause_seconds:
@@ -314,7 +315,9 @@
         body = await response.read_all(_MAX_BUFFERED_ANSWER_BYTES)
         if isinstance(body, http_upstream.UpstreamFailure):
             return attempt_result.lost_from_failure(body, upstream=upstream)
-        self._record_service()
+        if response.head.status < _LOWEST_ERROR_STATUS:
+            # Errors are often answered sooner than requests are served.
+            self._record_service()
         answer = attempt_result.WholeAnswer(head=response.head, body=body)
         if response.head.status >= _LOWEST_SERVER_ERROR_STATUS:
             return attempt_result.Lost(
--- a/packages/router/tests/test_adaptive_pools.py
+++ b/packages/router/tests/test_adaptive_pools.py
@@ -391,6 +391,36 @@
     await held
 
 
+async def test_invitation_arrives_before_the_caller(world_of):
+    """Guards against callers that return sooner than their invitation.
+
+    It is due after 0.1 s, while an unchanged state is sent after 0.4 s.
+    """
+    upstream = LoadedUpstream()
+    first, second = await fleet(
+        world_of,
+        {"u-1": upstream.answer},
+        domains=("north", "north"),
+        slots=1,
+    )
+    await ask(second)
+    held = await occupy(first, upstream, tokens=1000)
+    known = []
+    for number in range(4):
+        id = f"again-{number}"
+        refused = await ask(first, id=id)
+        assert refused.status == 503
+        await asyncio.sleep(float(refused.headers["retry-after"]))
+        before = returns(second, "invited")
+        await ask(second, id=id)
+        known.append(returns(second, "invited") > before)
+        # Until the next state without changes has been sent.
+        await asyncio.sleep(0.5)
+    upstream.release.set()
+    await held
+    assert all(known)
+
+
 # Pools that are not adaptive.
 
 
@@ -476,3 +506,50 @@
     assert (await ask(world, tokens=0)).status == 200
     assert returns(world, "new") == 0
     assert slowness(world) is None
+
+
+# Answers of which nothing is learnt.
+
+
+async def test_quick_errors_do_not_make_a_plain_upstream_fast(world_of):
+    """Guards against a failing upstream that attracts the requests.
+
+    Its errors are answered sooner than requests are served.
+    """
+
+    async def fail(exchange):
+        headers = marked(exchange, Load="0,0,8,100")
+        await exchange.respond(status=500, headers=headers, body=b"oops")
+
+    (world,) = await fleet(
+        world_of, {"u-1": fail}, engine=False, contended=False
+    )
+    for _ in range(3):
+        await ask(world, tokens=0)
+    estimate = world.router._adaptive.speeds.estimate("u-1", now=0.0)
+    assert estimate.service_seconds is None
+
+
+async def test_answer_without_a_load_counts_at_the_usual_slowness(
+    world_of, monkeypatch
+):
+    """Guards against speeds of a slow upstream that look like lasting ones.
+
+    Some of its answers do not state the load.
+    """
+    upstream = LoadedUpstream("0,0,64,400")
+    (world,) = await fleet(
+        world_of,
+        {"u-1": upstream.answer_events},
+        route=make_stream_route(target_seconds=TARGET_SECONDS),
+    )
+    recorded = []
+    monkeypatch.setattr(
+        world.router._adaptive.speeds,
+        "record_prefill",
+        lambda *_, slowness, **__: recorded.append(slowness),
+    )
+    await ask(world)
+    upstream.load = ""
+    await ask(world)
+    assert recorded == [4.0, None]
