--- a/packages/router/tests/test_adaptive_admission.py
+++ b/packages/router/tests/test_adaptive_admission.py
@@ -249,3 +249,16 @@
         tier_room(tokens=0.0, wait=wait), target_seconds=TARGET
     )
     assert got == expected
+
+
+def test_caller_in_time_does_not_precede_a_higher_tier():
+    """Guards against a lower tier that is served while a higher one is not.
+
+    A caller that is refused because of a higher tier is told to return after
+    0.1 s, when the higher tier may still lack room.
+    """
+    request = adaptive_request(
+        arrival=Arrival.INVITED, room=tier_room(higher_covered=False)
+    )
+    got = adaptive_admission.admit(request, ranked(), decide_share=never_asked)
+    assert got == adaptive_admission.Rejected(refusal=Refusal.HIGHER_TIER)
--- a/packages/router/tests/test_pool_capacity.py
+++ b/packages/router/tests/test_pool_capacity.py
@@ -315,3 +315,64 @@
     high, low = load.latest_rooms()["engines"]
     assert (high.tier, high.tokens) == (1, pytest.approx(500.0))
     assert low.tokens > high.tokens
+
+
+def test_room_does_not_depend_on_the_attempts_of_another_request(
+    capacity, load
+):
+    """Guards against room without the upstreams that one request has tried.
+
+    A retried request passes only those left to it, and other requests use the
+    same room for 0.05 s.
+    """
+    both = (UPSTREAM, make_registration("u-2", pool="engines"))
+    expected = capacity.room(call_of("d-1"), both, now=NOW).tokens
+    admit(capacity, call_of("d-2"), ranked(), now=NOW + 0.1, usable=both[:1])
+    got = capacity.room(call_of("d-3"), both, now=NOW + 0.12).tokens
+    assert got == expected
+
+
+def test_admitted_request_is_not_refused_when_it_is_sent_again(
+    capacity, load, ledger
+):
+    """Guards against admitted callers that lose their place by a lost upstream.
+
+    Its invitation is redeemed by the first attempt, and its share counted.
+    """
+    fill(ledger, tokens=39_500.0)
+    one = call_of("d-1")
+    due_at = NOW + capacity.return_seconds(one, rejection(), now=NOW)
+    capacity.return_seconds(call_of("d-2"), rejection(), now=NOW)
+    assert isinstance(
+        admit(capacity, one, ranked(), now=due_at), placement.Ranked
+    )
+    capacity.record_admission(one, tokens=1000.0, now=due_at)
+    again = admit(capacity, one, ranked(), now=due_at + 0.1)
+    assert isinstance(again, placement.Ranked)
+
+
+def test_slots_without_stated_slowness_are_those_of_the_upstream(
+    capacity, load
+):
+    """Guards against room by other slots than those that admission uses.
+
+    Without stated slowness, admission takes all upstreams to be equally fast.
+    """
+    others = tuple(
+        make_registration(f"u-{number}", pool="engines", slots=8)
+        for number in range(2, 5)
+    )
+    usable = (UPSTREAM, *others)
+    for one in usable:
+        slow = one is UPSTREAM
+        for _ in range(40):
+            load.speeds.record_prefill(
+                one.id,
+                0,
+                tokens=4000.0,
+                seconds=1.0 if slow else 0.1,
+                slowness=None,
+                now=NOW,
+            )
+    assert not load.states_slowness(usable)
+    assert capacity._capacity(UPSTREAM, 0.0, NOW).slots == UPSTREAM.slots
--- a/packages/router/tests/test_relayed_load.py
+++ b/packages/router/tests/test_relayed_load.py
@@ -349,3 +349,21 @@
         report(member, to=relay, now=now)
         sent += bool(relay.fleet_news(now=now).demands)
     assert sent >= 3
+
+
+def test_relay_without_own_requests_passes_on_all(make_vm, member, other):
+    """Guards against a relay that has not sent to the pool itself.
+
+    After its start, or while the load balancer avoids it, it does not know that
+    the pool is adaptive.
+    """
+    relay = make_vm(RELAY, adaptive=False)
+    other.load.record_report(UPSTREAM, SLOW, now=NOW)
+    other.load.shares.record_arrival(KEY, "house", cost=1000.0, now=NOW)
+    other.invite("d-1")
+    report(member, other, to=relay)
+    news = relay.fleet_news()
+    assert news.observations
+    assert news.demands
+    assert news.invitations
+    assert relay.domain_news().demands
