--- a/packages/router/tests/test_shares_with_returns.py
+++ b/packages/router/tests/test_shares_with_returns.py
@@ -1,8 +1,9 @@
 """Shares of a short pool whose refused callers return as told.
 
-One upstream prefills 40 prompts a second. For six seconds, one organisation
-asks for 100 a second, three times its share, and another for 10, a third of its
-own. A refused caller returns once, at the time that it was told.
+One upstream prefills 40 prompts a second. For eight seconds, one organisation
+asks for 100 a second, three times what the other leaves to it, and the other
+for 10, half of its share. A refused caller returns once, at the time that it
+was told.
 """
 
 import collections
