Hold returning callers to their share, compute the room of the whole pool

An invited caller no longer precedes a higher tier. The capacity to share out drains an excess backlog within a second.

--- a/packages/router/src/lagoonrun_router/adaptive_admission.py
+++ b/packages/router/src/lagoonrun_router/adaptive_admission.py
@@ -112,14 +112,21 @@
         return Rejected(refusal=base)
     if request.floor_due:
         return Admitted(upstream=base)
-    if not request.room.higher_covered and not request.invited:
+    if not request.room.higher_covered:
         return Rejected(refusal=admission.Refusal.HIGHER_TIER)
-    if request.invited or not is_short(request, base):
+    if not is_short(request, base):
         return Admitted(upstream=base)
     share = decide_share()
     if not share.admitted:
         return Rejected(refusal=admission.Refusal.OVER_SHARE, share=share)
-    if _uses_reserved_room(request):
+    # While others exceed their shares, an organisation within its own is not
+    # refused for what they were promised.
+    within_share = share.scarce and share.fraction >= 1.0
+    if (
+        not within_share
+        and not request.invited
+        and _uses_reserved_room(request)
+    ):
         return Rejected(refusal=admission.Refusal.RESERVED, share=share)
     return Admitted(upstream=base, share=share)
 
--- a/packages/router/src/lagoonrun_router/adaptive_load.py
+++ b/packages/router/src/lagoonrun_router/adaptive_load.py
@@ -136,11 +136,22 @@
         pool: types.PoolName,
         *,
         compute: Callable[[], tuple[shared_room.TierRoom, ...]],
+        recompute: bool = False,
         now: float,
     ) -> tuple[shared_room.TierRoom, ...]:
-        """Return the room of a pool by tier, computed at most every 0.05 s."""
+        """Return the room of a pool by tier, at most 0.05 s old.
+
+        Parameters
+        ----------
+        recompute
+            Whether the room has to be the present one.
+        """
         known = self._rooms_by_pool.get(pool)
-        if known is not None and 0.0 <= now - known[0] < _ROOM_SECONDS:
+        if (
+            not recompute
+            and known is not None
+            and 0.0 <= now - known[0] < _ROOM_SECONDS
+        ):
             return known[1]
         computed = compute()
         self._rooms_by_pool[pool] = (now, computed)
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -92,7 +92,11 @@
         self._components = components
 
     def choose(
-        self, call: calls.Call, *, excluded: Container[types.UpstreamId]
+        self,
+        call: calls.Call,
+        *,
+        excluded: Container[types.UpstreamId],
+        admitted_before: bool = False,
     ) -> Choice | pool_capacity.Rejection | AllClosed | None:
         """Return the upstream of the next attempt; None if none is usable.
 
@@ -100,6 +104,9 @@
         ----------
         excluded
             Upstreams of earlier attempts.
+        admitted_before
+            Whether the call was admitted before. Its share and its invitation
+            are used up then, and are not decided on again.
         """
         now = self._components.clock.monotonic()
         registered = self._usable(call, now)
@@ -121,7 +128,14 @@
             # capacity for it, so all of them are tried.
             ranking = self._rank(call, usable, usable, now, adaptive=adaptive)
             best = self._admit(call, ranking.ranked, now)
-        admitted = self._admit_adaptive(call, best, ranking, usable, now)
+        admitted = self._admit_adaptive(
+            call,
+            best,
+            ranking,
+            registered,
+            admitted_before=admitted_before,
+            now=now,
+        )
         if isinstance(admitted, pool_capacity.Rejection):
             self._log(
                 call,
@@ -308,18 +322,22 @@
         call: calls.Call,
         best: placement.Ranked | admission.Refusal,
         ranking: "_Ranking",
-        usable: tuple[upstreams.Registration, ...],
+        registered: tuple[upstreams.Registration, ...],
+        *,
+        admitted_before: bool,
         now: float,
     ) -> placement.Ranked | pool_capacity.Rejection:
         """Apply the admission of adaptive pools to the decision so far."""
+        if isinstance(best, admission.Refusal) and not ranking.adaptive:
+            return pool_capacity.Rejection(refusal=best)
         if not ranking.adaptive or call.pool.engine is None:
-            if isinstance(best, admission.Refusal):
-                return pool_capacity.Rejection(refusal=best)
+            return best
+        if admitted_before and not isinstance(best, admission.Refusal):
             return best
         return self._components.capacity.admit(
             call,
             best,
-            usable,
+            registered,
             tokens=self.new_tokens(call),
             floor_due=self._components.admission_floor.is_due(
                 call.route.profile.name, now=now
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -91,6 +91,7 @@
         self._expected_wait_seconds = 0.0
         self._pause_waiting_tokens = 0
         self._held = False
+        self._admitted = False
 
     @property
     def first_answer_at(self) -> float | None:
@@ -192,13 +193,19 @@
     def _choose_upstream(
         self,
     ) -> choosing.Choice | pool_capacity.Rejection | choosing.AllClosed | None:
-        choice = self._chooser.choose(self._call, excluded=self._tried)
+        choice = self._chooser.choose(
+            self._call,
+            excluded=self._tried,
+            admitted_before=self._admitted,
+        )
         if self._tried and (
             choice is None or isinstance(choice, choosing.AllClosed)
         ):
             # Every upstream was tried; one that failed may have recovered.
             self._tried.clear()
-            choice = self._chooser.choose(self._call, excluded=())
+            choice = self._chooser.choose(
+                self._call, excluded=(), admitted_before=self._admitted
+            )
         return choice
 
     async def _refuse_closed(
@@ -446,7 +453,7 @@
         if (
             choice.adaptive
             and self._call.pool.engine is not None
-            and not self._tried
+            and not self._admitted
         ):
             components.capacity.record_admission(
                 self._call,
@@ -457,6 +464,7 @@
         components.metrics.new_tokens.labels(self._call.pool.name).inc(
             choice.new_tokens
         )
+        self._admitted = True
         affinity_part = self._call.affinity_part
         if affinity_part is not None:
             components.prompt_locations.record_placement(
--- a/packages/router/src/lagoonrun_router/fleet_news.py
+++ b/packages/router/src/lagoonrun_router/fleet_news.py
@@ -202,8 +202,6 @@
 
     def _adaptive_fields(self, now: float) -> dict[str, Any]:
         """Return the fields about the adaptive pools, by name."""
-        if not self._adaptive.adaptive_pools:
-            return {}
         demands = router_messages.NO_DEMANDS
         if now - self._demands_sent_at >= state_publisher.DEMAND_SECONDS:
             self._demands_sent_at = now
--- a/packages/router/src/lagoonrun_router/organisation_shares.py
+++ b/packages/router/src/lagoonrun_router/organisation_shares.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 from lagoonrun_core import types
@@ -64,6 +65,9 @@
         Time until the share of the organisation has capacity; 0 if admitted.
     from_fleet
         Whether other entry VMs have reported their demand recently.
+    scarce
+        Whether the capacity is less than the demand, so that some organisation
+        is limited.
     """
 
     admitted: bool
@@ -72,6 +76,7 @@
     fair_rate: float
     retry_seconds: float
     from_fleet: bool
+    scarce: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -239,6 +244,7 @@
                 0.0 if admitted else _retry_seconds(asked, fair_rate, cost)
             ),
             from_fleet=view.from_fleet,
+            scarce=level < math.inf,
         )
 
     def demand_of(self, key: demand_row.ShareKey, *, now: float) -> float:
--- a/packages/router/src/lagoonrun_router/pool_capacity.py
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -33,6 +33,17 @@
 that is short of slots or cache. Above 1, so that it follows a growing
 capacity."""
 
+_DRAIN_SECONDS = 1.0
+"""Time in which a backlog that makes requests late is drained."""
+
+_MIN_CAPACITY_SHARE = 0.25
+"""Smallest part of the prefill rate that is shared out while a backlog drains:
+shares follow the demand, which would otherwise be refused altogether."""
+
+_HIGHER_TIER_SECONDS = 0.5
+"""Earliest time to return after a refusal for a higher tier: the backlog of the
+higher tier has to drain, and the entry VMs have to learn of it."""
+
 _MIN_RETURN_SECONDS = 0.1
 """Earliest time to return: the invitation has to reach the other entry VMs."""
 
@@ -94,7 +105,9 @@
             self._share_key(call),
             _organisation_of(call),
             cost=max(1.0, tokens),
-            repeated=arrival is not return_schedule.Arrival.NEW,
+            # A caller that returns in its time or later was refused then, and
+            # asks for capacity now. One that repeats early gains nothing.
+            repeated=arrival is return_schedule.Arrival.EARLY,
             now=now,
         )
         return arrival
@@ -115,7 +128,7 @@
         self,
         call: calls.Call,
         base: placement.Ranked | admission.Refusal,
-        usable: tuple[upstreams.Registration, ...],
+        pool_upstreams: tuple[upstreams.Registration, ...],
         *,
         tokens: float,
         floor_due: bool,
@@ -127,10 +140,17 @@
         ----------
         base
             The decision of `admission.admit`.
-        usable
-            All usable upstreams of the pool.
+        pool_upstreams
+            All usable upstreams of the pool, also those that this call was
+            sent to or that are closed for it: the room is that of all calls.
         """
-        room = self.room(call, usable, now=now)
+        room = self.room(
+            call,
+            pool_upstreams,
+            # The times in a refusal must not be those before the last requests.
+            recompute=isinstance(base, admission.Refusal),
+            now=now,
+        )
         arrival = self._load.schedule.arrival_of(call.digest, now=now)
         key = self._share_key(call)
         if room.tokens <= 0.0 or base in _CAPACITY_REFUSALS:
@@ -162,14 +182,16 @@
     def room(
         self,
         call: calls.Call,
-        usable: tuple[upstreams.Registration, ...],
+        pool_upstreams: tuple[upstreams.Registration, ...],
         *,
+        recompute: bool = False,
         now: float,
     ) -> shared_room.TierRoom:
         """Return the room that a pool has for the tier of a call."""
         rooms = self._load.rooms(
             call.pool.name,
-            compute=lambda: self._compute_rooms(call, usable, now),
+            compute=lambda: self._compute_rooms(call, pool_upstreams, now),
+            recompute=recompute,
             now=now,
         )
         return shared_room.room_of(rooms, call.tier)
@@ -195,19 +217,24 @@
         room = rejection.room
         if room is None:
             return None
-        share_seconds = rejection.share.retry_seconds if rejection.share else 0
         within = _MAX_RETURN_FRACTION * max(0.0, call.limit_at - now)
+        after_seconds = max(_MIN_RETURN_SECONDS, room.wait_seconds)
+        tokens_per_second = room.tokens_per_second
+        if rejection.refusal is admission.Refusal.OVER_SHARE:
+            # The organisation's callers return at the rate of its share.
+            after_seconds = max(after_seconds, rejection.share.retry_seconds)
+            tokens_per_second = rejection.share.fair_rate
+        elif rejection.refusal is admission.Refusal.HIGHER_TIER:
+            after_seconds = max(after_seconds, _HIGHER_TIER_SECONDS)
         key = self._share_key(call)
         invitation = self._load.schedule.invite(
             call.digest,
             pool=call.pool.name,
             tier=call.tier,
             tokens=max(1.0, rejection.tokens),
-            tokens_per_second=room.tokens_per_second
+            tokens_per_second=tokens_per_second
             * self._load.shares.own_part(key, now=now),
-            after_seconds=max(
-                _MIN_RETURN_SECONDS, share_seconds, room.wait_seconds
-            ),
+            after_seconds=after_seconds,
             within_seconds=within,
             now=now,
         )
@@ -216,7 +243,7 @@
     def _compute_rooms(
         self,
         call: calls.Call,
-        usable: tuple[upstreams.Registration, ...],
+        pool_upstreams: tuple[upstreams.Registration, ...],
         now: float,
     ) -> tuple[shared_room.TierRoom, ...]:
         engine = call.pool.engine
@@ -224,7 +251,7 @@
         return shared_room.pool_room(
             tuple(
                 self._capacity(one, engine.cache_tokens if engine else 0.0, now)
-                for one in usable
+                for one in pool_upstreams
             ),
             tuple(
                 shared_room.TierDemand(
@@ -242,12 +269,18 @@
     def _capacity(
         self, upstream: upstreams.Registration, cache_tokens: float, now: float
     ) -> shared_room.UpstreamCapacity:
-        estimate = self._load.speeds.estimate(upstream.id, now=now)
+        speeds = self._load.speeds
+        slots = upstream.slots
+        tokens_per_second = speeds.median_tokens_per_second(now=now)
+        if speeds.states_slowness(upstream.id):
+            estimate = speeds.estimate(upstream.id, now=now)
+            slots = scaled_slots(slots, estimate.relative_speed)
+            tokens_per_second = estimate.current_tokens_per_second
         return shared_room.UpstreamCapacity(
-            slots=scaled_slots(upstream.slots, estimate.relative_speed),
+            slots=slots,
             cache_tokens=cache_tokens,
             load=self._ledger.load_of(upstream.id, now=now),
-            tokens_per_second=estimate.current_tokens_per_second,
+            tokens_per_second=tokens_per_second,
         )
 
     def _decide_share(
@@ -258,7 +291,9 @@
         now: float,
     ) -> organisation_shares.ShareDecision:
         key = self._share_key(call)
-        capacity = room.tokens_per_second
+        capacity = _drained_capacity(
+            room, target_seconds=call.route.profile.target_seconds
+        )
         if now < self._short_until_by_key.get(key, 0.0):
             # Slots or cache may bind before the prefill rate does.
             admitted = self._load.shares.admitted_of(key, now=now)
@@ -277,6 +312,20 @@
         return self._load.share_key(call.pool.name, call.tier)
 
 
+def _drained_capacity(
+    room: shared_room.TierRoom, *, target_seconds: float
+) -> float:
+    """Return the capacity to share out, in tokens a second.
+
+    It is less than the prefill rate while the backlog is longer than requests
+    in time allow, so that the backlog shrinks.
+    """
+    rate = room.tokens_per_second
+    allowed = adaptive_admission.SHORT_TARGET_FRACTION * target_seconds * rate
+    excess = max(0.0, room.backlog_tokens - allowed)
+    return max(_MIN_CAPACITY_SHARE * rate, rate - excess / _DRAIN_SECONDS)
+
+
 def scaled_slots(slots: int, relative_speed: float) -> int:
     """Return the slots of an upstream, fewer if it is slower than others."""
     return max(1, round(slots * min(1.0, relative_speed)))
--- a/packages/router/src/lagoonrun_router/upstream_speeds.py
+++ b/packages/router/src/lagoonrun_router/upstream_speeds.py
@@ -381,6 +381,10 @@
             mean_slowness=state.slowness.mean,
         )
 
+    def median_tokens_per_second(self, *, now: float) -> float:
+        """Return the median of the known speeds, or the default."""
+        return self._median_speed(now)
+
     def _median_speed(self, now: float) -> float:
         """Return the median of the known speeds, at most half a second old.
 
--- a/packages/router/tests/test_adaptive_pools.py
+++ b/packages/router/tests/test_adaptive_pools.py
@@ -13,7 +13,12 @@
 
 from lagoonrun_http import messages as http_messages
 from lagoonrun_protocol import router_codec, router_messages
-from lagoonrun_router import adaptive_load, declarations, peer_socket
+from lagoonrun_router import (
+    adaptive_load,
+    declarations,
+    peer_socket,
+    pool_capacity,
+)
 from lagoonrun_standins.router_samples import (
     KEY,
     make_route,
@@ -424,6 +429,36 @@
 # Pools that are not adaptive.
 
 
+async def test_room_is_that_of_all_upstreams_of_the_pool(world_of, monkeypatch):
+    """Guards against room without the upstreams that are closed for a request.
+
+    Other requests use the same room for 0.05 s.
+    """
+    seen = []
+    original = pool_capacity.PoolCapacity.admit
+
+    def admit(self, call, base, pool_upstreams, **options):
+        seen.append({one.id for one in pool_upstreams})
+        return original(self, call, base, pool_upstreams, **options)
+
+    monkeypatch.setattr(pool_capacity.PoolCapacity, "admit", admit)
+
+    async def rest(exchange):
+        await exchange.respond(
+            status=503,
+            headers=marked(exchange, Not_Run="1", Retry_After="5"),
+            body=b"",
+        )
+
+    world = await world_of(contended=True)
+    await declare(world)
+    await world.add_upstream(rest, id="u-1")
+    await ask(world)
+    await world.add_upstream(LoadedUpstream().answer, id="u-2")
+    await ask(world)
+    assert seen[-1] == {"u-1", "u-2"}
+
+
 @pytest.fixture
 def sent_messages(monkeypatch):
     """Return the list of all messages that entry VMs send to each other."""
