--- a/packages/router/src/lagoonrun_router/adaptive_load.py
+++ b/packages/router/src/lagoonrun_router/adaptive_load.py
@@ -116,12 +116,13 @@
         *,
         now: float,
     ) -> None:
-        """Record the load that an upstream states in an answer."""
+        """Record the load that an upstream states in an answer.
+
+        Without the slowness it is not used, and not recorded.
+        """
         if report.slowness is None:
-            if upstream.pool not in self._adaptive_pools:
-                return
-        else:
-            self._adaptive_pools.add(upstream.pool)
+            return
+        self._adaptive_pools.add(upstream.pool)
         self.speeds.record_report(upstream.id, upstream.start, report, now=now)
 
     def weight_of(self, organisation: types.OrganisationId) -> float:
