Count each own invitation as redeemed or not when its own time ends

The invitations were counted in the order of their issue. One that is due in many seconds delayed the count of those issued after it, which were no longer kept by then and counted as unused, so the reservations for returning callers shrank to nothing. They are now counted in the order of their end.

--- a/packages/router/src/lagoonrun_router/return_schedule.py
+++ b/packages/router/src/lagoonrun_router/return_schedule.py
@@ -135,7 +135,8 @@
         self._ends: list[tuple[float, types.RequestDigest]] = []
         self._due = due_tokens.DueTokens(max_count=MAX_INVITATIONS)
         self._calendar = drain_calendar.DrainCalendar()
-        self._issued: collections.deque[Invitation] = collections.deque()
+        # Own invitations by the end of their time, as a heap.
+        self._issued: list[tuple[float, types.RequestDigest]] = []
         self._redeemed_fraction = 1.0
         self._own = _PendingInvitations()
         self._for_neighbours = _PendingInvitations()
@@ -196,7 +197,7 @@
             ),
         )
         if self._record(invitation, now=now):
-            self._issued.append(invitation)
+            heapq.heappush(self._issued, (invitation.ends_at, digest))
             self._own.add(invitation)
             self._for_neighbours.add(invitation)
         return invitation
@@ -239,9 +240,9 @@
 
         1 before the first has ended.
         """
-        while self._issued and now > self._issued[0].ends_at:
-            invitation = self._issued.popleft()
-            known = self._by_digest.get(invitation.digest)
+        while self._issued and now > self._issued[0][0]:
+            _, digest = heapq.heappop(self._issued)
+            known = self._by_digest.get(digest)
             redeemed = known is not None and known.tokens <= 0.0
             self._redeemed_fraction += _OUTCOME_WEIGHT * (
                 redeemed - self._redeemed_fraction
--- a/packages/router/tests/test_return_schedule.py
+++ b/packages/router/tests/test_return_schedule.py
@@ -197,6 +197,26 @@
     assert schedule.arrival_of("r", now=due) is Arrival.INVITED
 
 
+def test_redeemed_fraction_does_not_wait_for_the_latest_invitation(schedule):
+    """Guards against redeemed invitations that are counted as unused.
+
+    The first invitation ends long after the others, which are no longer kept
+    by then.
+    """
+    invite(schedule, "late", after_seconds=20.0, within_seconds=20.0)
+    for number in range(40):
+        digest = f"r-{number}"
+        due = invite(schedule, digest).due_at
+        schedule.redeem(digest, now=due)
+    for number in range(1, 30):
+        fraction = schedule.redeemed_fraction(now=NOW + number)
+        # Adds an invitation, which drops those that are over.
+        schedule.apply_invitations(
+            [invitation(f"n-{number}", due_at=NOW + number)], now=NOW + number
+        )
+    assert fraction > 0.9
+
+
 def test_caller_that_does_not_return_frees_its_tokens(schedule):
     """Guards against capacity reserved for callers that have given up."""
     due = invite(schedule, "r").due_at
