Pass all arguments on in the planted defect of the shares

Chooser.choose got the argument admitted_before; the planted replacement did not take it and failed with a TypeError at each request, so that the soak found another violation than the one that was planted.

--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -198,14 +198,14 @@
     original = choosing.Chooser.choose
     recent = collections.deque(maxlen=_RECENT_CHOICES)
 
-    def choose(self, call, *, excluded):
+    def choose(self, call, **attempt):
         if call.pool.engine is None:
-            return original(self, call, excluded=excluded)
+            return original(self, call, **attempt)
         organisation = call.organisation.id
         recent.append(organisation)
         if recent.count(organisation) < len(recent) / 2:
             return pool_capacity.Rejection(refusal=admission.Refusal.NO_ROOM)
-        return original(self, call, excluded=excluded)
+        return original(self, call, **attempt)
 
     choosing.Chooser.choose = choose
 
