--- a/packages/cli/src/lagoonrun_cli/log_causes.py
+++ b/packages/cli/src/lagoonrun_cli/log_causes.py
@@ -32,6 +32,7 @@
     REFUSED_NO_ROOM = "refused: no-room"
     REFUSED_HIGHER_TIER = "refused: higher-tier"
     REFUSED_TOO_LATE = "refused: too-late"
+    REFUSED_RESERVED = "refused: reserved"
     REFUSED_AGAIN = "refused again"
     NOT_KNOWN = "store or configuration"
     UPSTREAM_LOST = "upstream lost"
@@ -64,6 +65,7 @@
     "no-room": Cause.REFUSED_NO_ROOM,
     "higher-tier": Cause.REFUSED_HIGHER_TIER,
     "too-late": Cause.REFUSED_TOO_LATE,
+    "reserved": Cause.REFUSED_RESERVED,
 }
 """Causes by the detail of an `overloaded` refusal."""
 
--- a/packages/cli/tests/test_log_causes.py
+++ b/packages/cli/tests/test_log_causes.py
@@ -72,6 +72,7 @@
         ),
         ([refused("over-share")], CAUSE.REFUSED_OVER_SHARE),
         ([refused("no-room")], CAUSE.REFUSED_NO_ROOM),
+        ([refused("reserved")], CAUSE.REFUSED_RESERVED),
         (
             [
                 ended(
