Reuse the rounded speeds of a pool for a second

The order of a pool of uneven upstreams needs the rounded speeds of all of them, and estimated them up to three times for each request: 3.4 ms each time with 1,100 upstreams, 29 ms with 11,000. They are now estimated once a second. Pools without any stated slowness are recognised without a look at each upstream, and the usable upstreams are copied only while one is held.

--- a/packages/router/src/lagoonrun_router/adaptive_load.py
+++ b/packages/router/src/lagoonrun_router/adaptive_load.py
@@ -5,6 +5,7 @@
 for capacity. In the other pools nothing is recorded and nothing is sent.
 """
 
+import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
 from lagoonrun_core import types
@@ -23,10 +24,27 @@
 """Time for which the room of a pool is not computed again: the interval at which
 reports arrive at most."""
 
+_SPEED_STEP = 0.5
+"""Step to which relative speeds are rounded where entry VMs have to agree on
+them. Estimates of different entry VMs differ by about an eighth."""
+
+_ROUNDED_SECONDS = 1.0
+"""Time for which rounded speeds are reused. They are needed for each request,
+and those of 11,000 upstreams take about 30 ms."""
+
 OverrideLookup = Callable[[types.OrganisationId], float | None]
 """Returns the weight that an operator has set; None for none."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _RoundedSpeeds:
+    """Rounded relative speeds of upstreams at a monotonic time."""
+
+    ids: tuple[types.UpstreamId, ...]
+    speeds: tuple[float, ...]
+    at: float
+
+
 class AdaptiveLoad:
     """Speeds, shares, room and invitations of the adaptive pools.
 
@@ -57,6 +75,7 @@
         self._rooms_by_pool: dict[
             types.PoolName, tuple[float, tuple[shared_room.TierRoom, ...]]
         ] = {}
+        self._rounded_by_pool: dict[types.PoolName, _RoundedSpeeds] = {}
         self.speeds = upstream_speeds.UpstreamSpeeds()
         self.shares = organisation_shares.OrganisationShares()
         self.schedule = return_schedule.ReturnSchedule()
@@ -71,6 +90,7 @@
         }
         self._adaptive_pools &= set(declared.pools_by_name)
         self._rooms_by_pool.clear()
+        self._rounded_by_pool.clear()
 
     def is_adaptive(
         self,
@@ -102,8 +122,37 @@
         Without such statements, the upstreams are taken to be equally fast:
         measured speeds alone differ by queues that are not known.
         """
+        if not self.speeds.upstreams:
+            return False
         return any(self.speeds.states_slowness(one.id) for one in registered)
 
+    def rounded_speeds(
+        self,
+        pool: types.PoolName,
+        ids: tuple[types.UpstreamId, ...],
+        *,
+        now: float,
+    ) -> tuple[float, ...]:
+        """Return relative speeds, rounded so that entry VMs agree on them.
+
+        They are at most one second old.
+        """
+        known = self._rounded_by_pool.get(pool)
+        if (
+            known is None
+            or known.ids != ids
+            or not 0.0 <= now - known.at < _ROUNDED_SECONDS
+        ):
+            known = self._rounded_by_pool[pool] = _RoundedSpeeds(
+                ids=ids,
+                speeds=tuple(
+                    _rounded(self.speeds.estimate(id, now=now).relative_speed)
+                    for id in ids
+                ),
+                at=now,
+            )
+        return known.speeds
+
     @property
     def adaptive_pools(self) -> frozenset[types.PoolName]:
         """Names of the pools that were found to be adaptive."""
@@ -176,3 +225,7 @@
     def forget_upstreams(self, known: Iterable[types.UpstreamId]) -> None:
         """Forget the speeds of upstreams that are not in `known`."""
         self.speeds.forget_upstreams(known)
+
+
+def _rounded(relative_speed: float) -> float:
+    return max(1, round(relative_speed / _SPEED_STEP)) * _SPEED_STEP
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -22,10 +22,6 @@
 _RECENT_REPORT_SECONDS = 1.0
 """Age up to which a load report of a plain service is compared with others."""
 
-_SPEED_STEP = 0.5
-"""Step to which relative speeds are rounded where entry VMs have to agree on
-them. Estimates of different entry VMs differ by about an eighth."""
-
 _OUTDATED_CANDIDATES = 2
 """Number of candidates among the plain services with older reports."""
 
@@ -176,6 +172,8 @@
         """Return the usable upstreams; without held ones if others are left."""
         usable = self._components.directory.usable(call.pool.name, now=now)
         held = self._components.overrides.held
+        if not held:
+            return usable
         return tuple(one for one in usable if one.id not in held) or usable
 
     def all_closed(
@@ -361,10 +359,9 @@
         if not adaptive.states_slowness(usable):
             return _pool_order_of_ids(ids)
         now = self._components.clock.monotonic()
-        weights = tuple(
-            _rounded_speed(adaptive.speeds.estimate(id, now=now)) for id in ids
+        return _pool_order_of_ids(
+            ids, adaptive.rounded_speeds(usable[0].pool, ids, now=now)
         )
-        return _pool_order_of_ids(ids, weights)
 
     def _candidate(
         self,
@@ -520,12 +517,6 @@
         return round(self.request.shared_tokens)
 
 
-def _rounded_speed(estimate: speed_estimate.SpeedEstimate) -> float:
-    """Return a relative speed, rounded so that entry VMs agree on it."""
-    steps = round(estimate.relative_speed / _SPEED_STEP)
-    return max(1, steps) * _SPEED_STEP
-
-
 @functools.lru_cache(maxsize=16)
 def _pool_order_of_ids(
     ids: tuple[types.UpstreamId, ...],
--- a/packages/router/tests/test_pool_capacity.py
+++ b/packages/router/tests/test_pool_capacity.py
@@ -10,6 +10,7 @@
     call,
     declarations,
     load_ledger,
+    load_report,
     loads,
     organisation_shares,
     placement,
@@ -354,3 +355,27 @@
             )
     assert not load.states_slowness(usable)
     assert capacity._capacity(UPSTREAM, 0.0, NOW).slots == UPSTREAM.slots
+
+
+def test_rounded_speeds_are_reused_for_a_moment(load):
+    """Guards against estimates of all upstreams for each request."""
+    ids = (UPSTREAM.id, "u-2")
+    for id, slowness in zip(ids, (1.0, 3.0), strict=True):
+        for number in range(200):
+            load.speeds.record_report(
+                id,
+                1,
+                load_report.LoadReport(
+                    running=0, waiting=0, slots=8, slowness=slowness
+                ),
+                now=NOW + number,
+            )
+        load.speeds.record_prefill(
+            id, 1, tokens=4000, seconds=0.1, slowness=slowness, now=NOW + 200
+        )
+    fast, slow = first = load.rounded_speeds("engines", ids, now=NOW + 200)
+    assert fast > slow > 0.0
+    assert load.rounded_speeds("engines", ids, now=NOW + 200.9) is first
+    assert load.rounded_speeds("engines", ids, now=NOW + 201) is not first
+    one = load.rounded_speeds("engines", ids[:1], now=NOW + 201.1)
+    assert one == (fast,)
