Take the median slowness also before a prefill is measured

Until then it counted as 1, so upstreams that all stated a slowness of 2 were given half of their slots. Where all prompts are too short for a measurement, this lasted.

--- a/packages/router/src/lagoonrun_router/upstream_speeds.py
+++ b/packages/router/src/lagoonrun_router/upstream_speeds.py
@@ -49,8 +49,8 @@
 """Time after which the median is computed again."""
 
 _MEDIAN_UPSTREAMS = 1024
-"""Number of measured upstreams from which only a part of all upstreams is
-included in the median: that of 11,000 takes several milliseconds."""
+"""Number of upstreams from which only a part of them is included in a median:
+that of 11,000 takes several milliseconds."""
 
 _MAX_DELAY_SECONDS = 0.05
 """Time by which a report of a peer must appear newer to count as newer. The age
@@ -391,20 +391,22 @@
         It is also computed when twice as many are known as before, so that the
         first ones count at once.
         """
-        if not self._measured_count:
+        measured = self._measured_count
+        if not measured:
             self._median_count = 0
-            return DEFAULT_TOKENS_PER_SECOND
-        if (
-            now - self._median_at >= _MEDIAN_SECONDS
-            or self._measured_count >= 2 * self._median_count
+        if now - self._median_at >= _MEDIAN_SECONDS or measured >= max(
+            1, 2 * self._median_count
         ):
-            step = max(1, self._measured_count // _MEDIAN_UPSTREAMS)
-            speeds = self._measured_speeds(step) or self._measured_speeds(1)
-            self._median = statistics.median(speeds)
+            if measured:
+                step = max(1, measured // _MEDIAN_UPSTREAMS)
+                speeds = self._measured_speeds(step) or self._measured_speeds(1)
+                self._median = statistics.median(speeds)
+            # Upstreams state their slowness before a prefill is measured.
+            step = max(1, self.upstreams // _MEDIAN_UPSTREAMS)
             self._median_slowness = self._compute_median_slowness(step)
-            self._median_count = self._measured_count
+            self._median_count = measured
             self._median_at = now
-        return self._median
+        return self._median if measured else DEFAULT_TOKENS_PER_SECOND
 
     def _measured_speeds(self, step: int) -> list[float]:
         """Return the speeds of the measured ones of every `step`-th upstream."""
--- a/packages/router/tests/test_upstream_speeds.py
+++ b/packages/router/tests/test_upstream_speeds.py
@@ -578,3 +578,14 @@
     for number in range(10):
         speeds.estimate(f"new-{number}", now=0.0)
     assert speeds.upstreams == 1
+
+
+def test_relative_speed_without_measured_prefills(speeds):
+    """Guards against fewer slots where all upstreams state the same slowness.
+
+    Prompts may all be too short for a measurement.
+    """
+    for step in range(200):
+        for upstream in ("u-1", "u-2", "u-3"):
+            report(speeds, upstream, 2.0, now=float(step))
+    assert speeds.estimate("u-1", now=200.0).relative_speed == pytest.approx(1)
