Don't take entry VMs without demand for cut off

An entry VM whose peers had no demand received no rows, and divided its old part of the capacity only: it refused requests for a share that it did not exceed, for up to a minute, when all callers came to use one entry VM. A state without rows now counts as a report of no demand.

--- a/packages/router/src/lagoonrun_router/domain_news.py
+++ b/packages/router/src/lagoonrun_router/domain_news.py
@@ -286,6 +286,8 @@
             self._adaptive.shares.apply_report(
                 news.domain, demand_rows.from_rows(news.demands), now=now
             )
+        elif self._adaptive.adaptive_pools:
+            self._adaptive.shares.record_contact(news.domain, now=now)
         if from_relay:
             self._send(news, self._table.neighbour_addresses())
         return from_relay
--- a/packages/router/src/lagoonrun_router/organisation_shares.py
+++ b/packages/router/src/lagoonrun_router/organisation_shares.py
@@ -299,6 +299,20 @@
         """Replace a peer's report of its own demand."""
         self._report_by_peer[peer] = _report(rows, now)
 
+    def record_contact(self, peer: types.LoadReporter, *, now: float) -> None:
+        """Record that a peer is connected, though this message has no demand.
+
+        A peer that asks for nothing sends no rows; without this it would be
+        taken to be cut off. Rows that it sent recently stay in effect.
+        """
+        report = self._report_by_peer.get(peer)
+        if (
+            report is None
+            or not report.table_by_key
+            or not report.is_current(now)
+        ):
+            self._report_by_peer[peer] = _report((), now)
+
     def apply_fleet_report(
         self, rows: Iterable[demand_row.DemandRow], *, now: float
     ) -> None:
--- a/packages/router/src/lagoonrun_router/peer_exchange.py
+++ b/packages/router/src/lagoonrun_router/peer_exchange.py
@@ -509,6 +509,8 @@
             self._adaptive.shares.apply_report(
                 state.entry_vm, demand_rows.from_rows(state.demands), now=now
             )
+        elif self._adaptive.adaptive_pools:
+            self._adaptive.shares.record_contact(state.entry_vm, now=now)
         if state.invitations:
             self._adaptive.schedule.apply_invitations(
                 invitation_rows.from_rows(state.invitations, now=now), now=now
--- a/packages/router/tests/test_organisation_shares.py
+++ b/packages/router/tests/test_organisation_shares.py
@@ -563,6 +563,40 @@
     assert decide(shares, "a", now=now, capacity=40 * COST).fraction == 1.0
 
 
+@pytest.mark.parametrize("connected", [False, True])
+def test_entry_vm_with_idle_peers_uses_the_whole_capacity(shares, connected):
+    """Guards against peers without demand that are taken to be cut off.
+
+    Callers of the whole fleet may come to use one entry VM only.
+    """
+    now = 0.0
+    for step in range(80):
+        now = send_steadily(shares, {"a": 20.0}, start=step / 4, seconds=0.25)
+        shares.apply_report("vm-2", make_rows({"a": 60 * COST}), now=now)
+        shares.own_rows(now=now)
+    for step in range(8):
+        now = send_steadily(
+            shares, {"a": 20.0}, start=20.0 + step / 4, seconds=0.25
+        )
+        if connected:
+            shares.record_contact("vm-2", now=now)
+        shares.own_rows(now=now)
+    decision = decide(shares, "a", now=now, capacity=40 * COST)
+    assert decision.from_fleet == connected
+    assert decision.fraction == pytest.approx(
+        1.0 if connected else 0.5, rel=0.1
+    )
+
+
+def test_contact_without_demand_keeps_the_last_report(shares):
+    """Guards against demand that is lost between two messages with demand."""
+    shares.apply_report("vm-2", make_rows({"a": 300.0}), now=0.0)
+    shares.record_contact("vm-2", now=0.4)
+    assert shares.demand_of(KEY, now=0.4) == pytest.approx(300.0)
+    shares.record_contact("vm-2", now=1.6)
+    assert shares.demand_of(KEY, now=1.6) == 0.0
+
+
 def test_entry_vm_cut_off_while_idle_admits_some(shares):
     """Guards against a part of zero, with which a cut-off VM admits nothing."""
     for step in range(40):
