Don't fail for a shared part with an extreme hash

The weighted choice of an upstream takes the logarithm of a hash from 0 to 1 and divides by it. A hash of 0, or one that is rounded to 1, raised an error for each request with the part.

--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -17,6 +17,8 @@
 from lagoonrun_router import loads
 
 _HASH_RANGE = float(1 << 64)
+_MIN_HASH = 1.0 / _HASH_RANGE
+_MAX_HASH = math.nextafter(1.0, 0.0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -213,7 +215,7 @@
         weighted = zip(self._ids, self._weights, strict=True)
         return max(
             weighted,
-            key=lambda one: one[1] / -math.log(_hash_fraction(part, one[0])),
+            key=lambda one: one[1] / _exponential(part, one[0]),
         )[0]
 
     @functools.cached_property
@@ -381,3 +383,10 @@
     """Return a hash from 0 to 1 that is the same at all entry VMs."""
     named = f"{affinity}{upstream}"
     return xxhash.xxh3_64_intdigest(named.encode()) / _HASH_RANGE
+
+
+def _exponential(part: str, upstream: types.UpstreamId) -> float:
+    """Return an exponentially distributed hash that is above 0."""
+    # A hash may be 0, and one close to 1 is rounded to 1.
+    fraction = min(max(_hash_fraction(part, upstream), _MIN_HASH), _MAX_HASH)
+    return -math.log(fraction)
--- a/packages/router/tests/test_placement.py
+++ b/packages/router/tests/test_placement.py
@@ -1,7 +1,9 @@
 """The cost terms of placement, and that all entry VMs rank alike."""
 
+import collections
 import dataclasses
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -147,3 +149,25 @@
 def test_runner_with_an_overdue_request_is_avoided():
     unresponsive = candidate("a", load=loads.Load(running=1, overdue=1))
     assert best(SHORT, unresponsive, candidate("b", same_domain=False)) == "b"
+
+
+@pytest.mark.parametrize("hashed", [0, 2**64 - 1])
+def test_extreme_hash_selects_an_upstream(monkeypatch, hashed):
+    """Guards against a logarithm or a division that fails for one part."""
+    monkeypatch.setattr(
+        placement.xxhash, "xxh3_64_intdigest", lambda data: hashed
+    )
+    order = placement.PoolOrder(ids=("u-1", "u-2"), weights=(1.0, 2.0))
+    assert order.prefill_upstream_of("part") == "u-2"
+
+
+def test_shared_parts_go_to_upstreams_in_proportion_to_speed():
+    """Guards against a slow upstream that prefills as much as a fast one."""
+    order = placement.PoolOrder(
+        ids=("u-1", "u-2", "u-3"), weights=(0.5, 0.5, 1.5)
+    )
+    counts = collections.Counter(
+        order.prefill_upstream_of(f"part-{number}") for number in range(5000)
+    )
+    assert counts["u-3"] / 5000 == pytest.approx(0.6, abs=0.03)
+    assert counts["u-1"] / 5000 == pytest.approx(0.2, abs=0.03)
