Bound the demand in a message for many pools

A message listed 24 organisations for each pool and tier: 26 KB for five pools of six tiers. Receivers drop datagrams of more than 16 KB, and with them the load of the sender. A message now lists as many organisations as for six tiers of one pool, divided among its pools and tiers.

--- a/packages/router/src/lagoonrun_router/demand_row.py
+++ b/packages/router/src/lagoonrun_router/demand_row.py
@@ -16,6 +16,10 @@
 It bounds the size of messages for any number of organisations.
 """
 
+LISTED_ROWS = 6 * LISTED_ORGANISATIONS
+"""Number of rows of listed organisations in a message: those of six tiers of one
+pool, about 4 KB. With more pools, fewer organisations are listed for each."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ShareKey:
@@ -46,3 +50,8 @@
     organisations: int
     asked: float
     admitted: float
+
+
+def listed_organisations(keys: int) -> int:
+    """Return how many organisations a message lists for each of its keys."""
+    return max(1, min(LISTED_ORGANISATIONS, LISTED_ROWS // max(1, keys)))
--- a/packages/router/src/lagoonrun_router/demand_table.py
+++ b/packages/router/src/lagoonrun_router/demand_table.py
@@ -69,14 +69,16 @@
         """Return the demand of an organisation, the mean one if not listed."""
         return self.asked_by_organisation.get(organisation, self.unlisted_asked)
 
-    def shortened(self) -> "DemandTable":
+    def shortened(
+        self, listed: int = demand_row.LISTED_ORGANISATIONS
+    ) -> "DemandTable":
         """Return a table that lists only the largest organisations by name."""
         asked = self.asked_by_organisation
-        if len(asked) <= demand_row.LISTED_ORGANISATIONS:
+        if len(asked) <= listed:
             return self
         # The name makes the order definite among equal demands.
         largest = heapq.nlargest(
-            demand_row.LISTED_ORGANISATIONS,
+            listed,
             asked,
             key=lambda organisation: (asked[organisation], organisation),
         )
@@ -94,10 +96,13 @@
         )
 
     def rows(
-        self, key: demand_row.ShareKey
+        self,
+        key: demand_row.ShareKey,
+        *,
+        listed: int = demand_row.LISTED_ORGANISATIONS,
     ) -> tuple[demand_row.DemandRow, ...]:
         """Return the rows of a message: the largest by name and the rest."""
-        table = self.shortened()
+        table = self.shortened(listed)
         rows = [
             demand_row.DemandRow(
                 key=key,
--- a/packages/router/src/lagoonrun_router/organisation_shares.py
+++ b/packages/router/src/lagoonrun_router/organisation_shares.py
@@ -285,9 +285,7 @@
         self._remove_expired(now)
         tables = self._own.tables(now=now)
         self._sample_parts(tables, now)
-        return tuple(
-            row for key, table in tables.items() for row in table.rows(key)
-        )
+        return _message_rows(tables)
 
     def apply_report(
         self,
@@ -339,10 +337,11 @@
             if report is not None:
                 for key, table in report.table_by_key.items():
                     tables_by_key.setdefault(key, []).append(table)
-        return tuple(
-            row
-            for key, tables in tables_by_key.items()
-            for row in demand_table.sum_of(tables).rows(key)
+        return _message_rows(
+            {
+                key: demand_table.sum_of(tables)
+                for key, tables in tables_by_key.items()
+            }
         )
 
     def known_rows(self, *, now: float) -> tuple[demand_row.DemandRow, ...]:
@@ -476,6 +475,18 @@
     )
 
 
+def _message_rows(
+    table_by_key: Mapping[demand_row.ShareKey, demand_table.DemandTable],
+) -> tuple[demand_row.DemandRow, ...]:
+    """Return the rows of a message with the tables."""
+    listed = demand_row.listed_organisations(len(table_by_key))
+    return tuple(
+        row
+        for key, table in table_by_key.items()
+        for row in table.rows(key, listed=listed)
+    )
+
+
 def _demands(
     table: demand_table.DemandTable,
     weights: Callable[[types.OrganisationId], float],
--- a/packages/router/tests/test_organisation_shares.py
+++ b/packages/router/tests/test_organisation_shares.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from lagoonrun_router import demand_row, organisation_shares, own_demand
+from lagoonrun_router import (
+    demand_row,
+    demand_rows,
+    organisation_shares,
+    own_demand,
+)
 
 KEY = demand_row.ShareKey(pool="p", tier=1)
 COST = 1000.0
@@ -622,6 +627,30 @@
 # Bounds.
 
 
+@pytest.mark.parametrize("summed", [False, True])
+def test_demand_of_many_pools_fits_into_a_datagram(shares, summed):
+    """Guards against states that are dropped because they are too large.
+
+    Receivers drop datagrams of more than 16 KiB, with the loads in them.
+    """
+    keys = [
+        demand_row.ShareKey(pool=f"engines-{pool}", tier=tier)
+        for pool in range(5)
+        for tier in range(1, 7)
+    ]
+    for key in keys:
+        for number in range(100):
+            shares.record_arrival(
+                key, f"organisation-{number}", cost=100.0 + number, now=0.0
+            )
+    rows = shares.rows_with((), now=0.1) if summed else shares.own_rows(now=0.1)
+    assert {row.key for row in rows} == set(keys)
+    assert sum(row.organisations for row in rows) == 100 * len(keys)
+    packed = demand_rows.to_rows(rows)
+    size = len(packed.pools) + len(packed.organisations) + len(packed.numbers)
+    assert size < 8192
+
+
 def test_5000_organisations_are_listed_in_one_short_message(shares):
     """Guards against messages that grow with the number of organisations."""
     for index in range(5000):
