Record service times of plain services only

A complete answer of an engine was recorded as a service time as well. Where the prefills of an upstream are measured too, the samples of both were reported as those of either.

--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -260,7 +260,7 @@
     def _record_service(self) -> None:
         """Record how long a plain service took to answer."""
         choice = self._choice
-        if not choice.adaptive or self._call.streamed:
+        if not choice.adaptive or self._call.pool.engine is not None:
             return
         now = self._components.clock.monotonic()
         self._components.adaptive.speeds.record_service(
