Share out some capacity after nothing was admitted

While requests are refused for a lack of slots, cache or time, the capacity that is shared out follows what was admitted. After an outage this was nothing, and stayed nothing as long as a few refusals went on: prompts of one organisation that were too long for their time limit kept another one refused in an idle pool. At least the part that is shared out of a draining backlog is now shared out.

--- a/packages/router/src/lagoonrun_router/pool_capacity.py
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -38,8 +38,9 @@
 """Time in which a backlog that makes requests late is drained."""
 
 _MIN_CAPACITY_SHARE = 0.25
-"""Smallest part of the prefill rate that is shared out while a backlog drains:
-shares follow the demand, which would otherwise be refused altogether."""
+"""Smallest part of the prefill rate that is shared out while a backlog drains,
+or after nothing was admitted: the demand would otherwise be refused altogether,
+and what is admitted could not grow from nothing."""
 
 _HIGHER_TIER_SECONDS = 0.5
 """Earliest time to return after a refusal for a higher tier: the backlog of the
@@ -301,7 +302,11 @@
         if now < self._full_until_by_key.get(key, 0.0):
             # Slots or cache may bind before the prefill rate does.
             admitted = self._load.shares.admitted_of(key, now=now)
-            capacity = min(capacity, _PROBED_CAPACITY * admitted)
+            probed = max(
+                _PROBED_CAPACITY * admitted,
+                _MIN_CAPACITY_SHARE * room.tokens_per_second,
+            )
+            capacity = min(capacity, probed)
         return self._load.shares.decide(
             key,
             _organisation_of(call),
--- a/packages/router/tests/test_pool_capacity.py
+++ b/packages/router/tests/test_pool_capacity.py
@@ -379,3 +379,31 @@
     assert load.rounded_speeds("engines", ids, now=NOW + 201) is not first
     one = load.rounded_speeds("engines", ids[:1], now=NOW + 201.1)
     assert one == (fast,)
+
+
+def test_organisation_is_served_again_after_an_outage(capacity):
+    """Guards against shares of a capacity of zero, which stays zero.
+
+    After nothing was admitted for a while, a few refusals of another
+    organisation, whose prompts are too long for its time limit, went on.
+    """
+
+    def ask(organisation, base, now):
+        one = call_of(f"d-{now}", organisation=organisation, now=now)
+        capacity.record_arrival(one, tokens=1000.0, now=now)
+        verdict = admit(capacity, one, base, now=now)
+        admitted = isinstance(verdict, placement.Ranked)
+        if admitted:
+            capacity.record_admission(one, tokens=1000.0, now=now)
+        return admitted
+
+    for step in range(60):
+        ask("house", admission.Refusal.NO_ROOM, NOW + step / 10)
+    served = 0
+    for step in range(60, 120):
+        now = NOW + step / 10
+        # A quarter of what the pool prefills.
+        served += ask("house", ranked(), now)
+        if step % 5 == 0:
+            ask("garden", admission.Refusal.TOO_LATE, now + 0.05)
+    assert served >= 45
