Send the demand with each quiet state

The demand was sent at most every 0.4 s, which is also the time between two quiet states. Of states that were sent slightly early, only every other one had the demand, and one lost datagram made its report expire.

--- a/packages/router/src/lagoonrun_router/state_publisher.py
+++ b/packages/router/src/lagoonrun_router/state_publisher.py
@@ -31,9 +31,11 @@
 """Ticks after which a full state is sent if nothing has changed: 0.4 s, so
 that two states may be lost before a second of silence has passed."""
 
-DEMAND_SECONDS = 0.4
-"""Time between two messages with the demand of organisations: a third of the
-time after which a report of it expires, so that two of them may be lost."""
+DEMAND_SECONDS = 0.375
+"""Minimum time between two messages with the demand of organisations: a quarter
+of the time after which a report of it expires, so that two of them may be lost.
+It is half a tick less than the time between two quiet states, so that a state
+that is slightly early has the demand as well."""
 
 _SAMPLED_MEMBERS = 4
 """Number of entry VMs that a full state lists; membership spreads from peer to
--- a/packages/router/tests/test_state_publisher.py
+++ b/packages/router/tests/test_state_publisher.py
@@ -7,7 +7,9 @@
 from lagoonrun_core import clock as clocks
 from lagoonrun_router import (
     adaptive_load,
+    demand_row,
     load_ledger,
+    load_report,
     loads,
     peer_table,
     pressure,
@@ -19,6 +21,7 @@
     store_replica,
     upstreams,
 )
+from lagoonrun_standins.router_samples import make_registration
 from lagoonrun_standins.router_words import PlainLayout
 
 ADDRESS = settings.Address(host="10.0.0.1", port=1)
@@ -49,7 +52,14 @@
 
 
 @pytest.fixture
-def publisher(table, ledger, replica):
+def adaptive():
+    return adaptive_load.AdaptiveLoad(
+        contended=False, weight_override=lambda id: None
+    )
+
+
+@pytest.fixture
+def publisher(table, ledger, replica, adaptive):
     configured = settings.RouterSettings(
         entry_vm="vm-1",
         domain="north",
@@ -67,9 +77,7 @@
         processor_cores=0.5,
     )
     made = state_publisher.StatePublisher(
-        adaptive=adaptive_load.AdaptiveLoad(
-            contended=False, weight_override=lambda id: None
-        ),
+        adaptive=adaptive,
         configured=configured,
         start=7,
         table=table,
@@ -146,3 +154,28 @@
 def test_announcement_reports_no_load(publisher, ledger):
     begin_request(ledger, 5000.0)
     assert publisher.announcement(now=0.0).loads.upstreams == ""
+
+
+def test_each_quiet_state_has_the_demand(publisher, adaptive):
+    """Guards against demand that is sent every other time.
+
+    Ticks are not exact, so two quiet states may be sent in less than 0.4 s. One
+    that was left out together with one lost datagram exceeded the 1.5 s for
+    which a report applies.
+    """
+    adaptive.record_report(
+        make_registration("u-1", pool="engines"),
+        load_report.LoadReport(running=0, waiting=0, slots=8, slowness=1.0),
+        now=0.0,
+    )
+    adaptive.shares.record_arrival(
+        demand_row.ShareKey(pool="engines", tier=1),
+        "house",
+        cost=1000.0,
+        now=0.0,
+    )
+    # Each tick is a thousandth early.
+    states = [publisher.tick(now=tick * 0.04995) for tick in range(1, 81)]
+    with_demand = [bool(one.demands) for one in states if one is not None]
+    assert len(with_demand) == 10
+    assert all(with_demand)
