Draw a returning caller anew for its share

A caller that returned when it had been told to, with the same request id, got the draw by which it had been refused, and was refused again while the fraction stayed the same. Its return counted as demand all the same, so its organisation got less than its share.

--- a/packages/router/src/lagoonrun_router/pool_capacity.py
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -313,7 +313,10 @@
             cost=max(1.0, tokens),
             capacity=capacity,
             weights=self._load.weight_of,
-            draw=_draw_of(call.request_id),
+            draw=_draw_of(
+                call.request_id,
+                self._load.schedule.arrival_of(call.digest, now=now),
+            ),
             now=now,
         )
 
@@ -350,7 +353,16 @@
     return {call.tier: call.route.profile.target_seconds, **call.tier_targets}
 
 
-def _draw_of(request_id: types.RequestId) -> float:
-    """Return a number from 0 to 1 that differs by request."""
-    drawn = xxhash.xxh3_64_intdigest(f"share {request_id}".encode())
+def _draw_of(
+    request_id: types.RequestId, arrival: return_schedule.Arrival
+) -> float:
+    """Return a number from 0 to 1 that differs by request.
+
+    A caller that returns in its time is drawn anew: with its first draw it would
+    be refused again, although it counts as demand again. One that repeats a
+    request at another time is not.
+    """
+    returned = arrival is return_schedule.Arrival.INVITED
+    named = f"{'return' if returned else 'share'} {request_id}"
+    drawn = xxhash.xxh3_64_intdigest(named.encode())
     return drawn / _HASH_RANGE
--- a/packages/router/tests/test_pool_capacity.py
+++ b/packages/router/tests/test_pool_capacity.py
@@ -156,6 +156,25 @@
     assert draws[0] == draws[1] != draws[2]
 
 
+def test_caller_that_returns_in_time_is_drawn_anew(capacity, load, monkeypatch):
+    """Guards against invited callers that are always refused again."""
+    one = call_of("d", id="r-1")
+    due_at = NOW + capacity.return_seconds(one, rejection(), now=NOW)
+    drawn = []
+    decide = load.shares.decide
+
+    def recorded(*positional, draw, **named):
+        drawn.append(draw)
+        return decide(*positional, draw=draw, **named)
+
+    monkeypatch.setattr(load.shares, "decide", recorded)
+    for now in (NOW + 0.01, due_at):
+        admit(capacity, one, ranked(wait=0.9), now=now)
+    early, invited = drawn
+    assert [early] == draws_of(capacity, load, monkeypatch, ["r-1"])
+    assert invited != early
+
+
 def test_limited_organisation_gets_its_fraction(capacity, load):
     """Guards against an organisation whose share is refused as a whole."""
     key = load.share_key("engines", 1)
