Assume the usual service time of an unknown plain service

A plain service without a known service time counted as one that answers at once. One of which only errors were known, from which no service time is learnt, got all requests: none of 30 went to the working upstream beside it. It now counts as a median upstream, as the design states for one that has restarted.

--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import statistics
 from collections.abc import Container
 
 from lagoonrun_core import events, logs, types
@@ -267,8 +268,14 @@
         """
         request = _request_of(call, shared_recently=self._shared_recently(call))
         uneven = adaptive and self._components.adaptive.states_slowness(usable)
+        usual_seconds = 0.0
+        if uneven and call.pool.engine is None:
+            usual_seconds = self._usual_seconds(usable, now)
         candidates = tuple(
-            self._candidate(call, one, now, uneven=uneven) for one in registered
+            self._candidate(
+                call, one, now, uneven=uneven, usual_seconds=usual_seconds
+            )
+            for one in registered
         )
         pool = self._pool_order(usable)
         ranked = placement.rank(request, candidates, pool=pool)
@@ -289,6 +296,19 @@
             adaptive=adaptive,
         )
 
+    def _usual_seconds(
+        self, usable: tuple[upstreams.Registration, ...], now: float
+    ) -> float:
+        """Return the median service time of plain services; 0 if unknown."""
+        speeds = self._components.adaptive.speeds
+        estimates = (speeds.estimate(one.id, now=now) for one in usable)
+        known = [
+            one.service_seconds
+            for one in estimates
+            if one.service_seconds is not None
+        ]
+        return statistics.median(known) if known else 0.0
+
     def _admit(
         self,
         call: calls.Call,
@@ -370,6 +390,7 @@
         now: float,
         *,
         uneven: bool,
+        usual_seconds: float,
     ) -> placement.Candidate:
         components = self._components
         affinity_part = call.affinity_part
@@ -380,7 +401,9 @@
         if uneven:
             estimate = components.adaptive.speeds.estimate(upstream.id, now=now)
             if call.pool.engine is None:
-                service_seconds = plain_seconds(estimate, slots=slots)
+                service_seconds = plain_seconds(
+                    estimate, slots=slots, usual_seconds=usual_seconds
+                )
             else:
                 tokens_per_second = estimate.tokens_per_second_over(
                     load.waiting_tokens + call.attributes.prompt_tokens
@@ -478,17 +501,24 @@
 
 
 def plain_seconds(
-    estimate: speed_estimate.SpeedEstimate, *, slots: int
+    estimate: speed_estimate.SpeedEstimate,
+    *,
+    slots: int,
+    usual_seconds: float,
 ) -> float:
-    """Return the expected time to an answer of a plain service; 0 if unknown.
+    """Return the expected time to an answer of a plain service.
 
     Requests above the number of slots wait for those before them.
+
+    Parameters
+    ----------
+    usual_seconds
+        Service time that is assumed while that of the upstream is not known.
     """
-    if estimate.service_seconds is None:
-        return 0.0
+    service_seconds = estimate.service_seconds or usual_seconds
     in_service = (estimate.running or 0) + (estimate.waiting or 0) + 1
     queued = max(0, in_service - slots) / max(1, slots)
-    return estimate.service_seconds * estimate.slowness * (1.0 + queued)
+    return service_seconds * estimate.slowness * (1.0 + queued)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/router/tests/test_adaptive_pools.py
+++ b/packages/router/tests/test_adaptive_pools.py
@@ -594,6 +594,37 @@
     assert estimate.service_seconds is None
 
 
+async def test_upstream_without_a_service_time_is_taken_for_a_usual_one(
+    world_of,
+):
+    """Guards against requests that all go to a failing upstream.
+
+    Only errors are known of it, which do not show a service time.
+    """
+    served = LoadedUpstream("0,0,8,100", seconds=0.04)
+    failures = 0
+
+    async def fail(exchange):
+        nonlocal failures
+        failures += 1
+        headers = marked(exchange, Load="0,0,8,100")
+        await exchange.respond(status=404, headers=headers, body=b"none")
+
+    (world,) = await fleet(
+        world_of,
+        {"u-1": served.answer, "u-2": fail},
+        # The service time is most of the target.
+        route=make_route(target_seconds=0.05),
+        engine=False,
+        contended=False,
+    )
+    await ask_until(world, lambda: served.arrivals and failures, tokens=0)
+    served.arrivals = failures = 0
+    for _ in range(30):
+        await ask(world, tokens=0)
+    assert served.arrivals >= 8
+
+
 async def test_answer_without_a_load_counts_at_the_usual_slowness(
     world_of, monkeypatch
 ):
