--- a/packages/router/src/lagoonrun_router/pool_capacity.py
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -276,11 +276,12 @@
     ) -> shared_room.UpstreamCapacity:
         speeds = self._load.speeds
         slots = upstream.slots
-        tokens_per_second = speeds.median_tokens_per_second(now=now)
         if speeds.states_slowness(upstream.id):
             estimate = speeds.estimate(upstream.id, now=now)
             slots = scaled_slots(slots, estimate.relative_speed)
             tokens_per_second = estimate.current_tokens_per_second
+        else:
+            tokens_per_second = speeds.median_tokens_per_second(now=now)
         return shared_room.UpstreamCapacity(
             slots=slots,
             cache_tokens=cache_tokens,
