--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import statistics
 from collections.abc import Container
 
 from lagoonrun_core import events, logs, types
@@ -22,10 +23,6 @@
 _RECENT_REPORT_SECONDS = 1.0
 """Age up to which a load report of a plain service is compared with others."""
 
-_SPEED_STEP = 0.5
-"""Step to which relative speeds are rounded where entry VMs have to agree on
-them. Estimates of different entry VMs differ by about an eighth."""
-
 _OUTDATED_CANDIDATES = 2
 """Number of candidates among the plain services with older reports."""
 
@@ -176,6 +173,8 @@
         """Return the usable upstreams; without held ones if others are left."""
         usable = self._components.directory.usable(call.pool.name, now=now)
         held = self._components.overrides.held
+        if not held:
+            return usable
         return tuple(one for one in usable if one.id not in held) or usable
 
     def all_closed(
@@ -269,8 +268,14 @@
         """
         request = _request_of(call, shared_recently=self._shared_recently(call))
         uneven = adaptive and self._components.adaptive.states_slowness(usable)
+        usual_seconds = 0.0
+        if uneven and call.pool.engine is None:
+            usual_seconds = self._usual_seconds(usable, now)
         candidates = tuple(
-            self._candidate(call, one, now, uneven=uneven) for one in registered
+            self._candidate(
+                call, one, now, uneven=uneven, usual_seconds=usual_seconds
+            )
+            for one in registered
         )
         pool = self._pool_order(usable)
         ranked = placement.rank(request, candidates, pool=pool)
@@ -291,6 +296,19 @@
             adaptive=adaptive,
         )
 
+    def _usual_seconds(
+        self, usable: tuple[upstreams.Registration, ...], now: float
+    ) -> float:
+        """Return the median service time of plain services; 0 if unknown."""
+        speeds = self._components.adaptive.speeds
+        estimates = (speeds.estimate(one.id, now=now) for one in usable)
+        known = [
+            one.service_seconds
+            for one in estimates
+            if one.service_seconds is not None
+        ]
+        return statistics.median(known) if known else 0.0
+
     def _admit(
         self,
         call: calls.Call,
@@ -361,10 +379,9 @@
         if not adaptive.states_slowness(usable):
             return _pool_order_of_ids(ids)
         now = self._components.clock.monotonic()
-        weights = tuple(
-            _rounded_speed(adaptive.speeds.estimate(id, now=now)) for id in ids
+        return _pool_order_of_ids(
+            ids, adaptive.rounded_speeds(usable[0].pool, ids, now=now)
         )
-        return _pool_order_of_ids(ids, weights)
 
     def _candidate(
         self,
@@ -373,6 +390,7 @@
         now: float,
         *,
         uneven: bool,
+        usual_seconds: float,
     ) -> placement.Candidate:
         components = self._components
         affinity_part = call.affinity_part
@@ -383,7 +401,9 @@
         if uneven:
             estimate = components.adaptive.speeds.estimate(upstream.id, now=now)
             if call.pool.engine is None:
-                service_seconds = plain_seconds(estimate, slots=slots)
+                service_seconds = plain_seconds(
+                    estimate, slots=slots, usual_seconds=usual_seconds
+                )
             else:
                 tokens_per_second = estimate.tokens_per_second_over(
                     load.waiting_tokens + call.attributes.prompt_tokens
@@ -481,17 +501,24 @@
 
 
 def plain_seconds(
-    estimate: speed_estimate.SpeedEstimate, *, slots: int
+    estimate: speed_estimate.SpeedEstimate,
+    *,
+    slots: int,
+    usual_seconds: float,
 ) -> float:
-    """Return the expected time to an answer of a plain service; 0 if unknown.
+    """Return the expected time to an answer of a plain service.
 
     Requests above the number of slots wait for those before them.
+
+    Parameters
+    ----------
+    usual_seconds
+        Service time that is assumed while that of the upstream is not known.
     """
-    if estimate.service_seconds is None:
-        return 0.0
+    service_seconds = estimate.service_seconds or usual_seconds
     in_service = (estimate.running or 0) + (estimate.waiting or 0) + 1
     queued = max(0, in_service - slots) / max(1, slots)
-    return estimate.service_seconds * estimate.slowness * (1.0 + queued)
+    return service_seconds * estimate.slowness * (1.0 + queued)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -520,12 +547,6 @@
         return round(self.request.shared_tokens)
 
 
-def _rounded_speed(estimate: speed_estimate.SpeedEstimate) -> float:
-    """Return a relative speed, rounded so that entry VMs agree on it."""
-    steps = round(estimate.relative_speed / _SPEED_STEP)
-    return max(1, steps) * _SPEED_STEP
-
-
 @functools.lru_cache(maxsize=16)
 def _pool_order_of_ids(
     ids: tuple[types.UpstreamId, ...],
--- a/packages/router/src/lagoonrun_router/organisation_shares.py
+++ b/packages/router/src/lagoonrun_router/organisation_shares.py
@@ -285,9 +285,7 @@
         self._remove_expired(now)
         tables = self._own.tables(now=now)
         self._sample_parts(tables, now)
-        return tuple(
-            row for key, table in tables.items() for row in table.rows(key)
-        )
+        return _message_rows(tables)
 
     def apply_report(
         self,
@@ -299,6 +297,20 @@
         """Replace a peer's report of its own demand."""
         self._report_by_peer[peer] = _report(rows, now)
 
+    def record_contact(self, peer: types.LoadReporter, *, now: float) -> None:
+        """Record that a peer is connected, though this message has no demand.
+
+        A peer that asks for nothing sends no rows; without this it would be
+        taken to be cut off. Rows that it sent recently stay in effect.
+        """
+        report = self._report_by_peer.get(peer)
+        if (
+            report is None
+            or not report.table_by_key
+            or not report.is_current(now)
+        ):
+            self._report_by_peer[peer] = _report((), now)
+
     def apply_fleet_report(
         self, rows: Iterable[demand_row.DemandRow], *, now: float
     ) -> None:
@@ -325,10 +337,11 @@
             if report is not None:
                 for key, table in report.table_by_key.items():
                     tables_by_key.setdefault(key, []).append(table)
-        return tuple(
-            row
-            for key, tables in tables_by_key.items()
-            for row in demand_table.sum_of(tables).rows(key)
+        return _message_rows(
+            {
+                key: demand_table.sum_of(tables)
+                for key, tables in tables_by_key.items()
+            }
         )
 
     def known_rows(self, *, now: float) -> tuple[demand_row.DemandRow, ...]:
@@ -462,6 +475,18 @@
     )
 
 
+def _message_rows(
+    table_by_key: Mapping[demand_row.ShareKey, demand_table.DemandTable],
+) -> tuple[demand_row.DemandRow, ...]:
+    """Return the rows of a message with the tables."""
+    listed = demand_row.listed_organisations(len(table_by_key))
+    return tuple(
+        row
+        for key, table in table_by_key.items()
+        for row in table.rows(key, listed=listed)
+    )
+
+
 def _demands(
     table: demand_table.DemandTable,
     weights: Callable[[types.OrganisationId], float],
--- a/packages/router/src/lagoonrun_router/pool_capacity.py
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -38,8 +38,9 @@
 """Time in which a backlog that makes requests late is drained."""
 
 _MIN_CAPACITY_SHARE = 0.25
-"""Smallest part of the prefill rate that is shared out while a backlog drains:
-shares follow the demand, which would otherwise be refused altogether."""
+"""Smallest part of the prefill rate that is shared out while a backlog drains,
+or after nothing was admitted: the demand would otherwise be refused altogether,
+and what is admitted could not grow from nothing."""
 
 _HIGHER_TIER_SECONDS = 0.5
 """Earliest time to return after a refusal for a higher tier: the backlog of the
@@ -275,11 +276,12 @@
     ) -> shared_room.UpstreamCapacity:
         speeds = self._load.speeds
         slots = upstream.slots
-        tokens_per_second = speeds.median_tokens_per_second(now=now)
         if speeds.states_slowness(upstream.id):
             estimate = speeds.estimate(upstream.id, now=now)
             slots = scaled_slots(slots, estimate.relative_speed)
             tokens_per_second = estimate.current_tokens_per_second
+        else:
+            tokens_per_second = speeds.median_tokens_per_second(now=now)
         return shared_room.UpstreamCapacity(
             slots=slots,
             cache_tokens=cache_tokens,
@@ -301,14 +303,21 @@
         if now < self._full_until_by_key.get(key, 0.0):
             # Slots or cache may bind before the prefill rate does.
             admitted = self._load.shares.admitted_of(key, now=now)
-            capacity = min(capacity, _PROBED_CAPACITY * admitted)
+            probed = max(
+                _PROBED_CAPACITY * admitted,
+                _MIN_CAPACITY_SHARE * room.tokens_per_second,
+            )
+            capacity = min(capacity, probed)
         return self._load.shares.decide(
             key,
             _organisation_of(call),
             cost=max(1.0, tokens),
             capacity=capacity,
             weights=self._load.weight_of,
-            draw=_draw_of(call.request_id),
+            draw=_draw_of(
+                call.request_id,
+                self._load.schedule.arrival_of(call.digest, now=now),
+            ),
             now=now,
         )
 
@@ -345,7 +354,16 @@
     return {call.tier: call.route.profile.target_seconds, **call.tier_targets}
 
 
-def _draw_of(request_id: types.RequestId) -> float:
-    """Return a number from 0 to 1 that differs by request."""
-    drawn = xxhash.xxh3_64_intdigest(f"share {request_id}".encode())
+def _draw_of(
+    request_id: types.RequestId, arrival: return_schedule.Arrival
+) -> float:
+    """Return a number from 0 to 1 that differs by request.
+
+    A caller that returns in its time is drawn anew: with its first draw it would
+    be refused again, although it counts as demand again. One that repeats a
+    request at another time is not.
+    """
+    returned = arrival is return_schedule.Arrival.INVITED
+    named = f"{'return' if returned else 'share'} {request_id}"
+    drawn = xxhash.xxh3_64_intdigest(named.encode())
     return drawn / _HASH_RANGE
--- a/packages/router/tests/test_pool_capacity.py
+++ b/packages/router/tests/test_pool_capacity.py
@@ -10,6 +10,7 @@
     call,
     declarations,
     load_ledger,
+    load_report,
     loads,
     organisation_shares,
     placement,
@@ -155,6 +156,25 @@
     assert draws[0] == draws[1] != draws[2]
 
 
+def test_caller_that_returns_in_time_is_drawn_anew(capacity, load, monkeypatch):
+    """Guards against invited callers that are always refused again."""
+    one = call_of("d", id="r-1")
+    due_at = NOW + capacity.return_seconds(one, rejection(), now=NOW)
+    drawn = []
+    decide = load.shares.decide
+
+    def recorded(*positional, draw, **named):
+        drawn.append(draw)
+        return decide(*positional, draw=draw, **named)
+
+    monkeypatch.setattr(load.shares, "decide", recorded)
+    for now in (NOW + 0.01, due_at):
+        admit(capacity, one, ranked(wait=0.9), now=now)
+    early, invited = drawn
+    assert [early] == draws_of(capacity, load, monkeypatch, ["r-1"])
+    assert invited != early
+
+
 def test_limited_organisation_gets_its_fraction(capacity, load):
     """Guards against an organisation whose share is refused as a whole."""
     key = load.share_key("engines", 1)
@@ -354,3 +374,55 @@
             )
     assert not load.states_slowness(usable)
     assert capacity._capacity(UPSTREAM, 0.0, NOW).slots == UPSTREAM.slots
+
+
+def test_rounded_speeds_are_reused_for_a_moment(load):
+    """Guards against estimates of all upstreams for each request."""
+    ids = (UPSTREAM.id, "u-2")
+    for id, slowness in zip(ids, (1.0, 3.0), strict=True):
+        for number in range(200):
+            load.speeds.record_report(
+                id,
+                1,
+                load_report.LoadReport(
+                    running=0, waiting=0, slots=8, slowness=slowness
+                ),
+                now=NOW + number,
+            )
+        load.speeds.record_prefill(
+            id, 1, tokens=4000, seconds=0.1, slowness=slowness, now=NOW + 200
+        )
+    fast, slow = first = load.rounded_speeds("engines", ids, now=NOW + 200)
+    assert fast > slow > 0.0
+    assert load.rounded_speeds("engines", ids, now=NOW + 200.9) is first
+    assert load.rounded_speeds("engines", ids, now=NOW + 201) is not first
+    one = load.rounded_speeds("engines", ids[:1], now=NOW + 201.1)
+    assert one == (fast,)
+
+
+def test_organisation_is_served_again_after_an_outage(capacity):
+    """Guards against shares of a capacity of zero, which stays zero.
+
+    After nothing was admitted for a while, a few refusals of another
+    organisation, whose prompts are too long for its time limit, went on.
+    """
+
+    def ask(organisation, base, now):
+        one = call_of(f"d-{now}", organisation=organisation, now=now)
+        capacity.record_arrival(one, tokens=1000.0, now=now)
+        verdict = admit(capacity, one, base, now=now)
+        admitted = isinstance(verdict, placement.Ranked)
+        if admitted:
+            capacity.record_admission(one, tokens=1000.0, now=now)
+        return admitted
+
+    for step in range(60):
+        ask("house", admission.Refusal.NO_ROOM, NOW + step / 10)
+    served = 0
+    for step in range(60, 120):
+        now = NOW + step / 10
+        # A quarter of what the pool prefills.
+        served += ask("house", ranked(), now)
+        if step % 5 == 0:
+            ask("garden", admission.Refusal.TOO_LATE, now + 0.05)
+    assert served >= 45
