Show fair shares and a slow upstream in make demo

Two entry VMs of the router serve a contended and an uneven pool. The demo fails if the smaller organisation is refused, the larger one is not, a refusal has no Retry-After, or the slow upstream gets more than a fifth of the requests.

--- a/packages/standins/src/lagoonrun_standins/demo.py
+++ b/packages/standins/src/lagoonrun_standins/demo.py
@@ -1,5 +1,7 @@
 """`make demo`: a small deployment that serves, explains, drains and stops.
 
+Then shows adaptive pools (`demo_load`).
+
 Exits with 0 if every result was as expected; else prints the differences and
 exits with 1.
 """
@@ -11,7 +13,7 @@
 from lagoonrun_cli import main
 from lagoonrun_config import declarations
 from lagoonrun_core import outcomes, types
-from lagoonrun_standins import deployment, fleet, http_client
+from lagoonrun_standins import demo_load, deployment, fleet, http_client
 
 _NORTH = types.FailureDomain("north")
 _SOUTH = types.FailureDomain("south")
@@ -275,6 +277,7 @@
     finally:
         await processes.close()
     print(f"logs are in {processes.directory}")
+    demo.differences += await demo_load.run()
     for difference in demo.differences:
         print(f"DIFFERS: {difference}", file=sys.stderr)
     return 1 if demo.differences else 0
