--- a/packages/standins/src/lagoonrun_standins/demo_load.py
+++ b/packages/standins/src/lagoonrun_standins/demo_load.py
@@ -13,13 +13,12 @@
 import itertools
 import json
 import logging
-import random
 
 from lagoonrun_cli import main
 from lagoonrun_core import types
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_platform import memory_store
-from lagoonrun_router import declarations, retry_budget, router, settings
+from lagoonrun_router import declarations
 from lagoonrun_standins import (
     router_samples,
     router_upstream,
@@ -27,7 +26,6 @@
     router_world,
 )
 
-_DOMAIN = types.FailureDomain("north")
 _CONTENDED = types.PoolName("contended")
 _UNEVEN = types.PoolName("uneven")
 
@@ -103,7 +101,10 @@
         store = memory_store.MemoryStore()
         layout = router_words.PlainLayout()
         self._worlds = [
-            _make_world(f"entry-{number}", store, layout) for number in (1, 2)
+            router_world.make_world(
+                f"entry-{number}", store=store, layout=layout, contended=True
+            )
+            for number in (1, 2)
         ]
 
     async def run(self) -> None:
@@ -279,51 +280,6 @@
             self.differences.append(difference)
 
 
-def _make_world(
-    name: str,
-    store: memory_store.MemoryStore,
-    layout: router_words.PlainLayout,
-) -> router_world.World:
-    """Return an entry VM that is not started."""
-    addresses = [
-        settings.Address(host=router_samples.HOST, port=port)
-        for port in router_world.free_ports(4)
-    ]
-    configured = settings.RouterSettings(
-        entry_vm=types.EntryVmId(name),
-        domain=_DOMAIN,
-        caller=addresses[0],
-        readiness=addresses[1],
-        peer=addresses[2],
-        metrics=addresses[3],
-        seeds=(),
-        store=settings.Address(host=router_samples.HOST, port=1),
-        stop_seconds=8.0,
-        retry_allowance=retry_budget.Allowance(
-            ratio=0.2, window_seconds=10.0, fixed=50.0
-        ),
-        reuse_seconds=10.0,
-        contended=True,
-    )
-    return router_world.World(
-        router=router.Router(
-            configured=configured,
-            store=store,
-            layout=layout,
-            dialect=router_words.PlainDialect(),
-            rng=random.Random(1),
-        ),
-        store=store,
-        layout=layout,
-        settings=configured,
-        make_upstream=_no_upstream,
-    )
-
-
-async def _no_upstream(*_: object) -> router_upstream.Upstream:
-    raise NotImplementedError("the demo starts its upstreams itself")
-
-
 async def _declare(world: router_world.World) -> None:
     """Declare both pools with their routes, and both organisations."""
     pools = (_CONTENDED, _UNEVEN)
--- a/packages/standins/src/lagoonrun_standins/router_world.py
+++ b/packages/standins/src/lagoonrun_standins/router_world.py
@@ -3,11 +3,13 @@
 import asyncio
 import dataclasses
 import json
+import random
 from collections.abc import Awaitable, Callable
 
+from lagoonrun_core import clock as clocks
 from lagoonrun_platform import memory_store
 from lagoonrun_platform import store as store_module
-from lagoonrun_router import router, settings
+from lagoonrun_router import retry_budget, router, settings
 from lagoonrun_standins import reserved_ports
 from lagoonrun_standins.router_samples import (
     HOST,
@@ -16,7 +18,7 @@
     make_registration,
 )
 from lagoonrun_standins.router_upstream import Upstream, answer_whole
-from lagoonrun_standins.router_words import PlainLayout
+from lagoonrun_standins.router_words import PlainDialect, PlainLayout
 
 WAIT_SECONDS = 10.0
 _POLL_SECONDS = 0.005
@@ -40,7 +42,7 @@
     store: memory_store.MemoryStore
     layout: PlainLayout
     settings: settings.RouterSettings
-    make_upstream: Callable[..., Awaitable[Upstream]]
+    make_upstream: Callable[..., Awaitable[Upstream]] | None = None
     closing: list[asyncio.Task] = dataclasses.field(default_factory=list)
     """Tasks that stop upstreams; referenced here so they are not collected."""
 
@@ -167,6 +169,52 @@
             return body, False
 
 
+def make_world(
+    name: str,
+    *,
+    store: memory_store.MemoryStore,
+    layout: PlainLayout,
+    clock: clocks.Clock | None = None,
+    **changes,
+) -> World:
+    """Return an entry VM that is not started and starts no upstreams.
+
+    `changes` name fields of its settings.
+    """
+    addresses = [
+        settings.Address(host=HOST, port=port) for port in free_ports(4)
+    ]
+    values = {
+        "entry_vm": name,
+        "domain": "north",
+        "caller": addresses[0],
+        "readiness": addresses[1],
+        "peer": addresses[2],
+        "metrics": addresses[3],
+        "seeds": (),
+        "store": settings.Address(host=HOST, port=1),
+        "stop_seconds": 8.0,
+        "retry_allowance": retry_budget.Allowance(
+            ratio=0.2, window_seconds=10.0, fixed=50.0
+        ),
+        "reuse_seconds": 10.0,
+    }
+    configured = settings.RouterSettings(**{**values, **changes})
+    return World(
+        router=router.Router(
+            configured=configured,
+            store=store,
+            layout=layout,
+            dialect=PlainDialect(),
+            clock=clock,
+            rng=random.Random(1),
+        ),
+        store=store,
+        layout=layout,
+        settings=configured,
+    )
+
+
 async def wait_for(condition, seconds: float = WAIT_SECONDS):
     """Wait until `condition` holds; raise TimeoutError after `seconds`."""
     async with asyncio.timeout(seconds):
