--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/installed
 
-.PHONY: soak bench-configuration install demo test lint format bench-path bench-policy bench-capacity
+.PHONY: soak bench-configuration install demo test lint format bench-path bench-policy bench-capacity bench-adaptive
 
 install: $(STAMP)
 
@@ -41,6 +41,9 @@
 bench-capacity: install
 	$(BIN)/python -m lagoonrun_standins.bench_capacity
 
+bench-adaptive: install
+	$(BIN)/python -m lagoonrun_standins.bench_adaptive
+
 # Fifty soaks with seeds from SEED on; logs of broken ones stay in /tmp.
 SEED ?= 1
 soak: install
