Merge adaptive pools: speeds, fair shares, room, returns and overrides

Parts 1 to 3 of the hard load with what operators see and set, wired into the router, logged, in the soak and the demo.

--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import statistics
 from collections.abc import Container
 
 from lagoonrun_core import events, logs, types
@@ -10,6 +11,8 @@
     availability,
     candidate_sampling,
     placement,
+    pool_capacity,
+    speed_estimate,
     upstreams,
 )
 from lagoonrun_router import call as calls
@@ -17,6 +20,12 @@
 
 _MAX_LOGGED_CANDIDATES = 4
 
+_RECENT_REPORT_SECONDS = 1.0
+"""Age up to which a load report of a plain service is compared with others."""
+
+_OUTDATED_CANDIDATES = 2
+"""Number of candidates among the plain services with older reports."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AllClosed:
@@ -47,6 +56,10 @@
         Whether the request yields to all others of the pool.
     decided_at
         Monotonic time of the decision.
+    ahead_tokens
+        Prompt tokens that were queued there before those of the request.
+    adaptive
+        Whether the pool is adaptive.
     has_place
         Whether a place was acquired, the right to send one request to a
         rate-limited upstream.
@@ -58,6 +71,8 @@
     tier: types.Tier
     stands_back: bool
     decided_at: float
+    ahead_tokens: float = 0.0
+    adaptive: bool = False
     has_place: bool = False
 
 
@@ -74,17 +89,24 @@
         self._components = components
 
     def choose(
-        self, call: calls.Call, *, excluded: Container[types.UpstreamId]
-    ) -> Choice | admission.Refusal | AllClosed | None:
+        self,
+        call: calls.Call,
+        *,
+        excluded: Container[types.UpstreamId],
+        admitted_before: bool = False,
+    ) -> Choice | pool_capacity.Rejection | AllClosed | None:
         """Return the upstream of the next attempt; None if none is usable.
 
         Parameters
         ----------
         excluded
             Upstreams of earlier attempts.
+        admitted_before
+            Whether the call was admitted before. Its share and its invitation
+            are used up then, and are not decided on again.
         """
         now = self._components.clock.monotonic()
-        registered = self._components.directory.usable(call.pool.name, now=now)
+        registered = self._usable(call, now)
         by_id = {one.id: one for one in registered if one.id not in excluded}
         if not by_id:
             return None
@@ -94,23 +116,33 @@
         if not available.open_by_id:
             return AllClosed(closed=available.closed)
         usable = tuple(available.open_by_id.values())
-        sampled = self._sample_candidates(call, usable, now)
-        ranking = self._rank(call, sampled, usable, now)
+        adaptive = self._components.adaptive.is_adaptive(call.pool, usable)
+        sampled = self._sample_candidates(call, usable, now, adaptive=adaptive)
+        ranking = self._rank(call, sampled, usable, now, adaptive=adaptive)
         best = self._admit(call, ranking.ranked, now)
         if isinstance(best, admission.Refusal) and len(sampled) < len(usable):
             # A request is rejected only if no upstream of the pool has
             # capacity for it, so all of them are tried.
-            ranking = self._rank(call, usable, usable, now)
+            ranking = self._rank(call, usable, usable, now, adaptive=adaptive)
             best = self._admit(call, ranking.ranked, now)
-        if isinstance(best, admission.Refusal):
+        admitted = self._admit_adaptive(
+            call,
+            best,
+            ranking,
+            registered,
+            admitted_before=admitted_before,
+            now=now,
+        )
+        if isinstance(admitted, pool_capacity.Rejection):
             self._log(
                 call,
                 ranking,
                 chosen="",
-                refusal=best.value,
+                refusal=admitted.refusal.value,
                 closed=available.closed,
             )
-            return best
+            return admitted
+        best = admitted
         reread_tokens = ranking.reread_tokens(best)
         self._components.metrics.reread_tokens.labels(call.pool.name).inc(
             reread_tokens
@@ -129,14 +161,28 @@
             tier=ranking.request.tier,
             stands_back=ranking.stands_back,
             decided_at=now,
+            ahead_tokens=placement.waiting_tokens(
+                best.candidate.load, ranking.request.tier
+            ),
+            adaptive=adaptive,
         )
 
+    def _usable(
+        self, call: calls.Call, now: float
+    ) -> tuple[upstreams.Registration, ...]:
+        """Return the usable upstreams; without held ones if others are left."""
+        usable = self._components.directory.usable(call.pool.name, now=now)
+        held = self._components.overrides.held
+        if not held:
+            return usable
+        return tuple(one for one in usable if one.id not in held) or usable
+
     def all_closed(
         self, call: calls.Call
     ) -> tuple[availability.ClosedUpstream, ...]:
         """Return the upstreams of the pool if all are closed, else none."""
         now = self._components.clock.monotonic()
-        registered = self._components.directory.usable(call.pool.name, now=now)
+        registered = self._usable(call, now)
         available = self._components.notices.availability.partition(
             {one.id: one for one in registered}, call.tier, now=now
         )
@@ -147,9 +193,13 @@
         call: calls.Call,
         usable: tuple[upstreams.Registration, ...],
         now: float,
+        *,
+        adaptive: bool,
     ) -> tuple[upstreams.Registration, ...]:
         """Return the candidates of a call: the pool, or a sample of it."""
         affinity_part = call.affinity_part
+        if adaptive and call.pool.engine is None:
+            return self._sample_plain(call, usable, now)
         if (
             call.pool.engine is None
             or len(usable) <= candidate_sampling.MAX_UNSAMPLED_POOL
@@ -164,7 +214,9 @@
             )
             if not self._shared_recently(call):
                 always_included.add(
-                    _pool_order_of(usable).prefill_upstream_of(affinity_part.id)
+                    self._pool_order(usable).prefill_upstream_of(
+                        affinity_part.id
+                    )
                 )
         return candidate_sampling.sample(
             usable,
@@ -173,12 +225,41 @@
             always_included=always_included,
         )
 
+    def _sample_plain(
+        self,
+        call: calls.Call,
+        usable: tuple[upstreams.Registration, ...],
+        now: float,
+    ) -> tuple[upstreams.Registration, ...]:
+        """Return the upstreams with recent reports, and two of the others.
+
+        If all entry VMs compared all upstreams by outdated reports, they would
+        select the same one.
+        """
+        speeds = self._components.adaptive.speeds
+        recent = []
+        outdated = []
+        for one in usable:
+            age = speeds.estimate(one.id, now=now).age_seconds
+            is_recent = age is not None and age <= _RECENT_REPORT_SECONDS
+            (recent if is_recent else outdated).append(one)
+        return (
+            *recent,
+            *candidate_sampling.pick(
+                tuple(outdated),
+                request_id=call.request_id,
+                count=_OUTDATED_CANDIDATES,
+            ),
+        )
+
     def _rank(
         self,
         call: calls.Call,
         registered: tuple[upstreams.Registration, ...],
         usable: tuple[upstreams.Registration, ...],
         now: float,
+        *,
+        adaptive: bool,
     ) -> "_Ranking":
         """Rank some usable upstreams.
 
@@ -186,10 +267,17 @@
         below all others.
         """
         request = _request_of(call, shared_recently=self._shared_recently(call))
+        uneven = adaptive and self._components.adaptive.states_slowness(usable)
+        usual_seconds = 0.0
+        if uneven and call.pool.engine is None:
+            usual_seconds = self._usual_seconds(usable, now)
         candidates = tuple(
-            self._candidate(call, one, now) for one in registered
+            self._candidate(
+                call, one, now, uneven=uneven, usual_seconds=usual_seconds
+            )
+            for one in registered
         )
-        pool = _pool_order_of(usable)
+        pool = self._pool_order(usable)
         ranked = placement.rank(request, candidates, pool=pool)
         stands_back = call.pool.engine is not None and admission.stands_back(
             call.tier,
@@ -201,7 +289,25 @@
             lowest_tier = types.Tier(call.tier + 1)
             request = dataclasses.replace(request, tier=lowest_tier)
             ranked = placement.rank(request, candidates, pool=pool)
-        return _Ranking(request=request, ranked=ranked, stands_back=stands_back)
+        return _Ranking(
+            request=request,
+            ranked=ranked,
+            stands_back=stands_back,
+            adaptive=adaptive,
+        )
+
+    def _usual_seconds(
+        self, usable: tuple[upstreams.Registration, ...], now: float
+    ) -> float:
+        """Return the median service time of plain services; 0 if unknown."""
+        speeds = self._components.adaptive.speeds
+        estimates = (speeds.estimate(one.id, now=now) for one in usable)
+        known = [
+            one.service_seconds
+            for one in estimates
+            if one.service_seconds is not None
+        ]
+        return statistics.median(known) if known else 0.0
 
     def _admit(
         self,
@@ -229,17 +335,87 @@
         )
         return admission.admit(admission_request, ranked)
 
+    def _admit_adaptive(
+        self,
+        call: calls.Call,
+        best: placement.Ranked | admission.Refusal,
+        ranking: "_Ranking",
+        registered: tuple[upstreams.Registration, ...],
+        *,
+        admitted_before: bool,
+        now: float,
+    ) -> placement.Ranked | pool_capacity.Rejection:
+        """Apply the admission of adaptive pools to the decision so far."""
+        if isinstance(best, admission.Refusal) and not ranking.adaptive:
+            return pool_capacity.Rejection(refusal=best)
+        if not ranking.adaptive or call.pool.engine is None:
+            return best
+        if admitted_before and not isinstance(best, admission.Refusal):
+            return best
+        return self._components.capacity.admit(
+            call,
+            best,
+            registered,
+            tokens=self.new_tokens(call),
+            floor_due=self._components.admission_floor.is_due(
+                call.route.profile.name, now=now
+            ),
+            now=now,
+        )
+
+    def new_tokens(self, call: calls.Call) -> float:
+        """Return the prompt tokens of a call that are probably not cached."""
+        tokens = float(call.attributes.prompt_tokens)
+        if self._shared_recently(call):
+            tokens -= call.shared_tokens
+        return max(0.0, tokens)
+
+    def _pool_order(
+        self, usable: tuple[upstreams.Registration, ...]
+    ) -> placement.PoolOrder:
+        """Return the order of a pool, by speed if its upstreams are uneven."""
+        ids = tuple(one.id for one in usable)
+        adaptive = self._components.adaptive
+        if not adaptive.states_slowness(usable):
+            return _pool_order_of_ids(ids)
+        now = self._components.clock.monotonic()
+        return _pool_order_of_ids(
+            ids, adaptive.rounded_speeds(usable[0].pool, ids, now=now)
+        )
+
     def _candidate(
         self,
         call: calls.Call,
         upstream: upstreams.Registration,
         now: float,
+        *,
+        uneven: bool,
+        usual_seconds: float,
     ) -> placement.Candidate:
         components = self._components
         affinity_part = call.affinity_part
+        load = components.ledger.load_of(upstream.id, now=now)
+        slots = upstream.slots
+        tokens_per_second = None
+        service_seconds = 0.0
+        if uneven:
+            estimate = components.adaptive.speeds.estimate(upstream.id, now=now)
+            if call.pool.engine is None:
+                service_seconds = plain_seconds(
+                    estimate, slots=slots, usual_seconds=usual_seconds
+                )
+            else:
+                tokens_per_second = estimate.tokens_per_second_over(
+                    load.waiting_tokens + call.attributes.prompt_tokens
+                )
+                slots = pool_capacity.scaled_slots(
+                    slots, estimate.relative_speed
+                )
         return placement.Candidate(
             upstream=upstream.id,
-            slots=upstream.slots,
+            slots=slots,
+            tokens_per_second=tokens_per_second,
+            service_seconds=service_seconds,
             cache_tokens=call.pool.engine.cache_tokens
             if call.pool.engine
             else 0.0,
@@ -248,7 +424,7 @@
                 affinity_part.id, upstream.id, now=now
             ),
             same_domain=upstream.domain == components.domain,
-            load=components.ledger.load_of(upstream.id, now=now),
+            load=load,
             recent_prefill=components.ledger.recent_prefill(
                 upstream.id, now=now
             ),
@@ -283,6 +459,7 @@
             chosen=chosen,
             refusal=refusal,
             route=call.route.name,
+            organisation=call.organisation.id if call.organisation else "",
             pool=call.pool.name,
             revision=call.revision,
             digest=call.digest,
@@ -302,11 +479,47 @@
                     "waiting_tokens": round(one.candidate.load.waiting_tokens),
                     "running": one.candidate.load.running,
                     "failures": round(one.candidate.failures, 2),
+                    **self._logged_speed(one, ranking),
                 }
                 for one in ranking.ranked[:_MAX_LOGGED_CANDIDATES]
             ],
         )
 
+    def _logged_speed(
+        self, ranked: placement.Ranked, ranking: "_Ranking"
+    ) -> dict[str, float]:
+        if not ranking.adaptive:
+            return {}
+        estimate = self._components.adaptive.speeds.estimate(
+            ranked.candidate.upstream, now=self._components.clock.monotonic()
+        )
+        return {
+            "wait_seconds": round(ranked.wait_seconds, 3),
+            "tokens_per_second": round(estimate.tokens_per_second),
+            "slowness": round(estimate.slowness, 2),
+        }
+
+
+def plain_seconds(
+    estimate: speed_estimate.SpeedEstimate,
+    *,
+    slots: int,
+    usual_seconds: float,
+) -> float:
+    """Return the expected time to an answer of a plain service.
+
+    Requests above the number of slots wait for those before them.
+
+    Parameters
+    ----------
+    usual_seconds
+        Service time that is assumed while that of the upstream is not known.
+    """
+    service_seconds = estimate.service_seconds or usual_seconds
+    in_service = (estimate.running or 0) + (estimate.waiting or 0) + 1
+    queued = max(0, in_service - slots) / max(1, slots)
+    return service_seconds * estimate.slowness * (1.0 + queued)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Ranking:
@@ -318,11 +531,14 @@
         Request for which they were ranked.
     stands_back
         Whether the request yields to all others of the pool.
+    adaptive
+        Whether the pool is adaptive.
     """
 
     request: placement.Request
     ranked: tuple[placement.Ranked, ...]
     stands_back: bool
+    adaptive: bool = False
 
     def reread_tokens(self, chosen: placement.Ranked) -> int:
         """Return the shared tokens that another upstream prefilled recently."""
@@ -331,18 +547,14 @@
         return round(self.request.shared_tokens)
 
 
-def _pool_order_of(
-    usable: tuple[upstreams.Registration, ...],
-) -> placement.PoolOrder:
-    return _pool_order_of_ids(tuple(one.id for one in usable))
-
-
 @functools.lru_cache(maxsize=16)
 def _pool_order_of_ids(
     ids: tuple[types.UpstreamId, ...],
+    weights: tuple[float, ...] | None = None,
 ) -> placement.PoolOrder:
-    # Cached: the ids change only when an upstream joins or leaves.
-    return placement.PoolOrder(ids=ids)
+    # Cached: the ids and weights change only when an upstream joins or leaves,
+    # or its speed changes by half of that of the others.
+    return placement.PoolOrder(ids=ids, weights=weights)
 
 
 def _request_of(
--- a/packages/router/src/lagoonrun_router/components.py
+++ b/packages/router/src/lagoonrun_router/components.py
@@ -8,13 +8,16 @@
 from lagoonrun_duties import usage_exchange
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
+    adaptive_load,
     admission_floor,
     crash_watch,
     crashing_requests,
     dialect,
     load_ledger,
     metrics,
+    operator_overrides,
     peer_table,
+    pool_capacity,
     pressure,
     prompt_locations,
     reach,
@@ -36,6 +39,12 @@
         Requests that crash upstreams, with the evidence against them.
     notices
         Applies what upstreams state about themselves in their answers.
+    adaptive
+        State of the adaptive pools.
+    capacity
+        Admits requests to the adaptive pools.
+    overrides
+        Overrides that operators have set.
     usage
         Counts requests that begin to run; None if usage is not reported.
     """
@@ -57,4 +66,7 @@
     crash_watch: crash_watch.CrashWatch
     crashing_requests: crashing_requests.CrashingRequests
     notices: upstream_notices.UpstreamNotices
+    adaptive: adaptive_load.AdaptiveLoad
+    capacity: pool_capacity.PoolCapacity
+    overrides: operator_overrides.OperatorOverrides
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/organisation_shares.py
+++ b/packages/router/src/lagoonrun_router/organisation_shares.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 from lagoonrun_core import types
@@ -64,6 +65,9 @@
         Time until the share of the organisation has capacity; 0 if admitted.
     from_fleet
         Whether other entry VMs have reported their demand recently.
+    scarce
+        Whether the capacity is less than the demand, so that some organisation
+        is limited.
     """
 
     admitted: bool
@@ -72,6 +76,7 @@
     fair_rate: float
     retry_seconds: float
     from_fleet: bool
+    scarce: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -239,6 +244,7 @@
                 0.0 if admitted else _retry_seconds(asked, fair_rate, cost)
             ),
             from_fleet=view.from_fleet,
+            scarce=level < math.inf,
         )
 
     def demand_of(self, key: demand_row.ShareKey, *, now: float) -> float:
@@ -251,6 +257,16 @@
             return view.asked
         return view.own.asked / self._part(key, now)
 
+    def admitted_of(self, key: demand_row.ShareKey, *, now: float) -> float:
+        """Return the tokens a second that were admitted of all organisations.
+
+        Without a current report it is extrapolated from the own admissions.
+        """
+        view = self._view(key, now)
+        if view.from_fleet:
+            return view.total.admitted
+        return view.own.admitted / self._part(key, now)
+
     def own_part(self, key: demand_row.ShareKey, *, now: float) -> float:
         """Return the part of the demand that this entry VM receives.
 
@@ -269,9 +285,7 @@
         self._remove_expired(now)
         tables = self._own.tables(now=now)
         self._sample_parts(tables, now)
-        return tuple(
-            row for key, table in tables.items() for row in table.rows(key)
-        )
+        return _message_rows(tables)
 
     def apply_report(
         self,
@@ -283,6 +297,20 @@
         """Replace a peer's report of its own demand."""
         self._report_by_peer[peer] = _report(rows, now)
 
+    def record_contact(self, peer: types.LoadReporter, *, now: float) -> None:
+        """Record that a peer is connected, though this message has no demand.
+
+        A peer that asks for nothing sends no rows; without this it would be
+        taken to be cut off. Rows that it sent recently stay in effect.
+        """
+        report = self._report_by_peer.get(peer)
+        if (
+            report is None
+            or not report.table_by_key
+            or not report.is_current(now)
+        ):
+            self._report_by_peer[peer] = _report((), now)
+
     def apply_fleet_report(
         self, rows: Iterable[demand_row.DemandRow], *, now: float
     ) -> None:
@@ -309,10 +337,21 @@
             if report is not None:
                 for key, table in report.table_by_key.items():
                     tables_by_key.setdefault(key, []).append(table)
+        return _message_rows(
+            {
+                key: demand_table.sum_of(tables)
+                for key, tables in tables_by_key.items()
+            }
+        )
+
+    def known_rows(self, *, now: float) -> tuple[demand_row.DemandRow, ...]:
+        """Return the known demand of the fleet, for operators."""
+        if not self._fleet_report.is_current(now):
+            return self.rows_with(tuple(self._report_by_peer), now=now)
         return tuple(
             row
-            for key, tables in tables_by_key.items()
-            for row in demand_table.sum_of(tables).rows(key)
+            for key, table in self._fleet_report.table_by_key.items()
+            for row in table.rows(key)
         )
 
     # Helpers.
@@ -436,6 +475,18 @@
     )
 
 
+def _message_rows(
+    table_by_key: Mapping[demand_row.ShareKey, demand_table.DemandTable],
+) -> tuple[demand_row.DemandRow, ...]:
+    """Return the rows of a message with the tables."""
+    listed = demand_row.listed_organisations(len(table_by_key))
+    return tuple(
+        row
+        for key, table in table_by_key.items()
+        for row in table.rows(key, listed=listed)
+    )
+
+
 def _demands(
     table: demand_table.DemandTable,
     weights: Callable[[types.OrganisationId], float],
--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 import functools
+import math
 
 import xxhash
 
@@ -16,6 +17,8 @@
 from lagoonrun_router import loads
 
 _HASH_RANGE = float(1 << 64)
+_MIN_HASH = 1.0 / _HASH_RANGE
+_MAX_HASH = math.nextafter(1.0, 0.0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -149,6 +152,10 @@
         Exponentially decaying count of its failures.
     silent_domain
         Whether its failure domain is probably unreachable.
+    tokens_per_second
+        Its current prefill rate; None for that of the weights.
+    service_seconds
+        Expected time to the answer of a plain service; 0 if unknown.
     """
 
     upstream: types.UpstreamId
@@ -160,6 +167,8 @@
     recent_prefill: float = 0.0
     failures: float = 0.0
     silent_domain: bool = False
+    tokens_per_second: float | None = None
+    service_seconds: float = 0.0
 
 
 class PoolOrder:
@@ -169,10 +178,19 @@
     ----------
     ids
         All usable upstreams of the pool.
+    weights
+        Relative speeds of the upstreams, in proportion to which they prefill
+        new shared parts; None if all are equal.
     """
 
-    def __init__(self, *, ids: tuple[types.UpstreamId, ...]) -> None:
+    def __init__(
+        self,
+        *,
+        ids: tuple[types.UpstreamId, ...],
+        weights: tuple[float, ...] | None = None,
+    ) -> None:
         self._ids = ids
+        self._weights = weights
 
     def position_of(self, upstream: types.UpstreamId) -> float:
         """Return the position of an upstream in the pool, from 0 to 1.
@@ -190,7 +208,15 @@
         the first ten seconds of a fleet of 82 entry VMs this raised the share
         of served requests from 0.68 to 0.75.
         """
-        return min(self._ids, key=lambda one: _hash_fraction(part, one))
+        if self._weights is None:
+            return min(self._ids, key=lambda one: _hash_fraction(part, one))
+        # Weighted rendezvous hashing: a change of one weight moves only parts
+        # from or to that upstream.
+        weighted = zip(self._ids, self._weights, strict=True)
+        return max(
+            weighted,
+            key=lambda one: one[1] / _exponential(part, one[0]),
+        )[0]
 
     @functools.cached_property
     def _position_by_upstream(self) -> dict[types.UpstreamId, float]:
@@ -287,11 +313,13 @@
     reading = weights.reading * new_tokens
     if candidate.upstream != prefill_upstream and not candidate.has_shared:
         reading += weights.rereading * request.shared_tokens
-    rate = weights.prefill_tokens_per_second
+    rate = candidate.tokens_per_second or weights.prefill_tokens_per_second
     load = candidate.load
     prefill_seconds = new_tokens / rate
     wait_seconds = (
-        waiting_seconds(load, request.tier, weights) + prefill_seconds
+        waiting_tokens(load, request.tier, weights) / rate
+        + prefill_seconds
+        + candidate.service_seconds
     )
     occupied = load.running / max(1, candidate.slots)
     position = pool.position_of(candidate.upstream)
@@ -322,14 +350,13 @@
     )
 
 
-def waiting_seconds(
-    load: loads.Load, tier: types.Tier, weights: Weights
+def waiting_tokens(
+    load: loads.Load, tier: types.Tier, weights: Weights = DEFAULT_WEIGHTS
 ) -> float:
-    """Return how long a new prompt of `tier` waits for queued prompts."""
+    """Return the queued tokens that are prefilled before those of `tier`."""
     ahead = load.waiting_before(tier)
     behind = load.waiting_tokens - ahead
-    tokens = ahead + weights.lower_tiers * behind
-    return tokens / weights.prefill_tokens_per_second
+    return ahead + weights.lower_tiers * behind
 
 
 def _misplacement(
@@ -356,3 +383,10 @@
     """Return a hash from 0 to 1 that is the same at all entry VMs."""
     named = f"{affinity}{upstream}"
     return xxhash.xxh3_64_intdigest(named.encode()) / _HASH_RANGE
+
+
+def _exponential(part: str, upstream: types.UpstreamId) -> float:
+    """Return an exponentially distributed hash that is above 0."""
+    # A hash may be 0, and one close to 1 is rounded to 1.
+    fraction = min(max(_hash_fraction(part, upstream), _MIN_HASH), _MAX_HASH)
+    return -math.log(fraction)
--- a/packages/router/src/lagoonrun_router/return_schedule.py
+++ b/packages/router/src/lagoonrun_router/return_schedule.py
@@ -31,6 +31,10 @@
 """Maximum time until an invitation is due; bounds the promised tenths of a
 second that are kept."""
 
+_OUTCOME_WEIGHT = 1.0 / 16.0
+"""Weight of one invitation in the fraction that is redeemed: it follows a change
+within some tens of refusals, a second or two of an overload."""
+
 _KEPT_SECONDS = 5.0
 """How long an invitation is kept after its end, so that a caller that returns
 late is recognised."""
@@ -131,6 +135,9 @@
         self._ends: list[tuple[float, types.RequestDigest]] = []
         self._due = due_tokens.DueTokens(max_count=MAX_INVITATIONS)
         self._calendar = drain_calendar.DrainCalendar()
+        # Own invitations by the end of their time, as a heap.
+        self._issued: list[tuple[float, types.RequestDigest]] = []
+        self._redeemed_fraction = 1.0
         self._own = _PendingInvitations()
         self._for_neighbours = _PendingInvitations()
 
@@ -190,6 +197,7 @@
             ),
         )
         if self._record(invitation, now=now):
+            heapq.heappush(self._issued, (invitation.ends_at, digest))
             self._own.add(invitation)
             self._for_neighbours.add(invitation)
         return invitation
@@ -208,8 +216,9 @@
         return Arrival.INVITED if now <= known.ends_at else Arrival.EXPIRED
 
     def redeem(self, digest: types.RequestDigest, *, now: float) -> None:
-        """Record that a caller in time has been admitted."""
-        if self.arrival_of(digest, now=now) is not Arrival.INVITED:
+        """Record that a caller in time, or an early one, has been admitted."""
+        arrival = self.arrival_of(digest, now=now)
+        if arrival not in (Arrival.EARLY, Arrival.INVITED):
             return
         redeemed = dataclasses.replace(self._by_digest[digest], tokens=0.0)
         self._by_digest[digest] = redeemed
@@ -227,6 +236,20 @@
         """
         return self._due.at_and_above(pool, tier, now=now)
 
+    def redeemed_fraction(self, *, now: float) -> float:
+        """Return the fraction of the own invitations that is redeemed.
+
+        1 before the first has ended.
+        """
+        while self._issued and now > self._issued[0][0]:
+            _, digest = heapq.heappop(self._issued)
+            known = self._by_digest.get(digest)
+            redeemed = known is not None and known.tokens <= 0.0
+            self._redeemed_fraction += _OUTCOME_WEIGHT * (
+                redeemed - self._redeemed_fraction
+            )
+        return self._redeemed_fraction
+
     def apply_invitations(
         self, invitations: Iterable[Invitation], *, now: float
     ) -> None:
@@ -250,6 +273,14 @@
             if self._record(invitation, now=now):
                 self._for_neighbours.add(invitation)
 
+    def outstanding(self, *, now: float) -> tuple[Invitation, ...]:
+        """Return the invitations that are neither redeemed nor over."""
+        return tuple(
+            one
+            for one in self._by_digest.values()
+            if one.tokens > 0.0 and now <= one.ends_at
+        )
+
     def pop_own(self, *, now: float) -> tuple[Invitation, ...]:
         """Return and clear own invitations to be reported."""
         return self._own.pop(_MAX_OWN_PER_MESSAGE, now=now)
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -16,6 +16,7 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_platform import store_eras
 from lagoonrun_router import (
+    adaptive_load,
     admission_floor,
     components,
     crash_guard,
@@ -27,9 +28,14 @@
     http_endpoints,
     ingress,
     load_ledger,
+    load_view,
     metrics,
+    operator_overrides,
+    override_endpoint,
+    override_writer,
     peer_exchange,
     peer_table,
+    pool_capacity,
     pressure,
     prompt_locations,
     reach,
@@ -126,6 +132,12 @@
         self._domains = reach.DomainReach()
         self._pressure = pressure.Pressure()
         self._aggregate = domain_aggregate.DomainAggregate()
+        self.overrides = operator_overrides.OperatorOverrides()
+        self._adaptive = adaptive_load.AdaptiveLoad(
+            contended=configured.contended,
+            weight_override=self.overrides.weight_of,
+            pool_of=self.directory.pool_of,
+        )
         self._admission_floor = admission_floor.AdmissionFloor(
             started_at=self._clock.monotonic()
         )
@@ -188,6 +200,7 @@
             directory=self.directory,
             peers=self._peer_table,
             blocks=self.crashing_requests,
+            overrides=self.overrides,
             on_declarations=self._apply_declarations,
             on_upstreams=self._on_upstreams_changed,
             clock=self._clock,
@@ -219,6 +232,7 @@
             domains=self._domains,
             pressure=self._pressure,
             aggregate=self._aggregate,
+            adaptive=self._adaptive,
             crashing_requests=self.crashing_requests,
             counters=self.metrics,
             usage=self._usage_exchange,
@@ -234,6 +248,7 @@
             follower=self.follower,
             crashing_requests=self.crashing_requests,
             limits=self.exchange.notices.limits,
+            adaptive=self._adaptive,
         )
 
     def _build_endpoints(
@@ -260,6 +275,11 @@
                 crash_watch=self._crash_guard.watch,
                 crashing_requests=self.crashing_requests,
                 notices=self.exchange.notices,
+                adaptive=self._adaptive,
+                capacity=pool_capacity.PoolCapacity(
+                    load=self._adaptive, ledger=self._ledger
+                ),
+                overrides=self.overrides,
                 usage=self._usage_exchange,
             )
         )
@@ -280,7 +300,19 @@
                 router_endpoints.OperatorEndpoint(
                     router=self,
                     blocks=self.crashing_requests,
+                    overrides=override_endpoint.OverrideEndpoint(
+                        overrides=self.overrides,
+                        writer=override_writer.OverrideWriter(
+                            store=self._store,
+                            prefix=self._layout.overrides_prefix,
+                        ),
+                    ),
                     clock=self._clock,
+                    load_view=load_view.LoadView(
+                        load=self._adaptive,
+                        directory=self.directory,
+                        ledger=self._ledger,
+                    ),
                 ),
             )
 
@@ -413,6 +445,7 @@
     def _apply_declarations(self, declared: declarations.Declarations) -> None:
         self._route_table = route_table.RouteTable(declared=declared)
         self._ingress.set_route_table(self._route_table)
+        self._adaptive.apply_declarations(declared)
         if self._duties is not None:
             self._duties.duty_inputs.use(declared.pools_by_name.values())
         self.metrics.revision.set(declared.revision)
@@ -425,6 +458,7 @@
             before = restarted.before
             self._ledger.forget_instance(before.id)
             self._aggregate.forget_instance(before.id)
+            self._adaptive.forget_instance(before.id)
             self._prompt_locations.forget_upstream(before.id)
             self.exchange.notices.forget_instance(before)
             self._client.abort_connections(
@@ -435,6 +469,7 @@
         known = frozenset(one.id for one in self.directory.registrations)
         self._ledger.forget_upstreams(known)
         self._aggregate.forget_upstreams(known)
+        self._adaptive.forget_upstreams(known)
 
     async def _write_own_record(self) -> None:
         """Write this entry VM's address to the store, retrying if needed."""
--- a/packages/router/tests/test_organisation_shares.py
+++ b/packages/router/tests/test_organisation_shares.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from lagoonrun_router import demand_row, organisation_shares, own_demand
+from lagoonrun_router import (
+    demand_row,
+    demand_rows,
+    organisation_shares,
+    own_demand,
+)
 
 KEY = demand_row.ShareKey(pool="p", tier=1)
 COST = 1000.0
@@ -563,6 +568,40 @@
     assert decide(shares, "a", now=now, capacity=40 * COST).fraction == 1.0
 
 
+@pytest.mark.parametrize("connected", [False, True])
+def test_entry_vm_with_idle_peers_uses_the_whole_capacity(shares, connected):
+    """Guards against peers without demand that are taken to be cut off.
+
+    Callers of the whole fleet may come to use one entry VM only.
+    """
+    now = 0.0
+    for step in range(80):
+        now = send_steadily(shares, {"a": 20.0}, start=step / 4, seconds=0.25)
+        shares.apply_report("vm-2", make_rows({"a": 60 * COST}), now=now)
+        shares.own_rows(now=now)
+    for step in range(8):
+        now = send_steadily(
+            shares, {"a": 20.0}, start=20.0 + step / 4, seconds=0.25
+        )
+        if connected:
+            shares.record_contact("vm-2", now=now)
+        shares.own_rows(now=now)
+    decision = decide(shares, "a", now=now, capacity=40 * COST)
+    assert decision.from_fleet == connected
+    assert decision.fraction == pytest.approx(
+        1.0 if connected else 0.5, rel=0.1
+    )
+
+
+def test_contact_without_demand_keeps_the_last_report(shares):
+    """Guards against demand that is lost between two messages with demand."""
+    shares.apply_report("vm-2", make_rows({"a": 300.0}), now=0.0)
+    shares.record_contact("vm-2", now=0.4)
+    assert shares.demand_of(KEY, now=0.4) == pytest.approx(300.0)
+    shares.record_contact("vm-2", now=1.6)
+    assert shares.demand_of(KEY, now=1.6) == 0.0
+
+
 def test_entry_vm_cut_off_while_idle_admits_some(shares):
     """Guards against a part of zero, with which a cut-off VM admits nothing."""
     for step in range(40):
@@ -588,6 +627,30 @@
 # Bounds.
 
 
+@pytest.mark.parametrize("summed", [False, True])
+def test_demand_of_many_pools_fits_into_a_datagram(shares, summed):
+    """Guards against states that are dropped because they are too large.
+
+    Receivers drop datagrams of more than 16 KiB, with the loads in them.
+    """
+    keys = [
+        demand_row.ShareKey(pool=f"engines-{pool}", tier=tier)
+        for pool in range(5)
+        for tier in range(1, 7)
+    ]
+    for key in keys:
+        for number in range(100):
+            shares.record_arrival(
+                key, f"organisation-{number}", cost=100.0 + number, now=0.0
+            )
+    rows = shares.rows_with((), now=0.1) if summed else shares.own_rows(now=0.1)
+    assert {row.key for row in rows} == set(keys)
+    assert sum(row.organisations for row in rows) == 100 * len(keys)
+    packed = demand_rows.to_rows(rows)
+    size = len(packed.pools) + len(packed.organisations) + len(packed.numbers)
+    assert size < 8192
+
+
 def test_5000_organisations_are_listed_in_one_short_message(shares):
     """Guards against messages that grow with the number of organisations."""
     for index in range(5000):
--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -37,6 +37,21 @@
 """Crashes after which entry VMs must block a request, and its runs that may
 still begin more than `RECOVERY_SECONDS` after those crashes."""
 
+_MAX_UNSERVED_SHARE = 0.25
+_MIN_UNSERVED = 4
+"""Share, and number, of the requests that other organisations send during a
+burst above and from which the ones that are not served violate the guarantee."""
+
+_MIN_SERVED_RATIO = 0.5
+"""Smallest number of served requests of an organisation that is not fully
+served, relative to the bursting one. Equal shares would be 1; a few requests
+differ by chance."""
+
+_MEASURING_SECONDS = 1.0
+"""Time from the start of a burst in which shares do not have to hold: entry VMs
+measure the demand over about a second. In the soaks of the seeds 7 to 9, the
+refused requests of small organisations were nearly all sent in it."""
+
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _UNAUTHORIZED = 401
 _OK = 200
@@ -57,6 +72,7 @@
     LIMITS = "limits"
     RESTS = "rests"
     OWN_LEAVING = "own-leaving"
+    SHARES = "shares"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -81,6 +97,7 @@
         *_tiers(history),
         *_crashing(history),
         *_notices(history),
+        *_shares(history),
     ]
 
 
@@ -342,3 +359,104 @@
             for subject in (history.requests_by_id[run.id].vm, record.STORE)
         )
     ]
+
+
+def _shares(history: record.History) -> Iterator[Violation]:
+    """Check that other organisations are served while one of them bursts.
+
+    By max-min fairness, an organisation that is not fully served gets as much
+    as any other. The demand is measured over about a second, so requests of
+    the first second of a burst are left out.
+    """
+    for burst in history.bursts:
+        if _is_disturbed_otherwise(history, burst):
+            continue
+        by_organisation = _engine_requests_by_organisation(history, burst)
+        bursting = by_organisation.pop(burst.organisation, [])
+        served_to_bursting = sum(map(_is_served, bursting))
+        for requests in by_organisation.values():
+            unserved = [one for one in requests if not _is_served(one)]
+            served = len(requests) - len(unserved)
+            if (
+                len(unserved) >= _MIN_UNSERVED
+                and len(unserved) > _MAX_UNSERVED_SHARE * len(requests)
+                and served < _MIN_SERVED_RATIO * served_to_bursting
+            ):
+                yield Violation(
+                    guarantee=Guarantee.SHARES,
+                    request_id=unserved[0].id,
+                    detail=_unserved_text(burst, requests, unserved)
+                    + f"; {served_to_bursting} of the burst were served",
+                )
+
+
+def _is_disturbed_otherwise(
+    history: record.History, burst: record.Burst
+) -> bool:
+    """Return whether something other than a burst can have failed requests."""
+    start = burst.start - RECOVERY_SECONDS
+    is_stopping = any(
+        burst.start - layout.STOP_SECONDS <= at <= burst.end
+        for stops in history.stop_times_by_vm.values()
+        for at in stops
+    )
+    other_bursts = (
+        other
+        for other in history.bursts
+        if other.organisation != burst.organisation
+    )
+    return (
+        is_stopping
+        or any(
+            other.start <= burst.end and other.end >= start
+            for other in (*other_bursts, *history.unfinished_faults)
+        )
+        or not all(
+            history.is_undisturbed(subject, start, burst.end)
+            for subject in list(history.disturbances_by_subject)
+        )
+    )
+
+
+def _engine_requests_by_organisation(
+    history: record.History, burst: record.Burst
+) -> dict[str, list[record.CallerRequest]]:
+    """Return the ended engine requests that were sent during a burst.
+
+    Those of its first second are left out, and requests with a key that is not
+    in force yet.
+    """
+    kinds = {kind.name for kind in layout.ENGINE_KINDS}
+    by_organisation: dict[str, list[record.CallerRequest]] = {}
+    for request in history.requests_by_id.values():
+        if (
+            request.kind in kinds
+            and burst.start + _MEASURING_SECONDS <= request.sent_at <= burst.end
+            and request.ended_at is not None
+            and request.status != _UNAUTHORIZED
+        ):
+            by_organisation.setdefault(request.organisation, []).append(request)
+    return by_organisation
+
+
+def _is_served(request: record.CallerRequest) -> bool:
+    return request.status == _OK and request.whole
+
+
+def _unserved_text(
+    burst: record.Burst,
+    others: list[record.CallerRequest],
+    unserved: list[record.CallerRequest],
+) -> str:
+    """Return which requests were not served, by organisation, class, result."""
+    counts = collections.Counter(
+        f"{one.organisation} {one.kind} {one.status} {one.reason}".rstrip()
+        for one in unserved
+    )
+    seconds = [one.sent_at - burst.start for one in unserved]
+    return (
+        f"{len(unserved)} of {len(others)} engine requests of others were not "
+        f"served, sent {min(seconds):.2f} to {max(seconds):.2f} s after the "
+        f"start of a burst of {burst.organisation}: "
+        + ", ".join(f"{n} {text}" for text, n in sorted(counts.items()))
+    )
