Move the candidates of a call into a module of their own

choosing.py had grown to 580 lines with two concerns: which upstreams a call considers and what is known of each of them, and the decision among them with its admission and log line.

candidates.CandidateBuilder now samples the pool, builds the placement candidates, and tells the order of a pool and the new tokens of a call. Chooser uses it; Chooser.new_tokens delegates to it. No change of behaviour, log fields or tests.

--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -1,18 +1,15 @@
 """Select the upstream of each attempt by placement and admission."""
 
 import dataclasses
-import functools
-import statistics
 from collections.abc import Container
 
 from lagoonrun_core import events, logs, types
 from lagoonrun_router import (
     admission,
     availability,
-    candidate_sampling,
+    candidates,
     placement,
     pool_capacity,
-    speed_estimate,
     upstreams,
 )
 from lagoonrun_router import call as calls
@@ -20,12 +17,6 @@
 
 _MAX_LOGGED_CANDIDATES = 4
 
-_RECENT_REPORT_SECONDS = 1.0
-"""Age up to which a load report of a plain service is compared with others."""
-
-_OUTDATED_CANDIDATES = 2
-"""Number of candidates among the plain services with older reports."""
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AllClosed:
@@ -87,6 +78,7 @@
 
     def __init__(self, *, components: router_components.Components) -> None:
         self._components = components
+        self._candidates = candidates.CandidateBuilder(components=components)
 
     def choose(
         self,
@@ -117,7 +109,7 @@
             return AllClosed(closed=available.closed)
         usable = tuple(available.open_by_id.values())
         adaptive = self._components.adaptive.is_adaptive(call.pool, usable)
-        sampled = self._sample_candidates(call, usable, now, adaptive=adaptive)
+        sampled = self._candidates.sample(call, usable, now, adaptive=adaptive)
         ranking = self._rank(call, sampled, usable, now, adaptive=adaptive)
         best = self._admit(call, ranking.ranked, now)
         if isinstance(best, admission.Refusal) and len(sampled) < len(usable):
@@ -188,70 +180,6 @@
         )
         return () if available.open_by_id else available.closed
 
-    def _sample_candidates(
-        self,
-        call: calls.Call,
-        usable: tuple[upstreams.Registration, ...],
-        now: float,
-        *,
-        adaptive: bool,
-    ) -> tuple[upstreams.Registration, ...]:
-        """Return the candidates of a call: the pool, or a sample of it."""
-        affinity_part = call.affinity_part
-        if adaptive and call.pool.engine is None:
-            return self._sample_plain(call, usable, now)
-        if (
-            call.pool.engine is None
-            or len(usable) <= candidate_sampling.MAX_UNSAMPLED_POOL
-        ):
-            return usable
-        always_included: set[types.UpstreamId] = set()
-        if affinity_part is not None:
-            always_included.update(
-                self._components.prompt_locations.holders(
-                    affinity_part.id, now=now
-                )
-            )
-            if not self._shared_recently(call):
-                always_included.add(
-                    self._pool_order(usable).prefill_upstream_of(
-                        affinity_part.id
-                    )
-                )
-        return candidate_sampling.sample(
-            usable,
-            request_id=call.request_id,
-            domain=self._components.domain,
-            always_included=always_included,
-        )
-
-    def _sample_plain(
-        self,
-        call: calls.Call,
-        usable: tuple[upstreams.Registration, ...],
-        now: float,
-    ) -> tuple[upstreams.Registration, ...]:
-        """Return the upstreams with recent reports, and two of the others.
-
-        If all entry VMs compared all upstreams by outdated reports, they would
-        select the same one.
-        """
-        speeds = self._components.adaptive.speeds
-        recent = []
-        outdated = []
-        for one in usable:
-            age = speeds.estimate(one.id, now=now).age_seconds
-            is_recent = age is not None and age <= _RECENT_REPORT_SECONDS
-            (recent if is_recent else outdated).append(one)
-        return (
-            *recent,
-            *candidate_sampling.pick(
-                tuple(outdated),
-                request_id=call.request_id,
-                count=_OUTDATED_CANDIDATES,
-            ),
-        )
-
     def _rank(
         self,
         call: calls.Call,
@@ -266,19 +194,14 @@
         A request that would be late is ranked as one of an additional tier
         below all others.
         """
-        request = _request_of(call, shared_recently=self._shared_recently(call))
-        uneven = adaptive and self._components.adaptive.states_slowness(usable)
-        usual_seconds = 0.0
-        if uneven and call.pool.engine is None:
-            usual_seconds = self._usual_seconds(usable, now)
-        candidates = tuple(
-            self._candidate(
-                call, one, now, uneven=uneven, usual_seconds=usual_seconds
-            )
-            for one in registered
+        request = _request_of(
+            call, shared_recently=self._candidates.shared_recently(call)
         )
-        pool = self._pool_order(usable)
-        ranked = placement.rank(request, candidates, pool=pool)
+        built = self._candidates.build(
+            call, registered, usable, now, adaptive=adaptive
+        )
+        pool = self._candidates.pool_order(usable)
+        ranked = placement.rank(request, built, pool=pool)
         stands_back = call.pool.engine is not None and admission.stands_back(
             call.tier,
             call.pool_tiers,
@@ -288,7 +211,7 @@
         if stands_back:
             lowest_tier = types.Tier(call.tier + 1)
             request = dataclasses.replace(request, tier=lowest_tier)
-            ranked = placement.rank(request, candidates, pool=pool)
+            ranked = placement.rank(request, built, pool=pool)
         return _Ranking(
             request=request,
             ranked=ranked,
@@ -296,19 +219,6 @@
             adaptive=adaptive,
         )
 
-    def _usual_seconds(
-        self, usable: tuple[upstreams.Registration, ...], now: float
-    ) -> float:
-        """Return the median service time of plain services; 0 if unknown."""
-        speeds = self._components.adaptive.speeds
-        estimates = (speeds.estimate(one.id, now=now) for one in usable)
-        known = [
-            one.service_seconds
-            for one in estimates
-            if one.service_seconds is not None
-        ]
-        return statistics.median(known) if known else 0.0
-
     def _admit(
         self,
         call: calls.Call,
@@ -365,83 +275,7 @@
 
     def new_tokens(self, call: calls.Call) -> float:
         """Return the prompt tokens of a call that are probably not cached."""
-        tokens = float(call.attributes.prompt_tokens)
-        if self._shared_recently(call):
-            tokens -= call.shared_tokens
-        return max(0.0, tokens)
-
-    def _pool_order(
-        self, usable: tuple[upstreams.Registration, ...]
-    ) -> placement.PoolOrder:
-        """Return the order of a pool, by speed if its upstreams are uneven."""
-        ids = tuple(one.id for one in usable)
-        adaptive = self._components.adaptive
-        if not adaptive.states_slowness(usable):
-            return _pool_order_of_ids(ids)
-        now = self._components.clock.monotonic()
-        return _pool_order_of_ids(
-            ids, adaptive.rounded_speeds(usable[0].pool, ids, now=now)
-        )
-
-    def _candidate(
-        self,
-        call: calls.Call,
-        upstream: upstreams.Registration,
-        now: float,
-        *,
-        uneven: bool,
-        usual_seconds: float,
-    ) -> placement.Candidate:
-        components = self._components
-        affinity_part = call.affinity_part
-        load = components.ledger.load_of(upstream.id, now=now)
-        slots = upstream.slots
-        tokens_per_second = None
-        service_seconds = 0.0
-        if uneven:
-            estimate = components.adaptive.speeds.estimate(upstream.id, now=now)
-            if call.pool.engine is None:
-                service_seconds = plain_seconds(
-                    estimate, slots=slots, usual_seconds=usual_seconds
-                )
-            else:
-                tokens_per_second = estimate.tokens_per_second_over(
-                    load.waiting_tokens + call.attributes.prompt_tokens
-                )
-                slots = pool_capacity.scaled_slots(
-                    slots, estimate.relative_speed
-                )
-        return placement.Candidate(
-            upstream=upstream.id,
-            slots=slots,
-            tokens_per_second=tokens_per_second,
-            service_seconds=service_seconds,
-            cache_tokens=call.pool.engine.cache_tokens
-            if call.pool.engine
-            else 0.0,
-            has_shared=affinity_part is not None
-            and components.prompt_locations.has(
-                affinity_part.id, upstream.id, now=now
-            ),
-            same_domain=upstream.domain == components.domain,
-            load=load,
-            recent_prefill=components.ledger.recent_prefill(
-                upstream.id, now=now
-            ),
-            failures=components.ledger.failures(upstream.id, now=now),
-            silent_domain=components.domains.is_silent(
-                upstream.domain, now=now
-            ),
-        )
-
-    def _shared_recently(self, call: calls.Call) -> bool:
-        affinity_part = call.affinity_part
-        if affinity_part is None:
-            return False
-        now = self._components.clock.monotonic()
-        return self._components.prompt_locations.used_recently(
-            affinity_part.id, now=now
-        )
+        return self._candidates.new_tokens(call)
 
     def _log(
         self,
@@ -500,27 +334,6 @@
         }
 
 
-def plain_seconds(
-    estimate: speed_estimate.SpeedEstimate,
-    *,
-    slots: int,
-    usual_seconds: float,
-) -> float:
-    """Return the expected time to an answer of a plain service.
-
-    Requests above the number of slots wait for those before them.
-
-    Parameters
-    ----------
-    usual_seconds
-        Service time that is assumed while that of the upstream is not known.
-    """
-    service_seconds = estimate.service_seconds or usual_seconds
-    in_service = (estimate.running or 0) + (estimate.waiting or 0) + 1
-    queued = max(0, in_service - slots) / max(1, slots)
-    return service_seconds * estimate.slowness * (1.0 + queued)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Ranking:
     """The candidates of one attempt, in ascending order of cost.
@@ -547,16 +360,6 @@
         return round(self.request.shared_tokens)
 
 
-@functools.lru_cache(maxsize=16)
-def _pool_order_of_ids(
-    ids: tuple[types.UpstreamId, ...],
-    weights: tuple[float, ...] | None = None,
-) -> placement.PoolOrder:
-    # Cached: the ids and weights change only when an upstream joins or leaves,
-    # or its speed changes by half of that of the others.
-    return placement.PoolOrder(ids=ids, weights=weights)
-
-
 def _request_of(
     call: calls.Call, *, shared_recently: bool
 ) -> placement.Request:
