Move refusals and pressure out of CallExecution

refusing.CallRefusals composes and logs the refusals of a call, and call_pressure.CallPressure records that its tier was not served. CallExecution keeps the state and the order of steps, and ends the call with the refusal. Behaviour, log fields and messages are unchanged; no test was changed.

Tests: packages/router/tests and packages/soak/tests/test_checks.py (-n 3), 905 tests, no failure; make lint.

--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -15,13 +15,13 @@
     answers,
     attempt_result,
     availability,
+    call_pressure,
     choosing,
-    crash_evidence,
     loads,
     place_bucket,
     pool_capacity,
+    refusing,
     retrying,
-    running_requests,
     stream_relay,
     upstream_attempt,
 )
@@ -33,13 +33,6 @@
 to send one request there. Each try takes a few milliseconds; after the last one
 the caller gets a Retry-After."""
 
-_MAX_LOGGED_UPSTREAMS = 4
-
-_REASON_BY_CLOSED = {
-    availability.ClosedReason.LIMITED: outcomes.Reason.UPSTREAMS_LIMITED,
-    availability.ClosedReason.RESTING: outcomes.Reason.UPSTREAMS_RESTING,
-}
-
 _HELD_REFUSALS = frozenset(
     (
         admission.Refusal.NO_ROOM,
@@ -50,10 +43,6 @@
 """Refusals for lack of room, which may be free again within a fraction of the
 target."""
 
-_OVERLOAD_WAIT_FRACTION = 0.25
-"""Expected wait, as a fraction of the caller's time limit, from which a failed
-request counts as a sign of overload."""
-
 
 class CallExecution:
     """Executes one call.
@@ -82,6 +71,12 @@
         self._relay = stream_relay.StreamRelay(
             call=call, exchange=exchange, clock=components.clock
         )
+        self._pressure = call_pressure.CallPressure(
+            call=call, components=components
+        )
+        self._refusals = refusing.CallRefusals(
+            call=call, components=components, pressure=self._pressure
+        )
         self._tried: set[types.UpstreamId] = set()
         self._sends = retrying.SendCounts()
         self._earlier_may_have_run = False
@@ -149,16 +144,17 @@
                 self._call.digest
             )
             if block is not None:
-                return await self._refuse_blocked(block)
+                return await self._end_refused(self._refusals.blocked(block))
             choice = await self._choose()
-            if isinstance(choice, choosing.AllClosed):
-                return await self._refuse_closed(choice)
-            if isinstance(choice, pool_capacity.Rejection):
-                if await self._hold(choice):
-                    continue
-                return await self._refuse(choice)
-            if choice is None:
-                return await self._refuse_without_upstream()
+            rejected = isinstance(choice, pool_capacity.Rejection)
+            if rejected and await self._hold(choice):
+                continue
+            if not isinstance(choice, choosing.Choice):
+                return await self._end_refused(
+                    self._refusals.unchosen(
+                        choice, earlier_may_have_run=self._earlier_may_have_run
+                    )
+                )
             result = await self._attempt_at(choice)
             if isinstance(result, attempt_result.Delivered):
                 return result.ending
@@ -208,31 +204,6 @@
             )
         return choice
 
-    async def _refuse_closed(
-        self, refusal: choosing.AllClosed
-    ) -> outcomes.Ending:
-        """Refuse a request while every upstream of its pool is closed.
-
-        An upstream is closed while it is rate limited or in a back-off that it
-        asked for. The Retry-After is spread, because the first upstream to
-        open has capacity for only a few of the callers that wait.
-        """
-        self._record_pressure()
-        return await self._end_refused(
-            reason=_REASON_BY_CLOSED[refusal.closed[0].reason],
-            detail="all upstreams of the pool are rate limited or asked for rest",
-            retry_after_seconds=self._retry_after_closed(refusal.closed),
-            closed=refusal.closed[:_MAX_LOGGED_UPSTREAMS],
-        )
-
-    def _retry_after_closed(
-        self, closed: tuple[availability.ClosedUpstream, ...]
-    ) -> float:
-        """Return the Retry-After for a pool whose upstreams are all closed."""
-        return answers.spread_retry_seconds(
-            self._components.rng, wait_seconds=closed[0].wait_seconds
-        )
-
     async def _hold(self, rejection: pool_capacity.Rejection) -> bool:
         """Wait once for room that is expected soon; return whether it waited.
 
@@ -253,128 +224,25 @@
         await asyncio.sleep(seconds)
         return True
 
-    async def _refuse_without_upstream(self) -> outcomes.Ending:
-        """Refuse a request while no upstream of its pool is known.
-
-        No capacity is missing, so lower tiers are still admitted.
-        """
-        return await self._end_refused(
-            reason=outcomes.Reason.NO_UPSTREAM,
-            detail="no upstream of the pool is known",
-        )
-
-    async def _refuse(
-        self, rejection: pool_capacity.Rejection
-    ) -> outcomes.Ending:
-        """Refuse a request that was not admitted at any upstream."""
-        self._record_pressure()
-        retry_after_seconds = None
-        if not self._earlier_may_have_run:
-            retry_after_seconds = self._components.capacity.return_seconds(
-                self._call,
-                rejection,
-                now=self._components.clock.monotonic(),
-            )
-        self._components.metrics.count_refusal(self._call, rejection)
-        return await self._end_refused(
-            reason=outcomes.Reason.OVERLOADED,
-            detail=rejection.refusal.value,
-            retry_after_seconds=retry_after_seconds,
-            rejection=rejection,
-        )
-
-    async def _refuse_blocked(
-        self, block: crash_evidence.Block
-    ) -> outcomes.Ending:
-        """Refuse a request that has crashed too many upstreams.
-
-        The Retry-After is the end of the block and not earlier: each further
-        crash also loses all other requests that run on that upstream.
-        """
-        return await self._end_refused(
-            reason=outcomes.Reason.CRASHED_UPSTREAMS,
-            detail=f"{len(block.crashes)} upstreams ended while they ran it",
-            retry_after_seconds=block.until
-            - self._components.clock.monotonic(),
-            crashes=block.crashes,
-        )
-
-    async def _end_refused(
-        self,
-        *,
-        reason: outcomes.Reason,
-        detail: str,
-        retry_after_seconds: float | None = None,
-        closed: tuple[availability.ClosedUpstream, ...] = (),
-        crashes: tuple[running_requests.UpstreamInstance, ...] = (),
-        rejection: pool_capacity.Rejection | None = None,
-    ) -> outcomes.Ending:
-        """End a request that is not sent, and log what it was refused for.
-
-        Parameters
-        ----------
-        retry_after_seconds
-            When the caller may retry; None for the default.
-        closed, crashes
-            Upstreams that are closed, and upstream instances that crashed
-            while they ran the request.
-        rejection
-            Decision of the admission; None if it did not decide.
-        """
-        organisation = self._call.organisation
-        logs.emit(
-            events.LogEvent.REQUEST_REFUSED,
-            level=logging.WARNING,
-            request_id=self._call.request_id,
-            reason=reason.value,
-            detail=detail,
-            organisation=organisation.id if organisation else "",
-            tier=self._call.tier,
-            patience_seconds=round(self._call.patience_seconds, 3),
-            digest=self._call.digest,
-            closed={
-                refusing.upstream: refusing.reason.value for refusing in closed
-            },
-            upstreams=[instance.upstream for instance in crashes],
-            retry_after=retry_after_seconds and round(retry_after_seconds, 3),
-            **_logged_rejection(rejection),
-        )
+    async def _end_refused(self, refusal: refusing.Refusal) -> outcomes.Ending:
         return await self._end(
-            reason=reason,
-            detail=detail,
-            retry_after_seconds=retry_after_seconds,
+            reason=refusal.reason,
+            detail=refusal.detail,
+            retry_after_seconds=refusal.retry_after_seconds,
         )
 
-    def _record_pressure(self) -> None:
-        """Record that the tier was not served, so that lower tiers wait."""
-        if self._call.pool.engine is not None:
-            self._components.pressure.record_rejection(
-                self._call.pool.name,
-                self._call.tier,
-                now=self._components.clock.monotonic(),
-            )
-
     def record_caller_left(self) -> None:
-        """Record that the caller disconnected before its answer was complete.
-
-        A caller that disconnects after half of its time limit without any
-        answer is taken to have left because of the wait.
-        """
-        waited = self._components.clock.monotonic() - self._call.arrived_at
-        if waited >= self._call.patience_seconds / 2:
-            self._record_failure_in_overload()
+        """Record that the caller disconnected before its answer was complete."""
+        self._pressure.record_caller_left(
+            expected_wait_seconds=self._expected_wait_seconds,
+            answered=self.first_answer_at is not None,
+        )
 
     def _record_failure_in_overload(self) -> None:
-        """Record pressure for a request without an answer after a long wait.
-
-        Only if a long wait was expected when it was sent: at a lightly loaded
-        runner it failed for another reason, such as a crash, and rejecting
-        lower tiers would not help.
-        """
-        expected_wait = self._expected_wait_seconds
-        long_wait = _OVERLOAD_WAIT_FRACTION * self._call.patience_seconds
-        if self.first_answer_at is None and expected_wait >= long_wait:
-            self._record_pressure()
+        self._pressure.record_failure(
+            expected_wait_seconds=self._expected_wait_seconds,
+            answered=self.first_answer_at is not None,
+        )
 
     async def _decide_retry(
         self, lost: attempt_result.Lost
@@ -508,7 +376,7 @@
             reason=lost.reason,
             detail=lost.detail,
             upstream=lost.upstream,
-            retry_after_seconds=self._retry_after_closed(closed)
+            retry_after_seconds=self._refusals.retry_after_closed(closed)
             if closed
             else None,
         )
@@ -579,25 +447,3 @@
                 self._components.rng, remaining_seconds=remaining_seconds
             ),
         )
-
-
-def _logged_rejection(
-    rejection: pool_capacity.Rejection | None,
-) -> dict[str, object]:
-    """Return the log fields of a rejection at an adaptive pool."""
-    if rejection is None or rejection.room is None:
-        return {}
-    fields: dict[str, object] = {
-        "arrival": rejection.arrival.value,
-        "room_tokens": round(rejection.room.tokens),
-        "room_wait_seconds": round(rejection.room.wait_seconds, 3),
-    }
-    share = rejection.share
-    if share is not None:
-        fields |= {
-            "fraction": round(share.fraction, 3),
-            "asked": round(share.asked),
-            "fair_rate": round(share.fair_rate),
-            "from_fleet": share.from_fleet,
-        }
-    return fields
