Share the timing of demand between its three senders

The last time at which demand was sent, and the comparison with its interval, stood in state_publisher.py, domain_news.py and fleet_news.py; the latter two imported state_publisher only for the interval.

demand_timer.DemandTimer holds the interval and the time; each sender has its own. Behaviour is unchanged.

--- a/packages/router/src/lagoonrun_router/domain_news.py
+++ b/packages/router/src/lagoonrun_router/domain_news.py
@@ -20,6 +20,7 @@
 from lagoonrun_router import (
     adaptive_load,
     demand_rows,
+    demand_timer,
     domain_aggregate,
     load_ledger,
     observation_rows,
@@ -30,7 +31,6 @@
     reach,
     roster,
     settings,
-    state_publisher,
 )
 
 _TICKS_BETWEEN_MESSAGES = 2
@@ -131,7 +131,7 @@
         self._pressure = pressure
         self._domains = domains
         self._adaptive = adaptive
-        self._demands_sent_at = float("-inf")
+        self._demand_timer = demand_timer.DemandTimer()
         self._usage = usage
         self._send = send
         self._ticks = 0
@@ -188,8 +188,7 @@
     def _adaptive_fields(self, now: float) -> dict[str, Any]:
         """Return the fields about the adaptive pools, by name."""
         demands = router_messages.NO_DEMANDS
-        if now - self._demands_sent_at >= state_publisher.DEMAND_SECONDS:
-            self._demands_sent_at = now
+        if self._demand_timer.restart_if_due(now=now):
             if self._table.has_relay:
                 rows = self._aggregate.domain_demands(now=now)
             else:
--- a/packages/router/src/lagoonrun_router/fleet_news.py
+++ b/packages/router/src/lagoonrun_router/fleet_news.py
@@ -22,6 +22,7 @@
 from lagoonrun_router import (
     adaptive_load,
     demand_rows,
+    demand_timer,
     domain_aggregate,
     fleet_loads,
     invitation_rows,
@@ -34,7 +35,6 @@
     prompt_locations,
     reach,
     settings,
-    state_publisher,
     upstreams,
 )
 
@@ -97,7 +97,7 @@
         self._domains = domains
         self._directory = directory
         self._adaptive = adaptive
-        self._demands_sent_at = float("-inf")
+        self._demand_timer = demand_timer.DemandTimer()
         self._send = send
         self._ticks = 0
         self._sequence = 0
@@ -203,8 +203,7 @@
     def _adaptive_fields(self, now: float) -> dict[str, Any]:
         """Return the fields about the adaptive pools, by name."""
         demands = router_messages.NO_DEMANDS
-        if now - self._demands_sent_at >= state_publisher.DEMAND_SECONDS:
-            self._demands_sent_at = now
+        if self._demand_timer.restart_if_due(now=now):
             demands = demand_rows.to_rows(
                 self._aggregate.fleet_demands(now=now)
             )
--- a/packages/router/src/lagoonrun_router/state_publisher.py
+++ b/packages/router/src/lagoonrun_router/state_publisher.py
@@ -10,6 +10,7 @@
 from lagoonrun_router import (
     adaptive_load,
     demand_rows,
+    demand_timer,
     invitation_rows,
     load_ledger,
     observation_rows,
@@ -31,12 +32,6 @@
 """Ticks after which a full state is sent if nothing has changed: 0.4 s, so
 that two states may be lost before a second of silence has passed."""
 
-DEMAND_SECONDS = 0.375
-"""Minimum time between two messages with the demand of organisations: a quarter
-of the time after which a report of it expires, so that two of them may be lost.
-It is half a tick less than the time between two quiet states, so that a state
-that is slightly early has the demand as well."""
-
 _SAMPLED_MEMBERS = 4
 """Number of entry VMs that a full state lists; membership spreads from peer to
 peer."""
@@ -98,7 +93,7 @@
         self._prompt_locations = prompt_locations
         self._pressure = pressure
         self._adaptive = adaptive
-        self._demands_sent_at = float("-inf")
+        self._demand_timer = demand_timer.DemandTimer()
         self._relays = relays
         self._usage = usage
         self._rng = rng
@@ -226,11 +221,10 @@
         if not self._adaptive.adaptive_pools:
             return {}
         demands = router_messages.NO_DEMANDS
-        if now - self._demands_sent_at >= DEMAND_SECONDS:
+        if self._demand_timer.restart_if_due(now=now):
             demands = demand_rows.to_rows(
                 self._adaptive.shares.own_rows(now=now)
             )
-            self._demands_sent_at = now
         return {
             "demands": demands,
             "observations": observation_rows.to_rows(
