Split the ids of observations and invitations at line feeds only

Ids are joined with a line feed, but str.splitlines() also splits at other separators such as U+2028. An id with one of them changed the number of lines, so that the receiver rejected all rows of the message.

observation_rows and invitation_rows now split at line feeds, as demand_rows does; an empty text still has no lines, so rows of numbers without ids are still rejected. Tests send ids with five other separators through all three; the ten for observations and invitations failed before the change.

--- a/packages/router/src/lagoonrun_router/invitation_rows.py
+++ b/packages/router/src/lagoonrun_router/invitation_rows.py
@@ -56,8 +56,8 @@
         If the number of rows does not match the digests, or a pool is not
         listed.
     """
-    pools = rows.pools.splitlines()
-    digests = rows.digests.splitlines()
+    pools = rows.pools.split("\n") if rows.pools else []
+    digests = rows.digests.split("\n") if rows.digests else []
     numbers = peer_loads.unpacked(rows.numbers, count=_WIDTH * len(digests))
     invitations = []
     for index, digest in enumerate(digests):
--- a/packages/router/src/lagoonrun_router/observation_rows.py
+++ b/packages/router/src/lagoonrun_router/observation_rows.py
@@ -50,7 +50,7 @@
     FormatError
         If the number of rows does not match the upstreams.
     """
-    upstreams = rows.upstreams.splitlines()
+    upstreams = rows.upstreams.split("\n") if rows.upstreams else []
     numbers = peer_loads.unpacked(rows.numbers, count=_WIDTH * len(upstreams))
     return tuple(
         _observation(upstream, numbers[index * _WIDTH : (index + 1) * _WIDTH])
--- a/packages/router/tests/test_demand_rows.py
+++ b/packages/router/tests/test_demand_rows.py
@@ -9,6 +9,8 @@
 from lagoonrun_protocol import router_codec, router_messages
 from lagoonrun_router import demand_row, demand_rows, format_error
 
+LINE_SEPARATORS = ("\u2028", "\u2029", "\x85", "\x0b", "\r")
+
 _names = st.text("abc-019", min_size=1, max_size=8)
 _numbers = st.integers(0, 2**32 - 1)
 _rows = st.builds(
@@ -59,6 +61,16 @@
     assert sent(demands) == demands
 
 
+@pytest.mark.parametrize("separator", LINE_SEPARATORS)
+def test_ids_with_another_line_separator_arrive(separator):
+    """Guards against an id that is split in two, so that all rows are lost."""
+    demands = (
+        row(f"house{separator}", pool=f"engines{separator}"),
+        row(f"gar{separator}den", pool=f"oth{separator}ers"),
+    )
+    assert sent(demands) == demands
+
+
 def test_empty_list_takes_no_space():
     """Guards against larger messages where no organisation asks."""
     rows = demand_rows.to_rows(())
--- a/packages/router/tests/test_invitation_rows.py
+++ b/packages/router/tests/test_invitation_rows.py
@@ -10,6 +10,7 @@
 from lagoonrun_router import format_error, invitation_rows, return_schedule
 
 NOW = 5000.0
+LINE_SEPARATORS = ("\u2028", "\u2029", "\x85", "\x0b", "\r")
 _names = st.text("abc-019", min_size=1, max_size=8)
 _invitations = st.builds(
     return_schedule.Invitation,
@@ -58,6 +59,24 @@
     assert got.due_at == pytest.approx(NOW - 0.5)
 
 
+@pytest.mark.parametrize("separator", LINE_SEPARATORS)
+def test_ids_with_another_line_separator_arrive(separator):
+    """Guards against an id that is split in two, so that all rows are lost."""
+    invitations = [
+        invitation(f"d{separator}1", pool=f"engines{separator}"),
+        invitation(f"d-2{separator}", pool=f"others{separator}1"),
+    ]
+    rows = invitation_rows.to_rows(invitations, now=NOW)
+    news = router_messages.FleetNews(
+        entry_vm="vm-1", start=7, sequence=1, port=1, invitations=rows
+    )
+    decoded = router_codec.decode(router_codec.encode(news))
+    got = invitation_rows.from_rows(decoded.invitations, now=NOW)
+    assert [(one.digest, one.pool) for one in got] == [
+        (one.digest, one.pool) for one in invitations
+    ]
+
+
 def test_empty_list_takes_no_space():
     """Guards against larger messages where nobody was told to return."""
     rows = invitation_rows.to_rows((), now=NOW)
--- a/packages/router/tests/test_observation_rows.py
+++ b/packages/router/tests/test_observation_rows.py
@@ -9,6 +9,8 @@
 from lagoonrun_protocol import router_codec, router_messages
 from lagoonrun_router import format_error, observation_rows, speed_observation
 
+LINE_SEPARATORS = ("\u2028", "\u2029", "\x85", "\x0b", "\r")
+
 _counts = st.integers(0, 2**32 - 2)
 _observations = st.builds(
     speed_observation.SpeedObservation,
@@ -46,6 +48,19 @@
     assert got == tuple(observations)
 
 
+@pytest.mark.parametrize("separator", LINE_SEPARATORS)
+def test_id_with_another_line_separator_arrives(separator):
+    """Guards against an id that is split in two, so that all rows are lost."""
+    observations = tuple(
+        speed_observation.SpeedObservation(upstream=one, start=1, samples=3)
+        for one in (f"u{separator}1", "u-2", f"u-3{separator}")
+    )
+    state = state_with(observation_rows.to_rows(observations))
+    decoded = router_codec.decode(router_codec.encode(state))
+    got = observation_rows.from_rows(decoded.observations)
+    assert got == observations
+
+
 def test_empty_list_takes_no_space():
     """Guards against larger messages where no upstream was observed."""
     rows = observation_rows.to_rows(())
