Move the medians by pool out of upstream_speeds

The medians of a pool have state and rules of their own: when they are computed again, from which part of a large fleet, and when a pool returns to the default.

pool_medians.PoolMedians now keeps them. It reads the states of the upstreams, whose class moves to upstream_state because both modules use it. One test replaces the median function of the module that computes it, so its patch names pool_medians; its assertions are unchanged. No change of behaviour.

--- a/packages/router/src/lagoonrun_router/adaptive_load.py
+++ b/packages/router/src/lagoonrun_router/adaptive_load.py
@@ -14,6 +14,7 @@
     demand_row,
     load_report,
     organisation_shares,
+    pool_medians,
     return_schedule,
     shared_room,
     upstream_speeds,
@@ -72,7 +73,7 @@
         *,
         contended: bool,
         weight_override: OverrideLookup,
-        pool_of: upstream_speeds.PoolLookup = upstream_speeds.single_pool,
+        pool_of: pool_medians.PoolLookup = pool_medians.single_pool,
     ) -> None:
         self._contended = contended
         self._weight_override = weight_override
--- a/packages/router/src/lagoonrun_router/upstream_speeds.py
+++ b/packages/router/src/lagoonrun_router/upstream_speeds.py
@@ -7,24 +7,20 @@
 """
 
 import dataclasses
-import itertools
 import math
-import statistics
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from lagoonrun_core import types
 from lagoonrun_router import (
     load_report,
     momentary_slowness,
     pending_observations,
-    robust_rate,
+    pool_medians,
     speed_estimate,
     speed_observation,
+    upstream_state,
 )
 
-DEFAULT_TOKENS_PER_SECOND = 40_000.0
-"""Assumed prefill speed while that of no upstream is known."""
-
 _MAX_OWN_PER_MESSAGE = 24
 """Observations in one message of an entry VM; fits into a datagram."""
 
@@ -45,83 +41,12 @@
 _MIN_RATE, _MAX_RATE = 1e-4, 1e8
 """Bounds of plausible rates, in tokens or requests a second."""
 
-_MEDIAN_SECONDS = 0.5
-"""Time after which the median is computed again."""
-
-_MEDIAN_UPSTREAMS = 1024
-"""Number of upstreams from which only a part of them is included in a median:
-that of 11,000 takes several milliseconds."""
-
 _MAX_DELAY_SECONDS = 0.05
 """Time by which a report of a peer must appear newer to count as newer. The age
 in a message does not contain its own delay, so a report that a relay sends back
 appears newer than it is."""
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _State:
-    """What is known of one start of an upstream.
-
-    Parameters
-    ----------
-    speed, service
-        Prefill speed in tokens a second, and inverse of the service time.
-    small_tokens, small_seconds
-        Of short prefills that do not make a sample yet.
-    states_slowness
-        Whether the newest report stated the slowness.
-    reported_at
-        Time of the newest report; None without one.
-    """
-
-    start: types.UpstreamStart
-    speed: robust_rate.RobustRate = dataclasses.field(
-        default_factory=robust_rate.RobustRate
-    )
-    service: robust_rate.RobustRate = dataclasses.field(
-        default_factory=robust_rate.RobustRate
-    )
-    slowness: momentary_slowness.MomentarySlowness = dataclasses.field(
-        default_factory=momentary_slowness.MomentarySlowness
-    )
-    small_tokens: float = 0.0
-    small_seconds: float = 0.0
-    states_slowness: bool = False
-    running: int | None = None
-    waiting: int | None = None
-    reported_at: float | None = None
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _PoolMedian:
-    """Medians over the upstreams of a pool.
-
-    Parameters
-    ----------
-    tokens_per_second
-        Of the measured speeds, or the default.
-    slowness
-        Of the mean slowness of the upstreams that state it.
-    is_measured
-        Whether a speed has been measured.
-    """
-
-    tokens_per_second: float = DEFAULT_TOKENS_PER_SECOND
-    slowness: float = 1.0
-    is_measured: bool = False
-
-
-_NO_MEDIAN = _PoolMedian()
-
-
-PoolLookup = Callable[[types.UpstreamId], types.PoolName | None]
-"""Returns the pool of an upstream; None if it is unknown."""
-
-
-def single_pool(upstream: types.UpstreamId) -> None:
-    """Return the same pool for all upstreams."""
-
-
 class UpstreamSpeeds:
     """Speed, slowness and reported load of each upstream.
 
@@ -135,14 +60,14 @@
     def __init__(
         self,
         *,
-        pool_of: PoolLookup = single_pool,
+        pool_of: pool_medians.PoolLookup = pool_medians.single_pool,
     ) -> None:
-        self._state_by_upstream: dict[types.UpstreamId, _State] = {}
-        self._pool_of = pool_of
-        self._median_by_pool: dict[types.PoolName | None, _PoolMedian] = {}
-        self._median_count = 0
-        self._median_at = -math.inf
-        self._measured_count = 0
+        self._state_by_upstream: dict[
+            types.UpstreamId, upstream_state.UpstreamState
+        ] = {}
+        self._medians = pool_medians.PoolMedians(
+            pool_of=pool_of, states=self._state_by_upstream
+        )
         self._own = pending_observations.PendingObservations()
         self._for_other_domains = pending_observations.PendingObservations()
         self._for_neighbours = pending_observations.PendingObservations()
@@ -341,11 +266,13 @@
 
     def _state_of(
         self, upstream: types.UpstreamId, start: types.UpstreamStart
-    ) -> _State | None:
+    ) -> upstream_state.UpstreamState | None:
         """Return the state of an upstream; None if `start` is an older one."""
         state = self._state_by_upstream.get(upstream)
         if state is None:
-            state = self._state_by_upstream[upstream] = _State(start=start)
+            state = self._state_by_upstream[upstream] = (
+                upstream_state.UpstreamState(start=start)
+            )
         elif start < state.start:
             return None
         elif start > state.start:
@@ -357,7 +284,7 @@
     def _add_speed(
         self,
         upstream: types.UpstreamId,
-        state: _State,
+        state: upstream_state.UpstreamState,
         rate: float,
         samples: int,
         *,
@@ -367,11 +294,10 @@
         if state.speed.samples:
             return state.speed.add(rate, samples)
         # The default is no evidence, so the first upstream starts without.
-        self._refresh_medians(now)
-        median = self._median_by_pool.get(self._pool_of(upstream))
-        if median is not None and median.is_measured:
+        median = self._medians.median_of(upstream, now=now)
+        if median.is_measured:
             state.speed.set_prior(median.tokens_per_second)
-        self._measured_count += 1
+        self._medians.count_measured()
         return state.speed.add(rate, samples)
 
     # Estimates.
@@ -390,7 +316,7 @@
         self, upstream: types.UpstreamId, *, now: float
     ) -> speed_estimate.SpeedEstimate:
         """Return the estimated speed and the reported load of an upstream."""
-        pool_median = self._median_of(upstream, now)
+        pool_median = self._medians.median_of(upstream, now=now)
         median = pool_median.tokens_per_second
         state = self._state_by_upstream.get(upstream)
         if state is None:
@@ -438,68 +364,7 @@
         self, upstream: types.UpstreamId, *, now: float
     ) -> float:
         """Return the median speed of an upstream's pool, or the default."""
-        return self._median_of(upstream, now).tokens_per_second
-
-    def _median_of(self, upstream: types.UpstreamId, now: float) -> _PoolMedian:
-        """Return the medians of an upstream's pool."""
-        self._refresh_medians(now)
-        return self._median_by_pool.get(self._pool_of(upstream), _NO_MEDIAN)
-
-    def _refresh_medians(self, now: float) -> None:
-        """Compute the medians of all pools if they are half a second old.
-
-        They are also computed when twice as many upstreams are measured as
-        before, so that the first ones count at once.
-        """
-        measured = self._measured_count
-        if not measured:
-            self._median_count = 0
-        if now - self._median_at < _MEDIAN_SECONDS and measured < max(
-            1, 2 * self._median_count
-        ):
-            return
-        speeds_by_pool, slowness_by_pool = self._values_by_pool()
-        for pool in speeds_by_pool.keys() | slowness_by_pool.keys():
-            speeds = speeds_by_pool.get(pool)
-            slowness = slowness_by_pool.get(pool)
-            # Upstreams state their slowness before a prefill is measured.
-            self._median_by_pool[pool] = _PoolMedian(
-                tokens_per_second=statistics.median(speeds)
-                if speeds
-                else DEFAULT_TOKENS_PER_SECOND,
-                slowness=statistics.median(slowness) if slowness else 1.0,
-                is_measured=bool(speeds),
-            )
-        if not measured:
-            # Pools of which no upstream is left must not keep a speed.
-            for pool in self._median_by_pool.keys() - slowness_by_pool.keys():
-                del self._median_by_pool[pool]
-        self._median_count = measured
-        self._median_at = now
-
-    def _values_by_pool(
-        self,
-    ) -> tuple[
-        dict[types.PoolName | None, list[float]],
-        dict[types.PoolName | None, list[float]],
-    ]:
-        """Return measured speeds and stated mean slowness by pool.
-
-        In a large fleet, those of a part of the upstreams.
-        """
-        speeds_by_pool: dict[types.PoolName | None, list[float]] = {}
-        slowness_by_pool: dict[types.PoolName | None, list[float]] = {}
-        step = max(1, self.upstreams // _MEDIAN_UPSTREAMS)
-        items = self._state_by_upstream.items()
-        for upstream, state in itertools.islice(items, 0, None, step):
-            pool = self._pool_of(upstream)
-            if state.speed.samples:
-                speeds_by_pool.setdefault(pool, []).append(state.speed.value)
-            if state.states_slowness:
-                slowness_by_pool.setdefault(pool, []).append(
-                    state.slowness.mean
-                )
-        return speeds_by_pool, slowness_by_pool
+        return self._medians.median_of(upstream, now=now).tokens_per_second
 
     # Reports to other entry VMs.
 
@@ -533,25 +398,19 @@
         """
         before = self._state_by_upstream.get(upstream)
         if before is not None:
-            self._state_by_upstream[upstream] = _State(
+            self._state_by_upstream[upstream] = upstream_state.UpstreamState(
                 start=before.start, states_slowness=before.states_slowness
             )
-            self._count_dropped(before)
+            self._medians.count_dropped(before)
         for pending in self._queues:
             pending.forget(upstream)
 
-    def _count_dropped(self, state: _State) -> None:
-        """Count a dropped state; without any, the default applies at once."""
-        self._measured_count -= bool(state.speed.samples)
-        if not self._measured_count:
-            self._median_at = -math.inf
-
     def forget_upstreams(self, known: Iterable[types.UpstreamId]) -> None:
         """Drop upstreams that are not in `known`."""
         kept = frozenset(known)
         states = self._state_by_upstream
         for one in [one for one in states if one not in kept]:
-            self._count_dropped(states.pop(one))
+            self._medians.count_dropped(states.pop(one))
         for pending in self._queues:
             pending.forget_others(kept)
 
--- a/packages/router/tests/test_upstream_speeds.py
+++ b/packages/router/tests/test_upstream_speeds.py
@@ -9,7 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonrun_router import load_report, speed_observation, upstream_speeds
+from lagoonrun_router import (
+    load_report,
+    pool_medians,
+    speed_observation,
+    upstream_speeds,
+)
 
 FAST = 48_000.0
 SLOW = 22_000.0
@@ -527,7 +532,7 @@
     computed = []
     median = statistics.median
     monkeypatch.setattr(
-        upstream_speeds.statistics,
+        pool_medians.statistics,
         "median",
         lambda values: computed.append(1) or median(values),
     )
