--- a/packages/router/src/lagoonrun_router/placement.py
+++ b/packages/router/src/lagoonrun_router/placement.py
@@ -39,7 +39,8 @@
     Parameters
     ----------
     prefill_tokens_per_second
-        Prefill rate of a runner without other load; the users' runners reach
+        Assumed prefill rate of a runner without other load, where upstreams
+        don't state how long work takes; the users' runners reach
         36,700 and 48,200.
     lower_tiers
         Fraction of the queued prompts of lower tiers that is prefilled first
--- a/packages/router/src/lagoonrun_router/pool_capacity.py
+++ b/packages/router/src/lagoonrun_router/pool_capacity.py
@@ -54,8 +54,10 @@
 """Earliest time to return after a refusal for a higher tier: the backlog of the
 higher tier has to drain, and the entry VMs have to learn of it."""
 
-_MIN_RETURN_SECONDS = 0.1
-"""Earliest time to return: the invitation has to reach the other entry VMs."""
+_MIN_RETURN_SECONDS = 0.25
+"""Earliest time to return: the invitation has to reach the other entry VMs, with
+the next state after 0.05 s and with the relay's news 0.1 s later, and one lost
+message must not matter in a small failure domain."""
 
 _CAPACITY_REFUSALS = (admission.Refusal.NO_ROOM, admission.Refusal.TOO_LATE)
 
