--- a/packages/router/src/lagoonrun_router/adaptive_load.py
+++ b/packages/router/src/lagoonrun_router/adaptive_load.py
@@ -201,8 +201,12 @@
 
         Parameters
         ----------
+        compute
+            Computes the room of all tiers.
         recompute
             Whether the room has to be the present one.
+        max_age_seconds
+            Time for which a computed room is used again.
         """
         known = self._rooms_by_pool.get(pool)
         if (
