--- a/packages/router/tests/test_adaptive_pools.py
+++ b/packages/router/tests/test_adaptive_pools.py
@@ -161,7 +161,12 @@
 
 
 async def occupy(world, upstream, *, tokens):
-    """Send a request that its upstream holds; return its task."""
+    """Send a request that its upstream holds; return its task.
+
+    Requests that other entry VMs sent before must have ended as far as this one
+    knows: their report may be older, and the request would be refused.
+    """
+    await wait_for(lambda: world.router.known_running("u-1") == 0)
     before = upstream.arrivals
     task = asyncio.create_task(ask(world, tokens=tokens, headers=["Hold: 1"]))
     await wait_for(lambda: upstream.arrivals > before)
