Notice within two seconds that connections to the store have gone silent

Callers were served by an older configuration: after all connections to the store go silent without a reset, a change was active only after up to 4.5 s, when the watches' waits had ended. Three seconds are excused.

Cause: in a fleet of up to twelve peers each entry VM watched the store for itself with a wait of 4 s (+ 0.5 s for the answer); the keep-alive probes begin after 10 s. None of them checked its watch against the revisions that peers report, as the readers of a large fleet do.

Fix: the selection of readers applies to small fleets too. Those selected, one in each of two failure domains, wait one second; the others keep their long watches, learn from these two, and restart a watch that peers disprove.

Cost: 1.5 more reading calls a second for a small fleet.

--- a/packages/router/src/lagoonrun_router/reader_selection.py
+++ b/packages/router/src/lagoonrun_router/reader_selection.py
@@ -14,6 +14,10 @@
 that did so listed the whole store from every entry VM within the second in
 which one reader was slow. A failure domain that is cut off receives no report
 of a reader elsewhere and reads the store itself.
+
+In a small fleet every entry VM watches the store. The same selection names
+those whose watches wait only briefly: they notice within two seconds that
+connections to the store have gone silent, and the others learn it from them.
 """
 
 from typing import Protocol
@@ -138,15 +142,15 @@
 
     def update_role(self) -> None:
         """Take the role that follows from the present state of the fleet."""
-        if not self._table.is_large:
-            self._set_role(store_follower.ReaderRole.ALONE, ())
-            return
         now = self._clock.monotonic()
         domains = self._reading_domains.on_duty(now=now)
         # One reader in each of two domains, or two in a fleet of one domain.
         wanted_count = max(1, READER_COUNT + 1 - len(domains))
         readers = self._readers.on_duty(now=now, wanted_count=wanted_count)
-        if self._domain not in domains or self._entry_vm not in readers:
+        selected = self._domain in domains and self._entry_vm in readers
+        if not selected and not self._table.is_large:
+            self._set_role(store_follower.ReaderRole.ALONE, readers)
+        elif not selected:
             self._set_role(store_follower.ReaderRole.STAND_BY, readers)
         elif self._entry_vm in readers[:wanted_count]:
             self._set_role(store_follower.ReaderRole.FOR_OTHERS, readers)
--- a/packages/router/src/lagoonrun_router/store_follower.py
+++ b/packages/router/src/lagoonrun_router/store_follower.py
@@ -46,7 +46,8 @@
 """Longest wait of a watch that other entry VMs rely on. Both readers of a fleet
 may be cut off from the store without a reset just when something changes; this
 bounds the time until they notice, so that the change is active everywhere
-within three seconds. It costs two calls a second for the whole fleet."""
+within three seconds, the time for which lost connections excuse a delay. It
+costs two calls a second for the whole fleet."""
 
 _CATCH_UP_WAIT_SECONDS = 0.05
 """Longest wait of the first watch of a series. It shows that the store answers
@@ -62,13 +63,13 @@
     """Whether this entry VM reads the store, and for whom."""
 
     ALONE = "alone"
-    """Each entry VM of the fleet reads the store for itself."""
+    """Reads the store for itself only, as each entry VM of a small fleet."""
 
     FOR_OTHERS = "for-others"
-    """The other entry VMs of the failure domain rely on this one."""
+    """The other entry VMs rely on this one to notice changes in time."""
 
     SPARE = "spare"
-    """Reads while the entry VMs that the others rely on can't."""
+    """Reads as well while the entry VMs that others rely on can't."""
 
     STAND_BY = "stand-by"
     """Other entry VMs read the store for this one."""
