--- a/packages/router/tests/conftest.py
+++ b/packages/router/tests/conftest.py
@@ -57,6 +57,7 @@
     async def start(name="vm-1", domain="north", seeds=(), **changes) -> World:
         ports = free_ports(4)
         platform = changes.pop("platform", None)
+        own_layout = changes.pop("layout", layout)
         addresses = [settings.Address(host=HOST, port=port) for port in ports]
         values = {
             "entry_vm": name,
@@ -77,7 +78,7 @@
         new_router = router.Router(
             configured=router_settings,
             store=store,
-            layout=layout,
+            layout=own_layout,
             dialect=PlainDialect(),
             rng=random.Random(1),
             duty_platform=platform,
--- a/packages/soak/src/lagoonrun_soak/link.py
+++ b/packages/soak/src/lagoonrun_soak/link.py
@@ -4,11 +4,16 @@
 import contextlib
 import enum
 import random
+import socket
 
 from lagoonrun_http import tcp_reset
 from lagoonrun_router import settings
 
 _READ_BYTES = 65_536
+_BACKLOG = 128
+_FILLING_CONNECTIONS = 2
+"""Connections that fill a listen queue of length 0 for certain."""
+
 _MAX_DELAY_SECONDS = 0.15
 
 
@@ -26,6 +31,23 @@
     SILENT = "silent"
     """Nothing arrives in either direction, for the rest of the connection."""
 
+    REFUSED = "refused"
+    """Open connections are reset, and new ones refused."""
+
+    CLOSED_TO_NEW = "closed-to-new"
+    """Open connections continue, and new ones are refused."""
+
+    UNREACHABLE = "unreachable"
+    """Open connections go silent, and new ones get no answer."""
+
+
+PARTITIONED_STATES = (
+    LinkState.REFUSED,
+    LinkState.CLOSED_TO_NEW,
+    LinkState.UNREACHABLE,
+)
+"""States in which no new connection can be opened."""
+
 
 class FaultyLink:
     """Forwards connections from one address to another.
@@ -49,28 +71,70 @@
         self._target = target
         self._rng = rng
         self._server: asyncio.Server | None = None
+        self._starting: asyncio.Task[None] | None = None
+        self._blocked: list[socket.socket] = []
         self._connections: set[_Connection] = set()
         self.state = LinkState.SOUND
 
     async def start(self) -> None:
         """Start accepting connections."""
         self._server = await asyncio.start_server(
-            self._accept, self._listen.host, self._listen.port
+            self._accept, sock=self._bind(_BACKLOG)
         )
 
     async def close(self) -> None:
         """Stop accepting connections and reset the open ones."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         self._reset_all()
 
     def set_state(self, state: LinkState) -> None:
         """Change the treatment of open and new connections."""
-        self.state = state
-        if state is LinkState.RESET:
+        before, self.state = self.state, state
+        if state in (LinkState.RESET, LinkState.REFUSED):
             self._reset_all()
         for connection in self._connections:
             connection.apply_state(state)
+        if state in PARTITIONED_STATES:
+            self._stop_listening()
+            if state is LinkState.UNREACHABLE:
+                self._block()
+        elif before in PARTITIONED_STATES:
+            self._stop_listening()
+            # The socket listens from here on; connections wait until the
+            # server accepts them.
+            listening = self._bind(_BACKLOG)
+            self._starting = asyncio.create_task(self._serve(listening))
+
+    async def _serve(self, listening: socket.socket) -> None:
+        self._server = await asyncio.start_server(self._accept, sock=listening)
+
+    def _bind(self, backlog: int) -> socket.socket:
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((self._listen.host, self._listen.port))
+        listening.setblocking(False)
+        listening.listen(backlog)
+        return listening
+
+    def _block(self) -> None:
+        """Listen with a full queue, so that the system drops new SYNs."""
+        self._blocked = [self._bind(0)]
+        for _ in range(_FILLING_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self._listen.host, self._listen.port))
+            self._blocked.append(filler)
+
+    def _stop_listening(self) -> None:
+        if self._starting is not None:
+            self._starting.cancel()
+            self._starting = None
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for blocked in self._blocked:
+            blocked.close()
+        self._blocked = []
 
     def _reset_all(self) -> None:
         for connection in list(self._connections):
@@ -123,8 +187,9 @@
 
     def apply_state(self, state: LinkState) -> None:
         """Apply a state whose effect lasts as long as the connection."""
-        self._drops_requests |= state is LinkState.SILENT
-        self._drops_responses |= state in (LinkState.SILENT, LinkState.ONE_WAY)
+        silent = state in (LinkState.SILENT, LinkState.UNREACHABLE)
+        self._drops_requests |= silent
+        self._drops_responses |= silent or state is LinkState.ONE_WAY
 
     def abort(self) -> None:
         """Reset both sides of the connection."""
--- a/packages/soak/tests/test_link.py
+++ b/packages/soak/tests/test_link.py
@@ -76,3 +76,30 @@
     assert await echo_of(*other_connection) == b"x"
     for open_writer in (writer, other_connection[1]):
         open_writer.close()
+
+
+@pytest.mark.parametrize(
+    ("state", "error"),
+    [
+        (LinkState.REFUSED, ConnectionRefusedError),
+        (LinkState.CLOSED_TO_NEW, ConnectionRefusedError),
+        (LinkState.UNREACHABLE, TimeoutError),
+    ],
+)
+async def test_partitioned_link_opens_no_connection_until_it_is_sound(
+    faulty_link, state, error
+):
+    """Guards against a cut that a router in a soak does not notice."""
+    reader, writer = await asyncio.open_connection(HOST, faulty_link.port)
+    assert await echo_of(reader, writer) == b"x"
+    faulty_link.set_state(state)
+    with pytest.raises(error):
+        async with asyncio.timeout(SHORT_SECONDS):
+            await asyncio.open_connection(HOST, faulty_link.port)
+    if state is LinkState.CLOSED_TO_NEW:
+        assert await echo_of(reader, writer) == b"x"
+    faulty_link.set_state(LinkState.SOUND)
+    other_connection = await asyncio.open_connection(HOST, faulty_link.port)
+    assert await echo_of(*other_connection) == b"x"
+    for open_writer in (writer, other_connection[1]):
+        open_writer.close()
