Reach upstreams by way of another entry VM while the own links are cut

Cause: a request had no way but the links of the entry VM that read it. Retries went to other upstreams over the same links, and each request found that out for itself, with up to three connection attempts of 0.4 s.

Fix: a connection that does not open within 0.1 s, or fails, is also asked of another entry VM (staggered as in RFC 8305). That one connects to the registered upstream and forwards the bytes in frames, over an upgraded HTTP connection at its peer address. Everything else stays with the entry VM that has the caller: route and key by its configuration, attempts, retry budget, limits, time limit, load; its resets reach the upstream, and the end of an answer is a frame of its own, so that a killed process never ends an answer. A forwarding entry VM never asks a third one. A link that only others reach counts as cut; it is tried again in the background, each at least once a second, and the first that opens has the others tried at once.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -52,6 +52,7 @@
     UPSTREAM_LIMITED = (409, "upstream-limited")
     UPSTREAM_NOTICE_REJECTED = (410, "upstream-notice-rejected")
     UPSTREAM_RESTS = (411, "upstream-rests")
+    UPSTREAM_LINK_CHANGED = (412, "upstream-link-changed")
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
@@ -62,6 +63,7 @@
     PEER_GAINED = (602, "peer-gained")
     PEER_LOST = (603, "peer-lost")
     RELAY_CHANGED = (604, "relay-changed")
+    RELAYED_CONNECTION_ENDED = (605, "relayed-connection-ended")
 
     PLATFORM_UNREACHABLE = (700, "platform-unreachable")
     PLATFORM_REACHABLE = (701, "platform-reachable")
--- a/packages/http/src/lagoonrun_http/exchange.py
+++ b/packages/http/src/lagoonrun_http/exchange.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from lagoonrun_core import errors as core_errors
-from lagoonrun_http import errors, hop_by_hop, messages, rejections
+from lagoonrun_http import errors, hop_by_hop, messages, rejections, tunnel
 
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
@@ -30,6 +30,9 @@
     def write_rejection(self, rejection: rejections.Rejection) -> None:
         """Send an error response and end the connection after it."""
 
+    def switch_protocol(self, protocol: str, end: tunnel.TunnelEnd) -> None:
+        """Write `101 Switching Protocols` and hand the connection over."""
+
     @property
     def keeps_up(self) -> bool:
         """Whether the write buffer is below its limit."""
@@ -150,6 +153,21 @@
         self._channel.write_end()
         self.finished = True
 
+    def switch_protocol(self, protocol: str, end: tunnel.TunnelEnd) -> None:
+        """Hand the connection over after a request with `Upgrade`.
+
+        Parameters
+        ----------
+        protocol
+            Name of the protocol that follows.
+        end
+            Reads and writes the connection from here on.
+        """
+        self._check_connected()
+        self.started = True
+        self.finished = True
+        self._channel.switch_protocol(protocol, end)
+
     def abort(self) -> None:
         """Reset the connection, so that the caller detects a cut response."""
         self._channel.abort()
--- a/packages/http/src/lagoonrun_http/response_writer.py
+++ b/packages/http/src/lagoonrun_http/response_writer.py
@@ -47,6 +47,15 @@
         )
         self._write(self._h11.send(interim))
 
+    def write_switch(self, protocol: str) -> None:
+        """Write `101 Switching Protocols`."""
+        interim = h11.InformationalResponse(
+            status_code=101,
+            headers=[("Connection", "Upgrade"), ("Upgrade", protocol)],
+            reason=b"Switching Protocols",
+        )
+        self._write(self._h11.send(interim))
+
     def write_head(self, head: messages.ResponseHead, *, closing: bool) -> None:
         """Write status line and headers, with the framing that h11 chooses."""
         self._write(self._h11.send(_response(head, closing=closing)))
--- a/packages/http/src/lagoonrun_http/server_connection.py
+++ b/packages/http/src/lagoonrun_http/server_connection.py
@@ -20,6 +20,7 @@
     request_checks,
     response_writer,
     tcp_reset,
+    tunnel,
 )
 
 _MAX_LINGER_BYTES = 1 << 20
@@ -34,6 +35,7 @@
     IDLE = "idle"
     HEAD = "head"
     EXCHANGE = "exchange"
+    TUNNEL = "tunnel"
     LINGER = "linger"
     CLOSED = "closed"
 
@@ -75,6 +77,7 @@
         self._phase = _Phase.IDLE
         self._deadline: float | None = None
         self._exchange: exchange.Exchange | None = None
+        self._tunnel: tunnel.TunnelEnd | None = None
         self._peer = ""
         self._reading_paused = False
         self._input_ended = False
@@ -117,6 +120,10 @@
         if self._phase is _Phase.LINGER:
             self._discard(nbytes)
             return
+        if self._phase is _Phase.TUNNEL:
+            received = self._read_buffer.received(nbytes)
+            self._tunnel.data_received(bytes(received))
+            return
         if self._phase is _Phase.IDLE:
             self._phase = _Phase.HEAD
             self._set_deadline(self._limits.header_read_seconds)
@@ -126,6 +133,9 @@
     def eof_received(self) -> bool:
         """Process the caller's end of input; a response can still be sent."""
         self._input_ended = True
+        if self._phase is _Phase.TUNNEL:
+            self._tunnel.eof_received()
+            return False
         if self._phase is _Phase.EXCHANGE:
             running = self._exchange
             self._h11.receive_data(b"")
@@ -143,6 +153,8 @@
         """Notify the exchange and the server that the caller disconnected."""
         self._phase = _Phase.CLOSED
         self._deadline = None
+        if self._tunnel is not None:
+            self._tunnel.connection_lost(error)
         if self._exchange is not None:
             self._exchange.on_connection_lost()
         self._writer.resume()
@@ -150,11 +162,17 @@
 
     def pause_writing(self) -> None:
         """Make writers wait: the transport's write buffer is full."""
-        self._writer.pause()
+        if self._tunnel is not None:
+            self._tunnel.pause_writing()
+        else:
+            self._writer.pause()
 
     def resume_writing(self) -> None:
         """Let writers continue."""
-        self._writer.resume()
+        if self._tunnel is not None:
+            self._tunnel.resume_writing()
+        else:
+            self._writer.resume()
 
     # Called by the exchange.
 
@@ -185,6 +203,21 @@
         self._write_error(rejection, outcome=outcomes.Outcome.NOT_RUN)
         self._linger()
 
+    def switch_protocol(self, protocol: str, end: tunnel.TunnelEnd) -> None:
+        """Write `101 Switching Protocols` and hand the connection over."""
+        self._writer.write_switch(protocol)
+        received, at_end = self._h11.trailing_data
+        self._phase = _Phase.TUNNEL
+        self._deadline = None
+        self._tunnel = end
+        self._resume_reading()
+        end.connection_made(self._transport)
+        if received:
+            end.data_received(bytes(received))
+        if at_end:
+            end.eof_received()
+            self._transport.close()
+
     @property
     def keeps_up(self) -> bool:
         """Whether the write buffer is below its limit."""
--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -1,12 +1,12 @@
 """The HTTP/1.1 client of upstreams, with its connection pool."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import types
 from lagoonrun_http import (
+    dialing,
     limits,
     periodic,
     read_buffer,
@@ -24,12 +24,6 @@
 SinkFull = upstream_response.SinkFull
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Endpoint:
-    address: str
-    port: int
-
-
 class UpstreamClient:
     """Sends requests to upstreams over pooled connections.
 
@@ -39,17 +33,24 @@
         Limits on upstreams.
     clock
         Clock of the timeouts.
+    dialer
+        Opens the connections; None to open them straight to the upstream.
     """
 
     def __init__(
-        self, *, limits: limits.ClientLimits, clock: clocks.Clock
+        self,
+        *,
+        limits: limits.ClientLimits,
+        clock: clocks.Clock,
+        dialer: dialing.Dialer | None = None,
     ) -> None:
         self._limits = limits
         self._clock = clock
+        self._dialer = dialer or dialing.DirectDialer()
         self._idle_by_endpoint: dict[
-            _Endpoint, list[upstream_connection.UpstreamConnection]
+            dialing.Endpoint, list[upstream_connection.UpstreamConnection]
         ] = {}
-        self._open_by_endpoint: dict[_Endpoint, int] = {}
+        self._open_by_endpoint: dict[dialing.Endpoint, int] = {}
         self._connections: set[upstream_connection.UpstreamConnection] = set()
         self._closed = False
         self._buffer = read_buffer.ReadBuffer()
@@ -89,7 +90,7 @@
             have expired while the connection was opened. If it returns False,
             nothing is sent.
         """
-        endpoint = _Endpoint(address=address, port=port)
+        endpoint = dialing.Endpoint(address=address, port=port)
         if self._closed:
             return _not_connected(endpoint, "the client is closed")
         self._sweep.start()
@@ -107,7 +108,7 @@
 
     def close_idle_connections(self, host: str, port: int) -> None:
         """Close the idle connections to an upstream."""
-        endpoint = _Endpoint(address=host, port=port)
+        endpoint = dialing.Endpoint(address=host, port=port)
         for connection in self._idle_by_endpoint.pop(endpoint, []):
             connection.close_idle()
 
@@ -121,7 +122,7 @@
         vanished without a reset, and nothing more would arrive.
         """
         self.close_idle_connections(host, port)
-        endpoint = _Endpoint(address=host, port=port)
+        endpoint = dialing.Endpoint(address=host, port=port)
         for connection in tuple(self._connections):
             if (
                 _endpoint(connection) == endpoint
@@ -163,7 +164,7 @@
             idle.remove(connection)
 
     def _pop_idle(
-        self, endpoint: _Endpoint, request_id: types.RequestId
+        self, endpoint: dialing.Endpoint, request_id: types.RequestId
     ) -> upstream_connection.UpstreamConnection | None:
         """Return the connection used last, which is most likely still open.
 
@@ -177,13 +178,14 @@
             # runs late.
             age = now - connection.idle_since
             usable = not connection.closed and age < connection.idle_seconds
+            usable = usable and self._dialer.may_reuse(connection)
             if usable and connection.last_request_id != request_id:
                 idle.remove(connection)
                 return connection
         return None
 
     async def _connect(
-        self, endpoint: _Endpoint
+        self, endpoint: dialing.Endpoint
     ) -> (
         upstream_connection.UpstreamConnection
         | upstream_messages.UpstreamFailure
@@ -207,10 +209,10 @@
             raise
 
     async def _open(
-        self, endpoint: _Endpoint
+        self, endpoint: dialing.Endpoint
     ) -> upstream_connection.UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
+        connection = await self._dialer.dial(
+            endpoint,
             lambda: upstream_connection.UpstreamConnection(
                 client_limits=self._limits,
                 clock=self._clock,
@@ -219,15 +221,13 @@
                 address=endpoint.address,
                 port=endpoint.port,
             ),
-            endpoint.address,
-            endpoint.port,
         )
         if connection.closed:
-            raise ConnectionResetError("the upstream spoke or closed at once")
+            raise ConnectionResetError("the upstream closed at once")
         self._connections.add(connection)
         return connection
 
-    def _release(self, endpoint: _Endpoint) -> None:
+    def _release(self, endpoint: dialing.Endpoint) -> None:
         count = self._open_by_endpoint[endpoint] - 1
         if count:
             self._open_by_endpoint[endpoint] = count
@@ -246,12 +246,12 @@
 
 def _endpoint(
     connection: upstream_connection.UpstreamConnection,
-) -> _Endpoint:
-    return _Endpoint(address=connection.address, port=connection.port)
+) -> dialing.Endpoint:
+    return dialing.Endpoint(address=connection.address, port=connection.port)
 
 
 def _not_connected(
-    endpoint: _Endpoint, detail: str
+    endpoint: dialing.Endpoint, detail: str
 ) -> upstream_messages.UpstreamFailure:
     return upstream_messages.UpstreamFailure(
         stage=upstream_messages.FailureStage.CONNECT,
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -75,6 +75,10 @@
         self.idle_seconds = client_limits.idle_seconds
         self.last_request_id: types.RequestId | None = None
         self.closed = False
+        self.is_relayed = False
+        """Whether another process of the fleet forwards the connection."""
+
+        self._retired = False
         self._peer = f"{address}:{port}"
         self._limits = client_limits
         self._clock = clock
@@ -134,6 +138,13 @@
         self.closed = True
         self._transport.close()
 
+    def retire(self) -> None:
+        """Send no further request; close once no request is in flight."""
+        self._retired = True
+        if not self.busy and not self.closed:
+            self._pool.on_connection_closed(self)
+            self.close_idle()
+
     def resume_reading(self) -> None:
         """Continue reading after the consumer has read the held bytes."""
         if self._reading_paused and not self.closed:
@@ -319,6 +330,7 @@
             and self._h11.their_state is h11.DONE
             and self._h11.trailing_data == (b"", False)
             and not self._responded_early
+            and not self._retired
             and not self.closed
         )
 
--- a/packages/router/src/lagoonrun_router/http_endpoints.py
+++ b/packages/router/src/lagoonrun_router/http_endpoints.py
@@ -3,6 +3,7 @@
 import socket
 
 from lagoonrun_core import clock as clocks
+from lagoonrun_http import dialing
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import server as http_server
@@ -12,7 +13,7 @@
 _CONNECT_SECONDS = 0.4
 """Connection timeout towards an upstream: a hundred round trips."""
 
-_UNACKNOWLEDGED_SECONDS = 1.5
+UNACKNOWLEDGED_SECONDS = 1.5
 """Time without a TCP acknowledgement after which an upstream counts as
 unreachable."""
 
@@ -27,7 +28,9 @@
 long."""
 
 
-def upstream_client(*, clock: clocks.Clock) -> http_upstream.UpstreamClient:
+def upstream_client(
+    *, clock: clocks.Clock, dialer: dialing.Dialer
+) -> http_upstream.UpstreamClient:
     """Return an HTTP client for upstreams."""
     return http_upstream.UpstreamClient(
         limits=http_limits.ClientLimits(
@@ -35,9 +38,10 @@
             write_stall_seconds=_MAX_SILENCE_SECONDS,
             head_seconds=_MAX_SILENCE_SECONDS,
             body_idle_seconds=_MAX_SILENCE_SECONDS,
-            unacknowledged_seconds=_UNACKNOWLEDGED_SECONDS,
+            unacknowledged_seconds=UNACKNOWLEDGED_SECONDS,
         ),
         clock=clock,
+        dialer=dialer,
     )
 
 
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -73,6 +73,23 @@
             "Requests that are not sent since upstreams ended under them.",
             registry=self.registry,
         )
+        self.relayed_connections = prometheus_client.Counter(
+            "lagoonrun_relayed_connections",
+            "Connections to upstreams that other entry VMs were asked for.",
+            ["result"],
+            registry=self.registry,
+        )
+        self.cut_upstream_links = prometheus_client.Gauge(
+            "lagoonrun_cut_upstream_links",
+            "Upstreams that only other entry VMs reach.",
+            registry=self.registry,
+        )
+        self.forwarded_connections = prometheus_client.Gauge(
+            "lagoonrun_forwarded_connections",
+            "Open connections to upstreams that are forwarded for other entry "
+            "VMs.",
+            registry=self.registry,
+        )
         self.places = prometheus_client.Counter(
             "lagoonrun_places",
             "Places asked for at upstreams that name a limit, by who decided.",
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -285,6 +285,13 @@
         peer = self._peers_by_id.get(entry_vm)
         return peer is not None and peer.stopping
 
+    def domain_of(
+        self, entry_vm: types.EntryVmId
+    ) -> types.FailureDomain | None:
+        """Return the failure domain of a peer; None if it is unknown."""
+        peer = self._peers_by_id.get(entry_vm)
+        return peer.domain if peer else None
+
     def follows_store(self, entry_vm: types.EntryVmId) -> bool:
         """Return whether a peer reported to be up to date with the store."""
         peer = self._peers_by_id.get(entry_vm)
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -19,6 +19,7 @@
     adaptive_load,
     admission_floor,
     components,
+    connection_relay,
     crash_guard,
     declarations,
     dialect,
@@ -40,12 +41,15 @@
     prompt_locations,
     reach,
     reader_selection,
+    relay_choice,
     retry_budget,
     route_table,
     router_endpoints,
     settings,
     store_follower,
     store_replica,
+    upstream_dialer,
+    upstream_links,
     upstreams,
 )
 
@@ -255,7 +259,25 @@
         self, dialect: dialect.Dialect, listening: socket.socket | None
     ) -> None:
         configured = self._settings
-        self._client = http_endpoints.upstream_client(clock=self._clock)
+        self._links = upstream_links.UpstreamLinks()
+        self._dialer = upstream_dialer.UpstreamDialer(
+            directory=self.directory,
+            links=self._links,
+            relays=relay_choice.RelayChoice(
+                domain=configured.domain,
+                table=self._peer_table,
+                domains=self._domains,
+                rng=self._rng,
+            ),
+            counters=self.metrics,
+            clock=self._clock,
+        )
+        self._relay = connection_relay.ConnectionRelay(
+            directory=self.directory, links=self._links, clock=self._clock
+        )
+        self._client = http_endpoints.upstream_client(
+            clock=self._clock, dialer=self._dialer
+        )
         self._ingress = ingress.Ingress(
             components=components.Components(
                 domain=configured.domain,
@@ -291,7 +313,10 @@
             router_endpoints.ReadinessEndpoint(router=self),
         )
         self._peer_server = self._server(
-            configured.peer, router_endpoints.PeerEndpoint(replica=self.replica)
+            configured.peer,
+            router_endpoints.PeerEndpoint(
+                replica=self.replica, relay=self._relay
+            ),
         )
         self._metrics_server = None
         if configured.metrics is not None:
@@ -368,6 +393,7 @@
         await self.follower.start()
         await self._reader_selection.start()
         await self._crash_guard.start()
+        await self._dialer.start()
         if self._duties is not None:
             await self._duties.start()
         for task in self._tasks:
@@ -383,6 +409,7 @@
         self._stopping = True
         self.exchange.begin_stop()
         self._reader_selection.begin_stop()
+        self._relay.begin_stop()
         logs.emit(
             events.LogEvent.PROCESS_STOPPING,
             open_exchanges=self._caller_server.open_exchanges,
@@ -396,7 +423,12 @@
         remaining_seconds = (
             self._settings.stop_seconds - _STOP_MARGIN_SECONDS - elapsed_seconds
         )
-        cut = await self._caller_server.drain(max(0.0, remaining_seconds))
+        remaining_seconds = max(0.0, remaining_seconds)
+        cut_requests, cut_connections = await asyncio.gather(
+            self._caller_server.drain(remaining_seconds),
+            self._relay.drain(remaining_seconds),
+        )
+        cut = cut_requests + cut_connections
         await self.close()
         logs.emit(events.LogEvent.PROCESS_STOPPED, cut_requests=cut)
         return cut
@@ -415,6 +447,7 @@
         await self.follower.close()
         await self._caller_server.close()
         await self.exchange.close()
+        await self._dialer.close()
         await self._client.close()
         await self._crash_guard.close()
         await self._peer_server.close()
@@ -470,6 +503,7 @@
         self._ledger.forget_upstreams(known)
         self._aggregate.forget_upstreams(known)
         self._adaptive.forget_upstreams(known)
+        self._links.retain(known)
 
     async def _write_own_record(self) -> None:
         """Write this entry VM's address to the store, retrying if needed."""
@@ -503,6 +537,8 @@
         if self._duties is not None:
             self._duties.update_gauges(self.metrics)
         self.metrics.store_era.set(self._eras.newest)
+        self.metrics.cut_upstream_links.set(len(self._links.cut))
+        self.metrics.forwarded_connections.set(self._relay.open_connections)
         self._gauges.refresh(
             now=self._clock.monotonic(),
             ready=self.ready,
--- a/packages/router/src/lagoonrun_router/router_endpoints.py
+++ b/packages/router/src/lagoonrun_router/router_endpoints.py
@@ -9,10 +9,12 @@
 from lagoonrun_http import messages as http_messages
 from lagoonrun_protocol import router_codec, router_messages
 from lagoonrun_router import (
+    connection_relay,
     crash_evidence,
     json_responses,
     override_endpoint,
     peer_fetch,
+    relay_frames,
     store_replica,
 )
 
@@ -64,14 +66,31 @@
 
 
 class PeerEndpoint:
-    """Serves to other entry VMs what this one has read from the store."""
+    """Serves other entry VMs: what this one has read, and its links.
 
-    def __init__(self, *, replica: store_replica.StoreReplica) -> None:
+    Parameters
+    ----------
+    replica
+        What this entry VM has read from the store.
+    relay
+        Forwards connections to upstreams.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica: store_replica.StoreReplica,
+        relay: connection_relay.ConnectionRelay,
+    ) -> None:
         self._replica = replica
+        self._relay = relay
 
     async def handle(self, exchange: exchanges.Exchange) -> None:
         """Answer one call."""
         await exchange.read_body()
+        if exchange.head.target.startswith(relay_frames.PATH):
+            await self._relay.handle(exchange)
+            return
         body = self._body_for(exchange.head.target)
         await exchange.respond(
             status=200 if body else 404,
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/upstream_dialer.py
@@ -0,0 +1,201 @@
+"""Open connections to upstreams, by way of another entry VM if need be.
+
+The attempts are staggered as in RFC 8305 ("Happy Eyeballs"): if the direct
+connection fails or takes long, another entry VM is asked for one, and the first
+connection that opens is used. While the link is known to be cut, other entry VMs
+are asked first.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import supervised_task, ticks, types
+from lagoonrun_http import dialing, upstream_connection
+from lagoonrun_router import (
+    metrics,
+    relay_choice,
+    relayed_connection,
+    settings,
+    staggered,
+    upstream_links,
+    upstreams,
+)
+
+_STAGGER_SECONDS = 0.1
+"""Time after which the next attempt starts: thirty round trips. Short requests
+have targets from 0.125 s on."""
+
+_MAX_RELAYS = 3
+"""Entry VMs that are asked for one connection. If half of them are cut as well
+and nobody knows yet, seven of eight requests find one that is not."""
+
+_TRIAL_TIMEOUT_SECONDS = 0.4
+_TRIAL_TICK_SECONDS = 0.05
+
+_Connection = upstream_connection.UpstreamConnection
+
+
+class UpstreamDialer:
+    """Opens the connections of this entry VM to upstreams; see `Dialer`.
+
+    Parameters
+    ----------
+    directory
+        The upstreams.
+    links
+        State of the links; updated by what the attempts show.
+    relays
+        Chooses the other entry VMs.
+    counters
+        Counts the connections that other entry VMs were asked for.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: upstreams.UpstreamDirectory,
+        links: upstream_links.UpstreamLinks,
+        relays: relay_choice.RelayChoice,
+        counters: metrics.RouterMetrics,
+        clock: clocks.Clock,
+    ) -> None:
+        self._directory = directory
+        self._links = links
+        self._relays = relays
+        self._metrics = counters
+        self._clock = clock
+        self._direct = dialing.DirectDialer()
+        self._task = supervised_task.SupervisedTask(
+            name="upstream-links", function=self._run_trials
+        )
+
+    async def start(self) -> None:
+        """Start to try links that are cut."""
+        self._task.start()
+
+    async def close(self) -> None:
+        """Stop trying links."""
+        await self._task.close()
+
+    def may_reuse(self, connection: _Connection) -> bool:
+        """Return whether an idle connection may be used; see `Dialer`."""
+        if not connection.is_relayed and not self._links.cut:
+            return True
+        registration = self._directory.registration_at(
+            connection.address, connection.port
+        )
+        if registration is None:
+            return True
+        if connection.is_relayed:
+            return self._links.is_cut(registration.id)
+        return self._links.may_reuse(registration.id)
+
+    async def dial(
+        self,
+        endpoint: dialing.Endpoint,
+        make_connection: dialing.MakeConnection,
+    ) -> _Connection:
+        """Return an open connection; see `Dialer`."""
+        registration = self._directory.registration_at(
+            endpoint.address, endpoint.port
+        )
+        now = self._clock.monotonic()
+        if registration is None:
+            return await self._direct.dial(endpoint, make_connection)
+        upstream = registration.id
+        is_cut = self._links.is_cut(upstream)
+        attempts: list[Callable[[], Awaitable[_Connection]]] = []
+        if is_cut or self._links.may_relay(upstream, now=now):
+            attempts += [
+                self._relayed_attempt(upstream, make_connection, peer, address)
+                for peer, address in self._relays.ordered(
+                    registration.domain, count=_MAX_RELAYS, now=now
+                )
+            ]
+
+        async def dial_directly() -> _Connection:
+            return await self._direct.dial(endpoint, make_connection)
+
+        attempts.insert(len(attempts) if is_cut else 0, dial_directly)
+        try:
+            connection = await staggered.first_result(
+                attempts,
+                stagger_seconds=_STAGGER_SECONDS,
+                discard=_Connection.abort,
+            )
+        except OSError:
+            self._links.record_unreachable(
+                upstream, now=self._clock.monotonic()
+            )
+            raise
+        except asyncio.CancelledError:
+            # Also if the caller has left, which says nothing of the upstream.
+            ended_at = self._clock.monotonic()
+            if ended_at - now >= _STAGGER_SECONDS * len(attempts):
+                self._links.record_unreachable(upstream, now=ended_at)
+            raise
+        self._record(upstream, connection)
+        return connection
+
+    def _record(
+        self, upstream: types.UpstreamId, connection: _Connection
+    ) -> None:
+        now = self._clock.monotonic()
+        if connection.is_relayed:
+            self._links.record_cut(
+                upstream, detail="reached by way of another entry VM", now=now
+            )
+        else:
+            self._links.record_reached(upstream, now=now)
+
+    def _relayed_attempt(
+        self,
+        upstream: types.UpstreamId,
+        make_connection: dialing.MakeConnection,
+        peer: types.EntryVmId,
+        address: settings.Address,
+    ) -> Callable[[], Awaitable[_Connection]]:
+        async def dial() -> _Connection:
+            opened = False
+            try:
+                connection = await relayed_connection.open_relayed(
+                    make_connection, upstream=upstream, relay=address
+                )
+                opened = True
+                self._relays.record_opened(peer)
+                return connection
+            except (OSError, asyncio.CancelledError):
+                self._relays.record_failed(peer, now=self._clock.monotonic())
+                raise
+            finally:
+                result = "opened" if opened else "failed"
+                self._metrics.relayed_connections.labels(result).inc()
+
+        return dial
+
+    # Trials of links that are cut.
+
+    async def _run_trials(self) -> None:
+        while True:
+            await ticks.sleep_to_tick(_TRIAL_TICK_SECONDS)
+            upstream = self._links.pop_trial(now=self._clock.monotonic())
+            if upstream is not None:
+                await self._try_link(upstream)
+
+    async def _try_link(self, upstream: types.UpstreamId) -> None:
+        registration = self._directory.registration_of(upstream)
+        if registration is None:
+            return
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(_TRIAL_TIMEOUT_SECONDS):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, registration.host, registration.port
+                )
+        except OSError:
+            return
+        transport.close()
+        self._links.record_reached(upstream, now=self._clock.monotonic())
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -165,6 +165,28 @@
         known = self._known_by_id.get(upstream)
         return known.registration.pool if known else None
 
+    def registration_of(
+        self, upstream: types.UpstreamId
+    ) -> Registration | None:
+        """Return the registration of a usable upstream; None if there is none.
+
+        Read-only: states that have expired are updated by `usable`.
+        """
+        known = self._known_by_id.get(upstream)
+        if known is None or known.state not in _USABLE_STATES:
+            return None
+        return known.registration
+
+    def registration_at(self, host: str, port: int) -> Registration | None:
+        """Return the usable upstream with an address; None for none."""
+        for known in self._known_by_id.values():
+            one = known.registration
+            if (one.host, one.port) == (host, port) and (
+                known.state in _USABLE_STATES
+            ):
+                return one
+        return None
+
     def is_serving(self, upstream: types.UpstreamId) -> bool:
         """Return whether `upstream` is registered and not about to leave."""
         known = self._known_by_id.get(upstream)
