--- a/packages/router/tests/test_cut_from_upstreams.py
+++ b/packages/router/tests/test_cut_from_upstreams.py
@@ -7,14 +7,21 @@
 
 import pytest
 
-from lagoonrun_router import settings
+from lagoonrun_core import clock as clocks
+from lagoonrun_http import limits as http_limits
+from lagoonrun_http import messages as http_messages
+from lagoonrun_http import read_buffer, upstream_connection
+from lagoonrun_router import relayed_connection, settings
 from lagoonrun_soak.link import FaultyLink, LinkState
 from lagoonrun_standins.router_samples import (
     HOST,
     make_route,
+    make_stream_route,
 )
 from lagoonrun_standins.router_upstream import (
+    answer_never,
     answer_whole,
+    marked,
 )
 from lagoonrun_standins.router_words import PlainLayout
 from lagoonrun_standins.router_world import free_ports, wait_for
@@ -155,3 +162,202 @@
     cut, *others = await served_shares(fleet.worlds, seconds=MEASURED_SECONDS)
     assert min(others) == 1.0
     assert cut >= MIN_SERVED_RATIO * min(others)
+
+
+def unconnected():
+    """Return a connection to an upstream that is not open yet."""
+    return upstream_connection.UpstreamConnection(
+        client_limits=http_limits.ClientLimits(),
+        clock=clocks.SystemClock(),
+        pool=None,
+        buffer=read_buffer.ReadBuffer(),
+        address=HOST,
+        port=1,
+    )
+
+
+@pytest.mark.parametrize("state", PARTITIONS)
+async def test_links_are_used_again_within_a_second(fleet_of, state):
+    """Guards against detours that outlast the cut."""
+    fleet = await fleet_of()
+    fleet.layout.set_state(state)
+    await served_shares(fleet.worlds[:1], seconds=1.5)
+    links = fleet.cut.router._links
+    assert links.cut
+    fleet.layout.set_state(LinkState.SOUND)
+    await wait_for(lambda: not links.cut, seconds=1.2)
+
+
+async def test_request_through_another_entry_vm_is_unchanged(fleet_of):
+    """Guards against a detour that changes what the upstream receives."""
+    fleet = await fleet_of(vms=2)
+    fleet.layout.set_state(LinkState.REFUSED)
+    got = await fleet.cut.ask(
+        "/lookups/1?a=b",
+        method="POST",
+        body=b"x" * 20_000,
+        id="r-detour",
+        headers=("Patience: 1.5",),
+    )
+    assert (got.status, got.body) == (200, b"whole")
+    (upstream,) = [one for one in fleet.upstreams if one.heads]
+    (head,) = upstream.heads
+    assert (head.method, head.target) == ("POST", "/lookups/1?a=b")
+    assert head.headers.get("X-Request-Id") == "r-detour"
+    assert head.headers.get("Expected") == upstream.id
+    assert 0.5 < float(head.headers.get("Left")) <= 1.5
+    assert upstream.bodies == [b"x" * 20_000]
+
+
+async def test_events_arrive_through_another_entry_vm_as_they_are_sent(
+    fleet_of,
+):
+    """Guards against a detour that holds back the events of a stream."""
+    sent_second = asyncio.Event()
+
+    async def answer(exchange):
+        await exchange.start(
+            http_messages.ResponseHead(
+                status=200,
+                headers=marked(exchange, Content_Type="text/event-stream"),
+            )
+        )
+        await exchange.send(b"id: 1\ndata: x\n\n")
+        await sent_second.wait()
+        await exchange.send(b"id: 2\ndata: y\n\n")
+        await exchange.finish()
+
+    fleet = await fleet_of(make_stream_route(), answer)
+    fleet.layout.set_state(LinkState.REFUSED)
+    caller = await fleet.cut.caller()
+    caller.send("/lookups/1")
+    async with asyncio.timeout(2.0):
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        await caller.reader.readuntil(b"data: x\n\n")
+    assert b" 200 " in head
+    sent_second.set()
+    async with asyncio.timeout(2.0):
+        await caller.reader.readuntil(b"data: y\n\n")
+        assert b"0\r\n\r\n" in await caller.reader.readuntil(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("streamed", [True, False])
+async def test_caller_that_leaves_ends_the_work_behind_a_detour(
+    fleet_of, streamed
+):
+    """Guards against upstreams that work for nobody behind a detour."""
+    route = make_stream_route() if streamed else make_route(idempotent=True)
+    fleet = await fleet_of(route, answer_never)
+    fleet.layout.set_state(LinkState.REFUSED)
+    caller = await fleet.cut.caller()
+    caller.send("/lookups/1")
+    await wait_for(lambda: any(one.heads for one in fleet.upstreams))
+    (upstream,) = [one for one in fleet.upstreams if one.heads]
+    caller.writer.close()
+    async with asyncio.timeout(0.5):
+        await upstream.cancelled.wait()
+
+
+async def test_request_that_may_run_once_runs_once_behind_a_detour(fleet_of):
+    """Guards against a second run when the forwarding entry VM is lost."""
+    fleet = await fleet_of(answer=answer_never, vms=3)
+    fleet.layout.set_state(LinkState.REFUSED)
+    asked = asyncio.create_task(fleet.cut.ask("/lookups/1"))
+    await wait_for(lambda: any(one.heads for one in fleet.upstreams))
+    for world in fleet.worlds[1:]:
+        for forwarded in tuple(world.router._relay._open):
+            forwarded.reset()
+    got = await asked
+    assert got.status == 502
+    assert sum(len(one.heads) for one in fleet.upstreams) == 1
+
+
+async def test_answer_without_length_is_broken_if_its_forwarder_is_killed(
+    fleet_of,
+):
+    """Guards against a killed process that ends an answer as complete."""
+
+    async def answer(exchange):
+        transport = exchange._channel._transport
+        transport.write(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nMark: genuine\r\n"
+            b"X-Request-Id: "
+            + exchange.head.headers.get("X-Request-Id").encode()
+            + b"\r\n\r\npart of the answer"
+        )
+        await exchange.caller_left.wait()
+
+    fleet = await fleet_of(answer=answer)
+    fleet.layout.set_state(LinkState.REFUSED)
+    asked = asyncio.create_task(fleet.cut.ask("/lookups/1"))
+    forwarders = [world.router._relay for world in fleet.worlds[1:]]
+    await wait_for(
+        lambda: any(
+            one.received_bytes for relay in forwarders for one in relay._open
+        )
+    )
+    for relay in forwarders:
+        for forwarded in tuple(relay._open):
+            # As the system closes the sockets of a killed process.
+            forwarded._peer.close()
+    got = await asked
+    assert got.status == 502
+
+
+async def test_planned_stop_of_a_forwarder_cuts_no_request(fleet_of):
+    """Guards against a stop that ends the requests of other entry VMs."""
+    release = asyncio.Event()
+
+    async def answer(exchange):
+        await release.wait()
+        await answer_whole(exchange)
+
+    fleet = await fleet_of(answer=answer, vms=3)
+    fleet.layout.set_state(LinkState.REFUSED)
+    asked = [
+        asyncio.create_task(fleet.cut.ask("/lookups/1", id=f"r-{number}"))
+        for number in range(4)
+    ]
+    await wait_for(
+        lambda: sum(len(one.heads) for one in fleet.upstreams) == len(asked)
+    )
+    forwarder = next(
+        world.router
+        for world in fleet.worlds[1:]
+        if world.router._relay.open_connections
+    )
+    stopping = asyncio.create_task(forwarder.stop())
+    await wait_for(lambda: forwarder._relay._stopping)
+    later = asyncio.create_task(fleet.cut.ask("/lookups/1", id="r-later"))
+    await wait_for(
+        lambda: sum(len(one.heads) for one in fleet.upstreams) == len(asked) + 1
+    )
+    release.set()
+    for one in [*asked, later]:
+        assert (await one).status == 200
+    assert await stopping == 0
+
+
+async def test_no_entry_vm_reaches_an_upstream_and_callers_get_an_answer(
+    fleet_of,
+):
+    """Guards against detours in a circle if nobody reaches the upstreams."""
+    fleet = await fleet_of(vms=3)
+    fleet.layout.set_state(LinkState.REFUSED)
+    for upstream in fleet.upstreams:
+        await upstream.close()
+    started = asyncio.get_running_loop().time()
+    got = await fleet.cut.ask("/lookups/1")
+    assert got.status == 503
+    assert got.headers["lagoonrun-outcome"] == "not-run"
+    assert asyncio.get_running_loop().time() - started < 1.5
+
+
+async def test_only_registered_upstreams_are_connected_to(fleet_of):
+    """Guards against an open proxy on the peer address."""
+    fleet = await fleet_of(vms=2)
+    address = fleet.worlds[1].settings.peer
+    with pytest.raises(ConnectionResetError):
+        await relayed_connection.open_relayed(
+            unconnected, upstream="unknown", relay=address
+        )
