Ask another entry VM before a refused connection counts as a crash

A link that is cut by resets refuses connections in the name of an upstream that runs. Such crashes are evidence against the requests that were running.

Cause: the same as for the requests, one entry VM's own link was taken for the state of the upstream.

Open: if the links of all entry VMs are reset at once, nobody can tell the difference.

--- a/packages/router/src/lagoonrun_router/connection_relay.py
+++ b/packages/router/src/lagoonrun_router/connection_relay.py
@@ -29,6 +29,7 @@
 """Connections that are forwarded at a time. Each takes two file descriptors and
 up to 0.2 MB of buffers; the smallest VMs have 128 MB."""
 
+_OK = 200
 _NOT_FOUND = 404
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -83,17 +84,20 @@
         return len(self._open)
 
     async def handle(self, exchange: exchanges.Exchange) -> None:
-        """Connect to an upstream and forward until either side ends."""
+        """Connect to an upstream and forward until either side ends.
+
+        Without an `Upgrade` header only the connection is tried.
+        """
         upstream = types.UpstreamId(
             exchange.head.target.removeprefix(relay_frames.PATH)
         )
         registration = self._directory.registration_of(upstream)
         if registration is None:
-            await _refuse(exchange, _NOT_FOUND)
+            await _respond(exchange, _NOT_FOUND)
         elif self._stopping or len(self._open) >= _MAX_CONNECTIONS:
-            await _refuse(exchange, _UNAVAILABLE)
+            await _respond(exchange, _UNAVAILABLE)
         elif self._links.is_cut(upstream):
-            await _refuse(exchange, _BAD_GATEWAY)
+            await _respond(exchange, _BAD_GATEWAY)
         else:
             await self._forward(exchange, registration)
 
@@ -112,10 +116,14 @@
                     registration.port,
                 )
         except OSError:
-            await _refuse(exchange, _BAD_GATEWAY)
+            await _respond(exchange, _BAD_GATEWAY)
             return
         began_at = self._clock.monotonic()
         self._links.record_reached(registration.id, now=began_at)
+        if "upgrade" not in exchange.head.headers:
+            connection.reset()
+            await _respond(exchange, _OK)
+            return
         self._open.add(connection)
         self._all_closed.clear()
         try:
@@ -136,7 +144,7 @@
             )
 
 
-async def _refuse(exchange: exchanges.Exchange, status: int) -> None:
+async def _respond(exchange: exchanges.Exchange, status: int) -> None:
     await exchange.respond(
         status=status, headers=http_messages.Headers(), body=b""
     )
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -4,7 +4,8 @@
 alone was reset, cut or closed by a fault. A probe connection distinguishes
 them: the port of a process that has exited refuses connections, a running
 process accepts them, and behind a network partition nothing answers. So a
-broken request is followed by one probe. An upstream that was leaving has
+broken request is followed by one probe. A link may also refuse connections in
+the name of a process that runs; so another entry VM is asked too. An upstream that was leaving has
 stopped as planned and has not crashed.
 """
 
@@ -50,6 +51,15 @@
         """Receive the digest of an answered request."""
 
 
+class UpstreamReach(Protocol):
+    """Tells whether other entry VMs reach an upstream."""
+
+    async def is_reached_by_others(
+        self, upstream: upstreams.Registration
+    ) -> bool:
+        """Return whether another entry VM can connect to `upstream`."""
+
+
 class _ProbeResult(enum.Enum):
     """Result of a probe connection."""
 
@@ -88,6 +98,7 @@
         self._crashed: dict[running_requests.UpstreamInstance, None] = {}
         self.on_crash: CrashListener | None = None
         self.on_answer: AnswerListener | None = None
+        self.reach: UpstreamReach | None = None
 
     async def close(self) -> None:
         """Cancel the running probes."""
@@ -174,11 +185,18 @@
         upstream: upstreams.Registration,
     ) -> None:
         try:
-            result = await _connect(upstream.host, upstream.port)
+            if await self._has_crashed(upstream):
+                self._record_crash(instance, upstream)
         finally:
             del self._probes_by_instance[instance]
-        if result is _ProbeResult.REFUSES:
-            self._record_crash(instance, upstream)
+
+    async def _has_crashed(self, upstream: upstreams.Registration) -> bool:
+        result = await _connect(upstream.host, upstream.port)
+        if result is not _ProbeResult.REFUSES:
+            return False
+        if self.reach is None:
+            return True
+        return not await self.reach.is_reached_by_others(upstream)
 
     def _record_crash(
         self,
--- a/packages/router/src/lagoonrun_router/relayed_connection.py
+++ b/packages/router/src/lagoonrun_router/relayed_connection.py
@@ -4,11 +4,15 @@
 
 import h11
 
+from lagoonrun_core import clock as clocks
 from lagoonrun_core import errors, types
 from lagoonrun_http import dialing, tcp_reset, upstream_connection
+from lagoonrun_platform import http_client
 from lagoonrun_router import relay_frames, settings
 
 _SWITCHING_PROTOCOLS = 101
+_OK = 200
+_PROBE_CONNECT_SECONDS = 0.4
 
 
 async def open_relayed(
@@ -43,6 +47,38 @@
     return connection
 
 
+async def probe(
+    upstream: types.UpstreamId,
+    *,
+    relay: settings.Address,
+    clock: clocks.Clock,
+) -> None:
+    """Ask the entry VM `relay` to connect to `upstream`, without a request.
+
+    Raises
+    ------
+    OSError
+        If the entry VM can't be reached, or can't reach the upstream.
+    """
+    pool = http_client.ConnectionPool(
+        address=relay,
+        connect_timeout_seconds=_PROBE_CONNECT_SECONDS,
+        clock=clock,
+    )
+    call = http_client.HttpRequest(
+        method="GET", path=relay_frames.PATH + upstream
+    )
+    try:
+        response = await pool.call_once(call)
+    except (
+        http_client.NotSentError,
+        http_client.ResponseLostError,
+    ) as error:
+        raise ConnectionError(str(error)) from error
+    if response.status != _OK:
+        raise ConnectionError(f"the entry VM answered {response.status}")
+
+
 class RelayedConnection(asyncio.Protocol):
     """Unpacks the frames of another entry VM for an upstream connection.
 
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -272,6 +272,7 @@
             counters=self.metrics,
             clock=self._clock,
         )
+        self._crash_guard.watch.reach = self._dialer
         self._relay = connection_relay.ConnectionRelay(
             directory=self.directory, links=self._links, clock=self._clock
         )
--- a/packages/router/src/lagoonrun_router/staggered.py
+++ b/packages/router/src/lagoonrun_router/staggered.py
@@ -1,6 +1,7 @@
 """Run alternatives one after the other and use the first that succeeds."""
 
 import asyncio
+import functools
 from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
@@ -11,7 +12,7 @@
     attempts: Iterable[Callable[[], Awaitable[_Result]]],
     *,
     stagger_seconds: float,
-    discard: Callable[[_Result], None],
+    discard: Callable[[_Result], None] | None = None,
 ) -> _Result:
     """Return the first result; the other attempts are cancelled.
 
@@ -22,6 +23,7 @@
         running after `stagger_seconds`.
     discard
         Releases the result of an attempt that succeeded at the same time.
+        None if there is nothing to release.
 
     Raises
     ------
@@ -58,12 +60,18 @@
     finally:
         for task in running:
             task.cancel()
-            task.add_done_callback(lambda one: _discard_result(one, discard))
+            task.add_done_callback(
+                functools.partial(_discard_result, discard=discard)
+            )
 
 
 def _discard_result(
-    task: asyncio.Task[_Result], discard: Callable[[_Result], None]
+    task: asyncio.Task[_Result],
+    *,
+    discard: Callable[[_Result], None] | None,
 ) -> None:
     """Release the result of a task that ended before it was cancelled."""
-    if not task.cancelled() and task.exception() is None:
+    if task.cancelled() or task.exception() is not None:
+        return
+    if discard is not None:
         discard(task.result())
--- a/packages/router/src/lagoonrun_router/upstream_dialer.py
+++ b/packages/router/src/lagoonrun_router/upstream_dialer.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Awaitable, Callable
 
 from lagoonrun_core import clock as clocks
@@ -176,6 +177,34 @@
 
         return dial
 
+    async def is_reached_by_others(
+        self, upstream: upstreams.Registration
+    ) -> bool:
+        """Return whether another entry VM connects to `upstream`."""
+        now = self._clock.monotonic()
+        probes = [
+            functools.partial(
+                relayed_connection.probe,
+                upstream.id,
+                relay=address,
+                clock=self._clock,
+            )
+            for _, address in self._relays.ordered(
+                upstream.domain, count=_MAX_RELAYS, now=now
+            )
+        ]
+        try:
+            async with asyncio.timeout(_TRIAL_TIMEOUT_SECONDS):
+                await staggered.first_result(
+                    probes, stagger_seconds=_STAGGER_SECONDS
+                )
+        except OSError:
+            return False
+        self._links.record_cut(
+            upstream.id, detail="refused here, reached by another", now=now
+        )
+        return True
+
     # Trials of links that are cut.
 
     async def _run_trials(self) -> None:
--- a/packages/router/tests/test_cut_from_upstreams.py
+++ b/packages/router/tests/test_cut_from_upstreams.py
@@ -361,3 +361,35 @@
         await relayed_connection.open_relayed(
             unconnected, upstream="unknown", relay=address
         )
+
+
+async def test_links_that_are_reset_are_no_crashes_of_upstreams(fleet_of):
+    """Guards against requests that are blocked for crashes that never were."""
+    fleet = await fleet_of(answer=answer_never, vms=3)
+    asked = [
+        asyncio.create_task(fleet.cut.ask("/lookups/1", id=f"r-{number}"))
+        for number in range(6)
+    ]
+    await wait_for(
+        lambda: sum(len(one.heads) for one in fleet.upstreams) == len(asked)
+    )
+    fleet.layout.set_state(LinkState.REFUSED)
+    await asyncio.gather(*asked)
+    watch = fleet.cut.router._crash_guard.watch
+    await wait_for(lambda: not watch.probed_instances)
+    crashes = fleet.cut.router.metrics.upstream_crashes.labels("portal")
+    assert crashes._value.get() == 0
+
+
+async def test_crash_is_detected_if_no_other_entry_vm_reaches_it(fleet_of):
+    """Guards against crashes that are taken for cut links."""
+    fleet = await fleet_of(answer=answer_never, vms=3)
+    fleet.layout.set_state(LinkState.SOUND)
+    asked = asyncio.create_task(fleet.worlds[1].ask("/lookups/1"))
+    await wait_for(lambda: any(one.heads for one in fleet.upstreams))
+    (crashed,) = [one for one in fleet.upstreams if one.heads]
+    fleet.layout.links_by_upstream[crashed.id].set_state(LinkState.REFUSED)
+    await crashed.close()
+    await asked
+    crashes = fleet.worlds[1].router.metrics.upstream_crashes.labels("portal")
+    await wait_for(lambda: crashes._value.get() == 1)
