Keep connections to upstreams that fall silent for up to two seconds

A sound upstream may fall silent for a second or so and go on. Idle connections and streams that wait for their next event were closed after 1 s of silence if it began just before a keep-alive probe, requests in flight after 1.5 s: their callers got no answer although the upstream had one.

Cause: TCP_USER_TIMEOUT was 1.5 s. On Linux it also decides when probes give up, whatever their count: with probes every second the first one due after 1.5 s closes, one second after the probe that was not answered.

Fix: 2.5 s, so that two seconds of silence are survived and a lost upstream's connections are closed 3 s after its last segment.

--- a/packages/router/src/lagoonrun_router/http_endpoints.py
+++ b/packages/router/src/lagoonrun_router/http_endpoints.py
@@ -13,9 +13,10 @@
 _CONNECT_SECONDS = 0.4
 """Connection timeout towards an upstream: a hundred round trips."""
 
-UNACKNOWLEDGED_SECONDS = 1.5
-"""Time without a TCP acknowledgement after which an upstream counts as
-unreachable."""
+UNACKNOWLEDGED_SECONDS = 2.5
+"""Time without a TCP acknowledgement after which a connection is closed. A sound
+upstream may be silent for a second or two. Idle connections are probed once a
+second, and the first probe after this time closes them."""
 
 _MAX_SILENCE_SECONDS = 60.0
 """Sets no limit of its own: the time limits of the routes end every request."""
