Have the soak cut entry VMs from all upstreams and silence store connections

Each entry VM of a soak reaches upstreams over links of its own, which its program connects to in place of the registered hosts. Two new faults: an entry VM is cut from all upstreams (no answer, resets, or only new connections refused), and all connections to the store go silent before a change.

--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -52,6 +52,12 @@
 measure the demand over about a second. In the soaks of the seeds 7 to 9, the
 refused requests of small organisations were nearly all sent in it."""
 
+_MIN_CUT_RATIO = 2.0 / 3.0
+_MAX_CUT_FAILURES = 10
+_MAX_CUT_FAILURE_SHARE = 1.0 / 50.0
+"""Callers of an entry VM that is cut from all upstreams are served at least two
+thirds as often as the others, unless no more than 10 and one in 50 fail."""
+
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _UNAUTHORIZED = 401
 _OK = 200
@@ -73,6 +79,7 @@
     RESTS = "rests"
     OWN_LEAVING = "own-leaving"
     SHARES = "shares"
+    CUT_OFF = "cut-off"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,6 +105,7 @@
         *_crashing(history),
         *_notices(history),
         *_shares(history),
+        *_cut_off(history),
     ]
 
 
@@ -460,3 +468,56 @@
         f"start of a burst of {burst.organisation}: "
         + ", ".join(f"{n} {text}" for text, n in sorted(counts.items()))
     )
+
+
+def _cut_off(history: record.History) -> Iterator[Violation]:
+    """Check that callers of cut entry VMs are served like the others."""
+    for cut in history.cuts:
+        start = cut.start + RECOVERY_SECONDS
+        requests = [
+            one
+            for one in history.requests_by_id.values()
+            if start <= one.sent_at
+            and one.ended_at is not None
+            and one.ended_at <= cut.end
+            and not one.crashing_request
+            and one.status != _UNAUTHORIZED
+            and _is_vm_undisturbed(history, one, cut)
+        ]
+        at_cut = [one for one in requests if one.vm == cut.vm]
+        elsewhere = [one for one in requests if one.vm != cut.vm]
+        failed = [one for one in at_cut if not _is_served(one)]
+        allowed = _MAX_CUT_FAILURES + _MAX_CUT_FAILURE_SHARE * len(at_cut)
+        if not elsewhere or len(failed) <= allowed:
+            continue
+        share = 1.0 - len(failed) / len(at_cut)
+        share_elsewhere = sum(map(_is_served, elsewhere)) / len(elsewhere)
+        if share < _MIN_CUT_RATIO * share_elsewhere:
+            yield Violation(
+                guarantee=Guarantee.CUT_OFF,
+                request_id=failed[0].id,
+                detail=f"{cut.vm} was cut off and served {share:.2f}, the "
+                f"others {share_elsewhere:.2f}",
+            )
+
+
+def _is_vm_undisturbed(
+    history: record.History, request: record.CallerRequest, cut: record.Cut
+) -> bool:
+    """Return whether nothing else disturbed the entry VM of a request."""
+    is_cut_too = any(
+        other.vm == request.vm
+        and other is not cut
+        and other.start <= cut.end
+        and other.end >= cut.start
+        for other in history.cuts
+    )
+    is_stopping = any(
+        cut.start - layout.STOP_SECONDS <= at <= cut.end
+        for at in history.stop_times_by_vm[request.vm]
+    )
+    return (
+        not is_cut_too
+        and not is_stopping
+        and history.is_undisturbed(request.vm, cut.start, cut.end)
+    )
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -40,6 +40,10 @@
 _SLOWNESS = 2.5
 """Slowness of an engine in its slow periods, as in the uneven deployment."""
 
+_SILENT_BEFORE_CHANGE_SECONDS = 0.6
+"""Time from the silence of connections to a change. Lost connections excuse a
+delay for three seconds, and a change has to be active 2.4 s after it."""
+
 _CRASHING_SECONDS = 2.0 * checks.RECOVERY_SECONDS
 
 
@@ -66,6 +70,8 @@
     POOL_RESTS = "pool-rests"
     UPSTREAM_SAYS_IT_LEAVES = "upstream-says-it-leaves"
     UPSTREAM_SLOW = "upstream-slow"
+    VM_CUT_FROM_UPSTREAMS = "vm-cut-from-upstreams"
+    STORE_CONNECTIONS_SILENT = "store-connections-silent"
 
 
 _UNDISTURBING_KINDS = frozenset(
@@ -82,6 +88,13 @@
 _FAULTY_STATES = tuple(
     state for state in link.LinkState if state is not link.LinkState.SOUND
 )
+_OPEN_FAULTY_STATES = tuple(
+    state for state in _FAULTY_STATES if state not in link.PARTITIONED_STATES
+)
+"""States of a link behind another one, which opens connections first."""
+
+_CUT_SECONDS_RANGE = (6.0, 8.0)
+"""Duration of a cut: the recovery time, and as long to measure."""
 
 
 class FaultInjector:
@@ -111,6 +124,7 @@
         self._task: asyncio.Task[None] | None = None
         self._busy_vms: set[str] = set()
         self._crashing_count = 0
+        self._silenced_at = float("-inf")
         self._running: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -166,6 +180,8 @@
             FaultKind.POOL_RESTS: self._rest_pool,
             FaultKind.UPSTREAM_SAYS_IT_LEAVES: self._announce_leaving,
             FaultKind.UPSTREAM_SLOW: self._slow_upstream,
+            FaultKind.VM_CUT_FROM_UPSTREAMS: self._cut_vm_from_upstreams,
+            FaultKind.STORE_CONNECTIONS_SILENT: self._silence_store_connections,
         }
         now = time.monotonic()
         self._history.faults.append(f"{now:.3f} {kind.value}")
@@ -244,6 +260,32 @@
         entry_vm.send(signal.SIGCONT)
         self._release_vm(entry_vm, since, planned=False)
 
+    async def _cut_vm_from_upstreams(self) -> None:
+        """Cut an entry VM from all upstreams that the others reach."""
+        entry_vm = self._reserve_vm()
+        if entry_vm is None:
+            return
+        state = self._rng.choice(link.PARTITIONED_STATES)
+        began_at = time.monotonic()
+        ends_at = began_at + self._rng.uniform(*_CUT_SECONDS_RANGE)
+        while time.monotonic() < ends_at:
+            # Upstreams that are added meanwhile are cut off as well.
+            self._set_own_links(entry_vm, state)
+            await asyncio.sleep(_SERIES_PAUSE_SECONDS)
+        self._set_own_links(entry_vm, link.LinkState.SOUND)
+        self._busy_vms.discard(entry_vm.name)
+        self._history.cuts.append(
+            record.Cut(vm=entry_vm.name, start=began_at, end=time.monotonic())
+        )
+
+    def _set_own_links(
+        self, entry_vm: vm.EntryVm, state: link.LinkState
+    ) -> None:
+        for links_by_vm in self._deployment.own_links.values():
+            own_link = links_by_vm[entry_vm.vm_settings.entry_vm]
+            if own_link.state is not state:
+                own_link.set_state(state)
+
     async def _write_settings(self) -> None:
         entry_vm = self._rng.choice(self._deployment.vms)
         entry_vm.write_settings(f"changed {self._rng.random()}")
@@ -278,6 +320,23 @@
         for subject in subjects:
             self._history.record_disturbance(subject, since, end)
 
+    async def _silence_store_connections(self) -> None:
+        """Silence all open connections to the store, then declare a change.
+
+        The change is due when the time has passed for which lost connections
+        excuse a delay, so this is no disturbance. Only one at a time: a second
+        one would excuse the entry VMs for longer.
+        """
+        now = time.monotonic()
+        if now - self._silenced_at < 2.0 * _RECOVERY_SECONDS:
+            return
+        self._silenced_at = now
+        for store_link in self._deployment.store_links:
+            store_link.set_state(link.LinkState.SILENT)
+            store_link.set_state(link.LinkState.SOUND)
+        await asyncio.sleep(_SILENT_BEFORE_CHANGE_SECONDS)
+        await self._deployment.declare()
+
     async def _compact_store(self) -> None:
         since = time.monotonic()
         self._deployment.store.compacted = True
@@ -315,7 +374,7 @@
             str(id), time.monotonic(), float("inf")
         )
         faulty_link = self._deployment.upstream_links[id]
-        faulty_link.set_state(self._rng.choice(_FAULTY_STATES))
+        faulty_link.set_state(self._rng.choice(_OPEN_FAULTY_STATES))
         await asyncio.sleep(self._rng.uniform(0.1, 2.0))
         faulty_link.set_state(link.LinkState.SOUND)
 
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -64,6 +64,7 @@
         self.vms = [
             vm.EntryVm(
                 vm_settings=network.settings_of(index, vms=vms),
+                link_prefixes=network.link_prefixes_of(index),
                 folder=folder,
                 planted=planted,
             )
@@ -76,6 +77,11 @@
             for index in range(vms)
         ]
         self.upstream_links: dict[types.UpstreamId, link.FaultyLink] = {}
+        self.own_links: dict[
+            types.UpstreamId, dict[types.EntryVmId, link.FaultyLink]
+        ] = {}
+        """Links by upstream and entry VM, in front of those above."""
+
         self.upstreams: dict[types.UpstreamId, upstream.SoakUpstream] = {}
         self._callers: list[caller.Caller] = []
         self._upstream_count = 0
@@ -112,6 +118,9 @@
         await asyncio.gather(*(entry_vm.close() for entry_vm in self.vms))
         for open_link in (*self.store_links, *self.upstream_links.values()):
             await open_link.close()
+        for links_by_vm in self.own_links.values():
+            for own_link in links_by_vm.values():
+                await own_link.close()
         for running in self.upstreams.values():
             await running.close()
         await self.store.close()
@@ -194,6 +203,17 @@
         )
         await new_upstream.start()
         await self.upstream_links[registration.id].start()
+        links_by_vm = {
+            entry_vm.vm_settings.entry_vm: link.FaultyLink(
+                listen=self.network.upstream_link_of(number, index),
+                target=self.network.upstream_link(index),
+                rng=self.rng,
+            )
+            for number, entry_vm in enumerate(self.vms)
+        }
+        for own_link in links_by_vm.values():
+            await own_link.start()
+        self.own_links[registration.id] = links_by_vm
         self.upstreams[registration.id] = new_upstream
         await self._register(registration)
 
@@ -242,6 +262,8 @@
     async def _close_upstream(self, id: types.UpstreamId) -> None:
         closed = self.upstreams.pop(id, None)
         if closed is not None:
+            for own_link in self.own_links.pop(id).values():
+                await own_link.close()
             await self.upstream_links.pop(id).close()
             await closed.close()
 
--- a/packages/soak/src/lagoonrun_soak/layout.py
+++ b/packages/soak/src/lagoonrun_soak/layout.py
@@ -40,6 +40,11 @@
 
 ENGINE_SLOTS = 6
 
+_UPSTREAM_LINK_GROUP = 3
+_FIRST_VM_GROUP = 10
+"""Third octets of the links to upstreams: of all entry VMs, and of the first
+one."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestKind:
@@ -204,7 +209,22 @@
 
     def upstream_link(self, index: int) -> settings.Address:
         """Return the address at which entry VMs reach an upstream."""
-        return self._address(3, index, UPSTREAM_PORT)
+        return self._address(_UPSTREAM_LINK_GROUP, index, UPSTREAM_PORT)
+
+    def upstream_link_of(self, vm: int, index: int) -> settings.Address:
+        """Return the address of the link from one entry VM to an upstream."""
+        return self._address(_FIRST_VM_GROUP + vm, index, UPSTREAM_PORT)
+
+    def link_prefixes_of(self, vm: int) -> tuple[str, str]:
+        """Return the prefixes of the two addresses above.
+
+        The first is that of the hosts that entry VMs read from the store, the
+        second that of the hosts that one entry VM connects to instead.
+        """
+        return (
+            f"127.{self.octet}.{_UPSTREAM_LINK_GROUP}.",
+            f"127.{self.octet}.{_FIRST_VM_GROUP + vm}.",
+        )
 
     def upstream(self, index: int) -> settings.Address:
         """Return the address at which an upstream listens, behind its link."""
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -6,7 +6,6 @@
 import asyncio
 import collections
 import enum
-import sys
 
 from lagoonrun_core import outcomes
 from lagoonrun_http import exchange as exchanges
@@ -20,13 +19,14 @@
     execution,
     places,
     pool_capacity,
+    reader_selection,
+    relay_choice,
     retrying,
     router,
     store_replica,
     upstream_rests,
     upstreams,
 )
-from lagoonrun_users_platform import main
 
 _REVERT_SECONDS = 1.0
 _RECENT_CHOICES = 20
@@ -49,6 +49,8 @@
     RESTS = "rests"
     OWN_LEAVING = "own-leaving"
     SHARES = "shares"
+    CUT_OFF = "cut-off"
+    SILENT_WATCHES = "silent-watches"
 
 
 def plant(defect: PlantedDefect) -> None:
@@ -210,6 +212,19 @@
     choosing.Chooser.choose = choose
 
 
+def _break_cut_off() -> None:
+    """Reach upstreams over the own links only."""
+    relay_choice.RelayChoice.ordered = (
+        lambda self, upstream_domain, *, count, now: ()
+    )
+
+
+def _break_silent_watches() -> None:
+    """Wait long for each change, and believe the watch whatever peers say."""
+    selection = reader_selection.ReaderSelection
+    selection.update_role = lambda self: None
+
+
 _PLANTERS = {
     PlantedDefect.ONCE: _break_once,
     PlantedDefect.OWN_ANSWER: _break_own_answer,
@@ -224,9 +239,6 @@
     PlantedDefect.RESTS: _break_rests,
     PlantedDefect.OWN_LEAVING: _break_own_leaving,
     PlantedDefect.SHARES: _break_shares,
+    PlantedDefect.CUT_OFF: _break_cut_off,
+    PlantedDefect.SILENT_WATCHES: _break_silent_watches,
 }
-
-
-if __name__ == "__main__":
-    plant(PlantedDefect(sys.argv[1]))
-    sys.exit(main.run())
--- a/packages/soak/src/lagoonrun_soak/record.py
+++ b/packages/soak/src/lagoonrun_soak/record.py
@@ -79,6 +79,15 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cut:
+    """An interval in which an entry VM was cut from all upstreams."""
+
+    vm: str
+    start: float
+    end: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class History:
     """Everything that the checks use; times are of one monotonic clock.
@@ -87,6 +96,8 @@
     ----------
     bursts
         Bursts of callers, which `disturbances_by_subject` does not hold.
+    cuts
+        Entry VMs that were cut from all upstreams.
     unfinished_faults
         Faults that were active at the end of the soak. Some kinds record their
         disturbance only when they end.
@@ -115,6 +126,7 @@
     )
     arrivals: list[notices.Arrival] = dataclasses.field(default_factory=list)
     bursts: list[Burst] = dataclasses.field(default_factory=list)
+    cuts: list[Cut] = dataclasses.field(default_factory=list)
     unfinished_faults: list[Disturbance] = dataclasses.field(
         default_factory=list
     )
--- a/packages/soak/src/lagoonrun_soak/vm.py
+++ b/packages/soak/src/lagoonrun_soak/vm.py
@@ -12,8 +12,7 @@
 from lagoonrun_router import settings
 from lagoonrun_users_platform import settings_file, standin_messages
 
-PROGRAM = "lagoonrun_users_platform.main"
-PLANTED_PROGRAM = "lagoonrun_soak.planted"
+PROGRAM = "lagoonrun_soak.entry_program"
 
 _POLL_SECONDS = 0.5
 _POLL_TIMEOUT_SECONDS = 0.4
@@ -28,6 +27,8 @@
     ----------
     vm_settings
         Settings of the entry VM.
+    link_prefixes
+        Prefixes of the hosts of upstreams and of its links to them.
     folder
         Directory of its settings file and log.
     planted
@@ -45,11 +46,13 @@
         self,
         *,
         vm_settings: settings.RouterSettings,
+        link_prefixes: tuple[str, str],
         folder: pathlib.Path,
         planted: str = "",
     ) -> None:
         self.vm_settings = vm_settings
         self.name = str(vm_settings.entry_vm)
+        self._link_prefixes = link_prefixes
         self._folder = folder
         self._planted = planted
         self._process: asyncio.subprocess.Process | None = None
@@ -64,14 +67,13 @@
     async def start(self) -> None:
         """Start the program."""
         self.write_settings("")
-        module = (
-            [PLANTED_PROGRAM, self._planted] if self._planted else [PROGRAM]
-        )
         with self._open_log() as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                *module,
+                PROGRAM,
+                *self._link_prefixes,
+                self._planted,
                 env={
                     **os.environ,
                     settings_file.PATH_VARIABLE: str(self._settings_path),
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -27,6 +27,15 @@
     PlantedDefect.RESTS: (FaultKind.POOL_RESTS,),
     PlantedDefect.OWN_LEAVING: (FaultKind.UPSTREAM_SAYS_IT_LEAVES,),
     PlantedDefect.SHARES: (FaultKind.ORGANISATION_BURST,),
+    PlantedDefect.CUT_OFF: (FaultKind.VM_CUT_FROM_UPSTREAMS,),
+    PlantedDefect.SILENT_WATCHES: (FaultKind.STORE_CONNECTIONS_SILENT,),
+}
+
+GUARANTEES_BY_DEFECT = {
+    defect: checks.Guarantee.IN_FORCE
+    if defect is PlantedDefect.SILENT_WATCHES
+    else checks.Guarantee(defect.value)
+    for defect in PlantedDefect
 }
 
 SECONDS = 7.0
@@ -38,6 +47,8 @@
 SECONDS_BY_DEFECT = {
     PlantedDefect.LIMITS: 2 * SECONDS,
     PlantedDefect.NOT_RUN: 2 * SECONDS,
+    PlantedDefect.CUT_OFF: 2 * SECONDS,
+    PlantedDefect.SILENT_WATCHES: 2 * SECONDS,
 }
 """A limit must be obeyed after three seconds; the next four are checked.
 
@@ -60,7 +71,7 @@
         kinds=FAULTS_BY_DEFECT[planted],
         seconds=SECONDS_BY_DEFECT.get(planted, SECONDS),
     )
-    guarantee = checks.Guarantee(planted.value)
+    guarantee = GUARANTEES_BY_DEFECT[planted]
     assert guarantee in {violation.guarantee for violation in result.violations}
 
 
@@ -82,6 +93,7 @@
         FaultKind.POOL_RESTS,
         FaultKind.UPSTREAM_SAYS_IT_LEAVES,
         FaultKind.UPSTREAM_SLOW,
+        FaultKind.STORE_CONNECTIONS_SILENT,
     ],
 )
 async def test_single_fault_in_series_breaks_nothing(kind, tmp_path):
@@ -89,6 +101,16 @@
     assert result.violations == ()
 
 
+async def test_entry_vms_cut_from_upstreams_break_nothing(tmp_path):
+    """Guards against callers who are refused where only links are lost."""
+    result = await run_soak(
+        tmp_path,
+        kinds=(FaultKind.VM_CUT_FROM_UPSTREAMS,),
+        seconds=2 * SECONDS,
+    )
+    assert result.violations == ()
+
+
 @pytest.mark.parametrize("kind", _BURST_KINDS)
 async def test_bursts_break_nothing_but_shares(kind, tmp_path):
     result = await run_soak(tmp_path, kinds=(kind,))
@@ -129,9 +151,7 @@
 
 
 def test_every_planted_promise_is_checked():
-    assert {defect.value for defect in PlantedDefect} == {
-        guarantee.value for guarantee in checks.Guarantee
-    }
+    assert set(GUARANTEES_BY_DEFECT.values()) == set(checks.Guarantee)
     assert set(FAULTS_BY_DEFECT) == set(PlantedDefect)
     assert (
         faults.FaultKind.VM_KILLED
