--- a/packages/router/tests/test_cut_from_upstreams.py
+++ b/packages/router/tests/test_cut_from_upstreams.py
@@ -98,11 +98,14 @@
     """Return a function that starts a fleet; its links are closed later."""
     layouts = []
 
-    async def start(route=None, answer=answer_whole, vms=3):
+    async def start(route=None, answer=answer_whole, vms=3, cut_domain=False):
         layout = LinkedLayout({})
         layouts.append(layout)
-        cut = await world_of("vm-0", layout=layout)
-        others = [await world_of(f"vm-{n}") for n in range(1, vms)]
+        cut = [await world_of("vm-0", layout=layout)]
+        if cut_domain:
+            cut.append(await world_of("vm-0b", layout=layout))
+        domain = "south" if cut_domain else "north"
+        others = [await world_of(f"vm-{n}", domain) for n in range(1, vms)]
         for one in others:
             one.layout.declared_by_revision = layout.declared_by_revision
         await others[0].declare(route or make_route())
@@ -112,12 +115,14 @@
             await layout.add_link(upstream)
             await others[0].register(upstream)
             upstreams.append(upstream)
-        worlds = [cut, *others]
+        worlds = [*cut, *others]
         for world in worlds:
             await world.ready()
             for upstream in upstreams:
                 await wait_for(lambda w=world, id=upstream.id: w.knows(id))
-            await wait_for(lambda w=world: w.router.peer_count == vms - 1)
+            await wait_for(
+                lambda w=world: w.router.peer_count == len(worlds) - 1
+            )
         return CutFleet(worlds=worlds, upstreams=upstreams, layout=layout)
 
     yield start
@@ -176,6 +181,28 @@
     )
 
 
+async def test_callers_are_served_if_a_whole_failure_domain_is_cut(fleet_of):
+    """Guards against cut entry VMs that ask only each other."""
+    fleet = await fleet_of(cut_domain=True)
+    fleet.layout.set_state(LinkState.UNREACHABLE)
+    await served_shares(fleet.worlds, seconds=CONTACT_SECONDS)
+    *cut, one, other = await served_shares(
+        fleet.worlds, seconds=MEASURED_SECONDS
+    )
+    assert min(one, other) == 1.0
+    assert min(cut) >= MIN_SERVED_RATIO
+
+
+async def test_one_cut_link_is_the_only_one_that_is_avoided(fleet_of):
+    """Guards against detours to upstreams that are within reach."""
+    fleet = await fleet_of()
+    (link, *_) = fleet.layout.links_by_upstream.values()
+    link.set_state(LinkState.REFUSED)
+    shares = await served_shares(fleet.worlds, seconds=MEASURED_SECONDS)
+    assert min(shares) == 1.0
+    assert fleet.cut.router._links.cut == (fleet.upstreams[0].id,)
+
+
 @pytest.mark.parametrize("state", PARTITIONS)
 async def test_links_are_used_again_within_a_second(fleet_of, state):
     """Guards against detours that outlast the cut."""
