Call the forwarding of connections by one name, and describe it

'Relay' is already the entry VM that sums up the loads of its failure domain. The choice of a forwarder goes by its uses of the last seconds, so that one that has joined later does not get everything.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -64,7 +64,7 @@
     PEER_GAINED = (602, "peer-gained")
     PEER_LOST = (603, "peer-lost")
     RELAY_CHANGED = (604, "relay-changed")
-    RELAYED_CONNECTION_ENDED = (605, "relayed-connection-ended")
+    FORWARDED_CONNECTION_ENDED = (605, "forwarded-connection-ended")
 
     PLATFORM_UNREACHABLE = (700, "platform-unreachable")
     PLATFORM_REACHABLE = (701, "platform-reachable")
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -75,7 +75,7 @@
         self.idle_seconds = client_limits.idle_seconds
         self.last_request_id: types.RequestId | None = None
         self.closed = False
-        self.is_relayed = False
+        self.is_forwarded = False
         """Whether another process of the fleet forwards the connection."""
 
         self._retired = False
--- a/packages/router/src/lagoonrun_router/connection_relay.py
+++ b/packages/router/src/lagoonrun_router/connection_forwarder.py
@@ -15,8 +15,8 @@
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import tcp_keepalive, tcp_reset
 from lagoonrun_router import (
+    forwarding_frames,
     http_endpoints,
-    relay_frames,
     upstream_links,
     upstreams,
 )
@@ -35,7 +35,7 @@
 _UNAVAILABLE = 503
 
 
-class ConnectionRelay:
+class ConnectionForwarder:
     """Accepts and forwards the connections of other entry VMs.
 
     Parameters
@@ -58,7 +58,7 @@
         self._directory = directory
         self._links = links
         self._clock = clock
-        self._open: set[_ForwardedConnection] = set()
+        self._open: set[_ForwardedPair] = set()
         self._stopping = False
         self._all_closed = asyncio.Event()
         self._all_closed.set()
@@ -89,7 +89,7 @@
         Without an `Upgrade` header only the connection is tried.
         """
         upstream = types.UpstreamId(
-            exchange.head.target.removeprefix(relay_frames.PATH)
+            exchange.head.target.removeprefix(forwarding_frames.PATH)
         )
         registration = self._directory.registration_of(upstream)
         if registration is None:
@@ -106,7 +106,7 @@
         exchange: exchanges.Exchange,
         registration: upstreams.Registration,
     ) -> None:
-        connection = _ForwardedConnection()
+        connection = _ForwardedPair()
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(_CONNECT_SECONDS):
@@ -127,7 +127,7 @@
         self._open.add(connection)
         self._all_closed.clear()
         try:
-            exchange.switch_protocol(relay_frames.PROTOCOL, connection)
+            exchange.switch_protocol(forwarding_frames.PROTOCOL, connection)
             await connection.closed.wait()
         finally:
             connection.reset()
@@ -135,7 +135,7 @@
             if not self._open:
                 self._all_closed.set()
             logs.emit(
-                events.LogEvent.RELAYED_CONNECTION_ENDED,
+                events.LogEvent.FORWARDED_CONNECTION_ENDED,
                 upstream=registration.id,
                 peer=exchange.peer,
                 seconds=round(self._clock.monotonic() - began_at, 3),
@@ -150,7 +150,7 @@
     )
 
 
-class _ForwardedConnection:
+class _ForwardedPair:
     """Both ends of one connection; the end towards the other entry VM.
 
     Attributes
@@ -177,7 +177,9 @@
     def request_end(self) -> None:
         """Ask the other entry VM to send no further request."""
         if self._peer is not None:
-            self._peer.write(relay_frames.encode(relay_frames.FrameKind.RETIRE))
+            self._peer.write(
+                forwarding_frames.encode(forwarding_frames.FrameKind.RETIRE)
+            )
 
     # Callbacks of the connection to the other entry VM.
 
@@ -233,13 +235,13 @@
         self.received_bytes += len(data)
         if self._peer is not None:
             self._peer.write(
-                relay_frames.encode(relay_frames.FrameKind.DATA, data)
+                forwarding_frames.encode(forwarding_frames.FrameKind.DATA, data)
             )
 
-    def on_upstream_ended(self, kind: relay_frames.FrameKind) -> None:
+    def on_upstream_ended(self, kind: forwarding_frames.FrameKind) -> None:
         """Report the end after all bytes that came before it."""
         if self._peer is not None and not self._peer.is_closing():
-            self._peer.write(relay_frames.encode(kind))
+            self._peer.write(forwarding_frames.encode(kind))
             self._peer.close()
 
     def pause_reading(self) -> None:
@@ -256,7 +258,7 @@
 class _UpstreamEnd(asyncio.Protocol):
     """The end of a forwarded connection towards the upstream."""
 
-    def __init__(self, connection: _ForwardedConnection) -> None:
+    def __init__(self, connection: _ForwardedPair) -> None:
         self._connection = connection
         self._ended = False
 
@@ -271,14 +273,16 @@
     def eof_received(self) -> bool:
         """Report the end of the upstream's output."""
         self._ended = True
-        self._connection.on_upstream_ended(relay_frames.FrameKind.END)
+        self._connection.on_upstream_ended(forwarding_frames.FrameKind.END)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report a connection that ended without the upstream's end."""
         del error
         if not self._ended:
-            self._connection.on_upstream_ended(relay_frames.FrameKind.BROKEN)
+            self._connection.on_upstream_ended(
+                forwarding_frames.FrameKind.BROKEN
+            )
 
     def pause_writing(self) -> None:
         """Read no more from the other entry VM."""
--- a/packages/router/src/lagoonrun_router/relayed_connection.py
+++ b/packages/router/src/lagoonrun_router/forwarded_connection.py
@@ -8,20 +8,20 @@
 from lagoonrun_core import errors, types
 from lagoonrun_http import dialing, tcp_reset, upstream_connection
 from lagoonrun_platform import http_client
-from lagoonrun_router import relay_frames, settings
+from lagoonrun_router import forwarding_frames, settings
 
 _SWITCHING_PROTOCOLS = 101
 _OK = 200
 _PROBE_CONNECT_SECONDS = 0.4
 
 
-async def open_relayed(
+async def open_forwarded(
     make_connection: dialing.MakeConnection,
     *,
     upstream: types.UpstreamId,
-    relay: settings.Address,
+    forwarder: settings.Address,
 ) -> upstream_connection.UpstreamConnection:
-    """Return an open connection to `upstream` by way of the entry VM `relay`.
+    """Return an open connection to `upstream` by way of the entry VM `forwarder`.
 
     Raises
     ------
@@ -30,14 +30,14 @@
     """
     loop = asyncio.get_running_loop()
     connection = make_connection()
-    connection.is_relayed = True
+    connection.is_forwarded = True
     is_open = loop.create_future()
     transport, _ = await loop.create_connection(
-        lambda: RelayedConnection(
+        lambda: ForwardedConnection(
             connection=connection, upstream=upstream, is_open=is_open
         ),
-        relay.host,
-        relay.port,
+        forwarder.host,
+        forwarder.port,
     )
     try:
         await is_open
@@ -50,10 +50,10 @@
 async def probe(
     upstream: types.UpstreamId,
     *,
-    relay: settings.Address,
+    forwarder: settings.Address,
     clock: clocks.Clock,
 ) -> None:
-    """Ask the entry VM `relay` to connect to `upstream`, without a request.
+    """Ask the entry VM `forwarder` to connect to `upstream`, without a request.
 
     Raises
     ------
@@ -61,12 +61,12 @@
         If the entry VM can't be reached, or can't reach the upstream.
     """
     pool = http_client.ConnectionPool(
-        address=relay,
+        address=forwarder,
         connect_timeout_seconds=_PROBE_CONNECT_SECONDS,
         clock=clock,
     )
     call = http_client.HttpRequest(
-        method="GET", path=relay_frames.PATH + upstream
+        method="GET", path=forwarding_frames.PATH + upstream
     )
     try:
         response = await pool.call_once(call)
@@ -79,7 +79,7 @@
         raise ConnectionError(f"the entry VM answered {response.status}")
 
 
-class RelayedConnection(asyncio.Protocol):
+class ForwardedConnection(asyncio.Protocol):
     """Unpacks the frames of another entry VM for an upstream connection.
 
     Parameters
@@ -104,7 +104,7 @@
         self._upstream = upstream
         self._is_open = is_open
         self._h11 = h11.Connection(h11.CLIENT)
-        self._frames = relay_frames.FrameReader()
+        self._frames = forwarding_frames.FrameReader()
         self._has_switched = False
         self._has_ended = False
 
@@ -114,11 +114,11 @@
         self._connection.connection_made(transport)
         request = h11.Request(
             method="GET",
-            target=relay_frames.PATH + self._upstream,
+            target=forwarding_frames.PATH + self._upstream,
             headers=[
                 ("Host", "peer"),
                 ("Connection", "Upgrade"),
-                ("Upgrade", relay_frames.PROTOCOL),
+                ("Upgrade", forwarding_frames.PROTOCOL),
             ],
         )
         self._transport.write(
@@ -165,12 +165,12 @@
         for kind, payload in frames:
             if self._connection.closed:
                 return
-            if kind is relay_frames.FrameKind.DATA:
+            if kind is forwarding_frames.FrameKind.DATA:
                 self._pass_on(payload)
-            elif kind is relay_frames.FrameKind.RETIRE:
+            elif kind is forwarding_frames.FrameKind.RETIRE:
                 self._connection.retire()
             else:
-                self._end(broken=kind is relay_frames.FrameKind.BROKEN)
+                self._end(broken=kind is forwarding_frames.FrameKind.BROKEN)
 
     def _pass_on(self, payload: bytes) -> None:
         rest = memoryview(payload)
--- a/packages/router/src/lagoonrun_router/relay_choice.py
+++ b/packages/router/src/lagoonrun_router/forwarder_choice.py
@@ -3,21 +3,24 @@
 import random
 
 from lagoonrun_core import types
-from lagoonrun_router import peer_table, reach, settings
+from lagoonrun_router import decaying_sum, peer_table, reach, settings
 
 _MAX_CANDIDATES = 16
 """Peers that are compared; more are sampled."""
 
+_USE_HALF_LIFE_SECONDS = 5.0
+"""Half-life of the number of connections that a peer has opened."""
+
 _AVOID_SECONDS = 0.5
 """Time for which a peer that could not open a connection is asked last."""
 
 
-class RelayChoice:
+class ForwarderChoice:
     """Orders the peers by how likely and how cheaply they reach an upstream.
 
     Traffic between failure domains is expensive, so peers in the own one are
     preferred, then those in that of the upstream. Among equals the one that
-    forwards the fewest connections of this entry VM is first.
+    has opened the fewest connections of this entry VM lately is first.
 
     Parameters
     ----------
@@ -42,7 +45,7 @@
         self._domains = domains
         self._rng = rng
         self._failed_at_by_peer: dict[types.EntryVmId, float] = {}
-        self._uses_by_peer: dict[types.EntryVmId, int] = {}
+        self._uses_by_peer: dict[types.EntryVmId, decaying_sum.DecayingSum] = {}
 
     def ordered(
         self, upstream_domain: types.FailureDomain, *, count: int, now: float
@@ -78,7 +81,7 @@
         peer: types.EntryVmId,
         upstream_domain: types.FailureDomain,
         now: float,
-    ) -> tuple[bool, bool, int, int]:
+    ) -> tuple[bool, bool, int, float]:
         domain = self._table.domain_of(peer)
         failed_at = self._failed_at_by_peer.get(peer, float("-inf"))
         distance = 2
@@ -91,19 +94,22 @@
             now - failed_at < _AVOID_SECONDS,
             is_silent and domain != self._domain,
             distance,
-            self._uses_by_peer.get(peer, 0),
+            self._recent_uses(peer, now),
         )
 
-    def record_opened(self, peer: types.EntryVmId) -> None:
+    def _recent_uses(self, peer: types.EntryVmId, now: float) -> float:
+        uses = self._uses_by_peer.get(peer)
+        return 0.0 if uses is None else uses.read(now)
+
+    def record_opened(self, peer: types.EntryVmId, *, now: float) -> None:
         """Record that a peer has opened a connection to an upstream."""
         self._failed_at_by_peer.pop(peer, None)
-        self._uses_by_peer[peer] = self._uses_by_peer.get(peer, 0) + 1
+        uses = self._uses_by_peer.setdefault(
+            peer,
+            decaying_sum.DecayingSum(half_life_seconds=_USE_HALF_LIFE_SECONDS),
+        )
+        uses.add(1.0, now)
 
     def record_failed(self, peer: types.EntryVmId, *, now: float) -> None:
         """Record that a peer could not open a connection in time."""
         self._failed_at_by_peer[peer] = now
-
-    def reset_uses(self) -> None:
-        """Forget how many connections the peers have opened."""
-        self._uses_by_peer.clear()
-        self._failed_at_by_peer.clear()
--- a/packages/router/src/lagoonrun_router/relay_frames.py
+++ b/packages/router/src/lagoonrun_router/forwarding_frames.py
@@ -13,7 +13,7 @@
 PATH = "/upstream-connections/"
 """Path of the peer endpoint; the id of the upstream follows."""
 
-PROTOCOL = "lagoonrun-relay"
+PROTOCOL = "lagoonrun-forwarding"
 """Name of the protocol in the `Upgrade` header."""
 
 _HEADER = struct.Struct("!BI")
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -73,8 +73,8 @@
             "Requests that are not sent since upstreams ended under them.",
             registry=self.registry,
         )
-        self.relayed_connections = prometheus_client.Counter(
-            "lagoonrun_relayed_connections",
+        self.forwarders_asked = prometheus_client.Counter(
+            "lagoonrun_forwarders_asked",
             "Connections to upstreams that other entry VMs were asked for.",
             ["result"],
             registry=self.registry,
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -19,12 +19,13 @@
     adaptive_load,
     admission_floor,
     components,
-    connection_relay,
+    connection_forwarder,
     crash_guard,
     declarations,
     dialect,
     domain_aggregate,
     fleet_duties,
+    forwarder_choice,
     gauges,
     http_endpoints,
     ingress,
@@ -41,7 +42,6 @@
     prompt_locations,
     reach,
     reader_selection,
-    relay_choice,
     retry_budget,
     route_table,
     router_endpoints,
@@ -263,7 +263,7 @@
         self._dialer = upstream_dialer.UpstreamDialer(
             directory=self.directory,
             links=self._links,
-            relays=relay_choice.RelayChoice(
+            forwarders=forwarder_choice.ForwarderChoice(
                 domain=configured.domain,
                 table=self._peer_table,
                 domains=self._domains,
@@ -273,7 +273,7 @@
             clock=self._clock,
         )
         self._crash_guard.watch.reach = self._dialer
-        self._relay = connection_relay.ConnectionRelay(
+        self._forwarder = connection_forwarder.ConnectionForwarder(
             directory=self.directory, links=self._links, clock=self._clock
         )
         self._client = http_endpoints.upstream_client(
@@ -316,7 +316,7 @@
         self._peer_server = self._server(
             configured.peer,
             router_endpoints.PeerEndpoint(
-                replica=self.replica, relay=self._relay
+                replica=self.replica, forwarder=self._forwarder
             ),
         )
         self._metrics_server = None
@@ -410,7 +410,7 @@
         self._stopping = True
         self.exchange.begin_stop()
         self._reader_selection.begin_stop()
-        self._relay.begin_stop()
+        self._forwarder.begin_stop()
         logs.emit(
             events.LogEvent.PROCESS_STOPPING,
             open_exchanges=self._caller_server.open_exchanges,
@@ -427,7 +427,7 @@
         remaining_seconds = max(0.0, remaining_seconds)
         cut_requests, cut_connections = await asyncio.gather(
             self._caller_server.drain(remaining_seconds),
-            self._relay.drain(remaining_seconds),
+            self._forwarder.drain(remaining_seconds),
         )
         cut = cut_requests + cut_connections
         await self.close()
@@ -539,7 +539,7 @@
             self._duties.update_gauges(self.metrics)
         self.metrics.store_era.set(self._eras.newest)
         self.metrics.cut_upstream_links.set(len(self._links.cut))
-        self.metrics.forwarded_connections.set(self._relay.open_connections)
+        self.metrics.forwarded_connections.set(self._forwarder.open_connections)
         self._gauges.refresh(
             now=self._clock.monotonic(),
             ready=self.ready,
--- a/packages/router/src/lagoonrun_router/router_endpoints.py
+++ b/packages/router/src/lagoonrun_router/router_endpoints.py
@@ -9,12 +9,12 @@
 from lagoonrun_http import messages as http_messages
 from lagoonrun_protocol import router_codec, router_messages
 from lagoonrun_router import (
-    connection_relay,
+    connection_forwarder,
     crash_evidence,
+    forwarding_frames,
     json_responses,
     override_endpoint,
     peer_fetch,
-    relay_frames,
     store_replica,
 )
 
@@ -72,7 +72,7 @@
     ----------
     replica
         What this entry VM has read from the store.
-    relay
+    forwarder
         Forwards connections to upstreams.
     """
 
@@ -80,16 +80,16 @@
         self,
         *,
         replica: store_replica.StoreReplica,
-        relay: connection_relay.ConnectionRelay,
+        forwarder: connection_forwarder.ConnectionForwarder,
     ) -> None:
         self._replica = replica
-        self._relay = relay
+        self._forwarder = forwarder
 
     async def handle(self, exchange: exchanges.Exchange) -> None:
         """Answer one call."""
         await exchange.read_body()
-        if exchange.head.target.startswith(relay_frames.PATH):
-            await self._relay.handle(exchange)
+        if exchange.head.target.startswith(forwarding_frames.PATH):
+            await self._forwarder.handle(exchange)
             return
         body = self._body_for(exchange.head.target)
         await exchange.respond(
--- a/packages/router/src/lagoonrun_router/upstream_dialer.py
+++ b/packages/router/src/lagoonrun_router/upstream_dialer.py
@@ -14,9 +14,9 @@
 from lagoonrun_core import supervised_task, ticks, types
 from lagoonrun_http import dialing, upstream_connection
 from lagoonrun_router import (
+    forwarded_connection,
+    forwarder_choice,
     metrics,
-    relay_choice,
-    relayed_connection,
     settings,
     staggered,
     upstream_links,
@@ -27,7 +27,7 @@
 """Time after which the next attempt starts: thirty round trips. Short requests
 have targets from 0.125 s on."""
 
-_MAX_RELAYS = 3
+_MAX_FORWARDERS = 3
 """Entry VMs that are asked for one connection. If half of them are cut as well
 and nobody knows yet, seven of eight requests find one that is not."""
 
@@ -46,7 +46,7 @@
         The upstreams.
     links
         State of the links; updated by what the attempts show.
-    relays
+    forwarders
         Chooses the other entry VMs.
     counters
         Counts the connections that other entry VMs were asked for.
@@ -59,13 +59,13 @@
         *,
         directory: upstreams.UpstreamDirectory,
         links: upstream_links.UpstreamLinks,
-        relays: relay_choice.RelayChoice,
+        forwarders: forwarder_choice.ForwarderChoice,
         counters: metrics.RouterMetrics,
         clock: clocks.Clock,
     ) -> None:
         self._directory = directory
         self._links = links
-        self._relays = relays
+        self._forwarders = forwarders
         self._metrics = counters
         self._clock = clock
         self._direct = dialing.DirectDialer()
@@ -90,14 +90,14 @@
 
     def may_reuse(self, connection: _Connection) -> bool:
         """Return whether an idle connection may be used; see `Dialer`."""
-        if not connection.is_relayed and not self._links.cut:
+        if not connection.is_forwarded and not self._links.cut:
             return True
         registration = self._directory.registration_at(
             connection.address, connection.port
         )
         if registration is None:
             return True
-        if connection.is_relayed:
+        if connection.is_forwarded:
             return self._links.is_cut(registration.id)
         return self._links.may_reuse(registration.id)
 
@@ -116,11 +116,13 @@
         upstream = registration.id
         is_cut = self._links.is_cut(upstream)
         attempts: list[Callable[[], Awaitable[_Connection]]] = []
-        if is_cut or self._links.may_relay(upstream, now=now):
+        if is_cut or self._links.may_forward(upstream, now=now):
             attempts += [
-                self._relayed_attempt(upstream, make_connection, peer, address)
-                for peer, address in self._relays.ordered(
-                    registration.domain, count=_MAX_RELAYS, now=now
+                self._forwarded_attempt(
+                    upstream, make_connection, peer, address
+                )
+                for peer, address in self._forwarders.ordered(
+                    registration.domain, count=_MAX_FORWARDERS, now=now
                 )
             ]
 
@@ -152,14 +154,14 @@
         self, upstream: types.UpstreamId, connection: _Connection
     ) -> None:
         now = self._clock.monotonic()
-        if connection.is_relayed:
+        if connection.is_forwarded:
             self._links.record_cut(
                 upstream, detail="reached by way of another entry VM", now=now
             )
         else:
             self._links.record_reached(upstream, now=now)
 
-    def _relayed_attempt(
+    def _forwarded_attempt(
         self,
         upstream: types.UpstreamId,
         make_connection: dialing.MakeConnection,
@@ -169,18 +171,22 @@
         async def dial() -> _Connection:
             opened = False
             try:
-                connection = await relayed_connection.open_relayed(
-                    make_connection, upstream=upstream, relay=address
+                connection = await forwarded_connection.open_forwarded(
+                    make_connection, upstream=upstream, forwarder=address
                 )
                 opened = True
-                self._relays.record_opened(peer)
+                self._forwarders.record_opened(
+                    peer, now=self._clock.monotonic()
+                )
                 return connection
             except (OSError, asyncio.CancelledError):
-                self._relays.record_failed(peer, now=self._clock.monotonic())
+                self._forwarders.record_failed(
+                    peer, now=self._clock.monotonic()
+                )
                 raise
             finally:
                 result = "opened" if opened else "failed"
-                self._metrics.relayed_connections.labels(result).inc()
+                self._metrics.forwarders_asked.labels(result).inc()
 
         return dial
 
@@ -191,13 +197,13 @@
         now = self._clock.monotonic()
         probes = [
             functools.partial(
-                relayed_connection.probe,
+                forwarded_connection.probe,
                 upstream.id,
-                relay=address,
+                forwarder=address,
                 clock=self._clock,
             )
-            for _, address in self._relays.ordered(
-                upstream.domain, count=_MAX_RELAYS, now=now
+            for _, address in self._forwarders.ordered(
+                upstream.domain, count=_MAX_FORWARDERS, now=now
             )
         ]
         try:
--- a/packages/router/src/lagoonrun_router/upstream_links.py
+++ b/packages/router/src/lagoonrun_router/upstream_links.py
@@ -10,7 +10,7 @@
 
 _ALL_TRIALS_SECONDS = 1.0
 
-_RELAY_PAUSE_SECONDS = 1.0
+_FORWARDING_PAUSE_SECONDS = 1.0
 """Time for which no other entry VM is asked for an upstream that none of them
 has reached."""
 
@@ -50,12 +50,12 @@
         reached_at = self._reached_at_by_upstream.get(upstream, float("-inf"))
         return not self.is_cut(upstream) and reached_at >= self._newest_cut_at
 
-    def may_relay(self, upstream: types.UpstreamId, *, now: float) -> bool:
+    def may_forward(self, upstream: types.UpstreamId, *, now: float) -> bool:
         """Return whether another entry VM may reach `upstream`."""
         unreachable_at = self._unreachable_at_by_upstream.get(
             upstream, float("-inf")
         )
-        return now - unreachable_at >= _RELAY_PAUSE_SECONDS
+        return now - unreachable_at >= _FORWARDING_PAUSE_SECONDS
 
     def record_reached(self, upstream: types.UpstreamId, *, now: float) -> None:
         """Record a connection over the link to `upstream`."""
--- a/packages/router/tests/test_cut_from_upstreams.py
+++ b/packages/router/tests/test_cut_from_upstreams.py
@@ -11,7 +11,7 @@
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import read_buffer, upstream_connection
-from lagoonrun_router import relayed_connection, settings
+from lagoonrun_router import forwarded_connection, settings
 from lagoonrun_soak.link import FaultyLink, LinkState
 from lagoonrun_standins.router_samples import (
     HOST,
@@ -292,7 +292,7 @@
     asked = asyncio.create_task(fleet.cut.ask("/lookups/1"))
     await wait_for(lambda: any(one.heads for one in fleet.upstreams))
     for world in fleet.worlds[1:]:
-        for forwarded in tuple(world.router._relay._open):
+        for forwarded in tuple(world.router._forwarder._open):
             forwarded.reset()
     got = await asked
     assert got.status == 502
@@ -317,14 +317,16 @@
     fleet = await fleet_of(answer=answer)
     fleet.layout.set_state(LinkState.REFUSED)
     asked = asyncio.create_task(fleet.cut.ask("/lookups/1"))
-    forwarders = [world.router._relay for world in fleet.worlds[1:]]
+    forwarders = [world.router._forwarder for world in fleet.worlds[1:]]
     await wait_for(
         lambda: any(
-            one.received_bytes for relay in forwarders for one in relay._open
+            one.received_bytes
+            for one_forwarder in forwarders
+            for one in one_forwarder._open
         )
     )
-    for relay in forwarders:
-        for forwarded in tuple(relay._open):
+    for one_forwarder in forwarders:
+        for forwarded in tuple(one_forwarder._open):
             # As the system closes the sockets of a killed process.
             forwarded._peer.close()
     got = await asked
@@ -351,10 +353,10 @@
     forwarder = next(
         world.router
         for world in fleet.worlds[1:]
-        if world.router._relay.open_connections
+        if world.router._forwarder.open_connections
     )
     stopping = asyncio.create_task(forwarder.stop())
-    await wait_for(lambda: forwarder._relay._stopping)
+    await wait_for(lambda: forwarder._forwarder._stopping)
     later = asyncio.create_task(fleet.cut.ask("/lookups/1", id="r-later"))
     await wait_for(
         lambda: sum(len(one.heads) for one in fleet.upstreams) == len(asked) + 1
@@ -385,8 +387,8 @@
     fleet = await fleet_of(vms=2)
     address = fleet.worlds[1].settings.peer
     with pytest.raises(ConnectionResetError):
-        await relayed_connection.open_relayed(
-            unconnected, upstream="unknown", relay=address
+        await forwarded_connection.open_forwarded(
+            unconnected, upstream="unknown", forwarder=address
         )
 
 
--- a/packages/router/tests/test_relay_choice.py
+++ b/packages/router/tests/test_forwarder_choice.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lagoonrun_router import peer_table, reach, relay_choice, settings
+from lagoonrun_router import forwarder_choice, peer_table, reach, settings
 
 
 def make_choice(peers, *, seed=1, silent=()):
@@ -24,7 +24,7 @@
             domain=domain,
         )
         domains.record_contact(domain, now=0.0 if domain in silent else 9.9)
-    return table, relay_choice.RelayChoice(
+    return table, forwarder_choice.ForwarderChoice(
         domain="north", table=table, domains=domains, rng=random.Random(seed)
     )
 
@@ -76,7 +76,7 @@
     for _ in range(count * 10):
         first = names(choice, count=1)[0]
         uses[first] += 1
-        choice.record_opened(first)
+        choice.record_opened(first, now=10.0)
     assert max(uses.values()) <= 20
 
 
--- a/packages/router/tests/test_upstream_links.py
+++ b/packages/router/tests/test_upstream_links.py
@@ -37,13 +37,13 @@
 
 def test_upstream_that_nobody_reached_is_not_asked_for_again_at_once(links):
     """Guards against a crowd of connections to an upstream that is lost."""
-    assert links.may_relay("u-0", now=1.0)
+    assert links.may_forward("u-0", now=1.0)
     links.record_unreachable("u-0", now=1.0)
-    assert not links.may_relay("u-0", now=1.9)
-    assert links.may_relay("u-0", now=2.0)
+    assert not links.may_forward("u-0", now=1.9)
+    assert links.may_forward("u-0", now=2.0)
     links.record_unreachable("u-0", now=2.0)
     links.record_reached("u-0", now=2.1)
-    assert links.may_relay("u-0", now=2.2)
+    assert links.may_forward("u-0", now=2.2)
 
 
 @pytest.mark.parametrize("cut_count", [1, 3, 6, 45])
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -17,10 +17,10 @@
     crash_evidence,
     declarations,
     execution,
+    forwarder_choice,
     places,
     pool_capacity,
     reader_selection,
-    relay_choice,
     retrying,
     router,
     store_replica,
@@ -214,7 +214,7 @@
 
 def _break_cut_off() -> None:
     """Reach upstreams over the own links only."""
-    relay_choice.RelayChoice.ordered = (
+    forwarder_choice.ForwarderChoice.ordered = (
         lambda self, upstream_domain, *, count, now: ()
     )
 
