Leave no address of a soak in use when it ends

Adding goes on to its end now, and the deployment closes what was added. A link that was cut again before it listened left its socket open too.

--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -87,6 +87,7 @@
         self._upstream_count = 0
         self._revision = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._adding: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start all components; return when all entry VMs accept callers."""
@@ -114,6 +115,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*self._adding, return_exceptions=True)
         await asyncio.gather(*(sender.close() for sender in self._callers))
         await asyncio.gather(*(entry_vm.close() for entry_vm in self.vms))
         for open_link in (*self.store_links, *self.upstream_links.values()):
@@ -186,7 +188,16 @@
     # Actions of upstreams.
 
     async def add_upstream(self, pool: types.PoolName) -> None:
-        """Start an upstream behind a link and register it."""
+        """Start an upstream behind links and register it.
+
+        A cancelled fault leaves it running, so that `close` finds it.
+        """
+        adding = asyncio.create_task(self._add_upstream(pool))
+        self._adding.add(adding)
+        adding.add_done_callback(self._adding.discard)
+        await asyncio.shield(adding)
+
+    async def _add_upstream(self, pool: types.PoolName) -> None:
         index = self._upstream_count
         self._upstream_count += 1
         registration = self.network.registration(index, pool)
@@ -201,8 +212,6 @@
             target=self.network.upstream(index),
             rng=self.rng,
         )
-        await new_upstream.start()
-        await self.upstream_links[registration.id].start()
         links_by_vm = {
             entry_vm.vm_settings.entry_vm: link.FaultyLink(
                 listen=self.network.upstream_link_of(number, index),
@@ -211,9 +220,11 @@
             )
             for number, entry_vm in enumerate(self.vms)
         }
+        self.own_links[registration.id] = links_by_vm
+        await new_upstream.start()
+        await self.upstream_links[registration.id].start()
         for own_link in links_by_vm.values():
             await own_link.start()
-        self.own_links[registration.id] = links_by_vm
         self.upstreams[registration.id] = new_upstream
         await self._register(registration)
 
--- a/packages/soak/src/lagoonrun_soak/link.py
+++ b/packages/soak/src/lagoonrun_soak/link.py
@@ -72,6 +72,7 @@
         self._rng = rng
         self._server: asyncio.Server | None = None
         self._starting: asyncio.Task[None] | None = None
+        self._listening: socket.socket | None = None
         self._blocked: list[socket.socket] = []
         self._connections: set[_Connection] = set()
         self.state = LinkState.SOUND
@@ -102,11 +103,12 @@
             self._stop_listening()
             # The socket listens from here on; connections wait until the
             # server accepts them.
-            listening = self._bind(_BACKLOG)
-            self._starting = asyncio.create_task(self._serve(listening))
+            self._listening = self._bind(_BACKLOG)
+            self._starting = asyncio.create_task(self._serve(self._listening))
 
     async def _serve(self, listening: socket.socket) -> None:
         self._server = await asyncio.start_server(self._accept, sock=listening)
+        self._listening = None
 
     def _bind(self, backlog: int) -> socket.socket:
         listening = socket.socket()
@@ -129,6 +131,9 @@
         if self._starting is not None:
             self._starting.cancel()
             self._starting = None
+        if self._listening is not None:
+            self._listening.close()
+            self._listening = None
         if self._server is not None:
             self._server.close()
             self._server = None
--- a/packages/soak/tests/test_link.py
+++ b/packages/soak/tests/test_link.py
@@ -103,3 +103,15 @@
     assert await echo_of(*other_connection) == b"x"
     for open_writer in (writer, other_connection[1]):
         open_writer.close()
+
+
+async def test_link_that_changes_back_at_once_can_be_cut_again(faulty_link):
+    """Guards against a listening socket that is left open."""
+    for _ in range(3):
+        faulty_link.set_state(LinkState.REFUSED)
+        faulty_link.set_state(LinkState.SOUND)
+        faulty_link.set_state(LinkState.UNREACHABLE)
+        faulty_link.set_state(LinkState.SOUND)
+    connection = await asyncio.open_connection(HOST, faulty_link.port)
+    assert await echo_of(*connection) == b"x"
+    connection[1].close()
--- a/packages/soak/tests/test_upstream.py
+++ b/packages/soak/tests/test_upstream.py
@@ -1,10 +1,11 @@
 """Tests of the simulated upstreams against a caller of their own."""
 
 import asyncio
+import random
 
 import pytest
 
-from lagoonrun_soak import layout, record, upstream
+from lagoonrun_soak import fleet, layout, record, upstream
 from lagoonrun_standins import router_world
 from lagoonrun_users_platform import wire
 
@@ -82,3 +83,23 @@
     # A busy machine only adds to the times.
     assert 0.95 * usual < seconds[0] < 2.4 * usual
     assert 2.4 * usual < seconds[1]
+
+
+async def test_upstream_that_is_being_added_is_closed_with_its_deployment(
+    tmp_path,
+):
+    """Guards against addresses that one soak leaves in use for the next."""
+    for steps in range(20):
+        deployment = fleet.Deployment(
+            network=layout.Network.of_process(),
+            vms=2,
+            folder=tmp_path,
+            rng=random.Random(1),
+        )
+        adding = asyncio.create_task(deployment.add_upstream(layout.PLAIN))
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        adding.cancel()
+        (result,) = await asyncio.gather(adding, return_exceptions=True)
+        await deployment.close()
+        assert not isinstance(result, OSError)
