Ask other entry VMs again after a second, whatever failed meanwhile

While forwarders are left out for a second since none of them reached an upstream, each further failure of the own link began that second anew: with steady traffic no other entry VM was asked again as long as the cut lasted, although some reached the upstream by then.

Fix: only an attempt that asked them counts. Attempts are made up when they are due, so that nothing is ordered for a connection that opens at once; counts of entry VMs are taken once for a request, and only while an upstream is brittle.

Evidence: test_callers_are_served_once_the_others_reach_the_upstreams failed before (0 of all served, REFUSED and CLOSED_TO_NEW).

--- a/packages/router/src/lagoonrun_router/availability.py
+++ b/packages/router/src/lagoonrun_router/availability.py
@@ -105,16 +105,15 @@
             and not self._rests.has_any(now=now)
         ):
             return Available(open_by_id=by_id)
-        closed = sorted(
-            filter(
-                None,
-                (
-                    self._closed_upstream(one, tier, now)
-                    for one in by_id.values()
-                ),
-            ),
-            key=lambda one: one.wait_seconds,
+        entry_vm_count = 1
+        if self._brittle:
+            entry_vm_count = self._routing.fleet_counts(now=now).known
+        found = (
+            self._closed_upstream(one, tier, now)
+            or self._closed_brittle(one, entry_vm_count)
+            for one in by_id.values()
         )
+        closed = sorted(filter(None, found), key=lambda one: one.wait_seconds)
         left_out = {one.upstream for one in closed}
         open_by_id = {
             id: one for id, one in by_id.items() if id not in left_out
@@ -144,7 +143,7 @@
         rest_seconds = self._rests.rest_seconds(instance, now=now)
         limited_seconds = self._limited.closed_seconds(upstream, tier, now=now)
         if not rest_seconds and not limited_seconds:
-            return self._closed_brittle(upstream, now)
+            return None
         rests = rest_seconds >= limited_seconds
         return ClosedUpstream(
             upstream=upstream.id,
@@ -153,11 +152,8 @@
         )
 
     def _closed_brittle(
-        self, upstream: upstreams.Registration, now: float
+        self, upstream: upstreams.Registration, entry_vm_count: int
     ) -> ClosedUpstream | None:
-        if not self._brittle:
-            return None
-        entry_vm_count = self._routing.fleet_counts(now=now).known
         if self._brittle.has_share_left(
             upstream, entry_vm_count=entry_vm_count
         ):
--- a/packages/router/src/lagoonrun_router/brittle_upstreams.py
+++ b/packages/router/src/lagoonrun_router/brittle_upstreams.py
@@ -10,6 +10,7 @@
 import dataclasses
 import logging
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 from lagoonrun_core import events, logs, types
@@ -33,8 +34,8 @@
 class OwnRequests(Protocol):
     """The requests of this entry VM that are in flight."""
 
-    def own_running(self) -> dict[types.UpstreamId, int]:
-        """Return their number by upstream."""
+    def own_running_at(self, upstream: types.UpstreamId) -> int:
+        """Return their number at an upstream."""
 
 
 class BrittleUpstreams:
@@ -73,21 +74,27 @@
         if not self.is_brittle(running_requests.instance_of(upstream)):
             return True
         share = max(1, math.ceil(upstream.slots / max(1, entry_vm_count)))
-        return self._own_requests.own_running().get(upstream.id, 0) < share
+        return self._own_requests.own_running_at(upstream.id) < share
 
     def apply_answer(
         self,
         instance: running_requests.UpstreamInstance,
         notice: upstream_notice.UpstreamNotice,
         *,
-        entry_vm_count: int,
+        count_entry_vms: Callable[[], int],
     ) -> upstream_notice.UpstreamNotice:
-        """Apply an answer; return it with the back-off that it calls for."""
+        """Apply an answer; return it with the back-off that it calls for.
+
+        Parameters
+        ----------
+        count_entry_vms
+            Returns the number of entry VMs that share the refusals.
+        """
         refusals = notice.refusals_per_second
         self._record(instance, refusals)
         if refusals is None or not notice.refused:
             return notice
-        seconds = entry_vm_count / max(1.0, refusals)
+        seconds = count_entry_vms() / max(1.0, refusals)
         seconds = min(
             _MAX_BACK_OFF_SECONDS, max(_MIN_BACK_OFF_SECONDS, seconds)
         )
--- a/packages/router/src/lagoonrun_router/load_ledger.py
+++ b/packages/router/src/lagoonrun_router/load_ledger.py
@@ -133,6 +133,10 @@
             for upstream, in_flight in self._own_by_upstream.items()
         }
 
+    def own_running_at(self, upstream: types.UpstreamId) -> int:
+        """Return how many own requests run at an upstream."""
+        return len(self._own_by_upstream.get(upstream, ()))
+
     def _own_load(self, upstream: types.UpstreamId, now: float) -> loads.Load:
         in_flight = self._own_by_upstream.get(upstream)
         return (
--- a/packages/router/src/lagoonrun_router/upstream_dialer.py
+++ b/packages/router/src/lagoonrun_router/upstream_dialer.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import functools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import supervised_task, ticks, types
@@ -34,7 +34,11 @@
 _TRIAL_TIMEOUT_SECONDS = 0.4
 _TRIAL_TICK_SECONDS = 0.05
 
+_ALL_ATTEMPTS_SECONDS = _STAGGER_SECONDS * _MAX_FORWARDERS
+"""Time after which all attempts have started."""
+
 _Connection = upstream_connection.UpstreamConnection
+_Attempt = Callable[[], Awaitable[_Connection]]
 
 
 class UpstreamDialer:
@@ -110,46 +114,64 @@
         registration = self._directory.registration_at(
             endpoint.address, endpoint.port
         )
-        now = self._clock.monotonic()
         if registration is None:
             return await self._direct.dial(endpoint, make_connection)
-        upstream = registration.id
-        is_cut = self._links.is_cut(upstream)
-        attempts: list[Callable[[], Awaitable[_Connection]]] = []
-        if is_cut or self._links.may_forward(upstream, now=now):
-            attempts += [
-                self._forwarded_attempt(
-                    upstream, make_connection, peer, address
-                )
-                for peer, address in self._forwarders.ordered(
-                    registration.domain, count=_MAX_FORWARDERS, now=now
-                )
-            ]
-
-        async def dial_directly() -> _Connection:
-            return await self._direct.dial(endpoint, make_connection)
-
-        attempts.insert(len(attempts) if is_cut else 0, dial_directly)
+        began_at = self._clock.monotonic()
+        may_forward = self._links.may_forward(registration.id, now=began_at)
         try:
             connection = await staggered.first_result(
-                attempts,
+                self._attempts(
+                    registration,
+                    endpoint,
+                    make_connection,
+                    may_forward=may_forward,
+                ),
                 stagger_seconds=_STAGGER_SECONDS,
                 discard=_Connection.abort,
             )
-        except OSError:
-            self._links.record_unreachable(
-                upstream, now=self._clock.monotonic()
-            )
-            raise
-        except asyncio.CancelledError:
-            # Also if the caller has left, which says nothing of the upstream.
+        except (OSError, asyncio.CancelledError) as error:
             ended_at = self._clock.monotonic()
-            if ended_at - now >= _STAGGER_SECONDS * len(attempts):
-                self._links.record_unreachable(upstream, now=ended_at)
+            # A caller that has left says nothing of the upstream.
+            all_tried = (
+                isinstance(error, OSError)
+                or ended_at - began_at >= _ALL_ATTEMPTS_SECONDS
+            )
+            if may_forward and all_tried:
+                self._links.record_unreachable(registration.id, now=ended_at)
             raise
-        self._record(upstream, connection)
+        self._record(registration.id, connection)
         return connection
 
+    def _attempts(
+        self,
+        registration: upstreams.Registration,
+        endpoint: dialing.Endpoint,
+        make_connection: dialing.MakeConnection,
+        *,
+        may_forward: bool,
+    ) -> Iterator[_Attempt]:
+        """Yield the attempts in their order; later ones only when needed."""
+        dial_directly = functools.partial(
+            self._direct.dial, endpoint, make_connection
+        )
+        is_cut = self._links.is_cut(registration.id)
+        if not is_cut:
+            yield dial_directly
+        if may_forward:
+            now = self._clock.monotonic()
+            for peer, address in self._forwarders.ordered(
+                registration.domain, count=_MAX_FORWARDERS, now=now
+            ):
+                yield functools.partial(
+                    self._dial_by_way_of,
+                    peer,
+                    address,
+                    registration.id,
+                    make_connection,
+                )
+        if is_cut:
+            yield dial_directly
+
     def _record(
         self, upstream: types.UpstreamId, connection: _Connection
     ) -> None:
@@ -161,34 +183,26 @@
         else:
             self._links.record_reached(upstream, now=now)
 
-    def _forwarded_attempt(
+    async def _dial_by_way_of(
         self,
-        upstream: types.UpstreamId,
-        make_connection: dialing.MakeConnection,
         peer: types.EntryVmId,
         address: settings.Address,
-    ) -> Callable[[], Awaitable[_Connection]]:
-        async def dial() -> _Connection:
-            opened = False
-            try:
-                connection = await forwarded_connection.open_forwarded(
-                    make_connection, upstream=upstream, forwarder=address
-                )
-                opened = True
-                self._forwarders.record_opened(
-                    peer, now=self._clock.monotonic()
-                )
-                return connection
-            except (OSError, asyncio.CancelledError):
-                self._forwarders.record_failed(
-                    peer, now=self._clock.monotonic()
-                )
-                raise
-            finally:
-                result = "opened" if opened else "failed"
-                self._metrics.forwarders_asked.labels(result).inc()
-
-        return dial
+        upstream: types.UpstreamId,
+        make_connection: dialing.MakeConnection,
+    ) -> _Connection:
+        result = "failed"
+        try:
+            connection = await forwarded_connection.open_forwarded(
+                make_connection, upstream=upstream, forwarder=address
+            )
+            result = "opened"
+        except (OSError, asyncio.CancelledError):
+            self._forwarders.record_failed(peer, now=self._clock.monotonic())
+            raise
+        finally:
+            self._metrics.forwarders_asked.labels(result).inc()
+        self._forwarders.record_opened(peer, now=self._clock.monotonic())
+        return connection
 
     async def is_reached_by_others(
         self, upstream: upstreams.Registration
--- a/packages/router/src/lagoonrun_router/upstream_links.py
+++ b/packages/router/src/lagoonrun_router/upstream_links.py
@@ -51,7 +51,9 @@
         return not self.is_cut(upstream) and reached_at >= self._newest_cut_at
 
     def may_forward(self, upstream: types.UpstreamId, *, now: float) -> bool:
-        """Return whether another entry VM may reach `upstream`."""
+        """Return whether another entry VM is to be asked for `upstream`."""
+        if self.is_cut(upstream):
+            return True
         unreachable_at = self._unreachable_at_by_upstream.get(
             upstream, float("-inf")
         )
--- a/packages/router/src/lagoonrun_router/upstream_notices.py
+++ b/packages/router/src/lagoonrun_router/upstream_notices.py
@@ -148,7 +148,7 @@
         notice = self.brittle.apply_answer(
             instance,
             notice,
-            entry_vm_count=self._routing.fleet_counts(now=now).known,
+            count_entry_vms=lambda: self._routing.fleet_counts(now=now).known,
         )
         rest = self.rests.apply_answer(instance, notice, now=now)
         if rest is not None:
--- a/packages/router/tests/test_cut_from_upstreams.py
+++ b/packages/router/tests/test_cut_from_upstreams.py
@@ -86,6 +86,7 @@
     worlds: list
     upstreams: list
     layout: LinkedLayout
+    others_layout: LinkedLayout
 
     @property
     def cut(self):
@@ -98,14 +99,26 @@
     """Return a function that starts a fleet; its links are closed later."""
     layouts = []
 
-    async def start(route=None, answer=answer_whole, vms=3, cut_domain=False):
+    async def start(
+        route=None,
+        answer=answer_whole,
+        vms=3,
+        *,
+        cut_domain=False,
+        linked_others=False,
+    ):
         layout = LinkedLayout({})
         layouts.append(layout)
         cut = [await world_of("vm-0", layout=layout)]
         if cut_domain:
             cut.append(await world_of("vm-0b", layout=layout))
         domain = "south" if cut_domain else "north"
-        others = [await world_of(f"vm-{n}", domain) for n in range(1, vms)]
+        others_layout = LinkedLayout(layout.declared_by_revision)
+        layouts.append(others_layout)
+        options = {"layout": others_layout} if linked_others else {}
+        others = [
+            await world_of(f"vm-{n}", domain, **options) for n in range(1, vms)
+        ]
         for one in others:
             one.layout.declared_by_revision = layout.declared_by_revision
         await others[0].declare(route or make_route())
@@ -113,6 +126,7 @@
         for number in range(UPSTREAMS):
             upstream = await upstream_of(answer, f"u-{number}")
             await layout.add_link(upstream)
+            await others_layout.add_link(upstream)
             await others[0].register(upstream)
             upstreams.append(upstream)
         worlds = [*cut, *others]
@@ -123,7 +137,12 @@
             await wait_for(
                 lambda w=world: w.router.peer_count == len(worlds) - 1
             )
-        return CutFleet(worlds=worlds, upstreams=upstreams, layout=layout)
+        return CutFleet(
+            worlds=worlds,
+            upstreams=upstreams,
+            layout=layout,
+            others_layout=others_layout,
+        )
 
     yield start
     for layout in layouts:
@@ -193,6 +212,22 @@
     assert min(cut) >= MIN_SERVED_RATIO
 
 
+@pytest.mark.parametrize("state", PARTITIONS)
+async def test_callers_are_served_once_the_others_reach_the_upstreams(
+    fleet_of, state
+):
+    """Guards against failed attempts that rule out all later ones."""
+    fleet = await fleet_of(linked_others=True)
+    fleet.layout.set_state(LinkState.REFUSED)
+    fleet.others_layout.set_state(state)
+    await served_shares(fleet.worlds, seconds=CONTACT_SECONDS)
+    fleet.others_layout.set_state(LinkState.SOUND)
+    await served_shares(fleet.worlds, seconds=CONTACT_SECONDS)
+    cut, *others = await served_shares(fleet.worlds, seconds=MEASURED_SECONDS)
+    assert min(others) == 1.0
+    assert cut >= MIN_SERVED_RATIO
+
+
 async def test_one_cut_link_is_the_only_one_that_is_avoided(fleet_of):
     """Guards against detours to upstreams that are within reach."""
     fleet = await fleet_of()
