--- a/packages/router/src/lagoonrun_router/connection_forwarder.py
+++ b/packages/router/src/lagoonrun_router/connection_forwarder.py
@@ -120,9 +120,9 @@
             return
         began_at = self._clock.monotonic()
         self._links.record_reached(registration.id, now=began_at)
-        if "upgrade" not in exchange.head.headers:
+        if self._stopping or "upgrade" not in exchange.head.headers:
             connection.reset()
-            await _respond(exchange, _OK)
+            await _respond(exchange, _UNAVAILABLE if self._stopping else _OK)
             return
         self._open.add(connection)
         self._all_closed.clear()
