Leave burst summaries out of the soak's check of cut entry VMs

The logs show no request at it that failed for its links: all 138 requests of the other classes in those seconds were complete at the four entry VMs, and what was not served are summaries of four bursts, refused as overloaded everywhere (over-share, no-room), 143 to 406 at each entry VM, since callers in a burst choose one at random and come again at once.

The check keeps all other classes during a burst, and summaries otherwise; its bound is as before. Three tests hold it to that.

--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -482,6 +482,7 @@
             and one.ended_at <= cut.end
             and not one.crashing_request
             and one.status != _UNAUTHORIZED
+            and not (one.kind == layout.SUMMARY.name and _bursts(history, cut))
             and _is_vm_undisturbed(history, one, cut)
         ]
         at_cut = [one for one in requests if one.vm == cut.vm]
@@ -501,6 +502,18 @@
             )
 
 
+def _bursts(history: record.History, cut: record.Cut) -> bool:
+    """Return whether callers burst during a cut.
+
+    They send summaries to entry VMs chosen at random, and most are refused for
+    lack of capacity, wherever they are sent.
+    """
+    return any(
+        burst.start <= cut.end and burst.end >= cut.start
+        for burst in history.bursts
+    )
+
+
 def _is_vm_undisturbed(
     history: record.History, request: record.CallerRequest, cut: record.Cut
 ) -> bool:
--- a/packages/soak/tests/test_checks.py
+++ b/packages/soak/tests/test_checks.py
@@ -358,3 +358,56 @@
         "1.00 s after the start of a burst of guild: 5 house summary 503 "
         "overloaded; 24 of the burst were served"
     )
+
+
+CUT = record.Cut(vm="vm-0", start=100.0, end=108.0)
+
+
+def cut_requests(*, at_cut, elsewhere=200, kind="lookup", sent_at=104.0):
+    """Return requests at the cut entry VM and at another, with statuses."""
+    return [
+        make_request(
+            id=f"{vm}-{number}",
+            vm=vm,
+            kind=kind,
+            sent_at=sent_at,
+            ended_at=sent_at + 0.1,
+            status=status,
+            body=upstream.whole_body(f"{vm}-{number}"),
+        )
+        for vm, status in (("vm-0", at_cut), ("vm-1", elsewhere))
+        for number in range(20)
+    ]
+
+
+def test_refused_callers_of_a_cut_entry_vm_break_cut_off():
+    """Guards against a check that overlooks callers of cut entry VMs."""
+    violated = violated_guarantees(*cut_requests(at_cut=502), cuts=[CUT])
+    assert violated == {Guarantee.CUT_OFF}
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"at_cut": 200},
+        {"at_cut": 502, "elsewhere": 502},
+        {"at_cut": 502, "sent_at": 101.0},
+    ],
+)
+def test_callers_of_a_cut_entry_vm_that_fare_like_others(changes):
+    assert violated_guarantees(*cut_requests(**changes), cuts=[CUT]) == set()
+
+
+def test_only_summaries_are_left_out_of_a_cut_during_a_burst():
+    """Guards against a burst that hides what it does not concern."""
+    burst = record.Burst(organisation="house", start=103.0, end=105.0)
+    lookups = cut_requests(at_cut=502)
+    found = violated_guarantees(*lookups, cuts=[CUT], bursts=[burst])
+    assert found == {Guarantee.CUT_OFF}
+    summaries = cut_requests(at_cut=503, kind="summary")
+    for request in summaries:
+        request.body = upstream.whole_body(request.id)
+    found = violated_guarantees(*summaries, cuts=[CUT], bursts=[burst])
+    assert Guarantee.CUT_OFF not in found
+    found = violated_guarantees(*summaries, cuts=[CUT])
+    assert Guarantee.CUT_OFF in found
