Compare cut entry VMs with the others class by class in the soak

The number that is expected of a cut entry VM is now made up class by class from the shares of the others, so that a different mix is no difference. No class is left out any more, and the two thirds and the 10 + 1 in 50 stay.

--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -482,36 +482,41 @@
             and one.ended_at <= cut.end
             and not one.crashing_request
             and one.status != _UNAUTHORIZED
-            and not (one.kind == layout.SUMMARY.name and _bursts(history, cut))
             and _is_vm_undisturbed(history, one, cut)
         ]
         at_cut = [one for one in requests if one.vm == cut.vm]
         elsewhere = [one for one in requests if one.vm != cut.vm]
         failed = [one for one in at_cut if not _is_served(one)]
         allowed = _MAX_CUT_FAILURES + _MAX_CUT_FAILURE_SHARE * len(at_cut)
-        if not elsewhere or len(failed) <= allowed:
+        if len(failed) <= allowed:
             continue
-        share = 1.0 - len(failed) / len(at_cut)
-        share_elsewhere = sum(map(_is_served, elsewhere)) / len(elsewhere)
-        if share < _MIN_CUT_RATIO * share_elsewhere:
+        served = len(at_cut) - len(failed)
+        expected = _expected_served(at_cut, elsewhere)
+        if served < _MIN_CUT_RATIO * expected:
             yield Violation(
                 guarantee=Guarantee.CUT_OFF,
                 request_id=failed[0].id,
-                detail=f"{cut.vm} was cut off and served {share:.2f}, the "
-                f"others {share_elsewhere:.2f}",
+                detail=f"{cut.vm} was cut off and served {served} of "
+                f"{len(at_cut)}, the others would have {expected:.1f}",
             )
 
 
-def _bursts(history: record.History, cut: record.Cut) -> bool:
-    """Return whether callers burst during a cut.
+def _expected_served(
+    requests: list[record.CallerRequest], others: list[record.CallerRequest]
+) -> float:
+    """Return how many of `requests` are served if each class is as in `others`.
 
-    They send summaries to entry VMs chosen at random, and most are refused for
-    lack of capacity, wherever they are sent.
+    Entry VMs get different numbers of requests of each class: callers in a burst
+    choose one at random and come again at once when they are refused.
     """
-    return any(
-        burst.start <= cut.end and burst.end >= cut.start
-        for burst in history.bursts
-    )
+    outcomes_by_kind: dict[str, list[bool]] = collections.defaultdict(list)
+    for one in others:
+        outcomes_by_kind[one.kind].append(_is_served(one))
+    expected = 0.0
+    for one in requests:
+        served = outcomes_by_kind[one.kind]
+        expected += sum(served) / len(served) if served else 0.0
+    return expected
 
 
 def _is_vm_undisturbed(
