Let lower tiers take nothing from a higher tier's share of a brittle upstream

While an upstream is brittle each entry VM has a share of its slots. Requests of a lower tier filled it, and urgent ones were refused until one ended.

Fix: only requests of the same tier or above count against the share, as with the slots of engines.

Evidence: test_lower_tier_takes_nothing_from_the_share_of_a_higher_one failed before (503) and passes now.

--- a/packages/router/src/lagoonrun_router/availability.py
+++ b/packages/router/src/lagoonrun_router/availability.py
@@ -110,7 +110,7 @@
             entry_vm_count = self._routing.fleet_counts(now=now).known
         found = (
             self._closed_upstream(one, tier, now)
-            or self._closed_brittle(one, entry_vm_count)
+            or self._closed_brittle(one, tier, entry_vm_count)
             for one in by_id.values()
         )
         closed = sorted(filter(None, found), key=lambda one: one.wait_seconds)
@@ -152,10 +152,13 @@
         )
 
     def _closed_brittle(
-        self, upstream: upstreams.Registration, entry_vm_count: int
+        self,
+        upstream: upstreams.Registration,
+        tier: types.Tier,
+        entry_vm_count: int,
     ) -> ClosedUpstream | None:
         if self._brittle.has_share_left(
-            upstream, entry_vm_count=entry_vm_count
+            upstream, tier, entry_vm_count=entry_vm_count
         ):
             return None
         return ClosedUpstream(
--- a/packages/router/src/lagoonrun_router/brittle_upstreams.py
+++ b/packages/router/src/lagoonrun_router/brittle_upstreams.py
@@ -34,8 +34,10 @@
 class OwnRequests(Protocol):
     """The requests of this entry VM that are in flight."""
 
-    def own_running_at(self, upstream: types.UpstreamId) -> int:
-        """Return their number at an upstream."""
+    def own_running_at(
+        self, upstream: types.UpstreamId, *, tier: types.Tier
+    ) -> int:
+        """Return the number of those of a tier or above at an upstream."""
 
 
 class BrittleUpstreams:
@@ -62,19 +64,28 @@
         return instance in self._refusals_by_instance
 
     def has_share_left(
-        self, upstream: upstreams.Registration, *, entry_vm_count: int
+        self,
+        upstream: upstreams.Registration,
+        tier: types.Tier,
+        *,
+        entry_vm_count: int,
     ) -> bool:
         """Return whether this entry VM may send one more request there.
 
+        Requests of lower tiers take nothing from the share of a higher one.
+
         Parameters
         ----------
+        tier
+            Tier of the request.
         entry_vm_count
             Entry VMs that share the slots, including this one.
         """
         if not self.is_brittle(running_requests.instance_of(upstream)):
             return True
         share = max(1, math.ceil(upstream.slots / max(1, entry_vm_count)))
-        return self._own_requests.own_running_at(upstream.id) < share
+        running = self._own_requests.own_running_at(upstream.id, tier=tier)
+        return running < share
 
     def apply_answer(
         self,
--- a/packages/router/src/lagoonrun_router/load_ledger.py
+++ b/packages/router/src/lagoonrun_router/load_ledger.py
@@ -133,9 +133,14 @@
             for upstream, in_flight in self._own_by_upstream.items()
         }
 
-    def own_running_at(self, upstream: types.UpstreamId) -> int:
-        """Return how many own requests run at an upstream."""
-        return len(self._own_by_upstream.get(upstream, ()))
+    def own_running_at(
+        self, upstream: types.UpstreamId, *, tier: types.Tier
+    ) -> int:
+        """Return how many own requests of a tier or above run at an upstream."""
+        return sum(
+            request.tier <= tier
+            for request in self._own_by_upstream.get(upstream, ())
+        )
 
     def _own_load(self, upstream: types.UpstreamId, now: float) -> loads.Load:
         in_flight = self._own_by_upstream.get(upstream)
--- a/packages/router/tests/test_brittle_upstreams.py
+++ b/packages/router/tests/test_brittle_upstreams.py
@@ -179,3 +179,28 @@
         world.router.exchange.notices.rests.has_any(now=time.monotonic())
         for world in worlds
     )
+
+
+async def test_lower_tier_takes_nothing_from_the_share_of_a_higher_one(
+    world_of,
+):
+    """Guards against urgent requests that are refused for less urgent ones."""
+    brittle = [BrittleUpstream() for _ in range(UPSTREAMS)]
+    worlds = await fleet(world_of, brittle)
+    await worlds[0].declare(
+        make_route(tier=1),
+        make_route(name="slow", path_prefix="/slow/", tier=3),
+        revision=3,
+    )
+    for world in worlds:
+        await wait_for(lambda w=world: w.router.replica.revision == 3)
+    await send(worlds, seconds=0.5, per_second=40)
+    slow = [
+        asyncio.create_task(worlds[0].ask("/slow/1", id=f"r-slow-{number}"))
+        for number in range(2 * UPSTREAMS)
+    ]
+    await wait_for(lambda: sum(one._open for one in brittle) == UPSTREAMS)
+    urgent = await worlds[0].ask("/lookups/1", id="r-urgent")
+    assert urgent.status == 200
+    statuses = sorted([(await one).status for one in slow])
+    assert statuses == [200] * UPSTREAMS + [503] * UPSTREAMS
