Log the version of upstreams and the request that a caller takes up

The lines could not tell whether the version changed within one answer or between two tries of a caller: no line had a version, and Resumes was read nowhere.

202 has the version of the chosen upstream and the earlier request, 200 the earlier request, 404 and 407 the version. The version is decoded into the registration of an upstream; no decision uses it yet. Resumes still goes on to the upstream like any header that concerns more than one connection.

--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -9,6 +9,8 @@
 RequestId = NewType("RequestId", str)
 """Id of a request as received by one entry VM; forwarded to the upstream."""
 
+NO_REQUEST = RequestId("")
+
 RequestDigest = NewType("RequestDigest", str)
 """Digest shared by all requests of one caller with the same path and body."""
 
@@ -31,6 +33,11 @@
 UNKNOWN_UPSTREAM_START = UpstreamStart(0)
 """Start number of an upstream that does not report one."""
 
+UpstreamVersion = NewType("UpstreamVersion", str)
+"""Version of an upstream's software; comparable within one pool only."""
+
+UNKNOWN_UPSTREAM_VERSION = UpstreamVersion("")
+
 EntryVmId = NewType("EntryVmId", str)
 NO_ENTRY_VM = EntryVmId("")
 FailureDomain = NewType("FailureDomain", str)
--- a/packages/router/src/lagoonrun_router/call.py
+++ b/packages/router/src/lagoonrun_router/call.py
@@ -40,6 +40,9 @@
     resumes_after
         Id of the event after which a broken stream is to be resumed; empty for
         a stream from its beginning.
+    resumes_request
+        Earlier request of the caller that brought the first event of the stream
+        to be resumed; empty if unstated.
     """
 
     request_id: types.RequestId
@@ -49,6 +52,7 @@
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     resumes_after: str = ""
+    resumes_request: types.RequestId = types.NO_REQUEST
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -143,6 +143,7 @@
             call,
             ranking,
             chosen=best.candidate.upstream,
+            version=by_id[best.candidate.upstream].version,
             reread_tokens=reread_tokens,
             closed=available.closed,
         )
@@ -283,6 +284,7 @@
         ranking: "_Ranking",
         *,
         chosen: str,
+        version: str = "",
         refusal: str = "",
         reread_tokens: int = 0,
         closed: tuple[availability.ClosedUpstream, ...] = (),
@@ -290,7 +292,9 @@
         logs.emit(
             events.LogEvent.REQUEST_ROUTED,
             request_id=call.request_id,
+            resumes=call.attributes.resumes_request,
             chosen=chosen,
+            version=version,
             refusal=refusal,
             route=call.route.name,
             organisation=call.organisation.id if call.organisation else "",
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -202,6 +202,7 @@
         logs.emit(
             events.LogEvent.REQUEST_ENDED,
             request_id=call.request_id,
+            resumes=call.attributes.resumes_request,
             route=call.route.name,
             profile=call.route.profile.name,
             organisation=call.organisation.id if call.organisation else "",
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -78,6 +78,8 @@
         higher one.
     reclaimable
         Whether the platform may terminate it at any time.
+    version
+        Version of its software.
     """
 
     id: types.UpstreamId
@@ -90,6 +92,7 @@
     cold_seconds: float = 0.0
     start: types.UpstreamStart = types.UNKNOWN_UPSTREAM_START
     reclaimable: bool = False
+    version: types.UpstreamVersion = types.UNKNOWN_UPSTREAM_VERSION
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -284,6 +287,8 @@
             pool=registration.pool,
             start=registration.start,
             previous_start=known.registration.start,
+            version=registration.version,
+            previous_version=known.registration.version,
             previous_state=known.state.value,
         )
 
@@ -471,6 +476,7 @@
         upstream=registration.id,
         pool=registration.pool,
         domain=registration.domain,
+        version=registration.version,
         state=state.value,
         source=source,
     )
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -32,6 +32,7 @@
             patience_seconds=float(patience) if patience else None,
             prompt_tokens=int(head.headers.get("Tokens") or 0),
             resumes_after=head.headers.get("Resume-After") or "",
+            resumes_request=head.headers.get("Resumed-Request") or "",
         )
 
     def upstream_head(
--- a/tests/users_platform/test_layout.py
+++ b/tests/users_platform/test_layout.py
@@ -159,6 +159,7 @@
     assert (upstream.host, upstream.port) == ("10.128.0.9", 8080)
     assert upstream.cold_seconds == 1.5
     assert upstream.start == 1_790_000_000_123
+    assert upstream.version == "v1"
     assert not upstream.leaving
     assert decode_entry(state="draining").leaving
 
--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -36,9 +36,11 @@
             ("X-Prompt-Prefix", "5c1e:800, 91bd:410,e440:250"),
             ("X-Token-Usage", "1460,80"),
             ("Last-Event-Id", "4"),
+            ("Resumes", "r-0"),
         )
     )
     assert attributes.request_id == "r-1"
+    assert attributes.resumes_request == "r-0"
     assert attributes.host == "ask.example"
     assert attributes.key == "abc"
     assert attributes.patience_seconds == 8.0
@@ -47,6 +49,22 @@
     assert attributes.resumes_after == "4"
 
 
+def test_two_resumed_requests_are_none():
+    """Guards against a stream that is taken for another one's continuation."""
+    attributes = DIALECT.read_attributes(
+        head(("Last-Event-Id", "4"), ("Resumes", "r-0"), ("Resumes", "r-9"))
+    )
+    assert attributes.resumes_request == ""
+
+
+def test_two_resumed_requests_are_none():
+    """Guards against a stream that is taken for another one's continuation."""
+    attributes = DIALECT.read_attributes(
+        head(("Last-Event-Id", "4"), ("Resumes", "r-0"), ("Resumes", "r-9"))
+    )
+    assert attributes.resumes_request == ""
+
+
 def test_plain_request_has_no_prompt():
     attributes = DIALECT.read_attributes(head())
     assert (attributes.prompt, attributes.prompt_tokens) == ((), 0)
