Continue a broken stream only at the version that began it

Callers got answers that were complete by status and length and held events of two software versions of an upstream.

Cause: an attempt after the first event could go to any upstream that had not been tried; versions were no part of the decision.

A stream is bound to the pool and version of the upstream that sent its first event, as registered when the attempt was made. Only upstreams of both are candidates from then on. Since the caller has part of the stream, it takes precedence over new requests: it is always admitted, has the highest tier at limited and brittle upstreams, waits up to 1.5 s for one that rests, and may be sent to one that began to leave within the last second, half of the time for which such an upstream serves. Without any, the stream ends as broken, reason version-gone.

On the platform an entry without a version is rejected, so the tests' registrations state one now.

--- a/packages/cli/src/lagoonrun_cli/log_causes.py
+++ b/packages/cli/src/lagoonrun_cli/log_causes.py
@@ -35,6 +35,7 @@
     REFUSED_RESERVED = "refused: reserved"
     REFUSED_AGAIN = "refused again"
     NOT_KNOWN = "store or configuration"
+    VERSION = "no upstream of the stream's version"
     UPSTREAM_LOST = "upstream lost"
     UPSTREAM_ERROR = "error of the upstream"
     ENTRY_VM_LOST = "entry VM lost"
@@ -53,6 +54,7 @@
     "crashed-upstreams": Cause.REFUSED,
     "upstreams-limited": Cause.REFUSED,
     "upstreams-resting": Cause.REFUSED,
+    "version-gone": Cause.VERSION,
     "no-upstream": Cause.NOT_KNOWN,
     "unconfigured": Cause.NOT_KNOWN,
     "upstream-failed": Cause.UPSTREAM_ERROR,
--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -44,6 +44,7 @@
     "crashed-upstreams": Verdict.REFUSED,
     "upstreams-limited": Verdict.REFUSED,
     "upstreams-resting": Verdict.REFUSED,
+    "version-gone": Verdict.REFUSED,
     "upstream-refused": Verdict.REFUSED,
     "deadline": Verdict.LIMIT,
     "caller-left": Verdict.CALLER_LEFT,
--- a/packages/core/src/lagoonrun_core/outcomes.py
+++ b/packages/core/src/lagoonrun_core/outcomes.py
@@ -48,6 +48,7 @@
     CRASHED_UPSTREAMS = "crashed-upstreams"
     UPSTREAMS_LIMITED = "upstreams-limited"
     UPSTREAMS_RESTING = "upstreams-resting"
+    VERSION_GONE = "version-gone"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -10,6 +10,7 @@
     candidates,
     placement,
     pool_capacity,
+    stream_origin,
     upstreams,
 )
 from lagoonrun_router import call as calls
@@ -86,6 +87,7 @@
         *,
         excluded: Container[types.UpstreamId],
         admitted_before: bool = False,
+        origin: stream_origin.StreamOrigin | None = None,
     ) -> Choice | pool_capacity.Rejection | AllClosed | None:
         """Return the upstream of the next attempt; None if none is usable.
 
@@ -96,14 +98,22 @@
         admitted_before
             Whether the call was admitted before. Its share and its invitation
             are used up then, and are not decided on again.
+        origin
+            Where the stream to be continued began; None for a new request. A
+            stream that its caller already has part of takes precedence over new
+            requests: it is always admitted, and has the share of the highest
+            tier at upstreams that restrict the requests they accept.
         """
         now = self._components.clock.monotonic()
-        registered = self._usable(call, now)
+        registered = self._usable(call, now, origin=origin)
         by_id = {one.id: one for one in registered if one.id not in excluded}
+        if not by_id and origin is not None:
+            by_id = self._leaving_by_id(origin, excluded, now)
+            registered = tuple(by_id.values())
         if not by_id:
             return None
         available = self._components.notices.availability.partition(
-            by_id, call.tier, now=now
+            by_id, tier_of(call, origin), now=now
         )
         if not available.open_by_id:
             return AllClosed(closed=available.closed)
@@ -111,18 +121,18 @@
         adaptive = self._components.adaptive.is_adaptive(call.pool, usable)
         sampled = self._candidates.sample(call, usable, now, adaptive=adaptive)
         ranking = self._rank(call, sampled, usable, now, adaptive=adaptive)
-        best = self._admit(call, ranking.ranked, now)
+        best = self._admit(call, ranking.ranked, now, origin=origin)
         if isinstance(best, admission.Refusal) and len(sampled) < len(usable):
             # A request is rejected only if no upstream of the pool has
             # capacity for it, so all of them are tried.
             ranking = self._rank(call, usable, usable, now, adaptive=adaptive)
-            best = self._admit(call, ranking.ranked, now)
+            best = self._admit(call, ranking.ranked, now, origin=origin)
         admitted = self._admit_adaptive(
             call,
             best,
             ranking,
             registered,
-            admitted_before=admitted_before,
+            admitted_before=admitted_before or origin is not None,
             now=now,
         )
         if isinstance(admitted, pool_capacity.Rejection):
@@ -161,23 +171,50 @@
         )
 
     def _usable(
-        self, call: calls.Call, now: float
+        self,
+        call: calls.Call,
+        now: float,
+        *,
+        origin: stream_origin.StreamOrigin | None = None,
     ) -> tuple[upstreams.Registration, ...]:
         """Return the usable upstreams; without held ones if others are left."""
         usable = self._components.directory.usable(call.pool.name, now=now)
+        if origin is not None:
+            usable = tuple(one for one in usable if origin.may_continue_at(one))
         held = self._components.overrides.held
         if not held:
             return usable
         return tuple(one for one in usable if one.id not in held) or usable
 
+    def _leaving_by_id(
+        self,
+        origin: stream_origin.StreamOrigin,
+        excluded: Container[types.UpstreamId],
+        now: float,
+    ) -> dict[types.UpstreamId, upstreams.Registration]:
+        """Return the leaving upstreams that can still continue a stream."""
+        leaving = self._components.directory.leaving_recently(
+            origin.pool, now=now
+        )
+        return {
+            one.id: one
+            for one in leaving
+            if one.id not in excluded and origin.may_continue_at(one)
+        }
+
     def all_closed(
-        self, call: calls.Call
+        self,
+        call: calls.Call,
+        *,
+        origin: stream_origin.StreamOrigin | None = None,
     ) -> tuple[availability.ClosedUpstream, ...]:
         """Return the upstreams of the pool if all are closed, else none."""
         now = self._components.clock.monotonic()
-        registered = self._usable(call, now)
+        registered = self._usable(call, now, origin=origin)
         available = self._components.notices.availability.partition(
-            {one.id: one for one in registered}, call.tier, now=now
+            {one.id: one for one in registered},
+            tier_of(call, origin),
+            now=now,
         )
         return () if available.open_by_id else available.closed
 
@@ -225,6 +262,8 @@
         call: calls.Call,
         ranked: tuple[placement.Ranked, ...],
         now: float,
+        *,
+        origin: stream_origin.StreamOrigin | None,
     ) -> placement.Ranked | admission.Refusal:
         """Return the upstream that admits the call, or the refusal.
 
@@ -232,7 +271,7 @@
         requests than they can serve, while plain services reject excess
         requests themselves.
         """
-        if call.pool.engine is None:
+        if call.pool.engine is None or origin is not None:
             return ranked[0]
         profile = call.route.profile.name
         admission_request = admission.AdmissionRequest(
@@ -381,6 +420,13 @@
     )
 
 
+def tier_of(
+    call: calls.Call, origin: stream_origin.StreamOrigin | None
+) -> types.Tier:
+    """Return the tier in which a call gets places at restricted upstreams."""
+    return call.tier if origin is None else types.HIGHEST_TIER
+
+
 def sensitivity_of(call: calls.Call) -> float:
     """Return the inverse of the longest pause allowed in a call's stream."""
     pause = call.route.longest_pause_seconds
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -33,6 +33,13 @@
 to send one request there. Each try takes a few milliseconds; after the last one
 the caller gets a Retry-After."""
 
+_MAX_CONTINUATION_WAIT_SECONDS = 1.5
+"""Longest wait of a stream for an upstream of its version that is rate limited
+or rests. Callers leave a stream after a gap of two seconds."""
+
+_MIN_CONTINUATION_WAIT_SECONDS = 0.02
+"""Time between two looks for an upstream of the version, a few round trips."""
+
 _HELD_REFUSALS = frozenset(
     (
         admission.Refusal.NO_ROOM,
@@ -86,6 +93,7 @@
         self._expected_wait_seconds = 0.0
         self._pause_waiting_tokens = 0
         self._held = False
+        self._waited_seconds = 0.0
         self._admitted = False
 
     @property
@@ -146,13 +154,20 @@
             if block is not None:
                 return await self._end_refused(self._refusals.blocked(block))
             choice = await self._choose()
+            if isinstance(choice, choosing.AllClosed) and (
+                self._may_wait_to_continue(choice)
+            ):
+                await self._wait_to_continue(choice)
+                continue
             rejected = isinstance(choice, pool_capacity.Rejection)
             if rejected and await self._hold(choice):
                 continue
             if not isinstance(choice, choosing.Choice):
                 return await self._end_refused(
                     self._refusals.unchosen(
-                        choice, earlier_may_have_run=self._earlier_may_have_run
+                        choice,
+                        earlier_may_have_run=self._earlier_may_have_run,
+                        origin=self._relay.origin,
                     )
                 )
             result = await self._attempt_at(choice)
@@ -174,7 +189,7 @@
                 return choice
             place = await self._components.notices.places.acquire(
                 choice.upstream,
-                self._call.tier,
+                choosing.tier_of(self._call, self._relay.origin),
                 request_id=self._call.request_id,
             )
             if isinstance(place, place_bucket.Granted):
@@ -193,17 +208,43 @@
             self._call,
             excluded=self._tried,
             admitted_before=self._admitted,
+            origin=self._relay.origin,
         )
         if self._tried and (
-            choice is None or isinstance(choice, choosing.AllClosed)
+            choice is None
+            or (
+                isinstance(choice, choosing.AllClosed)
+                and not self._may_wait_to_continue(choice)
+            )
         ):
             # Every upstream was tried; one that failed may have recovered.
             self._tried.clear()
             choice = self._chooser.choose(
-                self._call, excluded=(), admitted_before=self._admitted
+                self._call,
+                excluded=(),
+                admitted_before=self._admitted,
+                origin=self._relay.origin,
             )
         return choice
 
+    def _may_wait_to_continue(self, closed: choosing.AllClosed) -> bool:
+        """Return whether a stream may wait for a closed upstream.
+
+        Only a stream that its caller has part of: refused, it would be lost.
+        """
+        return (
+            self._relay.origin is not None
+            and self._waited_seconds + closed.closed[0].wait_seconds
+            <= _MAX_CONTINUATION_WAIT_SECONDS
+        )
+
+    async def _wait_to_continue(self, closed: choosing.AllClosed) -> None:
+        seconds = max(
+            _MIN_CONTINUATION_WAIT_SECONDS, closed.closed[0].wait_seconds
+        )
+        self._waited_seconds += seconds
+        await asyncio.sleep(seconds)
+
     async def _hold(self, rejection: pool_capacity.Rejection) -> bool:
         """Wait once for room that is expected soon; return whether it waited.
 
@@ -272,6 +313,7 @@
                 self._components.retry_budget.left(pool, now=now), 1
             ),
             resume_after=self._relay.resume_after,
+            version=self._relay.origin and self._relay.origin.version,
         )
         return None
 
@@ -371,7 +413,7 @@
             return await answers.pass_on(
                 self._exchange, lost.answer, upstream=lost.upstream
             )
-        closed = self._chooser.all_closed(self._call)
+        closed = self._chooser.all_closed(self._call, origin=self._relay.origin)
         return await self._end(
             reason=lost.reason,
             detail=lost.detail,
--- a/packages/router/src/lagoonrun_router/refusing.py
+++ b/packages/router/src/lagoonrun_router/refusing.py
@@ -12,6 +12,7 @@
     crash_evidence,
     pool_capacity,
     running_requests,
+    stream_origin,
 )
 from lagoonrun_router import call as calls
 from lagoonrun_router import components as router_components
@@ -79,6 +80,7 @@
         choice: pool_capacity.Rejection | choosing.AllClosed | None,
         *,
         earlier_may_have_run: bool,
+        origin: stream_origin.StreamOrigin | None = None,
     ) -> Refusal:
         """Refuse a request for which no upstream was chosen.
 
@@ -89,6 +91,8 @@
         earlier_may_have_run
             Whether an earlier attempt may have run, in which case no return is
             scheduled.
+        origin
+            Where the stream to be continued began; None for a new request.
         """
         if isinstance(choice, choosing.AllClosed):
             return self._all_closed(choice)
@@ -96,6 +100,8 @@
             return self._rejected(
                 choice, earlier_may_have_run=earlier_may_have_run
             )
+        if origin is not None:
+            return self._without_version(origin)
         return self._without_upstream()
 
     def blocked(self, block: crash_evidence.Block) -> Refusal:
@@ -153,6 +159,21 @@
             )
         )
 
+    def _without_version(self, origin: stream_origin.StreamOrigin) -> Refusal:
+        """Refuse to continue a stream whose version has no upstream left.
+
+        The caller may begin the request anew at once.
+        """
+        return self._logged(
+            Refusal(
+                reason=outcomes.Reason.VERSION_GONE,
+                detail=f"no upstream of version {origin.version!r} is left to "
+                f"continue the stream in pool {origin.pool!r}; request it from "
+                "its beginning",
+                retry_after_seconds=0.0,
+            )
+        )
+
     def _rejected(
         self, rejection: pool_capacity.Rejection, *, earlier_may_have_run: bool
     ) -> Refusal:
--- a/packages/router/src/lagoonrun_router/stream_relay.py
+++ b/packages/router/src/lagoonrun_router/stream_relay.py
@@ -13,7 +13,7 @@
 from lagoonrun_http import hop_by_hop
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
-from lagoonrun_router import attempt_result, event_splitter
+from lagoonrun_router import attempt_result, event_splitter, stream_origin
 from lagoonrun_router import call as calls
 
 _MAX_SILENCE_TARGETS = 3.0
@@ -46,6 +46,8 @@
         Id of the last event that the caller has; empty for none.
     events
         Batches of complete events that were sent on.
+    origin
+        Where the stream began; None before its first event.
     first_event_at
         Reading of the clock at the first event; None before it.
     longest_pause_seconds
@@ -66,6 +68,7 @@
         self._last_upstream_event_at: float | None = None
         self.resume_after = call.attributes.resumes_after
         self.events = 0
+        self.origin: stream_origin.StreamOrigin | None = None
         self.first_event_at: float | None = None
         self.longest_pause_seconds = 0.0
 
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -13,6 +13,7 @@
     load_report,
     loads,
     running_requests,
+    stream_origin,
     stream_relay,
 )
 from lagoonrun_router import call as calls
@@ -168,9 +169,11 @@
         choice = self._choice
         if now - choice.decided_at > _MAX_CHOICE_AGE_SECONDS:
             return False
-        allowed = self._components.directory.may_send(
-            choice.upstream.id, now=now
-        )
+        directory = self._components.directory
+        may_send = directory.may_send
+        if self._relay.origin is not None:
+            may_send = directory.may_continue
+        allowed = may_send(choice.upstream.id, now=now)
         allowed = allowed and self._components.notices.may_write(
             choice.upstream, has_place=choice.has_place, now=now
         )
@@ -223,6 +226,8 @@
         return await self._read_complete_answer(response, upstream)
 
     def _on_event(self, pause: float | None) -> None:
+        if self._relay.origin is None:
+            self._relay.origin = stream_origin.origin_at(self._choice.upstream)
         if self._run is not None:
             self._run.silent = False
         if self._in_flight.waiting:
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -40,6 +40,11 @@
 """Time after a restore in which the backup's entries may belong to upstreams
 that have ended: their leases expire after three heartbeats."""
 
+_CONTINUING_SECONDS = 1.0
+"""Time after the notice that an upstream leaves in which a broken stream may
+still be continued there. It serves for at least two seconds after its notice;
+the rest allows for the notice's delay and for that of the request."""
+
 _MIN_REGISTERED_SHARE = 0.5
 """Share of a pool that must be registered for missing upstreams to be excluded.
 
@@ -124,6 +129,7 @@
     state: UpstreamState
     heard_at: float
     missing_since: float = 0.0
+    left_at: float | None = None
 
 
 class UpstreamDirectory:
@@ -163,6 +169,33 @@
         known = self._known_by_id.get(upstream)
         return known is not None and known.state in _USABLE_STATES
 
+    def leaving_recently(
+        self, pool: types.PoolName, *, now: float
+    ) -> tuple[Registration, ...]:
+        """Return the upstreams of `pool` that began to leave a moment ago.
+
+        They get no new requests, but may continue streams that no other
+        upstream can.
+        """
+        return tuple(
+            sorted(
+                (
+                    one.registration
+                    for one in self._known_by_id.values()
+                    if one.registration.pool == pool
+                    and _left_recently(one, now)
+                ),
+                key=_registration_id,
+            )
+        )
+
+    def may_continue(self, upstream: types.UpstreamId, *, now: float) -> bool:
+        """Return whether a broken stream may still be sent to `upstream`."""
+        known = self._known_by_id.get(upstream)
+        if known is not None and _left_recently(known, now):
+            return True
+        return self.may_send(upstream, now=now)
+
     def pool_of(self, upstream: types.UpstreamId) -> types.PoolName | None:
         """Return the pool of an upstream; None if it is not known."""
         known = self._known_by_id.get(upstream)
@@ -268,7 +301,10 @@
             # An outdated listing must not make it usable again.
             state = UpstreamState.LEAVING
         self._known_by_id[registration.id] = _KnownUpstream(
-            registration=registration, state=state, heard_at=now
+            registration=registration,
+            state=state,
+            heard_at=now,
+            left_at=_left_at(known, state, now),
         )
         if known is None or known.state is not state:
             _log_state(registration, state, source="store")
@@ -461,6 +497,26 @@
 fit into a datagram."""
 
 
+def _left_at(
+    known: _KnownUpstream | None, state: UpstreamState, now: float
+) -> float | None:
+    """Return when an upstream began to leave; None if that was not seen.
+
+    One that was leaving when it became known may be about to end.
+    """
+    if known is None or state is not UpstreamState.LEAVING:
+        return None
+    return now if known.state is UpstreamState.SERVING else known.left_at
+
+
+def _left_recently(known: _KnownUpstream, now: float) -> bool:
+    return (
+        known.state is UpstreamState.LEAVING
+        and known.left_at is not None
+        and now - known.left_at < _CONTINUING_SECONDS
+    )
+
+
 def _registration_id(registration: Registration) -> types.UpstreamId:
     return registration.id
 
--- a/packages/router/tests/test_streams_of_one_version.py
+++ b/packages/router/tests/test_streams_of_one_version.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lagoonrun_http import messages as http_messages
+from lagoonrun_router import upstream_notice
 from lagoonrun_standins.router_samples import make_stream_route
 from lagoonrun_standins.router_upstream import marked
 from lagoonrun_standins.router_world import WAIT_SECONDS, wait_for
@@ -139,6 +140,41 @@
     assert sum(o.resumed for o in upstreams if o.version != version) == 0
 
 
+async def test_stream_waits_for_a_resting_upstream_of_its_version(fleet_of):
+    """Guards against a stream that is lost while its version rests briefly."""
+    upstreams = [
+        VersionedUpstream(version="v1", breaks_after=2, resumable=False),
+        VersionedUpstream(version="v1"),
+    ]
+    (world,) = await fleet_of(1, upstreams)
+    world.router.exchange.notices.apply_answer(
+        world.router.directory.registration_of("u-1"),
+        upstream_notice.UpstreamNotice(rest_seconds=0.4, refused=True),
+        sent_at=0.0,
+    )
+    answer = await world.ask()
+    assert answer.whole
+    assert [one.resumed for one in upstreams] == [0, 1]
+
+
+async def test_stream_goes_on_at_an_upstream_that_just_began_to_leave(fleet_of):
+    """Guards against a stream that is lost while its version is replaced."""
+    upstreams = [
+        VersionedUpstream(version="v1", breaks_after=2, resumable=False),
+        VersionedUpstream(version="v1"),
+    ]
+    (world,) = await fleet_of(1, upstreams)
+    directory = world.router.directory
+    leaving = directory.registration_of("u-1")
+    await world.register_at(
+        "u-1", leaving.port, version="v1", leaving=True, slots=2
+    )
+    await wait_for(lambda: not directory.is_serving("u-1"))
+    answer = await world.ask()
+    assert answer.whole
+    assert [one.resumed for one in upstreams] == [0, 1]
+
+
 async def test_stream_taken_up_elsewhere_goes_on_at_its_version(fleet_of):
     """Guards against a version that changes when an entry VM is killed."""
     upstreams = [VersionedUpstream(version=version) for version in VERSIONS * 3]
--- a/packages/router/tests/test_upstreams.py
+++ b/packages/router/tests/test_upstreams.py
@@ -43,6 +43,25 @@
     assert not directory.may_send("u-1", now=1001.0)
 
 
+def test_leaving_upstream_continues_streams_for_a_second(directory):
+    """Guards against requests that reach an upstream that is about to end."""
+    apply_listing_of(directory, "u-1", "u-2")
+    directory.apply_entry(make_registration("u-1", leaving=True), now=1000.0)
+    directory.apply_entry(make_registration("u-1", leaving=True), now=1000.9)
+    (leaving,) = directory.leaving_recently("portal", now=1000.9)
+    assert leaving.id == "u-1"
+    assert directory.may_continue("u-1", now=1000.9)
+    assert directory.leaving_recently("portal", now=1001.0) == ()
+    assert not directory.may_continue("u-1", now=1001.0)
+
+
+def test_upstream_that_was_leaving_when_found_continues_nothing(directory):
+    """Guards against an entry VM that starts and takes old notices for new."""
+    directory.apply_entry(make_registration("u-1", leaving=True), now=1000.0)
+    assert directory.leaving_recently("portal", now=1000.0) == ()
+    assert not directory.may_continue("u-1", now=1000.0)
+
+
 @pytest.mark.parametrize("gone", [False, True], ids=["leaving", "gone"])
 def test_upstream_that_starts_again_is_used(directory, gone):
     """An upstream announces its exit, ends and restarts under the same id.
--- a/packages/standins/src/lagoonrun_standins/router_samples.py
+++ b/packages/standins/src/lagoonrun_standins/router_samples.py
@@ -82,6 +82,7 @@
         "host": HOST,
         "port": 9000,
         "slots": 8,
+        "version": "v1",
     }
     return upstreams.Registration(id=id, **{**values, **changes})
 
