Find out at which version a stream began before continuing it elsewhere

Callers that lost a stream took it up at another entry VM and got its end from another software version.

Cause: no entry VM knew what another one had chosen, and Resumes was read nowhere.

The entry VM that sends a resumable stream to an upstream tells two others its pool and version as the request is written, so that the first event waits for nothing. They follow from the id of the request: one in its own failure domain and one in another. An entry VM at which a stream is taken up asks those that may be the holders, in each domain. Without a record it goes on only if the pool has had one version, and the route the same destinations, for longer than a stream lasts, by its own view or that of one asked, and no one asked knows of several. While that holds nothing is told; when a second version appears, the streams in progress are. A stream of unknown origin is refused at once, not run, reason version-unknown, and the caller may begin anew.

The pool of the record decides where a split route would choose another. A version that is not known here yet is waited for, 0.5 s at most. An origin that was found is told on to entry VMs that have answered, for a third try.

test_caller_may_resume_its_broken_stream resumed a stream that nobody had begun, at an entry VM of some milliseconds of age: it is begun there now, and the same is asserted of the continuation.

Line 213 has what was known of the stream, by whom, since when; counters by evidence.

--- a/packages/cli/src/lagoonrun_cli/log_causes.py
+++ b/packages/cli/src/lagoonrun_cli/log_causes.py
@@ -55,6 +55,7 @@
     "upstreams-limited": Cause.REFUSED,
     "upstreams-resting": Cause.REFUSED,
     "version-gone": Cause.VERSION,
+    "version-unknown": Cause.VERSION,
     "no-upstream": Cause.NOT_KNOWN,
     "unconfigured": Cause.NOT_KNOWN,
     "upstream-failed": Cause.UPSTREAM_ERROR,
--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -45,6 +45,7 @@
     "upstreams-limited": Verdict.REFUSED,
     "upstreams-resting": Verdict.REFUSED,
     "version-gone": Verdict.REFUSED,
+    "version-unknown": Verdict.REFUSED,
     "upstream-refused": Verdict.REFUSED,
     "deadline": Verdict.LIMIT,
     "caller-left": Verdict.CALLER_LEFT,
--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -34,6 +34,7 @@
     REQUEST_UNBLOCKED = (210, "request-unblocked")
     PLACE_DECIDED = (211, "place-decided")
     PLACE_UNANSWERED = (212, "place-unanswered")
+    STREAM_TAKEN_UP = (213, "stream-taken-up")
 
     SHARD_OWNED = (300, "shard-owned")
     SHARD_RELEASED = (301, "shard-released")
--- a/packages/core/src/lagoonrun_core/outcomes.py
+++ b/packages/core/src/lagoonrun_core/outcomes.py
@@ -49,6 +49,7 @@
     UPSTREAMS_LIMITED = "upstreams-limited"
     UPSTREAMS_RESTING = "upstreams-resting"
     VERSION_GONE = "version-gone"
+    VERSION_UNKNOWN = "version-unknown"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -25,6 +25,7 @@
 """Name of a profile, which is also the class of the requests that use it."""
 
 PoolName = NewType("PoolName", str)
+NO_POOL = PoolName("")
 UpstreamId = NewType("UpstreamId", str)
 
 UpstreamStart = NewType("UpstreamStart", int)
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -528,6 +528,84 @@
     giver: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OriginRow:
+    """The pool and version at which a resumable stream begins.
+
+    Parameters
+    ----------
+    request
+        Id of the request that brings the first event of the stream.
+    attempt
+        Number of the attempt that is sent there; that of the highest number
+        began the stream.
+    left_milliseconds
+        Time until the row may be forgotten.
+    """
+
+    request: types.RequestId
+    pool: types.PoolName
+    version: types.UpstreamVersion
+    attempt: int
+    left_milliseconds: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OriginNews:
+    """Origins of streams, sent to the entry VMs that keep them."""
+
+    entry_vm: types.EntryVmId
+    rows: tuple[OriginRow, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OriginQuery:
+    """Question where a stream began that a caller takes up.
+
+    Parameters
+    ----------
+    host, port
+        Address for the answer.
+    number
+        Identifies this query in its answers.
+    request
+        Id of the request that brought the first event of the stream.
+    route
+        Host and path prefix of its route.
+    """
+
+    host: str
+    port: int
+    number: int
+    request: types.RequestId
+    route: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OriginAnswer:
+    """Answer to an `OriginQuery`.
+
+    Parameters
+    ----------
+    evidence
+        A value of `lagoonrun_router.stream_origin.Evidence`.
+    pool, version
+        Where the stream began; empty if that is not known.
+    age_milliseconds
+        Time since the origin was recorded.
+    attempt
+        Number of the attempt that it was recorded for.
+    """
+
+    entry_vm: types.EntryVmId
+    number: int
+    evidence: str
+    pool: types.PoolName = types.NO_POOL
+    version: types.UpstreamVersion = types.UNKNOWN_UPSTREAM_VERSION
+    age_milliseconds: int = 0
+    attempt: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoredItem:
     """A key of the store and its value."""
@@ -632,6 +710,9 @@
     | RestNews
     | PlaceRequest
     | PlaceAnswer
+    | OriginNews
+    | OriginQuery
+    | OriginAnswer
     | DeclaredChange
     | StoredItems
 )
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -376,6 +376,37 @@
   giver @3 :Text;
 }
 
+struct OriginRow {
+  request @0 :Text;
+  pool @1 :Text;
+  version @2 :Text;
+  attempt @3 :UInt32;
+  leftMilliseconds @4 :UInt32;
+}
+
+struct OriginNews {
+  entryVm @0 :Text;
+  rows @1 :List(OriginRow);
+}
+
+struct OriginQuery {
+  host @0 :Text;
+  port @1 :UInt32;
+  number @2 :UInt64;
+  request @3 :Text;
+  route @4 :Text;
+}
+
+struct OriginAnswer {
+  entryVm @0 :Text;
+  number @1 :UInt64;
+  evidence @2 :Text;
+  pool @3 :Text;
+  version @4 :Text;
+  ageMilliseconds @5 :UInt32;
+  attempt @6 :UInt32;
+}
+
 struct StoredItem {
   key @0 :Text;
   value @1 :Data;
@@ -443,5 +474,8 @@
     placeRequest @26 :PlaceRequest;
     placeAnswer @27 :PlaceAnswer;
     restNews @28 :RestNews;
+    originNews @29 :OriginNews;
+    originQuery @30 :OriginQuery;
+    originAnswer @31 :OriginAnswer;
   }
 }
--- a/packages/router/src/lagoonrun_router/call.py
+++ b/packages/router/src/lagoonrun_router/call.py
@@ -5,7 +5,7 @@
 
 from lagoonrun_core import types
 from lagoonrun_http import messages as http_messages
-from lagoonrun_router import declarations
+from lagoonrun_router import declarations, stream_origin
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -82,6 +82,9 @@
         The same for each repetition of the request by its caller.
     tier_targets
         Smallest target in seconds of each tier of the pool.
+    found_origin
+        Where the stream began that this request takes up; None for a stream
+        from its beginning and for other requests.
     """
 
     attributes: CallAttributes
@@ -101,6 +104,7 @@
     tier_targets: Mapping[types.Tier, float] = dataclasses.field(
         default_factory=dict
     )
+    found_origin: stream_origin.FoundOrigin | None = None
 
     @property
     def request_id(self) -> types.RequestId:
--- a/packages/router/src/lagoonrun_router/components.py
+++ b/packages/router/src/lagoonrun_router/components.py
@@ -22,6 +22,7 @@
     prompt_locations,
     reach,
     retry_budget,
+    stream_origins,
     upstream_notices,
     upstreams,
 )
@@ -45,6 +46,8 @@
         Admits requests to the adaptive pools.
     overrides
         Overrides that operators have set.
+    stream_origins
+        Knows where streams began that callers take up.
     usage
         Counts requests that begin to run; None if usage is not reported.
     """
@@ -69,4 +72,5 @@
     adaptive: adaptive_load.AdaptiveLoad
     capacity: pool_capacity.PoolCapacity
     overrides: operator_overrides.OperatorOverrides
+    stream_origins: stream_origins.StreamOrigins
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -40,6 +40,10 @@
 _MIN_CONTINUATION_WAIT_SECONDS = 0.02
 """Time between two looks for an upstream of the version, a few round trips."""
 
+_MAX_VERSION_WAIT_SECONDS = 0.5
+"""Longest wait for the first upstream of a version that this entry VM has not
+heard of yet, but the entry VM that began the stream has."""
+
 _HELD_REFUSALS = frozenset(
     (
         admission.Refusal.NO_ROOM,
@@ -145,6 +149,12 @@
         ).inc()
 
     async def _attempts(self) -> outcomes.Ending:
+        if self._call.found_origin is not None:
+            self._relay.origin = self._call.found_origin.origin
+            if self._relay.origin is None:
+                return await self._end_refused(
+                    self._refusals.of_unknown_origin(self._call.found_origin)
+                )
         while True:
             # Checked before retries too: the request may have been found to
             # crash upstreams since it was last sent.
@@ -159,6 +169,8 @@
             ):
                 await self._wait_to_continue(choice)
                 continue
+            if choice is None and await self._wait_for_version():
+                continue
             rejected = isinstance(choice, pool_capacity.Rejection)
             if rejected and await self._hold(choice):
                 continue
@@ -245,6 +257,19 @@
         self._waited_seconds += seconds
         await asyncio.sleep(seconds)
 
+    async def _wait_for_version(self) -> bool:
+        """Wait a moment for a version that is not known here yet."""
+        origin = self._relay.origin
+        if (
+            origin is None
+            or self._components.stream_origins.versions.has_seen(origin)
+            or self._waited_seconds >= _MAX_VERSION_WAIT_SECONDS
+        ):
+            return False
+        self._waited_seconds += _MIN_CONTINUATION_WAIT_SECONDS
+        await asyncio.sleep(_MIN_CONTINUATION_WAIT_SECONDS)
+        return True
+
     async def _hold(self, rejection: pool_capacity.Rejection) -> bool:
         """Wait once for room that is expected soon; return whether it waited.
 
@@ -398,6 +423,7 @@
             )
         if isinstance(result, attempt_result.Delivered):
             self._complete_at = components.clock.monotonic()
+            components.stream_origins.record_complete(self._call.request_id)
         return result
 
     def _may_send_again(self) -> bool:
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -15,6 +15,7 @@
     format_error,
     request_digest,
     route_table,
+    stream_origin,
     urgency,
 )
 from lagoonrun_router import call as calls
@@ -144,7 +145,17 @@
                 "the key is missing or unknown",
             )
             return None
+        found_origin = None
+        if attributes.resumes_after and (
+            route.answer_kind is declarations.AnswerKind.EVENTS
+        ):
+            found_origin = await self._components.stream_origins.find(
+                attributes.resumes_request,
+                route,
+                taken_up_by=attributes.request_id,
+            )
         return _call_of(
+            found_origin=found_origin,
             table=table,
             route=route,
             organisation=organisation,
@@ -272,8 +283,13 @@
     exchange: exchanges.Exchange,
     body: bytes,
     arrived_at: float,
+    found_origin: stream_origin.FoundOrigin | None,
 ) -> calls.Call:
     pool_name = route_table.choose_pool(route, attributes.request_id)
+    if found_origin is not None and found_origin.origin is not None:
+        origin_pool = found_origin.origin.pool
+        if route_table.may_choose_pool(route, origin_pool):
+            pool_name = origin_pool
     limit_seconds = route.profile.limit_seconds
     if attributes.patience_seconds is not None:
         limit_seconds = min(limit_seconds, attributes.patience_seconds)
@@ -305,6 +321,7 @@
             body=body,
         ),
         tier_targets=table.tier_targets_of(pool_name),
+        found_origin=found_origin,
     )
 
 
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -90,6 +90,23 @@
             "VMs.",
             registry=self.registry,
         )
+        self.streams_taken_up = prometheus_client.Counter(
+            "lagoonrun_streams_taken_up",
+            "Streams that callers took up here, by what was known of their "
+            "origin.",
+            ["evidence"],
+            registry=self.registry,
+        )
+        self.stream_origins_told = prometheus_client.Counter(
+            "lagoonrun_stream_origins_told",
+            "Origins of streams that other entry VMs were told.",
+            registry=self.registry,
+        )
+        self.stream_origins = prometheus_client.Gauge(
+            "lagoonrun_stream_origins",
+            "Streams whose origin is kept here.",
+            registry=self.registry,
+        )
         self.places = prometheus_client.Counter(
             "lagoonrun_places",
             "Places asked for at upstreams that name a limit, by who decided.",
--- a/packages/router/src/lagoonrun_router/peer_exchange.py
+++ b/packages/router/src/lagoonrun_router/peer_exchange.py
@@ -38,6 +38,7 @@
     settings,
     state_publisher,
     store_replica,
+    stream_origins,
     upstream_notices,
     upstreams,
 )
@@ -222,6 +223,14 @@
             clock=clock,
             rng=rng,
         )
+        self.stream_origins = stream_origins.StreamOrigins(
+            configured=configured,
+            table=table,
+            send=self._socket.send,
+            counters=counters,
+            clock=clock,
+            rng=rng,
+        )
         self._timer = supervised_task.SupervisedTask(
             name="peers", function=self._run
         )
@@ -270,6 +279,7 @@
         self._domain_news.tick(now=now)
         self._crash_news.tick(now=now)
         self.notices.tick(now=now)
+        self.stream_origins.tick(now=now)
         if self._usage is not None:
             self._usage.tick(now=now, is_relay=self._relays.is_first(now=now))
         self._announce(now)
@@ -411,7 +421,10 @@
         elif isinstance(message, router_messages.UsageNews):
             if self._usage is not None:
                 self._usage.receive_news(message)
-        elif not self.notices.receive_message(message, now=now):
+        elif not (
+            self.notices.receive_message(message, now=now)
+            or self.stream_origins.receive_message(message, now=now)
+        ):
             raise errors.LagoonrunError(
                 step=errors.Step.PEER_FRAME,
                 peer=host,
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -339,6 +339,23 @@
                 cores_by_id[entry_vm] = peer.processor_cores
         return by_domain
 
+    def candidates_by_domain(
+        self,
+    ) -> dict[types.FailureDomain, list[types.EntryVmId]]:
+        """Return the peers that probably run, by failure domain.
+
+        A large fleet's remote peers are rarely heard from, and count as long as
+        they are known.
+        """
+        by_domain: dict[types.FailureDomain, list[types.EntryVmId]] = {}
+        is_large = self.is_large
+        for entry_vm, peer in self._peers_by_id.items():
+            runs = peer.alive or (is_large and self._is_remote(peer))
+            if runs and not peer.stopping:
+                domain = peer.domain or types.UNKNOWN_DOMAIN
+                by_domain.setdefault(domain, []).append(entry_vm)
+        return by_domain
+
     def addresses(self) -> tuple[settings.Address, ...]:
         """Return the addresses of all peers, including lost ones."""
         return tuple(peer.address for peer in self._peers_by_id.values())
--- a/packages/router/src/lagoonrun_router/refusing.py
+++ b/packages/router/src/lagoonrun_router/refusing.py
@@ -174,6 +174,21 @@
             )
         )
 
+    def of_unknown_origin(self, found: stream_origin.FoundOrigin) -> Refusal:
+        """Refuse to continue a stream of which it isn't known where it began.
+
+        The caller may begin the request anew at once.
+        """
+        return self._logged(
+            Refusal(
+                reason=outcomes.Reason.VERSION_UNKNOWN,
+                detail="it is not known at which version the stream of request "
+                f"{self._call.attributes.resumes_request!r} began "
+                f"({found.evidence.value}); request it from its beginning",
+                retry_after_seconds=0.0,
+            )
+        )
+
     def _rejected(
         self, rejection: pool_capacity.Rejection, *, earlier_may_have_run: bool
     ) -> Refusal:
--- a/packages/router/src/lagoonrun_router/route_table.py
+++ b/packages/router/src/lagoonrun_router/route_table.py
@@ -146,3 +146,10 @@
         if position < 0:
             return destination.pool
     return route.destinations[-1].pool
+
+
+def may_choose_pool(route: declarations.Route, pool: types.PoolName) -> bool:
+    """Return whether a route sends requests to a pool."""
+    return any(
+        one.pool == pool and one.weight > 0 for one in route.destinations
+    )
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -303,6 +303,7 @@
                     load=self._adaptive, ledger=self._ledger
                 ),
                 overrides=self.overrides,
+                stream_origins=self.exchange.stream_origins,
                 usage=self._usage_exchange,
             )
         )
@@ -479,6 +480,9 @@
     def _apply_declarations(self, declared: declarations.Declarations) -> None:
         self._route_table = route_table.RouteTable(declared=declared)
         self._ingress.set_route_table(self._route_table)
+        self.exchange.stream_origins.routes.observe(
+            declared.routes, now=self._clock.monotonic()
+        )
         self._adaptive.apply_declarations(declared)
         if self._duties is not None:
             self._duties.duty_inputs.use(declared.pools_by_name.values())
@@ -498,6 +502,7 @@
             self._client.abort_connections(
                 before.host, before.port, opened_until=restarted.heard_at
             )
+        self._observe_versions()
         if self.replica.upstreams_known:
             self._ingress.on_upstreams_known()
         known = frozenset(one.id for one in self.directory.registrations)
@@ -506,6 +511,16 @@
         self._adaptive.forget_upstreams(known)
         self._links.retain(known)
 
+    def _observe_versions(self) -> None:
+        now = self._clock.monotonic()
+        is_current = self.replica.follows_store or bool(
+            self._peer_table.store_readers(now=now)
+        )
+        self.exchange.stream_origins.observe_upstreams(
+            self.directory.registrations,
+            is_current=is_current and self.replica.upstreams_known,
+        )
+
     async def _write_own_record(self) -> None:
         """Write this entry VM's address to the store, retrying if needed."""
         key = self._layout.entry_vms_prefix + self._settings.entry_vm
@@ -532,6 +547,7 @@
             self._budget.set_entry_vm_count(entry_vm_count)
             self._admission_floor.set_entry_vm_count(entry_vm_count)
             self._crash_guard.run_housekeeping()
+            self._observe_versions()
 
     def metrics_text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -539,6 +555,9 @@
             self._duties.update_gauges(self.metrics)
         self.metrics.store_era.set(self._eras.newest)
         self.metrics.cut_upstream_links.set(len(self._links.cut))
+        self.metrics.stream_origins.set(
+            self.exchange.stream_origins.record_count
+        )
         self.metrics.forwarded_connections.set(self._forwarder.open_connections)
         self._gauges.refresh(
             now=self._clock.monotonic(),
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -182,6 +182,13 @@
         self.may_have_run = allowed
         if allowed:
             self._written_at = now
+            if self._call.route.resumable:
+                self._components.stream_origins.record_sent(
+                    self._call.request_id,
+                    self._call.route,
+                    self._relay.origin
+                    or stream_origin.origin_at(choice.upstream),
+                )
             self._run = self._components.crash_watch.begin(
                 self._call.digest,
                 route=self._call.route.name,
--- a/packages/router/tests/test_execution.py
+++ b/packages/router/tests/test_execution.py
@@ -399,13 +399,26 @@
 
 
 async def test_caller_may_resume_its_broken_stream(world):
-    (upstream,) = await start_upstreams(
+    broken, upstream = await start_upstreams(
         world,
         make_stream_route(resumable=True),
-        u_1=answer_events(*EVENTS[2:]),
+        u_1=answer_events(*EVENTS[:2], then="abort"),
+        u_2=answer_events(*EVENTS[2:]),
     )
+    await world.register(upstream, leaving=True)
+    await wait_for(lambda: not world.router.directory.is_serving("u-2"))
+    got = await world.ask("/lookups/1", method="POST", body=b"x")
+    assert (got.body, got.whole) == (b"".join(EVENTS[:2]), False)
+    await world.register(broken, start=2, leaving=True)
+    await world.register(upstream, start=2)
+    await wait_for(lambda: not world.router.directory.is_serving("u-1"))
+    await wait_for(lambda: world.router.directory.is_serving("u-2"))
     got = await world.ask(
-        "/lookups/1", method="POST", body=b"x", headers=["Resume-After: 2"]
+        "/lookups/1",
+        method="POST",
+        body=b"x",
+        id="r-2",
+        headers=["Resume-After: 2", "Resumed-Request: r-1"],
     )
     assert got.body == b"".join(EVENTS[2:])
     assert upstream.heads[0].headers.get("Resume-After") == "2"
--- a/packages/router/tests/test_streams_of_one_version.py
+++ b/packages/router/tests/test_streams_of_one_version.py
@@ -5,9 +5,13 @@
 
 import pytest
 
+from lagoonrun_core import clock as clocks
 from lagoonrun_http import messages as http_messages
-from lagoonrun_router import upstream_notice
-from lagoonrun_standins.router_samples import make_stream_route
+from lagoonrun_router import declarations, stream_origins, upstream_notice
+from lagoonrun_standins.router_samples import (
+    make_registration,
+    make_stream_route,
+)
 from lagoonrun_standins.router_upstream import marked
 from lagoonrun_standins.router_world import WAIT_SECONDS, wait_for
 
@@ -15,6 +19,10 @@
 VERSIONS = ("v1", "v2")
 STREAMS = 16
 EVENT_SECONDS = 0.005
+POOLS_BY_NAME = {
+    name: declarations.Pool(name=name, maximum_connections=64)
+    for name in ("portal", "annex")
+}
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -27,19 +35,21 @@
         Event after which streams from the beginning break; None for none.
     resumable
         Whether a stream may go on here; otherwise its connection breaks.
-    resumed
-        Streams that were sent here to go on.
+    begun, resumed
+        Streams that were sent here from the beginning, and to go on.
     """
 
     version: str
     breaks_after: int | None = None
     resumable: bool = True
+    begun: int = 0
     resumed: int = 0
 
     async def __call__(self, exchange):
         """Send the events that the request asks for."""
         after = int(exchange.head.headers.get("Resume-After") or 0)
         self.resumed += after > 0
+        self.begun += not after
         if after and not self.resumable:
             exchange.abort()
             return
@@ -79,12 +89,18 @@
 async def fleet_of(world_of):
     """Return a function that starts entry VMs and versioned upstreams."""
 
-    async def start(vms, upstreams, route=None):
+    async def start(vms, upstreams, route=None, pools=("portal",)):
         worlds = [await world_of(f"vm-{number}") for number in range(vms)]
-        await worlds[0].declare(route or resumable_route())
+        await worlds[0].declare(
+            route or resumable_route(), pools_by_name=POOLS_BY_NAME
+        )
         for number, answer in enumerate(upstreams):
             await worlds[0].add_upstream(
-                answer, f"u-{number}", version=answer.version, slots=2
+                answer,
+                f"u-{number}",
+                version=answer.version,
+                pool=pools[number % len(pools)],
+                slots=2,
             )
         for world in worlds:
             await world.ready()
@@ -213,3 +229,128 @@
     assert answer.status == 503
     assert answer.headers["lagoonrun-outcome"] == "not-run"
     assert [one.resumed for one in upstreams] == [0, 0]
+
+
+async def test_stream_goes_on_while_a_pool_has_had_one_version(
+    fleet_of, monkeypatch
+):
+    """Guards against refusing streams where the version can't have changed."""
+    monkeypatch.setattr(stream_origins, "_MIN_STREAM_SECONDS", 0.0)
+    route = resumable_route(limit_seconds=1.0)
+    upstream = VersionedUpstream(version="v1")
+    worlds = await fleet_of(2, [upstream], route)
+    found = worlds[1].router.exchange.stream_origins
+    await wait_for(lambda: is_sole(found, "v1", seconds=2.0))
+    answer = await take_up(worlds[1], "s-1", resumes="unknown", after="2")
+    assert (answer.status, answer.whole) == (200, True)
+    told = worlds[0].router.metrics.stream_origins_told._value.get()
+    await worlds[0].ask(id="r-2")
+    assert worlds[0].router.metrics.stream_origins_told._value.get() == told
+
+
+def is_sole(origins, version, *, seconds):
+    """Return whether an entry VM knows that a pool had only one version."""
+    now = clocks.SuspendAwareClock().monotonic()
+    sole = origins.versions.sole_version("portal", seconds=seconds, now=now)
+    return sole == version
+
+
+async def test_one_entry_vm_that_knows_of_a_second_version_is_enough(
+    fleet_of, monkeypatch
+):
+    """Guards against an entry VM that has not heard of the newest version."""
+    monkeypatch.setattr(stream_origins, "_MIN_STREAM_SECONDS", 0.0)
+    route = resumable_route(limit_seconds=1.0)
+    upstream = VersionedUpstream(version="v1")
+    worlds = await fleet_of(2, [upstream], route)
+    late = worlds[1].router.exchange.stream_origins
+    await wait_for(lambda: is_sole(late, "v1", seconds=2.0))
+    worlds[0].router.exchange.stream_origins.observe_upstreams(
+        [make_registration("u-9", version="v2")], is_current=True
+    )
+    answer = await take_up(worlds[1], "s-1", resumes="unknown", after="2")
+    assert answer.headers["lagoonrun-reason"] == "version-unknown"
+    assert upstream.resumed == 0
+
+
+async def test_streams_that_began_before_a_second_version_are_known(
+    fleet_of, monkeypatch
+):
+    """Guards against streams that nobody knows at the start of a rollout."""
+    monkeypatch.setattr(stream_origins, "_MIN_STREAM_SECONDS", 0.0)
+    route = resumable_route(limit_seconds=1.0)
+    upstream = VersionedUpstream(version="v1")
+    worlds = await fleet_of(3, [upstream], route)
+    origins = [one.router.exchange.stream_origins for one in worlds]
+    await wait_for(lambda: is_sole(origins[0], "v1", seconds=2.0))
+    caller, event = await begin(worlds[0], "r-1")
+    assert [one.record_count for one in origins[1:]] == [0, 0]
+    await worlds[0].add_upstream(
+        VersionedUpstream(version="v2"), "u-9", version="v2"
+    )
+    await wait_for(lambda: any(one.record_count for one in origins[1:]))
+    caller.writer.close()
+    await worlds[0].router.close()
+    answer = await take_up(
+        worlds[1], "s-1", resumes="r-1", after=last_id(event)
+    )
+    assert versions_in(answer.body) == {"v1"}
+
+
+async def test_stream_goes_on_at_a_third_and_a_fourth_try(fleet_of):
+    """Guards against an origin that is lost with the entry VMs of two tries."""
+    upstreams = [VersionedUpstream(version=version) for version in VERSIONS * 2]
+    worlds = await fleet_of(4, upstreams)
+    _, event = await begin(worlds[0], "r-1")
+    for number in range(1, 4):
+        await worlds[number - 1].router.close()
+        answer = await take_up(
+            worlds[number], f"s-{number}", resumes="r-1", after=last_id(event)
+        )
+        assert versions_in(answer.body) == versions_in(event)
+
+
+async def test_stream_goes_on_in_the_pool_that_began_it(fleet_of):
+    """Guards against a retry that a split route sends to another pool.
+
+    Both pools have a version of the same name.
+    """
+    route = resumable_route(
+        destinations=(
+            declarations.Destination(pool="portal"),
+            declarations.Destination(pool="annex"),
+        )
+    )
+    upstreams = [VersionedUpstream(version="v1") for _ in range(2)]
+    worlds = await fleet_of(2, upstreams, route, pools=("portal", "annex"))
+    for number in range(STREAMS):
+        before = [one.begun for one in upstreams]
+        await begin(worlds[0], f"r-{number}")
+        began_at = [
+            one.begun - count
+            for one, count in zip(upstreams, before, strict=True)
+        ]
+        before = [one.resumed for one in upstreams]
+        await take_up(
+            worlds[1], f"s-{number}", resumes=f"r-{number}", after="1"
+        )
+        went_on_at = [
+            one.resumed - count
+            for one, count in zip(upstreams, before, strict=True)
+        ]
+        assert went_on_at == began_at
+
+
+async def test_stream_whose_pool_lost_the_route_is_refused(fleet_of):
+    """Guards against a stream that goes on in the pool of a newer revision."""
+    upstreams = [VersionedUpstream(version="v1") for _ in range(2)]
+    worlds = await fleet_of(2, upstreams, pools=("portal", "annex"))
+    await begin(worlds[0], "r-1")
+    moved = resumable_route(
+        destinations=(declarations.Destination(pool="annex"),)
+    )
+    await worlds[0].declare(moved, revision=2, pools_by_name=POOLS_BY_NAME)
+    await wait_for(lambda: worlds[1].router.replica.revision == 2)
+    answer = await take_up(worlds[1], "s-1", resumes="r-1", after="1")
+    assert answer.headers["lagoonrun-reason"] == "version-gone"
+    assert [one.resumed for one in upstreams] == [0, 0]
