Have the soak roll out versions and take streams up elsewhere

The soak could not see streams that change their version: its upstreams' events did not depend on the version, all entries said v1, and no caller took a stream up again. Events name the version now; callers take a broken stream up at another entry VM, up to three times, with the id of the first request. Two faults: a version is rolled out beside the present one, which leaves whole or in part; and the connections of an entry VM's callers break in the middle of streams. Two checks: no stream has two versions, over all tries; and of 12 or more streams that are taken up while two upstreams of their version serve, at least half as many go on as new ones begin.

Of a domain without any that was heard from, all known entry VMs count now.

--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -341,20 +341,26 @@
 
     def candidates_by_domain(
         self,
-    ) -> dict[types.FailureDomain, list[types.EntryVmId]]:
+    ) -> dict[types.FailureDomain, tuple[types.EntryVmId, ...]]:
         """Return the peers that probably run, by failure domain.
 
-        A large fleet's remote peers are rarely heard from, and count as long as
-        they are known.
+        Of a domain from which no peer was heard, all count: this entry VM has
+        just started, or the fleet is large and remote peers send rarely.
         """
-        by_domain: dict[types.FailureDomain, list[types.EntryVmId]] = {}
+        known: dict[types.FailureDomain, list[types.EntryVmId]] = {}
+        alive: dict[types.FailureDomain, list[types.EntryVmId]] = {}
         is_large = self.is_large
         for entry_vm, peer in self._peers_by_id.items():
-            runs = peer.alive or (is_large and self._is_remote(peer))
-            if runs and not peer.stopping:
-                domain = peer.domain or types.UNKNOWN_DOMAIN
-                by_domain.setdefault(domain, []).append(entry_vm)
-        return by_domain
+            if peer.stopping:
+                continue
+            domain = peer.domain or types.UNKNOWN_DOMAIN
+            known.setdefault(domain, []).append(entry_vm)
+            if peer.alive or (is_large and self._is_remote(peer)):
+                alive.setdefault(domain, []).append(entry_vm)
+        return {
+            domain: tuple(alive.get(domain, entry_vms))
+            for domain, entry_vms in known.items()
+        }
 
     def addresses(self) -> tuple[settings.Address, ...]:
         """Return the addresses of all peers, including lost ones."""
--- a/packages/soak/src/lagoonrun_soak/caller.py
+++ b/packages/soak/src/lagoonrun_soak/caller.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import time
+from collections.abc import Sequence
 
 from lagoonrun_core import types
 from lagoonrun_router import answers
@@ -15,6 +16,12 @@
 _MAX_PAUSE_SECONDS = 0.25
 _CONNECT_SECONDS = 1.0
 _TIME_LIMIT_SLACK_SECONDS = 1.0
+_MAX_TAKE_UPS = 3
+"""Further tries of a caller whose stream broke."""
+
+_LOST_AFTER_SECONDS_RANGE = (0.1, 0.4)
+"""Time after which the connection of a stream breaks, while it does."""
+
 _KEY_AGES_SECONDS = (None, 0.0, 2.5)
 """Ages of the declarations whose key a caller uses.
 
@@ -44,6 +51,8 @@
     crashing_request
         Name of a request that crashes upstreams and that this caller repeats;
         empty for a caller of ordinary requests.
+    vms
+        All entry VMs, at which it takes up streams that broke.
     """
 
     def __init__(
@@ -56,7 +65,9 @@
         rng: random.Random,
         organisation: types.OrganisationId,
         crashing_request: str = "",
+        vms: Sequence[vm.EntryVm] = (),
     ) -> None:
+        self._vms = vms
         self._crashing_request = crashing_request
         self._name = name
         self._kind = kind
@@ -88,25 +99,65 @@
             await asyncio.sleep(_MAX_PAUSE_SECONDS * self._rng.random())
 
     async def _use_connection(self) -> None:
-        address = self._target.vm_settings.caller
-        async with asyncio.timeout(_CONNECT_SECONDS):
-            reader, writer = await asyncio.open_connection(
-                address.host, address.port
-            )
-        connection = router_world.Caller(reader=reader, writer=writer)
+        connection = await _connect(self._target)
         boot = self._target.boot
         try:
-            while await self._send_request(connection, boot):
+            while await self._use_for_request(connection, boot):
                 pause = _MAX_PAUSE_SECONDS * self._rng.random()
                 await asyncio.sleep(pause)
         finally:
-            writer.transport.abort()
+            connection.writer.transport.abort()
 
-    async def _send_request(
+    async def _use_for_request(
         self, connection: router_world.Caller, boot: int
+    ) -> bool:
+        """Send one request; return whether the connection can be reused.
+
+        A resumable stream that breaks is taken up at other entry VMs.
+        """
+        request = self._new_request(self._target, boot)
+        reusable = await self._send_request(connection, request)
+        if self._kind.route.resumable and not self._crashing_request:
+            await self._take_up(request)
+        return reusable
+
+    async def _take_up(self, begun: record.CallerRequest) -> None:
+        """Take a broken stream up elsewhere until it is whole or tries end."""
+        last = begun
+        for _ in range(_MAX_TAKE_UPS):
+            after = last.resumes_after + len(upstream.versions_in(last.body))
+            if last.whole or not after:
+                return
+            others = [
+                one
+                for one in self._vms
+                if one.in_rotation and one.name != last.vm
+            ]
+            if not others:
+                return
+            target = self._rng.choice(others)
+            try:
+                connection = await _connect(target)
+            except (OSError, TimeoutError):
+                return
+            last = self._new_request(
+                target, target.boot, resumes=begun.id, resumes_after=after
+            )
+            try:
+                await self._send_request(connection, last)
+            finally:
+                connection.writer.transport.abort()
+
+    async def _send_request(
+        self, connection: router_world.Caller, request: record.CallerRequest
     ) -> bool:
         """Send one request; return whether the connection can be reused."""
-        request, limit_seconds = self._write_request(connection, boot)
+        limit_seconds = self._write_request(connection, request)
+        if self._target.loses_callers and self._kind.route.resumable:
+            asyncio.get_running_loop().call_later(
+                self._rng.uniform(*_LOST_AFTER_SECONDS_RANGE),
+                connection.writer.transport.abort,
+            )
         try:
             async with asyncio.timeout(limit_seconds):
                 response = await connection.answer()
@@ -122,22 +173,35 @@
         closes = response.headers.get("connection", "").lower() == "close"
         return response.whole and response.status > 0 and not closes
 
-    def _write_request(
-        self, connection: router_world.Caller, boot: int
-    ) -> tuple[record.CallerRequest, float]:
-        now = time.monotonic()
-        revision, key = self._choose_key(now)
-        profile = self._kind.route.profile
-        request = record.CallerRequest(
+    def _new_request(
+        self,
+        target: vm.EntryVm,
+        boot: int,
+        *,
+        resumes: str = "",
+        resumes_after: int = 0,
+    ) -> record.CallerRequest:
+        """Return a request that is about to be sent."""
+        return record.CallerRequest(
             id=f"{self._name}-{next(self._numbers)}",
             organisation=self._organisation,
             kind=self._kind.name,
-            vm=self._target.name,
+            vm=target.name,
             boot=boot,
-            key_revision=revision,
-            sent_at=now,
+            key_revision=0,
+            sent_at=time.monotonic(),
             crashing_request=self._crashing_request,
+            resumes=resumes,
+            resumes_after=resumes_after,
         )
+
+    def _write_request(
+        self, connection: router_world.Caller, request: record.CallerRequest
+    ) -> float:
+        """Send a request; return how long its answer is waited for."""
+        profile = self._kind.route.profile
+        request.sent_at = time.monotonic()
+        request.key_revision, key = self._choose_key(request.sent_at)
         self._history.requests_by_id[request.id] = request
         connection.writer.write(
             standin_messages.request_bytes(
@@ -151,10 +215,12 @@
                 # Without a body of their own, all requests of an organisation
                 # and class would have the same digest.
                 body=upstream.crashing_body(self._crashing_request)
-                or request.id.encode(),
+                or (request.resumes or request.id).encode(),
+                resumes=request.resumes,
+                resumes_after=request.resumes_after,
             )
         )
-        return request, profile.limit_seconds + _TIME_LIMIT_SLACK_SECONDS
+        return profile.limit_seconds + _TIME_LIMIT_SLACK_SECONDS
 
     def _choose_key(self, now: float) -> tuple[int, str]:
         """Return a key and the revision that added it; 0 for every revision."""
@@ -165,3 +231,13 @@
         revision = 0 if age is None else self._history.revision_at(now - age)
         added_key = layout.added_key(revision)
         return revision, added_key if revision else layout.STABLE_KEY
+
+
+async def _connect(target: vm.EntryVm) -> router_world.Caller:
+    """Return a new connection to an entry VM."""
+    address = target.vm_settings.caller
+    async with asyncio.timeout(_CONNECT_SECONDS):
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+    return router_world.Caller(reader=reader, writer=writer)
--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -6,7 +6,13 @@
 from collections.abc import Iterator
 
 from lagoonrun_core import outcomes
-from lagoonrun_soak import layout, notice_checks, record, upstream
+from lagoonrun_soak import (
+    layout,
+    notice_checks,
+    record,
+    upstream,
+    version_checks,
+)
 
 RECOVERY_SECONDS = 3.0
 """Time after a fault during which timing guarantees are not checked."""
@@ -80,6 +86,8 @@
     OWN_LEAVING = "own-leaving"
     SHARES = "shares"
     CUT_OFF = "cut-off"
+    ONE_VERSION = "one-version"
+    TAKEN_UP = "taken-up"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -106,6 +114,7 @@
         *_notices(history),
         *_shares(history),
         *_cut_off(history),
+        *_versions(history),
     ]
 
 
@@ -124,6 +133,21 @@
             yield Violation(guarantee=guarantee, request_id=id, detail=detail)
 
 
+def _versions(history: record.History) -> Iterator[Violation]:
+    """Check that streams keep their version and are continued elsewhere."""
+    for id, detail in version_checks.mixed_streams(history):
+        yield Violation(
+            guarantee=Guarantee.ONE_VERSION, request_id=id, detail=detail
+        )
+    detail = version_checks.too_few_continued(
+        history, recovery_seconds=RECOVERY_SECONDS
+    )
+    if detail:
+        yield Violation(
+            guarantee=Guarantee.TAKEN_UP, request_id="", detail=detail
+        )
+
+
 def _once(history: record.History) -> Iterator[Violation]:
     for id, runs in history.runs_by_id.items():
         request = history.requests_by_id.get(id)
@@ -162,11 +186,18 @@
             if is_expected or not request.whole
             else f"wrong body {request.body!r}"
         )
+    first = request.resumes_after + 1
+    versions = upstream.versions_in(request.body)
+    versions += versions[-1:] * (layout.EVENTS - first + 1 - len(versions))
     events = [
-        upstream.event(request.id, number)
-        for number in range(1, layout.EVENTS + 1)
+        upstream.event(request.id, number, version)
+        for number, version in zip(
+            range(first, layout.EVENTS + 1), versions, strict=False
+        )
     ]
     whole_stream = b"".join(events)
+    if len(events) < layout.EVENTS - first + 1:
+        return "events are missing" if request.whole or request.body else ""
     if request.whole:
         return "" if request.body == whole_stream else "looks whole and is not"
     return "" if whole_stream.startswith(request.body) else "events are missing"
@@ -538,4 +569,7 @@
         not is_cut_too
         and not is_stopping
         and history.is_undisturbed(request.vm, cut.start, cut.end)
+        and history.is_undisturbed(
+            f"{request.vm} unplanned", cut.start, cut.end
+        )
     )
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -72,6 +72,8 @@
     UPSTREAM_SLOW = "upstream-slow"
     VM_CUT_FROM_UPSTREAMS = "vm-cut-from-upstreams"
     STORE_CONNECTIONS_SILENT = "store-connections-silent"
+    VERSION_ROLLED_OUT = "version-rolled-out"
+    CALLERS_LOST = "callers-lost"
 
 
 _UNDISTURBING_KINDS = frozenset(
@@ -93,6 +95,10 @@
 )
 """States of a link behind another one, which opens connections first."""
 
+_CALLERS_LOST_SECONDS = 3.0
+_NEW_VERSION_UPSTREAMS = 2
+_SIDE_BY_SIDE_SECONDS_RANGE = (1.0, 4.0)
+
 _CUT_SECONDS_RANGE = (6.0, 8.0)
 """Duration of a cut: the recovery time, and as long to measure."""
 
@@ -182,6 +188,8 @@
             FaultKind.UPSTREAM_SLOW: self._slow_upstream,
             FaultKind.VM_CUT_FROM_UPSTREAMS: self._cut_vm_from_upstreams,
             FaultKind.STORE_CONNECTIONS_SILENT: self._silence_store_connections,
+            FaultKind.VERSION_ROLLED_OUT: self._roll_out_version,
+            FaultKind.CALLERS_LOST: self._lose_callers,
         }
         now = time.monotonic()
         self._history.faults.append(f"{now:.3f} {kind.value}")
@@ -247,6 +255,24 @@
         await entry_vm.start()
         self._release_vm(entry_vm, since, planned=True)
 
+    async def _lose_callers(self) -> None:
+        """Break the connections over which callers receive streams.
+
+        The entry VM goes on; its callers take their streams up elsewhere.
+        """
+        entry_vm = self._reserve_vm()
+        if entry_vm is None:
+            return
+        since = time.monotonic()
+        entry_vm.loses_callers = True
+        await asyncio.sleep(_CALLERS_LOST_SECONDS)
+        entry_vm.loses_callers = False
+        self._busy_vms.discard(entry_vm.name)
+        # Excuses streams that are cut there, and nothing else.
+        self._history.record_disturbance(
+            f"{entry_vm.name} unplanned", since, time.monotonic()
+        )
+
     async def _pause_vm(self) -> None:
         entry_vm = self._reserve_vm()
         if entry_vm is None:
@@ -425,6 +451,34 @@
         ):
             await self._deployment.drain(upstream_id, silently=silently)
 
+    async def _roll_out_version(self) -> None:
+        """Start engines of a new version; they replace some or all others.
+
+        Two versions serve side by side for a while, or from then on.
+        """
+        numbers = self._deployment.version_numbers
+        new_number = numbers[-1] + 1
+        numbers[:] = [numbers[-1], new_number]
+        older = [
+            id
+            for id, engine in sorted(self._deployment.upstreams.items())
+            if engine.registration.pool == layout.ENGINES
+            and id not in self._history.left_at_by_upstream
+        ]
+        replaced = self._rng.sample(
+            older, self._rng.choice((len(older), len(older) // 2))
+        )
+        for _ in range(_NEW_VERSION_UPSTREAMS):
+            await self._deployment.add_upstream(
+                layout.ENGINES, version_number=new_number
+            )
+        await asyncio.sleep(self._rng.uniform(*_SIDE_BY_SIDE_SECONDS_RANGE))
+        for id in replaced:
+            is_serving = id not in self._history.left_at_by_upstream
+            if id in self._deployment.upstreams and is_serving:
+                await self._deployment.drain(id, silently=False)
+                await asyncio.sleep(_SERIES_PAUSE_SECONDS)
+
     # Notices of upstreams.
 
     async def _limit_upstream(self) -> None:
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -85,6 +85,9 @@
         self.upstreams: dict[types.UpstreamId, upstream.SoakUpstream] = {}
         self._callers: list[caller.Caller] = []
         self._upstream_count = 0
+        self.version_numbers = [1]
+        """Numbers of the versions that new upstreams have, at random."""
+
         self._revision = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._adding: set[asyncio.Task[None]] = set()
@@ -157,6 +160,7 @@
             rng=random.Random(self.rng.random()),
             organisation=organisation,
             crashing_request=crashing_request,
+            vms=self.vms,
         )
         self._callers.append(new_caller)
         await new_caller.start()
@@ -187,20 +191,31 @@
 
     # Actions of upstreams.
 
-    async def add_upstream(self, pool: types.PoolName) -> None:
+    async def add_upstream(
+        self, pool: types.PoolName, *, version_number: int | None = None
+    ) -> None:
         """Start an upstream behind links and register it.
 
         A cancelled fault leaves it running, so that `close` finds it.
+
+        Parameters
+        ----------
+        version_number
+            Number of its version; None for one of those in use.
         """
-        adding = asyncio.create_task(self._add_upstream(pool))
+        number = version_number or self.rng.choice(self.version_numbers)
+        version = types.UpstreamVersion(f"v{number}")
+        adding = asyncio.create_task(self._add_upstream(pool, version))
         self._adding.add(adding)
         adding.add_done_callback(self._adding.discard)
         await asyncio.shield(adding)
 
-    async def _add_upstream(self, pool: types.PoolName) -> None:
+    async def _add_upstream(
+        self, pool: types.PoolName, version: types.UpstreamVersion
+    ) -> None:
         index = self._upstream_count
         self._upstream_count += 1
-        registration = self.network.registration(index, pool)
+        registration = self.network.registration(index, pool, version)
         new_upstream = upstream.SoakUpstream(
             registration=registration,
             address=self.network.upstream(index),
@@ -227,9 +242,13 @@
             await own_link.start()
         self.upstreams[registration.id] = new_upstream
         await self._register(registration)
+        self.history.services_by_upstream[registration.id] = record.Service(
+            pool=pool, version=version, start=time.monotonic()
+        )
 
     async def drain(self, id: types.UpstreamId, *, silently: bool) -> None:
         """Have an upstream leave: mark its entry, or remove it if silently."""
+        self.history.record_end_of_service(id)
         registration = self.upstreams[id].registration
         if silently:
             await self._remove_entry(id)
@@ -244,12 +263,14 @@
 
     async def stop_later(self, id: types.UpstreamId) -> None:
         """Stop an upstream later that announced leaving only in responses."""
+        self.history.record_end_of_service(id)
         self.schedule(
             2.0 * _SERVE_AFTER_LEAVING_SECONDS, lambda: self._stop_upstream(id)
         )
 
     async def crash(self, id: types.UpstreamId) -> None:
         """Crash an upstream; its entry in the store expires later."""
+        self.history.record_end_of_service(id)
         self.history.record_disturbance(str(id), time.monotonic(), float("inf"))
         await self._close_upstream(id)
         self.schedule(_ENTRY_EXPIRY_SECONDS, lambda: self._remove_entry(id))
--- a/packages/soak/src/lagoonrun_soak/layout.py
+++ b/packages/soak/src/lagoonrun_soak/layout.py
@@ -253,7 +253,10 @@
         )
 
     def registration(
-        self, index: int, pool: types.PoolName
+        self,
+        index: int,
+        pool: types.PoolName,
+        version: types.UpstreamVersion,
     ) -> upstreams.Registration:
         """Return the registration of the upstream with an index."""
         link = self.upstream_link(index)
@@ -264,4 +267,5 @@
             host=link.host,
             port=link.port,
             slots=ENGINE_SLOTS if pool == ENGINES else 16,
+            version=version,
         )
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -24,6 +24,8 @@
     retrying,
     router,
     store_replica,
+    stream_origin,
+    stream_origins,
     upstream_rests,
     upstreams,
 )
@@ -51,6 +53,8 @@
     SHARES = "shares"
     CUT_OFF = "cut-off"
     SILENT_WATCHES = "silent-watches"
+    ONE_VERSION = "one-version"
+    TAKEN_UP = "taken-up"
 
 
 def plant(defect: PlantedDefect) -> None:
@@ -225,6 +229,19 @@
     selection.update_role = lambda self: None
 
 
+def _break_one_version() -> None:
+    """Continue streams at upstreams of any version."""
+    stream_origin.StreamOrigin.may_continue_at = lambda self, upstream: True
+
+
+def _break_taken_up() -> None:
+    """Know of no stream where it began."""
+    unknown = stream_origin.FoundOrigin(evidence=stream_origin.Evidence.TOO_NEW)
+    stream_origins.StreamOrigins._find_here = (
+        lambda self, request, route, *, now: unknown
+    )
+
+
 _PLANTERS = {
     PlantedDefect.ONCE: _break_once,
     PlantedDefect.OWN_ANSWER: _break_own_answer,
@@ -241,4 +258,6 @@
     PlantedDefect.SHARES: _break_shares,
     PlantedDefect.CUT_OFF: _break_cut_off,
     PlantedDefect.SILENT_WATCHES: _break_silent_watches,
+    PlantedDefect.ONE_VERSION: _break_one_version,
+    PlantedDefect.TAKEN_UP: _break_taken_up,
 }
--- a/packages/soak/src/lagoonrun_soak/record.py
+++ b/packages/soak/src/lagoonrun_soak/record.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 import dataclasses
+import time
 
 from lagoonrun_core import types
 from lagoonrun_soak import notices
@@ -34,6 +35,9 @@
     crashing_request
         Name of the crashing request that this one repeats; empty for any
         other.
+    resumes, resumes_after
+        Request that brought the first event of the stream that this one takes
+        up, and the last event that arrived; empty and 0 for a new stream.
     """
 
     id: str
@@ -50,6 +54,18 @@
     genuine: bool = False
     reason: str = ""
     crashing_request: str = ""
+    resumes: str = ""
+    resumes_after: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Service:
+    """An interval in which an upstream serves with a version."""
+
+    pool: types.PoolName
+    version: types.UpstreamVersion
+    start: float
+    end: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,6 +114,8 @@
         Bursts of callers, which `disturbances_by_subject` does not hold.
     cuts
         Entry VMs that were cut from all upstreams.
+    services_by_upstream
+        When each upstream serves, and at which version.
     unfinished_faults
         Faults that were active at the end of the soak. Some kinds record their
         disturbance only when they end.
@@ -127,6 +145,9 @@
     arrivals: list[notices.Arrival] = dataclasses.field(default_factory=list)
     bursts: list[Burst] = dataclasses.field(default_factory=list)
     cuts: list[Cut] = dataclasses.field(default_factory=list)
+    services_by_upstream: dict[types.UpstreamId, Service] = dataclasses.field(
+        default_factory=dict
+    )
     unfinished_faults: list[Disturbance] = dataclasses.field(
         default_factory=list
     )
@@ -140,6 +161,11 @@
             Disturbance(start=start, end=end)
         )
 
+    def record_end_of_service(self, upstream: types.UpstreamId) -> None:
+        """Record that an upstream leaves or crashes."""
+        service = self.services_by_upstream[upstream]
+        service.end = min(service.end, time.monotonic())
+
     def is_undisturbed(self, subject: str, start: float, end: float) -> bool:
         """Return whether no fault affected a subject from start to end."""
         return not any(
--- a/packages/soak/src/lagoonrun_soak/upstream.py
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -34,9 +34,16 @@
     return f"answer to {request_id}".encode()
 
 
-def event(request_id: str, number: int) -> bytes:
+def event(request_id: str, number: int, version: str) -> bytes:
     """Return one event of a stream, numbered from 1."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+    return f"id: {number}\ndata: {request_id} {version} {number}\n\n".encode()
+
+
+def versions_in(body: bytes) -> list[str]:
+    """Return the version of each whole event in the body of a stream."""
+    events = body.decode(errors="replace").split("\n\n")[:-1]
+    words = (one.split(" ") for one in events)
+    return [one[-2] if len(one) > 2 else "" for one in words]
 
 
 def crashing_body(name: str) -> bytes:
@@ -239,7 +246,7 @@
         )
         for number in range(request.resumes_after + 1, layout.EVENTS + 1):
             await asyncio.sleep(_EVENT_SECONDS * self.slowness)
-            await exchange.send(event(id, number))
+            await exchange.send(event(id, number, self.registration.version))
         await exchange.finish()
 
 
--- a/packages/soak/src/lagoonrun_soak/vm.py
+++ b/packages/soak/src/lagoonrun_soak/vm.py
@@ -40,6 +40,8 @@
         Number of times that the process was started.
     in_rotation
         Whether the load balancer sends it new connections.
+    loses_callers
+        Whether connections break over which callers receive a stream.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self._poller: asyncio.Task[None] | None = None
         self.boot = 0
         self.in_rotation = False
+        self.loses_callers = False
 
     @property
     def _settings_path(self) -> pathlib.Path:
--- a/packages/soak/tests/test_checks.py
+++ b/packages/soak/tests/test_checks.py
@@ -5,7 +5,7 @@
 from lagoonrun_soak import checks, layout, record, upstream
 from lagoonrun_soak.checks import Guarantee
 
-EVENTS = [upstream.event("r", number) for number in range(1, 9)]
+EVENTS = [upstream.event("r", number, "v1") for number in range(1, 9)]
 
 
 def make_request(**changes):
@@ -202,7 +202,7 @@
             make_request(
                 id=f"served-{n}",
                 body=b"".join(
-                    upstream.event(f"served-{n}", number)
+                    upstream.event(f"served-{n}", number, "v1")
                     for number in range(1, layout.EVENTS + 1)
                 ),
                 **{**whole, **changes},
@@ -223,7 +223,7 @@
             status=200,
             sent_at=101.0,
             body=b"".join(
-                upstream.event(f"burst-{n}", number)
+                upstream.event(f"burst-{n}", number, "v1")
                 for number in range(1, layout.EVENTS + 1)
             ),
         )
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -29,6 +29,14 @@
     PlantedDefect.SHARES: (FaultKind.ORGANISATION_BURST,),
     PlantedDefect.CUT_OFF: (FaultKind.VM_CUT_FROM_UPSTREAMS,),
     PlantedDefect.SILENT_WATCHES: (FaultKind.STORE_CONNECTIONS_SILENT,),
+    PlantedDefect.ONE_VERSION: (
+        FaultKind.VERSION_ROLLED_OUT,
+        FaultKind.CALLERS_LOST,
+    ),
+    PlantedDefect.TAKEN_UP: (
+        FaultKind.VERSION_ROLLED_OUT,
+        FaultKind.CALLERS_LOST,
+    ),
 }
 
 GUARANTEES_BY_DEFECT = {
@@ -49,6 +57,8 @@
     PlantedDefect.NOT_RUN: 2 * SECONDS,
     PlantedDefect.CUT_OFF: 2 * SECONDS,
     PlantedDefect.SILENT_WATCHES: 2 * SECONDS,
+    PlantedDefect.ONE_VERSION: 2 * SECONDS,
+    PlantedDefect.TAKEN_UP: 2 * SECONDS,
 }
 """A limit must be obeyed after three seconds; the next four are checked.
 
@@ -111,6 +121,22 @@
     assert result.violations == ()
 
 
+async def test_rollouts_beside_kills_and_crashes_break_nothing(tmp_path):
+    """Guards against streams that change their version or are not continued."""
+    result = await run_soak(
+        tmp_path,
+        kinds=(
+            FaultKind.VERSION_ROLLED_OUT,
+            FaultKind.UPSTREAM_CRASHED,
+            FaultKind.VM_KILLED,
+            FaultKind.CALLERS_LOST,
+        ),
+        seconds=2 * SECONDS,
+        vms=4,
+    )
+    assert result.violations == ()
+
+
 @pytest.mark.parametrize("kind", _BURST_KINDS)
 async def test_bursts_break_nothing_but_shares(kind, tmp_path):
     result = await run_soak(tmp_path, kinds=(kind,))
