Take a changed version of an upstream for a restart

An upstream that states no start number may restart under its id with another version. Connections that were opened before lead to the previous process, and a stream could have gone on over them as if it were of the new version. They are closed now, as when the start number rises.

--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -292,6 +292,11 @@
         if known is not None and registration.start > known.registration.start:
             self._record_restart(known, registration)
             known = None
+        elif known is not None and (
+            registration.version != known.registration.version
+        ):
+            # Connections lead to the process of the other version.
+            self._record_restart(known, registration)
         state = (
             UpstreamState.LEAVING
             if registration.leaving
--- a/packages/router/tests/test_upstreams.py
+++ b/packages/router/tests/test_upstreams.py
@@ -104,6 +104,20 @@
     assert directory.pop_restarted() == ()
 
 
+def test_change_of_the_version_is_a_restart(directory):
+    """Guards against streams that go on over connections to another version.
+
+    An upstream that states no start number restarts under its id.
+    """
+    directory.apply_entry(make_registration("u-1", version="v1"), now=1000.0)
+    directory.apply_entry(make_registration("u-1", version="v1"), now=1001.0)
+    assert directory.pop_restarted() == ()
+    directory.apply_entry(make_registration("u-1", version="v2"), now=1002.0)
+    (restarted,) = directory.pop_restarted()
+    assert (restarted.before.version, restarted.heard_at) == ("v1", 1001.0)
+    assert directory.registration_of("u-1").version == "v2"
+
+
 def test_upstream_with_an_unreadable_entry_is_unusable_until_it_is_valid(
     directory,
 ):
