Continue no stream where a crashed upstream may have restarted

An upstream with a start number may restart under its id with another version. Until its new entry arrives, its address and id belong to a process whose version is not known, and a stream of the crashed one would go on there. After a crash that this entry VM has detected, the instance continues no stream for 5 s, longer than its entry stands. Upstreams without start numbers have a new id at each start, which requests name.

--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -180,7 +180,13 @@
         """Return the usable upstreams; without held ones if others are left."""
         usable = self._components.directory.usable(call.pool.name, now=now)
         if origin is not None:
-            usable = tuple(one for one in usable if origin.may_continue_at(one))
+            crash_watch = self._components.crash_watch
+            usable = tuple(
+                one
+                for one in usable
+                if origin.may_continue_at(one)
+                and not crash_watch.may_have_restarted(one)
+            )
         held = self._components.overrides.held
         if not held:
             return usable
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -28,6 +28,10 @@
 """Timeout of a probe, the connection timeout of requests: a hundred round
 trips."""
 
+_CRASHED_RECENTLY_SECONDS = 5.0
+"""Time after a crash in which the upstream's entry may still be that of the
+crashed process: it expires after three heartbeats."""
+
 _MAX_REMEMBERED_CRASHES = 256
 """Maximum number of crashed instances that are not probed again; more than can
 crash in the seconds in which their requests break."""
@@ -95,7 +99,7 @@
         self._probes_by_instance: dict[
             running_requests.UpstreamInstance, asyncio.Task[None]
         ] = {}
-        self._crashed: dict[running_requests.UpstreamInstance, None] = {}
+        self._crashed_at: dict[running_requests.UpstreamInstance, float] = {}
         self.on_crash: CrashListener | None = None
         self.on_answer: AnswerListener | None = None
         self.reach: UpstreamReach | None = None
@@ -112,6 +116,18 @@
         """Upstream instances that are being probed."""
         return frozenset(self._probes_by_instance)
 
+    def may_have_restarted(self, upstream: upstreams.Registration) -> bool:
+        """Return whether a process of another version may answer there.
+
+        Only an upstream that states start numbers can restart under its id;
+        requests to others name an id that the next process does not have.
+        """
+        if upstream.start == types.UNKNOWN_UPSTREAM_START:
+            return False
+        instance = running_requests.instance_of(upstream)
+        crashed_at = self._crashed_at.get(instance, float("-inf"))
+        return self._clock.monotonic() - crashed_at < _CRASHED_RECENTLY_SECONDS
+
     # Requests of this entry VM.
 
     def begin(
@@ -173,7 +189,7 @@
         # One probe per instance, whichever of its requests breaks first.
         if (
             instance not in self._probes_by_instance
-            and instance not in self._crashed
+            and instance not in self._crashed_at
         ):
             self._probes_by_instance[instance] = asyncio.create_task(
                 self._probe(instance, upstream)
@@ -219,9 +235,9 @@
             self.on_crash(instance, requests)
 
     def _remember(self, instance: running_requests.UpstreamInstance) -> None:
-        self._crashed[instance] = None
-        while len(self._crashed) > _MAX_REMEMBERED_CRASHES:
-            del self._crashed[next(iter(self._crashed))]
+        self._crashed_at[instance] = self._clock.monotonic()
+        while len(self._crashed_at) > _MAX_REMEMBERED_CRASHES:
+            del self._crashed_at[next(iter(self._crashed_at))]
 
 
 def _run_end_of(
--- a/packages/router/tests/test_crash_watch.py
+++ b/packages/router/tests/test_crash_watch.py
@@ -1,11 +1,12 @@
 """Detection of crashed upstreams after broken requests."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import outcomes
+from lagoonrun_core import outcomes, types
 from lagoonrun_router import (
     attempt_result,
     crash_watch,
@@ -92,6 +93,24 @@
     assert watch.answered == ["done"]
 
 
+async def test_crashed_upstream_may_come_back_as_another_version(
+    watch, registration
+):
+    """Guards against a stream that goes on at the next process under an id."""
+    without_start = dataclasses.replace(
+        registration, start=types.UNKNOWN_UPSTREAM_START
+    )
+    assert not watch.may_have_restarted(registration)
+    for one in (registration, without_start):
+        watch.end(begin(watch, "one", one), BROKEN, one)
+    await settled(watch)
+    assert len(watch.seen) == 2
+    assert watch.may_have_restarted(registration)
+    restarted = dataclasses.replace(registration, start=6)
+    assert not watch.may_have_restarted(restarted)
+    assert not watch.may_have_restarted(without_start)
+
+
 async def test_upstream_that_accepts_connections_has_not_crashed(
     watch, registration
 ):
