--- a/packages/router/tests/test_placement.py
+++ b/packages/router/tests/test_placement.py
@@ -50,8 +50,11 @@
     """Guards against streams at the only upstream of a version of a rollout."""
     weights = dataclasses.replace(placement.DEFAULT_WEIGHTS, side=0.0)
 
+    request = dataclasses.replace(LONG, shared_recently=True)
+
     def best_of(*candidates):
-        return placement.rank(LONG, candidates, weights)[0].candidate.upstream
+        ranked = placement.rank(request, candidates, weights)
+        return ranked[0].candidate.upstream
 
     for alone, other in (("a", "b"), ("b", "a")):
         among_others = candidate(other, substitutes=3)
