Send no stream again whose events have no ids

After a break, an attempt goes on after the last delivered event. Where events have no ids there is none, and the stream began again within the same answer: its events came twice. Such a stream ends as broken now.

--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -317,6 +317,9 @@
         now = self._components.clock.monotonic()
         self._record_loss(lost, now)
         decision = retrying.decide(self._call, lost, self._sends, now=now)
+        if self._relay.events and not self._relay.resume_after:
+            # Its events have no ids: a retry would repeat them.
+            decision = retrying.RetryDecision.END
         pool = self._call.pool.name
         if decision is retrying.RetryDecision.PAID:
             if self._components.retry_budget.spend(pool, now=now):
--- a/packages/router/tests/test_streams_of_one_version.py
+++ b/packages/router/tests/test_streams_of_one_version.py
@@ -35,6 +35,8 @@
         Event after which streams from the beginning break; None for none.
     resumable
         Whether a stream may go on here; otherwise its connection breaks.
+    has_ids
+        Whether events have ids.
     begun, resumed
         Streams that were sent here from the beginning, and to go on.
     """
@@ -42,6 +44,7 @@
     version: str
     breaks_after: int | None = None
     resumable: bool = True
+    has_ids: bool = True
     begun: int = 0
     resumed: int = 0
 
@@ -59,9 +62,9 @@
         )
         for number in range(after + 1, EVENTS + 1):
             await asyncio.sleep(EVENT_SECONDS)
-            await exchange.send(
-                f"id: {number}\ndata: {self.version}\n\n".encode()
-            )
+            id_line = f"id: {number}\n" if self.has_ids else ""
+            event = f"{id_line}data: {self.version}\n\n"
+            await exchange.send(event.encode())
             if not after and number == self.breaks_after:
                 exchange.abort()
                 return
@@ -354,3 +357,14 @@
     answer = await take_up(worlds[1], "s-1", resumes="r-1", after="1")
     assert answer.headers["lagoonrun-reason"] == "version-gone"
     assert [one.resumed for one in upstreams] == [0, 0]
+
+
+async def test_stream_whose_events_have_no_ids_is_not_sent_again(fleet_of):
+    """Guards against events that come twice after a stream broke."""
+    upstreams = [
+        VersionedUpstream(version="v1", breaks_after=2, has_ids=False)
+        for _ in range(2)
+    ]
+    (world,) = await fleet_of(1, upstreams)
+    answer = await world.ask()
+    assert (answer.body, answer.whole) == (b"data: v1\n\n" * 2, False)
