Explain a stream that was taken up by what was known of its origin

explain-log names the version of the chosen upstream, and for a stream that is taken up where it began, by which evidence of which entry VM, how old, and how many answered.

--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -214,6 +214,8 @@
                 f"{line.get('per_second')} requests a second of all entry VMs; "
                 f"the next one {line.get('wait_seconds')} s later"
             )
+        elif line.message == "stream-taken-up":
+            yield _origin_of(line)
         elif line.message == "request-routed":
             yield from _placement_of(line)
         elif line.message == "request-ended" and is_late(line):
@@ -225,6 +227,26 @@
             )
 
 
+def _origin_of(taken_up: log_lines.LogLine) -> str:
+    """Say what was known of a stream that the request takes up."""
+    asked = (
+        f"{taken_up.get('answered')} entry VMs answered within "
+        f"{taken_up.get('seconds')} s, {taken_up.get('unanswered')} did not"
+    )
+    if not taken_up.get("version"):
+        return (
+            f"it is not known where the stream of {taken_up.get('resumes')} "
+            f"began: {taken_up.get('evidence')} by {taken_up.get('source')}; "
+            f"{asked}"
+        )
+    return (
+        f"the stream of {taken_up.get('resumes')} began in pool "
+        f"{taken_up.get('pool')} at version {taken_up.get('version')}, by "
+        f"{taken_up.get('evidence')} of {taken_up.get('source')}, "
+        f"{taken_up.get('age_seconds')} s old; {asked}"
+    )
+
+
 def _share_of(refused: log_lines.LogLine) -> Iterable[str]:
     """Say by which figures the organisation of a request exceeded its share."""
     fraction = refused.get("fraction")
@@ -271,6 +293,11 @@
     for upstream, why in (routed.get("closed") or {}).items():
         yield f"{upstream} was passed by, since it was {why}"
     candidates = routed.get("candidates") or []
+    if routed.get("version"):
+        yield (
+            f"it was sent to {routed.get('chosen')}, version "
+            f"{routed.get('version')}"
+        )
     if candidates:
         best = candidates[0]
         yield (
--- a/packages/cli/tests/test_explain_log.py
+++ b/packages/cli/tests/test_explain_log.py
@@ -303,3 +303,30 @@
     assert len(causes) == 2
     assert "no-room" in causes[0]
     assert causes[1].startswith("cheapest of 2 candidates")
+
+
+def test_stream_is_explained_by_the_version_that_began_it():
+    """Guards against lines that don't show why a stream went on where it did."""
+    times = {"entry_vm": "vm-2", "asctime": "2026-01-01 00:00:09,000"}
+    request = {"request_id": "r-2", "resumes": "r-1", **times}
+    taken_up = line_of(
+        "stream-taken-up",
+        evidence="record",
+        pool="readers",
+        version="v1",
+        source="vm-3",
+        age_seconds=0.4,
+        answered=2,
+        unanswered=1,
+        seconds=0.05,
+        **request,
+    )
+    routed = line_of("request-routed", chosen="u-7", version="v1", **request)
+    ended = line_of(
+        "request-ended", outcome="complete", reason="none", **request
+    )
+    found = log_explanation.explain(
+        "r-2", log_lines.read([taken_up, routed, ended])
+    )
+    assert any("record of vm-3, 0.4 s old" in one for one in found.causes)
+    assert any("u-7, version v1" in one for one in found.causes)
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -554,7 +554,6 @@
 class OriginNews:
     """Origins of streams, sent to the entry VMs that keep them."""
 
-    entry_vm: types.EntryVmId
     rows: tuple[OriginRow, ...] = ()
 
 
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -385,8 +385,7 @@
 }
 
 struct OriginNews {
-  entryVm @0 :Text;
-  rows @1 :List(OriginRow);
+  rows @0 :List(OriginRow);
 }
 
 struct OriginQuery {
--- a/packages/router/src/lagoonrun_router/stream_origins.py
+++ b/packages/router/src/lagoonrun_router/stream_origins.py
@@ -213,7 +213,6 @@
             self._metrics.stream_origins_told.inc(len(rows))
             for start in range(0, len(rows), _MAX_ROWS):
                 news = router_messages.OriginNews(
-                    entry_vm=self._configured.entry_vm,
                     rows=tuple(rows[start : start + _MAX_ROWS]),
                 )
                 self._send(news, self._addresses_of((holder,)))
