Don't wait for lost entry VMs while a pool has one version

A stream that was taken up waited 0.3 s for an entry VM that had been lost, though this one and two that had answered knew of one version only: a remote one counts as running for a minute. It goes on after 50 ms now. Own records stay until they expire, since the caller may have lost the end of a stream that was sent whole.

--- a/packages/router/src/lagoonrun_router/origin_records.py
+++ b/packages/router/src/lagoonrun_router/origin_records.py
@@ -24,7 +24,7 @@
     is_own
         Whether this entry VM has sent the request.
     is_told
-        Whether other entry VMs were told.
+        Whether other entry VMs were told, or need not be.
     """
 
     request: types.RequestId
@@ -65,10 +65,6 @@
         while len(self._by_request) > _MAX_RECORDS:
             del self._by_request[next(iter(self._by_request))]
 
-    def remove(self, request: types.RequestId) -> None:
-        """Forget a stream that has ended."""
-        self._by_request.pop(request, None)
-
     def untold(self) -> Iterator[OriginRecord]:
         """Return the own records that other entry VMs were not told."""
         return (
--- a/packages/router/src/lagoonrun_router/stream_origins.py
+++ b/packages/router/src/lagoonrun_router/stream_origins.py
@@ -32,6 +32,12 @@
 _ANSWER_SECONDS = 0.3
 """Longest wait for answers; a busy entry VM of half a core takes 0.1 s."""
 
+_PROMPT_ANSWER_SECONDS = 0.05
+"""Time after which silent entry VMs are no longer waited for if this one and two
+that have answered know of one version only."""
+
+_MIN_AGREEING_ANSWERS = 2
+
 _LATER_ATTEMPT_SECONDS = 0.05
 """Wait for a record of a later attempt after one has been found: its message to
 one of the two holders may be lost."""
@@ -68,6 +74,21 @@
             one.evidence is stream_origin.Evidence.RECORD for one in self.found
         )
 
+    @property
+    def is_decided(self) -> bool:
+        """Whether no further answer is waited for.
+
+        The first statement is that of this entry VM.
+        """
+        if not self.waiting or self.has_record:
+            return True
+        own, *answers = self.found
+        return (
+            own.evidence is stream_origin.Evidence.SOLE_VERSION
+            and len(answers) >= _MIN_AGREEING_ANSWERS
+            and stream_origin.combine(self.found).origin == own.origin
+        )
+
 
 class StreamOrigins:
     """Keeps where streams began, tells other entry VMs, and asks them.
@@ -146,8 +167,10 @@
             self._tell((record,), now)
 
     def record_complete(self, request: types.RequestId) -> None:
-        """Forget a stream whose caller has all of it."""
-        self._records.remove(request)
+        """Record that a stream was sent to its end, and need not be told."""
+        record = self._records.get(request, now=self._clock.monotonic())
+        if record is not None:
+            record.is_told = True
 
     def observe_upstreams(
         self,
@@ -323,10 +346,12 @@
         try:
             async with asyncio.timeout(_ANSWER_SECONDS):
                 self._send(query.message, self._addresses_of(asked))
-                while query.waiting and not query.has_record:
+                await _wait_for_answers(query, _PROMPT_ANSWER_SECONDS)
+                while not query.is_decided:
                     await _wait_for_answers(query, _ASK_AGAIN_SECONDS)
                     self._send(query.message, self._addresses_of(query.waiting))
-                await _wait_for_answers(query, _LATER_ATTEMPT_SECONDS)
+                if query.has_record:
+                    await _wait_for_answers(query, _LATER_ATTEMPT_SECONDS)
         except TimeoutError:
             pass
         finally:
--- a/packages/router/tests/test_streams_of_one_version.py
+++ b/packages/router/tests/test_streams_of_one_version.py
@@ -368,3 +368,19 @@
     (world,) = await fleet_of(1, upstreams)
     answer = await world.ask()
     assert (answer.body, answer.whole) == (b"data: v1\n\n" * 2, False)
+
+
+async def test_lost_entry_vm_does_not_delay_streams_of_one_version(
+    fleet_of, monkeypatch
+):
+    """Guards against a wait for an entry VM that will not answer."""
+    monkeypatch.setattr(stream_origins, "_MIN_STREAM_SECONDS", 0.0)
+    monkeypatch.setattr(stream_origins, "_ANSWER_SECONDS", WAIT_SECONDS)
+    route = resumable_route(limit_seconds=1.0)
+    worlds = await fleet_of(4, [VersionedUpstream(version="v1")], route)
+    found = worlds[1].router.exchange.stream_origins
+    await wait_for(lambda: is_sole(found, "v1", seconds=2.0))
+    await worlds[0].router.close()
+    async with asyncio.timeout(WAIT_SECONDS / 2):
+        answer = await take_up(worlds[1], "s-1", resumes="unknown", after="2")
+    assert answer.whole
