--- a/packages/router/tests/test_streams_of_one_version.py
+++ b/packages/router/tests/test_streams_of_one_version.py
@@ -37,6 +37,8 @@
         Whether a stream may go on here; otherwise its connection breaks.
     has_ids
         Whether events have ids.
+    hangs
+        Whether streams go silent after their first event.
     begun, resumed
         Streams that were sent here from the beginning, and to go on.
     """
@@ -45,6 +47,7 @@
     breaks_after: int | None = None
     resumable: bool = True
     has_ids: bool = True
+    hangs: bool = False
     begun: int = 0
     resumed: int = 0
 
@@ -65,6 +68,9 @@
             id_line = f"id: {number}\n" if self.has_ids else ""
             event = f"{id_line}data: {self.version}\n\n"
             await exchange.send(event.encode())
+            if self.hangs:
+                await exchange.caller_left.wait()
+                return
             if not after and number == self.breaks_after:
                 exchange.abort()
                 return
@@ -92,10 +98,17 @@
 async def fleet_of(world_of):
     """Return a function that starts entry VMs and versioned upstreams."""
 
-    async def start(vms, upstreams, route=None, pools=("portal",)):
+    async def start(
+        vms,
+        upstreams,
+        route=None,
+        pools=("portal",),
+        pools_by_name=POOLS_BY_NAME,
+        slots=2,
+    ):
         worlds = [await world_of(f"vm-{number}") for number in range(vms)]
         await worlds[0].declare(
-            route or resumable_route(), pools_by_name=POOLS_BY_NAME
+            route or resumable_route(), pools_by_name=pools_by_name
         )
         for number, answer in enumerate(upstreams):
             await worlds[0].add_upstream(
@@ -103,7 +116,7 @@
                 f"u-{number}",
                 version=answer.version,
                 pool=pools[number % len(pools)],
-                slots=2,
+                slots=slots,
             )
         for world in worlds:
             await world.ready()
@@ -384,3 +397,33 @@
     async with asyncio.timeout(WAIT_SECONDS / 2):
         answer = await take_up(worlds[1], "s-1", resumes="unknown", after="2")
     assert answer.whole
+
+
+async def test_stream_goes_on_where_new_requests_find_no_room(fleet_of):
+    """Guards against new requests that take the place of broken streams."""
+    upstreams = [
+        VersionedUpstream(version="v1", hangs=True),
+        VersionedUpstream(version="v2", hangs=True),
+    ]
+    engine = declarations.Engine(slots=1, cache_tokens=1000)
+    pool = declarations.Pool(
+        name="portal", maximum_connections=64, engine=engine
+    )
+    worlds = await fleet_of(
+        2, upstreams, pools_by_name={"portal": pool}, slots=1
+    )
+    _, event = await begin(worlds[0], "r-1")
+    running = []
+    while True:
+        caller = await worlds[1].caller()
+        number = len(running)
+        caller.send("/lookups/1", id=f"s-{number}", headers=("Tokens: 900",))
+        running.append(caller)
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        if b" 503 " in head:
+            break
+    for one in upstreams:
+        one.hangs = False
+    answer = await take_up(worlds[1], "t-1", resumes="r-1", after="1")
+    assert (answer.status, answer.whole) == (200, True)
+    assert versions_in(answer.body) == versions_in(event)
