Let the demo's refused callers be refused for the room kept for them

make demo ended with DIFFERS in most runs on a slow machine: it allowed no refusal but over-share. Cause: refused callers are told to return, and the demo's don't. Where the demo takes longer than their Retry-After, room is kept for them and further requests of the same organisation are refused as reserved, as described in OPERATIONS.

--- a/packages/standins/src/lagoonrun_standins/demo_load.py
+++ b/packages/standins/src/lagoonrun_standins/demo_load.py
@@ -190,10 +190,18 @@
             set(large) == {200, 503} and large[503] >= _MIN_REFUSED,
             f"statuses of {_LARGE}: {dict(large)}",
         )
+        over_share = [one for one in refused if b"over-share" in one.body]
+        self._check(
+            len(over_share) >= _MIN_REFUSED,
+            f"{len(over_share)} of {len(refused)} refused as over-share",
+        )
         for answer in refused:
             retry_after = float(answer.headers.get("retry-after", 0.0))
+            # Refused callers are told to return, and don't. Where the demo
+            # takes longer than that, room is kept for them.
+            is_reserved = b"reserved" in answer.body
             self._check(
-                b"over-share" in answer.body
+                (answer in over_share or is_reserved)
                 and 0.0 < retry_after < _LIMIT_SECONDS / 3,
                 f"refusal {answer.body!r}, Retry-After {retry_after}",
             )
