Observe versions without an object for each upstream

Ranking counts versions by their text, and only for streams that can be resumed. Without streams to tell of, the table of entry VMs is not read.

--- a/packages/router/src/lagoonrun_router/candidates.py
+++ b/packages/router/src/lagoonrun_router/candidates.py
@@ -11,7 +11,6 @@
     placement,
     pool_capacity,
     speed_estimate,
-    stream_origin,
     upstreams,
 )
 from lagoonrun_router import components as router_components
@@ -104,7 +103,7 @@
         usual_seconds = 0.0
         if uneven and call.pool.engine is None:
             usual_seconds = self._usual_seconds(usable, now)
-        substitutes_by_origin = _substitutes_by_origin(call, usable)
+        substitutes_by_version = _substitutes_by_version(call, usable)
         return tuple(
             self._candidate(
                 call,
@@ -112,9 +111,7 @@
                 now,
                 uneven=uneven,
                 usual_seconds=usual_seconds,
-                substitutes=substitutes_by_origin.get(
-                    stream_origin.origin_at(one)
-                ),
+                substitutes=substitutes_by_version.get(one.version),
             )
             for one in registered
         )
@@ -255,17 +252,19 @@
         )
 
 
-def _substitutes_by_origin(
+def _substitutes_by_version(
     call: calls.Call, usable: tuple[upstreams.Registration, ...]
-) -> dict[stream_origin.StreamOrigin, int]:
+) -> dict[types.UpstreamVersion, int]:
     """Return how many other upstreams could continue a stream of each version.
 
     Empty if the call is no such stream, or all upstreams are of one version.
     """
-    if not call.route.resumable or len({one.version for one in usable}) == 1:
+    if not call.route.resumable:
         return {}
-    counts = collections.Counter(map(stream_origin.origin_at, usable))
-    return {origin: count - 1 for origin, count in counts.items()}
+    counts = collections.Counter(one.version for one in usable)
+    if len(counts) == 1:
+        return {}
+    return {version: count - 1 for version, count in counts.items()}
 
 
 def plain_seconds(
--- a/packages/router/src/lagoonrun_router/stream_origins.py
+++ b/packages/router/src/lagoonrun_router/stream_origins.py
@@ -189,7 +189,8 @@
             for one in tuple(self._records.untold())
             if self._must_tell(one, now)
         ]
-        self._tell(untold, now)
+        if untold:
+            self._tell(untold, now)
 
     def tick(self, *, now: float) -> None:
         """Drop expired records once a second."""
--- a/packages/router/src/lagoonrun_router/version_history.py
+++ b/packages/router/src/lagoonrun_router/version_history.py
@@ -43,7 +43,11 @@
         is_current
             Whether the entry VM hears of changes of the upstreams at present.
         """
-        for one in registrations:
+        # One of each version: there may be thousands of upstreams.
+        samples = {
+            (one.pool, one.version or one.id): one for one in registrations
+        }
+        for one in samples.values():
             origin = stream_origin.origin_at(one)
             seen_at = self._seen_at_by_pool.setdefault(origin.pool, {})
             seen_at[origin.version] = now
--- a/packages/router/tests/test_version_history.py
+++ b/packages/router/tests/test_version_history.py
@@ -67,3 +67,10 @@
     unseen = stream_origin.StreamOrigin(pool="portal", version="v3")
     assert history.has_seen(seen)
     assert not history.has_seen(unseen)
+
+
+def test_upstreams_without_a_version_have_several(history):
+    """Guards against unknown versions that are taken for one."""
+    registrations = [make_registration(f"u-{n}", version="") for n in (1, 2)]
+    history.observe(registrations, is_current=True, now=0.0)
+    assert history.has_several("portal", seconds=30.0, now=0.0)
