Continue streams neither behind all others nor in a pool that lost the route

A leaving upstream of the pool that began a stream was still used after the route had moved to another pool; it is looked for in the pool of the route now (the test got an answer where a refusal is due). And a stream that would be late was sent with the urgency of the requests that yield to all others; it keeps its own now.

--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -108,7 +108,7 @@
         registered = self._usable(call, now, origin=origin)
         by_id = {one.id: one for one in registered if one.id not in excluded}
         if not by_id and origin is not None:
-            by_id = self._leaving_by_id(origin, excluded, now)
+            by_id = self._leaving_by_id(call, origin, excluded, now)
             registered = tuple(by_id.values())
         if not by_id:
             return None
@@ -120,12 +120,16 @@
         usable = tuple(available.open_by_id.values())
         adaptive = self._components.adaptive.is_adaptive(call.pool, usable)
         sampled = self._candidates.sample(call, usable, now, adaptive=adaptive)
-        ranking = self._rank(call, sampled, usable, now, adaptive=adaptive)
+        ranking = self._rank(
+            call, sampled, usable, now, adaptive=adaptive, origin=origin
+        )
         best = self._admit(call, ranking.ranked, now, origin=origin)
         if isinstance(best, admission.Refusal) and len(sampled) < len(usable):
             # A request is rejected only if no upstream of the pool has
             # capacity for it, so all of them are tried.
-            ranking = self._rank(call, usable, usable, now, adaptive=adaptive)
+            ranking = self._rank(
+                call, usable, usable, now, adaptive=adaptive, origin=origin
+            )
             best = self._admit(call, ranking.ranked, now, origin=origin)
         admitted = self._admit_adaptive(
             call,
@@ -194,13 +198,14 @@
 
     def _leaving_by_id(
         self,
+        call: calls.Call,
         origin: stream_origin.StreamOrigin,
         excluded: Container[types.UpstreamId],
         now: float,
     ) -> dict[types.UpstreamId, upstreams.Registration]:
         """Return the leaving upstreams that can still continue a stream."""
         leaving = self._components.directory.leaving_recently(
-            origin.pool, now=now
+            call.pool.name, now=now
         )
         return {
             one.id: one
@@ -232,11 +237,12 @@
         now: float,
         *,
         adaptive: bool,
+        origin: stream_origin.StreamOrigin | None,
     ) -> "_Ranking":
         """Rank some usable upstreams.
 
         A request that would be late is ranked as one of an additional tier
-        below all others.
+        below all others, unless it continues a stream.
         """
         request = _request_of(
             call, shared_recently=self._candidates.shared_recently(call)
@@ -246,11 +252,15 @@
         )
         pool = self._candidates.pool_order(usable)
         ranked = placement.rank(request, built, pool=pool)
-        stands_back = call.pool.engine is not None and admission.stands_back(
-            call.tier,
-            call.pool_tiers,
-            wait_seconds=ranked[0].wait_seconds,
-            target_seconds=call.route.profile.target_seconds,
+        stands_back = (
+            call.pool.engine is not None
+            and origin is None
+            and admission.stands_back(
+                call.tier,
+                call.pool_tiers,
+                wait_seconds=ranked[0].wait_seconds,
+                target_seconds=call.route.profile.target_seconds,
+            )
         )
         if stands_back:
             lowest_tier = types.Tier(call.tier + 1)
--- a/packages/router/src/lagoonrun_router/stream_origins.py
+++ b/packages/router/src/lagoonrun_router/stream_origins.py
@@ -82,6 +82,9 @@
         """
         if not self.waiting or self.has_record:
             return True
+        if not self.message.request:
+            # Without the id of a request nobody can have its record.
+            return True
         own, *answers = self.found
         return (
             own.evidence is stream_origin.Evidence.SOLE_VERSION
--- a/packages/router/tests/test_streams_of_one_version.py
+++ b/packages/router/tests/test_streams_of_one_version.py
@@ -7,8 +7,16 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_http import messages as http_messages
-from lagoonrun_router import declarations, stream_origins, upstream_notice
+from lagoonrun_router import (
+    choosing,
+    declarations,
+    loads,
+    stream_origin,
+    stream_origins,
+    upstream_notice,
+)
 from lagoonrun_standins.router_samples import (
+    make_call,
     make_registration,
     make_stream_route,
 )
@@ -367,6 +375,12 @@
     )
     await worlds[0].declare(moved, revision=2, pools_by_name=POOLS_BY_NAME)
     await wait_for(lambda: worlds[1].router.replica.revision == 2)
+    directory = worlds[1].router.directory
+    leaving = directory.registration_of("u-0")
+    await worlds[0].register_at(
+        "u-0", leaving.port, version="v1", leaving=True, slots=2
+    )
+    await wait_for(lambda: not directory.is_serving("u-0"))
     answer = await take_up(worlds[1], "s-1", resumes="r-1", after="1")
     assert answer.headers["lagoonrun-reason"] == "version-gone"
     assert [one.resumed for one in upstreams] == [0, 0]
@@ -427,3 +441,30 @@
     answer = await take_up(worlds[1], "t-1", resumes="r-1", after="1")
     assert (answer.status, answer.whole) == (200, True)
     assert versions_in(answer.body) == versions_in(event)
+
+
+async def test_late_stream_that_goes_on_yields_to_no_new_request(fleet_of):
+    """Guards against streams that break off behind all others of the pool."""
+    (world,) = await fleet_of(1, [VersionedUpstream(version="v1")], slots=8)
+    components = world.router._ingress._components
+    (upstream,) = world.router.directory.registrations
+    engine = declarations.Engine(slots=8, cache_tokens=1_000_000)
+    call = make_call(
+        route=resumable_route(tier=3, limit_seconds=60.0),
+        pool=declarations.Pool(
+            name="portal", maximum_connections=64, engine=engine
+        ),
+        pool_tiers=(1, 3),
+        limit_at=components.clock.monotonic() + 60.0,
+    )
+    waiting = loads.InFlightRequest(
+        upstream=upstream.id, new_tokens=30_000.0, sensitivity=0.0, tier=1
+    )
+    components.ledger.begin(waiting, now=components.clock.monotonic())
+    chooser = choosing.Chooser(components=components)
+    new = chooser.choose(call, excluded=())
+    continued = chooser.choose(
+        call, excluded=(), origin=stream_origin.origin_at(upstream)
+    )
+    assert (new.stands_back, new.tier) == (True, 4)
+    assert (continued.stands_back, continued.tier) == (False, 3)
