Move the queries for the origins of streams into a module of their own

Behaviour is the same; the addresses of several peers are looked up in the peer table, by both of its users.

--- a/packages/router/src/lagoonrun_router/peer_exchange.py
+++ b/packages/router/src/lagoonrun_router/peer_exchange.py
@@ -313,7 +313,7 @@
         if is_relied_on and self._state_publisher.concerns_all_neighbours:
             recipients = self._table.neighbour_addresses()
         else:
-            recipients = self._addresses_of(relays)
+            recipients = self._table.addresses_of(relays)
         self._socket.send(state, recipients)
 
     def _send_changes(self, changes: router_messages.StoreChanges) -> None:
@@ -350,17 +350,11 @@
         else:
             self._socket.send(changes, self._table.neighbour_addresses())
 
-    def _addresses_of(
-        self, entry_vms: Iterable[types.EntryVmId]
-    ) -> tuple[settings.Address, ...]:
-        found = (self._table.address_of(one) for one in entry_vms)
-        return tuple(one for one in found if one is not None)
-
     def send_usage(
         self, news: router_messages.UsageNews, to: types.EntryVmId
     ) -> None:
         """Send usage counts to the holder of the duties."""
-        self._socket.send(news, self._addresses_of((to,)))
+        self._socket.send(news, self._table.addresses_of((to,)))
 
     def remote_relay_addresses(self) -> tuple[settings.Address, ...]:
         """Return the relays of the other failure domains."""
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import random
+from collections.abc import Iterable
 
 from lagoonrun_core import events, logs, types
 from lagoonrun_protocol import router_messages
@@ -392,6 +393,13 @@
         peer = self._peers_by_id.get(entry_vm)
         return peer.address if peer else None
 
+    def addresses_of(
+        self, entry_vms: Iterable[types.EntryVmId]
+    ) -> tuple[settings.Address, ...]:
+        """Return the addresses of peers, without those that are unknown."""
+        found = (self.address_of(one) for one in entry_vms)
+        return tuple(one for one in found if one is not None)
+
     @property
     def is_large(self) -> bool:
         """Whether a few entry VMs read the store for the others."""
--- a/packages/router/src/lagoonrun_router/stream_origins.py
+++ b/packages/router/src/lagoonrun_router/stream_origins.py
@@ -7,8 +7,6 @@
 stream of unknown origin is not continued.
 """
 
-import asyncio
-import dataclasses
 import random
 from collections.abc import Iterable
 
@@ -20,6 +18,7 @@
     metrics,
     news_broadcaster,
     origin_holders,
+    origin_queries,
     origin_records,
     peer_table,
     route_history,
@@ -29,23 +28,6 @@
     version_history,
 )
 
-_ANSWER_SECONDS = 0.3
-"""Longest wait for answers; a busy entry VM of half a core takes 0.1 s."""
-
-_PROMPT_ANSWER_SECONDS = 0.05
-"""Time after which silent entry VMs are no longer waited for if this one and two
-that have answered know of one version only."""
-
-_MIN_AGREEING_ANSWERS = 2
-
-_LATER_ATTEMPT_SECONDS = 0.05
-"""Wait for a record of a later attempt after one has been found: its message to
-one of the two holders may be lost."""
-
-_ASK_AGAIN_SECONDS = 0.1
-"""Time after which those are asked again that have not answered: datagrams get
-lost."""
-
 _MIN_STREAM_SECONDS = 30.0
 _STREAM_LIMITS = 2.0
 """Longest time from the first attempt of a stream to the last try of its caller
@@ -54,45 +36,9 @@
 _MAX_ROWS = 40
 """Rows in a datagram, which has to stay below the size of a fragment."""
 
-_NUMBER_BITS = 48
 _TICK_SECONDS = 1.0
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Query:
-    """A query and the entry VMs whose answers are due."""
-
-    message: router_messages.OriginQuery
-    waiting: set[types.EntryVmId]
-    found: list[stream_origin.FoundOrigin]
-    answered: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-
-    @property
-    def has_record(self) -> bool:
-        """Whether some entry VM has a record of the stream."""
-        return any(
-            one.evidence is stream_origin.Evidence.RECORD for one in self.found
-        )
-
-    @property
-    def is_decided(self) -> bool:
-        """Whether no further answer is waited for.
-
-        The first statement is that of this entry VM.
-        """
-        if not self.waiting or self.has_record:
-            return True
-        if not self.message.request:
-            # Without the id of a request nobody can have its record.
-            return True
-        own, *answers = self.found
-        return (
-            own.evidence is stream_origin.Evidence.SOLE_VERSION
-            and len(answers) >= _MIN_AGREEING_ANSWERS
-            and stream_origin.combine(self.found).origin == own.origin
-        )
-
-
 class StreamOrigins:
     """Keeps where streams began, tells other entry VMs, and asks them.
 
@@ -132,9 +78,9 @@
         self._metrics = counters
         self._clock = clock
         self._records = origin_records.OriginRecords()
-        # Random, so that an answer to the previous process is not accepted.
-        self._number = rng.getrandbits(_NUMBER_BITS)
-        self._query_by_number: dict[int, _Query] = {}
+        self._queries = origin_queries.OriginQueries(
+            peer_address=configured.peer, table=table, send=send, rng=rng
+        )
         self._ticked_at = float("-inf")
         self.versions = version_history.VersionHistory()
         self.routes = route_history.RouteHistory()
@@ -242,7 +188,7 @@
                 news = router_messages.OriginNews(
                     rows=tuple(rows[start : start + _MAX_ROWS]),
                 )
-                self._send(news, self._addresses_of((holder,)))
+                self._send(news, self._table.addresses_of((holder,)))
 
     # Streams that callers take up.
 
@@ -266,15 +212,12 @@
         """
         began_at = self._clock.monotonic()
         own = self._find_here(request, route, now=began_at)
-        query = None
-        if own.is_final:
-            found = own
-        else:
-            query = await self._ask(request, route, own)
-            found = stream_origin.combine(query.found)
-            found = self._doubt_outdated(found, query)
-        self._keep(request, route, found, query)
-        self._log(request, found, query, began_at, taken_up_by)
+        asked = origin_queries.Asked(found=(own,))
+        if not own.is_final:
+            asked = await self._queries.ask(request, route, own)
+        found = self._doubt_outdated(stream_origin.combine(asked.found), asked)
+        self._keep(request, route, found, asked)
+        self._log(request, found, asked, began_at, taken_up_by)
         return found
 
     def _find_here(
@@ -324,46 +267,8 @@
             evidence=evidence, source=self._configured.entry_vm
         )
 
-    async def _ask(
-        self,
-        request: types.RequestId,
-        route: declarations.Route,
-        own: stream_origin.FoundOrigin,
-    ) -> _Query:
-        """Ask the entry VMs that may know; return their answers."""
-        self._number += 1
-        asked = origin_holders.asked(
-            request, self._table.candidates_by_domain()
-        )
-        query = _Query(
-            message=router_messages.OriginQuery(
-                host=self._configured.peer.host,
-                port=self._configured.peer.port,
-                number=self._number,
-                request=request,
-                route=route_history.key_of(route),
-            ),
-            waiting=set(asked),
-            found=[own],
-        )
-        self._query_by_number[self._number] = query
-        try:
-            async with asyncio.timeout(_ANSWER_SECONDS):
-                self._send(query.message, self._addresses_of(asked))
-                await _wait_for_answers(query, _PROMPT_ANSWER_SECONDS)
-                while not query.is_decided:
-                    await _wait_for_answers(query, _ASK_AGAIN_SECONDS)
-                    self._send(query.message, self._addresses_of(query.waiting))
-                if query.has_record:
-                    await _wait_for_answers(query, _LATER_ATTEMPT_SECONDS)
-        except TimeoutError:
-            pass
-        finally:
-            del self._query_by_number[query.message.number]
-        return query
-
     def _doubt_outdated(
-        self, found: stream_origin.FoundOrigin, query: _Query
+        self, found: stream_origin.FoundOrigin, asked: origin_queries.Asked
     ) -> stream_origin.FoundOrigin:
         """Return what was found, unless only an outdated view supports it.
 
@@ -372,8 +277,8 @@
         """
         if (
             found.evidence is stream_origin.Evidence.SOLE_VERSION
-            and query.waiting
-            and len(query.found) == 1
+            and asked.silent
+            and asked.answered == 0
             and not self.versions.is_current(now=self._clock.monotonic())
         ):
             return self._without_origin(stream_origin.Evidence.TOO_NEW)
@@ -384,7 +289,7 @@
         request: types.RequestId,
         route: declarations.Route,
         found: stream_origin.FoundOrigin,
-        query: _Query | None,
+        asked: origin_queries.Asked,
     ) -> None:
         """Keep and pass on a record for a further try of the caller.
 
@@ -405,14 +310,13 @@
         )
         self._records.put(record)
         if self._must_tell(record, now):
-            silent = frozenset(query.waiting) if query else frozenset()
-            self._tell((record,), now, silent=silent)
+            self._tell((record,), now, silent=asked.silent)
 
     def _log(
         self,
         request: types.RequestId,
         found: stream_origin.FoundOrigin,
-        query: _Query | None,
+        asked: origin_queries.Asked,
         began_at: float,
         taken_up_by: types.RequestId,
     ) -> None:
@@ -426,17 +330,11 @@
             version=found.origin.version if found.origin else "",
             source=found.source,
             age_seconds=round(found.age_seconds, 3),
-            answered=len(query.found) - 1 if query else 0,
-            unanswered=len(query.waiting) if query else 0,
+            answered=asked.answered,
+            unanswered=len(asked.silent),
             seconds=round(self._clock.monotonic() - began_at, 4),
         )
 
-    def _addresses_of(
-        self, entry_vms: Iterable[types.EntryVmId]
-    ) -> tuple[settings.Address, ...]:
-        found = (self._table.address_of(one) for one in entry_vms)
-        return tuple(one for one in found if one is not None)
-
     # Messages of peers.
 
     def receive_message(
@@ -448,7 +346,7 @@
         elif isinstance(message, router_messages.OriginQuery):
             self._answer(message, now)
         elif isinstance(message, router_messages.OriginAnswer):
-            self._receive_answer(message)
+            self._queries.receive_answer(message)
         else:
             return False
         return True
@@ -489,40 +387,6 @@
         address = settings.Address(host=query.host, port=query.port)
         self._send(answer, (address,))
 
-    def _receive_answer(self, answer: router_messages.OriginAnswer) -> None:
-        query = self._query_by_number.get(answer.number)
-        if query is None or answer.entry_vm not in query.waiting:
-            return
-        query.waiting.discard(answer.entry_vm)
-        evidence = stream_origin.Evidence(answer.evidence)
-        origin = None
-        if answer.pool:
-            origin = stream_origin.StreamOrigin(
-                pool=answer.pool, version=answer.version
-            )
-        query.found.append(
-            stream_origin.FoundOrigin(
-                evidence=evidence,
-                origin=origin,
-                source=answer.entry_vm,
-                age_seconds=answer.age_milliseconds / 1000.0,
-                attempt=answer.attempt,
-            )
-        )
-        query.answered.set()
-
-
-async def _wait_for_answers(query: _Query, seconds: float) -> None:
-    """Wait for all answers; without a record, end at the first one."""
-    had_record = query.has_record
-    try:
-        async with asyncio.timeout(seconds):
-            while query.waiting and query.has_record is had_record:
-                query.answered.clear()
-                await query.answered.wait()
-    except TimeoutError:
-        return
-
 
 def _row_of(
     record: origin_records.OriginRecord, now: float
--- a/packages/router/tests/test_streams_of_one_version.py
+++ b/packages/router/tests/test_streams_of_one_version.py
@@ -11,6 +11,7 @@
     choosing,
     declarations,
     loads,
+    origin_queries,
     stream_origin,
     stream_origins,
     upstream_notice,
@@ -402,7 +403,7 @@
 ):
     """Guards against a wait for an entry VM that will not answer."""
     monkeypatch.setattr(stream_origins, "_MIN_STREAM_SECONDS", 0.0)
-    monkeypatch.setattr(stream_origins, "_ANSWER_SECONDS", WAIT_SECONDS)
+    monkeypatch.setattr(origin_queries, "_ANSWER_SECONDS", WAIT_SECONDS)
     route = resumable_route(limit_seconds=1.0)
     worlds = await fleet_of(4, [VersionedUpstream(version="v1")], route)
     found = worlds[1].router.exchange.stream_origins
