--- a/packages/soak/src/lagoonrun_soak/caller.py
+++ b/packages/soak/src/lagoonrun_soak/caller.py
@@ -116,7 +116,7 @@
         A resumable stream that breaks is taken up at other entry VMs.
         """
         request = self._new_request(self._target, boot)
-        reusable = await self._send_request(connection, request)
+        reusable = await self._send_request(connection, request, self._target)
         if self._kind.route.resumable and not self._crashing_request:
             await self._take_up(request)
         return reusable
@@ -144,16 +144,19 @@
                 target, target.boot, resumes=begun.id, resumes_after=after
             )
             try:
-                await self._send_request(connection, last)
+                await self._send_request(connection, last, target)
             finally:
                 connection.writer.transport.abort()
 
     async def _send_request(
-        self, connection: router_world.Caller, request: record.CallerRequest
+        self,
+        connection: router_world.Caller,
+        request: record.CallerRequest,
+        target: vm.EntryVm,
     ) -> bool:
         """Send one request; return whether the connection can be reused."""
         limit_seconds = self._write_request(connection, request)
-        if self._target.loses_callers and self._kind.route.resumable:
+        if target.loses_callers and self._kind.route.resumable:
             asyncio.get_running_loop().call_later(
                 self._rng.uniform(*_LOST_AFTER_SECONDS_RANGE),
                 connection.writer.transport.abort,
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -183,3 +183,19 @@
         faults.FaultKind.VM_KILLED
         in soak.Plan(seed=1, seconds=1.0, vms=2).kinds
     )
+
+
+async def test_streams_taken_up_elsewhere_are_cut_only_by_their_own_entry_vm(
+    tmp_path,
+):
+    """Guards against blaming a planned stop for a caller that broke off itself.
+
+    Callers of one entry VM lose their connections while another one stops.
+    """
+    result = await run_soak(
+        tmp_path,
+        seed=4723,
+        kinds=(FaultKind.CALLERS_LOST, FaultKind.VM_STOPPED),
+        vms=4,
+    )
+    assert result.violations == ()
