--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -57,14 +57,6 @@
     assert attributes.resumes_request == ""
 
 
-def test_two_resumed_requests_are_none():
-    """Guards against a stream that is taken for another one's continuation."""
-    attributes = DIALECT.read_attributes(
-        head(("Last-Event-Id", "4"), ("Resumes", "r-0"), ("Resumes", "r-9"))
-    )
-    assert attributes.resumes_request == ""
-
-
 def test_plain_request_has_no_prompt():
     attributes = DIALECT.read_attributes(head())
     assert (attributes.prompt, attributes.prompt_tokens) == ((), 0)
