Keep the faults of soak seeds without rollouts as they were

Nothing is drawn now while there is one version. The errors: a fixture of the soak's upstreams did not name a version.

--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -203,13 +203,19 @@
         version_number
             Number of its version; None for one of those in use.
         """
-        number = version_number or self.rng.choice(self.version_numbers)
+        number = version_number or self._choose_version_number()
         version = types.UpstreamVersion(f"v{number}")
         adding = asyncio.create_task(self._add_upstream(pool, version))
         self._adding.add(adding)
         adding.add_done_callback(self._adding.discard)
         await asyncio.shield(adding)
 
+    def _choose_version_number(self) -> int:
+        if len(self.version_numbers) == 1:
+            # Draws nothing, so that seeds without a rollout keep their faults.
+            return self.version_numbers[0]
+        return self.rng.choice(self.version_numbers)
+
     async def _add_upstream(
         self, pool: types.PoolName, version: types.UpstreamVersion
     ) -> None:
--- a/packages/soak/tests/test_upstream.py
+++ b/packages/soak/tests/test_upstream.py
@@ -14,7 +14,7 @@
 async def running(request):
     network = layout.Network.of_process()
     started = upstream.SoakUpstream(
-        registration=network.registration(0, request.param),
+        registration=network.registration(0, request.param, "v1"),
         address=network.upstream(0),
         history=record.History(),
         on_crash=lambda id: None,
