--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -16,6 +16,12 @@
 
 UNKNOWN_REQUEST = RequestDigest("")
 
+PromptPartDigest = NewType("PromptPartDigest", str)
+"""Digest of a part of a prompt in one pool and for one model."""
+
+Suspect = RequestDigest | PromptPartDigest
+"""What may crash the upstreams that run it."""
+
 AttemptId = NewType("AttemptId", int)
 """Number of a permit attempt of one request, from 1."""
 
--- a/packages/router/src/lagoonrun_router/call.py
+++ b/packages/router/src/lagoonrun_router/call.py
@@ -43,6 +43,8 @@
     resumes_request
         Earlier request of the caller that brought the first event of the stream
         to be resumed; empty if unstated.
+    model
+        Name of the model that is to answer; empty if unstated.
     """
 
     request_id: types.RequestId
@@ -53,6 +55,7 @@
     prompt_tokens: int = 0
     resumes_after: str = ""
     resumes_request: types.RequestId = types.NO_REQUEST
+    model: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -80,6 +83,8 @@
         Revision of the declarations by which the request was resolved.
     digest
         The same for each repetition of the request by its caller.
+    parts
+        Digests of the parts of its prompt that other requests may share.
     tier_targets
         Smallest target in seconds of each tier of the pool.
     found_origin
@@ -101,6 +106,7 @@
     limit_at: float
     revision: types.Revision
     digest: types.RequestDigest = types.UNKNOWN_REQUEST
+    parts: tuple[types.PromptPartDigest, ...] = ()
     tier_targets: Mapping[types.Tier, float] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -358,6 +358,7 @@
             digest=call.digest,
             prompt_tokens=call.attributes.prompt_tokens,
             shared_tokens=call.shared_tokens,
+            parts=call.parts,
             reread_tokens=reread_tokens,
             stands_back=ranking.stands_back,
             closed={
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import enum
 import logging
@@ -37,6 +38,9 @@
 crash in the seconds in which their requests break."""
 
 
+_MAX_LOGGED_PARTS = 32
+
+
 class CrashListener(Protocol):
     """Receives each crash that this entry VM detects."""
 
@@ -136,10 +140,14 @@
         *,
         route: str,
         upstream: upstreams.Registration,
+        parts: tuple[types.PromptPartDigest, ...] = (),
     ) -> running_requests.Run:
         """Record that a request is about to be written to an upstream."""
         return self._running.begin(
-            digest, route=route, instance=running_requests.instance_of(upstream)
+            digest,
+            route=route,
+            instance=running_requests.instance_of(upstream),
+            parts=parts,
         )
 
     def end(
@@ -230,6 +238,7 @@
             pool=upstream.pool,
             requests=sorted(one.digest for one in requests),
             silent=sorted(one.digest for one in requests if one.silent),
+            parts=_most_common_parts(requests),
         )
         if self.on_crash is not None:
             self.on_crash(instance, requests)
@@ -240,6 +249,14 @@
             del self._crashed_at[next(iter(self._crashed_at))]
 
 
+def _most_common_parts(
+    requests: frozenset[running_requests.SuspectRequest],
+) -> dict[types.PromptPartDigest, int]:
+    """Return in how many of the requests the parts are, for the log."""
+    counts = collections.Counter(part for one in requests for part in one.parts)
+    return dict(counts.most_common(_MAX_LOGGED_PARTS))
+
+
 def _run_end_of(
     result: attempt_result.Result | None,
 ) -> running_requests.RunEnd:
--- a/packages/router/src/lagoonrun_router/ingress.py
+++ b/packages/router/src/lagoonrun_router/ingress.py
@@ -13,6 +13,7 @@
     declarations,
     execution,
     format_error,
+    prompt_part_digests,
     request_digest,
     route_table,
     stream_origin,
@@ -320,6 +321,9 @@
             organisation=organisation.id if organisation else None,
             body=body,
         ),
+        parts=prompt_part_digests.digests_of(
+            attributes.prompt, pool=pool_name, model=attributes.model
+        ),
         tier_targets=table.tier_targets_of(pool_name),
         found_origin=found_origin,
     )
--- a/packages/router/src/lagoonrun_router/running_requests.py
+++ b/packages/router/src/lagoonrun_router/running_requests.py
@@ -57,11 +57,14 @@
         Name of its route, for operators.
     silent
         Whether no part of its answer had arrived.
+    parts
+        Parts of its prompt.
     """
 
     digest: types.RequestDigest
     route: str
     silent: bool = True
+    parts: tuple[types.PromptPartDigest, ...] = ()
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -75,6 +78,8 @@
     ended_at
         Reading of the clock when it was broken or abandoned; None while it
         runs.
+    parts
+        Parts of its prompt.
 
     Attributes
     ----------
@@ -87,6 +92,7 @@
     instance: UpstreamInstance
     ended_at: float | None = None
     silent: bool = True
+    parts: tuple[types.PromptPartDigest, ...] = ()
 
 
 class RunningRequests:
@@ -101,9 +107,10 @@
         *,
         route: str,
         instance: UpstreamInstance,
+        parts: tuple[types.PromptPartDigest, ...] = (),
     ) -> Run:
         """Record that a request is about to be written to an upstream."""
-        run = Run(digest=digest, route=route, instance=instance)
+        run = Run(digest=digest, route=route, instance=instance, parts=parts)
         self._runs_by_instance.setdefault(instance, []).append(run)
         return run
 
@@ -123,7 +130,10 @@
         runs = self._runs_by_instance.get(instance, ())
         return frozenset(
             SuspectRequest(
-                digest=run.digest, route=run.route, silent=run.silent
+                digest=run.digest,
+                route=run.route,
+                silent=run.silent,
+                parts=run.parts,
             )
             for run in runs
         )
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -193,6 +193,7 @@
                 self._call.digest,
                 route=self._call.route.name,
                 upstream=choice.upstream,
+                parts=self._call.parts,
             )
         return allowed
 
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -33,6 +33,8 @@
             prompt_tokens=int(head.headers.get("Tokens") or 0),
             resumes_after=head.headers.get("Resume-After") or "",
             resumes_request=head.headers.get("Resumed-Request") or "",
+            prompt=_prompt_of(head.headers.get("Prompt")),
+            model=head.headers.get("Model") or "",
         )
 
     def upstream_head(
@@ -73,6 +75,15 @@
         )
 
 
+def _prompt_of(text):
+    """Return the parts of the prompt in `id,id,...`, ten tokens each."""
+    return tuple(
+        call.PromptPart(id=id, tokens=10)
+        for id in (text or "").split(",")
+        if id
+    )
+
+
 def _load_of(text):
     """Return the load in `running,waiting,slots[,slowness in percent]`."""
     if not text:
