--- a/packages/router/tests/test_crashing_requests.py
+++ b/packages/router/tests/test_crashing_requests.py
@@ -4,12 +4,12 @@
 """
 
 import asyncio
-import itertools
 
 from lagoonrun_http import messages
 from lagoonrun_router import request_digest
+from lagoonrun_standins import crashing_pool
 from lagoonrun_standins.router_samples import make_route, make_stream_route
-from lagoonrun_standins.router_upstream import answer_whole, marked
+from lagoonrun_standins.router_upstream import answer_whole
 from lagoonrun_standins.router_world import wait_for
 
 BAD = b"prompt that the engine can't bear"
@@ -18,7 +18,6 @@
 """Copies that may still reach an upstream after the third crash."""
 
 CRASHES_BEFORE = 3
-POOL_SIZE = 5
 REASON = "crashed-upstreams"
 
 
@@ -32,111 +31,25 @@
     )
 
 
-class CrashingPool:
-    """Upstreams that crash when they run `BAD`, each replaced by a new one.
+def is_bad(head, body):
+    """Return whether a request crashes upstreams."""
+    del head
+    return body == BAD
 
-    Attributes
-    ----------
-    crashed
-        Ids of the crashed upstreams.
-    repaired
-        Whether new ones run `BAD` without a crash.
-    events_before
-        Whether they send a part of the answer before they crash.
-    """
 
-    def __init__(self, worlds, *, size):
-        self._world, *_ = self._worlds = worlds
-        self._size = size
-        self._numbers = itertools.count(1)
-        self._started_by_id = {}
-        self.crashed = []
-        self.repaired = False
-        self.events_before = False
-
-    def running(self, body):
-        """Return the number of requests with a body at running upstreams."""
-        return sum(
-            one.bodies.count(body) for one in self._started_by_id.values()
-        )
+async def answer_by_length(exchange, body):
+    """Answer, but for requests that take longer than anybody waits."""
+    if body == LONG:
+        await exchange.caller_left.wait()
+    else:
+        await answer_whole(exchange)
 
-    @property
-    def living(self):
-        """Ids of the upstreams that have not crashed."""
-        return set(self._started_by_id)
-
-    async def start(self):
-        """Start all of the pool."""
-        for _ in range(self._size):
-            await self._start_one()
-
-    async def _start_one(self):
-        id = f"u-{next(self._numbers)}"
-
-        async def answer(exchange):
-            body = self._started_by_id[id].bodies[-1]
-            if body == BAD and not self.repaired:
-                await self._begin(exchange)
-                await self._crash(id)
-            elif body == LONG:
-                await exchange.caller_left.wait()
-            else:
-                await answer_whole(exchange)
-
-        self._started_by_id[id] = await self._world.make_upstream(answer, id)
-        await self._world.register(self._started_by_id[id])
-        for world in self._worlds:
-            await wait_for(lambda world=world: world.knows(id))
-
-    async def _begin(self, exchange):
-        """Send the first events of an answer, if the test wants some."""
-        if self.events_before:
-            headers = marked(exchange, Content_Type="text/event-stream")
-            head = messages.ResponseHead(status=200, headers=headers)
-            await exchange.start(head)
-            await exchange.send(b"id: 1\ndata: x\n\n")
-
-    async def _crash(self, id):
-        """Close an upstream at once, without removing it from the store."""
-        self.crashed.append(id)
-        # Not awaited: the listener waits for this handler.
-        closing = asyncio.create_task(self._started_by_id[id].close())
-        await asyncio.sleep(0)
-        self._world.closing.append(closing)
-
-    async def replace_crashed(self):
-        """Start an upstream with a new id for each crashed one."""
-        for id in self.crashed:
-            if self._started_by_id.pop(id, None) is not None:
-                key = f"{self._world.layout.upstreams_prefix}{id}"
-                await self._world.remove(key)
-                await self._start_one()
-
-
-async def fleet(world_of, route, *, domains=("north",) * 3):
-    """Return entry VMs that know each other, and five upstreams.
-
-    Parameters
-    ----------
-    domains
-        Failure domain of each.
-    """
-    worlds = [
-        await world_of(name=f"vm-{number}", domain=domain)
-        for number, domain in enumerate(domains)
-    ]
-    await worlds[0].declare(route, revision=2)
-    pool = CrashingPool(worlds, size=POOL_SIZE)
-    await pool.start()
-    for world in worlds:
-        neighbours = domains.count(world.settings.domain) - 1
-        await world.ready()
-        await wait_for(
-            lambda world=world, neighbours=neighbours: (
-                world.router.peer_count >= neighbours
-            )
-        )
-    return worlds, pool
+
+async def fleet(world_of, route, **options):
+    """Return entry VMs that know each other, and five upstreams."""
+    return await crashing_pool.start_fleet(
+        world_of, route, crashes_on=is_bad, answer=answer_by_length, **options
+    )
 
 
 async def send_until_refused_everywhere(worlds, pool, *, max_requests):
@@ -196,7 +109,7 @@
     """
     route = make_stream_route(resumable=True, maximum_attempts=3)
     worlds, pool = await fleet(world_of, route)
-    pool.events_before = True
+    pool.moment = crashing_pool.CrashMoment.AFTER_AN_EVENT
     await send_until_refused_everywhere(worlds, pool, max_requests=12)
     assert len(pool.crashed) <= CRASHES_BEFORE + MAX_RETRIES
     for world in worlds:
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -25,15 +25,18 @@
             )
         patience = head.headers.get("Patience")
         key = head.headers.get("Authorization")
+        prompt = _prompt_of(head.headers.get("Prompt"))
         return call.CallAttributes(
             request_id=id,
             host=head.headers.get("Host") or "",
             key=key.removeprefix("Bearer ") if key else None,
             patience_seconds=float(patience) if patience else None,
-            prompt_tokens=int(head.headers.get("Tokens") or 0),
+            prompt_tokens=int(
+                head.headers.get("Tokens") or sum(one.tokens for one in prompt)
+            ),
             resumes_after=head.headers.get("Resume-After") or "",
             resumes_request=head.headers.get("Resumed-Request") or "",
-            prompt=_prompt_of(head.headers.get("Prompt")),
+            prompt=prompt,
             model=head.headers.get("Model") or "",
         )
 
