--- a/tests/users_platform/test_wire.py
+++ b/tests/users_platform/test_wire.py
@@ -86,6 +86,19 @@
     assert attributes.prompt_tokens >= 0
 
 
+@pytest.mark.parametrize("stated", ["0,10", "3", "9" * 5000])
+def test_stated_tokens_are_no_fewer_than_those_of_the_parts(stated):
+    """Guards against an exchange that fails because of what a caller states.
+
+    The parts then left a negative number of tokens, with which the entry VM
+    could not report its load to its peers any more.
+    """
+    attributes = DIALECT.read_attributes(
+        head(("X-Prompt-Prefix", "ab:100,cd:50"), ("X-Token-Usage", stated))
+    )
+    assert attributes.prompt_tokens == 150
+
+
 def upstream_head(*more, **changes):
     options = {"remaining_seconds": 1.2345, "resume_after": "", "urgency": 0}
     options.update(
