--- a/packages/router/tests/test_streams_of_one_version.py
+++ b/packages/router/tests/test_streams_of_one_version.py
@@ -456,6 +456,7 @@
             name="portal", maximum_connections=64, engine=engine
         ),
         pool_tiers=(1, 3),
+        arrived_at=components.clock.monotonic(),
         limit_at=components.clock.monotonic() + 60.0,
     )
     waiting = loads.InFlightRequest(
