--- a/packages/cli/tests/test_blocked_requests.py
+++ b/packages/cli/tests/test_blocked_requests.py
@@ -9,7 +9,7 @@
 from lagoonrun_core import clock as clocks
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import server as http_server
-from lagoonrun_router import crash_evidence, router_endpoints, running_requests
+from lagoonrun_router import crash_records, router_endpoints, running_requests
 from lagoonrun_standins.router_world import free_ports
 
 HOST = "127.0.0.1"
@@ -27,15 +27,21 @@
         """Return the block until it is lifted."""
         if self.lifted:
             return ()
-        crashes = tuple(
-            running_requests.UpstreamInstance(upstream=f"u-{n}", start=1)
+        records = tuple(
+            crash_records.CrashRecord(
+                request=DIGEST,
+                instance=running_requests.UpstreamInstance(
+                    upstream=f"u-{n}", start=1
+                ),
+                route="questions",
+                seen_at=self._clock.monotonic(),
+            )
             for n in range(3)
         )
         return (
-            crash_evidence.Block(
+            crash_records.Block(
                 request=DIGEST,
-                route="questions",
-                crashes=crashes,
+                records=records,
                 until=self._clock.monotonic() + 120.0,
             ),
         )
--- a/packages/core/src/lagoonrun_core/types.py
+++ b/packages/core/src/lagoonrun_core/types.py
@@ -19,8 +19,8 @@
 PromptPartDigest = NewType("PromptPartDigest", str)
 """Digest of a part of a prompt in one pool and for one model."""
 
-Suspect = RequestDigest | PromptPartDigest
-"""What may crash the upstreams that run it."""
+BlockId = NewType("BlockId", str)
+"""Digest of a blocked request, or those of blocked parts of prompts."""
 
 AttemptId = NewType("AttemptId", int)
 """Number of a permit attempt of one request, from 1."""
--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -415,6 +415,10 @@
         Whether no part of the answer had reached the caller.
     void
         Whether the request was answered or unblocked since.
+    parts
+        Digests of the parts of its prompt that other requests may share.
+    version
+        Software version of the upstream.
     """
 
     request: types.RequestDigest
@@ -424,6 +428,28 @@
     age_milliseconds: int
     silent: bool = True
     void: bool = False
+    parts: tuple[types.PromptPartDigest, ...] = ()
+    version: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnsweredPart:
+    """A part of a prompt that upstreams of a version answer.
+
+    Parameters
+    ----------
+    part
+        Digest of the part.
+    version
+        Software version of the upstreams; `*` after an operator has cleared
+        the part.
+    age_milliseconds
+        Time since the end of the last answer.
+    """
+
+    part: types.PromptPartDigest
+    version: str
+    age_milliseconds: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -433,6 +459,7 @@
     entry_vm: types.EntryVmId
     domain: types.FailureDomain
     runs: tuple[CrashedRun, ...] = ()
+    answered_parts: tuple[AnsweredPart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -329,12 +329,21 @@
   ageMilliseconds @4 :UInt32;
   silent @5 :Bool;
   void @6 :Bool;
+  parts @7 :List(Text);
+  version @8 :Text;
+}
+
+struct AnsweredPart {
+  part @0 :Text;
+  version @1 :Text;
+  ageMilliseconds @2 :UInt32;
 }
 
 struct CrashNews {
   entryVm @0 :Text;
   domain @1 :Text;
   runs @2 :List(CrashedRun);
+  answeredParts @3 :List(AnsweredPart);
 }
 
 struct UpstreamLimit {
--- a/packages/router/src/lagoonrun_router/block_record.py
+++ b/packages/router/src/lagoonrun_router/block_record.py
@@ -1,4 +1,4 @@
-"""Encode a blocked request as compact JSON for the store.
+"""Encode a block as compact JSON for the store.
 
 The record outlives all entry VMs, which may stop at the same time.
 """
@@ -6,23 +6,34 @@
 import json
 
 from lagoonrun_core import errors, types
-from lagoonrun_router import crash_evidence, running_requests
+from lagoonrun_router import crash_records, part_evidence, running_requests
 
 
-def encode(block: crash_evidence.Block) -> bytes:
+def encode(block: crash_records.Block) -> bytes:
     """Return the value of a block's key."""
     crashes = [
-        {"upstream": one.upstream, "start": one.start} for one in block.crashes
+        {
+            "upstream": one.instance.upstream,
+            "start": one.instance.start,
+            "version": one.version,
+            "request": one.request,
+        }
+        for one in block.records
     ]
-    return json.dumps(
-        {"route": block.route, "crashes": crashes}, separators=(",", ":")
-    ).encode()
+    value = {
+        "route": block.route,
+        "crashes": crashes,
+        "parts": sorted(block.parts),
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
 
 
 def decode(
-    request: types.RequestDigest, value: bytes, *, now: float
-) -> tuple[crash_evidence.CrashRecord, ...]:
-    """Return the records of a block, with its crashes dated `now`.
+    id: types.BlockId, value: bytes, *, now: float
+) -> tuple[crash_records.CrashRecord, ...]:
+    """Return the records of a block, with its last crash dated `now`.
+
+    Records of earlier releases state neither versions, requests nor parts.
 
     Raises
     ------
@@ -32,21 +43,30 @@
     try:
         table = json.loads(value)
         route = str(table["route"])
+        parts = tuple(
+            types.PromptPartDigest(str(one)) for one in table.get("parts", ())
+        )
+        crashes = table["crashes"]
         return tuple(
-            crash_evidence.CrashRecord(
-                request=request,
+            crash_records.CrashRecord(
+                request=types.RequestDigest(str(one.get("request", id))),
                 instance=running_requests.UpstreamInstance(
                     upstream=types.UpstreamId(str(one["upstream"])),
                     start=types.UpstreamStart(int(one["start"])),
                 ),
                 route=route,
-                seen_at=now,
+                # Crashes at the same moment would count once.
+                seen_at=now - before * part_evidence.CRASH_MOMENT_SECONDS,
+                parts=parts,
+                version=str(one.get("version", "")),
+            )
+            for before, one in zip(
+                reversed(range(len(crashes))), crashes, strict=True
             )
-            for one in table["crashes"]
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise errors.LagoonrunError(
             step=errors.Step.CONFIGURATION,
-            peer=request,
+            peer=id,
             detail=f"invalid record of a blocked request: {error!r}",
         ) from error
--- a/packages/router/src/lagoonrun_router/block_writer.py
+++ b/packages/router/src/lagoonrun_router/block_writer.py
@@ -1,4 +1,4 @@
-"""Persist blocks of crashing requests in the store.
+"""Persist blocks of what crashes upstreams in the store.
 
 Otherwise a stop of the whole fleet, or of all entry VMs that know of the
 crashes, would let the requests run again.
@@ -9,7 +9,7 @@
 
 from lagoonrun_core import supervised_task, types
 from lagoonrun_platform import store as store_module
-from lagoonrun_router import block_record, crash_evidence
+from lagoonrun_router import block_record, crash_evidence, crash_records
 
 _PAUSE_SECONDS = 0.5
 """Mean time between two attempts while the store is unavailable: well below the
@@ -20,7 +20,7 @@
 
 
 class BlockWriter:
-    """Writes and removes the keys of blocked requests.
+    """Writes and removes the keys of blocks.
 
     A lease removes each key when its crashes expire.
 
@@ -29,7 +29,7 @@
     store
         The platform's store.
     prefix
-        Prefix of the keys of blocked requests.
+        Prefix of the keys.
     rng
         Source of the jitter.
     """
@@ -44,8 +44,8 @@
         self._store = store
         self._prefix = prefix
         self._rng = rng
-        self._pending_by_request: dict[
-            types.RequestDigest, crash_evidence.Block | None
+        self._pending_by_id: dict[
+            types.BlockId, crash_records.Block | None
         ] = {}
         self._wakeup = asyncio.Event()
         self._task = supervised_task.SupervisedTask(
@@ -60,41 +60,41 @@
         """Stop writing."""
         await self._task.close()
 
-    def write(self, block: crash_evidence.Block) -> None:
+    def write(self, block: crash_records.Block) -> None:
         """Queue a block to be written once the store is available."""
-        self._enqueue(block.request, block)
+        self._enqueue(block.id, block)
 
-    def remove(self, request: types.RequestDigest) -> None:
+    def remove(self, id: types.BlockId) -> None:
         """Queue a block to be removed once the store is available."""
-        self._enqueue(request, None)
+        self._enqueue(id, None)
 
     def _enqueue(
-        self, request: types.RequestDigest, block: crash_evidence.Block | None
+        self, id: types.BlockId, block: crash_records.Block | None
     ) -> None:
-        self._pending_by_request.pop(request, None)
-        self._pending_by_request[request] = block
-        while len(self._pending_by_request) > _MAX_PENDING:
-            del self._pending_by_request[next(iter(self._pending_by_request))]
+        self._pending_by_id.pop(id, None)
+        self._pending_by_id[id] = block
+        while len(self._pending_by_id) > _MAX_PENDING:
+            del self._pending_by_id[next(iter(self._pending_by_id))]
         self._wakeup.set()
 
     async def _run(self) -> None:
         while True:
             await self._wakeup.wait()
-            if not self._pending_by_request:
+            if not self._pending_by_id:
                 self._wakeup.clear()
                 continue
-            request, block = next(iter(self._pending_by_request.items()))
-            if not await self._write(request, block):
+            id, block = next(iter(self._pending_by_id.items()))
+            if not await self._write(id, block):
                 pause = _PAUSE_SECONDS * (0.5 + self._rng.random())
                 await asyncio.sleep(pause)
-            elif self._pending_by_request.get(request) is block:
-                self._pending_by_request.pop(request, None)
+            elif self._pending_by_id.get(id) is block:
+                self._pending_by_id.pop(id, None)
 
     async def _write(
-        self, request: types.RequestDigest, block: crash_evidence.Block | None
+        self, id: types.BlockId, block: crash_records.Block | None
     ) -> bool:
         """Write or remove a block (idempotent); return whether it succeeded."""
-        key = self._prefix + request
+        key = self._prefix + id
         if block is None:
             result = await self._store.transact(comparisons=(), deletes=[key])
             return isinstance(result, store_module.Committed)
--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -1,20 +1,21 @@
-"""Which requests crash the upstreams that run them, decided without I/O.
+"""Which requests and prompt parts crash upstreams, decided without I/O.
 
 All requests that ran at an upstream when it crashed are suspects, of which one
-at most is the cause. The cause differs from the others in that it crashes each
+at most is the cause, as a whole or by a part of its prompt. The cause differs from the others in that it crashes each
 upstream that begins to run it: it is never answered, it runs again at the next
 upstream that crashes, and its caller has received nothing of its answer by
 then. So a request is blocked by the number of its crashes since it was last
 answered. A crash does not count if the answer had begun, or if another suspect
 of it has had more crashes. From a higher number of crashes on, all of them
-count.
+count. The crashes of requests that share a part are those of the part, see
+`part_evidence`.
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from lagoonrun_core import types
-from lagoonrun_router import running_requests
+from lagoonrun_router import crash_records, part_evidence, running_requests
 
 CRASHES_TO_BLOCK = 3
 """Crashes after which a request is blocked. Each crash breaks all requests
@@ -36,49 +37,11 @@
 MAX_RECORDS = 2048
 """Maximum number of records; at a few hundred bytes each, half a megabyte."""
 
+MAX_PARTS_OF_RECORDS = 8192
+"""Maximum number of parts in all records, two megabytes."""
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CrashRecord:
-    """A request that ran at an upstream when it crashed.
-
-    Parameters
-    ----------
-    instance
-        Instance of the upstream.
-    route
-        Route of the request, for operators.
-    seen_at
-        Monotonic time of the crash, as known here.
-    silent
-        Whether the caller had received nothing of the answer.
-    void
-        Whether the request was answered or unblocked since.
-    """
-
-    request: types.RequestDigest
-    instance: running_requests.UpstreamInstance
-    route: str
-    seen_at: float
-    silent: bool = True
-    void: bool = False
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Block:
-    """A request that is not sent to any upstream.
-
-    Parameters
-    ----------
-    crashes
-        Upstream instances that it crashed, the newest last.
-    until
-        Monotonic time from which it may be sent again.
-    """
-
-    request: types.RequestDigest
-    route: str
-    crashes: tuple[running_requests.UpstreamInstance, ...]
-    until: float
+_MAX_BLOCKS_AGE_SECONDS = 1.0
+"""Age from which blocks are computed anew although no record has changed."""
 
 
 class CrashEvidence:
@@ -92,44 +55,75 @@
     def __init__(self) -> None:
         self._records_by_request: dict[
             types.RequestDigest,
-            dict[running_requests.UpstreamInstance, CrashRecord],
+            dict[running_requests.UpstreamInstance, crash_records.CrashRecord],
         ] = {}
         self._suspects_by_instance: dict[
             running_requests.UpstreamInstance, set[types.RequestDigest]
         ] = {}
         self._size = 0
+        self._parts = part_evidence.PartEvidence()
+        self._parts_of_records = 0
+        self._blocks: tuple[crash_records.Block, ...] | None = None
+        self._blocks_at = 0.0
 
     # Queries.
 
     def block_of(
-        self, request: types.RequestDigest, *, now: float
-    ) -> Block | None:
-        """Return the block of a request; None if it may be sent."""
-        crashes = self._crashes_of(request, now)
-        if len(crashes) < CRASHES_TO_BLOCK:
-            return None
-        counted = crashes
-        if len(crashes) < CRASHES_TO_BLOCK_ANY:
-            counted = [one for one in crashes if self._is_counted(one, now)]
-        if len(counted) < CRASHES_TO_BLOCK:
-            return None
-        until = counted[-1].seen_at + BLOCK_SECONDS
-        if now >= until:
+        self,
+        request: types.RequestDigest,
+        *,
+        now: float,
+        parts: Collection[types.PromptPartDigest] = (),
+    ) -> crash_records.Block | None:
+        """Return the block of a request; None if it may be sent.
+
+        Parameters
+        ----------
+        parts
+            Parts of its prompt that other requests may share.
+        """
+        if not self._records_by_request:
             return None
-        return Block(
-            request=request,
-            route=counted[-1].route,
-            crashes=tuple(one.instance for one in counted),
-            until=until,
+        for block in self.blocks(now=now):
+            if block.request == request:
+                return block
+            if block.parts and block.parts.issubset(parts):
+                return block
+        return None
+
+    def blocks(self, *, now: float) -> tuple[crash_records.Block, ...]:
+        """Return all blocks, those of whole requests first."""
+        if (
+            self._blocks is None
+            or not 0.0 <= now - self._blocks_at < _MAX_BLOCKS_AGE_SECONDS
+        ):
+            self._blocks = self._find_blocks(now)
+            self._blocks_at = now
+        return tuple(one for one in self._blocks if now < one.until)
+
+    def bears(
+        self, block: crash_records.Block, version: str, *, now: float
+    ) -> bool:
+        """Return whether upstreams of a version answer requests of a block."""
+        return bool(block.parts) and self._parts.bears(
+            block.parts, version, now=now
         )
 
-    def blocks(self, *, now: float) -> tuple[Block, ...]:
-        """Return all blocks."""
-        found = (
-            self.block_of(request, now=now)
-            for request in self._records_by_request
-        )
-        return tuple(one for one in found if one is not None)
+    def part_answers(
+        self, *, since: float
+    ) -> tuple[part_evidence.PartAnswer, ...]:
+        """Return the answers since then to parts that have crashes."""
+        return self._parts.answers(since=since)
+
+    def part_answered_at(
+        self, part: types.PromptPartDigest, version: str
+    ) -> float:
+        """Return the time of the last answer; minus infinity for none."""
+        return self._parts.answered_at(part, version)
+
+    def is_suspect_part(self, part: types.PromptPartDigest) -> bool:
+        """Return whether a part has a crash since its last answer."""
+        return self._parts.is_suspect(part)
 
     def is_suspect(self, request: types.RequestDigest) -> bool:
         """Return whether a request has records that are not void."""
@@ -143,7 +137,7 @@
 
     def records(
         self, *, since: float = float("-inf")
-    ) -> tuple[CrashRecord, ...]:
+    ) -> tuple[crash_records.CrashRecord, ...]:
         """Return the records, those of requests with the most crashes first.
 
         Parameters
@@ -156,7 +150,7 @@
             for records in self._records_by_request.values()
             if any(one.seen_at >= since for one in records.values())
         ]
-        wanted.sort(key=_retention_rank, reverse=True)
+        wanted.sort(key=self._retention_rank, reverse=True)
         return tuple(
             one
             for records in wanted
@@ -166,14 +160,14 @@
 
     # Updates.
 
-    def merge(self, record: CrashRecord, *, now: float) -> bool:
+    def merge(self, record: crash_records.CrashRecord, *, now: float) -> bool:
         """Merge a record; return whether it is new or has become void."""
         if now - record.seen_at >= EXPIRY_SECONDS:
             return False
         records = self._records_by_request.setdefault(record.request, {})
         known = records.get(record.instance)
         if known is None:
-            records[record.instance] = record
+            self._store(record)
             self._size += 1
             suspects = self._suspects_by_instance.setdefault(
                 record.instance, set()
@@ -187,11 +181,23 @@
             # If several copies of the request ran there, any may be the cause.
             silent=known.silent or record.silent,
             void=known.void or record.void,
+            # A record in the store has only the parts that are blocked.
+            parts=tuple(dict.fromkeys((*known.parts, *record.parts))),
         )
-        records[record.instance] = merged
+        if merged != known:
+            self._store(merged)
         return merged.void is not known.void
 
-    def clear(self, request: types.RequestDigest) -> tuple[CrashRecord, ...]:
+    def record_part_answer(self, answer: part_evidence.PartAnswer) -> bool:
+        """Record an answer; return whether it clears a crash of the part."""
+        cleared = self._parts.record_answer(answer)
+        if cleared:
+            self._blocks = None
+        return cleared
+
+    def clear(
+        self, request: types.RequestDigest
+    ) -> tuple[crash_records.CrashRecord, ...]:
         """Mark all records of a request as void; return the changed ones."""
         records = self._records_by_request.get(request, {})
         changed = [
@@ -200,7 +206,7 @@
             if not one.void
         ]
         for one in changed:
-            records[one.instance] = one
+            self._store(one)
         return tuple(changed)
 
     def remove_expired(self, *, now: float) -> None:
@@ -214,9 +220,78 @@
 
     # Helpers.
 
+    def _store(self, record: crash_records.CrashRecord) -> None:
+        """Store a new record, or replace that of the same crash."""
+        records = self._records_by_request[record.request]
+        known = records.get(record.instance)
+        self._parts_of_records += len(record.parts) - (
+            len(known.parts) if known else 0
+        )
+        records[record.instance] = record
+        self._parts.add(record)
+        self._blocks = None
+
+    def _find_blocks(self, now: float) -> tuple[crash_records.Block, ...]:
+        crashes_by_request = self._frequent(now)
+        causes = self._parts.causes(
+            now=now,
+            crashes_by_request={
+                request: frozenset(one.instance for one in crashes)
+                for request, crashes in crashes_by_request.items()
+            },
+        )
+        blocks = [
+            crash_records.Block(
+                records=counted,
+                until=counted[-1].seen_at + BLOCK_SECONDS,
+                request=request,
+            )
+            for request, crashes in crashes_by_request.items()
+            if (counted := self._counted(crashes, causes, now))
+        ]
+        blocks.extend(
+            crash_records.Block(
+                records=one.crashes,
+                until=one.crashes[-1].seen_at + BLOCK_SECONDS,
+                parts=one.parts,
+            )
+            for one in causes
+        )
+        return tuple(blocks)
+
+    def _frequent(
+        self, now: float
+    ) -> dict[types.RequestDigest, list[crash_records.CrashRecord]]:
+        """Return the valid records of requests that may be blocked."""
+        found = {}
+        for request, records in self._records_by_request.items():
+            if len(records) >= CRASHES_TO_BLOCK:
+                crashes = self._crashes_of(request, now)
+                if len(crashes) >= CRASHES_TO_BLOCK:
+                    found[request] = crashes
+        return found
+
+    def _counted(
+        self,
+        crashes: list[crash_records.CrashRecord],
+        causes: tuple[part_evidence.PartCause, ...],
+        now: float,
+    ) -> tuple[crash_records.CrashRecord, ...]:
+        """Return the crashes that count; none if the request is not blocked."""
+        if any(_explains(one, crashes) for one in causes):
+            return ()
+        if len(crashes) >= CRASHES_TO_BLOCK_ANY:
+            return tuple(crashes)
+        counted = tuple(one for one in crashes if self._is_counted(one, now))
+        if len(counted) < CRASHES_TO_BLOCK or self._parts.explains(
+            counted, now=now
+        ):
+            return ()
+        return counted
+
     def _crashes_of(
         self, request: types.RequestDigest, now: float
-    ) -> list[CrashRecord]:
+    ) -> list[crash_records.CrashRecord]:
         """Return the valid records of a request, the oldest first."""
         records = self._records_by_request.get(request)
         if not records:
@@ -228,7 +303,7 @@
         ]
         return sorted(crashes, key=lambda one: one.seen_at)
 
-    def _is_counted(self, crash: CrashRecord, now: float) -> bool:
+    def _is_counted(self, crash: crash_records.CrashRecord, now: float) -> bool:
         """Return whether no other suspect explains a crash as well.
 
         Requests that ran at the same time as the cause are broken by the crash,
@@ -253,10 +328,13 @@
 
     def _evict(self) -> None:
         """Drop the quarter of the requests with the fewest crashes."""
-        if self._size <= MAX_RECORDS:
+        if (
+            self._size <= MAX_RECORDS
+            and self._parts_of_records <= MAX_PARTS_OF_RECORDS
+        ):
             return
         ascending = sorted(
-            self._records_by_request.values(), key=_retention_rank
+            self._records_by_request.values(), key=self._retention_rank
         )
         self._drop(
             one
@@ -264,7 +342,7 @@
             for one in tuple(records.values())
         )
 
-    def _drop(self, dropped: Iterable[CrashRecord]) -> None:
+    def _drop(self, dropped: Iterable[crash_records.CrashRecord]) -> None:
         for one in tuple(dropped):
             records = self._records_by_request[one.request]
             del records[one.instance]
@@ -275,6 +353,26 @@
             if not suspects:
                 del self._suspects_by_instance[one.instance]
             self._size -= 1
+            self._parts_of_records -= len(one.parts)
+            self._parts.drop(one)
+            self._blocks = None
+
+    def _retention_rank(
+        self,
+        records: dict[
+            running_requests.UpstreamInstance, crash_records.CrashRecord
+        ],
+    ) -> "_RetentionRank":
+        """Return the order in which requests are kept on eviction."""
+        parts = {part for one in records.values() for part in one.parts}
+        return _RetentionRank(
+            crashes=max(
+                sum(not one.void for one in records.values()),
+                *(self._parts.crash_count(part) for part in parts),
+                0,
+            ),
+            newest_at=max(one.seen_at for one in records.values()),
+        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
@@ -289,11 +387,11 @@
     newest_at: float
 
 
-def _retention_rank(
-    records: dict[running_requests.UpstreamInstance, CrashRecord],
-) -> _RetentionRank:
-    """Return the order in which requests are kept when records are evicted."""
-    return _RetentionRank(
-        crashes=sum(not one.void for one in records.values()),
-        newest_at=max(one.seen_at for one in records.values()),
+def _explains(
+    cause: part_evidence.PartCause, crashes: list[crash_records.CrashRecord]
+) -> bool:
+    """Return whether the crashes of a request are some of those of a cause."""
+    instances = {one.instance for one in cause.crashes}
+    return len(instances) > len(crashes) and instances.issuperset(
+        one.instance for one in crashes
     )
--- a/packages/router/src/lagoonrun_router/crash_news.py
+++ b/packages/router/src/lagoonrun_router/crash_news.py
@@ -13,8 +13,10 @@
 from lagoonrun_core import types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
-    crash_evidence,
+    crash_records,
     news_broadcaster,
+    part_answer_news,
+    part_evidence,
     running_requests,
 )
 
@@ -32,16 +34,32 @@
 _MAX_RECORDS_PER_MESSAGE = 24
 """Maximum number of records in a message: two kilobytes."""
 
+_MAX_PARTS_PER_MESSAGE = 72
+"""Maximum number of parts of these records, two kilobytes; a single record may
+have more."""
+
 
 class KnownRecords(Protocol):
     """Returns the crash records known to this entry VM."""
 
     def __call__(
         self, *, since: float = float("-inf")
-    ) -> tuple[crash_evidence.CrashRecord, ...]:
+    ) -> tuple[crash_records.CrashRecord, ...]:
         """Return those of crashes since then, see `CrashEvidence.records`."""
 
 
+class KnownAnswers(Protocol):
+    """Returns the answers to suspected parts known to this entry VM."""
+
+    def __call__(self, *, since: float) -> tuple[part_evidence.PartAnswer, ...]:
+        """Return those since then, see `CrashEvidence.part_answers`."""
+
+
+def _no_answers(*, since: float) -> tuple[part_evidence.PartAnswer, ...]:
+    del since
+    return ()
+
+
 class CrashNewsExchange:
     """Broadcasts, repeats and forwards crash records.
 
@@ -51,8 +69,10 @@
         This entry VM and its failure domain.
     broadcaster
         Sends messages to the other entry VMs.
-    records
-        Returns the known crash records.
+    records, answers
+        Return the known crash records and answers to suspected parts.
+    part_answers
+        Answers of this entry VM that others need; None to send none.
     """
 
     def __init__(
@@ -62,16 +82,20 @@
         domain: types.FailureDomain,
         broadcaster: news_broadcaster.NewsBroadcaster,
         records: KnownRecords,
+        answers: KnownAnswers = _no_answers,
+        part_answers: part_answer_news.PartAnswerNews | None = None,
     ) -> None:
         self._entry_vm = entry_vm
         self._domain = domain
         self._broadcaster = broadcaster
         self._records = records
+        self._answers = answers
+        self._part_answers = part_answers
         self._ticks = 0
         self._next_index = 0
 
     def broadcast(
-        self, records: tuple[crash_evidence.CrashRecord, ...], *, now: float
+        self, records: tuple[crash_records.CrashRecord, ...], *, now: float
     ) -> None:
         """Send records of this entry VM to the whole fleet."""
         for news in self._messages(records, now):
@@ -80,7 +104,7 @@
     def forward(
         self,
         received: router_messages.CrashNews,
-        new: tuple[crash_evidence.CrashRecord, ...],
+        new: tuple[crash_records.CrashRecord, ...],
         *,
         now: float,
     ) -> None:
@@ -88,6 +112,19 @@
         for news in self._messages(new, now):
             self._broadcaster.forward(news, origin=received.domain)
 
+    def forward_answers(
+        self,
+        received: router_messages.CrashNews,
+        new: tuple[part_evidence.PartAnswer, ...],
+        *,
+        now: float,
+    ) -> None:
+        """Forward, as the relay, new answers of another failure domain."""
+        if new:
+            self._broadcaster.forward(
+                self._message(answers=new, now=now), origin=received.domain
+            )
+
     @property
     def is_relay(self) -> bool:
         """Whether this entry VM is the relay of its failure domain."""
@@ -96,8 +133,18 @@
     def tick(self, *, now: float) -> None:
         """Repeat records that others may not have received, every few calls."""
         self._ticks += 1
+        if self._part_answers is not None:
+            due = self._part_answers.pop_due(now=now)
+            if due:
+                self._broadcaster.broadcast(self._message(answers=due, now=now))
         if self._ticks % _NEWS_TICKS:
             return
+        answers = self._answers(since=now - NEWS_SECONDS)
+        if answers:
+            answers = answers[-_MAX_RECORDS_PER_MESSAGE:]
+            self._broadcaster.send_to_sample(
+                self._message(answers=answers, now=now)
+            )
         repeated = self._records(since=now - NEWS_SECONDS)
         if not repeated and self._ticks % _OLD_TICKS == 0:
             repeated = self._next_batch(self._records())
@@ -107,8 +154,8 @@
             self._broadcaster.send_to_sample(news)
 
     def _next_batch(
-        self, records: tuple[crash_evidence.CrashRecord, ...]
-    ) -> tuple[crash_evidence.CrashRecord, ...]:
+        self, records: tuple[crash_records.CrashRecord, ...]
+    ) -> tuple[crash_records.CrashRecord, ...]:
         """Return the next batch of all records.
 
         Half of each batch are the first records, of the requests with the most
@@ -123,23 +170,50 @@
         return (*top, *part)
 
     def _messages(
-        self, records: tuple[crash_evidence.CrashRecord, ...], now: float
+        self, records: tuple[crash_records.CrashRecord, ...], now: float
     ) -> Iterable[router_messages.CrashNews]:
-        for begin in range(0, len(records), _MAX_RECORDS_PER_MESSAGE):
-            part = records[begin : begin + _MAX_RECORDS_PER_MESSAGE]
-            yield router_messages.CrashNews(
-                entry_vm=self._entry_vm,
-                domain=self._domain,
-                runs=tuple(_run_of(one, now) for one in part),
-            )
+        part: list[crash_records.CrashRecord] = []
+        prompt_parts = 0
+        for one in records:
+            if part and (
+                len(part) == _MAX_RECORDS_PER_MESSAGE
+                or prompt_parts + len(one.parts) > _MAX_PARTS_PER_MESSAGE
+            ):
+                yield self._message(records=part, now=now)
+                part, prompt_parts = [], 0
+            part.append(one)
+            prompt_parts += len(one.parts)
+        if part:
+            yield self._message(records=part, now=now)
+
+    def _message(
+        self,
+        *,
+        now: float,
+        records: Iterable[crash_records.CrashRecord] = (),
+        answers: Iterable[part_evidence.PartAnswer] = (),
+    ) -> router_messages.CrashNews:
+        return router_messages.CrashNews(
+            entry_vm=self._entry_vm,
+            domain=self._domain,
+            runs=tuple(_run_of(one, now) for one in records),
+            answered_parts=tuple(
+                router_messages.AnsweredPart(
+                    part=one.part,
+                    version=one.version,
+                    age_milliseconds=_milliseconds(now - one.at),
+                )
+                for one in answers
+            ),
+        )
 
 
 def records_of(
     news: router_messages.CrashNews, *, now: float
-) -> tuple[crash_evidence.CrashRecord, ...]:
+) -> tuple[crash_records.CrashRecord, ...]:
     """Return the records in a message."""
     return tuple(
-        crash_evidence.CrashRecord(
+        crash_records.CrashRecord(
             request=one.request,
             instance=running_requests.UpstreamInstance(
                 upstream=one.upstream, start=one.start
@@ -148,21 +222,42 @@
             seen_at=now - one.age_milliseconds / 1000.0,
             silent=one.silent,
             void=one.void,
+            parts=one.parts,
+            version=one.version,
         )
         for one in news.runs
     )
 
 
+def answers_of(
+    news: router_messages.CrashNews, *, now: float
+) -> tuple[part_evidence.PartAnswer, ...]:
+    """Return the answers in a message."""
+    return tuple(
+        part_evidence.PartAnswer(
+            part=one.part,
+            version=one.version,
+            at=now - one.age_milliseconds / 1000.0,
+        )
+        for one in news.answered_parts
+    )
+
+
 def _run_of(
-    record: crash_evidence.CrashRecord, now: float
+    record: crash_records.CrashRecord, now: float
 ) -> router_messages.CrashedRun:
-    age_seconds = max(0.0, now - record.seen_at)
     return router_messages.CrashedRun(
         request=record.request,
         route=record.route,
         upstream=record.instance.upstream,
         start=record.instance.start,
-        age_milliseconds=round(age_seconds * 1000.0),
+        age_milliseconds=_milliseconds(now - record.seen_at),
         silent=record.silent,
         void=record.void,
+        parts=record.parts,
+        version=record.version,
     )
+
+
+def _milliseconds(age_seconds: float) -> int:
+    return round(max(0.0, age_seconds) * 1000.0)
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -55,8 +55,8 @@
 class AnswerListener(Protocol):
     """Receives each request that an upstream has answered completely."""
 
-    def __call__(self, request: types.RequestDigest) -> None:
-        """Receive the digest of an answered request."""
+    def __call__(self, run: running_requests.Run) -> None:
+        """Receive an answered request."""
 
 
 class UpstreamReach(Protocol):
@@ -148,6 +148,7 @@
             route=route,
             instance=running_requests.instance_of(upstream),
             parts=parts,
+            version=upstream.version,
         )
 
     def end(
@@ -166,7 +167,7 @@
         end = _run_end_of(result)
         self._running.end(run, end, now=self._clock.monotonic())
         if end is running_requests.RunEnd.ANSWERED and self.on_answer:
-            self.on_answer(run.digest)
+            self.on_answer(run)
         broken = end is running_requests.RunEnd.BROKEN
         if broken and self._directory.is_serving(run.instance.upstream):
             self._start_probe(run.instance, upstream)
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -1,13 +1,15 @@
 """Protect upstreams from requests that crash them.
 
 A request that crashes each runner that begins to run it is sent again, by its
-caller or a retry, to any entry VM. Each copy would crash another runner with
+caller or a retry, to any entry VM; or different requests with the same part in
+their prompts crash the runners. Each of them would crash another runner with
 all requests that it runs. So entry VMs record the crashes of upstreams by the
-requests that ran there, exchange these records, and block a request after a few
-crashes.
+requests that ran there, exchange these records, and block a request, or a part,
+after a few crashes.
 """
 
 import logging
+from collections.abc import Collection, Iterable
 from typing import Protocol
 
 from lagoonrun_core import clock as clocks
@@ -18,7 +20,10 @@
     block_writer,
     crash_evidence,
     crash_news,
+    crash_records,
     crash_watch,
+    part_answer_news,
+    part_evidence,
     recent_answers,
     running_requests,
 )
@@ -45,22 +50,31 @@
         """Whether this entry VM is the relay of its failure domain."""
 
     def broadcast(
-        self, records: tuple[crash_evidence.CrashRecord, ...], *, now: float
+        self, records: tuple[crash_records.CrashRecord, ...], *, now: float
     ) -> None:
         """Send records to the whole fleet."""
 
     def forward(
         self,
         received: router_messages.CrashNews,
-        new: tuple[crash_evidence.CrashRecord, ...],
+        new: tuple[crash_records.CrashRecord, ...],
         *,
         now: float,
     ) -> None:
         """Forward the new records of a received message."""
 
+    def forward_answers(
+        self,
+        received: router_messages.CrashNews,
+        new: tuple[part_evidence.PartAnswer, ...],
+        *,
+        now: float,
+    ) -> None:
+        """Forward the new answers of a received message."""
+
 
 class CrashingRequests:
-    """Collects crash records, and blocks the requests that cause crashes.
+    """Collects crash records, and blocks what causes crashes.
 
     Parameters
     ----------
@@ -81,35 +95,65 @@
     ) -> None:
         self._watch = watch
         watch.on_crash = self.record_crash
-        watch.on_answer = self.record_answer
+        watch.on_answer = lambda run: self.record_answer(
+            run.digest, parts=run.parts, version=run.version
+        )
         self._block_writer = block_writer
         self._clock = clock
         self._evidence = crash_evidence.CrashEvidence()
         self._answered = recent_answers.RecentAnswers()
-        self._blocked: set[types.RequestDigest] = set()
-        self._stored: set[types.RequestDigest] = set()
-        self._write_at_by_request: dict[types.RequestDigest, float] = {}
+        self._blocks_by_id: dict[types.BlockId, crash_records.Block] = {}
+        self._stored: set[types.BlockId] = set()
+        self._write_at_by_id: dict[types.BlockId, float] = {}
         self.news: CrashAnnouncer | None = None
         """Set once the exchange with the peers exists."""
+        self.part_answer_news: part_answer_news.PartAnswerNews | None = None
+        """The same."""
 
     # Queries.
 
     def block_of(
-        self, request: types.RequestDigest
-    ) -> crash_evidence.Block | None:
-        """Return the block of a request; None if it may be sent."""
-        return self._evidence.block_of(request, now=self._clock.monotonic())
+        self,
+        request: types.RequestDigest,
+        *,
+        parts: Collection[types.PromptPartDigest] = (),
+    ) -> crash_records.Block | None:
+        """Return the block of a request; None if it may be sent.
+
+        Parameters
+        ----------
+        parts
+            Parts of its prompt that other requests may share.
+        """
+        return self._evidence.block_of(
+            request, parts=parts, now=self._clock.monotonic()
+        )
+
+    def is_blocked_at(self, block: crash_records.Block, version: str) -> bool:
+        """Return whether a block applies at upstreams of a software version.
+
+        It does not where requests with the blocked parts are answered.
+        """
+        return not self._evidence.bears(
+            block, version, now=self._clock.monotonic()
+        )
 
-    def blocks(self) -> tuple[crash_evidence.Block, ...]:
+    def blocks(self) -> tuple[crash_records.Block, ...]:
         """Return all blocks."""
         return self._evidence.blocks(now=self._clock.monotonic())
 
     def records(
         self, *, since: float = float("-inf")
-    ) -> tuple[crash_evidence.CrashRecord, ...]:
+    ) -> tuple[crash_records.CrashRecord, ...]:
         """Return records of crashes since then, see `CrashEvidence.records`."""
         return self._evidence.records(since=since)
 
+    def part_answers(
+        self, *, since: float
+    ) -> tuple[part_evidence.PartAnswer, ...]:
+        """Return answers since then, see `CrashEvidence.part_answers`."""
+        return self._evidence.part_answers(since=since)
+
     # Events at this entry VM.
 
     def record_crash(
@@ -121,48 +165,98 @@
         now = self._clock.monotonic()
         new = self._merge(_records(instance, requests, seen_at=now), now)
         self._broadcast(new, now)
-        for one in self._update_blocked(new, source="own"):
-            self._write_at_by_request[one.request] = (
-                now + _OWN_WRITE_DELAY_SECONDS
-            )
+        self._update_blocks(source="own")
+        for block in self._blocks_with(new):
+            self._write_at_by_id[block.id] = now + _OWN_WRITE_DELAY_SECONDS
 
-    def record_answer(self, request: types.RequestDigest) -> None:
-        """Clear the records of a request that an upstream has answered."""
+    def record_answer(
+        self,
+        request: types.RequestDigest,
+        *,
+        parts: Iterable[types.PromptPartDigest] = (),
+        version: str = "",
+    ) -> None:
+        """Record that an upstream has answered a request.
+
+        Parameters
+        ----------
+        parts
+            Parts of its prompt that other requests may share.
+        version
+            Software version of the upstream.
+        """
         now = self._clock.monotonic()
         self._answered.record(request, now=now)
-        cleared = self._clear(request, reason="answered")
+        cleared = self._evidence.clear(request)
         if len(cleared) >= _CRASHES_TO_BROADCAST:
             self._broadcast(cleared, now)
-
-    def lift(self, request: types.RequestDigest) -> bool:
-        """Unblock a request; return whether it had crash records."""
-        cleared = self._clear(request, reason="lifted")
-        self._broadcast(cleared, self._clock.monotonic())
-        return bool(cleared)
+        answers = tuple(
+            part_evidence.PartAnswer(part=part, version=version, at=now)
+            for part in parts
+        )
+        clearing = tuple(
+            one for one in answers if self._evidence.record_part_answer(one)
+        )
+        if self.part_answer_news is not None:
+            for one in clearing:
+                self.part_answer_news.add(one, now=now)
+        if cleared or clearing:
+            self._remove_stored({request, *(one.part for one in clearing)})
+            self._update_blocks(source="answered")
+
+    def lift(self, id: types.BlockId) -> bool:
+        """End a block; return whether there were crash records.
+
+        Parameters
+        ----------
+        id
+            Digest of a request or of a part, or the id of a block.
+        """
+        now = self._clock.monotonic()
+        cleared = self._evidence.clear(types.RequestDigest(id))
+        self._broadcast(cleared, now)
+        block = self._blocks_by_id.get(id)
+        parts = block.parts if block else {types.PromptPartDigest(id)}
+        answers = tuple(
+            part_evidence.PartAnswer(
+                part=part, version=part_evidence.ALL_VERSIONS, at=now
+            )
+            for part in parts
+            if self._evidence.is_suspect_part(part)
+        )
+        for one in answers:
+            self._evidence.record_part_answer(one)
+            if self.part_answer_news is not None:
+                self.part_answer_news.add(one, now=now)
+        self._remove_stored({id, *(one.part for one in answers)})
+        self._update_blocks(source="lifted")
+        return bool(cleared or answers)
 
     # Updates from peers and the store.
 
     def receive_news(self, news: router_messages.CrashNews) -> None:
-        """Receive a peer's crash records."""
+        """Receive a peer's crash records and answers."""
         now = self._clock.monotonic()
+        self._receive_answers(news, now)
         reported = crash_news.records_of(news, now=now)
         new = self._merge(reported, now)
         own = self._own_records(reported, now)
         self._broadcast(own, now)
         if self.news is not None:
             self.news.forward(news, new, now=now)
-        for one in self._update_blocked((*new, *own), source=news.entry_vm):
-            stored = one.request in self._stored
+        self._update_blocks(source=news.entry_vm)
+        for block in self._blocks_with((*new, *own)):
+            stored = block.id in self._stored
             if self.news is not None and self.news.is_relay and not stored:
-                self._write_at_by_request.setdefault(
-                    one.request, now + _REPORTED_WRITE_DELAY_SECONDS
+                self._write_at_by_id.setdefault(
+                    block.id, now + _REPORTED_WRITE_DELAY_SECONDS
                 )
 
-    def apply_stored(self, request: types.RequestDigest, value: bytes) -> None:
+    def apply_stored(self, id: types.BlockId, value: bytes) -> None:
         """Apply a block that is in the store."""
         now = self._clock.monotonic()
         try:
-            records = block_record.decode(request, value, now=now)
+            records = block_record.decode(id, value, now=now)
         except errors.LagoonrunError as error:
             logs.emit(
                 events.LogEvent.PEER_FRAME_REJECTED,
@@ -171,18 +265,29 @@
                 detail=str(error),
             )
             return
-        self._stored.add(request)
-        self._write_at_by_request.pop(request, None)
-        self._update_blocked(self._merge(records, now), source="store")
+        self._stored.add(id)
+        self._write_at_by_id.pop(id, None)
+        self._merge(records, now)
+        self._update_blocks(source="store")
 
-    def apply_removed(self, request: types.RequestDigest) -> None:
+    def apply_removed(self, id: types.BlockId) -> None:
         """Apply the removal of a block from the store.
 
         Its lease has expired, or it was lifted.
         """
-        if request in self._stored:
-            self._stored.discard(request)
-            self._clear(request, reason="removed from the store")
+        if id not in self._stored:
+            return
+        self._stored.discard(id)
+        now = self._clock.monotonic()
+        self._evidence.clear(types.RequestDigest(id))
+        block = self._blocks_by_id.get(id)
+        for part in block.parts if block else ():
+            self._evidence.record_part_answer(
+                part_evidence.PartAnswer(
+                    part=part, version=part_evidence.ALL_VERSIONS, at=now
+                )
+            )
+        self._update_blocks(source="removed from the store")
 
     def on_store_restored(self) -> None:
         """Schedule a relay's rewrite of blocks that the store may lack."""
@@ -190,36 +295,74 @@
         lost, self._stored = self._stored, set()
         if self.news is None or not self.news.is_relay:
             return
-        for request in lost:
-            if self.block_of(request) is not None:
-                self._write_at_by_request.setdefault(
-                    request, now + _REPORTED_WRITE_DELAY_SECONDS
+        for block in self.blocks():
+            if block.id in lost:
+                self._write_at_by_id.setdefault(
+                    block.id, now + _REPORTED_WRITE_DELAY_SECONDS
                 )
 
     def tick(self) -> None:
         """Write due blocks, drop expired records and end expired blocks."""
         now = self._clock.monotonic()
         self._evidence.remove_expired(now=now)
-        for request, due_at in tuple(self._write_at_by_request.items()):
+        blocks_by_id = {one.id: one for one in self.blocks()}
+        for id, due_at in tuple(self._write_at_by_id.items()):
             if now >= due_at:
-                del self._write_at_by_request[request]
-                self._write_block(request)
-        for request in tuple(self._blocked):
-            if self.block_of(request) is None:
-                self._record_unblocked(request, reason="time has passed")
+                del self._write_at_by_id[id]
+                if id in blocks_by_id:
+                    self._block_writer.write(blocks_by_id[id])
+        self._update_blocks(source="time has passed")
 
     # Helpers.
 
     def _merge(
-        self, records: tuple[crash_evidence.CrashRecord, ...], now: float
-    ) -> tuple[crash_evidence.CrashRecord, ...]:
-        return tuple(
+        self, records: tuple[crash_records.CrashRecord, ...], now: float
+    ) -> tuple[crash_records.CrashRecord, ...]:
+        new = tuple(
             one for one in records if self._evidence.merge(one, now=now)
         )
+        self._tell_answered_parts(new, now)
+        return new
+
+    def _tell_answered_parts(
+        self, records: tuple[crash_records.CrashRecord, ...], now: float
+    ) -> None:
+        """Tell the others which suspected parts were answered here lately."""
+        if self.part_answer_news is None:
+            return
+        for part, version in {
+            (part, one.version) for one in records for part in one.parts
+        }:
+            at = self._evidence.part_answered_at(part, version)
+            if (
+                now - at < part_evidence.ANSWERED_SECONDS
+                and not self.part_answer_news.was_told_lately(
+                    part, version, now=now
+                )
+            ):
+                answer = part_evidence.PartAnswer(
+                    part=part, version=version, at=at
+                )
+                self.part_answer_news.add(answer, now=now)
+
+    def _receive_answers(
+        self, news: router_messages.CrashNews, now: float
+    ) -> None:
+        answers = crash_news.answers_of(news, now=now)
+        clearing = []
+        for one in answers:
+            if self._evidence.record_part_answer(one):
+                clearing.append(one)
+            if self.part_answer_news is not None:
+                self.part_answer_news.record_told(one, now=now)
+        if clearing:
+            self._remove_stored({one.part for one in clearing})
+        if clearing and self.news is not None:
+            self.news.forward_answers(news, tuple(clearing), now=now)
 
     def _own_records(
-        self, reported: tuple[crash_evidence.CrashRecord, ...], now: float
-    ) -> tuple[crash_evidence.CrashRecord, ...]:
+        self, reported: tuple[crash_records.CrashRecord, ...], now: float
+    ) -> tuple[crash_records.CrashRecord, ...]:
         """Return new records of own requests for crashes others detected.
 
         Their callers may have disconnected right before the crash, so that this
@@ -230,7 +373,7 @@
             for one in reported
             if now - one.seen_at < running_requests.SUSPECT_SECONDS
         }
-        found: list[crash_evidence.CrashRecord] = []
+        found: list[crash_records.CrashRecord] = []
         for instance in recent:
             records = _records(
                 instance, self._watch.suspects_at(instance), seen_at=now
@@ -239,89 +382,97 @@
         return tuple(found)
 
     def _broadcast(
-        self, records: tuple[crash_evidence.CrashRecord, ...], now: float
+        self, records: tuple[crash_records.CrashRecord, ...], now: float
     ) -> None:
         if records and self.news is not None:
             self.news.broadcast(records, now=now)
 
-    def _clear(
-        self, request: types.RequestDigest, *, reason: str
-    ) -> tuple[crash_evidence.CrashRecord, ...]:
-        cleared = self._evidence.clear(request)
-        if request in self._stored:
-            self._block_writer.remove(request)
-        self._record_unblocked(request, reason=reason)
-        return cleared
-
-    def _update_blocked(
-        self, records: tuple[crash_evidence.CrashRecord, ...], *, source: str
-    ) -> tuple[crash_evidence.Block, ...]:
-        """Update and log the blocks for new records; return the blocks."""
-        blocks = []
-        for request in {one.request for one in records}:
-            self._clear_if_answered(request)
-            block = self.block_of(request)
-            if block is None:
-                self._record_unblocked(request, reason=f"cleared by {source}")
-                continue
-            blocks.append(block)
-            if request not in self._blocked:
-                self._blocked.add(request)
-                self._log_blocked(block, source)
-        return tuple(blocks)
-
-    def _clear_if_answered(self, request: types.RequestDigest) -> None:
-        """Clear a request that would be blocked but was answered here recently.
+    def _remove_stored(self, cleared: set[str]) -> None:
+        """Remove stored blocks of what was cleared.
+
+        Parameters
+        ----------
+        cleared
+            Digests of requests and of parts.
+        """
+        for id in tuple(self._stored):
+            block = self._blocks_by_id.get(id)
+            if id in cleared or (block and cleared & block.parts):
+                self._block_writer.remove(id)
+
+    def _blocks_with(
+        self, records: Iterable[crash_records.CrashRecord]
+    ) -> tuple[crash_records.Block, ...]:
+        """Return the blocks that rest on some of the records."""
+        crashes = {(one.request, one.instance) for one in records}
+        return tuple(
+            block
+            for block in self._blocks_by_id.values()
+            if any(
+                (one.request, one.instance) in crashes for one in block.records
+            )
+        )
+
+    def _update_blocks(self, *, source: str) -> None:
+        """Compute the blocks, and log those that begin or end."""
+        before = self._blocks_by_id
+        blocks = self.blocks()
+        if not blocks and not before:
+            return
+        self._clear_answered(blocks)
+        self._blocks_by_id = {one.id: one for one in self.blocks()}
+        for id in before.keys() - self._blocks_by_id.keys():
+            self._write_at_by_id.pop(id, None)
+            logs.emit(
+                events.LogEvent.REQUEST_UNBLOCKED, digest=id, reason=source
+            )
+        for id in self._blocks_by_id.keys() - before.keys():
+            self._log_blocked(self._blocks_by_id[id], source)
+
+    def _clear_answered(self, blocks: tuple[crash_records.Block, ...]) -> None:
+        """Clear requests that would be blocked but were answered recently.
 
         Many callers may send the same request at the same time while several
         upstreams crash for another reason before the next answer arrives.
         """
         now = self._clock.monotonic()
-        if self.block_of(request) and self._answered.has(request, now=now):
-            self._broadcast(self._clear(request, reason="answered lately"), now)
+        for block in blocks:
+            request = block.request
+            if request and self._answered.has(request, now=now):
+                self._broadcast(self._evidence.clear(request), now)
+                self._remove_stored({request})
 
-    def _log_blocked(self, block: crash_evidence.Block, source: str) -> None:
+    def _log_blocked(self, block: crash_records.Block, source: str) -> None:
         left_seconds = block.until - self._clock.monotonic()
         logs.emit(
             events.LogEvent.REQUEST_BLOCKED,
             level=logging.WARNING,
-            digest=block.request,
+            digest=block.id,
+            parts=sorted(block.parts),
             route=block.route,
+            requests=[one.request for one in block.records],
             upstreams=[one.upstream for one in block.crashes],
+            versions=sorted({one.version for one in block.records}),
             seconds=round(left_seconds, 1),
             source=source,
         )
 
-    def _record_unblocked(
-        self, request: types.RequestDigest, *, reason: str
-    ) -> None:
-        self._write_at_by_request.pop(request, None)
-        if request not in self._blocked:
-            return
-        self._blocked.discard(request)
-        logs.emit(
-            events.LogEvent.REQUEST_UNBLOCKED, digest=request, reason=reason
-        )
-
-    def _write_block(self, request: types.RequestDigest) -> None:
-        block = self.block_of(request)
-        if block is not None:
-            self._block_writer.write(block)
-
 
 def _records(
     instance: running_requests.UpstreamInstance,
     requests: frozenset[running_requests.SuspectRequest],
     *,
     seen_at: float,
-) -> tuple[crash_evidence.CrashRecord, ...]:
+) -> tuple[crash_records.CrashRecord, ...]:
     return tuple(
-        crash_evidence.CrashRecord(
+        crash_records.CrashRecord(
             request=one.digest,
             instance=instance,
             route=one.route,
             seen_at=seen_at,
             silent=one.silent,
+            parts=one.parts,
+            version=one.version,
         )
         for one in requests
     )
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -17,6 +17,7 @@
     availability,
     call_pressure,
     choosing,
+    crash_records,
     loads,
     place_bucket,
     pool_capacity,
@@ -24,6 +25,7 @@
     retrying,
     stream_relay,
     upstream_attempt,
+    upstreams,
 )
 from lagoonrun_router import call as calls
 from lagoonrun_router import components as router_components
@@ -89,6 +91,7 @@
             call=call, components=components, pressure=self._pressure
         )
         self._tried: set[types.UpstreamId] = set()
+        self._barred: frozenset[types.UpstreamId] = frozenset()
         self._sends = retrying.SendCounts()
         self._earlier_may_have_run = False
         self._current_attempt: upstream_attempt.UpstreamAttempt | None = None
@@ -159,9 +162,10 @@
             # Checked before retries too: the request may have been found to
             # crash upstreams since it was last sent.
             block = self._components.crashing_requests.block_of(
-                self._call.digest
+                self._call.digest, parts=self._call.parts
             )
-            if block is not None:
+            self._barred = self._barred_upstreams(block)
+            if block is not None and not self._has_unbarred_upstream():
                 return await self._end_refused(self._refusals.blocked(block))
             choice = await self._choose()
             if isinstance(choice, choosing.AllClosed) and (
@@ -218,7 +222,7 @@
     ) -> choosing.Choice | pool_capacity.Rejection | choosing.AllClosed | None:
         choice = self._chooser.choose(
             self._call,
-            excluded=self._tried,
+            excluded=self._tried | self._barred,
             admitted_before=self._admitted,
             origin=self._relay.origin,
         )
@@ -233,12 +237,40 @@
             self._tried.clear()
             choice = self._chooser.choose(
                 self._call,
-                excluded=(),
+                excluded=self._barred,
                 admitted_before=self._admitted,
                 origin=self._relay.origin,
             )
         return choice
 
+    def _barred_upstreams(
+        self, block: crash_records.Block | None
+    ) -> frozenset[types.UpstreamId]:
+        """Return the upstreams of the versions at which a block applies."""
+        if block is None:
+            return frozenset()
+        crashing_requests = self._components.crashing_requests
+        applies_by_version: dict[str, bool] = {}
+        barred = set()
+        for one in self._usable_upstreams():
+            if one.version not in applies_by_version:
+                applies_by_version[one.version] = (
+                    crashing_requests.is_blocked_at(block, one.version)
+                )
+            if applies_by_version[one.version]:
+                barred.add(one.id)
+        return frozenset(barred)
+
+    def _has_unbarred_upstream(self) -> bool:
+        return any(
+            one.id not in self._barred for one in self._usable_upstreams()
+        )
+
+    def _usable_upstreams(self) -> tuple[upstreams.Registration, ...]:
+        return self._components.directory.usable(
+            self._call.pool.name, now=self._components.clock.monotonic()
+        )
+
     def _may_wait_to_continue(self, closed: choosing.AllClosed) -> bool:
         """Return whether a stream may wait for a closed upstream.
 
--- a/packages/router/src/lagoonrun_router/peer_exchange.py
+++ b/packages/router/src/lagoonrun_router/peer_exchange.py
@@ -26,6 +26,7 @@
     metrics,
     news_broadcaster,
     observation_rows,
+    part_answer_news,
     peer_fetch,
     peer_loads,
     peer_socket,
@@ -200,13 +201,19 @@
             rng=rng,
         )
         self._crashing_requests = crashing_requests
+        part_answers = part_answer_news.PartAnswerNews(
+            peer_count=lambda: len(table.known()), rng=rng
+        )
         self._crash_news = crash_news.CrashNewsExchange(
             entry_vm=configured.entry_vm,
             domain=configured.domain,
             broadcaster=self.broadcaster,
             records=crashing_requests.records,
+            answers=crashing_requests.part_answers,
+            part_answers=part_answers,
         )
         crashing_requests.news = self._crash_news
+        crashing_requests.part_answer_news = part_answers
         self.routing = place_routing.PlaceRouting(
             entry_vm=configured.entry_vm,
             domain=configured.domain,
--- a/packages/router/src/lagoonrun_router/refusing.py
+++ b/packages/router/src/lagoonrun_router/refusing.py
@@ -9,9 +9,8 @@
     availability,
     call_pressure,
     choosing,
-    crash_evidence,
+    crash_records,
     pool_capacity,
-    running_requests,
     stream_origin,
 )
 from lagoonrun_router import call as calls
@@ -36,9 +35,10 @@
         What the caller is told.
     retry_after_seconds
         When the caller may retry; None for the default.
-    closed, crashes
-        Upstreams that are closed, and upstream instances that crashed while
-        they ran the request.
+    closed
+        Upstreams that are closed.
+    block
+        What crashed upstreams; None if the request is not blocked.
     rejection
         Decision of the admission; None if it did not decide.
     """
@@ -47,7 +47,7 @@
     detail: str
     retry_after_seconds: float | None = None
     closed: tuple[availability.ClosedUpstream, ...] = ()
-    crashes: tuple[running_requests.UpstreamInstance, ...] = ()
+    block: crash_records.Block | None = None
     rejection: pool_capacity.Rejection | None = None
 
 
@@ -104,9 +104,11 @@
             return self._without_version(origin)
         return self._without_upstream()
 
-    def blocked(self, block: crash_evidence.Block) -> Refusal:
+    def blocked(self, block: crash_records.Block) -> Refusal:
         """Refuse a request that has crashed too many upstreams.
 
+        The crashes are its own, or those of other requests with the same parts.
+
         The Retry-After is the end of the block and not earlier: each further
         crash also loses all other requests that run on that upstream.
         """
@@ -114,10 +116,10 @@
             Refusal(
                 reason=outcomes.Reason.CRASHED_UPSTREAMS,
                 detail=f"{len(block.crashes)} upstreams ended while they ran "
-                "it",
+                + (f"requests with {block.id}" if block.parts else "it"),
                 retry_after_seconds=block.until
                 - self._components.clock.monotonic(),
-                crashes=block.crashes,
+                block=block,
             )
         )
 
@@ -225,7 +227,11 @@
             patience_seconds=round(self._call.patience_seconds, 3),
             digest=self._call.digest,
             closed={one.upstream: one.reason.value for one in refusal.closed},
-            upstreams=[instance.upstream for instance in refusal.crashes],
+            upstreams=[
+                instance.upstream
+                for instance in (refusal.block.crashes if refusal.block else ())
+            ],
+            block=refusal.block and refusal.block.id,
             retry_after=retry_after and round(retry_after, 3),
             **_logged_rejection(refusal.rejection),
         )
--- a/packages/router/src/lagoonrun_router/router_endpoints.py
+++ b/packages/router/src/lagoonrun_router/router_endpoints.py
@@ -10,7 +10,7 @@
 from lagoonrun_protocol import router_codec, router_messages
 from lagoonrun_router import (
     connection_forwarder,
-    crash_evidence,
+    crash_records,
     forwarding_frames,
     json_responses,
     override_endpoint,
@@ -36,11 +36,11 @@
 class BlockedRequests(Protocol):
     """What the endpoints use of the blocked requests."""
 
-    def blocks(self) -> tuple[crash_evidence.Block, ...]:
+    def blocks(self) -> tuple[crash_records.Block, ...]:
         """Return the blocks of all requests that must not be sent."""
 
-    def lift(self, request: types.RequestDigest) -> bool:
-        """Unblock a request; return whether it had crash records."""
+    def lift(self, id: types.BlockId) -> bool:
+        """End a block; return whether there were crash records."""
 
 
 class LoadView(Protocol):
@@ -196,7 +196,8 @@
         now = self._clock.monotonic()
         rows = [
             {
-                "digest": block.request,
+                "digest": block.id,
+                "parts": sorted(block.parts),
                 "route": block.route,
                 "upstreams": [instance.upstream for instance in block.crashes],
                 "seconds_left": round(block.until - now, 1),
@@ -212,7 +213,7 @@
         digest_text = exchange.head.target.removeprefix(
             f"{BLOCKED_REQUESTS_PATH}/"
         )
-        lifted = self._blocks.lift(types.RequestDigest(digest_text))
+        lifted = self._blocks.lift(types.BlockId(digest_text))
         await json_responses.respond(
             exchange, 200 if lifted else 404, {"lifted": lifted}
         )
--- a/packages/router/src/lagoonrun_router/running_requests.py
+++ b/packages/router/src/lagoonrun_router/running_requests.py
@@ -59,12 +59,15 @@
         Whether no part of its answer had arrived.
     parts
         Parts of its prompt.
+    version
+        Software version of the upstream.
     """
 
     digest: types.RequestDigest
     route: str
     silent: bool = True
     parts: tuple[types.PromptPartDigest, ...] = ()
+    version: str = ""
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -80,6 +83,8 @@
         runs.
     parts
         Parts of its prompt.
+    version
+        Software version of the upstream.
 
     Attributes
     ----------
@@ -93,6 +98,7 @@
     ended_at: float | None = None
     silent: bool = True
     parts: tuple[types.PromptPartDigest, ...] = ()
+    version: str = ""
 
 
 class RunningRequests:
@@ -108,9 +114,16 @@
         route: str,
         instance: UpstreamInstance,
         parts: tuple[types.PromptPartDigest, ...] = (),
+        version: str = "",
     ) -> Run:
         """Record that a request is about to be written to an upstream."""
-        run = Run(digest=digest, route=route, instance=instance, parts=parts)
+        run = Run(
+            digest=digest,
+            route=route,
+            instance=instance,
+            parts=parts,
+            version=version,
+        )
         self._runs_by_instance.setdefault(instance, []).append(run)
         return run
 
@@ -134,6 +147,7 @@
                 route=run.route,
                 silent=run.silent,
                 parts=run.parts,
+                version=run.version,
             )
             for run in runs
         )
--- a/packages/router/src/lagoonrun_router/store_replica.py
+++ b/packages/router/src/lagoonrun_router/store_replica.py
@@ -36,10 +36,10 @@
 class BlocksListener(Protocol):
     """Receives the blocked requests that are stored."""
 
-    def apply_stored(self, request: types.RequestDigest, value: bytes) -> None:
+    def apply_stored(self, id: types.BlockId, value: bytes) -> None:
         """Apply a stored block."""
 
-    def apply_removed(self, request: types.RequestDigest) -> None:
+    def apply_removed(self, id: types.BlockId) -> None:
         """Apply that a block was removed or has expired."""
 
     def on_store_restored(self) -> None:
@@ -201,7 +201,7 @@
             self._on_upstreams()
         elif key.startswith(self._layout.blocked_requests_prefix):
             self._entries_by_key.pop(key, None)
-            self._blocks.apply_removed(self._request_of(key))
+            self._blocks.apply_removed(self._block_of(key))
         elif key.startswith(self._layout.overrides_prefix):
             self._entries_by_key.pop(key, None)
             self._overrides.apply_removed(
@@ -402,7 +402,7 @@
             self._apply_upstream_entry(key, value)
         elif key.startswith(self._layout.blocked_requests_prefix):
             self._entries_by_key[key] = value
-            self._blocks.apply_stored(self._request_of(key), value)
+            self._blocks.apply_stored(self._block_of(key), value)
         elif key.startswith(self._layout.overrides_prefix):
             self._entries_by_key[key] = value
             self._overrides.apply_stored(
@@ -441,9 +441,9 @@
         self._directory.on_store_restored(now=self._clock.monotonic())
         self._blocks.on_store_restored()
 
-    def _request_of(self, key: str) -> types.RequestDigest:
+    def _block_of(self, key: str) -> types.BlockId:
         prefix = self._layout.blocked_requests_prefix
-        return types.RequestDigest(key.removeprefix(prefix))
+        return types.BlockId(key.removeprefix(prefix))
 
     @property
     def _entry_source(self) -> str:
--- a/packages/router/tests/test_block_writer.py
+++ b/packages/router/tests/test_block_writer.py
@@ -10,16 +10,23 @@
     block_record,
     block_writer,
     crash_evidence,
+    crash_records,
     running_requests,
 )
 from lagoonrun_standins.router_world import wait_for
 
 PREFIX = "blocked/"
-BLOCK = crash_evidence.Block(
+BLOCK = crash_records.Block(
     request="one",
-    route="lookups",
-    crashes=tuple(
-        running_requests.UpstreamInstance(upstream=f"u-{n}", start=n)
+    records=tuple(
+        crash_records.CrashRecord(
+            request="one",
+            instance=running_requests.UpstreamInstance(
+                upstream=f"u-{n}", start=n
+            ),
+            route="lookups",
+            seen_at=0.0,
+        )
         for n in range(3)
     ),
     until=100.0,
--- a/packages/router/tests/test_crash_evidence.py
+++ b/packages/router/tests/test_crash_evidence.py
@@ -11,7 +11,11 @@
     rule,
 )
 
-from lagoonrun_router import crash_evidence, running_requests
+from lagoonrun_router import (
+    crash_evidence,
+    crash_records,
+    running_requests,
+)
 
 NOW = 1000.0
 GUILTY = "guilty"
@@ -28,7 +32,7 @@
 
 
 def record(request, upstream, *, seen_at=NOW, **more):
-    return crash_evidence.CrashRecord(
+    return crash_records.CrashRecord(
         request=request,
         instance=make_instance(upstream),
         route="lookups",
--- a/packages/router/tests/test_crash_evidence_under_load.py
+++ b/packages/router/tests/test_crash_evidence_under_load.py
@@ -14,7 +14,11 @@
 
 import pytest
 
-from lagoonrun_router import crash_evidence, running_requests
+from lagoonrun_router import (
+    crash_evidence,
+    crash_records,
+    running_requests,
+)
 
 SECONDS = 40
 SEEDS = 60
@@ -108,7 +112,7 @@
         )
         for request in (cause, *running):
             silent = request == cause or self._rng.random() < SILENT_SHARE
-            record = crash_evidence.CrashRecord(
+            record = crash_records.CrashRecord(
                 request=request,
                 instance=instance,
                 route="r",
--- a/packages/router/tests/test_crash_news.py
+++ b/packages/router/tests/test_crash_news.py
@@ -8,6 +8,7 @@
 from lagoonrun_router import (
     crash_evidence,
     crash_news,
+    crash_records,
     news_broadcaster,
     peer_table,
     running_requests,
@@ -39,7 +40,7 @@
 
 
 def record(number, *, seen_at=NOW, **more):
-    return crash_evidence.CrashRecord(
+    return crash_records.CrashRecord(
         request=f"r-{number}",
         instance=running_requests.UpstreamInstance(upstream="u-1", start=7),
         route="lookups",
--- a/packages/router/tests/test_crash_watch.py
+++ b/packages/router/tests/test_crash_watch.py
@@ -58,7 +58,7 @@
     made.on_crash = lambda instance, requests: made.seen.append(
         (instance, requests)
     )
-    made.on_answer = made.answered.append
+    made.on_answer = lambda run: made.answered.append(run.digest)
     yield made
     await made.close()
 
--- a/packages/router/tests/test_crashing_requests_units.py
+++ b/packages/router/tests/test_crashing_requests_units.py
@@ -7,6 +7,7 @@
 from lagoonrun_router import (
     block_record,
     crash_evidence,
+    crash_records,
     crashing_requests,
     recent_answers,
     running_requests,
@@ -37,7 +38,7 @@
 
     def write(self, block):
         """Record a written block."""
-        self.written.append(block.request)
+        self.written.append(block.id)
 
     def remove(self, request):
         """Record a removal."""
@@ -117,7 +118,7 @@
 
 
 def blocked(crashing):
-    return [one.request for one in crashing.blocks()]
+    return [one.id for one in crashing.blocks()]
 
 
 def test_own_crashes_are_broadcast_and_the_block_is_written(
@@ -295,7 +296,7 @@
 def _stored_block():
     evidence = crash_evidence.CrashEvidence()
     for number in range(3):
-        record = crash_evidence.CrashRecord(
+        record = crash_records.CrashRecord(
             request="one",
             instance=make_instance(number),
             route="lookups",
