Keep the block of a part while other causes crash upstreams, and soak it

Found by the soak, which learns the incident: callers at all entry VMs send different requests with a part that crashes upstreams, up to 25 such parts in 20 s in a pool of a few engines, some at the first token and some after an event. A cause that is known stays one until it is answered; a stored block is taken as it is. - a part whose crashes other causes explain was never blocked; five are enough without an answer. - a stream that was resumed on four crashing upstreams was blocked as a whole; crashes under blocked parts no longer count against requests. The planted defect holds crashes against whole requests only; the soak finds it.

--- a/packages/router/src/lagoonrun_router/block_record.py
+++ b/packages/router/src/lagoonrun_router/block_record.py
@@ -56,7 +56,7 @@
                 ),
                 route=route,
                 # Crashes at the same moment would count once.
-                seen_at=now - before * part_evidence.CRASH_MOMENT_SECONDS,
+                seen_at=now - before * 2.0 * part_evidence.CRASH_MOMENT_SECONDS,
                 parts=parts,
                 version=str(one.get("version", "")),
             )
--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -63,6 +63,7 @@
         self._size = 0
         self._parts = part_evidence.PartEvidence()
         self._parts_of_records = 0
+        self._causes: set[part_evidence.PartCause] = set()
         self._blocks: tuple[crash_records.Block, ...] | None = None
         self._blocks_at = 0.0
 
@@ -195,6 +196,11 @@
             self._blocks = None
         return cleared
 
+    def add_cause(self, parts: part_evidence.PartCause) -> None:
+        """Add parts that another entry VM knows as a cause."""
+        self._causes.add(parts)
+        self._blocks = None
+
     def clear(
         self, request: types.RequestDigest
     ) -> tuple[crash_records.CrashRecord, ...]:
@@ -233,13 +239,10 @@
 
     def _find_blocks(self, now: float) -> tuple[crash_records.Block, ...]:
         crashes_by_request = self._frequent(now)
-        causes = self._parts.causes(
-            now=now,
-            crashes_by_request={
-                request: frozenset(one.instance for one in crashes)
-                for request, crashes in crashes_by_request.items()
-            },
-        )
+        part_blocks = self._find_part_blocks(now, crashes_by_request)
+        explained = {
+            instance for block in part_blocks for instance in block.crashes
+        }
         blocks = [
             crash_records.Block(
                 records=counted,
@@ -247,17 +250,45 @@
                 request=request,
             )
             for request, crashes in crashes_by_request.items()
-            if (counted := self._counted(crashes, causes, now))
+            if (counted := self._counted(crashes, explained, now))
         ]
-        blocks.extend(
-            crash_records.Block(
-                records=one.crashes,
-                until=one.crashes[-1].seen_at + BLOCK_SECONDS,
-                parts=one.parts,
+        return (*blocks, *part_blocks)
+
+    def _find_part_blocks(
+        self,
+        now: float,
+        crashes_by_request: dict[
+            types.RequestDigest, list[crash_records.CrashRecord]
+        ],
+    ) -> list[crash_records.Block]:
+        """Return the blocks of parts.
+
+        Once a part is known as a cause, crashes under other causes don't end
+        its block; an answer does.
+        """
+        self._causes.update(
+            self._parts.causes(
+                now=now,
+                crashes_by_request={
+                    request: frozenset(one.instance for one in crashes)
+                    for request, crashes in crashes_by_request.items()
+                },
             )
-            for one in causes
         )
-        return tuple(blocks)
+        blocks = []
+        for parts in tuple(self._causes):
+            crashes = self._parts.crashes_of(parts)
+            if len(crashes) < CRASHES_TO_BLOCK:
+                self._causes.discard(parts)
+                continue
+            blocks.append(
+                crash_records.Block(
+                    records=crashes,
+                    until=crashes[-1].seen_at + BLOCK_SECONDS,
+                    parts=parts,
+                )
+            )
+        return blocks
 
     def _frequent(
         self, now: float
@@ -274,12 +305,17 @@
     def _counted(
         self,
         crashes: list[crash_records.CrashRecord],
-        causes: tuple[part_evidence.PartCause, ...],
+        explained: set[running_requests.UpstreamInstance],
         now: float,
     ) -> tuple[crash_records.CrashRecord, ...]:
-        """Return the crashes that count; none if the request is not blocked."""
-        if any(_explains(one, crashes) for one in causes):
-            return ()
+        """Return the crashes that count; none if the request is not blocked.
+
+        Parameters
+        ----------
+        explained
+            Crashes under blocked parts.
+        """
+        crashes = [one for one in crashes if one.instance not in explained]
         if len(crashes) >= CRASHES_TO_BLOCK_ANY:
             return tuple(crashes)
         counted = tuple(one for one in crashes if self._is_counted(one, now))
@@ -385,13 +421,3 @@
 class _RetentionRank:
     crashes: int
     newest_at: float
-
-
-def _explains(
-    cause: part_evidence.PartCause, crashes: list[crash_records.CrashRecord]
-) -> bool:
-    """Return whether the crashes of a request are some of those of a cause."""
-    instances = {one.instance for one in cause.crashes}
-    return len(instances) > len(crashes) and instances.issuperset(
-        one.instance for one in crashes
-    )
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -268,6 +268,9 @@
         self._stored.add(id)
         self._write_at_by_id.pop(id, None)
         self._merge(records, now)
+        parts = frozenset(part for one in records for part in one.parts)
+        if parts:
+            self._evidence.add_cause(parts)
         self._update_blocks(source="store")
 
     def apply_removed(self, id: types.BlockId) -> None:
--- a/packages/router/src/lagoonrun_router/part_evidence.py
+++ b/packages/router/src/lagoonrun_router/part_evidence.py
@@ -22,16 +22,24 @@
 
 CRASHES_TO_BLOCK_ANSWERED = 5
 """The same for a part that was answered lately: a part that many requests share
-runs at each upstream that crashes."""
+runs at each upstream that crashes. Crashes do not count against it if another
+part ran there that has several crashes and no answer."""
+
+_CRASHES_TO_EXPLAIN = 2
+"""Crashes of a part without an answer that explain those of answered parts."""
 
 MIN_REQUESTS = 2
 """Different requests with a part that crash upstreams. If there is only one,
 the request is the cause and not its parts."""
 
-ANSWERED_SECONDS = 30.0
+CRASHES_TO_BLOCK_UNANSWERED = 5
+"""Crashes from which a part without an answer is a cause although other causes
+explain its crashes: several causes may run beside each other."""
+
+ANSWERED_SECONDS = 300.0
 """Age up to which an answer shows that upstreams of its version bear a part."""
 
-CRASH_MOMENT_SECONDS = 0.25
+CRASH_MOMENT_SECONDS = 0.1
 """Crashes within this time count once: a failure domain that loses power ends
 many upstreams at the same moment, and a part that many requests share runs at
 all of them."""
@@ -61,22 +69,10 @@
     at: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PartCause:
-    """Parts that crash upstreams.
-
-    Parameters
-    ----------
-    parts
-        Usually one; several if they ran in the same requests at each crash. A
-        request crashes upstreams if it has all of them: one that has some of
-        them shows which of them is the cause.
-    crashes
-        One of the requests for each crash, the oldest first.
-    """
-
-    parts: frozenset[types.PromptPartDigest]
-    crashes: tuple[crash_records.CrashRecord, ...]
+PartCause = frozenset[types.PromptPartDigest]
+"""Parts that crash upstreams. Usually one; several if they ran in the same
+requests at each crash. A request crashes upstreams if it has all of them: one
+that has some of them shows which of them is the cause."""
 
 
 class PartEvidence:
@@ -160,10 +156,20 @@
             candidates = self._candidates(now, explained, crashes_by_request)
             best = _best(candidates)
             if not best:
-                return tuple(found)
+                break
             for group in _always_together(best):
-                found.append(_cause(group))
+                found.append(_parts_of(group))
                 explained.update(group[0].open_crashes)
+        known = frozenset().union(*found)
+        others = [
+            one
+            for one in self._candidates(now, set(), crashes_by_request)
+            if one.part not in known
+            and one.moments >= CRASHES_TO_BLOCK_UNANSWERED
+            and not self._is_answered_lately(one.part, now)
+        ]
+        found.extend(map(_parts_of, _always_together(others)))
+        return tuple(found)
 
     def explains(
         self, crashes: Iterable[crash_records.CrashRecord], *, now: float
@@ -193,6 +199,21 @@
                 return True
         return False
 
+    def crashes_of(
+        self, parts: Iterable[types.PromptPartDigest]
+    ) -> tuple[crash_records.CrashRecord, ...]:
+        """Return a record of each crash that all parts have, the oldest first.
+
+        Only crashes since the last answer to each of them.
+        """
+        first, *others = (self._open_crashes(part) for part in parts)
+        crashes = [
+            next(iter(records.values()))
+            for instance, records in first.items()
+            if all(instance in one for one in others)
+        ]
+        return tuple(sorted(crashes, key=lambda one: one.seen_at))
+
     # Updates.
 
     def add(self, record: crash_records.CrashRecord) -> None:
@@ -256,10 +277,15 @@
         ],
     ) -> list["_Candidate"]:
         candidates = []
+        explained_by_unanswered = self._explained_by_unanswered(now)
         for part, by_instance in self._records_by_part.items():
             if len(by_instance) < CRASHES_TO_BLOCK:
                 continue
             open_crashes = self._open_crashes(part)
+            required, excluded = CRASHES_TO_BLOCK, explained
+            if self._is_answered_lately(part, now):
+                required = CRASHES_TO_BLOCK_ANSWERED
+                excluded = explained | explained_by_unanswered
             explained_by_requests = frozenset().union(
                 *(
                     instances
@@ -272,13 +298,10 @@
                 open_crashes={
                     instance: records
                     for instance, records in open_crashes.items()
-                    if instance not in explained
+                    if instance not in excluded
                     and instance not in explained_by_requests
                 },
             )
-            required = CRASHES_TO_BLOCK
-            if self._is_answered_lately(part, now):
-                required = CRASHES_TO_BLOCK_ANSWERED
             if (
                 candidate.moments >= required
                 and len(candidate.requests) >= MIN_REQUESTS
@@ -286,6 +309,18 @@
                 candidates.append(candidate)
         return candidates
 
+    def _explained_by_unanswered(
+        self, now: float
+    ) -> set[running_requests.UpstreamInstance]:
+        """Return the crashes of parts with several crashes and no answer."""
+        found: set[running_requests.UpstreamInstance] = set()
+        for part, by_instance in self._records_by_part.items():
+            if len(by_instance) >= _CRASHES_TO_EXPLAIN and not (
+                self._is_answered_lately(part, now)
+            ):
+                found.update(by_instance)
+        return found
+
     def _is_answered_lately(
         self, part: types.PromptPartDigest, now: float
     ) -> bool:
@@ -364,12 +399,5 @@
     return list(groups.values())
 
 
-def _cause(group: tuple[_Candidate, ...]) -> PartCause:
-    crashes = [
-        next(iter(records.values()))
-        for records in group[0].open_crashes.values()
-    ]
-    return PartCause(
-        parts=frozenset(one.part for one in group),
-        crashes=tuple(sorted(crashes, key=lambda one: one.seen_at)),
-    )
+def _parts_of(group: tuple[_Candidate, ...]) -> PartCause:
+    return frozenset(one.part for one in group)
--- a/packages/router/tests/test_part_evidence.py
+++ b/packages/router/tests/test_part_evidence.py
@@ -191,3 +191,21 @@
     stored = sum(len(one.parts) for one in pool.evidence.records())
     assert stored <= crash_evidence.MAX_PARTS_OF_RECORDS
     assert pool.is_blocked("bad")
+
+
+def test_part_that_always_runs_beside_another_cause_is_blocked(pool):
+    """Guards against a cause whose crashes another one explains."""
+    for number in range(5):
+        pool.crash(f"bad own-{number}", f"worse own-{number}")
+    pool.crash("bad own-6")
+    assert pool.is_blocked("bad")
+    assert pool.is_blocked("worse")
+
+
+def test_crashes_under_new_parts_do_not_count_against_an_answered_one(pool):
+    """Guards against refusing all callers while many new parts crash."""
+    pool.answer("shared")
+    for number in range(12):
+        for _ in range(2):
+            pool.crash(f"shared new-{number}")
+    assert not pool.is_blocked("shared")
--- a/packages/soak/src/lagoonrun_soak/caller.py
+++ b/packages/soak/src/lagoonrun_soak/caller.py
@@ -51,6 +51,9 @@
     crashing_request
         Name of a request that crashes upstreams and that this caller repeats;
         empty for a caller of ordinary requests.
+    crashing_part
+        Id of a part that its prompts have and that crashes upstreams; empty
+        for a caller of ordinary requests.
     vms
         All entry VMs, at which it takes up streams that broke.
     """
@@ -65,10 +68,12 @@
         rng: random.Random,
         organisation: types.OrganisationId,
         crashing_request: str = "",
+        crashing_part: str = "",
         vms: Sequence[vm.EntryVm] = (),
     ) -> None:
         self._vms = vms
         self._crashing_request = crashing_request
+        self._crashing_part = crashing_part
         self._name = name
         self._kind = kind
         self._target = target
@@ -117,7 +122,8 @@
         """
         request = self._new_request(self._target, boot)
         reusable = await self._send_request(connection, request, self._target)
-        if self._kind.route.resumable and not self._crashing_request:
+        crashes = self._crashing_request or self._crashing_part
+        if self._kind.route.resumable and not crashes:
             await self._take_up(request)
         return reusable
 
@@ -194,6 +200,7 @@
             key_revision=0,
             sent_at=time.monotonic(),
             crashing_request=self._crashing_request,
+            crashing_part=self._crashing_part,
             resumes=resumes,
             resumes_after=resumes_after,
         )
@@ -215,6 +222,7 @@
                 key=key,
                 patience_seconds=profile.limit_seconds,
                 prompt_tokens=self._kind.prompt_tokens,
+                shared_parts=self._shared_parts(),
                 # Without a body of their own, all requests of an organisation
                 # and class would have the same digest.
                 body=upstream.crashing_body(self._crashing_request)
@@ -225,6 +233,11 @@
         )
         return profile.limit_seconds + _TIME_LIMIT_SLACK_SECONDS
 
+    def _shared_parts(self) -> tuple[str, ...]:
+        """Return parts that many callers share, and one of few callers."""
+        own = self._crashing_part or layout.manual_part(self._name)
+        return (layout.INSTRUCTIONS_PART, own)
+
     def _choose_key(self, now: float) -> tuple[int, str]:
         """Return a key and the revision that added it; 0 for every revision."""
         key = layout.KEYS_BY_OTHER_ORGANISATION.get(self._organisation)
--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -39,9 +39,10 @@
 window that violates the guarantee."""
 
 _CRASHES_TO_BLOCK = 3
+_CRASHES_TO_BLOCK_PART = 5
 _MAX_LATE_RUNS = 3
-"""Crashes after which entry VMs must block a request, and its runs that may
-still begin more than `RECOVERY_SECONDS` after those crashes."""
+"""Crashes after which entry VMs must block a request, or a part of a prompt, and
+the runs that may still begin more than `RECOVERY_SECONDS` after them."""
 
 _MAX_UNSERVED_SHARE = 0.25
 _MIN_UNSERVED = 4
@@ -362,10 +363,9 @@
 def _crashing(history: record.History) -> Iterator[Violation]:
     runs_by_name: dict[str, list[record.Run]] = collections.defaultdict(list)
     for request in history.requests_by_id.values():
-        if request.crashing_request:
-            runs_by_name[request.crashing_request].extend(
-                history.runs_by_id.get(request.id, ())
-            )
+        cause = request.crashing_request or request.crashing_part
+        if cause:
+            runs_by_name[cause].extend(history.runs_by_id.get(request.id, ()))
         elif request.reason == outcomes.Reason.CRASHED_UPSTREAMS.value:
             yield Violation(
                 guarantee=Guarantee.CRASHING,
@@ -373,7 +373,12 @@
                 detail="turned away for what another request did",
             )
     for name, runs in runs_by_name.items():
-        late = _late_runs(history, sorted(runs, key=lambda run: run.at))
+        part = any(history.requests_by_id[run.id].crashing_part for run in runs)
+        late = _late_runs(
+            history,
+            sorted(runs, key=lambda run: run.at),
+            crashes=_CRASHES_TO_BLOCK_PART if part else _CRASHES_TO_BLOCK,
+        )
         if len(late) > _MAX_LATE_RUNS:
             yield Violation(
                 guarantee=Guarantee.CRASHING,
@@ -383,12 +388,12 @@
 
 
 def _late_runs(
-    history: record.History, runs: list[record.Run]
+    history: record.History, runs: list[record.Run], *, crashes: int
 ) -> list[record.Run]:
     """Return the runs that entry VMs with working links should have blocked."""
-    if len(runs) <= _CRASHES_TO_BLOCK:
+    if len(runs) <= crashes:
         return []
-    known_at = runs[_CRASHES_TO_BLOCK - 1].at + RECOVERY_SECONDS
+    known_at = runs[crashes - 1].at + RECOVERY_SECONDS
     return [
         run
         for run in runs
@@ -512,6 +517,7 @@
             and one.ended_at is not None
             and one.ended_at <= cut.end
             and not one.crashing_request
+            and not one.crashing_part
             and one.status != _UNAUTHORIZED
             and _is_vm_undisturbed(history, one, cut)
         ]
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -74,6 +74,7 @@
     STORE_CONNECTIONS_SILENT = "store-connections-silent"
     VERSION_ROLLED_OUT = "version-rolled-out"
     CALLERS_LOST = "callers-lost"
+    CRASHING_PART = "crashing-part"
 
 
 _UNDISTURBING_KINDS = frozenset(
@@ -190,6 +191,7 @@
             FaultKind.STORE_CONNECTIONS_SILENT: self._silence_store_connections,
             FaultKind.VERSION_ROLLED_OUT: self._roll_out_version,
             FaultKind.CALLERS_LOST: self._lose_callers,
+            FaultKind.CRASHING_PART: self._send_crashing_part,
         }
         now = time.monotonic()
         self._history.faults.append(f"{now:.3f} {kind.value}")
@@ -606,3 +608,18 @@
         await asyncio.sleep(_CRASHING_SECONDS)
         for caller in callers:
             await caller.close()
+
+    async def _send_crashing_part(self) -> None:
+        """Send different requests with a crashing part for a while."""
+        self._crashing_count += 1
+        callers = [
+            await self._deployment.add_caller(
+                self._rng.choice(layout.ENGINE_KINDS),
+                target,
+                crashing_part=layout.crashing_part(self._crashing_count),
+            )
+            for target in self._deployment.vms
+        ]
+        await asyncio.sleep(_CRASHING_SECONDS)
+        for caller in callers:
+            await caller.close()
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -150,8 +150,9 @@
         *,
         organisation: types.OrganisationId = layout.ORGANISATION,
         crashing_request: str = "",
+        crashing_part: str = "",
     ) -> caller.Caller:
-        """Start a caller, of a crashing request if one is named."""
+        """Start a caller, of requests that crash upstreams if one is named."""
         new_caller = caller.Caller(
             name=f"c{len(self._callers)}-{kind.name}",
             kind=kind,
@@ -160,6 +161,7 @@
             rng=random.Random(self.rng.random()),
             organisation=organisation,
             crashing_request=crashing_request,
+            crashing_part=crashing_part,
             vms=self.vms,
         )
         self._callers.append(new_caller)
--- a/packages/soak/src/lagoonrun_soak/layout.py
+++ b/packages/soak/src/lagoonrun_soak/layout.py
@@ -3,6 +3,7 @@
 import dataclasses
 import hashlib
 import os
+from collections.abc import Iterable
 
 from lagoonrun_config import model
 from lagoonrun_core import types
@@ -115,6 +116,29 @@
     prompt_tokens=6000,
 )
 ENGINE_KINDS = (ASK, SUMMARY)
+
+INSTRUCTIONS_PART = "a1"
+"""Id of the first part of all prompts."""
+
+_MANUAL_PARTS = ("b0", "b1", "b2", "b3")
+_CRASHING_PART_PREFIX = "dead"
+
+
+def manual_part(caller: str) -> str:
+    """Return the id of the second part of a caller's prompts."""
+    return _MANUAL_PARTS[sum(caller.encode()) % len(_MANUAL_PARTS)]
+
+
+def crashing_part(number: int) -> str:
+    """Return the id of a part that crashes upstreams."""
+    return f"{_CRASHING_PART_PREFIX}{number:04x}"
+
+
+def has_crashing_part(parts: Iterable[str]) -> bool:
+    """Return whether upstreams crash on a prompt."""
+    return any(one.startswith(_CRASHING_PART_PREFIX) for one in parts)
+
+
 KINDS_BY_NAME = {kind.name: kind for kind in (LOOKUP, CHECK, ASK, SUMMARY)}
 
 
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -18,6 +18,7 @@
     declarations,
     execution,
     forwarder_choice,
+    part_evidence,
     places,
     pool_capacity,
     reader_selection,
@@ -55,6 +56,7 @@
     SILENT_WATCHES = "silent-watches"
     ONE_VERSION = "one-version"
     TAKEN_UP = "taken-up"
+    CRASHING_PART = "crashing-part"
 
 
 def plant(defect: PlantedDefect) -> None:
@@ -181,6 +183,12 @@
     crash_evidence.CrashEvidence.merge = lambda self, record, *, now: False
 
 
+def _break_crashing_part() -> None:
+    """Hold crashes against whole requests only."""
+    part_evidence.PartEvidence.add = lambda self, record: None
+    part_evidence.PartEvidence.drop = lambda self, record: None
+
+
 def _break_limits() -> None:
     """Send without a place, the right to send to a rate-limited upstream."""
     places.Places.is_limited = lambda self, upstream: False
@@ -260,4 +268,5 @@
     PlantedDefect.SILENT_WATCHES: _break_silent_watches,
     PlantedDefect.ONE_VERSION: _break_one_version,
     PlantedDefect.TAKEN_UP: _break_taken_up,
+    PlantedDefect.CRASHING_PART: _break_crashing_part,
 }
--- a/packages/soak/src/lagoonrun_soak/record.py
+++ b/packages/soak/src/lagoonrun_soak/record.py
@@ -35,6 +35,9 @@
     crashing_request
         Name of the crashing request that this one repeats; empty for any
         other.
+    crashing_part
+        Id of the part of its prompt that crashes upstreams; empty for any
+        other.
     resumes, resumes_after
         Request that brought the first event of the stream that this one takes
         up, and the last event that arrived; empty and 0 for a new stream.
@@ -54,6 +57,7 @@
     genuine: bool = False
     reason: str = ""
     crashing_request: str = ""
+    crashing_part: str = ""
     resumes: str = ""
     resumes_after: int = 0
 
--- a/packages/soak/src/lagoonrun_soak/upstream.py
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -89,6 +89,8 @@
         on_crash: CrashListener,
     ) -> None:
         self._on_crash = on_crash
+        # Some engines crash at the first token, others after it.
+        self._begins_crashing = sum(registration.id.encode()) % 2 == 0
         self.registration = registration
         self._history = history
         self._running_by_urgency: collections.Counter[int] = (
@@ -147,7 +149,11 @@
         try:
             async with self._slots:
                 self._record_run(exchange, request)
-                if body.startswith(_CRASHING_PREFIX):
+                if body.startswith(
+                    _CRASHING_PREFIX
+                ) or layout.has_crashing_part(request.parts):
+                    if self._begins_crashing:
+                        await self._send_first_event(exchange, request)
                     await asyncio.sleep(_CRASH_DELAY_SECONDS)
                     self._on_crash(self.registration.id)
                     await exchange.caller_left.wait()
@@ -159,6 +165,29 @@
         finally:
             self._running_by_urgency[request.urgency] -= 1
 
+    async def _send_first_event(
+        self,
+        exchange: exchanges.Exchange,
+        request: standin_messages.UpstreamRequest,
+    ) -> None:
+        """Begin the stream that ends with the crash."""
+        if not layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
+            return
+        headers = standin_messages.answer_headers(request.request_id)
+        await exchange.start(
+            http_messages.ResponseHead(
+                status=200,
+                headers=headers.with_added("Content-Type", "text/event-stream"),
+            )
+        )
+        await exchange.send(
+            event(
+                request.request_id,
+                request.resumes_after + 1,
+                self.registration.version,
+            )
+        )
+
     async def _refuse(
         self,
         exchange: exchanges.Exchange,
--- a/packages/soak/src/lagoonrun_soak/version_checks.py
+++ b/packages/soak/src/lagoonrun_soak/version_checks.py
@@ -44,6 +44,7 @@
         if layout.KINDS_BY_NAME[one.kind].route.resumable
         and one.ended_at is not None
         and not one.crashing_request
+        and not one.crashing_part
         and history.is_undisturbed(
             one.vm, one.sent_at - recovery_seconds, one.sent_at
         )
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -37,12 +37,17 @@
         FaultKind.VERSION_ROLLED_OUT,
         FaultKind.CALLERS_LOST,
     ),
+    PlantedDefect.CRASHING_PART: (FaultKind.CRASHING_PART,),
+}
+
+_GUARANTEES_OF_OTHER_DEFECTS = {
+    PlantedDefect.SILENT_WATCHES: checks.Guarantee.IN_FORCE,
+    PlantedDefect.CRASHING_PART: checks.Guarantee.CRASHING,
 }
 
 GUARANTEES_BY_DEFECT = {
-    defect: checks.Guarantee.IN_FORCE
-    if defect is PlantedDefect.SILENT_WATCHES
-    else checks.Guarantee(defect.value)
+    defect: _GUARANTEES_OF_OTHER_DEFECTS.get(defect)
+    or checks.Guarantee(defect.value)
     for defect in PlantedDefect
 }
 
@@ -59,6 +64,7 @@
     PlantedDefect.SILENT_WATCHES: 2 * SECONDS,
     PlantedDefect.ONE_VERSION: 2 * SECONDS,
     PlantedDefect.TAKEN_UP: 2 * SECONDS,
+    PlantedDefect.CRASHING_PART: 2 * SECONDS,
 }
 """A limit must be obeyed after three seconds; the next four are checked.
 
@@ -98,6 +104,7 @@
     [
         FaultKind.VM_STOPPED,
         FaultKind.CRASHING_REQUEST,
+        FaultKind.CRASHING_PART,
         FaultKind.STORE_RESTORED,
         FaultKind.UPSTREAM_LIMITS,
         FaultKind.POOL_RESTS,
--- a/packages/standins/src/lagoonrun_standins/crashing_pool.py
+++ b/packages/standins/src/lagoonrun_standins/crashing_pool.py
@@ -53,6 +53,7 @@
         self._answer = answer
         self._numbers = itertools.count(1)
         self._started_by_id = {}
+        self._closing = []
         self.crashed = []
         self.repaired = False
         self.moment = CrashMoment.BEFORE_ANY_BYTE
@@ -109,6 +110,7 @@
         closing = asyncio.create_task(self._started_by_id[id].close())
         await asyncio.sleep(0)
         self._world.closing.append(closing)
+        self._closing.append(closing)
 
     async def replace_crashed(self):
         """Start an upstream with a new id for each crashed one."""
@@ -117,6 +119,9 @@
                 key = f"{self._world.layout.upstreams_prefix}{id}"
                 await self._world.remove(key)
                 await self.start_one()
+        # Their connections are reset once they have stopped.
+        await asyncio.gather(*self._closing)
+        self._closing.clear()
 
 
 async def start_fleet(
