Keep a request blocked that has a blocked part, and lift what is being stored

Crashes under a blocked part count again for requests that have it. Lifting removes the key in any case.

--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -240,9 +240,6 @@
     def _find_blocks(self, now: float) -> tuple[crash_records.Block, ...]:
         crashes_by_request = self._frequent(now)
         part_blocks = self._find_part_blocks(now, crashes_by_request)
-        explained = {
-            instance for block in part_blocks for instance in block.crashes
-        }
         blocks = [
             crash_records.Block(
                 records=counted,
@@ -250,7 +247,7 @@
                 request=request,
             )
             for request, crashes in crashes_by_request.items()
-            if (counted := self._counted(crashes, explained, now))
+            if (counted := self._counted(crashes, part_blocks, now))
         ]
         return (*blocks, *part_blocks)
 
@@ -305,17 +302,23 @@
     def _counted(
         self,
         crashes: list[crash_records.CrashRecord],
-        explained: set[running_requests.UpstreamInstance],
+        part_blocks: list[crash_records.Block],
         now: float,
     ) -> tuple[crash_records.CrashRecord, ...]:
         """Return the crashes that count; none if the request is not blocked.
 
-        Parameters
-        ----------
-        explained
-            Crashes under blocked parts.
+        Crashes under blocked parts that the request does not have are not its
+        own.
         """
-        crashes = [one for one in crashes if one.instance not in explained]
+        crashes = [
+            one
+            for one in crashes
+            if not any(
+                one.instance in block.crashes
+                and not block.parts.issubset(one.parts)
+                for block in part_blocks
+            )
+        ]
         if len(crashes) >= CRASHES_TO_BLOCK_ANY:
             return tuple(crashes)
         counted = tuple(one for one in crashes if self._is_counted(one, now))
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -228,7 +228,10 @@
             self._evidence.record_part_answer(one)
             if self.part_answer_news is not None:
                 self.part_answer_news.add(one, now=now)
-        self._remove_stored({id, *(one.part for one in answers)})
+        self._remove_stored({one.part for one in answers})
+        if cleared or answers:
+            # This entry VM may not have heard yet that it is stored.
+            self._block_writer.remove(id)
         self._update_blocks(source="lifted")
         return bool(cleared or answers)
 
--- a/packages/router/tests/test_part_evidence.py
+++ b/packages/router/tests/test_part_evidence.py
@@ -209,3 +209,14 @@
         for _ in range(2):
             pool.crash(f"shared new-{number}")
     assert not pool.is_blocked("shared")
+
+
+def test_request_stays_blocked_beside_a_part_of_some_of_its_copies(pool):
+    """Guards against a request that runs again once a part is a cause."""
+    for number in range(4):
+        pool.crash(f"copy-{number}", request="whole")
+    assert pool.evidence.block_of("whole", now=pool.now)
+    for number in range(3):
+        pool.crash(f"copy-0 own-{number}")
+    assert pool.is_blocked("copy-0")
+    assert pool.evidence.block_of("whole", now=pool.now)
--- a/packages/soak/src/lagoonrun_soak/caller.py
+++ b/packages/soak/src/lagoonrun_soak/caller.py
@@ -235,7 +235,9 @@
 
     def _shared_parts(self) -> tuple[str, ...]:
         """Return parts that many callers share, and one of few callers."""
-        own = self._crashing_part or layout.manual_part(self._name)
+        own = self._crashing_part or layout.manual_part(
+            self._crashing_request or self._name
+        )
         return (layout.INSTRUCTIONS_PART, own)
 
     def _choose_key(self, now: float) -> tuple[int, str]:
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -126,7 +126,7 @@
         for links_by_vm in self.own_links.values():
             for own_link in links_by_vm.values():
                 await own_link.close()
-        for running in self.upstreams.values():
+        for running in tuple(self.upstreams.values()):
             await running.close()
         await self.store.close()
 
