Take an answer that ended with its connection for proof only after a second

A crash of an upstream ends its connections, and an answer with neither a length nor chunks ends that way too: a stream that a crash ended between two events looked complete and cleared the request and its parts. Such runs stay suspects for the second in which a crash is noticed, and count as answered after it. A refused connection to an upstream with suspects is followed by a probe as a broken request is: with such answers no request may have broken.

The new test failed before (the answer cleared at once, no probe).

--- a/packages/router/src/lagoonrun_router/attempt_result.py
+++ b/packages/router/src/lagoonrun_router/attempt_result.py
@@ -10,9 +10,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Delivered:
-    """The upstream's answer was delivered, complete or as far as it arrived."""
+    """The upstream's answer was delivered, complete or as far as it arrived.
+
+    Parameters
+    ----------
+    ended_by_close
+        Whether only the end of the connection marked the end of the answer, as
+        a crash of the upstream does too.
+    """
 
     ending: outcomes.Ending
+    ended_by_close: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -166,15 +166,31 @@
         """
         end = _run_end_of(result)
         self._running.end(run, end, now=self._clock.monotonic())
-        if end is running_requests.RunEnd.ANSWERED and self.on_answer:
-            self.on_answer(run)
+        if end is running_requests.RunEnd.ANSWERED:
+            self._report_answer(run)
         broken = end is running_requests.RunEnd.BROKEN
         if broken and self._directory.is_serving(run.instance.upstream):
             self._start_probe(run.instance, upstream)
 
+    def check_refusal(self, upstream: upstreams.Registration) -> None:
+        """Check whether an upstream that refuses a connection has crashed.
+
+        Its last answers may have ended with their connections, so that none of
+        its requests seemed to break.
+        """
+        instance = running_requests.instance_of(upstream)
+        if self.suspects_at(instance) and self._directory.is_serving(
+            upstream.id
+        ):
+            self._start_probe(instance, upstream)
+
     def remove_expired_runs(self) -> None:
         """Drop runs that ended too long ago to be suspects."""
-        self._running.remove_expired(now=self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._running.remove_expired(now=now)
+        for run in self._running.pop_answered(now=now):
+            if run.instance not in self._crashed_at:
+                self._report_answer(run)
 
     # Crashes detected by others.
 
@@ -190,6 +206,10 @@
 
     # Helpers.
 
+    def _report_answer(self, run: running_requests.Run) -> None:
+        if self.on_answer is not None:
+            self.on_answer(run)
+
     def _start_probe(
         self,
         instance: running_requests.UpstreamInstance,
@@ -265,6 +285,8 @@
         return running_requests.RunEnd.ABANDONED
     if isinstance(result, attempt_result.Delivered):
         if result.ending.outcome is outcomes.Outcome.COMPLETE:
+            if result.ended_by_close:
+                return running_requests.RunEnd.CLOSED
             return running_requests.RunEnd.ANSWERED
         return running_requests.RunEnd.FAILED
     if result.sent and result.reason is outcomes.Reason.UPSTREAM_CLOSED:
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -189,7 +189,7 @@
             result = await self._attempt_at(choice)
             if isinstance(result, attempt_result.Delivered):
                 return result.ending
-            ending = await self._decide_retry(result)
+            ending = await self._decide_retry(choice, result)
             if ending is not None:
                 return ending
 
@@ -343,11 +343,11 @@
         )
 
     async def _decide_retry(
-        self, lost: attempt_result.Lost
+        self, choice: choosing.Choice, lost: attempt_result.Lost
     ) -> outcomes.Ending | None:
         """Return how the request ended, or None if it is sent again."""
         now = self._components.clock.monotonic()
-        self._record_loss(lost, now)
+        self._record_loss(choice, lost, now)
         decision = retrying.decide(self._call, lost, self._sends, now=now)
         if self._relay.events and not self._relay.resume_after:
             # Its events have no ids: a retry would repeat them.
@@ -377,7 +377,9 @@
         )
         return None
 
-    def _record_loss(self, lost: attempt_result.Lost, now: float) -> None:
+    def _record_loss(
+        self, choice: choosing.Choice, lost: attempt_result.Lost, now: float
+    ) -> None:
         self._sends = self._sends.with_lost(lost, seconds=now - self._sent_at)
         self._tried.add(lost.upstream)
         self._current_attempt = None
@@ -389,6 +391,8 @@
             self._components.ledger.add_failure(
                 lost.upstream, now=now, unreached=not lost.sent
             )
+            if lost.reason is outcomes.Reason.UPSTREAM_CONNECT:
+                self._components.crash_watch.check_refusal(choice.upstream)
         self._components.metrics.lost_attempts.labels(
             self._call.pool.name, lost.reason.value
         ).inc()
--- a/packages/router/src/lagoonrun_router/running_requests.py
+++ b/packages/router/src/lagoonrun_router/running_requests.py
@@ -1,5 +1,6 @@
 """The requests of this entry VM that run, or recently ran, at each upstream."""
 
+import collections
 import dataclasses
 import enum
 
@@ -12,12 +13,20 @@
 report about it to other entry VMs."""
 
 
+_MAX_CLOSED = 1024
+"""Maximum number of closed runs that wait for a crash to be noticed."""
+
+
 class RunEnd(enum.Enum):
     """How a run ended, as seen by this entry VM."""
 
     ANSWERED = "answered"
     """The caller has the complete answer."""
 
+    CLOSED = "closed"
+    """The caller has an answer that ended with the connection: complete, unless
+    the upstream crashed at that moment."""
+
     FAILED = "failed"
     """The upstream is alive: it answered with an error, or not in time."""
 
@@ -106,6 +115,9 @@
 
     def __init__(self) -> None:
         self._runs_by_instance: dict[UpstreamInstance, list[Run]] = {}
+        self._closed: collections.deque[Run] = collections.deque(
+            maxlen=_MAX_CLOSED
+        )
 
     def begin(
         self,
@@ -129,7 +141,9 @@
 
     def end(self, run: Run, end: RunEnd, *, now: float) -> None:
         """Record how a run ended."""
-        if end in (RunEnd.BROKEN, RunEnd.ABANDONED):
+        if end is RunEnd.CLOSED:
+            self._closed.append(run)
+        if end in (RunEnd.BROKEN, RunEnd.ABANDONED, RunEnd.CLOSED):
             run.ended_at = now
         else:
             self._remove(run)
@@ -152,6 +166,13 @@
             for run in runs
         )
 
+    def pop_answered(self, *, now: float) -> tuple[Run, ...]:
+        """Remove and return closed runs that ended before any crash."""
+        answered = []
+        while self._closed and now - self._closed[0].ended_at > SUSPECT_SECONDS:
+            answered.append(self._closed.popleft())
+        return tuple(answered)
+
     @property
     def upstreams(self) -> int:
         """Number of upstream instances with stored runs."""
--- a/packages/router/src/lagoonrun_router/stream_relay.py
+++ b/packages/router/src/lagoonrun_router/stream_relay.py
@@ -200,7 +200,8 @@
         return attempt_result.Delivered(
             ending=outcomes.Ending(
                 outcome=outcomes.Outcome.COMPLETE, upstream=upstream
-            )
+            ),
+            ended_by_close=response.close_delimited,
         )
 
     def _lost(
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -352,4 +352,6 @@
         ending = await answers.pass_on(
             self._exchange, answer, upstream=upstream
         )
-        return attempt_result.Delivered(ending=ending)
+        return attempt_result.Delivered(
+            ending=ending, ended_by_close=response.close_delimited
+        )
--- a/packages/router/tests/test_crash_watch.py
+++ b/packages/router/tests/test_crash_watch.py
@@ -148,3 +148,32 @@
     watch.end(begin(watch, "one", registration), result, registration)
     assert not watch.probed_instances
     assert watch.seen == []
+
+
+ENDED_BY_CLOSE = attempt_result.Delivered(
+    ending=outcomes.Ending(outcome=outcomes.Outcome.COMPLETE),
+    ended_by_close=True,
+)
+
+
+async def test_answer_that_a_crash_may_have_ended_clears_nothing_at_once(
+    watch, registration
+):
+    """Guards against a crash that looks like the end of a complete answer."""
+    clock = clocks.ManualClock()
+    watch._clock = clock
+    first = begin(watch, "first", registration)
+    watch.end(first, ENDED_BY_CLOSE, registration)
+    assert watch.answered == []
+    clock.advance(2.0)
+    watch.remove_expired_runs()
+    assert watch.answered == ["first"]
+    cause = begin(watch, "cause", registration)
+    watch.end(cause, ENDED_BY_CLOSE, registration)
+    watch.check_refusal(registration)
+    await settled(watch)
+    ((_, requests),) = watch.seen
+    assert [one.digest for one in requests] == ["cause"]
+    clock.advance(2.0)
+    watch.remove_expired_runs()
+    assert watch.answered == ["first"]
