Have the soak send most callers to one entry VM

Nine tenths of the new connections go to one entry VM for five to seven seconds, at the load of before; callers there are to be served at least three quarters as often as in the three seconds before.

--- a/packages/soak/src/lagoonrun_soak/caller.py
+++ b/packages/soak/src/lagoonrun_soak/caller.py
@@ -22,6 +22,9 @@
 _LOST_AFTER_SECONDS_RANGE = (0.1, 0.4)
 """Time after which the connection of a stream breaks, while it does."""
 
+_CROWD_SHARE = 0.9
+"""Share of the new connections that a crowded entry VM gets."""
+
 _KEY_AGES_SECONDS = (None, 0.0, 2.5)
 """Ages of the declarations whose key a caller uses.
 
@@ -56,6 +59,8 @@
         for a caller of ordinary requests.
     vms
         All entry VMs, at which it takes up streams that broke.
+    crowd
+        Entry VM that gets most new connections, if any.
     """
 
     def __init__(
@@ -70,7 +75,9 @@
         crashing_request: str = "",
         crashing_part: str = "",
         vms: Sequence[vm.EntryVm] = (),
+        crowd: vm.CrowdedVm | None = None,
     ) -> None:
+        self._crowd = crowd or vm.CrowdedVm()
         self._vms = vms
         self._crashing_request = crashing_request
         self._crashing_part = crashing_part
@@ -95,33 +102,44 @@
 
     async def _run(self) -> None:
         while True:
-            if not self._target.in_rotation:
+            target = self._choose_target()
+            if not target.in_rotation:
                 await asyncio.sleep(0.1)
                 continue
             with contextlib.suppress(OSError, TimeoutError):
                 # A refused connection carries no request, so try another one.
-                await self._use_connection()
+                await self._use_connection(target)
             await asyncio.sleep(_MAX_PAUSE_SECONDS * self._rng.random())
 
-    async def _use_connection(self) -> None:
-        connection = await _connect(self._target)
-        boot = self._target.boot
+    def _choose_target(self) -> vm.EntryVm:
+        """Return the entry VM of the next connection."""
+        crowded = self._crowd.find(self._vms)
+        if crowded is None or self._rng.random() >= _CROWD_SHARE:
+            return self._target
+        return crowded
+
+    async def _use_connection(self, target: vm.EntryVm) -> None:
+        connection = await _connect(target)
+        boot = target.boot
+        crowd = self._crowd.name
         try:
-            while await self._use_for_request(connection, boot):
+            while await self._use_for_request(connection, target, boot):
+                if self._crowd.name != crowd:
+                    return
                 pause = _MAX_PAUSE_SECONDS * self._rng.random()
                 await asyncio.sleep(pause)
         finally:
             connection.writer.transport.abort()
 
     async def _use_for_request(
-        self, connection: router_world.Caller, boot: int
+        self, connection: router_world.Caller, target: vm.EntryVm, boot: int
     ) -> bool:
         """Send one request; return whether the connection can be reused.
 
         A resumable stream that breaks is taken up at other entry VMs.
         """
-        request = self._new_request(self._target, boot)
-        reusable = await self._send_request(connection, request, self._target)
+        request = self._new_request(target, boot)
+        reusable = await self._send_request(connection, request, target)
         crashes = self._crashing_request or self._crashing_part
         if self._kind.route.resumable and not crashes:
             await self._take_up(request)
--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -65,6 +65,11 @@
 """Callers of an entry VM that is cut from all upstreams are served at least two
 thirds as often as the others, unless no more than 10 and one in 50 fail."""
 
+_MIN_CROWD = 20
+_MIN_CROWDED_RATIO = 0.75
+"""A crowded entry VM serves at least this many times the share of first tries
+that were served before, if there are enough of both."""
+
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _UNAUTHORIZED = 401
 _OK = 200
@@ -89,6 +94,7 @@
     CUT_OFF = "cut-off"
     ONE_VERSION = "one-version"
     TAKEN_UP = "taken-up"
+    CROWDED = "crowded"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -115,6 +121,7 @@
         *_notices(history),
         *_shares(history),
         *_cut_off(history),
+        *_crowded(history),
         *_versions(history),
     ]
 
@@ -538,6 +545,52 @@
             )
 
 
+def _crowded(history: record.History) -> Iterator[Violation]:
+    """Check that callers at a crowded entry VM are served as before."""
+    for crowd in history.crowds:
+        start = crowd.start + RECOVERY_SECONDS
+        if not all(
+            history.is_undisturbed(
+                subject, crowd.start - RECOVERY_SECONDS, crowd.end
+            )
+            for subject in (crowd.vm, f"{crowd.vm} unplanned", record.STORE)
+        ):
+            continue
+        at_vm = _first_tries(history, start, crowd.end, vm=crowd.vm)
+        before = _first_tries(
+            history, crowd.start - RECOVERY_SECONDS, crowd.start
+        )
+        if len(at_vm) < _MIN_CROWD or len(before) < _MIN_CROWD:
+            continue
+        share = sum(map(_is_served, at_vm)) / len(at_vm)
+        share_before = sum(map(_is_served, before)) / len(before)
+        if share < _MIN_CROWDED_RATIO * share_before:
+            yield Violation(
+                guarantee=Guarantee.CROWDED,
+                request_id=at_vm[-1].id,
+                detail=f"{crowd.vm} served {share:.2f} of {len(at_vm)}, "
+                f"{share_before:.2f} of {len(before)} before",
+            )
+
+
+def _first_tries(
+    history: record.History, start: float, end: float, *, vm: str = ""
+) -> list[record.CallerRequest]:
+    """Return the requests of an interval that entry VMs have read and ended."""
+    return [
+        one
+        for one in history.requests_by_id.values()
+        if start <= one.sent_at
+        and one.ended_at is not None
+        and one.ended_at <= end
+        and (not vm or one.vm == vm)
+        and not one.resumes
+        and not one.crashing_request
+        and not one.crashing_part
+        and one.status not in (0, _UNAUTHORIZED)
+    ]
+
+
 def _expected_served(
     requests: list[record.CallerRequest], others: list[record.CallerRequest]
 ) -> float:
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -75,6 +75,7 @@
     VERSION_ROLLED_OUT = "version-rolled-out"
     CALLERS_LOST = "callers-lost"
     CRASHING_PART = "crashing-part"
+    CALLERS_AT_ONE_VM = "callers-at-one-vm"
 
 
 _UNDISTURBING_KINDS = frozenset(
@@ -100,6 +101,8 @@
 _NEW_VERSION_UPSTREAMS = 2
 _SIDE_BY_SIDE_SECONDS_RANGE = (1.0, 4.0)
 
+_CROWD_SECONDS_RANGE = (5.0, 7.0)
+
 _CUT_SECONDS_RANGE = (6.0, 8.0)
 """Duration of a cut: the recovery time, and as long to measure."""
 
@@ -192,6 +195,7 @@
             FaultKind.VERSION_ROLLED_OUT: self._roll_out_version,
             FaultKind.CALLERS_LOST: self._lose_callers,
             FaultKind.CRASHING_PART: self._send_crashing_part,
+            FaultKind.CALLERS_AT_ONE_VM: self._crowd_vm,
         }
         now = time.monotonic()
         self._history.faults.append(f"{now:.3f} {kind.value}")
@@ -623,3 +627,19 @@
         await asyncio.sleep(_CRASHING_SECONDS)
         for caller in callers:
             await caller.close()
+
+    async def _crowd_vm(self) -> None:
+        """Have one entry VM get most new connections for a while."""
+        if self._deployment.crowd.name:
+            return
+        target = self._rng.choice(self._deployment.vms)
+        seconds = self._rng.uniform(*_CROWD_SECONDS_RANGE)
+        start = time.monotonic()
+        self._deployment.crowd.name = target.name
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._deployment.crowd.name = ""
+        self._history.crowds.append(
+            record.Crowd(vm=target.name, start=start, end=time.monotonic())
+        )
--- a/packages/soak/src/lagoonrun_soak/fleet.py
+++ b/packages/soak/src/lagoonrun_soak/fleet.py
@@ -84,6 +84,7 @@
 
         self.upstreams: dict[types.UpstreamId, upstream.SoakUpstream] = {}
         self._callers: list[caller.Caller] = []
+        self.crowd = vm.CrowdedVm()
         self._upstream_count = 0
         self.version_numbers = [1]
         """Numbers of the versions that new upstreams have, at random."""
@@ -163,6 +164,7 @@
             crashing_request=crashing_request,
             crashing_part=crashing_part,
             vms=self.vms,
+            crowd=self.crowd,
         )
         self._callers.append(new_caller)
         await new_caller.start()
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -32,6 +32,7 @@
 )
 
 _REVERT_SECONDS = 1.0
+_FIXED_PART = 4
 _RECENT_CHOICES = 20
 """Choices in which an organisation must have the majority to be served."""
 
@@ -57,6 +58,7 @@
     ONE_VERSION = "one-version"
     TAKEN_UP = "taken-up"
     CRASHING_PART = "crashing-part"
+    CROWDED = "crowded"
 
 
 def plant(defect: PlantedDefect) -> None:
@@ -189,6 +191,19 @@
     part_evidence.PartEvidence.drop = lambda self, record: None
 
 
+def _break_crowded() -> None:
+    """Refuse what exceeds a fixed part of the pool at this entry VM."""
+    original = choosing.Chooser.choose
+
+    def choose(self, call, **options):
+        ledger = self._components.ledger
+        if sum(ledger.own_running().values()) >= _FIXED_PART:
+            return pool_capacity.Rejection(refusal=admission.Refusal.NO_ROOM)
+        return original(self, call, **options)
+
+    choosing.Chooser.choose = choose
+
+
 def _break_limits() -> None:
     """Send without a place, the right to send to a rate-limited upstream."""
     places.Places.is_limited = lambda self, upstream: False
@@ -269,4 +284,5 @@
     PlantedDefect.ONE_VERSION: _break_one_version,
     PlantedDefect.TAKEN_UP: _break_taken_up,
     PlantedDefect.CRASHING_PART: _break_crashing_part,
+    PlantedDefect.CROWDED: _break_crowded,
 }
--- a/packages/soak/src/lagoonrun_soak/record.py
+++ b/packages/soak/src/lagoonrun_soak/record.py
@@ -108,6 +108,15 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Crowd:
+    """An interval in which an entry VM gets most new connections."""
+
+    vm: str
+    start: float
+    end: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class History:
     """Everything that the checks use; times are of one monotonic clock.
@@ -149,6 +158,7 @@
     arrivals: list[notices.Arrival] = dataclasses.field(default_factory=list)
     bursts: list[Burst] = dataclasses.field(default_factory=list)
     cuts: list[Cut] = dataclasses.field(default_factory=list)
+    crowds: list[Crowd] = dataclasses.field(default_factory=list)
     services_by_upstream: dict[types.UpstreamId, Service] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/soak/src/lagoonrun_soak/vm.py
+++ b/packages/soak/src/lagoonrun_soak/vm.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from collections.abc import Sequence
 from typing import BinaryIO
 
 from lagoonrun_router import settings
@@ -20,6 +21,23 @@
 _EXIT_SECONDS = 3.0
 
 
+class CrowdedVm:
+    """Names the entry VM that gets most new connections.
+
+    Attributes
+    ----------
+    name
+        Name of the entry VM; empty for none.
+    """
+
+    def __init__(self) -> None:
+        self.name = ""
+
+    def find(self, vms: Sequence["EntryVm"]) -> "EntryVm | None":
+        """Return the entry VM of that name."""
+        return next((one for one in vms if one.name == self.name), None)
+
+
 class EntryVm:
     """An entry VM process, controlled by signals to its own process id only.
 
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -38,6 +38,7 @@
         FaultKind.CALLERS_LOST,
     ),
     PlantedDefect.CRASHING_PART: (FaultKind.CRASHING_PART,),
+    PlantedDefect.CROWDED: (FaultKind.CALLERS_AT_ONE_VM,),
 }
 
 _GUARANTEES_OF_OTHER_DEFECTS = {
@@ -65,6 +66,7 @@
     PlantedDefect.ONE_VERSION: 2 * SECONDS,
     PlantedDefect.TAKEN_UP: 2 * SECONDS,
     PlantedDefect.CRASHING_PART: 2 * SECONDS,
+    PlantedDefect.CROWDED: 2 * SECONDS,
 }
 """A limit must be obeyed after three seconds; the next four are checked.
 
@@ -105,6 +107,7 @@
         FaultKind.VM_STOPPED,
         FaultKind.CRASHING_REQUEST,
         FaultKind.CRASHING_PART,
+        FaultKind.CALLERS_AT_ONE_VM,
         FaultKind.STORE_RESTORED,
         FaultKind.UPSTREAM_LIMITS,
         FaultKind.POOL_RESTS,
