Reserve slots only for higher tiers that have sent requests lately

Most new connections at one entry VM: callers of the lowest tier were refused there as overloaded beside idle slots. Cause: half of each upstream is reserved for higher tiers, whether they send anything or not. Entry VMs that share the load know each other's requests a little late and admit more than that; one that has all of it knows exactly and does not.

Its requests are still admitted before the others, and engines run them first.

Processor time, connections and memory of the crowded entry VM were not measured.

--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -290,9 +290,17 @@
         if call.pool.engine is None or origin is not None:
             return ranked[0]
         profile = call.route.profile.name
+        active_tiers = self._components.active_tiers
+        active_tiers.record_request(call.pool.name, call.tier, now=now)
+        for one in ranked:
+            active_tiers.record_load(
+                call.pool.name, one.candidate.load, now=now
+            )
         admission_request = admission.AdmissionRequest(
             tier=call.tier,
-            tiers=call.pool_tiers,
+            tiers=active_tiers.relevant(
+                call.pool.name, call.tier, call.pool_tiers, now=now
+            ),
             patience_seconds=call.patience_seconds,
             higher_tier_pressed=self._components.pressure.higher_tier_pressed(
                 call.pool.name, call.tier, now=now
--- a/packages/router/src/lagoonrun_router/components.py
+++ b/packages/router/src/lagoonrun_router/components.py
@@ -8,6 +8,7 @@
 from lagoonrun_duties import usage_exchange
 from lagoonrun_http import upstream as http_upstream
 from lagoonrun_router import (
+    active_tiers,
     adaptive_load,
     admission_floor,
     crash_watch,
@@ -34,6 +35,8 @@
 
     Parameters
     ----------
+    active_tiers
+        Tiers that have sent requests lately.
     crash_watch
         Tracks the requests that run at the upstreams and detects crashes.
     crashing_requests
@@ -58,6 +61,7 @@
     ledger: load_ledger.LoadLedger
     peers: peer_table.PeerTable
     admission_floor: admission_floor.AdmissionFloor
+    active_tiers: active_tiers.ActiveTiers
     pressure: pressure.Pressure
     prompt_locations: prompt_locations.PromptLocations
     domains: reach.DomainReach
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -16,6 +16,7 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_platform import store_eras
 from lagoonrun_router import (
+    active_tiers,
     adaptive_load,
     admission_floor,
     components,
@@ -287,6 +288,9 @@
                 ledger=self._ledger,
                 peers=self._peer_table,
                 admission_floor=self._admission_floor,
+                active_tiers=active_tiers.ActiveTiers(
+                    started_at=self._clock.monotonic()
+                ),
                 pressure=self._pressure,
                 prompt_locations=self._prompt_locations,
                 domains=self._domains,
