Ask the only peer once more when a connection to it falls silent

With no other peer the configuration was fetched again only after two seconds (1.5 s for the head of the response, 0.5 s of avoidance), which is all the time a change has. The same peer is asked once more after a second, other peers after 0.6 s as before.

--- a/packages/router/src/lagoonrun_router/hedged_fetches.py
+++ b/packages/router/src/lagoonrun_router/hedged_fetches.py
@@ -1,6 +1,7 @@
 """Concurrent fetches of the same data from several peers."""
 
 import asyncio
+import dataclasses
 from collections.abc import Coroutine
 
 from lagoonrun_core import types
@@ -11,16 +12,27 @@
 lost peers in a row, 0.8 s remain of the two seconds in which a change has to be
 active."""
 
+_SAME_PEER_SECONDS = 1.0
+"""Time after which the same peer is asked once more, on another connection: it
+may be the only one, and only the connection to it may have fallen silent."""
+
 _MAX_CONCURRENT_FETCHES = 3
-"""Peers from which the same data is fetched at a time."""
+"""Maximum number of fetches of the same data at a time."""
 
 _AVOID_SECONDS = 0.5
 """Time for which a peer that did not answer is not asked again: a lost peer soon
-stops reporting."""
+stops reporting. One that has answered another fetch meanwhile is not lost."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Fetch:
+    peer: types.EntryVmId
+    started_at: float
+    task: asyncio.Task[bool]
 
 
 class HedgedFetches:
-    """The running fetches of one kind, each from another peer.
+    """The running fetches of one kind.
 
     Parameters
     ----------
@@ -30,7 +42,7 @@
 
     def __init__(self, *, pause_seconds: float = 0.0) -> None:
         self._pause_seconds = pause_seconds
-        self._task_by_peer: dict[types.EntryVmId, asyncio.Task[bool]] = {}
+        self._running: list[_Fetch] = []
         self._failed_at_by_peer: dict[types.EntryVmId, float] = {}
         self._started_at = float("-inf")
 
@@ -38,12 +50,15 @@
         """Return whether to fetch from `peer` now."""
         self._collect(now)
         failed_at = self._failed_at_by_peer.get(peer, float("-inf"))
-        if peer in self._task_by_peer or now - failed_at < _AVOID_SECONDS:
+        if now - failed_at < _AVOID_SECONDS or any(
+            one.peer == peer and now - one.started_at < _SAME_PEER_SECONDS
+            for one in self._running
+        ):
             return False
-        if not self._task_by_peer:
+        if not self._running:
             return now - self._started_at >= self._pause_seconds
         return (
-            len(self._task_by_peer) < _MAX_CONCURRENT_FETCHES
+            len(self._running) < _MAX_CONCURRENT_FETCHES
             and now - self._started_at >= _HEDGE_SECONDS
         )
 
@@ -56,26 +71,26 @@
     ) -> None:
         """Start a fetch; it returns whether the peer answered."""
         self._started_at = now
-        self._task_by_peer[peer] = asyncio.create_task(fetch)
+        self._running.append(
+            _Fetch(peer=peer, started_at=now, task=asyncio.create_task(fetch))
+        )
 
     async def close(self) -> None:
         """Cancel the fetches in progress."""
-        for task in self._task_by_peer.values():
+        tasks = [one.task for one in self._running]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(
-            *self._task_by_peer.values(), return_exceptions=True
-        )
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _collect(self, now: float) -> None:
-        for peer, task in tuple(self._task_by_peer.items()):
-            if not task.done():
-                continue
-            del self._task_by_peer[peer]
-            if not task.cancelled() and task.exception() is None:
-                if task.result():
-                    self._failed_at_by_peer.pop(peer, None)
+        ended = [one for one in self._running if one.task.done()]
+        self._running = [one for one in self._running if not one.task.done()]
+        for one in ended:
+            if not one.task.cancelled() and one.task.exception() is None:
+                if one.task.result():
+                    self._failed_at_by_peer.pop(one.peer, None)
                 else:
-                    self._failed_at_by_peer[peer] = now
+                    self._failed_at_by_peer[one.peer] = now
         for peer, failed_at in tuple(self._failed_at_by_peer.items()):
             if now - failed_at >= _AVOID_SECONDS:
                 del self._failed_at_by_peer[peer]
--- a/packages/router/tests/test_peer_fetch.py
+++ b/packages/router/tests/test_peer_fetch.py
@@ -137,3 +137,46 @@
         addresses_by_peer,
         seconds=APPLY_SECONDS,
     )
+
+
+async def test_silent_connection_to_the_only_peer_delays_no_change(
+    fetcher, sound_world
+):
+    """Guards against a change missed behind an open connection gone silent.
+
+    The peer is sound: it answers on every other connection.
+    """
+    connections = []
+
+    async def forward(reader, writer):
+        connections.append(writer)
+        if len(connections) == 1:
+            return
+        peer = sound_world.settings.peer
+        upstream = await asyncio.open_connection(peer.host, peer.port)
+        await asyncio.gather(
+            _copy(reader, upstream[1]), _copy(upstream[0], writer)
+        )
+
+    server = await asyncio.start_server(forward, HOST, 0)
+    address = settings.Address(
+        host=HOST, port=server.sockets[0].getsockname()[1]
+    )
+    await report_until(
+        lambda: fetcher._replica.revision == 2,
+        fetcher,
+        {"sound": address},
+        seconds=APPLY_SECONDS,
+    )
+    assert len(connections) > 1
+    for writer in connections:
+        writer.close()
+    server.close()
+
+
+async def _copy(reader, writer):
+    """Copy bytes until the end."""
+    while data := await reader.read(65536):
+        writer.write(data)
+        await writer.drain()
+    writer.close()
