--- a/packages/cli/src/lagoonrun_cli/blocked_requests_command.py
+++ b/packages/cli/src/lagoonrun_cli/blocked_requests_command.py
@@ -58,7 +58,12 @@
 def _table(rows: list[dict[str, Any]]) -> reports.Table:
     return reports.Table(
         title="requests that are not sent",
-        columns=("digest", "route", "ended upstreams", "tried again in s"),
+        columns=(
+            "digest or parts",
+            "route",
+            "ended upstreams",
+            "tried again in s",
+        ),
         rows=tuple(
             (
                 str(row["digest"]),
@@ -75,7 +80,7 @@
     flags.DEFINE_string(
         "lift",
         None,
-        "Digest of a request that may run again, at all entry VMs.",
+        "Digest of a request or parts that may run again, at all entry VMs.",
         flag_values=values,
     )
 
@@ -86,7 +91,8 @@
     summary="List requests that end upstreams, or let one run again.",
     description="""
     A request under which several upstreams have ended is refused for some
-    minutes. Asks the metrics address of an entry VM; each knows all. Log lines
+    minutes, and so are all that have the same part of a prompt if it ended
+    them. Asks the metrics address of an entry VM; each knows all. Log lines
     `request-routed` with a digest show the ids, route and time of its copies.
     """,
     run=_blocked_requests,
--- a/packages/cli/src/lagoonrun_cli/log_explanation.py
+++ b/packages/cli/src/lagoonrun_cli/log_explanation.py
@@ -153,13 +153,21 @@
     request_lines: tuple[log_lines.LogLine, ...],
     ordered: tuple[log_lines.LogLine, ...],
 ) -> Iterable[log_lines.LogLine]:
-    """Return the crashes of upstreams that ran the request or a copy of it."""
+    """Return the crashes of upstreams under the request, a copy or its parts.
+
+    Parts count if the request was refused for them.
+    """
     digests = {one.get("digest") for one in request_lines} - {None, ""}
+    blocks = {one.get("block") for one in request_lines} - {None, ""}
+    parts = {part for block in blocks for part in block.split("+")}
     return (
         one
         for one in ordered
         if one.message == "upstream-crashed"
-        and digests.intersection(one.get("requests") or ())
+        and (
+            digests.intersection(one.get("requests") or ())
+            or parts.intersection(one.get("parts") or ())
+        )
     )
 
 
@@ -283,8 +291,9 @@
     upstreams = refused.get("upstreams")
     if upstreams:
         yield (
-            f"upstreams that ended while they ran request "
-            f"{refused.get('digest')}: {', '.join(upstreams)}; it may be "
+            f"upstreams that ended while they ran "
+            f"{refused.get('block') or refused.get('digest')}: "
+            f"{', '.join(upstreams)}; it may be "
             f"tried again {refused.get('retry_after')} s later"
         )
 
--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -238,7 +238,7 @@
         self._blocks = None
 
     def _find_blocks(self, now: float) -> tuple[crash_records.Block, ...]:
-        crashes_by_request = self._frequent(now)
+        crashes_by_request = self._repeated(now)
         part_blocks = self._find_part_blocks(now, crashes_by_request)
         blocks = [
             crash_records.Block(
@@ -247,7 +247,8 @@
                 request=request,
             )
             for request, crashes in crashes_by_request.items()
-            if (counted := self._counted(crashes, part_blocks, now))
+            if len(crashes) >= CRASHES_TO_BLOCK
+            and (counted := self._counted(crashes, part_blocks, now))
         ]
         return (*blocks, *part_blocks)
 
@@ -287,15 +288,15 @@
             )
         return blocks
 
-    def _frequent(
+    def _repeated(
         self, now: float
     ) -> dict[types.RequestDigest, list[crash_records.CrashRecord]]:
-        """Return the valid records of requests that may be blocked."""
+        """Return the valid records of requests that have several."""
         found = {}
         for request, records in self._records_by_request.items():
-            if len(records) >= CRASHES_TO_BLOCK:
+            if len(records) > 1:
                 crashes = self._crashes_of(request, now)
-                if len(crashes) >= CRASHES_TO_BLOCK:
+                if len(crashes) > 1:
                     found[request] = crashes
         return found
 
--- a/packages/router/src/lagoonrun_router/part_evidence.py
+++ b/packages/router/src/lagoonrun_router/part_evidence.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import functools
 from collections.abc import Iterable, Mapping
 
 from lagoonrun_core import types
@@ -23,14 +24,15 @@
 CRASHES_TO_BLOCK_ANSWERED = 5
 """The same for a part that was answered lately: a part that many requests share
 runs at each upstream that crashes. Crashes do not count against it if another
-part ran there that has several crashes and no answer."""
+part ran there that has several crashes and no answer, or a request that had
+several."""
 
 _CRASHES_TO_EXPLAIN = 2
 """Crashes of a part without an answer that explain those of answered parts."""
 
-MIN_REQUESTS = 2
-"""Different requests with a part that crash upstreams. If there is only one,
-the request is the cause and not its parts."""
+MIN_REQUESTS = 3
+"""Different requests with a part that crash upstreams. If there are fewer, the
+requests are the causes and not a part that they share."""
 
 CRASHES_TO_BLOCK_UNANSWERED = 5
 """Crashes from which a part without an answer is a cause although other causes
@@ -86,6 +88,15 @@
                 dict[types.RequestDigest, crash_records.CrashRecord],
             ],
         ] = {}
+        self._open_by_part: dict[
+            types.PromptPartDigest,
+            dict[
+                running_requests.UpstreamInstance,
+                dict[types.RequestDigest, crash_records.CrashRecord],
+            ],
+        ] = {}
+        """Crashes since the last answer, computed when they are asked for."""
+
         self._answered_at: collections.OrderedDict[
             tuple[types.PromptPartDigest, str], float
         ] = collections.OrderedDict()
@@ -147,26 +158,32 @@
         Parameters
         ----------
         crashes_by_request
-            Crashes of requests that may be causes as a whole. They explain the
-            crashes of parts that have no more of them.
+            Crashes of requests that had several. They explain the crashes of
+            parts that have no more of them, or that were answered lately.
         """
+        suspects = self._suspects(now, crashes_by_request)
         found: list[PartCause] = []
-        explained: set[running_requests.UpstreamInstance] = set()
-        while True:
-            candidates = self._candidates(now, explained, crashes_by_request)
-            best = _best(candidates)
-            if not best:
-                break
+        candidates = [
+            one for one in map(_candidate, suspects) if one is not None
+        ]
+        while best := _best(candidates):
+            explained: set[running_requests.UpstreamInstance] = set()
             for group in _always_together(best):
                 found.append(_parts_of(group))
                 explained.update(group[0].open_crashes)
+            candidates = [
+                left
+                for one in candidates
+                if (left := one.without(explained)) is not None
+            ]
         known = frozenset().union(*found)
         others = [
             one
-            for one in self._candidates(now, set(), crashes_by_request)
-            if one.part not in known
+            for one in map(_candidate, suspects)
+            if one is not None
+            and one.suspect.part not in known
+            and not one.suspect.answered_lately
             and one.moments >= CRASHES_TO_BLOCK_UNANSWERED
-            and not self._is_answered_lately(one.part, now)
         ]
         found.extend(map(_parts_of, _always_together(others)))
         return tuple(found)
@@ -183,17 +200,15 @@
         """
         instances = {one.instance for one in crashes}
         for part, by_instance in self._records_by_part.items():
-            if len(by_instance) < len(instances) or not (
-                instances.issubset(by_instance)
-            ):
+            if not instances.issubset(by_instance):
                 continue
             open_crashes = self._open_crashes(part)
-            requests = frozenset().union(
-                *(open_crashes.get(one, ()) for one in instances)
-            )
             if (
                 instances.issubset(open_crashes)
-                and len(requests) >= MIN_REQUESTS
+                and len(
+                    frozenset().union(*(open_crashes[one] for one in instances))
+                )
+                >= MIN_REQUESTS
                 and not self._is_answered_lately(part, now)
             ):
                 return True
@@ -219,6 +234,7 @@
     def add(self, record: crash_records.CrashRecord) -> None:
         """Add a record, or replace that of the same request and crash."""
         for part in record.parts:
+            self._open_by_part.pop(part, None)
             by_instance = self._records_by_part.setdefault(part, {})
             by_request = by_instance.setdefault(record.instance, {})
             by_request[record.request] = record
@@ -226,6 +242,7 @@
     def drop(self, record: crash_records.CrashRecord) -> None:
         """Drop a record."""
         for part in record.parts:
+            self._open_by_part.pop(part, None)
             by_instance = self._records_by_part[part]
             by_request = by_instance[record.instance]
             del by_request[record.request]
@@ -241,6 +258,7 @@
             return False
         before = self.crash_count(answer.part)
         self._answered_at[key] = answer.at
+        self._open_by_part.pop(answer.part, None)
         self._answered_at.move_to_end(key)
         while len(self._answered_at) > _MAX_ANSWERS:
             self._answered_at.popitem(last=False)
@@ -255,6 +273,9 @@
         dict[types.RequestDigest, crash_records.CrashRecord],
     ]:
         """Return the crashes of a part since its last answer."""
+        known = self._open_by_part.get(part)
+        if known is not None:
+            return known
         lifted_at = self.answered_at(part, ALL_VERSIONS)
         found = {}
         for instance, records in self._records_by_part.get(part, {}).items():
@@ -266,69 +287,70 @@
             }
             if later:
                 found[instance] = later
+        if part in self._records_by_part:
+            self._open_by_part[part] = found
         return found
 
-    def _candidates(
+    def _suspects(
         self,
         now: float,
-        explained: set[running_requests.UpstreamInstance],
         crashes_by_request: Mapping[
             types.RequestDigest, frozenset[running_requests.UpstreamInstance]
         ],
-    ) -> list["_Candidate"]:
-        candidates = []
-        explained_by_unanswered = self._explained_by_unanswered(now)
-        for part, by_instance in self._records_by_part.items():
-            if len(by_instance) < CRASHES_TO_BLOCK:
+    ) -> list["_Suspect"]:
+        """Return the parts with several crashes that no request explains."""
+        open_by_part = {
+            part: open_crashes
+            for part, by_instance in self._records_by_part.items()
+            if len(by_instance) >= _CRASHES_TO_EXPLAIN
+            and len(open_crashes := self._open_crashes(part))
+            >= _CRASHES_TO_EXPLAIN
+        }
+        answered = {
+            part for part in open_by_part if self._is_answered_lately(part, now)
+        }
+        explained_by_unanswered = frozenset().union(
+            *(
+                open_crashes
+                for part, open_crashes in open_by_part.items()
+                if part not in answered
+            )
+        )
+        suspects = []
+        for part, open_crashes in open_by_part.items():
+            if len(open_crashes) < CRASHES_TO_BLOCK:
                 continue
-            open_crashes = self._open_crashes(part)
-            required, excluded = CRASHES_TO_BLOCK, explained
-            if self._is_answered_lately(part, now):
-                required = CRASHES_TO_BLOCK_ANSWERED
-                excluded = explained | explained_by_unanswered
-            explained_by_requests = frozenset().union(
+            excluded = frozenset().union(
                 *(
                     instances
                     for instances in crashes_by_request.values()
                     if len(instances) >= len(open_crashes)
                 )
             )
-            candidate = _Candidate(
-                part=part,
-                open_crashes={
-                    instance: records
-                    for instance, records in open_crashes.items()
-                    if instance not in excluded
-                    and instance not in explained_by_requests
-                },
+            if part in answered:
+                excluded |= explained_by_unanswered.union(
+                    *crashes_by_request.values()
+                )
+            suspects.append(
+                _Suspect(
+                    part=part,
+                    answered_lately=part in answered,
+                    open_crashes={
+                        instance: records
+                        for instance, records in open_crashes.items()
+                        if instance not in excluded
+                    },
+                )
             )
-            if (
-                candidate.moments >= required
-                and len(candidate.requests) >= MIN_REQUESTS
-            ):
-                candidates.append(candidate)
-        return candidates
-
-    def _explained_by_unanswered(
-        self, now: float
-    ) -> set[running_requests.UpstreamInstance]:
-        """Return the crashes of parts with several crashes and no answer."""
-        found: set[running_requests.UpstreamInstance] = set()
-        for part, by_instance in self._records_by_part.items():
-            if len(by_instance) >= _CRASHES_TO_EXPLAIN and not (
-                self._is_answered_lately(part, now)
-            ):
-                found.update(by_instance)
-        return found
+        return suspects
 
     def _is_answered_lately(
         self, part: types.PromptPartDigest, now: float
     ) -> bool:
         """Return whether a version that crashed under a part answered it."""
         versions = {
-            one.version
+            next(iter(records.values())).version
             for records in self._records_by_part[part].values()
-            for one in records.values()
         }
         return any(
             now - self.answered_at(part, version) < ANSWERED_SECONDS
@@ -336,21 +358,46 @@
         )
 
 
+_OpenCrashes = Mapping[
+    running_requests.UpstreamInstance,
+    Mapping[types.RequestDigest, crash_records.CrashRecord],
+]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Candidate:
-    """A part and its crashes that nothing else explains."""
+class _Suspect:
+    """A part with its crashes since the last answer."""
 
     part: types.PromptPartDigest
-    open_crashes: Mapping[
-        running_requests.UpstreamInstance,
-        Mapping[types.RequestDigest, crash_records.CrashRecord],
-    ]
+    answered_lately: bool
+    open_crashes: _OpenCrashes
 
-    @property
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Candidate:
+    """A suspect with enough crashes that nothing else explains."""
+
+    suspect: _Suspect
+    open_crashes: _OpenCrashes
+
+    def without(
+        self, explained: set[running_requests.UpstreamInstance]
+    ) -> "_Candidate | None":
+        """Return the candidate without some crashes; None if too few remain."""
+        if explained.isdisjoint(self.open_crashes):
+            return self
+        left = {
+            instance: records
+            for instance, records in self.open_crashes.items()
+            if instance not in explained
+        }
+        return _candidate(self.suspect, left)
+
+    @functools.cached_property
     def requests(self) -> frozenset[types.RequestDigest]:
         return frozenset().union(*self.open_crashes.values())
 
-    @property
+    @functools.cached_property
     def moments(self) -> int:
         """Number of crashes; those at the same moment count once."""
         count, begun_at = 0, float("-inf")
@@ -374,6 +421,25 @@
     return min(one.seen_at for one in records.values())
 
 
+def _candidate(
+    suspect: _Suspect, open_crashes: _OpenCrashes | None = None
+) -> _Candidate | None:
+    """Return a suspect as a candidate; None if it has too few crashes."""
+    if open_crashes is None:
+        open_crashes = suspect.open_crashes
+    required = (
+        CRASHES_TO_BLOCK_ANSWERED
+        if suspect.answered_lately
+        else CRASHES_TO_BLOCK
+    )
+    if len(open_crashes) < required:
+        return None
+    found = _Candidate(suspect=suspect, open_crashes=open_crashes)
+    if found.moments < required or len(found.requests) < MIN_REQUESTS:
+        return None
+    return found
+
+
 def _best(candidates: list[_Candidate]) -> list[_Candidate]:
     """Return the candidates with most crashes; none while it is undecided."""
     most = max((one.moments for one in candidates), default=0)
@@ -387,17 +453,21 @@
     candidates: list[_Candidate],
 ) -> list[tuple[_Candidate, ...]]:
     """Group the candidates that ran in the same requests at each crash."""
-    groups = {}
+    by_instances: dict[
+        frozenset[running_requests.UpstreamInstance], list[_Candidate]
+    ] = {}
     for one in candidates:
-        group = tuple(
-            other
-            for other in candidates
-            if other.open_crashes.keys() == one.open_crashes.keys()
-            and one.ran_with(other.part)
-        )
-        groups.setdefault(frozenset(other.part for other in group), group)
+        key = frozenset(one.open_crashes)
+        by_instances.setdefault(key, []).append(one)
+    groups = {}
+    for similar in by_instances.values():
+        for one in similar:
+            group = tuple(
+                other for other in similar if one.ran_with(other.suspect.part)
+            )
+            groups.setdefault(_parts_of(group), group)
     return list(groups.values())
 
 
 def _parts_of(group: tuple[_Candidate, ...]) -> PartCause:
-    return frozenset(one.part for one in group)
+    return frozenset(one.suspect.part for one in group)
--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -9,6 +9,7 @@
 from lagoonrun_soak import (
     layout,
     notice_checks,
+    notices,
     record,
     upstream,
     version_checks,
@@ -554,7 +555,7 @@
                 subject, crowd.start - RECOVERY_SECONDS, crowd.end
             )
             for subject in (crowd.vm, f"{crowd.vm} unplanned", record.STORE)
-        ):
+        ) or _is_pool_restricted(history, crowd):
             continue
         at_vm = _first_tries(history, start, crowd.end, vm=crowd.vm)
         before = _first_tries(
@@ -562,8 +563,16 @@
         )
         if len(at_vm) < _MIN_CROWD or len(before) < _MIN_CROWD:
             continue
-        share = sum(map(_is_served, at_vm)) / len(at_vm)
-        share_before = sum(map(_is_served, before)) / len(before)
+        share = _served_share(at_vm)
+        share_before = _served_share(before)
+        elsewhere = [
+            one
+            for one in _first_tries(history, start, crowd.end)
+            if one.vm != crowd.vm
+        ]
+        if len(elsewhere) >= _MIN_CROWD:
+            # Upstreams that crash or restrict callers do so everywhere.
+            share_before = min(share_before, _served_share(elsewhere))
         if share < _MIN_CROWDED_RATIO * share_before:
             yield Violation(
                 guarantee=Guarantee.CROWDED,
@@ -573,6 +582,19 @@
             )
 
 
+def _is_pool_restricted(history: record.History, crowd: record.Crowd) -> bool:
+    """Return whether upstreams asked for fewer requests, wherever they come."""
+    return any(
+        one.notice != notices.NO_NOTICE
+        and crowd.start - RECOVERY_SECONDS <= one.at <= crowd.end
+        for one in history.sent_notices
+    )
+
+
+def _served_share(requests: list[record.CallerRequest]) -> float:
+    return sum(map(_is_served, requests)) / len(requests)
+
+
 def _first_tries(
     history: record.History, start: float, end: float, *, vm: str = ""
 ) -> list[record.CallerRequest]:
