--- a/packages/cli/tests/test_explain_log.py
+++ b/packages/cli/tests/test_explain_log.py
@@ -94,6 +94,34 @@
     assert "vm-1" in crashes[1]
 
 
+def test_request_refused_for_a_part_is_explained_by_the_crashes_under_it():
+    """The requests under which upstreams crashed have other digests."""
+    crash = line_of(
+        "upstream-crashed",
+        asctime="2026-01-01 00:00:01,000",
+        entry_vm="vm-1",
+        upstream="u-1",
+        requests=["other"],
+        parts={"part-1": 1, "part-2": 3},
+    )
+    refused = line_of(
+        "request-refused",
+        asctime="2026-01-01 00:00:09,000",
+        entry_vm="vm-9",
+        request_id="r-9",
+        reason="crashed-upstreams",
+        digest="digest",
+        block="part-1+part-3",
+        upstreams=["u-1"],
+        retry_after=293.0,
+    )
+    found = log_explanation.explain("r-9", log_lines.read([crash, refused]))
+    assert "part-1+part-3" in found.causes[1]
+    crashes = [one for one in found.causes if "crashed at" in one]
+    assert len(crashes) == 1
+    assert "vm-1" in crashes[0]
+
+
 async def test_command_prints_result_causes_and_lines():
     path = str(RECORDED / "lost.log")
     code, out, _ = await run(LOST, "--log", path)
