--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -108,7 +108,7 @@
         self.news: CrashAnnouncer | None = None
         """Set once the exchange with the peers exists."""
         self.part_answer_news: part_answer_news.PartAnswerNews | None = None
-        """The same."""
+        """Answers to be told to the peers; set with `news`."""
 
     # Queries.
 
--- a/packages/router/src/lagoonrun_router/part_evidence.py
+++ b/packages/router/src/lagoonrun_router/part_evidence.py
@@ -22,10 +22,10 @@
 two parts that always run beside each other would never be blocked."""
 
 CRASHES_TO_BLOCK_ANSWERED = 5
-"""The same for a part that was answered lately: a part that many requests share
-runs at each upstream that crashes. Crashes do not count against it if another
-part ran there that has several crashes and no answer, or a request that had
-several."""
+"""Crashes from which a part that was answered lately is a cause: a part that many
+requests share runs at each upstream that crashes. Crashes do not count against
+it if another part ran there that has several crashes and no answer, or a
+request that had several."""
 
 _CRASHES_TO_EXPLAIN = 2
 """Crashes of a part without an answer that explain those of answered parts."""
@@ -53,6 +53,13 @@
 """Maximum number of last answers; the oldest are evicted."""
 
 
+_Crashes = dict[
+    running_requests.UpstreamInstance,
+    dict[types.RequestDigest, crash_records.CrashRecord],
+]
+"""Records of the requests with a part that ran at each crash."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PartAnswer:
     """The last complete answer to a request with a part.
@@ -81,20 +88,8 @@
     """Crashes and answers by prompt part."""
 
     def __init__(self) -> None:
-        self._records_by_part: dict[
-            types.PromptPartDigest,
-            dict[
-                running_requests.UpstreamInstance,
-                dict[types.RequestDigest, crash_records.CrashRecord],
-            ],
-        ] = {}
-        self._open_by_part: dict[
-            types.PromptPartDigest,
-            dict[
-                running_requests.UpstreamInstance,
-                dict[types.RequestDigest, crash_records.CrashRecord],
-            ],
-        ] = {}
+        self._records_by_part: dict[types.PromptPartDigest, _Crashes] = {}
+        self._open_by_part: dict[types.PromptPartDigest, _Crashes] = {}
         """Crashes since the last answer, computed when they are asked for."""
 
         self._answered_at: collections.OrderedDict[
@@ -117,6 +112,8 @@
 
     def answers(self, *, since: float) -> tuple[PartAnswer, ...]:
         """Return the answers since then to parts that have crashes."""
+        if not self._records_by_part:
+            return ()
         return tuple(
             PartAnswer(part=part, version=version, at=at)
             for (part, version), at in self._answered_at.items()
@@ -266,12 +263,7 @@
 
     # Helpers.
 
-    def _open_crashes(
-        self, part: types.PromptPartDigest
-    ) -> dict[
-        running_requests.UpstreamInstance,
-        dict[types.RequestDigest, crash_records.CrashRecord],
-    ]:
+    def _open_crashes(self, part: types.PromptPartDigest) -> _Crashes:
         """Return the crashes of a part since its last answer."""
         known = self._open_by_part.get(part)
         if known is not None:
@@ -358,19 +350,13 @@
         )
 
 
-_OpenCrashes = Mapping[
-    running_requests.UpstreamInstance,
-    Mapping[types.RequestDigest, crash_records.CrashRecord],
-]
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Suspect:
     """A part with its crashes since the last answer."""
 
     part: types.PromptPartDigest
     answered_lately: bool
-    open_crashes: _OpenCrashes
+    open_crashes: _Crashes
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -378,7 +364,7 @@
     """A suspect with enough crashes that nothing else explains."""
 
     suspect: _Suspect
-    open_crashes: _OpenCrashes
+    open_crashes: _Crashes
 
     def without(
         self, explained: set[running_requests.UpstreamInstance]
@@ -422,7 +408,7 @@
 
 
 def _candidate(
-    suspect: _Suspect, open_crashes: _OpenCrashes | None = None
+    suspect: _Suspect, open_crashes: _Crashes | None = None
 ) -> _Candidate | None:
     """Return a suspect as a candidate; None if it has too few crashes."""
     if open_crashes is None:
