Add review case 2: a foreign entry blinds all machines to the runners

One entry of another writer, with a number of 400 digits, raises OverflowError at each listing of the store, which ends the follower's task before any runner's entry is applied. A runner that reports that it is draining gets requests like before (DRAIN).

--- /dev/null
+++ b/review/2/scenario.py
@@ -0,0 +1,78 @@
+"""A runner leaves while another writer's entry stands in the store."""
+
+import asyncio
+import pathlib
+import sys
+from collections.abc import Sequence
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+from standins import case, draining, requester, world
+
+_FOLDER = pathlib.Path(__file__).resolve().parent
+_MACHINES = 4
+_RUNNERS = 3
+_ENGINES = 5
+_REQUESTERS_PER_MACHINE = 6
+_UNDISTURBED_SECONDS = 3.0
+_BETWEEN_SECONDS = 4.0
+"""Time from the foreign entry until the runner leaves; over `contact_ms`."""
+
+_END_SECONDS = 5.0
+_DIGITS = 400
+_FOREIGN_KEY = "servers/nightly-batch-1"
+_FOREIGN_ENTRY = {
+    "service": "nightly-batch",
+    "address": "127.0.0.1:9",
+    "zone": world.ZONES[0],
+    "version": "v1",
+    "slots": 1,
+    "state": "ready",
+    "cold_remaining_ms": 10**_DIGITS,
+    "seq_no": 1,
+}
+
+
+async def _play(with_trouble: bool, record: pathlib.Path) -> Sequence[str]:
+    deployment = world.World(
+        machines=_MACHINES, runners=_RUNNERS, engines=_ENGINES
+    )
+    sent: list[requester.Sent] = []
+    requesters: list[asyncio.Task[None]] = []
+    leaving: list[asyncio.Task[None]] = []
+    left = deployment.runners[:1]
+    try:
+        await deployment.start(world.configuration(1))
+        for target in deployment.machines * _REQUESTERS_PER_MACHINE:
+            requesters.append(asyncio.create_task(draining.send(target, sent)))
+        await asyncio.sleep(_UNDISTURBED_SECONDS)
+        if with_trouble:
+            written_at = await deployment.store.put(
+                _FOREIGN_KEY, _FOREIGN_ENTRY
+            )
+            deployment.note("another writer has added an entry", written_at)
+        await asyncio.sleep(_BETWEEN_SECONDS)
+        for one in left:
+            leaving.append(
+                asyncio.create_task(
+                    one.drain(exits_after=draining.SERVES_ON_SECONDS)
+                )
+            )
+        await asyncio.sleep(_END_SECONDS)
+        broken = draining.late_arrivals(deployment, left)
+    finally:
+        for task in (*requesters, *leaving):
+            task.cancel()
+        await asyncio.gather(*requesters, *leaving, return_exceptions=True)
+        await deployment.close()
+    draining.note_all(deployment, sent)
+    deployment.write_record(record)
+    answered = sum(one.status == 200 for one in sent)
+    print(f"{len(sent)} requests, {answered} answered with 200")
+    if answered < len(sent) / 2:
+        raise RuntimeError("too few requests were served to judge the case")
+    return broken
+
+
+if __name__ == "__main__":
+    case.run(_play, folder=_FOLDER)
