Log for how long requests ran at a crash, and which parts are most suspect

The three hypotheses of the incident could be told apart only by reading the code: line 408 named what ran at a crash, not for how long, and nothing said why a crash was not held against a part. 408 has the ages of the youngest requests; 414 crash-suspects has the parts with most crashes since their last answer. No decision depends on them.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -55,6 +55,7 @@
     UPSTREAM_RESTS = (411, "upstream-rests")
     UPSTREAM_LINK_CHANGED = (412, "upstream-link-changed")
     UPSTREAM_BRITTLE = (413, "upstream-brittle")
+    CRASH_SUSPECTS = (414, "crash-suspects")
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -122,6 +122,16 @@
         """Return the time of the last answer; minus infinity for none."""
         return self._parts.answered_at(part, version)
 
+    def most_suspect_parts(
+        self, limit: int
+    ) -> dict[types.PromptPartDigest, int]:
+        """Return the parts with most crashes since their last answer."""
+        return self._parts.most_suspect(limit)
+
+    def part_last_answered_at(self, part: types.PromptPartDigest) -> float:
+        """Return the time of the last answer at any version."""
+        return self._parts.last_answer(part)
+
     def is_suspect_part(self, part: types.PromptPartDigest) -> bool:
         """Return whether a part has a crash since its last answer."""
         return self._parts.is_suspect(part)
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -39,6 +39,7 @@
 
 
 _MAX_LOGGED_PARTS = 32
+_MAX_LOGGED_AGES = 16
 
 
 class CrashListener(Protocol):
@@ -147,6 +148,7 @@
             digest,
             route=route,
             instance=running_requests.instance_of(upstream),
+            now=self._clock.monotonic(),
             parts=parts,
             version=upstream.version,
         )
@@ -260,6 +262,7 @@
             requests=sorted(one.digest for one in requests),
             silent=sorted(one.digest for one in requests if one.silent),
             parts=_most_common_parts(requests),
+            ran_seconds=_youngest(requests),
         )
         if self.on_crash is not None:
             self.on_crash(instance, requests)
@@ -278,6 +281,17 @@
     return dict(counts.most_common(_MAX_LOGGED_PARTS))
 
 
+def _youngest(
+    requests: frozenset[running_requests.SuspectRequest],
+) -> dict[types.RequestDigest, float]:
+    """Return for how long the requests that began last had run, for the log."""
+    ascending = sorted(requests, key=lambda one: one.ran_seconds)
+    return {
+        one.digest: round(one.ran_seconds, 3)
+        for one in ascending[:_MAX_LOGGED_AGES]
+    }
+
+
 def _run_end_of(
     result: attempt_result.Result | None,
 ) -> running_requests.RunEnd:
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -36,6 +36,8 @@
 """Delay after which a relay writes a reported block that is not in the store
 yet: the entry VM that detected the crash may have stopped right after it."""
 
+_MAX_LOGGED_SUSPECTS = 4
+
 _CRASHES_TO_BROADCAST = 2
 """Crashes from which an answer to a request is broadcast at once. One crash is
 not enough: all requests that ran beside the cause have one, and others don't
@@ -166,6 +168,7 @@
         new = self._merge(_records(instance, requests, seen_at=now), now)
         self._broadcast(new, now)
         self._update_blocks(source="own")
+        self._log_suspects(instance, now)
         for block in self._blocks_with(new):
             self._write_at_by_id[block.id] = now + _OWN_WRITE_DELAY_SECONDS
 
@@ -448,6 +451,30 @@
                 self._broadcast(self._evidence.clear(request), now)
                 self._remove_stored({request})
 
+    def _log_suspects(
+        self, instance: running_requests.UpstreamInstance, now: float
+    ) -> None:
+        """Log which parts have most crashes, and why they are not blocked."""
+        blocked = frozenset().union(*(one.parts for one in self.blocks()))
+        suspects = [
+            {
+                "part": part,
+                "crashes": crashes,
+                "answered_seconds_ago": _rounded(
+                    now - self._evidence.part_last_answered_at(part)
+                ),
+                "blocked": part in blocked,
+            }
+            for part, crashes in self._evidence.most_suspect_parts(
+                _MAX_LOGGED_SUSPECTS
+            ).items()
+        ]
+        logs.emit(
+            events.LogEvent.CRASH_SUSPECTS,
+            upstream=instance.upstream,
+            suspects=suspects,
+        )
+
     def _log_blocked(self, block: crash_records.Block, source: str) -> None:
         left_seconds = block.until - self._clock.monotonic()
         logs.emit(
@@ -464,6 +491,10 @@
         )
 
 
+def _rounded(seconds: float) -> float | None:
+    return round(seconds, 3) if seconds < float("inf") else None
+
+
 def _records(
     instance: running_requests.UpstreamInstance,
     requests: frozenset[running_requests.SuspectRequest],
--- a/packages/router/src/lagoonrun_router/part_evidence.py
+++ b/packages/router/src/lagoonrun_router/part_evidence.py
@@ -106,6 +106,24 @@
         """Return whether a part has a crash since its last answer."""
         return bool(self._open_crashes(part))
 
+    def most_suspect(self, limit: int) -> dict[types.PromptPartDigest, int]:
+        """Return the parts with most crashes since their last answer."""
+        counts = collections.Counter(
+            {part: self.crash_count(part) for part in self._records_by_part}
+        )
+        return dict((+counts).most_common(limit))
+
+    def last_answer(self, part: types.PromptPartDigest) -> float:
+        """Return the time of the last answer at any version."""
+        return max(
+            (
+                at
+                for (answered, _), at in self._answered_at.items()
+                if answered == part
+            ),
+            default=float("-inf"),
+        )
+
     def answered_at(self, part: types.PromptPartDigest, version: str) -> float:
         """Return the time of the last answer; minus infinity for none."""
         return self._answered_at.get((part, version), float("-inf"))
--- a/packages/router/src/lagoonrun_router/running_requests.py
+++ b/packages/router/src/lagoonrun_router/running_requests.py
@@ -70,6 +70,8 @@
         Parts of its prompt.
     version
         Software version of the upstream.
+    ran_seconds
+        Time from the write of the request to the crash.
     """
 
     digest: types.RequestDigest
@@ -77,6 +79,7 @@
     silent: bool = True
     parts: tuple[types.PromptPartDigest, ...] = ()
     version: str = ""
+    ran_seconds: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -87,6 +90,8 @@
     ----------
     instance
         The upstream instance that runs it.
+    begun_at
+        Reading of the clock when it was written.
     ended_at
         Reading of the clock when it was broken or abandoned; None while it
         runs.
@@ -104,6 +109,7 @@
     digest: types.RequestDigest
     route: str
     instance: UpstreamInstance
+    begun_at: float
     ended_at: float | None = None
     silent: bool = True
     parts: tuple[types.PromptPartDigest, ...] = ()
@@ -125,6 +131,7 @@
         *,
         route: str,
         instance: UpstreamInstance,
+        now: float,
         parts: tuple[types.PromptPartDigest, ...] = (),
         version: str = "",
     ) -> Run:
@@ -133,6 +140,7 @@
             digest=digest,
             route=route,
             instance=instance,
+            begun_at=now,
             parts=parts,
             version=version,
         )
@@ -162,6 +170,8 @@
                 silent=run.silent,
                 parts=run.parts,
                 version=run.version,
+                ran_seconds=(now if run.ended_at is None else run.ended_at)
+                - run.begun_at,
             )
             for run in runs
         )
--- a/packages/router/tests/test_running_requests.py
+++ b/packages/router/tests/test_running_requests.py
@@ -21,8 +21,8 @@
 
 
 def test_running_requests_are_suspects(running):
-    running.begin("one", route="r", instance=INSTANCE)
-    running.begin("two", route="r", instance=INSTANCE)
+    running.begin("one", route="r", instance=INSTANCE, now=NOW)
+    running.begin("two", route="r", instance=INSTANCE, now=NOW)
     assert digests(running, LONG_AFTER) == {"one", "two"}
     assert running.suspects_at(RESTARTED, now=NOW) == frozenset()
 
@@ -31,7 +31,7 @@
     "end", [running_requests.RunEnd.BROKEN, running_requests.RunEnd.ABANDONED]
 )
 def test_broken_and_abandoned_requests_are_suspects_for_a_while(running, end):
-    run = running.begin("one", route="r", instance=INSTANCE)
+    run = running.begin("one", route="r", instance=INSTANCE, now=NOW)
     running.end(run, end, now=NOW)
     assert digests(running, NOW) == {"one"}
     assert digests(running, LONG_AFTER) == set()
@@ -41,14 +41,14 @@
     "end", [running_requests.RunEnd.ANSWERED, running_requests.RunEnd.FAILED]
 )
 def test_answered_requests_are_no_suspects(running, end):
-    run = running.begin("one", route="r", instance=INSTANCE)
+    run = running.begin("one", route="r", instance=INSTANCE, now=NOW)
     running.end(run, end, now=NOW)
     assert digests(running, NOW) == set()
 
 
 def test_request_whose_answer_has_begun_is_not_silent(running):
-    running.begin("one", route="r", instance=INSTANCE)
-    running.begin("two", route="r", instance=INSTANCE).silent = False
+    running.begin("one", route="r", instance=INSTANCE, now=NOW)
+    running.begin("two", route="r", instance=INSTANCE, now=NOW).silent = False
     silent = {
         one.digest
         for one in running.suspects_at(INSTANCE, now=NOW)
@@ -58,8 +58,8 @@
 
 
 def test_other_copy_of_an_answered_request_is_kept(running):
-    first = running.begin("one", route="r", instance=INSTANCE)
-    running.begin("one", route="r", instance=INSTANCE)
+    first = running.begin("one", route="r", instance=INSTANCE, now=NOW)
+    running.begin("one", route="r", instance=INSTANCE, now=NOW)
     running.end(first, running_requests.RunEnd.ANSWERED, now=NOW)
     assert digests(running, NOW) == {"one"}
 
@@ -69,7 +69,7 @@
         instance = running_requests.UpstreamInstance(
             upstream=f"u-{number}", start=1
         )
-        run = running.begin("one", route="r", instance=instance)
+        run = running.begin("one", route="r", instance=instance, now=NOW)
         running.end(run, running_requests.RunEnd.ABANDONED, now=NOW)
     running.remove_expired(now=LONG_AFTER)
     assert running.upstreams == 0
