--- a/packages/router/tests/test_crashing_prompt_parts.py
+++ b/packages/router/tests/test_crashing_prompt_parts.py
@@ -124,6 +124,83 @@
     assert len(pool.crashed) <= CRASHES_BEFORE + MAX_LATER
 
 
+async def answer_sound(worlds, prompt="instructions,bad,{}"):
+    """Have requests with the part answered while it crashes nothing."""
+    for number in range(12):
+        got = await ask(worlds[number % len(worlds)], prompt)
+        assert got.status == 200
+
+
+async def send_repeated(worlds, pool, *, requests=REQUESTS):
+    """Send each request with the part three times, and sound ones between."""
+    for number in range(requests):
+        await worlds[number % len(worlds)].ask(
+            "/lookups/1",
+            method="POST",
+            id=f"turned-{number}",
+            body=f"question of caller {number // 3}".encode(),
+            headers=(f"Prompt: instructions,bad,last-{number // 3}",),
+        )
+        await pool.replace_crashed()
+        assert (await ask(worlds[0], "instructions,manual,{}")).status == 200
+
+
+async def test_part_that_begins_to_crash_upstreams_is_rejected(world_of):
+    """Guards against setting crashes aside for what was answered before them.
+
+    Each caller repeats its request, and no repetition counted against the part.
+    """
+    worlds, pool = await fleet(world_of)
+    pool.repaired = True
+    await answer_sound(worlds)
+    pool.repaired = False
+    await send_repeated(worlds, pool)
+    assert len(pool.crashed) <= CRASHES_BEFORE + MAX_LATER
+    assert is_refused(await ask(worlds[0], "instructions,bad,{}"))
+
+
+async def test_part_that_begins_to_crash_all_versions_is_rejected(world_of):
+    """Guards against sparing a version for what it answered before."""
+    worlds, pool = await fleet(world_of, versions=("v1", "v2"))
+    pool.repaired = True
+    await answer_sound(worlds)
+    pool.repaired = False
+    await send_repeated(worlds, pool)
+    assert len(pool.crashed) <= CRASHES_BEFORE + MAX_LATER
+    assert is_refused(await ask(worlds[0], "instructions,bad,{}"))
+
+
+async def test_crash_of_an_upstream_that_is_back_at_once_is_noticed(world_of):
+    """Guards against a crash that the probe of the next process hides."""
+    worlds, pool = await fleet(world_of)
+    pool.back_at_once = True
+    for number in range(REQUESTS):
+        await ask(worlds[number % len(worlds)], "instructions,bad,{}")
+        for world in worlds:
+            await wait_for(lambda world=world: world.knows(pool.newest_id))
+    assert len(pool.crashed) <= CRASHES_BEFORE + MAX_LATER
+
+
+async def test_block_outlives_the_loss_of_its_key(world_of):
+    """Guards against taking a lapsed lease for an operator's word."""
+    worlds, pool = await fleet(world_of)
+    await block_everywhere(worlds, pool)
+    prefix = worlds[0].layout.blocked_requests_prefix
+    key = f"{prefix}{digest_of(BAD_PART)}"
+    while key not in await worlds[0].keys(prefix):
+        seen = worlds[0].store.revision
+        await wait_for(lambda seen=seen: worlds[0].store.revision > seen)
+    await worlds[0].remove(key)
+    removed_at = worlds[0].store.revision
+    for world in worlds:
+        await wait_for(
+            lambda world=world: (
+                world.router.replica.store_revision >= removed_at
+            )
+        )
+        assert is_refused(await ask(world, "instructions,bad,{}"))
+
+
 async def test_two_parts_that_crash_upstreams_are_both_rejected(world_of):
     """Guards against crashes under one part that hide those under another."""
     worlds, pool = await crashing_pool.start_fleet(
--- a/packages/router/tests/test_crashing_requests.py
+++ b/packages/router/tests/test_crashing_requests.py
@@ -93,6 +93,20 @@
         assert float(refusal.headers["retry-after"]) > 0
 
 
+async def test_request_that_begins_to_crash_upstreams_is_rejected(world_of):
+    """Guards against setting crashes aside for an answer before them."""
+    worlds, pool = await fleet(world_of, make_stream_route())
+    pool.repaired = True
+    for world in worlds:
+        assert (await ask(world)).status == 200
+    pool.repaired = False
+    refusal_by_vm = await send_until_refused_everywhere(
+        worlds, pool, max_requests=12
+    )
+    assert len(pool.crashed) <= CRASHES_BEFORE + MAX_RETRIES
+    assert len(refusal_by_vm) == len(worlds)
+
+
 async def test_idempotent_request_crashes_no_further_upstreams(world_of):
     """The same for a request that the entry VM itself retries."""
     route = make_route(idempotent=True, maximum_attempts=3)
--- a/packages/standins/src/lagoonrun_standins/crashing_pool.py
+++ b/packages/standins/src/lagoonrun_standins/crashing_pool.py
@@ -44,6 +44,10 @@
         Whether new ones run all requests without a crash.
     moment
         How much of an answer they send before they crash.
+    back_at_once
+        Whether a crashed upstream listens again at once, under a new id.
+    versions
+        Software versions of the upstreams, in turn.
     """
 
     def __init__(self, worlds, *, size, crashes_on, answer=None):
@@ -57,6 +61,9 @@
         self.crashed = []
         self.repaired = False
         self.moment = CrashMoment.BEFORE_ANY_BYTE
+        self.back_at_once = False
+        self.versions = ("v1",)
+        self._ids_by_port = {}
 
     def running(self, body):
         """Return the number of requests with a body at running upstreams."""
@@ -64,6 +71,11 @@
             one.bodies.count(body) for one in self._started_by_id.values()
         )
 
+    @property
+    def newest_id(self):
+        """Id of the upstream that started last."""
+        return next(reversed(self._ids_by_port.values()))
+
     @property
     def living(self):
         """Ids of the upstreams that have not crashed."""
@@ -79,21 +91,50 @@
         id = f"u-{next(self._numbers)}"
 
         async def answer(exchange):
-            body = self._started_by_id[id].bodies[-1]
-            if self._crashes_on(exchange.head, body) and not self.repaired:
+            upstream = self._started_by_id[id]
+            body = upstream.bodies[-1]
+            if exchange.head.headers.get("Expected") != self._id_at(upstream):
+                await exchange.respond(
+                    status=421, headers=marked(exchange, Not_Run="1"), body=b""
+                )
+            elif self._crashes_on(exchange.head, body) and not self.repaired:
                 await self._begin(exchange)
-                await self.crash(id)
+                if self.back_at_once:
+                    await self._restart(upstream, exchange)
+                else:
+                    await self.crash(id)
             elif self._answer is not None:
                 await self._answer(exchange, body)
             else:
                 await answer_whole(exchange)
 
         self._started_by_id[id] = await self._world.make_upstream(answer, id)
-        await self._world.register(self._started_by_id[id], **changes)
+        version = self.versions[len(self._ids_by_port) % len(self.versions)]
+        self._ids_by_port[self._started_by_id[id].port] = id
+        await self._world.register(
+            self._started_by_id[id], **{"version": version, **changes}
+        )
         for world in self._worlds:
             await wait_for(lambda world=world: world.knows(id))
         return id
 
+    def _id_at(self, upstream):
+        """Return the id of the process that listens at an upstream's port."""
+        return self._ids_by_port[upstream.port]
+
+    async def _restart(self, upstream, exchange):
+        """Crash, and listen at once as another process."""
+        before = self._id_at(upstream)
+        self.crashed.append(before)
+        after = f"u-{next(self._numbers)}"
+        del self._ids_by_port[upstream.port]
+        self._ids_by_port[upstream.port] = after
+        exchange.abort()
+        await self._world.remove(
+            f"{self._world.layout.upstreams_prefix}{before}"
+        )
+        await self._world.register_at(after, upstream.port)
+
     async def _begin(self, exchange):
         """Send what the upstream sends before it crashes."""
         if self.moment is CrashMoment.BEFORE_ANY_BYTE:
@@ -125,7 +166,13 @@
 
 
 async def start_fleet(
-    world_of, route, *, crashes_on, answer=None, domains=("north",) * 3
+    world_of,
+    route,
+    *,
+    crashes_on,
+    answer=None,
+    domains=("north",) * 3,
+    versions=("v1",),
 ):
     """Return entry VMs that know each other, and a pool of upstreams.
 
@@ -135,6 +182,8 @@
         See `CrashingPool`.
     domains
         Failure domain of each entry VM.
+    versions
+        Software versions of the upstreams, in turn.
     """
     worlds = [
         await world_of(name=f"vm-{number}", domain=domain)
@@ -144,6 +193,7 @@
     pool = CrashingPool(
         worlds, size=POOL_SIZE, crashes_on=crashes_on, answer=answer
     )
+    pool.versions = versions
     await pool.start()
     for world in worlds:
         neighbours = domains.count(world.settings.domain) - 1
