--- a/packages/router/src/lagoonrun_router/stream_relay.py
+++ b/packages/router/src/lagoonrun_router/stream_relay.py
@@ -160,6 +160,10 @@
             self.resume_after = last_id
         return self._exchange.write(events)
 
+    def send_comments(self, comments: bytes) -> bool:
+        """Send comments on; return whether the caller keeps up."""
+        return self._exchange.write(comments)
+
     def record_upstream_event(self) -> float | None:
         """Record an event; return the seconds since its upstream's last one."""
         now = self._clock.monotonic()
@@ -252,9 +256,13 @@
     def take(self, data: bytes) -> bool:
         """Consume bytes; return whether more may follow at once."""
         self.arrived_at = self._relay.now()
+        events_before = self.splitter.events
         events = self.splitter.feed(data)
         if not events:
             return True
+        if self.splitter.events == events_before:
+            # Comments between two events: passed on, but no progress.
+            return self._relay.send_comments(events)
         is_first = self._relay.first_event_at is None
         self._on_event(self._relay.record_upstream_event())
         keeps_up = self._relay.send_events(
