Bound informational responses and chunk framing of upstreams

An upstream that sent 103 responses, chunks of one byte, or chunks with long extensions without end was read until the caller's time limit: h11 bounds one incomplete line or head, not how many there are. Each read of 64 KiB of tiny chunks held the event loop for 0.09 s of processor time.

Bytes before the end of the response head count together (header_bytes), with at most 16 informational responses; the framing of a body may exceed its data by 64 KiB. Answers are far below: one informational response, 5 to 8 bytes of framing for a chunk of an event. Beyond that the exchange is a protocol failure that names the bound. At most 256 parts are parsed in one callback, the rest in the next turn of the event loop, and their data is passed on joined.

--- a/packages/http/src/lagoonrun_http/limits.py
+++ b/packages/http/src/lagoonrun_http/limits.py
@@ -73,7 +73,21 @@
         How long the upstream's host may leave bytes of a request and
         keep-alive probes unacknowledged.
     header_bytes
-        Largest response head.
+        Largest response head, and the bytes read before its end: informational
+        (1xx) responses count as well.
+    informational_responses
+        Informational responses before the response.
+    framing_bytes
+        Bytes of a response body that are no data, such as chunk sizes,
+        extensions and trailer fields, beyond as many as there are data bytes.
+    held_body_bytes
+        Bodies that are buffered until they are complete, all together; a body
+        of up to `small_body_bytes` is buffered in any case.
+    small_body_bytes
+        See `held_body_bytes`.
+    events_per_callback
+        Parts of a response parsed at a time, so that an upstream that sends
+        many small ones does not hold up the others.
     connections_per_upstream
         Open connections to one address and port.
     idle_per_upstream
@@ -92,6 +106,11 @@
     max_idle_seconds: float = 30.0
     unacknowledged_seconds: float = 10.0
     header_bytes: int = 32 * 1024
+    informational_responses: int = 16
+    framing_bytes: int = 64 * 1024
+    held_body_bytes: int = 256 * 1024 * 1024
+    small_body_bytes: int = 64 * 1024
+    events_per_callback: int = 256
     connections_per_upstream: int = 512
     idle_per_upstream: int = 64
     read_buffer_bytes: int = 64 * 1024
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -101,6 +101,13 @@
         self._reading_paused = False
         self._last_progress = 0.0
         self._unsent_bytes = 0
+        self._bytes_before_head = 0
+        self._informational_responses = 0
+        self._framing_bytes = 0
+        """Bytes of the body read so far less twice its data: the bytes that
+        are no data, beyond as many as there are data bytes."""
+        self._continuing = False
+        """Whether bytes that were read are still to be parsed."""
 
     @property
     def busy(self) -> bool:
@@ -113,6 +120,9 @@
         """Write the request and wait for the head of its response."""
         self.last_request_id = request.request_id
         self._method = request.head.method
+        self._bytes_before_head = 0
+        self._informational_responses = 0
+        self._framing_bytes = 0
         self._head = asyncio.get_running_loop().create_future()
         head = self._head
         self._last_progress = self._clock.monotonic()
@@ -150,7 +160,8 @@
         if self._reading_paused and not self.closed:
             self._reading_paused = False
             self._last_progress = self._clock.monotonic()
-            self._transport.resume_reading()
+            if not self._continuing:
+                self._transport.resume_reading()
 
     def check_deadlines(self, now: float) -> None:
         """Fail the response when the upstream makes no progress."""
@@ -194,20 +205,26 @@
         if self._response is not None:
             # Not for a head: one sent byte by byte would never time out.
             self._last_progress = self._clock.monotonic()
+            self._framing_bytes += nbytes
+        else:
+            self._bytes_before_head += nbytes
         if self._transport.get_write_buffer_size():
             self._responded_early = True
         self._h11.receive_data(self._read_buffer.received(nbytes))
-        self._read_events()
+        if not self._continuing:
+            self._read_events()
 
     def eof_received(self) -> bool:
         """Process the upstream's end of output."""
         if self.busy:
             self._h11.receive_data(b"")
-            self._read_events()
+            self._read_events(all_at_once=True)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Leave the pool and fail the awaited response."""
+        if self._continuing and not self.closed:
+            self._read_events(all_at_once=True)
         self.closed = True
         self._pool.on_connection_closed(self)
         if self.busy:
@@ -232,18 +249,42 @@
 
     # Reading.
 
-    def _read_events(self) -> None:
+    def _read_events(self, *, all_at_once: bool = False) -> None:
+        """Parse what was read.
+
+        Parameters
+        ----------
+        all_at_once
+            Whether to parse all of it, however many parts it has, because the
+            connection has ended.
+        """
+        self._continuing = False
+        # Joined, so that many small chunks cost the reader only one call.
+        parts: list[bytes] = []
+        failed: tuple[upstream_messages.FailureStage, str] | None = None
+        count = 0
         try:
             while self.busy and not self.closed:
+                if (
+                    not all_at_once
+                    and count == self._limits.events_per_callback
+                ):
+                    self._continue_later()
+                    break
+                count += 1
                 event = self._h11.next_event()
                 kind = type(event)
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
                 if kind is h11.Data:
-                    self._response.take(bytes(event.data))
+                    parts.append(bytes(event.data))
                 elif kind is h11.Response:
                     self._on_response_head(event)
+                elif kind is h11.InformationalResponse:
+                    self._on_informational_response()
                 elif kind is h11.EndOfMessage:
+                    self._take(parts)
+                    parts = []
                     self._end_response()
                 elif kind is h11.ConnectionClosed:
                     break
@@ -251,9 +292,57 @@
             stage = _Stage.PROTOCOL
             if self._h11.their_state is h11.ERROR and self._at_eof():
                 stage = self._read_stage()
-            self._fail(stage, f"not a whole HTTP response: {error}")
+            failed = (stage, f"not a whole HTTP response: {error}")
+        self._take(parts)
+        if failed is not None:
+            self._fail(*failed)
+        self._check_bounds()
         self._limit_held()
 
+    def _continue_later(self) -> None:
+        """Parse the rest in the next turn of the event loop."""
+        self._continuing = True
+        self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._continue_reading)
+
+    def _continue_reading(self) -> None:
+        if self.closed or not self._continuing:
+            return
+        self._read_events()
+        if not (self._continuing or self._reading_paused or self.closed):
+            self._transport.resume_reading()
+
+    def _take(self, parts: list[bytes]) -> None:
+        if parts and self._response is not None:
+            data = parts[0] if len(parts) == 1 else b"".join(parts)
+            self._framing_bytes -= 2 * len(data)
+            self._response.take(data)
+
+    def _on_informational_response(self) -> None:
+        self._informational_responses += 1
+        allowed = self._limits.informational_responses
+        if self._informational_responses > allowed:
+            self._fail(
+                _Stage.PROTOCOL,
+                f"{self._informational_responses} informational responses; "
+                f"valid: <= {allowed}",
+            )
+
+    def _check_bounds(self) -> None:
+        """Fail the response if too much was read that is none of its data."""
+        if self._continuing or self.closed:
+            return
+        if self._head is not None:
+            read, allowed = self._bytes_before_head, self._limits.header_bytes
+            what = "before the end of the response head"
+        else:
+            read, allowed = self._framing_bytes, self._limits.framing_bytes
+            what = "of chunk framing beyond the size of the data"
+        if self.busy and read > allowed:
+            self._fail(
+                _Stage.PROTOCOL, f"{read} bytes {what}; valid: <= {allowed}"
+            )
+
     def _at_eof(self) -> bool:
         return self._h11.trailing_data[1]
 
