Don't wait for the rest of a refusal's body

A refusal (421, or one that says it did not run) whose body had no end held its request until 4 MiB had come, or drop by drop until the time limit: 504 after 6 s beside a sound upstream that answered in 0.1 s.

Cause: the body was read to its end so that the connection could be used again. Now at most 16 KiB and 0.1 s are spent on that, then the connection is closed; the decision depends on the head alone.

--- a/packages/http/src/lagoonrun_http/upstream_response.py
+++ b/packages/http/src/lagoonrun_http/upstream_response.py
@@ -1,11 +1,20 @@
 """The response of an upstream, read in chunks as they arrive."""
 
 import asyncio
+import contextlib
 import enum
 from typing import Protocol
 
 from lagoonrun_http import messages, upstream_messages
 
+_MAX_SKIPPED_BYTES = 16 * 1024
+"""Longest rest of a body that is read only to reuse the connection. Refusals
+have bodies of some hundred bytes; a new connection costs less than reading
+more."""
+
+_MAX_SKIPPED_SECONDS = 0.1
+"""Time for such a rest, some round trips: its request waits meanwhile."""
+
 
 class ResponseConnection(Protocol):
     """The connection, as the response that arrives on it uses it."""
@@ -157,6 +166,21 @@
                     peer="",
                 )
 
+    async def skip_rest(self) -> None:
+        """Discard a short rest of the body, so that the connection is reused.
+
+        If the rest is long or late, the connection is closed instead.
+        """
+        size = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_MAX_SKIPPED_SECONDS):
+                while size <= _MAX_SKIPPED_BYTES:
+                    chunk = await self.next_chunk()
+                    if not isinstance(chunk, bytes):
+                        return
+                    size += len(chunk)
+        await self.cancel()
+
     async def cancel(self) -> None:
         """Close the connection, which cancels the upstream's work."""
         if not self._ended and self._failure is None:
--- a/packages/http/tests/test_endless_bytes.py
+++ b/packages/http/tests/test_endless_bytes.py
@@ -37,6 +37,7 @@
     async def start(form, *, drop_by_drop=False):
         made = endless_upstream.EndlessUpstream(form, drop_by_drop=drop_by_drop)
         await made.start()
+        made.begin()
         started.append(made)
         return made
 
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -309,8 +309,7 @@
         response: http_upstream.UpstreamResponse,
         upstream: types.UpstreamId,
     ) -> attempt_result.Lost:
-        # Read to the end, so that the connection can be reused.
-        await response.read_all(_MAX_BUFFERED_ANSWER_BYTES)
+        await response.skip_rest()
         return attempt_result.Lost(
             ran=outcomes.Outcome.NOT_RUN,
             reason=outcomes.Reason.UPSTREAM_REFUSED,
--- a/packages/standins/src/lagoonrun_standins/endless_upstream.py
+++ b/packages/standins/src/lagoonrun_standins/endless_upstream.py
@@ -65,7 +65,7 @@
 
 
 class EndlessUpstream:
-    """Answers each request without end.
+    """Answers each request without end, once the test says so.
 
     Parameters
     ----------
@@ -81,13 +81,15 @@
     sent_bytes
         Largest number of bytes sent on one connection.
     open_seconds
-        Longest time from a request until its connection was closed.
+        Longest time from the beginning of an answer until its connection was
+        closed.
     """
 
     def __init__(self, form: EndlessForm, *, drop_by_drop: bool) -> None:
         self._form = form
         self._drop_by_drop = drop_by_drop
         self._tasks: set[asyncio.Task[None]] = set()
+        self._begun = asyncio.Event()
         self.requests = 0
         self.sent_bytes = 0
         self.open_seconds = 0.0
@@ -98,6 +100,10 @@
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def begin(self) -> None:
+        """Begin to answer the requests that have arrived, and later ones."""
+        self._begun.set()
+
     async def close(self) -> None:
         """Stop listening and end the answers."""
         self._server.close()
@@ -131,7 +137,8 @@
         writer.transport.set_write_buffer_limits(high=0)
         head = await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
-        id = head.lower().split(b"x-request-id: ")[1].split(b"\r\n")[0]
+        id = head.split(b"X-Request-Id: ")[1].split(b"\r\n")[0]
+        await self._begun.wait()
         parts = self._form.value
         began_at = asyncio.get_running_loop().time()
         sent = 0
