Move an idempotent request whose body does not become whole

A plain request waited until its time limit (504) where an upstream sent the body of its answer drop by drop, although a sound upstream and another attempt were at hand: bodies had a bound in bytes only (4 MiB).

The wait for the whole body is now bounded like that for the head, by three targets, if the request may be sent again; the last attempt and requests that run once keep their time limit.

--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -324,7 +324,18 @@
         upstream: types.UpstreamId,
     ) -> attempt_result.Result:
         self._record_started()
-        body = await response.read_all(_MAX_BUFFERED_ANSWER_BYTES)
+        max_seconds = None if self._is_last else self._max_head_seconds()
+        try:
+            # Bytes without end are no sign that the answer will be whole.
+            async with asyncio.timeout(max_seconds):
+                body = await response.read_all(_MAX_BUFFERED_ANSWER_BYTES)
+        except TimeoutError:
+            return attempt_result.Lost(
+                ran=outcomes.Outcome.UNKNOWN,
+                reason=outcomes.Reason.UPSTREAM_TIMEOUT,
+                detail=f"no whole body within {max_seconds:g} s",
+                upstream=upstream,
+            )
         if isinstance(body, http_upstream.UpstreamFailure):
             return attempt_result.lost_from_failure(body, upstream=upstream)
         if response.head.status < _LOWEST_ERROR_STATUS:
