Bound responses of the store and of peers that never become whole

A response of the store or of a peer that came drop by drop was read for ever: each byte extended its time limit by the longest allowed pause of 1 s, and at a byte every 0.2 s its 16 MiB would take 38 days. A follower or a fetch was held as long. Informational responses and chunks of one byte had no bound but that time; they were parsed without a turn for other tasks.

A pause now ends with 4 KiB of data, not with any byte; a whole response has 30 s. Bytes before the end of the head (32 KiB) and chunk framing beyond the size of the data (64 KiB) are bounded, and the event loop gets a turn every 256 parts. The largest listing arrives in 0.4 s over 10 Mbit/s, and a link that carries less than 4 KiB/s could not follow the store anyway.

--- a/packages/platform/src/lagoonrun_platform/http_client.py
+++ b/packages/platform/src/lagoonrun_platform/http_client.py
@@ -20,6 +20,25 @@
 
 _READ_BYTES = 65_536
 _MAX_BODY_BYTES = 16 * 1024 * 1024
+
+_MAX_HEAD_BYTES = 32 * 1024
+"""Bytes before the end of the response head; informational (1xx) responses count
+as well."""
+
+_MAX_FRAMING_BYTES = 64 * 1024
+"""Bytes of a body that are no data, such as chunk sizes, extensions and trailer
+fields, beyond as many as there are data bytes."""
+
+_MIN_PROGRESS_BYTES = 4 * 1024
+"""Data that extends the time limit of a response. A link that carries less in
+the longest allowed pause would take minutes for a listing."""
+
+_MAX_RESPONSE_SECONDS = 30.0
+"""Time limit of a response that keeps arriving: the largest body at 5 Mbit/s."""
+
+_EVENTS_PER_TURN = 256
+"""Parts of a response that are parsed before the event loop gets a turn."""
+
 _MAX_IDLE_CONNECTIONS = 8
 _MAX_IDLE_SECONDS = 30.0
 _KEEPALIVE_IDLE_SECONDS = 10
@@ -100,6 +119,9 @@
         self._writer = writer
         self._host = f"{address.host}:{address.port}"
         self._protocol = h11.Connection(h11.CLIENT)
+        self._bytes_before_head = 0
+        self._framing_bytes = 0
+        self._events = 0
         self.idle_since = 0.0
 
     @property
@@ -122,7 +144,8 @@
         Parameters
         ----------
         on_progress
-            Called whenever a part of the response body has arrived.
+            Called whenever another part of the response body has arrived that
+            is large enough to count as progress.
 
         Raises
         ------
@@ -133,10 +156,12 @@
             await self._send(request)
             head = await self._read_head()
             body = bytearray()
+            progress_at_bytes = 0
             async for part in self._read_body():
                 body += part
-                if on_progress is not None:
+                if on_progress is not None and len(body) >= progress_at_bytes:
                     on_progress()
+                    progress_at_bytes = len(body) + _MIN_PROGRESS_BYTES
                 if len(body) > _MAX_BODY_BYTES:
                     raise ResponseLostError(
                         f"response exceeds {_MAX_BODY_BYTES} bytes"
@@ -204,9 +229,13 @@
         await self._writer.drain()
 
     async def _read_head(self) -> h11.Response:
+        self._bytes_before_head = 0
+        self._framing_bytes = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                # What follows the head in the same read is not counted.
+                self._bytes_before_head = -1
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ResponseLostError("connection closed before the response")
@@ -218,14 +247,37 @@
                 return
             if not isinstance(event, h11.Data):
                 raise ResponseLostError("connection closed within the response")
+            self._framing_bytes -= 2 * len(event.data)
             yield bytes(event.data)
 
     async def _next_event(self) -> object:
         while True:
+            self._events += 1
+            if self._events % _EVENTS_PER_TURN == 0:
+                await asyncio.sleep(0)
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._protocol.receive_data(await self._reader.read(_READ_BYTES))
+            data = await self._reader.read(_READ_BYTES)
+            self._count(len(data))
+            self._protocol.receive_data(data)
+
+    def _count(self, size: int) -> None:
+        """Count bytes read; raise ResponseLostError if too many are no data."""
+        if self._bytes_before_head < 0:
+            self._framing_bytes += size
+            if self._framing_bytes > _MAX_FRAMING_BYTES + _READ_BYTES:
+                raise ResponseLostError(
+                    f"over {_MAX_FRAMING_BYTES} bytes of chunk framing beyond "
+                    "the size of the data"
+                )
+            return
+        if self._bytes_before_head > _MAX_HEAD_BYTES:
+            raise ResponseLostError(
+                f"{self._bytes_before_head} bytes before the end of the "
+                f"response head; valid: <= {_MAX_HEAD_BYTES}"
+            )
+        self._bytes_before_head += size
 
 
 class ConnectionPool:
@@ -267,8 +319,9 @@
         timeout_seconds
             Time limit for the complete response.
         stall_seconds
-            If given, the longest pause between two parts of the response; the
-            time limit above then holds for the first part only.
+            If given, the longest pause in the response, in which at least
+            4 KiB of it have to arrive; the time limit above then holds for the
+            first part only, and 30 s for the whole response.
 
         Raises
         ------
@@ -279,12 +332,14 @@
         """
         connection = self._pop_idle() or await self.connect()
         loop = asyncio.get_running_loop()
+        last_at = loop.time() + max(timeout_seconds, _MAX_RESPONSE_SECONDS)
         try:
             async with asyncio.timeout(timeout_seconds) as bound:
 
                 def extend() -> None:
                     if stall_seconds is not None:
-                        bound.reschedule(loop.time() + stall_seconds)
+                        stalled_at = loop.time() + stall_seconds
+                        bound.reschedule(min(stalled_at, last_at))
 
                 response = await connection.call(request, on_progress=extend)
         except TimeoutError as error:
--- a/packages/standins/src/lagoonrun_standins/endless_upstream.py
+++ b/packages/standins/src/lagoonrun_standins/endless_upstream.py
@@ -137,7 +137,7 @@
         writer.transport.set_write_buffer_limits(high=0)
         head = await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
-        id = head.split(b"X-Request-Id: ")[1].split(b"\r\n")[0]
+        id = head.partition(b"X-Request-Id: ")[2].split(b"\r\n")[0]
         await self._begun.wait()
         parts = self._form.value
         began_at = asyncio.get_running_loop().time()
