Give up listings of the store that never end

A store that answered each page of a listing with more to come held the follower for ever: the same page again and again, an empty page, or new pages without end, all kept in memory. An empty first page with more to come counted as a complete listing without entries.

--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -396,3 +396,64 @@
         await client.renew_lease(held.lease)
     assert client.unsent_calls_by_kind == {"kv-keep": 1}
     assert 704 in [one.event for one in caplog.records]
+
+
+@pytest.fixture
+async def client_of_endless_listing():
+    """Return a function that connects to a store whose listings never end."""
+    opened = []
+
+    async def connect(make_keys):
+        """Make a client; each page has the keys that `make_keys` returns."""
+        pages = 0
+
+        async def answer(reader, writer):
+            nonlocal pages
+            opened.append(writer)
+            while await reader.readuntil(b"\r\n\r\n"):
+                pages += 1
+                items = [
+                    {"key": key, "value": "QUFB" * 25_000, "revision": 1}
+                    for key in make_keys(pages)
+                ]
+                body = json.dumps(
+                    {"items": items, "has_more": True, "store_revision": 1}
+                ).encode()
+                length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+                writer.write(b"HTTP/1.1 200 OK\r\n" + length + body)
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        opened.append(server)
+        made = store_client.StoreClient(
+            address=settings.Address(
+                host="127.0.0.1", port=server.sockets[0].getsockname()[1]
+            ),
+            clock=clocks.SystemClock(),
+        )
+        return made
+
+    yield connect
+    for one in opened:
+        one.close()
+
+
+@pytest.mark.parametrize(
+    "make_keys",
+    [
+        lambda page: ["p/1", "p/2"],
+        lambda page: [],
+        lambda page: [f"p/{page:09}"],
+    ],
+    ids=["same-page", "empty-pages", "new-pages"],
+)
+async def test_listing_without_end_is_given_up(
+    client_of_endless_listing, make_keys, monkeypatch
+):
+    """Guards against a follower that reads pages for ever and keeps them."""
+    monkeypatch.setattr(store_client, "_MAX_LISTING_BYTES", 1024 * 1024)
+    client = await client_of_endless_listing(make_keys)
+    async with asyncio.timeout(10):
+        listing = await client.list_prefix("p/")
+    await client.close()
+    assert isinstance(listing, store.Unreachable)
+    assert "valid: " in listing.detail
