--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -20,6 +20,7 @@
     READINESS_CHANGED = (106, "readiness-changed")
     LOG_LINES_LEFT_OUT = (107, "log-lines-left-out")
     SETTINGS_REJECTED = (108, "settings-rejected")
+    EVENT_LOOP_STALLED = (109, "event-loop-stalled")
 
     REQUEST_ENDED = (200, "request-ended")
     REQUEST_REJECTED = (201, "request-rejected")
