Count no stall of the own process as silence of a peer

Waits for somebody else's answer (connections to upstreams and through other entry VMs, response heads, places) use PatienceTimeout, which a stall extends by its length, at most by the whole wait. Ages of data, idle times of connections to upstreams, leases and the time limits of requests stay real time.

The fake clock in the daemon's test_lost_regions.py got the new method.

--- a/packages/core/src/lagoonrun_core/clock.py
+++ b/packages/core/src/lagoonrun_core/clock.py
@@ -3,6 +3,8 @@
 import time
 from typing import Protocol
 
+from lagoonrun_core import stalls
+
 
 class Clock(Protocol):
     """Source of time in seconds."""
@@ -10,6 +12,13 @@
     def monotonic(self) -> float:
         """Return seconds from an arbitrary origin; never decreases."""
 
+    def running(self) -> float:
+        """Return `monotonic` without the stalls of this process.
+
+        For how long a peer has been silent counts only while this process read
+        its sockets. Never used for the age of data or for time limits.
+        """
+
     def wall(self) -> float:
         """Return seconds since the Unix epoch, for display only."""
 
@@ -21,6 +30,10 @@
         """Return the monotonic clock in seconds."""
         return time.monotonic()
 
+    def running(self) -> float:
+        """Return the monotonic clock: stalls are not known."""
+        return time.monotonic()
+
     def wall(self) -> float:
         """Return the wall clock in seconds since the Unix epoch."""
         return time.time()
@@ -31,12 +44,25 @@
 
     While the VM is suspended, time passes for its peers, so idle connections
     and received state must age.
+
+    Parameters
+    ----------
+    stalls
+        Stalls of this process; None if they are not recorded.
     """
 
+    def __init__(self, *, stalls: stalls.Stalls | None = None) -> None:
+        self._stalls = stalls
+
     def monotonic(self) -> float:
         """Return seconds since the VM booted, including suspensions."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
+    def running(self) -> float:
+        """Return seconds since the VM booted without stalls of this process."""
+        stalled = 0.0 if self._stalls is None else self._stalls.total_seconds
+        return self.monotonic() - stalled
+
     def wall(self) -> float:
         """Return the wall clock in seconds since the Unix epoch."""
         return time.time()
@@ -58,6 +84,10 @@
         """Return the current time in seconds."""
         return self._now
 
+    def running(self) -> float:
+        """Return the current time in seconds."""
+        return self._now
+
     def wall(self) -> float:
         """Return the current time in seconds."""
         return self._now
--- a/packages/daemon/tests/failures/test_lost_regions.py
+++ b/packages/daemon/tests/failures/test_lost_regions.py
@@ -87,6 +87,10 @@
         """Return the loop's time."""
         return asyncio.get_running_loop().time()
 
+    def running(self):
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
 
 class Members:
     """Fake membership: live members, distances and shard summaries."""
--- a/packages/http/src/lagoonrun_http/server_connection.py
+++ b/packages/http/src/lagoonrun_http/server_connection.py
@@ -252,7 +252,7 @@
 
     def check_deadlines(self) -> None:
         """Act on the timeouts that have expired."""
-        now = self._clock.monotonic()
+        now = self._clock.running()
         if self._writer.is_stalled(now):
             tcp_reset.reset(self._transport)
         elif self._deadline is not None and now >= self._deadline:
@@ -464,7 +464,7 @@
     # Timeouts.
 
     def _set_deadline(self, seconds: float) -> None:
-        self._deadline = self._clock.monotonic() + seconds
+        self._deadline = self._clock.running() + seconds
 
     def _act_on_deadline(self) -> None:
         if self._phase is _Phase.HEAD:
--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import types
+from lagoonrun_core import patience, types
 from lagoonrun_http import (
     dialing,
     limits,
@@ -197,7 +197,9 @@
             )
         self._open_by_endpoint[endpoint] = count + 1
         try:
-            async with asyncio.timeout(self._limits.connect_seconds):
+            async with patience.PatienceTimeout(
+                self._limits.connect_seconds, clock=self._clock
+            ):
                 return await self._open(endpoint)
         except OSError as error:
             # TimeoutError is an OSError as well.
@@ -237,9 +239,10 @@
 
     def _check_deadlines(self) -> None:
         now = self._clock.monotonic()
+        running = self._clock.running()
         for connection in tuple(self._connections):
             if connection.busy:
-                connection.check_deadlines(now)
+                connection.check_deadlines(running)
             elif now - connection.idle_since >= connection.idle_seconds:
                 connection.close_idle()
 
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -115,7 +115,7 @@
         self._method = request.head.method
         self._head = asyncio.get_running_loop().create_future()
         head = self._head
-        self._last_progress = self._clock.monotonic()
+        self._last_progress = self._clock.running()
         try:
             self._write(request)
             return await head
@@ -149,7 +149,7 @@
         """Continue reading after the consumer has read the held bytes."""
         if self._reading_paused and not self.closed:
             self._reading_paused = False
-            self._last_progress = self._clock.monotonic()
+            self._last_progress = self._clock.running()
             self._transport.resume_reading()
 
     def check_deadlines(self, now: float) -> None:
@@ -193,7 +193,7 @@
             return
         if self._response is not None:
             # Not for a head: one sent byte by byte would never time out.
-            self._last_progress = self._clock.monotonic()
+            self._last_progress = self._clock.running()
         if self._transport.get_write_buffer_size():
             self._responded_early = True
         self._h11.receive_data(self._read_buffer.received(nbytes))
@@ -280,7 +280,7 @@
             connection=self,
             close_delimited=self._is_close_delimited(head),
         )
-        self._last_progress = self._clock.monotonic()
+        self._last_progress = self._clock.running()
         waiting = self._head
         self._head = None
         if not waiting.done():
--- a/packages/router/src/lagoonrun_router/connection_forwarder.py
+++ b/packages/router/src/lagoonrun_router/connection_forwarder.py
@@ -10,7 +10,7 @@
 import asyncio
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import events, logs, types
+from lagoonrun_core import events, logs, patience, types
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import tcp_keepalive, tcp_reset
@@ -109,7 +109,9 @@
         connection = _ForwardedPair()
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(_CONNECT_SECONDS):
+            async with patience.PatienceTimeout(
+                _CONNECT_SECONDS, clock=self._clock
+            ):
                 await loop.create_connection(
                     lambda: _UpstreamEnd(connection),
                     registration.host,
--- a/packages/router/src/lagoonrun_router/places.py
+++ b/packages/router/src/lagoonrun_router/places.py
@@ -15,7 +15,7 @@
 import random
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import events, logs, types
+from lagoonrun_core import events, logs, patience, types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
     limit_news,
@@ -259,7 +259,9 @@
         self._waiting_by_number[request.number] = answer_future
         try:
             self._send(request, (address,))
-            async with asyncio.timeout(_ANSWER_SECONDS):
+            async with patience.PatienceTimeout(
+                _ANSWER_SECONDS, clock=self._clock
+            ):
                 return await answer_future
         except TimeoutError:
             logs.emit(
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -1,8 +1,6 @@
 """Send one call to one upstream, and read its answer."""
 
-import asyncio
-
-from lagoonrun_core import outcomes, types
+from lagoonrun_core import outcomes, patience, types
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
@@ -116,7 +114,9 @@
             else self._call.urgency,
         )
         try:
-            async with asyncio.timeout(self._max_head_seconds()):
+            async with patience.PatienceTimeout(
+                self._max_head_seconds(), clock=self._components.clock
+            ):
                 response = await self._components.client.send(
                     http_upstream.UpstreamRequest(
                         head=head,
--- a/packages/router/src/lagoonrun_router/upstream_dialer.py
+++ b/packages/router/src/lagoonrun_router/upstream_dialer.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import supervised_task, ticks, types
+from lagoonrun_core import patience, supervised_task, ticks, types
 from lagoonrun_http import dialing, upstream_connection
 from lagoonrun_router import (
     forwarded_connection,
@@ -221,7 +221,9 @@
             )
         ]
         try:
-            async with asyncio.timeout(_TRIAL_TIMEOUT_SECONDS):
+            async with patience.PatienceTimeout(
+                _TRIAL_TIMEOUT_SECONDS, clock=self._clock
+            ):
                 await staggered.first_result(
                     probes, stagger_seconds=_STAGGER_SECONDS
                 )
@@ -250,7 +252,9 @@
         try:
             if registration is None:
                 return
-            async with asyncio.timeout(_TRIAL_TIMEOUT_SECONDS):
+            async with patience.PatienceTimeout(
+                _TRIAL_TIMEOUT_SECONDS, clock=self._clock
+            ):
                 transport, _ = await loop.create_connection(
                     asyncio.Protocol, registration.host, registration.port
                 )
