--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -125,7 +125,7 @@
         self._framing_bytes = 0
         self._head = asyncio.get_running_loop().create_future()
         head = self._head
-        self._last_progress = self._clock.monotonic()
+        self._last_progress = self._clock.running()
         try:
             self._write(request)
             return await head
@@ -159,7 +159,7 @@
         """Continue reading after the consumer has read the held bytes."""
         if self._reading_paused and not self.closed:
             self._reading_paused = False
-            self._last_progress = self._clock.monotonic()
+            self._last_progress = self._clock.running()
             if not self._continuing:
                 self._transport.resume_reading()
 
@@ -204,7 +204,7 @@
             return
         if self._response is not None:
             # Not for a head: one sent byte by byte would never time out.
-            self._last_progress = self._clock.monotonic()
+            self._last_progress = self._clock.running()
             self._framing_bytes += nbytes
         else:
             self._bytes_before_head += nbytes
@@ -369,7 +369,7 @@
             connection=self,
             close_delimited=self._is_close_delimited(head),
         )
-        self._last_progress = self._clock.monotonic()
+        self._last_progress = self._clock.running()
         waiting = self._head
         self._head = None
         if not waiting.done():
