--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -327,7 +327,9 @@
         max_seconds = None if self._is_last else self._max_head_seconds()
         try:
             # Bytes without end are no sign that the answer will be whole.
-            async with asyncio.timeout(max_seconds):
+            async with patience.PatienceTimeout(
+                max_seconds, clock=self._components.clock
+            ):
                 body = await response.read_all(_MAX_BUFFERED_ANSWER_BYTES)
         except TimeoutError:
             return attempt_result.Lost(
