--- a/packages/router/src/lagoonrun_router/gauges.py
+++ b/packages/router/src/lagoonrun_router/gauges.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from lagoonrun_core import stalls as stalls_module
 from lagoonrun_router import (
     adaptive_load,
     crashing_requests,
@@ -62,6 +63,7 @@
         table: route_table.RouteTable | None,
         store_calls_by_kind: Mapping[str, int],
         unsent_store_calls_by_kind: Mapping[str, int],
+        stalls: stalls_module.Stalls,
     ) -> None:
         """Set all gauges.
 
@@ -72,6 +74,8 @@
         store_calls_by_kind, unsent_store_calls_by_kind
             Calls to the store since the start, and calls that were dropped
             before they were sent.
+        stalls
+            Stalls of the event loop.
         """
         router_metrics = self._metrics
         router_metrics.ready.set(ready)
@@ -89,6 +93,12 @@
             router_metrics.store_calls.labels(kind).set(count)
         for kind, count in unsent_store_calls_by_kind.items():
             router_metrics.unsent_store_calls.labels(kind).set(count)
+        for cause in stalls_module.StallCause:
+            router_metrics.event_loop_stalls.labels(cause.value).set(
+                stalls.count_by_cause[cause]
+            )
+        router_metrics.event_loop_stalled_seconds.set(stalls.total_seconds)
+        router_metrics.late_timers.set(stalls.late_timers)
         for state, count in self._directory.counts_by_state().items():
             router_metrics.upstreams.labels(state.value).set(count)
         if table is not None:
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -184,6 +184,24 @@
             ["kind"],
             registry=self.registry,
         )
+        self.event_loop_stalls = prometheus_client.Gauge(
+            "lagoonrun_event_loop_stalls",
+            "Times since the start in which the event loop read no socket for "
+            "a quarter of a second or longer, by what it was doing.",
+            ["cause"],
+            registry=self.registry,
+        )
+        self.event_loop_stalled_seconds = prometheus_client.Gauge(
+            "lagoonrun_event_loop_stalled_seconds",
+            "Duration of these times together.",
+            registry=self.registry,
+        )
+        self.late_timers = prometheus_client.Gauge(
+            "lagoonrun_late_timers",
+            "Timers since the start that expired late and waited for the "
+            "sockets to be read.",
+            registry=self.registry,
+        )
         self.store_age = prometheus_client.Gauge(
             "lagoonrun_store_age_seconds",
             "Time since the store answered this entry VM last.",
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -10,6 +10,7 @@
 
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import events, logs, supervised_task, ticks, types
+from lagoonrun_core import stalls as stalls_module
 from lagoonrun_duties import platform_calls, usage_exchange
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import server as http_server
@@ -92,6 +93,8 @@
         Receives the calls to the platform of the entry VM that holds the
         duties, the tasks that one entry VM performs for the fleet; None if
         there are none.
+    stalls
+        Stalls of the event loop, shown as metrics; None if they are not recorded.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         rng: random.Random | None = None,
         listening: socket.socket | None = None,
         duty_platform: platform_calls.DutyPlatform | None = None,
+        stalls: stalls_module.Stalls | None = None,
     ) -> None:
         self._settings = configured
         self._store = store
@@ -117,6 +121,7 @@
         self._rng = rng or random.Random(secrets.randbits(64))
         self._store_calls_by_kind = _or_no_counts(store_calls_by_kind)
         self._unsent_calls_by_kind = _or_no_counts(unsent_store_calls_by_kind)
+        self._stalls = stalls or stalls_module.Stalls()
         self._eras = eras or store_eras.StoreEras(clock=self._clock)
         self._stopping = False
         self._was_ready = False
@@ -569,6 +574,7 @@
             table=self._route_table,
             store_calls_by_kind=self._store_calls_by_kind,
             unsent_store_calls_by_kind=self._unsent_calls_by_kind,
+            stalls=self._stalls,
         )
         return self.metrics.text()
 
--- a/packages/router/tests/test_router.py
+++ b/packages/router/tests/test_router.py
@@ -46,6 +46,8 @@
     )
     assert 'lagoonrun_repeats_left{pool="portal"}' in text
     assert "lagoonrun_store_age_seconds" in text
+    assert 'lagoonrun_event_loop_stalls{cause="waiting"} 0.0' in text
+    assert "lagoonrun_event_loop_stalled_seconds 0.0" in text
 
 
 async def test_metrics_of_an_upstream_end_with_it(world):
