Count no peer as lost for a stall of the own process

An entry VM that stood still for two seconds counted its peers as lost (event 603) and forgot what they had reported of running requests: the check runs at a timer, and of the datagrams that wait only one is read in each iteration of the loop. The check now subtracts the last stall for as long as peers take to be heard again. Only the last one, so that a process that stalls again and again still notices a lost peer.

--- a/packages/router/src/lagoonrun_router/peer_exchange.py
+++ b/packages/router/src/lagoonrun_router/peer_exchange.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_core import errors, supervised_task, ticks, types
+from lagoonrun_core import errors, recent_stall, supervised_task, ticks, types
 from lagoonrun_duties import usage_exchange
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
@@ -136,6 +136,9 @@
         self._clock = clock
         self._rng = rng
         self._ticks_until_lost_check = 0
+        self._recent_stall = recent_stall.RecentStall(
+            clock=clock, memory_seconds=peer_table.PEER_TIMEOUT_SECONDS
+        )
         self._ticks_since_announcement = 0
         # Not a timestamp: the wall clock may have been ahead at an earlier
         # start.
@@ -296,7 +299,9 @@
         if self._ticks_until_lost_check > 0:
             return
         self._ticks_until_lost_check = _LOST_CHECK_TICKS
-        for lost in self._table.pop_lost(now=now):
+        # Peers were not heard while this process read nothing.
+        heard_until = now - self._recent_stall.seconds(now=now)
+        for lost in self._table.pop_lost(now=heard_until):
             self._ledger.forget_peer(lost)
             self._adaptive.shares.forget_peer(lost)
             self._aggregate.forget_peer(lost)
