Parse responses of many small parts in turns

With 1,000 connections on which chunks of one byte came without end, a turn of the event loop took 7.3 s, and all of the processor was used for them for over 30 s: each callback parsed 256 parts, and the bound on framing was checked only once a read was parsed. 1,000 streams of endless comments took 7.6 s of processor time, a step for each line.

The framing of a body may exceed its data by 8 KiB, checked as it is parsed: chunks of five bytes or more never do, single bytes after 2,048. Blocks without data are not split into lines.

--- a/packages/http/src/lagoonrun_http/limits.py
+++ b/packages/http/src/lagoonrun_http/limits.py
@@ -79,7 +79,8 @@
         Informational responses before the response.
     framing_bytes
         Bytes of a response body that are no data, such as chunk sizes,
-        extensions and trailer fields, beyond as many as there are data bytes.
+        extensions and trailer fields, beyond as many as there are data bytes:
+        chunks of five bytes or more never exceed it, single bytes after 2,048.
     held_response_bytes
         Parts of responses that are buffered until they are complete, all
         together; see `HeldBytes`.
@@ -107,10 +108,10 @@
     unacknowledged_seconds: float = 10.0
     header_bytes: int = 32 * 1024
     informational_responses: int = 16
-    framing_bytes: int = 64 * 1024
+    framing_bytes: int = 8 * 1024
     held_response_bytes: int = 256 * 1024 * 1024
     small_response_bytes: int = 16 * 1024
-    events_per_callback: int = 256
+    events_per_callback: int = 32
     connections_per_upstream: int = 512
     idle_per_upstream: int = 64
     read_buffer_bytes: int = 64 * 1024
--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -9,6 +9,7 @@
     dialing,
     held_bytes,
     limits,
+    parse_queue,
     periodic,
     read_buffer,
     upstream_connection,
@@ -60,6 +61,7 @@
         self._connections: set[upstream_connection.UpstreamConnection] = set()
         self._closed = False
         self._buffer = read_buffer.ReadBuffer()
+        self._parse_queue = parse_queue.ParseQueue()
         self.held = held_bytes.HeldBytes(
             limit_bytes=limits.held_response_bytes,
             small_bytes=limits.small_response_bytes,
@@ -144,6 +146,7 @@
         """Close all connections; running responses fail."""
         self._closed = True
         self._sweep.close()
+        self._parse_queue.close()
         for connection in tuple(self._connections):
             connection.abort()
 
@@ -229,6 +232,7 @@
                 pool=self,
                 buffer=self._buffer,
                 held=self.held,
+                parse_queue=self._parse_queue,
                 address=endpoint.address,
                 port=endpoint.port,
             ),
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -13,6 +13,7 @@
     hop_by_hop,
     limits,
     messages,
+    parse_queue,
     read_buffer,
     tcp_keepalive,
     tcp_reset,
@@ -57,6 +58,8 @@
         Buffer to read into.
     held
         Bytes that all responses hold.
+    parse_queue
+        Queue for responses that have many small parts.
     address, port
         The upstream.
     """
@@ -69,6 +72,7 @@
         pool: ConnectionPool,
         buffer: read_buffer.ReadBuffer,
         held: held_bytes.HeldBytes,
+        parse_queue: parse_queue.ParseQueue,
         address: str,
         port: int,
     ) -> None:
@@ -89,6 +93,7 @@
         self._pool = pool
         self._read_buffer = buffer
         self._held = held
+        self._parse_queue = parse_queue
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=client_limits.header_bytes
         )
@@ -305,12 +310,13 @@
         self._limit_held()
 
     def _continue_later(self) -> None:
-        """Parse the rest in the next turn of the event loop."""
+        """Parse the rest when the other connections have had a turn."""
         self._continuing = True
         self._transport.pause_reading()
-        asyncio.get_running_loop().call_soon(self._continue_reading)
+        self._parse_queue.add(self)
 
-    def _continue_reading(self) -> None:
+    def continue_parsing(self) -> None:
+        """Parse some more of what was read; see `ParsedConnection`."""
         if self.closed or not self._continuing:
             return
         self._read_events()
@@ -335,13 +341,15 @@
 
     def _check_bounds(self) -> None:
         """Fail the response if too much was read that is none of its data."""
-        if self._continuing or self.closed:
+        if self.closed:
             return
         if self._head is not None:
             read, allowed = self._bytes_before_head, self._limits.header_bytes
             what = "before the end of the response head"
         else:
             read, allowed = self._framing_bytes, self._limits.framing_bytes
+            if self._continuing:
+                read -= len(self._h11.trailing_data[0])
             what = "of chunk framing beyond the size of the data"
         if self.busy and read > allowed:
             self._fail(
--- a/packages/router/src/lagoonrun_router/event_splitter.py
+++ b/packages/router/src/lagoonrun_router/event_splitter.py
@@ -114,6 +114,10 @@
             )
 
     def _read_fields(self, complete: bytes) -> None:
+        if _DATA_FIELD not in complete and _ID_FIELD not in complete:
+            # Without this, each line of endless comments would cost a step.
+            self.bytes_without_data += len(complete)
+            return
         has_data = False
         for line in complete.splitlines(keepends=True):
             self.bytes_without_data += len(line)
--- a/packages/router/tests/test_cut_from_upstreams.py
+++ b/packages/router/tests/test_cut_from_upstreams.py
@@ -8,7 +8,12 @@
 import pytest
 
 from lagoonrun_core import clock as clocks
-from lagoonrun_http import held_bytes, read_buffer, upstream_connection
+from lagoonrun_http import (
+    held_bytes,
+    parse_queue,
+    read_buffer,
+    upstream_connection,
+)
 from lagoonrun_http import limits as http_limits
 from lagoonrun_http import messages as http_messages
 from lagoonrun_router import forwarded_connection, settings
@@ -198,6 +203,7 @@
         address=HOST,
         port=1,
         held=held_bytes.HeldBytes(limit_bytes=1 << 20, small_bytes=1 << 10),
+        parse_queue=parse_queue.ParseQueue(),
     )
 
 
