Report an event beyond its bound as a fault of the protocol

A stream that sent one event or comments without end was counted and logged like one whose connection broke (upstream-closed), and an upstream that only breaks the protocol was probed for a crash. Forwarded frames have at most 256 KiB, as much as the forwarding entry VM reads at a time, not 1 MiB.

Test: test_endless_event_is_a_fault_of_the_protocol.

--- a/packages/router/src/lagoonrun_router/forwarding_frames.py
+++ b/packages/router/src/lagoonrun_router/forwarding_frames.py
@@ -17,7 +17,8 @@
 """Name of the protocol in the `Upgrade` header."""
 
 _HEADER = struct.Struct("!BI")
-_MAX_FRAME_BYTES = 1024 * 1024
+_MAX_FRAME_BYTES = 256 * 1024
+"""What the forwarding entry VM reads from an upstream at a time, at most."""
 
 
 class FrameKind(enum.IntEnum):
--- a/packages/router/src/lagoonrun_router/stream_relay.py
+++ b/packages/router/src/lagoonrun_router/stream_relay.py
@@ -111,7 +111,11 @@
             try:
                 end = await self._pump(response, sink)
             except event_splitter.OversizedEventError as error:
-                return self._lost(str(error), upstream)
+                return self._lost(
+                    str(error),
+                    upstream,
+                    reason=outcomes.Reason.UPSTREAM_PROTOCOL,
+                )
             if isinstance(end, http_upstream.UpstreamFailure):
                 return self._lost(end.detail, upstream)
             if isinstance(end, http_upstream.EndOfBody):
@@ -209,14 +213,18 @@
         )
 
     def _lost(
-        self, detail: str, upstream: types.UpstreamId
+        self,
+        detail: str,
+        upstream: types.UpstreamId,
+        *,
+        reason: outcomes.Reason = outcomes.Reason.UPSTREAM_CLOSED,
     ) -> attempt_result.Lost:
         ran = outcomes.Outcome.UNKNOWN
         if self._exchange.started:
             ran = outcomes.Outcome.PARTIAL
         return attempt_result.Lost(
             ran=ran,
-            reason=outcomes.Reason.UPSTREAM_CLOSED,
+            reason=reason,
             detail=detail,
             upstream=upstream,
         )
--- a/packages/router/tests/test_endless_answers.py
+++ b/packages/router/tests/test_endless_answers.py
@@ -1,9 +1,11 @@
 """Upstreams that answer with bytes without end, beside sound ones."""
 
 import asyncio
+import logging
 
 import pytest
 
+from lagoonrun_core import events, outcomes
 from lagoonrun_router import declarations
 from lagoonrun_standins import endless_upstream, router_upstream
 from lagoonrun_standins.router_samples import (
@@ -220,6 +222,27 @@
     check_bounds(endless_by_form, ONCE_LIMIT_SECONDS)
 
 
+async def test_endless_event_is_a_fault_of_the_protocol(play, caplog):
+    """Guards against a bound that looks like a connection that broke."""
+    with caplog.at_level(logging.WARNING, logger="lagoonrun"):
+        await play(
+            make_stream_route,
+            drop_by_drop=False,
+            answer=answer_all_events,
+            forms=[_Form.EVENT, _Form.COMMENTS],
+            limit_seconds=ONCE_LIMIT_SECONDS,
+        )
+    lost = [
+        one
+        for one in caplog.records
+        if one.message == events.LogEvent.UPSTREAM_ATTEMPT_LOST.label
+    ]
+    assert len(lost) == 2 * REQUESTS
+    for one in lost:
+        assert one.reason == outcomes.Reason.UPSTREAM_PROTOCOL.value
+        assert "valid: " in one.detail
+
+
 def check_bounds(endless_by_form, limit_seconds):
     """Check that each endless answer was ended in bounded bytes and time."""
     for form, endless in endless_by_form.items():
