--- a/packages/http/src/lagoonrun_http/upstream.py
+++ b/packages/http/src/lagoonrun_http/upstream.py
@@ -7,7 +7,9 @@
 from lagoonrun_core import patience, types
 from lagoonrun_http import (
     dialing,
+    held_bytes,
     limits,
+    parse_queue,
     periodic,
     read_buffer,
     upstream_connection,
@@ -35,6 +37,11 @@
         Clock of the timeouts.
     dialer
         Opens the connections; None to open them straight to the upstream.
+
+    Attributes
+    ----------
+    held
+        Bytes that the responses hold until they are complete.
     """
 
     def __init__(
@@ -54,6 +61,11 @@
         self._connections: set[upstream_connection.UpstreamConnection] = set()
         self._closed = False
         self._buffer = read_buffer.ReadBuffer()
+        self._parse_queue = parse_queue.ParseQueue()
+        self.held = held_bytes.HeldBytes(
+            limit_bytes=limits.held_response_bytes,
+            small_bytes=limits.small_response_bytes,
+        )
         self._sweep = periodic.PeriodicCall(
             interval_seconds=limits.sweep_seconds,
             function=self._check_deadlines,
@@ -134,6 +146,7 @@
         """Close all connections; running responses fail."""
         self._closed = True
         self._sweep.close()
+        self._parse_queue.close()
         for connection in tuple(self._connections):
             connection.abort()
 
@@ -220,6 +233,8 @@
                 clock=self._clock,
                 pool=self,
                 buffer=self._buffer,
+                held=self.held,
+                parse_queue=self._parse_queue,
                 address=endpoint.address,
                 port=endpoint.port,
             ),
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -9,9 +9,11 @@
 from lagoonrun_core import clock as clocks
 from lagoonrun_core import types
 from lagoonrun_http import (
+    held_bytes,
     hop_by_hop,
     limits,
     messages,
+    parse_queue,
     read_buffer,
     tcp_keepalive,
     tcp_reset,
@@ -54,6 +56,10 @@
         Pool that the connection belongs to.
     buffer
         Buffer to read into.
+    held
+        Bytes that all responses hold.
+    parse_queue
+        Queue for responses that have many small parts.
     address, port
         The upstream.
     """
@@ -65,6 +71,8 @@
         clock: clocks.Clock,
         pool: ConnectionPool,
         buffer: read_buffer.ReadBuffer,
+        held: held_bytes.HeldBytes,
+        parse_queue: parse_queue.ParseQueue,
         address: str,
         port: int,
     ) -> None:
@@ -84,6 +92,8 @@
         self._clock = clock
         self._pool = pool
         self._read_buffer = buffer
+        self._held = held
+        self._parse_queue = parse_queue
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=client_limits.header_bytes
         )
@@ -300,12 +310,13 @@
         self._limit_held()
 
     def _continue_later(self) -> None:
-        """Parse the rest in the next turn of the event loop."""
+        """Parse the rest when the other connections have had a turn."""
         self._continuing = True
         self._transport.pause_reading()
-        asyncio.get_running_loop().call_soon(self._continue_reading)
+        self._parse_queue.add(self)
 
-    def _continue_reading(self) -> None:
+    def continue_parsing(self) -> None:
+        """Parse some more of what was read; see `ParsedConnection`."""
         if self.closed or not self._continuing:
             return
         self._read_events()
@@ -330,13 +341,15 @@
 
     def _check_bounds(self) -> None:
         """Fail the response if too much was read that is none of its data."""
-        if self._continuing or self.closed:
+        if self.closed:
             return
         if self._head is not None:
             read, allowed = self._bytes_before_head, self._limits.header_bytes
             what = "before the end of the response head"
         else:
             read, allowed = self._framing_bytes, self._limits.framing_bytes
+            if self._continuing:
+                read -= len(self._h11.trailing_data[0])
             what = "of chunk framing beyond the size of the data"
         if self.busy and read > allowed:
             self._fail(
@@ -367,6 +380,7 @@
                 status=head.status, headers=hop_by_hop.strip(head.headers)
             ),
             connection=self,
+            held=self._held,
             close_delimited=self._is_close_delimited(head),
         )
         self._last_progress = self._clock.running()
--- a/packages/router/src/lagoonrun_router/event_splitter.py
+++ b/packages/router/src/lagoonrun_router/event_splitter.py
@@ -52,6 +52,11 @@
         """Whether part of an event is buffered."""
         return bool(self._incomplete)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes kept until the next event is complete."""
+        return len(self._incomplete) + len(self._before_first)
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return the events that they complete.
 
@@ -109,6 +114,10 @@
             )
 
     def _read_fields(self, complete: bytes) -> None:
+        if _DATA_FIELD not in complete and _ID_FIELD not in complete:
+            # Without this, each line of endless comments would cost a step.
+            self.bytes_without_data += len(complete)
+            return
         has_data = False
         for line in complete.splitlines(keepends=True):
             self.bytes_without_data += len(line)
