Let an unreadable entry concern nothing but itself

Cause: Fields.number called float(), which raises OverflowError; the replica expects FormatError only. The follower's task ended, listed all keys a second later and ended at the same entry.

Where a parser fails in a way that nobody has foreseen, the replica logs it and goes on with the next entry, so that the follower's task does not end.

--- a/packages/duties/src/lagoonrun_duties/usage_record.py
+++ b/packages/duties/src/lagoonrun_duties/usage_record.py
@@ -109,7 +109,14 @@
             windows=tuple(SettledWindow(**row) for row in table["windows"]),
             era=int(table.get("era", 0)),
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise errors.LagoonrunError(
             step=errors.Step.ORDER, detail=f"usage record unreadable: {error}"
         ) from error
--- a/packages/router/src/lagoonrun_router/block_record.py
+++ b/packages/router/src/lagoonrun_router/block_record.py
@@ -28,6 +28,17 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+_INVALID_RECORD = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What reading a record raises if its value is not one of an entry VM."""
+
+
 def decode(
     id: types.BlockId, value: bytes, *, now: float
 ) -> tuple[crash_records.CrashRecord, ...]:
@@ -64,7 +75,7 @@
                 reversed(range(len(crashes))), crashes, strict=True
             )
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _INVALID_RECORD as error:
         raise errors.LagoonrunError(
             step=errors.Step.CONFIGURATION,
             peer=id,
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -51,6 +51,18 @@
 """Silence after which a remote peer counts as lost, and a neighbour no longer
 counts when budgets are divided."""
 
+_PORTS = 1 << 16
+
+_INVALID_RECORD = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What reading a record raises if its value is not one of an entry VM."""
+
 
 def rounded_cores(processor_cores: float) -> float:
     """Return the processor cores of an entry VM, rounded as in messages.
@@ -116,8 +128,11 @@
                 host=str(decoded["host"]), port=int(decoded["port"])
             )
             domain = types.FailureDomain(str(decoded["domain"]))
-            cores = float(decoded.get("processor_cores", 0.0))
-        except (ValueError, KeyError, TypeError) as error:
+            # Rounded here, so that infinities and NaN are rejected.
+            cores = rounded_cores(float(decoded.get("processor_cores", 0.0)))
+            if not 0 < address.port < _PORTS:
+                raise ValueError(f"port {address.port}")
+        except _INVALID_RECORD as error:
             logs.emit(
                 events.LogEvent.PEER_FRAME_REJECTED,
                 level=logging.ERROR,
--- a/packages/router/src/lagoonrun_router/store_replica.py
+++ b/packages/router/src/lagoonrun_router/store_replica.py
@@ -8,6 +8,7 @@
 """
 
 import logging
+import traceback
 from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
@@ -395,6 +396,23 @@
         self._on_declarations(declared)
 
     def _apply_value(self, key: str, value: bytes) -> None:
+        """Apply one entry; an error that it causes concerns this entry only.
+
+        Otherwise one entry would hide all others: the task that reads the store
+        would end, list all keys again and end at the same entry.
+        """
+        try:
+            self._apply_valid_value(key, value)
+        except Exception as error:
+            logs.emit(
+                events.LogEvent.TASK_FAILED,
+                level=logging.ERROR,
+                task=f"store-replica {key}",
+                error=repr(error),
+                trace="".join(traceback.format_tb(error.__traceback__)),
+            )
+
+    def _apply_valid_value(self, key: str, value: bytes) -> None:
         if key == self._layout.declarations_key:
             self.apply_declarations(value, source="store")
         elif key.startswith(self._layout.upstreams_prefix):
@@ -494,13 +512,18 @@
         try:
             return self._layout.decode_upstream(key, value)
         except format_error.FormatError as error:
-            logs.emit(
-                events.LogEvent.UPSTREAM_ENTRY_REJECTED,
-                level=logging.ERROR,
-                key=key,
-                reason=error.detail,
-            )
-            return None
+            reason = error.detail
+        except Exception as error:
+            # An entry may be written by anybody; one that the parser does not
+            # expect must not hide the entries of the other upstreams.
+            reason = repr(error)
+        logs.emit(
+            events.LogEvent.UPSTREAM_ENTRY_REJECTED,
+            level=logging.ERROR,
+            key=key,
+            reason=reason,
+        )
+        return None
 
 
 def _is_restored(*, since: int, until: int) -> bool:
