Do not take an upstream of another version for another process

The request counts as not run and may be retried, as before; its upstream stays in use.

Test: test_version_that_no_upstream_has_ends_the_use_of_none, failed on the upstream_attempt.py before, passes now.

--- a/packages/router/src/lagoonrun_router/dialect.py
+++ b/packages/router/src/lagoonrun_router/dialect.py
@@ -47,6 +47,12 @@
     def is_misdirected(self, head: http_messages.ResponseHead) -> bool:
         """Return whether a process other than the intended one has answered."""
 
+    def names_version(self, head: http_messages.RequestHead) -> bool:
+        """Return whether a request is for upstreams of one version only.
+
+        An upstream of another one answers it as a misdirected request.
+        """
+
     def is_genuine(self, head: http_messages.ResponseHead) -> bool:
         """Return whether the answer carries the signature of an upstream."""
 
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -311,12 +311,17 @@
     ) -> attempt_result.Lost:
         # Read to the end, so that the connection can be reused.
         await response.read_all(_MAX_BUFFERED_ANSWER_BYTES)
+        dialect = self._components.dialect
+        # With a version named, the upstream itself may have answered so.
+        misdirected = dialect.is_misdirected(
+            response.head
+        ) and not dialect.names_version(self._call.head)
         return attempt_result.Lost(
             ran=outcomes.Outcome.NOT_RUN,
             reason=outcomes.Reason.UPSTREAM_REFUSED,
             detail=f"the upstream answered {response.head.status}: not run",
             upstream=upstream,
-            misdirected=self._components.dialect.is_misdirected(response.head),
+            misdirected=misdirected,
         )
 
     async def _read_complete_answer(
--- a/packages/router/tests/test_execution.py
+++ b/packages/router/tests/test_execution.py
@@ -534,3 +534,24 @@
     await world.register(upstream, start=9)
     await wait_for(lambda: client.open_connections == 0)
     assert (await world.ask("/lookups/1", id="r-2")).status == 200
+
+
+async def test_version_that_no_upstream_has_ends_the_use_of_none(world):
+    """Guards against callers that end upstreams by naming a version."""
+
+    async def refuse(exchange):
+        if "Expected-Version" in exchange.head.headers:
+            headers = marked(exchange, Not_Run="1")
+            await exchange.respond(status=421, headers=headers, body=b"")
+        else:
+            await answer_whole(exchange)
+
+    await world.declare(make_route(maximum_attempts=2))
+    for id in ("u-1", "u-2"):
+        await world.add_upstream(refuse, id)
+    await world.ready()
+    for _ in range(3):
+        answer = await world.ask(headers=("Expected-Version: 9",))
+        assert answer.status == 503
+    assert (await world.ask()).status == 200
+    assert all(world.router.directory.is_serving(id) for id in ("u-1", "u-2"))
--- a/packages/standins/src/lagoonrun_standins/router_words.py
+++ b/packages/standins/src/lagoonrun_standins/router_words.py
@@ -59,6 +59,10 @@
         """Return whether the status is 421."""
         return head.status == 421
 
+    def names_version(self, head):
+        """Return whether the request has the header `Expected-Version`."""
+        return "Expected-Version" in head.headers
+
     def is_genuine(self, head):
         """Return whether the answer has the header `Mark`."""
         return "Mark" in head.headers
