Believe nothing about an upstream against its own standing entry

Cause: the service of an entry was not checked; the state LEAVING, the starts of upstreams that have gone and the highest start were kept whatever was written later, to be safe from outdated listings.

- An entry that names a pool which the declarations in force don't have says nothing about its upstream; it is read again when the pools change.
- Only the upstream itself keeps its entry in the store.
So an entry that contradicts is set aside (deferred_entries) and believed if it stands: 3 s if it was written since, which leaves out late writes of ended processes; 10 s if it was not, in which the lease of an ended upstream runs out.
Not while this entry VM does not learn of changes, and not where another upstream has the address.
Peers' word is ignored for 15 s afterwards: it may be an echo.
- Outdated readings no longer reach the directory: changes and listings below the revision that peers have already sent are skipped.

--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -386,7 +386,9 @@
         if lost.ran is not outcomes.Outcome.NOT_RUN:
             self._earlier_may_have_run = True
         if lost.misdirected:
-            self._components.directory.mark_gone(lost.upstream, source="answer")
+            self._components.directory.mark_gone(
+                lost.upstream, source="answer", now=now
+            )
         else:
             self._components.ledger.add_failure(
                 lost.upstream, now=now, unreached=not lost.sent
--- a/packages/router/src/lagoonrun_router/peer_exchange.py
+++ b/packages/router/src/lagoonrun_router/peer_exchange.py
@@ -409,7 +409,7 @@
         if isinstance(message, router_messages.FleetNews):
             self._fleet_news.receive(message, now=now)
             self._table.record_alive(message.entry_vm, now=now)
-            self._mark_leaving(message.leaving_starts, message.entry_vm)
+            self._apply_leaving(message.leaving_starts, message.entry_vm, now)
         elif isinstance(message, router_messages.DomainNews):
             self._receive_domain_news(message, host, now)
         elif isinstance(message, router_messages.RouterState):
@@ -460,7 +460,7 @@
         if not is_newer:
             return
         self._add_members(state.known)
-        self._mark_leaving(state.leaving_starts, state.entry_vm)
+        self._apply_leaving(state.leaving_starts, state.entry_vm, now)
         if state.domain == self._settings.domain:
             self._apply_load(state, now)
             if self._usage is not None:
@@ -480,14 +480,15 @@
                     processor_cores=member.processor_hundredths / 100,
                 )
 
-    def _mark_leaving(
+    def _apply_leaving(
         self,
         leaving: Iterable[router_messages.LeavingUpstream],
         source: types.EntryVmId,
+        now: float,
     ) -> None:
         for one in leaving:
-            self._directory.mark_leaving(
-                one.upstream, start=one.start, source=source
+            self._directory.apply_peer_leaving(
+                one.upstream, start=one.start, source=source, now=now
             )
 
     def _apply_load(
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -520,6 +520,7 @@
         is_current = self.replica.follows_store or bool(
             self._peer_table.store_readers(now=now)
         )
+        self.directory.observe_reading(is_current=is_current, now=now)
         self.exchange.stream_origins.observe_upstreams(
             self.directory.registrations,
             is_current=is_current and self.replica.upstreams_known,
--- a/packages/router/src/lagoonrun_router/store_replica.py
+++ b/packages/router/src/lagoonrun_router/store_replica.py
@@ -23,6 +23,7 @@
     dialect,
     format_error,
     peer_table,
+    upstream_entries,
     upstreams,
 )
 
@@ -104,6 +105,9 @@
         self._layout = layout
         self._directory = directory
         self._peer_table = peers
+        self._upstream_entries = upstream_entries.UpstreamEntries(
+            layout=layout, directory=directory, clock=clock
+        )
         self._blocks = blocks
         self._overrides = overrides
         self._on_declarations = on_declarations
@@ -149,7 +153,11 @@
                 entries_by_key[item.key] = item.value
             else:
                 self._apply_value(item.key, item.value)
-        self._apply_entries(entries_by_key)
+        if revision >= self.store_revision:
+            self._apply_entries(entries_by_key, restored=restored)
+        else:
+            # Peers have sent later changes since the listing began.
+            entries_by_key = entries_before
         self.read_revision = max(self.read_revision, revision)
         changed = {
             key
@@ -175,6 +183,9 @@
         changed = set()
         for change in changes:
             if self._is_shared_key(change.key):
+                if since != store_module.ABSENT and change.modified <= since:
+                    # Peers have sent it, and maybe later ones of this key.
+                    continue
                 changed.add(change.key)
                 self.store_revision = max(self.store_revision, change.modified)
             if change.value is None:
@@ -197,8 +208,7 @@
     def _apply_removal(self, key: str) -> None:
         if key.startswith(self._layout.upstreams_prefix):
             self._entries_by_key.pop(key, None)
-            now = self._clock.monotonic()
-            self._directory.apply_removal(self._upstream_of(key), now=now)
+            self._upstream_entries.apply_removal(key)
             self._on_upstreams()
         elif key.startswith(self._layout.blocked_requests_prefix):
             self._entries_by_key.pop(key, None)
@@ -364,10 +374,11 @@
         """
         if self.follows_store or revision <= self.store_revision:
             return
-        if _is_restored(since=self.store_revision, until=revision):
+        restored = _is_restored(since=self.store_revision, until=revision)
+        if restored:
             self._on_restored()
         self.store_revision = revision
-        self._apply_entries(entries_by_key)
+        self._apply_entries(entries_by_key, restored=restored)
 
     def apply_declarations(self, value: bytes, *, source: str) -> None:
         """Apply an encoded value of the declarations if it is newer."""
@@ -394,6 +405,10 @@
             routes=len(declared.routes),
         )
         self._on_declarations(declared)
+        if self._upstream_entries.apply_declarations(
+            declared, self._entries_by_key
+        ):
+            self._on_upstreams()
 
     def _apply_value(self, key: str, value: bytes) -> None:
         """Apply one entry; an error that it causes concerns this entry only.
@@ -416,7 +431,6 @@
         if key == self._layout.declarations_key:
             self.apply_declarations(value, source="store")
         elif key.startswith(self._layout.upstreams_prefix):
-            self._entries_by_key[key] = value
             self._apply_upstream_entry(key, value)
         elif key.startswith(self._layout.blocked_requests_prefix):
             self._entries_by_key[key] = value
@@ -431,23 +445,11 @@
             self._peer_table.apply_record(types.EntryVmId(name), value)
 
     def _apply_upstream_entry(self, key: str, value: bytes) -> None:
-        """Apply one upstream's entry.
-
-        An entry that cannot be decoded, such as one overwritten by another
-        writer, makes its upstream unusable and leaves the others as they are.
-        """
-        registration = self._decode_upstream(key, value)
-        if registration is None:
-            self._directory.mark_unreadable(self._upstream_of(key))
-        else:
-            now = self._clock.monotonic()
-            self._directory.apply_entry(registration, now=now)
+        self._entries_by_key[key] = value
+        if self._upstream_entries.apply(key, value):
             self.upstreams_known = True
         self._on_upstreams()
 
-    def _upstream_of(self, key: str) -> types.UpstreamId:
-        return types.UpstreamId(key.removeprefix(self._layout.upstreams_prefix))
-
     def _on_restored(self) -> None:
         """Notify the directory and the blocks that the store was restored.
 
@@ -470,8 +472,11 @@
     def _override_key_of(self, key: str) -> str:
         return key.removeprefix(self._layout.overrides_prefix)
 
-    def _apply_entries(self, entries_by_key: Mapping[str, bytes]) -> None:
-        missing = self._entries_by_key.keys() - entries_by_key.keys()
+    def _apply_entries(
+        self, entries_by_key: Mapping[str, bytes], *, restored: bool
+    ) -> None:
+        before = self._entries_by_key
+        missing = before.keys() - entries_by_key.keys()
         self._entries_by_key = dict(entries_by_key)
         prefix = self._layout.upstreams_prefix
         upstream_entries = {
@@ -479,7 +484,11 @@
             for key, value in entries_by_key.items()
             if key.startswith(prefix)
         }
-        self._apply_upstreams(upstream_entries)
+        self._upstream_entries.apply_listing(
+            upstream_entries, before=before, restored=restored
+        )
+        self.upstreams_known = self.upstreams_known or bool(upstream_entries)
+        self._on_upstreams()
         # Blocks that are missing are left to expire: a listing does not say
         # whether they were removed or never written.
         for key in entries_by_key.keys() - upstream_entries.keys():
@@ -489,42 +498,6 @@
             if key.startswith(self._layout.overrides_prefix):
                 self._apply_removal(key)
 
-    def _apply_upstreams(self, entries_by_key: Mapping[str, bytes]) -> None:
-        registrations = []
-        unreadable = []
-        for key, value in entries_by_key.items():
-            registration = self._decode_upstream(key, value)
-            if registration is None:
-                unreadable.append(self._upstream_of(key))
-            else:
-                registrations.append(registration)
-        self._directory.apply_listing(
-            registrations,
-            unreadable=unreadable,
-            now=self._clock.monotonic(),
-        )
-        self.upstreams_known = self.upstreams_known or bool(entries_by_key)
-        self._on_upstreams()
-
-    def _decode_upstream(
-        self, key: str, value: bytes
-    ) -> upstreams.Registration | None:
-        try:
-            return self._layout.decode_upstream(key, value)
-        except format_error.FormatError as error:
-            reason = error.detail
-        except Exception as error:
-            # An entry may be written by anybody; one that the parser does not
-            # expect must not hide the entries of the other upstreams.
-            reason = repr(error)
-        logs.emit(
-            events.LogEvent.UPSTREAM_ENTRY_REJECTED,
-            level=logging.ERROR,
-            key=key,
-            reason=reason,
-        )
-        return None
-
 
 def _is_restored(*, since: int, until: int) -> bool:
     """Return whether the store was restored between two revisions."""
--- /dev/null
+++ b/packages/router/src/lagoonrun_router/upstream_entries.py
@@ -0,0 +1,145 @@
+"""The upstreams' entries in the store, which other writers may overwrite."""
+
+import logging
+from collections.abc import Mapping
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_core import events, logs, types
+from lagoonrun_router import declarations, dialect, format_error, upstreams
+
+
+class UpstreamEntries:
+    """Decodes entries of upstreams and applies them to the directory.
+
+    An entry that cannot be decoded, or that names a pool which the declarations
+    in force don't have, was not written by an upstream: it makes its upstream
+    unusable until a valid entry replaces it, and says nothing else about it.
+
+    Parameters
+    ----------
+    layout
+        Keys and value formats of the store.
+    directory
+        Receives the registrations of upstreams.
+    clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        layout: dialect.StoreLayout,
+        directory: upstreams.UpstreamDirectory,
+        clock: clocks.Clock,
+    ) -> None:
+        self._layout = layout
+        self._directory = directory
+        self._clock = clock
+        self._pools: frozenset[types.PoolName] | None = None
+        self._unknown_pool_keys: set[str] = set()
+
+    def apply(self, key: str, value: bytes) -> bool:
+        """Apply an entry that was just written; return whether it is valid."""
+        registration = self._decode(key, value)
+        if registration is None:
+            self._directory.mark_unreadable(self._upstream_of(key))
+            return False
+        self._directory.apply_entry(
+            registration, rewritten=True, now=self._clock.monotonic()
+        )
+        return True
+
+    def apply_removal(self, key: str) -> None:
+        """Apply the removal of an entry."""
+        self._unknown_pool_keys.discard(key)
+        self._directory.apply_removal(
+            self._upstream_of(key), now=self._clock.monotonic()
+        )
+
+    def apply_listing(
+        self,
+        value_by_key: Mapping[str, bytes],
+        *,
+        before: Mapping[str, bytes],
+        restored: bool,
+    ) -> None:
+        """Apply a listing of all entries of upstreams.
+
+        Parameters
+        ----------
+        before
+            The entries that were known.
+        restored
+            Whether the store was restored from a backup since: entries that
+            differ may be older than those that were known.
+        """
+        self._unknown_pool_keys &= value_by_key.keys()
+        registrations = []
+        unreadable = []
+        rewritten = set()
+        for key, value in value_by_key.items():
+            registration = self._decode(key, value)
+            if registration is None:
+                unreadable.append(self._upstream_of(key))
+                continue
+            registrations.append(registration)
+            if not restored and before.get(key, value) != value:
+                rewritten.add(registration.id)
+        self._directory.apply_listing(
+            registrations,
+            unreadable=unreadable,
+            rewritten=rewritten,
+            now=self._clock.monotonic(),
+        )
+
+    def apply_declarations(
+        self,
+        declared: declarations.Declarations,
+        value_by_key: Mapping[str, bytes],
+    ) -> bool:
+        """Apply the pools that are declared; return whether entries changed.
+
+        Parameters
+        ----------
+        value_by_key
+            All entries; those with a pool that is declared only now are read
+            again.
+        """
+        pools = frozenset(declared.pools_by_name).union(
+            destination.pool
+            for route in declared.routes
+            for destination in route.destinations
+        )
+        if pools == self._pools:
+            return False
+        self._pools = pools
+        keys, self._unknown_pool_keys = self._unknown_pool_keys, set()
+        for key in keys & value_by_key.keys():
+            self.apply(key, value_by_key[key])
+        return bool(keys)
+
+    def _upstream_of(self, key: str) -> types.UpstreamId:
+        return types.UpstreamId(key.removeprefix(self._layout.upstreams_prefix))
+
+    def _decode(self, key: str, value: bytes) -> upstreams.Registration | None:
+        self._unknown_pool_keys.discard(key)
+        try:
+            registration = self._layout.decode_upstream(key, value)
+        except format_error.FormatError as error:
+            reason = error.detail
+        except Exception as error:
+            # An entry may be written by anybody; one that the parser does not
+            # expect must not hide the entries of the other upstreams.
+            reason = repr(error)
+        else:
+            if self._pools is None or registration.pool in self._pools:
+                return registration
+            self._unknown_pool_keys.add(key)
+            reason = f"pool {registration.pool!r} is not declared"
+        logs.emit(
+            events.LogEvent.UPSTREAM_ENTRY_REJECTED,
+            level=logging.ERROR,
+            key=key,
+            reason=reason,
+        )
+        return None
--- a/packages/router/src/lagoonrun_router/upstream_notices.py
+++ b/packages/router/src/lagoonrun_router/upstream_notices.py
@@ -138,7 +138,7 @@
             )
         if notice.leaving:
             self._directory.mark_leaving(
-                upstream.id, start=upstream.start, source="answer"
+                upstream.id, start=upstream.start, source="answer", now=now
             )
         limit = self.limits.apply_answer(
             instance, notice, sent_at=sent_at, now=now
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -6,6 +6,10 @@
 written again within seconds after the store is reachable, so the upstream stays
 in use until then.
 
+Nothing that is said of an upstream is believed for good: an entry that contradicts
+it and stands in the store for some seconds prevails (`deferred_entries`), since
+only the upstream itself keeps its entry there.
+
 An upstream may restart under the same id. What was known of the previous
 instance is then void: it may have announced that it leaves, and its prefix
 cache and running requests are lost.
@@ -17,6 +21,10 @@
 
 from lagoonrun_core import events, logs, types
 from lagoonrun_protocol import router_messages
+from lagoonrun_router import deferred_entries
+from lagoonrun_router import registration as registrations
+
+Registration = registrations.Registration
 
 LEASE_EXPIRY_GRACE_SECONDS = 2.5
 """Time after an outage of the store in which a missing entry may be written
@@ -66,40 +74,6 @@
 _USABLE_STATES = (UpstreamState.SERVING, UpstreamState.MISSING)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Registration:
-    """What an upstream has registered in the store.
-
-    Parameters
-    ----------
-    slots
-        Requests that it processes concurrently.
-    leaving
-        Whether it is about to stop accepting requests.
-    cold_seconds
-        Remaining time for which it is slow after its start.
-    start
-        Start number of the process; a later instance with the same id has a
-        higher one.
-    reclaimable
-        Whether the platform may terminate it at any time.
-    version
-        Version of its software.
-    """
-
-    id: types.UpstreamId
-    pool: types.PoolName
-    domain: types.FailureDomain
-    host: str
-    port: int
-    slots: int
-    leaving: bool = False
-    cold_seconds: float = 0.0
-    start: types.UpstreamStart = types.UNKNOWN_UPSTREAM_START
-    reclaimable: bool = False
-    version: types.UpstreamVersion = types.UNKNOWN_UPSTREAM_VERSION
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RestartedUpstream:
     """An upstream that has restarted under the same id.
@@ -143,6 +117,8 @@
         self._store_unreachable = False
         self._store_reachable_at = float("-inf")
         self._restored_at = float("-inf")
+        self._deferred = deferred_entries.DeferredEntries()
+        self._confirmed_at_by_id: dict[types.UpstreamId, float] = {}
 
     # Queries.
 
@@ -261,6 +237,7 @@
         registrations: Iterable[Registration],
         *,
         unreadable: Collection[types.UpstreamId] = (),
+        rewritten: Collection[types.UpstreamId] = (),
         now: float,
     ) -> None:
         """Apply a listing of all entries in the store.
@@ -269,26 +246,67 @@
         ----------
         unreadable
             Ids whose entries could not be decoded.
+        rewritten
+            Ids whose entries were written since they were last read.
         """
         listed = {one.id: one for one in registrations}
         for registration in listed.values():
             if self._is_stale_entry(registration, now):
+                self._deferred.put(registration, rewritten=False, now=now)
                 continue
-            self.apply_entry(registration, now=now)
+            self.apply_entry(
+                registration, rewritten=registration.id in rewritten, now=now
+            )
         for id in unreadable:
             self.mark_unreadable(id)
         present = {*listed, *unreadable}
+        self._deferred.retain(listed)
         for id in [id for id in self._known_by_id if id not in present]:
             self.apply_removal(id, now=now)
 
-    def apply_entry(self, registration: Registration, *, now: float) -> None:
-        """Apply a new or changed entry; ignore one of a previous instance."""
+    def apply_entry(
+        self,
+        registration: Registration,
+        *,
+        rewritten: bool = False,
+        now: float,
+    ) -> None:
+        """Apply a new or changed entry.
+
+        One that contradicts what is known is set aside.
+
+        Parameters
+        ----------
+        rewritten
+            Whether it was written after all that is known of its upstream.
+        """
+        if self._contradicts(registration):
+            if not registration.leaving or rewritten:
+                self._deferred.put(registration, rewritten=rewritten, now=now)
+            return
+        self._deferred.discard(registration.id)
+        self._apply_believed(registration, now=now)
+
+    def _contradicts(self, registration: Registration) -> bool:
+        """Return whether an entry says else than what is known.
+
+        It may be of a previous instance, of another writer, or older than the
+        word that the upstream leaves or is gone.
+        """
         gone_start = self._gone_start_by_id.get(registration.id)
         if gone_start is not None and registration.start <= gone_start:
-            return
+            return True
+        known = self._known_by_id.get(registration.id)
+        if known is None or registration.start > known.registration.start:
+            return False
+        if registration.start < known.registration.start:
+            return True
+        return known.state is UpstreamState.LEAVING and not registration.leaving
+
+    def _apply_believed(
+        self, registration: Registration, *, now: float
+    ) -> None:
         known = self._known_by_id.get(registration.id)
-        if known is not None and registration.start < known.registration.start:
-            return
         if known is not None and registration.start > known.registration.start:
             self._record_restart(known, registration)
             known = None
@@ -302,9 +320,6 @@
             if registration.leaving
             else UpstreamState.SERVING
         )
-        if known is not None and known.state is UpstreamState.LEAVING:
-            # An outdated listing must not make it usable again.
-            state = UpstreamState.LEAVING
         self._known_by_id[registration.id] = _KnownUpstream(
             registration=registration,
             state=state,
@@ -314,6 +329,37 @@
         if known is None or known.state is not state:
             _log_state(registration, state, source="store")
 
+    def observe_reading(self, *, is_current: bool, now: float) -> None:
+        """Record whether this entry VM learns of changes of the store."""
+        self._deferred.observe_reading(is_current=is_current, now=now)
+
+    def _apply_due(self, now: float) -> None:
+        """Believe the entries that have stood for long enough."""
+        for registration in self._deferred.pop_due(now=now):
+            if self._is_address_taken(registration):
+                self._deferred.put(registration, rewritten=False, now=now)
+                continue
+            self._gone_start_by_id.pop(registration.id, None)
+            self._expired_by_id.pop(registration.id, None)
+            known = self._known_by_id.get(registration.id)
+            if known is not None and (
+                registration.start != known.registration.start
+            ):
+                self._record_restart(known, registration)
+                del self._known_by_id[registration.id]
+            self._record_confirmed(registration.id, now)
+            self._apply_believed(registration, now=now)
+
+    def _is_address_taken(self, registration: Registration) -> bool:
+        other = self.registration_at(registration.host, registration.port)
+        return other is not None and other.id != registration.id
+
+    def _record_confirmed(self, upstream: types.UpstreamId, now: float) -> None:
+        self._confirmed_at_by_id.pop(upstream, None)
+        self._confirmed_at_by_id[upstream] = now
+        while len(self._confirmed_at_by_id) > _MAX_REMEMBERED_IDS:
+            del self._confirmed_at_by_id[next(iter(self._confirmed_at_by_id))]
+
     def _record_restart(
         self, known: _KnownUpstream, registration: Registration
     ) -> None:
@@ -341,6 +387,7 @@
 
     def apply_removal(self, upstream: types.UpstreamId, *, now: float) -> None:
         """Apply the removal of an entry."""
+        self._deferred.discard(upstream)
         known = self._known_by_id.get(upstream)
         if known is None or known.state is UpstreamState.MISSING:
             return
@@ -360,6 +407,7 @@
         Unlike a missing upstream, which may register again, it is not used
         until a valid entry replaces this one.
         """
+        self._deferred.discard(upstream)
         known = self._known_by_id.get(upstream)
         if known is None or known.state not in _USABLE_STATES:
             return
@@ -388,15 +436,37 @@
 
     # Updates from peers and answers.
 
+    def apply_peer_leaving(
+        self,
+        upstream: types.UpstreamId,
+        *,
+        start: types.UpstreamStart,
+        source: types.EntryVmId,
+        now: float,
+    ) -> None:
+        """Apply a peer's word that an upstream accepts no more requests.
+
+        Peers hand this word on to each other, so for some time after it was
+        refuted it may be an echo.
+        """
+        confirmed_at = self._confirmed_at_by_id.get(upstream)
+        if confirmed_at is not None and now - confirmed_at < _ECHO_SECONDS:
+            return
+        self.mark_leaving(upstream, start=start, source=source, now=now)
+
     def mark_leaving(
         self,
         upstream: types.UpstreamId,
         *,
         start: types.UpstreamStart,
         source: str,
+        now: float,
     ) -> None:
         """Record that an upstream accepts no more requests.
 
+        If its entry stays in the store and says that it serves, it is believed
+        again after some seconds.
+
         Parameters
         ----------
         start
@@ -415,16 +485,27 @@
             return
         if start < known.registration.start:
             return
+        self._defer_known(known, now)
         known.state = UpstreamState.LEAVING
         _log_state(known.registration, known.state, source=source)
 
-    def mark_gone(self, upstream: types.UpstreamId, *, source: str) -> None:
-        """Record that another process answers at the upstream's address."""
+    def mark_gone(
+        self, upstream: types.UpstreamId, *, source: str, now: float
+    ) -> None:
+        """Record that another process answers at the upstream's address.
+
+        If its entry stays in the store, it is tried again after some seconds.
+        """
         known = self._known_by_id.get(upstream)
         if known is not None:
+            self._defer_known(known, now)
             _log_state(known.registration, UpstreamState.LEAVING, source=source)
             self._forget(upstream)
 
+    def _defer_known(self, known: _KnownUpstream, now: float) -> None:
+        if known.state is UpstreamState.SERVING:
+            self._deferred.put(known.registration, rewritten=False, now=now)
+
     def _is_stale_entry(self, registration: Registration, now: float) -> bool:
         """Return whether a listed entry belongs to an upstream that has ended.
 
@@ -441,6 +522,7 @@
         )
 
     def _expire(self, now: float) -> None:
+        self._apply_due(now)
         missing = [
             (id, one)
             for id, one in self._known_by_id.items()
@@ -497,6 +579,11 @@
 """Ids of ended upstreams that are remembered, so that a late entry does not
 make one of them usable again."""
 
+_ECHO_SECONDS = 15.0
+"""Time for which peers' word that an upstream leaves is ignored after its entry
+has refuted it: the time after which the last of them refutes it as well, and
+some seconds for their messages."""
+
 _MAX_REPORTED_LEAVING = 16
 """Maximum number of leaving upstreams in a message, the newest ones: it has to
 fit into a datagram."""
--- /dev/null
+++ b/packages/router/tests/test_upstream_entries.py
@@ -0,0 +1,156 @@
+"""Entries of upstreams that were overwritten, are old, or were lost."""
+
+import dataclasses
+import json
+
+import pytest
+
+from lagoonrun_core import clock as clocks
+from lagoonrun_platform import store as store_module
+from lagoonrun_platform import store_eras
+from lagoonrun_router import (
+    deferred_entries,
+    operator_overrides,
+    peer_table,
+    store_replica,
+    upstreams,
+)
+from lagoonrun_standins.router_samples import (
+    make_declarations,
+    make_registration,
+)
+from lagoonrun_standins.router_words import PlainLayout
+
+
+class Blocks:
+    """Blocked requests; there are none."""
+
+    def on_store_restored(self):
+        """Ignore the restore."""
+
+
+class Reader:
+    """The replica of an entry VM that reads a store of several eras."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        self.layout = PlainLayout()
+        self.directory = upstreams.UpstreamDirectory()
+        self.counter = 1
+        self.era = 1
+        self.replica = store_replica.StoreReplica(
+            layout=self.layout,
+            directory=self.directory,
+            peers=peer_table.PeerTable(entry_vm="vm-1", domain="north"),
+            blocks=Blocks(),
+            overrides=operator_overrides.OperatorOverrides(),
+            on_declarations=lambda declared: None,
+            on_upstreams=lambda: None,
+            clock=self.clock,
+        )
+
+    @property
+    def revision(self):
+        """Revision of the last write."""
+        return self.era << store_eras.ERA_BITS | self.counter
+
+    def declare(self, revision, *pools):
+        """Read the write of declarations with pools."""
+        declared = make_declarations(revision=revision)
+        one = declared.pools_by_name["portal"]
+        self.layout.declared_by_revision[revision] = dataclasses.replace(
+            declared, pools_by_name=dict.fromkeys(("portal", *pools), one)
+        )
+        self.read(self.layout.declarations_key, str(revision).encode())
+
+    def read(self, key, value, at=None):
+        """Read the write of a key, or its removal; the latest by default."""
+        if at is None:
+            self.counter += 1
+            at = self.revision
+        event = store_module.Event(key=key, value=value, modified=at)
+        self.replica.apply_changes((event,), self.revision)
+
+    def entry(self, id, at=None, **changes):
+        """Read the write of an entry."""
+        self.read(self.layout.upstreams_prefix + id, encoded(id, **changes), at)
+
+    def removal(self, id):
+        """Read the removal of an entry."""
+        self.read(self.layout.upstreams_prefix + id, None)
+
+    def listing(self, *ids, revision=None):
+        """Read a listing in which these upstreams have their entries."""
+        revision = self.revision if revision is None else revision
+        items = tuple(
+            store_module.KeyValue(
+                key=self.layout.upstreams_prefix + id,
+                value=encoded(id),
+                modified=revision,
+                created=revision,
+            )
+            for id in ids
+        )
+        self.replica.apply_listing(items, revision)
+
+    def restore(self, *ids):
+        """Read a restored store, whose revision has fallen."""
+        self.era += 1
+        self.counter = 1
+        self.listing(*ids)
+
+    def usable(self):
+        """Return the usable upstreams of the pool `portal`."""
+        now = self.clock.monotonic()
+        return {one.id for one in self.directory.usable("portal", now=now)}
+
+
+def encoded(id, **changes):
+    """Return an entry, by default with an address of its own."""
+    port = 9000 + sum(id.encode())
+    entry = make_registration(id, **{"port": port, **changes})
+    return json.dumps(dataclasses.asdict(entry)).encode()
+
+
+@pytest.fixture
+def reader():
+    made = Reader()
+    made.declare(1)
+    made.listing("u-1", "u-2", "u-3")
+    return made
+
+
+def test_entry_of_an_undeclared_pool_says_nothing_of_its_upstream(reader):
+    """Guards against a foreign entry that is taken for the upstream's own."""
+    reader.entry("u-1", pool="nightly-batch", leaving=True)
+    assert reader.usable() == {"u-2", "u-3"}
+    reader.entry("u-1")
+    assert reader.usable() == {"u-1", "u-2", "u-3"}
+
+
+def test_upstream_that_registers_before_its_pool_is_declared_is_used(reader):
+    """Guards against an entry that is rejected once and never read again."""
+    reader.entry("v-1", pool="later")
+    now = reader.clock.monotonic()
+    assert reader.directory.usable("later", now=now) == ()
+    reader.declare(2, "later")
+    (usable,) = reader.directory.usable("later", now=now)
+    assert usable.id == "v-1"
+
+
+def test_change_that_peers_have_sent_is_not_applied_again(reader):
+    """Guards against an old change that is taken for a new word."""
+    before = reader.revision
+    reader.entry("u-1", leaving=True)
+    reader.entry("u-1", at=before)
+    reader.clock.advance(2.0 * deferred_entries.UNCHANGED_SECONDS)
+    assert reader.usable() == {"u-2", "u-3"}
+
+
+def test_listing_that_peers_have_overtaken_is_not_applied(reader):
+    """Guards against an old listing that is taken for a new word."""
+    before = reader.revision
+    reader.entry("u-1", leaving=True)
+    reader.listing("u-1", "u-2", "u-3", revision=before)
+    reader.clock.advance(2.0 * deferred_entries.UNCHANGED_SECONDS)
+    assert reader.usable() == {"u-2", "u-3"}
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -218,7 +218,7 @@
 def _break_own_leaving() -> None:
     """Ignore notices of leaving in responses, but not the store's entries."""
     upstreams.UpstreamDirectory.mark_leaving = (
-        lambda self, upstream, *, start, source: None
+        lambda self, upstream, *, start, source, now: None
     )
 
 
