Keep an upstream only for an outage that its removal falls into

Cause: until 5 s after an outage every upstream that was missing was kept for 2.5 s from when it went missing, and where most of a pool was missing it got requests all that time. The same held without an outage as soon as over half of all upstreams were missing.

How long an upstream is kept is now decided when its entry disappears: - in an outage or right after it: until 2.5 s after this entry VM reached the store again (those that live are back within about two seconds), and not 2.5 s from each removal; - otherwise 1.2 s. An outage that begins later doesn't prolong it; - 1.7 s where an outage may have gone unseen: most are missing at once, or a peer told of the removal while this entry VM doesn't reach the store. 2.5 s remain only where all upstreams of the deployment are missing at once.

Entry VMs that don't read the store themselves are not told of an outage and go by how many are missing, as before, but for 1.7 s instead of 2.5 s.

--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -4,7 +4,9 @@
 upstream is leaving or dead and gets no new requests. During an outage of the
 store, leases may expire although their upstreams are alive; the entries are
 written again within seconds after the store is reachable, so the upstream stays
-in use until then.
+in use until then. Which of the two it is follows from when the entry was seen to
+disappear; how long the upstream is kept is decided then, and a later outage does
+not prolong it.
 
 Nothing that is said of an upstream is believed for good: an entry that contradicts
 it and stands in the store for some seconds prevails (`deferred_entries`), since
@@ -33,6 +35,12 @@
 The platform promises about two seconds; the rest allows for the watch's delay.
 """
 
+_UNCERTAIN_GRACE_SECONDS = 1.7
+"""Time for which a removed upstream may still be used if it is not known whether
+its lease has expired: most upstreams are missing, or the removal was heard of
+from a peer while this entry VM does not reach the store. No request may reach an
+upstream later than 2 s after it has left; the rest is for the news of it."""
+
 REMOVAL_GRACE_SECONDS = 1.2
 """Time for which a removed upstream may still be used in normal operation,
 where most of its pool is missing.
@@ -103,6 +111,8 @@
     state: UpstreamState
     heard_at: float
     missing_since: float = 0.0
+    kept_until: float = 0.0
+    """Time until which it is used although it is missing."""
     left_at: float | None = None
 
 
@@ -399,6 +409,7 @@
             return
         known.state = UpstreamState.MISSING
         known.missing_since = now
+        known.kept_until = self._kept_until(now)
         _log_state(known.registration, known.state, source="store")
 
     def mark_unreadable(self, upstream: types.UpstreamId) -> None:
@@ -530,11 +541,10 @@
         ]
         if not missing:
             return
-        grace_seconds = REMOVAL_GRACE_SECONDS
-        if self._may_be_lease_expiry(now, missing=len(missing)):
-            grace_seconds = LEASE_EXPIRY_GRACE_SECONDS
+        grace_seconds = self._unexplained_grace(missing=len(missing))
         for id, one in missing:
-            if now - one.missing_since >= grace_seconds:
+            kept_until = max(one.kept_until, one.missing_since + grace_seconds)
+            if now >= kept_until:
                 _log_state(
                     one.registration, UpstreamState.LEAVING, source="absence"
                 )
@@ -550,17 +560,31 @@
         while len(self._expired_by_id) > _MAX_REMEMBERED_IDS:
             del self._expired_by_id[next(iter(self._expired_by_id))]
 
-    def _may_be_lease_expiry(self, now: float, *, missing: int) -> bool:
-        """Return whether leases may have expired during an outage of the store.
+    def _kept_until(self, now: float) -> float:
+        """Return until when an upstream is used whose entry disappears now.
 
-        A long outage may end without any failed call of this entry VM; then
-        most entries are missing at once.
+        One whose lease expired during an outage registers again within two
+        seconds after it. One that leaves later must not be kept for longer.
         """
         if self._store_unreachable:
-            return True
-        if now - self._store_reachable_at < 2.0 * LEASE_EXPIRY_GRACE_SECONDS:
-            return True
-        return missing > _MIN_REGISTERED_SHARE * len(self._known_by_id)
+            return now + _UNCERTAIN_GRACE_SECONDS
+        return max(
+            now + REMOVAL_GRACE_SECONDS,
+            self._store_reachable_at + LEASE_EXPIRY_GRACE_SECONDS,
+        )
+
+    def _unexplained_grace(self, *, missing: int) -> float:
+        """Return how long upstreams are kept for an outage that was not seen.
+
+        An outage may end without any failed call of this entry VM; then most
+        entries are missing at once. Operators never remove all upstreams.
+        """
+        count = len(self._known_by_id)
+        if missing == count and count > 1:
+            return LEASE_EXPIRY_GRACE_SECONDS
+        if missing > _MIN_REGISTERED_SHARE * count:
+            return _UNCERTAIN_GRACE_SECONDS
+        return REMOVAL_GRACE_SECONDS
 
     def _forget(self, upstream: types.UpstreamId) -> None:
         known = self._known_by_id.pop(upstream)
--- a/packages/router/tests/test_upstreams.py
+++ b/packages/router/tests/test_upstreams.py
@@ -191,6 +191,55 @@
     assert usable_ids(directory, expired_at) == ["u-1", "u-2"]
 
 
+LAST_SEND_SECONDS = 1.8
+"""Time after a removal at which no request may be sent any more: requests must
+not arrive later than 2 s after it, and the news and they take some time."""
+
+
+def test_upstreams_that_leave_after_an_outage_get_nothing_late(directory):
+    """Guards against a removal that is taken for a lease expired before.
+
+    The store has been back for so long that all that live have registered.
+    """
+    apply_listing_of(directory, "u-1", "u-2", "u-3")
+    directory.on_store_unreachable()
+    directory.on_store_reachable(now=1010.0)
+    apply_listing_of(directory, "u-1", "u-2", "u-3", now=1010.0)
+    for name in ("u-1", "u-2"):
+        directory.apply_removal(name, now=1013.1)
+    assert usable_ids(directory, 1013.1 + LAST_SEND_SECONDS) == ["u-3"]
+
+
+def test_upstreams_that_leave_in_an_outage_are_kept_until_its_end(directory):
+    """Guards against refusals while those that live register again."""
+    apply_listing_of(directory, "u-1", "u-2", "u-3")
+    directory.on_store_unreachable()
+    directory.on_store_reachable(now=1010.0)
+    for name in ("u-1", "u-2", "u-3"):
+        directory.apply_removal(name, now=1010.2)
+    assert len(usable_ids(directory, 1012.4)) == 3
+    directory.apply_entry(make_registration("u-1"), now=1012.4)
+    assert usable_ids(directory, 1012.4) == ["u-1", "u-2", "u-3"]
+    assert usable_ids(directory, 1012.5) == ["u-1"]
+
+
+def test_upstreams_that_leave_before_an_outage_get_nothing_late(directory):
+    """Guards against an outage that prolongs the use of those that have left."""
+    apply_listing_of(directory, "u-1", "u-2", "u-3")
+    for name in ("u-1", "u-2"):
+        directory.apply_removal(name, now=1000.0)
+    directory.on_store_unreachable()
+    assert usable_ids(directory, 1000.0 + LAST_SEND_SECONDS) == ["u-3"]
+
+
+def test_most_upstreams_that_leave_at_once_get_nothing_late(directory):
+    """Guards against requests to all but one of few upstreams that leave."""
+    apply_listing_of(directory, "u-1", "u-2", "u-3")
+    for name in ("u-1", "u-2"):
+        directory.apply_removal(name, now=1000.0)
+    assert usable_ids(directory, 1000.0 + LAST_SEND_SECONDS) == ["u-3"]
+
+
 def test_lease_expiry_is_detected_without_a_failed_call(directory):
     """A watch lasts through an outage, so that no call of the entry VM fails.
 
