Keep an upstream that left just before a restore of the store out

Cause: only upstreams whose grace was over were remembered as ended; one that was still kept was missing without such a record, and the listing made it usable again.

A listing after a restore no longer brings back an upstream whose entry was seen to disappear, however short before, unless its lease may have expired in an outage. Its entry counts once it has stood for 10 s (deferred_entries), not while another upstream serves at its address. Before, one that was set aside stayed out for good if its entry did not change.

--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -52,10 +52,6 @@
 _MAX_BACKUP_AGE_SECONDS = 60.0
 """Maximum age of a backup at a restore; it is usually some seconds."""
 
-_STALE_ENTRIES_SECONDS = 10.0
-"""Time after a restore in which the backup's entries may belong to upstreams
-that have ended: their leases expire after three heartbeats."""
-
 _CONTINUING_SECONDS = 1.0
 """Time after the notice that an upstream leaves in which a broken stream may
 still be continued there. It serves for at least two seconds after its notice;
@@ -361,8 +357,13 @@
             self._apply_believed(registration, now=now)
 
     def _is_address_taken(self, registration: Registration) -> bool:
-        other = self.registration_at(registration.host, registration.port)
-        return other is not None and other.id != registration.id
+        address = (registration.host, registration.port)
+        return any(
+            one.state is UpstreamState.SERVING
+            and (one.registration.host, one.registration.port) == address
+            for id, one in self._known_by_id.items()
+            if id != registration.id
+        )
 
     def _record_confirmed(self, upstream: types.UpstreamId, now: float) -> None:
         self._confirmed_at_by_id.pop(upstream, None)
@@ -524,10 +525,20 @@
         since the backup. Those that are alive write theirs again, which arrives
         as a change and not in a listing.
         """
+        if now - self._restored_at >= deferred_entries.UNCHANGED_SECONDS:
+            return False
+        known = self._known_by_id.get(registration.id)
+        if known is not None and known.state is UpstreamState.MISSING:
+            # Its entry disappeared a moment before the restore: it has left,
+            # unless its lease may have expired in an outage.
+            kept_seconds = known.kept_until - known.missing_since
+            return (
+                kept_seconds <= REMOVAL_GRACE_SECONDS + _ROUNDING_SECONDS
+                and registration.start <= known.registration.start
+            )
         expired = self._expired_by_id.get(registration.id)
         return (
             expired is not None
-            and now - self._restored_at < _STALE_ENTRIES_SECONDS
             and now - expired.at < _MAX_BACKUP_AGE_SECONDS
             and registration.start <= expired.start
         )
@@ -599,6 +610,8 @@
             del self._gone_start_by_id[next(iter(self._gone_start_by_id))]
 
 
+_ROUNDING_SECONDS = 0.001
+
 _MAX_REMEMBERED_IDS = 1024
 """Ids of ended upstreams that are remembered, so that a late entry does not
 make one of them usable again."""
