Let an upstream register before its pool is declared

test_missing_upstreams_are_a_503_not_run failed since entries of undeclared pools were rejected altogether. Only an entry that moves a known upstream of a declared pool to an undeclared one is foreign; an upstream that is not known yet is registered, and gets no requests until routes lead to its pool.

--- a/packages/router/src/lagoonrun_router/upstream_entries.py
+++ b/packages/router/src/lagoonrun_router/upstream_entries.py
@@ -11,9 +11,10 @@
 class UpstreamEntries:
     """Decodes entries of upstreams and applies them to the directory.
 
-    An entry that cannot be decoded, or that names a pool which the declarations
-    in force don't have, was not written by an upstream: it makes its upstream
-    unusable until a valid entry replaces it, and says nothing else about it.
+    An entry that cannot be decoded, or that moves an upstream to a pool which the
+    declarations in force don't have, was not written by an upstream: it makes its
+    upstream unusable until a valid entry replaces it, and says nothing else
+    about it.
 
     Parameters
     ----------
@@ -118,6 +119,13 @@
             self.apply(key, value_by_key[key])
         return bool(keys)
 
+    def _is_foreign(self, registration: upstreams.Registration) -> bool:
+        if self._pools is None or registration.pool in self._pools:
+            return False
+        # An upstream that is not known yet may register before its pool is
+        # declared.
+        return self._directory.pool_of(registration.id) in self._pools
+
     def _upstream_of(self, key: str) -> types.UpstreamId:
         return types.UpstreamId(key.removeprefix(self._layout.upstreams_prefix))
 
@@ -132,7 +140,7 @@
             # expect must not hide the entries of the other upstreams.
             reason = repr(error)
         else:
-            if self._pools is None or registration.pool in self._pools:
+            if not self._is_foreign(registration):
                 return registration
             self._unknown_pool_keys.add(key)
             reason = f"pool {registration.pool!r} is not declared"
