Apply changed limits to open connections of callers too

Cause: HttpServer.set_limits was for connections that are accepted later, and callers keep theirs.

Open connections take the limits over when they are idle, or with their next request: one that has begun keeps those of its start, which a configuration in force allowed. The idle timeout moves with the limit.

--- a/packages/http/src/lagoonrun_http/connection_owner.py
+++ b/packages/http/src/lagoonrun_http/connection_owner.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Protocol
 
-from lagoonrun_http import rejections
+from lagoonrun_http import limits, rejections
 
 
 class OwnedConnection(Protocol):
@@ -16,6 +16,9 @@
     def check_deadlines(self) -> None:
         """Act on the timeouts that have expired."""
 
+    def set_limits(self, server_limits: limits.ServerLimits) -> None:
+        """Apply limits, to the next request if one is being processed."""
+
     def close_if_idle(self) -> None:
         """Close unless a request arrives within a short delay."""
 
--- a/packages/http/src/lagoonrun_http/server.py
+++ b/packages/http/src/lagoonrun_http/server.py
@@ -108,8 +108,13 @@
         self._sweep.start()
 
     def set_limits(self, limits: limits.ServerLimits) -> None:
-        """Apply `limits` to the connections that are accepted from now on."""
+        """Apply `limits` to new connections and to the next requests of others.
+
+        Callers keep connections for hours, over many changes of the limits.
+        """
         self._limits = limits
+        for connection in tuple(self._connections):
+            connection.set_limits(limits)
 
     def disable_keep_alive(self) -> None:
         """Keep serving, but end each connection with its next response.
--- a/packages/http/src/lagoonrun_http/server_connection.py
+++ b/packages/http/src/lagoonrun_http/server_connection.py
@@ -67,6 +67,7 @@
         buffer: read_buffer.ReadBuffer,
     ) -> None:
         self._limits = server_limits
+        self._next_limits = server_limits
         self._handler = handler
         self._clock = clock
         self._owner = owner
@@ -250,6 +251,21 @@
         if self._phase is _Phase.IDLE:
             self._close()
 
+    def set_limits(self, server_limits: limits.ServerLimits) -> None:
+        """Apply limits; a request that has begun keeps those of its start."""
+        self._next_limits = server_limits
+        if self._phase is _Phase.IDLE:
+            self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        if self._next_limits == self._limits:
+            return
+        before, self._limits = self._limits, self._next_limits
+        # h11 has no public way to change it on an open connection.
+        self._h11._max_incomplete_event_size = self._limits.header_bytes
+        if self._deadline is not None:
+            self._deadline += self._limits.idle_seconds - before.idle_seconds
+
     def check_deadlines(self) -> None:
         """Act on the timeouts that have expired."""
         now = self._clock.monotonic()
@@ -408,6 +424,7 @@
         self._h11.start_next_cycle()
         self._phase = _Phase.IDLE
         self._set_deadline(self._limits.idle_seconds)
+        self._apply_limits()
         self._resume_reading()
         pending, at_end = self._h11.trailing_data
         if pending:
--- a/packages/http/tests/test_connection_close.py
+++ b/packages/http/tests/test_connection_close.py
@@ -4,6 +4,8 @@
 import dataclasses
 import socket
 
+import pytest
+
 from lagoonrun_core import clock as clocks
 from lagoonrun_http import limits, messages, server
 
@@ -75,6 +77,37 @@
     await made.close()
 
 
+LONG_HEAD = b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 200 + b"\r\n\r\n"
+BODY = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200\r\n\r\n" + b"x" * 200
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "request_bytes", "status"),
+    [
+        ({"body_bytes": 100}, {}, BODY, b"200"),
+        ({}, {"body_bytes": 100}, BODY, b"413"),
+        ({"header_bytes": 100}, {}, LONG_HEAD, b"200"),
+        ({}, {"header_bytes": 100}, LONG_HEAD, b"431"),
+    ],
+)
+async def test_changed_limits_apply_to_open_connections(
+    before, after, request_bytes, status
+):
+    """Guards against rejections by limits that are no longer declared."""
+    made = make_server()
+    made.set_limits(limits.ServerLimits(**before))
+    await made.start()
+    caller = await asyncio.open_connection("127.0.0.1", made.port)
+    assert b" 200 " in await ask(*caller)
+    made.set_limits(limits.ServerLimits(**after))
+    reader, writer = caller
+    writer.write(request_bytes)
+    async with asyncio.timeout(WAIT_SECONDS):
+        head = await reader.readuntil(b"\r\n\r\n")
+    assert head.split(b" ")[1] == status
+    await made.close()
+
+
 async def test_changed_limits_apply_to_new_connections():
     made = make_server()
     await made.start()
