--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -4,7 +4,13 @@
 upstream is leaving or dead and gets no new requests. During an outage of the
 store, leases may expire although their upstreams are alive; the entries are
 written again within seconds after the store is reachable, so the upstream stays
-in use until then.
+in use until then. Which of the two it is follows from when the entry was seen to
+disappear; how long the upstream is kept is decided then, and a later outage does
+not prolong it.
+
+Nothing that is said of an upstream is believed for good: an entry that contradicts
+it and stands in the store for some seconds prevails (`deferred_entries`), since
+only the upstream itself keeps its entry there.
 
 An upstream may restart under the same id. What was known of the previous
 instance is then void: it may have announced that it leaves, and its prefix
@@ -17,6 +23,10 @@
 
 from lagoonrun_core import events, logs, types
 from lagoonrun_protocol import router_messages
+from lagoonrun_router import deferred_entries
+from lagoonrun_router import registration as registrations
+
+Registration = registrations.Registration
 
 LEASE_EXPIRY_GRACE_SECONDS = 2.5
 """Time after an outage of the store in which a missing entry may be written
@@ -25,6 +35,12 @@
 The platform promises about two seconds; the rest allows for the watch's delay.
 """
 
+_UNCERTAIN_GRACE_SECONDS = 1.7
+"""Time for which a removed upstream may still be used if it is not known whether
+its lease has expired: most upstreams are missing, or the removal was heard of
+from a peer while this entry VM does not reach the store. No request may reach an
+upstream later than 2 s after it has left; the rest is for the news of it."""
+
 REMOVAL_GRACE_SECONDS = 1.2
 """Time for which a removed upstream may still be used in normal operation,
 where most of its pool is missing.
@@ -36,10 +52,6 @@
 _MAX_BACKUP_AGE_SECONDS = 60.0
 """Maximum age of a backup at a restore; it is usually some seconds."""
 
-_STALE_ENTRIES_SECONDS = 10.0
-"""Time after a restore in which the backup's entries may belong to upstreams
-that have ended: their leases expire after three heartbeats."""
-
 _CONTINUING_SECONDS = 1.0
 """Time after the notice that an upstream leaves in which a broken stream may
 still be continued there. It serves for at least two seconds after its notice;
@@ -66,40 +78,6 @@
 _USABLE_STATES = (UpstreamState.SERVING, UpstreamState.MISSING)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Registration:
-    """What an upstream has registered in the store.
-
-    Parameters
-    ----------
-    slots
-        Requests that it processes concurrently.
-    leaving
-        Whether it is about to stop accepting requests.
-    cold_seconds
-        Remaining time for which it is slow after its start.
-    start
-        Start number of the process; a later instance with the same id has a
-        higher one.
-    reclaimable
-        Whether the platform may terminate it at any time.
-    version
-        Version of its software.
-    """
-
-    id: types.UpstreamId
-    pool: types.PoolName
-    domain: types.FailureDomain
-    host: str
-    port: int
-    slots: int
-    leaving: bool = False
-    cold_seconds: float = 0.0
-    start: types.UpstreamStart = types.UNKNOWN_UPSTREAM_START
-    reclaimable: bool = False
-    version: types.UpstreamVersion = types.UNKNOWN_UPSTREAM_VERSION
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RestartedUpstream:
     """An upstream that has restarted under the same id.
@@ -129,6 +107,8 @@
     state: UpstreamState
     heard_at: float
     missing_since: float = 0.0
+    kept_until: float = 0.0
+    """Time until which it is used although it is missing."""
     left_at: float | None = None
 
 
@@ -143,6 +123,8 @@
         self._store_unreachable = False
         self._store_reachable_at = float("-inf")
         self._restored_at = float("-inf")
+        self._deferred = deferred_entries.DeferredEntries()
+        self._confirmed_at_by_id: dict[types.UpstreamId, float] = {}
 
     # Queries.
 
@@ -261,6 +243,7 @@
         registrations: Iterable[Registration],
         *,
         unreadable: Collection[types.UpstreamId] = (),
+        rewritten: Collection[types.UpstreamId] = (),
         now: float,
     ) -> None:
         """Apply a listing of all entries in the store.
@@ -269,26 +252,67 @@
         ----------
         unreadable
             Ids whose entries could not be decoded.
+        rewritten
+            Ids whose entries were written since they were last read.
         """
         listed = {one.id: one for one in registrations}
         for registration in listed.values():
             if self._is_stale_entry(registration, now):
+                self._deferred.put(registration, rewritten=False, now=now)
                 continue
-            self.apply_entry(registration, now=now)
+            self.apply_entry(
+                registration, rewritten=registration.id in rewritten, now=now
+            )
         for id in unreadable:
             self.mark_unreadable(id)
         present = {*listed, *unreadable}
+        self._deferred.retain(listed)
         for id in [id for id in self._known_by_id if id not in present]:
             self.apply_removal(id, now=now)
 
-    def apply_entry(self, registration: Registration, *, now: float) -> None:
-        """Apply a new or changed entry; ignore one of a previous instance."""
+    def apply_entry(
+        self,
+        registration: Registration,
+        *,
+        rewritten: bool = False,
+        now: float,
+    ) -> None:
+        """Apply a new or changed entry.
+
+        One that contradicts what is known is set aside.
+
+        Parameters
+        ----------
+        rewritten
+            Whether it was written after all that is known of its upstream.
+        """
+        if self._contradicts(registration):
+            if not registration.leaving or rewritten:
+                self._deferred.put(registration, rewritten=rewritten, now=now)
+            return
+        self._deferred.discard(registration.id)
+        self._apply_believed(registration, now=now)
+
+    def _contradicts(self, registration: Registration) -> bool:
+        """Return whether an entry says else than what is known.
+
+        It may be of a previous instance, of another writer, or older than the
+        word that the upstream leaves or is gone.
+        """
         gone_start = self._gone_start_by_id.get(registration.id)
         if gone_start is not None and registration.start <= gone_start:
-            return
+            return True
+        known = self._known_by_id.get(registration.id)
+        if known is None or registration.start > known.registration.start:
+            return False
+        if registration.start < known.registration.start:
+            return True
+        return known.state is UpstreamState.LEAVING and not registration.leaving
+
+    def _apply_believed(
+        self, registration: Registration, *, now: float
+    ) -> None:
         known = self._known_by_id.get(registration.id)
-        if known is not None and registration.start < known.registration.start:
-            return
         if known is not None and registration.start > known.registration.start:
             self._record_restart(known, registration)
             known = None
@@ -302,9 +326,6 @@
             if registration.leaving
             else UpstreamState.SERVING
         )
-        if known is not None and known.state is UpstreamState.LEAVING:
-            # An outdated listing must not make it usable again.
-            state = UpstreamState.LEAVING
         self._known_by_id[registration.id] = _KnownUpstream(
             registration=registration,
             state=state,
@@ -314,6 +335,42 @@
         if known is None or known.state is not state:
             _log_state(registration, state, source="store")
 
+    def observe_reading(self, *, is_current: bool, now: float) -> None:
+        """Record whether this entry VM learns of changes of the store."""
+        self._deferred.observe_reading(is_current=is_current, now=now)
+
+    def _apply_due(self, now: float) -> None:
+        """Believe the entries that have stood for long enough."""
+        for registration in self._deferred.pop_due(now=now):
+            if self._is_address_taken(registration):
+                self._deferred.put(registration, rewritten=False, now=now)
+                continue
+            self._gone_start_by_id.pop(registration.id, None)
+            self._expired_by_id.pop(registration.id, None)
+            known = self._known_by_id.get(registration.id)
+            if known is not None and (
+                registration.start != known.registration.start
+            ):
+                self._record_restart(known, registration)
+                del self._known_by_id[registration.id]
+            self._record_confirmed(registration.id, now)
+            self._apply_believed(registration, now=now)
+
+    def _is_address_taken(self, registration: Registration) -> bool:
+        address = (registration.host, registration.port)
+        return any(
+            one.state is UpstreamState.SERVING
+            and (one.registration.host, one.registration.port) == address
+            for id, one in self._known_by_id.items()
+            if id != registration.id
+        )
+
+    def _record_confirmed(self, upstream: types.UpstreamId, now: float) -> None:
+        self._confirmed_at_by_id.pop(upstream, None)
+        self._confirmed_at_by_id[upstream] = now
+        while len(self._confirmed_at_by_id) > _MAX_REMEMBERED_IDS:
+            del self._confirmed_at_by_id[next(iter(self._confirmed_at_by_id))]
+
     def _record_restart(
         self, known: _KnownUpstream, registration: Registration
     ) -> None:
@@ -341,6 +398,7 @@
 
     def apply_removal(self, upstream: types.UpstreamId, *, now: float) -> None:
         """Apply the removal of an entry."""
+        self._deferred.discard(upstream)
         known = self._known_by_id.get(upstream)
         if known is None or known.state is UpstreamState.MISSING:
             return
@@ -352,6 +410,7 @@
             return
         known.state = UpstreamState.MISSING
         known.missing_since = now
+        known.kept_until = self._kept_until(now)
         _log_state(known.registration, known.state, source="store")
 
     def mark_unreadable(self, upstream: types.UpstreamId) -> None:
@@ -360,6 +419,7 @@
         Unlike a missing upstream, which may register again, it is not used
         until a valid entry replaces this one.
         """
+        self._deferred.discard(upstream)
         known = self._known_by_id.get(upstream)
         if known is None or known.state not in _USABLE_STATES:
             return
@@ -388,15 +448,37 @@
 
     # Updates from peers and answers.
 
+    def apply_peer_leaving(
+        self,
+        upstream: types.UpstreamId,
+        *,
+        start: types.UpstreamStart,
+        source: types.EntryVmId,
+        now: float,
+    ) -> None:
+        """Apply a peer's word that an upstream accepts no more requests.
+
+        Peers hand this word on to each other, so for some time after it was
+        refuted it may be an echo.
+        """
+        confirmed_at = self._confirmed_at_by_id.get(upstream)
+        if confirmed_at is not None and now - confirmed_at < _ECHO_SECONDS:
+            return
+        self.mark_leaving(upstream, start=start, source=source, now=now)
+
     def mark_leaving(
         self,
         upstream: types.UpstreamId,
         *,
         start: types.UpstreamStart,
         source: str,
+        now: float,
     ) -> None:
         """Record that an upstream accepts no more requests.
 
+        If its entry stays in the store and says that it serves, it is believed
+        again after some seconds.
+
         Parameters
         ----------
         start
@@ -415,16 +497,27 @@
             return
         if start < known.registration.start:
             return
+        self._defer_known(known, now)
         known.state = UpstreamState.LEAVING
         _log_state(known.registration, known.state, source=source)
 
-    def mark_gone(self, upstream: types.UpstreamId, *, source: str) -> None:
-        """Record that another process answers at the upstream's address."""
+    def mark_gone(
+        self, upstream: types.UpstreamId, *, source: str, now: float
+    ) -> None:
+        """Record that another process answers at the upstream's address.
+
+        If its entry stays in the store, it is tried again after some seconds.
+        """
         known = self._known_by_id.get(upstream)
         if known is not None:
+            self._defer_known(known, now)
             _log_state(known.registration, UpstreamState.LEAVING, source=source)
             self._forget(upstream)
 
+    def _defer_known(self, known: _KnownUpstream, now: float) -> None:
+        if known.state is UpstreamState.SERVING:
+            self._deferred.put(known.registration, rewritten=False, now=now)
+
     def _is_stale_entry(self, registration: Registration, now: float) -> bool:
         """Return whether a listed entry belongs to an upstream that has ended.
 
@@ -432,15 +525,26 @@
         since the backup. Those that are alive write theirs again, which arrives
         as a change and not in a listing.
         """
+        if now - self._restored_at >= deferred_entries.UNCHANGED_SECONDS:
+            return False
+        known = self._known_by_id.get(registration.id)
+        if known is not None and known.state is UpstreamState.MISSING:
+            # Its entry disappeared a moment before the restore: it has left,
+            # unless its lease may have expired in an outage.
+            kept_seconds = known.kept_until - known.missing_since
+            return (
+                kept_seconds <= REMOVAL_GRACE_SECONDS + _ROUNDING_SECONDS
+                and registration.start <= known.registration.start
+            )
         expired = self._expired_by_id.get(registration.id)
         return (
             expired is not None
-            and now - self._restored_at < _STALE_ENTRIES_SECONDS
             and now - expired.at < _MAX_BACKUP_AGE_SECONDS
             and registration.start <= expired.start
         )
 
     def _expire(self, now: float) -> None:
+        self._apply_due(now)
         missing = [
             (id, one)
             for id, one in self._known_by_id.items()
@@ -448,11 +552,10 @@
         ]
         if not missing:
             return
-        grace_seconds = REMOVAL_GRACE_SECONDS
-        if self._may_be_lease_expiry(now, missing=len(missing)):
-            grace_seconds = LEASE_EXPIRY_GRACE_SECONDS
+        grace_seconds = self._unexplained_grace(missing=len(missing))
         for id, one in missing:
-            if now - one.missing_since >= grace_seconds:
+            kept_until = max(one.kept_until, one.missing_since + grace_seconds)
+            if now >= kept_until:
                 _log_state(
                     one.registration, UpstreamState.LEAVING, source="absence"
                 )
@@ -468,17 +571,31 @@
         while len(self._expired_by_id) > _MAX_REMEMBERED_IDS:
             del self._expired_by_id[next(iter(self._expired_by_id))]
 
-    def _may_be_lease_expiry(self, now: float, *, missing: int) -> bool:
-        """Return whether leases may have expired during an outage of the store.
+    def _kept_until(self, now: float) -> float:
+        """Return until when an upstream is used whose entry disappears now.
 
-        A long outage may end without any failed call of this entry VM; then
-        most entries are missing at once.
+        One whose lease expired during an outage registers again within two
+        seconds after it. One that leaves later must not be kept for longer.
         """
         if self._store_unreachable:
-            return True
-        if now - self._store_reachable_at < 2.0 * LEASE_EXPIRY_GRACE_SECONDS:
-            return True
-        return missing > _MIN_REGISTERED_SHARE * len(self._known_by_id)
+            return now + _UNCERTAIN_GRACE_SECONDS
+        return max(
+            now + REMOVAL_GRACE_SECONDS,
+            self._store_reachable_at + LEASE_EXPIRY_GRACE_SECONDS,
+        )
+
+    def _unexplained_grace(self, *, missing: int) -> float:
+        """Return how long upstreams are kept for an outage that was not seen.
+
+        An outage may end without any failed call of this entry VM; then most
+        entries are missing at once. Operators never remove all upstreams.
+        """
+        count = len(self._known_by_id)
+        if missing == count and count > 1:
+            return LEASE_EXPIRY_GRACE_SECONDS
+        if missing > _MIN_REGISTERED_SHARE * count:
+            return _UNCERTAIN_GRACE_SECONDS
+        return REMOVAL_GRACE_SECONDS
 
     def _forget(self, upstream: types.UpstreamId) -> None:
         known = self._known_by_id.pop(upstream)
@@ -493,10 +610,17 @@
             del self._gone_start_by_id[next(iter(self._gone_start_by_id))]
 
 
+_ROUNDING_SECONDS = 0.001
+
 _MAX_REMEMBERED_IDS = 1024
 """Ids of ended upstreams that are remembered, so that a late entry does not
 make one of them usable again."""
 
+_ECHO_SECONDS = 15.0
+"""Time for which peers' word that an upstream leaves is ignored after its entry
+has refuted it: the time after which the last of them refutes it as well, and
+some seconds for their messages."""
+
 _MAX_REPORTED_LEAVING = 16
 """Maximum number of leaving upstreams in a message, the newest ones: it has to
 fit into a datagram."""
