--- a/packages/protocol/src/lagoonrun_protocol/router_messages.py
+++ b/packages/protocol/src/lagoonrun_protocol/router_messages.py
@@ -419,6 +419,9 @@
         Digests of the parts of its prompt that other requests may share.
     version
         Software version of the upstream.
+    ran_milliseconds
+        Time from the write of the request to the crash; 0 if it is not stated,
+        as by earlier releases.
     """
 
     request: types.RequestDigest
@@ -430,6 +433,7 @@
     void: bool = False
     parts: tuple[types.PromptPartDigest, ...] = ()
     version: str = ""
+    ran_milliseconds: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/protocol/src/lagoonrun_protocol/schema.capnp
+++ b/packages/protocol/src/lagoonrun_protocol/schema.capnp
@@ -331,6 +331,7 @@
   void @6 :Bool;
   parts @7 :List(Text);
   version @8 :Text;
+  ranMilliseconds @9 :UInt32;
 }
 
 struct AnsweredPart {
--- a/packages/router/src/lagoonrun_router/block_record.py
+++ b/packages/router/src/lagoonrun_router/block_record.py
@@ -1,12 +1,62 @@
-"""Encode a block as compact JSON for the store.
+"""Encode a block, or that it was lifted, as compact JSON for the store.
 
-The record outlives all entry VMs, which may stop at the same time.
+The record outlives all entry VMs, which may stop at the same time. A key that
+is missing says nothing: its lease may have ended, or the store may have been
+restored. So a block that was lifted has a record too, which names the crashes
+that no longer count.
 """
 
 import json
+from collections.abc import Iterable
+from typing import Any
 
 from lagoonrun_core import errors, types
-from lagoonrun_router import crash_records, part_evidence, running_requests
+from lagoonrun_router import crash_records, running_requests
+
+_SPACING_SECONDS = 0.2
+"""Time between the crashes of a block that is read from the store, which has
+only their order."""
+
+
+def encode_lift(lifted: Iterable[crash_records.Charge]) -> bytes:
+    """Return the value of the key of a block that was lifted.
+
+    Parameters
+    ----------
+    lifted
+        Crashes that no longer count, by what they were held against.
+    """
+    crashes = [
+        {
+            "suspect": suspect,
+            "upstream": instance.upstream,
+            "start": instance.start,
+        }
+        for suspect, instance in lifted
+    ]
+    return json.dumps({"lifted": crashes}, separators=(",", ":")).encode()
+
+
+def decode_lift(
+    id: types.BlockId, value: bytes
+) -> frozenset[crash_records.Charge] | None:
+    """Return the lifted crashes; None if the value is not of a lifted block.
+
+    Raises
+    ------
+    LagoonrunError
+        If the value is not a valid record.
+    """
+    try:
+        table = json.loads(value)
+        if "lifted" not in table:
+            return None
+        return frozenset(
+            (types.PromptPartDigest(str(one["suspect"])), _instance_of(one))
+            for one in table["lifted"]
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise _invalid(id, error) from error
 
 
 def encode(block: crash_records.Block) -> bytes:
@@ -50,13 +100,9 @@
         return tuple(
             crash_records.CrashRecord(
                 request=types.RequestDigest(str(one.get("request", id))),
-                instance=running_requests.UpstreamInstance(
-                    upstream=types.UpstreamId(str(one["upstream"])),
-                    start=types.UpstreamStart(int(one["start"])),
-                ),
+                instance=_instance_of(one),
                 route=route,
-                # Crashes at the same moment would count once.
-                seen_at=now - before * 2.0 * part_evidence.CRASH_MOMENT_SECONDS,
+                seen_at=now - before * _SPACING_SECONDS,
                 parts=parts,
                 version=str(one.get("version", "")),
             )
@@ -65,8 +111,19 @@
             )
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise errors.LagoonrunError(
-            step=errors.Step.CONFIGURATION,
-            peer=id,
-            detail=f"invalid record of a blocked request: {error!r}",
-        ) from error
+        raise _invalid(id, error) from error
+
+
+def _instance_of(table: dict[str, Any]) -> running_requests.UpstreamInstance:
+    return running_requests.UpstreamInstance(
+        upstream=types.UpstreamId(str(table["upstream"])),
+        start=types.UpstreamStart(int(table["start"])),
+    )
+
+
+def _invalid(id: types.BlockId, error: Exception) -> errors.LagoonrunError:
+    return errors.LagoonrunError(
+        step=errors.Step.CONFIGURATION,
+        peer=id,
+        detail=f"invalid record of a blocked request: {error!r}",
+    )
--- a/packages/router/src/lagoonrun_router/block_writer.py
+++ b/packages/router/src/lagoonrun_router/block_writer.py
@@ -1,4 +1,4 @@
-"""Persist blocks of what crashes upstreams in the store.
+"""Persist blocks of what crashes upstreams in the store, and their ends.
 
 Otherwise a stop of the whole fleet, or of all entry VMs that know of the
 crashes, would let the requests run again.
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
 from lagoonrun_core import supervised_task, types
 from lagoonrun_platform import store as store_module
@@ -16,11 +17,11 @@
 time within which entry VMs must know of a block once it is available again."""
 
 _MAX_PENDING = 64
-"""Maximum number of pending writes and removals; the oldest are dropped."""
+"""Maximum number of pending writes; the oldest are dropped."""
 
 
 class BlockWriter:
-    """Writes and removes the keys of blocks.
+    """Writes the keys of blocks.
 
     A lease removes each key when its crashes expire.
 
@@ -44,9 +45,7 @@
         self._store = store
         self._prefix = prefix
         self._rng = rng
-        self._pending_by_id: dict[
-            types.BlockId, crash_records.Block | None
-        ] = {}
+        self._pending_by_id: dict[types.BlockId, bytes] = {}
         self._wakeup = asyncio.Event()
         self._task = supervised_task.SupervisedTask(
             name="block-keeper", function=self._run
@@ -62,17 +61,17 @@
 
     def write(self, block: crash_records.Block) -> None:
         """Queue a block to be written once the store is available."""
-        self._enqueue(block.id, block)
+        self._enqueue(block.id, block_record.encode(block))
 
-    def remove(self, id: types.BlockId) -> None:
-        """Queue a block to be removed once the store is available."""
-        self._enqueue(id, None)
-
-    def _enqueue(
-        self, id: types.BlockId, block: crash_records.Block | None
+    def write_lift(
+        self, id: types.BlockId, lifted: Iterable[crash_records.Charge]
     ) -> None:
+        """Queue the end of a block to be written in its place."""
+        self._enqueue(id, block_record.encode_lift(lifted))
+
+    def _enqueue(self, id: types.BlockId, value: bytes) -> None:
         self._pending_by_id.pop(id, None)
-        self._pending_by_id[id] = block
+        self._pending_by_id[id] = value
         while len(self._pending_by_id) > _MAX_PENDING:
             del self._pending_by_id[next(iter(self._pending_by_id))]
         self._wakeup.set()
@@ -83,21 +82,15 @@
             if not self._pending_by_id:
                 self._wakeup.clear()
                 continue
-            id, block = next(iter(self._pending_by_id.items()))
-            if not await self._write(id, block):
+            id, value = next(iter(self._pending_by_id.items()))
+            if not await self._write(id, value):
                 pause = _PAUSE_SECONDS * (0.5 + self._rng.random())
                 await asyncio.sleep(pause)
-            elif self._pending_by_id.get(id) is block:
+            elif self._pending_by_id.get(id) is value:
                 self._pending_by_id.pop(id, None)
 
-    async def _write(
-        self, id: types.BlockId, block: crash_records.Block | None
-    ) -> bool:
-        """Write or remove a block (idempotent); return whether it succeeded."""
-        key = self._prefix + id
-        if block is None:
-            result = await self._store.transact(comparisons=(), deletes=[key])
-            return isinstance(result, store_module.Committed)
+    async def _write(self, id: types.BlockId, value: bytes) -> bool:
+        """Write a key (idempotent); return whether it succeeded."""
         lease = await self._store.grant_lease(
             ttl_seconds=crash_evidence.EXPIRY_SECONDS
         )
@@ -107,9 +100,7 @@
             comparisons=(),
             puts=[
                 store_module.Put(
-                    key=key,
-                    value=block_record.encode(block),
-                    lease=lease.lease,
+                    key=self._prefix + id, value=value, lease=lease.lease
                 )
             ],
         )
--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -1,30 +1,27 @@
-"""Which requests and prompt parts crash upstreams, decided without I/O.
-
-All requests that ran at an upstream when it crashed are suspects, of which one
-at most is the cause, as a whole or by a part of its prompt. The cause differs from the others in that it crashes each
-upstream that begins to run it: it is never answered, it runs again at the next
-upstream that crashes, and its caller has received nothing of its answer by
-then. So a request is blocked by the number of its crashes since it was last
-answered. A crash does not count if the answer had begun, or if another suspect
-of it has had more crashes. From a higher number of crashes on, all of them
-count. The crashes of requests that share a part are those of the part, see
-`part_evidence`.
+"""Crash records, answers since, and what is blocked, without I/O.
+
+All requests that ran at an upstream when it crashed are suspects, as a whole
+and by the parts of their prompts. `crash_causes` decides which of them crash
+upstreams.
 """
 
+import collections
 import dataclasses
 from collections.abc import Collection, Iterable
 
 from lagoonrun_core import types
-from lagoonrun_router import crash_records, part_evidence, running_requests
-
-CRASHES_TO_BLOCK = 3
-"""Crashes after which a request is blocked. Each crash breaks all requests
-running there, and a request may be among them by coincidence once or twice."""
-
-CRASHES_TO_BLOCK_ANY = 4
-"""Crashes from which all of them count. Otherwise a request that crashes
-upstreams after its answer has begun, or two that always run together, would
-never be blocked."""
+from lagoonrun_router import (
+    answer_sample,
+    answer_times,
+    crash_causes,
+    crash_index,
+    crash_records,
+    running_requests,
+    upstream_uptime,
+)
+
+CRASHES_TO_BLOCK = crash_causes.MIN_CRASHES
+CRASHES_TO_BLOCK_ANY = crash_causes.MIN_CRASHES_ANY
 
 BLOCK_SECONDS = 300.0
 """Duration of a block from the newest crash on, which is also the Retry-After
@@ -34,38 +31,78 @@
 EXPIRY_SECONDS = 600.0
 """Age at which a crash expires."""
 
+ANSWERED_SECONDS = 300.0
+"""Age up to which an answer shows that a suspect was harmless lately."""
+
 MAX_RECORDS = 2048
 """Maximum number of records; at a few hundred bytes each, half a megabyte."""
 
 MAX_PARTS_OF_RECORDS = 8192
 """Maximum number of parts in all records, two megabytes."""
 
-_MAX_BLOCKS_AGE_SECONDS = 1.0
+_MAX_ANSWERED_PARTS = 4096
+_MAX_ANSWERED_REQUESTS = 2048
+"""Maximum numbers of parts and of requests with the time of their last answer, a
+hundred bytes each. Most requests are never repeated."""
+
+_MAX_LIFTED = 4096
+
+_MAX_BLOCKS_AGE_SECONDS = 0.25
 """Age from which blocks are computed anew although no record has changed."""
 
 
 class CrashEvidence:
-    """Crash records by request, of all entry VMs as far as they are known here.
+    """Crash records and answers of all entry VMs, as far as they are known here.
 
     Merging is idempotent and commutative, and a void record stays void. So all
     entry VMs that have received the same records, in any order and any number
     of times, block the same requests.
+
+    Parameters
+    ----------
+    uptime
+        For how long upstreams have served; None to count crashes only.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, uptime: upstream_uptime.UpstreamUptime | None = None
+    ) -> None:
+        self._uptime = uptime
+        self._index = crash_index.CrashIndex()
         self._records_by_request: dict[
             types.RequestDigest,
             dict[running_requests.UpstreamInstance, crash_records.CrashRecord],
         ] = {}
-        self._suspects_by_instance: dict[
-            running_requests.UpstreamInstance, set[types.RequestDigest]
-        ] = {}
         self._size = 0
-        self._parts = part_evidence.PartEvidence()
+        self._known_instances: collections.Counter[
+            running_requests.UpstreamInstance
+        ] = collections.Counter()
         self._parts_of_records = 0
-        self._causes: set[part_evidence.PartCause] = set()
+        self._answered_parts = answer_times.AnswerTimes(
+            maximum=_MAX_ANSWERED_PARTS
+        )
+        self._answered_requests = answer_times.AnswerTimes(
+            maximum=_MAX_ANSWERED_REQUESTS
+        )
+        self.answer_sample = answer_sample.AnswerSample()
+        self._open_by_suspect: dict[
+            crash_records.Suspect,
+            dict[
+                running_requests.UpstreamInstance,
+                list[crash_records.CrashRecord],
+            ],
+        ] = {}
+        """Records since the last answer, computed when they are asked for."""
+
+        self._lifted: dict[crash_records.Charge, None] = {}
+        """Crashes that no longer count against a suspect, the newest last."""
+
+        self._causes: set[crash_causes.Cause] = set()
+        """Causes that only the store knows."""
+
         self._blocks: tuple[crash_records.Block, ...] | None = None
         self._blocks_at = 0.0
+        self._now = 0.0
 
     # Queries.
 
@@ -102,44 +139,59 @@
             self._blocks_at = now
         return tuple(one for one in self._blocks if now < one.until)
 
-    def bears(
-        self, block: crash_records.Block, version: str, *, now: float
-    ) -> bool:
-        """Return whether upstreams of a version answer requests of a block."""
-        return bool(block.parts) and self._parts.bears(
-            block.parts, version, now=now
-        )
+    def bears(self, block: crash_records.Block, version: str) -> bool:
+        """Return whether upstreams of a version answer requests of a block.
 
-    def part_answers(
-        self, *, since: float
-    ) -> tuple[part_evidence.PartAnswer, ...]:
-        """Return the answers since then to parts that have crashes."""
-        return self._parts.answers(since=since)
+        They have since the first of its crashes, and none of them has crashed
+        under it.
+        """
+        first_at = min(one.seen_at for one in block.records)
+        return all(
+            self.answered_at(suspect, version) > first_at
+            and not any(
+                record.version == version
+                for records in self._open_records(suspect).values()
+                for record in records
+            )
+            for suspect in block.suspects
+        )
 
-    def part_answered_at(
-        self, part: types.PromptPartDigest, version: str
+    def answered_at(
+        self, suspect: crash_records.Suspect, version: str | None = None
     ) -> float:
-        """Return the time of the last answer; minus infinity for none."""
-        return self._parts.answered_at(part, version)
+        """Return when the last answered run began; minus infinity for none."""
+        return max(
+            self._answered_parts.begun_at(suspect, version),
+            self._answered_requests.begun_at(suspect, version),
+        )
 
-    def most_suspect_parts(
-        self, limit: int
-    ) -> dict[types.PromptPartDigest, int]:
-        """Return the parts with most crashes since their last answer."""
-        return self._parts.most_suspect(limit)
+    def answers_to_suspects(
+        self, *, since: float
+    ) -> tuple[answer_times.Answer, ...]:
+        """Return answers of later runs to parts that have crashes."""
+        return tuple(
+            one
+            for one in self._answered_parts.answers(since=since)
+            if one.suspect in self._index
+        )
 
-    def part_last_answered_at(self, part: types.PromptPartDigest) -> float:
-        """Return the time of the last answer at any version."""
-        return self._parts.last_answer(part)
+    def crash_count(self, suspect: crash_records.Suspect) -> int:
+        """Return the number of crashes since the last answer."""
+        return len(self._open_records(suspect))
 
-    def is_suspect_part(self, part: types.PromptPartDigest) -> bool:
-        """Return whether a part has a crash since its last answer."""
-        return self._parts.is_suspect(part)
+    def crashes_of(
+        self, suspect: crash_records.Suspect
+    ) -> tuple[running_requests.UpstreamInstance, ...]:
+        """Return the crashes since the last answer."""
+        return tuple(self._open_records(suspect))
 
-    def is_suspect(self, request: types.RequestDigest) -> bool:
-        """Return whether a request has records that are not void."""
-        records = self._records_by_request.get(request, {})
-        return any(not one.void for one in records.values())
+    def is_suspect(self, suspect: crash_records.Suspect) -> bool:
+        """Return whether a suspect has crashes since its last answer."""
+        return bool(self._open_records(suspect))
+
+    def weights(self, *, now: float) -> tuple[crash_causes.Weight, ...]:
+        """Return the evidence against all suspects with enough crashes."""
+        return tuple(self._search(now).weights)
 
     @property
     def size(self) -> int:
@@ -180,10 +232,9 @@
         if known is None:
             self._store(record)
             self._size += 1
-            suspects = self._suspects_by_instance.setdefault(
-                record.instance, set()
-            )
-            suspects.add(record.request)
+            self._known_instances[record.instance] += 1
+            if self._uptime is not None:
+                self._uptime.record_end(record.instance, now=record.seen_at)
             self._evict()
             return True
         merged = dataclasses.replace(
@@ -192,6 +243,7 @@
             # If several copies of the request ran there, any may be the cause.
             silent=known.silent or record.silent,
             void=known.void or record.void,
+            ran_seconds=max(known.ran_seconds, record.ran_seconds),
             # A record in the store has only the parts that are blocked.
             parts=tuple(dict.fromkeys((*known.parts, *record.parts))),
         )
@@ -199,32 +251,83 @@
             self._store(merged)
         return merged.void is not known.void
 
-    def record_part_answer(self, answer: part_evidence.PartAnswer) -> bool:
+    def record_part_answer(
+        self, answer: answer_times.Answer, *, now: float
+    ) -> bool:
         """Record an answer; return whether it clears a crash of the part."""
-        cleared = self._parts.record_answer(answer)
-        if cleared:
-            self._blocks = None
-        return cleared
-
-    def add_cause(self, parts: part_evidence.PartCause) -> None:
-        """Add parts that another entry VM knows as a cause."""
-        self._causes.add(parts)
+        return self._record_answer(self._answered_parts, answer, now)
+
+    def record_request_answer(
+        self, answer: answer_times.Answer, *, now: float
+    ) -> bool:
+        """Record an answer; return whether it clears a crash."""
+        return self._record_answer(self._answered_requests, answer, now)
+
+    def _record_answer(
+        self,
+        times: answer_times.AnswerTimes,
+        answer: answer_times.Answer,
+        now: float,
+    ) -> bool:
+        if answer.suspect not in self._index:
+            times.record(answer, now=now)
+            return False
+        before = self.crash_count(answer.suspect)
+        if not times.record(answer, now=now):
+            return False
+        self._open_by_suspect.pop(answer.suspect, None)
+        if self.crash_count(answer.suspect) == before:
+            return False
+        self._blocks = None
+        return True
+
+    def add_cause(self, cause: crash_causes.Cause) -> None:
+        """Add a cause that another entry VM knows."""
+        self._causes.add(cause)
         self._blocks = None
 
     def clear(
-        self, request: types.RequestDigest
+        self,
+        request: types.RequestDigest,
+        *,
+        version: str | None = None,
+        before: float = float("inf"),
     ) -> tuple[crash_records.CrashRecord, ...]:
-        """Mark all records of a request as void; return the changed ones."""
+        """Mark records of a request as void; return the changed ones.
+
+        Parameters
+        ----------
+        version
+            Software version of the upstreams; None for all.
+        before
+            Monotonic time up to which they crashed.
+        """
         records = self._records_by_request.get(request, {})
         changed = [
             dataclasses.replace(one, void=True)
             for one in records.values()
             if not one.void
+            and one.seen_at <= before
+            and version in (None, one.version)
         ]
         for one in changed:
             self._store(one)
         return tuple(changed)
 
+    def lift(self, lifted: Iterable[crash_records.Charge]) -> None:
+        """Count some crashes against their suspects no longer."""
+        for suspect, instance in lifted:
+            self._lifted.pop((suspect, instance), None)
+            self._lifted[suspect, instance] = None
+            self._open_by_suspect.pop(suspect, None)
+        while len(self._lifted) > _MAX_LIFTED:
+            del self._lifted[next(iter(self._lifted))]
+        self._blocks = None
+
+    def knows(self, instance: running_requests.UpstreamInstance) -> bool:
+        """Return whether there are records of the crash of an upstream."""
+        return instance in self._known_instances
+
     def remove_expired(self, *, now: float) -> None:
         """Drop expired records."""
         self._drop(
@@ -234,6 +337,32 @@
             if now - one.seen_at >= EXPIRY_SECONDS
         )
 
+    # Observations for the decision.
+
+    def uptime_seconds(
+        self,
+        instances: Collection[running_requests.UpstreamInstance],
+        *,
+        since: float,
+        until: float,
+    ) -> float:
+        """Return the upstream seconds of the pools of some upstreams."""
+        if self._uptime is None:
+            return float("inf")
+        return self._uptime.seconds(instances, since=since, until=until)
+
+    def count_answers(self, suspect: crash_records.Suspect) -> int:
+        """Return how many of the last answered requests have a part."""
+        return self.answer_sample.count_of(types.PromptPartDigest(suspect))
+
+    def share_of_answers(self, suspect: crash_records.Suspect) -> float:
+        """Return the share of the answered requests that have a part."""
+        return self.answer_sample.share_of(types.PromptPartDigest(suspect))
+
+    def was_answered(self, suspect: crash_records.Suspect) -> bool:
+        """Return whether a suspect was answered lately."""
+        return self._now - self.answered_at(suspect) < ANSWERED_SECONDS
+
     # Helpers.
 
     def _store(self, record: crash_records.CrashRecord) -> None:
@@ -244,137 +373,95 @@
             len(known.parts) if known else 0
         )
         records[record.instance] = record
-        self._parts.add(record)
+        self._index.put(record)
+        self._forget_open(record)
+
+    def _forget_open(self, record: crash_records.CrashRecord) -> None:
+        for suspect in record.suspects:
+            self._open_by_suspect.pop(suspect, None)
         self._blocks = None
 
-    def _find_blocks(self, now: float) -> tuple[crash_records.Block, ...]:
-        crashes_by_request = self._repeated(now)
-        part_blocks = self._find_part_blocks(now, crashes_by_request)
-        blocks = [
-            crash_records.Block(
-                records=counted,
-                until=counted[-1].seen_at + BLOCK_SECONDS,
-                request=request,
-            )
-            for request, crashes in crashes_by_request.items()
-            if len(crashes) >= CRASHES_TO_BLOCK
-            and (counted := self._counted(crashes, part_blocks, now))
-        ]
-        return (*blocks, *part_blocks)
+    def _open_records(
+        self, suspect: crash_records.Suspect
+    ) -> dict[
+        running_requests.UpstreamInstance, list[crash_records.CrashRecord]
+    ]:
+        """Return the records of a suspect since its last answer."""
+        known = self._open_by_suspect.get(suspect)
+        if known is not None:
+            return known
+        found = {}
+        for instance, records in self._index.records_of(suspect).items():
+            later = [
+                one for one in records.values() if self._is_open(suspect, one)
+            ]
+            if later:
+                found[instance] = later
+        if suspect in self._index:
+            self._open_by_suspect[suspect] = found
+        return found
 
-    def _find_part_blocks(
+    def _is_open(
         self,
-        now: float,
-        crashes_by_request: dict[
-            types.RequestDigest, list[crash_records.CrashRecord]
-        ],
-    ) -> list[crash_records.Block]:
-        """Return the blocks of parts.
-
-        Once a part is known as a cause, crashes under other causes don't end
-        its block; an answer does.
-        """
-        self._causes.update(
-            self._parts.causes(
-                now=now,
-                crashes_by_request={
-                    request: frozenset(one.instance for one in crashes)
-                    for request, crashes in crashes_by_request.items()
-                },
-            )
+        suspect: crash_records.Suspect,
+        record: crash_records.CrashRecord,
+    ) -> bool:
+        if (suspect, record.instance) in self._lifted:
+            return False
+        if suspect == record.request:
+            times = self._answered_requests
+            if record.void:
+                return False
+        else:
+            times = self._answered_parts
+        return record.seen_at > times.begun_at(suspect, record.version)
+
+    def _search(self, now: float) -> crash_causes.CauseSearch:
+        self._now = now
+        return crash_causes.CauseSearch(
+            open_records={
+                suspect: open_records
+                for suspect in self._index
+                if (open_records := self._open_records(suspect))
+            },
+            observations=self,
+            now=now,
         )
+
+    def _find_blocks(self, now: float) -> tuple[crash_records.Block, ...]:
+        """Return the blocks of causes found now and of those others know."""
+        found = {one.cause for one in self._search(now).find()}
         blocks = []
-        for parts in tuple(self._causes):
-            crashes = self._parts.crashes_of(parts)
-            if len(crashes) < CRASHES_TO_BLOCK:
-                self._causes.discard(parts)
+        for cause in self._causes | found:
+            records = self._records_of(cause)
+            if len(records) < CRASHES_TO_BLOCK:
+                self._causes.discard(cause)
                 continue
+            requests = [one for one in cause if one in self._records_by_request]
             blocks.append(
                 crash_records.Block(
-                    records=crashes,
-                    until=crashes[-1].seen_at + BLOCK_SECONDS,
-                    parts=parts,
+                    records=records,
+                    until=records[-1].seen_at + BLOCK_SECONDS,
+                    request=requests[0] if requests else None,
+                    parts=frozenset() if requests else cause,
                 )
             )
-        return blocks
-
-    def _repeated(
-        self, now: float
-    ) -> dict[types.RequestDigest, list[crash_records.CrashRecord]]:
-        """Return the valid records of requests that have several."""
-        found = {}
-        for request, records in self._records_by_request.items():
-            if len(records) > 1:
-                crashes = self._crashes_of(request, now)
-                if len(crashes) > 1:
-                    found[request] = crashes
-        return found
+        unique = {one.id: one for one in blocks}
+        return tuple(
+            sorted(unique.values(), key=lambda one: one.request is None)
+        )
 
-    def _counted(
-        self,
-        crashes: list[crash_records.CrashRecord],
-        part_blocks: list[crash_records.Block],
-        now: float,
+    def _records_of(
+        self, cause: crash_causes.Cause
     ) -> tuple[crash_records.CrashRecord, ...]:
-        """Return the crashes that count; none if the request is not blocked.
-
-        Crashes under blocked parts that the request does not have are not its
-        own.
-        """
-        crashes = [
-            one
-            for one in crashes
-            if not any(
-                one.instance in block.crashes
-                and not block.parts.issubset(one.parts)
-                for block in part_blocks
-            )
-        ]
-        if len(crashes) >= CRASHES_TO_BLOCK_ANY:
-            return tuple(crashes)
-        counted = tuple(one for one in crashes if self._is_counted(one, now))
-        if len(counted) < CRASHES_TO_BLOCK or self._parts.explains(
-            counted, now=now
-        ):
-            return ()
-        return counted
-
-    def _crashes_of(
-        self, request: types.RequestDigest, now: float
-    ) -> list[crash_records.CrashRecord]:
-        """Return the valid records of a request, the oldest first."""
-        records = self._records_by_request.get(request)
-        if not records:
-            return []
-        crashes = [
-            one
-            for one in records.values()
-            if not one.void and now - one.seen_at < EXPIRY_SECONDS
+        """Return a record of each crash that all of a cause have, by time."""
+        first, *others = (self._open_records(one) for one in cause)
+        records = [
+            records[0]
+            for instance, records in first.items()
+            if all(instance in one for one in others)
         ]
-        return sorted(crashes, key=lambda one: one.seen_at)
-
-    def _is_counted(self, crash: crash_records.CrashRecord, now: float) -> bool:
-        """Return whether no other suspect explains a crash as well.
-
-        Requests that ran at the same time as the cause are broken by the crash,
-        sent again, and may run at the same time as the cause again. None of
-        them has had as many crashes, or as many before the first byte of its
-        answer.
-        """
-        own = self._suspicion(crash.request, now)
-        return crash.silent and all(
-            self._suspicion(other, now) < own
-            for other in self._suspects_by_instance[crash.instance]
-            if other != crash.request
-        )
-
-    def _suspicion(
-        self, request: types.RequestDigest, now: float
-    ) -> "_Suspicion":
-        crashes = self._crashes_of(request, now)
-        return _Suspicion(
-            crashes=len(crashes), silent=sum(one.silent for one in crashes)
-        )
+        return tuple(sorted(records, key=lambda one: one.seen_at))
 
     def _evict(self) -> None:
         """Drop the quarter of the requests with the fewest crashes."""
@@ -398,14 +485,13 @@
             del records[one.instance]
             if not records:
                 del self._records_by_request[one.request]
-            suspects = self._suspects_by_instance[one.instance]
-            suspects.discard(one.request)
-            if not suspects:
-                del self._suspects_by_instance[one.instance]
             self._size -= 1
+            self._known_instances[one.instance] -= 1
+            if not self._known_instances[one.instance]:
+                del self._known_instances[one.instance]
             self._parts_of_records -= len(one.parts)
-            self._parts.drop(one)
-            self._blocks = None
+            self._index.drop(one)
+            self._forget_open(one)
 
     def _retention_rank(
         self,
@@ -414,23 +500,15 @@
         ],
     ) -> "_RetentionRank":
         """Return the order in which requests are kept on eviction."""
-        parts = {part for one in records.values() for part in one.parts}
+        suspects = {
+            suspect for one in records.values() for suspect in one.suspects
+        }
         return _RetentionRank(
-            crashes=max(
-                sum(not one.void for one in records.values()),
-                *(self._parts.crash_count(part) for part in parts),
-                0,
-            ),
+            crashes=max(self.crash_count(one) for one in suspects),
             newest_at=max(one.seen_at for one in records.values()),
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
-class _Suspicion:
-    crashes: int
-    silent: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
 class _RetentionRank:
     crashes: int
--- a/packages/router/src/lagoonrun_router/crash_guard.py
+++ b/packages/router/src/lagoonrun_router/crash_guard.py
@@ -6,9 +6,11 @@
 from lagoonrun_platform import store as store_module
 from lagoonrun_router import (
     block_writer,
+    crash_evidence,
     crash_watch,
     crashing_requests,
     metrics,
+    upstream_uptime,
     upstreams,
 )
 
@@ -51,8 +53,14 @@
         self._block_writer = block_writer.BlockWriter(
             store=store, prefix=prefix, rng=rng
         )
+        self._directory = directory
+        self._clock = clock
+        self._uptime = upstream_uptime.UpstreamUptime()
         self.crashing_requests = crashing_requests.CrashingRequests(
-            watch=self.watch, block_writer=self._block_writer, clock=clock
+            watch=self.watch,
+            block_writer=self._block_writer,
+            evidence=crash_evidence.CrashEvidence(uptime=self._uptime),
+            clock=clock,
         )
 
     async def start(self) -> None:
@@ -64,6 +72,12 @@
         await self.watch.close()
         await self._block_writer.close()
 
+    def observe_upstreams(self) -> None:
+        """Record which upstreams are registered."""
+        self._uptime.observe(
+            self._directory.registrations, now=self._clock.monotonic()
+        )
+
     def run_housekeeping(self) -> None:
         """Drop expired records and write due blocks; called once a second."""
         self.watch.remove_expired_runs()
--- a/packages/router/src/lagoonrun_router/crash_news.py
+++ b/packages/router/src/lagoonrun_router/crash_news.py
@@ -13,10 +13,10 @@
 from lagoonrun_core import types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
+    answer_times,
     crash_records,
     news_broadcaster,
     part_answer_news,
-    part_evidence,
     running_requests,
 )
 
@@ -38,6 +38,15 @@
 """Maximum number of parts of these records, two kilobytes; a single record may
 have more."""
 
+_TRANSIT_SECONDS = 0.2
+"""Longest time that a message takes from one entry VM to another. An answer that
+is told has begun by that much earlier at most, so that repeated telling never
+makes it newer."""
+
+_UNSTATED_RUN_SECONDS = 0.25
+"""Duration assumed for runs of entry VMs of earlier releases, which state none:
+such a run is not taken for one that crashed its upstream as it began."""
+
 
 class KnownRecords(Protocol):
     """Returns the crash records known to this entry VM."""
@@ -51,11 +60,11 @@
 class KnownAnswers(Protocol):
     """Returns the answers to suspected parts known to this entry VM."""
 
-    def __call__(self, *, since: float) -> tuple[part_evidence.PartAnswer, ...]:
-        """Return those since then, see `CrashEvidence.part_answers`."""
+    def __call__(self, *, since: float) -> tuple[answer_times.Answer, ...]:
+        """Return those since then: `CrashEvidence.answers_to_suspects`."""
 
 
-def _no_answers(*, since: float) -> tuple[part_evidence.PartAnswer, ...]:
+def _no_answers(*, since: float) -> tuple[answer_times.Answer, ...]:
     del since
     return ()
 
@@ -115,7 +124,7 @@
     def forward_answers(
         self,
         received: router_messages.CrashNews,
-        new: tuple[part_evidence.PartAnswer, ...],
+        new: tuple[answer_times.Answer, ...],
         *,
         now: float,
     ) -> None:
@@ -191,7 +200,7 @@
         *,
         now: float,
         records: Iterable[crash_records.CrashRecord] = (),
-        answers: Iterable[part_evidence.PartAnswer] = (),
+        answers: Iterable[answer_times.Answer] = (),
     ) -> router_messages.CrashNews:
         return router_messages.CrashNews(
             entry_vm=self._entry_vm,
@@ -199,9 +208,9 @@
             runs=tuple(_run_of(one, now) for one in records),
             answered_parts=tuple(
                 router_messages.AnsweredPart(
-                    part=one.part,
+                    part=types.PromptPartDigest(one.suspect),
                     version=one.version,
-                    age_milliseconds=_milliseconds(now - one.at),
+                    age_milliseconds=_milliseconds(now - one.begun_at),
                 )
                 for one in answers
             ),
@@ -224,6 +233,9 @@
             void=one.void,
             parts=one.parts,
             version=one.version,
+            ran_seconds=one.ran_milliseconds / 1000.0
+            if one.ran_milliseconds
+            else _UNSTATED_RUN_SECONDS,
         )
         for one in news.runs
     )
@@ -231,13 +243,13 @@
 
 def answers_of(
     news: router_messages.CrashNews, *, now: float
-) -> tuple[part_evidence.PartAnswer, ...]:
+) -> tuple[answer_times.Answer, ...]:
     """Return the answers in a message."""
     return tuple(
-        part_evidence.PartAnswer(
-            part=one.part,
+        answer_times.Answer(
+            suspect=one.part,
             version=one.version,
-            at=now - one.age_milliseconds / 1000.0,
+            begun_at=now - one.age_milliseconds / 1000.0 - _TRANSIT_SECONDS,
         )
         for one in news.answered_parts
     )
@@ -256,6 +268,8 @@
         void=record.void,
         parts=record.parts,
         version=record.version,
+        # 0 means that the duration is not stated.
+        ran_milliseconds=max(1, _milliseconds(record.ran_seconds)),
     )
 
 
--- a/packages/router/src/lagoonrun_router/crash_records.py
+++ b/packages/router/src/lagoonrun_router/crash_records.py
@@ -5,6 +5,12 @@
 from lagoonrun_core import types
 from lagoonrun_router import running_requests
 
+Suspect = types.RequestDigest | types.PromptPartDigest
+"""What may crash upstreams: a request as a whole, or a part of a prompt."""
+
+Charge = tuple[Suspect, running_requests.UpstreamInstance]
+"""A crash that counts against a suspect."""
+
 _SEPARATOR = "+"
 
 _MAX_NAMED_PARTS = 4
@@ -31,6 +37,8 @@
         Parts of its prompt that other requests may share.
     version
         Software version of the upstream.
+    ran_seconds
+        Time from the write of the request to the crash.
     """
 
     request: types.RequestDigest
@@ -41,6 +49,17 @@
     void: bool = False
     parts: tuple[types.PromptPartDigest, ...] = ()
     version: str = ""
+    ran_seconds: float = 0.0
+
+    @property
+    def begun_at(self) -> float:
+        """Monotonic time at which the request was written."""
+        return self.seen_at - self.ran_seconds
+
+    @property
+    def suspects(self) -> tuple[Suspect, ...]:
+        """The request and the parts of its prompt."""
+        return (self.request, *self.parts)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -73,6 +92,13 @@
         named = sorted(self.parts)[:_MAX_NAMED_PARTS]
         return types.BlockId(_SEPARATOR.join(named))
 
+    @property
+    def suspects(self) -> frozenset[Suspect]:
+        """The request, or the parts."""
+        if self.request is not None:
+            return frozenset({self.request})
+        return self.parts
+
     @property
     def route(self) -> str:
         """Route of the newest crash, for operators."""
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -16,6 +16,7 @@
 from lagoonrun_core import errors, events, logs, types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import (
+    answer_times,
     block_record,
     block_writer,
     crash_evidence,
@@ -23,8 +24,6 @@
     crash_records,
     crash_watch,
     part_answer_news,
-    part_evidence,
-    recent_answers,
     running_requests,
 )
 
@@ -36,6 +35,10 @@
 """Delay after which a relay writes a reported block that is not in the store
 yet: the entry VM that detected the crash may have stopped right after it."""
 
+_ANSWERED = "answered"
+_OWN_SOURCES = frozenset(("own", _ANSWERED))
+"""Sources of news that only this entry VM may know."""
+
 _MAX_LOGGED_SUSPECTS = 4
 
 _CRASHES_TO_BROADCAST = 2
@@ -68,7 +71,7 @@
     def forward_answers(
         self,
         received: router_messages.CrashNews,
-        new: tuple[part_evidence.PartAnswer, ...],
+        new: tuple[answer_times.Answer, ...],
         *,
         now: float,
     ) -> None:
@@ -84,6 +87,8 @@
         Detects crashes at this entry VM.
     block_writer
         Writes blocks to the store.
+    evidence
+        Crashes and answers, none yet.
     clock
         Source of time.
     """
@@ -93,17 +98,20 @@
         *,
         watch: crash_watch.CrashWatch,
         block_writer: block_writer.BlockWriter,
+        evidence: crash_evidence.CrashEvidence,
         clock: clocks.Clock,
     ) -> None:
         self._watch = watch
         watch.on_crash = self.record_crash
         watch.on_answer = lambda run: self.record_answer(
-            run.digest, parts=run.parts, version=run.version
+            run.digest,
+            parts=run.parts,
+            version=run.version,
+            begun_at=run.begun_at,
         )
         self._block_writer = block_writer
         self._clock = clock
-        self._evidence = crash_evidence.CrashEvidence()
-        self._answered = recent_answers.RecentAnswers()
+        self._evidence = evidence
         self._blocks_by_id: dict[types.BlockId, crash_records.Block] = {}
         self._stored: set[types.BlockId] = set()
         self._write_at_by_id: dict[types.BlockId, float] = {}
@@ -136,9 +144,7 @@
 
         It does not where requests with the blocked parts are answered.
         """
-        return not self._evidence.bears(
-            block, version, now=self._clock.monotonic()
-        )
+        return not self._evidence.bears(block, version)
 
     def blocks(self) -> tuple[crash_records.Block, ...]:
         """Return all blocks."""
@@ -150,11 +156,9 @@
         """Return records of crashes since then, see `CrashEvidence.records`."""
         return self._evidence.records(since=since)
 
-    def part_answers(
-        self, *, since: float
-    ) -> tuple[part_evidence.PartAnswer, ...]:
-        """Return answers since then, see `CrashEvidence.part_answers`."""
-        return self._evidence.part_answers(since=since)
+    def part_answers(self, *, since: float) -> tuple[answer_times.Answer, ...]:
+        """Return answers since then: `CrashEvidence.answers_to_suspects`."""
+        return self._evidence.answers_to_suspects(since=since)
 
     # Events at this entry VM.
 
@@ -176,8 +180,9 @@
         self,
         request: types.RequestDigest,
         *,
-        parts: Iterable[types.PromptPartDigest] = (),
+        parts: Collection[types.PromptPartDigest] = (),
         version: str = "",
+        begun_at: float | None = None,
     ) -> None:
         """Record that an upstream has answered a request.
 
@@ -187,25 +192,41 @@
             Parts of its prompt that other requests may share.
         version
             Software version of the upstream.
+        begun_at
+            Monotonic time at which the run began; None for now. It says nothing
+            about crashes since.
         """
         now = self._clock.monotonic()
-        self._answered.record(request, now=now)
-        cleared = self._evidence.clear(request)
+        if begun_at is None:
+            begun_at = now
+        cleared = self._evidence.clear(
+            request, version=version, before=begun_at
+        )
         if len(cleared) >= _CRASHES_TO_BROADCAST:
             self._broadcast(cleared, now)
+        self._evidence.answer_sample.add(parts)
+        self._evidence.record_request_answer(
+            answer_times.Answer(
+                suspect=request, version=version, begun_at=begun_at
+            ),
+            now=now,
+        )
         answers = tuple(
-            part_evidence.PartAnswer(part=part, version=version, at=now)
+            answer_times.Answer(
+                suspect=part, version=version, begun_at=begun_at
+            )
             for part in parts
         )
         clearing = tuple(
-            one for one in answers if self._evidence.record_part_answer(one)
+            one
+            for one in answers
+            if self._evidence.record_part_answer(one, now=now)
         )
         if self.part_answer_news is not None:
             for one in clearing:
                 self.part_answer_news.add(one, now=now)
         if cleared or clearing:
-            self._remove_stored({request, *(one.part for one in clearing)})
-            self._update_blocks(source="answered")
+            self._update_blocks(source=_ANSWERED)
 
     def lift(self, id: types.BlockId) -> bool:
         """End a block; return whether there were crash records.
@@ -216,25 +237,29 @@
             Digest of a request or of a part, or the id of a block.
         """
         now = self._clock.monotonic()
-        cleared = self._evidence.clear(types.RequestDigest(id))
-        self._broadcast(cleared, now)
         block = self._blocks_by_id.get(id)
         parts = block.parts if block else {types.PromptPartDigest(id)}
+        lifted = tuple(
+            (suspect, instance)
+            for suspect in (block.suspects if block else {id})
+            for instance in self._evidence.crashes_of(suspect)
+        )
+        cleared = self._evidence.clear(types.RequestDigest(id))
+        self._broadcast(cleared, now)
         answers = tuple(
-            part_evidence.PartAnswer(
-                part=part, version=part_evidence.ALL_VERSIONS, at=now
+            answer_times.Answer(
+                suspect=part, version=answer_times.ALL_VERSIONS, begun_at=now
             )
             for part in parts
-            if self._evidence.is_suspect_part(part)
+            if self._evidence.is_suspect(part)
         )
         for one in answers:
-            self._evidence.record_part_answer(one)
+            self._evidence.record_part_answer(one, now=now)
             if self.part_answer_news is not None:
                 self.part_answer_news.add(one, now=now)
-        self._remove_stored({one.part for one in answers})
         if cleared or answers:
-            # This entry VM may not have heard yet that it is stored.
-            self._block_writer.remove(id)
+            # Another entry VM may store it at this moment.
+            self._block_writer.write_lift(id, lifted)
         self._update_blocks(source="lifted")
         return bool(cleared or answers)
 
@@ -253,15 +278,19 @@
         self._update_blocks(source=news.entry_vm)
         for block in self._blocks_with((*new, *own)):
             stored = block.id in self._stored
-            if self.news is not None and self.news.is_relay and not stored:
-                self._write_at_by_id.setdefault(
-                    block.id, now + _REPORTED_WRITE_DELAY_SECONDS
-                )
+            if not stored:
+                self._write_later((block.id,))
 
     def apply_stored(self, id: types.BlockId, value: bytes) -> None:
         """Apply a block that is in the store."""
         now = self._clock.monotonic()
         try:
+            lifted = block_record.decode_lift(id, value)
+            if lifted is not None:
+                self._stored.discard(id)
+                self._evidence.lift(lifted)
+                self._update_blocks(source="store")
+                return
             records = block_record.decode(id, value, now=now)
         except errors.LagoonrunError as error:
             logs.emit(
@@ -273,42 +302,30 @@
             return
         self._stored.add(id)
         self._write_at_by_id.pop(id, None)
-        self._merge(records, now)
+        unknown = tuple(
+            one for one in records if not self._evidence.knows(one.instance)
+        )
+        if not unknown:
+            # What this entry VM has heard of these crashes says more.
+            return
+        self._merge(unknown, now)
         parts = frozenset(part for one in records for part in one.parts)
-        if parts:
-            self._evidence.add_cause(parts)
+        self._evidence.add_cause(parts or frozenset({types.RequestDigest(id)}))
         self._update_blocks(source="store")
 
     def apply_removed(self, id: types.BlockId) -> None:
-        """Apply the removal of a block from the store.
+        """Write a block again whose key the store no longer has.
 
-        Its lease has expired, or it was lifted.
+        Its lease has expired, and not necessarily because its time was over.
         """
-        if id not in self._stored:
-            return
         self._stored.discard(id)
-        now = self._clock.monotonic()
-        self._evidence.clear(types.RequestDigest(id))
-        block = self._blocks_by_id.get(id)
-        for part in block.parts if block else ():
-            self._evidence.record_part_answer(
-                part_evidence.PartAnswer(
-                    part=part, version=part_evidence.ALL_VERSIONS, at=now
-                )
-            )
-        self._update_blocks(source="removed from the store")
+        if id in self._blocks_by_id:
+            self._write_later((id,))
 
     def on_store_restored(self) -> None:
         """Schedule a relay's rewrite of blocks that the store may lack."""
-        now = self._clock.monotonic()
         lost, self._stored = self._stored, set()
-        if self.news is None or not self.news.is_relay:
-            return
-        for block in self.blocks():
-            if block.id in lost:
-                self._write_at_by_id.setdefault(
-                    block.id, now + _REPORTED_WRITE_DELAY_SECONDS
-                )
+        self._write_later(lost)
 
     def tick(self) -> None:
         """Write due blocks, drop expired records and end expired blocks."""
@@ -324,6 +341,16 @@
 
     # Helpers.
 
+    def _write_later(self, ids: Iterable[types.BlockId]) -> None:
+        """Write blocks, as the relay, unless the store has them by then."""
+        if self.news is None or not self.news.is_relay:
+            return
+        now = self._clock.monotonic()
+        for id in ids:
+            self._write_at_by_id.setdefault(
+                id, now + _REPORTED_WRITE_DELAY_SECONDS
+            )
+
     def _merge(
         self, records: tuple[crash_records.CrashRecord, ...], now: float
     ) -> tuple[crash_records.CrashRecord, ...]:
@@ -331,6 +358,7 @@
             one for one in records if self._evidence.merge(one, now=now)
         )
         self._tell_answered_parts(new, now)
+        self._tell_answered_requests(new, now)
         return new
 
     def _tell_answered_parts(
@@ -342,30 +370,40 @@
         for part, version in {
             (part, one.version) for one in records for part in one.parts
         }:
-            at = self._evidence.part_answered_at(part, version)
+            at = self._evidence.answered_at(part, version)
             if (
-                now - at < part_evidence.ANSWERED_SECONDS
+                now - at < crash_evidence.ANSWERED_SECONDS
                 and not self.part_answer_news.was_told_lately(
                     part, version, now=now
                 )
             ):
-                answer = part_evidence.PartAnswer(
-                    part=part, version=version, at=at
+                answer = answer_times.Answer(
+                    suspect=part, version=version, begun_at=at
                 )
                 self.part_answer_news.add(answer, now=now)
 
+    def _tell_answered_requests(
+        self, records: tuple[crash_records.CrashRecord, ...], now: float
+    ) -> None:
+        """Tell the others which requests were answered here since a crash."""
+        for one in records:
+            begun_at = self._evidence.answered_at(one.request, one.version)
+            cleared = self._evidence.clear(
+                one.request, version=one.version, before=begun_at
+            )
+            if len(cleared) >= _CRASHES_TO_BROADCAST:
+                self._broadcast(cleared, now)
+
     def _receive_answers(
         self, news: router_messages.CrashNews, now: float
     ) -> None:
         answers = crash_news.answers_of(news, now=now)
         clearing = []
         for one in answers:
-            if self._evidence.record_part_answer(one):
+            if self._evidence.record_part_answer(one, now=now):
                 clearing.append(one)
             if self.part_answer_news is not None:
                 self.part_answer_news.record_told(one, now=now)
-        if clearing:
-            self._remove_stored({one.part for one in clearing})
         if clearing and self.news is not None:
             self.news.forward_answers(news, tuple(clearing), now=now)
 
@@ -396,18 +434,20 @@
         if records and self.news is not None:
             self.news.broadcast(records, now=now)
 
-    def _remove_stored(self, cleared: set[str]) -> None:
-        """Remove stored blocks of what was cleared.
+    def _write_lift(self, block: crash_records.Block) -> None:
+        """Write that a stored block has ended by an answer.
 
-        Parameters
-        ----------
-        cleared
-            Digests of requests and of parts.
+        What is left of it may be another block, which is stored by itself.
         """
-        for id in tuple(self._stored):
-            block = self._blocks_by_id.get(id)
-            if id in cleared or (block and cleared & block.parts):
-                self._block_writer.remove(id)
+        lifted = tuple(
+            (suspect, instance)
+            for suspect in block.suspects
+            for instance in frozenset(block.crashes).difference(
+                self._evidence.crashes_of(suspect)
+            )
+        )
+        if lifted:
+            self._block_writer.write_lift(block.id, lifted)
 
     def _blocks_with(
         self, records: Iterable[crash_records.CrashRecord]
@@ -428,46 +468,45 @@
         blocks = self.blocks()
         if not blocks and not before:
             return
-        self._clear_answered(blocks)
-        self._blocks_by_id = {one.id: one for one in self.blocks()}
+        self._blocks_by_id = {one.id: one for one in blocks}
         for id in before.keys() - self._blocks_by_id.keys():
             self._write_at_by_id.pop(id, None)
+            if source == _ANSWERED and id in self._stored:
+                self._write_lift(before[id])
             logs.emit(
                 events.LogEvent.REQUEST_UNBLOCKED, digest=id, reason=source
             )
         for id in self._blocks_by_id.keys() - before.keys():
             self._log_blocked(self._blocks_by_id[id], source)
-
-    def _clear_answered(self, blocks: tuple[crash_records.Block, ...]) -> None:
-        """Clear requests that would be blocked but were answered recently.
-
-        Many callers may send the same request at the same time while several
-        upstreams crash for another reason before the next answer arrives.
-        """
-        now = self._clock.monotonic()
-        for block in blocks:
-            request = block.request
-            if request and self._answered.has(request, now=now):
-                self._broadcast(self._evidence.clear(request), now)
-                self._remove_stored({request})
+            if id in self._stored:
+                continue
+            if source in _OWN_SOURCES:
+                self._write_at_by_id.setdefault(
+                    id, self._clock.monotonic() + _OWN_WRITE_DELAY_SECONDS
+                )
+            else:
+                self._write_later((id,))
 
     def _log_suspects(
         self, instance: running_requests.UpstreamInstance, now: float
     ) -> None:
-        """Log which parts have most crashes, and why they are not blocked."""
-        blocked = frozenset().union(*(one.parts for one in self.blocks()))
+        """Log the strongest evidence, and what is blocked for it."""
+        blocked = frozenset().union(*(one.suspects for one in self.blocks()))
+        weights = sorted(
+            self._evidence.weights(now=now), key=lambda one: one.coincidence
+        )
         suspects = [
             {
-                "part": part,
-                "crashes": crashes,
+                "suspect": one.suspect,
+                "crashes": one.crashes,
+                "share": round(one.share, 5),
+                "coincidence": float(f"{one.coincidence:.2g}"),
                 "answered_seconds_ago": _rounded(
-                    now - self._evidence.part_last_answered_at(part)
+                    now - self._evidence.answered_at(one.suspect)
                 ),
-                "blocked": part in blocked,
+                "blocked": one.suspect in blocked,
             }
-            for part, crashes in self._evidence.most_suspect_parts(
-                _MAX_LOGGED_SUSPECTS
-            ).items()
+            for one in weights[:_MAX_LOGGED_SUSPECTS]
         ]
         logs.emit(
             events.LogEvent.CRASH_SUSPECTS,
@@ -510,6 +549,7 @@
             silent=one.silent,
             parts=one.parts,
             version=one.version,
+            ran_seconds=one.ran_seconds,
         )
         for one in requests
     )
--- a/packages/router/src/lagoonrun_router/part_answer_news.py
+++ b/packages/router/src/lagoonrun_router/part_answer_news.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from lagoonrun_core import types
-from lagoonrun_router import part_evidence
+from lagoonrun_router import answer_times
 
 _SECONDS_PER_PEER = 0.002
 """Longest wait for each peer: a message takes a few milliseconds to arrive."""
@@ -41,13 +41,13 @@
         self._rng = rng
         self._pending_by_key: dict[
             tuple[types.PromptPartDigest, str],
-            tuple[float, part_evidence.PartAnswer],
+            tuple[float, answer_times.Answer],
         ] = {}
         self._told_at: dict[tuple[types.PromptPartDigest, str], float] = {}
 
-    def add(self, answer: part_evidence.PartAnswer, *, now: float) -> None:
+    def add(self, answer: answer_times.Answer, *, now: float) -> None:
         """Tell the others of an answer soon, unless another one does."""
-        key = (answer.part, answer.version)
+        key = (answer.suspect, answer.version)
         is_full = len(self._pending_by_key) >= _MAX_PENDING
         if is_full and key not in self._pending_by_key:
             return
@@ -65,18 +65,16 @@
         told_at = self._told_at.get((part, version), float("-inf"))
         return now - told_at < _HEARD_SECONDS
 
-    def record_told(
-        self, answer: part_evidence.PartAnswer, *, now: float
-    ) -> None:
+    def record_told(self, answer: answer_times.Answer, *, now: float) -> None:
         """Record that another entry VM has told the others of an answer."""
-        key = (answer.part, answer.version)
+        key = (answer.suspect, answer.version)
         self._told_at.pop(key, None)
         self._told_at[key] = now
         self._pending_by_key.pop(key, None)
         while len(self._told_at) > _MAX_PENDING:
             del self._told_at[next(iter(self._told_at))]
 
-    def pop_due(self, *, now: float) -> tuple[part_evidence.PartAnswer, ...]:
+    def pop_due(self, *, now: float) -> tuple[answer_times.Answer, ...]:
         """Return the answers to tell the others now."""
         due = tuple(
             answer
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -507,6 +507,7 @@
                 before.host, before.port, opened_until=restarted.heard_at
             )
         self._observe_versions()
+        self._crash_guard.observe_upstreams()
         if self.replica.upstreams_known:
             self._ingress.on_upstreams_known()
         known = frozenset(one.id for one in self.directory.registrations)
--- a/packages/router/tests/test_block_writer.py
+++ b/packages/router/tests/test_block_writer.py
@@ -90,21 +90,32 @@
     assert await stored(store) is not None
 
 
-async def test_lifted_block_is_removed(writer, store):
+LIFTED = frozenset(("one", instance) for instance in BLOCK.crashes)
+
+
+async def test_lifted_block_is_stored_as_lifted(writer, store):
     before = store.revision
     writer.write(BLOCK)
     await wait_for(lambda: store.revision > before)
     before = store.revision
-    writer.remove("one")
+    writer.write_lift("one", LIFTED)
     await wait_for(lambda: store.revision > before)
-    assert await stored(store) is None
+    found = await stored(store)
+    assert block_record.decode_lift("one", found.value) == LIFTED
 
 
 async def test_lifted_block_that_was_not_written_yet_never_is(writer, store):
     store.reachable = False
     writer.write(BLOCK)
-    writer.remove("one")
-    before = store.calls_by_kind["transact"]
+    writer.write_lift("one", LIFTED)
+    before = store.revision
     store.reachable = True
-    await wait_for(lambda: store.calls_by_kind["transact"] > before)
-    assert await stored(store) is None
+    await wait_for(lambda: store.revision > before)
+    found = await stored(store)
+    assert block_record.decode_lift("one", found.value) == LIFTED
+    assert store.revision == before + 1
+
+
+def test_block_is_no_lift():
+    value = block_record.encode(BLOCK)
+    assert block_record.decode_lift("one", value) is None
--- a/packages/router/tests/test_part_evidence.py
+++ b/packages/router/tests/test_crash_causes.py
@@ -1,51 +1,96 @@
-"""Which parts of prompts are held to crash upstreams."""
+"""Which requests and parts of prompts are held to crash upstreams."""
 
 import pytest
 
 from lagoonrun_router import (
+    answer_times,
+    crash_causes,
     crash_evidence,
     crash_records,
-    part_evidence,
     running_requests,
 )
 
 NOW = 1000.0
+ENOUGH = 20
+"""Crashes after which a cause would be known for long."""
+
+
+class SteadyUptime:
+    """A pool in which a fixed number of upstreams serves at any time."""
+
+    def __init__(self, upstreams=5):
+        self._upstreams = upstreams
+
+    def seconds(self, instances, *, since, until):
+        """Return the upstream seconds of the pool."""
+        del instances
+        return self._upstreams * (until - since)
+
+    def record_end(self, instance, *, now):
+        """Ignore a crash: the upstream is replaced."""
 
 
 class Pool:
     """Crashes of upstreams, one a second, and answers between them."""
 
-    def __init__(self):
-        self.evidence = crash_evidence.CrashEvidence()
+    def __init__(self, *, upstreams=5):
+        self.evidence = crash_evidence.CrashEvidence(
+            uptime=SteadyUptime(upstreams)
+        )
         self.now = NOW
         self._crashes = 0
         self._requests = 0
 
-    def crash(self, *prompts, version="v1", seconds=1.0, request=None):
-        """Crash an upstream that runs a request with each of the prompts."""
+    def crash(
+        self,
+        *prompts,
+        beside="",
+        version="v1",
+        seconds=1.0,
+        request=None,
+        ran_seconds=0.01,
+    ):
+        """Crash an upstream that runs a request with each of the prompts.
+
+        Parameters
+        ----------
+        beside
+            Prompt of one more request, which has run for longer.
+        """
         self.now += seconds
         self._crashes += 1
         for prompt in prompts:
-            self._requests += 1
-            record = crash_records.CrashRecord(
-                request=request or f"r-{self._requests}",
-                instance=running_requests.UpstreamInstance(
-                    upstream=f"u-{self._crashes}", start=1
-                ),
-                route="lookups",
-                seen_at=self.now,
-                parts=tuple(prompt.split()),
-                version=version,
-            )
-            self.evidence.merge(record, now=self.now)
+            self._run(prompt, request, version, ran_seconds)
+        if beside:
+            self._run(beside, None, version, ran_seconds + 0.3)
+
+    def _run(self, prompt, request, version, ran_seconds):
+        self._requests += 1
+        record = crash_records.CrashRecord(
+            request=request or f"r-{self._requests}",
+            instance=running_requests.UpstreamInstance(
+                upstream=f"u-{self._crashes}", start=1
+            ),
+            route="lookups",
+            seen_at=self.now,
+            parts=tuple(prompt.split()),
+            version=version,
+            ran_seconds=ran_seconds,
+        )
+        self.evidence.merge(record, now=self.now)
 
-    def answer(self, prompt, version="v1"):
+    def answer(self, prompt, version="v1", *, ran_seconds=0.0):
         """Have an upstream answer a request."""
-        for part in prompt.split():
+        parts = prompt.split()
+        self.evidence.answer_sample.add(parts)
+        for part in parts:
             self.evidence.record_part_answer(
-                part_evidence.PartAnswer(
-                    part=part, version=version, at=self.now
-                )
+                answer_times.Answer(
+                    suspect=part,
+                    version=version,
+                    begun_at=self.now - ran_seconds,
+                ),
+                now=self.now,
             )
 
     def is_blocked(self, prompt):
@@ -62,7 +107,7 @@
 
 def test_part_of_different_requests_is_blocked_after_three_crashes(pool):
     """Guards against a part that crashes upstreams in ever new requests."""
-    for number in range(part_evidence.CRASHES_TO_BLOCK):
+    for number in range(crash_causes.MIN_CRASHES):
         assert not pool.is_blocked("bad")
         pool.crash(f"shared bad own-{number}", "shared manual")
         pool.answer("shared manual")
@@ -72,7 +117,7 @@
 
 def test_request_that_crashes_upstreams_as_a_whole_blocks_no_part(pool):
     """Guards against refusing all that have something in common with it."""
-    for _ in range(part_evidence.CRASHES_TO_BLOCK_ANSWERED):
+    for _ in range(ENOUGH):
         pool.crash("shared manual", request="whole")
     assert pool.evidence.block_of("whole", now=pool.now)
     assert not pool.is_blocked("shared manual")
@@ -82,27 +127,88 @@
     """Guards against evidence that the first repeated request uses up."""
     for _ in range(3):
         pool.crash("shared bad", request="repeated")
+    assert not pool.is_blocked("other bad")
     pool.crash("other bad")
-    assert not pool.is_blocked("third bad")
     pool.crash("third bad")
     assert pool.is_blocked("fourth bad")
 
 
-def test_crashes_at_the_same_moment_count_once(pool):
+def test_runs_that_began_before_the_first_crash_count_once(pool):
     """Guards against refusing all callers after a loss of power."""
-    for _ in range(20):
-        pool.crash("shared one", "shared two", seconds=0.01)
+    for number in range(ENOUGH):
+        pool.crash(
+            "shared one",
+            "shared two",
+            seconds=0.01,
+            ran_seconds=0.4 + 0.01 * number,
+        )
     assert not pool.is_blocked("shared one")
+    assert not pool.evidence.blocks(now=pool.now)
+
 
+def test_part_that_runs_everywhere_is_not_blocked(pool):
+    """Guards against refusing what many callers share while upstreams crash.
 
-def test_part_that_was_answered_lately_needs_more_crashes(pool):
-    """Guards against refusing what many callers share while upstreams crash."""
+    All upstreams of the pool crash, one after the other, and nothing is
+    answered meanwhile.
+    """
     pool.answer("shared")
+    for number in range(ENOUGH):
+        pool.crash(f"shared own-{number}", seconds=0.1, ran_seconds=0.5)
+    pool.now += crash_causes.LATE_SECONDS
+    assert not pool.is_blocked("shared")
+
+
+def test_part_that_was_answered_until_it_crashes_upstreams_is_blocked(pool):
+    """Guards against setting crashes aside for answers before them."""
+    for _ in range(12):
+        pool.now += 0.5
+        pool.answer("shared bad")
     for number in range(4):
-        pool.crash(f"shared own-{number}")
+        pool.crash(f"shared bad own-{number}", "shared manual")
+        pool.answer("shared manual")
+    assert pool.is_blocked("bad")
+    assert not pool.is_blocked("shared manual")
+
+
+def test_answer_of_a_run_that_began_before_a_crash_clears_nothing(pool):
+    """Guards against an answer that takes back later crashes."""
+    for number in range(3):
+        pool.crash(f"bad own-{number}")
+    pool.now += 1.0
+    pool.answer("bad", ran_seconds=10.0)
+    assert pool.is_blocked("bad")
+    pool.answer("bad", ran_seconds=0.5)
+    assert not pool.is_blocked("bad")
+
+
+def test_part_in_repeated_requests_is_blocked(pool):
+    """Guards against a part whose requests are each repeated and blocked."""
+    for caller in range(4):
+        for _ in range(3):
+            pool.crash("shared bad", request=f"of-caller-{caller}")
+        pool.answer("shared")
+    assert pool.is_blocked("bad")
     assert not pool.is_blocked("shared")
-    pool.crash("shared own-5")
-    assert pool.is_blocked("shared")
+
+
+def test_request_that_is_resent_beside_crashes_is_not_blocked():
+    """Guards against refusing a caller whose long stream met each crash."""
+    pool = Pool(upstreams=2)
+    for _ in range(4):
+        pool.crash("shared", request="long", seconds=3.0, ran_seconds=2.8)
+        pool.answer("shared")
+    pool.now += crash_causes.LATE_SECONDS
+    assert not pool.evidence.block_of("long", now=pool.now)
+
+
+def test_slow_cause_is_blocked_when_it_must_be(pool):
+    """Guards against waiting longer than three seconds after five crashes."""
+    for number in range(5):
+        pool.crash(f"bad own-{number}", seconds=0.5, ran_seconds=0.45)
+    assert not pool.is_blocked("bad")
+    pool.now += crash_causes.LATE_SECONDS
+    assert pool.is_blocked("bad")
 
 
 def test_answer_clears_a_part(pool):
@@ -110,7 +216,7 @@
         pool.crash(f"shared own-{number}")
     pool.answer("shared")
     pool.crash("shared own-3")
-    assert pool.evidence.is_suspect_part("shared")
+    assert pool.evidence.is_suspect("shared")
     assert not pool.is_blocked("shared")
 
 
@@ -177,9 +283,9 @@
         pool.answer("part", version="v1")
         pool.crash(f"part own-{number}", version="v2")
     block = pool.evidence.block_of("new", parts=("part",), now=pool.now)
-    assert pool.evidence.bears(block, "v1", now=pool.now)
-    assert not pool.evidence.bears(block, "v2", now=pool.now)
-    assert not pool.evidence.bears(block, "v3", now=pool.now)
+    assert pool.evidence.bears(block, "v1")
+    assert not pool.evidence.bears(block, "v2")
+    assert not pool.evidence.bears(block, "v3")
 
 
 def test_records_of_made_up_parts_are_bounded(pool):
@@ -209,7 +315,7 @@
     pool.answer("shared")
     for number in range(12):
         for _ in range(2):
-            pool.crash(f"shared new-{number}")
+            pool.crash(f"shared new-{number}", beside="shared manual")
     assert not pool.is_blocked("shared")
 
 
@@ -230,5 +336,21 @@
     for _ in range(4):
         for number in range(5):
             pool.crash("shared", request=f"whole-{number}")
+        pool.answer("shared")
     assert not pool.is_blocked("shared")
-    assert pool.evidence.block_of("whole-0", now=pool.now)
+    for number in range(5):
+        assert pool.evidence.block_of(f"whole-{number}", now=pool.now)
+
+
+def test_version_that_answered_before_the_crashes_is_not_spared(pool):
+    """Guards against sparing a version for what it answered before."""
+    pool.answer("part", version="v1")
+    pool.answer("part", version="v2")
+    for number in range(4):
+        pool.crash(f"part own-{number}", version="v2")
+    block = pool.evidence.block_of("new", parts=("part",), now=pool.now)
+    assert not pool.evidence.bears(block, "v1")
+    pool.answer("part", version="v1")
+    assert pool.evidence.bears(block, "v1")
+    pool.crash("part own-5", version="v1")
+    assert not pool.evidence.bears(block, "v1")
--- a/packages/router/tests/test_crash_news.py
+++ b/packages/router/tests/test_crash_news.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from lagoonrun_protocol import router_codec
+from lagoonrun_protocol import router_codec, router_messages
 from lagoonrun_router import (
+    answer_times,
     crash_evidence,
     crash_news,
     crash_records,
@@ -45,7 +46,7 @@
         instance=running_requests.UpstreamInstance(upstream="u-1", start=7),
         route="lookups",
         seen_at=seen_at,
-        **more,
+        **{"ran_seconds": 0.05, **more},
     )
 
 
@@ -148,3 +149,45 @@
     assert sent == []
     news.forward(far, (record(1),), now=NOW)
     assert [to for _, to in sent] == [tuple(NEIGHBOURS.values())]
+
+
+def test_answer_that_is_told_to_and_fro_does_not_become_newer(
+    news, fleet, sent
+):
+    """Guards against answers that clear later crashes after many repetitions."""
+    fleet.leading = True
+    answer = answer_times.Answer(suspect="part", version="v1", begun_at=NOW)
+    now = NOW
+    for _ in range(50):
+        news.forward_answers(
+            router_messages.CrashNews(entry_vm="far-1", domain="south"),
+            (answer,),
+            now=now,
+        )
+        now += 0.05
+        message = router_codec.decode(router_codec.encode(sent[-1][0]))
+        (answer,) = crash_news.answers_of(message, now=now)
+        assert answer.begun_at <= NOW
+
+
+def test_run_without_a_stated_duration_is_no_run_that_had_just_begun():
+    """Guards against blocking bystanders on records of an earlier release."""
+    run = router_messages.CrashedRun(
+        request="one",
+        route="lookups",
+        upstream="u-1",
+        start=1,
+        age_milliseconds=0,
+    )
+    news = router_messages.CrashNews(
+        entry_vm="vm-2", domain="north", runs=(run,)
+    )
+    received = router_codec.decode(router_codec.encode(news))
+    (unstated,) = crash_news.records_of(received, now=NOW)
+    assert unstated.ran_seconds >= 0.25
+
+
+def test_shortest_run_states_its_duration(news, sent):
+    news.broadcast((record(1, ran_seconds=0.0001),), now=NOW)
+    (received,) = crash_news.records_of(sent[-1][0], now=NOW)
+    assert received.ran_seconds < 0.01
--- a/packages/router/tests/test_crashing_requests.py
+++ b/packages/router/tests/test_crashing_requests.py
@@ -6,7 +6,7 @@
 import asyncio
 
 from lagoonrun_http import messages
-from lagoonrun_router import request_digest
+from lagoonrun_router import block_record, request_digest
 from lagoonrun_standins import crashing_pool
 from lagoonrun_standins.router_samples import make_route, make_stream_route
 from lagoonrun_standins.router_upstream import answer_whole
@@ -148,6 +148,18 @@
         await wait_for(lambda seen=seen: world.store.revision > seen)
 
 
+async def wait_for_lift(world):
+    """Wait until the store says that the block was lifted."""
+    id = digest_of(BAD)
+    key = f"{world.layout.blocked_requests_prefix}{id}"
+    while True:
+        seen = world.store.revision
+        found = (await world.store.get(key)).found
+        if block_record.decode_lift(id, found.value) is not None:
+            return
+        await wait_for(lambda seen=seen: world.store.revision > seen)
+
+
 async def ask(world, body=BAD, **options):
     """Send a request to one entry VM."""
     return await world.ask("/lookups/1", method="POST", body=body, **options)
@@ -258,4 +270,4 @@
             lambda world=world: not world.router.crashing_requests.blocks()
         )
         assert (await ask(world)).status == 200
-    await wait_for_stored(worlds[0], [])
+    await wait_for_lift(worlds[0])
--- a/packages/router/tests/test_crashing_requests_units.py
+++ b/packages/router/tests/test_crashing_requests_units.py
@@ -9,7 +9,6 @@
     crash_evidence,
     crash_records,
     crashing_requests,
-    recent_answers,
     running_requests,
 )
 
@@ -34,15 +33,15 @@
 
     def __init__(self):
         self.written = []
-        self.removed = []
+        self.lifted = []
 
     def write(self, block):
         """Record a written block."""
         self.written.append(block.id)
 
-    def remove(self, request):
-        """Record a removal."""
-        self.removed.append(request)
+    def write_lift(self, id, lifted):
+        """Record the end of a block."""
+        self.lifted.append((id, sorted({suspect for suspect, _ in lifted})))
 
 
 class FakeAnnouncer:
@@ -84,7 +83,10 @@
 @pytest.fixture
 def crashing(watch, block_writer, clock, announcer):
     made = crashing_requests.CrashingRequests(
-        watch=watch, block_writer=block_writer, clock=clock
+        watch=watch,
+        block_writer=block_writer,
+        evidence=crash_evidence.CrashEvidence(),
+        clock=clock,
     )
     made.news = announcer
     return made
@@ -106,6 +108,7 @@
                 start=1,
                 age_milliseconds=age_milliseconds,
                 void=void,
+                ran_milliseconds=1,
             )
             for request, number in runs
         ),
@@ -192,7 +195,7 @@
     crashing.record_answer("one")
     assert blocked(crashing) == []
     assert [one.void for one in announcer.sent] == [True] * 3
-    assert block_writer.removed == ["one"]
+    assert block_writer.lifted == [("one", ["one"])]
 
 
 def test_answer_after_a_single_crash_is_not_broadcast(crashing, announcer):
@@ -203,22 +206,38 @@
     assert announcer.sent == []
 
 
-def test_request_that_was_answered_lately_is_not_blocked_here_or_elsewhere(
+def test_request_that_was_answered_since_is_not_blocked_here_or_elsewhere(
     crashing, announcer, clock
 ):
     """Many callers send the same lookup, and several upstreams crash."""
+    clock.advance(10.0)
     crashing.record_answer("one")
     clock.advance(1.0)
-    crashing.receive_news(message_of(("one", 0), ("one", 1), ("one", 2)))
+    crashing.receive_news(
+        message_of(("one", 0), ("one", 1), ("one", 2), age_milliseconds=2_000)
+    )
     assert blocked(crashing) == []
     assert [one.void for one in announcer.sent] == [True] * 3
 
 
-def test_request_that_was_answered_long_ago_is_blocked(crashing, clock):
-    """A new engine version may crash on a request that the old one served."""
+def test_request_that_was_answered_before_its_crashes_is_blocked(
+    crashing, clock
+):
+    """Guards against upstreams that crash on what they served a moment ago."""
     crashing.record_answer("one")
-    clock.advance(recent_answers.ANSWERED_SECONDS)
+    clock.advance(1.0)
+    crash_three_times(crashing)
+    assert blocked(crashing) == ["one"]
+
+
+def test_answer_of_a_run_that_began_before_the_crashes_clears_nothing(
+    crashing, clock
+):
+    """Guards against an answer that takes back later crashes."""
+    begun_at = clock.monotonic()
+    clock.advance(1.0)
     crash_three_times(crashing)
+    crashing.record_answer("one", begun_at=begun_at)
     assert blocked(crashing) == ["one"]
 
 
@@ -235,9 +254,64 @@
     assert blocked(crashing) == ["one"]
 
 
-def test_block_removed_from_the_store_ends(crashing):
+@pytest.mark.parametrize("is_relay", [True, False])
+def test_block_outlives_the_loss_of_its_key(
+    crashing, announcer, block_writer, clock, is_relay
+):
+    """Guards against taking a lapsed lease for an operator's word."""
+    announcer.is_relay = is_relay
     crashing.apply_stored("one", _stored_block())
     crashing.apply_removed("one")
+    assert blocked(crashing) == ["one"]
+    clock.advance(LONG_SECONDS)
+    crashing.tick()
+    assert block_writer.written == (["one"] if is_relay else [])
+
+
+def test_block_ends_whose_key_says_that_it_was_lifted(crashing, clock):
+    """A lift names its crashes: read again, it clears no later ones."""
+    crashing.apply_stored("one", _stored_block())
+    lifted = block_record.encode_lift(
+        ("one", make_instance(number)) for number in range(3)
+    )
+    crashing.apply_stored("one", lifted)
+    assert blocked(crashing) == []
+    clock.advance(1.0)
+    for number in range(3, 6):
+        crashing.record_crash(make_instance(number), frozenset({ONE}))
+    crashing.apply_stored("one", lifted)
+    assert blocked(crashing) == ["one"]
+
+
+def test_answer_to_one_of_two_blocked_parts_leaves_the_other_blocked(
+    crashing, block_writer, clock
+):
+    """Guards against lifting the cause with what always came with it."""
+    for number in range(4):
+        clock.advance(1.0)
+        suspect = running_requests.SuspectRequest(
+            digest=f"r-{number}", route="lookups", parts=("beside", "cause")
+        )
+        crashing.record_crash(make_instance(number), frozenset({suspect}))
+    (block,) = crashing.blocks()
+    assert block.parts == {"beside", "cause"}
+    crashing.apply_stored(block.id, block_record.encode(block))
+    clock.advance(1.0)
+    crashing.record_answer("other", parts=("beside",))
+    assert block_writer.lifted == [(block.id, ["beside"])]
+    (left,) = crashing.blocks()
+    assert left.parts == {"cause"}
+    clock.advance(LONG_SECONDS)
+    crashing.tick()
+    assert block_writer.written == ["cause"]
+
+
+def test_stored_block_adds_nothing_to_crashes_that_are_known_here(crashing):
+    """Guards against a verdict that later news of its crashes has undone."""
+    crashing.apply_stored("one", _stored_block())
+    assert blocked(crashing) == ["one"]
+    crashing.lift("one")
+    crashing.apply_stored("one", _stored_block())
     assert blocked(crashing) == []
 
 
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -15,10 +15,10 @@
     attempt_result,
     choosing,
     crash_evidence,
+    crash_records,
     declarations,
     execution,
     forwarder_choice,
-    part_evidence,
     places,
     pool_capacity,
     reader_selection,
@@ -187,8 +187,7 @@
 
 def _break_crashing_part() -> None:
     """Hold crashes against whole requests only."""
-    part_evidence.PartEvidence.add = lambda self, record: None
-    part_evidence.PartEvidence.drop = lambda self, record: None
+    crash_records.CrashRecord.suspects = property(lambda self: (self.request,))
 
 
 def _break_crowded() -> None:
