Notice crashes of upstreams that are back before the probe

Upstreams that listen again at once accept the probe that follows a broken request.

Cause: a refused probe was the only proof of a crash. The next process at the address answers for the one before.

Now what that process says counts: its registration with another id or a higher start number at the address of an upstream that was serving (upstream_successors), or its answer 421. Either way round: requests that broke up to 5 s before, and those that break after it was seen. An answer of a run that began before the broken one shows that only a connection was lost. An upstream that announced its end, or whose entry was removed a second ago or longer, has left as planned. Crashes are dated by the first broken request, so that a late proof does not hide what came in between. execution.py has one line for the 421.

Evidence: test_crash_of_an_upstream_that_is_back_at_once_is_noticed failed before; it now also covers an upstream that keeps its id (one more case; the wait for the new registration is for the store's revision as well). Six tests of crash_watch. The fixture of test_crash_watch.py takes the time of a crash.

Open: a worker that dies behind a living listener without a new id or start number can't be told from a lost connection.

--- a/packages/router/src/lagoonrun_router/crash_guard.py
+++ b/packages/router/src/lagoonrun_router/crash_guard.py
@@ -73,7 +73,8 @@
         await self._block_writer.close()
 
     def observe_upstreams(self) -> None:
-        """Record which upstreams are registered."""
+        """Record which upstreams are registered, and which were replaced."""
+        self.watch.observe_upstreams()
         self._uptime.observe(
             self._directory.registrations, now=self._clock.monotonic()
         )
--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -5,13 +5,16 @@
 them: the port of a process that has exited refuses connections, a running
 process accepts them, and behind a network partition nothing answers. So a
 broken request is followed by one probe. A link may also refuse connections in
-the name of a process that runs; so another entry VM is asked too. An upstream that was leaving has
-stopped as planned and has not crashed.
+the name of a process that runs; so another entry VM is asked too. The next
+process at the address may accept the probe: then the crash is noticed by what
+that process says, that it has another id or start number. An upstream that was
+leaving has stopped as planned and has not crashed.
 """
 
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import enum
 import logging
 from typing import Protocol
@@ -22,6 +25,7 @@
     attempt_result,
     metrics,
     running_requests,
+    upstream_successors,
     upstreams,
 )
 
@@ -38,6 +42,14 @@
 crash in the seconds in which their requests break."""
 
 
+_SUCCESSOR_SECONDS = 5.0
+"""Time after a broken request in which the next process at the address of its
+upstream may become known: it registers once it has started."""
+
+_MAX_UNEXPLAINED = 256
+"""Maximum number of upstreams with broken requests that may yet prove to have
+been replaced."""
+
 _MAX_LOGGED_PARTS = 32
 _MAX_LOGGED_AGES = 16
 
@@ -49,8 +61,16 @@
         self,
         instance: running_requests.UpstreamInstance,
         requests: frozenset[running_requests.SuspectRequest],
+        *,
+        at: float,
     ) -> None:
-        """Receive the requests of this entry VM that ran there, if any."""
+        """Receive the requests of this entry VM that ran there, if any.
+
+        Parameters
+        ----------
+        at
+            Monotonic time at which the first of them broke.
+        """
 
 
 class AnswerListener(Protocol):
@@ -77,6 +97,14 @@
     SILENT = "silent"
 
 
+@dataclasses.dataclass(kw_only=True)
+class _BrokenRuns:
+    """Requests that broke at an upstream, whether or not it has crashed."""
+
+    at: float
+    requests: frozenset[running_requests.SuspectRequest]
+
+
 class CrashWatch:
     """Tracks requests of this entry VM and probes after broken ones.
 
@@ -105,6 +133,13 @@
             running_requests.UpstreamInstance, asyncio.Task[None]
         ] = {}
         self._crashed_at: dict[running_requests.UpstreamInstance, float] = {}
+        self._successors = upstream_successors.UpstreamSuccessors(
+            directory=directory
+        )
+        self._replaced_at: dict[running_requests.UpstreamInstance, float] = {}
+        self._broken_by_instance: dict[
+            running_requests.UpstreamInstance, _BrokenRuns
+        ] = {}
         self.on_crash: CrashListener | None = None
         self.on_answer: AnswerListener | None = None
         self.reach: UpstreamReach | None = None
@@ -167,12 +202,26 @@
             Result of the attempt; None if the caller disconnected.
         """
         end = _run_end_of(result)
-        self._running.end(run, end, now=self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._running.end(run, end, now=now)
         if end is running_requests.RunEnd.ANSWERED:
+            self._forget_broken_before(run)
             self._report_answer(run)
-        broken = end is running_requests.RunEnd.BROKEN
-        if broken and self._directory.is_serving(run.instance.upstream):
-            self._start_probe(run.instance, upstream)
+        if end is running_requests.RunEnd.BROKEN:
+            self._record_broken(run.instance, upstream, now)
+
+    def observe_upstreams(self) -> None:
+        """Record crashes of upstreams whose successors have registered."""
+        for instance in self._successors.observe(now=self._clock.monotonic()):
+            self._record_replaced(instance)
+
+    def record_misdirected(self, upstream: upstreams.Registration) -> None:
+        """Record that another process answered in place of an upstream.
+
+        Call it before the directory is told that the upstream is gone.
+        """
+        if self._directory.is_serving(upstream.id):
+            self._record_replaced(running_requests.instance_of(upstream))
 
     def check_refusal(self, upstream: upstreams.Registration) -> None:
         """Check whether an upstream that refuses a connection has crashed.
@@ -190,6 +239,9 @@
         """Drop runs that ended too long ago to be suspects."""
         now = self._clock.monotonic()
         self._running.remove_expired(now=now)
+        for instance, broken in tuple(self._broken_by_instance.items()):
+            if now - broken.at > _SUCCESSOR_SECONDS:
+                del self._broken_by_instance[instance]
         for run in self._running.pop_answered(now=now):
             if run.instance not in self._crashed_at:
                 self._report_answer(run)
@@ -212,6 +264,57 @@
         if self.on_answer is not None:
             self.on_answer(run)
 
+    def _record_broken(
+        self,
+        instance: running_requests.UpstreamInstance,
+        upstream: upstreams.Registration,
+        now: float,
+    ) -> None:
+        is_serving = self._directory.is_serving(instance.upstream)
+        replaced_at = self._replaced_at.get(instance, float("-inf"))
+        was_replaced = now - replaced_at < _SUCCESSOR_SECONDS
+        if not (
+            is_serving
+            or was_replaced
+            or self._successors.was_serving_lately(upstream, now=now)
+        ):
+            return
+        broken = self._broken_by_instance.setdefault(
+            instance,
+            _BrokenRuns(at=now, requests=frozenset()),
+        )
+        if now - broken.at > running_requests.SUSPECT_SECONDS:
+            broken.at = now
+        broken.requests = self.suspects_at(instance)
+        while len(self._broken_by_instance) > _MAX_UNEXPLAINED:
+            del self._broken_by_instance[next(iter(self._broken_by_instance))]
+        if was_replaced:
+            self._record_crash(instance, upstream.pool)
+        elif is_serving:
+            self._start_probe(instance, upstream)
+
+    def _forget_broken_before(self, answered: running_requests.Run) -> None:
+        """Forget broken requests whose upstream has answered another since.
+
+        A crash would have broken all that it ran.
+        """
+        broken = self._broken_by_instance.get(answered.instance)
+        if broken is not None and answered.begun_at < broken.at:
+            del self._broken_by_instance[answered.instance]
+
+    def _record_replaced(
+        self, instance: running_requests.UpstreamInstance
+    ) -> None:
+        now = self._clock.monotonic()
+        self._replaced_at.pop(instance, None)
+        self._replaced_at[instance] = now
+        while len(self._replaced_at) > _MAX_REMEMBERED_CRASHES:
+            del self._replaced_at[next(iter(self._replaced_at))]
+        broken = self._broken_by_instance.get(instance)
+        pool = self._directory.pool_of(instance.upstream)
+        if broken is not None and now - broken.at <= _SUCCESSOR_SECONDS:
+            self._record_crash(instance, pool or types.PoolName(""))
+
     def _start_probe(
         self,
         instance: running_requests.UpstreamInstance,
@@ -233,7 +336,7 @@
     ) -> None:
         try:
             if await self._has_crashed(upstream):
-                self._record_crash(instance, upstream)
+                self._record_crash(instance, upstream.pool)
         finally:
             del self._probes_by_instance[instance]
 
@@ -248,24 +351,34 @@
     def _record_crash(
         self,
         instance: running_requests.UpstreamInstance,
-        upstream: upstreams.Registration,
+        pool: types.PoolName,
     ) -> None:
+        if instance in self._crashed_at:
+            return
         requests = self.suspects_at(instance)
+        at = self._clock.monotonic()
+        broken = self._broken_by_instance.pop(instance, None)
+        if broken is not None:
+            known = {one.digest for one in requests}
+            requests |= {
+                one for one in broken.requests if one.digest not in known
+            }
+            at = broken.at
         self._remember(instance)
-        self._metrics.upstream_crashes.labels(upstream.pool).inc()
+        self._metrics.upstream_crashes.labels(pool).inc()
         logs.emit(
             events.LogEvent.UPSTREAM_CRASHED,
             level=logging.WARNING,
             upstream=instance.upstream,
             start=instance.start,
-            pool=upstream.pool,
+            pool=pool,
             requests=sorted(one.digest for one in requests),
             silent=sorted(one.digest for one in requests if one.silent),
             parts=_most_common_parts(requests),
             ran_seconds=_youngest(requests),
         )
         if self.on_crash is not None:
-            self.on_crash(instance, requests)
+            self.on_crash(instance, requests, at=at)
 
     def _remember(self, instance: running_requests.UpstreamInstance) -> None:
         self._crashed_at[instance] = self._clock.monotonic()
--- a/packages/router/src/lagoonrun_router/crashing_requests.py
+++ b/packages/router/src/lagoonrun_router/crashing_requests.py
@@ -166,10 +166,19 @@
         self,
         instance: running_requests.UpstreamInstance,
         requests: frozenset[running_requests.SuspectRequest],
+        *,
+        at: float | None = None,
     ) -> None:
-        """Record a crash for the requests that ran there."""
+        """Record a crash for the requests that ran there.
+
+        Parameters
+        ----------
+        at
+            Monotonic time of the crash; None for now.
+        """
         now = self._clock.monotonic()
-        new = self._merge(_records(instance, requests, seen_at=now), now)
+        seen_at = now if at is None else at
+        new = self._merge(_records(instance, requests, seen_at=seen_at), now)
         self._broadcast(new, now)
         self._update_blocks(source="own")
         self._log_suspects(instance, now)
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -386,6 +386,7 @@
         if lost.ran is not outcomes.Outcome.NOT_RUN:
             self._earlier_may_have_run = True
         if lost.misdirected:
+            self._components.crash_watch.record_misdirected(choice.upstream)
             self._components.directory.mark_gone(lost.upstream, source="answer")
         else:
             self._components.ledger.add_failure(
--- a/packages/router/tests/test_crash_watch.py
+++ b/packages/router/tests/test_crash_watch.py
@@ -55,7 +55,7 @@
     )
     made.seen = []
     made.answered = []
-    made.on_crash = lambda instance, requests: made.seen.append(
+    made.on_crash = lambda instance, requests, *, at: made.seen.append(
         (instance, requests)
     )
     made.on_answer = lambda run: made.answered.append(run.digest)
@@ -177,3 +177,102 @@
     clock.advance(2.0)
     watch.remove_expired_runs()
     assert watch.answered == ["first"]
+
+
+async def break_and_probe(watch, registration, digest="one"):
+    """Break a request at an address that accepts connections."""
+    server = await asyncio.start_server(
+        lambda reader, writer: writer.close(),
+        registration.host,
+        registration.port,
+    )
+    watch.observe_upstreams()
+    watch.end(begin(watch, digest, registration), BROKEN, registration)
+    await settled(watch)
+    server.close()
+    assert watch.seen == []
+
+
+@pytest.mark.parametrize("changes", [{"id": "u-2"}, {"start": 6}])
+async def test_upstream_that_was_replaced_after_its_requests_broke_has_crashed(
+    watch, directory, registration, changes
+):
+    """Guards against a crash that the probe of the next process hides."""
+    await break_and_probe(watch, registration)
+    directory.apply_entry(dataclasses.replace(registration, **changes), now=1.0)
+    watch.observe_upstreams()
+    watch.observe_upstreams()
+    ((instance, requests),) = watch.seen
+    assert (instance.upstream, instance.start) == ("u-1", 5)
+    assert [one.digest for one in requests] == ["one"]
+
+
+@pytest.mark.parametrize("changes", [{"id": "u-2"}, {"start": 6}])
+async def test_requests_that_break_after_their_upstream_was_replaced(
+    watch, directory, registration, changes
+):
+    """Guards against a crash whose broken connections are noticed late."""
+    clock = clocks.ManualClock()
+    watch._clock = clock
+    watch.observe_upstreams()
+    one = begin(watch, "one", registration)
+    directory.apply_removal("u-1", now=clock.monotonic())
+    directory.apply_entry(
+        dataclasses.replace(registration, **changes), now=clock.monotonic()
+    )
+    watch.observe_upstreams()
+    watch.end(one, BROKEN, registration)
+    await settled(watch)
+    assert [instance.start for instance, _ in watch.seen] == [5]
+
+
+async def test_upstream_whose_successor_answers_has_crashed(
+    watch, registration
+):
+    """Guards against a crash that only the answer of another process shows."""
+    await break_and_probe(watch, registration)
+    watch.record_misdirected(registration)
+    assert len(watch.seen) == 1
+
+
+async def test_upstream_that_answers_after_a_reset_has_not_crashed(
+    watch, directory, registration
+):
+    """A fault resets a connection, and the upstream is replaced later."""
+    beside = begin(watch, "beside", registration)
+    await break_and_probe(watch, registration)
+    watch.end(beside, COMPLETE, registration)
+    directory.apply_entry(dataclasses.replace(registration, id="u-2"), now=1.0)
+    watch.observe_upstreams()
+    assert watch.seen == []
+
+
+async def test_upstream_that_left_before_it_was_replaced_has_not_crashed(
+    watch, directory, registration
+):
+    """Guards against counting a planned end as a crash."""
+    clock = clocks.ManualClock()
+    watch._clock = clock
+    await break_and_probe(watch, registration)
+    directory.apply_removal("u-1", now=clock.monotonic())
+    watch.observe_upstreams()
+    clock.advance(2.0)
+    watch.observe_upstreams()
+    directory.apply_entry(
+        dataclasses.replace(registration, id="u-2"), now=clock.monotonic()
+    )
+    watch.observe_upstreams()
+    assert watch.seen == []
+
+
+async def test_broken_requests_are_suspects_for_a_limited_time(
+    watch, directory, registration
+):
+    """Guards against holding a crash against what broke long before."""
+    clock = clocks.ManualClock()
+    watch._clock = clock
+    await break_and_probe(watch, registration)
+    clock.advance(6.0)
+    directory.apply_entry(dataclasses.replace(registration, start=6), now=6.0)
+    watch.observe_upstreams()
+    assert watch.seen == []
--- a/packages/router/tests/test_crashing_prompt_parts.py
+++ b/packages/router/tests/test_crashing_prompt_parts.py
@@ -170,14 +170,24 @@
     assert is_refused(await ask(worlds[0], "instructions,bad,{}"))
 
 
-async def test_crash_of_an_upstream_that_is_back_at_once_is_noticed(world_of):
+@pytest.mark.parametrize("keeps_id", [False, True])
+async def test_crash_of_an_upstream_that_is_back_at_once_is_noticed(
+    world_of, keeps_id
+):
     """Guards against a crash that the probe of the next process hides."""
     worlds, pool = await fleet(world_of)
     pool.back_at_once = True
+    pool.keeps_id = keeps_id
     for number in range(REQUESTS):
         await ask(worlds[number % len(worlds)], "instructions,bad,{}")
         for world in worlds:
             await wait_for(lambda world=world: world.knows(pool.newest_id))
+            await wait_for(
+                lambda world=world: (
+                    world.router.replica.store_revision
+                    >= worlds[0].store.revision
+                )
+            )
     assert len(pool.crashed) <= CRASHES_BEFORE + MAX_LATER
 
 
--- a/packages/standins/src/lagoonrun_standins/crashing_pool.py
+++ b/packages/standins/src/lagoonrun_standins/crashing_pool.py
@@ -46,6 +46,8 @@
         How much of an answer they send before they crash.
     back_at_once
         Whether a crashed upstream listens again at once, under a new id.
+    keeps_id
+        Whether it then has its id, and the next start number.
     versions
         Software versions of the upstreams, in turn.
     """
@@ -62,6 +64,7 @@
         self.repaired = False
         self.moment = CrashMoment.BEFORE_ANY_BYTE
         self.back_at_once = False
+        self.keeps_id = False
         self.versions = ("v1",)
         self._ids_by_port = {}
 
@@ -126,6 +129,12 @@
         """Crash, and listen at once as another process."""
         before = self._id_at(upstream)
         self.crashed.append(before)
+        if self.keeps_id:
+            exchange.abort()
+            await self._world.register_at(
+                before, upstream.port, start=len(self.crashed)
+            )
+            return
         after = f"u-{next(self._numbers)}"
         del self._ids_by_port[upstream.port]
         self._ids_by_port[upstream.port] = after
