Prefer the suspect that was at most of the crashes

One after the other of the four parts that sound requests share was blocked.

Cause: suspects were ordered by the coincidence of their own crashes alone. While all upstreams of a pool crash, everything runs for a short time at most crashes; that a suspect was missing at some did not count for the ones that were there. And a part in repeated requests was handicapped against parts of others too.

Now suspects at the same crashes are compared by those that each of them leaves unexplained, a factor of five each, and the handicap of repetitions decides whether the evidence against a part is enough, no longer its order. Only the 64 strongest suspects are compared, and a part's companions are counted in one pass.

--- a/packages/router/src/lagoonrun_router/crash_causes.py
+++ b/packages/router/src/lagoonrun_router/crash_causes.py
@@ -46,16 +46,28 @@
 _MAX_POPULAR_SHARE = 0.2
 """Weaker evidence is not enough to refuse more than a fifth of the requests."""
 
+_MIN_SHARE = 1e-9
+
 _RIVAL_RATIO = 100.0
 """Ratio of the coincidences of two suspects within which either may be the cause
 of the crashes that they share. Requests that a crash breaks are sent again at
 the same moment as the cause, and meet it again."""
 
-_MIN_SHARED_CRASHES = 2
+_UNRELATED_SHARE = 0.2
+"""Chance that a crash beside a cause has another reason. Of two suspects at the
+same crashes, the likelier cause is the one that was at more of the others."""
+
+MIN_SHARED_CRASHES = 2
+"""Crashes from which a suspect bears on the decision about others."""
+
 _MIN_DOMINATED_SHARE = 2.0 / 3.0
 """Share of a part's crashes that several parts explain, which ran there with it
 for half the time, so that one of these may be the cause each time."""
 
+_MAX_CANDIDATES = 64
+"""Maximum number of suspects that are compared with each other, those with the
+strongest evidence. Callers may make up parts, and each comparison takes time."""
+
 _RESOLUTION_SECONDS = 0.005
 """Resolution of the time for which a request had run."""
 
@@ -199,10 +211,11 @@
         self._request_by_explained: dict[
             running.UpstreamInstance, crash_records.Suspect
         ] = {}
+        self._presence_left_by_part: dict[crash_records.Suspect, float] = {}
         self._presence_by_unanswered = {
             part: self._mean_presence(records, tuple(records))
             for part in self._parts
-            if len(records := open_records.get(part, {})) >= _MIN_SHARED_CRASHES
+            if len(records := open_records.get(part, {})) >= MIN_SHARED_CRASHES
             and not observations.was_answered(part)
         }
         self._weights = {
@@ -221,22 +234,25 @@
         own_weights = dict(self._weights)
         found: list[Verdict] = []
         undecided: set[crash_records.Suspect] = set()
+        candidates = self._candidates()
+        ranks = self._ranks(candidates)
         while True:
-            candidates = self._candidates()
             decidable = [
                 one for one in candidates if one.suspect not in undecided
             ]
             if not decidable:
                 break
-            best = min(decidable, key=_order)
+            best = min(decidable, key=lambda one: ranks[one.suspect])
             cause = self._cause_of(best)
-            rivals = self._rivals(best, cause, candidates)
+            rivals = self._rivals(best, cause, candidates, ranks)
             if rivals and not self._is_late(best):
                 undecided.update(cause, (one.suspect for one in rivals))
                 continue
             verdict = Verdict(cause=cause, weight=best)
             found.append(verdict)
             self._explain(verdict)
+            candidates = self._candidates()
+            ranks = self._ranks(candidates)
         found.extend(self._hidden(own_weights, found))
         return tuple(found)
 
@@ -308,11 +324,13 @@
     # Decision.
 
     def _candidates(self) -> list[Weight]:
-        return [
-            weight
-            for weight in self._weights.values()
-            if self._is_enough(weight) and not self._is_dominated(weight)
-        ]
+        """Return the likeliest suspects with enough evidence."""
+        ascending = sorted(
+            (one for one in self._weights.values() if self._is_enough(one)),
+            key=lambda one: (_strength(one), one.suspect),
+        )
+        candidates = (one for one in ascending if not self._is_dominated(one))
+        return list(itertools.islice(candidates, _MAX_CANDIDATES))
 
     def _is_part(self, suspect: crash_records.Suspect) -> bool:
         return suspect in self._parts
@@ -376,28 +394,34 @@
             return False
         own = self._open_records[weight.suspect]
         limit_seconds = 0.5 * self._mean_presence(own, weight.instances)
-        others = {
-            part
-            for instance in weight.instances
-            for record in own[instance]
-            for part in record.parts
-        }
+        common_by_part: dict[
+            crash_records.Suspect, set[running.UpstreamInstance]
+        ] = {}
+        for instance in weight.instances:
+            for record in own[instance]:
+                for part in record.parts:
+                    common_by_part.setdefault(part, set()).add(instance)
+        common_by_part.pop(weight.suspect, None)
         explained: set[running.UpstreamInstance] = set()
-        for part in others - {weight.suspect}:
-            records = self._open_records.get(part, {})
-            common = [
-                instance
-                for instance in weight.instances
-                if instance in records
-                and any(part in one.parts for one in own[instance])
-            ]
-            if not _MIN_SHARED_CRASHES <= len(common) < len(weight.instances):
+        for part, common in common_by_part.items():
+            if not MIN_SHARED_CRASHES <= len(common) < len(weight.instances):
                 continue
-            left = [one for one in records if one not in self._explained]
-            if left and self._mean_presence(records, left) <= limit_seconds:
-                explained.update(common)
+            if common <= explained:
+                continue
+            if self._mean_presence_left(part) <= limit_seconds:
+                explained |= common.intersection(self._open_records[part])
         return len(explained) >= _MIN_DOMINATED_SHARE * len(weight.instances)
 
+    def _mean_presence_left(self, part: crash_records.Suspect) -> float:
+        """Return its mean presence at crashes that nothing explains yet."""
+        known = self._presence_left_by_part.get(part)
+        if known is None:
+            records = self._open_records.get(part, {})
+            left = [one for one in records if one not in self._explained]
+            known = self._mean_presence(records, left) if left else math.inf
+            self._presence_left_by_part[part] = known
+        return known
+
     def _mean_presence(
         self,
         records_by_instance: Mapping[
@@ -427,19 +451,47 @@
         return frozenset((together or set()) | {weight.suspect})
 
     def _rivals(
-        self, best: Weight, cause: Cause, candidates: Iterable[Weight]
+        self,
+        best: Weight,
+        cause: Cause,
+        candidates: Iterable[Weight],
+        ranks: "_Ranks",
     ) -> list[Weight]:
         """Return others that explain half of the crashes about as well."""
         crashes = set(best.instances)
-        limit = _strength(best) + math.log10(_RIVAL_RATIO)
+        strength, _ = ranks[best.suspect]
+        limit = strength + math.log10(_RIVAL_RATIO)
         return [
             one
             for one in candidates
             if one.suspect not in cause
             and 2 * len(crashes.intersection(one.instances)) >= len(crashes)
-            and _strength(one) <= limit
+            and ranks[one.suspect][0] <= limit
         ]
 
+    def _ranks(self, weights: Collection[Weight]) -> "_Ranks":
+        """Return how well suspects explain their crashes and those of others.
+
+        The crashes of the others count that are at half of their crashes too.
+        """
+        crashes_by_suspect = {
+            one.suspect: set(one.instances) for one in weights
+        }
+        ranks = {}
+        for weight in weights:
+            own = crashes_by_suspect[weight.suspect]
+            unexplained: set[running.UpstreamInstance] = set()
+            for crashes in crashes_by_suspect.values():
+                if 2 * len(own & crashes) >= len(crashes):
+                    unexplained |= crashes - own
+            strength = weight.crashes * _log_share(weight)
+            strength -= len(unexplained) * math.log10(_UNRELATED_SHARE)
+            if not self._is_part(weight.suspect):
+                # At the same crashes, it is likelier than one of its parts.
+                strength += math.log10(_UNRELATED_SHARE)
+            ranks[weight.suspect] = (strength, str(weight.suspect))
+        return ranks
+
     def _explain(self, verdict: Verdict) -> None:
         """Leave the crashes of a cause out of the evidence against others."""
         requests = [one for one in verdict.cause if not self._is_part(one)]
@@ -449,6 +501,7 @@
             else:
                 self._request_by_explained.pop(instance, None)
             self._explained.add(instance)
+        self._presence_left_by_part.clear()
         changed = frozenset(verdict.weight.instances)
         for suspect, weight in tuple(self._weights.items()):
             if changed.isdisjoint(weight.instances):
@@ -529,13 +582,16 @@
     request counts once for a part, or all crashes if they outweigh the chance
     that the part is not the cause and two of its requests are.
     """
-    one = math.log10(max(weight.share, 1e-9))
+    one = _log_share(weight)
     if weight.requests == weight.crashes:
         return weight.crashes * one
     by_requests = weight.requests * one if weight.requests >= MIN_CRASHES else 0
     return min(by_requests, weight.crashes * one - math.log10(MAX_COINCIDENCE))
 
 
-def _order(weight: Weight) -> tuple[float, str]:
-    """Order suspects by strength, and equal ones the same way everywhere."""
-    return (_strength(weight), weight.suspect)
+def _log_share(weight: Weight) -> float:
+    return math.log10(max(weight.share, _MIN_SHARE))
+
+
+_Ranks = Mapping[crash_records.Suspect, tuple[float, str]]
+"""Order of suspects, the likeliest cause first, and the same everywhere."""
--- a/packages/router/tests/test_crash_causes.py
+++ b/packages/router/tests/test_crash_causes.py
@@ -1,5 +1,7 @@
 """Which requests and parts of prompts are held to crash upstreams."""
 
+import random
+
 import pytest
 
 from lagoonrun_router import (
@@ -64,6 +66,10 @@
         if beside:
             self._run(beside, None, version, ran_seconds + 0.3)
 
+    def add(self, prompt, *, ran_seconds):
+        """Add a request that ran at the upstream that crashed last."""
+        self._run(prompt, None, "v1", ran_seconds)
+
     def _run(self, prompt, request, version, ran_seconds):
         self._requests += 1
         record = crash_records.CrashRecord(
@@ -211,6 +217,35 @@
     assert pool.is_blocked("bad")
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_part_at_all_crashes_is_likelier_than_those_at_most_of_them(seed):
+    """Guards against refusing what ran beside the cause at most crashes.
+
+    All upstreams of the pool crash, one after the other, so that nothing is
+    answered. Callers repeat their requests with the cause.
+    """
+    rng = random.Random(seed)
+    pool = Pool(upstreams=8)
+    manuals = [f"manual-{number}" for number in range(4)]
+    for manual in manuals:
+        pool.answer(f"shared {manual}")
+        pool.answer(f"shared {manual} bad")
+    for number in range(20):
+        pool.crash(
+            f"shared {rng.choice(manuals)} bad",
+            request=f"of-caller-{number // 3}",
+            seconds=0.16,
+            ran_seconds=0.05,
+        )
+        for manual in manuals:
+            if rng.random() < 0.7:
+                pool.add(f"shared {manual}", ran_seconds=rng.uniform(0.01, 0.1))
+    pool.now += crash_causes.LATE_SECONDS
+    assert pool.is_blocked("shared bad")
+    for manual in manuals:
+        assert not pool.is_blocked(f"shared {manual}")
+
+
 def test_answer_clears_a_part(pool):
     for number in range(2):
         pool.crash(f"shared own-{number}")
