Bound decisions on crashes by their newest 512 records

What operators would see: entry VMs that stop for seconds. With 2,048 records, as callers can bring about who make parts up, one decision took 3.2 s, and each new record asked for another.

Cause: all records were compared with all others, on each change.

Now a decision rests on the crashes of the newest 512 records, and with more of them follows 0.1 s after the one before at the earliest. Causes of older crashes stay until an answer, an operator or time clears them.

--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -50,6 +50,14 @@
 _MAX_BLOCKS_AGE_SECONDS = 0.25
 """Age from which blocks are computed anew although no record has changed."""
 
+_MAX_DECIDED_RECORDS = 512
+"""Records of the newest crashes on which a decision rests. Causes of older ones
+stay until an answer, an operator or time clears them."""
+
+_MIN_BLOCKS_AGE_SECONDS = 0.1
+"""Age up to which blocks are not computed anew while there are more records: a
+decision on that many takes tens of milliseconds."""
+
 
 class CrashEvidence:
     """Crash records and answers of all entry VMs, as far as they are known here.
@@ -100,8 +108,14 @@
         self._causes: set[crash_causes.Cause] = set()
         """Causes that only the store knows."""
 
-        self._blocks: tuple[crash_records.Block, ...] | None = None
-        self._blocks_at = 0.0
+        self._found: frozenset[crash_causes.Cause] = frozenset()
+        """Causes that were found by the last decision."""
+
+        self._blocks: tuple[crash_records.Block, ...] = ()
+        self._blocks_at = float("-inf")
+        self._changed = True
+        """Whether records or answers have changed since that decision."""
+
         self._now = 0.0
 
     # Queries.
@@ -131,10 +145,12 @@
 
     def blocks(self, *, now: float) -> tuple[crash_records.Block, ...]:
         """Return all blocks, those of whole requests first."""
-        if (
-            self._blocks is None
-            or not 0.0 <= now - self._blocks_at < _MAX_BLOCKS_AGE_SECONDS
-        ):
+        limit_seconds = _MAX_BLOCKS_AGE_SECONDS
+        if self._changed:
+            is_many = self._size > _MAX_DECIDED_RECORDS
+            limit_seconds = _MIN_BLOCKS_AGE_SECONDS if is_many else 0.0
+        if not 0.0 <= now - self._blocks_at < limit_seconds:
+            self._changed = False
             self._blocks = self._find_blocks(now)
             self._blocks_at = now
         return tuple(one for one in self._blocks if now < one.until)
@@ -191,7 +207,7 @@
 
     def weights(self, *, now: float) -> tuple[crash_causes.Weight, ...]:
         """Return the evidence against all suspects with enough crashes."""
-        return tuple(self._search(now).weights)
+        return tuple(self._search(now, older=self._older_crashes()).weights)
 
     @property
     def size(self) -> int:
@@ -278,13 +294,13 @@
         self._open_by_suspect.pop(answer.suspect, None)
         if self.crash_count(answer.suspect) == before:
             return False
-        self._blocks = None
+        self._changed = True
         return True
 
     def add_cause(self, cause: crash_causes.Cause) -> None:
         """Add a cause that another entry VM knows."""
         self._causes.add(cause)
-        self._blocks = None
+        self._changed = True
 
     def clear(
         self,
@@ -322,7 +338,7 @@
             self._open_by_suspect.pop(suspect, None)
         while len(self._lifted) > _MAX_LIFTED:
             del self._lifted[next(iter(self._lifted))]
-        self._blocks = None
+        self._changed = True
 
     def knows(self, instance: running_requests.UpstreamInstance) -> bool:
         """Return whether there are records of the crash of an upstream."""
@@ -379,7 +395,7 @@
     def _forget_open(self, record: crash_records.CrashRecord) -> None:
         for suspect in record.suspects:
             self._open_by_suspect.pop(suspect, None)
-        self._blocks = None
+        self._changed = True
 
     def _open_records(
         self, suspect: crash_records.Suspect
@@ -416,23 +432,64 @@
             times = self._answered_parts
         return record.seen_at > times.begun_at(suspect, record.version)
 
-    def _search(self, now: float) -> crash_causes.CauseSearch:
+    def _search(
+        self,
+        now: float,
+        *,
+        older: Collection[running_requests.UpstreamInstance],
+    ) -> crash_causes.CauseSearch:
+        """Return the search for causes, without the older crashes."""
         self._now = now
         return crash_causes.CauseSearch(
             open_records={
                 suspect: open_records
                 for suspect in self._index
-                if (open_records := self._open_records(suspect))
+                if len(open_records := self._open_records_but(suspect, older))
+                >= crash_causes.MIN_SHARED_CRASHES
             },
             observations=self,
             now=now,
         )
 
+    def _open_records_but(
+        self,
+        suspect: crash_records.Suspect,
+        older: Collection[running_requests.UpstreamInstance],
+    ) -> dict[
+        running_requests.UpstreamInstance, list[crash_records.CrashRecord]
+    ]:
+        records = self._open_records(suspect)
+        if not older:
+            return records
+        return {
+            instance: found
+            for instance, found in records.items()
+            if instance not in older
+        }
+
+    def _older_crashes(self) -> frozenset[running_requests.UpstreamInstance]:
+        """Return the crashes that were learned of too long ago to decide on."""
+        excess = self._size - _MAX_DECIDED_RECORDS
+        older = []
+        for instance, count in self._known_instances.items():
+            if excess <= 0:
+                break
+            excess -= count
+            older.append(instance)
+        return frozenset(older)
+
     def _find_blocks(self, now: float) -> tuple[crash_records.Block, ...]:
         """Return the blocks of causes found now and of those others know."""
-        found = {one.cause for one in self._search(now).find()}
+        older = self._older_crashes()
+        kept = {
+            cause
+            for cause in self._found
+            if any(one.instance in older for one in self._records_of(cause))
+        }
+        found = {one.cause for one in self._search(now, older=older).find()}
+        self._found = frozenset(found | kept)
         blocks = []
-        for cause in self._causes | found:
+        for cause in self._causes | self._found:
             records = self._records_of(cause)
             if len(records) < CRASHES_TO_BLOCK:
                 self._causes.discard(cause)
--- a/packages/router/tests/test_crash_causes.py
+++ b/packages/router/tests/test_crash_causes.py
@@ -1,6 +1,7 @@
 """Which requests and parts of prompts are held to crash upstreams."""
 
 import random
+import time
 
 import pytest
 
@@ -389,3 +390,35 @@
     assert pool.evidence.bears(block, "v1")
     pool.crash("part own-5", version="v1")
     assert not pool.evidence.bears(block, "v1")
+
+
+MAX_DECISION_SECONDS = 0.5
+
+
+@pytest.mark.parametrize(("crashes", "requests"), [(2048, 1), (100, 20)])
+def test_time_of_a_decision_on_many_records(crashes, requests):
+    """Guards against decisions that hold up all other requests for seconds.
+
+    Nothing is answered, and callers make parts up.
+    """
+    rng = random.Random(1)
+    pool = Pool(upstreams=50)
+    for _ in range(crashes):
+        made_up = " ".join(f"part-{rng.randrange(8000)}" for _ in range(2))
+        pool.crash(f"shared bad {made_up}", seconds=0.05, ran_seconds=0.05)
+        for _ in range(requests - 1):
+            made_up = " ".join(f"part-{rng.randrange(40)}" for _ in range(3))
+            pool.add(f"shared {made_up}", ran_seconds=rng.uniform(0.05, 0.3))
+    begin = time.perf_counter()
+    pool.is_blocked("shared bad")
+    assert time.perf_counter() - begin < MAX_DECISION_SECONDS
+
+
+def test_cause_stays_blocked_after_many_crashes_of_others(pool):
+    """Guards against a block that ends because decisions are bounded."""
+    for number in range(5):
+        pool.crash(f"bad own-{number}")
+    assert pool.is_blocked("bad")
+    for number in range(1000):
+        pool.crash(f"other-{number}", seconds=0.05)
+        assert pool.is_blocked("bad")
