Log what was heard while an attempt was silent

It now has the time since the run's last head or whole event, since the last bytes of its stream and since the upstream's last sign on any connection, how many other upstreams of the pool were heard since, and the attempts left. lagoonrun_silent_attempts_total counts the same by what was heard.

--- a/packages/router/src/lagoonrun_router/attempt_result.py
+++ b/packages/router/src/lagoonrun_router/attempt_result.py
@@ -40,6 +40,8 @@
     answer
         The upstream's own complete error response, if any; the caller gets it
         if there is no other attempt.
+    silent
+        Whether it was given up because nothing arrived.
     """
 
     ran: outcomes.Outcome
@@ -49,6 +51,7 @@
     sent: bool = True
     misdirected: bool = False
     answer: "WholeAnswer | None" = None
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/router/src/lagoonrun_router/components.py
+++ b/packages/router/src/lagoonrun_router/components.py
@@ -25,6 +25,7 @@
     retry_budget,
     stream_origins,
     upstream_notices,
+    upstream_signs,
     upstreams,
 )
 
@@ -51,6 +52,8 @@
         Overrides that operators have set.
     stream_origins
         Knows where streams began that callers take up.
+    signs
+        When each upstream last showed this entry VM that it makes progress.
     usage
         Counts requests that begin to run; None if usage is not reported.
     """
@@ -77,4 +80,5 @@
     capacity: pool_capacity.PoolCapacity
     overrides: operator_overrides.OperatorOverrides
     stream_origins: stream_origins.StreamOrigins
+    signs: upstream_signs.UpstreamSigns
     usage: usage_exchange.UsageExchange | None = None
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -23,6 +23,7 @@
     pool_capacity,
     refusing,
     retrying,
+    run_silence,
     stream_relay,
     upstream_attempt,
     upstreams,
@@ -380,6 +381,7 @@
     def _record_loss(
         self, choice: choosing.Choice, lost: attempt_result.Lost, now: float
     ) -> None:
+        silence = self._silence(lost.upstream, now)
         self._sends = self._sends.with_lost(lost, seconds=now - self._sent_at)
         self._tried.add(lost.upstream)
         self._current_attempt = None
@@ -396,6 +398,10 @@
         self._components.metrics.lost_attempts.labels(
             self._call.pool.name, lost.reason.value
         ).inc()
+        if lost.silent:
+            self._components.metrics.silent_attempts.labels(
+                self._call.pool.name, silence.heard_meanwhile.value
+            ).inc()
         logs.emit(
             events.LogEvent.UPSTREAM_ATTEMPT_LOST,
             level=logging.WARNING,
@@ -404,6 +410,25 @@
             ran=lost.ran.value,
             reason=lost.reason.value,
             detail=lost.detail,
+            silent_seconds=silence.seconds,
+            bytes_silent_seconds=silence.bytes_seconds,
+            upstream_silent_seconds=silence.upstream_seconds,
+            heard_upstreams=silence.heard,
+            other_upstreams=silence.others,
+            attempts_left=self._attempts_left(),
+        )
+
+    def _silence(
+        self, upstream: types.UpstreamId, now: float
+    ) -> run_silence.RunSilence:
+        attempt = self._current_attempt
+        return run_silence.observe(
+            upstream,
+            [one.id for one in self._usable_upstreams()],
+            self._components.signs,
+            sign_at=self._sent_at if attempt is None else attempt.sign_at,
+            bytes_at=self._relay.bytes_at,
+            now=now,
         )
 
     async def _attempt_at(
@@ -467,8 +492,12 @@
 
     def _may_send_again(self) -> bool:
         """Return whether the request may be retried after this attempt."""
+        return self._call.idempotent and self._attempts_left() > 1
+
+    def _attempts_left(self) -> int:
+        """Return at how many more upstreams the request may arrive."""
         max_attempts = self._call.route.profile.maximum_attempts
-        return self._call.idempotent and max_attempts - self._sends.reached > 1
+        return max(0, max_attempts - self._sends.reached)
 
     # Endings after failed attempts and refusals.
 
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -61,6 +61,14 @@
             ["pool", "reason"],
             registry=self.registry,
         )
+        self.silent_attempts = prometheus_client.Counter(
+            "lagoonrun_silent_attempts",
+            "Attempts given up in silence, by whether their upstream was heard "
+            "on another connection meanwhile, or only others of the pool, or "
+            "none.",
+            ["pool", "heard"],
+            registry=self.registry,
+        )
         self.upstream_crashes = prometheus_client.Counter(
             "lagoonrun_upstream_crashes",
             "Upstreams in service that broke off requests and then refused "
--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -51,6 +51,7 @@
     store_replica,
     upstream_dialer,
     upstream_links,
+    upstream_signs,
     upstreams,
 )
 
@@ -131,6 +132,7 @@
         self.metrics = metrics.RouterMetrics()
         self.directory = upstreams.UpstreamDirectory()
         self._ledger = load_ledger.LoadLedger()
+        self._signs = upstream_signs.UpstreamSigns()
         self._prompt_locations = prompt_locations.PromptLocations(
             reuse_seconds=configured.reuse_seconds
         )
@@ -308,6 +310,7 @@
                 ),
                 overrides=self.overrides,
                 stream_origins=self.exchange.stream_origins,
+                signs=self._signs,
                 usage=self._usage_exchange,
             )
         )
@@ -511,6 +514,7 @@
             self._ingress.on_upstreams_known()
         known = frozenset(one.id for one in self.directory.registrations)
         self._ledger.forget_upstreams(known)
+        self._signs.forget_upstreams(known)
         self._aggregate.forget_upstreams(known)
         self._adaptive.forget_upstreams(known)
         self._links.retain(known)
--- a/packages/router/src/lagoonrun_router/stream_relay.py
+++ b/packages/router/src/lagoonrun_router/stream_relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
 from lagoonrun_core import clock as clocks
@@ -52,6 +53,9 @@
         Reading of the clock at the first event; None before it.
     longest_pause_seconds
         Longest pause between two consecutive events so far.
+    bytes_at
+        Reading of the clock when bytes of an upstream last arrived; None
+        before.
     """
 
     def __init__(
@@ -71,6 +75,7 @@
         self.origin: stream_origin.StreamOrigin | None = None
         self.first_event_at: float | None = None
         self.longest_pause_seconds = 0.0
+        self.bytes_at: float | None = None
 
     def now(self) -> float:
         """Return the reading of the clock."""
@@ -117,7 +122,9 @@
             if isinstance(end, http_upstream.EndOfBody):
                 return await self._finish(sink.splitter, response, upstream)
             if end is None:
-                return self._lost("silent", upstream)
+                return dataclasses.replace(
+                    self._lost("silent", upstream), silent=True
+                )
             await self._exchange.drained()
 
     async def _pump(
@@ -251,7 +258,7 @@
 
     def take(self, data: bytes) -> bool:
         """Consume bytes; return whether more may follow at once."""
-        self.arrived_at = self._relay.now()
+        self.arrived_at = self._relay.bytes_at = self._relay.now()
         events = self.splitter.feed(data)
         if not events:
             return True
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -63,6 +63,9 @@
     pause_waiting_tokens
         Prompt tokens that were known to be queued at the upstream when the
         longest pause of the stream ended, for the log.
+    sign_at
+        Reading of the clock at the last sign of progress: the head or a whole
+        event; when the request was written, before.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         self._components = components
         self.may_have_run = False
         self._written_at = choice.decided_at
+        self.sign_at = choice.decided_at
         self.pause_waiting_tokens = 0
         self._load_report: load_report.LoadReport | None = None
         self._resumes = bool(relay.resume_after)
@@ -136,17 +140,26 @@
                 reason=outcomes.Reason.UPSTREAM_TIMEOUT,
                 detail="silent",
                 upstream=upstream.id,
+                silent=True,
             )
         if isinstance(response, http_upstream.UpstreamFailure):
             return attempt_result.lost_from_failure(
                 response, upstream=upstream.id
             )
+        self._record_sign()
         self._apply_notice(response.head)
         try:
             return await self._read_answer(response, upstream.id)
         finally:
             await response.cancel()
 
+    def _record_sign(self) -> None:
+        upstream = self._choice.upstream
+        self.sign_at = self._components.clock.monotonic()
+        self._components.signs.record(
+            upstream.id, upstream.pool, now=self.sign_at
+        )
+
     def _apply_notice(self, head: http_messages.ResponseHead) -> None:
         """Apply what the upstream says of itself, whatever its status."""
         dialect = self._components.dialect
@@ -181,7 +194,7 @@
         # caller must not be told that it did not run.
         self.may_have_run = allowed
         if allowed:
-            self._written_at = now
+            self._written_at = self.sign_at = now
             if self._call.route.resumable:
                 self._components.stream_origins.record_sent(
                     self._call.request_id,
@@ -234,6 +247,7 @@
         return await self._read_complete_answer(response, upstream)
 
     def _on_event(self, pause: float | None) -> None:
+        self._record_sign()
         if self._relay.origin is None:
             self._relay.origin = stream_origin.origin_at(self._choice.upstream)
         if self._run is not None:
