--- a/packages/router/tests/test_silent_streams.py
+++ b/packages/router/tests/test_silent_streams.py
@@ -4,11 +4,13 @@
 import contextlib
 import dataclasses
 
+import pytest
+
 from lagoonrun_http import messages as http_messages
 from lagoonrun_router import retry_budget, run_silence, upstream_signs
 from lagoonrun_standins.router_samples import make_route, make_stream_route
 from lagoonrun_standins.router_upstream import marked
-from lagoonrun_standins.router_world import WAIT_SECONDS
+from lagoonrun_standins.router_world import WAIT_SECONDS, wait_for
 
 EVENTS = 20
 EVENT_SECONDS = 0.02
@@ -166,6 +168,174 @@
         one.going.set()
 
 
+@pytest.mark.parametrize("attempts", [1, 2])
+async def test_streams_outlive_the_silence_of_all_upstreams(world, attempts):
+    """Guards against streams cut when all upstreams stand still for a while."""
+    await world.declare(stream_route(maximum_attempts=attempts), revision=2)
+    upstreams = [PausingUpstream() for _ in range(3)]
+    await add_upstreams(world, upstreams)
+    callers = [await begin_stream(world, f"r-{n}") for n in range(9)]
+    await stay_silent(upstreams, 2 * SILENT_SECONDS)
+    for caller in callers:
+        assert await rest_of(caller) == (WHOLE, True)
+
+
+async def test_last_attempt_outlives_its_silence(world):
+    """Guards against streams cut at an upstream from which none may follow."""
+    await world.declare(stream_route(), revision=2)
+    upstreams = [PausingUpstream(breaks_after=2) for _ in range(2)]
+    await add_upstreams(world, upstreams)
+    caller = await begin_stream(world, "r-1")
+    await wait_for(lambda: sum(one.resumed for one in upstreams) == 1)
+    silence = asyncio.create_task(stay_silent(upstreams))
+    await add_upstreams(world, [PausingUpstream(events=1000)], first=3)
+    other = await begin_stream(world, "r-other")
+    assert await rest_of(caller) == (WHOLE, True)
+    await silence
+    other.writer.close()
+
+
+async def test_stream_outlives_silence_when_the_budget_is_spent(world_of):
+    """Guards against streams cut because no retry is paid for any more."""
+    world = await world_of(retry_allowance=NO_RETRIES)
+    await world.declare(stream_route(), revision=2)
+    paused = PausingUpstream()
+    await add_upstreams(world, [paused])
+    caller = await begin_stream(world, "r-1")
+    await add_upstreams(world, [PausingUpstream()], first=2)
+    await stay_silent([paused])
+    assert await rest_of(caller) == (WHOLE, True)
+    assert (paused.begun, paused.resumed) == (1, 0)
+
+
+async def test_streams_outlive_silences_that_overlap(world):
+    """Guards against streams cut while three and then five stand still."""
+    await world.declare(stream_route(), revision=2)
+    upstreams = [PausingUpstream(events=LONG) for _ in range(8)]
+    await add_upstreams(world, upstreams)
+    callers = [await begin_stream(world, f"r-{n}") for n in range(24)]
+    first = asyncio.create_task(stay_silent(upstreams[:3], 2.0))
+    await asyncio.sleep(ALLOWED_SECONDS)
+    await stay_silent(upstreams[3:], 2.0)
+    await first
+    for caller in callers:
+        assert await rest_of(caller) == (stream_of(LONG), True)
+
+
+@pytest.mark.parametrize("attempts", [1, 2])
+async def test_streams_outlive_silence_before_their_first_event(
+    world, attempts
+):
+    """Guards against answers 502 where no upstream has sent a head in time."""
+    await world.declare(stream_route(maximum_attempts=attempts), revision=2)
+    upstreams = [PausingUpstream() for _ in range(2)]
+    await add_upstreams(world, upstreams)
+    silence = asyncio.create_task(stay_silent(upstreams, 2 * SILENT_SECONDS))
+    await asyncio.sleep(0.0)
+    answers = await asyncio.gather(
+        *(
+            world.ask(f"/streams/{n}", method="POST", body=b"x", id=f"r-{n}")
+            for n in range(4)
+        )
+    )
+    await silence
+    assert {(one.status, one.body) for one in answers} == {(200, WHOLE)}
+
+
+async def test_requests_outlive_silence_when_the_budget_is_spent(world_of):
+    """Guards against answers 502 to plain requests that would be answered."""
+    world = await world_of(retry_allowance=NO_RETRIES)
+    await world.declare(plain_route(), revision=2)
+    upstreams = [PausingUpstream() for _ in range(2)]
+    await add_upstreams(world, upstreams)
+    silence = asyncio.create_task(stay_silent(upstreams, ALLOWED_SECONDS))
+    await asyncio.sleep(0.0)
+    answers = await asyncio.gather(
+        *(world.ask(f"/lookups/{n}", id=f"r-{n}") for n in range(4))
+    )
+    await silence
+    assert {one.status for one in answers} == {200}
+
+
+async def test_streams_leave_an_upstream_that_never_goes_on(world):
+    """Guards against waiting for a dead upstream while another would serve."""
+    await world.declare(stream_route(), revision=2)
+    dead = PausingUpstream()
+    await add_upstreams(world, [dead])
+    callers = [await begin_stream(world, f"r-{n}") for n in range(8)]
+    dead.going.clear()
+    other = PausingUpstream()
+    await add_upstreams(world, [other], first=2)
+    async with asyncio.timeout(3 * ALLOWED_SECONDS):
+        for caller in callers:
+            assert await rest_of(caller) == (WHOLE, True)
+    assert other.resumed == len(callers)
+    assert dead.running == 0
+
+
+async def test_requests_leave_an_upstream_that_never_answers(world):
+    """Guards against waiting for a head that a dead upstream won't send."""
+    await world.declare(stream_route(), plain_route(), revision=2)
+    dead = PausingUpstream()
+    dead.going.clear()
+    await add_upstreams(world, [dead])
+    stream = asyncio.create_task(
+        world.ask("/streams/1", method="POST", body=b"x", id="r-1")
+    )
+    plain = asyncio.create_task(world.ask("/lookups/1", id="r-2"))
+    await add_upstreams(world, [PausingUpstream()], first=2)
+    async with asyncio.timeout(3 * ALLOWED_SECONDS):
+        assert (await stream).body == WHOLE
+        assert (await plain).status == 200
+
+
+async def test_stream_leaves_a_dead_connection_of_a_living_upstream(world):
+    """Guards against waiting where the upstream's other streams go on."""
+    await world.declare(stream_route(), revision=2)
+    await add_upstreams(world, [PausingUpstream(events=1000, hangs_after=1)])
+    caller = await begin_stream(world, "r-1")
+    living = await begin_stream(world, "r-2")
+    other = PausingUpstream()
+    await add_upstreams(world, [other], first=2)
+    async with asyncio.timeout(3 * ALLOWED_SECONDS):
+        assert await rest_of(caller) == (WHOLE, True)
+    living.writer.close()
+
+
+async def test_comments_do_not_keep_a_stream_at_a_dead_upstream(world):
+    """Guards against bytes without an event that postpone the next attempt."""
+    await world.declare(stream_route(), revision=2)
+    dead = PausingUpstream(comments=True)
+    await add_upstreams(world, [dead])
+    begun = await begin_stream(world, "r-1")
+    dead.going.clear()
+    waiting = asyncio.create_task(
+        world.ask("/streams/2", method="POST", body=b"x", id="r-2")
+    )
+    await add_upstreams(world, [PausingUpstream()], first=2)
+    async with asyncio.timeout(3 * ALLOWED_SECONDS):
+        body, whole = await rest_of(begun)
+        answer = await waiting
+    comment = b": still here\n\n"
+    assert (body.replace(comment, b""), whole) == (WHOLE, True)
+    assert (answer.body.replace(comment, b""), answer.whole) == (WHOLE, True)
+
+
+async def test_streams_do_not_move_to_a_silent_upstream(world):
+    """Guards against a last attempt spent where nothing arrives either."""
+    await world.declare(stream_route(), revision=2)
+    silent = [PausingUpstream() for _ in range(3)]
+    await add_upstreams(world, silent)
+    callers = [await begin_stream(world, f"r-{n}") for n in range(9)]
+    for one in silent:
+        one.going.clear()
+    await add_upstreams(world, [PausingUpstream()], first=4)
+    async with asyncio.timeout(4 * ALLOWED_SECONDS):
+        for caller in callers:
+            assert await rest_of(caller) == (WHOLE, True)
+    assert [one.resumed for one in silent] == [0, 0, 0]
+
+
 def silence(**changes):
     signs = upstream_signs.UpstreamSigns()
     for id, at in changes.pop("heard_at", {}).items():
