Keep silent runs unless another upstream would serve them

Callers saw streams of sound upstreams reset, and answers 502, because nothing had arrived for three times the allowed pause or a second: also where no attempt or retry budget was left, and where every upstream was silent at once.

Cause: the timer ended the attempt before anything was known of the next one. Now run_mover asks one rule (silence.py) for events, heads of streams and plain requests, and a run is given up only when its next upstream is chosen and its retry is paid for. Otherwise it is read on and the question asked again each 0.1 s, until the time limit. Upstreams heard lately come first (UpstreamSigns: an event with data or the head of a whole answer; a stream's head or a refusal is none), then ones from which nothing is awaited. Moves to one upstream wait for its answers to earlier ones and are bounded by the entry VM's share of its free slots. A retry of any cause avoids upstreams that are silent while one is heard. Comments are no sign; before the first event they are held back, so that an upstream that sends only comments leaves the request free to go elsewhere. Silent runs count as at most three failures of their upstream.

--- a/packages/core/src/lagoonrun_core/events.py
+++ b/packages/core/src/lagoonrun_core/events.py
@@ -56,6 +56,7 @@
     UPSTREAM_LINK_CHANGED = (412, "upstream-link-changed")
     UPSTREAM_BRITTLE = (413, "upstream-brittle")
     CRASH_SUSPECTS = (414, "crash-suspects")
+    SILENT_RUN_KEPT = (415, "silent-run-kept")
 
     CONFIGURATION_IN_FORCE = (500, "configuration-in-force")
     CONFIGURATION_REJECTED = (501, "configuration-rejected")
--- a/packages/router/src/lagoonrun_router/choosing.py
+++ b/packages/router/src/lagoonrun_router/choosing.py
@@ -174,6 +174,30 @@
             adaptive=adaptive,
         )
 
+    def remaining(
+        self,
+        call: calls.Call,
+        *,
+        excluded: Container[types.UpstreamId],
+        origin: stream_origin.StreamOrigin | None,
+    ) -> tuple[upstreams.Registration, ...]:
+        """Return the open upstreams that a call may still be sent to.
+
+        Parameters
+        ----------
+        excluded, origin
+            As of `choose`.
+        """
+        now = self._components.clock.monotonic()
+        usable = self._usable(call, now, origin=origin)
+        by_id = {one.id: one for one in usable if one.id not in excluded}
+        if not by_id and origin is not None:
+            by_id = self._leaving_by_id(call, origin, excluded, now)
+        available = self._components.notices.availability.partition(
+            by_id, tier_of(call, origin), now=now
+        )
+        return tuple(available.open_by_id.values())
+
     def _usable(
         self,
         call: calls.Call,
--- a/packages/router/src/lagoonrun_router/event_splitter.py
+++ b/packages/router/src/lagoonrun_router/event_splitter.py
@@ -1,6 +1,7 @@
 """Split a stream of server-sent events after complete events."""
 
 _ID_FIELD = b"id:"
+_DATA_FIELD = b"data"
 _MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -18,7 +19,7 @@
     last_id
         Id of the last complete event that had one; empty before.
     events
-        Number of complete events so far.
+        Number of complete events with data so far; comments are none.
     """
 
     def __init__(self) -> None:
@@ -56,13 +57,14 @@
         return remainder
 
     def _read_fields(self, complete: bytes) -> None:
-        blank_before = True
+        has_data = False
         for line in complete.splitlines():
+            has_data = has_data or line.startswith(_DATA_FIELD)
             if line.startswith(_ID_FIELD):
                 self.last_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
-            if not line and not blank_before:
-                self.events += 1
-            blank_before = not line
+            if not line:
+                self.events += has_data
+                has_data = False
 
 
 def _end_of_last_event(text: bytes) -> int:
--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -23,7 +23,9 @@
     pool_capacity,
     refusing,
     retrying,
+    run_mover,
     run_silence,
+    silence,
     stream_relay,
     upstream_attempt,
     upstreams,
@@ -96,6 +98,7 @@
         self._sends = retrying.SendCounts()
         self._earlier_may_have_run = False
         self._current_attempt: upstream_attempt.UpstreamAttempt | None = None
+        self._mover: run_mover.RunMover | None = None
         self._sent_at = call.arrived_at
         self._complete_at: float | None = None
         self._expected_wait_seconds = 0.0
@@ -168,7 +171,7 @@
             self._barred = self._barred_upstreams(block)
             if block is not None and not self._has_unbarred_upstream():
                 return await self._end_refused(self._refusals.blocked(block))
-            choice = await self._choose()
+            choice = self._moved_to() or await self._choose()
             if isinstance(choice, choosing.AllClosed) and (
                 self._may_wait_to_continue(choice)
             ):
@@ -194,6 +197,15 @@
             if ending is not None:
                 return ending
 
+    def _moved_to(self) -> choosing.Choice | None:
+        """Return where a silent run goes on, unless it needs a place there."""
+        choice = None if self._mover is None else self._mover.choice
+        if choice is None or self._components.notices.places.is_limited(
+            choice.upstream
+        ):
+            return None
+        return choice
+
     async def _choose(
         self,
     ) -> choosing.Choice | pool_capacity.Rejection | choosing.AllClosed | None:
@@ -221,9 +233,10 @@
     def _choose_upstream(
         self,
     ) -> choosing.Choice | pool_capacity.Rejection | choosing.AllClosed | None:
+        excluded = frozenset(self._tried | self._barred)
         choice = self._chooser.choose(
             self._call,
-            excluded=self._tried | self._barred,
+            excluded=excluded | self._silent_upstreams(excluded),
             admitted_before=self._admitted,
             origin=self._relay.origin,
         )
@@ -244,6 +257,32 @@
             )
         return choice
 
+    def _silent_upstreams(
+        self, excluded: frozenset[types.UpstreamId]
+    ) -> frozenset[types.UpstreamId]:
+        """Return the upstreams that a retry avoids: silent while one is heard.
+
+        The next attempt may be the last one. The first attempt is placed by
+        cost alone: one of many upstreams is often silent for half a second.
+        """
+        allowed_seconds = self._relay.max_silence_seconds()
+        if not self._tried or allowed_seconds is None:
+            return frozenset()
+        fitness_by_id = run_mover.fitness_of(
+            self._chooser.remaining(
+                self._call, excluded=excluded, origin=self._relay.origin
+            ),
+            components=self._components,
+            allowed_seconds=allowed_seconds,
+        )
+        if silence.Fitness.HEARD not in fitness_by_id.values():
+            return frozenset()
+        return frozenset(
+            id
+            for id, fitness in fitness_by_id.items()
+            if fitness is silence.Fitness.SILENT
+        )
+
     def _barred_upstreams(
         self, block: crash_records.Block | None
     ) -> frozenset[types.UpstreamId]:
@@ -349,6 +388,9 @@
         """Return how the request ended, or None if it is sent again."""
         now = self._components.clock.monotonic()
         self._record_loss(choice, lost, now)
+        if self._mover.choice is not None:
+            self._log_retry(retrying.RetryDecision.PAID, now)
+            return None
         decision = retrying.decide(self._call, lost, self._sends, now=now)
         if self._relay.events and not self._relay.resume_after:
             # Its events have no ids: a retry would repeat them.
@@ -364,24 +406,26 @@
             if lost.reason is outcomes.Reason.UPSTREAM_REFUSED:
                 self._record_failure_in_overload()
             return await self._end_lost(lost)
+        self._log_retry(decision, now)
+        return None
+
+    def _log_retry(self, decision: retrying.RetryDecision, now: float) -> None:
+        budget = self._components.retry_budget
         logs.emit(
             events.LogEvent.REQUEST_RETRIED,
             request_id=self._call.request_id,
             verdict=decision.value,
             reached=self._sends.reached,
             unreached=self._sends.unreached,
-            budget_left=round(
-                self._components.retry_budget.left(pool, now=now), 1
-            ),
+            budget_left=round(budget.left(self._call.pool.name, now=now), 1),
             resume_after=self._relay.resume_after,
             version=self._relay.origin and self._relay.origin.version,
         )
-        return None
 
     def _record_loss(
         self, choice: choosing.Choice, lost: attempt_result.Lost, now: float
     ) -> None:
-        silence = self._silence(lost.upstream, now)
+        observed = self._silence(lost.upstream, now)
         self._sends = self._sends.with_lost(lost, seconds=now - self._sent_at)
         self._tried.add(lost.upstream)
         self._current_attempt = None
@@ -391,7 +435,10 @@
             self._components.directory.mark_gone(lost.upstream, source="answer")
         else:
             self._components.ledger.add_failure(
-                lost.upstream, now=now, unreached=not lost.sent
+                lost.upstream,
+                now=now,
+                unreached=not lost.sent,
+                silent=lost.silent,
             )
             if lost.reason is outcomes.Reason.UPSTREAM_CONNECT:
                 self._components.crash_watch.check_refusal(choice.upstream)
@@ -400,7 +447,7 @@
         ).inc()
         if lost.silent:
             self._components.metrics.silent_attempts.labels(
-                self._call.pool.name, silence.heard_meanwhile.value
+                self._call.pool.name, observed.heard_meanwhile.value
             ).inc()
         logs.emit(
             events.LogEvent.UPSTREAM_ATTEMPT_LOST,
@@ -410,11 +457,11 @@
             ran=lost.ran.value,
             reason=lost.reason.value,
             detail=lost.detail,
-            silent_seconds=silence.seconds,
-            bytes_silent_seconds=silence.bytes_seconds,
-            upstream_silent_seconds=silence.upstream_seconds,
-            heard_upstreams=silence.heard,
-            other_upstreams=silence.others,
+            silent_seconds=observed.seconds,
+            bytes_silent_seconds=observed.bytes_seconds,
+            upstream_silent_seconds=observed.upstream_seconds,
+            heard_upstreams=observed.heard,
+            other_upstreams=observed.others,
             attempts_left=self._attempts_left(),
         )
 
@@ -447,6 +494,7 @@
             overdue_at=loads.overdue_at(
                 now=now, expected_seconds=choice.wait_seconds
             ),
+            moved=self._mover is not None and self._mover.choice is not None,
         )
         components.ledger.begin(in_flight, now=now)
         if (
@@ -469,13 +517,23 @@
             components.prompt_locations.record_placement(
                 affinity_part.id, choice.upstream.id, now=now
             )
+        self._mover = run_mover.RunMover(
+            call=self._call,
+            relay=self._relay,
+            upstream=choice.upstream.id,
+            sends=self._sends,
+            excluded=self._barred,
+            tried=frozenset(self._tried),
+            chooser=self._chooser,
+            components=components,
+        )
         self._current_attempt = upstream_attempt.UpstreamAttempt(
             call=self._call,
             exchange=self._exchange,
             relay=self._relay,
             choice=choice,
             in_flight=in_flight,
-            is_last=not self._may_send_again(),
+            mover=self._mover,
             components=components,
         )
         try:
@@ -490,10 +548,6 @@
             components.stream_origins.record_complete(self._call.request_id)
         return result
 
-    def _may_send_again(self) -> bool:
-        """Return whether the request may be retried after this attempt."""
-        return self._call.idempotent and self._attempts_left() > 1
-
     def _attempts_left(self) -> int:
         """Return at how many more upstreams the request may arrive."""
         max_attempts = self._call.route.profile.maximum_attempts
--- a/packages/router/src/lagoonrun_router/load_ledger.py
+++ b/packages/router/src/lagoonrun_router/load_ledger.py
@@ -36,6 +36,11 @@
 others busy.
 """
 
+_MAX_SILENT_FAILURES = 3.0
+"""Failures up to which silent runs count. All runs at an upstream fall silent
+at once, and it may go on a moment later: a hundred of them would keep requests
+from it for twenty seconds, three for five."""
+
 _PREFILL_HALF_LIFE_SECONDS = 2.0
 """Half-life of the average of the prompt tokens sent to a runner."""
 
@@ -142,6 +147,17 @@
             for request in self._own_by_upstream.get(upstream, ())
         )
 
+    def own_running_count(self, upstream: types.UpstreamId) -> int:
+        """Return how many own requests run at an upstream."""
+        return len(self._own_by_upstream.get(upstream, ()))
+
+    def own_moving_count(self, upstream: types.UpstreamId) -> int:
+        """Return how many runs moved to an upstream have no first event yet."""
+        return sum(
+            request.moved and request.waiting
+            for request in self._own_by_upstream.get(upstream, ())
+        )
+
     def _own_load(self, upstream: types.UpstreamId, now: float) -> loads.Load:
         in_flight = self._own_by_upstream.get(upstream)
         return (
@@ -228,6 +244,7 @@
         *,
         now: float,
         unreached: bool = False,
+        silent: bool = False,
     ) -> None:
         """Count a failure that was caused by the upstream.
 
@@ -235,10 +252,15 @@
         ----------
         unreached
             Whether connecting to it failed.
+        silent
+            Whether only nothing arrived from it.
         """
-        self._decaying_sum(
+        known = self._decaying_sum(
             self._failures_by_upstream, upstream, _FAILURE_HALF_LIFE_SECONDS
-        ).add(_UNREACHED_FAILURE_WEIGHT if unreached else 1.0, now)
+        )
+        if silent and known.read(now) >= _MAX_SILENT_FAILURES:
+            return
+        known.add(_UNREACHED_FAILURE_WEIGHT if unreached else 1.0, now)
 
     def failures(self, upstream: types.UpstreamId, *, now: float) -> float:
         """Return the decayed number of failures."""
--- a/packages/router/src/lagoonrun_router/loads.py
+++ b/packages/router/src/lagoonrun_router/loads.py
@@ -119,6 +119,8 @@
         Monotonic time from which its first event is overdue.
     waiting
         Whether it has no first event yet.
+    moved
+        Whether it was moved here from an upstream that was silent.
     """
 
     upstream: types.UpstreamId
@@ -127,6 +129,7 @@
     tier: types.Tier = types.HIGHEST_TIER
     overdue_at: float = float("inf")
     waiting: bool = True
+    moved: bool = False
 
 
 def overdue_at(*, now: float, expected_seconds: float) -> float:
--- a/packages/router/src/lagoonrun_router/metrics.py
+++ b/packages/router/src/lagoonrun_router/metrics.py
@@ -69,6 +69,13 @@
             ["pool", "heard"],
             registry=self.registry,
         )
+        self.kept_runs = prometheus_client.Counter(
+            "lagoonrun_silent_runs_kept",
+            "Runs that were silent beyond what is allowed and were read on, by "
+            "why they were not moved; one run may have several causes.",
+            ["pool", "reason"],
+            registry=self.registry,
+        )
         self.upstream_crashes = prometheus_client.Counter(
             "lagoonrun_upstream_crashes",
             "Upstreams in service that broke off requests and then refused "
--- a/packages/router/src/lagoonrun_router/stream_relay.py
+++ b/packages/router/src/lagoonrun_router/stream_relay.py
@@ -14,7 +14,12 @@
 from lagoonrun_http import hop_by_hop
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
-from lagoonrun_router import attempt_result, event_splitter, stream_origin
+from lagoonrun_router import (
+    attempt_result,
+    event_splitter,
+    silence,
+    stream_origin,
+)
 from lagoonrun_router import call as calls
 
 _MAX_SILENCE_TARGETS = 3.0
@@ -28,6 +33,20 @@
 
 _MIN_SILENCE_SECONDS = 1.0
 
+_READING_PASSES = 2
+"""Passes of the event loop in which what has arrived at the sockets is read."""
+
+_MAX_BYTES_WITHOUT_EVENT = 1024 * 1024
+"""Comments, and parts of an event, that an upstream may send between two
+events; the size of the largest event."""
+
+_Pumped = (
+    http_upstream.EndOfBody
+    | http_upstream.UpstreamFailure
+    | http_upstream.SinkFull
+)
+"""What ends the relay of events, or interrupts it."""
+
 
 class StreamRelay:
     """Delivers the stream of one call.
@@ -82,7 +101,7 @@
         return self._clock.monotonic()
 
     def max_silence_seconds(self) -> float | None:
-        """Return the silence after which another upstream is tried.
+        """Return the silence after which another upstream may be tried.
 
         None for a stream that can't be resumed.
         """
@@ -100,6 +119,7 @@
         *,
         upstream: types.UpstreamId,
         on_event: Callable[[float | None], None],
+        may_move: Callable[[float], bool],
     ) -> attempt_result.Result:
         """Relay one upstream's events until its stream ends or fails.
 
@@ -109,49 +129,68 @@
             Called when complete events have arrived, before they are sent on,
             with the seconds since the previous event from this upstream; None
             for its first one.
+        may_move
+            Called with the allowed silence while the stream is silent for
+            longer; returns whether it is given up, to go on elsewhere.
         """
         sink = _PassingOn(relay=self, head=response.head, on_event=on_event)
         self._last_upstream_event_at = None
         while True:
             try:
-                end = await self._pump(response, sink)
+                end = await self._pump(response, sink, may_move)
             except event_splitter.OversizedEventError as error:
                 return self._lost(str(error), upstream)
             if isinstance(end, http_upstream.UpstreamFailure):
                 return self._lost(end.detail, upstream)
             if isinstance(end, http_upstream.EndOfBody):
-                return await self._finish(sink.splitter, response, upstream)
+                return await self._finish(sink, response, upstream)
             if end is None:
                 return dataclasses.replace(
-                    self._lost("silent", upstream), silent=True
+                    self._lost("silent", upstream),
+                    reason=outcomes.Reason.UPSTREAM_TIMEOUT,
+                    silent=True,
                 )
+            full_at = self._clock.monotonic()
             await self._exchange.drained()
+            # Nothing was read meanwhile.
+            sink.progress_at += self._clock.monotonic() - full_at
 
     async def _pump(
-        self, response: http_upstream.UpstreamResponse, sink: "_PassingOn"
-    ) -> (
-        http_upstream.EndOfBody
-        | http_upstream.UpstreamFailure
-        | http_upstream.SinkFull
-        | None
-    ):
-        """Send events on; return what ended them, None for a long silence."""
-        sink.arrived_at = self._clock.monotonic()
+        self,
+        response: http_upstream.UpstreamResponse,
+        sink: "_PassingOn",
+        may_move: Callable[[float], bool],
+    ) -> _Pumped | None:
+        """Send events on; return what ended them, None if it is moved."""
+        seconds = self._remaining_seconds(sink)
         while True:
-            remaining_seconds = None
-            max_silence = self.max_silence_seconds()
-            if max_silence is not None:
-                silent_seconds = self._clock.monotonic() - sink.arrived_at
-                remaining_seconds = max_silence - silent_seconds
-                if remaining_seconds <= 0.0:
-                    return None
-            try:
-                # One timer for each period of the longest allowed silence,
-                # instead of one for each event.
-                async with asyncio.timeout(remaining_seconds):
-                    return await response.pump(sink)
-            except TimeoutError:
+            # One timer for each period of the longest allowed silence,
+            # instead of one for each event.
+            pumped = await _pump_for(response, sink, seconds)
+            if pumped is not None:
+                return pumped
+            seconds = self._remaining_seconds(sink)
+            if seconds > 0.0:
                 continue
+            # The sockets are read once more: a process that was held up has
+            # not done so when its timer fires.
+            for _ in range(_READING_PASSES):
+                await asyncio.sleep(0.0)
+            pumped = await _pump_for(response, sink, 0.0)
+            if pumped is not None:
+                return pumped
+            seconds = self._remaining_seconds(sink)
+            if seconds <= 0.0:
+                if may_move(self.max_silence_seconds()):
+                    return None
+                seconds = silence.ASK_AGAIN_SECONDS
+
+    def _remaining_seconds(self, sink: "_PassingOn") -> float | None:
+        """Return how long the stream may still be silent; None if for good."""
+        allowed_seconds = self.max_silence_seconds()
+        if allowed_seconds is None:
+            return None
+        return allowed_seconds - (self._clock.monotonic() - sink.progress_at)
 
     def send_events(
         self,
@@ -167,6 +206,12 @@
             self.resume_after = last_id
         return self._exchange.write(events)
 
+    def send_comments(self, comments: bytes, last_id: str) -> bool:
+        """Send comments of a stream that has begun; see `send_events`."""
+        if last_id:
+            self.resume_after = last_id
+        return self._exchange.write(comments)
+
     def record_upstream_event(self) -> float | None:
         """Record an event; return the seconds since its upstream's last one."""
         now = self._clock.monotonic()
@@ -195,14 +240,14 @@
 
     async def _finish(
         self,
-        splitter: event_splitter.EventSplitter,
+        sink: "_PassingOn",
         response: http_upstream.UpstreamResponse,
         upstream: types.UpstreamId,
     ) -> attempt_result.Result:
-        if response.close_delimited and splitter.within_event:
+        if response.close_delimited and sink.splitter.within_event:
             return self._lost("closed within an event", upstream)
         self._write_head(response.head)
-        await self._exchange.send(splitter.pop_remainder())
+        await self._exchange.send(sink.pop_remainder())
         await self._exchange.finish()
         return attempt_result.Delivered(
             ending=outcomes.Ending(
@@ -228,6 +273,9 @@
 class _PassingOn:
     """Sends complete events of one upstream on as they arrive.
 
+    Comments before the first event are sent on with it: what a caller has
+    received of an answer that never began would have to be continued elsewhere.
+
     Parameters
     ----------
     relay
@@ -239,8 +287,9 @@
 
     Attributes
     ----------
-    arrived_at
-        Time at which bytes last arrived, or at which the wait for them began.
+    progress_at
+        Time at which an event with data last arrived, or at which the wait for
+        the first one began. Other bytes are no progress.
     """
 
     def __init__(
@@ -253,20 +302,58 @@
         self._relay = relay
         self._head = head
         self._on_event = on_event
+        self._held = b""
+        self._bytes_without_event = 0
         self.splitter = event_splitter.EventSplitter()
-        self.arrived_at = 0.0
+        self.progress_at = relay.now()
 
     def take(self, data: bytes) -> bool:
         """Consume bytes; return whether more may follow at once."""
-        self.arrived_at = self._relay.bytes_at = self._relay.now()
-        events = self.splitter.feed(data)
-        if not events:
-            return True
+        self._relay.bytes_at = self._relay.now()
+        known_events = self.splitter.events
+        complete = self.splitter.feed(data)
+        if self.splitter.events == known_events:
+            return self._take_without_event(complete, len(data))
+        self.progress_at = self._relay.bytes_at
+        self._bytes_without_event = 0
         is_first = self._relay.first_event_at is None
         self._on_event(self._relay.record_upstream_event())
+        held, self._held = self._held, b""
         keeps_up = self._relay.send_events(
-            self._head, events, self.splitter.last_id
+            self._head, held + complete, self.splitter.last_id
         )
         # The first event changes the longest allowed silence; returning False
         # restarts the timer.
         return keeps_up and not is_first
+
+    def pop_remainder(self) -> bytes:
+        """Return and clear what was not sent on, at the end of the stream."""
+        held, self._held = self._held, b""
+        return held + self.splitter.pop_remainder()
+
+    def _take_without_event(self, complete: bytes, size: int) -> bool:
+        self._bytes_without_event += size
+        if self._bytes_without_event > _MAX_BYTES_WITHOUT_EVENT:
+            raise event_splitter.OversizedEventError(
+                f"{self._bytes_without_event} bytes without an event; "
+                f"valid: <= {_MAX_BYTES_WITHOUT_EVENT}"
+            )
+        if not complete:
+            return True
+        if self._relay.first_event_at is None:
+            self._held += complete
+            return True
+        return self._relay.send_comments(complete, self.splitter.last_id)
+
+
+async def _pump_for(
+    response: http_upstream.UpstreamResponse,
+    sink: _PassingOn,
+    seconds: float | None,
+) -> _Pumped | None:
+    """Send events on; return what ended them, None after a time."""
+    try:
+        async with asyncio.timeout(seconds):
+            return await response.pump(sink)
+    except TimeoutError:
+        return None
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -10,8 +10,10 @@
     answers,
     attempt_result,
     choosing,
+    head_watch,
     load_report,
     loads,
+    run_mover,
     running_requests,
     stream_origin,
     stream_relay,
@@ -51,8 +53,8 @@
         The chosen upstream, and when it was chosen.
     in_flight
         The entry of the attempt in the load ledger.
-    is_last
-        Whether the request may not be retried after this attempt.
+    mover
+        Decides whether the run is moved while it is silent.
     components
         Shared components of the process.
 
@@ -76,7 +78,7 @@
         relay: stream_relay.StreamRelay,
         choice: choosing.Choice,
         in_flight: loads.InFlightRequest,
-        is_last: bool,
+        mover: run_mover.RunMover,
         components: router_components.Components,
     ) -> None:
         self._call = call
@@ -84,7 +86,7 @@
         self._relay = relay
         self._choice = choice
         self._in_flight = in_flight
-        self._is_last = is_last
+        self._mover = mover
         self._components = components
         self.may_have_run = False
         self._written_at = choice.decided_at
@@ -120,20 +122,7 @@
             else self._call.urgency,
         )
         try:
-            async with asyncio.timeout(self._max_head_seconds()):
-                response = await self._components.client.send(
-                    http_upstream.UpstreamRequest(
-                        head=head,
-                        body=self._call.body,
-                        request_id=self._call.request_id,
-                    ),
-                    address=upstream.host,
-                    port=upstream.port,
-                    new_connection=self._components.domains.may_have_dead_connections(
-                        upstream.domain, now=now
-                    ),
-                    may_write=self._may_write,
-                )
+            response = await self._await_head(head, now)
         except TimeoutError:
             return attempt_result.Lost(
                 ran=outcomes.Outcome.UNKNOWN,
@@ -146,13 +135,61 @@
             return attempt_result.lost_from_failure(
                 response, upstream=upstream.id
             )
-        self._record_sign()
+        self._record_head(response.head)
         self._apply_notice(response.head)
         try:
             return await self._read_answer(response, upstream.id)
         finally:
             await response.cancel()
 
+    async def _await_head(
+        self, head: http_messages.RequestHead, now: float
+    ) -> http_upstream.UpstreamResponse | http_upstream.UpstreamFailure:
+        """Send the request; raise TimeoutError if it is moved meanwhile."""
+        upstream = self._choice.upstream
+        async with asyncio.timeout(None) as wait:
+            watch = head_watch.HeadWatch(
+                wait=wait,
+                allowed_seconds=self._max_head_seconds(),
+                may_move=self._may_move,
+            )
+            watch.start()
+            try:
+                return await self._components.client.send(
+                    http_upstream.UpstreamRequest(
+                        head=head,
+                        body=self._call.body,
+                        request_id=self._call.request_id,
+                    ),
+                    address=upstream.host,
+                    port=upstream.port,
+                    new_connection=self._components.domains.may_have_dead_connections(
+                        upstream.domain, now=now
+                    ),
+                    may_write=self._may_write,
+                )
+            finally:
+                watch.close()
+
+    def _may_move(self, allowed_seconds: float) -> bool:
+        now = self._components.clock.monotonic()
+        return self._mover.may_move(
+            silent_seconds=now - self.sign_at, allowed_seconds=allowed_seconds
+        )
+
+    def _record_head(self, head: http_messages.ResponseHead) -> None:
+        """Record the head as a sign, unless it shows only that one listens.
+
+        A process may go on to refuse requests, or to begin streams, and never
+        produce an event.
+        """
+        dialect = self._components.dialect
+        refused = dialect.is_misdirected(head) or dialect.says_not_run(head)
+        if refused or self._call.streamed:
+            self.sign_at = self._components.clock.monotonic()
+        else:
+            self._record_sign()
+
     def _record_sign(self) -> None:
         upstream = self._choice.upstream
         self.sign_at = self._components.clock.monotonic()
@@ -211,14 +248,13 @@
         return allowed
 
     def _max_head_seconds(self) -> float | None:
-        """Return the longest wait for a response head; None for no limit.
+        """Return the wait for a head after which the request may be moved.
 
-        There is a limit only if the request can be retried: another upstream
-        may answer sooner, and asking it loses no work of the first one.
+        None if it may not: for requests that may run once only.
         """
         if self._call.streamed:
             return self._relay.max_silence_seconds()
-        if self._is_last:
+        if not self._call.idempotent:
             return None
         return _MAX_SILENCE_TARGETS * self._call.route.profile.target_seconds
 
@@ -243,6 +279,7 @@
                 response,
                 upstream=upstream,
                 on_event=self._on_event,
+                may_move=self._may_move,
             )
         return await self._read_complete_answer(response, upstream)
 
--- a/packages/router/src/lagoonrun_router/upstream_signs.py
+++ b/packages/router/src/lagoonrun_router/upstream_signs.py
@@ -1,7 +1,8 @@
 """When each upstream last showed this entry VM that it makes progress.
 
-A sign is the head of a response or a whole event with data, on any connection.
-Bytes that complete neither are none: an upstream may send them without end.
+A sign is the head of a whole answer or an event with data, on any connection.
+The head of a stream or of a refusal is none, nor are bytes that complete neither:
+an upstream may send them without end and never answer.
 """
 
 from collections.abc import Iterable
--- a/packages/router/tests/test_event_splitter.py
+++ b/packages/router/tests/test_event_splitter.py
@@ -45,3 +45,12 @@
     splitter = event_splitter.EventSplitter()
     with pytest.raises(event_splitter.OversizedEventError):
         splitter.feed(b"x" * (2 << 20))
+
+
+def test_comments_are_no_events():
+    """Guards against a stream that looks alive for its comments alone."""
+    splitter = event_splitter.EventSplitter()
+    assert splitter.feed(b": waiting\n\n: waiting\n\n")
+    assert splitter.events == 0
+    splitter.feed(b": waiting\n\ndata: x\n\n")
+    assert splitter.events == 1
--- a/packages/router/tests/test_silent_streams.py
+++ b/packages/router/tests/test_silent_streams.py
@@ -325,10 +325,13 @@
     """Guards against a last attempt spent where nothing arrives either."""
     await world.declare(stream_route(), revision=2)
     silent = [PausingUpstream() for _ in range(3)]
-    await add_upstreams(world, silent)
-    callers = [await begin_stream(world, f"r-{n}") for n in range(9)]
-    for one in silent:
+    callers = []
+    for number, one in enumerate(silent, 1):
+        await world.add_upstream(one, id=f"u-{number}", slots=1)
+        await world.ready()
+        callers.append(await begin_stream(world, f"r-{number}"))
         one.going.clear()
+    assert [one.begun for one in silent] == [1, 1, 1]
     await add_upstreams(world, [PausingUpstream()], first=4)
     async with asyncio.timeout(4 * ALLOWED_SECONDS):
         for caller in callers:
