--- a/packages/router/src/lagoonrun_router/crash_watch.py
+++ b/packages/router/src/lagoonrun_router/crash_watch.py
@@ -303,6 +303,10 @@
                 return running_requests.RunEnd.CLOSED
             return running_requests.RunEnd.ANSWERED
         return running_requests.RunEnd.FAILED
+    if result.silent:
+        # Its connection was sound; like a run whose caller has left, it may
+        # have run at an upstream that crashes a moment later.
+        return running_requests.RunEnd.ABANDONED
     if result.sent and result.reason is outcomes.Reason.UPSTREAM_CLOSED:
         return running_requests.RunEnd.BROKEN
     return running_requests.RunEnd.FAILED
--- a/packages/router/tests/test_crash_watch.py
+++ b/packages/router/tests/test_crash_watch.py
@@ -31,6 +31,13 @@
     detail="the upstream answered 500",
     upstream="u-1",
 )
+SILENT = attempt_result.Lost(
+    ran=outcomes.Outcome.PARTIAL,
+    reason=outcomes.Reason.UPSTREAM_TIMEOUT,
+    detail="silent",
+    upstream="u-1",
+    silent=True,
+)
 
 
 @pytest.fixture
@@ -141,6 +148,20 @@
     assert watch.seen == []
 
 
+async def test_run_that_was_moved_in_silence_may_be_a_suspect(
+    watch, registration
+):
+    """Guards against a crash whose last requests are not held to it.
+
+    Nor is an upstream probed that has broken no connection.
+    """
+    run = begin(watch, "one", registration)
+    watch.end(run, SILENT, registration)
+    assert not watch.probed_instances
+    suspects = watch.suspects_at(run.instance)
+    assert {one.digest for one in suspects} == {"one"}
+
+
 @pytest.mark.parametrize("result", [FAILED, None])
 async def test_failed_answer_or_disconnected_caller_is_not_probed(
     watch, registration, result
