--- a/packages/router/src/lagoonrun_router/router.py
+++ b/packages/router/src/lagoonrun_router/router.py
@@ -52,6 +52,7 @@
     store_replica,
     upstream_dialer,
     upstream_links,
+    upstream_signs,
     upstreams,
 )
 
@@ -136,6 +137,7 @@
         self.metrics = metrics.RouterMetrics()
         self.directory = upstreams.UpstreamDirectory()
         self._ledger = load_ledger.LoadLedger()
+        self._signs = upstream_signs.UpstreamSigns()
         self._prompt_locations = prompt_locations.PromptLocations(
             reuse_seconds=configured.reuse_seconds
         )
@@ -313,6 +315,7 @@
                 ),
                 overrides=self.overrides,
                 stream_origins=self.exchange.stream_origins,
+                signs=self._signs,
                 usage=self._usage_exchange,
             )
         )
@@ -517,6 +520,7 @@
             self._ingress.on_upstreams_known()
         known = frozenset(one.id for one in self.directory.registrations)
         self._ledger.forget_upstreams(known)
+        self._signs.forget_upstreams(known)
         self._aggregate.forget_upstreams(known)
         self._adaptive.forget_upstreams(known)
         self._links.retain(known)
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -1,6 +1,10 @@
 """Send one call to one upstream, and read its answer."""
 
-from lagoonrun_core import outcomes, patience, types
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from lagoonrun_core import outcomes, types
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_http import messages as http_messages
 from lagoonrun_http import upstream as http_upstream
@@ -10,6 +14,8 @@
     choosing,
     load_report,
     loads,
+    move_watch,
+    run_mover,
     running_requests,
     stream_origin,
     stream_relay,
@@ -49,8 +55,8 @@
         The chosen upstream, and when it was chosen.
     in_flight
         The entry of the attempt in the load ledger.
-    is_last
-        Whether the request may not be retried after this attempt.
+    mover
+        Decides whether the run is moved while it is silent.
     components
         Shared components of the process.
 
@@ -61,6 +67,9 @@
     pause_waiting_tokens
         Prompt tokens that were known to be queued at the upstream when the
         longest pause of the stream ended, for the log.
+    sign_at
+        Reading of the clock at the last sign of progress: the head or a whole
+        event; when the request was written, before.
     """
 
     def __init__(
@@ -71,7 +80,7 @@
         relay: stream_relay.StreamRelay,
         choice: choosing.Choice,
         in_flight: loads.InFlightRequest,
-        is_last: bool,
+        mover: run_mover.RunMover,
         components: router_components.Components,
     ) -> None:
         self._call = call
@@ -79,10 +88,11 @@
         self._relay = relay
         self._choice = choice
         self._in_flight = in_flight
-        self._is_last = is_last
+        self._mover = mover
         self._components = components
         self.may_have_run = False
         self._written_at = choice.decided_at
+        self.sign_at = choice.decided_at
         self.pause_waiting_tokens = 0
         self._load_report: load_report.LoadReport | None = None
         self._resumes = bool(relay.resume_after)
@@ -114,9 +124,7 @@
             else self._call.urgency,
         )
         try:
-            async with patience.PatienceTimeout(
-                self._max_head_seconds(), clock=self._components.clock
-            ):
+            async with self._until_moved():
                 response = await self._components.client.send(
                     http_upstream.UpstreamRequest(
                         head=head,
@@ -131,22 +139,68 @@
                     may_write=self._may_write,
                 )
         except TimeoutError:
-            return attempt_result.Lost(
-                ran=outcomes.Outcome.UNKNOWN,
-                reason=outcomes.Reason.UPSTREAM_TIMEOUT,
-                detail="silent",
-                upstream=upstream.id,
-            )
+            return self._moved("silent")
         if isinstance(response, http_upstream.UpstreamFailure):
             return attempt_result.lost_from_failure(
                 response, upstream=upstream.id
             )
+        self._record_head(response.head)
         self._apply_notice(response.head)
         try:
             return await self._read_answer(response, upstream.id)
         finally:
             await response.cancel()
 
+    @contextlib.asynccontextmanager
+    async def _until_moved(self) -> AsyncIterator[None]:
+        """Raise TimeoutError once the request goes on elsewhere."""
+        async with asyncio.timeout(None) as wait:
+            watch = move_watch.MoveWatch(
+                wait=wait,
+                allowed_seconds=self._max_wait_seconds(),
+                may_move=self._may_move,
+            )
+            watch.start()
+            try:
+                yield
+            finally:
+                watch.close()
+
+    def _moved(self, detail: str) -> attempt_result.Lost:
+        return attempt_result.Lost(
+            ran=outcomes.Outcome.UNKNOWN,
+            reason=outcomes.Reason.UPSTREAM_TIMEOUT,
+            detail=detail,
+            upstream=self._choice.upstream.id,
+            silent=True,
+        )
+
+    def _may_move(self, allowed_seconds: float) -> bool:
+        now = self._components.clock.monotonic()
+        return self._mover.may_move(
+            silent_seconds=now - self.sign_at, allowed_seconds=allowed_seconds
+        )
+
+    def _record_head(self, head: http_messages.ResponseHead) -> None:
+        """Record the head as a sign, unless it shows only that one listens.
+
+        A process may go on to refuse requests, or to begin streams, and never
+        produce an event.
+        """
+        dialect = self._components.dialect
+        refused = dialect.is_misdirected(head) or dialect.says_not_run(head)
+        if refused or self._call.streamed:
+            self.sign_at = self._components.clock.monotonic()
+        else:
+            self._record_sign()
+
+    def _record_sign(self) -> None:
+        upstream = self._choice.upstream
+        self.sign_at = self._components.clock.monotonic()
+        self._components.signs.record(
+            upstream.id, upstream.pool, now=self.sign_at
+        )
+
     def _apply_notice(self, head: http_messages.ResponseHead) -> None:
         """Apply what the upstream says of itself, whatever its status."""
         dialect = self._components.dialect
@@ -181,7 +235,7 @@
         # caller must not be told that it did not run.
         self.may_have_run = allowed
         if allowed:
-            self._written_at = now
+            self._written_at = self.sign_at = now
             if self._call.route.resumable:
                 self._components.stream_origins.record_sent(
                     self._call.request_id,
@@ -197,15 +251,14 @@
             )
         return allowed
 
-    def _max_head_seconds(self) -> float | None:
-        """Return the longest wait for a response head; None for no limit.
+    def _max_wait_seconds(self) -> float | None:
+        """Return the wait for an answer after which the request may be moved.
 
-        There is a limit only if the request can be retried: another upstream
-        may answer sooner, and asking it loses no work of the first one.
+        None if it may not: for requests that may run once only.
         """
         if self._call.streamed:
             return self._relay.max_silence_seconds()
-        if self._is_last:
+        if not self._call.idempotent:
             return None
         return _MAX_SILENCE_TARGETS * self._call.route.profile.target_seconds
 
@@ -230,10 +283,12 @@
                 response,
                 upstream=upstream,
                 on_event=self._on_event,
+                may_move=self._may_move,
             )
         return await self._read_complete_answer(response, upstream)
 
     def _on_event(self, pause: float | None) -> None:
+        self._record_sign()
         if self._relay.origin is None:
             self._relay.origin = stream_origin.origin_at(self._choice.upstream)
         if self._run is not None:
@@ -329,20 +384,12 @@
         upstream: types.UpstreamId,
     ) -> attempt_result.Result:
         self._record_started()
-        max_seconds = None if self._is_last else self._max_head_seconds()
         try:
             # Bytes without end are no sign that the answer will be whole.
-            async with patience.PatienceTimeout(
-                max_seconds, clock=self._components.clock
-            ):
+            async with self._until_moved():
                 body = await response.read_all(_MAX_BUFFERED_ANSWER_BYTES)
         except TimeoutError:
-            return attempt_result.Lost(
-                ran=outcomes.Outcome.UNKNOWN,
-                reason=outcomes.Reason.UPSTREAM_TIMEOUT,
-                detail=f"no whole body within {max_seconds:g} s",
-                upstream=upstream,
-            )
+            return self._moved("no whole body")
         if isinstance(body, http_upstream.UpstreamFailure):
             return attempt_result.lost_from_failure(body, upstream=upstream)
         if response.head.status < _LOWEST_ERROR_STATUS:
