--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -18,64 +18,20 @@
 """
 
 import dataclasses
-import enum
 from collections.abc import Collection, Iterable
 
 from lagoonrun_core import events, logs, types
 from lagoonrun_protocol import router_messages
-from lagoonrun_router import deferred_entries
+from lagoonrun_router import (
+    deferred_entries,
+    ended_upstreams,
+    known_upstream,
+    removal_grace,
+)
 from lagoonrun_router import registration as registrations
 
 Registration = registrations.Registration
-
-LEASE_EXPIRY_GRACE_SECONDS = 2.5
-"""Time after an outage of the store in which a missing entry may be written
-again.
-
-The platform promises about two seconds; the rest allows for the watch's delay.
-"""
-
-_UNCERTAIN_GRACE_SECONDS = 1.7
-"""Time for which a removed upstream may still be used if it is not known whether
-its lease has expired: most upstreams are missing, or the removal was heard of
-from a peer while this entry VM does not reach the store. No request may reach an
-upstream later than 2 s after it has left; the rest is for the news of it."""
-
-REMOVAL_GRACE_SECONDS = 1.2
-"""Time for which a removed upstream may still be used in normal operation,
-where most of its pool is missing.
-
-An upstream that leaves serves for at least two seconds after its entry is
-removed; after this time a request might reach it too late.
-"""
-
-_MAX_BACKUP_AGE_SECONDS = 60.0
-"""Maximum age of a backup at a restore; it is usually some seconds."""
-
-_CONTINUING_SECONDS = 1.0
-"""Time after the notice that an upstream leaves in which a broken stream may
-still be continued there. It serves for at least two seconds after its notice;
-the rest allows for the notice's delay and for that of the request."""
-
-_MIN_REGISTERED_SHARE = 0.5
-"""Share of a pool that must be registered for missing upstreams to be excluded.
-
-Operators replace or remove a few at a time, and new ones register before old
-ones leave. When most of a pool is missing, leases have expired.
-"""
-
-
-class UpstreamState(enum.Enum):
-    """Whether an upstream may be sent requests."""
-
-    SERVING = "serving"
-    LEAVING = "leaving"
-    MISSING = "missing"
-    UNREADABLE = "unreadable"
-    """Its entry was overwritten by a value that cannot be decoded."""
-
-
-_USABLE_STATES = (UpstreamState.SERVING, UpstreamState.MISSING)
+UpstreamState = known_upstream.UpstreamState
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -95,36 +51,17 @@
     heard_at: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Expired:
-    start: types.UpstreamStart
-    at: float
-
-
-@dataclasses.dataclass(kw_only=True)
-class _KnownUpstream:
-    registration: Registration
-    state: UpstreamState
-    heard_at: float
-    missing_since: float = 0.0
-    kept_until: float = 0.0
-    """Time until which it is used although it is missing."""
-    left_at: float | None = None
-
-
 class UpstreamDirectory:
     """State of all upstreams, from the store, from peers and from answers."""
 
     def __init__(self) -> None:
-        self._known_by_id: dict[types.UpstreamId, _KnownUpstream] = {}
-        self._gone_start_by_id: dict[types.UpstreamId, types.UpstreamStart] = {}
-        self._expired_by_id: dict[types.UpstreamId, _Expired] = {}
+        self._known_by_id: dict[
+            types.UpstreamId, known_upstream.KnownUpstream
+        ] = {}
+        self._ended = ended_upstreams.EndedUpstreams()
         self._restarted: list[RestartedUpstream] = []
-        self._store_unreachable = False
-        self._store_reachable_at = float("-inf")
-        self._restored_at = float("-inf")
+        self._removal_grace = removal_grace.RemovalGrace()
         self._deferred = deferred_entries.DeferredEntries()
-        self._confirmed_at_by_id: dict[types.UpstreamId, float] = {}
 
     # Queries.
 
@@ -136,10 +73,11 @@
         known = [
             one
             for one in self._known_by_id.values()
-            if one.registration.pool == pool and one.state in _USABLE_STATES
+            if one.registration.pool == pool
+            and one.state in known_upstream.USABLE_STATES
         ]
         serving = [one for one in known if one.state is UpstreamState.SERVING]
-        if len(serving) >= _MIN_REGISTERED_SHARE * len(known):
+        if len(serving) >= removal_grace.MIN_REGISTERED_SHARE * len(known):
             known = serving
         return tuple(
             sorted((one.registration for one in known), key=_registration_id)
@@ -149,7 +87,7 @@
         """Return whether a request may still be sent to `upstream`."""
         self._expire(now)
         known = self._known_by_id.get(upstream)
-        return known is not None and known.state in _USABLE_STATES
+        return known is not None and known.state in known_upstream.USABLE_STATES
 
     def leaving_recently(
         self, pool: types.PoolName, *, now: float
@@ -165,7 +103,7 @@
                     one.registration
                     for one in self._known_by_id.values()
                     if one.registration.pool == pool
-                    and _left_recently(one, now)
+                    and known_upstream.left_recently(one, now)
                 ),
                 key=_registration_id,
             )
@@ -174,7 +112,7 @@
     def may_continue(self, upstream: types.UpstreamId, *, now: float) -> bool:
         """Return whether a broken stream may still be sent to `upstream`."""
         known = self._known_by_id.get(upstream)
-        if known is not None and _left_recently(known, now):
+        if known is not None and known_upstream.left_recently(known, now):
             return True
         return self.may_send(upstream, now=now)
 
@@ -191,7 +129,7 @@
         Read-only: states that have expired are updated by `usable`.
         """
         known = self._known_by_id.get(upstream)
-        if known is None or known.state not in _USABLE_STATES:
+        if known is None or known.state not in known_upstream.USABLE_STATES:
             return None
         return known.registration
 
@@ -200,7 +138,7 @@
         for known in self._known_by_id.values():
             one = known.registration
             if (one.host, one.port) == (host, port) and (
-                known.state in _USABLE_STATES
+                known.state in known_upstream.USABLE_STATES
             ):
                 return one
         return None
@@ -220,7 +158,7 @@
     @property
     def leaving(self) -> tuple[router_messages.LeavingUpstream, ...]:
         """Upstreams that get no new requests, to be reported to peers."""
-        start_by_id = self._gone_start_by_id | {
+        start_by_id = dict(self._ended.gone_start_by_id) | {
             id: one.registration.start
             for id, one in self._known_by_id.items()
             if one.state is UpstreamState.LEAVING
@@ -299,8 +237,7 @@
         It may be of a previous instance, of another writer, or older than the
         word that the upstream leaves or is gone.
         """
-        gone_start = self._gone_start_by_id.get(registration.id)
-        if gone_start is not None and registration.start <= gone_start:
+        if self._ended.is_gone(registration):
             return True
         known = self._known_by_id.get(registration.id)
         if known is None or registration.start > known.registration.start:
@@ -326,11 +263,11 @@
             if registration.leaving
             else UpstreamState.SERVING
         )
-        self._known_by_id[registration.id] = _KnownUpstream(
+        self._known_by_id[registration.id] = known_upstream.KnownUpstream(
             registration=registration,
             state=state,
             heard_at=now,
-            left_at=_left_at(known, state, now),
+            left_at=known_upstream.left_at(known, state, now),
         )
         if known is None or known.state is not state:
             _log_state(registration, state, source="store")
@@ -345,15 +282,13 @@
             if self._is_address_taken(registration):
                 self._deferred.put(registration, rewritten=False, now=now)
                 continue
-            self._gone_start_by_id.pop(registration.id, None)
-            self._expired_by_id.pop(registration.id, None)
+            self._ended.refute(registration.id, now=now)
             known = self._known_by_id.get(registration.id)
             if known is not None and (
                 registration.start != known.registration.start
             ):
                 self._record_restart(known, registration)
                 del self._known_by_id[registration.id]
-            self._record_confirmed(registration.id, now)
             self._apply_believed(registration, now=now)
 
     def _is_address_taken(self, registration: Registration) -> bool:
@@ -365,14 +300,8 @@
             if id != registration.id
         )
 
-    def _record_confirmed(self, upstream: types.UpstreamId, now: float) -> None:
-        self._confirmed_at_by_id.pop(upstream, None)
-        self._confirmed_at_by_id[upstream] = now
-        while len(self._confirmed_at_by_id) > _MAX_REMEMBERED_IDS:
-            del self._confirmed_at_by_id[next(iter(self._confirmed_at_by_id))]
-
     def _record_restart(
-        self, known: _KnownUpstream, registration: Registration
+        self, known: known_upstream.KnownUpstream, registration: Registration
     ) -> None:
         self._restarted.append(
             RestartedUpstream(
@@ -410,7 +339,7 @@
             return
         known.state = UpstreamState.MISSING
         known.missing_since = now
-        known.kept_until = self._kept_until(now)
+        known.kept_until = self._removal_grace.kept_until(now=now)
         _log_state(known.registration, known.state, source="store")
 
     def mark_unreadable(self, upstream: types.UpstreamId) -> None:
@@ -421,14 +350,14 @@
         """
         self._deferred.discard(upstream)
         known = self._known_by_id.get(upstream)
-        if known is None or known.state not in _USABLE_STATES:
+        if known is None or known.state not in known_upstream.USABLE_STATES:
             return
         known.state = UpstreamState.UNREADABLE
         _log_state(known.registration, known.state, source="store")
 
     def on_store_unreachable(self) -> None:
         """Record that the store cannot be reached."""
-        self._store_unreachable = True
+        self._removal_grace.on_store_unreachable()
 
     def on_store_restored(self, *, now: float) -> None:
         """Record that the store was restored from a backup.
@@ -436,15 +365,11 @@
         Upstreams that registered after the backup are missing and register
         again within the time that they have after an outage.
         """
-        self._store_unreachable = False
-        self._store_reachable_at = now
-        self._restored_at = now
+        self._removal_grace.on_store_restored(now=now)
 
     def on_store_reachable(self, *, now: float) -> None:
         """Record that the store answers again."""
-        if self._store_unreachable:
-            self._store_unreachable = False
-            self._store_reachable_at = now
+        self._removal_grace.on_store_reachable(now=now)
 
     # Updates from peers and answers.
 
@@ -461,8 +386,7 @@
         Peers hand this word on to each other, so for some time after it was
         refuted it may be an echo.
         """
-        confirmed_at = self._confirmed_at_by_id.get(upstream)
-        if confirmed_at is not None and now - confirmed_at < _ECHO_SECONDS:
+        if self._ended.is_echo(upstream, now=now):
             return
         self.mark_leaving(upstream, start=start, source=source, now=now)
 
@@ -491,7 +415,7 @@
         if known is None:
             # Its lease may have expired, and its entry may be written again
             # before the upstream ends.
-            self._record_gone(upstream, start)
+            self._ended.record_gone(upstream, start)
             return
         if known.state is UpstreamState.LEAVING:
             return
@@ -514,7 +438,9 @@
             _log_state(known.registration, UpstreamState.LEAVING, source=source)
             self._forget(upstream)
 
-    def _defer_known(self, known: _KnownUpstream, now: float) -> None:
+    def _defer_known(
+        self, known: known_upstream.KnownUpstream, now: float
+    ) -> None:
         if known.state is UpstreamState.SERVING:
             self._deferred.put(known.registration, rewritten=False, now=now)
 
@@ -525,23 +451,21 @@
         since the backup. Those that are alive write theirs again, which arrives
         as a change and not in a listing.
         """
-        if now - self._restored_at >= deferred_entries.UNCHANGED_SECONDS:
+        restored_at = self._removal_grace.restored_at
+        if now - restored_at >= deferred_entries.UNCHANGED_SECONDS:
             return False
         known = self._known_by_id.get(registration.id)
         if known is not None and known.state is UpstreamState.MISSING:
             # Its entry disappeared a moment before the restore: it has left,
             # unless its lease may have expired in an outage.
-            kept_seconds = known.kept_until - known.missing_since
             return (
-                kept_seconds <= REMOVAL_GRACE_SECONDS + _ROUNDING_SECONDS
+                not removal_grace.may_have_expired(
+                    missing_since=known.missing_since,
+                    kept_until=known.kept_until,
+                )
                 and registration.start <= known.registration.start
             )
-        expired = self._expired_by_id.get(registration.id)
-        return (
-            expired is not None
-            and now - expired.at < _MAX_BACKUP_AGE_SECONDS
-            and registration.start <= expired.start
-        )
+        return self._ended.has_expired(registration, now=now)
 
     def _expire(self, now: float) -> None:
         self._apply_due(now)
@@ -552,7 +476,9 @@
         ]
         if not missing:
             return
-        grace_seconds = self._unexplained_grace(missing=len(missing))
+        grace_seconds = removal_grace.unexplained_seconds(
+            missing=len(missing), known=len(self._known_by_id)
+        )
         for id, one in missing:
             kept_until = max(one.kept_until, one.missing_since + grace_seconds)
             if now >= kept_until:
@@ -561,91 +487,18 @@
                 )
                 # Not permanently: one that was only cut off registers again.
                 del self._known_by_id[id]
-                self._record_expired(one.registration, now)
-
-    def _record_expired(self, registration: Registration, now: float) -> None:
-        self._expired_by_id.pop(registration.id, None)
-        self._expired_by_id[registration.id] = _Expired(
-            start=registration.start, at=now
-        )
-        while len(self._expired_by_id) > _MAX_REMEMBERED_IDS:
-            del self._expired_by_id[next(iter(self._expired_by_id))]
-
-    def _kept_until(self, now: float) -> float:
-        """Return until when an upstream is used whose entry disappears now.
-
-        One whose lease expired during an outage registers again within two
-        seconds after it. One that leaves later must not be kept for longer.
-        """
-        if self._store_unreachable:
-            return now + _UNCERTAIN_GRACE_SECONDS
-        return max(
-            now + REMOVAL_GRACE_SECONDS,
-            self._store_reachable_at + LEASE_EXPIRY_GRACE_SECONDS,
-        )
-
-    def _unexplained_grace(self, *, missing: int) -> float:
-        """Return how long upstreams are kept for an outage that was not seen.
-
-        An outage may end without any failed call of this entry VM; then most
-        entries are missing at once. Operators never remove all upstreams.
-        """
-        count = len(self._known_by_id)
-        if missing == count and count > 1:
-            return LEASE_EXPIRY_GRACE_SECONDS
-        if missing > _MIN_REGISTERED_SHARE * count:
-            return _UNCERTAIN_GRACE_SECONDS
-        return REMOVAL_GRACE_SECONDS
+                self._ended.record_expired(one.registration, now=now)
 
     def _forget(self, upstream: types.UpstreamId) -> None:
         known = self._known_by_id.pop(upstream)
-        self._record_gone(upstream, known.registration.start)
+        self._ended.record_gone(upstream, known.registration.start)
 
-    def _record_gone(
-        self, upstream: types.UpstreamId, start: types.UpstreamStart
-    ) -> None:
-        before = self._gone_start_by_id.pop(upstream, start)
-        self._gone_start_by_id[upstream] = max(before, start)
-        while len(self._gone_start_by_id) > _MAX_REMEMBERED_IDS:
-            del self._gone_start_by_id[next(iter(self._gone_start_by_id))]
-
-
-_ROUNDING_SECONDS = 0.001
-
-_MAX_REMEMBERED_IDS = 1024
-"""Ids of ended upstreams that are remembered, so that a late entry does not
-make one of them usable again."""
-
-_ECHO_SECONDS = 15.0
-"""Time for which peers' word that an upstream leaves is ignored after its entry
-has refuted it: the time after which the last of them refutes it as well, and
-some seconds for their messages."""
 
 _MAX_REPORTED_LEAVING = 16
 """Maximum number of leaving upstreams in a message, the newest ones: it has to
 fit into a datagram."""
 
 
-def _left_at(
-    known: _KnownUpstream | None, state: UpstreamState, now: float
-) -> float | None:
-    """Return when an upstream began to leave; None if that was not seen.
-
-    One that was leaving when it became known may be about to end.
-    """
-    if known is None or state is not UpstreamState.LEAVING:
-        return None
-    return now if known.state is UpstreamState.SERVING else known.left_at
-
-
-def _left_recently(known: _KnownUpstream, now: float) -> bool:
-    return (
-        known.state is UpstreamState.LEAVING
-        and known.left_at is not None
-        and now - known.left_at < _CONTINUING_SECONDS
-    )
-
-
 def _registration_id(registration: Registration) -> types.UpstreamId:
     return registration.id
 
--- a/packages/router/tests/test_upstreams.py
+++ b/packages/router/tests/test_upstreams.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lagoonrun_router import deferred_entries, upstreams
+from lagoonrun_router import deferred_entries, removal_grace, upstreams
 from lagoonrun_standins import router_samples
 
 NEVER = float("inf")
@@ -187,7 +187,7 @@
     assert usable_ids(directory, 1011.0) == ["u-1", "u-2", "u-3"]
     directory.apply_entry(make_registration("u-1"), now=1011.2)
     assert usable_ids(directory, 1011.2) == ["u-1", "u-2"]
-    expired_at = 1010.0 + upstreams.LEASE_EXPIRY_GRACE_SECONDS
+    expired_at = 1010.0 + removal_grace.LEASE_EXPIRY_GRACE_SECONDS
     assert usable_ids(directory, expired_at) == ["u-1", "u-2"]
 
 
@@ -249,14 +249,14 @@
     for name in ("u-1", "u-2", "u-3"):
         directory.apply_removal(name, now=1000.0)
     assert usable_ids(
-        directory, 1000.0 + upstreams.LEASE_EXPIRY_GRACE_SECONDS - 0.1
+        directory, 1000.0 + removal_grace.LEASE_EXPIRY_GRACE_SECONDS - 0.1
     ) == [
         "u-1",
         "u-2",
         "u-3",
     ]
     assert (
-        usable_ids(directory, 1000.0 + upstreams.LEASE_EXPIRY_GRACE_SECONDS)
+        usable_ids(directory, 1000.0 + removal_grace.LEASE_EXPIRY_GRACE_SECONDS)
         == []
     )
 
@@ -314,7 +314,7 @@
     apply_listing_of(directory, "u-1", "u-2", "u-3")
     directory.on_store_restored(now=1000.0)
     apply_listing_of(directory, "u-1", "u-2", now=1000.0)
-    later = 1000.0 + upstreams.REMOVAL_GRACE_SECONDS
+    later = 1000.0 + removal_grace.REMOVAL_GRACE_SECONDS
     assert directory.may_send("u-3", now=later)
     directory.apply_entry(make_registration("u-3"), now=1002.0)
     assert usable_ids(directory, 1010.0) == ["u-1", "u-2", "u-3"]
@@ -324,7 +324,7 @@
     apply_listing_of(directory, "u-1", "u-2", "u-3")
     directory.on_store_restored(now=1000.0)
     apply_listing_of(directory, "u-1", "u-2", now=1000.0)
-    later = 1000.0 + upstreams.LEASE_EXPIRY_GRACE_SECONDS
+    later = 1000.0 + removal_grace.LEASE_EXPIRY_GRACE_SECONDS
     assert not directory.may_send("u-3", now=later)
 
 
