--- a/packages/soak/src/lagoonrun_soak/checks.py
+++ b/packages/soak/src/lagoonrun_soak/checks.py
@@ -96,6 +96,7 @@
     ONE_VERSION = "one-version"
     TAKEN_UP = "taken-up"
     CROWDED = "crowded"
+    SILENCE = "silence"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -124,6 +125,7 @@
         *_cut_off(history),
         *_crowded(history),
         *_versions(history),
+        *_silence(history),
     ]
 
 
@@ -157,6 +159,47 @@
         )
 
 
+def _silence(history: record.History) -> Iterator[Violation]:
+    """Check that no stream ends early for a silence of its upstream.
+
+    Only where nothing else happened: most other faults may cut streams.
+    """
+    silences = history.disturbances_by_subject[record.SILENCE]
+    others = [
+        subject
+        for subject in history.disturbances_by_subject
+        if subject != record.SILENCE
+    ]
+    for request in history.requests_by_id.values():
+        kind = layout.KINDS_BY_NAME[request.kind]
+        end = request.ended_at
+        if end is None or not kind.route.resumable or request.crashing_part:
+            continue
+        limit_seconds = kind.route.profile.limit_seconds - _SLACK_SECONDS
+        start = request.sent_at - RECOVERY_SECONDS
+        if (
+            not request.whole
+            and request.id in history.runs_by_id
+            and end - request.sent_at < limit_seconds
+            and any(one.start <= end <= one.end for one in silences)
+            and not history.unfinished_faults
+            and not any(
+                start <= at <= end
+                for times in history.stop_times_by_vm.values()
+                for at in times
+            )
+            and all(
+                history.is_undisturbed(subject, start, end)
+                for subject in others
+            )
+        ):
+            yield Violation(
+                guarantee=Guarantee.SILENCE,
+                request_id=request.id,
+                detail=f"ended after {end - request.sent_at:.2f} s",
+            )
+
+
 def _once(history: record.History) -> Iterator[Violation]:
     for id, runs in history.runs_by_id.items():
         request = history.requests_by_id.get(id)
--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -44,6 +44,9 @@
 """Time from the silence of connections to a change. Lost connections excuse a
 delay for three seconds, and a change has to be active 2.4 s after it."""
 
+_SILENCE_SECONDS_RANGE = (1.2, 2.5)
+_SILENCE_INTERVAL_SECONDS = 6.0
+
 _CRASHING_SECONDS = 2.0 * checks.RECOVERY_SECONDS
 
 
@@ -76,6 +79,7 @@
     CALLERS_LOST = "callers-lost"
     CRASHING_PART = "crashing-part"
     CALLERS_AT_ONE_VM = "callers-at-one-vm"
+    UPSTREAMS_SILENT = "upstreams-silent"
 
 
 _UNDISTURBING_KINDS = frozenset(
@@ -135,6 +139,7 @@
         self._busy_vms: set[str] = set()
         self._crashing_count = 0
         self._silenced_at = float("-inf")
+        self._upstreams_silenced_at = float("-inf")
         self._running: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -196,6 +201,7 @@
             FaultKind.CALLERS_LOST: self._lose_callers,
             FaultKind.CRASHING_PART: self._send_crashing_part,
             FaultKind.CALLERS_AT_ONE_VM: self._crowd_vm,
+            FaultKind.UPSTREAMS_SILENT: self._silence_upstreams,
         }
         now = time.monotonic()
         self._history.faults.append(f"{now:.3f} {kind.value}")
@@ -560,6 +566,30 @@
         await asyncio.sleep(self._rng.uniform(*_SLOW_SECONDS_RANGE))
         slow.slowness = 1.0
 
+    async def _silence_upstreams(self) -> None:
+        """Let one, some or all engines send nothing for a while, then go on.
+
+        Not again within the time limit of a stream, which would then end it.
+        """
+        now = time.monotonic()
+        if now - self._upstreams_silenced_at < _SILENCE_INTERVAL_SECONDS:
+            return
+        self._upstreams_silenced_at = now
+        engines = [
+            engine
+            for _, engine in sorted(self._deployment.upstreams.items())
+            if engine.registration.pool == layout.ENGINES
+        ]
+        if not engines:
+            return
+        seconds = self._rng.uniform(*_SILENCE_SECONDS_RANGE)
+        count = self._rng.choice((1, len(engines) // 2 or 1, len(engines)))
+        for engine in self._rng.sample(engines, count):
+            engine.silent_until = now + seconds
+        self._history.record_disturbance(
+            record.SILENCE, now, now + seconds + _RECOVERY_SECONDS
+        )
+
     # Callers.
 
     async def _burst(self) -> None:
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -22,8 +22,10 @@
     places,
     pool_capacity,
     reader_selection,
+    retry_budget,
     retrying,
     router,
+    run_mover,
     store_replica,
     stream_origin,
     stream_origins,
@@ -59,6 +61,7 @@
     TAKEN_UP = "taken-up"
     CRASHING_PART = "crashing-part"
     CROWDED = "crowded"
+    SILENCE = "silence"
 
 
 def plant(defect: PlantedDefect) -> None:
@@ -265,6 +268,12 @@
     )
 
 
+def _break_silence() -> None:
+    """End runs that are silent, as if the retry budget were spent."""
+    run_mover.RunMover.may_move = lambda self, **silent: True
+    retry_budget.RetryBudget.spend = lambda self, pool, *, now: False
+
+
 _PLANTERS = {
     PlantedDefect.ONCE: _break_once,
     PlantedDefect.OWN_ANSWER: _break_own_answer,
@@ -285,4 +294,5 @@
     PlantedDefect.TAKEN_UP: _break_taken_up,
     PlantedDefect.CRASHING_PART: _break_crashing_part,
     PlantedDefect.CROWDED: _break_crowded,
+    PlantedDefect.SILENCE: _break_silence,
 }
--- a/packages/soak/src/lagoonrun_soak/record.py
+++ b/packages/soak/src/lagoonrun_soak/record.py
@@ -11,6 +11,9 @@
 STORE = "store"
 """Subject of faults of the store itself."""
 
+SILENCE = "silence"
+"""Subject of silences of upstreams."""
+
 
 @dataclasses.dataclass(kw_only=True)
 class CallerRequest:
--- a/packages/soak/src/lagoonrun_soak/upstream.py
+++ b/packages/soak/src/lagoonrun_soak/upstream.py
@@ -78,6 +78,8 @@
         Notice sent with each response.
     slowness
         How long work takes, relative to the usual time.
+    silent_until
+        Monotonic time until which it sends nothing, then goes on.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self._slots = asyncio.Semaphore(registration.slots)
         self.notice = notices.NO_NOTICE
         self.slowness = 1.0
+        self.silent_until = 0.0
         self._server = http_server.HttpServer(
             host=address.host,
             port=address.port,
@@ -250,6 +253,9 @@
             )
         )
 
+    async def _stay_silent(self) -> None:
+        await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
+
     async def _run(
         self,
         exchange: exchanges.Exchange,
@@ -261,6 +267,7 @@
             headers = self._with_notice(headers, id)
         if not layout.KINDS_BY_NAME[_kind_of(exchange)].streamed:
             await asyncio.sleep(_PLAIN_RUN_SECONDS * self.slowness)
+            await self._stay_silent()
             await exchange.respond(
                 status=200,
                 headers=self._with_notice(headers, id),
@@ -275,6 +282,7 @@
         )
         for number in range(request.resumes_after + 1, layout.EVENTS + 1):
             await asyncio.sleep(_EVENT_SECONDS * self.slowness)
+            await self._stay_silent()
             await exchange.send(event(id, number, self.registration.version))
         await exchange.finish()
 
--- a/packages/soak/tests/test_checks.py
+++ b/packages/soak/tests/test_checks.py
@@ -1,5 +1,7 @@
 """Tests each check on small histories with and without a violation."""
 
+import collections
+
 import pytest
 
 from lagoonrun_soak import checks, layout, record, upstream
@@ -431,3 +433,38 @@
     requests = [*cut_requests(at_cut=502), *refused]
     found = violated_guarantees(*requests, cuts=[CUT])
     assert found == {Guarantee.CUT_OFF}
+
+
+@pytest.mark.parametrize(
+    ("changes", "violated"),
+    [
+        ({}, {Guarantee.SILENCE}),
+        ({"body": b"".join(EVENTS), "whole": True}, set()),
+        ({"ended_at": 105.0}, set()),
+        ({"vm": "vm-disturbed"}, set()),
+    ],
+)
+def test_stream_cut_in_silence_breaks_silence(changes, violated):
+    """Guards against a check that misses cuts, or blames other faults."""
+    request = make_request(
+        **{
+            "kind": "summary",
+            "ended_at": 102.0,
+            "body": EVENTS[0],
+            "whole": False,
+            **changes,
+        }
+    )
+    silences = [record.Disturbance(start=100.5, end=106.0)]
+    disturbances = {record.SILENCE: silences, "vm-0": []}
+    if request.vm == "vm-disturbed":
+        disturbances["vm-disturbed"] = silences
+    by_subject = collections.defaultdict(list, disturbances)
+    assert (
+        violated_guarantees(
+            request,
+            runs=[make_run(kind="summary")],
+            disturbances_by_subject=by_subject,
+        )
+        == violated
+    )
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -39,6 +39,7 @@
     ),
     PlantedDefect.CRASHING_PART: (FaultKind.CRASHING_PART,),
     PlantedDefect.CROWDED: (FaultKind.CALLERS_AT_ONE_VM,),
+    PlantedDefect.SILENCE: (FaultKind.UPSTREAMS_SILENT,),
 }
 
 _GUARANTEES_OF_OTHER_DEFECTS = {
@@ -67,6 +68,7 @@
     PlantedDefect.TAKEN_UP: 2 * SECONDS,
     PlantedDefect.CRASHING_PART: 2 * SECONDS,
     PlantedDefect.CROWDED: 2 * SECONDS,
+    PlantedDefect.SILENCE: 2 * SECONDS,
 }
 """A limit must be obeyed after three seconds; the next four are checked.
 
@@ -114,6 +116,7 @@
         FaultKind.UPSTREAM_SAYS_IT_LEAVES,
         FaultKind.UPSTREAM_SLOW,
         FaultKind.STORE_CONNECTIONS_SILENT,
+        FaultKind.UPSTREAMS_SILENT,
     ],
 )
 async def test_single_fault_in_series_breaks_nothing(kind, tmp_path):
