Soak entry VMs that are stopped while they stall

New fault vm-stopped-while-stalled: SIGTERM, and three pauses of 1.6 to 1.9 s without processor time, while the upstreams go on. The pauses excuse no cut stream. New planted defect late-timers, the plain event loop of asyncio, which the check of planned stops finds.

--- a/packages/soak/src/lagoonrun_soak/faults.py
+++ b/packages/soak/src/lagoonrun_soak/faults.py
@@ -76,6 +76,7 @@
     CALLERS_LOST = "callers-lost"
     CRASHING_PART = "crashing-part"
     CALLERS_AT_ONE_VM = "callers-at-one-vm"
+    VM_STOPPED_WHILE_STALLED = "vm-stopped-while-stalled"
 
 
 _UNDISTURBING_KINDS = frozenset(
@@ -107,6 +108,14 @@
 """Duration of a cut: the recovery time, and as long to measure."""
 
 
+_STALLS = 3
+_STALL_SECONDS_RANGE = (1.6, 1.9)
+"""Longer than the silence after which a stream is moved, and shorter than the
+shortest time limit of a request."""
+
+_BETWEEN_STALLS_SECONDS_RANGE = (0.1, 0.3)
+
+
 class FaultInjector:
     """Injects faults into a deployment until it is closed.
 
@@ -196,6 +205,7 @@
             FaultKind.CALLERS_LOST: self._lose_callers,
             FaultKind.CRASHING_PART: self._send_crashing_part,
             FaultKind.CALLERS_AT_ONE_VM: self._crowd_vm,
+            FaultKind.VM_STOPPED_WHILE_STALLED: self._stop_stalled_vm,
         }
         now = time.monotonic()
         self._history.faults.append(f"{now:.3f} {kind.value}")
@@ -261,6 +271,35 @@
         await entry_vm.start()
         self._release_vm(entry_vm, since, planned=True)
 
+    async def _stop_stalled_vm(self) -> None:
+        """Stop an entry VM that gets no processor time for seconds.
+
+        Its upstreams go on, so the stalls are no excuse for streams that are
+        cut: what they sent waits in its sockets.
+        """
+        entry_vm = self._reserve_vm()
+        if entry_vm is None:
+            return
+        since = time.monotonic()
+        self._history.stop_times_by_vm[entry_vm.name].append(since)
+        entry_vm.send(signal.SIGTERM)
+        try:
+            for _ in range(_STALLS):
+                await asyncio.sleep(
+                    self._rng.uniform(*_BETWEEN_STALLS_SECONDS_RANGE)
+                )
+                entry_vm.send(signal.SIGSTOP)
+                await asyncio.sleep(self._rng.uniform(*_STALL_SECONDS_RANGE))
+                entry_vm.send(signal.SIGCONT)
+        finally:
+            entry_vm.send(signal.SIGCONT)
+        remaining_seconds = since + layout.STOP_SECONDS - time.monotonic()
+        if not await entry_vm.wait_for_exit(remaining_seconds):
+            entry_vm.send(signal.SIGKILL)
+            await entry_vm.wait_for_exit(_RESTART_SECONDS)
+        await entry_vm.start()
+        self._release_vm(entry_vm, since, planned=True)
+
     async def _lose_callers(self) -> None:
         """Break the connections over which callers receive streams.
 
--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -7,7 +7,7 @@
 import collections
 import enum
 
-from lagoonrun_core import outcomes
+from lagoonrun_core import event_loop, outcomes
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_router import (
     admission,
@@ -59,6 +59,7 @@
     TAKEN_UP = "taken-up"
     CRASHING_PART = "crashing-part"
     CROWDED = "crowded"
+    LATE_TIMERS = "late-timers"
 
 
 def plant(defect: PlantedDefect) -> None:
@@ -265,6 +266,13 @@
     )
 
 
+def _break_late_timers() -> None:
+    """Run late timers before what had arrived is read, as asyncio does."""
+    event_loop.StallAwareEventLoop = lambda *, stalls: (
+        asyncio.SelectorEventLoop()
+    )
+
+
 _PLANTERS = {
     PlantedDefect.ONCE: _break_once,
     PlantedDefect.OWN_ANSWER: _break_own_answer,
@@ -285,4 +293,5 @@
     PlantedDefect.TAKEN_UP: _break_taken_up,
     PlantedDefect.CRASHING_PART: _break_crashing_part,
     PlantedDefect.CROWDED: _break_crowded,
+    PlantedDefect.LATE_TIMERS: _break_late_timers,
 }
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -39,11 +39,13 @@
     ),
     PlantedDefect.CRASHING_PART: (FaultKind.CRASHING_PART,),
     PlantedDefect.CROWDED: (FaultKind.CALLERS_AT_ONE_VM,),
+    PlantedDefect.LATE_TIMERS: (FaultKind.VM_STOPPED_WHILE_STALLED,),
 }
 
 _GUARANTEES_OF_OTHER_DEFECTS = {
     PlantedDefect.SILENT_WATCHES: checks.Guarantee.IN_FORCE,
     PlantedDefect.CRASHING_PART: checks.Guarantee.CRASHING,
+    PlantedDefect.LATE_TIMERS: checks.Guarantee.PLANNED_STOP,
 }
 
 GUARANTEES_BY_DEFECT = {
@@ -67,6 +69,7 @@
     PlantedDefect.TAKEN_UP: 2 * SECONDS,
     PlantedDefect.CRASHING_PART: 2 * SECONDS,
     PlantedDefect.CROWDED: 2 * SECONDS,
+    PlantedDefect.LATE_TIMERS: 3 * SECONDS,
 }
 """A limit must be obeyed after three seconds; the next four are checked.
 
@@ -114,6 +117,7 @@
         FaultKind.UPSTREAM_SAYS_IT_LEAVES,
         FaultKind.UPSTREAM_SLOW,
         FaultKind.STORE_CONNECTIONS_SILENT,
+        FaultKind.VM_STOPPED_WHILE_STALLED,
     ],
 )
 async def test_single_fault_in_series_breaks_nothing(kind, tmp_path):
