Let an upstream process read a long body late

A request with a long body was lost (and a plain one answered 502) when its upstream process read nothing for 2.5 s, though its host acknowledged all along: TCP_USER_TIMEOUT ends a connection also while its receive window is closed.

The limit is now set only for requests with a body of at most 32 KiB, which the kernel of an upstream takes unread. With a longer one keep-alive probes and their number decide once the body is acknowledged; until then a lost host is noticed by the wait for the head or the time limit, no longer after 2.5 s.

--- a/packages/http/src/lagoonrun_http/tcp_keepalive.py
+++ b/packages/http/src/lagoonrun_http/tcp_keepalive.py
@@ -38,3 +38,23 @@
         # A system without one of the options detects a lost peer later.
         for level, option, value in options:
             raw.setsockopt(level, option, value)
+
+
+def set_unacknowledged_limit(
+    transport: asyncio.Transport, seconds: float | None
+) -> None:
+    """Set how long sent bytes may stay unacknowledged; None for no limit.
+
+    The system counts the time of a closed receive window as well, although the
+    peer's host acknowledges each probe of the window. Keep-alive probes go on
+    without a limit, and their number decides then.
+    """
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return
+    with contextlib.suppress(OSError):
+        raw.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int((seconds or 0.0) * 1000),
+        )
--- a/packages/http/src/lagoonrun_http/upstream_connection.py
+++ b/packages/http/src/lagoonrun_http/upstream_connection.py
@@ -26,6 +26,10 @@
     upstream_messages.REQUEST_ID_HEADER,
 )
 _MAX_JOINED_BODY_BYTES = 64 * 1024
+_MAX_UNREAD_BYTES = 32 * 1024
+"""Body that the kernel of an upstream takes while the process reads nothing; the
+first receive window of Linux is 64 KiB."""
+
 _ANNOUNCED_IDLE = re.compile(r"timeout=(\d{1,6})")
 _ANNOUNCED_IDLE_FRACTION = 0.75
 """Leaves a quarter as a margin for a delayed request and clock differences."""
@@ -101,6 +105,7 @@
         self._reading_paused = False
         self._last_progress = 0.0
         self._unsent_bytes = 0
+        self._unacknowledged_limited = True
 
     @property
     def busy(self) -> bool:
@@ -221,6 +226,7 @@
         head = self._h11.send(_h11_request(request, self._peer))
         framed = self._h11.send(h11.Data(data=body)) if body else b""
         framed += self._h11.send(h11.EndOfMessage())
+        self._limit_unacknowledged(len(framed))
         # From here on the upstream may run the request. Set before the write,
         # so that a failure of the write itself reports it as well.
         self._write_attempted = True
@@ -230,6 +236,16 @@
             self._transport.write(head)
             self._transport.write(framed)
 
+    def _limit_unacknowledged(self, body_bytes: int) -> None:
+        """Let a process read a long body late, as long as its host answers."""
+        is_limited = body_bytes <= _MAX_UNREAD_BYTES
+        if is_limited is not self._unacknowledged_limited:
+            self._unacknowledged_limited = is_limited
+            tcp_keepalive.set_unacknowledged_limit(
+                self._transport,
+                self._limits.unacknowledged_seconds if is_limited else None,
+            )
+
     # Reading.
 
     def _read_events(self) -> None:
