--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -7,7 +7,7 @@
 import collections
 import enum
 
-from lagoonrun_core import outcomes
+from lagoonrun_core import event_loop, outcomes
 from lagoonrun_http import exchange as exchanges
 from lagoonrun_router import (
     admission,
@@ -62,6 +62,7 @@
     CRASHING_PART = "crashing-part"
     CROWDED = "crowded"
     SILENCE = "silence"
+    LATE_TIMERS = "late-timers"
 
 
 def plant(defect: PlantedDefect) -> None:
@@ -273,6 +274,13 @@
     retry_budget.RetryBudget.spend = lambda self, pool, *, now: False
 
 
+def _break_late_timers() -> None:
+    """Run late timers before what had arrived is read, as asyncio does."""
+    event_loop.StallAwareEventLoop = lambda *, stalls: (
+        asyncio.SelectorEventLoop()
+    )
+
+
 _PLANTERS = {
     PlantedDefect.ONCE: _break_once,
     PlantedDefect.OWN_ANSWER: _break_own_answer,
@@ -294,4 +302,5 @@
     PlantedDefect.CRASHING_PART: _break_crashing_part,
     PlantedDefect.CROWDED: _break_crowded,
     PlantedDefect.SILENCE: _break_silence,
+    PlantedDefect.LATE_TIMERS: _break_late_timers,
 }
--- a/packages/soak/tests/test_soak.py
+++ b/packages/soak/tests/test_soak.py
@@ -40,11 +40,13 @@
     PlantedDefect.CRASHING_PART: (FaultKind.CRASHING_PART,),
     PlantedDefect.CROWDED: (FaultKind.CALLERS_AT_ONE_VM,),
     PlantedDefect.SILENCE: (FaultKind.UPSTREAMS_SILENT,),
+    PlantedDefect.LATE_TIMERS: (FaultKind.VM_STOPPED_WHILE_STALLED,),
 }
 
 _GUARANTEES_OF_OTHER_DEFECTS = {
     PlantedDefect.SILENT_WATCHES: checks.Guarantee.IN_FORCE,
     PlantedDefect.CRASHING_PART: checks.Guarantee.CRASHING,
+    PlantedDefect.LATE_TIMERS: checks.Guarantee.PLANNED_STOP,
 }
 
 GUARANTEES_BY_DEFECT = {
@@ -69,6 +71,7 @@
     PlantedDefect.CRASHING_PART: 2 * SECONDS,
     PlantedDefect.CROWDED: 2 * SECONDS,
     PlantedDefect.SILENCE: 2 * SECONDS,
+    PlantedDefect.LATE_TIMERS: 3 * SECONDS,
 }
 """A limit must be obeyed after three seconds; the next four are checked.
 
@@ -117,6 +120,7 @@
         FaultKind.UPSTREAM_SLOW,
         FaultKind.STORE_CONNECTIONS_SILENT,
         FaultKind.UPSTREAMS_SILENT,
+        FaultKind.VM_STOPPED_WHILE_STALLED,
     ],
 )
 async def test_single_fault_in_series_breaks_nothing(kind, tmp_path):
@@ -212,3 +216,21 @@
         vms=4,
     )
     assert result.violations == ()
+
+
+async def test_entry_vms_stopped_while_they_start_break_nothing(tmp_path):
+    """Guards against a stop right after a start, which ended the process."""
+    result = await run_soak(
+        tmp_path,
+        seed=205,
+        kinds=(
+            FaultKind.VM_STOPPED,
+            FaultKind.VM_STOPPED_WHILE_STALLED,
+            FaultKind.DECLARED,
+            FaultKind.SETTINGS_WRITTEN,
+            FaultKind.CALLERS_LOST,
+        ),
+        seconds=20.0,
+        vms=4,
+    )
+    assert result.violations == ()
