--- a/packages/router/src/lagoonrun_router/deferred_entries.py
+++ b/packages/router/src/lagoonrun_router/deferred_entries.py
@@ -36,10 +36,9 @@
         self._deferred_by_id: dict[types.UpstreamId, _Deferred] = {}
         self._current_since: float | None = float("-inf")
 
-    @property
-    def ids(self) -> frozenset[types.UpstreamId]:
-        """Upstreams whose entries are set aside."""
-        return frozenset(self._deferred_by_id)
+    def has(self, upstream: types.UpstreamId) -> bool:
+        """Return whether an entry of an upstream is set aside."""
+        return upstream in self._deferred_by_id
 
     def put(
         self,
--- a/packages/router/src/lagoonrun_router/upstreams.py
+++ b/packages/router/src/lagoonrun_router/upstreams.py
@@ -441,7 +441,10 @@
     def _defer_known(
         self, known: known_upstream.KnownUpstream, now: float
     ) -> None:
-        if known.state is UpstreamState.SERVING:
+        # An entry that is set aside is newer than the one that is known.
+        if known.state is UpstreamState.SERVING and not self._deferred.has(
+            known.registration.id
+        ):
             self._deferred.put(known.registration, rewritten=False, now=now)
 
     def _is_stale_entry(self, registration: Registration, now: float) -> bool:
--- a/packages/router/tests/test_upstreams.py
+++ b/packages/router/tests/test_upstreams.py
@@ -484,3 +484,88 @@
 
 
 TestLeaving = LeavingMachine.TestCase
+
+
+OWN = make_registration("u-0", start=5)
+SOURCES = st.sampled_from(["answer", "peer", "gone"])
+
+
+class RecoveryMachine(RuleBasedStateMachine):
+    """Whatever is said of an upstream that lives, it is used again.
+
+    It writes its entry whenever another one, or none, is in the store.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.directory = upstreams.UpstreamDirectory()
+        self.directory.apply_entry(OWN, now=1000.0)
+        self.now = 1000.0
+        self.stored = OWN
+
+    @rule(leaving=st.booleans(), start=st.sampled_from([0, 5, 1 << 62]))
+    def foreign_entry(self, leaving, start):
+        """Have another writer overwrite the entry."""
+        self.stored = make_registration(
+            "u-0", leaving=leaving, start=start, port=9
+        )
+        self.directory.apply_entry(self.stored, rewritten=True, now=self.now)
+
+    @rule()
+    def unreadable_entry(self):
+        """Have another writer overwrite the entry by no valid one."""
+        self.stored = "unreadable"
+        self.directory.mark_unreadable("u-0")
+
+    @rule()
+    def removal(self):
+        """Have the entry expire."""
+        self.stored = None
+        self.directory.apply_removal("u-0", now=self.now)
+
+    @rule(source=SOURCES, start=st.sampled_from([0, 5, 1 << 62]))
+    def word(self, source, start):
+        """Have an answer or a peer say that it leaves or is gone."""
+        if source == "gone":
+            self.directory.mark_gone("u-0", source="answer", now=self.now)
+        elif source == "peer":
+            self.directory.apply_peer_leaving(
+                "u-0", start=start, source="vm", now=self.now
+            )
+        else:
+            self.directory.mark_leaving(
+                "u-0", start=start, source="answer", now=self.now
+            )
+
+    @rule(has_entry=st.booleans())
+    def restore(self, has_entry):
+        """Restore the store from a backup."""
+        self.stored = OWN if has_entry else None
+        self.directory.on_store_restored(now=self.now)
+        listed = [OWN] if has_entry else []
+        self.directory.apply_listing(listed, now=self.now)
+
+    @rule(is_current=st.booleans())
+    def read_or_lose_store(self, is_current):
+        """Lose or regain the store."""
+        self.directory.observe_reading(is_current=is_current, now=self.now)
+
+    @rule(seconds=st.floats(0.0, 12.0))
+    def wait(self, seconds):
+        """Let time pass; a request asks for upstreams."""
+        self.now += seconds
+        self.directory.usable("portal", now=self.now)
+
+    @invariant()
+    def it_is_used_again(self):
+        """Check that it is used once it has written its entry."""
+        later = copy.deepcopy(self.directory)
+        later.observe_reading(is_current=True, now=self.now)
+        if self.stored != OWN:
+            later.apply_entry(OWN, rewritten=True, now=self.now)
+        seconds = 2.0 * deferred_entries.UNCHANGED_SECONDS
+        (usable,) = later.usable("portal", now=self.now + seconds)
+        assert usable == OWN
+
+
+TestRecovery = RecoveryMachine.TestCase
