End forwarded connections whose frames carry nothing

Frames without data could arrive without end on a connection that another entry VM forwards: no bound on the upstream's bytes counts them, so that the request waited for its time limit. An entry VM sends no empty frame and one RETIRE at most; others end the connection now.

Tests: test_endless_frames.py; empty frames red before, the other forms (heads of the answer, frames of a byte, one that is too large) were bounded already.

--- a/packages/router/src/lagoonrun_router/forwarded_connection.py
+++ b/packages/router/src/lagoonrun_router/forwarded_connection.py
@@ -106,6 +106,7 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._frames = forwarding_frames.FrameReader()
         self._has_switched = False
+        self._is_retired = False
         self._has_ended = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -165,13 +166,29 @@
         for kind, payload in frames:
             if self._connection.closed:
                 return
+            if self._carries_nothing(kind, payload):
+                tcp_reset.reset(self._transport)
+                return
             if kind is forwarding_frames.FrameKind.DATA:
                 self._pass_on(payload)
             elif kind is forwarding_frames.FrameKind.RETIRE:
+                self._is_retired = True
                 self._connection.retire()
             else:
                 self._end(broken=kind is forwarding_frames.FrameKind.BROKEN)
 
+    def _carries_nothing(
+        self, kind: forwarding_frames.FrameKind, payload: bytes
+    ) -> bool:
+        """Return whether a frame is one that no entry VM sends.
+
+        Such frames could arrive without end, since no bound on the upstream's
+        bytes counts them.
+        """
+        if kind is forwarding_frames.FrameKind.RETIRE:
+            return self._is_retired
+        return kind is forwarding_frames.FrameKind.DATA and not payload
+
     def _pass_on(self, payload: bytes) -> None:
         rest = memoryview(payload)
         while rest and not self._connection.closed:
