Take no silence for guilt at an entry VM that has just started

All four parts that sound requests share were blocked beside the cause.

Cause: what a cause explains is blocked beside it if its own evidence is strong and it was never answered. Entry VMs that have just started know of no answer at all.

Now this holds for parts only once 16 answered requests are known. Requests stay as they were: a block of one refuses nobody else.

--- a/packages/router/src/lagoonrun_router/answer_sample.py
+++ b/packages/router/src/lagoonrun_router/answer_sample.py
@@ -21,6 +21,11 @@
         if parts:
             self._parts.append(frozenset(parts))
 
+    @property
+    def size(self) -> int:
+        """Number of answered requests."""
+        return len(self._parts)
+
     def count_of(self, part: types.PromptPartDigest) -> int:
         """Return the number of requests with a part."""
         return sum(part in one for one in self._parts)
--- a/packages/router/src/lagoonrun_router/crash_causes.py
+++ b/packages/router/src/lagoonrun_router/crash_causes.py
@@ -64,6 +64,10 @@
 """Share of a part's crashes that several parts explain, which ran there with it
 for half the time, so that one of these may be the cause each time."""
 
+_MIN_SAMPLED_ANSWERS = 16
+"""Answered requests from which it means something that a suspect has no answer:
+an entry VM that has just started knows of none."""
+
 _MAX_CANDIDATES = 64
 """Maximum number of suspects that are compared with each other, those with the
 strongest evidence. Callers may make up parts, and each comparison takes time."""
@@ -94,6 +98,10 @@
     ) -> float:
         """Return the upstream seconds of the pools of some upstreams."""
 
+    @property
+    def sampled_answers(self) -> int:
+        """Number of the last answered requests that are known."""
+
     def count_answers(self, suspect: crash_records.Suspect) -> int:
         """Return how many of the last answered requests have a part."""
 
@@ -521,6 +529,9 @@
 
         A request that met a cause several times has no crash of its own.
         """
+        knows_answers = (
+            self._observations.sampled_answers >= _MIN_SAMPLED_ANSWERS
+        )
         known = frozenset().union(*(one.cause for one in found))
         explained = frozenset(self._explained)
         self._explained.clear()
@@ -535,6 +546,7 @@
             )
             if (
                 suspect not in known
+                and (knows_answers or not self._is_part(suspect))
                 and (is_strong or (has_own and self._is_enough(weight)))
                 and not self._observations.was_answered(suspect)
             ):
--- a/packages/router/src/lagoonrun_router/crash_evidence.py
+++ b/packages/router/src/lagoonrun_router/crash_evidence.py
@@ -367,6 +367,11 @@
             return float("inf")
         return self._uptime.seconds(instances, since=since, until=until)
 
+    @property
+    def sampled_answers(self) -> int:
+        """Number of the last answered requests that are known."""
+        return self.answer_sample.size
+
     def count_answers(self, suspect: crash_records.Suspect) -> int:
         """Return how many of the last answered requests have a part."""
         return self.answer_sample.count_of(types.PromptPartDigest(suspect))
