Hold crashes against no answered part where parts without an answer ran

Cause: a part that was answered lately was spared only if the parts without an answer beside it had run for no longer. While upstreams live for a tenth of a second, what arrives after the cause has run for less.

Now they may have run three times as long, or 0.1 s.

--- a/packages/router/src/lagoonrun_router/crash_causes.py
+++ b/packages/router/src/lagoonrun_router/crash_causes.py
@@ -60,6 +60,13 @@
 MIN_SHARED_CRASHES = 2
 """Crashes from which a suspect bears on the decision about others."""
 
+_MAX_PRESENCE_RATIO = 3.0
+"""Ratio of the times for which two suspects had run at crashes up to which either
+may be the cause: what arrives after the cause has run for less."""
+
+_SHORT_SECONDS = 0.1
+"""Time for which two suspects may have run in any case."""
+
 _MIN_DOMINATED_SHARE = 2.0 / 3.0
 """Share of a part's crashes that several parts explain, which ran there with it
 for half the time, so that one of these may be the cause each time."""
@@ -368,8 +375,8 @@
     def _is_beside_others(self, weight: Weight) -> bool:
         """Return whether an answered part ran beside likelier causes.
 
-        These are parts that were never answered, had run for no longer when
-        their upstreams crashed, and were there at half of its crashes.
+        These are parts that were never answered, had run for not much longer
+        when their upstreams crashed, and were there at half of its crashes.
         """
         if not self._is_part(
             weight.suspect
@@ -380,7 +387,7 @@
         likelier = [
             self._open_records[part]
             for part, other in self._presence_by_unanswered.items()
-            if other <= presence
+            if other <= max(_SHORT_SECONDS, _MAX_PRESENCE_RATIO * presence)
         ]
         beside = [
             instance
