--- a/packages/router/src/lagoonrun_router/crash_causes.py
+++ b/packages/router/src/lagoonrun_router/crash_causes.py
@@ -60,10 +60,21 @@
 MIN_SHARED_CRASHES = 2
 """Crashes from which a suspect bears on the decision about others."""
 
+_MAX_PRESENCE_RATIO = 3.0
+"""Ratio of the times for which two suspects had run at crashes up to which either
+may be the cause: what arrives after the cause has run for less."""
+
+_SHORT_SECONDS = 0.1
+"""Time for which two suspects may have run in any case."""
+
 _MIN_DOMINATED_SHARE = 2.0 / 3.0
 """Share of a part's crashes that several parts explain, which ran there with it
 for half the time, so that one of these may be the cause each time."""
 
+_MIN_SAMPLED_ANSWERS = 16
+"""Answered requests from which it means something that a suspect has no answer:
+an entry VM that has just started knows of none."""
+
 _MAX_CANDIDATES = 64
 """Maximum number of suspects that are compared with each other, those with the
 strongest evidence. Callers may make up parts, and each comparison takes time."""
@@ -94,6 +105,10 @@
     ) -> float:
         """Return the upstream seconds of the pools of some upstreams."""
 
+    @property
+    def sampled_answers(self) -> int:
+        """Number of the last answered requests that are known."""
+
     def count_answers(self, suspect: crash_records.Suspect) -> int:
         """Return how many of the last answered requests have a part."""
 
@@ -360,8 +375,8 @@
     def _is_beside_others(self, weight: Weight) -> bool:
         """Return whether an answered part ran beside likelier causes.
 
-        These are parts that were never answered, had run for no longer when
-        their upstreams crashed, and were there at half of its crashes.
+        These are parts that were never answered, had run for not much longer
+        when their upstreams crashed, and were there at half of its crashes.
         """
         if not self._is_part(
             weight.suspect
@@ -372,7 +387,7 @@
         likelier = [
             self._open_records[part]
             for part, other in self._presence_by_unanswered.items()
-            if other <= presence
+            if other <= max(_SHORT_SECONDS, _MAX_PRESENCE_RATIO * presence)
         ]
         beside = [
             instance
@@ -521,6 +536,9 @@
 
         A request that met a cause several times has no crash of its own.
         """
+        knows_answers = (
+            self._observations.sampled_answers >= _MIN_SAMPLED_ANSWERS
+        )
         known = frozenset().union(*(one.cause for one in found))
         explained = frozenset(self._explained)
         self._explained.clear()
@@ -535,6 +553,7 @@
             )
             if (
                 suspect not in known
+                and (knows_answers or not self._is_part(suspect))
                 and (is_strong or (has_own and self._is_enough(weight)))
                 and not self._observations.was_answered(suspect)
             ):
