--- a/packages/router/tests/test_event_splitter.py
+++ b/packages/router/tests/test_event_splitter.py
@@ -109,3 +109,12 @@
     for _ in range(1 << 19):
         splitter.feed(b"x")
     assert time.process_time() - began_at < _MAX_SECONDS_OF_HALF_A_MEBIBYTE
+
+
+def test_comments_are_no_events():
+    """Guards against a stream that looks alive for its comments alone."""
+    splitter = event_splitter.EventSplitter()
+    assert splitter.feed(b": waiting\n\n: waiting\n\n") == b""
+    assert splitter.events == 0
+    splitter.feed(b": waiting\n\ndata: x\n\n")
+    assert splitter.events == 1
