Block a request that was alone at most crashes of a pool

In a pool whose upstreams live hardly longer than the request runs, its share of their time says nothing, and it was never blocked: the soak of crashing requests (test_single_fault_in_series_breaks_nothing) failed 4 of 4 times since the redesign, with 25 and 29 runs of one request.

--- a/packages/router/src/lagoonrun_router/crash_causes.py
+++ b/packages/router/src/lagoonrun_router/crash_causes.py
@@ -8,6 +8,7 @@
 one before.
 """
 
+import collections
 import dataclasses
 import itertools
 import math
@@ -46,6 +47,11 @@
 _MAX_POPULAR_SHARE = 0.2
 """Weaker evidence is not enough to refuse more than a fifth of the requests."""
 
+_BRIEF_SECONDS = 0.5
+"""Mean time at the crashed upstreams up to which a request that alone was at most
+crashes of a pool is a cause, whatever its share of the time: where it is sent
+again at once, upstreams live hardly longer than it runs."""
+
 _MIN_SHARE = 1e-9
 
 _RIVAL_RATIO = 100.0
@@ -233,6 +239,15 @@
             if len(records := open_records.get(part, {})) >= MIN_SHARED_CRASHES
             and not observations.was_answered(part)
         }
+        self._requests_by_instance: dict[
+            running.UpstreamInstance, set[crash_records.Suspect]
+        ] = {}
+        for suspect, by_instance in open_records.items():
+            if suspect not in self._parts:
+                for instance in by_instance:
+                    self._requests_by_instance.setdefault(instance, set()).add(
+                        suspect
+                    )
         self._weights = {
             suspect: weight
             for suspect in open_records
@@ -359,6 +374,8 @@
             and weight.share <= _MAX_SHARE
         ):
             return weight.silent or weight.crashes >= MIN_CRASHES_ANY
+        if self._is_alone(weight):
+            return True
         limit = (
             _MAX_LATE_COINCIDENCE
             if self._is_part(weight.suspect)
@@ -372,6 +389,25 @@
             <= _MAX_POPULAR_SHARE
         )
 
+    def _is_alone(self, weight: Weight) -> bool:
+        """Return whether a request, just come, was alone at most crashes.
+
+        No other request was at half of them.
+        """
+        if self._is_part(weight.suspect) or weight.crashes < MIN_CRASHES_ANY:
+            return False
+        own = self._open_records[weight.suspect]
+        if self._mean_presence(own, weight.instances) > _BRIEF_SECONDS:
+            return False
+        crashes_by_request = collections.Counter(
+            request
+            for instance in weight.instances
+            for request in self._requests_by_instance[instance]
+        )
+        del crashes_by_request[weight.suspect]
+        most = max(crashes_by_request.values(), default=0)
+        return 2 * most < len(weight.instances)
+
     def _is_beside_others(self, weight: Weight) -> bool:
         """Return whether an answered part ran beside likelier causes.
 
