Count silence without own stalls, and withdraw moves that an answer overtakes

The wait for a head or body measured silence by a clock that runs on while this process is stopped, and saw upstreams as silent for it. An answer that arrived in the moment of a move left the move paid for and chosen while the run went on; a later loss of it was then sent again without the checks of a retry, also a stream whose events have no ids. A move is now withdrawn, and its retry given back, unless the run was given up. A request that has not been written yet is not moved, and no move goes to an upstream where the request has been blocked meanwhile.

--- a/packages/router/src/lagoonrun_router/execution.py
+++ b/packages/router/src/lagoonrun_router/execution.py
@@ -200,8 +200,10 @@
     def _moved_to(self) -> choosing.Choice | None:
         """Return where a silent run goes on, unless it needs a place there."""
         choice = None if self._mover is None else self._mover.choice
-        if choice is None or self._components.notices.places.is_limited(
-            choice.upstream
+        if (
+            choice is None
+            or choice.upstream.id in self._barred
+            or self._components.notices.places.is_limited(choice.upstream)
         ):
             return None
         return choice
@@ -388,7 +390,9 @@
         """Return how the request ended, or None if it is sent again."""
         now = self._components.clock.monotonic()
         self._record_loss(choice, lost, now)
-        if self._mover.choice is not None:
+        if lost.silent and self._mover.choice is not None:
+            pool = self._call.pool.name
+            self._components.metrics.repeated_sends.labels(pool).inc()
             self._log_retry(retrying.RetryDecision.PAID, now)
             return None
         decision = retrying.decide(self._call, lost, self._sends, now=now)
@@ -425,7 +429,7 @@
     def _record_loss(
         self, choice: choosing.Choice, lost: attempt_result.Lost, now: float
     ) -> None:
-        observed = self._silence(lost.upstream, now)
+        observed = self._silence(lost.upstream)
         self._sends = self._sends.with_lost(lost, seconds=now - self._sent_at)
         self._tried.add(lost.upstream)
         self._current_attempt = None
@@ -468,15 +472,14 @@
             attempts_left=self._attempts_left(),
         )
 
-    def _silence(
-        self, upstream: types.UpstreamId, now: float
-    ) -> run_silence.RunSilence:
+    def _silence(self, upstream: types.UpstreamId) -> run_silence.RunSilence:
+        now = self._components.clock.running()
         attempt = self._current_attempt
         return run_silence.observe(
             upstream,
             [one.id for one in self._usable_upstreams()],
             self._components.signs,
-            sign_at=self._sent_at if attempt is None else attempt.sign_at,
+            sign_at=now if attempt is None else attempt.sign_at,
             bytes_at=self._relay.bytes_at,
             now=now,
         )
--- a/packages/router/src/lagoonrun_router/move_watch.py
+++ b/packages/router/src/lagoonrun_router/move_watch.py
@@ -22,6 +22,11 @@
         Silence that is allowed; None to ask never.
     may_move
         Called with the allowed silence; returns whether to end the wait.
+
+    Attributes
+    ----------
+    moved
+        Whether the wait was ended.
     """
 
     def __init__(
@@ -35,6 +40,7 @@
         self._allowed_seconds = allowed_seconds
         self._may_move = may_move
         self._handle: asyncio.Handle | None = None
+        self.moved = False
 
     def start(self) -> None:
         """Start the timer."""
@@ -57,6 +63,7 @@
                 self._pass, left - 1
             )
         elif self._may_move(self._allowed_seconds):
+            self.moved = True
             self._wait.reschedule(asyncio.get_running_loop().time())
         else:
             self._ask_after(silence.ASK_AGAIN_SECONDS)
--- a/packages/router/src/lagoonrun_router/retry_budget.py
+++ b/packages/router/src/lagoonrun_router/retry_budget.py
@@ -89,6 +89,12 @@
         self._retries_by_pool[pool].append(now)
         return True
 
+    def give_back(self, pool: types.PoolName) -> None:
+        """Take back the newest retry, which was not sent after all."""
+        retries = self._retries_by_pool[pool]
+        if retries:
+            retries.pop()
+
     def _drop_old(self, times: collections.deque[float], now: float) -> None:
         while times and now - times[0] > self._allowance.window_seconds:
             times.popleft()
--- a/packages/router/src/lagoonrun_router/run_mover.py
+++ b/packages/router/src/lagoonrun_router/run_mover.py
@@ -15,7 +15,7 @@
 from lagoonrun_router import components as router_components
 
 _SECONDS_PER_TARGET = 0.005
-_MAX_RANKING_SECONDS = 1.0
+_MAX_RANKING_SECONDS = 0.25
 """Time until the other upstreams are ranked again for a run that was kept, for
 each of them and at most. Ranking a hundred takes about a millisecond, and all
 streams of an entry VM may be silent at once."""
@@ -35,12 +35,13 @@
         Allowed silence of the run.
     """
     now = components.clock.monotonic()
+    running_now = components.clock.running()
     ledger = components.ledger
     entry_vm_count = 1 + len(components.peers.known())
     return {
         one.id: silence.fitness_of(
             silence.Target(
-                heard_seconds=now - components.signs.heard_at(one.id),
+                heard_seconds=running_now - components.signs.heard_at(one.id),
                 slots=one.slots,
                 running=ledger.load_of(one.id, now=now).running,
                 awaited=ledger.own_running_count(one.id),
@@ -148,7 +149,6 @@
                 verdict = silence.Verdict.NO_TARGET
             else:
                 self._components.retry_budget.spend(pool, now=now)
-                self._components.metrics.repeated_sends.labels(pool).inc()
                 return True
         self._ranked_again_at = now + min(
             _MAX_RANKING_SECONDS, len(targets) * _SECONDS_PER_TARGET
@@ -156,6 +156,11 @@
         self._log_kept(verdict, silent_seconds, allowed_seconds, len(targets))
         return False
 
+    def withdraw(self) -> None:
+        """Keep the run after all, and give back what its retry has cost."""
+        self.choice = None
+        self._components.retry_budget.give_back(self._call.pool.name)
+
     def _may_repeat(self, now: float) -> bool:
         if self._relay.events and not self._relay.resume_after:
             # Its events have no ids: another run would repeat them.
@@ -214,6 +219,7 @@
             return
         self._logged = verdict
         now = self._components.clock.monotonic()
+        running_now = self._components.clock.running()
         pool = self._call.pool.name
         self._components.metrics.kept_runs.labels(pool, verdict.value).inc()
         signs = self._components.signs
@@ -225,10 +231,13 @@
             silent_seconds=round(silent_seconds, 3),
             allowed_seconds=allowed_seconds,
             upstream_silent_seconds=round(
-                min(silent_seconds, now - signs.heard_at(self._upstream)), 3
+                min(
+                    silent_seconds, running_now - signs.heard_at(self._upstream)
+                ),
+                3,
             ),
             pool_silent_seconds=round(
-                min(silent_seconds, now - signs.pool_heard_at(pool)), 3
+                min(silent_seconds, running_now - signs.pool_heard_at(pool)), 3
             ),
             targets=targets,
             budget_left=round(
--- a/packages/router/src/lagoonrun_router/stream_relay.py
+++ b/packages/router/src/lagoonrun_router/stream_relay.py
@@ -69,8 +69,8 @@
     longest_pause_seconds
         Longest pause between two consecutive events so far.
     bytes_at
-        Reading of the clock when bytes of an upstream last arrived; None
-        before.
+        Reading of the clock without stalls when bytes of an upstream last
+        arrived; None before.
     """
 
     def __init__(
@@ -92,10 +92,6 @@
         self.longest_pause_seconds = 0.0
         self.bytes_at: float | None = None
 
-    def now(self) -> float:
-        """Return the reading of the clock."""
-        return self._clock.monotonic()
-
     def running_now(self) -> float:
         """Return the reading of the clock without stalls of this process."""
         return self._clock.running()
@@ -316,7 +312,7 @@
 
     def take(self, data: bytes) -> bool:
         """Consume bytes; return whether more may follow at once."""
-        self._relay.bytes_at = self._relay.now()
+        self._relay.bytes_at = self._relay.running_now()
         known_events = self.splitter.events
         complete = self.splitter.feed(data)
         self._check_kept()
@@ -325,7 +321,7 @@
                 return True
             # Comments between two events: passed on, but no progress.
             return self._relay.send_comments(complete, self.splitter.last_id)
-        self.progress_at = self._relay.running_now()
+        self.progress_at = self._relay.bytes_at
         is_first = self._relay.first_event_at is None
         self._on_event(self._relay.record_upstream_event())
         keeps_up = self._relay.send_events(
--- a/packages/router/src/lagoonrun_router/upstream_attempt.py
+++ b/packages/router/src/lagoonrun_router/upstream_attempt.py
@@ -68,8 +68,8 @@
         Prompt tokens that were known to be queued at the upstream when the
         longest pause of the stream ended, for the log.
     sign_at
-        Reading of the clock at the last sign of progress: the head or a whole
-        event; when the request was written, before.
+        Reading of the clock without stalls at the last sign of progress: the
+        head or a whole event; when the request was written, before.
     """
 
     def __init__(
@@ -92,7 +92,7 @@
         self._components = components
         self.may_have_run = False
         self._written_at = choice.decided_at
-        self.sign_at = choice.decided_at
+        self.sign_at = components.clock.running()
         self.pause_waiting_tokens = 0
         self._load_report: load_report.LoadReport | None = None
         self._resumes = bool(relay.resume_after)
@@ -165,6 +165,9 @@
                 yield
             finally:
                 watch.close()
+        if watch.moved:
+            # What was awaited arrived while the wait was being ended.
+            self._mover.withdraw()
 
     def _moved(self, detail: str) -> attempt_result.Lost:
         return attempt_result.Lost(
@@ -176,9 +179,12 @@
         )
 
     def _may_move(self, allowed_seconds: float) -> bool:
-        now = self._components.clock.monotonic()
+        silent_seconds = self._components.clock.running() - self.sign_at
+        if not self.may_have_run or silent_seconds < allowed_seconds:
+            # Opening a connection has a time limit of its own.
+            return False
         return self._mover.may_move(
-            silent_seconds=now - self.sign_at, allowed_seconds=allowed_seconds
+            silent_seconds=silent_seconds, allowed_seconds=allowed_seconds
         )
 
     def _record_head(self, head: http_messages.ResponseHead) -> None:
@@ -190,13 +196,13 @@
         dialect = self._components.dialect
         refused = dialect.is_misdirected(head) or dialect.says_not_run(head)
         if refused or self._call.streamed:
-            self.sign_at = self._components.clock.monotonic()
+            self.sign_at = self._components.clock.running()
         else:
             self._record_sign()
 
     def _record_sign(self) -> None:
         upstream = self._choice.upstream
-        self.sign_at = self._components.clock.monotonic()
+        self.sign_at = self._components.clock.running()
         self._components.signs.record(
             upstream.id, upstream.pool, now=self.sign_at
         )
@@ -235,7 +241,8 @@
         # caller must not be told that it did not run.
         self.may_have_run = allowed
         if allowed:
-            self._written_at = self.sign_at = now
+            self._written_at = now
+            self.sign_at = self._components.clock.running()
             if self._call.route.resumable:
                 self._components.stream_origins.record_sent(
                     self._call.request_id,
--- a/packages/router/src/lagoonrun_router/upstream_signs.py
+++ b/packages/router/src/lagoonrun_router/upstream_signs.py
@@ -13,7 +13,11 @@
 
 
 class UpstreamSigns:
-    """The time of the last sign by upstream, and by pool."""
+    """The time of the last sign by upstream, and by pool.
+
+    All times are readings of the clock without stalls of this process, in which
+    no upstream can be heard.
+    """
 
     def __init__(self) -> None:
         self._heard_at_by_upstream: dict[types.UpstreamId, float] = {}
--- a/packages/router/tests/test_retry_budget.py
+++ b/packages/router/tests/test_retry_budget.py
@@ -71,3 +71,12 @@
         recent = sum(1 for at in requests if at >= window)
         spent = sum(1 for at in retries if at >= window)
         assert spent <= ALLOWANCE.ratio * recent + ALLOWANCE.fixed
+
+
+def test_retry_that_was_not_sent_is_available_again():
+    """Guards against runs that are kept after all and use the budget up."""
+    one = budget()
+    before = one.left("p", now=0.0)
+    assert one.spend("p", now=0.0)
+    one.give_back("p")
+    assert one.left("p", now=0.0) == before
