--- a/packages/core/src/lagoonrun_core/errors.py
+++ b/packages/core/src/lagoonrun_core/errors.py
@@ -45,3 +45,14 @@
         self.detail = detail
         where = f"{step.value} with {peer}" if peer else step.value
         super().__init__(f"{where}: {detail}")
+
+
+UNREADABLE_RECORD = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What reading a JSON record raises if somebody else wrote its value."""
--- a/packages/duties/src/lagoonrun_duties/usage_record.py
+++ b/packages/duties/src/lagoonrun_duties/usage_record.py
@@ -109,14 +109,7 @@
             windows=tuple(SettledWindow(**row) for row in table["windows"]),
             era=int(table.get("era", 0)),
         )
-    except (
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except errors.UNREADABLE_RECORD as error:
         raise errors.LagoonrunError(
             step=errors.Step.ORDER, detail=f"usage record unreadable: {error}"
         ) from error
--- a/packages/router/src/lagoonrun_router/block_record.py
+++ b/packages/router/src/lagoonrun_router/block_record.py
@@ -55,7 +55,7 @@
             (types.PromptPartDigest(str(one["suspect"])), _instance_of(one))
             for one in table["lifted"]
         )
-    except _INVALID_RECORD as error:
+    except errors.UNREADABLE_RECORD as error:
         raise _invalid(id, error) from error
 
 
@@ -78,17 +78,6 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
-_INVALID_RECORD = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-"""What reading a record raises if its value is not one of an entry VM."""
-
-
 def decode(
     id: types.BlockId, value: bytes, *, now: float
 ) -> tuple[crash_records.CrashRecord, ...]:
@@ -121,7 +110,7 @@
                 reversed(range(len(crashes))), crashes, strict=True
             )
         )
-    except _INVALID_RECORD as error:
+    except errors.UNREADABLE_RECORD as error:
         raise _invalid(id, error) from error
 
 
--- a/packages/router/src/lagoonrun_router/peer_table.py
+++ b/packages/router/src/lagoonrun_router/peer_table.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Iterable
 
-from lagoonrun_core import events, logs, types
+from lagoonrun_core import errors, events, logs, types
 from lagoonrun_protocol import router_messages
 from lagoonrun_router import settings
 
@@ -53,16 +53,6 @@
 
 _PORTS = 1 << 16
 
-_INVALID_RECORD = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-"""What reading a record raises if its value is not one of an entry VM."""
-
 
 def rounded_cores(processor_cores: float) -> float:
     """Return the processor cores of an entry VM, rounded as in messages.
@@ -132,7 +122,7 @@
             cores = rounded_cores(float(decoded.get("processor_cores", 0.0)))
             if not 0 < address.port < _PORTS:
                 raise ValueError(f"port {address.port}")
-        except _INVALID_RECORD as error:
+        except errors.UNREADABLE_RECORD as error:
             logs.emit(
                 events.LogEvent.PEER_FRAME_REJECTED,
                 level=logging.ERROR,
