--- a/packages/soak/src/lagoonrun_soak/planted.py
+++ b/packages/soak/src/lagoonrun_soak/planted.py
@@ -6,9 +6,11 @@
 import asyncio
 import collections
 import enum
+from typing import Any
 
 from lagoonrun_core import event_loop, outcomes
 from lagoonrun_http import exchange as exchanges
+from lagoonrun_http import upstream
 from lagoonrun_router import (
     admission,
     answers,
@@ -29,6 +31,7 @@
     store_replica,
     stream_origin,
     stream_origins,
+    stream_relay,
     upstream_rests,
     upstreams,
 )
@@ -275,7 +278,26 @@
 
 
 def _break_late_timers() -> None:
-    """Run late timers before what had arrived is read, as asyncio does."""
+    """Run late timers before what had arrived is read, as asyncio does.
+
+    And end a stream at such a timer, without another look at its socket.
+    """
+
+    async def pump(
+        self: stream_relay.StreamRelay,
+        response: upstream.UpstreamResponse,
+        sink: Any,
+        may_move: Any,
+    ) -> Any:
+        while True:
+            seconds = self._remaining_seconds(sink)
+            if seconds is not None and seconds <= 0.0:
+                return None
+            pumped = await stream_relay._pump_for(response, sink, seconds)
+            if pumped is not None:
+                return pumped
+
+    stream_relay.StreamRelay._pump = pump
     event_loop.StallAwareEventLoop = lambda *, stalls: (
         asyncio.SelectorEventLoop()
     )
