--- a/review/world/world.py
+++ b/review/world/world.py
@@ -596,10 +596,6 @@
             with contextlib.suppress(Exception):
                 await one.close()
         await self.store.close()
-        if os.environ.get("KEEP"):
-            import shutil
-
-            shutil.copytree(self.folder, os.environ["KEEP"], dirs_exist_ok=True)
         self._folder.cleanup()
 
     def new_id(self):
